--- /dev/null
+++ b/core/request.go
@@ -0,0 +1,130 @@
+package ggscore
+
+import (
+	"time"
+)
+
+// A Priority orders requests: a lower number is served first.
+type Priority int
+
+// The priorities of the document.
+const (
+	PriorityUrgent Priority = iota
+	PriorityInteractive
+	PriorityNormal
+	PriorityDeferrable
+)
+
+// A Request is one caller's request, resolved on one revision of the document.
+type Request struct {
+	ID       RequestID
+	Market   Market
+	Service  Service
+	Kind     ServiceKind
+	Base     BaseModel
+	Adapter  AdapterRef
+	Priority Priority
+	// Arrived is when the gateway admitted the request, by its own clock.
+	Arrived time.Time
+	// Budget is the time that was left for the request's first byte when it
+	// was handed over. Durations cross processes, instants don't.
+	Budget time.Duration
+	// Deferrable is the wait that the request allows for a fuller batch.
+	Deferrable time.Duration
+	// NonIdempotent marks a request that runs at most once. Key is then set.
+	NonIdempotent bool
+	Key           IdempotencyKey
+	Revision      Revision
+	Operation     Operation
+	Body          []byte
+	// Stream says that the caller reads the answer piece by piece.
+	Stream bool
+}
+
+// An Operation is the call to make on an endpoint.
+type Operation struct {
+	Method string
+	Path   string
+}
+
+// An Outcome says what became of a request.
+type Outcome int
+
+// The outcomes of requests. The zero value is the careful one: anything that
+// isn't proved otherwise is unknown.
+const (
+	OutcomeUnknown Outcome = iota
+	OutcomeDone
+	OutcomeNotRun
+)
+
+// String returns the outcome's name in public answers.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeDone:
+		return "done"
+	case OutcomeNotRun:
+		return "notRun"
+	case OutcomeUnknown:
+	}
+	return "unknown"
+}
+
+// A Chunk is one piece of an answer. Pieces of an answer are numbered from
+// zero, and exactly the last has Final set.
+type Chunk struct {
+	Seq   int
+	Data  []byte
+	Final bool
+	// Status, ContentType and Served stand on the first piece.
+	Status      int
+	ContentType string
+	// Served is the adapter that the engine says it ran.
+	Served AdapterRef
+	// Failure is set on a final piece that ends an answer short.
+	Failure *Failure
+}
+
+// A Failure is an error as callers see it, and as it crosses processes.
+type Failure struct {
+	Kind       FailureKind
+	Outcome    Outcome
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return string(f.Kind) + ": " + f.Detail
+}
+
+// A FailureKind classifies failures in public answers.
+type FailureKind string
+
+// The kinds of failures.
+const (
+	FailureBadRequest     FailureKind = "badRequest"
+	FailureTooLarge       FailureKind = "tooLarge"
+	FailureUnknownMarket  FailureKind = "unknownMarket"
+	FailureUnknownAdapter FailureKind = "unknownAdapter"
+	FailureUnknownService FailureKind = "unknownService"
+	FailureOverLimit      FailureKind = "overLimit"
+	FailureNoCapacity     FailureKind = "noCapacity"
+	FailureStopping       FailureKind = "stopping"
+	FailurePlatformAway   FailureKind = "platformAway"
+	FailureKeyReused      FailureKind = "keyReused"
+	FailureKeyInUse       FailureKind = "keyInUse"
+	FailureKeyExpired     FailureKind = "keyExpired"
+	FailureEndpoint       FailureKind = "endpoint"
+	FailureBroken         FailureKind = "broken"
+	FailureCancelled      FailureKind = "cancelled"
+	FailureWrongAdapter   FailureKind = "wrongAdapter"
+	FailureNoDocument     FailureKind = "noDocument"
+	FailureNotOwner       FailureKind = "notOwner"
+	FailureAdapterMissing FailureKind = "adapterMissing"
+	FailureInternal       FailureKind = "internal"
+)
+
+// An IdempotencyKey is the key that a caller gives to a non-idempotent
+// request. Its scope is one market.
+type IdempotencyKey string
