--- /dev/null
+++ b/core/ggsschedule/dispatch.go
@@ -0,0 +1,211 @@
+package ggsschedule
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsqueue"
+)
+
+// bind chooses the only endpoint that a baseline policy allows for a job.
+func (s *Scheduler) bind(now time.Time, j *job) {
+	j.bound = nil
+	if s.options.Policy == PolicyCost || j.adapter.anywhere() {
+		return
+	}
+	var allowed []*endpoint
+	for _, e := range j.adapter.service.endpoints {
+		if e.serves(now, j.adapter.ref) {
+			allowed = append(allowed, e)
+		}
+	}
+	if len(allowed) == 0 {
+		return
+	}
+	switch s.options.Policy {
+	case PolicyRandom:
+		j.bound = allowed[s.random.IntN(len(allowed))]
+	case PolicyLeastLoaded:
+		j.bound = leastLoaded(allowed)
+	case PolicyRendezvousLRU:
+		j.bound = rendezvous(allowed, j.adapter.ref)
+	case PolicyCost:
+	}
+}
+
+// dispatch sends a job that isn't in a queue to an endpoint.
+func (s *Scheduler) dispatch(now time.Time, j *job, e *endpoint, r *replica) {
+	j.endpoint = e
+	j.replica = r
+	j.startedAt = now
+	j.dispatches++
+	j.position = len(e.running)
+	e.running = append(e.running, j)
+	if r != nil {
+		r.running++
+		r.used = now
+	}
+	s.clock.Charge(j.item.Share)
+	s.orders = append(s.orders, ggscore.Order{
+		Kind:     ggscore.OrderDispatch,
+		Endpoint: e.spec.ID,
+		Adapter:  j.adapter.ref,
+		Request:  j.request,
+	})
+}
+
+// drain dispatches waiting jobs to an endpoint while it has free slots.
+func (s *Scheduler) drain(now time.Time, e *endpoint) {
+	for e.accepts(now) && e.free() > 0 {
+		j, r := s.choose(now, e)
+		if j == nil {
+			return
+		}
+		if !now.Before(j.deadline) {
+			s.refuseQueued(now, j, "budget ran out while waiting")
+			continue
+		}
+		s.dequeue(j)
+		s.dispatch(now, j, e, r)
+	}
+}
+
+// choose returns the waiting job that an endpoint serves next, or nil.
+func (s *Scheduler) choose(now time.Time, e *endpoint) (*job, *replica) {
+	var best *ggsqueue.Item[*job]
+	var on *replica
+	consider := func(a *adapter, r *replica) {
+		h := s.headFor(a, e)
+		if h != nil && (best == nil || ggsqueue.Less(h, best)) {
+			best, on = h, r
+		}
+	}
+	for _, r := range e.replicas {
+		if r.state == stateResident && r.adapter.waiting >= 0 && e.serves(now, r.adapter.ref) {
+			consider(r.adapter, r)
+		}
+	}
+	for _, a := range e.service.everywhere {
+		if a.waiting >= 0 && e.serves(now, a.ref) {
+			consider(a, nil)
+		}
+	}
+	if best == nil {
+		return nil, nil
+	}
+	return best.Value, on
+}
+
+// headFor returns the first waiting job of an adapter that may run on e.
+func (s *Scheduler) headFor(a *adapter, e *endpoint) *ggsqueue.Item[*job] {
+	if s.options.Policy == PolicyCost || a.anywhere() {
+		return a.queue.Head()
+	}
+	var best *ggsqueue.Item[*job]
+	a.queue.All(func(i *ggsqueue.Item[*job]) bool {
+		allowed := i.Value.bound == nil || i.Value.bound == e
+		if allowed && (best == nil || ggsqueue.Less(i, best)) {
+			best = i
+		}
+		return true
+	})
+	return best
+}
+
+// route returns an endpoint where a job can run at once: the one with the most
+// free slots, since it is the last to run out of them.
+func (s *Scheduler) route(now time.Time, j *job) (*endpoint, *replica) {
+	a := j.adapter
+	var best *endpoint
+	var on *replica
+	room := 0
+	consider := func(e *endpoint, r *replica) {
+		if (j.bound == nil || j.bound == e) && e.serves(now, a.ref) && e.free() > room {
+			best, on, room = e, r, e.free()
+		}
+	}
+	if a.anywhere() {
+		for _, e := range a.service.endpoints {
+			consider(e, nil)
+		}
+		return best, on
+	}
+	for _, r := range a.replicas {
+		if r.state == stateResident {
+			consider(r.endpoint, r)
+		}
+	}
+	return best, on
+}
+
+// leastLoaded returns the endpoint with the least work.
+func leastLoaded(all []*endpoint) *endpoint {
+	best := all[0]
+	for _, e := range all[1:] {
+		if e.bound+len(e.running) < best.bound+len(best.running) {
+			best = e
+		}
+	}
+	return best
+}
+
+// rendezvous returns the endpoint with the greatest hash for an adapter.
+func rendezvous(all []*endpoint, ref ggscore.AdapterRef) *endpoint {
+	var best *endpoint
+	var top uint64
+	for _, e := range all {
+		h := rank(e, ref)
+		if best == nil || h > top {
+			best, top = e, h
+		}
+	}
+	return best
+}
+
+// rank is the rendezvous hash of an endpoint for an adapter.
+func rank(e *endpoint, ref ggscore.AdapterRef) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(e.spec.ID))
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(ref.Name)
+	_, _ = d.WriteString("@")
+	_, _ = d.WriteString(string(ref.Version))
+	return d.Sum64()
+}
+
+// placedOn returns on how many endpoints an adapter's waiting requests count.
+func (a *adapter) placedOn(now time.Time) int {
+	if a.anywhere() {
+		return len(a.service.endpoints)
+	}
+	n := 0
+	for _, r := range a.replicas {
+		placed := r.state == stateReserved || r.state == stateLoading || r.state == stateResident
+		if placed && r.endpoint.serves(now, a.ref) {
+			n++
+		}
+	}
+	return n
+}
+
+// servable reports whether any endpoint could serve the adapter's requests as
+// things stand, if need be after a load or a pause.
+func (a *adapter) servable() bool {
+	for _, e := range a.service.endpoints {
+		if e.spec.Leaving || e.mode == ggscore.ModeNone {
+			continue
+		}
+		if e.mode == ggscore.ModeFull {
+			return true
+		}
+		r := e.find(a)
+		there := r != nil && r.state != stateGone
+		if e.protects(a.ref) && (there || a.anywhere()) {
+			return true
+		}
+	}
+	return false
+}
