--- /dev/null
+++ b/io/ggsrpc/errors.go
@@ -0,0 +1,46 @@
+package ggsrpc
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// A DialError says that no connection was made, so the call had no effect.
+type DialError struct {
+	Addr  netip.AddrPort
+	Cause error
+}
+
+// Error implements error.
+func (e *DialError) Error() string { return fmt.Sprintf("dialing %s: %v", e.Addr, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
+
+// A BrokenError says that a call's answer didn't arrive: the call may have had
+// its effect.
+type BrokenError struct {
+	Addr   netip.AddrPort
+	Method string
+	Cause  error
+}
+
+// Error implements error.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("call of %s at %s broke: %v", e.Method, e.Addr, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Cause }
+
+// A RemoteError is an error that the other process answered with.
+type RemoteError struct {
+	Addr   netip.AddrPort
+	Method string
+	Text   string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string {
+	return fmt.Sprintf("%s at %s: %s", e.Method, e.Addr, e.Text)
+}
--- /dev/null
+++ b/io/ggsrpc/pool.go
@@ -0,0 +1,111 @@
+package ggsrpc
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const defaultDialTimeout = time.Second
+
+// PoolOptions sets a Pool's limits.
+type PoolOptions struct {
+	// DialTimeout bounds the making of a connection; zero means one second.
+	DialTimeout time.Duration
+}
+
+// A Pool keeps one connection to each process that is called.
+type Pool struct {
+	options PoolOptions
+	mu      sync.Mutex
+	clients map[netip.AddrPort]*rpc.Client
+}
+
+// NewPool returns an empty Pool.
+func NewPool(o PoolOptions) *Pool {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	return &Pool{options: o, clients: make(map[netip.AddrPort]*rpc.Client)}
+}
+
+// Call calls a method of the process at addr and waits for its answer or the
+// context's end. The reply must not be read after an error.
+func (p *Pool) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
+	c, err := p.client(ctx, addr)
+	if err != nil {
+		return &DialError{Addr: addr, Cause: err}
+	}
+	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		return &BrokenError{Addr: addr, Method: method, Cause: ctx.Err()}
+	case <-call.Done:
+	}
+	if call.Error == nil {
+		return nil
+	}
+	if s := rpc.ServerError(""); errors.As(call.Error, &s) {
+		return &RemoteError{Addr: addr, Method: method, Text: string(s)}
+	}
+	p.drop(addr, c)
+	return &BrokenError{Addr: addr, Method: method, Cause: call.Error}
+}
+
+// Close ends all connections.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, c := range p.clients {
+		_ = c.Close()
+		delete(p.clients, a)
+	}
+	return nil
+}
+
+// Forget ends the connection to addr, whose process is gone.
+func (p *Pool) Forget(addr netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.clients[addr]; c != nil {
+		_ = c.Close()
+		delete(p.clients, addr)
+	}
+}
+
+func (p *Pool) client(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
+	p.mu.Lock()
+	c := p.clients[addr]
+	p.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	d := net.Dialer{Timeout: p.options.DialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	n := rpc.NewClient(conn)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c = p.clients[addr]; c != nil {
+		_ = n.Close()
+		return c, nil
+	}
+	p.clients[addr] = n
+	return n, nil
+}
+
+func (p *Pool) drop(addr netip.AddrPort, c *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients[addr] == c {
+		delete(p.clients, addr)
+	}
+	_ = c.Close()
+}
