--- /dev/null
+++ b/io/ggswire/request.go
@@ -0,0 +1,146 @@
+package ggswire
+
+import (
+	"time"
+
+	"greengageslip/core"
+)
+
+// The methods of a dispatcher.
+const (
+	MethodSubmit   = "Dispatch.Submit"
+	MethodNext     = "Dispatch.Next"
+	MethodWithdraw = "Dispatch.Withdraw"
+	MethodSummary  = "Dispatch.Summary"
+)
+
+// A Request is the wire form of ggscore.Request.
+type Request struct {
+	ID, Market, Service, Base, Adapter, Version string
+	Kind, Priority                              int
+	Budget, Deferrable                          time.Duration
+	NonIdempotent, Stream                       bool
+	Key                                         string
+	Revision                                    uint64
+	Method, Path                                string
+	Body                                        []byte
+}
+
+// FromRequest maps a request to its wire form. Budget is what is left of it.
+func FromRequest(r *ggscore.Request, budget time.Duration) Request {
+	return Request{
+		ID: string(r.ID), Market: string(r.Market), Service: string(r.Service),
+		Base: string(r.Base), Adapter: r.Adapter.Name, Version: string(r.Adapter.Version),
+		Kind: int(r.Kind), Priority: int(r.Priority),
+		Budget: budget, Deferrable: r.Deferrable,
+		NonIdempotent: r.NonIdempotent, Stream: r.Stream,
+		Key: string(r.Key), Revision: uint64(r.Revision),
+		Method: r.Operation.Method, Path: r.Operation.Path, Body: r.Body,
+	}
+}
+
+// Request maps the wire form to a request that arrived at now.
+func (w *Request) Request(now time.Time) *ggscore.Request {
+	return &ggscore.Request{
+		ID: ggscore.RequestID(w.ID), Market: ggscore.Market(w.Market),
+		Service: ggscore.Service(w.Service), Kind: ggscore.ServiceKind(w.Kind),
+		Base:     ggscore.BaseModel(w.Base),
+		Adapter:  ggscore.AdapterRef{Name: w.Adapter, Version: ggscore.Version(w.Version)},
+		Priority: ggscore.Priority(w.Priority), Arrived: now,
+		Budget: w.Budget, Deferrable: w.Deferrable,
+		NonIdempotent: w.NonIdempotent, Stream: w.Stream,
+		Key: ggscore.IdempotencyKey(w.Key), Revision: ggscore.Revision(w.Revision),
+		Operation: ggscore.Operation{Method: w.Method, Path: w.Path}, Body: w.Body,
+	}
+}
+
+// A Failure is the wire form of ggscore.Failure. An empty Kind stands for
+// none.
+type Failure struct {
+	Kind, Detail string
+	Outcome      int
+	RetryAfter   time.Duration
+}
+
+// FromFailure maps a failure, or nil, to its wire form.
+func FromFailure(f *ggscore.Failure) Failure {
+	if f == nil {
+		return Failure{}
+	}
+	return Failure{
+		Kind: string(f.Kind), Detail: f.Detail,
+		Outcome: int(f.Outcome), RetryAfter: f.RetryAfter,
+	}
+}
+
+// Failure maps the wire form to a failure, or nil.
+func (w *Failure) Failure() *ggscore.Failure {
+	if w.Kind == "" {
+		return nil
+	}
+	return &ggscore.Failure{
+		Kind: ggscore.FailureKind(w.Kind), Detail: w.Detail,
+		Outcome: ggscore.Outcome(w.Outcome), RetryAfter: w.RetryAfter,
+	}
+}
+
+// A Chunk is the wire form of ggscore.Chunk.
+type Chunk struct {
+	Seq                          int
+	Data                         []byte
+	Final                        bool
+	Status                       int
+	ContentType, Served, Version string
+	Failure                      Failure
+}
+
+// FromChunk maps a chunk to its wire form.
+func FromChunk(c ggscore.Chunk) Chunk {
+	return Chunk{
+		Seq: c.Seq, Data: c.Data, Final: c.Final,
+		Status: c.Status, ContentType: c.ContentType,
+		Served: c.Served.Name, Version: string(c.Served.Version),
+		Failure: FromFailure(c.Failure),
+	}
+}
+
+// Chunk maps the wire form to a chunk.
+func (w *Chunk) Chunk() ggscore.Chunk {
+	return ggscore.Chunk{
+		Seq: w.Seq, Data: w.Data, Final: w.Final,
+		Status: w.Status, ContentType: w.ContentType,
+		Served:  ggscore.AdapterRef{Name: w.Served, Version: ggscore.Version(w.Version)},
+		Failure: w.Failure.Failure(),
+	}
+}
+
+// SubmitArgs hands a request to a dispatcher. A repeat with the same id is
+// the same request.
+type SubmitArgs struct{ Request Request }
+
+// SubmitReply says whether the request was taken.
+type SubmitReply struct{ Failure Failure }
+
+// NextArgs asks for the pieces of an answer from number From on. Pieces below
+// From are thereby acknowledged.
+type NextArgs struct {
+	ID   string
+	From int
+	Wait time.Duration
+}
+
+// NextReply holds pieces in order, or none if none came in time. Lost says
+// that the dispatcher doesn't know the request or no longer has the piece.
+type NextReply struct {
+	Chunks []Chunk
+	Stall  time.Duration
+	Lost   bool
+}
+
+// WithdrawArgs takes a request back. The dispatcher then never starts it, not
+// even if a late copy of its submission arrives.
+type WithdrawArgs struct{ ID string }
+
+// WithdrawReply tells the outcome: notRun where the request never reached an
+// endpoint.
+type WithdrawReply struct{ Outcome int }
