--- /dev/null
+++ b/core/ggsfleet/fleet.go
@@ -0,0 +1,50 @@
+// Package ggsfleet tells which endpoints and dispatchers there are, from the
+// platform's lagging list of VMs and the document in force.
+//
+// # Usage
+//
+//	es := ggsfleet.Endpoints(vms, document, domain)
+//	ds := ggsfleet.Dispatchers(vms)
+//
+// The package is pure: it holds nothing.
+package ggsfleet
+
+import (
+	"cmp"
+	"slices"
+
+	"greengageslip/core"
+)
+
+// Dispatchers returns the entry VMs, ordered by id.
+func Dispatchers(vms []ggscore.VM) []ggscore.VM {
+	ds := make([]ggscore.VM, 0, len(vms))
+	for i := range vms {
+		if vms[i].Role == ggscore.RoleEntry {
+			ds = append(ds, vms[i])
+		}
+	}
+	slices.SortFunc(ds, func(a, b ggscore.VM) int { return cmp.Compare(a.ID, b.ID) })
+	return ds
+}
+
+// Endpoints returns the endpoints of one failure domain, ordered by id. An
+// endpoint whose service the document doesn't describe is left out.
+func Endpoints(vms []ggscore.VM, d *ggscore.Document, domain ggscore.Domain) []ggscore.Endpoint {
+	es := make([]ggscore.Endpoint, 0, len(vms))
+	for i := range vms {
+		v := &vms[i]
+		s, known := d.Services[v.Service]
+		if v.Role != ggscore.RoleEndpoint || v.Domain != domain || !known {
+			continue
+		}
+		es = append(es, ggscore.Endpoint{
+			ID: ggscore.EndpointID(v.ID), Service: v.Service, Kind: s.Kind,
+			Region: v.Region, Domain: v.Domain, Addr: v.Addr,
+			Slots: s.Slots, AdapterSlots: s.AdapterSlots, ChecksFence: s.ChecksFence,
+			Leaving: v.State == ggscore.VMLeaving,
+		})
+	}
+	slices.SortFunc(es, func(a, b ggscore.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return es
+}
--- /dev/null
+++ b/io/ggsdispatch/dispatcher.go
@@ -0,0 +1,305 @@
+package ggsdispatch
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"greengageslip/core"
+)
+
+// Defaults of Options.
+const (
+	defaultRequestWorkers = 256
+	defaultOrderWorkers   = 32
+	defaultReaderTimeout  = 15 * time.Second
+	defaultReportInterval = 500 * time.Millisecond
+	defaultJobRetention   = 2 * time.Minute
+	reportTimeout         = 2 * time.Second
+	idleTick              = 100 * time.Millisecond
+)
+
+// Options sets a Dispatcher's limits. Zero values mean the defaults.
+type Options struct {
+	Self        ggscore.VMID
+	Region      ggscore.Region
+	Domain      ggscore.Domain
+	Incarnation string
+	// RequestWorkers bounds the requests in progress, OrderWorkers the orders
+	// to runners.
+	RequestWorkers int
+	OrderWorkers   int
+	// ReaderTimeout is how long an answer waits for its gateway to read on.
+	ReaderTimeout time.Duration
+	// ReportInterval is the time between two questions to each runner.
+	ReportInterval time.Duration
+	// JobRetention is how long the ids of ended requests are known.
+	JobRetention time.Duration
+}
+
+// Parts are what a Dispatcher works with.
+type Parts struct {
+	Scheduler ggscore.Scheduler
+	Engine    ggscore.EngineCaller
+	Plain     ggscore.PlainCaller
+	Orderer   ggscore.AdapterOrderer
+	Reporter  ggscore.RunnerReporter
+	Claims    ggscore.Claimer
+	Guard     ggscore.OwnerGuard
+	Clock     func() time.Time
+	Log       log.Logger
+}
+
+// A Dispatcher runs requests on the endpoints that it owns.
+type Dispatcher struct {
+	options  Options
+	parts    Parts
+	requests *orderQueue
+	orders   *orderQueue
+	wake     chan struct{}
+	stats    Stats
+
+	mu        sync.Mutex
+	draining  bool
+	sequence  uint64
+	jobs      map[ggscore.RequestID]*job
+	endpoints map[ggscore.EndpointID]ownedEndpoint
+	changed   chan struct{}
+}
+
+type ownedEndpoint struct {
+	endpoint ggscore.Endpoint
+	mode     ggscore.OwnerMode
+}
+
+// New returns a Dispatcher without endpoints.
+func New(o Options, p Parts) *Dispatcher {
+	return &Dispatcher{
+		options:   withDefaults(o),
+		parts:     p,
+		requests:  newOrderQueue(),
+		orders:    newOrderQueue(),
+		wake:      make(chan struct{}, 1),
+		jobs:      make(map[ggscore.RequestID]*job),
+		endpoints: make(map[ggscore.EndpointID]ownedEndpoint),
+		changed:   make(chan struct{}),
+	}
+}
+
+func withDefaults(o Options) Options {
+	if o.RequestWorkers == 0 {
+		o.RequestWorkers = defaultRequestWorkers
+	}
+	if o.OrderWorkers == 0 {
+		o.OrderWorkers = defaultOrderWorkers
+	}
+	if o.ReaderTimeout == 0 {
+		o.ReaderTimeout = defaultReaderTimeout
+	}
+	if o.ReportInterval == 0 {
+		o.ReportInterval = defaultReportInterval
+	}
+	if o.JobRetention == 0 {
+		o.JobRetention = defaultJobRetention
+	}
+	return o
+}
+
+// Drain refuses new requests, hands queued ones back as not run, and waits
+// until all in progress have ended and been read, or the context ends.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	d.mu.Lock()
+	d.draining = true
+	for _, j := range d.jobs {
+		if j.state == jobQueued {
+			d.apply(d.parts.Scheduler.Cancel(d.parts.Clock(), j.request.ID))
+			d.endJob(j, ggscore.OutcomeNotRun, stopping())
+		}
+	}
+	d.touch()
+	d.mu.Unlock()
+	t := time.NewTicker(idleTick)
+	defer t.Stop()
+	for !d.idle() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+	return nil
+}
+
+// Run works until the context ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for range d.options.RequestWorkers {
+		g.Go(func() error { return d.work(ctx, d.requests, d.dispatch) })
+	}
+	for range d.options.OrderWorkers {
+		g.Go(func() error { return d.work(ctx, d.orders, d.order) })
+	}
+	g.Go(func() error { return d.tick(ctx) })
+	g.Go(func() error { return d.report(ctx) })
+	g.Go(func() error { return d.sweep(ctx) })
+	return g.Wait()
+}
+
+// SetEndpoints replaces the endpoints that this process may use, with what it
+// may do with each.
+func (d *Dispatcher) SetEndpoints(es []ggscore.Endpoint, mode func(ggscore.EndpointID) ggscore.OwnerMode) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.parts.Clock()
+	keep := make(map[ggscore.EndpointID]bool, len(es))
+	for _, e := range es {
+		n := ownedEndpoint{endpoint: e, mode: mode(e.ID)}
+		keep[e.ID] = true
+		if old, ok := d.endpoints[e.ID]; ok && old == n {
+			continue
+		}
+		d.endpoints[e.ID] = n
+		d.apply(d.parts.Scheduler.SetEndpoint(now, e, n.mode))
+		d.touch()
+	}
+	for id := range d.endpoints {
+		if !keep[id] {
+			delete(d.endpoints, id)
+			d.apply(d.parts.Scheduler.RemoveEndpoint(now, id))
+			d.touch()
+		}
+	}
+}
+
+// Schedule passes an event to the scheduler and carries out what it orders.
+func (d *Dispatcher) Schedule(f func(ggscore.Scheduler, time.Time) []ggscore.Order) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.apply(f(d.parts.Scheduler, d.parts.Clock()))
+}
+
+// Stats returns the counters.
+func (d *Dispatcher) Stats() *Stats { return &d.stats }
+
+// NextSummary returns the summary at its next change, or when the context has
+// ended.
+func (d *Dispatcher) NextSummary(ctx context.Context) ggscore.DispatcherSummary {
+	d.mu.Lock()
+	w := d.changed
+	d.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-w:
+	}
+	return d.Summary()
+}
+
+// Summary returns what gateways are told. Each is numbered after the last.
+func (d *Dispatcher) Summary() ggscore.DispatcherSummary {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sequence++
+	return ggscore.DispatcherSummary{
+		VM: d.options.Self, Region: d.options.Region, Domain: d.options.Domain,
+		Leaving: d.draining, Incarnation: d.options.Incarnation, Sequence: d.sequence,
+		Runners: d.parts.Scheduler.Summary(d.parts.Clock()),
+	}
+}
+
+// apply needs d.mu.
+func (d *Dispatcher) apply(orders []ggscore.Order) {
+	for _, o := range orders {
+		switch o.Kind {
+		case ggscore.OrderDispatch:
+			if j := d.jobs[o.Request.ID]; j != nil {
+				j.state = jobRunning
+				j.started = d.parts.Clock()
+			}
+			d.requests.add(o)
+		case ggscore.OrderLoad, ggscore.OrderUnload:
+			d.orders.add(o)
+			d.touch()
+		case ggscore.OrderRefuse:
+			d.refuse(o)
+		}
+	}
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Dispatcher) addr(id ggscore.EndpointID) (netip.AddrPort, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.endpoints[id]
+	return e.endpoint.Addr, ok
+}
+
+func (d *Dispatcher) idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, j := range d.jobs {
+		if j.state == jobRunning {
+			return false
+		}
+		if j.abandoned {
+			continue
+		}
+		if _, consumed := j.stream.idleSince(); !consumed {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Dispatcher) tick(ctx context.Context) error {
+	t := time.NewTimer(idleTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		case <-d.wake:
+		}
+		d.mu.Lock()
+		now := d.parts.Clock()
+		if n := d.parts.Scheduler.NextTick(); !n.IsZero() && !n.After(now) {
+			d.apply(d.parts.Scheduler.Tick(now))
+		}
+		wait := idleTick
+		if n := d.parts.Scheduler.NextTick(); !n.IsZero() {
+			wait = max(min(n.Sub(now), idleTick), time.Millisecond)
+		}
+		d.mu.Unlock()
+		t.Reset(wait)
+	}
+}
+
+// touch needs d.mu. It tells waiting gateways of a change.
+func (d *Dispatcher) touch() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *Dispatcher) work(ctx context.Context, q *orderQueue, f func(context.Context, ggscore.Order)) error {
+	for {
+		o, ok := q.take(ctx)
+		if !ok {
+			return nil
+		}
+		f(ctx, o)
+	}
+}
+
+func stopping() *ggscore.Failure {
+	return &ggscore.Failure{
+		Kind: ggscore.FailureStopping, Outcome: ggscore.OutcomeNotRun,
+		Detail: "the dispatcher is stopping", RetryAfter: time.Second,
+	}
+}
--- /dev/null
+++ b/io/ggsdispatch/run.go
@@ -0,0 +1,270 @@
+package ggsdispatch
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+
+	"greengageslip/core"
+)
+
+const (
+	// maxRecordedBytes bounds the answer that is kept with an idempotency key.
+	maxRecordedBytes = 2048
+	claimTimeout     = 2 * time.Second
+	finishTimeout    = 30 * time.Second
+	claimRetryAfter  = 2 * time.Second
+)
+
+// A recorder keeps the first bytes of an answer for the claim's result.
+type recorder struct {
+	result ggscore.ClaimResult
+	over   bool
+}
+
+func (r *recorder) add(c ggscore.Chunk) {
+	if c.Status != 0 {
+		r.result.Status = c.Status
+		r.result.ContentType = c.ContentType
+	}
+	r.over = r.over || len(r.result.Body)+len(c.Data) > maxRecordedBytes
+	if !r.over {
+		r.result.Body = append(r.result.Body, c.Data...)
+	}
+}
+
+func (r *recorder) done() ggscore.ClaimResult {
+	v := r.result
+	v.Outcome = ggscore.OutcomeDone
+	v.Whole = !r.over
+	if r.over {
+		v.Body = nil
+	}
+	return v
+}
+
+// dispatch carries out an order of the requests' pool.
+func (d *Dispatcher) dispatch(ctx context.Context, o ggscore.Order) {
+	j, runCtx, cancel := d.begin(ctx, o)
+	if j == nil {
+		return
+	}
+	defer cancel()
+	if o.Kind == ggscore.OrderRefuse {
+		d.finishClaim(ctx, j, ggscore.ClaimResult{Outcome: ggscore.OutcomeNotRun})
+		d.end(j, ggscore.OutcomeNotRun, o.Failure)
+		return
+	}
+	if j.request.NonIdempotent && j.claim == "" && !d.claim(ctx, j) {
+		d.ended(o, ggscore.EndDone)
+		return
+	}
+	d.run(ctx, runCtx, j, o)
+}
+
+// begin makes a request's context. It returns nil where there is nothing to
+// run, since the request was withdrawn before any of it was sent.
+func (d *Dispatcher) begin(ctx context.Context, o ggscore.Order) (*job, context.Context, context.CancelFunc) {
+	runCtx, cancel := context.WithCancel(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j := d.jobs[o.Request.ID]
+	if j == nil {
+		cancel()
+		return nil, nil, nil
+	}
+	if o.Kind == ggscore.OrderDispatch && j.abandoned && j.claim == "" {
+		cancel()
+		d.endJob(j, ggscore.OutcomeNotRun, withdrawn())
+		d.apply(d.parts.Scheduler.RequestEnded(d.parts.Clock(), o.Request.ID, ggscore.EndDone))
+		return nil, nil, nil
+	}
+	j.cancel = cancel
+	return j, runCtx, cancel
+}
+
+// claim records the claim of the request's key, which goes before its one
+// dispatch. It answers the request itself where the claim isn't granted.
+func (d *Dispatcher) claim(ctx context.Context, j *job) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	r := j.request
+	c, err := d.parts.Claims.Begin(ctx, ggscore.ClaimRequest{
+		Market: r.Market, Key: r.Key, Body: bodyDigest(r), Issued: issuedAt(r.Key),
+	})
+	if err != nil {
+		_ = level.Warn(d.parts.Log).Log("event", "claimFailed", "request", r.ID, "err", err)
+		d.end(j, ggscore.OutcomeNotRun, &ggscore.Failure{
+			Kind: ggscore.FailurePlatformAway, Outcome: ggscore.OutcomeNotRun,
+			Detail: "the claim of the idempotency key could not be recorded", RetryAfter: claimRetryAfter,
+		})
+		return false
+	}
+	if c.Answer == ggscore.ClaimGranted {
+		d.mu.Lock()
+		j.claim = c.ID
+		d.mu.Unlock()
+		return true
+	}
+	d.answerClaim(j, c)
+	return false
+}
+
+// answerClaim ends a request whose key was claimed before.
+func (d *Dispatcher) answerClaim(j *job, c ggscore.ClaimDecision) {
+	f := &ggscore.Failure{Outcome: ggscore.OutcomeUnknown}
+	switch c.Answer {
+	case ggscore.ClaimReplay:
+		if c.Result.Outcome == ggscore.OutcomeDone && c.Result.Whole {
+			d.replay(j, c.Result)
+			return
+		}
+		f.Kind, f.Outcome = ggscore.FailureKeyInUse, c.Result.Outcome
+		f.Detail = "the key's request has ended and its answer is not kept"
+	case ggscore.ClaimReused:
+		f.Kind, f.Outcome = ggscore.FailureKeyReused, ggscore.OutcomeNotRun
+		f.Detail = "the key came with another request before; this one did not run"
+	case ggscore.ClaimExpired:
+		f.Kind, f.Detail = ggscore.FailureKeyExpired, "the key is older than keys are kept"
+	case ggscore.ClaimInProgress, ggscore.ClaimGranted:
+		f.Kind, f.RetryAfter = ggscore.FailureKeyInUse, claimRetryAfter
+		f.Detail = "a request with this key is in progress"
+	}
+	d.end(j, f.Outcome, f)
+}
+
+// replay answers with the result that was recorded for the key.
+func (d *Dispatcher) replay(j *job, r ggscore.ClaimResult) {
+	j.stream.mu.Lock()
+	if !j.stream.final {
+		j.stream.add(ggscore.Chunk{
+			Data: r.Body, Status: r.Status, ContentType: r.ContentType, Final: true,
+		})
+	}
+	j.stream.mu.Unlock()
+	d.end(j, ggscore.OutcomeDone, nil)
+}
+
+// run sends a request to its endpoint and relays the answer.
+func (d *Dispatcher) run(ctx, runCtx context.Context, j *job, o ggscore.Order) {
+	r := &recorder{}
+	err := d.send(runCtx, j, o, r)
+	var c *ggscore.CallError
+	switch {
+	case err == nil:
+		d.finishClaim(ctx, j, r.done())
+		d.end(j, ggscore.OutcomeDone, nil)
+		d.ended(o, ggscore.EndDone)
+	case errors.As(err, &c) && c.NotSent && c.Kind == ggscore.FailureAdapterMissing:
+		d.requeue(o, ggscore.EndAdapterMissing, err)
+	case errors.As(err, &c) && c.NotSent:
+		d.requeue(o, ggscore.EndFailed, err)
+	default:
+		d.broke(ctx, j, o, err)
+	}
+}
+
+// send checks the ownership and makes the call.
+func (d *Dispatcher) send(ctx context.Context, j *job, o ggscore.Order, r *recorder) error {
+	addr, ok := d.addr(o.Endpoint)
+	if !ok {
+		return &ggscore.CallError{NotSent: true, Kind: ggscore.FailureNotOwner, Cause: &NotOwnerError{Endpoint: o.Endpoint}}
+	}
+	sink := func(c ggscore.Chunk) error {
+		if c.Status != 0 && j.request.Kind == ggscore.KindModel && c.Served != j.request.Adapter && c.Failure == nil {
+			return &WrongAdapterError{Asked: j.request.Adapter, Served: c.Served}
+		}
+		r.add(c)
+		return j.stream.append(ctx, c)
+	}
+	// A dispatcher that was paused past its lease would go on to use a runner
+	// whose new owner evicts adapters at will; its requests would break there.
+	// The guard compares the lease's end, less a margin, on the monotonic clock
+	// here, in the goroutine that writes, so that only a pause within the call
+	// below could fall between check and write.
+	if _, err := d.parts.Guard.Check(d.parts.Clock(), o.Endpoint, j.request.Adapter, ggscore.OrderDispatch); err != nil {
+		return &ggscore.CallError{Addr: addr, NotSent: true, Kind: ggscore.FailureNotOwner, Cause: err}
+	}
+	if j.request.Kind == ggscore.KindPlain {
+		return d.parts.Plain.Call(ctx, addr, j.request, sink)
+	}
+	return d.parts.Engine.Run(ctx, addr, j.request, sink)
+}
+
+// requeue reports a run that is proved not to have happened. The scheduler
+// dispatches the request anew or refuses it.
+func (d *Dispatcher) requeue(o ggscore.Order, e ggscore.EndKind, err error) {
+	_ = level.Info(d.parts.Log).Log("event", "dispatchRefused", "request", o.Request.ID, "endpoint", o.Endpoint, "err", err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j := d.jobs[o.Request.ID]
+	if j != nil && j.state == jobRunning {
+		j.state = jobQueued
+		j.cancel = nil
+	}
+	d.apply(d.parts.Scheduler.RequestEnded(d.parts.Clock(), o.Request.ID, e))
+	if j != nil && j.abandoned && j.state == jobQueued && j.claim == "" {
+		d.apply(d.parts.Scheduler.Cancel(d.parts.Clock(), o.Request.ID))
+		d.endJob(j, ggscore.OutcomeNotRun, withdrawn())
+	}
+}
+
+// broke ends a request of which a byte may have reached the endpoint. It is
+// never sent again.
+func (d *Dispatcher) broke(ctx context.Context, j *job, o ggscore.Order, err error) {
+	f := &ggscore.Failure{Kind: ggscore.FailureBroken, Outcome: ggscore.OutcomeUnknown, Detail: "the answer broke off"}
+	if w := (*WrongAdapterError)(nil); errors.As(err, &w) {
+		d.stats.WrongAdapter.Add(1)
+		f.Kind, f.Detail = ggscore.FailureWrongAdapter, w.Error()
+	}
+	_ = level.Warn(d.parts.Log).Log("event", "answerBroke", "request", j.request.ID, "endpoint", o.Endpoint, "err", err)
+	d.finishClaim(ctx, j, ggscore.ClaimResult{Outcome: ggscore.OutcomeUnknown})
+	d.end(j, ggscore.OutcomeUnknown, f)
+	d.ended(o, ggscore.EndUnknown)
+}
+
+func (d *Dispatcher) end(j *job, o ggscore.Outcome, f *ggscore.Failure) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.endJob(j, o, f)
+}
+
+func (d *Dispatcher) ended(o ggscore.Order, e ggscore.EndKind) {
+	d.Schedule(func(s ggscore.Scheduler, now time.Time) []ggscore.Order {
+		return s.RequestEnded(now, o.Request.ID, e)
+	})
+}
+
+func (d *Dispatcher) finishClaim(ctx context.Context, j *job, r ggscore.ClaimResult) {
+	if j.claim == "" {
+		return
+	}
+	// The outcome of a run is recorded even when the process is stopping: a
+	// repeat of the key would otherwise be told unknown of a request that ran.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+	defer cancel()
+	if err := d.parts.Claims.Finish(ctx, j.claim, r); err != nil {
+		_ = level.Warn(d.parts.Log).Log("event", "outcomeNotRecorded", "request", j.request.ID, "outcome", r.Outcome, "err", err)
+	}
+}
+
+func bodyDigest(r *ggscore.Request) ggscore.Digest {
+	h := sha256.New()
+	h.Write([]byte(r.Operation.Method + " " + r.Operation.Path + " " + r.Adapter.String() + "\n"))
+	h.Write(r.Body)
+	return ggscore.Digest(h.Sum(nil))
+}
+
+// issuedAt reads the time that a version 7 UUID carries.
+func issuedAt(k ggscore.IdempotencyKey) time.Time {
+	u, err := uuid.Parse(string(k))
+	if err != nil || u.Version() != 7 {
+		return time.Time{}
+	}
+	sec, nsec := u.Time().UnixTime()
+	return time.Unix(sec, nsec)
+}
--- a/io/ggswire/summary.go
+++ b/io/ggswire/summary.go
@@ -6,19 +6,12 @@
 	"greengageslip/core"
 )
 
-// SummaryArgs asks for a dispatcher's summary once it differs from the one
-// named, or when Wait has passed.
-type SummaryArgs struct {
-	Incarnation string
-	Sequence    uint64
-	Wait        time.Duration
-}
+// SummaryArgs asks for a dispatcher's summary at its next change, or when Wait
+// has passed.
+type SummaryArgs struct{ Wait time.Duration }
 
-// SummaryReply holds a summary. Same says that it is the one named.
-type SummaryReply struct {
-	Same    bool
-	Summary Summary
-}
+// SummaryReply holds a summary.
+type SummaryReply struct{ Summary Summary }
 
 // A Summary is the wire form of ggscore.DispatcherSummary.
 type Summary struct {
