--- /dev/null
+++ b/core/ggsdocument/build.go
@@ -0,0 +1,75 @@
+package ggsdocument
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"greengageslip/core"
+)
+
+// Build joins sections into the document of a revision and checks what spans
+// them. Sections may come in any order; the document shares their contents.
+// Its failures are *SectionError.
+func Build(r ggscore.Revision, sections []*Section) (*ggscore.Document, error) {
+	d := &ggscore.Document{
+		Revision: r,
+		Services: map[ggscore.Service]ggscore.ServiceSpec{},
+		Markets:  make(map[ggscore.Market]ggscore.MarketSpec, len(sections)),
+		Policy:   DefaultPolicy(),
+	}
+	for _, s := range sections {
+		switch {
+		case s.Market != nil:
+			d.Markets[s.Market.Name] = *s.Market
+		case s.Services != nil:
+			d.Services = s.Services
+		case s.Policy != nil:
+			d.Policy = *s.Policy
+		}
+	}
+	// Sections are checked by name, so that of several failures the same one
+	// is reported each time.
+	sorted := slices.SortedFunc(slices.Values(sections), func(a, b *Section) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+	for _, s := range sorted {
+		if s.Market == nil {
+			continue
+		}
+		if err := checkMarket(s.Name, s.Market, d.Services); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// checkMarket checks a market against the services.
+func checkMarket(n ggscore.SectionName, m *ggscore.MarketSpec, services map[ggscore.Service]ggscore.ServiceSpec) error {
+	served := map[ggscore.BaseModel]bool{}
+	dangling := ggscore.Service("")
+	for u := range m.Uses {
+		s, found := services[u]
+		if !found && (dangling == "" || u < dangling) {
+			dangling = u
+		}
+		if found && s.Kind == ggscore.KindModel {
+			served[s.Base] = true
+		}
+	}
+	if dangling != "" {
+		k := "uses[" + strconv.Quote(string(dangling)) + "].service"
+		return &SectionError{Section: n, Key: k, Cause: &DanglingServiceError{Service: dangling}}
+	}
+	unserved := ""
+	for a, s := range m.Adapters {
+		if !served[s.Base] && (unserved == "" || a < unserved) {
+			unserved = a
+		}
+	}
+	if unserved != "" {
+		k := "adapters[" + strconv.Quote(unserved) + "].baseModel"
+		return &SectionError{Section: n, Key: k, Cause: &UnservedBaseModelError{Base: m.Adapters[unserved].Base}}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/ggstoml/settings.go
@@ -0,0 +1,44 @@
+package ggstoml
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A Checker is a settings struct that knows the ranges of its values. Check
+// returns a *ValueError whose Key is the value's path, such as
+// "peers[0].address".
+type Checker interface {
+	Check() error
+}
+
+// ReadSettings reads a file of settings into a struct with toml tags, and
+// checks it if it is a Checker. Its failures are *ReadError and *DecodeError.
+func ReadSettings(path string, into any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return &ReadError{Source: path, Cause: err}
+	}
+	return DecodeSettings(path, text, into)
+}
+
+// DecodeSettings is ReadSettings for a text that was read already.
+func DecodeSettings(source string, text []byte, into any) error {
+	if err := decodeStrict(source, text, into); err != nil {
+		return err
+	}
+	c, ok := into.(Checker)
+	if !ok {
+		return nil
+	}
+	err := c.Check()
+	if err == nil {
+		return nil
+	}
+	var v *ValueError
+	if errors.As(err, &v) {
+		return &DecodeError{Source: source, Key: v.Key, Line: Locate(text, v.Key), Cause: v}
+	}
+	return err
+}
