--- /dev/null
+++ b/core/ggsroute/route.go
@@ -0,0 +1,215 @@
+package ggsroute
+
+import (
+	"slices"
+	"time"
+
+	ggscore "greengageslip/core"
+)
+
+const (
+	// loadFactor bounds a pool's load: this many times the mean.
+	loadFactor = 1.25
+	// roomShare of its slots is always within a pool's bound, so that on a
+	// quiet deployment adapters stay at home.
+	roomShare = 0.75
+	// replicaDiscount lowers the price of a load where the adapter's rate
+	// asks for one more replica.
+	replicaDiscount = 0.5
+	// maxReplicas is the number of homes that one adapter may have.
+	maxReplicas = 16
+	// retryAfter is the wait told to callers while dispatchers are away.
+	retryAfter = time.Second
+	// expectedAnswerBytes is what an answer is presumed to carry across
+	// regions until it has ended.
+	expectedAnswerBytes = 8 << 10
+)
+
+// A Reason says why a dispatcher was chosen.
+type Reason string
+
+// The reasons of choices.
+const (
+	ReasonResident Reason = "resident"
+	ReasonLoading  Reason = "loading"
+	ReasonHome     Reason = "home"
+	ReasonLoad     Reason = "leastLoad"
+)
+
+// A Choice is where to send a request.
+type Choice struct {
+	VM     ggscore.VMID
+	Region ggscore.Region
+	// Wait is the predicted time until the request runs; Stall is the part of
+	// it that it waits for its adapter.
+	Wait  time.Duration
+	Stall time.Duration
+	// CrossRegion says that the request leaves the region.
+	CrossRegion bool
+	Reason      Reason
+
+	pool    *pool
+	ref     ggscore.AdapterRef
+	reserve int
+}
+
+// An End tells how a request that was sent has ended.
+type End struct {
+	// Held is how long it kept its slot, or zero where that isn't known.
+	Held time.Duration
+	// AnswerBytes is the size of the answer.
+	AnswerBytes int
+}
+
+// A candidate is a pool with its predicted cost.
+type candidate struct {
+	pool   *pool
+	wait   time.Duration
+	stall  time.Duration
+	reason Reason
+}
+
+// cost returns the predicted time until the request runs.
+func (c candidate) cost() time.Duration { return c.wait + c.stall }
+
+// better reports whether c is to be preferred to d.
+func (c candidate) better(d candidate) bool {
+	return c.pool != nil && (d.pool == nil || c.cost() < d.cost())
+}
+
+// A query is one request on its way through the router.
+type query struct {
+	now      time.Time
+	service  *service
+	hash     uint64
+	adapter  *adapter
+	exclude  []ggscore.VMID
+	replicas int
+	plain    bool
+}
+
+// allows reports whether the pool may get the request.
+func (q *query) allows(p *pool) bool {
+	return p.usable(q.now) && (len(q.exclude) == 0 || !slices.Contains(q.exclude, p.group.vm))
+}
+
+// Ended gives back what Sent counted.
+func (r *Router) Ended(now time.Time, c Choice, e End) {
+	p := c.pool
+	p.own = max(p.own-1, 0)
+	if p.reported+p.sent > 0 {
+		p.sent--
+	}
+	if h := p.holderOf(c.ref); h != nil && h.load+h.sent > 0 {
+		h.sent--
+	}
+	if e.Held > 0 {
+		p.service.hold += time.Duration(holdGain * float64(e.Held-p.service.hold))
+	}
+	if c.CrossRegion {
+		r.crossing.take(now, e.AnswerBytes-expectedAnswerBytes)
+	}
+}
+
+// Route chooses the dispatcher for a request, apart from the excluded ones,
+// which were tried before. A failure is a *NoDispatcherError.
+func (r *Router) Route(now time.Time, req *ggscore.Request, exclude []ggscore.VMID) (Choice, error) {
+	s, ok := r.services[req.Service]
+	if !ok {
+		return Choice{}, &NoDispatcherError{Service: req.Service, Cause: CauseNone, RetryAfter: retryAfter}
+	}
+	q := query{now: now, service: s, exclude: exclude, replicas: 1}
+	q.plain = req.Adapter.IsZero()
+	if !q.plain {
+		q.adapter = s.adapters[req.Adapter]
+		q.hash = r.hashOf(&q, req.Adapter)
+		q.replicas = r.replicasOf(&q)
+	}
+	best := r.best(&q, true)
+	bytes := len(req.Body) + expectedAnswerBytes
+	crosses := r.crosses(&q, &best, bytes)
+	if best.pool == nil {
+		return Choice{}, r.refusal(&q, bytes)
+	}
+	return Choice{
+		VM:          best.pool.group.vm,
+		Region:      best.pool.group.region,
+		Wait:        best.cost(),
+		Stall:       best.stall,
+		CrossRegion: crosses,
+		Reason:      best.reason,
+		pool:        best.pool,
+		ref:         req.Adapter,
+		reserve:     bytes,
+	}, nil
+}
+
+// Sent counts a request that goes to the chosen dispatcher.
+func (r *Router) Sent(now time.Time, c Choice) {
+	p := c.pool
+	p.own++
+	p.sent++
+	if c.CrossRegion {
+		r.crossing.take(now, c.reserve)
+	}
+	if c.ref.IsZero() {
+		return
+	}
+	r.rates.record(now, hashRef(c.ref))
+	if h := p.holderOf(c.ref); h != nil {
+		h.sent++
+		return
+	}
+	r.presume(now, p, c.ref)
+}
+
+// presume notes the load that a request must cause at its pool. Until a
+// summary shows it, the next request for the adapter would go elsewhere and
+// load it again.
+func (r *Router) presume(now time.Time, p *pool, ref ggscore.AdapterRef) {
+	h := p.hold(ref)
+	h.generation = 0
+	h.sent = 1
+	p.loading++
+	p.service.loading++
+	h.presumedUntil = now.Add(r.options.MaxAge + r.loadStall(p.service))
+}
+
+// best returns the best candidate inside the region, or outside it.
+func (r *Router) best(q *query, local bool) candidate {
+	if q.plain {
+		return r.leastLoaded(q, local)
+	}
+	c := r.bestHolder(q, local)
+	if c.pool != nil && c.cost() == 0 {
+		return c
+	}
+	h := r.bestHome(q, local)
+	if q.adapter != nil && c.pool != nil && len(q.adapter.holders) < q.replicas {
+		h.stall = time.Duration(replicaDiscount * float64(h.stall))
+	}
+	if h.better(c) {
+		return h
+	}
+	return c
+}
+
+// refusal says why there is no candidate.
+func (r *Router) refusal(q *query, bytes int) error {
+	e := &NoDispatcherError{Service: q.service.name, Cause: CauseAway, RetryAfter: retryAfter}
+	for _, p := range q.service.local {
+		if p.usable(q.now) {
+			e.Cause = CauseTried
+		}
+	}
+	for _, p := range q.service.remote {
+		if !q.allows(p) {
+			continue
+		}
+		if wait := r.crossing.until(bytes); wait > 0 {
+			e.Cause = CauseCrossing
+			e.RetryAfter = wait
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/core/ggsroute/route_test.go
@@ -0,0 +1,224 @@
+package ggsroute_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsroute"
+)
+
+const service = ggscore.Service("asistente")
+
+func at(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+func adapterRef() ggscore.AdapterRef {
+	return ggscore.AdapterRef{Name: "deposits-es", Version: "v1"}
+}
+
+func request() *ggscore.Request {
+	return &ggscore.Request{Service: service, Adapter: adapterRef(), Body: make([]byte, 1000)}
+}
+
+// summary returns a dispatcher's summary with four idle runners.
+func summary(vm string, seq uint64) *ggscore.DispatcherSummary {
+	s := &ggscore.DispatcherSummary{VM: ggscore.VMID(vm), Region: "central", Incarnation: "i1", Sequence: seq}
+	for i := range 4 {
+		s.Runners = append(s.Runners, ggscore.RunnerSummary{
+			Endpoint:     ggscore.EndpointID(fmt.Sprintf("%s-r%d", vm, i)),
+			Service:      service,
+			Mode:         ggscore.ModeFull,
+			Slots:        8,
+			AdapterSlots: 4,
+		})
+	}
+	return s
+}
+
+func newRouter(c *qt.C, vms ...string) *ggsroute.Router {
+	r := ggsroute.New(ggsroute.Options{Region: "central", Seed: 1})
+	for _, vm := range vms {
+		c.Assert(r.Update(at(0), summary(vm, 1)), qt.IsTrue)
+	}
+	return r
+}
+
+func TestRoutePrefers(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		change func(a, b *ggscore.DispatcherSummary)
+		want   ggscore.VMID
+		reason ggsroute.Reason
+	}{
+		"where it is resident": {
+			change: func(_, b *ggscore.DispatcherSummary) { b.Runners[0].Resident = []ggscore.AdapterRef{adapterRef()} },
+			want:   "b", reason: ggsroute.ReasonResident,
+		},
+		"where it is loading": {
+			change: func(a, _ *ggscore.DispatcherSummary) { a.Runners[0].Loading = []ggscore.AdapterRef{adapterRef()} },
+			want:   "a", reason: ggsroute.ReasonLoading,
+		},
+		"a resident one to a loading one": {
+			change: func(a, b *ggscore.DispatcherSummary) {
+				a.Runners[0].Loading = []ggscore.AdapterRef{adapterRef()}
+				b.Runners[0].Resident = []ggscore.AdapterRef{adapterRef()}
+			},
+			want: "b", reason: ggsroute.ReasonResident,
+		},
+		"batch room": {
+			change: func(a, b *ggscore.DispatcherSummary) {
+				a.Runners[0].Resident = []ggscore.AdapterRef{adapterRef()}
+				a.Runners[0].Running = 8
+				b.Runners[0].Resident = []ggscore.AdapterRef{adapterRef()}
+			},
+			want: "b", reason: ggsroute.ReasonResident,
+		},
+		"a resident one in mode resident only": {
+			change: func(a, _ *ggscore.DispatcherSummary) {
+				a.Runners[0].Mode = ggscore.ModeResidentOnly
+				a.Runners[0].Resident = []ggscore.AdapterRef{adapterRef()}
+			},
+			want: "a", reason: ggsroute.ReasonResident,
+		},
+		"no leaving dispatcher": {
+			change: func(a, _ *ggscore.DispatcherSummary) {
+				a.Leaving = true
+				a.Runners[0].Resident = []ggscore.AdapterRef{adapterRef()}
+			},
+			want: "b", reason: ggsroute.ReasonHome,
+		},
+		"no runner without an owner": {
+			change: func(a, _ *ggscore.DispatcherSummary) {
+				for i := range a.Runners {
+					a.Runners[i].Mode = ggscore.ModeNone
+					a.Runners[i].Resident = []ggscore.AdapterRef{adapterRef()}
+				}
+			},
+			want: "b", reason: ggsroute.ReasonHome,
+		},
+		"no load in mode resident only": {
+			change: func(a, _ *ggscore.DispatcherSummary) {
+				for i := range a.Runners {
+					a.Runners[i].Mode = ggscore.ModeResidentOnly
+				}
+			},
+			want: "b", reason: ggsroute.ReasonHome,
+		},
+		"another than an overloaded home": {
+			change: func(a, _ *ggscore.DispatcherSummary) {
+				for i := range a.Runners {
+					a.Runners[i].Running = 8
+				}
+			},
+			want: "b", reason: ggsroute.ReasonHome,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := ggsroute.New(ggsroute.Options{Region: "central", Seed: 1})
+			a, b := summary("a", 1), summary("b", 1)
+			tc.change(a, b)
+			r.Update(at(0), a)
+			r.Update(at(0), b)
+			got, err := r.Route(at(0), request(), nil)
+			c.Assert(err, qt.IsNil)
+			c.Check(got.VM, qt.Equals, tc.want)
+			c.Check(got.Reason, qt.Equals, tc.reason)
+		})
+	}
+}
+
+func TestRouteRefuses(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		vms     []string
+		now     time.Duration
+		exclude []ggscore.VMID
+		want    ggsroute.Cause
+	}{
+		"an unknown service":  {want: ggsroute.CauseNone},
+		"a silent dispatcher": {vms: []string{"a"}, now: 3 * time.Second, want: ggsroute.CauseAway},
+		"all that were tried": {vms: []string{"a"}, exclude: []ggscore.VMID{"a"}, want: ggsroute.CauseTried},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := newRouter(c, tc.vms...)
+			_, err := r.Route(at(tc.now), request(), tc.exclude)
+			var got *ggsroute.NoDispatcherError
+			c.Assert(errors.As(err, &got), qt.IsTrue)
+			c.Check(got.Cause, qt.Equals, tc.want)
+			c.Check(got.RetryAfter > 0, qt.IsTrue)
+			c.Check(got.Failure().Outcome, qt.Equals, ggscore.OutcomeNotRun)
+		})
+	}
+}
+
+func TestOwnDispatchesCount(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	r := newRouter(c, "a", "b", "d")
+	first, err := r.Route(at(0), request(), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(first.Stall, qt.Equals, 250*time.Millisecond)
+	r.Sent(at(0), first)
+	second, err := r.Route(at(0), request(), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(second.VM, qt.Equals, first.VM)
+	c.Check(second.Reason, qt.Equals, ggsroute.ReasonLoading)
+}
+
+// A dispatcher leaves and says so. A summary that it sent before was held up
+// on the way and arrives afterwards, and callers' requests go to the leaving
+// dispatcher again until it stops, each refused or cut off there.
+func TestStaleSummaryDoesNotBringBackLeavingDispatcher(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		events func(r *ggsroute.Router)
+	}{
+		"an earlier summary after the leaving one": {events: func(r *ggsroute.Router) {
+			s := summary("a", 3)
+			s.Leaving = true
+			r.Update(at(0), s)
+			r.Update(at(0), summary("a", 2))
+		}},
+		"a later summary of the same incarnation": {events: func(r *ggsroute.Router) {
+			s := summary("a", 3)
+			s.Leaving = true
+			r.Update(at(0), s)
+			r.Update(at(0), summary("a", 4))
+		}},
+		"a summary after the list said that the VM leaves": {events: func(r *ggsroute.Router) {
+			r.Leave("a")
+			r.Update(at(0), summary("a", 4))
+		}},
+		"a summary of an incarnation that was replaced": {events: func(r *ggsroute.Router) {
+			s := summary("a", 1)
+			s.Incarnation = "i2"
+			s.Leaving = true
+			r.Update(at(0), s)
+			r.Update(at(0), summary("a", 9))
+		}},
+		"a summary that it sent before it was removed": {events: func(r *ggsroute.Router) {
+			s := summary("a", 3)
+			s.Leaving = true
+			r.Update(at(0), s)
+			r.Remove(at(0), "a")
+			r.Update(at(0), summary("a", 2))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := newRouter(c, "a")
+			tc.events(r)
+			_, err := r.Route(at(0), request(), nil)
+			c.Check(err, qt.IsNotNil)
+		})
+	}
+}
--- /dev/null
+++ b/core/ggsroute/update.go
@@ -0,0 +1,127 @@
+package ggsroute
+
+import (
+	"slices"
+	"time"
+
+	ggscore "greengageslip/core"
+)
+
+// pastIncarnations is how many earlier incarnations of a dispatcher are
+// remembered.
+const pastIncarnations = 4
+
+// An order decides which summaries of one dispatcher are news.
+type order struct {
+	incarnation string
+	sequence    uint64
+	past        []string
+	leaving     bool
+	// left is set when the VM itself is leaving, in whatever incarnation.
+	left bool
+}
+
+// accept reports whether a summary is news, and takes its place in the order.
+//
+// A summary that was held up on the way shows the dispatcher as it was: taken
+// as news, it would bring back one that has left since, and requests would go
+// there to be refused. Sequences order one incarnation's summaries; one of an
+// incarnation that was replaced is recognized by its name; and one that is
+// leaving never stops leaving.
+func (o *order) accept(s *ggscore.DispatcherSummary) bool {
+	if s.Incarnation != o.incarnation {
+		return o.acceptIncarnation(s)
+	}
+	if s.Sequence <= o.sequence {
+		return false
+	}
+	o.sequence = s.Sequence
+	o.leaving = o.leaving || s.Leaving
+	return true
+}
+
+// acceptIncarnation accepts the first summary of another incarnation.
+func (o *order) acceptIncarnation(s *ggscore.DispatcherSummary) bool {
+	if slices.Contains(o.past, s.Incarnation) {
+		return false
+	}
+	o.past = append(o.past, o.incarnation)
+	if len(o.past) > pastIncarnations {
+		o.past = o.past[1:]
+	}
+	o.incarnation = s.Incarnation
+	o.sequence = s.Sequence
+	o.leaving = s.Leaving || o.left
+	return true
+}
+
+// Leave marks a dispatcher's VM as leaving, for good: the platform's list or a
+// heartbeat said so, perhaps before its summary.
+func (r *Router) Leave(vm ggscore.VMID) {
+	g := r.groupOf(vm)
+	g.order.left = true
+	g.order.leaving = true
+}
+
+// Remove forgets a dispatcher that is gone. Its place in the order of its
+// summaries is kept, so that a late one can't bring it back.
+func (r *Router) Remove(now time.Time, vm ggscore.VMID) {
+	g, ok := r.groups[vm]
+	if !ok {
+		return
+	}
+	for _, p := range g.pools {
+		p.clear()
+		p.settle(now)
+	}
+	g.expires = time.Time{}
+}
+
+// Update takes a dispatcher's summary and reports whether it was news.
+func (r *Router) Update(now time.Time, s *ggscore.DispatcherSummary) bool {
+	g := r.groupOf(s.VM)
+	if !g.order.accept(s) {
+		return false
+	}
+	g.region = s.Region
+	g.local = s.Region == r.options.Region
+	g.expires = now.Add(r.options.MaxAge)
+	for _, p := range g.pools {
+		p.clear()
+	}
+	for i := range s.Runners {
+		r.poolOf(g, s.Runners[i].Service).take(&s.Runners[i])
+	}
+	for _, p := range g.pools {
+		p.settle(now)
+	}
+	return true
+}
+
+// groupOf returns the state of a dispatcher, new where there was none.
+func (r *Router) groupOf(vm ggscore.VMID) *group {
+	g, ok := r.groups[vm]
+	if !ok {
+		g = &group{vm: vm}
+		r.groups[vm] = g
+	}
+	return g
+}
+
+// poolOf returns a dispatcher's pool of a service, new where there was none.
+func (r *Router) poolOf(g *group, name ggscore.Service) *pool {
+	for _, p := range g.pools {
+		if p.service.name == name {
+			return p
+		}
+	}
+	s := r.serviceOf(name)
+	p := &pool{group: g, service: s, generation: 1}
+	g.pools = append(g.pools, p)
+	if g.local {
+		s.local = append(s.local, p)
+	} else {
+		s.remote = append(s.remote, p)
+	}
+	return p
+}
