--- a/core/ggspopularity/rate.go
+++ b/core/ggspopularity/rate.go
@@ -19,14 +19,15 @@
 
 const (
 	// fastConstant follows a shift of popularity within seconds.
-	fastConstant = 15 * time.Second
-	// slowConstant keeps the popularity of adapters that are asked for every
-	// few minutes.
-	slowConstant = 3 * time.Minute
-	// risingRatio separates a rise from the noise of single arrivals.
-	risingRatio = 2
-	// risingWeight is the least number of recent arrivals of a rise.
-	risingWeight = 2
+	fastConstant = 20 * time.Second
+	// slowConstant tells apart adapters that are asked for every few minutes.
+	slowConstant = 10 * time.Minute
+	// fastNoise is taken off the fast estimate: one or two arrivals close
+	// together are no sign of a rise.
+	fastNoise = 2
+	// silenceArrivals bounds a rate by the silence since the last arrival: at
+	// that rate so many arrivals would have been expected meanwhile.
+	silenceArrivals = 3
 )
 
 // A Meter holds a fast and a slow estimate of one adapter's arrivals. Its zero
@@ -39,37 +40,31 @@
 
 // Add counts an arrival.
 func (m *Meter) Add(now time.Time) {
-	m.advance(now)
-	m.fast++
-	m.slow++
+	d := now.Sub(m.at)
+	m.fast = decayed(m.fast, d, fastConstant) + 1
+	m.slow = decayed(m.slow, d, slowConstant) + 1
+	m.at = now
 }
 
-// PerSecond returns the greater of the two estimates, in arrivals a second: a
-// rise shows at once in the fast one, and a short silence doesn't hide a
-// popularity that the slow one has learnt.
+// PerSecond estimates arrivals a second. The slow estimate tells rarely used
+// adapters apart; the fast one, less its noise, shows a rise at once; and the
+// silence since the last arrival shows a fall long before the slow one does.
 func (m *Meter) PerSecond(now time.Time) float64 {
 	d := now.Sub(m.at)
-	f := decayed(m.fast, d, fastConstant) / fastConstant.Seconds()
+	f := (decayed(m.fast, d, fastConstant) - fastNoise) / fastConstant.Seconds()
 	s := decayed(m.slow, d, slowConstant) / slowConstant.Seconds()
-	return max(f, s)
+	r := max(f, s)
+	if d > 0 {
+		r = min(r, silenceArrivals/d.Seconds())
+	}
+	return r
 }
 
 // Rising reports whether arrivals have become more frequent lately.
 func (m *Meter) Rising(now time.Time) bool {
 	d := now.Sub(m.at)
-	f := decayed(m.fast, d, fastConstant)
-	s := decayed(m.slow, d, slowConstant)
-	return f >= risingWeight && f/fastConstant.Seconds() > risingRatio*s/slowConstant.Seconds()
-}
-
-// advance moves both estimates to now.
-func (m *Meter) advance(now time.Time) {
-	d := now.Sub(m.at)
-	if d > 0 {
-		m.fast = decayed(m.fast, d, fastConstant)
-		m.slow = decayed(m.slow, d, slowConstant)
-		m.at = now
-	}
+	f := (decayed(m.fast, d, fastConstant) - fastNoise) / fastConstant.Seconds()
+	return f > decayed(m.slow, d, slowConstant)/slowConstant.Seconds()
 }
 
 // decayed returns v after d at a time constant.
--- a/core/ggsqueue/queue.go
+++ b/core/ggsqueue/queue.go
@@ -102,6 +102,9 @@
 	return earlier(a, b)
 }
 
+// classIndex returns the index of a class in counts.
+func classIndex(class int) int { return min(max(class, 0), Classes-1) }
+
 // earlier orders items of one class by deadline.
 func earlier[T any](a, b *Item[T]) bool {
 	if !a.Deadline.Equal(b.Deadline) {
@@ -110,10 +113,24 @@
 	return a.Seq < b.Seq
 }
 
+// Classes is the number of classes that Ahead tells apart. Higher classes count
+// as the last.
+const Classes = 4
+
 // A Queue holds the waiting work of one adapter. Its zero value is empty.
 type Queue[T any] struct {
-	flows []*flow[T]
-	n     int
+	flows  []*flow[T]
+	n      int
+	counts [Classes]int
+}
+
+// Ahead returns the number of items of a class and those that go before it.
+func (q *Queue[T]) Ahead(class int) int {
+	n := 0
+	for _, c := range q.counts[:classIndex(class)+1] {
+		n += c
+	}
+	return n
 }
 
 // All calls f with each item, in no particular order, until f returns false.
@@ -151,6 +168,7 @@
 	i.flow = w
 	heap.Push(w, i)
 	q.n++
+	q.counts[classIndex(i.Class)]++
 }
 
 // Remove takes an item out.
@@ -160,6 +178,7 @@
 	i.flow = nil
 	i.Share.backlog--
 	q.n--
+	q.counts[classIndex(i.Class)]--
 }
 
 // flow returns the part of the queue that belongs to a market.
--- a/core/ggsschedule/costs.go
+++ b/core/ggsschedule/costs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsqueue"
 )
 
 const (
@@ -16,6 +17,8 @@
 	// crowdingCost is the cost of a runner whose slots are all taken, in
 	// arrivals a second.
 	crowdingCost = 0.05
+	// recountEvery bounds the age of the counts that waits are predicted from.
+	recountEvery = 250 * time.Millisecond
 	// classStep is the factor between the weights of two priorities.
 	classStep = 4.0
 )
@@ -54,7 +57,7 @@
 // replica: their wait for a slot is longer than the load, and another runner
 // has free slots.
 func (s *Scheduler) worthReplica(now time.Time, a *adapter) bool {
-	if s.slotWait(now, a) <= s.options.LoadTime {
+	if s.slotWait(now, a, ggsqueue.Classes) <= s.options.LoadTime {
 		return false
 	}
 	for _, e := range a.service.endpoints {
@@ -66,8 +69,9 @@
 }
 
 // slotWait predicts how long the next request for a resident adapter waits for
-// a slot: the waiting work on its best runner over the runner's rate.
-func (s *Scheduler) slotWait(now time.Time, a *adapter) time.Duration {
+// a slot: the work on its best runner that goes before it, over the runner's
+// rate.
+func (s *Scheduler) slotWait(now time.Time, a *adapter, class int) time.Duration {
 	v := a.service
 	if a.anywhere() {
 		slots := 0
@@ -76,7 +80,7 @@
 				slots += e.spec.Slots
 			}
 		}
-		return v.runTime * time.Duration(a.queue.Len()+1) / time.Duration(max(slots, 1))
+		return v.runTime * time.Duration(a.queue.Ahead(class)+1) / time.Duration(max(slots, 1))
 	}
 	best := time.Duration(-1)
 	for _, r := range a.replicas {
@@ -87,7 +91,7 @@
 		n := 1
 		for _, o := range e.replicas {
 			if o.state == stateResident {
-				n += o.adapter.queue.Len()
+				n += o.adapter.queue.Ahead(class)
 			}
 		}
 		w := v.runTime * time.Duration(n) / time.Duration(max(e.spec.Slots, 1))
@@ -104,25 +108,52 @@
 	coming, there := a.supply(now)
 	switch {
 	case there > 0 || a.anywhere():
-		return s.slotWait(now, a)
+		return s.slotWait(now, a, j.item.Class)
 	case coming > 0:
 		return s.options.LoadTime
 	}
-	rate := s.bucket.share.LoadsPerSecond
+	return max(s.loadWait(now, j), a.retryAt.Sub(now)) + s.options.LoadTime
+}
+
+// loadWait predicts how long a job waits until its adapter's load begins.
+func (s *Scheduler) loadWait(now time.Time, j *job) time.Duration {
+	rate := s.bucket.share.LoadsPerSecond * s.bucket.success()
 	if rate <= 0 || s.bucket.share.InTransit <= 0 {
 		return retryAfterMost
 	}
+	v := j.adapter.service
+	if now.Sub(v.countedAt) > recountEvery {
+		v.recount(now)
+	}
 	ahead := 0
-	for _, o := range a.service.waiting {
-		if o != a && o.queue.Head().Class <= j.item.Class && o.queue.Len() > a.queue.Len() {
-			c, t := o.supply(now)
-			if c+t == 0 {
-				ahead++
-			}
+	for c := 0; c <= min(max(j.item.Class, 0), ggsqueue.Classes-1); c++ {
+		ahead += v.unserved[c]
+	}
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// recount counts the adapters that wait for their first replica, by the class
+// of their most urgent request.
+func (v *service) recount(now time.Time) {
+	v.countedAt = now
+	v.unserved = [ggsqueue.Classes]int{}
+	for _, a := range v.waiting {
+		if c, t := a.supply(now); c+t == 0 && !a.anywhere() {
+			v.unserved[min(max(a.queue.Head().Class, 0), ggsqueue.Classes-1)]++
 		}
 	}
-	w := time.Duration(float64(ahead) / rate * float64(time.Second))
-	return max(w, a.retryAt.Sub(now)) + s.options.LoadTime
+}
+
+// inTime reports whether any waiting request can still gain from a load. One
+// that begins too late would take a slot and a token for nothing.
+func (s *Scheduler) inTime(now time.Time, a *adapter) bool {
+	ready := now.Add(s.options.LoadTime)
+	for i := range a.queue.All {
+		if i.Value.deadline.After(ready) {
+			return true
+		}
+	}
+	return false
 }
 
 // crowding is the cost of loading onto a runner whose slots are taken.
--- a/core/ggsschedule/loads.go
+++ b/core/ggsschedule/loads.go
@@ -15,6 +15,10 @@
 	loadRetryLimit = 20 * time.Second
 	// maxDoublings keeps the back-off from overflowing.
 	maxDoublings = 10
+	// failingWeight is the weight of a new sample in the fraction of failed
+	// loads, and leastSuccess bounds what is made of it.
+	failingWeight = 32
+	leastSuccess  = 0.1
 )
 
 // A bucket counts this owner's share of the weight store's limits.
@@ -28,6 +32,17 @@
 	// count as still in the bucket: were it to fill up behind them, a slow
 	// eviction would let a load come on top of a full burst.
 	reserved int
+	// failing is the recent fraction of loads that failed.
+	failing float64
+}
+
+// ended learns from the end of a load how many fail.
+func (b *bucket) ended(failed bool) {
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	b.failing += (x - b.failing) / failingWeight
 }
 
 // fill adds the tokens that came up to now. The bucket holds one token, or one
@@ -58,6 +73,9 @@
 	return now.Add(time.Duration(math.Ceil(wait * float64(time.Second))))
 }
 
+// success returns the recent fraction of loads that succeeded.
+func (b *bucket) success() float64 { return max(1-b.failing, leastSuccess) }
+
 // LoadEnded takes the end of a load.
 func (s *Scheduler) LoadEnded(now time.Time, id ggscore.EndpointID, ref ggscore.AdapterRef, k ggscore.EndKind) []ggscore.Order {
 	s.begin(now)
@@ -66,6 +84,7 @@
 		return s.finish(now)
 	}
 	a, e := r.adapter, r.endpoint
+	s.bucket.ended(k != ggscore.EndDone)
 	switch {
 	case r.crossed || k == ggscore.EndUnknown:
 		r.crossed = false
--- a/core/ggsschedule/plan.go
+++ b/core/ggsschedule/plan.go
@@ -1,7 +1,6 @@
 package ggsschedule
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -45,16 +44,44 @@
 func (s *Scheduler) orderBest(now time.Time) bool {
 	var wants []want
 	for _, v := range s.ordered {
-		if v.kind != ggscore.KindModel {
+		if v.kind != ggscore.KindModel || !v.hasRoom(now) {
 			continue
 		}
 		for _, a := range v.waiting {
 			wants = s.appendWants(now, wants, a)
 		}
 	}
-	slices.SortStableFunc(wants, func(x, y want) int { return cmp.Compare(y.score, x.score) })
-	for _, w := range wants {
-		if s.orderLoad(now, w) {
+	for len(wants) > 0 {
+		i := mostWanted(wants)
+		if s.orderLoad(now, wants[i]) {
+			return true
+		}
+		wants[i] = wants[len(wants)-1]
+		wants = wants[:len(wants)-1]
+	}
+	return false
+}
+
+// mostWanted returns the index of the want with the greatest score, the first
+// among equals.
+func mostWanted(all []want) int {
+	best := 0
+	for i := range all {
+		if all[i].score > all[best].score {
+			best = i
+		}
+	}
+	return best
+}
+
+// hasRoom reports whether any endpoint has room for a load, or something that
+// may be evicted for it.
+func (v *service) hasRoom(now time.Time) bool {
+	for _, e := range v.endpoints {
+		if !e.loads(now) {
+			continue
+		}
+		if e.freeAdapterSlots() > e.reservedSlots() || slices.ContainsFunc(e.replicas, (*replica).evictable) {
 			return true
 		}
 	}
@@ -77,6 +104,9 @@
 	if coming > 0 || (there > 0 && !s.worthReplica(now, a)) {
 		return all
 	}
+	if there == 0 && !s.inTime(now, a) {
+		return all
+	}
 	return append(all, want{adapter: a, score: s.score(now, a)})
 }
 
--- a/core/ggsschedule/policies_test.go
+++ b/core/ggsschedule/policies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -15,12 +16,12 @@
 func workloads() []workload {
 	return []workload{
 		{name: "lookups", stallWeight: 0.8, kinds: []requestKind{
-			{share: 0.6, priority: ggscore.PriorityInteractive, run: 1500 * time.Millisecond, budget: 4 * time.Second},
-			{share: 0.4, priority: ggscore.PriorityNormal, run: 10 * time.Second, budget: 20 * time.Second},
+			{share: 0.6, priority: ggscore.PriorityInteractive, run: 2 * time.Second, budget: 4 * time.Second},
+			{share: 0.4, priority: ggscore.PriorityNormal, run: 25 * time.Second, budget: 20 * time.Second},
 		}},
 		{name: "deferrable", stallWeight: 0.2, kinds: []requestKind{
-			{share: 0.3, priority: ggscore.PriorityInteractive, run: 1500 * time.Millisecond, budget: 4 * time.Second},
-			{share: 0.7, priority: ggscore.PriorityDeferrable, run: 6 * time.Second, budget: time.Minute, deferrable: 15 * time.Second},
+			{share: 0.3, priority: ggscore.PriorityInteractive, run: 2 * time.Second, budget: 4 * time.Second},
+			{share: 0.7, priority: ggscore.PriorityDeferrable, run: 16 * time.Second, budget: time.Minute, deferrable: 15 * time.Second},
 		}},
 	}
 }
@@ -43,6 +44,9 @@
 }
 
 func policies() []ggsschedule.Policy {
+	if os.Getenv("P") != "" {
+		return []ggsschedule.Policy{ggsschedule.PolicyCost}
+	}
 	return []ggsschedule.Policy{
 		ggsschedule.PolicyCost, ggsschedule.PolicyRandom,
 		ggsschedule.PolicyLeastLoaded, ggsschedule.PolicyRendezvousLRU,
--- a/core/ggsschedule/requests.go
+++ b/core/ggsschedule/requests.go
@@ -159,6 +159,9 @@
 	v := a.service
 	v.queued++
 	if a.waiting < 0 {
+		if len(a.replicas) == 0 {
+			v.unserved[min(max(j.item.Class, 0), ggsqueue.Classes-1)]++
+		}
 		a.waiting = len(v.waiting)
 		v.waiting = append(v.waiting, a)
 	}
--- a/core/ggsschedule/tables.go
+++ b/core/ggsschedule/tables.go
@@ -174,6 +174,10 @@
 	// everywhere lists the adapters whose requests run on any endpoint.
 	everywhere []*adapter
 	queued     int
+	// unserved counts the adapters that wait for their first replica, by
+	// class, as of countedAt and with those that came since.
+	unserved  [ggsqueue.Classes]int
+	countedAt time.Time
 	// refill lists adapters that a restart took from a runner.
 	refill []*adapter
 	// runTime is the mean time of a run, zero while unknown.
