--- a/core/ggsschedule/costs.go
+++ b/core/ggsschedule/costs.go
@@ -1,9 +1,9 @@
 package ggsschedule
 
 import (
+	"math"
 	"time"
 
-	ggscore "greengageslip/core"
 	"greengageslip/core/ggsqueue"
 )
 
@@ -19,21 +19,39 @@
 	crowdingCost = 0.05
 	// recountEvery bounds the age of the counts that waits are predicted from.
 	recountEvery = 250 * time.Millisecond
-	// classStep is the factor between the weights of two priorities.
-	classStep = 4.0
+	// standingAfter is how long a queue for loads must stand to be cut, and
+	// patienceLoads the number of loads to which it is cut when only stalls
+	// weigh.
+	standingAfter = 5 * time.Second
+	patienceLoads = 4
+	// standingEnd is the pressure below which a queue stands no more.
+	standingEnd = 0.5
+	// patienceUrgent is the part of the patience that urgent requests have, and
+	// patienceStep what each lower priority adds to it.
+	patienceUrgent = 0.5
+	patienceStep   = 0.25
 )
 
 // score is the urgency of a load: the total wait of the requests that need the
-// adapter, each counted with the wait that the load itself will take, weighed
-// by priority.
+// adapter, each counted with the wait that the load itself will take, relative
+// to the patience of the most urgent one.
 func (s *Scheduler) score(now time.Time, a *adapter) float64 {
 	n := a.queue.Len()
 	waited := time.Duration(n)*(now.Sub(s.epoch)+s.options.LoadTime) - a.queuedSum
-	weight := 1.0
-	for c := a.queue.Head().Class; c < int(ggscore.PriorityDeferrable); c++ {
-		weight *= classStep
-	}
-	return weight * waited.Seconds()
+	return float64(waited) / float64(s.patience(a.queue.Head().Value))
+}
+
+// patience is the wait for a load that a job is worth. It lies between the
+// job's whole budget, when only batches weigh, and the time of a few loads, when
+// only stalls weigh; a lower priority has more of it.
+func (s *Scheduler) patience(j *job) time.Duration {
+	if j.patience == 0 {
+		w := s.options.StallWeight
+		short := float64(patienceLoads * s.options.LoadTime)
+		p := math.Pow(max(float64(j.request.Budget), short), 1-w) * math.Pow(short, w)
+		j.patience = time.Duration(p * min(1, patienceUrgent+patienceStep*float64(max(j.item.Class, 0))))
+	}
+	return j.patience
 }
 
 // supply counts the replicas that are on their way and those that serve.
@@ -115,31 +133,47 @@
 	return max(s.loadWait(now, j), a.retryAt.Sub(now)) + s.options.LoadTime
 }
 
-// loadWait predicts how long a job waits until its adapter's load begins.
+// loadWait predicts how long a job waits until its adapter's load begins. Loads
+// are ordered by waits relative to patience, so that in a standing queue these
+// ratios are equal; the backlog, weighed by patience, gives the ratio.
 func (s *Scheduler) loadWait(now time.Time, j *job) time.Duration {
+	return time.Duration(s.pressure(now, j.adapter.service) * float64(s.patience(j)))
+}
+
+// pressure is the predicted wait for a load as a part of the patience.
+func (s *Scheduler) pressure(now time.Time, v *service) float64 {
 	rate := s.bucket.share.LoadsPerSecond * s.bucket.success()
 	if rate <= 0 || s.bucket.share.InTransit <= 0 {
-		return retryAfterMost
+		return math.MaxInt32
 	}
-	v := j.adapter.service
 	if now.Sub(v.countedAt) > recountEvery {
-		v.recount(now)
+		s.recount(now, v)
 	}
-	ahead := 0
-	for c := 0; c <= min(max(j.item.Class, 0), ggsqueue.Classes-1); c++ {
-		ahead += v.unserved[c]
+	return v.backlog / rate
+}
+
+// standing reports whether the queue for loads has been longer than patience
+// for some time. A burst may fill the queue up to the budgets. But a queue that
+// stands makes every request wait, and not one load more is done for it; it is
+// then cut by refusing newcomers early.
+func (s *Scheduler) standing(now time.Time, v *service) bool {
+	p := s.pressure(now, v)
+	switch {
+	case p < standingEnd:
+		v.standingAt = time.Time{}
+	case p >= 1 && v.standingAt.IsZero():
+		v.standingAt = now
 	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	return p >= 1 && now.Sub(v.standingAt) >= standingAfter
 }
 
-// recount counts the adapters that wait for their first replica, by the class
-// of their most urgent request.
-func (v *service) recount(now time.Time) {
+// recount weighs the adapters that wait for their first replica.
+func (s *Scheduler) recount(now time.Time, v *service) {
 	v.countedAt = now
-	v.unserved = [ggsqueue.Classes]int{}
+	v.backlog = 0
 	for _, a := range v.waiting {
 		if c, t := a.supply(now); c+t == 0 && !a.anywhere() {
-			v.unserved[min(max(a.queue.Head().Class, 0), ggsqueue.Classes-1)]++
+			v.backlog += 1 / s.patience(a.queue.Head().Value).Seconds()
 		}
 	}
 }
--- a/core/ggsschedule/loads.go
+++ b/core/ggsschedule/loads.go
@@ -11,7 +11,7 @@
 const (
 	// loadRetryBase and loadRetryLimit bound the pause after failed loads of
 	// one adapter.
-	loadRetryBase  = 500 * time.Millisecond
+	loadRetryBase  = 250 * time.Millisecond
 	loadRetryLimit = 20 * time.Second
 	// maxDoublings keeps the back-off from overflowing.
 	maxDoublings = 10
--- a/core/ggsschedule/policies_test.go
+++ b/core/ggsschedule/policies_test.go
@@ -39,7 +39,7 @@
 func today() deployment {
 	return deployment{
 		runners: 12, slots: 8, adapterSlots: 12, adapters: 3000,
-		perSecond: 6, length: 15 * time.Minute, warmUp: 2 * time.Minute, seed: 1,
+		perSecond: 6, length: 40 * time.Minute, warmUp: 10 * time.Minute, seed: 1,
 	}
 }
 
--- a/core/ggsschedule/requests.go
+++ b/core/ggsschedule/requests.go
@@ -160,7 +160,7 @@
 	v.queued++
 	if a.waiting < 0 {
 		if len(a.replicas) == 0 {
-			v.unserved[min(max(j.item.Class, 0), ggsqueue.Classes-1)]++
+			v.backlog += 1 / s.patience(j).Seconds()
 		}
 		a.waiting = len(v.waiting)
 		v.waiting = append(v.waiting, a)
@@ -182,10 +182,15 @@
 		s.refuse(j, ggscore.FailureNoCapacity, "queue is full", s.retryAfter(s.predictWait(now, j)))
 		return
 	}
-	if w := s.predictWait(now, j); w >= j.deadline.Sub(now) {
+	w := s.predictWait(now, j)
+	if w >= j.deadline.Sub(now) {
 		s.refuse(j, ggscore.FailureNoCapacity, "wait would exceed the budget", s.retryAfter(w))
 		return
 	}
+	if s.unplaced(now, j.adapter) && s.standing(now, j.adapter.service) {
+		s.refuse(j, ggscore.FailureNoCapacity, "queue for loads is long", s.retryAfter(w))
+		return
+	}
 	s.enqueue(now, j)
 }
 
@@ -275,6 +280,16 @@
 	r.foreign++
 }
 
+// unplaced reports whether an adapter's requests have to wait for its first
+// load, under the policy that cuts standing queues.
+func (s *Scheduler) unplaced(now time.Time, a *adapter) bool {
+	if a.anywhere() || s.options.Policy != PolicyCost {
+		return false
+	}
+	coming, there := a.supply(now)
+	return coming+there == 0
+}
+
 // unlist takes an adapter without waiting requests from the list.
 func (v *service) unlist(a *adapter) {
 	last := v.waiting[len(v.waiting)-1]
--- a/core/ggsschedule/tables.go
+++ b/core/ggsschedule/tables.go
@@ -174,10 +174,12 @@
 	// everywhere lists the adapters whose requests run on any endpoint.
 	everywhere []*adapter
 	queued     int
-	// unserved counts the adapters that wait for their first replica, by
-	// class, as of countedAt and with those that came since.
-	unserved  [ggsqueue.Classes]int
+	// backlog weighs the adapters that wait for their first replica by the
+	// inverse of their patience, as of countedAt and with those that came since.
+	backlog   float64
 	countedAt time.Time
+	// standingAt is since when the queue for loads is longer than patience.
+	standingAt time.Time
 	// refill lists adapters that a restart took from a runner.
 	refill []*adapter
 	// runTime is the mean time of a run, zero while unknown.
@@ -211,6 +213,8 @@
 	due       time.Time
 	deadline  time.Time
 	startedAt time.Time
+	// patience is the wait for a load that it is worth, zero until it is asked.
+	patience  time.Duration
 	gathering bool
 	cancelled bool
 	// dispatches counts the runs that were tried.
