--- a/core/ggspopularity/rate.go
+++ b/core/ggspopularity/rate.go
@@ -3,13 +3,14 @@
 //
 // # Usage
 //
-//	var m ggspopularity.Meter
-//	m.Add(now)
-//	if m.Rising(now) { /* fetch it ahead of demand */ }
-//	perSecond := m.PerSecond(now)
+//	var d ggspopularity.Drift    // one per service
+//	var m ggspopularity.Meter    // one per adapter
+//	d.Observe(now, m.PerSecond(now, d.Since()) <= evicted)
+//	m.Add(now, d.Since())
+//	perSecond := m.PerSecond(now, d.Since())
 //
-// A Meter is a small value that is kept beside each adapter's entry. It holds
-// no clock: the time comes in with each call and must not go back.
+// A Meter is a small value that is kept beside each adapter's entry. The package
+// holds no clock: the time comes in with each call and must not go back.
 package ggspopularity
 
 import (
@@ -38,18 +39,25 @@
 	at   time.Time
 }
 
-// Add counts an arrival.
-func (m *Meter) Add(now time.Time) {
+// Add counts an arrival. Those before since are forgotten.
+func (m *Meter) Add(now, since time.Time) {
+	if m.at.Before(since) {
+		*m = Meter{}
+	}
 	d := now.Sub(m.at)
 	m.fast = decayed(m.fast, d, fastConstant) + 1
 	m.slow = decayed(m.slow, d, slowConstant) + 1
 	m.at = now
 }
 
-// PerSecond estimates arrivals a second. The slow estimate tells rarely used
-// adapters apart; the fast one, less its noise, shows a rise at once; and the
-// silence since the last arrival shows a fall long before the slow one does.
-func (m *Meter) PerSecond(now time.Time) float64 {
+// PerSecond estimates arrivals a second, from those after since. The slow
+// estimate tells rarely used adapters apart; the fast one, less its noise, shows
+// a rise at once; and the silence since the last arrival shows a fall long
+// before the slow one does.
+func (m *Meter) PerSecond(now, since time.Time) float64 {
+	if m.at.Before(since) {
+		return 0
+	}
 	d := now.Sub(m.at)
 	f := (decayed(m.fast, d, fastConstant) - fastNoise) / fastConstant.Seconds()
 	s := decayed(m.slow, d, slowConstant) / slowConstant.Seconds()
@@ -60,13 +68,6 @@
 	return r
 }
 
-// Rising reports whether arrivals have become more frequent lately.
-func (m *Meter) Rising(now time.Time) bool {
-	d := now.Sub(m.at)
-	f := (decayed(m.fast, d, fastConstant) - fastNoise) / fastConstant.Seconds()
-	return f > decayed(m.slow, d, slowConstant)/slowConstant.Seconds()
-}
-
 // decayed returns v after d at a time constant.
 func decayed(v float64, d, constant time.Duration) float64 {
 	if v == 0 || d <= 0 {
--- a/core/ggsschedule/bench_driver_test.go
+++ b/core/ggsschedule/bench_driver_test.go
@@ -281,6 +281,12 @@
 	e := v.byID[o.Endpoint]
 	v.inTransit++
 	e.loading++
+	for _, x := range v.engines {
+		if _, ok := x.resident[o.Adapter]; ok && v.measuring() {
+			v.out.lost++
+			break
+		}
+	}
 	if v.measuring() {
 		v.out.loads++
 	}
--- a/core/ggsschedule/costs.go
+++ b/core/ggsschedule/costs.go
@@ -24,6 +24,9 @@
 	// weigh.
 	standingAfter = 5 * time.Second
 	patienceLoads = 4
+	// evictedWeight is the weight of a new sample in the mean popularity of
+	// evicted adapters.
+	evictedWeight = 16
 	// standingEnd is the pressure below which a queue stands no more.
 	standingEnd = 0.5
 	// patienceUrgent is the part of the patience that urgent requests have, and
@@ -54,6 +57,11 @@
 	return j.patience
 }
 
+// rate estimates the adapter's arrivals a second.
+func (a *adapter) rate(now time.Time) float64 {
+	return a.meter.PerSecond(now, a.service.drift.Since())
+}
+
 // supply counts the replicas that are on their way and those that serve.
 func (a *adapter) supply(now time.Time) (coming, there int) {
 	for _, r := range a.replicas {
@@ -192,7 +200,8 @@
 
 // crowding is the cost of loading onto a runner whose slots are taken.
 func (s *Scheduler) crowding(e *endpoint) float64 {
-	return crowdingCost * float64(len(e.running)) / float64(max(e.spec.Slots, 1))
+	o := float64(len(e.running)) / float64(max(e.spec.Slots, 1))
+	return crowdingCost * o * o * o * o
 }
 
 // victim returns the replica whose eviction costs least, or nil.
@@ -217,7 +226,7 @@
 	if s.options.Policy != PolicyCost {
 		return -now.Sub(r.used).Seconds()
 	}
-	c := r.adapter.meter.PerSecond(now)
+	c := r.adapter.rate(now)
 	if _, there := r.adapter.supply(now); there > 1 {
 		c *= spareFactor
 	}
--- a/core/ggsschedule/plan.go
+++ b/core/ggsschedule/plan.go
@@ -143,6 +143,8 @@
 		s.load(now, r)
 		return true
 	}
+	v := w.adapter.service
+	v.evicted += (victim.adapter.rate(now) - v.evicted) / evictedWeight
 	victim.successor = r
 	s.unload(now, victim)
 	return true
@@ -158,7 +160,7 @@
 			v.refill = slices.Delete(v.refill, i, i+1)
 			a.listed = false
 			coming, there := a.supply(now)
-			if coming+there > 0 || a.meter.PerSecond(now) < refillLeast {
+			if coming+there > 0 || a.rate(now) < refillLeast {
 				continue
 			}
 			if s.orderLoad(now, want{adapter: a}) {
@@ -173,7 +175,7 @@
 func hottest(now time.Time, all []*adapter) int {
 	best := 0
 	for i, a := range all {
-		if a.meter.PerSecond(now) > all[best].meter.PerSecond(now) {
+		if a.rate(now) > all[best].rate(now) {
 			best = i
 		}
 	}
--- a/core/ggsschedule/policies_test.go
+++ b/core/ggsschedule/policies_test.go
@@ -64,7 +64,7 @@
 				o := drive(p, w, c, today())
 				fmt.Fprintf(&b, "%-11s %-10s %-14s %8s %8s %8s %6.3f %7d %7d %6d %6d %6d %5d\n", w.name, c.name, p,
 					ms(o.stall(0.5)), ms(o.stall(0.95)), ms(o.stall(0.99)), o.efficiency(),
-					o.submitted, o.done, o.refused, o.loads, o.evictions, o.missing)
+					o.submitted, o.done, o.refused, o.loads, o.evictions, o.lost)
 				if o.evictedBeneath > 0 {
 					t.Errorf("%s %s %s: %d adapters evicted beneath a run", w.name, c.name, p, o.evictedBeneath)
 				}
--- a/core/ggsschedule/requests.go
+++ b/core/ggsschedule/requests.go
@@ -72,7 +72,8 @@
 	}
 	v := s.service(r.Service, r.Kind)
 	a := v.adapter(r.Adapter)
-	a.meter.Add(now)
+	v.drift.Observe(now, a.rate(now) <= v.evicted)
+	a.meter.Add(now, v.drift.Since())
 	j := s.admit(now, r, a)
 	s.enter(now, j)
 	return s.finish(now)
--- a/core/ggsschedule/tables.go
+++ b/core/ggsschedule/tables.go
@@ -180,6 +180,10 @@
 	countedAt time.Time
 	// standingAt is since when the queue for loads is longer than patience.
 	standingAt time.Time
+	// drift notices shifts of popularity; evicted is the mean popularity of
+	// the adapters that were evicted lately.
+	drift   ggspopularity.Drift
+	evicted float64
 	// refill lists adapters that a restart took from a runner.
 	refill []*adapter
 	// runTime is the mean time of a run, zero while unknown.
