--- a/core/ggsschedule/costs.go
+++ b/core/ggsschedule/costs.go
@@ -22,13 +22,13 @@
 	// standingAfter is how long a queue for loads must stand to be cut, and
 	// patienceLoads the number of loads to which it is cut when only stalls
 	// weigh.
-	standingAfter = 5 * time.Second
+	standingAfter = 2 * time.Second
 	patienceLoads = 4
 	// evictedWeight is the weight of a new sample in the mean popularity of
 	// evicted adapters.
 	evictedWeight = 16
 	// standingEnd is the pressure below which a queue stands no more.
-	standingEnd = 0.5
+	standingEnd = 0.1
 	// patienceUrgent is the part of the patience that urgent requests have, and
 	// patienceStep what each lower priority adds to it.
 	patienceUrgent = 0.5
