--- a/core/ggsschedule/costs.go
+++ b/core/ggsschedule/costs.go
@@ -23,7 +23,7 @@
 	// patienceLoads the number of loads to which it is cut when only stalls
 	// weigh.
 	standingAfter = 2 * time.Second
-	patienceLoads = 4
+	patienceLoads = 2
 	// evictedWeight is the weight of a new sample in the mean popularity of
 	// evicted adapters.
 	evictedWeight = 16
--- a/core/ggsschedule/endpoints.go
+++ b/core/ggsschedule/endpoints.go
@@ -79,11 +79,13 @@
 // doubtResidents begins an ownership anew. While another VM may have been the
 // owner it may have evicted what we believe to be resident: requests would be
 // sent to an adapter that is gone, or is being unloaded. Nothing is believed
-// until a report that is newer than the ownership; what was protected all along
-// can't have been evicted.
+// until a report that is newer than the ownership, and everything is pinned
+// until one shows it idle; what was protected all along can't have been evicted.
 func (s *Scheduler) doubtResidents(now time.Time, e *endpoint, before ggscore.OwnerMode) {
 	e.ownedAt = now
 	for _, r := range e.replicas {
+		r.pinned = true
+		r.pinnedAt = now
 		kept := before == ggscore.ModeResidentOnly && r.protected()
 		if r.state == stateResident && !kept {
 			r.become(stateLoadUncertain, now)
--- a/core/ggsschedule/loads.go
+++ b/core/ggsschedule/loads.go
@@ -53,14 +53,26 @@
 	if d <= 0 {
 		return
 	}
-	burst := max(1, b.share.LoadsPerSecond)
-	b.tokens = min(b.tokens+d.Seconds()*b.share.LoadsPerSecond, burst-float64(b.reserved))
 	b.at = now
+	b.tokens += d.Seconds() * b.share.LoadsPerSecond
+	b.clip()
+}
+
+// clip bounds the tokens to the burst.
+func (b *bucket) clip() {
+	burst := max(1, b.share.LoadsPerSecond)
+	b.tokens = min(b.tokens, burst-float64(b.reserved))
+}
+
+// allowed reports whether the share allows the loads that are ordered or
+// reserved. It may have shrunk since they were.
+func (b *bucket) allowed() bool {
+	return b.share.LoadsPerSecond > 0 && b.inTransit <= b.share.InTransit
 }
 
 // ready reports whether a load may be ordered. The bucket has been filled.
 func (b *bucket) ready() bool {
-	return b.tokens >= 1 && b.inTransit < b.share.InTransit
+	return b.tokens >= 1 && b.share.LoadsPerSecond > 0 && b.inTransit < b.share.InTransit
 }
 
 // readyAt returns when the rate allows the next load, or the zero time when it
@@ -109,6 +121,7 @@
 	s.bucket.fill(now)
 	s.bucket.at = now
 	s.bucket.share = h
+	s.bucket.clip()
 	return s.finish(now)
 }
 
@@ -250,7 +263,7 @@
 // succeed gives the slot of an adapter that was unloaded to the one that it
 // was reserved for. If the slot isn't free after all, the token goes back.
 func (s *Scheduler) succeed(now time.Time, r, next *replica) {
-	if r.state == stateGone && next.endpoint.loads(now) && next.endpoint.freeAdapterSlots() > 0 {
+	if r.state == stateGone && s.bucket.allowed() && next.endpoint.loads(now) && next.endpoint.freeAdapterSlots() > 0 {
 		s.load(now, next)
 		return
 	}
--- /dev/null
+++ b/core/ggsschedule/machine_test.go
@@ -0,0 +1,528 @@
+package ggsschedule_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsschedule"
+)
+
+// lateEffects bounds how long after an unknown end an order takes effect. It is
+// less than the scheduler's SettleAfter.
+const lateEffects = 900 * time.Millisecond
+
+// A slotKey names an adapter on an endpoint.
+type slotKey struct {
+	endpoint ggscore.EndpointID
+	adapter  ggscore.AdapterRef
+}
+
+// A modelRun is a request on an engine.
+type modelRun struct {
+	request  *ggscore.Request
+	key      slotKey
+	engine   *modelEngine
+	born     int
+	deadline time.Time
+	// dispatches and waiting follow the contract of ggscore.Scheduler.
+	waiting, ended bool
+	dispatches     int
+	provedNotRun   bool
+}
+
+// A modelEngine is what a runner really is.
+type modelEngine struct {
+	spec        ggscore.Endpoint
+	mode        ggscore.OwnerMode
+	incarnation int
+	// resident holds the runs on each adapter that are not the scheduler's:
+	// an earlier owner's, or ours whose end was lost.
+	resident  map[ggscore.AdapterRef]int
+	protected []ggscore.AdapterRef
+}
+
+// A lateEffect is an order whose end was lost and that takes effect later.
+type lateEffect struct {
+	at   time.Time
+	born int
+	load bool
+	key  slotKey
+}
+
+// A machine checks every order against the engines' true state.
+type machine struct {
+	s         *ggsschedule.Scheduler
+	now       time.Time
+	engines   []*modelEngine
+	runs      []*modelRun
+	loads     map[slotKey]int
+	unloads   map[slotKey]int
+	unsettled map[slotKey]time.Time
+	// evidence holds what the scheduler was told of adapters: true after a
+	// finished load or a report, false after an eviction's order.
+	evidence  map[slotKey]bool
+	evicted   map[slotKey]time.Time
+	snapshots []ggscore.RunnerReport
+	late      []lateEffect
+	share     ggscore.LoadShare
+	tokens    float64
+	filled    time.Time
+	n         int
+	t         *rapid.T
+}
+
+func (m *machine) engine(id ggscore.EndpointID) *modelEngine {
+	for _, e := range m.engines {
+		if e.spec.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// ours counts our requests on an adapter, or on the whole engine.
+func (m *machine) ours(e *modelEngine, ref *ggscore.AdapterRef) int {
+	n := 0
+	for _, r := range m.runs {
+		if r.engine == e && !r.ended && !r.waiting && (ref == nil || r.key.adapter == *ref) {
+			n++
+		}
+	}
+	return n
+}
+
+// alive counts our requests that the engine still runs on an adapter.
+func (m *machine) alive(e *modelEngine, ref ggscore.AdapterRef) int {
+	n := 0
+	for _, r := range m.runs {
+		if r.engine == e && !r.ended && !r.waiting && r.key.adapter == ref && r.born == e.incarnation {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *machine) check(orders []ggscore.Order) {
+	for _, o := range orders {
+		switch o.Kind {
+		case ggscore.OrderDispatch:
+			m.checkDispatch(o)
+		case ggscore.OrderLoad:
+			m.checkLoad(o)
+		case ggscore.OrderUnload:
+			m.checkUnload(o)
+		case ggscore.OrderRefuse:
+			r := m.run(o.Request.ID)
+			m.assert(r.waiting && !r.ended, "refused a request that isn't waiting")
+			m.assert(o.Failure.Outcome == ggscore.OutcomeNotRun, "refusal without notRun")
+			r.ended = true
+		}
+	}
+}
+
+func (m *machine) checkDispatch(o ggscore.Order) {
+	e, r := m.engine(o.Endpoint), m.run(o.Request.ID)
+	k := slotKey{o.Endpoint, o.Adapter}
+	m.assert(e != nil && e.spec.Service == r.request.Service, "dispatched to another service's endpoint")
+	m.assert(!e.spec.Leaving, "dispatched to a leaving endpoint")
+	m.assert(e.mode == ggscore.ModeFull || e.mode == ggscore.ModeResidentOnly && slices.Contains(e.protected, o.Adapter), "dispatched against the mode")
+	m.assert(m.ours(e, nil) < e.spec.Slots, "dispatched beyond the slots")
+	m.assert(r.waiting && !r.ended && o.Adapter == r.request.Adapter, "dispatched a request that isn't waiting")
+	m.assert(r.dispatches == 0 || r.provedNotRun, "dispatched twice without proof")
+	if e.spec.Kind == ggscore.KindModel {
+		m.assert(m.evidence[k], "dispatched to an adapter that isn't known to be resident")
+		m.assert(m.unloads[k] == 0 && m.unsettled[k].IsZero(), "dispatched to an adapter whose order is unsettled")
+	}
+	r.dispatches++
+	r.provedNotRun = false
+	r.waiting = false
+	r.engine, r.born, r.key = e, e.incarnation, k
+}
+
+func (m *machine) checkLoad(o ggscore.Order) {
+	e := m.engine(o.Endpoint)
+	k := slotKey{o.Endpoint, o.Adapter}
+	m.assert(e != nil && e.mode == ggscore.ModeFull && !e.spec.Leaving, "load against the mode")
+	m.assert(m.loads[k]+m.unloads[k] == 0 && m.unsettled[k].IsZero(), "load while another order is unsettled")
+	m.assert(m.share.LoadsPerSecond > 0, "load without a share")
+	m.fill()
+	m.tokens--
+	m.assert(m.tokens > -1e-6, "loads beyond the rate")
+	m.loads[k]++
+	inTransit := 0
+	for _, n := range m.loads {
+		inTransit += n
+	}
+	m.assert(inTransit <= m.share.InTransit, "loads beyond the share in transit")
+}
+
+func (m *machine) checkUnload(o ggscore.Order) {
+	e := m.engine(o.Endpoint)
+	k := slotKey{o.Endpoint, o.Adapter}
+	m.assert(e != nil && e.mode == ggscore.ModeFull, "eviction against the mode")
+	m.assert(!slices.Contains(e.protected, o.Adapter), "eviction of a protected adapter")
+	m.assert(m.ours(e, &o.Adapter) == 0 && e.resident[o.Adapter] == 0, "eviction beneath a run")
+	m.unloads[k]++
+	m.evidence[k] = false
+	delete(m.unsettled, k)
+}
+
+func (m *machine) assert(ok bool, what string) {
+	if !ok {
+		m.t.Fatalf("%s at %s", what, m.now.Sub(epoch()))
+	}
+}
+
+// fill advances the reference token bucket.
+func (m *machine) fill() {
+	burst := max(1, m.share.LoadsPerSecond)
+	m.tokens = min(burst, m.tokens+m.now.Sub(m.filled).Seconds()*m.share.LoadsPerSecond)
+	m.filled = m.now
+}
+
+func (m *machine) run(id ggscore.RequestID) *modelRun {
+	for _, r := range m.runs {
+		if r.request.ID == id {
+			return r
+		}
+	}
+	m.t.Fatalf("order for an unknown request %s", id)
+	return nil
+}
+
+// advance moves the clock, and lets late orders take effect.
+func (m *machine) advance(d time.Duration) {
+	m.now = m.now.Add(d)
+	m.late = slices.DeleteFunc(m.late, func(l lateEffect) bool {
+		if l.at.After(m.now) {
+			return false
+		}
+		m.effect(l)
+		return true
+	})
+}
+
+// effect lets an order take effect on the engine.
+func (m *machine) effect(l lateEffect) {
+	e := m.engine(l.key.endpoint)
+	if e == nil || e.incarnation != l.born {
+		return
+	}
+	_, there := e.resident[l.key.adapter]
+	switch {
+	case l.load && !there && len(e.resident) < e.spec.AdapterSlots:
+		e.resident[l.key.adapter] = 0
+	case !l.load && there:
+		m.assert(m.alive(e, l.key.adapter) == 0, "adapter was evicted beneath a run")
+		delete(e.resident, l.key.adapter)
+	}
+}
+
+func (m *machine) addEngine(service ggscore.Service, kind ggscore.ServiceKind) {
+	m.n++
+	e := &modelEngine{mode: ggscore.ModeFull, resident: make(map[ggscore.AdapterRef]int)}
+	e.spec = runner(fmt.Sprintf("e%d", m.n))
+	e.spec.Service, e.spec.Kind = service, kind
+	for i := range rapid.IntRange(0, 2).Draw(m.t, "already resident") {
+		e.resident[ref(fmt.Sprintf("a%d", i))] = rapid.IntRange(0, 1).Draw(m.t, "foreign runs")
+	}
+	m.engines = append(m.engines, e)
+	m.check(m.s.SetEndpoint(m.now, e.spec, e.mode))
+}
+
+// pick draws an engine or a run that fits.
+func pickFrom[T any](m *machine, what string, all []T, fits func(T) bool) (T, bool) {
+	var some []T
+	for _, x := range all {
+		if fits(x) {
+			some = append(some, x)
+		}
+	}
+	var zero T
+	if len(some) == 0 {
+		return zero, false
+	}
+	return rapid.SampledFrom(some).Draw(m.t, what), true
+}
+
+func anyEngine(*modelEngine) bool { return true }
+
+func (m *machine) endRun(*rapid.T) {
+	r, ok := pickFrom(m, "run", m.runs, func(r *modelRun) bool { return !r.waiting && !r.ended })
+	if !ok {
+		return
+	}
+	k := rapid.SampledFrom([]ggscore.EndKind{ggscore.EndDone, ggscore.EndDone, ggscore.EndFailed, ggscore.EndUnknown, ggscore.EndAdapterMissing}).Draw(m.t, "end")
+	live := r.born == r.engine.incarnation
+	_, there := r.engine.resident[r.key.adapter]
+	if k == ggscore.EndAdapterMissing && live && there {
+		k = ggscore.EndDone
+	}
+	if k == ggscore.EndUnknown && live && there && rapid.Bool().Draw(m.t, "engine goes on") {
+		r.engine.resident[r.key.adapter]++
+	}
+	r.ended = k == ggscore.EndDone || k == ggscore.EndUnknown
+	r.waiting = !r.ended
+	r.provedNotRun = r.waiting
+	m.check(m.s.RequestEnded(m.now, r.request.ID, k))
+}
+
+// endOrder ends a load or an eviction, with or without its effect.
+func (m *machine) endOrder(load bool) {
+	orders := m.unloads
+	if load {
+		orders = m.loads
+	}
+	var keys []slotKey
+	for k, n := range orders {
+		if n > 0 {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b slotKey) int {
+		if a.endpoint+ggscore.EndpointID(a.adapter.Name) < b.endpoint+ggscore.EndpointID(b.adapter.Name) {
+			return -1
+		}
+		return 1
+	})
+	k, ok := pickFrom(m, "order", keys, func(slotKey) bool { return true })
+	if !ok {
+		return
+	}
+	orders[k]--
+	e := m.engine(k.endpoint)
+	if e == nil {
+		return
+	}
+	end := rapid.SampledFrom([]ggscore.EndKind{ggscore.EndDone, ggscore.EndDone, ggscore.EndFailed, ggscore.EndUnknown}).Draw(m.t, "end")
+	l := lateEffect{born: e.incarnation, load: load, key: k, at: m.now}
+	_, there := e.resident[k.adapter]
+	if end == ggscore.EndDone && load && !there && len(e.resident) >= e.spec.AdapterSlots {
+		end = ggscore.EndFailed
+	}
+	if end == ggscore.EndFailed && !load && !there {
+		// An engine that no longer holds the adapter says so: it is gone.
+		end = ggscore.EndDone
+	}
+	switch end {
+	case ggscore.EndDone:
+		m.effect(l)
+		m.evidence[k] = load
+		if !load {
+			m.evicted[k] = m.now
+		}
+	case ggscore.EndUnknown:
+		m.unsettled[k] = m.now
+		if rapid.Bool().Draw(m.t, "takes effect") {
+			l.at = m.now.Add(time.Duration(rapid.Int64Range(0, int64(lateEffects)).Draw(m.t, "later")))
+			m.late = append(m.late, l)
+		}
+	default:
+		m.evidence[k] = !load && there
+	}
+	if load {
+		m.check(m.s.LoadEnded(m.now, k.endpoint, k.adapter, end))
+		return
+	}
+	m.check(m.s.UnloadEnded(m.now, k.endpoint, k.adapter, end))
+}
+
+// snapshot lets an engine look at itself; the report arrives later, if at all.
+func (m *machine) snapshot(*rapid.T) {
+	e, ok := pickFrom(m, "engine", m.engines, anyEngine)
+	if !ok {
+		return
+	}
+	p := ggscore.RunnerReport{Endpoint: e.spec.ID, Incarnation: fmt.Sprint(e.incarnation), At: m.now}
+	for a, n := range e.resident {
+		p.Resident = append(p.Resident, ggscore.ResidentAdapter{Ref: a, Running: n + m.alive(e, a)})
+	}
+	slices.SortFunc(p.Resident, func(a, b ggscore.ResidentAdapter) int {
+		if a.Ref.Name < b.Ref.Name {
+			return -1
+		}
+		return 1
+	})
+	m.snapshots = append(m.snapshots, p)
+}
+
+func (m *machine) deliver(*rapid.T) {
+	p, ok := pickFrom(m, "report", m.snapshots, func(ggscore.RunnerReport) bool { return true })
+	if !ok {
+		return
+	}
+	for _, r := range p.Resident {
+		k := slotKey{p.Endpoint, r.Ref}
+		if p.At.After(m.unsettled[k]) {
+			delete(m.unsettled, k)
+			m.evidence[k] = m.evidence[k] || p.At.After(m.evicted[k])
+		}
+	}
+	for k, at := range m.unsettled {
+		if k.endpoint == p.Endpoint && p.At.After(at) {
+			delete(m.unsettled, k)
+		}
+	}
+	m.check(m.s.Report(m.now, p))
+}
+
+func (m *machine) submit(*rapid.T) {
+	m.n++
+	r := request(fmt.Sprintf("q%d", m.n), fmt.Sprintf("a%d", rapid.IntRange(0, 5).Draw(m.t, "adapter")))
+	r.Market = ggscore.Market(rapid.SampledFrom([]string{"cr", "pa"}).Draw(m.t, "market"))
+	r.Priority = ggscore.Priority(rapid.IntRange(0, 3).Draw(m.t, "priority"))
+	r.Budget = time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(m.t, "budget"))
+	r.Deferrable = time.Duration(rapid.SampledFrom([]int64{0, 0, int64(time.Second)}).Draw(m.t, "deferrable"))
+	r.NonIdempotent = rapid.Bool().Draw(m.t, "non-idempotent")
+	if rapid.IntRange(0, 4).Draw(m.t, "plain") == 0 {
+		r.Service, r.Kind, r.Adapter = "custodia", ggscore.KindPlain, ggscore.AdapterRef{}
+	}
+	m.runs = append(m.runs, &modelRun{request: r, waiting: true, deadline: m.now.Add(r.Budget)})
+	m.check(m.s.Submit(m.now, r))
+}
+
+func (m *machine) tick(*rapid.T) {
+	m.check(m.s.Tick(m.now))
+	for _, r := range m.runs {
+		m.assert(!r.waiting || r.ended || r.deadline.After(m.now), "a request waits beyond its budget")
+	}
+}
+
+func (m *machine) restart(*rapid.T) {
+	if e, ok := pickFrom(m, "engine", m.engines, anyEngine); ok {
+		e.incarnation++
+		clear(e.resident)
+	}
+}
+
+func (m *machine) setMode(*rapid.T) {
+	e, ok := pickFrom(m, "engine", m.engines, anyEngine)
+	if !ok {
+		return
+	}
+	before := e.mode
+	e.mode = ggscore.OwnerMode(rapid.IntRange(0, 2).Draw(m.t, "mode"))
+	e.spec.Leaving = rapid.IntRange(0, 5).Draw(m.t, "leaving") == 0
+	if before == ggscore.ModeNone {
+		m.otherOwner(e)
+	}
+	m.check(m.s.SetEndpoint(m.now, e.spec, e.mode))
+}
+
+// otherOwner lets another owner have acted on the idle adapters of an engine.
+func (m *machine) otherOwner(e *modelEngine) {
+	for i := range 6 {
+		a := ref(fmt.Sprintf("a%d", i))
+		n, there := e.resident[a]
+		idle := n+m.ours(e, &a) == 0
+		switch {
+		case there && idle && rapid.Bool().Draw(m.t, "evicted by another"):
+			delete(e.resident, a)
+		case there && rapid.Bool().Draw(m.t, "run by another"):
+			e.resident[a]++
+		}
+	}
+}
+
+func (m *machine) protect(*rapid.T) {
+	e, ok := pickFrom(m, "engine", m.engines, anyEngine)
+	if !ok {
+		return
+	}
+	e.protected = nil
+	for i := range 6 {
+		if rapid.IntRange(0, 3).Draw(m.t, "protected") == 0 {
+			e.protected = append(e.protected, ref(fmt.Sprintf("a%d", i)))
+		}
+	}
+	m.check(m.s.Protect(m.now, e.spec.ID, e.protected))
+}
+
+func (m *machine) foreignEnds(*rapid.T) {
+	e, ok := pickFrom(m, "engine", m.engines, anyEngine)
+	if !ok {
+		return
+	}
+	for i := range 6 {
+		if a := ref(fmt.Sprintf("a%d", i)); e.resident[a] > 0 {
+			e.resident[a]--
+		}
+	}
+}
+
+func (m *machine) removeOrAdd(*rapid.T) {
+	if len(m.engines) < 3 {
+		m.addEngine("asistente", ggscore.KindModel)
+		return
+	}
+	if rapid.IntRange(0, 3).Draw(m.t, "remove") > 0 {
+		return
+	}
+	e, _ := pickFrom(m, "engine", m.engines, anyEngine)
+	m.engines = slices.DeleteFunc(m.engines, func(o *modelEngine) bool { return o == e })
+	for k := range m.loads {
+		if k.endpoint == e.spec.ID {
+			delete(m.loads, k)
+		}
+	}
+	m.check(m.s.RemoveEndpoint(m.now, e.spec.ID))
+}
+
+func (m *machine) setShare(*rapid.T) {
+	m.fill()
+	m.share.LoadsPerSecond = rapid.SampledFrom([]float64{0, 1.3, 4}).Draw(m.t, "rate")
+	m.share.InTransit = rapid.IntRange(0, 3).Draw(m.t, "in transit")
+	m.tokens = min(m.tokens, max(1, m.share.LoadsPerSecond))
+	m.check(m.s.SetLoadShare(m.now, m.share))
+}
+
+func (m *machine) cancel(*rapid.T) {
+	if r, ok := pickFrom(m, "request", m.runs, func(r *modelRun) bool { return !r.ended }); ok {
+		m.check(m.s.Cancel(m.now, r.request.ID))
+	}
+}
+
+// TestSchedulerKeepsItsContract lets engines restart, fail loads, lose ends,
+// change owners and leave, with reports that come late, twice or never. A
+// caller would see a broken or foreign answer if an adapter went from under a
+// run, a second run of a release if one were dispatched twice, and silence if a
+// request were lost.
+func TestSchedulerKeepsItsContract(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{
+			s:         ggsschedule.New(ggsschedule.Options{Seed: 1, Policy: ggsschedule.Policy(rapid.IntRange(0, 3).Draw(t, "policy"))}),
+			now:       epoch(),
+			loads:     make(map[slotKey]int),
+			unloads:   make(map[slotKey]int),
+			unsettled: make(map[slotKey]time.Time),
+			evidence:  make(map[slotKey]bool),
+			evicted:   make(map[slotKey]time.Time),
+			share:     ggscore.LoadShare{LoadsPerSecond: 4, InTransit: 3},
+			filled:    epoch(),
+			t:         t,
+		}
+		m.check(m.s.SetLoadShare(m.now, m.share))
+		m.addEngine("asistente", ggscore.KindModel)
+		m.addEngine("asistente", ggscore.KindModel)
+		m.addEngine("custodia", ggscore.KindPlain)
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(*rapid.T) {
+				m.advance(time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "time")))
+			},
+			"submit": m.submit, "submit again": m.submit, "end run": m.endRun,
+			"end load":   func(*rapid.T) { m.endOrder(true) },
+			"end unload": func(*rapid.T) { m.endOrder(false) },
+			"snapshot":   m.snapshot, "deliver": m.deliver, "tick": m.tick, "restart": m.restart,
+			"set mode": m.setMode, "protect": m.protect, "foreign ends": m.foreignEnds,
+			"remove or add": m.removeOrAdd, "set share": m.setShare, "cancel": m.cancel,
+		})
+		m.advance(time.Minute)
+		m.tick(t)
+	})
+}
--- a/core/ggsschedule/reports.go
+++ b/core/ggsschedule/reports.go
@@ -44,8 +44,8 @@
 }
 
 // restart clears what was on an engine that has restarted. An order that was
-// under way may have reached the old engine or the new one: its end doesn't
-// tell which, so that only a report settles it.
+// under way, or whose end is unknown, may have reached the old engine or the new
+// one: only a report settles it.
 func (s *Scheduler) restart(now time.Time, e *endpoint) {
 	for _, r := range slices.Clone(e.replicas) {
 		r.pinned = false
@@ -53,10 +53,8 @@
 		switch r.state {
 		case stateLoading, stateUnloading:
 			r.crossed = true
-		case stateReserved:
-		case stateGone:
-			s.drop(now, r, false)
-		case stateResident, stateLoadUncertain, stateUnloadUncertain:
+		case stateReserved, stateGone, stateLoadUncertain, stateUnloadUncertain:
+		case stateResident:
 			s.drop(now, r, true)
 		}
 	}
@@ -148,18 +146,18 @@
 		}
 		return
 	}
-	if running > r.running {
-		r.pinned = true
-		r.pinnedAt = at
-	}
-	if !at.After(r.pinnedAt.Add(-foreignMargin)) {
-		return
-	}
-	old := 0
+	began, old := 0, 0
 	for _, j := range r.endpoint.running {
+		if j.replica == r && at.After(j.startedAt) {
+			began++
+		}
 		if j.replica == r && at.After(j.startedAt.Add(foreignMargin)) {
 			old++
 		}
 	}
+	if running > began {
+		r.pinned = true
+		r.pinnedAt = at
+	}
 	r.foreign = min(r.foreign, max(running-old, 0))
 }
