fix: keep the scheduler's contract under lost ends, restarts and changes of owner

Cause: a generated machine of engines (rapid; 200,000 histories of up to 120 events) found: an uncertain unload repeated although the adapter had meanwhile been protected; a request in flight since before a restart that did not pin the adapter once it was loaded again; tokens of reserved loads that let a load come on top of a burst when the share shrank; an order under way during a change of owner whose end was believed.

--- a/core/ggsschedule/costs.go
+++ b/core/ggsschedule/costs.go
@@ -238,8 +238,13 @@
 // of an earlier owner may use is out of the question, and so is one that
 // waiting requests are about to use.
 func (r *replica) evictable() bool {
-	idle := r.running == 0 && !r.pinned && r.foreign == 0
-	return r.state == stateResident && idle && !r.protected() && !r.awaited()
+	return r.state == stateResident && r.idle() && !r.awaited()
+}
+
+// idle reports whether no request of ours or of an earlier owner may use the
+// replica.
+func (r *replica) idle() bool {
+	return r.running == 0 && !r.pinned && r.foreign == 0 && !r.protected()
 }
 
 // awaited reports whether waiting requests may be about to use the replica.
--- a/core/ggsschedule/endpoints.go
+++ b/core/ggsschedule/endpoints.go
@@ -87,8 +87,11 @@
 		r.pinned = true
 		r.pinnedAt = now
 		kept := before == ggscore.ModeResidentOnly && r.protected()
-		if r.state == stateResident && !kept {
+		switch {
+		case r.state == stateResident && !kept:
 			r.become(stateLoadUncertain, now)
+		case r.state == stateLoading || r.state == stateUnloading:
+			r.crossed = true
 		}
 	}
 }
--- a/core/ggsschedule/loads.go
+++ b/core/ggsschedule/loads.go
@@ -64,10 +64,12 @@
 	b.tokens = min(b.tokens, burst-float64(b.reserved))
 }
 
-// allowed reports whether the share allows the loads that are ordered or
-// reserved. It may have shrunk since they were.
-func (b *bucket) allowed() bool {
-	return b.share.LoadsPerSecond > 0 && b.inTransit <= b.share.InTransit
+// allowed reports whether a load that was reserved may be ordered. The share may
+// have shrunk since then, and hold fewer tokens than are reserved.
+func (b *bucket) allowed(now time.Time) bool {
+	b.fill(now)
+	held := b.tokens + float64(b.reserved)
+	return held >= 1 && b.share.LoadsPerSecond > 0 && b.inTransit <= b.share.InTransit
 }
 
 // ready reports whether a load may be ordered. The bucket has been filled.
@@ -175,6 +177,7 @@
 // cancelReserved gives the token of a load that wasn't ordered back.
 func (s *Scheduler) cancelReserved(now time.Time, r *replica) {
 	s.settleLoad(r)
+	s.bucket.fill(now)
 	s.bucket.reserved--
 	s.bucket.tokens++
 	r.become(stateGone, now)
@@ -199,6 +202,7 @@
 
 // load orders a load into a free slot. The token was taken.
 func (s *Scheduler) load(now time.Time, r *replica) {
+	s.bucket.fill(now)
 	s.bucket.reserved--
 	r.become(stateLoading, now)
 	s.orders = append(s.orders, ggscore.Order{
@@ -229,9 +233,17 @@
 	return r
 }
 
-// place makes an entry for an adapter on an endpoint.
+// place makes an entry for an adapter on an endpoint. A request may still be on
+// its way to the engine since before a restart, and run on the adapter once it
+// is back; requests that haven't ended therefore pin the new entry.
 func (s *Scheduler) place(now time.Time, a *adapter, e *endpoint, t replicaState) *replica {
 	r := &replica{adapter: a, endpoint: e, state: t, since: now, used: now}
+	for _, j := range e.running {
+		if j.adapter == a && !a.anywhere() {
+			j.replica = r
+			r.running++
+		}
+	}
 	a.replicas = append(a.replicas, r)
 	e.replicas = append(e.replicas, r)
 	return r
@@ -263,7 +275,7 @@
 // succeed gives the slot of an adapter that was unloaded to the one that it
 // was reserved for. If the slot isn't free after all, the token goes back.
 func (s *Scheduler) succeed(now time.Time, r, next *replica) {
-	if r.state == stateGone && s.bucket.allowed() && next.endpoint.loads(now) && next.endpoint.freeAdapterSlots() > 0 {
+	if r.state == stateGone && s.bucket.allowed(now) && next.endpoint.loads(now) && next.endpoint.freeAdapterSlots() > 0 {
 		s.load(now, next)
 		return
 	}
--- a/core/ggsschedule/machine_test.go
+++ b/core/ggsschedule/machine_test.go
@@ -12,9 +12,8 @@
 	"greengageslip/core/ggsschedule"
 )
 
-// lateEffects bounds how long after an unknown end an order takes effect. It is
-// less than the scheduler's SettleAfter.
-const lateEffects = 900 * time.Millisecond
+// adapterCount is more than an engine holds, so that evictions are needed.
+const adapterCount = 4
 
 // A slotKey names an adapter on an endpoint.
 type slotKey struct {
@@ -35,6 +34,12 @@
 	provedNotRun   bool
 }
 
+// An unsettled is an order whose end is unknown.
+type unsettled struct {
+	at   time.Time
+	load bool
+}
+
 // A modelEngine is what a runner really is.
 type modelEngine struct {
 	spec        ggscore.Endpoint
@@ -44,8 +49,15 @@
 	// an earlier owner's, or ours whose end was lost.
 	resident  map[ggscore.AdapterRef]int
 	protected []ggscore.AdapterRef
+	// told and toldAt are the last incarnation that the scheduler was told, and
+	// ownedAt is when its ownership began or was last in doubt.
+	told            string
+	toldAt, ownedAt time.Time
 }
 
+// life names the incarnation and the ownership that the scheduler believes in.
+func (e *modelEngine) life() string { return fmt.Sprint(e.told, e.ownedAt.UnixNano()) }
+
 // A lateEffect is an order whose end was lost and that takes effect later.
 type lateEffect struct {
 	at   time.Time
@@ -62,11 +74,14 @@
 	runs      []*modelRun
 	loads     map[slotKey]int
 	unloads   map[slotKey]int
-	unsettled map[slotKey]time.Time
+	unsettled map[slotKey]unsettled
 	// evidence holds what the scheduler was told of adapters: true after a
 	// finished load or a report, false after an eviction's order.
-	evidence  map[slotKey]bool
-	evicted   map[slotKey]time.Time
+	evidence map[slotKey]bool
+	evicted  map[slotKey]time.Time
+	// orderedTo holds the incarnation and the ownership that the scheduler
+	// believed in when it ordered a load or an eviction.
+	orderedTo map[slotKey]string
 	snapshots []ggscore.RunnerReport
 	late      []lateEffect
 	share     ggscore.LoadShare
@@ -109,6 +124,9 @@
 
 func (m *machine) check(orders []ggscore.Order) {
 	for _, o := range orders {
+		if debug {
+			fmt.Println(m.now.Sub(epoch()), o.Kind, o.Endpoint, o.Adapter)
+		}
 		switch o.Kind {
 		case ggscore.OrderDispatch:
 			m.checkDispatch(o)
@@ -136,7 +154,7 @@
 	m.assert(r.dispatches == 0 || r.provedNotRun, "dispatched twice without proof")
 	if e.spec.Kind == ggscore.KindModel {
 		m.assert(m.evidence[k], "dispatched to an adapter that isn't known to be resident")
-		m.assert(m.unloads[k] == 0 && m.unsettled[k].IsZero(), "dispatched to an adapter whose order is unsettled")
+		m.assert(m.unloads[k] == 0 && m.unsettled[k].at.IsZero(), "dispatched to an adapter whose order is unsettled")
 	}
 	r.dispatches++
 	r.provedNotRun = false
@@ -148,12 +166,13 @@
 	e := m.engine(o.Endpoint)
 	k := slotKey{o.Endpoint, o.Adapter}
 	m.assert(e != nil && e.mode == ggscore.ModeFull && !e.spec.Leaving, "load against the mode")
-	m.assert(m.loads[k]+m.unloads[k] == 0 && m.unsettled[k].IsZero(), "load while another order is unsettled")
+	m.assert(m.loads[k]+m.unloads[k] == 0 && m.unsettled[k].at.IsZero(), "load while another order is unsettled")
 	m.assert(m.share.LoadsPerSecond > 0, "load without a share")
 	m.fill()
 	m.tokens--
 	m.assert(m.tokens > -1e-6, "loads beyond the rate")
 	m.loads[k]++
+	m.orderedTo[k] = e.life()
 	inTransit := 0
 	for _, n := range m.loads {
 		inTransit += n
@@ -168,6 +187,7 @@
 	m.assert(!slices.Contains(e.protected, o.Adapter), "eviction of a protected adapter")
 	m.assert(m.ours(e, &o.Adapter) == 0 && e.resident[o.Adapter] == 0, "eviction beneath a run")
 	m.unloads[k]++
+	m.orderedTo[k] = e.life()
 	m.evidence[k] = false
 	delete(m.unsettled, k)
 }
@@ -252,7 +272,7 @@
 
 func anyEngine(*modelEngine) bool { return true }
 
-func (m *machine) endRun(*rapid.T) {
+func (m *machine) endRun() {
 	r, ok := pickFrom(m, "run", m.runs, func(r *modelRun) bool { return !r.waiting && !r.ended })
 	if !ok {
 		return
@@ -313,13 +333,16 @@
 	case ggscore.EndDone:
 		m.effect(l)
 		m.evidence[k] = load
+		if m.orderedTo[k] != e.life() {
+			m.unsettled[k] = unsettled{m.now, load}
+		}
 		if !load {
 			m.evicted[k] = m.now
 		}
 	case ggscore.EndUnknown:
-		m.unsettled[k] = m.now
+		m.unsettled[k] = unsettled{m.now, load}
 		if rapid.Bool().Draw(m.t, "takes effect") {
-			l.at = m.now.Add(time.Duration(rapid.Int64Range(0, int64(lateEffects)).Draw(m.t, "later")))
+			l.at = m.now.Add(time.Duration(rapid.SampledFrom([]int64{0, 5, 500, 900}).Draw(m.t, "later ms")) * time.Millisecond)
 			m.late = append(m.late, l)
 		}
 	default:
@@ -332,51 +355,60 @@
 	m.check(m.s.UnloadEnded(m.now, k.endpoint, k.adapter, end))
 }
 
+// look returns what an engine says of itself now.
+func (m *machine) look(e *modelEngine) ggscore.RunnerReport {
+	p := ggscore.RunnerReport{Endpoint: e.spec.ID, Incarnation: fmt.Sprint(e.incarnation), At: m.now}
+	for i := range adapterCount {
+		a := ref(fmt.Sprintf("a%d", i))
+		if n, there := e.resident[a]; there {
+			p.Resident = append(p.Resident, ggscore.ResidentAdapter{Ref: a, Running: n + m.alive(e, a)})
+		}
+	}
+	return p
+}
+
 // snapshot lets an engine look at itself; the report arrives later, if at all.
-func (m *machine) snapshot(*rapid.T) {
-	e, ok := pickFrom(m, "engine", m.engines, anyEngine)
-	if !ok {
-		return
+func (m *machine) snapshot() {
+	if e, ok := pickFrom(m, "engine", m.engines, anyEngine); ok {
+		m.snapshots = append(m.snapshots, m.look(e))
 	}
-	p := ggscore.RunnerReport{Endpoint: e.spec.ID, Incarnation: fmt.Sprint(e.incarnation), At: m.now}
-	for a, n := range e.resident {
-		p.Resident = append(p.Resident, ggscore.ResidentAdapter{Ref: a, Running: n + m.alive(e, a)})
+}
+
+func (m *machine) deliver() {
+	if p, ok := pickFrom(m, "report", m.snapshots, func(ggscore.RunnerReport) bool { return true }); ok {
+		m.deliverReport(p)
 	}
-	slices.SortFunc(p.Resident, func(a, b ggscore.ResidentAdapter) int {
-		if a.Ref.Name < b.Ref.Name {
-			return -1
-		}
-		return 1
-	})
-	m.snapshots = append(m.snapshots, p)
 }
 
-func (m *machine) deliver(*rapid.T) {
-	p, ok := pickFrom(m, "report", m.snapshots, func(ggscore.RunnerReport) bool { return true })
-	if !ok {
+// deliverReport hands a report in, and follows what it settles.
+func (m *machine) deliverReport(p ggscore.RunnerReport) {
+	e := m.engine(p.Endpoint)
+	if e == nil || e.mode == ggscore.ModeNone || p.At.Before(e.ownedAt) || !p.At.After(e.toldAt) {
+		m.check(m.s.Report(m.now, p))
 		return
 	}
-	for _, r := range p.Resident {
-		k := slotKey{p.Endpoint, r.Ref}
-		if p.At.After(m.unsettled[k]) {
+	e.toldAt, e.told = p.At, p.Incarnation
+	for i := range adapterCount {
+		k := slotKey{p.Endpoint, ref(fmt.Sprintf("a%d", i))}
+		there := slices.ContainsFunc(p.Resident, func(r ggscore.ResidentAdapter) bool { return r.Ref == k.adapter })
+		u := m.unsettled[k]
+		settled := there && u.load && p.At.After(u.at) || !there && p.At.After(u.at) && !u.load || !there && p.At.After(u.at.Add(time.Second))
+		if settled {
 			delete(m.unsettled, k)
-			m.evidence[k] = m.evidence[k] || p.At.After(m.evicted[k])
 		}
-	}
-	for k, at := range m.unsettled {
-		if k.endpoint == p.Endpoint && p.At.After(at) {
-			delete(m.unsettled, k)
+		if there && m.loads[k]+m.unloads[k] == 0 && p.At.After(m.evicted[k]) {
+			m.evidence[k] = true
 		}
 	}
 	m.check(m.s.Report(m.now, p))
 }
 
-func (m *machine) submit(*rapid.T) {
+func (m *machine) submit() {
 	m.n++
-	r := request(fmt.Sprintf("q%d", m.n), fmt.Sprintf("a%d", rapid.IntRange(0, 5).Draw(m.t, "adapter")))
+	r := request(fmt.Sprintf("q%d", m.n), fmt.Sprintf("a%d", rapid.IntRange(0, adapterCount-1).Draw(m.t, "adapter")))
 	r.Market = ggscore.Market(rapid.SampledFrom([]string{"cr", "pa"}).Draw(m.t, "market"))
 	r.Priority = ggscore.Priority(rapid.IntRange(0, 3).Draw(m.t, "priority"))
-	r.Budget = time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(m.t, "budget"))
+	r.Budget = time.Duration(rapid.SampledFrom([]int64{0, 300, 5000, 60000}).Draw(m.t, "budget ms")) * time.Millisecond
 	r.Deferrable = time.Duration(rapid.SampledFrom([]int64{0, 0, int64(time.Second)}).Draw(m.t, "deferrable"))
 	r.NonIdempotent = rapid.Bool().Draw(m.t, "non-idempotent")
 	if rapid.IntRange(0, 4).Draw(m.t, "plain") == 0 {
@@ -386,37 +418,47 @@
 	m.check(m.s.Submit(m.now, r))
 }
 
-func (m *machine) tick(*rapid.T) {
+func (m *machine) tick() {
 	m.check(m.s.Tick(m.now))
 	for _, r := range m.runs {
 		m.assert(!r.waiting || r.ended || r.deadline.After(m.now), "a request waits beyond its budget")
 	}
 }
 
-func (m *machine) restart(*rapid.T) {
+func (m *machine) restart() {
 	if e, ok := pickFrom(m, "engine", m.engines, anyEngine); ok {
 		e.incarnation++
 		clear(e.resident)
 	}
 }
 
-func (m *machine) setMode(*rapid.T) {
+func (m *machine) setMode() {
 	e, ok := pickFrom(m, "engine", m.engines, anyEngine)
 	if !ok {
 		return
 	}
 	before := e.mode
-	e.mode = ggscore.OwnerMode(rapid.IntRange(0, 2).Draw(m.t, "mode"))
+	e.mode = rapid.SampledFrom([]ggscore.OwnerMode{ggscore.ModeFull, ggscore.ModeFull, ggscore.ModeResidentOnly, ggscore.ModeNone}).Draw(m.t, "mode")
 	e.spec.Leaving = rapid.IntRange(0, 5).Draw(m.t, "leaving") == 0
 	if before == ggscore.ModeNone {
 		m.otherOwner(e)
 	}
+	if e.mode != before && (before == ggscore.ModeNone || e.mode == ggscore.ModeFull) {
+		e.ownedAt = m.now
+		for i := range adapterCount {
+			k := slotKey{e.spec.ID, ref(fmt.Sprintf("a%d", i))}
+			if before == ggscore.ModeNone || !slices.Contains(e.protected, k.adapter) {
+				m.evidence[k] = false
+				m.evicted[k] = m.now.Add(-1)
+			}
+		}
+	}
 	m.check(m.s.SetEndpoint(m.now, e.spec, e.mode))
 }
 
 // otherOwner lets another owner have acted on the idle adapters of an engine.
 func (m *machine) otherOwner(e *modelEngine) {
-	for i := range 6 {
+	for i := range adapterCount {
 		a := ref(fmt.Sprintf("a%d", i))
 		n, there := e.resident[a]
 		idle := n+m.ours(e, &a) == 0
@@ -429,13 +471,13 @@
 	}
 }
 
-func (m *machine) protect(*rapid.T) {
+func (m *machine) protect() {
 	e, ok := pickFrom(m, "engine", m.engines, anyEngine)
 	if !ok {
 		return
 	}
 	e.protected = nil
-	for i := range 6 {
+	for i := range adapterCount {
 		if rapid.IntRange(0, 3).Draw(m.t, "protected") == 0 {
 			e.protected = append(e.protected, ref(fmt.Sprintf("a%d", i)))
 		}
@@ -443,19 +485,19 @@
 	m.check(m.s.Protect(m.now, e.spec.ID, e.protected))
 }
 
-func (m *machine) foreignEnds(*rapid.T) {
+func (m *machine) foreignEnds() {
 	e, ok := pickFrom(m, "engine", m.engines, anyEngine)
 	if !ok {
 		return
 	}
-	for i := range 6 {
+	for i := range adapterCount {
 		if a := ref(fmt.Sprintf("a%d", i)); e.resident[a] > 0 {
 			e.resident[a]--
 		}
 	}
 }
 
-func (m *machine) removeOrAdd(*rapid.T) {
+func (m *machine) removeOrAdd() {
 	if len(m.engines) < 3 {
 		m.addEngine("asistente", ggscore.KindModel)
 		return
@@ -473,20 +515,67 @@
 	m.check(m.s.RemoveEndpoint(m.now, e.spec.ID))
 }
 
-func (m *machine) setShare(*rapid.T) {
+func (m *machine) setShare() {
 	m.fill()
-	m.share.LoadsPerSecond = rapid.SampledFrom([]float64{0, 1.3, 4}).Draw(m.t, "rate")
-	m.share.InTransit = rapid.IntRange(0, 3).Draw(m.t, "in transit")
+	m.share.LoadsPerSecond = rapid.SampledFrom([]float64{0, 1.3, 4, 4}).Draw(m.t, "rate")
+	m.share.InTransit = rapid.SampledFrom([]int{0, 1, 3, 3}).Draw(m.t, "in transit")
 	m.tokens = min(m.tokens, max(1, m.share.LoadsPerSecond))
 	m.check(m.s.SetLoadShare(m.now, m.share))
 }
 
-func (m *machine) cancel(*rapid.T) {
+func (m *machine) cancel() {
 	if r, ok := pickFrom(m, "request", m.runs, func(r *modelRun) bool { return !r.ended }); ok {
 		m.check(m.s.Cancel(m.now, r.request.ID))
 	}
 }
 
+// An action is one thing that may happen.
+type action struct {
+	name   string
+	weight int
+	do     func()
+}
+
+// String names the action in rapid's output.
+func (a action) String() string { return a.name }
+
+// actions returns what may happen, each as often as its weight says.
+func (m *machine) actions() []action {
+	var all []action
+	for _, a := range []action{
+		{"advance", 4, func() {
+			m.advance(time.Duration(rapid.SampledFrom([]int64{10, 300, 1100}).Draw(m.t, "ms")) * time.Millisecond)
+		}},
+		{"submit", 8, m.submit},
+		{"end run", 6, m.endRun},
+		{"end load", 8, func() { m.endOrder(true) }},
+		{"end unload", 4, func() { m.endOrder(false) }},
+		{"snapshot", 2, m.snapshot},
+		{"deliver", 2, m.deliver},
+		{"report all", 4, m.reportAll},
+		{"tick", 3, m.tick},
+		{"restart", 1, m.restart},
+		{"set mode", 2, m.setMode},
+		{"protect", 1, m.protect},
+		{"foreign ends", 2, m.foreignEnds},
+		{"remove or add", 1, m.removeOrAdd},
+		{"set share", 1, m.setShare},
+		{"cancel", 1, m.cancel},
+	} {
+		for range a.weight {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+// reportAll delivers a fresh report of every engine.
+func (m *machine) reportAll() {
+	for _, e := range m.engines {
+		m.deliverReport(m.look(e))
+	}
+}
+
 // TestSchedulerKeepsItsContract lets engines restart, fail loads, lose ends,
 // change owners and leave, with reports that come late, twice or never. A
 // caller would see a broken or foreign answer if an adapter went from under a
@@ -500,9 +589,10 @@
 			now:       epoch(),
 			loads:     make(map[slotKey]int),
 			unloads:   make(map[slotKey]int),
-			unsettled: make(map[slotKey]time.Time),
+			unsettled: make(map[slotKey]unsettled),
 			evidence:  make(map[slotKey]bool),
 			evicted:   make(map[slotKey]time.Time),
+			orderedTo: make(map[slotKey]string),
 			share:     ggscore.LoadShare{LoadsPerSecond: 4, InTransit: 3},
 			filled:    epoch(),
 			t:         t,
@@ -511,18 +601,13 @@
 		m.addEngine("asistente", ggscore.KindModel)
 		m.addEngine("asistente", ggscore.KindModel)
 		m.addEngine("custodia", ggscore.KindPlain)
-		t.Repeat(map[string]func(*rapid.T){
-			"advance": func(*rapid.T) {
-				m.advance(time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "time")))
-			},
-			"submit": m.submit, "submit again": m.submit, "end run": m.endRun,
-			"end load":   func(*rapid.T) { m.endOrder(true) },
-			"end unload": func(*rapid.T) { m.endOrder(false) },
-			"snapshot":   m.snapshot, "deliver": m.deliver, "tick": m.tick, "restart": m.restart,
-			"set mode": m.setMode, "protect": m.protect, "foreign ends": m.foreignEnds,
-			"remove or add": m.removeOrAdd, "set share": m.setShare, "cancel": m.cancel,
-		})
+		actions := m.actions()
+		for range rapid.IntRange(0, 120).Draw(t, "steps") {
+			rapid.SampledFrom(actions).Draw(t, "action").do()
+		}
 		m.advance(time.Minute)
-		m.tick(t)
+		m.tick()
 	})
 }
+
+const debug = false
--- a/core/ggsschedule/reports.go
+++ b/core/ggsschedule/reports.go
@@ -72,6 +72,7 @@
 		r.foreign = m.Running
 	}
 	r.seen = true
+	r.sawRunning(at, m.Running)
 	switch r.state {
 	case stateLoadUncertain:
 		if at.After(r.since) {
@@ -87,7 +88,6 @@
 		}
 	case stateReserved, stateLoading, stateResident, stateUnloading:
 	}
-	r.sawRunning(at, m.Running)
 }
 
 // unloadAgain repeats an unload whose end was unknown, when a report shows the
@@ -95,10 +95,10 @@
 // to the adapter meanwhile could lose it; once a second one has ended, the
 // adapter is known to be gone.
 func (s *Scheduler) unloadAgain(now, at time.Time, r *replica) {
-	if r.endpoint.mode != ggscore.ModeFull || !at.After(r.since.Add(s.options.SettleAfter)) {
-		return
+	settled := at.After(r.since.Add(s.options.SettleAfter))
+	if settled && r.idle() && r.endpoint.mode == ggscore.ModeFull {
+		s.unload(now, r)
 	}
-	s.unload(now, r)
 }
 
 // sawLoading takes an adapter that a report shows being loaded. One that we
--- a/core/ggsschedule/tables.go
+++ b/core/ggsschedule/tables.go
@@ -48,7 +48,8 @@
 	// is newer than pinnedAt and shows the adapter idle ends it.
 	pinned   bool
 	pinnedAt time.Time
-	// crossed says that the engine restarted while an order was under way.
+	// crossed says that the engine restarted, or that the ownership was in
+	// doubt, while an order was under way.
 	crossed bool
 	// inTransit says that it counts against the weight store's limit.
 	inTransit bool
