--- /dev/null
+++ b/io/ggsgateway/admit.go
@@ -0,0 +1,156 @@
+package ggsgateway
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsdocument"
+)
+
+const (
+	headerMarket    = "X-Market"
+	headerService   = "X-Service"
+	headerKey       = "Idempotency-Key"
+	headerRequestID = "X-Request-Id"
+	headerStall     = "X-Load-Stall"
+	headerServed    = "X-Served-Model"
+
+	defaultMaxBodyBytes = 1 << 20
+	defaultDeadline     = 30 * time.Second
+	maxKeyBytes         = 256
+)
+
+// A chatBody is what the gateway reads of a chat request. All other members
+// are passed on as they came.
+type chatBody struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+// admitChat reads a request of a model service and resolves it.
+func (g *Gateway) admitChat(c *gin.Context, d *ggscore.Document) (*ggscore.Request, *ggscore.Failure) {
+	body, f := readBody(c, d)
+	if f != nil {
+		return nil, f
+	}
+	var b chatBody
+	members := map[string]json.RawMessage{}
+	if json.Unmarshal(body, &members) != nil || json.Unmarshal(body, &b) != nil || b.Model == "" {
+		return nil, badRequest("the body must be a JSON object with the member model")
+	}
+	service := ggscore.Service(c.GetHeader(headerService))
+	if service == "" {
+		service = g.options.DefaultService
+	}
+	s, err := ggsdocument.Resolve(d, ggscore.Market(c.GetHeader(headerMarket)), service, b.Model)
+	if err != nil {
+		return nil, resolveFailure(err)
+	}
+	model, err := json.Marshal(s.Adapter.String())
+	if err != nil {
+		return nil, badRequest(err.Error())
+	}
+	members["model"] = model
+	if body, err = json.Marshal(members); err != nil {
+		return nil, badRequest(err.Error())
+	}
+	r := g.request(c, &s, body)
+	r.Stream = b.Stream
+	r.Operation = ggscore.Operation{Method: http.MethodPost, Path: "/v1/chat/completions"}
+	return r, g.setKey(c, r, false)
+}
+
+// admitCall reads a request of a plain service and resolves it.
+func (g *Gateway) admitCall(c *gin.Context, d *ggscore.Document) (*ggscore.Request, *ggscore.Failure) {
+	body, f := readBody(c, d)
+	if f != nil {
+		return nil, f
+	}
+	s, err := ggsdocument.ResolveOperation(d, ggscore.Market(c.GetHeader(headerMarket)),
+		ggscore.Service(c.Param("service")), c.Param("operation"))
+	if err != nil {
+		return nil, resolveFailure(err)
+	}
+	r := g.request(c, &s, body)
+	r.Operation = s.Operation.Operation
+	return r, g.setKey(c, r, s.Operation.NonIdempotent)
+}
+
+func (g *Gateway) request(c *gin.Context, s *ggsdocument.Resolution, body []byte) *ggscore.Request {
+	budget := s.Use.Deadline
+	if budget == 0 {
+		budget = defaultDeadline
+	}
+	return &ggscore.Request{
+		ID: ggscore.RequestID(c.GetString(headerRequestID)), Market: s.Market,
+		Service: s.Service.Name, Kind: s.Service.Kind, Base: s.Service.Base,
+		Adapter: s.Adapter, Priority: s.Use.Priority,
+		Arrived: g.parts.Clock(), Budget: budget, Deferrable: s.Use.Deferrable,
+		Revision: s.Revision, Body: body,
+	}
+}
+
+// setKey takes over the idempotency key. A caller that repeats a non-idempotent
+// call without a key would have it run twice, so such a call is refused.
+func (g *Gateway) setKey(c *gin.Context, r *ggscore.Request, needed bool) *ggscore.Failure {
+	k := c.GetHeader(headerKey)
+	switch {
+	case k == "" && needed:
+		return badRequest("a non-idempotent operation needs the header " + headerKey)
+	case len(k) > maxKeyBytes:
+		return badRequest("the idempotency key is too long")
+	}
+	r.Key = ggscore.IdempotencyKey(k)
+	r.NonIdempotent = k != ""
+	return nil
+}
+
+func readBody(c *gin.Context, d *ggscore.Document) ([]byte, *ggscore.Failure) {
+	limit := int64(d.Policy.MaxBodyBytes)
+	if limit == 0 {
+		limit = defaultMaxBodyBytes
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	if m := (*http.MaxBytesError)(nil); errors.As(err, &m) {
+		return nil, &ggscore.Failure{Kind: ggscore.FailureTooLarge, Outcome: ggscore.OutcomeNotRun, Detail: "the body is too large"}
+	}
+	if err != nil {
+		return nil, badRequest("the body could not be read")
+	}
+	return b, nil
+}
+
+func badRequest(detail string) *ggscore.Failure {
+	return &ggscore.Failure{Kind: ggscore.FailureBadRequest, Outcome: ggscore.OutcomeNotRun, Detail: detail}
+}
+
+func resolveFailure(err error) *ggscore.Failure {
+	f := &ggscore.Failure{Kind: ggscore.FailureBadRequest, Outcome: ggscore.OutcomeNotRun, Detail: err.Error()}
+	var (
+		m *ggsdocument.UnknownMarketError
+		a *ggsdocument.UnknownAdapterError
+		s *ggsdocument.UnknownServiceError
+		o *ggsdocument.UnknownOperationError
+	)
+	switch {
+	case errors.As(err, &m):
+		f.Kind = ggscore.FailureUnknownMarket
+	case errors.As(err, &a):
+		f.Kind = ggscore.FailureUnknownAdapter
+	case errors.As(err, &s), errors.As(err, &o):
+		f.Kind = ggscore.FailureUnknownService
+	}
+	return f
+}
+
+func newRequestID() string {
+	return strings.ReplaceAll(uuid.Must(uuid.NewV7()).String(), "-", "")
+}
--- /dev/null
+++ b/io/ggsgateway/answer.go
@@ -0,0 +1,142 @@
+package ggsgateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	ggscore "greengageslip/core"
+)
+
+// maxHeldBytes is how much of an answer that isn't streamed is held back until
+// it is whole, so that one that breaks can still be answered with an error.
+const maxHeldBytes = 1 << 20
+
+// An errorBody is the body of a failure.
+type errorBody struct {
+	Error errorObject `json:"error"`
+}
+
+type errorObject struct {
+	Type             string `json:"type"`
+	Message          string `json:"message"`
+	Outcome          string `json:"outcome"`
+	RequestID        string `json:"requestId"`
+	RetryAfterMillis int64  `json:"retryAfterMillis,omitempty"`
+}
+
+// An answer writes one caller's answer piece by piece, in order.
+type answer struct {
+	c      *gin.Context
+	id     string
+	stream bool
+	// next is the number of the next piece.
+	next    int
+	first   ggscore.Chunk
+	stall   time.Duration
+	held    []byte
+	started bool
+	bytes   int
+}
+
+// add takes the next piece.
+func (a *answer) add(k ggscore.Chunk, stall time.Duration) error {
+	if k.Seq != a.next {
+		return &PieceOrderError{Want: a.next, Have: k.Seq}
+	}
+	if a.next == 0 {
+		a.first, a.stall = k, stall
+	}
+	a.next++
+	a.bytes += len(k.Data)
+	if a.stream || a.started {
+		return a.write(k.Data)
+	}
+	a.held = append(a.held, k.Data...)
+	if k.Final || len(a.held) > maxHeldBytes {
+		h := a.held
+		a.held = nil
+		return a.write(h)
+	}
+	return nil
+}
+
+// fail ends the answer with a failure.
+func (a *answer) fail(f *ggscore.Failure) {
+	if !a.started {
+		writeFailure(a.c, f)
+		return
+	}
+	if !a.stream {
+		// Part of a whole answer is out: a caller that read to a clean end
+		// would take it for the whole. Ending the connection shows the break.
+		panic(http.ErrAbortHandler)
+	}
+	b, err := json.Marshal(bodyOf(a.id, f))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = a.c.Writer.WriteString("event: error\ndata: " + string(b) + "\n\n")
+	a.c.Writer.Flush()
+}
+
+func (a *answer) write(b []byte) error {
+	if !a.started {
+		a.started = true
+		h := a.c.Writer.Header()
+		h.Set("Content-Type", a.first.ContentType)
+		h.Set(headerStall, a.stall.String())
+		if !a.first.Served.IsZero() {
+			h.Set(headerServed, a.first.Served.String())
+		}
+		a.c.Status(max(a.first.Status, http.StatusOK))
+		a.c.Writer.WriteHeaderNow()
+	}
+	if _, err := a.c.Writer.Write(b); err != nil {
+		return err
+	}
+	a.c.Writer.Flush()
+	return nil
+}
+
+func bodyOf(id string, f *ggscore.Failure) errorBody {
+	return errorBody{Error: errorObject{
+		Type: string(f.Kind), Message: f.Detail, Outcome: f.Outcome.String(),
+		RequestID: id, RetryAfterMillis: f.RetryAfter.Milliseconds(),
+	}}
+}
+
+// statusOf maps failures to HTTP statuses.
+func statusOf(k ggscore.FailureKind) int {
+	switch k {
+	case ggscore.FailureBadRequest:
+		return http.StatusBadRequest
+	case ggscore.FailureTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case ggscore.FailureUnknownMarket, ggscore.FailureUnknownAdapter, ggscore.FailureUnknownService:
+		return http.StatusNotFound
+	case ggscore.FailureOverLimit:
+		return http.StatusTooManyRequests
+	case ggscore.FailureKeyReused:
+		return http.StatusUnprocessableEntity
+	case ggscore.FailureKeyInUse, ggscore.FailureKeyExpired:
+		return http.StatusConflict
+	case ggscore.FailureEndpoint, ggscore.FailureBroken, ggscore.FailureWrongAdapter, ggscore.FailureInternal:
+		return http.StatusBadGateway
+	case ggscore.FailureNoCapacity, ggscore.FailureStopping, ggscore.FailurePlatformAway, ggscore.FailureNoDocument,
+		ggscore.FailureNotOwner, ggscore.FailureAdapterMissing, ggscore.FailureCancelled:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusInternalServerError
+}
+
+func writeFailure(c *gin.Context, f *ggscore.Failure) {
+	if f.RetryAfter > 0 {
+		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+	}
+	c.JSON(statusOf(f.Kind), bodyOf(c.GetString(headerRequestID), f))
+}
--- /dev/null
+++ b/io/ggsgateway/doc.go
@@ -0,0 +1,34 @@
+// Package ggsgateway faces callers: it resolves each request on the document
+// in force, sends it to the dispatcher that owns a suitable runner and relays
+// the answer.
+//
+// # Usage
+//
+//	g := ggsgateway.New(ggsgateway.Options{VM: vm, Region: region}, parts)
+//	server := &http.Server{Handler: g.Handler()}
+//	err := g.Run(ctx) // follows dispatchers until ctx ends
+//	g.Drain()         // refuses new requests; server.Shutdown waits for the rest
+//
+// # Requests
+//
+// POST /v1/chat/completions takes the OpenAI shape. The headers X-Market and
+// X-Service name market and service; "model" names the adapter, as "name" for
+// the current version or "name@version". POST
+// /v1/services/SERVICE/OPERATION calls a plain service. Idempotency-Key marks a
+// request that runs at most once; an operation that the document calls
+// non-idempotent needs one.
+//
+// # Answers
+//
+// A refusal is {"error":{"type","message","outcome","requestId",
+// "retryAfterMillis"}} with the statuses of statusOf. outcome is "notRun",
+// "done" or "unknown". A streamed answer that breaks ends with an event
+// "error" that holds the same object; an answer that isn't streamed and breaks
+// after its first megabyte ends with its connection. X-Load-Stall is the time,
+// such as "12ms", that the request waited for a slot and its adapter.
+//
+// # Locks
+//
+// Gateway.mu guards the router, the limiter, the retry budgets and the table
+// of dispatchers. It is a leaf: nothing is called out under it.
+package ggsgateway
--- /dev/null
+++ b/io/ggsgateway/handler.go
@@ -0,0 +1,118 @@
+package ggsgateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggslimit"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Handler returns the callers' HTTP handler.
+func (g *Gateway) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	e := gin.New()
+	e.POST("/v1/chat/completions", g.serve(g.admitChat))
+	e.POST("/v1/services/:service/:operation", g.serve(g.admitCall))
+	e.GET("/healthz", g.health)
+	e.NoRoute(func(c *gin.Context) {
+		c.Set(headerRequestID, newRequestID())
+		writeFailure(c, &ggscore.Failure{Kind: ggscore.FailureUnknownService, Outcome: ggscore.OutcomeNotRun, Detail: "no such path"})
+	})
+	return e
+}
+
+type admitFunc func(*gin.Context, *ggscore.Document) (*ggscore.Request, *ggscore.Failure)
+
+// health tells the balancer whether to send callers here.
+func (g *Gateway) health(c *gin.Context) {
+	switch {
+	case g.draining.Load():
+		c.String(http.StatusServiceUnavailable, "stopping\n")
+	case g.parts.Document() == nil:
+		c.String(http.StatusServiceUnavailable, "no document\n")
+	default:
+		c.String(http.StatusOK, "ok\n")
+	}
+}
+
+// serve returns the handler of one kind of request.
+func (g *Gateway) serve(admit admitFunc) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		g.inFlight.Add(1)
+		defer g.inFlight.Add(-1)
+		g.stats.Requests.Add(1)
+		id := newRequestID()
+		c.Set(headerRequestID, id)
+		c.Header(headerRequestID, id)
+		a := &answer{c: c, id: id}
+		f := g.answer(c, admit, a)
+		g.count(f)
+		if f == nil {
+			return
+		}
+		_ = level.Info(g.parts.Log).Log("event", "requestFailed", "request", id, "kind", f.Kind, "outcome", f.Outcome, "detail", f.Detail)
+		a.fail(f)
+	}
+}
+
+// answer answers one request, or returns why it didn't.
+func (g *Gateway) answer(c *gin.Context, admit admitFunc, a *answer) *ggscore.Failure {
+	if g.draining.Load() {
+		return &ggscore.Failure{
+			Kind: ggscore.FailureStopping, Outcome: ggscore.OutcomeNotRun,
+			Detail: "the gateway is stopping", RetryAfter: time.Second,
+		}
+	}
+	d := g.parts.Document()
+	if d == nil {
+		return &ggscore.Failure{
+			Kind: ggscore.FailureNoDocument, Outcome: ggscore.OutcomeNotRun,
+			Detail: "no document is known yet", RetryAfter: time.Second,
+		}
+	}
+	r, f := admit(c, d)
+	if f != nil {
+		return f
+	}
+	if f := g.enter(r, d); f != nil {
+		return f
+	}
+	defer g.leave(r)
+	a.stream = r.Stream
+	return g.send(c.Request.Context(), r, a)
+}
+
+// enter applies the market's limits.
+func (g *Gateway) enter(r *ggscore.Request, d *ggscore.Document) *ggscore.Failure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.adopt(r.Arrived, d)
+	err := g.limiter.Admit(r.Arrived, r.Market)
+	if l := (*ggslimit.OverLimitError)(nil); errors.As(err, &l) {
+		return l.Failure()
+	}
+	return nil
+}
+
+func (g *Gateway) leave(r *ggscore.Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.Ended(r.Market, g.parts.Clock().Sub(r.Arrived))
+}
+
+func (g *Gateway) count(f *ggscore.Failure) {
+	switch {
+	case f == nil || f.Outcome == ggscore.OutcomeDone:
+		g.stats.Done.Add(1)
+	case f.Outcome == ggscore.OutcomeNotRun:
+		g.stats.NotRun.Add(1)
+	default:
+		g.stats.Unknown.Add(1)
+	}
+}
--- /dev/null
+++ b/io/ggsgateway/send.go
@@ -0,0 +1,227 @@
+package ggsgateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsroute"
+	"greengageslip/io/ggsrpc"
+	"greengageslip/io/ggswire"
+)
+
+const (
+	nextWait        = 5 * time.Second
+	nextMargin      = 2 * time.Second
+	resumeInterval  = 50 * time.Millisecond
+	withdrawTimeout = 2 * time.Second
+	awayRetryAfter  = time.Second
+)
+
+// An attempt is one offer of a request to one dispatcher.
+type attempt struct {
+	request *ggscore.Request
+	answer  *answer
+	choice  ggsroute.Choice
+	addr    netip.AddrPort
+}
+
+// send offers a request to one dispatcher after the other until one answers.
+// Only a request that is proved not to have run is offered again.
+func (g *Gateway) send(ctx context.Context, r *ggscore.Request, a *answer) *ggscore.Failure {
+	var (
+		tried []ggscore.VMID
+		last  *ggscore.Failure
+	)
+	for range g.options.MaxAttempts {
+		t, f := g.route(r, a, tried)
+		if f != nil && last != nil {
+			return last
+		}
+		if f != nil {
+			return f
+		}
+		last = g.try(ctx, t)
+		if last == nil || !retryable(last) || a.next > 0 || ctx.Err() != nil || g.left(r) <= 0 {
+			return last
+		}
+		tried = append(tried, t.choice.VM)
+		g.stats.Retries.Add(1)
+		_ = level.Info(g.parts.Log).Log("event", "requestRerouted", "request", r.ID, "from", t.choice.VM, "kind", last.Kind)
+	}
+	return last
+}
+
+// retryable reports whether another dispatcher may do better.
+func retryable(f *ggscore.Failure) bool {
+	if f.Outcome != ggscore.OutcomeNotRun {
+		return false
+	}
+	switch f.Kind {
+	case ggscore.FailureStopping, ggscore.FailureNotOwner, ggscore.FailureEndpoint,
+		ggscore.FailureNoCapacity, ggscore.FailureAdapterMissing:
+		return true
+	default:
+		return false
+	}
+}
+
+func (g *Gateway) left(r *ggscore.Request) time.Duration {
+	return r.Budget - g.parts.Clock().Sub(r.Arrived)
+}
+
+func (g *Gateway) route(r *ggscore.Request, a *answer, tried []ggscore.VMID) (*attempt, *ggscore.Failure) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.parts.Clock()
+	c, err := g.router.Route(now, r, tried)
+	if n := (*ggsroute.NoDispatcherError)(nil); errors.As(err, &n) {
+		return nil, n.Failure()
+	}
+	g.router.Sent(now, c)
+	return &attempt{request: r, answer: a, choice: c, addr: g.addrs[c.VM]}, nil
+}
+
+// try hands a request to one dispatcher and relays its answer.
+func (g *Gateway) try(ctx context.Context, t *attempt) *ggscore.Failure {
+	sent := g.parts.Clock()
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		now := g.parts.Clock()
+		g.router.Ended(now, t.choice, ggsroute.End{Held: now.Sub(sent), AnswerBytes: t.answer.bytes})
+	}()
+	if f := g.submit(ctx, t); f != nil {
+		return f
+	}
+	f := g.relay(ctx, t)
+	if f == nil || f.Outcome != ggscore.OutcomeNotRun {
+		// The dispatcher forgets a request that is read to its end, and stops
+		// one whose caller has gone.
+		g.withdrawLater(ctx, t)
+	}
+	return f
+}
+
+// submit hands the request over.
+func (g *Gateway) submit(ctx context.Context, t *attempt) *ggscore.Failure {
+	sub, cancel := context.WithTimeout(ctx, g.options.SubmitTimeout)
+	defer cancel()
+	args := ggswire.SubmitArgs{Request: ggswire.FromRequest(t.request, max(g.left(t.request), time.Millisecond))}
+	var reply ggswire.SubmitReply
+	err := g.parts.Caller.Call(sub, t.addr, ggswire.MethodSubmit, &args, &reply)
+	if err == nil {
+		return reply.Failure.Failure()
+	}
+	if d := (*ggsrpc.DialError)(nil); errors.As(err, &d) {
+		return notReached(err)
+	}
+	// The request may have been taken although its answer is lost. Withdrawing
+	// it settles that: the dispatcher either says that it never started and
+	// remembers so, or the outcome stays unknown.
+	if g.withdraw(ctx, t) == ggscore.OutcomeNotRun {
+		return notReached(err)
+	}
+	return &ggscore.Failure{
+		Kind: ggscore.FailureBroken, Outcome: ggscore.OutcomeUnknown,
+		Detail: "the dispatcher did not say whether it took the request",
+	}
+}
+
+func notReached(err error) *ggscore.Failure {
+	return &ggscore.Failure{
+		Kind: ggscore.FailureNotOwner, Outcome: ggscore.OutcomeNotRun,
+		Detail: err.Error(), RetryAfter: awayRetryAfter,
+	}
+}
+
+// relay pulls the answer's pieces by number and passes them on. After a broken
+// connection it asks again from the number that it needs.
+func (g *Gateway) relay(ctx context.Context, t *attempt) *ggscore.Failure {
+	var brokenSince time.Time
+	for {
+		reply, err := g.next(ctx, t)
+		switch {
+		case ctx.Err() != nil:
+			return &ggscore.Failure{Kind: ggscore.FailureCancelled, Outcome: ggscore.OutcomeUnknown, Detail: "the caller has gone"}
+		case err != nil:
+			now := g.parts.Clock()
+			if brokenSince.IsZero() {
+				brokenSince = now
+			}
+			if now.Sub(brokenSince) > g.options.ResumeTimeout {
+				return broken("the dispatcher can't be reached any more")
+			}
+			g.stats.Resumed.Add(1)
+			g.pause(ctx, resumeInterval)
+			continue
+		case reply.Lost:
+			return broken("the dispatcher no longer knows the request")
+		}
+		brokenSince = time.Time{}
+		if done, f := g.pass(t, reply); done {
+			return f
+		}
+	}
+}
+
+func (g *Gateway) next(ctx context.Context, t *attempt) (*ggswire.NextReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, nextWait+nextMargin)
+	defer cancel()
+	args := ggswire.NextArgs{ID: string(t.request.ID), From: t.answer.next, Wait: nextWait}
+	reply := &ggswire.NextReply{}
+	if err := g.parts.Caller.Call(ctx, t.addr, ggswire.MethodNext, &args, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// pass passes pieces on; done says that the answer has ended.
+func (g *Gateway) pass(t *attempt, reply *ggswire.NextReply) (done bool, f *ggscore.Failure) {
+	for i := range reply.Chunks {
+		k := reply.Chunks[i].Chunk()
+		if k.Failure != nil {
+			return true, k.Failure
+		}
+		if err := t.answer.add(k, reply.Stall); err != nil {
+			return true, &ggscore.Failure{Kind: ggscore.FailureCancelled, Outcome: ggscore.OutcomeUnknown, Detail: err.Error()}
+		}
+		if k.Final {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+func (g *Gateway) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// withdraw takes a request back, even where the caller has gone.
+func (g *Gateway) withdraw(ctx context.Context, t *attempt) ggscore.Outcome {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
+	defer cancel()
+	var reply ggswire.WithdrawReply
+	args := ggswire.WithdrawArgs{ID: string(t.request.ID)}
+	if err := g.parts.Caller.Call(ctx, t.addr, ggswire.MethodWithdraw, &args, &reply); err != nil {
+		return ggscore.OutcomeUnknown
+	}
+	return ggscore.Outcome(reply.Outcome)
+}
+
+func (g *Gateway) withdrawLater(ctx context.Context, t *attempt) {
+	g.closing.Go(func() { g.withdraw(ctx, t) })
+}
+
+func broken(detail string) *ggscore.Failure {
+	return &ggscore.Failure{Kind: ggscore.FailureBroken, Outcome: ggscore.OutcomeUnknown, Detail: detail}
+}
