feat: add the platform's client and its stand-in

Cause: processes need the key-value service and the list of VMs, with failures told apart by whether a write may have had an effect. Ruled out: judging by dial errors alone, which leaves a request that waits for a connection ambiguous; net/http's repeats, which a body that can't be rewound prevents.

--- /dev/null
+++ b/io/ggsplatform/client_test.go
@@ -0,0 +1,322 @@
+package ggsplatform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakeplatform"
+	"greengageslip/io/ggsplatform"
+)
+
+// A clock is moved by the test.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) Advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// A bench is a stand-in and a client of it.
+type bench struct {
+	clock    *clock
+	platform *ggsfakeplatform.Platform
+	server   *httptest.Server
+	client   *ggsplatform.Client
+}
+
+func addrOf(c *qt.C, s *httptest.Server) netip.AddrPort {
+	a, err := netip.ParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	c.Assert(err, qt.IsNil)
+	return a
+}
+
+func newBench(c *qt.C, change func(*ggsfakeplatform.Options)) *bench {
+	k := &clock{now: time.Unix(1_800_000_000, 0)}
+	o := ggsfakeplatform.DefaultOptions()
+	o.Now = k.Now
+	if change != nil {
+		change(&o)
+	}
+	p := ggsfakeplatform.New(o)
+	s := httptest.NewServer(p.Handler())
+	cl := ggsplatform.NewClient(addrOf(c, s))
+	c.Cleanup(func() {
+		cl.Close()
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return &bench{clock: k, platform: p, server: s, client: cl}
+}
+
+func testContext(c *qt.C) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	c.Cleanup(cancel)
+	return ctx
+}
+
+func TestCompareAndSwap(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, nil)
+	ctx := testContext(c)
+
+	missing, err := b.client.Get(ctx, "a/1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(missing, qt.DeepEquals, ggscore.Entry{Key: "a/1"})
+
+	r1, err := b.client.Put(ctx, "a/1", []byte("one"), 0, 0)
+	c.Assert(err, qt.IsNil)
+	_, err = b.client.Put(ctx, "a/1", []byte("two"), 0, 0)
+	var conflict *ggscore.ConflictError
+	c.Assert(errors.As(err, &conflict), qt.IsTrue)
+	c.Assert(*conflict, qt.Equals, ggscore.ConflictError{Key: "a/1", Want: 0, Have: r1})
+
+	r2, err := b.client.Put(ctx, "a/1", []byte("two"), r1, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r2 > r1, qt.IsTrue)
+	_, err = b.client.Put(ctx, "b", nil, 0, 0)
+	c.Assert(err, qt.IsNil)
+
+	es, err := b.client.List(ctx, "a/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(es, qt.DeepEquals, []ggscore.Entry{{Key: "a/1", Value: []byte("two"), Revision: r2}})
+
+	c.Assert(b.client.Delete(ctx, "a/1", r1), qt.ErrorAs, &conflict)
+	c.Assert(b.client.Delete(ctx, "a/1", r2), qt.IsNil)
+	es, err = b.client.List(ctx, "a/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(es, qt.HasLen, 0)
+}
+
+func TestLeaseLapses(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, nil)
+	ctx := testContext(c)
+
+	l, err := b.client.Grant(ctx, 3*time.Second)
+	c.Assert(err, qt.IsNil)
+	_, err = b.client.Put(ctx, "owner/r1", []byte("vm-1"), 0, l)
+	c.Assert(err, qt.IsNil)
+	b.clock.Advance(2 * time.Second)
+	c.Assert(b.client.Renew(ctx, l), qt.IsNil)
+	b.clock.Advance(2 * time.Second)
+	e, err := b.client.Get(ctx, "owner/r1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Lease, qt.Equals, l)
+
+	b.clock.Advance(time.Second)
+	e, err = b.client.Get(ctx, "owner/r1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Revision, qt.Equals, ggscore.StoreRevision(0))
+	var lapsed *ggscore.LeaseLapsedError
+	c.Assert(b.client.Renew(ctx, l), qt.ErrorAs, &lapsed)
+	c.Assert(lapsed.Lease, qt.Equals, l)
+	_, err = b.client.Put(ctx, "owner/r2", nil, 0, l)
+	c.Assert(err, qt.ErrorAs, &lapsed)
+}
+
+func TestRevokeDeletesKeys(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, nil)
+	ctx := testContext(c)
+
+	l, err := b.client.Grant(ctx, time.Minute)
+	c.Assert(err, qt.IsNil)
+	r, err := b.client.Put(ctx, "k", []byte("v"), 0, l)
+	c.Assert(err, qt.IsNil)
+	c.Assert(b.client.Revoke(ctx, l), qt.IsNil)
+	es, upTo, err := b.client.Watch(ctx, "k", r, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(es, qt.DeepEquals, []ggscore.Entry{{Key: "k", Revision: r + 1}})
+	c.Assert(upTo, qt.Equals, r+1)
+}
+
+func TestWatchWaitsForChange(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, nil)
+	ctx := testContext(c)
+
+	r1, err := b.client.Put(ctx, "w/1", []byte("x"), 0, 0)
+	c.Assert(err, qt.IsNil)
+	type answer struct {
+		entries []ggscore.Entry
+		upTo    ggscore.StoreRevision
+		err     error
+	}
+	got := make(chan answer, 1)
+	go func() {
+		es, upTo, err := b.client.Watch(ctx, "w/", r1, 10*time.Second)
+		got <- answer{es, upTo, err}
+	}()
+	_, err = b.client.Put(ctx, "other", nil, 0, 0)
+	c.Assert(err, qt.IsNil)
+	r3, err := b.client.Put(ctx, "w/2", []byte("y"), 0, 0)
+	c.Assert(err, qt.IsNil)
+	a := <-got
+	c.Assert(a.err, qt.IsNil)
+	c.Assert(a.entries, qt.DeepEquals, []ggscore.Entry{{Key: "w/2", Value: []byte("y"), Revision: r3}})
+	c.Assert(a.upTo, qt.Equals, r3)
+
+	es, upTo, err := b.client.Watch(ctx, "w/", r3, time.Millisecond)
+	c.Assert(err, qt.IsNil)
+	c.Assert(es, qt.HasLen, 0)
+	c.Assert(upTo, qt.Equals, r3)
+}
+
+// An operator's write takes effect, but the answer is lost with the
+// connection. Were the write reported as failed, the operator would repeat it
+// over a colleague's later edit.
+func TestLostAnswerIsAmbiguous(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, nil)
+	ctx := testContext(c)
+
+	b.platform.SetFaults(ggsfakeplatform.Faults{LoseWriteAnswers: 1, LosePrefix: "section/"})
+	_, err := b.client.Put(ctx, "other", nil, 0, 0)
+	c.Assert(err, qt.IsNil)
+	_, err = b.client.Put(ctx, "section/a", []byte("new"), 0, 0)
+	var ambiguous *ggscore.AmbiguousWriteError
+	c.Assert(err, qt.ErrorAs, &ambiguous)
+	c.Assert(ambiguous.Key, qt.Equals, ggscore.Key("section/a"))
+	e, err := b.client.Get(ctx, "section/a")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(e.Value), qt.Equals, "new")
+}
+
+// A write's answer is lost and a read straight after shows no effect; the
+// write then takes effect late. Whoever trusts the first read-back claims a
+// key twice.
+func TestDelayedWriteTakesEffectLate(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, nil)
+	ctx := testContext(c)
+
+	b.platform.SetFaults(ggsfakeplatform.Faults{DelayWrites: 1, Delay: 2 * time.Second})
+	_, err := b.client.Put(ctx, "k", []byte("late"), 0, 0)
+	var ambiguous *ggscore.AmbiguousWriteError
+	c.Assert(err, qt.ErrorAs, &ambiguous)
+	e, err := b.client.Get(ctx, "k")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Revision, qt.Equals, ggscore.StoreRevision(0))
+	b.clock.Advance(2 * time.Second)
+	e, err = b.client.Get(ctx, "k")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(e.Value), qt.Equals, "late")
+}
+
+// The platform is down: each call fails at once and definitely, so that a
+// claim can be refused as not run.
+func TestAwayIsDefinite(t *testing.T) {
+	t.Parallel()
+	for name, cut := range map[string]func(*bench){
+		"answers 503":  func(b *bench) { b.platform.SetFaults(ggsfakeplatform.Faults{Outage: true}) },
+		"refuses dial": func(b *bench) { b.server.CloseClientConnections(); b.server.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			b := newBench(c, nil)
+			ctx := testContext(c)
+			cut(b)
+			var away *ggscore.StoreAwayError
+			_, err := b.client.Put(ctx, "k", nil, 0, 0)
+			c.Assert(err, qt.ErrorAs, &away)
+			_, err = b.client.Get(ctx, "k")
+			c.Assert(err, qt.ErrorAs, &away)
+			_, _, err = b.client.Watch(ctx, "k", 0, time.Second)
+			c.Assert(err, qt.ErrorAs, &away)
+		})
+	}
+}
+
+// The platform takes a write and never answers. The caller's deadline ends the
+// wait; the write may yet take effect, so it is ambiguous.
+func TestUnansweredWriteIsAmbiguous(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, nil)
+	b.platform.SetFaults(ggsfakeplatform.Faults{Hang: true})
+	ctx, cancel := context.WithTimeout(testContext(c), 50*time.Millisecond)
+	defer cancel()
+	_, err := b.client.Put(ctx, "k", nil, 0, 0)
+	var ambiguous *ggscore.AmbiguousWriteError
+	c.Assert(err, qt.ErrorAs, &ambiguous)
+	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
+	_, err = b.client.Get(ctx, "k")
+	var away *ggscore.StoreAwayError
+	c.Assert(err, qt.ErrorAs, &away)
+}
+
+func TestRates(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, func(o *ggsfakeplatform.Options) { o.WritesPerSecond = 4 })
+	ctx := testContext(c)
+	_, err := b.client.Put(ctx, "a", nil, 0, 0)
+	c.Assert(err, qt.IsNil)
+	_, err = b.client.Put(ctx, "b", nil, 0, 0)
+	var busy *ggscore.StoreBusyError
+	c.Assert(err, qt.ErrorAs, &busy)
+	b.clock.Advance(250 * time.Millisecond)
+	_, err = b.client.Put(ctx, "b", nil, 0, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(b.platform.Calls().Refused, qt.Equals, uint64(1))
+}
+
+func TestValueTooLarge(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, nil)
+	ctx := testContext(c)
+	_, err := b.client.Put(ctx, "k", make([]byte, 1<<20), 0, 0)
+	c.Assert(err, qt.IsNil)
+	_, err = b.client.Put(ctx, "l", make([]byte, 1<<20+1), 0, 0)
+	var refused *ggsplatform.RefusedError
+	c.Assert(err, qt.ErrorAs, &refused)
+	c.Assert(refused.Status, qt.Equals, http.StatusRequestEntityTooLarge)
+}
+
+func TestListOfVMsLags(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, func(o *ggsfakeplatform.Options) { o.VMLag = 5 * time.Second })
+	ctx := testContext(c)
+	v := ggscore.VM{
+		ID: "r1", Role: ggscore.RoleEndpoint, State: ggscore.VMLeaving, Region: "perth", Domain: "perth-a",
+		Addr: netip.MustParseAddrPort("127.0.0.1:9001"), Service: "assist-llm",
+	}
+	b.platform.SetVMs([]ggscore.VM{v})
+	vs, err := b.client.ListVMs(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(vs, qt.HasLen, 0)
+	b.clock.Advance(5 * time.Second)
+	vs, err = b.client.ListVMs(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(vs, qt.HasLen, 1)
+	c.Assert(vs[0], qt.Equals, v)
+}
