feat: carry a claim's deadline and whether a key was sent before

A late copy of a claimed request must not outlive its key, so that a granted claim says until when it may be dispatched. A refusal while the platform's service is away is proved "not run" only for a key that was never sent: a repeat's first sending may have run.

--- a/core/claim.go
+++ b/core/claim.go
@@ -31,8 +31,13 @@
 	Key    IdempotencyKey
 	// Body is the digest of operation and body.
 	Body Digest
-	// Issued is when the caller made the key, or zero where that isn't known.
+	// Issued is when the caller made the key, or zero where the key's text says
+	// it. Where the text doesn't, it is part of the key: repeats carry the same.
 	Issued time.Time
+	// FirstSend is the caller's word that it never sent the key before. Without
+	// it a refusal for want of the platform's service can't say "not run",
+	// since an earlier sending may have run.
+	FirstSend bool
 }
 
 // A ClaimDecision answers a ClaimRequest.
@@ -40,6 +45,9 @@
 	Answer ClaimAnswer
 	ID     ClaimID
 	Result ClaimResult
+	// Before is when a granted claim may no longer be dispatched. Every copy of
+	// the request carries it, so that no late copy outlives its key.
+	Before time.Time
 }
 
 // A ClaimResult is what is recorded of a request that has ended. An outcome
@@ -55,7 +63,8 @@
 
 // A Claimer records the claims of idempotency keys in one place for all
 // regions. A failure of Begin means that the claim isn't held and that nothing
-// may be dispatched.
+// may be dispatched; it is a *Failure to answer with, or wraps one. Finish
+// doesn't wait for the record.
 type Claimer interface {
 	Begin(ctx context.Context, r ClaimRequest) (ClaimDecision, error)
 	Finish(ctx context.Context, id ClaimID, r ClaimResult) error
