feat: claim keys of non-idempotent requests by compare-and-swap

Cause: a repeat that reaches another gateway must not run a request twice. A pure Writer per shard gathers claims and outcomes that arrive while a write is in flight into the next one; an ambiguous write is settled by reading the claim's own identifier back or by shutting the write out. Histories generated by rapid under lost answers, late writes, crashes and outages are checked with porcupine against an at-most-once register.

--- /dev/null
+++ b/core/ggsclaim/model_test.go
@@ -0,0 +1,101 @@
+package ggsclaim
+
+import "github.com/anishathalye/porcupine"
+
+// input is an operation on a key: a claim, or the record of finish.
+type input struct {
+	key    KeyHash
+	claim  ClaimID
+	body   BodyHash
+	finish State
+}
+
+// output is its answer; the zero value stands for "none came".
+type output struct {
+	kind  DecisionKind
+	state State
+}
+
+// register is what is agreed of one key; the zero value is a free one.
+type register struct {
+	state State
+	claim ClaimID
+	body  BodyHash
+}
+
+// model is the at-most-once register that the claims of a key have to be.
+func model() porcupine.Model {
+	m := porcupine.NondeterministicModel{
+		Partition: partition,
+		Init:      func() []any { return []any{register{}} },
+		Step: func(s, in, out any) []any {
+			r, i, o := s.(register), in.(input), out.(output)
+			if i.finish != 0 {
+				return stepFinish(r, i, o)
+			}
+			return stepBegin(r, i, o)
+		},
+	}
+	return m.ToModel()
+}
+
+func partition(history []porcupine.Operation) [][]porcupine.Operation {
+	byKey := map[KeyHash][]porcupine.Operation{}
+	for _, o := range history {
+		k := o.Input.(input).key
+		byKey[k] = append(byKey[k], o)
+	}
+	var parts [][]porcupine.Operation
+	for _, p := range byKey {
+		parts = append(parts, p)
+	}
+	return parts
+}
+
+func stepBegin(r register, i input, o output) []any {
+	claimed := register{state: StateClaimed, claim: i.claim, body: i.body}
+	free := r.state == 0 || (r.state == StateReleased && r.body == i.body)
+	same := r.state != 0 && r.body == i.body
+	ok := false
+	switch o.kind {
+	case DecisionGranted:
+		if free {
+			return []any{claimed}
+		}
+	case DecisionInProgress:
+		ok = same && r.state == StateClaimed
+	case DecisionReplay:
+		ok = same && (r.state == o.state || (r.state == StateClaimed && o.state == StateUnknown))
+	case DecisionReused:
+		ok = r.state != 0 && r.body != i.body
+	case DecisionExpired:
+		ok = true
+	case DecisionAway, 0:
+		if free {
+			return []any{r, claimed}
+		}
+		ok = true
+	default:
+	}
+	if ok {
+		return []any{r}
+	}
+	return nil
+}
+
+func stepFinish(r register, i input, o output) []any {
+	mine := r.claim == i.claim
+	open := mine && (r.state == StateClaimed || r.state == StateUnknown)
+	ended := register{state: i.finish, claim: r.claim, body: r.body}
+	switch {
+	case o.kind == DecisionRecorded && open:
+		return []any{ended}
+	case o.kind == DecisionRecorded && mine, o.kind == DecisionGone && !mine:
+		return []any{r}
+	case o.kind == 0 && open:
+		return []any{r, ended}
+	case o.kind == 0:
+		return []any{r}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/ggsclaim/writer_test.go
@@ -0,0 +1,197 @@
+package ggsclaim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	ggscore "greengageslip/core"
+)
+
+// A tenant's deposit is released twice: a caller repeats its release order
+// through another gateway while answers of the platform's service are lost,
+// writes land late and processes die, and both repeats are dispatched.
+func TestAtMostOnceUnderFaults(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(3)
+		t.Repeat(actions(w))
+		w.loseRest()
+		if !porcupine.CheckOperations(model(), w.history) {
+			t.Fatalf("history is no at-most-once register: %+v", w.history)
+		}
+	})
+}
+
+func actions(w *world) map[string]func(*rapid.T) {
+	process := rapid.IntRange(0, len(w.processes)-1)
+	return map[string]func(*rapid.T){
+		"begin": func(t *rapid.T) {
+			if len(w.attempts) > 40 {
+				t.Skip("enough")
+			}
+			key := rapid.ByteRange(1, 2).Draw(t, "key")
+			w.begin(process.Draw(t, "process"), key, rapid.ByteRange(1, 2).Draw(t, "body"))
+		},
+		"start":   func(t *rapid.T) { w.start(process.Draw(t, "process")) },
+		"start2":  func(t *rapid.T) { w.start(process.Draw(t, "process")) },
+		"answer":  func(t *rapid.T) { w.end(process.Draw(t, "process"), endAnswered) },
+		"answer2": func(t *rapid.T) { w.end(process.Draw(t, "process"), endAnswered) },
+		"lose": func(t *rapid.T) {
+			w.end(process.Draw(t, "process"), rapid.IntRange(endLostAfterEffect, endAway).Draw(t, "how"))
+		},
+		"land": func(t *rapid.T) { w.land(pick(t, len(w.delayed), "write")) },
+		"crash": func(t *rapid.T) {
+			if rapid.IntRange(0, 3).Draw(t, "odds") == 0 {
+				w.crash(process.Draw(t, "process"))
+			}
+		},
+		"cancel": func(t *rapid.T) {
+			var open []OpID
+			for op := OpID(1); op <= w.lastOp; op++ {
+				if a := w.attempts[op]; !a.answered && a.in.finish == 0 {
+					open = append(open, op)
+				}
+			}
+			w.cancel(open[pick(t, len(open), "op")])
+		},
+		"dispatch": func(t *rapid.T) {
+			w.dispatch(t, pick(t, len(w.granted), "grant"), rapid.Bool().Draw(t, "run"))
+		},
+		"finish": func(t *rapid.T) {
+			i := pick(t, len(w.running), "run")
+			a := w.running[i]
+			w.running = append(w.running[:i:i], w.running[i+1:]...)
+			w.finish(a.process, a, rapid.SampledFrom([]State{StateDone, StateUnknown}).Draw(t, "state"))
+		},
+		"wait": func(*rapid.T) { w.now = w.now.Add(3 * time.Minute) },
+	}
+}
+
+// settle runs a process without faults until it wants no I/O.
+func (w *world) settle(p int) {
+	for w.start(p); w.processes[p].step.Kind != StepIdle; w.start(p) {
+		w.end(p, endAnswered)
+	}
+}
+
+// lastAnswer returns the last answer to a claim.
+func (w *world) lastAnswer() output {
+	return w.history[len(w.history)-1].Output.(output)
+}
+
+// A release order is answered "refused" although it holds its claim: the
+// claim's write took effect, its answer was lost, and the writer took its own
+// claim for another's.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	t.Parallel()
+	for name, how := range map[string]int{"took effect": endLostAfterEffect, "not yet": endLostBeforeEffect} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			w := newWorld(1)
+			w.begin(0, 1, 1)
+			w.start(0)
+			w.end(0, endAnswered)
+			w.start(0)
+			w.end(0, how)
+			w.settle(0)
+			c.Assert(w.lastAnswer().kind, qt.Equals, DecisionGranted)
+			for i := range w.delayed {
+				w.land(i)
+			}
+			w.begin(0, 1, 1)
+			w.settle(0)
+			c.Assert(w.lastAnswer().kind, qt.Equals, DecisionInProgress)
+		})
+	}
+}
+
+// A parent can't book a free slot for a day: the first sending was refused
+// while its claim's write was under way, the write landed afterwards, and
+// nobody ever released the claim. The writer shuts the late write out, or
+// releases what it left.
+func TestClaimGivenUpIsReleased(t *testing.T) {
+	t.Parallel()
+	for name, landFirst := range map[string]bool{"landed before": true, "lands after": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			w := newWorld(2)
+			op := w.begin(0, 1, 1)
+			w.start(0)
+			w.end(0, endAnswered)
+			w.start(0)
+			w.end(0, endLostBeforeEffect)
+			w.cancel(op)
+			if landFirst {
+				w.land(0)
+			}
+			w.settle(0)
+			if !landFirst {
+				w.land(0)
+			}
+			w.begin(1, 1, 1)
+			w.settle(1)
+			c.Assert(w.lastAnswer().kind, qt.Equals, DecisionGranted)
+		})
+	}
+}
+
+// A deposit is released twice a day apart: the claim's write hung until the
+// key's epoch was deleted and then met an empty shard.
+func TestLateGrantIsRefused(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := newWorld(1)
+	w.begin(0, 1, 1)
+	w.start(0)
+	w.end(0, endAnswered)
+	w.start(0)
+	w.now = w.now.Add(2 * w.limits.Retention)
+	w.end(0, endAnswered)
+	c.Assert(w.lastAnswer().kind, qt.Equals, DecisionExpired)
+	c.Assert(w.granted, qt.HasLen, 0)
+}
+
+// A mediator's order hangs for ever at "in progress": its holder was killed.
+// The claim is older than every deadline, so that its outcome is unknown; it
+// is not run again, since the holder may have dispatched it.
+func TestDeadHolderBecomesUnknown(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := newWorld(2)
+	w.begin(0, 1, 1)
+	w.settle(0)
+	c.Assert(w.granted, qt.HasLen, 1)
+	w.crash(0)
+	w.begin(1, 1, 1)
+	w.settle(1)
+	c.Assert(w.lastAnswer().kind, qt.Equals, DecisionInProgress)
+	w.now = w.now.Add(w.limits.InProgress + time.Second)
+	w.begin(1, 1, 1)
+	w.settle(1)
+	c.Assert(w.lastAnswer(), qt.Equals, output{kind: DecisionReplay, state: StateUnknown})
+}
+
+// An opening night's bookings pass the platform's rate: each claim took a
+// write of its own. What arrives during a write goes into one next write.
+func TestClaimsShareAWrite(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := newWorld(1)
+	w.begin(0, 1, 1)
+	w.start(0)
+	w.end(0, endAnswered)
+	w.start(0)
+	for key := byte(2); key < 100; key++ {
+		w.begin(0, key, 1)
+	}
+	w.end(0, endAnswered)
+	w.settle(0)
+	c.Assert(w.revision, qt.Equals, ggscore.StoreRevision(2))
+	c.Assert(w.granted, qt.HasLen, 99)
+}
--- /dev/null
+++ b/io/ggsclaims/work.go
@@ -0,0 +1,167 @@
+package ggsclaims
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsclaim"
+)
+
+// work serves ready shards until ctx ends.
+func (c *Committer) work(ctx context.Context) {
+	for {
+		sh := c.take()
+		if sh != nil {
+			c.serve(ctx, sh)
+			continue
+		}
+		select {
+		case <-c.wake:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Committer) take() *shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ready) == 0 {
+		return nil
+	}
+	sh := c.ready[0]
+	c.ready = c.ready[1:]
+	return sh
+}
+
+// serve does I/O for a shard until it wants none or the platform's service is
+// away.
+func (c *Committer) serve(ctx context.Context, sh *shard) {
+	for {
+		step, more := c.next(ctx, sh)
+		if !more {
+			return
+		}
+		var ok bool
+		if step.Kind == ggsclaim.StepRead {
+			ok = c.read(ctx, sh)
+		} else {
+			ok = c.write(ctx, sh, step)
+		}
+		if !ok {
+			return
+		}
+	}
+}
+
+func (c *Committer) next(ctx context.Context, sh *shard) (ggsclaim.Step, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ctx.Err() != nil {
+		sh.queued = false
+		return ggsclaim.Step{}, false
+	}
+	before := sh.writer.Len()
+	step := sh.writer.Next(c.clock())
+	c.deliver(sh)
+	c.count(before, sh)
+	if step.Kind == ggsclaim.StepIdle {
+		sh.queued = false
+		return step, false
+	}
+	return step, true
+}
+
+func (c *Committer) read(ctx context.Context, sh *shard) bool {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	e, err := c.store.Get(ctx, sh.key)
+	var s ggsclaim.Shard
+	if err == nil {
+		s, err = decodeShard(e.Value)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stats.Reads++
+	if err != nil {
+		c.goneAway(sh)
+		return false
+	}
+	sh.writer.ReadDone(s, e.Revision)
+	return true
+}
+
+func (c *Committer) write(ctx context.Context, sh *shard, step ggsclaim.Step) bool {
+	value := encodeShard(step.Next)
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	r, err := c.store.Put(ctx, sh.key, value, step.Prev, 0)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stats.Writes++
+	if hadNoEffect(err) {
+		c.goneAway(sh)
+		return false
+	}
+	before := sh.writer.Len()
+	sh.writer.WriteDone(c.clock(), c.writeResult(err), r)
+	c.deliver(sh)
+	c.count(before, sh)
+	return true
+}
+
+// goneAway answers a shard's claims and leaves its outcomes for later.
+func (c *Committer) goneAway(sh *shard) {
+	c.awayUntil = c.clock().Add(c.opts.RetryAfter)
+	before := sh.writer.Len()
+	sh.writer.Away(c.opts.RetryAfter)
+	sh.queued = false
+	c.deliver(sh)
+	c.count(before, sh)
+}
+
+func (c *Committer) writeResult(err error) ggsclaim.WriteResult {
+	var conflict *ggscore.ConflictError
+	switch {
+	case err == nil:
+		return ggsclaim.WriteOK
+	case errors.As(err, &conflict):
+		c.stats.Conflicts++
+		return ggsclaim.WriteConflict
+	}
+	// Any failure that is not known to have had no effect is ambiguous, also
+	// a call that ran out of time.
+	c.stats.Ambiguous++
+	return ggsclaim.WriteAmbiguous
+}
+
+// linger queues shards with outcomes that had their wait for company.
+func (c *Committer) linger(ctx context.Context) {
+	t := time.NewTicker(c.opts.Linger)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			c.retry()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Committer) retry() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stats.Pending > 0 && !c.clock().Before(c.awayUntil) {
+		c.queueAll()
+	}
+}
+
+func hadNoEffect(err error) bool {
+	var away *ggscore.StoreAwayError
+	var busy *ggscore.StoreBusyError
+	return errors.As(err, &away) || errors.As(err, &busy)
+}
