--- a/core/ggsroute/route_test.go
+++ b/core/ggsroute/route_test.go
@@ -187,6 +187,20 @@
 			r.Update(at(0), s)
 			r.Update(at(0), summary("a", 2))
 		}},
+		"an earlier summary after one of leaving endpoints": {events: func(r *ggsroute.Router) {
+			s := summary("a", 3)
+			for i := range s.Runners {
+				s.Runners[i].Leaving = true
+			}
+			r.Update(at(0), s)
+			r.Update(at(0), summary("a", 2))
+		}},
+		"a restart on a VM that the list says leaves": {events: func(r *ggsroute.Router) {
+			r.Leave("a")
+			s := summary("a", 1)
+			s.Incarnation = "i2"
+			r.Update(at(0), s)
+		}},
 		"a later summary of the same incarnation": {events: func(r *ggsroute.Router) {
 			s := summary("a", 3)
 			s.Leaving = true
