--- /dev/null
+++ b/core/ggsretry/retry_test.go
@@ -0,0 +1,179 @@
+package ggsretry_test
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsretry"
+)
+
+func at(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+func notRun(k ggscore.FailureKind) *ggscore.Failure {
+	return &ggscore.Failure{Kind: k, Outcome: ggscore.OutcomeNotRun}
+}
+
+// A deposit release is cut off after its first byte was sent. The gateway
+// tries it again on another dispatcher, and the landlord is paid twice.
+func TestOnlyWorkProvedNotRunIsRetried(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		failure *ggscore.Failure
+		want    bool
+	}{
+		"not run, no capacity": {failure: notRun(ggscore.FailureNoCapacity), want: true},
+		"not run, not owner":   {failure: notRun(ggscore.FailureNotOwner), want: true},
+		"not run, bad request": {failure: notRun(ggscore.FailureBadRequest)},
+		"not run, over limit":  {failure: notRun(ggscore.FailureOverLimit)},
+		"not run, key reused":  {failure: notRun(ggscore.FailureKeyReused)},
+		"not run, cancelled":   {failure: notRun(ggscore.FailureCancelled)},
+		"unknown":              {failure: &ggscore.Failure{Kind: ggscore.FailureBroken}},
+		"done":                 {failure: &ggscore.Failure{Kind: ggscore.FailureBroken, Outcome: ggscore.OutcomeDone}},
+		"no failure":           {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			p := ggsretry.NewPolicy(ggsretry.Options{Seed: 1})
+			_, err := p.Retry(at(0), ggsretry.Attempt{Market: "cr", Number: 1, Failure: tc.failure, Left: time.Minute})
+			c.Check(err == nil, qt.Equals, tc.want)
+		})
+	}
+}
+
+// A third of the runners restart on opening night. Each refused request is
+// tried again at once and again, the rest get several times the traffic, fail
+// in turn, and the outage goes on after the runners are back.
+func TestOutageCausesNoRetryStorm(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	p := ggsretry.NewPolicy(ggsretry.Options{Seed: 1})
+	requests, retries := 0, 0
+	waits := map[time.Duration]int{}
+	for ms := range 10_000 {
+		now := at(time.Duration(ms) * time.Millisecond)
+		p.Request(now, "karri")
+		requests++
+		for n := 1; ; n++ {
+			wait, err := p.Retry(now, ggsretry.Attempt{
+				Market: "karri", Number: n, Left: time.Minute,
+				Failure: notRun(ggscore.FailureNoCapacity),
+			})
+			if err != nil {
+				break
+			}
+			waits[wait/time.Millisecond]++
+			retries++
+		}
+	}
+	c.Check(retries <= requests/10+11, qt.IsTrue, qt.Commentf("%d retries of %d requests", retries, requests))
+	c.Check(retries >= requests/10, qt.IsTrue)
+	for ms, n := range waits {
+		c.Check(n < retries/8, qt.IsTrue, qt.Commentf("%d retries wait %d ms", n, ms))
+	}
+
+	_, err := p.Retry(at(10*time.Second), ggsretry.Attempt{
+		Market: "cr", Number: 1, Left: time.Minute, Failure: notRun(ggscore.FailureNoCapacity),
+	})
+	c.Check(err, qt.IsNil, qt.Commentf("one market's storm uses up another's budget"))
+}
+
+func TestRetryKeepsToTimeAndAttempts(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		attempt ggsretry.Attempt
+		want    ggsretry.Cause
+	}{
+		"no time left":  {attempt: ggsretry.Attempt{Number: 1}, want: ggsretry.CauseTime},
+		"last attempt":  {attempt: ggsretry.Attempt{Number: 3, Left: time.Minute}, want: ggsretry.CauseAttempts},
+		"told to wait":  {attempt: ggsretry.Attempt{Number: 1, Left: time.Second}, want: ggsretry.CauseTime},
+		"many attempts": {attempt: ggsretry.Attempt{Number: 1 << 40, Left: time.Second}, want: ggsretry.CauseAttempts},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			p := ggsretry.NewPolicy(ggsretry.Options{Seed: 1})
+			tc.attempt.Failure = notRun(ggscore.FailureStopping)
+			if name == "told to wait" {
+				tc.attempt.Failure.RetryAfter = time.Second
+			}
+			_, err := p.Retry(at(0), tc.attempt)
+			var got *ggsretry.NoRetryError
+			c.Assert(errors.As(err, &got), qt.IsTrue)
+			c.Check(got.Cause, qt.Equals, tc.want)
+		})
+	}
+}
+
+// call makes one call of a target, if its breaker lets it.
+func call(b *ggsretry.Breakers[string], now time.Time, k string, r ggsretry.Result) bool {
+	if slices.Contains(b.Exclude(now, nil), k) {
+		return false
+	}
+	b.Started(now, k)
+	b.Ended(now, k, r)
+	return true
+}
+
+// A dispatcher hangs after a fault. Every gateway sends it one request in four,
+// and as many callers wait in vain until it is taken off the list.
+func TestBreakerLeavesSickTargetAlone(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := ggsretry.NewBreakers[string](ggsretry.BreakerOptions{Seed: 1})
+	call(b, at(0), "healthy", ggsretry.ResultOK)
+	calls := 0
+	for ms := range 60_000 {
+		if call(b, at(time.Duration(ms)*time.Millisecond), "sick", ggsretry.ResultFailed) {
+			calls++
+		}
+	}
+	c.Check(calls > 5 && calls < 20, qt.IsTrue, qt.Commentf("%d calls", calls))
+
+	back := at(100 * time.Second)
+	c.Assert(b.Allow(back, "sick"), qt.IsTrue)
+	b.Started(back, "sick")
+	c.Check(b.Allow(back, "sick"), qt.IsFalse, qt.Commentf("a second probe beside the first"))
+	c.Check(b.Allow(back.Add(ggsretry.DefaultProbe), "sick"), qt.IsTrue, qt.Commentf("a lost probe"))
+	b.Ended(back, "sick", ggsretry.ResultOK)
+	c.Check(b.Exclude(back, nil), qt.HasLen, 0)
+}
+
+// A gateway's own link is cut for a moment. All its breakers open, and it
+// refuses every request for seconds after the link is back.
+func TestBreakersNeverExcludeAll(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := ggsretry.NewBreakers[string](ggsretry.BreakerOptions{Seed: 1})
+	for range 10 {
+		for _, k := range []string{"a", "b", "d", "e"} {
+			b.Started(at(0), k)
+			b.Ended(at(0), k, ggsretry.ResultFailed)
+		}
+	}
+	c.Check(b.Exclude(at(0), nil), qt.DeepEquals, []string{"a", "b"})
+	b.Remove("a")
+	c.Check(b.Exclude(at(0), nil), qt.DeepEquals, []string{"b"})
+}
+
+// A dispatcher restarts in a second with a hundred calls in progress. Each of
+// them fails, each failure doubles the breaker's time, and the dispatcher gets
+// no work for a quarter of a minute though it is back.
+func TestCallsInProgressDoNotLengthenTheOpenTime(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := ggsretry.NewBreakers[string](ggsretry.BreakerOptions{Seed: 1})
+	for range 100 {
+		b.Started(at(0), "a")
+	}
+	for range 100 {
+		b.Ended(at(0), "a", ggsretry.ResultFailed)
+	}
+	c.Check(b.Allow(at(0), "a"), qt.IsFalse)
+	c.Check(b.Allow(at(time.Second), "a"), qt.IsTrue)
+}
