--- /dev/null
+++ b/cmd/ggsnode/common.go
@@ -0,0 +1,81 @@
+package ggsnode
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"go.uber.org/fx"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsfleet"
+	"greengageslip/io/ggsconfig"
+	"greengageslip/io/ggsplatform"
+	"greengageslip/io/ggsrpc"
+	"greengageslip/io/ggssettings"
+	"greengageslip/io/ggsstate"
+	"greengageslip/io/ggsvms"
+)
+
+// common provides what both programs are made of.
+func common(program string) fx.Option {
+	return fx.Options(
+		fx.Provide(
+			func(n *ggssettings.Node) *ggsplatform.Client { return ggsplatform.NewClient(n.Platform) },
+			func(c *ggsplatform.Client) ggscore.Store { return c },
+			newPool, newFollower, newVMs,
+			func(n *ggssettings.Node) *ggsstate.State { return ggsstate.New(program, n.VM, time.Now) },
+		),
+	)
+}
+
+func newPool(lc fx.Lifecycle) *ggsrpc.Pool {
+	p := ggsrpc.NewPool(ggsrpc.PoolOptions{})
+	lc.Append(fx.StopHook(p.Close))
+	return p
+}
+
+func newFollower(n *ggssettings.Node, s ggscore.Store, p *ggsrpc.Pool, m ggsconfig.MemberLister, l log.Logger) *ggsconfig.Follower {
+	return ggsconfig.NewFollower(ggsconfig.FollowerOptions{
+		Self: n.VM, Domain: n.Domain, Store: s, Peers: ggsconfig.NewPeers(p), Members: m, Logger: l,
+	})
+}
+
+func newVMs(n *ggssettings.Node, c *ggsplatform.Client, l log.Logger) *ggsvms.Follower {
+	return ggsvms.New(c, ggsvms.Options{Interval: n.ListInterval}, l)
+}
+
+// startFollowers starts what brings the document, and shows it in the dump.
+func startFollowers(h host, f *ggsconfig.Follower, v *ggsvms.Follower, t *ggsstate.State) {
+	h.background("document", f.Run)
+	t.Add("document", func() any { return f.State() })
+	t.Add("vms", func() any {
+		vms, _ := v.List()
+		return len(vms)
+	})
+	t.Count("revision", func() int64 { return int64(f.Head().Revision) })
+}
+
+// listedMembers are the entry VMs on the platform's list, or the dispatchers
+// of the settings while there is none.
+type listedMembers struct {
+	node *ggssettings.Node
+	vms  *ggsvms.Follower
+}
+
+var _ ggsconfig.MemberLister = (*listedMembers)(nil)
+
+// Members implements ggsconfig.MemberLister.
+func (m *listedMembers) Members() []ggsconfig.Member {
+	vms, known := m.vms.List()
+	var ms []ggsconfig.Member
+	if !known {
+		for _, a := range m.node.Dispatchers {
+			ms = append(ms, ggsconfig.Member{VM: ggscore.VMID(a.String()), Domain: m.node.Domain, Addr: a})
+		}
+		return ms
+	}
+	for _, v := range ggsfleet.Dispatchers(vms) {
+		ms = append(ms, ggsconfig.Member{VM: v.ID, Domain: v.Domain, Addr: v.Addr})
+	}
+	return ms
+}
--- /dev/null
+++ b/cmd/ggsnode/hooks.go
@@ -0,0 +1,81 @@
+package ggsnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.uber.org/fx"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// A host starts and stops the parts of a process.
+type host struct {
+	fx.In
+
+	Lifecycle  fx.Lifecycle
+	Shutdowner fx.Shutdowner
+	Log        log.Logger
+}
+
+// background runs f from the process's start until its stop. Its failure ends
+// the process.
+func (h *host) background(name string, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	h.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(done)
+				if err := f(ctx); err != nil && ctx.Err() == nil {
+					_ = level.Error(h.Log).Log("event", "partFailed", "part", name, "err", err)
+					_ = h.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
+				}
+			}()
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			cancel()
+			select {
+			case <-done:
+				return nil
+			case <-stop.Done():
+				return stop.Err()
+			}
+		},
+	})
+}
+
+// serveHTTP serves from the process's start. At its stop it takes no new
+// connections and waits for the requests in progress.
+func (h *host) serveHTTP(name string, addr netip.AddrPort, handler http.Handler) {
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	h.Lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			l, err := listen(ctx, addr)
+			if err != nil {
+				return err
+			}
+			go func() {
+				if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+					_ = level.Error(h.Log).Log("event", "partFailed", "part", name, "err", err)
+					_ = h.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
+				}
+			}()
+			_ = level.Info(h.Log).Log("event", "listening", "part", name, "addr", addr)
+			return nil
+		},
+		OnStop: s.Shutdown,
+	})
+}
+
+func listen(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
+	return l, errors.Wrapf(err, "listening on %s", addr)
+}
--- /dev/null
+++ b/cmd/ggsnode/run.go
@@ -0,0 +1,86 @@
+package ggsnode
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"greengageslip/io/ggslog"
+	"greengageslip/io/ggssettings"
+)
+
+// The exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+const (
+	startTimeout = 15 * time.Second
+	// stopMargin is the time for what follows the draining.
+	stopMargin = 10 * time.Second
+)
+
+// A commandLine is what both programs take.
+type commandLine struct {
+	Settings string `long:"settings" value-name:"FILE" description:"TOML file with the process's settings" required:"true"`
+}
+
+// parse reads the command line. ok is false where the program is to end with
+// the code.
+func parse(program string, args []string, stdout, stderr io.Writer) (c commandLine, code int, ok bool) {
+	p := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Options", "", &c); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return c, exitFailure, false
+	}
+	rest, err := p.ParseArgs(args)
+	if f := (*flags.Error)(nil); errors.As(err, &f) && f.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(stdout, f.Message)
+		return c, exitOK, false
+	}
+	if err == nil && len(rest) > 0 {
+		err = &UnwantedArgumentError{Argument: rest[0]}
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "%s: %v\n", program, err)
+		return c, exitUsage, false
+	}
+	return c, exitOK, true
+}
+
+// runApp runs the parts until a signal or the context's end.
+func runApp(ctx context.Context, n *ggssettings.Node, l log.Logger, options ...fx.Option) int {
+	app := fx.New(append(options,
+		fx.Supply(n),
+		fx.Provide(func() log.Logger { return l }),
+		fx.WithLogger(func() fxevent.Logger { return ggslog.NewFx(l) }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(n.DrainTimeout+stopMargin),
+	)...)
+	start, cancelStart := context.WithTimeout(ctx, startTimeout)
+	defer cancelStart()
+	if err := app.Start(start); err != nil {
+		return exitFailure
+	}
+	code := exitOK
+	select {
+	case <-ctx.Done():
+	case s := <-app.Wait():
+		code = s.ExitCode
+	}
+	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), app.StopTimeout())
+	defer cancelStop()
+	if err := app.Stop(stop); err != nil {
+		return exitFailure
+	}
+	return code
+}
--- a/io/ggsgateway/handler.go
+++ b/io/ggsgateway/handler.go
@@ -4,13 +4,12 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggslimit"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Handler returns the callers' HTTP handler.
@@ -31,14 +30,11 @@
 
 // health tells the balancer whether to send callers here.
 func (g *Gateway) health(c *gin.Context) {
-	switch {
-	case g.draining.Load():
-		c.String(http.StatusServiceUnavailable, "stopping\n")
-	case g.parts.Document() == nil:
-		c.String(http.StatusServiceUnavailable, "no document\n")
-	default:
-		c.String(http.StatusOK, "ok\n")
+	if err := g.Ready(); err != nil {
+		c.String(http.StatusServiceUnavailable, "%s\n", err.Error())
+		return
 	}
+	c.String(http.StatusOK, "ok\n")
 }
 
 // serve returns the handler of one kind of request.
--- /dev/null
+++ b/io/ggsstate/state.go
@@ -0,0 +1,108 @@
+// Package ggsstate serves what a process does to its operators: a dump of its
+// whole state, its counters and its health.
+//
+// # Usage
+//
+//	s := ggsstate.New("ggsgateway", vm, clock)
+//	s.Add("router", func() any { return routerState() })
+//	s.Count("done", stats.Done.Load)
+//	server := &http.Server{Handler: s.Handler()}
+//
+// GET /state answers with one JSON object: "program", "vm", "time" and
+// "parts", with a member for each part. GET /debug/vars has the counters by
+// expvar, among them the map "greengageslip". GET /healthz answers 200 "ok",
+// or 503 with the reason.
+package ggsstate
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	ggscore "greengageslip/core"
+)
+
+// A State gathers the parts of a process's state. Parts and counters are added
+// before Handler is called.
+type State struct {
+	program string
+	vm      ggscore.VMID
+	clock   func() time.Time
+	mu      sync.Mutex
+	parts   map[string]func() any
+	counts  *expvar.Map
+	health  func() error
+}
+
+// A dump is the answer to GET /state.
+type dump struct {
+	Program string         `json:"program"`
+	VM      string         `json:"vm"`
+	Time    time.Time      `json:"time"`
+	Parts   map[string]any `json:"parts"`
+}
+
+// New returns a State without parts, always healthy.
+func New(program string, vm ggscore.VMID, clock func() time.Time) *State {
+	return &State{
+		program: program, vm: vm, clock: clock,
+		parts:  make(map[string]func() any),
+		counts: new(expvar.Map).Init(),
+		health: func() error { return nil },
+	}
+}
+
+// Add adds a part. Its value must be one that encoding/json takes.
+func (s *State) Add(name string, part func() any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts[name] = part
+}
+
+// Count adds a counter.
+func (s *State) Count(name string, value func() int64) {
+	s.counts.Set(name, expvar.Func(func() any { return value() }))
+}
+
+// Handler returns the HTTP handler.
+func (s *State) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	e := gin.New()
+	e.GET("/state", s.dump)
+	e.GET("/debug/vars", s.vars)
+	e.GET("/healthz", s.healthz)
+	return e
+}
+
+// SetHealth sets what tells whether the process is healthy.
+func (s *State) SetHealth(f func() error) { s.health = f }
+
+func (s *State) dump(c *gin.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := dump{Program: s.program, VM: string(s.vm), Time: s.clock().UTC(), Parts: make(map[string]any, len(s.parts))}
+	for n, f := range s.parts {
+		d.Parts[n] = f()
+	}
+	c.IndentedJSON(http.StatusOK, d)
+}
+
+func (s *State) healthz(c *gin.Context) {
+	if err := s.health(); err != nil {
+		c.String(http.StatusServiceUnavailable, "%s\n", err.Error())
+		return
+	}
+	c.String(http.StatusOK, "ok\n")
+}
+
+// vars is expvar's own page with this process's counters added. They are not
+// published in expvar's table, which is one for all tests of a process.
+func (s *State) vars(c *gin.Context) {
+	m := map[string]json.RawMessage{"greengageslip": json.RawMessage(s.counts.String())}
+	expvar.Do(func(kv expvar.KeyValue) { m[kv.Key] = json.RawMessage(kv.Value.String()) })
+	c.JSON(http.StatusOK, m)
+}
