feat: keep the document in the platform's service and follow it

A follower watches the head through two VMs a domain, polls peers, refuses lower heads and pulls sections by digest.

--- a/core/ggsdocument/follower.go
+++ b/core/ggsdocument/follower.go
@@ -64,6 +64,15 @@
 	return f.adoptIfWhole()
 }
 
+// GiveUp drops the pending head if it has the revision: its sections can't be
+// had from where it came, and another source may offer a head that is whole.
+// Sections that were delivered already are kept.
+func (f *Follower) GiveUp(r ggscore.Revision) {
+	if f.pending != nil && f.pending.Revision == r {
+		f.pending = nil
+	}
+}
+
 // Head returns the head in force.
 func (f *Follower) Head() Head { return f.head }
 
--- /dev/null
+++ b/io/ggsconfig/follower.go
@@ -0,0 +1,264 @@
+package ggsconfig
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"greengageslip/core"
+	"greengageslip/core/ggsdocument"
+	"greengageslip/io/ggstoml"
+)
+
+// The defaults of FollowerOptions.
+const (
+	defaultWatchers     = 2
+	defaultWatchWait    = 20 * time.Second
+	defaultPollInterval = time.Second
+	defaultCallTimeout  = time.Second
+)
+
+// A FollowerStore is what a Follower needs of the platform's service.
+type FollowerStore interface {
+	ggscore.Reader
+	ggscore.Watcher
+}
+
+// A Member is a live entry VM that serves the document to others.
+type Member struct {
+	VM     ggscore.VMID
+	Domain ggscore.Domain
+	Addr   netip.AddrPort
+}
+
+// A MemberLister lists the live entry VMs, as this process knows them.
+type MemberLister interface {
+	Members() []Member
+}
+
+// FollowerOptions says what a Follower works with. Zero durations and numbers
+// take the defaults.
+type FollowerOptions struct {
+	Self    ggscore.VMID
+	Domain  ggscore.Domain
+	Store   FollowerStore
+	Peers   PeerConfig
+	Members MemberLister
+	// Logger may be nil.
+	Logger log.Logger
+	// Watchers is the number of VMs in a domain that watch the platform.
+	Watchers int
+	// WatchWait is how long a watch waits; PollInterval is the mean time
+	// between polls of peers; CallTimeout bounds every other call.
+	WatchWait    time.Duration
+	PollInterval time.Duration
+	CallTimeout  time.Duration
+}
+
+// A Follower keeps a process on the latest revision of the document.
+type Follower struct {
+	options FollowerOptions
+	current atomic.Pointer[ggscore.Document]
+
+	mu    sync.Mutex
+	rules *ggsdocument.Follower
+	subs  map[*subscription]struct{}
+	state FollowerState
+}
+
+var _ HeadServer = (*Follower)(nil)
+
+// FollowerState is a Follower's state for dumps.
+type FollowerState struct {
+	Revision ggscore.Revision
+	Watching bool
+	// PlatformAway says that the latest call of the platform failed.
+	PlatformAway bool
+	// From says whence the document in force came.
+	From string
+	// Refused counts heads that were refused as lower or forked, Failed those
+	// that couldn't be pulled or formed no valid document.
+	Refused int
+	Failed  int
+}
+
+// A subscription hands the latest document to one subscriber.
+type subscription struct{ documents chan *ggscore.Document }
+
+// A source is where a head and its sections come from.
+type source struct {
+	name    string
+	section func(ctx context.Context, d ggscore.Digest) ([]byte, error)
+}
+
+// NewFollower returns a Follower without a document.
+func NewFollower(o FollowerOptions) *Follower {
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	if o.Watchers == 0 {
+		o.Watchers = defaultWatchers
+	}
+	if o.WatchWait == 0 {
+		o.WatchWait = defaultWatchWait
+	}
+	if o.PollInterval == 0 {
+		o.PollInterval = defaultPollInterval
+	}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+	return &Follower{
+		options: o,
+		rules:   ggsdocument.NewFollower(ggstoml.Codec{}),
+		subs:    map[*subscription]struct{}{},
+	}
+}
+
+// Current returns the document in force, nil before there is one.
+func (f *Follower) Current() *ggscore.Document { return f.current.Load() }
+
+// Head returns the head in force.
+func (f *Follower) Head() ggsdocument.Head {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rules.Head()
+}
+
+// Run follows the document until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var g errgroup.Group
+	g.Go(func() error { f.watch(ctx); return nil })
+	g.Go(func() error { f.poll(ctx); return nil })
+	return g.Wait()
+}
+
+// Section returns the text of a section of the head in force, nil where the
+// head has no such section.
+func (f *Follower) Section(d ggscore.Digest) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rules.Text(d)
+}
+
+// State returns the state for dumps.
+func (f *Follower) State() FollowerState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.state
+	s.Revision = f.rules.Head().Revision
+	return s
+}
+
+// Subscribe returns a channel that holds the latest document that was adopted
+// and not yet received, beginning with the one in force. It is no longer fed
+// once the context has ended.
+func (f *Follower) Subscribe(ctx context.Context) <-chan *ggscore.Document {
+	s := &subscription{documents: make(chan *ggscore.Document, 1)}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.subs[s] = struct{}{}
+	if d := f.rules.Current(); d != nil {
+		s.documents <- d
+	}
+	context.AfterFunc(ctx, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.subs, s)
+	})
+	return s.documents
+}
+
+// follow takes a head from a source and pulls what it lacks from there.
+func (f *Follower) follow(ctx context.Context, h ggsdocument.Head, s source) error {
+	missing, err := f.offer(h, s)
+	if err != nil {
+		return err
+	}
+	for _, d := range missing {
+		t, err := s.section(ctx, d)
+		if err == nil {
+			err = f.deliver(d, t, s)
+		}
+		if err != nil {
+			f.giveUp(h.Revision)
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Follower) offer(h ggsdocument.Head, s source) ([]ggscore.Digest, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	adopted, err := f.rules.Offer(h)
+	if err != nil {
+		f.refused(err, s)
+		return nil, err
+	}
+	if adopted {
+		f.publish(s)
+	}
+	return f.rules.Missing(), nil
+}
+
+func (f *Follower) deliver(d ggscore.Digest, text []byte, s source) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	adopted, err := f.rules.Deliver(d, text)
+	if err != nil {
+		f.refused(err, s)
+		return err
+	}
+	if adopted {
+		f.publish(s)
+	}
+	return nil
+}
+
+func (f *Follower) giveUp(r ggscore.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rules.GiveUp(r)
+	f.state.Failed++
+}
+
+// publish makes the rules' document the one in force. The caller holds f.mu.
+func (f *Follower) publish(s source) {
+	d := f.rules.Current()
+	f.current.Store(d)
+	f.state.From = s.name
+	for u := range f.subs {
+		select {
+		case <-u.documents:
+		default:
+		}
+		u.documents <- d
+	}
+	_ = f.options.Logger.Log("event", "documentAdopted", "revision", uint64(d.Revision), "from", s.name)
+}
+
+// refused counts and logs a head or section that was refused. The caller
+// holds f.mu.
+func (f *Follower) refused(err error, s source) {
+	var lower *ggsdocument.LowerHeadError
+	var forked *ggsdocument.ForkedHeadError
+	event := "documentRefused"
+	switch {
+	case errors.As(err, &lower):
+		event = "lowerHeadRefused"
+		f.state.Refused++
+	case errors.As(err, &forked):
+		event = "forkedHeadRefused"
+		f.state.Refused++
+	default:
+		f.state.Failed++
+	}
+	_ = f.options.Logger.Log("event", event, "from", s.name, "err", err)
+}
--- /dev/null
+++ b/io/ggsconfig/follower_test.go
@@ -0,0 +1,305 @@
+package ggsconfig_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/core"
+	"greengageslip/core/ggsdocument"
+	"greengageslip/io/ggsconfig"
+	"greengageslip/io/ggsrpc"
+)
+
+// patience bounds every wait for an event.
+const patience = 20 * time.Second
+
+// A network is a few processes that follow the document, with links that can
+// be cut.
+type network struct {
+	mu      sync.Mutex
+	members []ggsconfig.Member
+	nodes   map[netip.AddrPort]*ggsconfig.Follower
+	cut     map[ggscore.Domain]bool
+}
+
+// Members implements ggsconfig.MemberLister.
+func (n *network) Members() []ggsconfig.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]ggsconfig.Member(nil), n.members...)
+}
+
+func (n *network) setCut(d ggscore.Domain, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[d] = cut
+}
+
+// A link is one process's view of the network.
+type link struct {
+	network *network
+	domain  ggscore.Domain
+}
+
+func (l *link) Head(
+	_ context.Context, addr netip.AddrPort, have ggscore.Revision,
+) (ggsdocument.Head, bool, error) {
+	f, err := l.reach(addr)
+	if err != nil {
+		return ggsdocument.Head{}, false, err
+	}
+	h := f.Head()
+	return h, h.Revision > have, nil
+}
+
+func (l *link) Section(_ context.Context, addr netip.AddrPort, d ggscore.Digest) ([]byte, error) {
+	f, err := l.reach(addr)
+	if err != nil {
+		return nil, err
+	}
+	if t := f.Section(d); t != nil {
+		return t, nil
+	}
+	return nil, &ggsconfig.MissingSectionError{Digest: d}
+}
+
+func (l *link) reach(addr netip.AddrPort) (*ggsconfig.Follower, error) {
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	f := l.network.nodes[addr]
+	for _, m := range l.network.members {
+		if m.Addr == addr && m.Domain != l.domain && (l.network.cut[m.Domain] || l.network.cut[l.domain]) {
+			f = nil
+		}
+	}
+	if f == nil {
+		return nil, &ggsconfig.PeerError{Addr: addr, Cause: &causeError{}}
+	}
+	return f, nil
+}
+
+// A cutStore is the platform as a domain sees it.
+type cutStore struct {
+	*faultyStore
+	network *network
+	domain  ggscore.Domain
+}
+
+func (s *cutStore) away() bool {
+	s.network.mu.Lock()
+	defer s.network.mu.Unlock()
+	return s.network.cut[s.domain]
+}
+
+func (s *cutStore) Get(ctx context.Context, k ggscore.Key) (ggscore.Entry, error) {
+	if s.away() {
+		return ggscore.Entry{}, &ggscore.StoreAwayError{Cause: &causeError{}}
+	}
+	return s.faultyStore.Get(ctx, k)
+}
+
+func (s *cutStore) Watch(
+	ctx context.Context, k ggscore.Key, after ggscore.StoreRevision, d time.Duration,
+) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	l, r, err := s.faultyStore.Watch(ctx, k, after, d)
+	if s.away() {
+		return nil, 0, &ggscore.StoreAwayError{Cause: &causeError{}}
+	}
+	return l, r, err
+}
+
+func newNetwork() *network {
+	return &network{nodes: map[netip.AddrPort]*ggsconfig.Follower{}, cut: map[ggscore.Domain]bool{}}
+}
+
+// start adds a process and runs it until the test ends.
+func (n *network) start(c *qt.C, s *faultyStore, vm ggscore.VMID, d ggscore.Domain) *ggsconfig.Follower {
+	n.mu.Lock()
+	addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(len(n.members)+1))
+	n.members = append(n.members, ggsconfig.Member{VM: vm, Domain: d, Addr: addr})
+	f := ggsconfig.NewFollower(ggsconfig.FollowerOptions{
+		Self: vm, Domain: d, Members: n,
+		Store:        &cutStore{faultyStore: s, network: n, domain: d},
+		Peers:        &link{network: n, domain: d},
+		WatchWait:    50 * time.Millisecond,
+		PollInterval: 2 * time.Millisecond,
+	})
+	n.nodes[addr] = f
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	c.Cleanup(func() {
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+	return f
+}
+
+// await waits until a follower has a revision.
+func await(c *qt.C, f *ggsconfig.Follower, r ggscore.Revision) {
+	c.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for l := f.Subscribe(ctx); ; {
+		select {
+		case d := <-l:
+			if d.Revision >= r {
+				c.Assert(d.Revision, qt.Equals, r)
+				return
+			}
+		case <-ctx.Done():
+			c.Fatalf("revision %d is not in force, but %d", r, f.Head().Revision)
+		}
+	}
+}
+
+// A change is accepted while nine VMs in three domains follow. Each must have
+// it in force within seconds, with two watches a domain at most.
+func TestFollowersGetChange(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := filledStore(c)
+	n := newNetwork()
+	var all []*ggsconfig.Follower
+	for _, d := range []ggscore.Domain{"a", "b", "c"} {
+		for _, i := range []string{"1", "2", "3"} {
+			all = append(all, n.start(c, s, ggscore.VMID(string(d)+i), d))
+		}
+	}
+	for _, f := range all {
+		await(c, f, 2)
+	}
+	apply(c, s, edit("market/cr", marketText("v2", "asistente"), 2, "a"))
+	watching := 0
+	for _, f := range all {
+		await(c, f, 3)
+		c.Assert(f.Current().Markets["cr"].Adapters["deposits"].Current, qt.Equals, ggscore.Version("v2"))
+		if f.State().Watching {
+			watching++
+		}
+	}
+	c.Assert(watching <= 6, qt.IsTrue)
+}
+
+// The platform is restored from an old copy while processes run. They must
+// stay on the revision that was accepted, and follow again once the platform
+// has passed it.
+func TestFollowerRefusesLowerHead(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := filledStore(c)
+	old := s.copyOf()
+	apply(c, s, edit("market/cr", marketText("v2", "asistente"), 2, "a"))
+	f := newNetwork().start(c, s, "a1", "a")
+	await(c, f, 3)
+	s.restore(old)
+	deadline := time.NewTimer(patience)
+	defer deadline.Stop()
+	for f.State().Refused == 0 {
+		select {
+		case <-deadline.C:
+			c.Fatal("the lower head was not refused")
+		case <-time.NewTimer(time.Millisecond).C:
+		}
+	}
+	c.Assert(f.Current().Revision, qt.Equals, ggscore.Revision(3))
+	apply(c, s, edit("market/wa", marketText("w1", "asistente"), 0, "b"))
+	apply(c, s, edit("market/wa", marketText("w2", "asistente"), 3, "d"))
+	await(c, f, 4)
+}
+
+// A VM is replaced while the platform is away. It must take the highest
+// revision that its peers have, and serve.
+func TestFollowerStartsWithPlatformAway(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := filledStore(c)
+	n := newNetwork()
+	first := n.start(c, s, "a1", "a")
+	await(c, first, 2)
+	s.setAway(true)
+	second := n.start(c, s, "b1", "b")
+	await(c, second, 2)
+	c.Assert(second.State().From, qt.Equals, "a1")
+}
+
+// A domain is cut off from the platform and from the others while a change is
+// accepted. It goes on with what it has, and pulls the change by digest once
+// the cut heals.
+func TestFollowerCutAndHeal(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := filledStore(c)
+	n := newNetwork()
+	a, b := n.start(c, s, "a1", "a"), n.start(c, s, "b1", "b")
+	await(c, a, 2)
+	await(c, b, 2)
+	n.setCut("b", true)
+	apply(c, s, edit("market/cr", marketText("v2", "asistente"), 2, "x"))
+	await(c, a, 3)
+	c.Assert(b.Current().Revision, qt.Equals, ggscore.Revision(2))
+	n.setCut("b", false)
+	await(c, b, 3)
+}
+
+// A domain loses the platform but not the other domains. A change must reach
+// it through them.
+func TestFollowerThroughOtherDomain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s, lost := filledStore(c), newFaultyStore()
+	lost.setAway(true)
+	n := newNetwork()
+	a := n.start(c, s, "a1", "a")
+	b1, b2, b3 := n.start(c, lost, "b1", "b"), n.start(c, lost, "b2", "b"), n.start(c, lost, "b3", "b")
+	await(c, a, 2)
+	apply(c, s, edit("market/cr", marketText("v2", "asistente"), 2, "x"))
+	for _, f := range []*ggsconfig.Follower{a, b1, b2, b3} {
+		await(c, f, 3)
+	}
+}
+
+func TestPeers(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := filledStore(c)
+	f := newNetwork().start(c, s, "a1", "a")
+	await(c, f, 2)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	r := ggsrpc.NewServer()
+	c.Assert(r.Register(ggsconfig.ServiceName, ggsconfig.NewService(f)), qt.IsNil)
+	done := make(chan error, 1)
+	go func() { done <- r.Serve(ctx, l) }()
+	pool := ggsrpc.NewPool(ggsrpc.PoolOptions{})
+	defer func() {
+		c.Check(pool.Close(), qt.IsNil)
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	}()
+	p, addr := ggsconfig.NewPeers(pool), netip.MustParseAddrPort(l.Addr().String())
+
+	h, newer, err := p.Head(ctx, addr, 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(newer, qt.IsTrue)
+	c.Assert(h, qt.DeepEquals, f.Head())
+	_, newer, err = p.Head(ctx, addr, 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(newer, qt.IsFalse)
+	text, err := p.Section(ctx, addr, h.Sections["services"].Digest)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(text), qt.Equals, servicesText)
+	_, err = p.Section(ctx, addr, ggscore.Digest{})
+	var missing *ggsconfig.MissingSectionError
+	c.Assert(errors.As(err, &missing), qt.IsTrue)
+}
--- /dev/null
+++ b/io/ggsconfig/peer.go
@@ -0,0 +1,114 @@
+package ggsconfig
+
+import (
+	"context"
+	"net/netip"
+
+	"greengageslip/core"
+	"greengageslip/core/ggsdocument"
+	"greengageslip/io/ggsrpc"
+)
+
+// ServiceName is the name that a Service is registered under.
+const ServiceName = "Config"
+
+// The methods of a Service.
+const (
+	methodHead    = ServiceName + ".Head"
+	methodSection = ServiceName + ".Section"
+)
+
+// A PeerConfig asks other processes for the document. Their failures are
+// *PeerError.
+type PeerConfig interface {
+	// Head returns the peer's head if its revision is greater than have, else
+	// false.
+	Head(ctx context.Context, addr netip.AddrPort, have ggscore.Revision) (ggsdocument.Head, bool, error)
+	// Section returns the text of a section of the peer's head.
+	Section(ctx context.Context, addr netip.AddrPort, d ggscore.Digest) ([]byte, error)
+}
+
+// HeadArgs asks for a head. It is exported since net/rpc asks for it.
+type HeadArgs struct{ Have uint64 }
+
+// HeadReply answers HeadArgs; Head is empty unless Newer is set.
+type HeadReply struct {
+	Newer bool
+	Head  []byte
+}
+
+// SectionArgs asks for a section's text.
+type SectionArgs struct{ Digest [32]byte }
+
+// SectionReply answers SectionArgs.
+type SectionReply struct {
+	Found bool
+	Text  []byte
+}
+
+// A HeadServer has a head and its sections; a Follower is one.
+type HeadServer interface {
+	Head() ggsdocument.Head
+	Section(d ggscore.Digest) []byte
+}
+
+// A Service serves the document to other processes.
+type Service struct{ server HeadServer }
+
+// NewService returns a Service of what a server has.
+func NewService(s HeadServer) *Service { return &Service{server: s} }
+
+// Head answers with the head if it is newer than the caller's.
+func (s *Service) Head(a *HeadArgs, r *HeadReply) error {
+	h := s.server.Head()
+	if uint64(h.Revision) > a.Have {
+		*r = HeadReply{Newer: true, Head: EncodeHead(h)}
+	}
+	return nil
+}
+
+// Section answers with a section's text.
+func (s *Service) Section(a *SectionArgs, r *SectionReply) error {
+	if t := s.server.Section(a.Digest); t != nil {
+		*r = SectionReply{Found: true, Text: t}
+	}
+	return nil
+}
+
+// Peers asks other processes over net/rpc.
+type Peers struct{ pool *ggsrpc.Pool }
+
+var _ PeerConfig = (*Peers)(nil)
+
+// NewPeers returns Peers that call through a pool.
+func NewPeers(p *ggsrpc.Pool) *Peers { return &Peers{pool: p} }
+
+// Head implements PeerConfig.
+func (p *Peers) Head(
+	ctx context.Context, addr netip.AddrPort, have ggscore.Revision,
+) (ggsdocument.Head, bool, error) {
+	var r HeadReply
+	if err := p.pool.Call(ctx, addr, methodHead, &HeadArgs{Have: uint64(have)}, &r); err != nil {
+		return ggsdocument.Head{}, false, &PeerError{Addr: addr, Cause: err}
+	}
+	if !r.Newer {
+		return ggsdocument.Head{}, false, nil
+	}
+	h, err := DecodeHead(r.Head)
+	if err != nil {
+		return ggsdocument.Head{}, false, &PeerError{Addr: addr, Cause: err}
+	}
+	return h, true, nil
+}
+
+// Section implements PeerConfig.
+func (p *Peers) Section(ctx context.Context, addr netip.AddrPort, d ggscore.Digest) ([]byte, error) {
+	var r SectionReply
+	if err := p.pool.Call(ctx, addr, methodSection, &SectionArgs{Digest: d}, &r); err != nil {
+		return nil, &PeerError{Addr: addr, Cause: err}
+	}
+	if !r.Found {
+		return nil, &PeerError{Addr: addr, Cause: &MissingSectionError{Digest: d}}
+	}
+	return r.Text, nil
+}
--- /dev/null
+++ b/io/ggsconfig/store_test.go
@@ -0,0 +1,203 @@
+package ggsconfig_test
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"greengageslip/core"
+)
+
+// causeError is the cause of a fault that a test provoked.
+type causeError struct{}
+
+func (*causeError) Error() string { return "provoked" }
+
+// A faultyStore is the platform's service in memory, with the faults that a
+// test asks for. Faults of writes meet writes of the head only.
+type faultyStore struct {
+	mu       sync.Mutex
+	revision ggscore.StoreRevision
+	entries  map[ggscore.Key]ggscore.Entry
+	changed  chan struct{}
+	delayed  []func()
+
+	away bool
+	// loseAnswers, delayWrites and failWrites count the next writes that are
+	// met by the fault.
+	loseAnswers int
+	delayWrites int
+	failWrites  int
+	// beforePut runs before the next write of the head, without the lock.
+	beforePut func()
+}
+
+func newFaultyStore() *faultyStore {
+	return &faultyStore{entries: map[ggscore.Key]ggscore.Entry{}, changed: make(chan struct{})}
+}
+
+func (s *faultyStore) Delete(context.Context, ggscore.Key, ggscore.StoreRevision) error { return nil }
+
+func (s *faultyStore) Get(_ context.Context, k ggscore.Key) (ggscore.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return ggscore.Entry{}, &ggscore.StoreAwayError{Cause: &causeError{}}
+	}
+	e := s.entries[k]
+	e.Key = k
+	return e, nil
+}
+
+func (s *faultyStore) List(_ context.Context, prefix ggscore.Key) ([]ggscore.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var l []ggscore.Entry
+	for k, e := range s.entries {
+		if strings.HasPrefix(string(k), string(prefix)) {
+			l = append(l, e)
+		}
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i].Key < l[j].Key })
+	return l, nil
+}
+
+func (s *faultyStore) Put(
+	_ context.Context, k ggscore.Key, v []byte, prev ggscore.StoreRevision, _ ggscore.LeaseID,
+) (ggscore.StoreRevision, error) {
+	isHead := k == "config/head"
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if before := s.beforePut; isHead && before != nil {
+		s.beforePut = nil
+		s.mu.Unlock()
+		before()
+		s.mu.Lock()
+	}
+	if s.away {
+		return 0, &ggscore.StoreAwayError{Cause: &causeError{}}
+	}
+	if isHead && s.failWrites > 0 {
+		s.failWrites--
+		return 0, &ggscore.StoreBusyError{}
+	}
+	if isHead && s.delayWrites > 0 {
+		s.delayWrites--
+		s.delayed = append(s.delayed, func() { _, _ = s.put(k, v, prev) })
+		return 0, &ggscore.AmbiguousWriteError{Key: k, Cause: &causeError{}}
+	}
+	r, err := s.put(k, v, prev)
+	if isHead && s.loseAnswers > 0 {
+		s.loseAnswers--
+		return 0, &ggscore.AmbiguousWriteError{Key: k, Cause: &causeError{}}
+	}
+	return r, err
+}
+
+func (s *faultyStore) Watch(
+	ctx context.Context, prefix ggscore.Key, after ggscore.StoreRevision, d time.Duration,
+) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	for over := false; ; {
+		s.mu.Lock()
+		var l []ggscore.Entry
+		for k, e := range s.entries {
+			if strings.HasPrefix(string(k), string(prefix)) && e.Revision > after {
+				l = append(l, e)
+			}
+		}
+		r, changed, away := s.revision, s.changed, s.away
+		s.mu.Unlock()
+		if away {
+			return nil, 0, &ggscore.StoreAwayError{Cause: &causeError{}}
+		}
+		if over || len(l) > 0 {
+			return l, r, nil
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			over = true
+		case <-ctx.Done():
+			return nil, 0, &ggscore.StoreAwayError{Cause: ctx.Err()}
+		}
+	}
+}
+
+// copyOf returns the entries, for a restore later.
+func (s *faultyStore) copyOf() map[ggscore.Key]ggscore.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := map[ggscore.Key]ggscore.Entry{}
+	for k, e := range s.entries {
+		m[k] = e
+	}
+	return m
+}
+
+// land lets the delayed writes take effect.
+func (s *faultyStore) land() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.delayed {
+		f()
+	}
+	s.delayed = nil
+}
+
+// put is called with the lock held.
+func (s *faultyStore) put(k ggscore.Key, v []byte, prev ggscore.StoreRevision) (ggscore.StoreRevision, error) {
+	if have := s.entries[k].Revision; have != prev {
+		return 0, &ggscore.ConflictError{Key: k, Want: prev, Have: have}
+	}
+	s.revision++
+	s.entries[k] = ggscore.Entry{Key: k, Value: append([]byte{}, v...), Revision: s.revision}
+	s.wake()
+	return s.revision, nil
+}
+
+// restore replaces the entries by an older copy.
+func (s *faultyStore) restore(m map[ggscore.Key]ggscore.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = m
+	s.revision++
+	h := m["config/head"]
+	h.Revision = s.revision
+	m["config/head"] = h
+	s.wake()
+}
+
+func (s *faultyStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	s.wake()
+}
+
+// wake is called with the lock held.
+func (s *faultyStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// The texts of a small valid document.
+
+const servicesText = `[[services]]
+name = "asistente"
+baseModel = "base-8b"
+slots = 8
+adapterSlots = 4
+`
+
+func marketText(version string, services ...string) []byte {
+	t := "[[adapters]]\nname = \"deposits\"\nbaseModel = \"base-8b\"\nversions = [\"v1\", \"" + version + "\"]\ncurrent = \"" + version + "\"\n"
+	for _, s := range services {
+		t += fmt.Sprintf("\n[[uses]]\nservice = %q\npriority = \"normal\"\ndeadline = \"2s\"\n", s)
+	}
+	return []byte(t)
+}
