--- a/cmd/ggsnode/common.go
+++ b/cmd/ggsnode/common.go
@@ -16,14 +16,22 @@
 	"greengageslip/io/ggsvms"
 )
 
+// A role says how a program takes part.
+type role struct {
+	program string
+	// peersOnly says that it follows the document through dispatchers alone.
+	peersOnly bool
+}
+
 // common provides what both programs are made of.
-func common(program string) fx.Option {
+func common(r role) fx.Option {
 	return fx.Options(
 		fx.Provide(
 			func(n *ggssettings.Node) *ggsplatform.Client { return ggsplatform.NewClient(n.Platform) },
 			func(c *ggsplatform.Client) ggscore.Store { return c },
 			newPool, newFollower, newVMs,
-			func(n *ggssettings.Node) *ggsstate.State { return ggsstate.New(program, n.VM, time.Now) },
+			func(n *ggssettings.Node) *ggsstate.State { return ggsstate.New(r.program, n.VM, time.Now) },
+			func() role { return r },
 		),
 	)
 }
@@ -34,9 +42,10 @@
 	return p
 }
 
-func newFollower(n *ggssettings.Node, s ggscore.Store, p *ggsrpc.Pool, m ggsconfig.MemberLister, l log.Logger) *ggsconfig.Follower {
+func newFollower(n *ggssettings.Node, s ggscore.Store, p *ggsrpc.Pool, m ggsconfig.MemberLister, r role, l log.Logger) *ggsconfig.Follower {
 	return ggsconfig.NewFollower(ggsconfig.FollowerOptions{
 		Self: n.VM, Domain: n.Domain, Store: s, Peers: ggsconfig.NewPeers(p), Members: m, Logger: l,
+		PeersOnly: r.peersOnly,
 	})
 }
 
--- a/io/ggsconfig/follower.go
+++ b/io/ggsconfig/follower.go
@@ -50,6 +50,9 @@
 	Store   FollowerStore
 	Peers   PeerConfig
 	Members MemberLister
+	// PeersOnly says that this process serves no peers and never watches: it
+	// polls the watchers of its domain. Store may then be nil.
+	PeersOnly bool
 	// Logger may be nil.
 	Logger log.Logger
 	// Watchers is the number of VMs in a domain that watch the platform.
--- a/io/ggsconfig/poll.go
+++ b/io/ggsconfig/poll.go
@@ -106,6 +106,9 @@
 // others returns the members but this VM.
 func (f *Follower) others() []Member {
 	l := slices.Clone(f.options.Members.Members())
+	if f.options.PeersOnly {
+		return l
+	}
 	return slices.DeleteFunc(l, func(m Member) bool { return m.VM == f.options.Self })
 }
 
@@ -117,7 +120,7 @@
 		return Member{}, false
 	}
 	w := f.watchers()
-	watcher := slices.Contains(w, f.options.Self)
+	watcher := !f.options.PeersOnly && slices.Contains(w, f.options.Self)
 	some := slices.Clone(all)
 	switch {
 	case watcher:
--- a/io/ggsconfig/watch.go
+++ b/io/ggsconfig/watch.go
@@ -95,7 +95,7 @@
 
 // isWatcher reports whether this VM is to watch the platform now.
 func (f *Follower) isWatcher() bool {
-	if f.options.Store == nil {
+	if f.options.Store == nil || f.options.PeersOnly {
 		return false
 	}
 	return slices.Contains(f.watchers(), f.options.Self)
@@ -126,7 +126,10 @@
 
 // watchers returns the watchers of this VM's domain.
 func (f *Follower) watchers() []ggscore.VMID {
-	l := []ggscore.VMID{f.options.Self}
+	var l []ggscore.VMID
+	if !f.options.PeersOnly {
+		l = append(l, f.options.Self)
+	}
 	for _, m := range f.options.Members.Members() {
 		if m.Domain == f.options.Domain {
 			l = append(l, m.VM)
