--- /dev/null
+++ b/core/ggsdocument/follower_test.go
@@ -0,0 +1,150 @@
+package ggsdocument_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/core"
+	"greengageslip/core/ggsdocument"
+)
+
+// A weightParser takes a section's length for the market's weight.
+type weightParser struct{}
+
+func (weightParser) ParseSection(n ggscore.SectionName, text []byte) (*ggsdocument.Section, error) {
+	return ggsdocument.NewMarketSection(n, ggsdocument.MarketSource{Weight: len(text)})
+}
+
+func accepted(c *qt.C, h ggsdocument.Head, n ggscore.SectionName, text, id string) ggsdocument.Head {
+	c.Helper()
+	next, err := h.Accept(ggsdocument.Change{
+		ID: ggsdocument.ChangeID(id), Section: n, Digest: ggsdocument.DigestOf([]byte(text)), ReadAt: h.Revision, By: "ana",
+	})
+	c.Assert(err, qt.IsNil)
+	return next
+}
+
+// offer offers a head and delivers the texts that are asked for.
+func offer(c *qt.C, f *ggsdocument.Follower, h ggsdocument.Head, texts ...string) (bool, error) {
+	c.Helper()
+	adopted, err := f.Offer(h)
+	for _, t := range texts {
+		if err != nil || adopted {
+			break
+		}
+		adopted, err = f.Deliver(ggsdocument.DigestOf([]byte(t)), []byte(t))
+	}
+	return adopted, err
+}
+
+func TestFollowerAdoptsWholeHeads(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	h1 := accepted(c, ggsdocument.Head{}, "market/cr", "1", "a")
+	h2 := accepted(c, h1, "market/wa", "22", "b")
+	f := ggsdocument.NewFollower(weightParser{})
+	adopted, err := offer(c, f, h2, "1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(adopted, qt.IsFalse)
+	c.Assert(f.Current(), qt.IsNil)
+	c.Assert(f.Missing(), qt.DeepEquals, []ggscore.Digest{ggsdocument.DigestOf([]byte("22"))})
+
+	_, err = f.Deliver(ggsdocument.DigestOf([]byte("22")), []byte("23"))
+	var wrong *ggsdocument.DigestError
+	c.Assert(errors.As(err, &wrong), qt.IsTrue)
+
+	adopted, err = f.Deliver(ggsdocument.DigestOf([]byte("22")), []byte("22"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(adopted, qt.IsTrue)
+	c.Assert(f.Current().Markets["wa"].Weight, qt.Equals, 2)
+
+	h3 := accepted(c, h2, "market/cr", "22", "c")
+	adopted, err = f.Offer(h3)
+	c.Assert(err, qt.IsNil)
+	c.Assert(adopted, qt.IsTrue)
+	c.Assert(f.Text(ggsdocument.DigestOf([]byte("1"))), qt.IsNil)
+	c.Assert(string(f.Text(ggsdocument.DigestOf([]byte("22")))), qt.Equals, "22")
+}
+
+// A platform restored from an old copy, or a peer that was cut off, shows an
+// earlier head. A process that took it would undo an accepted change.
+func TestFollowerRefusesLowerHead(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	h1 := accepted(c, ggsdocument.Head{}, "market/cr", "1", "a")
+	h2 := accepted(c, h1, "market/cr", "22", "b")
+	f := ggsdocument.NewFollower(weightParser{})
+	_, err := offer(c, f, h2, "22")
+	c.Assert(err, qt.IsNil)
+
+	_, err = f.Offer(h1)
+	var lower *ggsdocument.LowerHeadError
+	c.Assert(errors.As(err, &lower), qt.IsTrue)
+	c.Assert(*lower, qt.Equals, ggsdocument.LowerHeadError{Offered: 1, Have: 2})
+
+	_, err = f.Offer(accepted(c, h1, "market/cr", "333", "c"))
+	var forked *ggsdocument.ForkedHeadError
+	c.Assert(errors.As(err, &forked), qt.IsTrue)
+	c.Assert(f.Current().Markets["cr"].Weight, qt.Equals, 2)
+}
+
+// A peer offers a head and dies before its sections were pulled. A lower head,
+// still higher than the one in force, must not wait for it.
+func TestFollowerGivesUpHead(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	h1 := accepted(c, ggsdocument.Head{}, "market/cr", "1", "a")
+	h2 := accepted(c, h1, "market/cr", "22", "b")
+	f := ggsdocument.NewFollower(weightParser{})
+	_, err := f.Offer(h2)
+	c.Assert(err, qt.IsNil)
+	adopted, err := offer(c, f, h1, "1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(adopted, qt.IsFalse)
+	f.GiveUp(2)
+	adopted, err = offer(c, f, h1, "1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(adopted, qt.IsTrue)
+}
+
+// A head that this process can't read, since a newer client wrote it, is
+// passed over; the next one that it can read is taken.
+func TestFollowerPassesOverInvalidHead(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	h1 := accepted(c, ggsdocument.Head{}, "market/cr", "1", "a")
+	h2 := accepted(c, h1, "market/cr", "", "b")
+	f := ggsdocument.NewFollower(weightParser{})
+	_, err := offer(c, f, h1, "1")
+	c.Assert(err, qt.IsNil)
+	_, err = offer(c, f, h2, "")
+	var e *ggsdocument.SectionError
+	c.Assert(errors.As(err, &e), qt.IsTrue)
+	c.Assert(f.Current().Revision, qt.Equals, ggscore.Revision(1))
+	adopted, err := offer(c, f, h2, "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(adopted, qt.IsFalse)
+	adopted, err = offer(c, f, accepted(c, h2, "market/cr", "22", "c"), "22")
+	c.Assert(err, qt.IsNil)
+	c.Assert(adopted, qt.IsTrue)
+}
+
+func TestHeadHistory(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	h := accepted(c, ggsdocument.Head{}, "market/cr", "1", "first")
+	for range ggsdocument.HistoryLength - 1 {
+		h = accepted(c, h, "market/cr", "1", "x")
+	}
+	fate, r := h.FateOf("first", 0)
+	c.Assert(fate, qt.Equals, ggsdocument.FateAccepted)
+	c.Assert(r, qt.Equals, ggscore.Revision(1))
+	fate, _ = h.FateOf("never", 0)
+	c.Assert(fate, qt.Equals, ggsdocument.FateNotAccepted)
+	h = accepted(c, h, "market/cr", "1", "y")
+	c.Assert(h.Changes, qt.HasLen, ggsdocument.HistoryLength)
+	fate, _ = h.FateOf("first", 0)
+	c.Assert(fate, qt.Equals, ggsdocument.FateUnknown)
+}
--- /dev/null
+++ b/io/ggsconfig/machine_test.go
@@ -0,0 +1,238 @@
+package ggsconfig_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"greengageslip/core"
+	"greengageslip/core/ggsdocument"
+	"greengageslip/io/ggsconfig"
+	"greengageslip/io/ggstoml"
+)
+
+// A verdict is what an operator was told of a change.
+type verdict int
+
+const (
+	toldUnknown verdict = iota
+	toldAccepted
+	toldRefused
+)
+
+// A machine is operators and followers around a faulty platform.
+type machine struct {
+	store     *faultyStore
+	followers []*ggsdocument.Follower
+	next      int
+	told      map[ggsdocument.ChangeID]verdict
+	revision  map[ggsdocument.ChangeID]ggscore.Revision
+	unknown   []ggsconfig.Edit
+}
+
+// Operators change sections while answers are lost, writes are delayed and
+// land late, others write in between and the platform goes away. Whatever an
+// operator is told must be true for ever: an accepted change is in the document
+// once, a refused one never. Processes get heads from the platform, from each
+// other and from old copies; none may go back.
+func TestEditorAndFollowers(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{
+			store:    newFaultyStore(),
+			told:     map[ggsdocument.ChangeID]verdict{},
+			revision: map[ggsdocument.ChangeID]ggscore.Revision{},
+		}
+		for range 3 {
+			m.followers = append(m.followers, ggsdocument.NewFollower(ggstoml.Codec{}))
+		}
+		m.apply(t, m.store, "services", []byte(servicesText), 0)
+		t.Repeat(map[string]func(*rapid.T){
+			"apply":        m.applyAny,
+			"applyAgain":   m.applyAgain,
+			"land":         func(*rapid.T) { m.store.land() },
+			"fromPlatform": m.fromPlatform,
+			"fromPeer":     m.fromPeer,
+			"fromOldCopy":  m.fromOldCopy,
+			"":             m.check,
+		})
+		m.store.land()
+		m.check(t)
+	})
+}
+
+// apply makes a change and notes what the operator was told.
+func (m *machine) apply(
+	t *rapid.T, s ggsconfig.EditorStore, n ggscore.SectionName, text []byte, readAt ggscore.Revision,
+) {
+	m.next++
+	m.applyEdit(t, s, edit(n, text, readAt, fmt.Sprint("c", m.next)))
+}
+
+func (m *machine) applyEdit(t *rapid.T, s ggsconfig.EditorStore, d ggsconfig.Edit) {
+	a, err := newEditor(s).Apply(context.Background(), d)
+	var unknown *ggsconfig.UnknownOutcomeError
+	switch {
+	case err == nil && a.Unchanged:
+		m.told[d.ID] = toldRefused // nothing was written in its name
+	case err == nil:
+		m.told[d.ID], m.revision[d.ID] = toldAccepted, a.Revision
+	case errors.As(err, &unknown):
+		m.told[d.ID] = toldUnknown
+		m.unknown = append(m.unknown, d)
+	default:
+		m.told[d.ID] = toldRefused
+	}
+	t.Logf("%s on %s read at %d: %+v, %v", d.ID, d.Section, d.ReadAt, a, err)
+}
+
+// applyAgain repeats a change of unknown outcome under its id.
+func (m *machine) applyAgain(t *rapid.T) {
+	if len(m.unknown) == 0 {
+		t.Skip("no unknown outcome")
+	}
+	d := m.unknown[0]
+	m.unknown = m.unknown[1:]
+	m.applyEdit(t, m.store, d)
+}
+
+// applyAny makes a change that meets any fault.
+func (m *machine) applyAny(t *rapid.T) {
+	n := rapid.SampledFrom([]ggscore.SectionName{"market/cr", "market/wa", "services"}).Draw(t, "section")
+	readAt := m.lastHead(t).Revision
+	if rapid.Bool().Draw(t, "stale") && readAt > 0 {
+		readAt = ggscore.Revision(rapid.Uint64Range(0, uint64(readAt)).Draw(t, "readAt"))
+	}
+	m.store.loseAnswers = rapid.IntRange(0, 2).Draw(t, "lose")
+	m.store.delayWrites = rapid.IntRange(0, 2).Draw(t, "delay")
+	m.store.failWrites = rapid.IntRange(0, 1).Draw(t, "fail")
+	s := &interleaved{faultyStore: m.store}
+	after := rapid.SampledFrom([]string{"nothing", "land", "other", "away"}).Draw(t, "afterLost")
+	s.afterLost = func() {
+		switch after {
+		case "land":
+			m.store.land()
+		case "other":
+			m.other(t)
+		case "away":
+			m.store.setAway(true)
+		}
+	}
+	if rapid.Bool().Draw(t, "race") {
+		m.store.beforePut = func() { m.other(t) }
+	}
+	m.apply(t, s, n, m.text(t, n), readAt)
+	m.store.beforePut = nil
+	m.store.loseAnswers, m.store.delayWrites, m.store.failWrites = 0, 0, 0
+	m.store.setAway(false)
+}
+
+// other is another operator's change, which meets no fault of its own.
+func (m *machine) other(t *rapid.T) {
+	lose, delay, fail := m.store.loseAnswers, m.store.delayWrites, m.store.failWrites
+	m.store.loseAnswers, m.store.delayWrites, m.store.failWrites = 0, 0, 0
+	n := rapid.SampledFrom([]ggscore.SectionName{"market/cr", "market/wa"}).Draw(t, "other")
+	m.apply(t, m.store, n, m.text(t, n), m.lastHead(t).Revision)
+	m.store.loseAnswers, m.store.delayWrites, m.store.failWrites = lose, delay, fail
+}
+
+// check checks what operators were told against each head ever written.
+func (m *machine) check(t *rapid.T) {
+	made := map[ggsdocument.ChangeID]ggscore.Revision{}
+	for i, b := range m.store.heads {
+		h := m.decode(t, b)
+		if h.Revision != ggscore.Revision(i+1) {
+			t.Fatalf("head %d has revision %d", i+1, h.Revision)
+		}
+		id := h.Changes[len(h.Changes)-1].ID
+		if r, found := made[id]; found {
+			t.Fatalf("change %s made revisions %d and %d", id, r, h.Revision)
+		}
+		made[id] = h.Revision
+	}
+	for id, v := range m.told {
+		r, found := made[id]
+		if v == toldAccepted && (!found || r != m.revision[id]) {
+			t.Fatalf("change %s was told accepted at %d, but made %d", id, m.revision[id], r)
+		}
+		if v == toldRefused && found {
+			t.Fatalf("change %s was told refused, but made %d", id, r)
+		}
+	}
+}
+
+func (m *machine) decode(t *rapid.T, b []byte) ggsdocument.Head {
+	h, err := ggsconfig.DecodeHead(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func (m *machine) fromOldCopy(t *rapid.T) {
+	if len(m.store.heads) == 0 {
+		t.Skip("no head")
+	}
+	i := rapid.IntRange(0, len(m.store.heads)-1).Draw(t, "old")
+	m.offer(t, m.follower(t), m.decode(t, m.store.heads[i]))
+}
+
+func (m *machine) fromPeer(t *rapid.T) {
+	m.offer(t, m.follower(t), m.follower(t).Head())
+}
+
+func (m *machine) fromPlatform(t *rapid.T) {
+	f, h := m.follower(t), m.lastHead(t)
+	m.offer(t, f, h)
+	if f.Head().Revision != h.Revision {
+		t.Fatalf("revision %d is in force after the platform's %d was offered", f.Head().Revision, h.Revision)
+	}
+}
+
+func (m *machine) follower(t *rapid.T) *ggsdocument.Follower {
+	return rapid.SampledFrom(m.followers).Draw(t, "follower")
+}
+
+func (m *machine) lastHead(t *rapid.T) ggsdocument.Head {
+	if len(m.store.heads) == 0 {
+		return ggsdocument.Head{}
+	}
+	return m.decode(t, m.store.heads[len(m.store.heads)-1])
+}
+
+// offer offers a head and checks that the follower doesn't go back.
+func (m *machine) offer(t *rapid.T, f *ggsdocument.Follower, h ggsdocument.Head) {
+	before := f.Head().Revision
+	_, err := f.Offer(h)
+	var lower *ggsdocument.LowerHeadError
+	if err != nil && !errors.As(err, &lower) {
+		t.Fatal(err)
+	}
+	for _, d := range f.Missing() {
+		e, _ := m.store.Get(context.Background(), ggsconfig.SectionKey(d))
+		if _, err = f.Deliver(d, e.Value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	after := f.Head().Revision
+	if after < before || after != max(before, h.Revision) {
+		t.Fatalf("went from revision %d to %d when %d was offered", before, after, h.Revision)
+	}
+	if d := f.Current(); d != nil && d.Revision != after {
+		t.Fatalf("document of revision %d under head %d", d.Revision, after)
+	}
+}
+
+// text returns one of a few texts, some of which don't fit the others.
+func (m *machine) text(t *rapid.T, n ggscore.SectionName) []byte {
+	if n == "services" {
+		more := "\n[[services]]\nname = \"resumen\"\nbaseModel = \"base-8b\"\nslots = 1\nadapterSlots = 1\n"
+		return []byte(servicesText + rapid.SampledFrom([]string{"", more, more + "# again\n"}).Draw(t, "services"))
+	}
+	v := rapid.SampledFrom([]string{"v2", "v3", "v4"}).Draw(t, "version")
+	u := rapid.SampledFrom([][]string{{"asistente"}, {"asistente", "resumen"}}).Draw(t, "uses")
+	return marketText(v, u...)
+}
--- a/io/ggsconfig/store_test.go
+++ b/io/ggsconfig/store_test.go
@@ -24,6 +24,8 @@
 	entries  map[ggscore.Key]ggscore.Entry
 	changed  chan struct{}
 	delayed  []func()
+	// heads holds each head that was ever written.
+	heads [][]byte
 
 	away bool
 	// loseAnswers, delayWrites and failWrites count the next writes that are
@@ -156,6 +158,9 @@
 	}
 	s.revision++
 	s.entries[k] = ggscore.Entry{Key: k, Value: append([]byte{}, v...), Revision: s.revision}
+	if k == "config/head" {
+		s.heads = append(s.heads, v)
+	}
 	s.wake()
 	return s.revision, nil
 }
