--- a/io/ggsdispatch/job.go
+++ b/io/ggsdispatch/job.go
@@ -30,6 +30,8 @@
 	// claim is held from the first dispatch until the request has ended, so
 	// that a dispatch that is proved not run may be repeated under it.
 	claim ggscore.ClaimID
+	// claimBefore is when the claim may no longer be used.
+	claimBefore time.Time
 }
 
 // Next returns pieces of an answer from a number on, waiting for the first
--- a/io/ggsdispatch/run.go
+++ b/io/ggsdispatch/run.go
@@ -7,9 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
-	"github.com/google/uuid"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 const (
@@ -63,9 +62,24 @@
 		d.ended(o, ggscore.EndDone)
 		return
 	}
+	if j.claim != "" && !d.parts.Clock().Before(j.claimBefore) {
+		d.lateClaim(ctx, j, o)
+		return
+	}
 	d.run(ctx, runCtx, j, o)
 }
 
+// lateClaim ends a request whose claim may no longer be used. A process that
+// was paused between claim and dispatch would run a key that others have
+// forgotten by now, and that may have run again since.
+func (d *Dispatcher) lateClaim(ctx context.Context, j *job, o ggscore.Order) {
+	d.finishClaim(ctx, j, ggscore.ClaimResult{Outcome: ggscore.OutcomeNotRun})
+	d.end(j, ggscore.OutcomeNotRun, &ggscore.Failure{
+		Kind: ggscore.FailureKeyExpired, Outcome: ggscore.OutcomeNotRun, Detail: "the claim of the key came too late",
+	})
+	d.ended(o, ggscore.EndDone)
+}
+
 // begin makes a request's context. It returns nil where there is nothing to
 // run, since the request was withdrawn before any of it was sent.
 func (d *Dispatcher) begin(ctx context.Context, o ggscore.Order) (*job, context.Context, context.CancelFunc) {
@@ -94,19 +108,22 @@
 	defer cancel()
 	r := j.request
 	c, err := d.parts.Claims.Begin(ctx, ggscore.ClaimRequest{
-		Market: r.Market, Key: r.Key, Body: bodyDigest(r), Issued: issuedAt(r.Key),
+		Market: r.Market, Key: r.Key, Body: bodyDigest(r),
 	})
 	if err != nil {
 		_ = level.Warn(d.parts.Log).Log("event", "claimFailed", "request", r.ID, "err", err)
-		d.end(j, ggscore.OutcomeNotRun, &ggscore.Failure{
-			Kind: ggscore.FailurePlatformAway, Outcome: ggscore.OutcomeNotRun,
-			Detail: "the claim of the idempotency key could not be recorded", RetryAfter: claimRetryAfter,
-		})
+		f := &ggscore.Failure{
+			Kind: ggscore.FailurePlatformAway, Detail: "the claim of the idempotency key could not be recorded",
+			RetryAfter: claimRetryAfter,
+		}
+		_ = errors.As(err, &f)
+		f.Outcome = ggscore.OutcomeNotRun
+		d.end(j, f.Outcome, f)
 		return false
 	}
 	if c.Answer == ggscore.ClaimGranted {
 		d.mu.Lock()
-		j.claim = c.ID
+		j.claim, j.claimBefore = c.ID, c.Before
 		d.mu.Unlock()
 		return true
 	}
@@ -258,13 +275,3 @@
 	h.Write(r.Body)
 	return ggscore.Digest(h.Sum(nil))
 }
-
-// issuedAt reads the time that a version 7 UUID carries.
-func issuedAt(k ggscore.IdempotencyKey) time.Time {
-	u, err := uuid.Parse(string(k))
-	if err != nil || u.Version() != 7 {
-		return time.Time{}
-	}
-	sec, nsec := u.Time().UnixTime()
-	return time.Unix(sec, nsec)
-}
--- a/io/ggsgateway/admit.go
+++ b/io/ggsgateway/admit.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsclaim"
 	"greengageslip/core/ggsdocument"
 )
 
@@ -25,7 +26,6 @@
 
 	defaultMaxBodyBytes = 1 << 20
 	defaultDeadline     = 30 * time.Second
-	maxKeyBytes         = 256
 )
 
 // A chatBody is what the gateway reads of a chat request. All other members
@@ -105,11 +105,14 @@
 	switch {
 	case k == "" && needed:
 		return badRequest("a non-idempotent operation needs the header " + headerKey)
-	case len(k) > maxKeyBytes:
-		return badRequest("the idempotency key is too long")
+	case k == "":
+		return nil
+	}
+	if _, err := ggsclaim.ParseKey(r.Market, ggscore.IdempotencyKey(k), time.Time{}); err != nil {
+		return badRequest(err.Error())
 	}
 	r.Key = ggscore.IdempotencyKey(k)
-	r.NonIdempotent = k != ""
+	r.NonIdempotent = true
 	return nil
 }
 
