feat: add the client of engines and a model engine's stand-in

Cause: dispatchers need to run requests, give orders and ask for reports, and to know of each failure whether the request may have run. Change: io/ggsengine makes a call once (no rewindable body, no redirects, new connections for non-idempotent requests) and types its failures; fakes/ggsfakeengine has batch and adapter slots, streams that name their request, incarnations and faults. Ruled out: trusting a status alone for 'not run'; only the engine's own words or a connection that wrote nothing count.

--- /dev/null
+++ b/fakes/ggsfakeengine/adapters.go
@@ -0,0 +1,167 @@
+package ggsfakeengine
+
+import (
+	"context"
+	"net/http"
+	"sort"
+
+	ggscore "greengageslip/core"
+)
+
+// Preload makes an adapter resident at once, as if it had been loaded before.
+func (e *Engine) Preload(a ggscore.AdapterRef) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resident[a] = &adapter{gone: make(chan struct{})}
+	e.note()
+}
+
+// checkFence is called with the lock held.
+func (e *Engine) checkFence(f ggscore.FenceNumber) error {
+	if !e.options.ChecksFence {
+		return nil
+	}
+	if f < e.seen {
+		e.stats.Fenced++
+		return &refusal{
+			status: http.StatusConflict,
+			kind:   kindFenced,
+			detail: "an owner with a greater fencing number was here",
+			seen:   uint64(e.seen),
+		}
+	}
+	e.seen = f
+	return nil
+}
+
+// load makes an adapter resident. It goes on when the one who ordered it is
+// gone, until the incarnation ends.
+func (e *Engine) load(ctx context.Context, a ggscore.AdapterRef, f ggscore.FenceNumber) error {
+	ctx, leave := e.enter(context.WithoutCancel(ctx))
+	defer leave()
+	if err := e.gate(ctx); err != nil {
+		return err
+	}
+	l, mine, err := e.beginLoad(ctx, a, f)
+	if err != nil || l == nil {
+		return err
+	}
+	if mine {
+		return e.endLoad(ctx, a, l, e.fetch(ctx, a))
+	}
+	select {
+	case <-l.done:
+		return l.err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// beginLoad returns the load to wait for, nil if the adapter is resident, and
+// whether it is the caller's to do.
+func (e *Engine) beginLoad(
+	ctx context.Context, a ggscore.AdapterRef, f ggscore.FenceNumber,
+) (l *load, mine bool, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := context.Cause(ctx); err != nil {
+		return nil, false, err
+	}
+	if err := e.checkFence(f); err != nil {
+		return nil, false, err
+	}
+	if e.resident[a] != nil {
+		return nil, false, nil
+	}
+	if l := e.loading[a]; l != nil {
+		return l, false, nil
+	}
+	if len(e.resident)+len(e.loading) >= e.options.AdapterSlots {
+		return nil, false, &refusal{status: http.StatusConflict, kind: kindNoSlot, detail: "all adapter slots are taken"}
+	}
+	l = &load{done: make(chan struct{})}
+	e.loading[a] = l
+	e.note()
+	return l, true, nil
+}
+
+func (e *Engine) endLoad(ctx context.Context, a ggscore.AdapterRef, l *load, err error) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	defer close(l.done)
+	if cause := context.Cause(ctx); cause != nil {
+		l.err = cause
+		return cause
+	}
+	delete(e.loading, a)
+	if err == nil && e.faults.LoadFails > 0 {
+		e.faults.LoadFails--
+		err = &brokenError{reason: "load fails by order"}
+	}
+	if err != nil {
+		e.stats.LoadFailures++
+		e.note()
+		l.err = &refusal{status: http.StatusInternalServerError, kind: kindLoadFailed, detail: err.Error()}
+		return l.err
+	}
+	e.stats.Loads++
+	e.resident[a] = &adapter{gone: make(chan struct{})}
+	e.note()
+	return nil
+}
+
+func (e *Engine) fetch(ctx context.Context, a ggscore.AdapterRef) error {
+	if e.options.Weights != nil {
+		if err := e.options.Weights.Fetch(ctx, a); err != nil {
+			return err
+		}
+	}
+	return e.gate(ctx)
+}
+
+// loseOrder reports whether the answer to an order is to be lost.
+func (e *Engine) loseOrder() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.LoseOrderAnswers <= 0 {
+		return false
+	}
+	e.faults.LoseOrderAnswers--
+	return true
+}
+
+// unload evicts an adapter.
+func (e *Engine) unload(ctx context.Context, a ggscore.AdapterRef, f ggscore.FenceNumber) error {
+	ctx, leave := e.enter(context.WithoutCancel(ctx))
+	defer leave()
+	if err := e.gate(ctx); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.checkFence(f); err != nil {
+		return err
+	}
+	r := e.resident[a]
+	if r == nil {
+		return nil
+	}
+	if r.running > 0 && e.options.GuardsRunning {
+		return &refusal{status: http.StatusConflict, kind: kindInUse, detail: a.String() + " is in use"}
+	}
+	e.stats.BrokenByUnload += uint64(r.running)
+	e.stats.Unloads++
+	close(r.gone)
+	delete(e.resident, a)
+	e.note()
+	return nil
+}
+
+func sortedRefs[V any](m map[ggscore.AdapterRef]V) []ggscore.AdapterRef {
+	refs := make([]ggscore.AdapterRef, 0, len(m))
+	for a := range m {
+		refs = append(refs, a)
+	}
+	sort.Slice(refs, func(i, j int) bool { return refs[i].String() < refs[j].String() })
+	return refs
+}
--- /dev/null
+++ b/fakes/ggsfakeengine/completion.go
@@ -0,0 +1,158 @@
+package ggsfakeengine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+
+	ggscore "greengageslip/core"
+)
+
+// handleCompletion runs a request. Its id and priority come in headers.
+func (e *Engine) handleCompletion(g *gin.Context) {
+	var w completionWire
+	if !bind(g, &w) {
+		return
+	}
+	ref, err := ggscore.ParseAdapterRef(w.Model)
+	if err != nil {
+		fail(g, err)
+		return
+	}
+	ctx, leave := e.enter(g.Request.Context())
+	defer leave()
+	if e.refuses() {
+		fail(g, &refusal{status: http.StatusServiceUnavailable, kind: kindRefused, outcome: outcomeNotRun, detail: "refused by order"})
+		return
+	}
+	if err := e.gate(ctx); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	id := g.GetHeader(headerRequestID)
+	// A request without a priority counts as the most urgent.
+	priority, _ := strconv.Atoi(g.GetHeader(headerPriority))
+	r, err := e.start(ctx, id, ref, priority)
+	if err != nil {
+		e.failRun(g, err)
+		return
+	}
+	tokens := w.MaxTokens
+	if tokens <= 0 {
+		tokens = e.options.DefaultTokens
+	}
+	err = r.answer(ctx, g, tokens, w.Stream)
+	r.end(err)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// failRun answers a request that didn't start.
+func (e *Engine) failRun(g *gin.Context, err error) {
+	var refused *refusal
+	if !errors.As(err, &refused) {
+		panic(http.ErrAbortHandler)
+	}
+	fail(g, refused)
+}
+
+// refuses reports whether a request is to be refused by order.
+func (e *Engine) refuses() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Refuse <= 0 {
+		return false
+	}
+	e.faults.Refuse--
+	return true
+}
+
+// answer makes the tokens and writes the answer.
+func (r *run) answer(ctx context.Context, g *gin.Context, tokens int, stream bool) error {
+	g.Header(headerServed, r.ref.String())
+	if stream {
+		g.Header("Content-Type", "text/event-stream")
+	}
+	var text strings.Builder
+	if err := r.wait(ctx, r.engine.options.FirstToken); err != nil {
+		return err
+	}
+	for i := range tokens {
+		if i > 0 {
+			if err := r.wait(ctx, r.engine.interval()); err != nil {
+				return err
+			}
+		}
+		token := r.token(i)
+		if stream {
+			if err := r.event(g, token, i == tokens-1); err != nil {
+				return err
+			}
+		}
+		text.WriteString(token)
+		if err := r.cut(stream, i+1); err != nil {
+			return err
+		}
+	}
+	if !stream {
+		g.JSON(http.StatusOK, r.whole(text.String()))
+		return nil
+	}
+	_, err := g.Writer.WriteString("data: [DONE]\n\n")
+	return err
+}
+
+// cut ends a stream that a fault cuts after so many tokens.
+func (r *run) cut(stream bool, tokens int) error {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.Tokens++
+	if stream && e.faults.CutStreamAfter > 0 && tokens >= e.faults.CutStreamAfter {
+		return &brokenError{reason: "stream cut by order"}
+	}
+	return nil
+}
+
+// event writes one token of a stream.
+func (r *run) event(g *gin.Context, token string, last bool) error {
+	c := choiceWire{Delta: &deltaWire{Content: token}}
+	if last {
+		stop := finishStop
+		c.FinishReason = &stop
+	}
+	w := answerWire{ID: r.id, Object: "chat.completion.chunk", Model: r.ref.String(), Choices: []choiceWire{c}}
+	b, err := json.Marshal(w)
+	if err != nil {
+		return err
+	}
+	if _, err := g.Writer.WriteString("data: " + string(b) + "\n\n"); err != nil {
+		return err
+	}
+	g.Writer.Flush()
+	return nil
+}
+
+// token returns the text of a token, which tells whose answer it belongs to.
+func (r *run) token(i int) string {
+	return r.ref.String() + "/" + r.id + "/" + strconv.Itoa(i) + " "
+}
+
+// whole returns an answer that isn't streamed.
+func (r *run) whole(text string) answerWire {
+	stop := finishStop
+	c := choiceWire{Message: &deltaWire{Content: text}, FinishReason: &stop}
+	return answerWire{ID: r.id, Object: "chat.completion", Model: r.ref.String(), Choices: []choiceWire{c}}
+}
+
+const (
+	headerRequestID = "X-Request-Id"
+	headerPriority  = "X-Priority"
+	headerServed    = "X-Served-Model"
+	finishStop      = "stop"
+)
