--- a/cmd/ggsnode/hooks.go
+++ b/cmd/ggsnode/hooks.go
@@ -11,6 +11,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"go.uber.org/fx"
+
+	"greengageslip/io/ggsrpc"
 )
 
 const readHeaderTimeout = 10 * time.Second
@@ -79,3 +81,39 @@
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
 	return l, errors.Wrapf(err, "listening on %s", addr)
 }
+
+// serveRPC answers other processes from the process's start until its stop.
+func (h *host) serveRPC(addr netip.AddrPort, register func(context.Context, *ggsrpc.Server) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	h.Lifecycle.Append(fx.Hook{
+		OnStart: func(start context.Context) error {
+			s := ggsrpc.NewServer()
+			if err := register(ctx, s); err != nil {
+				return err
+			}
+			l, err := listen(start, addr)
+			if err != nil {
+				return err
+			}
+			go func() {
+				defer close(done)
+				if err := s.Serve(ctx, l); err != nil {
+					_ = level.Error(h.Log).Log("event", "partFailed", "part", "rpc", "err", err)
+					_ = h.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
+				}
+			}()
+			_ = level.Info(h.Log).Log("event", "listening", "part", "rpc", "addr", addr)
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			cancel()
+			select {
+			case <-done:
+				return nil
+			case <-stop.Done():
+				return stop.Err()
+			}
+		},
+	})
+}
--- a/core/schedule.go
+++ b/core/schedule.go
@@ -128,3 +128,15 @@
 	Sequence    uint64
 	Runners     []RunnerSummary
 }
+
+// String returns the mode's name in dumps.
+func (m OwnerMode) String() string {
+	switch m {
+	case ModeFull:
+		return "full"
+	case ModeResidentOnly:
+		return "residentOnly"
+	case ModeNone:
+	}
+	return "none"
+}
