--- /dev/null
+++ b/cmd/ggsnode/bench_test.go
@@ -0,0 +1,315 @@
+package ggsnode_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"greengageslip/cmd/ggsnode"
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsdocument"
+	"greengageslip/fakes/ggsfakeengine"
+	"greengageslip/fakes/ggsfakeplain"
+	"greengageslip/fakes/ggsfakeplatform"
+	"greengageslip/io/ggsconfig"
+	"greengageslip/io/ggsplatform"
+)
+
+const (
+	testDeadline = 20 * time.Second
+	platformPort = 7000
+	rpcPort      = 7100
+	callersPort  = 7200
+	statePort    = 7300
+	enginePort   = 8000
+	plainPort    = 8100
+)
+
+const (
+	servicesSection = `
+[[services]]
+name = "asistente"
+kind = "model"
+baseModel = "base-a"
+slots = 4
+adapterSlots = 2
+checksFence = true
+
+[[services]]
+name = "custodia"
+kind = "plain"
+slots = 4
+
+[[services.operations]]
+name = "release"
+method = "POST"
+path = "/release"
+nonIdempotent = true
+
+[[services.operations]]
+name = "balance"
+method = "POST"
+path = "/balance"
+`
+	policySection = `
+stallWeight = 0.8
+loadsPerSecond = 40.0
+loadsAtFullSpeed = 20
+loadsInTransit = 24
+loadTime = "250ms"
+crossRegionPrice = "50ms"
+crossRegionBytesPerSecond = 100000.0
+maxBodyBytes = 65536
+`
+	marketSection = `
+weight = 1
+
+[[adapters]]
+name = "deposits"
+baseModel = "base-a"
+versions = ["v1", "v2"]
+current = "v1"
+
+[[adapters]]
+name = "disputes"
+baseModel = "base-a"
+versions = ["v7"]
+current = "v7"
+
+[[uses]]
+service = "asistente"
+priority = "interactive"
+deadline = "10s"
+
+[[uses]]
+service = "custodia"
+priority = "urgent"
+deadline = "5s"
+`
+)
+
+// A bench is a small deployment in one process: stand-ins on loopback and the
+// entry processes' own code. Each has an IP number of its own, so that ports
+// never collide.
+type bench struct {
+	c        *qt.C
+	ctx      context.Context //nolint:containedctx // a test's own, for its helpers
+	ip       netip.Addr
+	platform *ggsfakeplatform.Platform
+	store    *ggsplatform.Client
+	vms      []ggscore.VM
+	engines  map[string]*ggsfakeengine.Engine
+	plains   map[string]*ggsfakeplain.Service
+	logs     *lockedBuffer
+}
+
+// A node is one running process of the bench.
+type node struct {
+	stop func() int
+	addr netip.AddrPort
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+var benches atomic.Int32 //nolint:gochecknoglobals // gives each bench an IP number
+
+func newBench(t *testing.T) *bench {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := os.Getpid()
+	b := &bench{
+		c: c, ctx: ctx,
+		ip:       netip.AddrFrom4([4]byte{127, byte(p), byte(p >> 8), byte(benches.Add(1) + 1)}),
+		platform: ggsfakeplatform.New(ggsfakeplatform.Options{Now: time.Now, MaxValueBytes: 1 << 20}),
+		engines:  map[string]*ggsfakeengine.Engine{},
+		plains:   map[string]*ggsfakeplain.Service{},
+		logs:     &lockedBuffer{},
+	}
+	c.Cleanup(func() {
+		cancel()
+		if t.Failed() {
+			t.Log(b.logs.String())
+		}
+	})
+	b.serve(platformPort, b.platform.Handler())
+	b.store = ggsplatform.NewClient(b.addr(platformPort))
+	return b
+}
+
+// apply changes a section of the document, and returns the revision.
+func (b *bench) apply(section ggscore.SectionName, text string) ggscore.Revision {
+	e := ggsconfig.NewEditor(b.store, ggsconfig.EditorOptions{})
+	s, err := e.Read(b.ctx)
+	b.c.Assert(err, qt.IsNil)
+	a, err := e.Apply(b.ctx, ggsconfig.Edit{
+		Section: section, Text: []byte(text), ReadAt: s.Head.Revision, By: "test",
+		ID: ggsdocument.ChangeID(uuid.NewString()),
+	})
+	b.c.Assert(err, qt.IsNil)
+	return a.Revision
+}
+
+// document applies the bench's usual document.
+func (b *bench) document() {
+	b.apply("services", servicesSection)
+	b.apply("policy", policySection)
+	b.apply("market/cr", marketSection)
+}
+
+// engine starts a model engine of a domain and lists it.
+func (b *bench) engine(id, domain string, change func(*ggsfakeengine.Options)) *ggsfakeengine.Engine {
+	o := ggsfakeengine.DefaultOptions()
+	o.ID, o.Slots, o.AdapterSlots, o.ChecksFence = ggscore.EndpointID(id), 4, 2, true
+	o.TokenInterval, o.FirstToken, o.DefaultTokens = time.Millisecond, time.Millisecond, 8
+	if change != nil {
+		change(&o)
+	}
+	e := ggsfakeengine.New(o)
+	b.c.Cleanup(e.Close)
+	port := uint16(enginePort + len(b.engines))
+	b.engines[id] = e
+	b.serve(port, e.Handler())
+	b.list(id, ggscore.RoleEndpoint, domain, port, "asistente")
+	return e
+}
+
+// plain starts a plain service of a domain and lists it.
+func (b *bench) plain(id, domain string) *ggsfakeplain.Service {
+	s := ggsfakeplain.New(ggsfakeplain.Options{ID: ggscore.EndpointID(id)})
+	port := uint16(plainPort + len(b.plains))
+	b.plains[id] = s
+	b.serve(port, s.Handler())
+	b.list(id, ggscore.RoleEndpoint, domain, port, "custodia")
+	return s
+}
+
+// dispatcher starts a dispatcher and lists it.
+func (b *bench) dispatcher(n int, domain string) *node {
+	vm := fmt.Sprintf("%s-%d", domain, n)
+	b.list(vm, ggscore.RoleEntry, domain, uint16(rpcPort+n), "")
+	return b.start(ggsnode.RunDispatcher, vm, domain, uint16(rpcPort+n), n)
+}
+
+// gateway starts a gateway.
+func (b *bench) gateway(n int, domain string) *node {
+	g := b.start(ggsnode.RunGateway, fmt.Sprintf("%s-%d", domain, n), domain, uint16(callersPort+n), n+20)
+	b.eventually("gateway is ready", func() bool {
+		status, _, _ := b.get("http://" + g.addr.String() + "/healthz")
+		return status == http.StatusOK
+	})
+	return g
+}
+
+func (b *bench) start(
+	run func(context.Context, []string, io.Writer, io.Writer) int, vm, domain string, port uint16, n int,
+) *node {
+	text := fmt.Sprintf("vm = %q\nregion = %q\ndomain = %q\nlisten = %q\nstateListen = %q\nplatform = %q\nlistInterval = \"100ms\"\ndrainTimeout = \"15s\"\n",
+		vm, "region-"+domain, domain, b.addr(port), b.addr(uint16(statePort+n)), b.addr(platformPort))
+	f := filepath.Join(b.c.TempDir(), vm+".toml")
+	b.c.Assert(os.WriteFile(f, []byte(text), 0o600), qt.IsNil)
+	ctx, cancel := context.WithCancel(b.ctx)
+	done := make(chan int, 1)
+	go func() { done <- run(ctx, []string{"--settings", f}, b.logs, b.logs) }()
+	stop := sync.OnceValue(func() int {
+		cancel()
+		return <-done
+	})
+	b.c.Cleanup(func() { stop() })
+	return &node{stop: stop, addr: b.addr(port)}
+}
+
+func (b *bench) addr(port uint16) netip.AddrPort { return netip.AddrPortFrom(b.ip, port) }
+
+// list adds a VM to the platform's list.
+func (b *bench) list(id string, r ggscore.VMRole, domain string, port uint16, service ggscore.Service) {
+	b.vms = append(b.vms, ggscore.VM{
+		ID: ggscore.VMID(id), Role: r, Region: ggscore.Region("region-" + domain),
+		Domain: ggscore.Domain(domain), Addr: b.addr(port), Service: service,
+	})
+	b.platform.SetVMs(append([]ggscore.VM(nil), b.vms...))
+}
+
+func (b *bench) serve(port uint16, h http.Handler) {
+	l, err := (&net.ListenConfig{}).Listen(b.ctx, "tcp", b.addr(port).String())
+	b.c.Assert(err, qt.IsNil)
+	s := &http.Server{Handler: h, ReadHeaderTimeout: testDeadline}
+	go func() { _ = s.Serve(l) }()
+	b.c.Cleanup(func() { _ = s.Close() })
+}
+
+// eventually waits for an event, up to the deadline of all tests.
+func (b *bench) eventually(what string, f func() bool) {
+	b.c.Helper()
+	ctx, cancel := context.WithTimeout(b.ctx, testDeadline)
+	defer cancel()
+	t := time.NewTicker(10 * time.Millisecond)
+	defer t.Stop()
+	for !f() {
+		select {
+		case <-ctx.Done():
+			b.c.Fatalf("waited in vain: %s", what)
+		case <-t.C:
+		}
+	}
+}
+
+func (b *bench) get(url string) (int, http.Header, string) {
+	r, err := http.NewRequestWithContext(b.ctx, http.MethodGet, url, http.NoBody)
+	b.c.Assert(err, qt.IsNil)
+	return b.do(r)
+}
+
+// post sends a request to a gateway. Headers are pairs.
+func (b *bench) post(g *node, path, body string, headers ...string) (int, http.Header, string) {
+	r, err := http.NewRequestWithContext(b.ctx, http.MethodPost, "http://"+g.addr.String()+path, strings.NewReader(body))
+	b.c.Assert(err, qt.IsNil)
+	r.Header.Set("X-Market", "cr")
+	r.Header.Set("X-Service", "asistente")
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return b.do(r)
+}
+
+func (b *bench) do(r *http.Request) (int, http.Header, string) {
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer func() { _ = a.Body.Close() }()
+	text, err := io.ReadAll(bufio.NewReader(a.Body))
+	if err != nil {
+		return a.StatusCode, a.Header, string(text) + "\n" + err.Error()
+	}
+	return a.StatusCode, a.Header, string(text)
+}
