--- a/io/ggsconfig/store_test.go
+++ b/io/ggsconfig/store_test.go
@@ -71,14 +71,11 @@
 	_ context.Context, k ggscore.Key, v []byte, prev ggscore.StoreRevision, _ ggscore.LeaseID,
 ) (ggscore.StoreRevision, error) {
 	isHead := k == "config/head"
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if before := s.beforePut; isHead && before != nil {
-		s.beforePut = nil
-		s.mu.Unlock()
+	if before := s.takeBeforePut(isHead); before != nil {
 		before()
-		s.mu.Lock()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.away {
 		return 0, &ggscore.StoreAwayError{Cause: &causeError{}}
 	}
@@ -184,6 +181,18 @@
 	s.wake()
 }
 
+// takeBeforePut returns what is to happen before this write of the head.
+func (s *faultyStore) takeBeforePut(head bool) func() {
+	if !head {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.beforePut
+	s.beforePut = nil
+	return f
+}
+
 // wake is called with the lock held.
 func (s *faultyStore) wake() {
 	close(s.changed)
