test: check that no change replaces one that its author had not read

Seen failing with each guard taken out: the look into the history, the mark of an ambiguous write, the section conflict, the check of the whole document, the refusal of lower heads.

--- a/io/ggsconfig/machine_test.go
+++ b/io/ggsconfig/machine_test.go
@@ -30,6 +30,7 @@
 	next      int
 	told      map[ggsdocument.ChangeID]verdict
 	revision  map[ggsdocument.ChangeID]ggscore.Revision
+	readAt    map[ggsdocument.ChangeID]ggscore.Revision
 	unknown   []ggsconfig.Edit
 }
 
@@ -45,6 +46,7 @@
 			store:    newFaultyStore(),
 			told:     map[ggsdocument.ChangeID]verdict{},
 			revision: map[ggsdocument.ChangeID]ggscore.Revision{},
+			readAt:   map[ggsdocument.ChangeID]ggscore.Revision{},
 		}
 		for range 3 {
 			m.followers = append(m.followers, ggsdocument.NewFollower(ggstoml.Codec{}))
@@ -73,6 +75,7 @@
 }
 
 func (m *machine) applyEdit(t *rapid.T, s ggsconfig.EditorStore, d ggsconfig.Edit) {
+	m.readAt[d.ID] = d.ReadAt
 	a, err := newEditor(s).Apply(context.Background(), d)
 	var unknown *ggsconfig.UnknownOutcomeError
 	switch {
@@ -142,12 +145,18 @@
 // check checks what operators were told against each head ever written.
 func (m *machine) check(t *rapid.T) {
 	made := map[ggsdocument.ChangeID]ggscore.Revision{}
+	changed := map[ggscore.SectionName]ggscore.Revision{}
 	for i, b := range m.store.heads {
 		h := m.decode(t, b)
 		if h.Revision != ggscore.Revision(i+1) {
 			t.Fatalf("head %d has revision %d", i+1, h.Revision)
 		}
-		id := h.Changes[len(h.Changes)-1].ID
+		last := h.Changes[len(h.Changes)-1]
+		id := last.ID
+		if changed[last.Section] > m.readAt[id] {
+			t.Fatalf("change %s, read at %d, replaced %s of revision %d", id, m.readAt[id], last.Section, changed[last.Section])
+		}
+		changed[last.Section] = h.Revision
 		if r, found := made[id]; found {
 			t.Fatalf("change %s made revisions %d and %d", id, r, h.Revision)
 		}
