feat: keep requests through the hand-over of a stopping dispatcher

Cause: a draining dispatcher gave its queue back as notRun while nobody owned its runners yet, so the gateway refused requests that a planned stop is not to cut off. Ruled out: a lost summary (the next owner's came 300 ms later). Change: the gateway looks for the next owner for up to 3 s of the request's budget; ended answers are acknowledged, so that draining doesn't wait for readers that are done.

--- a/cmd/ggsnode/bench_test.go
+++ b/cmd/ggsnode/bench_test.go
@@ -313,3 +313,20 @@
 	}
 	return a.StatusCode, a.Header, string(text)
 }
+
+// open starts a request and returns its answer's body to read from, and what
+// hangs up.
+func (b *bench) open(g *node, path, body string) (*bufio.Reader, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(b.ctx)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.addr.String()+path, strings.NewReader(body))
+	b.c.Assert(err, qt.IsNil)
+	r.Header.Set("X-Market", "cr")
+	r.Header.Set("X-Service", "asistente")
+	a, err := http.DefaultClient.Do(r)
+	b.c.Assert(err, qt.IsNil)
+	b.c.Cleanup(func() {
+		cancel()
+		_ = a.Body.Close()
+	})
+	return bufio.NewReader(a.Body), cancel
+}
--- a/cmd/ggsnode/system_test.go
+++ b/cmd/ggsnode/system_test.go
@@ -1,17 +1,64 @@
 package ggsnode_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakeengine"
+	"greengageslip/fakes/ggsfakeplain"
+	"greengageslip/fakes/ggsfakeplatform"
+)
+
+const (
+	chatPath    = "/v1/chat/completions"
+	releasePath = "/v1/services/custodia/release"
 )
 
-const chatPath = "/v1/chat/completions"
+func chat(model string) string { return chatOf(model, 8) }
+
+func chatOf(model string, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hola"}]}`, model, tokens)
+}
+
+// A failureBody is the body of a refusal.
+type failureBody struct {
+	Error struct {
+		Type      string `json:"type"`
+		Outcome   string `json:"outcome"`
+		RequestID string `json:"requestId"`
+	} `json:"error"`
+}
 
-func chat(model string) string {
-	return `{"model":"` + model + `","stream":true,"messages":[{"role":"user","content":"hola"}]}`
+func failureOf(c *qt.C, text string) failureBody {
+	var f failureBody
+	c.Assert(json.Unmarshal([]byte(text), &f), qt.IsNil, qt.Commentf("%s", text))
+	return f
+}
+
+// checkWhole checks that a streamed answer is whole, in order, and the
+// caller's own.
+func checkWhole(c *qt.C, h http.Header, text, adapter string, tokens int) {
+	c.Assert(h.Get("X-Served-Model"), qt.Equals, adapter, qt.Commentf("%s", text))
+	id := h.Get("X-Request-Id")
+	c.Assert(id, qt.Not(qt.Equals), "")
+	at := 0
+	for i := range tokens {
+		want := fmt.Sprintf("%s/%s/%d ", adapter, id, i)
+		n := strings.Index(text[at:], want)
+		c.Assert(n >= 0, qt.IsTrue, qt.Commentf("no token %q in %s", want, text))
+		at += n + len(want)
+	}
+	c.Assert(strings.Count(text, "chat.completion.chunk"), qt.Equals, tokens, qt.Commentf("%s", text))
+	c.Assert(strings.HasSuffix(text, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", text))
 }
 
 func TestStreamedAnswer(t *testing.T) {
@@ -25,8 +72,341 @@
 	for model, want := range map[string]string{"deposits": "deposits@v1", "deposits@v2": "deposits@v2", "disputes@v7": "disputes@v7"} {
 		status, h, text := b.post(g, chatPath, chat(model))
 		c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
-		c.Assert(h.Get("X-Served-Model"), qt.Equals, want)
-		c.Assert(strings.HasSuffix(text, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", text))
-		c.Assert(strings.Count(text, want), qt.Not(qt.Equals), 0)
+		checkWhole(c, h, text, want, 8)
+	}
+}
+
+// Callers got each other's answers: two requests in progress at once shared a
+// connection between gateway and dispatcher, and the pieces of one were passed
+// to the other.
+func TestManyCallersGetTheirOwnWholeAnswers(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	b.engine("runner-1", "a", nil)
+	b.engine("runner-2", "a", nil)
+	b.document()
+	b.dispatcher(1, "a")
+	gateways := []*node{b.gateway(1, "a"), b.gateway(2, "a")}
+	models := []string{"deposits@v1", "deposits@v2", "disputes@v7"}
+	var w sync.WaitGroup
+	for i := range 60 {
+		w.Go(func() {
+			m := models[i%len(models)]
+			status, h, text := b.post(gateways[i%2], chatPath, chatOf(m, 5+i%7))
+			c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+			if status == http.StatusOK {
+				checkWhole(c, h, text, m, 5+i%7)
+			}
+		})
+	}
+	w.Wait()
+}
+
+// An operator made v2 the current version and it was accepted, but requests
+// went on getting v1.
+func TestVersionChangeComesIntoForce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	b.engine("runner-1", "a", nil)
+	b.document()
+	b.dispatcher(1, "a")
+	b.dispatcher(2, "a")
+	g := b.gateway(1, "a")
+	_, h, _ := b.post(g, chatPath, chat("deposits"))
+	c.Assert(h.Get("X-Served-Model"), qt.Equals, "deposits@v1")
+	b.apply("market/cr", strings.Replace(marketSection, `current = "v1"`, `current = "v2"`, 1))
+	accepted := time.Now()
+	b.eventually("v2 is in force", func() bool {
+		_, h, _ := b.post(g, chatPath, chat("deposits"))
+		return h.Get("X-Served-Model") == "deposits@v2"
+	})
+	c.Check(time.Since(accepted) < 3*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(accepted)))
+	_, h, _ = b.post(g, chatPath, chat("deposits@v1"))
+	c.Assert(h.Get("X-Served-Model"), qt.Equals, "deposits@v1")
+}
+
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	b.engine("runner-1", "a", nil)
+	b.plain("ledger-1", "a")
+	b.document()
+	b.apply("market/small", strings.Replace(marketSection, "weight = 1", "weight = 1\nrequestsPerSecond = 0.001\nburst = 1", 1))
+	b.dispatcher(1, "a")
+	g := b.gateway(1, "a")
+	status, _, _ := b.post(g, chatPath, chat("deposits"), "X-Market", "small")
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	for name, tc := range map[string]struct {
+		path    string
+		body    string
+		headers []string
+		status  int
+		kind    string
+		retry   bool
+	}{
+		"unknown adapter":   {chatPath, chat("nobody"), nil, 404, "unknownAdapter", false},
+		"unknown version":   {chatPath, chat("deposits@v9"), nil, 404, "unknownAdapter", false},
+		"unknown market":    {chatPath, chat("deposits"), []string{"X-Market", "mars"}, 404, "unknownMarket", false},
+		"unknown service":   {chatPath, chat("deposits"), []string{"X-Service", "none"}, 404, "unknownService", false},
+		"unknown operation": {"/v1/services/custodia/none", "{}", nil, 404, "unknownService", false},
+		"unknown path":      {"/v2", "{}", nil, 404, "unknownService", false},
+		"malformed body":    {chatPath, "{", nil, 400, "badRequest", false},
+		"no model":          {chatPath, "{}", nil, 400, "badRequest", false},
+		"too large":         {chatPath, `{"model":"` + strings.Repeat("x", 70000) + `"}`, nil, 413, "tooLarge", false},
+		"over the limit":    {chatPath, chat("deposits"), []string{"X-Market", "small"}, 429, "overLimit", true},
+		"key needed":        {releasePath, "{}", nil, 400, "badRequest", false},
+		"key without time":  {releasePath, "{}", []string{"Idempotency-Key", "abc"}, 400, "badRequest", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			status, h, text := b.post(g, tc.path, tc.body, tc.headers...)
+			c.Assert(status, qt.Equals, tc.status, qt.Commentf("%s", text))
+			f := failureOf(c, text)
+			c.Assert(f.Error.Type, qt.Equals, tc.kind)
+			c.Assert(f.Error.Outcome, qt.Equals, "notRun")
+			c.Assert(f.Error.RequestID, qt.Not(qt.Equals), "")
+			c.Assert(h.Get("Retry-After") != "", qt.Equals, tc.retry)
+		})
+	}
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+func runsOf(s *ggsfakeplain.Service, key string) int {
+	n := 0
+	for r, k := range s.Runs() {
+		if r.Key == key {
+			n += k
+		}
+	}
+	return n
+}
+
+// A landlord was paid twice: the property manager's client repeated a deposit
+// release over another gateway while the first was in progress.
+func TestNonIdempotentCallRunsOnceOverAllGateways(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	ledgers := []*ggsfakeplain.Service{b.plain("ledger-1", "a"), b.plain("ledger-2", "b")}
+	b.document()
+	b.dispatcher(1, "a")
+	b.dispatcher(2, "b")
+	gateways := []*node{b.gateway(1, "a"), b.gateway(2, "b")}
+	key := newKey()
+	var w sync.WaitGroup
+	for i := range 8 {
+		w.Go(func() {
+			status, _, text := b.post(gateways[i%2], releasePath, `{"deposit":1}`, "Idempotency-Key", key)
+			c.Check(status == http.StatusOK || status == http.StatusConflict, qt.IsTrue, qt.Commentf("%d %s", status, text))
+		})
+	}
+	w.Wait()
+	c.Assert(runsOf(ledgers[0], key)+runsOf(ledgers[1], key), qt.Equals, 1)
+
+	// Once recorded, the outcome is replayed at either gateway.
+	for _, g := range gateways {
+		b.eventually("the outcome is replayed", func() bool {
+			status, _, _ := b.post(g, releasePath, `{"deposit":1}`, "Idempotency-Key", key)
+			return status == http.StatusOK
+		})
+	}
+	c.Assert(runsOf(ledgers[0], key)+runsOf(ledgers[1], key), qt.Equals, 1)
+	status, _, text := b.post(gateways[0], releasePath, `{"deposit":2}`, "Idempotency-Key", key)
+	c.Assert(status, qt.Equals, http.StatusUnprocessableEntity)
+	c.Assert(failureOf(c, text).Error.Type, qt.Equals, "keyReused")
+}
+
+// A landlord was paid twice: the ledger ran a release and its answer was lost.
+// The caller was told that it had not run, and repeated it.
+func TestLostAnswerIsUnknownAndNeverRunsAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	ledger := b.plain("ledger-1", "a")
+	b.document()
+	b.dispatcher(1, "a")
+	g := b.gateway(1, "a")
+	ledger.SetFaults(ggsfakeplain.Faults{LoseAnswers: 1})
+	key := newKey()
+	status, _, text := b.post(g, releasePath, `{"deposit":1}`, "Idempotency-Key", key)
+	c.Assert(status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s", text))
+	c.Assert(failureOf(c, text).Error.Outcome, qt.Equals, "unknown")
+	for range 3 {
+		status, _, text = b.post(g, releasePath, `{"deposit":1}`, "Idempotency-Key", key)
+		c.Assert(status, qt.Equals, http.StatusConflict, qt.Commentf("%s", text))
+		c.Assert(failureOf(c, text).Error.Outcome, qt.Equals, "unknown")
+	}
+	c.Assert(runsOf(ledger, key), qt.Equals, 1)
+}
+
+// A ledger that refused a release without running it was asked again under the
+// same claim, and the caller got the answer of the one run.
+func TestRefusedCallIsSentAgainUnderItsClaim(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	ledger := b.plain("ledger-1", "a")
+	b.document()
+	b.dispatcher(1, "a")
+	g := b.gateway(1, "a")
+	ledger.SetFaults(ggsfakeplain.Faults{Refuse: 1})
+	key := newKey()
+	b.eventually("the call is answered", func() bool {
+		status, _, text := b.post(g, releasePath, `{"deposit":1}`, "Idempotency-Key", key)
+		if status != http.StatusOK {
+			c.Check(failureOf(c, text).Error.Outcome, qt.Equals, "notRun", qt.Commentf("%s", text))
+		}
+		return status == http.StatusOK
+	})
+	c.Assert(runsOf(ledger, key), qt.Equals, 1)
+}
+
+// The platform's service was away, a release could not be claimed, and it ran
+// all the same; or lookups, which need no claim, were refused with it.
+func TestPlatformAwayRefusesOnlyWhatNeedsIt(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	ledger := b.plain("ledger-1", "a")
+	b.engine("runner-1", "a", nil)
+	b.document()
+	b.dispatcher(1, "a")
+	g := b.gateway(1, "a")
+	status, _, text := b.post(g, chatPath, chat("deposits"))
+	c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	b.platform.SetFaults(ggsfakeplatform.Faults{Outage: true})
+	key := newKey()
+	began := time.Now()
+	status, h, text := b.post(g, releasePath, `{"deposit":1}`, "Idempotency-Key", key)
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", text))
+	c.Assert(failureOf(c, text).Error.Outcome, qt.Equals, "notRun")
+	c.Assert(h.Get("Retry-After"), qt.Not(qt.Equals), "")
+	c.Assert(time.Since(began) < 3*time.Second, qt.IsTrue)
+	c.Assert(runsOf(ledger, key), qt.Equals, 0)
+	status, h, text = b.post(g, chatPath, chat("deposits"))
+	c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	checkWhole(c, h, text, "deposits@v1", 8)
+	status, _, text = b.post(g, "/v1/services/custodia/balance", "{}")
+	c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+
+	b.platform.SetFaults(ggsfakeplatform.Faults{})
+	b.eventually("the release runs", func() bool {
+		status, _, _ := b.post(g, releasePath, `{"deposit":1}`, "Idempotency-Key", key)
+		return status == http.StatusOK
+	})
+	c.Assert(runsOf(ledger, key), qt.Equals, 1)
+}
+
+// A summary stopped in the middle of a sentence and looked complete: the
+// engine's connection broke and the answer was ended as if it were whole.
+func TestCutStreamEndsInAnErrorEvent(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", nil)
+	b.document()
+	b.dispatcher(1, "a")
+	g := b.gateway(1, "a")
+	status, _, text := b.post(g, chatPath, chat("deposits"))
+	c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	e.SetFaults(ggsfakeengine.Faults{CutStreamAfter: 3})
+	status, _, text = b.post(g, chatPath, chat("deposits"))
+	c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	at := strings.Index(text, "event: error\ndata: ")
+	c.Assert(at > 0, qt.IsTrue, qt.Commentf("%s", text))
+	c.Assert(strings.Contains(text, "[DONE]"), qt.IsFalse)
+	f := failureOf(c, strings.TrimPrefix(text[at:], "event: error\ndata: "))
+	c.Assert(f.Error.Outcome, qt.Equals, "unknown")
+}
+
+// A cold start: an engine restarted with nothing loaded while its owner
+// believed its adapters resident. Requests were refused as long as it did.
+func TestColdStartIsServed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", nil)
+	b.document()
+	b.dispatcher(1, "a")
+	g := b.gateway(1, "a")
+	for range 3 {
+		status, h, text := b.post(g, chatPath, chat("deposits"))
+		c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+		checkWhole(c, h, text, "deposits@v1", 8)
+		e.Restart()
+	}
+}
+
+// A caller hung up during a long answer, and its slot was used to the end of
+// the answer that nobody read.
+func TestCancelledCallerFreesItsSlot(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", func(o *ggsfakeengine.Options) {
+		o.TokenInterval = 5 * time.Millisecond
+	})
+	b.document()
+	b.dispatcher(1, "a")
+	g := b.gateway(1, "a")
+	r, cancel := b.open(g, chatPath, chatOf("deposits", 100000))
+	_, err := r.ReadString('\n')
+	c.Assert(err, qt.IsNil)
+	cancel()
+	b.eventually("the run is cancelled", func() bool { return e.Stats().Cancelled == 1 })
+}
+
+// A planned stop of a dispatcher cut off the answers that it was relaying, and
+// requests that waited in its queue were lost.
+func TestDispatcherDrains(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	b.engine("runner-1", "a", func(o *ggsfakeengine.Options) { o.TokenInterval = 10 * time.Millisecond })
+	b.document()
+	nodes := []*node{b.dispatcher(1, "a"), b.dispatcher(2, "a")}
+	g := b.gateway(1, "a")
+	var w sync.WaitGroup
+	for range 8 {
+		w.Go(func() {
+			status, h, text := b.post(g, chatPath, chatOf("deposits@v1", 100))
+			c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+			if status == http.StatusOK {
+				checkWhole(c, h, text, "deposits@v1", 100)
+			}
+		})
 	}
+	b.eventually("all slots are in use", func() bool {
+		return b.engines["runner-1"].Stats().Started >= 4
+	})
+	b.vms[1].State = ggscore.VMLeaving
+	b.platform.SetVMs(append([]ggscore.VM(nil), b.vms...))
+	c.Assert(nodes[0].stop(), qt.Equals, 0)
+	w.Wait()
+	status, _, text := b.post(g, chatPath, chat("deposits"))
+	c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	c.Assert(b.engines["runner-1"].Stats().BrokenByUnload, qt.Equals, uint64(0))
+}
+
+// A planned stop of a gateway cut off the answers of its callers.
+func TestGatewayDrains(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", func(o *ggsfakeengine.Options) { o.TokenInterval = 5 * time.Millisecond })
+	b.document()
+	b.dispatcher(1, "a")
+	g := b.gateway(1, "a")
+	var w sync.WaitGroup
+	w.Go(func() {
+		status, h, text := b.post(g, chatPath, chatOf("deposits@v1", 100))
+		c.Check(status, qt.Equals, http.StatusOK)
+		checkWhole(c, h, text, "deposits@v1", 100)
+	})
+	b.eventually("the request runs", func() bool { return e.Stats().Started == 1 })
+	c.Assert(g.stop(), qt.Equals, 0)
+	w.Wait()
 }
--- a/io/ggsdispatch/dispatcher.go
+++ b/io/ggsdispatch/dispatcher.go
@@ -116,8 +116,7 @@
 	d.draining = true
 	for _, j := range d.jobs {
 		if j.state == jobQueued {
-			d.apply(d.parts.Scheduler.Cancel(d.parts.Clock(), j.request.ID))
-			d.endJob(j, ggscore.OutcomeNotRun, stopping())
+			d.takeBack(d.parts.Clock(), j, stopping())
 		}
 	}
 	d.touch()
--- a/io/ggsdispatch/job.go
+++ b/io/ggsdispatch/job.go
@@ -92,8 +92,7 @@
 	j.abandoned = true
 	switch j.state {
 	case jobQueued:
-		d.apply(d.parts.Scheduler.Cancel(now, id))
-		d.endJob(j, ggscore.OutcomeNotRun, withdrawn())
+		d.takeBack(now, j, withdrawn())
 	case jobRunning:
 		if !j.request.NonIdempotent && j.cancel != nil {
 			j.cancel()
@@ -168,13 +167,19 @@
 	j.abandoned = true
 	switch {
 	case j.state == jobQueued:
-		d.apply(d.parts.Scheduler.Cancel(now, j.request.ID))
-		d.endJob(j, ggscore.OutcomeNotRun, withdrawn())
+		d.takeBack(now, j, withdrawn())
 	case !j.request.NonIdempotent && j.cancel != nil:
 		j.cancel()
 	}
 }
 
+// takeBack needs d.mu. It ends a queued request with a failure of our own; the
+// scheduler's refusal, which follows, finds it ended.
+func (d *Dispatcher) takeBack(now time.Time, j *job, f *ggscore.Failure) {
+	d.endJob(j, ggscore.OutcomeNotRun, f)
+	d.apply(d.parts.Scheduler.Cancel(now, j.request.ID))
+}
+
 func (j *job) abandonedAt(now time.Time, timeout time.Duration) bool {
 	read, _ := j.stream.idleSince()
 	return now.Sub(read) > timeout
--- a/io/ggsdispatch/run.go
+++ b/io/ggsdispatch/run.go
@@ -225,8 +225,7 @@
 	}
 	d.apply(d.parts.Scheduler.RequestEnded(d.parts.Clock(), o.Request.ID, e))
 	if j != nil && j.abandoned && j.state == jobQueued && j.claim == "" {
-		d.apply(d.parts.Scheduler.Cancel(d.parts.Clock(), o.Request.ID))
-		d.endJob(j, ggscore.OutcomeNotRun, withdrawn())
+		d.takeBack(d.parts.Clock(), j, withdrawn())
 	}
 }
 
--- a/io/ggsgateway/gateway.go
+++ b/io/ggsgateway/gateway.go
@@ -20,6 +20,7 @@
 	defaultMaxAttempts   = 3
 	defaultSubmitTimeout = 2 * time.Second
 	defaultResumeTimeout = 5 * time.Second
+	defaultHandOver      = 3 * time.Second
 )
 
 // Options sets a Gateway's limits. Zero values mean the defaults.
@@ -40,6 +41,9 @@
 	SubmitTimeout time.Duration
 	// ResumeTimeout is how long a broken relay tries to go on.
 	ResumeTimeout time.Duration
+	// HandOverTimeout is how long a request waits for the next owner of the
+	// runners whose dispatcher stopped.
+	HandOverTimeout time.Duration
 }
 
 // A Caller calls other processes.
@@ -93,6 +97,9 @@
 	if o.ResumeTimeout == 0 {
 		o.ResumeTimeout = defaultResumeTimeout
 	}
+	if o.HandOverTimeout == 0 {
+		o.HandOverTimeout = defaultHandOver
+	}
 	return &Gateway{
 		options: o,
 		parts:   p,
--- a/io/ggsgateway/send.go
+++ b/io/ggsgateway/send.go
@@ -15,11 +15,13 @@
 )
 
 const (
-	nextWait        = 5 * time.Second
-	nextMargin      = 2 * time.Second
-	resumeInterval  = 50 * time.Millisecond
-	withdrawTimeout = 2 * time.Second
-	awayRetryAfter  = time.Second
+	nextWait       = 5 * time.Second
+	nextMargin     = 2 * time.Second
+	resumeInterval = 50 * time.Millisecond
+	// handOverInterval is the time between two looks for the next owner.
+	handOverInterval = 25 * time.Millisecond
+	withdrawTimeout  = 2 * time.Second
+	awayRetryAfter   = time.Second
 )
 
 // An attempt is one offer of a request to one dispatcher.
@@ -37,11 +39,8 @@
 		tried []ggscore.VMID
 		last  *ggscore.Failure
 	)
-	for range g.options.MaxAttempts {
-		t, f := g.route(r, a, tried)
-		if f != nil && last != nil {
-			return last
-		}
+	for n := 0; n < g.options.MaxAttempts; n++ {
+		t, f := g.routeOn(ctx, r, a, tried, last)
 		if f != nil {
 			return f
 		}
@@ -56,6 +55,33 @@
 	return last
 }
 
+// routeOn routes a request, or says why it can't be sent on.
+//
+// A dispatcher that stops hands its queue back while the next owner of its
+// runners is only taking over, so that for a moment nobody owns them. Refusing
+// then would cut off requests in progress by a planned stop; the route is
+// looked for again until the next owner is there.
+func (g *Gateway) routeOn(
+	ctx context.Context, r *ggscore.Request, a *answer, tried []ggscore.VMID, last *ggscore.Failure,
+) (*attempt, *ggscore.Failure) {
+	t, f := g.route(r, a, tried)
+	if f == nil || last == nil {
+		return t, f
+	}
+	if last.Kind != ggscore.FailureStopping && last.Kind != ggscore.FailureNotOwner {
+		return nil, last
+	}
+	until := g.parts.Clock().Add(min(g.options.HandOverTimeout, g.left(r)))
+	for f != nil && ctx.Err() == nil && g.parts.Clock().Before(until) {
+		g.pause(ctx, handOverInterval)
+		t, f = g.route(r, a, nil)
+	}
+	if f != nil {
+		return nil, last
+	}
+	return t, nil
+}
+
 // retryable reports whether another dispatcher may do better.
 func retryable(f *ggscore.Failure) bool {
 	if f.Outcome != ggscore.OutcomeNotRun {
@@ -99,11 +125,9 @@
 		return f
 	}
 	f := g.relay(ctx, t)
-	if f == nil || f.Outcome != ggscore.OutcomeNotRun {
-		// The dispatcher forgets a request that is read to its end, and stops
-		// one whose caller has gone.
-		g.withdrawLater(ctx, t)
-	}
+	// The dispatcher stops waiting for a request that is read to its end, and
+	// stops one whose caller has gone.
+	g.withdrawLater(ctx, t)
 	return f
 }
 
