--- a/io/ggsplatform/doc.go
+++ b/io/ggsplatform/doc.go
@@ -5,7 +5,7 @@
 //
 //	c := ggsplatform.NewClient(netip.MustParseAddrPort("127.0.0.1:7100"))
 //	defer c.Close()
-//	s := ggsplatform.NewMetered(c, "platform")
+//	s := ggsplatform.NewMetered(c, expvar.NewMap("platform"))
 //	rev, err := s.Put(ctx, "section/market/cr", text, prev, 0)
 //
 // A call is made once: the client retries nothing, since only its caller knows
