--- a/io/ggstoml/errors.go
+++ b/io/ggstoml/errors.go
@@ -45,6 +45,19 @@
 // Error implements error.
 func (e *UnknownKeyError) Error() string { return "unknown key" }
 
+// A NotAValueError says that a key is a table, which can't be set.
+type NotAValueError struct{}
+
+// Error implements error.
+func (e *NotAValueError) Error() string { return "is a table, not a value" }
+
+// A NoSuchTableError says that the table which a key is to be set in isn't
+// there.
+type NoSuchTableError struct{}
+
+// Error implements error.
+func (e *NoSuchTableError) Error() string { return "no such table" }
+
 // A BadDurationError says that a text is no duration.
 type BadDurationError struct{ Text string }
 
--- a/io/ggstoml/locate.go
+++ b/io/ggstoml/locate.go
@@ -1,16 +1,20 @@
 package ggstoml
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// A located line is a key's line in a TOML text.
+// A located is a key or table in a TOML text.
 type located struct {
 	path string
 	line int
+	// start and end are the offsets of a key's value; end is zero for tables.
+	start int
+	end   int
 }
 
 // A locator walks a text and collects the paths of its keys. Elements of
@@ -29,19 +33,24 @@
 // Where the key isn't set, it returns the line of the table that lacks it,
 // and zero where that is missing as well.
 func Locate(text []byte, key string) int {
-	l := locator{indexes: map[string]int{}, names: map[string]string{}}
-	l.parser.Reset(text)
-	for l.parser.NextExpression() {
-		l.expression(l.parser.Expression())
-	}
+	l := newLocator(text)
 	for want := key; want != ""; want = parentOf(want) {
-		if line := l.lineOf(want); line > 0 {
-			return line
+		if f, found := l.find(want); found {
+			return f.line
 		}
 	}
 	return 0
 }
 
+func newLocator(text []byte) *locator {
+	l := &locator{indexes: map[string]int{}, names: map[string]string{}}
+	l.parser.Reset(text)
+	for l.parser.NextExpression() {
+		l.expression(l.parser.Expression())
+	}
+	return l
+}
+
 // expression collects one line's key or table.
 func (l *locator) expression(n *unstable.Node) {
 	switch n.Kind {
@@ -57,6 +66,8 @@
 	case unstable.KeyValue:
 		p := join(l.table, l.relative(n))
 		l.add(p, n)
+		f := &l.found[len(l.found)-1]
+		f.start, f.end = l.valueOf(n)
 		if n.Value().Kind == unstable.String {
 			l.name(p, string(n.Value().Data))
 		}
@@ -86,14 +97,14 @@
 	l.found = append(l.found, located{path: path, line: line})
 }
 
-// lineOf returns the line of a path, zero if there is none.
-func (l *locator) lineOf(want string) int {
+// find returns what stands at a path.
+func (l *locator) find(want string) (located, bool) {
 	for _, f := range l.found {
 		if f.path == want || l.named(f.path) == want {
-			return f.line
+			return f, true
 		}
 	}
-	return 0
+	return located{}, false
 }
 
 // name notes the name of the element that a path stands in.
@@ -134,6 +145,45 @@
 	return p
 }
 
+// valueOf returns the offsets of a key's value.
+func (l *locator) valueOf(n *unstable.Node) (start, end int) {
+	text := l.parser.Data()
+	for k := n.Key(); k.Next(); {
+		start = endOfRaw(k.Node())
+	}
+	start += bytes.IndexByte(text[start:], '=') + 1
+	for text[start] == ' ' || text[start] == '\t' {
+		start++
+	}
+	return start, l.endOf(n.Value(), start)
+}
+
+// endOf returns the offset after a value that begins at an offset or later.
+// Arrays and inline tables have no range of their own.
+func (l *locator) endOf(v *unstable.Node, from int) int {
+	if v.Kind != unstable.Array && v.Kind != unstable.InlineTable {
+		return endOfRaw(v)
+	}
+	opening, closing := byte('['), byte(']')
+	if v.Kind == unstable.InlineTable {
+		opening, closing = '{', '}'
+	}
+	text := l.parser.Data()
+	end := from + bytes.IndexByte(text[from:], opening) + 1
+	for i := v.Children(); i.Next(); {
+		switch c := i.Node(); c.Kind {
+		case unstable.Comment:
+		case unstable.KeyValue:
+			end = l.endOf(c.Value(), end)
+		default:
+			end = l.endOf(c, end)
+		}
+	}
+	return end + bytes.IndexByte(text[end:], closing) + 1
+}
+
+func endOfRaw(n *unstable.Node) int { return int(n.Raw.Offset + n.Raw.Length) }
+
 func join(table, key string) string {
 	if table == "" {
 		return key
