--- a/cmd/ggsnode/bench_test.go
+++ b/cmd/ggsnode/bench_test.go
@@ -120,8 +120,9 @@
 
 // A node is one running process of the bench.
 type node struct {
-	stop func() int
-	addr netip.AddrPort
+	stop  func() int
+	addr  netip.AddrPort
+	state netip.AddrPort
 }
 
 type lockedBuffer struct {
@@ -225,11 +226,23 @@
 	g := b.start(ggsnode.RunGateway, fmt.Sprintf("%s-%d", domain, n), domain, uint16(callersPort+n), n+20)
 	b.eventually("gateway is ready", func() bool {
 		status, _, _ := b.get("http://" + g.addr.String() + "/healthz")
-		return status == http.StatusOK
+		return status == http.StatusOK && b.routed(g)
 	})
 	return g
 }
 
+// routed reports whether a gateway sees an owner for every listed endpoint.
+func (b *bench) routed(g *node) bool {
+	_, _, text := b.get("http://" + g.state.String() + "/state")
+	for _, v := range b.vms {
+		if v.Role == ggscore.RoleEndpoint && !strings.Contains(strings.Join(strings.Fields(text), ""),
+			fmt.Sprintf(`{"id":%q,"service":%q,"mode":"full"}`, v.ID, v.Service)) {
+			return false
+		}
+	}
+	return true
+}
+
 func (b *bench) start(
 	run func(context.Context, []string, io.Writer, io.Writer) int, vm, domain string, port uint16, n int,
 ) *node {
@@ -245,7 +258,7 @@
 		return <-done
 	})
 	b.c.Cleanup(func() { stop() })
-	return &node{stop: stop, addr: b.addr(port)}
+	return &node{stop: stop, addr: b.addr(port), state: b.addr(uint16(statePort + n))}
 }
 
 func (b *bench) addr(port uint16) netip.AddrPort { return netip.AddrPortFrom(b.ip, port) }
--- a/io/ggsgateway/gateway.go
+++ b/io/ggsgateway/gateway.go
@@ -78,11 +78,17 @@
 	router   *ggsroute.Router
 	limiter  *ggslimit.Limiter
 	revision ggscore.Revision
-	addrs    map[ggscore.VMID]netip.AddrPort
+	peers    map[ggscore.VMID]peer
 	listed   []ggscore.VM
 	changed  chan struct{}
 }
 
+// A peer is a dispatcher that answers.
+type peer struct {
+	addr    netip.AddrPort
+	summary ggscore.DispatcherSummary
+}
+
 // New returns a Gateway that knows its seeds only.
 func New(o Options, p Parts) *Gateway {
 	if o.MaxInFlight == 0 {
@@ -105,7 +111,7 @@
 		parts:   p,
 		router:  ggsroute.New(ggsroute.Options{Region: o.Region, Seed: o.Seed}),
 		limiter: ggslimit.New(ggslimit.Options{MaxInFlight: o.MaxInFlight}),
-		addrs:   make(map[ggscore.VMID]netip.AddrPort),
+		peers:   make(map[ggscore.VMID]peer),
 		changed: make(chan struct{}, 1),
 	}
 }
--- a/io/ggsgateway/peers.go
+++ b/io/ggsgateway/peers.go
@@ -85,7 +85,7 @@
 			_ = level.Info(g.parts.Log).Log("event", "dispatcherFound", "vm", vm, "addr", addr)
 		}
 		g.mu.Lock()
-		g.addrs[s.VM] = addr
+		g.peers[s.VM] = peer{addr: addr, summary: s}
 		g.router.Update(g.parts.Clock(), &s)
 		g.mu.Unlock()
 		g.pause(ctx, summaryMinimum)
@@ -94,6 +94,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.router.Remove(g.parts.Clock(), vm)
+		delete(g.peers, vm)
 	}
 }
 
--- a/io/ggsgateway/send.go
+++ b/io/ggsgateway/send.go
@@ -32,27 +32,55 @@
 	addr    netip.AddrPort
 }
 
+// A trail is what became of the offers of one request so far.
+type trail struct {
+	// tried are not asked again, unless all have been; stopped are never.
+	tried   []ggscore.VMID
+	stopped []ggscore.VMID
+	last    *ggscore.Failure
+	// since is when the first offer came back for a hand-over.
+	since time.Time
+}
+
+// handOver reports whether the last offer failed only because the runners
+// change their owner.
+func (t *trail) handOver() bool {
+	return t.last != nil && (t.last.Kind == ggscore.FailureStopping || t.last.Kind == ggscore.FailureNotOwner)
+}
+
+// note adds an offer that failed.
+func (t *trail) note(now time.Time, vm ggscore.VMID, f *ggscore.Failure) {
+	t.last = f
+	t.tried = append(t.tried, vm)
+	if f.Kind == ggscore.FailureStopping {
+		t.stopped = append(t.stopped, vm)
+	}
+	if t.handOver() && t.since.IsZero() {
+		t.since = now
+	}
+}
+
 // send offers a request to one dispatcher after the other until one answers.
 // Only a request that is proved not to have run is offered again.
 func (g *Gateway) send(ctx context.Context, r *ggscore.Request, a *answer) *ggscore.Failure {
-	var (
-		tried []ggscore.VMID
-		last  *ggscore.Failure
-	)
-	for n := 0; n < g.options.MaxAttempts; n++ {
-		t, f := g.routeOn(ctx, r, a, tried, last)
+	t := &trail{}
+	for n := 0; n < g.options.MaxAttempts; {
+		o, f := g.routeOn(ctx, r, a, t)
 		if f != nil {
 			return f
 		}
-		last = g.try(ctx, t)
-		if last == nil || !retryable(last) || a.next > 0 || ctx.Err() != nil || g.left(r) <= 0 {
-			return last
+		f = g.try(ctx, o)
+		if f == nil || !retryable(f) || a.next > 0 || ctx.Err() != nil || g.left(r) <= 0 {
+			return f
+		}
+		t.note(g.parts.Clock(), o.choice.VM, f)
+		if !t.handOver() {
+			n++
 		}
-		tried = append(tried, t.choice.VM)
 		g.stats.Retries.Add(1)
-		_ = level.Info(g.parts.Log).Log("event", "requestRerouted", "request", r.ID, "from", t.choice.VM, "kind", last.Kind)
+		_ = level.Info(g.parts.Log).Log("event", "requestRerouted", "request", r.ID, "from", o.choice.VM, "kind", f.Kind)
 	}
-	return last
+	return t.last
 }
 
 // routeOn routes a request, or says why it can't be sent on.
@@ -60,26 +88,24 @@
 // A dispatcher that stops hands its queue back while the next owner of its
 // runners is only taking over, so that for a moment nobody owns them. Refusing
 // then would cut off requests in progress by a planned stop; the route is
-// looked for again until the next owner is there.
-func (g *Gateway) routeOn(
-	ctx context.Context, r *ggscore.Request, a *answer, tried []ggscore.VMID, last *ggscore.Failure,
-) (*attempt, *ggscore.Failure) {
-	t, f := g.route(r, a, tried)
-	if f == nil || last == nil {
-		return t, f
-	}
-	if last.Kind != ggscore.FailureStopping && last.Kind != ggscore.FailureNotOwner {
-		return nil, last
-	}
-	until := g.parts.Clock().Add(min(g.options.HandOverTimeout, g.left(r)))
-	for f != nil && ctx.Err() == nil && g.parts.Clock().Before(until) {
+// looked for again until the next owner is there or HandOverTimeout has passed.
+func (g *Gateway) routeOn(ctx context.Context, r *ggscore.Request, a *answer, t *trail) (*attempt, *ggscore.Failure) {
+	o, f := g.route(r, a, t.tried)
+	if f == nil || t.last == nil {
+		return o, f
+	}
+	if !t.handOver() {
+		return nil, t.last
+	}
+	until := t.since.Add(g.options.HandOverTimeout)
+	for f != nil && ctx.Err() == nil && g.left(r) > 0 && g.parts.Clock().Before(until) {
 		g.pause(ctx, handOverInterval)
-		t, f = g.route(r, a, nil)
+		o, f = g.route(r, a, t.stopped)
 	}
 	if f != nil {
-		return nil, last
+		return nil, t.last
 	}
-	return t, nil
+	return o, nil
 }
 
 // retryable reports whether another dispatcher may do better.
@@ -109,7 +135,7 @@
 		return nil, n.Failure()
 	}
 	g.router.Sent(now, c)
-	return &attempt{request: r, answer: a, choice: c, addr: g.addrs[c.VM]}, nil
+	return &attempt{request: r, answer: a, choice: c, addr: g.peers[c.VM].addr}, nil
 }
 
 // try hands a request to one dispatcher and relays its answer.
