--- a/cmd/ggsnode/bench_test.go
+++ b/cmd/ggsnode/bench_test.go
@@ -167,17 +167,16 @@
 	return b
 }
 
-// apply changes a section of the document, and returns the revision.
-func (b *bench) apply(section ggscore.SectionName, text string) ggscore.Revision {
+// apply changes a section of the document.
+func (b *bench) apply(section ggscore.SectionName, text string) {
 	e := ggsconfig.NewEditor(b.store, ggsconfig.EditorOptions{})
 	s, err := e.Read(b.ctx)
 	b.c.Assert(err, qt.IsNil)
-	a, err := e.Apply(b.ctx, ggsconfig.Edit{
+	_, err = e.Apply(b.ctx, ggsconfig.Edit{
 		Section: section, Text: []byte(text), ReadAt: s.Head.Revision, By: "test",
 		ID: ggsdocument.ChangeID(uuid.NewString()),
 	})
 	b.c.Assert(err, qt.IsNil)
-	return a.Revision
 }
 
 // document applies the bench's usual document.
--- a/cmd/ggsnode/common.go
+++ b/cmd/ggsnode/common.go
@@ -23,6 +23,9 @@
 	peersOnly bool
 }
 
+// A clock tells the time.
+type clock func() time.Time
+
 // common provides what both programs are made of.
 func common(r role) fx.Option {
 	return fx.Options(
@@ -30,7 +33,8 @@
 			func(n *ggssettings.Node) *ggsplatform.Client { return ggsplatform.NewClient(n.Platform) },
 			func(c *ggsplatform.Client) ggscore.Store { return c },
 			newPool, newFollower, newVMs,
-			func(n *ggssettings.Node) *ggsstate.State { return ggsstate.New(r.program, n.VM, time.Now) },
+			func(n *ggssettings.Node, c clock) *ggsstate.State { return ggsstate.New(r.program, n.VM, c) },
+			func() clock { return time.Now }, //nolint:forbidigo // the one clock of a process
 			func() role { return r },
 		),
 	)
--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -55,17 +55,17 @@
 	return &listedMembers{node: n, vms: v}
 }
 
-func newClaims(s ggscore.Store) *ggsclaims.Committer {
-	return ggsclaims.New(s, time.Now, func() ggsclaim.ClaimID { return ggsclaim.ClaimID(uuid.New()) },
+func newClaims(s ggscore.Store, c clock) *ggsclaims.Committer {
+	return ggsclaims.New(s, c, func() ggsclaim.ClaimID { return ggsclaim.ClaimID(uuid.New()) },
 		ggsclaims.DefaultOptions(keyRetention))
 }
 
-func newScheduler() *ggsschedule.Scheduler {
-	return ggsschedule.New(ggsschedule.Options{Seed: uint64(time.Now().UnixNano())})
+func newScheduler(c clock) *ggsschedule.Scheduler {
+	return ggsschedule.New(ggsschedule.Options{Seed: uint64(c().UnixNano())})
 }
 
 func newDispatcher(
-	s *ggssettings.Dispatcher, k *ggsschedule.Scheduler, c *ggsclaims.Committer, o *owner, l log.Logger,
+	s *ggssettings.Dispatcher, k *ggsschedule.Scheduler, c *ggsclaims.Committer, o *owner, t clock, l log.Logger,
 ) *ggsdispatch.Dispatcher {
 	e := ggsengine.NewClient(ggsengine.DefaultSettings())
 	return ggsdispatch.New(ggsdispatch.Options{
@@ -74,7 +74,7 @@
 	}, ggsdispatch.Parts{
 		Scheduler: k,
 		Engine:    e, Plain: e, Orderer: e, Reporter: e,
-		Claims: c, Guard: o, Clock: time.Now, Log: l,
+		Claims: c, Guard: o, Clock: t, Log: l,
 	})
 }
 
--- a/cmd/ggsnode/gateway.go
+++ b/cmd/ggsnode/gateway.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"time"
 
 	"github.com/go-kit/log"
 	"go.uber.org/fx"
@@ -41,13 +40,13 @@
 		fx.Invoke(startFollowers, startGateway))
 }
 
-func newGateway(s *ggssettings.Gateway, f *ggsconfig.Follower, p *ggsrpc.Pool, l log.Logger) *ggsgateway.Gateway {
+func newGateway(s *ggssettings.Gateway, f *ggsconfig.Follower, p *ggsrpc.Pool, t clock, l log.Logger) *ggsgateway.Gateway {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s.VM))
 	return ggsgateway.New(ggsgateway.Options{
 		VM: s.VM, Region: s.Region, Seed: h.Sum64(), Seeds: s.Dispatchers,
 		DefaultService: s.DefaultService, MaxInFlight: s.MaxInFlight, MaxAttempts: s.MaxAttempts,
-	}, ggsgateway.Parts{Document: f.Current, Caller: p, Clock: time.Now, Log: l})
+	}, ggsgateway.Parts{Document: f.Current, Caller: p, Clock: t, Log: l})
 }
 
 // newGatewayMembers makes the dispatchers known to the document's follower.
--- a/cmd/ggsnode/system_test.go
+++ b/cmd/ggsnode/system_test.go
@@ -160,6 +160,7 @@
 		"key without time":  {releasePath, "{}", []string{"Idempotency-Key", "abc"}, 400, "badRequest", false},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			status, h, text := b.post(g, tc.path, tc.body, tc.headers...)
 			c.Assert(status, qt.Equals, tc.status, qt.Commentf("%s", text))
@@ -410,3 +411,19 @@
 	c.Assert(g.stop(), qt.Equals, 0)
 	w.Wait()
 }
+
+// A region whose runners were all gone refused its callers although another
+// region could serve them.
+func TestAnotherRegionServes(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	b.engine("runner-1", "b", nil)
+	b.document()
+	b.dispatcher(1, "a")
+	b.dispatcher(2, "b")
+	g := b.gateway(1, "a")
+	status, h, text := b.post(g, chatPath, chat("deposits"))
+	c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	checkWhole(c, h, text, "deposits@v1", 8)
+}
