--- a/io/ggsengine/client_test.go
+++ b/io/ggsengine/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
@@ -43,14 +44,9 @@
 		change(&o)
 	}
 	e := ggsfakeengine.New(o)
-	s := httptest.NewServer(e.Handler())
+	s := newServer(c, e.Handler())
 	cl := newClient(c, ggsengine.DefaultSettings())
-	c.Cleanup(func() {
-		e.Close()
-		cl.Close()
-		s.CloseClientConnections()
-		s.Close()
-	})
+	c.Cleanup(e.Close)
 	return &bench{engine: e, client: cl, server: s, addr: addrOf(c, s)}
 }
 
@@ -60,6 +56,15 @@
 	return cl
 }
 
+func newServer(c *qt.C, h http.Handler) *httptest.Server {
+	s := httptest.NewServer(h)
+	c.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s
+}
+
 func testContext(c *qt.C) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	c.Cleanup(cancel)
--- /dev/null
+++ b/io/ggsengine/main_test.go
@@ -0,0 +1,9 @@
+package ggsengine_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/io/ggsengine/order_test.go
@@ -0,0 +1,110 @@
+package ggsengine_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakeengine"
+	"greengageslip/io/ggsengine"
+)
+
+// An old owner wakes after a new one has given orders. Its order must not
+// unload what the new owner loaded.
+func TestOldFenceIsRefused(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, func(o *ggsfakeengine.Options) { o.ChecksFence = true })
+	ctx := testContext(c)
+	c.Assert(b.client.Load(ctx, b.addr, adapterA(), 7), qt.IsNil)
+	err := b.client.Unload(ctx, b.addr, adapterA(), 6)
+	var fenced *ggscore.FencedError
+	c.Assert(errors.As(err, &fenced), qt.IsTrue)
+	c.Assert(*fenced, qt.Equals, ggscore.FencedError{Have: 6, Seen: 7})
+	c.Assert(b.engine.Resident(), qt.DeepEquals, []ggscore.AdapterRef{adapterA()})
+	c.Assert(b.client.Unload(ctx, b.addr, adapterA(), 7), qt.IsNil)
+	c.Assert(b.engine.Resident(), qt.HasLen, 0)
+}
+
+func TestRefusedOrders(t *testing.T) {
+	t.Parallel()
+	other := ggscore.AdapterRef{Name: "other", Version: "v1"}
+	for name, tc := range map[string]struct {
+		prepare func(*bench)
+		order   func(*qt.C, *bench) error
+		status  int
+	}{
+		"no slot": {
+			prepare: func(b *bench) { b.engine.Preload(other) },
+			order:   func(c *qt.C, b *bench) error { return b.client.Load(testContext(c), b.addr, adapterA(), 1) },
+			status:  http.StatusConflict,
+		},
+		"load fails": {
+			prepare: func(b *bench) { b.engine.SetFaults(ggsfakeengine.Faults{LoadFails: 1}) },
+			order:   func(c *qt.C, b *bench) error { return b.client.Load(testContext(c), b.addr, adapterA(), 1) },
+			status:  http.StatusInternalServerError,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			b := newBench(c, func(o *ggsfakeengine.Options) { o.AdapterSlots = 1 })
+			tc.prepare(b)
+			var refused *ggscore.OrderRefusedError
+			c.Assert(tc.order(c, b), qt.ErrorAs, &refused)
+			c.Assert(refused.Status, qt.Equals, tc.status)
+			for _, a := range b.engine.Resident() {
+				c.Assert(a, qt.Equals, other)
+			}
+		})
+	}
+}
+
+// A load took effect, but its answer was lost. Taken as failed, the table would
+// miss an adapter that holds a slot.
+func TestLostOrderIsAmbiguous(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, nil)
+	ctx := testContext(c)
+	b.engine.SetFaults(ggsfakeengine.Faults{LoseOrderAnswers: 1})
+	var ambiguous *ggscore.AmbiguousOrderError
+	c.Assert(b.client.Load(ctx, b.addr, adapterA(), 1), qt.ErrorAs, &ambiguous)
+	c.Assert(ambiguous.Addr, qt.Equals, b.addr)
+	c.Assert(b.engine.Resident(), qt.DeepEquals, []ggscore.AdapterRef{adapterA()})
+}
+
+// Something between us and the engine answers for it. Nobody knows whether the
+// engine has the order.
+func TestForeignErrorIsAmbiguous(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e := newRawEndpoint(c, func(int) (string, bool) {
+		return "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 4\r\n\r\nlate", false
+	})
+	cl := newClient(c, ggsengine.DefaultSettings())
+	var ambiguous *ggscore.AmbiguousOrderError
+	c.Assert(cl.Load(testContext(c), e.addr, adapterA(), 1), qt.ErrorAs, &ambiguous)
+}
+
+func TestBadReports(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"not JSON":      "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n?",
+		"bad adapter":   "HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n{\"loading\":[\"@v\"]}",
+		"server error":  "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+		"cut connected": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			e := newRawEndpoint(c, func(int) (string, bool) { return text, true })
+			cl := newClient(c, ggsengine.DefaultSettings())
+			_, err := cl.Report(testContext(c), e.addr)
+			assertFailure(c, err, failure{false, ggscore.FailureEndpoint})
+		})
+	}
+}
