test: check the stand-ins by themselves

Cause: tests of the product rest on what the stand-ins do. Handlers are methods, since contextcheck follows closures into callers. Conclusion: go test -race ./... in fakes passes.

--- a/fakes/ggsfakeengine/engine.go
+++ b/fakes/ggsfakeengine/engine.go
@@ -110,7 +110,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.account()
-	return e.stats
+	s := e.stats
+	s.Waiting = len(e.queue)
+	return s
 }
 
 // account adds up the time of busy slots until now. It is called with the lock
--- /dev/null
+++ b/fakes/ggsfakeengine/engine_test.go
@@ -0,0 +1,307 @@
+package ggsfakeengine_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakeengine"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// A clock is moved by the test.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (k *clock) Now() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.now
+}
+
+func (k *clock) Advance(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.now = k.now.Add(d)
+}
+
+// A gatedStore lets each load end when the test says so.
+type gatedStore struct {
+	begun chan ggscore.AdapterRef
+	end   chan struct{}
+}
+
+func newGatedStore() *gatedStore {
+	return &gatedStore{begun: make(chan ggscore.AdapterRef, 8), end: make(chan struct{}, 8)}
+}
+
+// Fetch implements ggsfakeengine.Fetcher.
+func (g *gatedStore) Fetch(ctx context.Context, a ggscore.AdapterRef) error {
+	g.begun <- a
+	select {
+	case <-g.end:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// A bench is an engine behind a server.
+type bench struct {
+	engine *ggsfakeengine.Engine
+	server *httptest.Server
+	client *http.Client
+}
+
+func newBench(c *qt.C, change func(*ggsfakeengine.Options)) *bench {
+	o := ggsfakeengine.DefaultOptions()
+	o.ID = "r1"
+	o.FirstToken = 0
+	o.TokenInterval = 0
+	change(&o)
+	e := ggsfakeengine.New(o)
+	s := httptest.NewServer(e.Handler())
+	t := &http.Transport{}
+	c.Cleanup(func() {
+		e.Close()
+		t.CloseIdleConnections()
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return &bench{engine: e, server: s, client: &http.Client{Transport: t}}
+}
+
+// post returns the answer's status and text; status 0 stands for none.
+func (b *bench) post(ctx context.Context, path, id, priority, body string) (int, string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Priority", priority)
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+func testContext(c *qt.C) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	c.Cleanup(cancel)
+	return ctx
+}
+
+func waitFor(ctx context.Context, c *qt.C, what string, holds func() bool) {
+	c.Helper()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			c.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+const (
+	pathRun    = "/v1/chat/completions"
+	pathLoad   = "/v1/loadLoraAdapter"
+	pathUnload = "/v1/unloadLoraAdapter"
+	orderA     = `{"adapter":"a@v1"}`
+	runA       = `{"model":"a@v1","max_tokens":2}`
+)
+
+func adapterA() ggscore.AdapterRef { return ggscore.AdapterRef{Name: "a", Version: "v1"} }
+
+// The batch is full. Of those that wait, an urgent request that came last runs
+// first.
+func TestPriorityBeforeArrival(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, func(o *ggsfakeengine.Options) { o.Slots, o.FirstToken = 1, time.Hour })
+	b.engine.Preload(adapterA())
+	ctx := testContext(c)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	first, leave := context.WithCancel(ctx)
+	second, leaveSecond := context.WithCancel(ctx)
+	defer leaveSecond()
+	wg.Go(func() { b.post(first, pathRun, "first", "3", runA) })
+	waitFor(ctx, c, "first run", func() bool { return b.engine.Runs()["first"] == 1 })
+	wg.Go(func() { b.post(second, pathRun, "later", "3", runA) })
+	waitFor(ctx, c, "one waits", func() bool { return b.engine.Stats().Waiting == 1 })
+	wg.Go(func() { b.post(second, pathRun, "urgent", "0", runA) })
+	waitFor(ctx, c, "two wait", func() bool { return b.engine.Stats().Waiting == 2 })
+	leave()
+	waitFor(ctx, c, "second run", func() bool { return b.engine.Stats().Started == 2 })
+	c.Assert(b.engine.Runs(), qt.DeepEquals, map[string]int{"first": 1, "urgent": 1})
+}
+
+// An owner evicts an adapter that a request uses. With the guard the order is
+// refused; without it the request breaks, so that the fault shows.
+func TestUnloadWhileRunning(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		guards bool
+		status int
+		broken uint64
+	}{
+		"guarded":   {guards: true, status: http.StatusConflict},
+		"unguarded": {status: http.StatusOK, broken: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			b := newBench(c, func(o *ggsfakeengine.Options) { o.GuardsRunning, o.FirstToken = tc.guards, time.Hour })
+			b.engine.Preload(adapterA())
+			ctx := testContext(c)
+			running, leave := context.WithCancel(ctx)
+			ended := make(chan int, 1)
+			go func() {
+				status, _ := b.post(running, pathRun, "q1", "0", runA)
+				ended <- status
+			}()
+			waitFor(ctx, c, "run", func() bool { return b.engine.Stats().Started == 1 })
+			status, _ := b.post(ctx, pathUnload, "", "", orderA)
+			c.Assert(status, qt.Equals, tc.status)
+			if tc.guards {
+				leave()
+			}
+			c.Assert(<-ended, qt.Equals, 0)
+			leave()
+			c.Assert(b.engine.Stats().BrokenByUnload, qt.Equals, tc.broken)
+		})
+	}
+}
+
+// The owner orders a load and dies. The load goes on without it, and a second
+// order for the same adapter joins it.
+func TestLoadOutlivesItsOrder(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	g := newGatedStore()
+	b := newBench(c, func(o *ggsfakeengine.Options) { o.Weights = g })
+	ctx := testContext(c)
+	ordered, leave := context.WithCancel(ctx)
+	left := make(chan int, 1)
+	go func() {
+		status, _ := b.post(ordered, pathLoad, "", "", orderA)
+		left <- status
+	}()
+	c.Assert(<-g.begun, qt.Equals, adapterA())
+	leave()
+	c.Assert(<-left, qt.Equals, 0)
+	c.Assert(b.engine.Report().Loading, qt.DeepEquals, []ggscore.AdapterRef{adapterA()})
+
+	again := make(chan int, 1)
+	go func() {
+		status, _ := b.post(ctx, pathLoad, "", "", orderA)
+		again <- status
+	}()
+	g.end <- struct{}{}
+	c.Assert(<-again, qt.Equals, http.StatusOK)
+	c.Assert(b.engine.Resident(), qt.DeepEquals, []ggscore.AdapterRef{adapterA()})
+	c.Assert(b.engine.Stats().Loads, qt.Equals, uint64(1))
+}
+
+// An engine restarts in the middle of a load: nothing is resident afterwards,
+// and the load's end doesn't show in the new incarnation.
+func TestRestartDropsLoads(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	g := newGatedStore()
+	b := newBench(c, func(o *ggsfakeengine.Options) { o.Weights = g })
+	ctx := testContext(c)
+	ended := make(chan int, 1)
+	go func() {
+		status, _ := b.post(ctx, pathLoad, "", "", orderA)
+		ended <- status
+	}()
+	<-g.begun
+	before := b.engine.Report().Incarnation
+	status, _ := b.post(ctx, "/v1/faults", "", "", `{"restart":true}`)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(<-ended, qt.Equals, 0)
+	r := b.engine.Report()
+	c.Assert(r.Incarnation, qt.Not(qt.Equals), before)
+	c.Assert(r.Loading, qt.HasLen, 0)
+	c.Assert(r.Resident, qt.HasLen, 0)
+}
+
+// A report shows what was true some time ago.
+func TestReportLags(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := &clock{now: time.Unix(1_800_000_000, 0)}
+	b := newBench(c, func(o *ggsfakeengine.Options) { o.Now = k.Now })
+	ctx := testContext(c)
+	status, _ := b.post(ctx, "/v1/faults", "", "", `{"reportLag":"2s"}`)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	b.engine.Preload(adapterA())
+	k.Advance(2*time.Second - 1)
+	r := b.engine.Report()
+	c.Assert(r.Resident, qt.HasLen, 0)
+	c.Assert(r.At, qt.Equals, k.Now().Add(-2*time.Second))
+	k.Advance(1)
+	c.Assert(b.engine.Report().Resident, qt.HasLen, 1)
+}
+
+// Two callers at once get their own whole answers.
+func TestAnswersNameTheirRequest(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, func(*ggsfakeengine.Options) {})
+	b.engine.Preload(adapterA())
+	ctx := testContext(c)
+	var wg sync.WaitGroup
+	for _, id := range []string{"q1", "q2", "q3"} {
+		wg.Go(func() {
+			status, text := b.post(ctx, pathRun, id, "0", runA)
+			c.Check(status, qt.Equals, http.StatusOK)
+			c.Check(text, qt.Contains, `"a@v1/`+id+`/0 a@v1/`+id+`/1 "`)
+		})
+	}
+	wg.Wait()
+}
+
+func TestBadCalls(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		path, body string
+		want       int
+	}{
+		"body isn't JSON":    {pathRun, `{`, http.StatusBadRequest},
+		"bad model":          {pathRun, `{"model":"@"}`, http.StatusBadRequest},
+		"adapter not loaded": {pathRun, runA, http.StatusNotFound},
+		"bad adapter":        {pathLoad, `{"adapter":""}`, http.StatusBadRequest},
+		"bad duration":       {"/v1/faults", `{"freeze":"long"}`, http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			b := newBench(c, func(*ggsfakeengine.Options) {})
+			status, _ := b.post(testContext(c), tc.path, "", "", tc.body)
+			c.Assert(status, qt.Equals, tc.want)
+			c.Assert(b.engine.Runs(), qt.HasLen, 0)
+		})
+	}
+}
--- a/fakes/ggsfakeengine/handler.go
+++ b/fakes/ggsfakeengine/handler.go
@@ -18,8 +18,8 @@
 	g := gin.New()
 	v := g.Group("/v1")
 	v.POST("/chat/completions", e.handleCompletion)
-	v.POST("/loadLoraAdapter", e.orders(e.load))
-	v.POST("/unloadLoraAdapter", e.orders(e.unload))
+	v.POST("/loadLoraAdapter", e.handleLoad)
+	v.POST("/unloadLoraAdapter", e.handleUnload)
 	v.GET("/state", e.handleState)
 	v.GET("/runs", e.handleRuns)
 	v.GET("/stats", e.handleStats)
@@ -58,6 +58,8 @@
 	g.JSON(http.StatusOK, w)
 }
 
+func (e *Engine) handleLoad(g *gin.Context) { e.order(g, e.load) }
+
 func (e *Engine) handleRuns(g *gin.Context) {
 	w := runsWire{Runs: []runWire{}}
 	for id, n := range e.Runs() {
@@ -102,34 +104,33 @@
 		Unloads:        s.Unloads,
 		Fenced:         s.Fenced,
 		Tokens:         s.Tokens,
+		Waiting:        s.Waiting,
 		BusySlots:      s.BusySlots.String(),
 	})
 }
 
-// orders returns the handler of a kind of order.
-func (e *Engine) orders(
-	do func(context.Context, ggscore.AdapterRef, ggscore.FenceNumber) error,
-) gin.HandlerFunc {
-	return func(g *gin.Context) {
-		var w orderWire
-		if !bind(g, &w) {
-			return
-		}
-		a, err := ggscore.ParseAdapterRef(w.Adapter)
-		if err != nil {
-			fail(g, err)
-			return
-		}
-		err = do(g.Request.Context(), a, ggscore.FenceNumber(w.Fence))
-		if err == nil && e.loseOrder() {
-			panic(http.ErrAbortHandler)
-		}
-		if err != nil {
-			fail(g, err)
-			return
-		}
-		g.JSON(http.StatusOK, w)
+func (e *Engine) handleUnload(g *gin.Context) { e.order(g, e.unload) }
+
+// order gives an order to do.
+func (e *Engine) order(g *gin.Context, do func(context.Context, ggscore.AdapterRef, ggscore.FenceNumber) error) {
+	var w orderWire
+	if !bind(g, &w) {
+		return
+	}
+	a, err := ggscore.ParseAdapterRef(w.Adapter)
+	if err != nil {
+		fail(g, err)
+		return
 	}
+	err = do(g.Request.Context(), a, ggscore.FenceNumber(w.Fence))
+	if err == nil && e.loseOrder() {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		fail(g, err)
+		return
+	}
+	g.JSON(http.StatusOK, w)
 }
 
 // maxBodyBytes bounds a request's body.
--- a/fakes/ggsfakeengine/options.go
+++ b/fakes/ggsfakeengine/options.go
@@ -67,6 +67,8 @@
 	Unloads        uint64
 	Fenced         uint64
 	Tokens         uint64
+	// Waiting is the number of requests that wait for a slot now.
+	Waiting int
 	// BusySlots is the time that slots were in use, summed over slots.
 	BusySlots time.Duration
 }
--- a/fakes/ggsfakeengine/wire.go
+++ b/fakes/ggsfakeengine/wire.go
@@ -76,6 +76,7 @@
 	Unloads        uint64 `json:"unloads"`
 	Fenced         uint64 `json:"fenced"`
 	Tokens         uint64 `json:"tokens"`
+	Waiting        int    `json:"waiting"`
 	BusySlots      string `json:"busySlots"`
 }
 
--- a/fakes/ggsfakeplatform/faults.go
+++ b/fakes/ggsfakeplatform/faults.go
@@ -10,32 +10,35 @@
 	"golang.org/x/time/rate"
 )
 
-// limited counts a call, meets it with the faults and limits that are set, and
-// hands it on.
-func (p *Platform) limited(l *rate.Limiter, next gin.HandlerFunc) gin.HandlerFunc {
-	return func(g *gin.Context) {
-		f := p.count(l == p.writes)
-		if f.Hang {
-			// The server notices that a caller left only once its body is read.
-			_, _ = io.Copy(io.Discard, g.Request.Body)
-			<-g.Request.Context().Done()
-			panic(http.ErrAbortHandler)
-		}
-		if f.Outage {
-			p.refuseOutage(g)
-			return
-		}
-		if !l.AllowN(p.options.Now(), 1) {
-			p.mu.Lock()
-			p.calls.Refused++
-			p.mu.Unlock()
-			refuse(g, http.StatusTooManyRequests, errorBodyWire{Kind: "busy", Detail: "over the rate"})
-			return
-		}
-		if !pause(g.Request.Context(), f.Slow) {
-			panic(http.ErrAbortHandler)
-		}
-		next(g)
+// limitReads admits a read.
+func (p *Platform) limitReads(g *gin.Context) { p.admit(g, p.reads, false) }
+
+// limitWrites admits a write.
+func (p *Platform) limitWrites(g *gin.Context) { p.admit(g, p.writes, true) }
+
+// admit counts a call and meets it with the faults and limits that are set. It
+// aborts a call that isn't to be served.
+func (p *Platform) admit(g *gin.Context, l *rate.Limiter, write bool) {
+	f := p.count(write)
+	if f.Hang {
+		// The server notices that a caller left only once its body is read.
+		_, _ = io.Copy(io.Discard, g.Request.Body)
+		<-g.Request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if f.Outage {
+		p.refuseOutage(g)
+		return
+	}
+	if !l.AllowN(p.options.Now(), 1) {
+		p.mu.Lock()
+		p.calls.Refused++
+		p.mu.Unlock()
+		refuse(g, http.StatusTooManyRequests, errorBodyWire{Kind: "busy", Detail: "over the rate"})
+		return
+	}
+	if f.Slow > 0 && !pause(g.Request.Context(), f.Slow) {
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -98,9 +101,6 @@
 
 // pause waits and reports whether the caller is still there.
 func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
