feat: add a stand-in of a network link

Cause: tests of cut failure domains need links that stall, break and delay, and the count of bytes that cross regions. Change: fakes/ggsfakelink passes TCP connections on with a delay; stalled it holds bytes, which arrive late when the stall ends; ggsfake link runs it.

--- a/fakes/ggsfake/main.go
+++ b/fakes/ggsfake/main.go
@@ -6,6 +6,7 @@
 //	ggsfake weights --listen 127.0.0.1:7101
 //	ggsfake engine --listen 127.0.0.1:7201 --id r1 --weights 127.0.0.1:7101
 //	ggsfake plain --listen 127.0.0.1:7301 --id ledger-1
+//	ggsfake link --listen 127.0.0.1:7401 --from 127.0.0.1:7400 --to 127.0.0.1:7100 --delay 8ms
 //	ggsfake call --addr 127.0.0.1:7100 --method POST --path /v1/faults --body '{"outage":true}'
 //
 // Each serves until SIGTERM or SIGINT. It then takes no new calls, gives those
--- a/fakes/ggsfake/run.go
+++ b/fakes/ggsfake/run.go
@@ -56,6 +56,8 @@
 		switch c := c.(type) {
 		case builder:
 			return serveCommand(ctx, c, s.log)
+		case *linkCommand:
+			return c.run(ctx, s.log)
 		case *callCommand:
 			return c.call(ctx, s.out)
 		}
@@ -98,6 +100,7 @@
 		{"engine", "Run a model engine", &engineCommand{}},
 		{"plain", "Run a plain service", &plainCommand{}},
 		{"weights", "Run the weight store", &weightsCommand{}},
+		{"link", "Run a network link with a delay, which can be cut", &linkCommand{}},
 		{"call", "Call a stand-in and print its answer", &callCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.help, c.help+".", c.data); err != nil {
--- a/fakes/ggsfake/run_test.go
+++ b/fakes/ggsfake/run_test.go
@@ -42,6 +42,7 @@
 		"platform": {args: []string{"platform"}, path: "/v1/kv?key=k", want: `{"key":"k","value":null,"revision":0,"lease":0}`},
 		"engine":   {args: []string{"engine", "--id", "r1"}, path: "/v1/runs", want: `{"runs":[]}`},
 		"plain":    {args: []string{"plain", "--id", "l1"}, path: "/v1/runs", want: `{"runs":[]}`},
+		"link":     {args: []string{"link", "--from", "127.0.0.1:0", "--to", "127.0.0.1:1"}, path: "/v1/stats", want: `{"conns":0,"bytesToTarget":0,"bytesFromTarget":0}`},
 		"weights":  {args: []string{"weights"}, path: "/v1/loads", want: `{"loads":0,"failures":0,"inTransit":0,"maxInTransit":0}`},
 	} {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/fakes/ggsfakelink/link_test.go
@@ -0,0 +1,146 @@
+package ggsfakelink_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"greengageslip/fakes/ggsfakelink"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// A bench is a link to a server that sends all back.
+type bench struct {
+	link *ggsfakelink.Link
+	addr string
+}
+
+func listen(c *qt.C) net.Listener {
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	return n
+}
+
+func echo(n net.Listener) {
+	for {
+		k, err := n.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			_, _ = io.Copy(k, k)
+			_ = k.Close()
+		}()
+	}
+}
+
+func newBench(c *qt.C) *bench {
+	target, front := listen(c), listen(c)
+	go echo(target)
+	l := ggsfakelink.New(netip.MustParseAddrPort(target.Addr().String()))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Serve(ctx, front) }()
+	c.Cleanup(func() {
+		cancel()
+		c.Check(<-ended, qt.IsNil)
+		c.Check(target.Close(), qt.IsNil)
+	})
+	return &bench{link: l, addr: front.Addr().String()}
+}
+
+func (b *bench) dial(c *qt.C) net.Conn {
+	k, err := net.Dial("tcp", b.addr)
+	c.Assert(err, qt.IsNil)
+	c.Assert(k.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil) //nolint:forbidigo // bounds the test only
+	c.Cleanup(func() { _ = k.Close() })
+	return k
+}
+
+func say(c *qt.C, k net.Conn, text string) {
+	c.Helper()
+	_, err := io.WriteString(k, text)
+	c.Assert(err, qt.IsNil)
+}
+
+func hear(c *qt.C, k net.Conn, text string) {
+	c.Helper()
+	b := make([]byte, len(text))
+	_, err := io.ReadFull(k, b)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(b), qt.Equals, text)
+}
+
+func TestPassesBothWays(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c)
+	b.link.SetFaults(ggsfakelink.Faults{Delay: time.Millisecond})
+	k := b.dial(c)
+	long := strings.Repeat("long ", 20000)
+	say(c, k, long)
+	hear(c, k, long)
+	c.Assert(k.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	_, err := k.Read(make([]byte, 1))
+	c.Assert(err, qt.Equals, io.EOF)
+	c.Assert(b.link.Stats(), qt.Equals, ggsfakelink.Stats{Conns: 1, BytesToTarget: 100000, BytesFromTarget: 100000})
+}
+
+// Two failure domains lose each other and meet again: what was sent meanwhile
+// arrives late, on the same connection.
+func TestStallHoldsBytes(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c)
+	k := b.dial(c)
+	say(c, k, "before")
+	hear(c, k, "before")
+	b.link.SetFaults(ggsfakelink.Faults{Stall: true})
+	say(c, k, "during")
+	late := b.dial(c)
+	say(c, late, "new")
+	c.Assert(b.link.Stats().BytesToTarget, qt.Equals, uint64(6))
+	b.link.SetFaults(ggsfakelink.Faults{})
+	hear(c, k, "during")
+	hear(c, late, "new")
+}
+
+func TestRefuseBreaksConnections(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c)
+	k := b.dial(c)
+	say(c, k, "before")
+	hear(c, k, "before")
+	b.link.SetFaults(ggsfakelink.Faults{Refuse: true})
+	for _, k := range []net.Conn{k, b.dial(c)} {
+		_, err := k.Read(make([]byte, 1))
+		c.Assert(err, qt.IsNotNil)
+	}
+	b.link.SetFaults(ggsfakelink.Faults{})
+	k = b.dial(c)
+	say(c, k, "after")
+	hear(c, k, "after")
+}
+
+func TestSwitches(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := ggsfakelink.New(netip.MustParseAddrPort("127.0.0.1:1"))
+	for body, want := range map[string]int{`{"delay":"8ms"}`: 200, `{"delay":"long"}`: 400, `{`: 400} {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/v1/faults", strings.NewReader(body))
+		l.Handler().ServeHTTP(w, r)
+		c.Assert(w.Code, qt.Equals, want)
+	}
+}
