feat: add ggsctl, the operators' client

One file a command over ggsconfig's editor: validate, get, apply, edit, diff, status, dump, request. Exit codes tell a conflict (3) and an unknown outcome (4) from failures.

The section's state settles it where the change is still the latest, so the test of a passed history now replaces the section first; the old case is a test of its own.

--- /dev/null
+++ b/cmd/ggsctl/apply.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsdocument"
+	"greengageslip/io/ggsconfig"
+)
+
+const applyLong = `Replaces a section by the text in FILE, "-" for standard input.
+
+The change is accepted only if the section wasn't changed since the revision
+that was read: that of the file's first line, as get writes it, or --revision.
+Without either the section must be new. The whole document is checked first.
+
+Exits with 3 on a conflict, and with 4 where the outcome isn't known: then
+apply the same file again with --change and the id shown.`
+
+// changeOptions are the options of commands that change a section.
+type changeOptions struct {
+	Revision *uint64 `description:"the document's revision that was read" long:"revision" value-name:"N"`
+	Change   string  `description:"the id of a change whose outcome wasn't known" long:"change" value-name:"ID"`
+	By       string  `description:"the operator's name (default: settings or $USER)" long:"by" value-name:"NAME"`
+	DryRun   bool    `description:"check and show, but write nothing" long:"dry-run"`
+	Tries    int     `description:"tries before giving up (12)" long:"tries" value-name:"N"`
+}
+
+type applyCommand struct {
+	changeOptions
+	Args struct {
+		Section string `positional-arg-name:"SECTION"`
+		File    string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (c *applyCommand) run(ctx context.Context, a *app) error {
+	n := ggscore.SectionName(c.Args.Section)
+	t, err := a.readFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	return c.apply(ctx, a, n, c.Args.File, t)
+}
+
+// apply makes a change of a section whose text was read from a file, with or
+// without a header.
+func (c *changeOptions) apply(ctx context.Context, a *app, n ggscore.SectionName, file string, text []byte) error {
+	t, r, err := cutHeader(n, file, text)
+	if err != nil {
+		return err
+	}
+	if c.Revision != nil {
+		r = ggscore.Revision(*c.Revision)
+	}
+	err = c.change(ctx, a, ggsconfig.Edit{Section: n, Text: t, ReadAt: r})
+	return inFile(err, n, file, len(t) < len(text))
+}
+
+// change makes a change and prints how it was accepted.
+func (c *changeOptions) change(ctx context.Context, a *app, d ggsconfig.Edit) error {
+	p, err := a.client()
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	if c.Tries < 0 {
+		return &usageError{detail: "--tries: want at least 1"}
+	}
+	d.Repeated = c.Change != ""
+	d.By, d.ID = c.By, ggsdocument.ChangeID(c.Change)
+	if d.By == "" {
+		d.By = a.by()
+	}
+	if d.ID == "" {
+		d.ID = a.newChangeID()
+	}
+	e := ggsconfig.NewEditor(a.store(p, c.DryRun), ggsconfig.EditorOptions{
+		Tries: c.Tries, Floor: a.revisionInForce(ctx),
+	})
+	r, err := e.Apply(ctx, d)
+	switch {
+	case err != nil:
+		return err
+	case r.Unchanged:
+		return a.printf("unchanged: section %s at revision %d\n", d.Section, r.Revision)
+	case c.DryRun:
+		return a.printf("dry run: section %s would be accepted as revision %d\n", d.Section, r.Revision)
+	}
+	return a.printf("accepted: section %s at revision %d (change %s)\n", d.Section, r.Revision, d.ID)
+}
--- /dev/null
+++ b/cmd/ggsctl/request.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	ggscore "greengageslip/core"
+)
+
+const requestLong = `Sends one request through a gateway and prints the answer.
+
+With --model it asks a model service; the message is the user's. With
+--operation it calls a plain service; the message is the body. A request with
+--key runs at most once. The outcome of a failed request is shown: notRun, done
+or unknown; unknown exits with 4.`
+
+// The headers of requests.
+const (
+	headerMarket  = "X-Market"
+	headerService = "X-Service"
+	headerKey     = "Idempotency-Key"
+)
+
+// The lines of a stream of events.
+const (
+	eventErrorLine = "event: error"
+	dataPrefix     = "data:"
+	doneData       = "[DONE]"
+)
+
+type requestCommand struct {
+	Gateway   string `description:"the gateway's address (default: settings)" long:"gateway" value-name:"ADDR"`
+	Market    string `description:"the market" long:"market" required:"yes" value-name:"NAME"`
+	Service   string `description:"the service" long:"service" required:"yes" value-name:"NAME"`
+	Model     string `description:"the adapter, as NAME or NAME@VERSION" long:"model" value-name:"ADAPTER"`
+	Operation string `description:"the operation of a plain service" long:"operation" value-name:"NAME"`
+	Message   string `description:"the message" long:"message" value-name:"TEXT"`
+	Key       string `description:"the idempotency key" long:"key" value-name:"KEY"`
+	Stream    bool   `description:"print the answer piece by piece" long:"stream"`
+}
+
+type chatWire struct {
+	Model    string        `json:"model"`
+	Messages []messageWire `json:"messages"`
+	Stream   bool          `json:"stream,omitempty"`
+}
+
+type messageWire struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// choicesWire is what is read of an answer, whole or piece.
+type choicesWire struct {
+	Choices []struct {
+		Message messageWire `json:"message"`
+		Delta   messageWire `json:"delta"`
+	} `json:"choices"`
+}
+
+type failureWire struct {
+	Error struct {
+		Type    string `json:"type"`
+		Message string `json:"message"`
+		Outcome string `json:"outcome"`
+	} `json:"error"`
+}
+
+func (c *requestCommand) run(ctx context.Context, a *app) error {
+	r, err := c.request(ctx, a)
+	if err != nil {
+		return err
+	}
+	s, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return c.broken(err)
+	}
+	defer func() { _ = s.Body.Close() }()
+	if s.StatusCode != http.StatusOK && s.StatusCode/100 != 2 {
+		b, _ := io.ReadAll(s.Body)
+		return failureOf(b, s.StatusCode)
+	}
+	if c.Stream && strings.HasPrefix(s.Header.Get("Content-Type"), "text/event-stream") {
+		return c.printStream(a, s.Body)
+	}
+	b, err := io.ReadAll(s.Body)
+	if err != nil {
+		return c.broken(err)
+	}
+	return a.printf("%s\n", bytes.TrimRight(contentOf(b), "\n"))
+}
+
+// broken returns the failure of a call whose answer didn't come whole. It isn't
+// known whether the request ran, unless no connection was made.
+func (c *requestCommand) broken(err error) error {
+	o := ggscore.OutcomeUnknown
+	var n *net.OpError
+	if errors.As(err, &n) && n.Op == "dial" {
+		o = ggscore.OutcomeNotRun
+	}
+	return &requestError{kind: string(ggscore.FailureBroken), detail: err.Error(), outcome: o.String()}
+}
+
+// printStream prints the pieces of a streamed answer. A stream that ends
+// without its last event was cut short, which must not look like a whole
+// answer.
+func (c *requestCommand) printStream(a *app, body io.Reader) error {
+	r := bufio.NewReader(body)
+	failed := false
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return c.broken(err)
+		}
+		line = strings.TrimRight(line, "\r\n")
+		data, found := strings.CutPrefix(line, dataPrefix)
+		data = strings.TrimSpace(data)
+		switch {
+		case line == eventErrorLine:
+			failed = true
+		case !found:
+		case failed:
+			return failureOf([]byte(data), http.StatusOK)
+		case data == doneData:
+			return a.printf("\n")
+		default:
+			if err = a.printf("%s", pieceOf([]byte(data))); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (c *requestCommand) request(ctx context.Context, a *app) (*http.Request, error) {
+	addr := a.settings.Gateway
+	if c.Gateway != "" {
+		g, err := parseAddr("--gateway", c.Gateway)
+		if err != nil {
+			return nil, err
+		}
+		addr = g
+	}
+	if !addr.IsValid() {
+		return nil, &usageError{detail: "the gateway's address is missing: give --gateway or --settings"}
+	}
+	if (c.Model == "") == (c.Operation == "") {
+		return nil, &usageError{detail: "give either --model or --operation"}
+	}
+	path, body := "/v1/services/"+c.Service+"/"+c.Operation, []byte(c.Message)
+	if c.Model != "" {
+		path = "/v1/chat/completions"
+		w := chatWire{Model: c.Model, Messages: []messageWire{{Role: "user", Content: c.Message}}, Stream: c.Stream}
+		b, err := json.Marshal(w)
+		if err != nil {
+			return nil, errors.Wrap(err, "encoding the request")
+		}
+		body = b
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "making the request")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(headerMarket, c.Market)
+	r.Header.Set(headerService, c.Service)
+	if c.Key != "" {
+		r.Header.Set(headerKey, c.Key)
+	}
+	return r, nil
+}
+
+// contentOf returns the content of a whole answer, or the answer itself where
+// it has another shape.
+func contentOf(b []byte) []byte {
+	var w choicesWire
+	if json.Unmarshal(b, &w) == nil && len(w.Choices) > 0 {
+		return []byte(w.Choices[0].Message.Content)
+	}
+	return b
+}
+
+// pieceOf returns the content of a piece of an answer.
+func pieceOf(b []byte) []byte {
+	var w choicesWire
+	if json.Unmarshal(b, &w) == nil && len(w.Choices) > 0 {
+		return []byte(w.Choices[0].Delta.Content)
+	}
+	return nil
+}
+
+// failureOf returns the failure that a gateway answered with.
+func failureOf(b []byte, status int) error {
+	var w failureWire
+	if err := json.Unmarshal(b, &w); err != nil || w.Error.Type == "" {
+		return &requestError{
+			kind: string(ggscore.FailureBroken), detail: (&statusError{status: status}).Error(),
+			outcome: ggscore.OutcomeUnknown.String(),
+		}
+	}
+	return &requestError{kind: w.Error.Type, detail: w.Error.Message, outcome: w.Error.Outcome}
+}
--- /dev/null
+++ b/cmd/ggsctl/status.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+
+	ggscore "greengageslip/core"
+	"greengageslip/io/ggsconfig"
+)
+
+const statusLong = `Shows the revision of the document at the platform, the
+revision in force in each entry process whose state address is known (--entry
+or the settings), and the VMs that are leaving. It exits with 1 where a process
+can't be reached or has another revision than the platform, so that a script
+can wait for a change to be in force everywhere.`
+
+type statusCommand struct{}
+
+// unknownText stands for what isn't known.
+const unknownText = "-"
+
+func (c *statusCommand) run(ctx context.Context, a *app) error {
+	p, err := a.client()
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	// The processes show what is in force also while the platform is away.
+	h, headErr := ggsconfig.NewEditor(a.store(p, true), ggsconfig.EditorOptions{}).ReadHead(ctx)
+	vms, listErr := p.ListVMs(ctx)
+	states := a.states(ctx)
+
+	if headErr != nil {
+		err = a.printf("platform: %v\n", headErr)
+	} else {
+		err = a.printf("platform: revision %d\n", h.Revision)
+	}
+	if err == nil && headErr == nil && listErr != nil {
+		err = a.printf("list of VMs: %v\n", listErr)
+	}
+	if err != nil {
+		return err
+	}
+	if err = printStates(a, states, vms, listErr == nil); err != nil {
+		return err
+	}
+	if err = printLeaving(a, vms); err != nil {
+		return err
+	}
+	if headErr != nil || listErr != nil || !inForce(states, h.Revision) {
+		return &shownError{code: exitFailure}
+	}
+	return nil
+}
+
+// inForce reports whether all processes have the revision.
+func inForce(l []processState, r ggscore.Revision) bool {
+	for _, s := range l {
+		if s.err != nil || s.revision != r {
+			return false
+		}
+	}
+	return true
+}
+
+// printStates prints a row for each process. Unless the VMs are listed, their
+// states aren't known.
+func printStates(a *app, l []processState, vms []ggscore.VM, listed bool) error {
+	if len(l) == 0 {
+		return nil
+	}
+	byID := make(map[ggscore.VMID]ggscore.VM, len(vms))
+	for _, v := range vms {
+		byID[v.ID] = v
+	}
+	sorted := slices.SortedStableFunc(slices.Values(l), func(x, y processState) int {
+		return cmp.Or(
+			cmp.Compare(byID[x.vm].Region, byID[y.vm].Region),
+			cmp.Compare(x.vm, y.vm), cmp.Compare(x.program, y.program), x.addr.Compare(y.addr),
+		)
+	})
+	w := tabwriter.NewWriter(a.streams.out, 0, 0, 2, ' ', 0)
+	r := rows{w: w}
+	r.add("REGION", "DOMAIN", "VM", "PROGRAM", "STATE", "REVISION")
+	for _, s := range sorted {
+		if s.err != nil {
+			r.add(unknownText, unknownText, s.addr.String(), unknownText, "unreachable", unknownText)
+			continue
+		}
+		v, found := byID[s.vm]
+		state := stateText(v, found)
+		if !listed {
+			state = unknownText
+		}
+		r.add(orUnknown(string(v.Region)), orUnknown(string(v.Domain)), string(s.vm), s.program,
+			state, revision(s.revision))
+	}
+	return w.Flush()
+}
+
+// printLeaving prints the VMs that are leaving, entry VMs and endpoints.
+func printLeaving(a *app, vms []ggscore.VM) error {
+	for _, v := range vms {
+		if v.State != ggscore.VMLeaving {
+			continue
+		}
+		what := "entry VM"
+		if v.Role == ggscore.RoleEndpoint {
+			what = fmt.Sprintf("endpoint of %s", v.Service)
+		}
+		if err := a.printf("leaving: %s %s in %s\n", what, v.ID, v.Domain); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func stateText(v ggscore.VM, found bool) string {
+	switch {
+	case !found:
+		return "unlisted"
+	case v.State == ggscore.VMLeaving:
+		return "leaving"
+	}
+	return "live"
+}
+
+func orUnknown(s string) string {
+	if s == "" {
+		return unknownText
+	}
+	return s
+}
--- /dev/null
+++ b/cmd/ggsctl/validate.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsdocument"
+	"greengageslip/io/ggsconfig"
+	"greengageslip/io/ggstoml"
+)
+
+const validateLong = `Checks sections, each on its own and all together.
+
+A file named services.toml or policy.toml holds that section, one named
+market/NAME.toml holds the section market/NAME. SECTION=FILE names the section
+of any other file. With --merge the files are checked beside the platform's
+other sections.`
+
+type validateCommand struct {
+	Merge bool `description:"check beside the platform's other sections" long:"merge"`
+	Args  struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// A sectionFile is a file that holds a section.
+type sectionFile struct {
+	section ggscore.SectionName
+	file    string
+	header  bool
+}
+
+func (c *validateCommand) run(ctx context.Context, a *app) error {
+	texts := map[ggscore.SectionName][]byte{}
+	files := map[ggscore.SectionName]sectionFile{}
+	bad := 0
+	for _, arg := range c.Args.Files {
+		f, t, err := c.read(a, arg)
+		if err != nil {
+			return err
+		}
+		if o, found := files[f.section]; found {
+			return &usageError{detail: fmt.Sprintf("both %s and %s hold section %s", o.file, f.file, f.section)}
+		}
+		texts[f.section], files[f.section] = t, f
+		if _, err = (ggstoml.Codec{}).ParseSection(f.section, t); err != nil {
+			bad++
+			a.report(inFile(err, f.section, f.file, f.header))
+		}
+	}
+	if bad > 0 {
+		return &shownError{code: exitUsage}
+	}
+	d, err := c.check(ctx, a, texts)
+	var e *ggsdocument.SectionError
+	if errors.As(err, &e) {
+		f := files[e.Section]
+		return inFile(err, f.section, f.file, f.header)
+	}
+	if err != nil {
+		return err
+	}
+	return a.printf("valid: %s, %s, %s\n", count(len(texts), "section"), count(len(d.Markets), "market"), count(adapters(d), "adapter"))
+}
+
+// check checks the sections together.
+func (c *validateCommand) check(
+	ctx context.Context, a *app, texts map[ggscore.SectionName][]byte,
+) (*ggscore.Document, error) {
+	if !c.Merge {
+		return ggsconfig.CheckTexts(0, texts)
+	}
+	p, err := a.client()
+	if err != nil {
+		return nil, err
+	}
+	defer p.Close()
+	e := ggsconfig.NewEditor(a.store(p, true), ggsconfig.EditorOptions{})
+	s, err := e.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return e.Check(s, texts)
+}
+
+// read reads the file of an argument.
+func (c *validateCommand) read(a *app, arg string) (sectionFile, []byte, error) {
+	f := sectionFile{file: arg}
+	if n, file, found := strings.Cut(arg, "="); found {
+		f.section, f.file = ggscore.SectionName(n), file
+	} else {
+		f.section = sectionOfFile(arg)
+	}
+	t, err := a.readFile(f.file)
+	if err != nil {
+		return f, nil, err
+	}
+	rest, _, err := cutHeader(f.section, f.file, t)
+	f.header = len(rest) < len(t)
+	return f, rest, err
+}
+
+// sectionOfFile returns the name of the section that a file holds by its name.
+func sectionOfFile(file string) ggscore.SectionName {
+	n := strings.TrimSuffix(filepath.Base(file), ".toml")
+	dir := filepath.Base(filepath.Dir(file))
+	if dir+"/" == ggsdocument.MarketPrefix {
+		n = ggsdocument.MarketPrefix + n
+	}
+	return ggscore.SectionName(n)
+}
+
+func adapters(d *ggscore.Document) int {
+	n := 0
+	for _, m := range d.Markets {
+		n += len(m.Adapters)
+	}
+	return n
+}
+
+func count(n int, what string) string {
+	if n == 1 {
+		return "1 " + what
+	}
+	return fmt.Sprintf("%d %ss", n, what)
+}
--- a/core/ggsdocument/follower_test.go
+++ b/core/ggsdocument/follower_test.go
@@ -147,4 +147,12 @@
 	c.Assert(h.Changes, qt.HasLen, ggsdocument.HistoryLength)
 	fate, _ = h.FateOf("first", 0)
 	c.Assert(fate, qt.Equals, ggsdocument.FateUnknown)
+
+	latest := accepted(c, ggsdocument.Head{}, "market/wa", "1", "latest")
+	for range ggsdocument.HistoryLength {
+		latest = accepted(c, latest, "market/cr", "1", "x")
+	}
+	fate, r = latest.FateOf("latest", 0)
+	c.Assert(fate, qt.Equals, ggsdocument.FateAccepted)
+	c.Assert(r, qt.Equals, ggscore.Revision(1))
 }
--- a/core/ggsdocument/head.go
+++ b/core/ggsdocument/head.go
@@ -103,14 +103,19 @@
 }
 
 // FateOf reports what became of a change that was first tried on a head of
-// revision tried. The history settles it while it reaches back to the
-// revision after that one.
+// revision tried. It is settled where the change is its section's latest one,
+// or where the history reaches back to the revision after tried.
 func (h Head) FateOf(id ChangeID, tried ggscore.Revision) (Fate, ggscore.Revision) {
 	for _, c := range h.Changes {
 		if c.ID == id {
 			return FateAccepted, c.Revision
 		}
 	}
+	for _, s := range h.Sections {
+		if s.Change == id {
+			return FateAccepted, s.Revision
+		}
+	}
 	if h.Revision <= tried {
 		return FateNotAccepted, 0
 	}
--- a/io/ggsconfig/attempt.go
+++ b/io/ggsconfig/attempt.go
@@ -41,7 +41,9 @@
 	if errors.As(err, &conflict) || errors.As(err, &invalid) {
 		return err
 	}
-	return &UnknownOutcomeError{Change: a.change.ID, Section: a.change.Section, Cause: err}
+	return &UnknownOutcomeError{
+		Change: a.change.ID, Section: a.change.Section, ReadAt: a.change.ReadAt, Cause: err,
+	}
 }
 
 // try makes one try: it reads the head, looks whether an earlier try was
--- a/io/ggsconfig/editor.go
+++ b/io/ggsconfig/editor.go
@@ -50,9 +50,11 @@
 	// a section that he believes to be new.
 	ReadAt ggscore.Revision
 	By     string
-	// ID names the change. It is kept when a change of unknown outcome is
-	// applied again.
+	// ID names the change.
 	ID ggsdocument.ChangeID
+	// Repeated says that the change was applied before, under the same ID and
+	// with the same ReadAt, and its outcome wasn't known.
+	Repeated bool
 }
 
 // Accepted says how a change was accepted. Unchanged says that the section had
@@ -95,8 +97,10 @@
 		change: ggsdocument.Change{
 			ID: d.ID, Section: d.Section, Digest: ggsdocument.DigestOf(d.Text), ReadAt: d.ReadAt, By: d.By,
 		},
-		sections: map[ggscore.Digest]*ggsdocument.Section{},
-		highest:  e.options.Floor,
+		sections:  map[ggscore.Digest]*ggsdocument.Section{},
+		highest:   e.options.Floor,
+		ambiguous: d.Repeated,
+		tried:     d.ReadAt,
 	}
 	p := newPauser(e.options.Pause)
 	for range e.options.Tries {
@@ -140,6 +144,12 @@
 	return s, nil
 }
 
+// ReadHead reads the head.
+func (e *Editor) ReadHead(ctx context.Context) (ggsdocument.Head, error) {
+	_, h, err := e.readHead(ctx)
+	return h, err
+}
+
 // ReadSection reads one section's text and the head that it stands in. A
 // section that isn't there gives a *NoSectionError.
 func (e *Editor) ReadSection(ctx context.Context, n ggscore.SectionName) ([]byte, ggsdocument.Head, error) {
--- a/io/ggsconfig/errors.go
+++ b/io/ggsconfig/errors.go
@@ -13,6 +13,7 @@
 type UnknownOutcomeError struct {
 	Change  ggsdocument.ChangeID
 	Section ggscore.SectionName
+	ReadAt  ggscore.Revision
 	Cause   error
 }
 
--- a/io/ggsconfig/follower.go
+++ b/io/ggsconfig/follower.go
@@ -79,16 +79,16 @@
 
 // FollowerState is a Follower's state for dumps.
 type FollowerState struct {
-	Revision ggscore.Revision
-	Watching bool
+	Revision ggscore.Revision `json:"revision"`
+	Watching bool             `json:"watching"`
 	// PlatformAway says that the latest call of the platform failed.
-	PlatformAway bool
+	PlatformAway bool `json:"platformAway"`
 	// From says whence the document in force came.
-	From string
+	From string `json:"from"`
 	// Refused counts heads that were refused as lower or forked, Failed those
 	// that couldn't be pulled or formed no valid document.
-	Refused int
-	Failed  int
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
 }
 
 // A subscription hands the latest document to one subscriber.
--- a/io/ggsconfig/machine_test.go
+++ b/io/ggsconfig/machine_test.go
@@ -99,6 +99,7 @@
 	}
 	d := m.unknown[0]
 	m.unknown = m.unknown[1:]
+	d.Repeated = true
 	m.applyEdit(t, m.store, d)
 }
 
