--- /dev/null
+++ b/cmd/ggsctl/deployment_test.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"greengageslip/cmd/ggsnode"
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakeengine"
+	"greengageslip/fakes/ggsfakeplain"
+)
+
+// The ports of a session's processes. Each session has an IP number of its own.
+const (
+	enginePort          = 8000
+	plainPort           = 8100
+	dispatcherPort      = 7100
+	gatewayPort         = 7200
+	dispatcherStatePort = 7300
+	gatewayStatePort    = 7301
+)
+
+// firstOctet keeps sessions apart from other tests of the same process id.
+const firstOctet = 100
+
+var deployments atomic.Int32 //nolint:gochecknoglobals // gives each session an IP number
+
+// A deployment is a runner, a ledger, a dispatcher and a gateway.
+type deployment struct {
+	ts *testscript.TestScript
+	s  *session
+	ip netip.Addr
+}
+
+// startDeployment starts a small deployment of the processes' own code, and
+// waits until the gateway serves.
+func startDeployment(ts *testscript.TestScript, _ bool, _ []string) {
+	p := os.Getpid()
+	d := &deployment{
+		ts: ts, s: sessionOf(ts),
+		ip: netip.AddrFrom4([4]byte{127, byte(p), byte(p >> 8), byte(firstOctet + deployments.Add(1))}),
+	}
+	o := ggsfakeengine.DefaultOptions()
+	o.ID, o.Slots, o.AdapterSlots, o.ChecksFence = "runner-1", 8, 4, true
+	o.TokenInterval, o.FirstToken, o.DefaultTokens = time.Millisecond, time.Millisecond, 3
+	e := ggsfakeengine.New(o)
+	ts.Defer(e.Close)
+	d.serve(enginePort, e.Handler())
+	d.serve(plainPort, ggsfakeplain.New(ggsfakeplain.Options{ID: "ledger-1"}).Handler())
+	d.list()
+	d.start(ggsnode.RunDispatcher, dispatcherPort, dispatcherStatePort)
+	d.start(ggsnode.RunGateway, gatewayPort, gatewayStatePort)
+	d.s.name("GATEWAY", d.addr(gatewayPort))
+	d.s.name("DISPATCHER-STATE", d.addr(dispatcherStatePort))
+	d.s.name("GATEWAY-STATE", d.addr(gatewayStatePort))
+	d.awaitGateway()
+}
+
+func (d *deployment) addr(port uint16) netip.AddrPort { return netip.AddrPortFrom(d.ip, port) }
+
+func (d *deployment) awaitGateway() {
+	ctx, cancel := context.WithTimeout(context.Background(), sessionDeadline)
+	defer cancel()
+	t := time.NewTicker(5 * time.Millisecond)
+	defer t.Stop()
+	for !d.healthy(ctx) {
+		select {
+		case <-ctx.Done():
+			d.ts.Fatalf("the gateway doesn't serve")
+		case <-t.C:
+		}
+	}
+}
+
+func (d *deployment) healthy(ctx context.Context) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr(gatewayPort).String()+"/healthz", http.NoBody)
+	d.ts.Check(err)
+	s, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = s.Body.Close()
+	return s.StatusCode == http.StatusOK
+}
+
+// list sets the platform's list of VMs.
+func (d *deployment) list() {
+	vm := ggscore.VM{Region: "central", Domain: "cr-central-a"}
+	entry, runner, ledger := vm, vm, vm
+	entry.ID, entry.Role, entry.Addr = "cr-1", ggscore.RoleEntry, d.addr(dispatcherPort)
+	runner.ID, runner.Role, runner.Addr, runner.Service = "runner-1", ggscore.RoleEndpoint, d.addr(enginePort), "asistente"
+	ledger.ID, ledger.Role, ledger.Addr, ledger.Service = "ledger-1", ggscore.RoleEndpoint, d.addr(plainPort), "custodia"
+	d.s.platform.SetVMs([]ggscore.VM{entry, runner, ledger})
+}
+
+func (d *deployment) serve(port uint16, h http.Handler) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", d.addr(port).String())
+	d.ts.Check(err)
+	s := &http.Server{Handler: h, ReadHeaderTimeout: sessionDeadline}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(l)
+	}()
+	d.ts.Defer(func() {
+		_ = s.Close()
+		<-done
+	})
+}
+
+// start starts a process and stops it at the session's end.
+func (d *deployment) start(
+	run func(context.Context, []string, io.Writer, io.Writer) int, port, statePort uint16,
+) {
+	text := fmt.Sprintf("vm = \"cr-1\"\nregion = \"central\"\ndomain = \"cr-central-a\"\nlisten = %q\nstateListen = %q\n"+
+		"platform = %q\nlistInterval = \"50ms\"\ndrainTimeout = \"5s\"\n",
+		d.addr(port), d.addr(statePort), d.s.addrs["PLATFORM"])
+	f := filepath.Join(d.ts.MkAbs("."), fmt.Sprintf("node-%d.toml", port))
+	d.ts.Check(os.WriteFile(f, []byte(text), 0o600))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan int, 1)
+	w := &lockedBuffer{}
+	go func() { done <- run(ctx, []string{"--settings", f}, w, w) }()
+	d.ts.Defer(func() {
+		cancel()
+		if code := <-done; code != 0 {
+			d.ts.Logf("process ended with %d\n%s", code, w.String())
+		}
+	})
+}
+
+// A lockedBuffer takes the log of a process.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
--- a/cmd/ggsctl/request.go
+++ b/cmd/ggsctl/request.go
@@ -5,12 +5,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	ggscore "greengageslip/core"
 )
@@ -19,7 +21,8 @@
 
 With --model it asks a model service; the message is the user's. With
 --operation it calls a plain service; the message is the body. A request with
---key runs at most once. The outcome of a failed request is shown: notRun, done
+--key runs at most once; --new-key makes a key and shows it on standard error,
+so that the request can be repeated under it. The outcome of a failed request is shown: notRun, done
 or unknown; unknown exits with 4.`
 
 // The headers of requests.
@@ -44,6 +47,7 @@
 	Operation string `description:"the operation of a plain service" long:"operation" value-name:"NAME"`
 	Message   string `description:"the message" long:"message" value-name:"TEXT"`
 	Key       string `description:"the idempotency key" long:"key" value-name:"KEY"`
+	NewKey    bool   `description:"make an idempotency key and show it" long:"new-key"`
 	Stream    bool   `description:"print the answer piece by piece" long:"stream"`
 }
 
@@ -75,6 +79,9 @@
 }
 
 func (c *requestCommand) run(ctx context.Context, a *app) error {
+	if err := c.makeKey(a); err != nil {
+		return err
+	}
 	r, err := c.request(ctx, a)
 	if err != nil {
 		return err
@@ -109,6 +116,25 @@
 	return &requestError{kind: string(ggscore.FailureBroken), detail: err.Error(), outcome: o.String()}
 }
 
+// makeKey makes a key if that is asked for. It is shown before the request is
+// sent: an operator who learned it with the answer only could not repeat a
+// request whose answer was lost.
+func (c *requestCommand) makeKey(a *app) error {
+	if !c.NewKey {
+		return nil
+	}
+	if c.Key != "" {
+		return &usageError{detail: "give either --key or --new-key"}
+	}
+	k, err := uuid.NewV7()
+	if err != nil {
+		return errors.Wrap(err, "making a key")
+	}
+	c.Key = k.String()
+	_, err = fmt.Fprintf(a.streams.err, "key: %s\n", c.Key)
+	return err
+}
+
 // printStream prints the pieces of a streamed answer. A stream that ends
 // without its last event was cut short, which must not look like a whole
 // answer.
--- a/cmd/ggsctl/script_test.go
+++ b/cmd/ggsctl/script_test.go
@@ -32,6 +32,10 @@
 
 var changeID = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`) //nolint:gochecknoglobals // a constant
 
+var shownKey = regexp.MustCompile(`(?m)^key: (\S+)$`) //nolint:gochecknoglobals // a constant
+
+var requestID = regexp.MustCompile(`\b[0-9a-f]{32}\b`) //nolint:gochecknoglobals // a constant
+
 var update = flag.Bool("update", false, "rewrite the golden sessions") //nolint:gochecknoglobals // a flag of the test
 
 type sessionKey struct{}
@@ -58,6 +62,7 @@
 		Setup:         setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"ggsctl":  ctl,
+			"deploy":  startDeployment,
 			"entry":   startEntry,
 			"fault":   setFault,
 			"leave":   leave,
@@ -110,18 +115,26 @@
 
 // stable replaces ids and ports by stable words.
 func (s *session) stable(text string) string {
-	text = changeID.ReplaceAllStringFunc(text, func(id string) string {
-		if s.words[id] == "" {
-			s.words[id] = "CHANGE-" + strconv.Itoa(s.countOf("CHANGE-")+1)
-		}
-		return id
-	})
+	for _, m := range shownKey.FindAllStringSubmatch(text, -1) {
+		s.nameAll(m[1:], "KEY-")
+	}
+	s.nameAll(changeID.FindAllString(text, -1), "CHANGE-")
+	s.nameAll(requestID.FindAllString(text, -1), "REQUEST-")
 	for from, to := range s.words {
 		text = strings.ReplaceAll(text, from, to)
 	}
 	return text
 }
 
+// nameAll gives ids words in the order in which they are seen.
+func (s *session) nameAll(ids []string, prefix string) {
+	for _, id := range ids {
+		if s.words[id] == "" {
+			s.words[id] = prefix + strconv.Itoa(s.countOf(prefix)+1)
+		}
+	}
+}
+
 func (s *session) countOf(prefix string) int {
 	n := 0
 	for _, w := range s.words {
