--- a/io/ggsdispatch/run.go
+++ b/io/ggsdispatch/run.go
@@ -17,6 +17,9 @@
 	claimTimeout     = 2 * time.Second
 	finishTimeout    = 30 * time.Second
 	claimRetryAfter  = 2 * time.Second
+	// claimPatience is how long a repeat waits for an outcome to be recorded.
+	claimPatience = 400 * time.Millisecond
+	claimInterval = 50 * time.Millisecond
 )
 
 // A recorder keeps the first bytes of an answer for the claim's result.
@@ -104,12 +107,8 @@
 // claim records the claim of the request's key, which goes before its one
 // dispatch. It answers the request itself where the claim isn't granted.
 func (d *Dispatcher) claim(ctx context.Context, j *job) bool {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
 	r := j.request
-	c, err := d.parts.Claims.Begin(ctx, ggscore.ClaimRequest{
-		Market: r.Market, Key: r.Key, Body: bodyDigest(r),
-	})
+	c, err := d.beginClaim(ctx, r)
 	if err != nil {
 		_ = level.Warn(d.parts.Log).Log("event", "claimFailed", "request", r.ID, "err", err)
 		f := &ggscore.Failure{
@@ -131,6 +130,27 @@
 	return false
 }
 
+// beginClaim asks for the claim. A repeat that comes right behind the first
+// answer, whose outcome is still being written, is given a moment to meet it.
+func (d *Dispatcher) beginClaim(ctx context.Context, r *ggscore.Request) (ggscore.ClaimDecision, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	q := ggscore.ClaimRequest{Market: r.Market, Key: r.Key, Body: bodyDigest(r)}
+	until := d.parts.Clock().Add(claimPatience)
+	for {
+		c, err := d.parts.Claims.Begin(ctx, q)
+		if err != nil || c.Answer != ggscore.ClaimInProgress || !d.parts.Clock().Before(until) {
+			return c, err
+		}
+		t := time.NewTimer(claimInterval)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
 // answerClaim ends a request whose key was claimed before.
 func (d *Dispatcher) answerClaim(j *job, c ggscore.ClaimDecision) {
 	f := &ggscore.Failure{Outcome: ggscore.OutcomeUnknown}
