perf: measure the platform client's calls

Change: BenchmarkCalls, client and stand-in in one process, bytes counted on a link; the stand-in's waiting watches look only at what is new since their last look, where each write made them look through all since their start.

--- a/fakes/ggsfakeplatform/watch.go
+++ b/fakes/ggsfakeplatform/watch.go
@@ -36,6 +36,10 @@
 			g.JSON(http.StatusOK, l.found)
 			return
 		}
+		// Nothing below the prefix changed so far, so that the next look needs
+		// only what comes after; a long wait would else look through all again
+		// at each write.
+		after = max(after, l.found.Revision)
 		sweep := time.NewTimer(l.next)
 		select {
 		case <-l.changed:
--- /dev/null
+++ b/io/ggsplatform/bench_test.go
@@ -0,0 +1,105 @@
+package ggsplatform_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakelink"
+	"greengageslip/fakes/ggsfakeplatform"
+	"greengageslip/io/ggsplatform"
+)
+
+// benchLink returns a client that reaches an unlimited stand-in directly, and
+// one that reaches it over a link, which counts the bytes.
+func benchLink(c *qt.C) (direct, linked *ggsplatform.Client, l *ggsfakelink.Link) {
+	o := ggsfakeplatform.DefaultOptions()
+	o.ReadsPerSecond, o.WritesPerSecond = 0, 0
+	s := httptest.NewServer(ggsfakeplatform.New(o).Handler())
+	direct = ggsplatform.NewClient(addrOf(c, s))
+	l = ggsfakelink.New(addrOf(c, s))
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- l.Serve(ctx, n) }()
+	linked = ggsplatform.NewClient(netip.MustParseAddrPort(n.Addr().String()))
+	c.Cleanup(func() {
+		direct.Close()
+		linked.Close()
+		cancel()
+		c.Check(<-served, qt.IsNil)
+		s.Close()
+	})
+	return direct, linked, l
+}
+
+// BenchmarkCalls measures a call's time and allocations, client and stand-in
+// together, and its bytes on the wire above TCP.
+func BenchmarkCalls(b *testing.B) {
+	ctx := context.Background()
+	for name, prepare := range map[string]func(*qt.C, *ggsplatform.Client) func() error{
+		"get": func(_ *qt.C, cl *ggsplatform.Client) func() error {
+			return func() error {
+				_, err := cl.Get(ctx, "owner/domain/r1")
+				return err
+			}
+		},
+		"put200B": func(c *qt.C, cl *ggsplatform.Client) func() error {
+			value := bytes.Repeat([]byte("x"), 200)
+			var last ggscore.StoreRevision
+			e, err := cl.Get(ctx, "owner/domain/r1")
+			c.Assert(err, qt.IsNil)
+			last = e.Revision
+			return func() error {
+				r, err := cl.Put(ctx, "owner/domain/r1", value, last, 0)
+				last = r
+				return err
+			}
+		},
+		"renew": func(c *qt.C, cl *ggsplatform.Client) func() error {
+			l, err := cl.Grant(ctx, time.Hour)
+			c.Assert(err, qt.IsNil)
+			return func() error { return cl.Renew(ctx, l) }
+		},
+		"watchEmpty": func(_ *qt.C, cl *ggsplatform.Client) func() error {
+			return func() error {
+				_, _, err := cl.Watch(ctx, "section/", 0, 0)
+				return err
+			}
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			c := qt.New(b)
+			direct, linked, l := benchLink(c)
+			do := prepare(c, direct)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if err := do(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.StopTimer()
+			do = prepare(c, linked)
+			c.Assert(do(), qt.IsNil)
+			before := l.Stats()
+			for range linkCalls {
+				c.Assert(do(), qt.IsNil)
+			}
+			after := l.Stats()
+			b.ReportMetric(float64(after.BytesToTarget-before.BytesToTarget)/linkCalls, "sentB/op")
+			b.ReportMetric(float64(after.BytesFromTarget-before.BytesFromTarget)/linkCalls, "receivedB/op")
+		})
+	}
+}
+
+// linkCalls is the number of calls whose bytes are counted.
+const linkCalls = 100
