test: check that the end mark ends a run

Cause: an engine that keeps the body open after [DONE] must not keep its slot taken. Not proved: that the drain keeps a connection when the body's end comes in a packet of its own; without the drain the test passes as well, as the end is in the buffer.

--- a/io/ggsconn/conn.go
+++ b/io/ggsconn/conn.go
@@ -5,7 +5,9 @@
 	"sync"
 )
 
-// A conn notes whether the request that it carries has written anything.
+// A conn notes whether the request that it carries has written anything. It has
+// the methods of net.Conn only: a ReadFrom that it took over from a TCP
+// connection would write past the notes.
 type conn struct {
 	net.Conn
 
--- a/io/ggsengine/client.go
+++ b/io/ggsengine/client.go
@@ -11,7 +11,8 @@
 	"greengageslip/io/ggsconn"
 )
 
-// Settings bound a client's calls, beside their contexts.
+// Settings bound a client's calls, beside their contexts. All are to be
+// positive.
 type Settings struct {
 	// DialTimeout bounds the making of a connection.
 	DialTimeout time.Duration
--- a/io/ggsengine/fault_test.go
+++ b/io/ggsengine/fault_test.go
@@ -211,6 +211,39 @@
 	}
 }
 
+// An engine sends the end mark and then nothing, not even the body's end. The
+// caller has its whole answer; were the run to wait on, its slot would stay
+// taken at the owner.
+func TestEndMarkEndsRun(t *testing.T) {
+	t.Parallel()
+	const open = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"e\r\ndata: [DONE]\n\n\r\n"
+	for name, tc := range map[string]struct {
+		text  string
+		conns int
+	}{
+		"body stays open": {text: open, conns: 2},
+		"body ends":       {text: open + "0\r\n\r\n", conns: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			ctx := testContext(c)
+			e := newRawEndpoint(c, func(int) (string, bool) { return tc.text, false })
+			cl := newClient(c, ggsengine.DefaultSettings())
+			for range 2 {
+				var got taker
+				c.Assert(cl.Run(ctx, e.addr, request("q1", adapterA(), 1), got.take), qt.IsNil)
+				c.Assert(got.text(c), qt.Equals, "data: [DONE]\n\n")
+			}
+			c.Assert(ctx.Err(), qt.IsNil)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			c.Assert(e.conns, qt.HasLen, tc.conns)
+		})
+	}
+}
+
 // A long answer comes in several pieces; its end is shown by the last only.
 func TestLongBodyComesInPieces(t *testing.T) {
 	t.Parallel()
--- a/io/ggsplatform/client.go
+++ b/io/ggsplatform/client.go
@@ -12,7 +12,8 @@
 	"greengageslip/io/ggsconn"
 )
 
-// Settings bound a client's calls.
+// Settings bound a client's calls, beside their contexts. All are to be
+// positive.
 type Settings struct {
 	// CallTimeout bounds each call; for Watch it is added to the wait.
 	CallTimeout time.Duration
