--- a/core/ggsdocument/follower.go
+++ b/core/ggsdocument/follower.go
@@ -19,9 +19,9 @@
 	parser  SectionParser
 	current *ggscore.Document
 	head    Head
-	// texts and parsed hold the sections of head and of pending.
-	texts   map[ggscore.Digest][]byte
+	// parsed holds the sections of head, texts those delivered for pending.
 	parsed  map[ggscore.SectionName]parsedSection
+	texts   map[ggscore.Digest][]byte
 	pending *Head
 	// rejected is the latest revision that formed no valid document.
 	rejected ggscore.Revision
@@ -84,7 +84,7 @@
 	var l []ggscore.Digest
 	for _, n := range slices.Sorted(maps.Keys(f.pending.Sections)) {
 		d := f.pending.Sections[n].Digest
-		if _, found := f.texts[d]; !found && !slices.Contains(l, d) {
+		if _, found := f.texts[d]; !found && !f.isParsed(n, d) && !slices.Contains(l, d) {
 			l = append(l, d)
 		}
 	}
@@ -118,9 +118,6 @@
 	return f.adoptIfWhole()
 }
 
-// Text returns a section's text by its digest, nil where it isn't held.
-func (f *Follower) Text(d ggscore.Digest) []byte { return f.texts[d] }
-
 // adoptIfWhole adopts the pending head if all its sections are there. A head
 // that forms no valid document is dropped for good: only a later one follows.
 func (f *Follower) adoptIfWhole() (bool, error) {
@@ -135,7 +132,7 @@
 		return false, err
 	}
 	f.head, f.current, f.parsed = h, d, parsed
-	f.dropTexts()
+	clear(f.texts)
 	return true, nil
 }
 
@@ -153,13 +150,10 @@
 	return m, d, err
 }
 
-// dropTexts drops the texts that the head in force doesn't name.
-func (f *Follower) dropTexts() {
-	used := make(map[ggscore.Digest]bool, len(f.head.Sections))
-	for _, s := range f.head.Sections {
-		used[s.Digest] = true
-	}
-	maps.DeleteFunc(f.texts, func(d ggscore.Digest, _ []byte) bool { return !used[d] })
+// isParsed reports whether the head in force has the section.
+func (f *Follower) isParsed(n ggscore.SectionName, d ggscore.Digest) bool {
+	p, found := f.parsed[n]
+	return found && p.digest == d
 }
 
 // parse parses the sections that the head in force doesn't have.
@@ -167,8 +161,8 @@
 	m := make(map[ggscore.SectionName]parsedSection, len(h.Sections))
 	for _, n := range slices.Sorted(maps.Keys(h.Sections)) {
 		d := h.Sections[n].Digest
-		if p, found := f.parsed[n]; found && p.digest == d {
-			m[n] = p
+		if f.isParsed(n, d) {
+			m[n] = f.parsed[n]
 			continue
 		}
 		s, err := f.parser.ParseSection(n, f.texts[d])
--- a/core/ggsdocument/follower_test.go
+++ b/core/ggsdocument/follower_test.go
@@ -60,12 +60,16 @@
 	c.Assert(adopted, qt.IsTrue)
 	c.Assert(f.Current().Markets["wa"].Weight, qt.Equals, 2)
 
-	h3 := accepted(c, h2, "market/cr", "22", "c")
+	h3 := accepted(c, h2, "market/cr", "333", "c")
 	adopted, err = f.Offer(h3)
 	c.Assert(err, qt.IsNil)
+	c.Assert(adopted, qt.IsFalse)
+	c.Assert(f.Missing(), qt.DeepEquals, []ggscore.Digest{ggsdocument.DigestOf([]byte("333"))})
+	adopted, err = offer(c, f, h3, "333")
+	c.Assert(err, qt.IsNil)
 	c.Assert(adopted, qt.IsTrue)
-	c.Assert(f.Text(ggsdocument.DigestOf([]byte("1"))), qt.IsNil)
-	c.Assert(string(f.Text(ggsdocument.DigestOf([]byte("22")))), qt.Equals, "22")
+	c.Assert(f.Current().Markets["cr"].Weight, qt.Equals, 3)
+	c.Assert(f.Current().Markets["wa"].Weight, qt.Equals, 2)
 }
 
 // A platform restored from an old copy, or a peer that was cut off, shows an
--- /dev/null
+++ b/io/ggsconfig/bench_test.go
@@ -0,0 +1,139 @@
+package ggsconfig_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsdocument"
+	"greengageslip/io/ggsconfig"
+	"greengageslip/io/ggstoml"
+)
+
+// sectionAdapters is the number of adapters in a market's section: about as
+// many as a megabyte takes.
+const sectionAdapters = 5000
+
+func largeMarket(m, adapters int) []byte {
+	var b strings.Builder
+	for i := range adapters {
+		// Names without a pattern, or the texts would compress too well.
+		h := sha256.Sum256([]byte(fmt.Sprint(m, i)))
+		fmt.Fprintf(&b, "[[adapters]]\nname = \"summary-%x\"\nbaseModel = \"base-8b\"\n"+
+			"versions = [\"v1\", \"v2\"]\ncurrent = \"v2\"\n\n", h[:6])
+	}
+	b.WriteString("[[uses]]\nservice = \"asistente\"\ndeadline = \"5s\"\n")
+	return []byte(b.String())
+}
+
+// BenchmarkFollower lets a process adopt documents of several sizes and reports
+// what it holds (bytes/adapter) and what a peer sends it (packedBytes/adapter).
+func BenchmarkFollower(b *testing.B) {
+	for _, n := range []int{3_000, 50_000, 100_000, 200_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) { benchmarkFollower(b, n) })
+	}
+}
+
+func benchmarkFollower(b *testing.B, n int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := newFaultyStore()
+	mustApply(b, s, edit("services", []byte(servicesText), 0, "s"))
+	last := ggscore.Revision(1)
+	for m := 0; m*sectionAdapters < n; m++ {
+		t := largeMarket(m, min(sectionAdapters, n-m*sectionAdapters))
+		last = mustApply(b, s, edit(ggscore.SectionName("market/m"+strconv.Itoa(m)), t, 0, "m"+strconv.Itoa(m)))
+	}
+	before := inUse()
+	f := ggsconfig.NewFollower(ggsconfig.FollowerOptions{
+		Self: "a1", Domain: "a", Store: s, Members: newNetwork(),
+	})
+	documents := f.Subscribe(ctx)
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	if d := <-documents; d.Revision != last {
+		b.Fatalf("revision %d was adopted, not %d", d.Revision, last)
+	}
+	held := inUse() - before
+	packed := 0
+	for _, s := range f.Head().Sections {
+		packed += len(f.PackedSection(s.Digest))
+	}
+	for b.Loop() {
+		_ = f.Current()
+	}
+	b.ReportMetric(float64(held)/float64(n), "bytes/adapter")
+	b.ReportMetric(float64(packed)/float64(n), "packedBytes/adapter")
+	cancel()
+	if err := <-done; err != nil {
+		b.Fatal(err)
+	}
+	runtime.KeepAlive(f)
+}
+
+// BenchmarkAdopt measures what a change of one market's section costs each
+// process, beside documents of several sizes.
+func BenchmarkAdopt(b *testing.B) {
+	for _, n := range []int{5_000, 50_000, 100_000, 200_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) { benchmarkAdopt(b, n) })
+	}
+}
+
+func benchmarkAdopt(b *testing.B, n int) {
+	f := ggsdocument.NewFollower(ggstoml.Codec{})
+	h := ggsdocument.Head{}
+	texts := map[ggscore.Digest][]byte{}
+	change := func(n ggscore.SectionName, t []byte) {
+		d := ggsdocument.DigestOf(t)
+		texts[d] = t
+		var err error
+		if h, err = h.Accept(ggsdocument.Change{Section: n, Digest: d, ReadAt: h.Revision}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	adopt := func() {
+		_, err := f.Offer(h)
+		for _, d := range f.Missing() {
+			if err == nil {
+				_, err = f.Deliver(d, texts[d])
+			}
+		}
+		if err != nil || f.Head().Revision != h.Revision {
+			b.Fatal(err, f.Head().Revision)
+		}
+	}
+	change("services", []byte(servicesText))
+	for m := 0; m*sectionAdapters < n; m++ {
+		change(ggscore.SectionName("market/m"+strconv.Itoa(m)), largeMarket(m, sectionAdapters))
+	}
+	adopt()
+	one, other := largeMarket(0, sectionAdapters), largeMarket(n, sectionAdapters)
+	for b.Loop() {
+		one, other = other, one
+		change("market/m0", one)
+		adopt()
+	}
+}
+
+func mustApply(b *testing.B, s ggsconfig.EditorStore, d ggsconfig.Edit) ggscore.Revision {
+	b.Helper()
+	a, err := newEditor(s).Apply(context.Background(), d)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return a.Revision
+}
+
+// inUse returns the bytes of the heap that are in use after a collection.
+func inUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/io/ggsconfig/errors.go
+++ b/io/ggsconfig/errors.go
@@ -104,3 +104,18 @@
 func (e *StoreWentBackError) Error() string {
 	return fmt.Sprintf("platform service went back from revision %d to %d", e.Seen, e.Have)
 }
+
+// A BadPackError says that a section can't be uncompressed.
+type BadPackError struct{ Cause error }
+
+// Error implements error.
+func (e *BadPackError) Error() string { return fmt.Sprintf("bad compressed section: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *BadPackError) Unwrap() error { return e.Cause }
+
+// A TooLargeError says that a text is larger than a section may be.
+type TooLargeError struct{ Limit int }
+
+// Error implements error.
+func (e *TooLargeError) Error() string { return fmt.Sprintf("more than %d bytes", e.Limit) }
--- a/io/ggsconfig/follower.go
+++ b/io/ggsconfig/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -71,8 +72,10 @@
 
 	mu    sync.Mutex
 	rules *ggsdocument.Follower
-	subs  map[*subscription]struct{}
-	state FollowerState
+	// packed holds the sections of the head in force for peers.
+	packed map[ggscore.Digest]packedText
+	subs   map[*subscription]struct{}
+	state  FollowerState
 }
 
 var _ HeadServer = (*Follower)(nil)
@@ -120,6 +123,7 @@
 	return &Follower{
 		options: o,
 		rules:   ggsdocument.NewFollower(ggstoml.Codec{}),
+		packed:  map[ggscore.Digest]packedText{},
 		subs:    map[*subscription]struct{}{},
 	}
 }
@@ -134,6 +138,14 @@
 	return f.rules.Head()
 }
 
+// PackedSection returns the compressed text of a section of the head in force,
+// nil where the head has no such section.
+func (f *Follower) PackedSection(d ggscore.Digest) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.packed[d]
+}
+
 // Run follows the document until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	var g errgroup.Group
@@ -142,14 +154,6 @@
 	return g.Wait()
 }
 
-// Section returns the text of a section of the head in force, nil where the
-// head has no such section.
-func (f *Follower) Section(d ggscore.Digest) []byte {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.rules.Text(d)
-}
-
 // State returns the state for dumps.
 func (f *Follower) State() FollowerState {
 	f.mu.Lock()
@@ -212,8 +216,15 @@
 }
 
 func (f *Follower) deliver(d ggscore.Digest, text []byte, s source) error {
+	var p packedText
+	if !f.options.PeersOnly && ggsdocument.DigestOf(text) == d {
+		p = pack(text)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if p != nil {
+		f.packed[d] = p
+	}
 	adopted, err := f.rules.Deliver(d, text)
 	if err != nil {
 		f.refused(err, s)
@@ -232,11 +243,22 @@
 	f.state.Failed++
 }
 
+// dropPacked drops the sections that the head in force doesn't have. The
+// caller holds f.mu.
+func (f *Follower) dropPacked() {
+	used := map[ggscore.Digest]bool{}
+	for _, s := range f.rules.Head().Sections {
+		used[s.Digest] = true
+	}
+	maps.DeleteFunc(f.packed, func(d ggscore.Digest, _ packedText) bool { return !used[d] })
+}
+
 // publish makes the rules' document the one in force. The caller holds f.mu.
 func (f *Follower) publish(s source) {
 	d := f.rules.Current()
 	f.current.Store(d)
 	f.state.From = s.name
+	f.dropPacked()
 	for u := range f.subs {
 		select {
 		case <-u.documents:
--- a/io/ggsconfig/follower_test.go
+++ b/io/ggsconfig/follower_test.go
@@ -1,7 +1,10 @@
 package ggsconfig_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -64,10 +67,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if t := f.Section(d); t != nil {
-		return t, nil
+	var r ggsconfig.SectionReply
+	if err = ggsconfig.NewService(f).Section(&ggsconfig.SectionArgs{Digest: d}, &r); err != nil || !r.Found {
+		return nil, &ggsconfig.MissingSectionError{Digest: d}
 	}
-	return nil, &ggsconfig.MissingSectionError{Digest: d}
+	z, err := gzip.NewReader(bytes.NewReader(r.Packed))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(z)
 }
 
 func (l *link) reach(addr netip.AddrPort) (*ggsconfig.Follower, error) {
--- a/io/ggsconfig/peer.go
+++ b/io/ggsconfig/peer.go
@@ -40,16 +40,16 @@
 // SectionArgs asks for a section's text.
 type SectionArgs struct{ Digest [32]byte }
 
-// SectionReply answers SectionArgs.
+// SectionReply answers SectionArgs. Packed is the text, compressed by gzip.
 type SectionReply struct {
-	Found bool
-	Text  []byte
+	Found  bool
+	Packed []byte
 }
 
 // A HeadServer has a head and its sections; a Follower is one.
 type HeadServer interface {
 	Head() ggsdocument.Head
-	Section(d ggscore.Digest) []byte
+	PackedSection(d ggscore.Digest) []byte
 }
 
 // A Service serves the document to other processes.
@@ -69,8 +69,8 @@
 
 // Section answers with a section's text.
 func (s *Service) Section(a *SectionArgs, r *SectionReply) error {
-	if t := s.server.Section(a.Digest); t != nil {
-		*r = SectionReply{Found: true, Text: t}
+	if t := s.server.PackedSection(a.Digest); t != nil {
+		*r = SectionReply{Found: true, Packed: t}
 	}
 	return nil
 }
@@ -110,5 +110,9 @@
 	if !r.Found {
 		return nil, &PeerError{Addr: addr, Cause: &MissingSectionError{Digest: d}}
 	}
-	return r.Text, nil
+	t, err := unpack(r.Packed)
+	if err != nil {
+		return nil, &PeerError{Addr: addr, Cause: err}
+	}
+	return t, nil
 }
