--- /dev/null
+++ b/fakes/ggsfakeweights/store_test.go
@@ -0,0 +1,60 @@
+package ggsfakeweights_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakeweights"
+)
+
+// Loads beyond the transit limit take proportionally longer, and all of them
+// take longer at a store that is slow.
+func TestCrowdSlowsLoads(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := ggsfakeweights.New(ggsfakeweights.Options{InTransit: 2, LoadTime: 20 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	c.Assert(s.LoadTime(), qt.Equals, 20*time.Millisecond)
+
+	held, release := context.WithCancel(ctx)
+	s.SetFaults(ggsfakeweights.Faults{Speed: 1e-6})
+	var wg sync.WaitGroup
+	for range 5 {
+		wg.Go(func() { _ = s.Fetch(held, ggscore.AdapterRef{Name: "b"}) })
+	}
+	for s.Stats().InTransit < 5 {
+		c.Assert(ctx.Err(), qt.IsNil)
+	}
+	s.SetFaults(ggsfakeweights.Faults{})
+	c.Assert(s.LoadTime(), qt.Equals, 50*time.Millisecond)
+	s.SetFaults(ggsfakeweights.Faults{Speed: 0.5})
+	c.Assert(s.LoadTime(), qt.Equals, 100*time.Millisecond)
+	release()
+	wg.Wait()
+	c.Assert(s.Stats(), qt.Equals, ggsfakeweights.Stats{MaxInTransit: 5})
+}
+
+func TestFailuresOverHTTP(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := ggsfakeweights.New(ggsfakeweights.Options{AtOnce: 1})
+	srv := httptest.NewServer(s.Handler())
+	defer srv.Close()
+	cl := ggsfakeweights.NewClient(netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://")))
+	defer cl.Close()
+	s.SetFaults(ggsfakeweights.Faults{FailNext: 1})
+	ctx := context.Background()
+	var failed *ggsfakeweights.StatusError
+	c.Assert(cl.Fetch(ctx, ggscore.AdapterRef{Name: "a"}), qt.ErrorAs, &failed)
+	c.Assert(cl.Fetch(ctx, ggscore.AdapterRef{Name: "a"}), qt.IsNil)
+	c.Assert(s.Stats(), qt.Equals, ggsfakeweights.Stats{Loads: 1, Failures: 1, MaxInTransit: 1})
+}
--- a/io/ggsdispatch/run.go
+++ b/io/ggsdispatch/run.go
@@ -7,9 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
-	"github.com/google/uuid"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 const (
@@ -18,6 +17,9 @@
 	claimTimeout     = 2 * time.Second
 	finishTimeout    = 30 * time.Second
 	claimRetryAfter  = 2 * time.Second
+	// claimPatience is how long a repeat waits for an outcome to be recorded.
+	claimPatience = 400 * time.Millisecond
+	claimInterval = 50 * time.Millisecond
 )
 
 // A recorder keeps the first bytes of an answer for the claim's result.
@@ -63,9 +65,24 @@
 		d.ended(o, ggscore.EndDone)
 		return
 	}
+	if j.claim != "" && !d.parts.Clock().Before(j.claimBefore) {
+		d.lateClaim(ctx, j, o)
+		return
+	}
 	d.run(ctx, runCtx, j, o)
 }
 
+// lateClaim ends a request whose claim may no longer be used. A process that
+// was paused between claim and dispatch would run a key that others have
+// forgotten by now, and that may have run again since.
+func (d *Dispatcher) lateClaim(ctx context.Context, j *job, o ggscore.Order) {
+	d.finishClaim(ctx, j, ggscore.ClaimResult{Outcome: ggscore.OutcomeNotRun})
+	d.end(j, ggscore.OutcomeNotRun, &ggscore.Failure{
+		Kind: ggscore.FailureKeyExpired, Outcome: ggscore.OutcomeNotRun, Detail: "the claim of the key came too late",
+	})
+	d.ended(o, ggscore.EndDone)
+}
+
 // begin makes a request's context. It returns nil where there is nothing to
 // run, since the request was withdrawn before any of it was sent.
 func (d *Dispatcher) begin(ctx context.Context, o ggscore.Order) (*job, context.Context, context.CancelFunc) {
@@ -90,23 +107,22 @@
 // claim records the claim of the request's key, which goes before its one
 // dispatch. It answers the request itself where the claim isn't granted.
 func (d *Dispatcher) claim(ctx context.Context, j *job) bool {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
 	r := j.request
-	c, err := d.parts.Claims.Begin(ctx, ggscore.ClaimRequest{
-		Market: r.Market, Key: r.Key, Body: bodyDigest(r), Issued: issuedAt(r.Key),
-	})
+	c, err := d.beginClaim(ctx, r)
 	if err != nil {
 		_ = level.Warn(d.parts.Log).Log("event", "claimFailed", "request", r.ID, "err", err)
-		d.end(j, ggscore.OutcomeNotRun, &ggscore.Failure{
-			Kind: ggscore.FailurePlatformAway, Outcome: ggscore.OutcomeNotRun,
-			Detail: "the claim of the idempotency key could not be recorded", RetryAfter: claimRetryAfter,
-		})
+		f := &ggscore.Failure{
+			Kind: ggscore.FailurePlatformAway, Detail: "the claim of the idempotency key could not be recorded",
+			RetryAfter: claimRetryAfter,
+		}
+		_ = errors.As(err, &f)
+		f.Outcome = ggscore.OutcomeNotRun
+		d.end(j, f.Outcome, f)
 		return false
 	}
 	if c.Answer == ggscore.ClaimGranted {
 		d.mu.Lock()
-		j.claim = c.ID
+		j.claim, j.claimBefore = c.ID, c.Before
 		d.mu.Unlock()
 		return true
 	}
@@ -114,6 +130,27 @@
 	return false
 }
 
+// beginClaim asks for the claim. A repeat that comes right behind the first
+// answer, whose outcome is still being written, is given a moment to meet it.
+func (d *Dispatcher) beginClaim(ctx context.Context, r *ggscore.Request) (ggscore.ClaimDecision, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	q := ggscore.ClaimRequest{Market: r.Market, Key: r.Key, Body: bodyDigest(r)}
+	until := d.parts.Clock().Add(claimPatience)
+	for {
+		c, err := d.parts.Claims.Begin(ctx, q)
+		if err != nil || c.Answer != ggscore.ClaimInProgress || !d.parts.Clock().Before(until) {
+			return c, err
+		}
+		t := time.NewTimer(claimInterval)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
 // answerClaim ends a request whose key was claimed before.
 func (d *Dispatcher) answerClaim(j *job, c ggscore.ClaimDecision) {
 	f := &ggscore.Failure{Outcome: ggscore.OutcomeUnknown}
@@ -208,8 +245,7 @@
 	}
 	d.apply(d.parts.Scheduler.RequestEnded(d.parts.Clock(), o.Request.ID, e))
 	if j != nil && j.abandoned && j.state == jobQueued && j.claim == "" {
-		d.apply(d.parts.Scheduler.Cancel(d.parts.Clock(), o.Request.ID))
-		d.endJob(j, ggscore.OutcomeNotRun, withdrawn())
+		d.takeBack(d.parts.Clock(), j, withdrawn())
 	}
 }
 
@@ -258,13 +294,3 @@
 	h.Write(r.Body)
 	return ggscore.Digest(h.Sum(nil))
 }
-
-// issuedAt reads the time that a version 7 UUID carries.
-func issuedAt(k ggscore.IdempotencyKey) time.Time {
-	u, err := uuid.Parse(string(k))
-	if err != nil || u.Version() != 7 {
-		return time.Time{}
-	}
-	sec, nsec := u.Time().UnixTime()
-	return time.Unix(sec, nsec)
-}
