--- a/core/ggsowner/group.go
+++ b/core/ggsowner/group.go
@@ -110,6 +110,7 @@
 			return 0, &PinnedError{Endpoint: id, Adapter: a, Holder: h}
 		}
 	}
+	g.idle = false
 	return g.record.Fence, nil
 }
 
@@ -157,11 +158,14 @@
 	g.known = false
 }
 
-// Protect names the adapters that the record of an owned group is to protect.
-func (g *Group) Protect(s Set) {
-	if g.Owned() {
-		g.want = s
+// Protect names the adapters that the record of an owned group is to protect,
+// and reports whether it takes a write.
+func (g *Group) Protect(s Set) bool {
+	if !g.Owned() {
+		return false
 	}
+	g.want = s
+	return !s.Equal(g.record.Protected)
 }
 
 // Protected reports whether the record protects an adapter.
@@ -204,8 +208,23 @@
 // Released reports whether a release has been recorded.
 func (g *Group) Released() bool { return g.known && !g.Owned() && !g.inDoubt }
 
-// SetIdle says whether this holder has nothing in progress in the group.
-func (g *Group) SetIdle(idle bool) { g.idle = idle }
+// SetIdle says whether this holder has nothing in progress in the group. It is
+// looked at only while no new work is taken: said earlier it would be out of
+// date with the next dispatch.
+func (g *Group) SetIdle(idle bool) { g.idle = idle && (g.releasing || !g.Owned()) }
+
+// Involved reports whether this holder has a part in the group: it owns it, or
+// has pins left from when it did.
+func (g *Group) Involved() bool { return g.record.Owner == g.self || g.pins() }
+
+func (g *Group) pins() bool {
+	for _, p := range g.record.Pins {
+		if p.Holder == g.self {
+			return true
+		}
+	}
+	return false
+}
 
 // Stopped reports that an earlier holder has ended for certain: its process
 // was replaced by another, or its VM is gone.
--- a/core/ggsowner/group_test.go
+++ b/core/ggsowner/group_test.go
@@ -30,10 +30,7 @@
 	adapters := rapid.Custom(func(t *rapid.T) ggscore.AdapterRef { return adapter(rapid.IntRange(1, 2).Draw(t, "n")) })
 	order := func(k ggscore.OrderKind) func(*rapid.T) {
 		return func(t *rapid.T) {
-			i := dispatchers.Draw(t, "dispatcher")
-			if w.give(t, i, adapters.Draw(t, "adapter"), k) == nil && k == ggscore.OrderDispatch {
-				w.dispatchers[i].group.SetIdle(false)
-			}
+			_ = w.give(t, dispatchers.Draw(t, "dispatcher"), adapters.Draw(t, "adapter"), k)
 		}
 	}
 	act := map[string]func(*rapid.T){
