test: claim keys over the platform's stand-in under faults

Seen failing with the guard taken out, each: ambiguous writes taken for done or for no effect, no quick refusal while the platform is away, future keys taken, "not run" told to a repeat, epochs deleted early, unused claims not released.

--- /dev/null
+++ b/io/ggsclaims/committer_test.go
@@ -0,0 +1,308 @@
+package ggsclaims
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsclaim"
+	"greengageslip/fakes/ggsfakeplatform"
+	"greengageslip/io/ggsplatform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bench is a stand-in of the platform's service with a clock of the test.
+type bench struct {
+	c        *qt.C
+	platform *ggsfakeplatform.Platform
+	addr     netip.AddrPort
+	now      atomic.Int64
+	ids      atomic.Uint64
+}
+
+func newBench(t testing.TB) *bench {
+	t.Helper()
+	b := &bench{c: qt.New(t)}
+	b.now.Store(1_800_000_000)
+	o := ggsfakeplatform.DefaultOptions()
+	o.Now = b.clock
+	o.WritesPerSecond, o.ReadsPerSecond = 0, 0
+	b.platform = ggsfakeplatform.New(o)
+	s := httptest.NewServer(b.platform.Handler())
+	b.c.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	a, err := netip.ParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	b.c.Assert(err, qt.IsNil)
+	b.addr = a
+	return b
+}
+
+func (b *bench) clock() time.Time { return time.Unix(b.now.Load(), 0) }
+
+// process starts a Committer that ends with the test.
+func (b *bench) process() *Committer {
+	client := ggsplatform.NewClient(b.addr)
+	m := New(client, b.clock, func() ggsclaim.ClaimID {
+		var id ggsclaim.ClaimID
+		binary.BigEndian.PutUint64(id[:], b.ids.Add(1))
+		return id
+	}, DefaultOptions(time.Hour))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = m.Run(ctx)
+	}()
+	b.c.Cleanup(func() {
+		cancel()
+		<-done
+		client.Close()
+	})
+	return m
+}
+
+func (b *bench) context() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	b.c.Cleanup(cancel)
+	return ctx
+}
+
+func request(n int) ggscore.ClaimRequest {
+	return ggscore.ClaimRequest{Market: "cr", Key: ggscore.IdempotencyKey(fmt.Sprintf("1800000000.release-%d", n))}
+}
+
+func (b *bench) begin(m *Committer, r ggscore.ClaimRequest) ggscore.ClaimDecision {
+	d, err := m.Begin(b.context(), r)
+	b.c.Assert(err, qt.IsNil)
+	return d
+}
+
+// A landlord is paid twice: the order's repeats reach three gateways at once,
+// while the platform loses answers and applies writes late.
+func TestRepeatsRunOnce(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	const keys, repeats = 60, 3
+	b.platform.SetFaults(ggsfakeplatform.Faults{
+		LoseWriteAnswers: 20, DelayWrites: 20, Delay: 5 * time.Millisecond, LosePrefix: "claims/",
+	})
+	var granted [keys]atomic.Int32
+	var g sync.WaitGroup
+	for range 3 {
+		m := b.process()
+		for n := range keys * repeats {
+			g.Go(func() {
+				d, err := m.Begin(b.context(), request(n%keys))
+				if err == nil && d.Answer == ggscore.ClaimGranted {
+					granted[n%keys].Add(1)
+				}
+			})
+		}
+	}
+	g.Wait()
+	for n := range keys {
+		b.c.Check(granted[n].Load(), qt.Equals, int32(1), qt.Commentf("key %d", n))
+	}
+}
+
+// A repeat of a release order is told that it did not run, or runs again. It
+// gets the first one's answer from any process, or its outcome.
+func TestRepeatGetsTheOutcome(t *testing.T) {
+	t.Parallel()
+	whole := ggscore.ClaimResult{
+		Outcome: ggscore.OutcomeDone, Status: 200, ContentType: "application/json", Body: []byte(`{"paid":true}`), Whole: true,
+	}
+	large := whole
+	large.Body = make([]byte, 4<<10)
+	for name, tc := range map[string]struct {
+		result ggscore.ClaimResult
+		want   ggscore.ClaimDecision
+	}{
+		"whole answer": {whole, ggscore.ClaimDecision{Answer: ggscore.ClaimReplay, Result: whole}},
+		"large answer": {large, ggscore.ClaimDecision{
+			Answer: ggscore.ClaimReplay,
+			Result: ggscore.ClaimResult{Outcome: ggscore.OutcomeDone, Status: 200, ContentType: "application/json"},
+		}},
+		"unknown": {ggscore.ClaimResult{}, ggscore.ClaimDecision{Answer: ggscore.ClaimReplay}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			first, second := b.process(), b.process()
+			d := b.begin(first, request(1))
+			b.c.Assert(d.Answer, qt.Equals, ggscore.ClaimGranted)
+			b.c.Assert(d.Before.After(b.clock()), qt.IsTrue)
+			b.c.Assert(b.begin(second, request(1)).Answer, qt.Equals, ggscore.ClaimInProgress)
+			other := request(1)
+			other.Body[0] = 1
+			b.c.Assert(b.begin(second, other).Answer, qt.Equals, ggscore.ClaimReused)
+			b.c.Assert(first.Finish(b.context(), d.ID, tc.result), qt.IsNil)
+			b.c.Assert(first.Flush(b.context()), qt.IsNil)
+			b.c.Assert(b.begin(second, request(1)), qt.DeepEquals, tc.want)
+		})
+	}
+}
+
+// An order that was refused for want of a runner can't be sent again: its key
+// is taken for good, though nothing ran.
+func TestReleasedKeyIsGrantedAgain(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	m := b.process()
+	d := b.begin(m, request(1))
+	b.c.Assert(m.Finish(b.context(), d.ID, ggscore.ClaimResult{Outcome: ggscore.OutcomeNotRun}), qt.IsNil)
+	b.c.Assert(m.Flush(b.context()), qt.IsNil)
+	b.c.Assert(b.begin(m, request(1)).Answer, qt.Equals, ggscore.ClaimGranted)
+}
+
+// A tenant waits for an answer while the platform is away, or is told "not
+// run" of an order whose first sending ran.
+func TestPlatformAwayIsAnsweredAtOnce(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		firstSend bool
+		want      ggscore.Outcome
+	}{
+		"first sending": {true, ggscore.OutcomeNotRun},
+		"may be repeat": {false, ggscore.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			m := b.process()
+			b.platform.SetFaults(ggsfakeplatform.Faults{Outage: true})
+			r := request(1)
+			r.FirstSend = tc.firstSend
+			for range 2 {
+				_, err := m.Begin(b.context(), r)
+				var f *ggscore.Failure
+				b.c.Assert(errors.As(err, &f), qt.IsTrue)
+				b.c.Assert(f.Kind, qt.Equals, ggscore.FailurePlatformAway)
+				b.c.Assert(f.Outcome, qt.Equals, tc.want)
+				b.c.Assert(f.RetryAfter > 0, qt.IsTrue)
+			}
+			b.c.Assert(m.Stats().Reads, qt.Equals, uint64(1))
+			b.platform.SetFaults(ggsfakeplatform.Faults{})
+			b.now.Add(2)
+			b.c.Assert(b.begin(m, r).Answer, qt.Equals, ggscore.ClaimGranted)
+		})
+	}
+}
+
+// A deposit is released a second time, long after the first: its key was
+// forgotten. Keys are refused before they are forgotten.
+func TestKeysExpireBeforeTheyAreForgotten(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	m := b.process()
+	b.c.Assert(b.begin(m, request(1)).Answer, qt.Equals, ggscore.ClaimGranted)
+	b.c.Assert(m.Sweep(b.context()), qt.IsNil)
+	b.now.Add(int64(time.Hour / time.Second))
+	b.c.Assert(m.Sweep(b.context()), qt.IsNil)
+	b.c.Assert(b.begin(m, request(1)).Answer, qt.Equals, ggscore.ClaimExpired)
+	client := ggsplatform.NewClient(b.addr)
+	b.c.Cleanup(client.Close)
+	es, err := client.List(b.context(), "claims/")
+	b.c.Assert(err, qt.IsNil)
+	b.c.Assert(es, qt.HasLen, 1)
+	for range 3 {
+		b.now.Add(60)
+		b.c.Assert(m.Sweep(b.context()), qt.IsNil)
+	}
+	es, err = client.List(b.context(), "claims/")
+	b.c.Assert(err, qt.IsNil)
+	b.c.Assert(es, qt.HasLen, 0)
+	b.c.Assert(m.Stats().Shards, qt.Equals, 0)
+}
+
+// A key whose time can't be told, or is to come, would be looked for in the
+// wrong place.
+func TestBadKeys(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		key  ggscore.IdempotencyKey
+		want ggscore.Outcome
+	}{
+		"no time": {"release-1", ggscore.OutcomeNotRun},
+		"future":  {"1800000900.release-1", ggscore.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			_, err := b.process().Begin(b.context(), ggscore.ClaimRequest{Market: "cr", Key: tc.key})
+			var f *ggscore.Failure
+			b.c.Assert(errors.As(err, &f), qt.IsTrue)
+			b.c.Assert(f.Kind, qt.Equals, ggscore.FailureBadRequest)
+			b.c.Assert(f.Outcome, qt.Equals, tc.want)
+		})
+	}
+}
+
+func FuzzDecodeShard(f *testing.F) {
+	f.Add(encodeShard(ggsclaim.NewShard(map[ggsclaim.KeyHash]ggsclaim.Claim{
+		{1}: {ID: ggsclaim.ClaimID{2}, State: ggsclaim.StateDone, At: time.UnixMilli(3), Result: ggsclaim.Result{
+			Status: 200, ContentType: "text/plain", Kept: true, Body: []byte("paid"),
+		}},
+	})))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		s, err := decodeShard(value)
+		if err != nil || len(value) == 0 {
+			return
+		}
+		again, err := decodeShard(encodeShard(s))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, again.Claims, qt.DeepEquals, s.Claims)
+	})
+}
+
+// BenchmarkBegin claims keys of one minute from many callers of some processes;
+// calls/op says how many calls of the platform's service a claim takes.
+func BenchmarkBegin(b *testing.B) {
+	for _, tc := range []struct{ processes, callers int }{{1, 1}, {1, 16}, {1, 256}, {3, 16}, {9, 16}, {9, 64}} {
+		b.Run(fmt.Sprintf("processes=%d/callers=%d", tc.processes, tc.callers), func(b *testing.B) {
+			k := newBench(b)
+			k.platform.SetFaults(ggsfakeplatform.Faults{Slow: 3 * time.Millisecond})
+			var n atomic.Int64
+			var g sync.WaitGroup
+			var ms []*Committer
+			for range tc.processes {
+				m := k.process()
+				ms = append(ms, m)
+				for range tc.callers {
+					g.Go(func() {
+						for i := n.Add(1); i <= int64(b.N); i = n.Add(1) {
+							_, _ = m.Begin(context.Background(), request(int(i)))
+						}
+					})
+				}
+			}
+			g.Wait()
+			var all Stats
+			for _, m := range ms {
+				s := m.Stats()
+				all.Reads += s.Reads
+				all.Writes += s.Writes
+				all.Conflicts += s.Conflicts
+				all.Granted += s.Granted
+			}
+			b.ReportMetric(float64(all.Writes)/float64(b.N), "writes/op")
+			b.ReportMetric(float64(all.Reads)/float64(b.N), "reads/op")
+			b.ReportMetric(float64(all.Granted)/float64(b.N), "granted/op")
+		})
+	}
+}
