feat: keep ownership over the platform's service

A dispatcher holds one lease and the records of its groups. The first two candidates of a group look at its record; looking only where one would be the first missed owners that the others didn't know of (found by TestTakeoverAfterLapse: nobody but the owner ever read the record).

--- a/core/ggsowner/doc.go
+++ b/core/ggsowner/doc.go
@@ -14,7 +14,8 @@
 //	l.Renewed(sent) // each time that a renewal succeeded
 //
 //	g := ggsowner.NewGroup(self)
-//	g.Poll(wanted)
+//	g.Want(first)
+//	g.Poll()
 //	for s := g.Next(now, l); s.Kind != ggsowner.StepIdle; s = g.Next(now, l) {
 //		// read or write, then report by RecordRead, LeaseRead, WriteDone or Away
 //	}
--- a/core/ggsowner/group.go
+++ b/core/ggsowner/group.go
@@ -151,12 +151,8 @@
 // Owned reports whether the last record read or written names this holder.
 func (g *Group) Owned() bool { return g.record.Owner == g.self && !g.record.Released }
 
-// Poll asks for a fresh look at the record. wanted says that this dispatcher
-// is the first candidate to take the group over.
-func (g *Group) Poll(wanted bool) {
-	g.wanted = wanted
-	g.known = false
-}
+// Poll asks for a fresh look at the record.
+func (g *Group) Poll() { g.known = false }
 
 // Protect names the adapters that the record of an owned group is to protect,
 // and reports whether it takes a write.
@@ -230,6 +226,10 @@
 // was replaced by another, or its VM is gone.
 func (g *Group) Stopped(h Holder) { g.stopped[h] = true }
 
+// Want says whether this dispatcher is the first candidate to take the group
+// over from the owner that the record names.
+func (g *Group) Want(wanted bool) { g.wanted = wanted }
+
 // WriteDone reports a write's end; rev is the new revision with WriteOK.
 func (g *Group) WriteDone(res WriteResult, rev ggscore.StoreRevision) {
 	next := g.next
--- a/core/ggsowner/group_test.go
+++ b/core/ggsowner/group_test.go
@@ -38,7 +38,7 @@
 		"answer": func(t *rapid.T) { w.end(dispatchers.Draw(t, "dispatcher"), endAnswered) },
 		"lose":   func(t *rapid.T) { w.end(dispatchers.Draw(t, "dispatcher"), rapid.IntRange(1, 3).Draw(t, "how")) },
 		"land":   func(t *rapid.T) { pick(t, len(w.delayed), w.land) },
-		"poll":   func(t *rapid.T) { w.dispatchers[dispatchers.Draw(t, "dispatcher")].group.Poll(true) },
+		"poll":   func(t *rapid.T) { w.dispatchers[dispatchers.Draw(t, "dispatcher")].group.Poll() },
 		"settle": func(t *rapid.T) { w.settle(dispatchers.Draw(t, "dispatcher")) },
 		"take":   func(t *rapid.T) { i := dispatchers.Draw(t, "dispatcher"); w.renew(i, true); w.poll(i) },
 		"renew":  func(t *rapid.T) { w.renew(dispatchers.Draw(t, "dispatcher"), rapid.Bool().Draw(t, "answered")) },
@@ -114,7 +114,8 @@
 	w.now = w.now.Add(testTTL + time.Second)
 	w.renew(1, true)
 	w.renew(2, true)
-	w.dispatchers[2].group.Poll(true)
+	w.dispatchers[2].group.Want(true)
+	w.dispatchers[2].group.Poll()
 	for range 2 {
 		w.start(2)
 		w.end(2, endAnswered)
@@ -155,7 +156,7 @@
 	c.Assert(w.give(t, 1, a, ggscore.OrderUnload), qt.ErrorAs, &p)
 	c.Assert(w.record.PinnedOn(runner, w.dispatchers[1].group.self), qt.DeepEquals, []ggscore.AdapterRef{a})
 
-	w.dispatchers[0].group.Poll(false)
+	w.dispatchers[0].group.Poll()
 	w.settle(0)
 	var n *NotOwnerError
 	c.Assert(w.give(t, 0, a, ggscore.OrderDispatch), qt.ErrorAs, &n)
@@ -222,7 +223,7 @@
 	var p *PinnedError
 	c.Assert(w.give(t, 1, a, ggscore.OrderUnload), qt.ErrorAs, &p)
 	w.endRuns(0)
-	w.dispatchers[0].group.Poll(false)
+	w.dispatchers[0].group.Poll()
 	w.settle(0)
 	w.poll(1)
 	c.Assert(w.give(t, 1, a, ggscore.OrderUnload), qt.IsNil)
--- a/core/ggsowner/world_test.go
+++ b/core/ggsowner/world_test.go
@@ -78,6 +78,7 @@
 		}
 	}
 	d.group = NewGroup(Holder{VM: vm(i), Incarnation: fmt.Sprint(d.life)})
+	d.group.Want(true)
 	l := NewLease(Limits{TTL: testTTL, Margin: testMargin})
 	d.lease = &l
 	w.dispatchers[i] = d
@@ -172,7 +173,8 @@
 
 // poll looks at the record and takes it over where allowed.
 func (w *world) poll(i int) {
-	w.dispatchers[i].group.Poll(true)
+	w.dispatchers[i].group.Want(true)
+	w.dispatchers[i].group.Poll()
 	w.settle(i)
 }
 
--- /dev/null
+++ b/io/ggsowners/owners_test.go
@@ -0,0 +1,228 @@
+package ggsowners
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+	"go.uber.org/goleak"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsowner"
+	"greengageslip/fakes/ggsfakeplatform"
+	"greengageslip/io/ggsplatform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	runner = ggscore.EndpointID("runner-1")
+	lifeA  = "01900000-0000-7000-8000-000000000001"
+	lifeB  = "01900000-0000-7000-8000-000000000002"
+	lifeC  = "01900000-0000-7000-8000-000000000003"
+)
+
+func adapter(name string) ggscore.AdapterRef { return ggscore.AdapterRef{Name: name, Version: "v1"} }
+
+// bench is a stand-in of the platform's service with a clock of the test.
+type bench struct {
+	c        *qt.C
+	ctx      context.Context //nolint:containedctx // The test's own.
+	platform *ggsfakeplatform.Platform
+	addr     netip.AddrPort
+	now      atomic.Int64
+	busy     atomic.Bool
+	all      []ggsowner.Holder
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{c: qt.New(t)}
+	b.now.Store(int64(time.Unix(1_800_000_000, 0).UnixNano()))
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	b.c.Cleanup(cancel)
+	b.ctx = ctx
+	o := ggsfakeplatform.DefaultOptions()
+	o.Now = b.clock
+	o.WritesPerSecond, o.ReadsPerSecond = 0, 0
+	b.platform = ggsfakeplatform.New(o)
+	s := httptest.NewServer(b.platform.Handler())
+	b.c.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	a, err := netip.ParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	b.c.Assert(err, qt.IsNil)
+	b.addr = a
+	return b
+}
+
+func (b *bench) clock() time.Time { return time.Unix(0, b.now.Load()) }
+
+func (b *bench) pass(d time.Duration) { b.now.Add(int64(d)) }
+
+// dispatcher returns one with a lease, which the test drives step by step.
+func (b *bench) dispatcher(vm ggscore.VMID, life string) *Owners {
+	client := ggsplatform.NewClient(b.addr)
+	b.c.Cleanup(client.Close)
+	opts := DefaultOptions("cr-central-a")
+	opts.Busy = func([]ggscore.EndpointID) bool { return b.busy.Load() }
+	h := ggsowner.Holder{VM: vm, Incarnation: life}
+	o := New(client, b.clock, h, opts, log.NewNopLogger())
+	o.SetEndpoints([]ggscore.EndpointID{runner})
+	b.all = append(b.all, h)
+	o.SetCandidates(b.all)
+	b.c.Assert(o.Renew(b.ctx), qt.IsNil)
+	return o
+}
+
+func (b *bench) check(o *Owners, name string, k ggscore.OrderKind) error {
+	_, err := o.Check(b.clock(), runner, adapter(name), k)
+	return err
+}
+
+// owner returns a dispatcher that owns the runner and has an adapter in use.
+func (b *bench) owner() *Owners {
+	o := b.dispatcher("vm-a", lifeA)
+	o.Poll(b.ctx)
+	b.c.Assert(b.check(o, "deposits", ggscore.OrderLoad), qt.IsNil)
+	o.serveAll(b.ctx)
+	b.c.Assert(b.check(o, "deposits", ggscore.OrderDispatch), qt.IsNil)
+	return o
+}
+
+// An agency's answers stop when its domain's dispatcher is cut off from the
+// platform, though the runner is well. It goes on with the adapters that the
+// record protects and gives no orders, as long as nobody took over.
+func TestCutOffOwnerServesWhatIsProtected(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	o := b.owner()
+	b.platform.SetFaults(ggsfakeplatform.Faults{Outage: true})
+	b.pass(time.Hour)
+	b.c.Assert(o.Renew(b.ctx), qt.IsNotNil)
+	o.Poll(b.ctx)
+	b.c.Assert(o.Mode(b.clock(), runner), qt.Equals, ggscore.ModeResidentOnly)
+	b.c.Assert(b.check(o, "deposits", ggscore.OrderDispatch), qt.IsNil)
+	b.c.Assert(b.check(o, "deposits", ggscore.OrderUnload), qt.ErrorMatches, "not the owner.*")
+	b.c.Assert(b.check(o, "rules", ggscore.OrderLoad), qt.ErrorMatches, "not the owner.*")
+	b.platform.SetFaults(ggsfakeplatform.Faults{})
+	b.c.Assert(o.Renew(b.ctx), qt.IsNotNil)
+	b.c.Assert(o.Renew(b.ctx), qt.IsNil)
+	o.Poll(b.ctx)
+	b.c.Assert(o.Mode(b.clock(), runner), qt.Equals, ggscore.ModeFull)
+}
+
+// A renter's answer breaks off when a frozen dispatcher wakes: the next owner
+// evicted its adapter, or it evicts the next owner's. The lease lapses first,
+// the next owner pins, and pins go when the first has stopped for certain.
+func TestTakeoverAfterLapse(t *testing.T) {
+	t.Parallel()
+	for name, stop := range map[string]func(*bench, *Owners, *Owners){
+		"it woke and is idle": func(b *bench, old, _ *Owners) {
+			b.busy.Store(true)
+			old.Poll(b.ctx)
+			b.c.Assert(b.check(old, "deposits", ggscore.OrderDispatch), qt.ErrorMatches, "not the owner.*")
+			b.busy.Store(false)
+			old.Poll(b.ctx)
+		},
+		"it was restarted": func(b *bench, _, next *Owners) {
+			next.SetCandidates([]ggsowner.Holder{{VM: "vm-a", Incarnation: lifeC}, next.self})
+		},
+		"its VM is gone": func(b *bench, _, next *Owners) {
+			next.SetVMs(b.clock(), []ggscore.VM{{ID: "vm-a"}, {ID: "vm-b"}})
+			next.SetVMs(b.clock(), []ggscore.VM{{ID: "vm-b"}})
+			next.Poll(b.ctx)
+			b.c.Assert(next.Pins(runner), qt.HasLen, 1)
+			b.pass(2 * time.Minute)
+			b.c.Assert(next.Renew(b.ctx), qt.IsNotNil)
+			b.c.Assert(next.Renew(b.ctx), qt.IsNil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			old := b.owner()
+			next := b.dispatcher("vm-b", lifeB)
+			next.Poll(b.ctx)
+			b.c.Assert(next.Mode(b.clock(), runner), qt.Equals, ggscore.ModeNone)
+			b.pass(8 * time.Second)
+			b.c.Assert(b.check(old, "deposits", ggscore.OrderUnload), qt.ErrorMatches, "not the owner.*")
+			b.c.Assert(next.Renew(b.ctx), qt.IsNil)
+			next.Poll(b.ctx)
+			b.c.Assert(next.Mode(b.clock(), runner), qt.Equals, ggscore.ModeNone)
+			b.pass(2 * time.Second)
+			next.Poll(b.ctx)
+			b.c.Assert(next.Mode(b.clock(), runner), qt.Equals, ggscore.ModeFull)
+			b.c.Assert(next.Pins(runner), qt.DeepEquals, []ggscore.AdapterRef{adapter("deposits")})
+			b.c.Assert(b.check(next, "deposits", ggscore.OrderUnload), qt.ErrorMatches, ".*pinned by vm-a")
+			stop(b, old, next)
+			next.Poll(b.ctx)
+			b.c.Assert(next.Pins(runner), qt.HasLen, 0)
+			b.c.Assert(b.check(next, "deposits", ggscore.OrderUnload), qt.IsNil)
+		})
+	}
+}
+
+// A tenant's lookups wait for seconds at a planned stop. The released group is
+// taken over at once, with what still runs pinned.
+func TestPlannedStopHandsOverAtOnce(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	old := b.owner()
+	next := b.dispatcher("vm-b", lifeB)
+	b.busy.Store(true)
+	ctx, cancel := context.WithCancel(b.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = old.Run(ctx)
+	}()
+	b.c.Assert(old.Release(b.ctx), qt.IsNil)
+	next.Poll(b.ctx)
+	b.c.Assert(next.Mode(b.clock(), runner), qt.Equals, ggscore.ModeFull)
+	b.c.Assert(next.Pins(runner), qt.HasLen, 1)
+	b.busy.Store(false)
+	b.c.Assert(old.Leave(b.ctx), qt.IsNil)
+	cancel()
+	<-done
+	next.Poll(b.ctx)
+	b.c.Assert(next.Pins(runner), qt.HasLen, 0)
+}
+
+// An owner's answers from the platform are lost; it must neither believe in a
+// protection that isn't recorded nor lose the runner.
+func TestLostAnswersAreReadBack(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	o := b.dispatcher("vm-a", lifeA)
+	b.platform.SetFaults(ggsfakeplatform.Faults{LoseWriteAnswers: 1, LosePrefix: "owners/"})
+	o.Poll(b.ctx)
+	b.c.Assert(o.Mode(b.clock(), runner), qt.Equals, ggscore.ModeNone)
+	o.Poll(b.ctx)
+	b.c.Assert(o.Mode(b.clock(), runner), qt.Equals, ggscore.ModeFull)
+	b.platform.SetFaults(ggsfakeplatform.Faults{LoseWriteAnswers: 1, LosePrefix: "owners/"})
+	o.Observe(ggscore.RunnerReport{Endpoint: runner, Resident: []ggscore.ResidentAdapter{{Ref: adapter("rules")}}})
+	o.serveAll(b.ctx)
+	b.c.Assert(b.check(o, "rules", ggscore.OrderDispatch), qt.ErrorMatches, ".*not protected.*")
+	o.serveAll(b.ctx)
+	b.c.Assert(b.check(o, "rules", ggscore.OrderDispatch), qt.IsNil)
+}
+
+// A record that can't be read must not be taken for an empty one: its pins
+// would be lost with it.
+func TestBadRecordIsNotTakenOver(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	o := b.dispatcher("vm-a", lifeA)
+	_, err := o.store.Put(b.ctx, "owners/cr-central-a/0", []byte(`{"protected":{"r":["@"]}}`), 0, 0)
+	b.c.Assert(err, qt.IsNil)
+	o.Poll(b.ctx)
+	b.c.Assert(o.Mode(b.clock(), runner), qt.Equals, ggscore.ModeNone)
+}
--- a/io/ggsowners/serve.go
+++ b/io/ggsowners/serve.go
@@ -21,23 +21,30 @@
 }
 
 // prepare asks for a fresh look where one is of use. A held lease that the
-// record names proves the ownership without a read.
+// record names proves the ownership without a read. The first two candidates
+// look: one of them takes over, whoever the owner is.
 func (o *Owners) prepare(g *group) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := g.state
-	r := s.Record()
-	first, ok := ggsowner.First(g.key, o.candidates, r.Owner.VM)
-	wanted := (ok && first.VM == o.self.VM) || r.Owner.VM == o.self.VM
-	if !wanted && !s.Involved() {
+	first, _ := ggsowner.First(g.key, o.candidates, "")
+	second, _ := ggsowner.First(g.key, o.candidates, first.VM)
+	if first.VM != o.self.VM && second.VM != o.self.VM && !g.state.Involved() {
 		return false
 	}
-	if s.Mode(o.clock(), &o.lease) != ggscore.ModeFull || len(r.Pins) > 0 {
-		s.Poll(wanted)
+	if g.state.Mode(o.clock(), &o.lease) != ggscore.ModeFull || len(g.state.Record().Pins) > 0 {
+		g.state.Poll()
 	}
 	return true
 }
 
+// wanted reports whether the group falls to this dispatcher when its owner
+// ends: it is the first candidate but for the owner, or a later life of it.
+func (o *Owners) wanted(g *group) bool {
+	owner := g.state.Record().Owner.VM
+	first, ok := ggsowner.First(g.key, o.candidates, owner)
+	return owner == o.self.VM || (ok && first.VM == o.self.VM)
+}
+
 func (o *Owners) serveAll(ctx context.Context) {
 	for _, g := range o.groups {
 		o.mu.Lock()
@@ -56,6 +63,7 @@
 		o.mu.Lock()
 		now := o.clock()
 		o.noteStopped(g.state, now)
+		g.state.Want(o.wanted(g))
 		step := g.state.Next(now, &o.lease)
 		o.mu.Unlock()
 		if step.Kind == ggsowner.StepIdle {
