--- a/core/ggsmember/member.go
+++ b/core/ggsmember/member.go
@@ -65,7 +65,7 @@
 		Every:           time.Second,
 		Silence:         5 * time.Second,
 		UnlistedSilence: 3 * time.Second,
-		AllToAll:        16,
+		AllToAll:        9,
 		Monitors:        5,
 		News:            4,
 		NewsSends:       3,
--- a/core/ggsmember/table.go
+++ b/core/ggsmember/table.go
@@ -28,8 +28,10 @@
 	// listedLeaving is the list's word, which holds for later lives as well.
 	listedLeaving bool
 	gone          bool
-	// sends is how often its news is still to be sent.
-	sends int
+	// sends is how often its news is still to be sent, and urgent says that it
+	// can't wait for the next heartbeat.
+	sends  int
+	urgent bool
 }
 
 // A Table is the membership as one dispatcher knows it.
@@ -67,6 +69,7 @@
 			continue
 		}
 		e.sends--
+		e.urgent = false
 		h.News = append(h.News, e.news())
 	}
 	if len(h.News) == 0 && t.large() {
@@ -128,7 +131,7 @@
 		e.listed, e.listedLeaving = true, leaving
 		if leaving && !e.member.Leaving {
 			e.member.Leaving = true
-			e.sends = t.limits.NewsSends
+			t.hurry(e)
 		}
 		if e.member.Incarnation == "" {
 			e.member.Leaving, e.member.Addr = leaving, v.Addr
@@ -178,7 +181,7 @@
 		return true
 	}
 	for _, e := range t.entries {
-		if e.sends == t.limits.NewsSends {
+		if e.urgent {
 			return true
 		}
 	}
@@ -211,12 +214,12 @@
 	forgot := false
 	for _, id := range t.order {
 		e := t.entries[id]
-		long := forgetAfter * t.limits.Silence
+		long := t.long()
 		switch {
 		case e.gone:
 		case e.watched && now.Sub(e.direct) > t.silence(e):
 			e.gone = true
-			e.sends = t.limits.NewsSends
+			t.hurry(e)
 		// Those whose heartbeats go to others are told of in turns; where
 		// that ends, all that heard of them are cut off or gone with them.
 		case now.Sub(e.heard) > long:
@@ -239,9 +242,23 @@
 	return t.limits.Silence
 }
 
-// forgetAfter is how many times the silence a member is remembered that is
-// gone, so that late heartbeats of it aren't taken for a new one.
-const forgetAfter = 12
+// long is how long a member is remembered without a sign of life, so that late
+// heartbeats of one that is gone aren't taken for a new one. Turns come round
+// once in as many heartbeats as there are members.
+func (t *Table) long() time.Duration {
+	return max(forgetAfter*t.limits.Silence, forgetTurns*time.Duration(len(t.order))*t.limits.Every)
+}
+
+const (
+	forgetAfter = 12
+	forgetTurns = 2
+)
+
+// hurry has news of a member sent at once and more than once.
+func (t *Table) hurry(e *entry) {
+	e.sends = t.limits.NewsSends
+	e.urgent = true
+}
 
 func (t *Table) large() bool { return len(t.entries)+1 > t.limits.AllToAll }
 
@@ -254,7 +271,7 @@
 			return nil
 		}
 		e = t.add(m, now)
-		e.sends = t.limits.NewsSends
+		e.sends = 1
 		return e
 	}
 	if e.member.Incarnation != m.Incarnation {
@@ -263,7 +280,7 @@
 	if m.Gone {
 		if m.Sequence >= e.member.Sequence && !e.gone {
 			e.gone = true
-			e.sends = t.limits.NewsSends
+			t.hurry(e)
 		}
 		// News of the member that is older than the word that it is gone must
 		// not bring it back, though it is newer than what was known here.
@@ -282,7 +299,7 @@
 	e.member.Leaving = e.member.Leaving || m.Leaving
 	e.member.Revision = max(e.member.Revision, m.Revision)
 	if changed {
-		e.sends = t.limits.NewsSends
+		t.hurry(e)
 	}
 	return e
 }
@@ -296,7 +313,10 @@
 	}
 	m.Leaving = m.Leaving || e.listedLeaving
 	e.member, e.gone, e.heard, e.watched = m, false, now, false
-	e.sends = t.limits.NewsSends
+	// Nothing goes wrong while a new life is not known everywhere. One sending
+	// from each that learns of it is enough, and a restart of all together
+	// stays cheap.
+	e.sends = 1
 	return e
 }
 
--- /dev/null
+++ b/io/ggsheartbeat/errors.go
@@ -0,0 +1,29 @@
+package ggsheartbeat
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// A BadDatagramError says that a datagram can't be read.
+type BadDatagramError struct {
+	Bytes  int
+	Detail string
+}
+
+// Error implements error.
+func (e *BadDatagramError) Error() string {
+	return fmt.Sprintf("bad heartbeat of %d bytes: %s", e.Bytes, e.Detail)
+}
+
+// A ListenError says that no socket could be opened.
+type ListenError struct {
+	Addr  netip.AddrPort
+	Cause error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return fmt.Sprintf("heartbeats on %s: %v", e.Addr, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
