feat: repair a platform that was restored from an older copy

Until now a restored platform was only refused and logged. Operators' next changes then got revisions that the processes had passed, and a later one took back all that the copy lacked. Now a watcher writes its head back where it continues the one shown, by compare-and-swap. Peers send only what changed of the head since the caller's revision, with a checksum over all sections; the watch reads the head again after each quiet wait.

--- a/core/ggsdocument/build.go
+++ b/core/ggsdocument/build.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strconv"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // Build joins sections into the document of a revision and checks what spans
--- a/core/ggsdocument/check.go
+++ b/core/ggsdocument/check.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // maxNameLength bounds names: they become parts of keys and of URLs.
--- a/core/ggsdocument/errors.go
+++ b/core/ggsdocument/errors.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strconv"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // A SectionError says that a section is not valid, on its own or beside the
@@ -156,6 +156,18 @@
 	return fmt.Sprintf("head at revision %d refused: another one of that revision is in force", e.Revision)
 }
 
+// A DeltaError says that a delta doesn't fit the head that it was to be applied
+// to.
+type DeltaError struct {
+	From ggscore.Revision
+	To   ggscore.Revision
+}
+
+// Error implements error.
+func (e *DeltaError) Error() string {
+	return fmt.Sprintf("delta from revision %d to %d doesn't fit", e.From, e.To)
+}
+
 // A DigestError says that a section's text doesn't have the digest that it was
 // pulled by.
 type DigestError struct {
--- a/core/ggsdocument/follower.go
+++ b/core/ggsdocument/follower.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // A SectionParser parses a section's text.
--- a/core/ggsdocument/head.go
+++ b/core/ggsdocument/head.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // HistoryLength is the number of latest changes that a head remembers.
@@ -97,9 +97,10 @@
 	return nil
 }
 
-// Equal reports whether two heads are the same.
+// Equal reports whether two heads have the same revision and sections. Their
+// histories may reach back differently far.
 func (h Head) Equal(o Head) bool {
-	return h.Revision == o.Revision && maps.Equal(h.Sections, o.Sections) && slices.Equal(h.Changes, o.Changes)
+	return h.Revision == o.Revision && maps.Equal(h.Sections, o.Sections)
 }
 
 // FateOf reports what became of a change that was first tried on a head of
--- a/core/ggsdocument/resolve.go
+++ b/core/ggsdocument/resolve.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // A Resolution is what the document says of one request. Adapter stands for
--- a/core/ggsdocument/section.go
+++ b/core/ggsdocument/section.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // The names of sections.
--- a/core/ggsdocument/watchers.go
+++ b/core/ggsdocument/watchers.go
@@ -6,7 +6,7 @@
 	"crypto/sha256"
 	"slices"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // Watchers returns the VMs of a domain that watch the platform for the rest of
--- a/io/ggsconfig/attempt.go
+++ b/io/ggsconfig/attempt.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 	"greengageslip/core/ggsdocument"
 	"greengageslip/io/ggstoml"
 )
--- a/io/ggsconfig/errors.go
+++ b/io/ggsconfig/errors.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"net/netip"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 	"greengageslip/core/ggsdocument"
 )
 
--- a/io/ggsconfig/follower.go
+++ b/io/ggsconfig/follower.go
@@ -12,7 +12,7 @@
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 	"greengageslip/core/ggsdocument"
 	"greengageslip/io/ggstoml"
 )
@@ -54,6 +54,9 @@
 	// PeersOnly says that this process serves no peers and never watches: it
 	// polls the watchers of its domain. Store may then be nil.
 	PeersOnly bool
+	// Repair takes the head in force where the platform was restored from an
+	// older copy; nil leaves it as it is.
+	Repair EditorStore
 	// Logger may be nil.
 	Logger log.Logger
 	// Watchers is the number of VMs in a domain that watch the platform.
--- a/io/ggsconfig/head.go
+++ b/io/ggsconfig/head.go
@@ -7,7 +7,7 @@
 	"maps"
 	"slices"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 	"greengageslip/core/ggsdocument"
 )
 
--- a/io/ggsconfig/peer.go
+++ b/io/ggsconfig/peer.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/netip"
 
-	"greengageslip/core"
+	"github.com/cockroachdb/errors"
+
+	ggscore "greengageslip/core"
 	"greengageslip/core/ggsdocument"
 	"greengageslip/io/ggsrpc"
 )
@@ -21,9 +23,8 @@
 // A PeerConfig asks other processes for the document. Their failures are
 // *PeerError.
 type PeerConfig interface {
-	// Head returns the peer's head if its revision is greater than have, else
-	// false.
-	Head(ctx context.Context, addr netip.AddrPort, have ggscore.Revision) (ggsdocument.Head, bool, error)
+	// Head returns the peer's head if it is later than the caller's, else false.
+	Head(ctx context.Context, addr netip.AddrPort, have ggsdocument.Head) (ggsdocument.Head, bool, error)
 	// Section returns the text of a section of the peer's head.
 	Section(ctx context.Context, addr netip.AddrPort, d ggscore.Digest) ([]byte, error)
 }
@@ -31,10 +32,22 @@
 // HeadArgs asks for a head. It is exported since net/rpc asks for it.
 type HeadArgs struct{ Have uint64 }
 
-// HeadReply answers HeadArgs; Head is empty unless Newer is set.
+// HeadReply answers HeadArgs with what changed since; it is empty unless Newer
+// is set.
 type HeadReply struct {
-	Newer bool
-	Head  []byte
+	Newer    bool
+	Revision uint64
+	Sections []SectionWire
+	Sum      [32]byte
+}
+
+// SectionWire is a section's state as it crosses processes.
+type SectionWire struct {
+	Name     string
+	Digest   [32]byte
+	Revision uint64
+	By       string
+	Change   string
 }
 
 // SectionArgs asks for a section's text.
@@ -62,7 +75,7 @@
 func (s *Service) Head(a *HeadArgs, r *HeadReply) error {
 	h := s.server.Head()
 	if uint64(h.Revision) > a.Have {
-		*r = HeadReply{Newer: true, Head: EncodeHead(h)}
+		*r = replyOf(h.Since(ggscore.Revision(a.Have)))
 	}
 	return nil
 }
@@ -85,20 +98,17 @@
 
 // Head implements PeerConfig.
 func (p *Peers) Head(
-	ctx context.Context, addr netip.AddrPort, have ggscore.Revision,
+	ctx context.Context, addr netip.AddrPort, have ggsdocument.Head,
 ) (ggsdocument.Head, bool, error) {
-	var r HeadReply
-	if err := p.pool.Call(ctx, addr, methodHead, &HeadArgs{Have: uint64(have)}, &r); err != nil {
-		return ggsdocument.Head{}, false, &PeerError{Addr: addr, Cause: err}
-	}
-	if !r.Newer {
-		return ggsdocument.Head{}, false, nil
+	h, newer, err := p.since(ctx, addr, have)
+	var fork *ggsdocument.DeltaError
+	if errors.As(err, &fork) {
+		h, newer, err = p.since(ctx, addr, ggsdocument.Head{})
 	}
-	h, err := DecodeHead(r.Head)
 	if err != nil {
 		return ggsdocument.Head{}, false, &PeerError{Addr: addr, Cause: err}
 	}
-	return h, true, nil
+	return h, newer, nil
 }
 
 // Section implements PeerConfig.
@@ -116,3 +126,45 @@
 	}
 	return t, nil
 }
+
+// since asks for what changed since a head and returns the later one.
+func (p *Peers) since(
+	ctx context.Context, addr netip.AddrPort, have ggsdocument.Head,
+) (ggsdocument.Head, bool, error) {
+	var r HeadReply
+	if err := p.pool.Call(ctx, addr, methodHead, &HeadArgs{Have: uint64(have.Revision)}, &r); err != nil {
+		return ggsdocument.Head{}, false, err
+	}
+	if !r.Newer {
+		return ggsdocument.Head{}, false, nil
+	}
+	h, err := have.With(deltaOf(&r))
+	return h, err == nil, err
+}
+
+func deltaOf(r *HeadReply) ggsdocument.Delta {
+	d := ggsdocument.Delta{
+		Revision: ggscore.Revision(r.Revision),
+		Sections: make(map[ggscore.SectionName]ggsdocument.SectionState, len(r.Sections)),
+		Sum:      r.Sum,
+	}
+	for _, s := range r.Sections {
+		d.Sections[ggscore.SectionName(s.Name)] = ggsdocument.SectionState{
+			Digest:   s.Digest,
+			Revision: ggscore.Revision(s.Revision),
+			By:       s.By,
+			Change:   ggsdocument.ChangeID(s.Change),
+		}
+	}
+	return d
+}
+
+func replyOf(d ggsdocument.Delta) HeadReply {
+	r := HeadReply{Newer: true, Revision: uint64(d.Revision), Sum: d.Sum}
+	for n, s := range d.Sections {
+		r.Sections = append(r.Sections, SectionWire{
+			Name: string(n), Digest: s.Digest, Revision: uint64(s.Revision), By: s.By, Change: string(s.Change),
+		})
+	}
+	return r
+}
--- a/io/ggsconfig/poll.go
+++ b/io/ggsconfig/poll.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 	"greengageslip/core/ggsdocument"
 )
 
@@ -100,7 +100,7 @@
 func (f *Follower) peerHead(ctx context.Context, m Member) (ggsdocument.Head, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
 	defer cancel()
-	return f.options.Peers.Head(ctx, m.Addr, f.Head().Revision)
+	return f.options.Peers.Head(ctx, m.Addr, f.Head())
 }
 
 // others returns the members but this VM.
--- a/io/ggsconfig/store.go
+++ b/io/ggsconfig/store.go
@@ -5,7 +5,7 @@
 
 	"github.com/go-kit/log"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // A DryRunStore reads a store and writes nothing: writes succeed where the
--- a/io/ggsconfig/watch.go
+++ b/io/ggsconfig/watch.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 	"greengageslip/core/ggsdocument"
 )
 
@@ -24,15 +24,18 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.setWatching(false, err)
 		if err != nil {
+			f.setWatching(false, err)
 			p.pause(ctx)
 		}
 	}
 }
 
-// watchOnce reads the head and then waits for changes until a call fails or
-// this VM is no longer a watcher.
+// watchOnce reads the head and then waits for changes until none came in a
+// whole wait, a call fails or this VM is no longer a watcher. The head is thus
+// read again after each quiet wait: a service that was restored from an older
+// copy may have counted past the watch's revision by then, and the watch alone
+// would show nothing.
 func (f *Follower) watchOnce(ctx context.Context, p *pauser) error {
 	n, err := f.getHead(ctx)
 	if err != nil {
@@ -60,16 +63,19 @@
 				return err
 			}
 		}
+		if len(l) == 0 {
+			return nil
+		}
 		after = r
 	}
 	return nil
 }
 
-// followEntry takes the head from its entry. A head that is refused is no
-// failure of the platform: the refusal is counted and logged, and the watch
-// goes on.
+// followEntry takes the head from its entry; a missing one is the head of an
+// empty document. A head that is refused is no failure of the platform: the
+// refusal is counted and logged, and the watch goes on.
 func (f *Follower) followEntry(ctx context.Context, n ggscore.Entry) error {
-	if n.Key != HeadKey || len(n.Value) == 0 {
+	if n.Key != HeadKey {
 		return nil
 	}
 	h, err := DecodeHead(n.Value)
@@ -82,7 +88,7 @@
 		return readText(ctx, f.options.Store, d)
 	}}
 	if err = f.follow(ctx, h, s); isRefusal(err) {
-		return nil
+		return f.repairIfLower(ctx, n, err)
 	}
 	return err
 }
