--- a/io/ggsconfig/follower.go
+++ b/io/ggsconfig/follower.go
@@ -95,6 +95,9 @@
 	// that couldn't be pulled or formed no valid document.
 	Refused int `json:"refused"`
 	Failed  int `json:"failed"`
+	// Unrepaired counts lower heads that the platform showed and that are no
+	// earlier state of the head in force.
+	Unrepaired int `json:"unrepaired"`
 }
 
 // A subscription hands the latest document to one subscriber.
--- a/io/ggsconfig/repair.go
+++ b/io/ggsconfig/repair.go
@@ -27,6 +27,7 @@
 	}
 	own := f.Head()
 	if !own.Extends(lower) {
+		f.countUnrepaired(own, lower)
 		return nil
 	}
 	if !wait(ctx, jittered(f.options.PollInterval)) {
@@ -48,6 +49,15 @@
 	return ignoreConflict(err)
 }
 
+// countUnrepaired notes that operators have to look: the platform shows a head
+// that is lower than the one in force but no earlier state of it.
+func (f *Follower) countUnrepaired(own, lower ggsdocument.Head) {
+	f.mu.Lock()
+	f.state.Unrepaired++
+	f.mu.Unlock()
+	_ = f.options.Logger.Log("event", "headNotRepaired", "revision", uint64(own.Revision), "shown", uint64(lower.Revision))
+}
+
 // repairSection writes a section's text where the platform lacks it.
 func (f *Follower) repairSection(ctx context.Context, d ggscore.Digest) error {
 	_, err := readText(ctx, f.options.Repair, d)
