--- a/io/ggsconfig/follower_test.go
+++ b/io/ggsconfig/follower_test.go
@@ -351,7 +351,9 @@
 	n := newNetwork()
 	a := n.start(c, s, "a1", "a")
 	b1, b2 := n.start(c, lost, "b1", "b"), n.start(c, lost, "b2", "b")
-	await(c, a, 2)
+	for _, f := range []*ggsconfig.Follower{a, b1, b2} {
+		await(c, f, 2)
+	}
 	apply(c, s, edit("market/cr", marketText("v2", "asistente"), 2, "x"))
 	for _, f := range []*ggsconfig.Follower{a, b1, b2} {
 		await(c, f, 3)
