--- a/core/ggsschedule/costs.go
+++ b/core/ggsschedule/costs.go
@@ -1,9 +1,10 @@
 package ggsschedule
 
 import (
+	"math"
 	"time"
 
-	ggscore "greengageslip/core"
+	"greengageslip/core/ggsqueue"
 )
 
 const (
@@ -16,21 +17,49 @@
 	// crowdingCost is the cost of a runner whose slots are all taken, in
 	// arrivals a second.
 	crowdingCost = 0.05
-	// classStep is the factor between the weights of two priorities.
-	classStep = 4.0
+	// recountEvery bounds the age of the counts that waits are predicted from.
+	recountEvery = 250 * time.Millisecond
+	// standingAfter is how long a queue for loads must stand to be cut, and
+	// patienceLoads the number of loads to which it is cut when only stalls
+	// weigh.
+	standingAfter = 2 * time.Second
+	patienceLoads = 4
+	// evictedWeight is the weight of a new sample in the mean popularity of
+	// evicted adapters.
+	evictedWeight = 16
+	// standingEnd is the pressure below which a queue stands no more.
+	standingEnd = 0.1
+	// patienceUrgent is the part of the patience that urgent requests have, and
+	// patienceStep what each lower priority adds to it.
+	patienceUrgent = 0.5
+	patienceStep   = 0.25
 )
 
 // score is the urgency of a load: the total wait of the requests that need the
-// adapter, each counted with the wait that the load itself will take, weighed
-// by priority.
+// adapter, each counted with the wait that the load itself will take, relative
+// to the patience of the most urgent one.
 func (s *Scheduler) score(now time.Time, a *adapter) float64 {
 	n := a.queue.Len()
 	waited := time.Duration(n)*(now.Sub(s.epoch)+s.options.LoadTime) - a.queuedSum
-	weight := 1.0
-	for c := a.queue.Head().Class; c < int(ggscore.PriorityDeferrable); c++ {
-		weight *= classStep
+	return float64(waited) / float64(s.patience(a.queue.Head().Value))
+}
+
+// patience is the wait for a load that a job is worth. It lies between the
+// job's whole budget, when only batches weigh, and the time of a few loads, when
+// only stalls weigh; a lower priority has more of it.
+func (s *Scheduler) patience(j *job) time.Duration {
+	if j.patience == 0 {
+		w := s.options.StallWeight
+		short := float64(patienceLoads * s.options.LoadTime)
+		p := math.Pow(max(float64(j.request.Budget), short), 1-w) * math.Pow(short, w)
+		j.patience = time.Duration(p * min(1, patienceUrgent+patienceStep*float64(max(j.item.Class, 0))))
 	}
-	return weight * waited.Seconds()
+	return j.patience
+}
+
+// rate estimates the adapter's arrivals a second.
+func (a *adapter) rate(now time.Time) float64 {
+	return a.meter.PerSecond(now, a.service.drift.Since())
 }
 
 // supply counts the replicas that are on their way and those that serve.
@@ -54,7 +83,7 @@
 // replica: their wait for a slot is longer than the load, and another runner
 // has free slots.
 func (s *Scheduler) worthReplica(now time.Time, a *adapter) bool {
-	if s.slotWait(now, a) <= s.options.LoadTime {
+	if s.slotWait(now, a, ggsqueue.Classes) <= s.options.LoadTime {
 		return false
 	}
 	for _, e := range a.service.endpoints {
@@ -66,8 +95,9 @@
 }
 
 // slotWait predicts how long the next request for a resident adapter waits for
-// a slot: the waiting work on its best runner over the runner's rate.
-func (s *Scheduler) slotWait(now time.Time, a *adapter) time.Duration {
+// a slot: the work on its best runner that goes before it, over the runner's
+// rate.
+func (s *Scheduler) slotWait(now time.Time, a *adapter, class int) time.Duration {
 	v := a.service
 	if a.anywhere() {
 		slots := 0
@@ -76,7 +106,7 @@
 				slots += e.spec.Slots
 			}
 		}
-		return v.runTime * time.Duration(a.queue.Len()+1) / time.Duration(max(slots, 1))
+		return v.runTime * time.Duration(a.queue.Ahead(class)+1) / time.Duration(max(slots, 1))
 	}
 	best := time.Duration(-1)
 	for _, r := range a.replicas {
@@ -87,7 +117,7 @@
 		n := 1
 		for _, o := range e.replicas {
 			if o.state == stateResident {
-				n += o.adapter.queue.Len()
+				n += o.adapter.queue.Ahead(class)
 			}
 		}
 		w := v.runTime * time.Duration(n) / time.Duration(max(e.spec.Slots, 1))
@@ -104,30 +134,74 @@
 	coming, there := a.supply(now)
 	switch {
 	case there > 0 || a.anywhere():
-		return s.slotWait(now, a)
+		return s.slotWait(now, a, j.item.Class)
 	case coming > 0:
 		return s.options.LoadTime
 	}
-	rate := s.bucket.share.LoadsPerSecond
+	return max(s.loadWait(now, j), a.retryAt.Sub(now)) + s.options.LoadTime
+}
+
+// loadWait predicts how long a job waits until its adapter's load begins. Loads
+// are ordered by waits relative to patience, so that in a standing queue these
+// ratios are equal; the backlog, weighed by patience, gives the ratio.
+func (s *Scheduler) loadWait(now time.Time, j *job) time.Duration {
+	return time.Duration(s.pressure(now, j.adapter.service) * float64(s.patience(j)))
+}
+
+// pressure is the predicted wait for a load as a part of the patience.
+func (s *Scheduler) pressure(now time.Time, v *service) float64 {
+	rate := s.bucket.share.LoadsPerSecond * s.bucket.success()
 	if rate <= 0 || s.bucket.share.InTransit <= 0 {
-		return retryAfterMost
-	}
-	ahead := 0
-	for _, o := range a.service.waiting {
-		if o != a && o.queue.Head().Class <= j.item.Class && o.queue.Len() > a.queue.Len() {
-			c, t := o.supply(now)
-			if c+t == 0 {
-				ahead++
-			}
+		return math.MaxInt32
+	}
+	if now.Sub(v.countedAt) > recountEvery {
+		s.recount(now, v)
+	}
+	return v.backlog / rate
+}
+
+// standing reports whether the queue for loads has been longer than patience
+// for some time. A burst may fill the queue up to the budgets. But a queue that
+// stands makes every request wait, and not one load more is done for it; it is
+// then cut by refusing newcomers early.
+func (s *Scheduler) standing(now time.Time, v *service) bool {
+	p := s.pressure(now, v)
+	switch {
+	case p < standingEnd:
+		v.standingAt = time.Time{}
+	case p >= 1 && v.standingAt.IsZero():
+		v.standingAt = now
+	}
+	return p >= 1 && now.Sub(v.standingAt) >= standingAfter
+}
+
+// recount weighs the adapters that wait for their first replica.
+func (s *Scheduler) recount(now time.Time, v *service) {
+	v.countedAt = now
+	v.backlog = 0
+	for _, a := range v.waiting {
+		if c, t := a.supply(now); c+t == 0 && !a.anywhere() {
+			v.backlog += 1 / s.patience(a.queue.Head().Value).Seconds()
 		}
 	}
-	w := time.Duration(float64(ahead) / rate * float64(time.Second))
-	return max(w, a.retryAt.Sub(now)) + s.options.LoadTime
+}
+
+// inTime reports whether any waiting request can still gain from a load. One
+// that begins too late would take a slot and a token for nothing.
+func (s *Scheduler) inTime(now time.Time, a *adapter) bool {
+	ready := now.Add(s.options.LoadTime)
+	for i := range a.queue.All {
+		if i.Value.deadline.After(ready) {
+			return true
+		}
+	}
+	return false
 }
 
 // crowding is the cost of loading onto a runner whose slots are taken.
 func (s *Scheduler) crowding(e *endpoint) float64 {
-	return crowdingCost * float64(len(e.running)) / float64(max(e.spec.Slots, 1))
+	o := float64(len(e.running)) / float64(max(e.spec.Slots, 1))
+	return crowdingCost * o * o * o * o
 }
 
 // victim returns the replica whose eviction costs least, or nil.
@@ -152,7 +226,7 @@
 	if s.options.Policy != PolicyCost {
 		return -now.Sub(r.used).Seconds()
 	}
-	c := r.adapter.meter.PerSecond(now)
+	c := r.adapter.rate(now)
 	if _, there := r.adapter.supply(now); there > 1 {
 		c *= spareFactor
 	}
--- a/core/ggsschedule/tables.go
+++ b/core/ggsschedule/tables.go
@@ -174,6 +174,16 @@
 	// everywhere lists the adapters whose requests run on any endpoint.
 	everywhere []*adapter
 	queued     int
+	// backlog weighs the adapters that wait for their first replica by the
+	// inverse of their patience, as of countedAt and with those that came since.
+	backlog   float64
+	countedAt time.Time
+	// standingAt is since when the queue for loads is longer than patience.
+	standingAt time.Time
+	// drift notices shifts of popularity; evicted is the mean popularity of
+	// the adapters that were evicted lately.
+	drift   ggspopularity.Drift
+	evicted float64
 	// refill lists adapters that a restart took from a runner.
 	refill []*adapter
 	// runTime is the mean time of a run, zero while unknown.
@@ -207,6 +217,8 @@
 	due       time.Time
 	deadline  time.Time
 	startedAt time.Time
+	// patience is the wait for a load that it is worth, zero until it is asked.
+	patience  time.Duration
 	gathering bool
 	cancelled bool
 	// dispatches counts the runs that were tried.
