perf: poll a watcher of the own domain in every round

A VM that doesn't watch polled any VM, which may not have the change yet, in one round of four in place of a watcher, and a dead watcher cost a round.

--- a/io/ggsconfig/poll.go
+++ b/io/ggsconfig/poll.go
@@ -20,9 +20,11 @@
 	startPeers = 16
 	// startCalls bounds the calls to them at once.
 	startCalls = 4
-	// farPolls is the share of a VM's polls that go to any VM, one in so many;
-	// the others go to a watcher of its domain.
+	// farPolls is the share of the rounds, one in so many, in which a VM that
+	// doesn't watch polls another VM besides a watcher of its domain.
 	farPolls = 4
+	// nearTries bounds the watchers that are tried in a round.
+	nearTries = 2
 )
 
 // An offeredHead is a head as a peer has it.
@@ -32,34 +34,49 @@
 }
 
 // poll asks peers for newer heads. A VM that doesn't watch polls the watchers
-// of its domain, and now and then any VM; a watcher polls other domains, which
-// carries a change into a domain that is cut off from the platform.
+// of its domain, and now and then any other VM; a watcher polls other domains,
+// which carries a change into a domain that is cut off from the platform.
 func (f *Follower) poll(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
 		if f.Current() == nil {
 			f.askAll(ctx)
-		} else if m, found := f.pick(round); found {
-			f.ask(ctx, m)
+		} else {
+			f.pollOnce(ctx, round)
 		}
 		wait(ctx, jittered(f.options.PollInterval))
 	}
 }
 
-// ask asks one peer and follows its head if it is newer.
-func (f *Follower) ask(ctx context.Context, m Member) {
-	h, newer, err := f.peerHead(ctx, m)
-	if err != nil || !newer {
+// pollOnce polls a watcher of the domain, and another VM if this is its round.
+func (f *Follower) pollOnce(ctx context.Context, round int) {
+	near, far := f.peers()
+	for _, m := range someOf(near, nearTries) {
+		if f.ask(ctx, m) {
+			break
+		}
+	}
+	if len(near) > 0 && round%farPolls != 0 {
 		return
 	}
-	f.followPeer(ctx, offeredHead{head: h, from: m})
+	for _, m := range someOf(far, 1) {
+		f.ask(ctx, m)
+	}
+}
+
+// ask asks one peer and follows its head if it is newer. It reports whether the
+// peer answered.
+func (f *Follower) ask(ctx context.Context, m Member) bool {
+	h, newer, err := f.peerHead(ctx, m)
+	if err == nil && newer {
+		f.followPeer(ctx, offeredHead{head: h, from: m})
+	}
+	return err == nil
 }
 
 // askAll asks many peers and follows the highest head, or the next one where
 // that can't be pulled.
 func (f *Follower) askAll(ctx context.Context) {
-	l := f.others()
-	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
-	l = l[:min(len(l), startPeers)]
+	l := someOf(f.others(), startPeers)
 	var mu sync.Mutex
 	var heads []offeredHead
 	var g errgroup.Group
@@ -112,28 +129,29 @@
 	return slices.DeleteFunc(l, func(m Member) bool { return m.VM == f.options.Self })
 }
 
-// pick returns the peer to poll in a round. A watcher polls other domains: the
-// platform, which it watches, may be out of its reach but not of theirs.
-func (f *Follower) pick(round int) (Member, bool) {
-	all := f.others()
-	if len(all) == 0 {
-		return Member{}, false
-	}
+// peers returns the VMs to poll in each round and those to poll now and then. A
+// watcher has none of the first: it has the head from the platform as early as
+// the other watchers of its domain. Of the second it takes other domains: the
+// platform may be out of its reach but not of theirs.
+func (f *Follower) peers() (near, far []Member) {
 	w := f.watchers()
 	watcher := !f.options.PeersOnly && slices.Contains(w, f.options.Self)
-	some := slices.Clone(all)
-	switch {
-	case watcher:
-		some = slices.DeleteFunc(some, func(m Member) bool { return m.Domain == f.options.Domain })
-	case round%farPolls != farPolls-1:
-		some = slices.DeleteFunc(some, func(m Member) bool {
-			return m.Domain != f.options.Domain || !slices.Contains(w, m.VM)
-		})
-	}
-	if len(some) > 0 {
-		all = some
+	for _, m := range f.others() {
+		own := m.Domain == f.options.Domain
+		switch {
+		case !watcher && own && slices.Contains(w, m.VM):
+			near = append(near, m)
+		case !watcher || !own:
+			far = append(far, m)
+		}
 	}
-	return all[rand.IntN(len(all))], true
+	return near, far
+}
+
+// someOf returns some members at random.
+func someOf(l []Member, n int) []Member {
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	return l[:min(len(l), n)]
 }
 
 // isRefusal reports whether a head was refused as lower or forked.
