feat: delete texts that no head needs any more

Each change left its section's text in the platform's service for ever. Now the change whose acceptance pushes an earlier one out of the head's history deletes the text which that one replaced. A text is written again before each try, so that a late deletion meets another revision.

--- a/core/ggsdocument/head.go
+++ b/core/ggsdocument/head.go
@@ -35,6 +35,9 @@
 	ID       ChangeID
 	Revision ggscore.Revision
 	Section  ggscore.SectionName
+	// Replaced is the digest of the text that the change replaced, zero for a
+	// new section.
+	Replaced ggscore.Digest
 }
 
 // A Change is an operator's change of one section.
@@ -74,8 +77,11 @@
 	if n.Sections == nil {
 		n.Sections = map[ggscore.SectionName]SectionState{}
 	}
+	replaced := n.Sections[c.Section].Digest
 	n.Sections[c.Section] = SectionState{Digest: c.Digest, Revision: n.Revision, By: c.By, Change: c.ID}
-	n.Changes = append(n.Changes, AcceptedChange{ID: c.ID, Revision: n.Revision, Section: c.Section})
+	n.Changes = append(n.Changes, AcceptedChange{
+		ID: c.ID, Revision: n.Revision, Section: c.Section, Replaced: replaced,
+	})
 	if drop := len(n.Changes) - HistoryLength; drop > 0 {
 		n.Changes = slices.Delete(n.Changes, 0, drop)
 	}
@@ -103,6 +109,27 @@
 	return h.Revision == o.Revision && maps.Equal(h.Sections, o.Sections)
 }
 
+// Dropped returns the texts that a head needs no more and that the head before
+// it did: those replaced by the changes that left its history. It keeps texts
+// for as long as the history, since a reader may still hold an earlier head.
+func (h Head) Dropped(before Head) []ggscore.Digest {
+	used := map[ggscore.Digest]bool{{}: true}
+	for _, s := range h.Sections {
+		used[s.Digest] = true
+	}
+	for _, c := range h.Changes {
+		used[c.Replaced] = true
+	}
+	var l []ggscore.Digest
+	for _, c := range before.Changes {
+		if !used[c.Replaced] {
+			used[c.Replaced] = true
+			l = append(l, c.Replaced)
+		}
+	}
+	return l
+}
+
 // FateOf reports what became of a change that was first tried on a head of
 // revision tried. It is settled where the change is its section's latest one,
 // or where the history reaches back to the revision after tried.
--- a/io/ggsconfig/attempt.go
+++ b/io/ggsconfig/attempt.go
@@ -19,8 +19,6 @@
 	section *ggsdocument.Section
 	// sections holds the other sections that were read, by digest.
 	sections map[ggscore.Digest]*ggsdocument.Section
-	// stored says that the section's text is in the platform's service.
-	stored bool
 	// ambiguous says that a write of the head may have taken effect; the first
 	// such write was on the head of revision tried.
 	ambiguous bool
@@ -84,9 +82,10 @@
 	if err = e.checkWith(ctx, a, next); err != nil {
 		return Accepted{}, err
 	}
-	if err = e.storeText(ctx, a); err != nil {
+	if err = writeText(ctx, e.store, a.change.Digest, a.edit.Text); err != nil {
 		return Accepted{}, err
 	}
+	dropped := e.readDropped(ctx, next.Dropped(h))
 	_, err = e.store.Put(ctx, HeadKey, EncodeHead(next), n.Revision, 0)
 	var lost *ggscore.AmbiguousWriteError
 	if errors.As(err, &lost) {
@@ -95,6 +94,7 @@
 	if err != nil {
 		return Accepted{}, errors.Wrap(err, "swapping the head")
 	}
+	e.deleteDropped(ctx, dropped)
 	return Accepted{Revision: next.Revision}, nil
 }
 
@@ -147,21 +147,6 @@
 	return s, nil
 }
 
-// storeText writes the section's text. Its key is its digest, so whoever wrote
-// it before wrote the same text, and a lost answer is settled by writing again.
-func (e *Editor) storeText(ctx context.Context, a *attempt) error {
-	if a.stored {
-		return nil
-	}
-	_, err := e.store.Put(ctx, SectionKey(a.change.Digest), a.edit.Text, 0, 0)
-	var exists *ggscore.ConflictError
-	if err != nil && !errors.As(err, &exists) {
-		return errors.Wrap(err, "writing the section")
-	}
-	a.stored = true
-	return nil
-}
-
 // mayTryAgain reports whether a failed try may be followed by another one.
 func mayTryAgain(err error) bool {
 	var conflict *ggscore.ConflictError
--- a/io/ggsconfig/editor.go
+++ b/io/ggsconfig/editor.go
@@ -198,17 +198,3 @@
 func (e *Editor) readText(ctx context.Context, d ggscore.Digest) ([]byte, error) {
 	return readText(ctx, e.store, d)
 }
-
-func readText(ctx context.Context, s ggscore.Reader, d ggscore.Digest) ([]byte, error) {
-	n, err := s.Get(ctx, SectionKey(d))
-	if err != nil {
-		return nil, errors.Wrap(err, "reading a section")
-	}
-	if n.Revision == 0 {
-		return nil, &MissingSectionError{Digest: d}
-	}
-	if have := ggsdocument.DigestOf(n.Value); have != d {
-		return nil, &ggsdocument.DigestError{Want: d, Have: have}
-	}
-	return n.Value, nil
-}
--- a/io/ggsconfig/head.go
+++ b/io/ggsconfig/head.go
@@ -36,6 +36,7 @@
 	ID       string `json:"id"`
 	Revision uint64 `json:"revision"`
 	Section  string `json:"section"`
+	Replaced string `json:"replaced,omitempty"`
 }
 
 // SectionKey returns the key of a section's text.
@@ -61,9 +62,11 @@
 		})
 	}
 	for _, c := range h.Changes {
-		w.Changes = append(w.Changes, changeWire{
-			ID: string(c.ID), Revision: uint64(c.Revision), Section: string(c.Section),
-		})
+		x := changeWire{ID: string(c.ID), Revision: uint64(c.Revision), Section: string(c.Section)}
+		if c.Replaced != (ggscore.Digest{}) {
+			x.Replaced = hex.EncodeToString(c.Replaced[:])
+		}
+		w.Changes = append(w.Changes, x)
 	}
 	b, _ := json.Marshal(w) // a struct of texts and numbers always encodes
 	return b
@@ -98,10 +101,18 @@
 		}
 	}
 	for _, c := range w.Changes {
+		var replaced ggscore.Digest
+		if c.Replaced != "" {
+			var err error
+			if replaced, err = parseDigest(c.Replaced); err != nil {
+				return ggsdocument.Head{}, &BadHeadError{Cause: err}
+			}
+		}
 		h.Changes = append(h.Changes, ggsdocument.AcceptedChange{
 			ID:       ggsdocument.ChangeID(c.ID),
 			Revision: ggscore.Revision(c.Revision),
 			Section:  ggscore.SectionName(c.Section),
+			Replaced: replaced,
 		})
 	}
 	return h, nil
--- a/io/ggsconfig/repair.go
+++ b/io/ggsconfig/repair.go
@@ -42,7 +42,7 @@
 			return err
 		}
 	}
-	err = f.putRepaired(ctx, HeadKey, EncodeHead(own), n.Revision)
+	err = f.putRepaired(ctx, EncodeHead(own), n.Revision)
 	if err == nil {
 		_ = f.options.Logger.Log("event", "headRepaired", "revision", uint64(own.Revision), "was", uint64(lower.Revision))
 	}
@@ -58,24 +58,22 @@
 	_ = f.options.Logger.Log("event", "headNotRepaired", "revision", uint64(own.Revision), "shown", uint64(lower.Revision))
 }
 
-// repairSection writes a section's text where the platform lacks it.
+// repairSection writes a section's text. It is written also where it is there,
+// as writeText says.
 func (f *Follower) repairSection(ctx context.Context, d ggscore.Digest) error {
-	_, err := readText(ctx, f.options.Repair, d)
-	var missing *MissingSectionError
-	if !errors.As(err, &missing) {
-		return err
-	}
 	t, err := unpack(f.PackedSection(d))
 	if err != nil {
 		return err
 	}
-	return ignoreConflict(f.putRepaired(ctx, SectionKey(d), t, 0))
+	ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
+	defer cancel()
+	return writeText(ctx, f.options.Repair, d, t)
 }
 
-func (f *Follower) putRepaired(ctx context.Context, k ggscore.Key, value []byte, prev ggscore.StoreRevision) error {
+func (f *Follower) putRepaired(ctx context.Context, head []byte, prev ggscore.StoreRevision) error {
 	ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
 	defer cancel()
-	_, err := f.options.Repair.Put(ctx, k, value, prev, 0)
+	_, err := f.options.Repair.Put(ctx, HeadKey, head, prev, 0)
 	return errors.Wrap(err, "repairing the head")
 }
 
--- a/io/ggsconfig/store_test.go
+++ b/io/ggsconfig/store_test.go
@@ -33,6 +33,8 @@
 	loseAnswers int
 	delayWrites int
 	failWrites  int
+	// delayDeletes holds deletions back until they are let land.
+	delayDeletes bool
 	// beforePut runs before the next write of the head, without the lock.
 	beforePut func()
 }
@@ -41,7 +43,15 @@
 	return &faultyStore{entries: map[ggscore.Key]ggscore.Entry{}, changed: make(chan struct{})}
 }
 
-func (s *faultyStore) Delete(context.Context, ggscore.Key, ggscore.StoreRevision) error { return nil }
+func (s *faultyStore) Delete(_ context.Context, k ggscore.Key, prev ggscore.StoreRevision) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.delayDeletes {
+		s.delayed = append(s.delayed, func() { _ = s.remove(k, prev) })
+		return &ggscore.AmbiguousWriteError{Key: k, Cause: &causeError{}}
+	}
+	return s.remove(k, prev)
+}
 
 func (s *faultyStore) Get(_ context.Context, k ggscore.Key) (ggscore.Entry, error) {
 	s.mu.Lock()
@@ -162,6 +172,16 @@
 	return s.revision, nil
 }
 
+// remove is called with the lock held.
+func (s *faultyStore) remove(k ggscore.Key, prev ggscore.StoreRevision) error {
+	if have := s.entries[k].Revision; have != prev || prev == 0 {
+		return &ggscore.ConflictError{Key: k, Want: prev, Have: have}
+	}
+	s.revision++
+	delete(s.entries, k)
+	return nil
+}
+
 // restore replaces the entries by an older copy.
 func (s *faultyStore) restore(m map[ggscore.Key]ggscore.Entry) {
 	s.mu.Lock()
