fix: refuse a retention of keys that would have no effect

Processes keep keys for 24 hours, whatever the policy said. A document that names another time was accepted and changed nothing; now it is refused.

--- a/core/ggsdocument/document_test.go
+++ b/core/ggsdocument/document_test.go
@@ -113,7 +113,7 @@
 		"default policy":     {policy(func(*ggscore.PolicySpec) {}), ""},
 		"stall weight":       {policy(func(p *ggscore.PolicySpec) { p.StallWeight = -0.1 }), "policy: stallWeight: .*"},
 		"loads in transit":   {policy(func(p *ggscore.PolicySpec) { p.LoadsInTransit = 2 }), "policy: loadsInTransit: .*at least 3"},
-		"key retention":      {policy(func(p *ggscore.PolicySpec) { p.KeyRetention = second }), "policy: keyRetention: .*"},
+		"key retention":      {policy(func(p *ggscore.PolicySpec) { p.KeyRetention = 48 * time.Hour }), "policy: keyRetention: .*want 24h0m0s, which is fixed"},
 		"weight":             {marketWith(func(s *ggsdocument.MarketSource) { s.Weight = 0 }), "market/cr: weight: .*"},
 		"burst without rate": {marketWith(func(s *ggsdocument.MarketSource) { s.Burst = 3 }), "market/cr: burst: must not be set.*"},
 		"rate without burst": {marketWith(func(s *ggsdocument.MarketSource) { s.RequestsPerSecond = 3 }), "market/cr: burst: .*at least 1"},
--- a/core/ggsdocument/section.go
+++ b/core/ggsdocument/section.go
@@ -23,6 +23,11 @@
 // megabyte; the rest is left to the platform's own framing.
 const MaxSectionBytes = 1_000_000
 
+// KeyRetention is how long idempotency keys are kept. All processes must agree
+// on it at all times, or one would forget a key that another still grants, so
+// the document may name it but not change it.
+const KeyRetention = 24 * time.Hour
+
 // A Section is one section, valid on its own. Exactly one of Market, Services
 // and Policy is set. It is immutable, so that documents may share it.
 type Section struct {
@@ -124,7 +129,11 @@
 	c.duration("loadTime", p.LoadTime, time.Millisecond)
 	c.duration("crossRegionPrice", p.CrossRegionPrice, 0)
 	c.notNegative("crossRegionBytesPerSecond", p.CrossRegionBytesPerSecond)
-	c.duration("keyRetention", p.KeyRetention, time.Minute)
+	if p.KeyRetention != KeyRetention {
+		c.fail("keyRetention", &OutOfRangeError{
+			Value: p.KeyRetention.String(), Want: KeyRetention.String() + ", which is fixed",
+		})
+	}
 	c.atLeast("maxBodyBytes", p.MaxBodyBytes, 1)
 	return c.done(&Section{Name: SectionPolicy, Policy: &p})
 }
@@ -139,7 +148,7 @@
 		LoadTime:                  250 * time.Millisecond,
 		CrossRegionPrice:          100 * time.Millisecond,
 		CrossRegionBytesPerSecond: 1_000_000,
-		KeyRetention:              24 * time.Hour,
+		KeyRetention:              KeyRetention,
 		MaxBodyBytes:              1 << 20,
 	}
 }
