--- a/io/ggsconfig/bench_test.go
+++ b/io/ggsconfig/bench_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"github.com/google/uuid"
+
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsdocument"
 	"greengageslip/io/ggsconfig"
@@ -76,6 +78,36 @@
 	runtime.KeepAlive(f)
 }
 
+// BenchmarkHead reports the bytes of a head (headBytes) with a whole history and
+// so many sections, which each watcher reads at each change, and the time to
+// decode it.
+func BenchmarkHead(b *testing.B) {
+	for _, n := range []int{10, 45, 100, 400} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			h := ggsdocument.Head{}
+			for i := range n + ggsdocument.HistoryLength {
+				var err error
+				h, err = h.Accept(ggsdocument.Change{
+					ID:      ggsdocument.ChangeID(uuid.NewString()),
+					Section: ggscore.SectionName(fmt.Sprint("market/m", i%n)),
+					Digest:  ggsdocument.DigestOf([]byte(strconv.Itoa(i))),
+					ReadAt:  h.Revision, By: "ana",
+				})
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+			e := ggsconfig.EncodeHead(h)
+			for b.Loop() {
+				if _, err := ggsconfig.DecodeHead(e); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(e)), "headBytes")
+		})
+	}
+}
+
 // BenchmarkAdopt measures what a change of one market's section costs each
 // process, beside documents of several sizes.
 func BenchmarkAdopt(b *testing.B) {
--- a/io/ggsconfig/doc.go
+++ b/io/ggsconfig/doc.go
@@ -16,7 +16,7 @@
 // # Storage
 //
 // The key config/sections/DIGEST holds a section's text under the hexadecimal
-// SHA-256 of it and never changes. The key config/head holds the head as JSON.
+// SHA-256 of it and never changes. The key config/head holds the head, as JSON by gzip.
 // A change is accepted by one compare-and-swap of config/head, so that changes
 // of different sections that are only jointly invalid can't both be accepted.
 //
--- a/io/ggsconfig/editor_test.go
+++ b/io/ggsconfig/editor_test.go
@@ -1,6 +1,8 @@
 package ggsconfig_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"testing"
@@ -266,7 +268,22 @@
 	back, err := ggsconfig.DecodeHead(ggsconfig.EncodeHead(h))
 	c.Assert(err, qt.IsNil)
 	c.Assert(back, qt.DeepEquals, h)
-	_, err = ggsconfig.DecodeHead([]byte(`{"revision":1,"sections":[{"digest":"zz"}]}`))
+	for name, text := range map[string]string{
+		"digest":      `{"revision":1,"sections":[{"digest":"zz"}]}`,
+		"replaced":    `{"revision":1,"changes":[{"replaced":"zz"}]}`,
+		"unknown key": `{"revision":1,"later":2}`,
+		"no JSON":     `revision 1`,
+	} {
+		var b bytes.Buffer
+		z := gzip.NewWriter(&b)
+		_, err = z.Write([]byte(text))
+		c.Assert(err, qt.IsNil)
+		c.Assert(z.Close(), qt.IsNil)
+		_, err = ggsconfig.DecodeHead(b.Bytes())
+		var bad *ggsconfig.BadHeadError
+		c.Assert(errors.As(err, &bad), qt.IsTrue, qt.Commentf("%s", name))
+	}
+	_, err = ggsconfig.DecodeHead([]byte(`{"revision":1}`))
 	var bad *ggsconfig.BadHeadError
 	c.Assert(errors.As(err, &bad), qt.IsTrue)
 }
--- a/io/ggsconfig/head.go
+++ b/io/ggsconfig/head.go
@@ -44,7 +44,8 @@
 	return ggscore.KeyOf(sectionsPrefix, hex.EncodeToString(d[:]))
 }
 
-// EncodeHead encodes a head; equal heads give equal bytes.
+// EncodeHead encodes a head, as JSON compressed by gzip: each watcher reads the
+// whole of it at each change.
 func EncodeHead(h ggsdocument.Head) []byte {
 	w := headWire{
 		Revision: uint64(h.Revision),
@@ -69,7 +70,7 @@
 		w.Changes = append(w.Changes, x)
 	}
 	b, _ := json.Marshal(w) // a struct of texts and numbers always encodes
-	return b
+	return pack(b)
 }
 
 // DecodeHead decodes a head. An empty value is the head of an empty document.
@@ -77,10 +78,14 @@
 	if len(b) == 0 {
 		return ggsdocument.Head{}, nil
 	}
+	text, err := unpack(b)
+	if err != nil {
+		return ggsdocument.Head{}, &BadHeadError{Cause: err}
+	}
 	var w headWire
-	d := json.NewDecoder(bytes.NewReader(b))
+	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&w); err != nil {
+	if err = d.Decode(&w); err != nil {
 		return ggsdocument.Head{}, &BadHeadError{Cause: err}
 	}
 	h := ggsdocument.Head{
@@ -103,7 +108,6 @@
 	for _, c := range w.Changes {
 		var replaced ggscore.Digest
 		if c.Replaced != "" {
-			var err error
 			if replaced, err = parseDigest(c.Replaced); err != nil {
 				return ggsdocument.Head{}, &BadHeadError{Cause: err}
 			}
--- a/io/ggsconfig/machine_test.go
+++ b/io/ggsconfig/machine_test.go
@@ -32,6 +32,8 @@
 	revision  map[ggsdocument.ChangeID]ggscore.Revision
 	readAt    map[ggsdocument.ChangeID]ggscore.Revision
 	unknown   []ggsconfig.Edit
+	// decoded holds the heads of the store that were decoded already.
+	decoded []ggsdocument.Head
 }
 
 // Operators change sections while answers are lost, writes are delayed and
@@ -147,8 +149,7 @@
 func (m *machine) check(t *rapid.T) {
 	made := map[ggsdocument.ChangeID]ggscore.Revision{}
 	changed := map[ggscore.SectionName]ggscore.Revision{}
-	for i, b := range m.store.heads {
-		h := m.decode(t, b)
+	for i, h := range m.heads(t) {
 		if h.Revision != ggscore.Revision(i+1) {
 			t.Fatalf("head %d has revision %d", i+1, h.Revision)
 		}
@@ -174,12 +175,16 @@
 	}
 }
 
-func (m *machine) decode(t *rapid.T, b []byte) ggsdocument.Head {
-	h, err := ggsconfig.DecodeHead(b)
-	if err != nil {
-		t.Fatal(err)
+// heads returns each head that was ever written.
+func (m *machine) heads(t *rapid.T) []ggsdocument.Head {
+	for _, b := range m.store.heads[len(m.decoded):] {
+		h, err := ggsconfig.DecodeHead(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.decoded = append(m.decoded, h)
 	}
-	return h
+	return m.decoded
 }
 
 func (m *machine) fromOldCopy(t *rapid.T) {
@@ -187,7 +192,7 @@
 		t.Skip("no head")
 	}
 	i := rapid.IntRange(0, len(m.store.heads)-1).Draw(t, "old")
-	m.offer(t, m.follower(t), m.decode(t, m.store.heads[i]))
+	m.offer(t, m.follower(t), m.heads(t)[i])
 }
 
 func (m *machine) fromPeer(t *rapid.T) {
@@ -210,7 +215,7 @@
 	if len(m.store.heads) == 0 {
 		return ggsdocument.Head{}
 	}
-	return m.decode(t, m.store.heads[len(m.store.heads)-1])
+	return m.heads(t)[len(m.store.heads)-1]
 }
 
 // offer offers a head and checks that the follower doesn't go back.
