--- a/core/ggsroute/choose.go
+++ b/core/ggsroute/choose.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	ggscore "greengageslip/core"
 )
 
 // holdGain is the weight of a new sample in a service's mean hold.
@@ -84,7 +82,7 @@
 
 // holderCandidate predicts the cost of a pool that holds the adapter.
 func (r *Router) holderCandidate(h *holder) candidate {
-	c := candidate{pool: h.pool, wait: h.wait(), reason: ReasonResident}
+	c := candidate{pool: h.pool, rank: h.rank, wait: h.wait(), reason: ReasonResident}
 	if h.loading {
 		c.reason = ReasonLoading
 		c.stall = r.loadTime() / 2
@@ -127,7 +125,7 @@
 	}
 	best := candidate{}
 	for _, h := range top.list[:top.n] {
-		best = pick(candidate{pool: h.pool, wait: h.pool.wait()}, best)
+		best = pick(candidate{pool: h.pool, rank: h.rank, wait: h.pool.wait()}, best)
 	}
 	if best.pool == nil {
 		best = fallback
@@ -171,9 +169,6 @@
 	second := r.anyPool(q, pools)
 	best := candidate{pool: first, wait: first.wait(), reason: ReasonLoad}
 	other := candidate{pool: second, wait: second.wait(), reason: ReasonLoad}
-	if other.cost() == best.cost() && second.fill() < first.fill() {
-		return other
-	}
 	return pick(other, best)
 }
 
@@ -227,14 +222,6 @@
 	return r.rng.Float64() < float64(gain-price)/float64(gain)/2
 }
 
-// hashOf returns the adapter's hash, from its entry where there is one.
-func (r *Router) hashOf(q *query, ref ggscore.AdapterRef) uint64 {
-	if q.adapter != nil {
-		return q.adapter.hash
-	}
-	return hashRef(ref)
-}
-
 // loadStall predicts how long a request waits for a new load.
 func (r *Router) loadStall(s *service) time.Duration {
 	stall := r.loadTime()
--- a/core/ggsroute/pool.go
+++ b/core/ggsroute/pool.go
@@ -17,6 +17,8 @@
 	order  order
 	// expires is when the last summary is too old to act on.
 	expires time.Time
+	// removed is when it was removed, or zero.
+	removed time.Time
 	pools   []*pool
 }
 
@@ -27,6 +29,8 @@
 	// homes are the hashes of its runners that take any adapter.
 	homes []uint64
 	slots int
+	// endpoints is their number, where a board told of it.
+	endpoints int
 	// reported is the number of requests running and queued, as summarized.
 	reported int
 	// sent is the number of own requests sent since, less those ended since.
@@ -40,9 +44,9 @@
 	generation uint64
 }
 
-// An adapter is one that some pool holds or loads.
+// An adapter is one that some pool holds or loads. It is known by its hash
+// alone: two that share one would at worst be routed where one must be loaded.
 type adapter struct {
-	ref     ggscore.AdapterRef
 	hash    uint64
 	holders []holder
 }
@@ -57,23 +61,28 @@
 	load    int
 	sent    int
 	loading bool
+	// runners is the number of those, where a board told of them.
+	runners int
 	// presumedUntil keeps a load alive that an own request must have caused
 	// and that no summary shows yet.
 	presumedUntil time.Time
 	generation    uint64
 }
 
+// silent reports whether the last summary is too old to act on.
+func (g *group) silent(now time.Time) bool { return !now.Before(g.expires) }
+
 // usable reports whether the pool may get work at all.
 func (p *pool) usable(now time.Time) bool {
-	return p.slots > 0 && !p.group.order.leaving && now.Before(p.group.expires)
+	return p.slots > 0 && !p.group.order.leaving && !p.group.silent(now)
 }
 
 // load returns the requests that are presumed to be on the pool.
 func (p *pool) load() int { return max(p.reported+p.sent, p.own, 0) }
 
 // holderOf returns the pool's entry of an adapter, or nil.
-func (p *pool) holderOf(ref ggscore.AdapterRef) *holder {
-	a := p.service.adapters[ref]
+func (p *pool) holderOf(hash uint64) *holder {
+	a := p.service.adapters[hash]
 	if a == nil {
 		return nil
 	}
@@ -117,23 +126,23 @@
 		p.homes = append(p.homes, xxhash.Sum64String(string(s.Endpoint)))
 	}
 	for _, ref := range s.Resident {
-		h := p.hold(ref)
+		h := p.hold(hashRef(ref))
 		h.loading = false
 		h.slots += s.Slots
 		h.load += s.Running + s.Queued
 	}
 	for _, ref := range s.Loading {
-		p.hold(ref)
+		p.hold(hashRef(ref))
 		p.loading++
 	}
 }
 
 // hold returns the pool's holder entry of an adapter, new in this generation.
-func (p *pool) hold(ref ggscore.AdapterRef) *holder {
-	a, ok := p.service.adapters[ref]
+func (p *pool) hold(hash uint64) *holder {
+	a, ok := p.service.adapters[hash]
 	if !ok {
-		a = &adapter{ref: ref, hash: hashRef(ref)}
-		p.service.adapters[ref] = a
+		a = &adapter{hash: hash}
+		p.service.adapters[hash] = a
 	}
 	h := a.holder(p)
 	if h == nil {
@@ -200,7 +209,7 @@
 func (a *adapter) drop(p *pool) {
 	a.holders = slices.DeleteFunc(a.holders, func(h holder) bool { return h.pool == p })
 	if len(a.holders) == 0 {
-		delete(p.service.adapters, a.ref)
+		delete(p.service.adapters, a.hash)
 	}
 }
 
--- /dev/null
+++ b/core/ggsroute/region_test.go
@@ -0,0 +1,182 @@
+package ggsroute_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsroute"
+)
+
+const (
+	gatewaysPerRegion = 10
+	hold              = 500 * time.Millisecond
+	step              = 100 * time.Millisecond
+	price             = 50 * time.Millisecond
+)
+
+// A pair is two regions with a group each, and gateways in both.
+type pair struct {
+	regions  [2]ggscore.Region
+	gateways [2][]*ggsroute.Router
+	load     [2]float64
+	crossed  int
+}
+
+func newPair() *pair {
+	p := &pair{regions: [2]ggscore.Region{"central", "caribe"}}
+	for side, region := range p.regions {
+		for i := range gatewaysPerRegion {
+			r := ggsroute.New(ggsroute.Options{Region: region, Seed: uint64(side*100 + i), Hold: hold})
+			r.SetPolicy(at(0), ggscore.PolicySpec{CrossRegionPrice: price})
+			p.gateways[side] = append(p.gateways[side], r)
+		}
+	}
+	return p
+}
+
+// tell gives all gateways both groups' summaries.
+func (p *pair) tell(now time.Time, seq uint64) {
+	for side, region := range p.regions {
+		s := summary(string(region), seq)
+		s.Region = region
+		for i := range s.Runners {
+			s.Runners[i].Running = min(int(p.load[side])/4, 8)
+			s.Runners[i].Queued = int(p.load[side])/4 - s.Runners[i].Running
+		}
+		for _, list := range p.gateways {
+			for _, r := range list {
+				r.Update(now, s)
+			}
+		}
+	}
+}
+
+// arrive routes requests of one region's callers.
+func (p *pair) arrive(c *qt.C, now time.Time, side, n, first int) {
+	for i := range n {
+		r := p.gateways[side][(first+i)%gatewaysPerRegion]
+		choice, err := r.Route(now, &ggscore.Request{Service: service}, nil)
+		c.Assert(err, qt.IsNil)
+		r.Sent(now, choice)
+		to := side
+		if choice.CrossRegion {
+			to = 1 - side
+			p.crossed++
+		}
+		p.load[to]++
+	}
+}
+
+// serve lets a step pass on both groups.
+func (p *pair) serve() {
+	for side := range p.load {
+		p.load[side] -= min(p.load[side], 32) * float64(step) / float64(hold)
+	}
+}
+
+// One region has half as much work again as it can take, the other is quiet.
+// All gateways of the busy one see the quiet one in the same summary and send
+// everything there; a second later they all turn back. Callers of both regions
+// wait in turn, and the bytes between the regions are paid for nothing.
+func TestRegionsDoNotOscillate(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	p := newPair()
+	worst := 0.0
+	for i := range 600 {
+		now := at(time.Duration(i) * step)
+		if i%10 == 0 {
+			p.tell(now, uint64(i+1))
+		}
+		p.arrive(c, now, 0, 9, i*9)
+		p.arrive(c, now, 1, 2, i*2)
+		p.serve()
+		if i > 300 {
+			worst = max(worst, p.load[1]-32)
+		}
+	}
+	c.Check(worst < 10, qt.IsTrue, qt.Commentf("%.0f requests queued in the quiet region", worst))
+	c.Check(p.load[0]-32 < 60, qt.IsTrue, qt.Commentf("%.0f queued in the busy one", p.load[0]-32))
+	c.Check(p.crossed > 600 && p.crossed < 3000, qt.IsTrue, qt.Commentf("%d of 6600 crossed", p.crossed))
+}
+
+// A region has lost its runners, and its callers' requests all cross to the
+// other. The link between the regions is paid by volume, and the bill of an
+// hour's outage is that of a year.
+func TestBytesAcrossRegionsAreBounded(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	const rate = 100_000
+	r := ggsroute.New(ggsroute.Options{Region: "caribe", Seed: 1, MaxAge: time.Hour})
+	r.SetPolicy(at(0), ggscore.PolicySpec{CrossRegionBytesPerSecond: rate})
+	r.Update(at(0), summary("a", 1))
+	bytes, refused := 0, 0
+	for i := range 10_000 {
+		now := at(time.Duration(i) * time.Millisecond)
+		choice, err := r.Route(now, request(), nil)
+		if err != nil {
+			refused++
+			continue
+		}
+		c.Assert(choice.CrossRegion, qt.IsTrue)
+		r.Sent(now, choice)
+		r.Ended(now, choice, ggsroute.End{AnswerBytes: 20_000})
+		bytes += 21_000
+	}
+	c.Check(bytes <= 12*rate+21_000, qt.IsTrue, qt.Commentf("%d bytes in 10 s", bytes))
+	c.Check(bytes >= 9*rate, qt.IsTrue, qt.Commentf("%d bytes in 10 s", bytes))
+	c.Check(r.CrossRegionBytes(), qt.Equals, int64(bytes))
+
+	now := at(10 * time.Second)
+	_, err := r.Route(now, request(), nil)
+	for i := 0; err == nil && i < 1000; i++ {
+		choice, _ := r.Route(now, request(), nil)
+		r.Sent(now, choice)
+		_, err = r.Route(now, request(), nil)
+	}
+	var e *ggsroute.NoDispatcherError
+	c.Assert(errors.As(err, &e), qt.IsTrue)
+	c.Check(e.Cause, qt.Equals, ggsroute.CauseCrossing)
+	_, err = r.Route(now.Add(e.RetryAfter-time.Millisecond), request(), nil)
+	c.Check(err, qt.IsNotNil)
+	_, err = r.Route(now.Add(e.RetryAfter+time.Microsecond), request(), nil)
+	c.Check(err, qt.IsNil)
+	c.Check(refused > 0, qt.IsTrue)
+}
+
+func TestStaysInRegionBelowThePrice(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		price time.Duration
+		cross bool
+	}{
+		"a load is cheaper":  {price: 250 * time.Millisecond},
+		"a load costs more":  {price: 10 * time.Millisecond, cross: true},
+		"crossing is cheap":  {price: time.Nanosecond, cross: true},
+		"crossing costs all": {price: time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := newRouter(c, "a")
+			r.SetPolicy(at(0), ggscore.PolicySpec{CrossRegionPrice: tc.price})
+			far := summary("far", 1)
+			far.Region = "caribe"
+			far.Runners[0].Resident = append(far.Runners[0].Resident, adapterRef())
+			r.Update(at(0), far)
+			crossed := 0
+			for range 100 {
+				choice, err := r.Route(at(0), request(), nil)
+				c.Assert(err, qt.IsNil)
+				if choice.CrossRegion {
+					crossed++
+				}
+			}
+			c.Check(crossed > 0, qt.Equals, tc.cross)
+		})
+	}
+}
--- a/core/ggsroute/route.go
+++ b/core/ggsroute/route.go
@@ -49,7 +49,7 @@
 	Reason      Reason
 
 	pool    *pool
-	ref     ggscore.AdapterRef
+	hash    uint64
 	reserve int
 }
 
@@ -64,6 +64,7 @@
 // A candidate is a pool with its predicted cost.
 type candidate struct {
 	pool   *pool
+	rank   uint64
 	wait   time.Duration
 	stall  time.Duration
 	reason Reason
@@ -72,9 +73,19 @@
 // cost returns the predicted time until the request runs.
 func (c candidate) cost() time.Duration { return c.wait + c.stall }
 
-// better reports whether c is to be preferred to d.
+// better reports whether c is to be preferred to d: for its cost, or where that
+// is equal for the emptier batches, then for the higher score.
 func (c candidate) better(d candidate) bool {
-	return c.pool != nil && (d.pool == nil || c.cost() < d.cost())
+	if c.pool == nil || d.pool == nil {
+		return c.pool != nil
+	}
+	if c.cost() != d.cost() {
+		return c.cost() < d.cost()
+	}
+	if c.pool.fill() != d.pool.fill() {
+		return c.pool.fill() < d.pool.fill()
+	}
+	return c.rank > d.rank
 }
 
 // A query is one request on its way through the router.
@@ -100,7 +111,7 @@
 	if p.reported+p.sent > 0 {
 		p.sent--
 	}
-	if h := p.holderOf(c.ref); h != nil && h.load+h.sent > 0 {
+	if h := p.holderOf(c.hash); h != nil && h.load+h.sent > 0 {
 		h.sent--
 	}
 	if e.Held > 0 {
@@ -121,8 +132,8 @@
 	q := query{now: now, service: s, exclude: exclude, replicas: 1}
 	q.plain = req.Adapter.IsZero()
 	if !q.plain {
-		q.adapter = s.adapters[req.Adapter]
-		q.hash = r.hashOf(&q, req.Adapter)
+		q.hash = hashRef(req.Adapter)
+		q.adapter = s.adapters[q.hash]
 		q.replicas = r.replicasOf(&q)
 	}
 	best := r.best(&q, true)
@@ -139,7 +150,7 @@
 		CrossRegion: crosses,
 		Reason:      best.reason,
 		pool:        best.pool,
-		ref:         req.Adapter,
+		hash:        q.hash,
 		reserve:     bytes,
 	}, nil
 }
@@ -152,22 +163,22 @@
 	if c.CrossRegion {
 		r.crossing.take(now, c.reserve)
 	}
-	if c.ref.IsZero() {
+	if c.hash == 0 {
 		return
 	}
-	r.rates.record(now, hashRef(c.ref))
-	if h := p.holderOf(c.ref); h != nil {
+	r.rates.record(now, c.hash)
+	if h := p.holderOf(c.hash); h != nil {
 		h.sent++
 		return
 	}
-	r.presume(now, p, c.ref)
+	r.presume(now, p, c.hash)
 }
 
 // presume notes the load that a request must cause at its pool. Until a
 // summary shows it, the next request for the adapter would go elsewhere and
 // load it again.
-func (r *Router) presume(now time.Time, p *pool, ref ggscore.AdapterRef) {
-	h := p.hold(ref)
+func (r *Router) presume(now time.Time, p *pool, hash uint64) {
+	h := p.hold(hash)
 	h.generation = 0
 	h.sent = 1
 	p.loading++
--- a/core/ggsroute/route_test.go
+++ b/core/ggsroute/route_test.go
@@ -173,6 +173,22 @@
 	c.Check(second.Reason, qt.Equals, ggsroute.ReasonLoading)
 }
 
+// A VM's clock was set back before its dispatcher restarted. Its new summaries
+// seem older than those of its earlier incarnation, and it gets no work for as
+// long as it runs.
+func TestClockSetBackBeforeARestart(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	r := newRouter(c, "a")
+	s := summary("a", 1)
+	s.Incarnation = "i0"
+	c.Check(r.Update(at(time.Second), s), qt.IsFalse)
+	s.Sequence++
+	c.Check(r.Update(at(4*time.Second), s), qt.IsTrue)
+	_, err := r.Route(at(4*time.Second), request(), nil)
+	c.Check(err, qt.IsNil)
+}
+
 // A dispatcher leaves and says so. A summary that it sent before was held up
 // on the way and arrives afterwards, and callers' requests go to the leaving
 // dispatcher again until it stops, each refused or cut off there.
--- a/core/ggsroute/router.go
+++ b/core/ggsroute/router.go
@@ -62,6 +62,7 @@
 	rng      *rand.Rand
 	groups   map[ggscore.VMID]*group
 	services map[ggscore.Service]*service
+	boards   map[string]*view
 	rates    *rateTable
 	crossing bucket
 }
@@ -71,7 +72,7 @@
 	name     ggscore.Service
 	local    []*pool
 	remote   []*pool
-	adapters map[ggscore.AdapterRef]*adapter
+	adapters map[uint64]*adapter
 	// hold is the mean time that a request keeps its slot.
 	hold time.Duration
 	// loading counts loads in all pools.
@@ -92,6 +93,7 @@
 		rng:      rand.New(rand.NewPCG(o.Seed, seedStream)),
 		groups:   map[ggscore.VMID]*group{},
 		services: map[ggscore.Service]*service{},
+		boards:   map[string]*view{},
 		rates:    newRateTable(),
 	}
 }
@@ -112,10 +114,13 @@
 	if !ok {
 		s = &service{
 			name:     name,
-			adapters: map[ggscore.AdapterRef]*adapter{},
+			adapters: map[uint64]*adapter{},
 			hold:     r.options.Hold,
 		}
 		r.services[name] = s
 	}
 	return s
 }
+
+// CrossRegionBytes returns the bytes that were sent to and from other regions.
+func (r *Router) CrossRegionBytes() int64 { return r.crossing.total }
--- a/core/ggsroute/update.go
+++ b/core/ggsroute/update.go
@@ -7,15 +7,14 @@
 	ggscore "greengageslip/core"
 )
 
-// pastIncarnations is how many earlier incarnations of a dispatcher are
-// remembered.
-const pastIncarnations = 4
+// tombstoneAge is how long the order of a removed dispatcher's summaries is
+// kept. No summary is on its way for that long.
+const tombstoneAge = time.Hour
 
 // An order decides which summaries of one dispatcher are news.
 type order struct {
 	incarnation string
 	sequence    uint64
-	past        []string
 	leaving     bool
 	// left is set when the VM itself is leaving, in whatever incarnation.
 	left bool
@@ -25,30 +24,23 @@
 //
 // A summary that was held up on the way shows the dispatcher as it was: taken
 // as news, it would bring back one that has left since, and requests would go
-// there to be refused. Sequences order one incarnation's summaries; one of an
-// incarnation that was replaced is recognized by its name; and one that is
-// leaving never stops leaving.
-func (o *order) accept(s *ggscore.DispatcherSummary) bool {
-	if s.Incarnation != o.incarnation {
-		return o.acceptIncarnation(s)
-	}
-	if s.Sequence <= o.sequence {
-		return false
+// there to be refused. Sequences order one incarnation's summaries, and one
+// that is leaving never stops leaving. Incarnations are ordered by their names,
+// which begin with the time of their start (a UUID of version 7). Where a
+// clock was set back, the later one is the lesser: it is accepted once the
+// earlier one has been silent.
+func (o *order) accept(s *ggscore.DispatcherSummary, silent bool) bool {
+	if s.Incarnation == o.incarnation {
+		if s.Sequence <= o.sequence {
+			return false
+		}
+		o.sequence = s.Sequence
+		o.leaving = o.leaving || s.Leaving
+		return true
 	}
-	o.sequence = s.Sequence
-	o.leaving = o.leaving || s.Leaving
-	return true
-}
-
-// acceptIncarnation accepts the first summary of another incarnation.
-func (o *order) acceptIncarnation(s *ggscore.DispatcherSummary) bool {
-	if slices.Contains(o.past, s.Incarnation) {
+	if s.Incarnation < o.incarnation && !silent {
 		return false
 	}
-	o.past = append(o.past, o.incarnation)
-	if len(o.past) > pastIncarnations {
-		o.past = o.past[1:]
-	}
 	o.incarnation = s.Incarnation
 	o.sequence = s.Sequence
 	o.leaving = s.Leaving || o.left
@@ -66,6 +58,7 @@
 // Remove forgets a dispatcher that is gone. Its place in the order of its
 // summaries is kept, so that a late one can't bring it back.
 func (r *Router) Remove(now time.Time, vm ggscore.VMID) {
+	r.sweep(now)
 	g, ok := r.groups[vm]
 	if !ok {
 		return
@@ -73,14 +66,17 @@
 	for _, p := range g.pools {
 		p.clear()
 		p.settle(now)
+		p.service.drop(p)
 	}
+	g.pools = nil
 	g.expires = time.Time{}
+	g.removed = now
 }
 
 // Update takes a dispatcher's summary and reports whether it was news.
 func (r *Router) Update(now time.Time, s *ggscore.DispatcherSummary) bool {
 	g := r.groupOf(s.VM)
-	if !g.order.accept(s) {
+	if !g.order.accept(s, g.silent(now)) {
 		return false
 	}
 	g.region = s.Region
@@ -105,9 +101,26 @@
 		g = &group{vm: vm}
 		r.groups[vm] = g
 	}
+	g.removed = time.Time{}
 	return g
 }
 
+// sweep forgets the dispatchers that were removed long ago.
+func (r *Router) sweep(now time.Time) {
+	for vm, g := range r.groups {
+		if !g.removed.IsZero() && now.Sub(g.removed) > tombstoneAge {
+			delete(r.groups, vm)
+		}
+	}
+}
+
+// drop removes a pool from the service.
+func (s *service) drop(p *pool) {
+	same := func(o *pool) bool { return o == p }
+	s.local = slices.DeleteFunc(s.local, same)
+	s.remote = slices.DeleteFunc(s.remote, same)
+}
+
 // poolOf returns a dispatcher's pool of a service, new where there was none.
 func (r *Router) poolOf(g *group, name ggscore.Service) *pool {
 	for _, p := range g.pools {
