--- a/fakes/ggsfakeplatform/handler.go
+++ b/fakes/ggsfakeplatform/handler.go
@@ -1,6 +1,7 @@
 package ggsfakeplatform
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -8,8 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
-
-	ggscore "greengageslip/core"
 )
 
 // Handler returns the service.
@@ -17,15 +16,15 @@
 	gin.SetMode(gin.ReleaseMode)
 	g := gin.New()
 	v := g.Group("/v1")
-	v.GET("/kv", p.limited(p.reads, p.handleGet))
-	v.PUT("/kv", p.limited(p.writes, p.handlePut))
-	v.DELETE("/kv", p.limited(p.writes, p.handleDelete))
-	v.GET("/list", p.limited(p.reads, p.handleList))
-	v.GET("/watch", p.limited(p.reads, p.handleWatch))
-	v.POST("/leases", p.limited(p.writes, p.handleGrant))
-	v.PUT("/leases/:id", p.limited(p.writes, p.handleRenew))
-	v.DELETE("/leases/:id", p.limited(p.writes, p.handleRevoke))
-	v.GET("/vms", p.limited(p.reads, p.handleListVMs))
+	v.GET("/kv", p.limitReads, p.handleGet)
+	v.PUT("/kv", p.limitWrites, p.handlePut)
+	v.DELETE("/kv", p.limitWrites, p.handleDelete)
+	v.GET("/list", p.limitReads, p.handleList)
+	v.GET("/watch", p.limitReads, p.handleWatch)
+	v.POST("/leases", p.limitWrites, p.handleGrant)
+	v.PUT("/leases/:id", p.limitWrites, p.handleRenew)
+	v.DELETE("/leases/:id", p.limitWrites, p.handleRevoke)
+	v.GET("/vms", p.limitReads, p.handleListVMs)
 	v.PUT("/vms", p.handleSetVMs)
 	v.POST("/faults", p.handleFaults)
 	v.GET("/calls", p.handleCalls)
@@ -143,21 +142,15 @@
 }
 
 func (p *Platform) handleSetVMs(g *gin.Context) {
-	var w vmsWire
-	if !bind(g, &w) {
-		return
+	b, err := io.ReadAll(http.MaxBytesReader(g.Writer, g.Request.Body, maxBodyBytes))
+	if err == nil {
+		err = p.ReadVMs(b)
 	}
-	vms := make([]ggscore.VM, 0, len(w.VMs))
-	for _, vw := range w.VMs {
-		v, err := vmOf(vw)
-		if err != nil {
-			fail(g, err)
-			return
-		}
-		vms = append(vms, v)
+	if err != nil {
+		fail(g, err)
+		return
 	}
-	p.SetVMs(vms)
-	g.JSON(http.StatusOK, w)
+	g.Data(http.StatusOK, "application/json", b)
 }
 
 // entriesOf is called with the lock held.
--- a/io/ggsgateway/gateway.go
+++ b/io/ggsgateway/gateway.go
@@ -20,6 +20,7 @@
 	defaultMaxAttempts   = 3
 	defaultSubmitTimeout = 2 * time.Second
 	defaultResumeTimeout = 5 * time.Second
+	defaultHandOver      = 3 * time.Second
 )
 
 // Options sets a Gateway's limits. Zero values mean the defaults.
@@ -40,6 +41,9 @@
 	SubmitTimeout time.Duration
 	// ResumeTimeout is how long a broken relay tries to go on.
 	ResumeTimeout time.Duration
+	// HandOverTimeout is how long a request waits for the next owner of the
+	// runners whose dispatcher stopped.
+	HandOverTimeout time.Duration
 }
 
 // A Caller calls other processes.
@@ -74,11 +78,17 @@
 	router   *ggsroute.Router
 	limiter  *ggslimit.Limiter
 	revision ggscore.Revision
-	addrs    map[ggscore.VMID]netip.AddrPort
+	peers    map[ggscore.VMID]peer
 	listed   []ggscore.VM
 	changed  chan struct{}
 }
 
+// A peer is a dispatcher that answers.
+type peer struct {
+	addr    netip.AddrPort
+	summary ggscore.DispatcherSummary
+}
+
 // New returns a Gateway that knows its seeds only.
 func New(o Options, p Parts) *Gateway {
 	if o.MaxInFlight == 0 {
@@ -93,12 +103,15 @@
 	if o.ResumeTimeout == 0 {
 		o.ResumeTimeout = defaultResumeTimeout
 	}
+	if o.HandOverTimeout == 0 {
+		o.HandOverTimeout = defaultHandOver
+	}
 	return &Gateway{
 		options: o,
 		parts:   p,
 		router:  ggsroute.New(ggsroute.Options{Region: o.Region, Seed: o.Seed}),
 		limiter: ggslimit.New(ggslimit.Options{MaxInFlight: o.MaxInFlight}),
-		addrs:   make(map[ggscore.VMID]netip.AddrPort),
+		peers:   make(map[ggscore.VMID]peer),
 		changed: make(chan struct{}, 1),
 	}
 }
