--- a/core/ggsschedule/reports.go
+++ b/core/ggsschedule/reports.go
@@ -44,8 +44,8 @@
 }
 
 // restart clears what was on an engine that has restarted. An order that was
-// under way may have reached the old engine or the new one: its end doesn't
-// tell which, so that only a report settles it.
+// under way, or whose end is unknown, may have reached the old engine or the new
+// one: only a report settles it.
 func (s *Scheduler) restart(now time.Time, e *endpoint) {
 	for _, r := range slices.Clone(e.replicas) {
 		r.pinned = false
@@ -53,10 +53,8 @@
 		switch r.state {
 		case stateLoading, stateUnloading:
 			r.crossed = true
-		case stateReserved:
-		case stateGone:
-			s.drop(now, r, false)
-		case stateResident, stateLoadUncertain, stateUnloadUncertain:
+		case stateReserved, stateGone, stateLoadUncertain, stateUnloadUncertain:
+		case stateResident:
 			s.drop(now, r, true)
 		}
 	}
@@ -74,6 +72,7 @@
 		r.foreign = m.Running
 	}
 	r.seen = true
+	r.sawRunning(at, m.Running)
 	switch r.state {
 	case stateLoadUncertain:
 		if at.After(r.since) {
@@ -89,7 +88,6 @@
 		}
 	case stateReserved, stateLoading, stateResident, stateUnloading:
 	}
-	r.sawRunning(at, m.Running)
 }
 
 // unloadAgain repeats an unload whose end was unknown, when a report shows the
@@ -97,10 +95,10 @@
 // to the adapter meanwhile could lose it; once a second one has ended, the
 // adapter is known to be gone.
 func (s *Scheduler) unloadAgain(now, at time.Time, r *replica) {
-	if r.endpoint.mode != ggscore.ModeFull || !at.After(r.since.Add(s.options.SettleAfter)) {
-		return
+	settled := at.After(r.since.Add(s.options.SettleAfter))
+	if settled && r.idle() && r.endpoint.mode == ggscore.ModeFull {
+		s.unload(now, r)
 	}
-	s.unload(now, r)
 }
 
 // sawLoading takes an adapter that a report shows being loaded. One that we
@@ -148,18 +146,18 @@
 		}
 		return
 	}
-	if running > r.running {
-		r.pinned = true
-		r.pinnedAt = at
-	}
-	if !at.After(r.pinnedAt.Add(-foreignMargin)) {
-		return
-	}
-	old := 0
+	began, old := 0, 0
 	for _, j := range r.endpoint.running {
+		if j.replica == r && at.After(j.startedAt) {
+			began++
+		}
 		if j.replica == r && at.After(j.startedAt.Add(foreignMargin)) {
 			old++
 		}
 	}
+	if running > began {
+		r.pinned = true
+		r.pinnedAt = at
+	}
 	r.foreign = min(r.foreign, max(running-old, 0))
 }
