feat: own endpoints by leases and know dispatchers by heartbeats

Cause: ownership was read off the list of VMs, so two dispatchers could use a runner at once and a crash was noticed with the list's lag only. Change: ggsowners guards each dispatch and order; heartbeats name the candidates; a planned stop releases, drains and leaves in this order. Error answers of an engine, which name no adapter, are no longer taken for a wrong adapter.

--- a/cmd/ggsnode/common.go
+++ b/cmd/ggsnode/common.go
@@ -49,7 +49,7 @@
 func newFollower(n *ggssettings.Node, s ggscore.Store, p *ggsrpc.Pool, m ggsconfig.MemberLister, r role, l log.Logger) *ggsconfig.Follower {
 	return ggsconfig.NewFollower(ggsconfig.FollowerOptions{
 		Self: n.VM, Domain: n.Domain, Store: s, Peers: ggsconfig.NewPeers(p), Members: m, Logger: l,
-		PeersOnly: r.peersOnly,
+		PeersOnly: r.peersOnly, Repair: s,
 	})
 }
 
--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -7,17 +7,22 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 	"go.uber.org/fx"
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsclaim"
+	"greengageslip/core/ggsdocument"
+	"greengageslip/core/ggsowner"
 	"greengageslip/core/ggsschedule"
 	"greengageslip/io/ggsclaims"
 	"greengageslip/io/ggsconfig"
 	"greengageslip/io/ggsdispatch"
 	"greengageslip/io/ggsengine"
+	"greengageslip/io/ggsheartbeat"
 	"greengageslip/io/ggslog"
+	"greengageslip/io/ggsowners"
 	"greengageslip/io/ggsrpc"
 	"greengageslip/io/ggssettings"
 	"greengageslip/io/ggsstate"
@@ -26,10 +31,13 @@
 
 const (
 	dispatcherProgram = "ggsdispatcher"
-	// keyRetention is how long idempotency keys are kept. All processes must
-	// agree on it at all times, or one would forget a key that another still
-	// grants; so it is no setting.
-	keyRetention = 24 * time.Hour
+	// The parts of the lease's time to live that are its margin and the times
+	// between renewals and between looks at the records of others.
+	leaseMarginPart = 4
+	leaseRenewPart  = 3
+	leasePollPart   = 6
+	releaseTimeout  = 3 * time.Second
+	aloneTimeout    = 200 * time.Millisecond
 )
 
 // RunDispatcher runs a dispatcher until a signal or the context's end and
@@ -46,36 +54,50 @@
 	}
 	l := ggslog.New(stderr, dispatcherProgram, s.VM, s.LogLevel)
 	return runApp(ctx, &s.Node, l, common(role{program: dispatcherProgram}), fx.Supply(&s),
-		fx.Provide(newMembers, newClaims, newOwner, newScheduler, newDispatcher),
+		fx.Provide(newIncarnation, newHeartbeats, newMembers, newClaims, newScheduler, newDispatcher),
 		fx.Invoke(startFollowers, startDispatcher))
 }
 
-// newMembers makes the other dispatchers known to the document's follower.
-func newMembers(n *ggssettings.Node, v *ggsvms.Follower) ggsconfig.MemberLister {
-	return &listedMembers{node: n, vms: v}
-}
-
 func newClaims(s ggscore.Store, c clock) *ggsclaims.Committer {
 	return ggsclaims.New(s, c, func() ggsclaim.ClaimID { return ggsclaim.ClaimID(uuid.New()) },
-		ggsclaims.DefaultOptions(keyRetention))
+		ggsclaims.DefaultOptions(ggsdocument.KeyRetention))
 }
 
 func newScheduler(c clock) *ggsschedule.Scheduler {
 	return ggsschedule.New(ggsschedule.Options{Seed: uint64(c().UnixNano())})
 }
 
+// An incarnation names one life of a process. Later lives sort after earlier
+// ones.
+type incarnation string
+
+func newIncarnation() (incarnation, error) {
+	u, err := uuid.NewV7()
+	return incarnation(u.String()), err
+}
+
+// newDispatcher makes the ownership and the dispatcher, which know each other:
+// the one guards what the other does, and asks it what is in progress.
 func newDispatcher(
-	s *ggssettings.Dispatcher, k *ggsschedule.Scheduler, c *ggsclaims.Committer, o *owner, t clock, l log.Logger,
-) *ggsdispatch.Dispatcher {
+	s *ggssettings.Dispatcher, store ggscore.Store, i incarnation, k *ggsschedule.Scheduler,
+	c *ggsclaims.Committer, t clock, l log.Logger,
+) (*ggsowners.Owners, *ggsdispatch.Dispatcher) {
+	var d *ggsdispatch.Dispatcher
+	q := ggsowners.DefaultOptions(s.Domain)
+	q.Limits.TTL, q.Limits.Margin = s.LeaseTTL, s.LeaseTTL/leaseMarginPart
+	q.RenewEvery, q.PollEvery = s.LeaseTTL/leaseRenewPart, s.LeaseTTL/leasePollPart
+	q.CallTimeout = s.LeaseTTL / leaseMarginPart
+	q.Busy = func(ids []ggscore.EndpointID) bool { return d.Busy(ids) }
+	o := ggsowners.New(store, t, ggsowner.Holder{VM: s.VM, Incarnation: string(i)}, q, l)
 	e := ggsengine.NewClient(ggsengine.DefaultSettings())
-	return ggsdispatch.New(ggsdispatch.Options{
-		Self: s.VM, Region: s.Region, Domain: s.Domain, Incarnation: uuid.NewString(),
+	d = ggsdispatch.New(ggsdispatch.Options{
+		Self: s.VM, Region: s.Region, Domain: s.Domain, Incarnation: string(i),
 		RequestWorkers: s.RequestWorkers, OrderWorkers: s.OrderWorkers,
 	}, ggsdispatch.Parts{
-		Scheduler: k,
-		Engine:    e, Plain: e, Orderer: e, Reporter: e,
-		Claims: c, Guard: o, Clock: t, Log: l,
+		Scheduler: k, Engine: e, Plain: e, Orderer: e, Reporter: e,
+		Claims: c, Guard: o, Observer: o, Clock: t, Log: l,
 	})
+	return o, d
 }
 
 // A dispatcherParts holds what startDispatcher starts.
@@ -88,12 +110,16 @@
 	Claims     *ggsclaims.Committer
 	Document   *ggsconfig.Follower
 	VMs        *ggsvms.Follower
-	Owner      *owner
+	Owners     *ggsowners.Owners
+	Heartbeats *ggsheartbeat.Server
+	Clock      clock
 	State      *ggsstate.State
 }
 
 func startDispatcher(h host, p dispatcherParts) {
 	h.background("vms", p.VMs.Run)
+	h.background("heartbeats", p.Heartbeats.Run)
+	h.background("owners", p.Owners.Run)
 	h.background("claims", p.Claims.Run)
 	h.background("dispatcher", p.Dispatcher.Run)
 	h.background("endpoints", newEndpoints(p).run)
@@ -105,14 +131,40 @@
 	})
 	countDispatcher(p.State, p.Dispatcher.Stats())
 	p.State.Add("dispatcher", func() any { return p.Dispatcher.State() })
+	p.State.Add("owners", func() any { return ownerStates(p.Owners.Status(p.Clock())) })
+	p.State.Add("members", func() any { return memberStates(p.Heartbeats.Members()) })
 	p.State.Add("claims", func() any { return p.Claims.Stats() })
 	h.serveHTTP("state", p.Settings.StateListen, p.State.Handler())
-	h.Lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error {
-		if err := p.Dispatcher.Drain(ctx); err != nil {
-			return err
-		}
-		return p.Claims.Flush(ctx)
-	}})
+	h.Lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error { return p.drain(ctx, h.Log) }})
+}
+
+// drain hands over the endpoints and then finishes what is in progress. A
+// platform that is away delays neither: another dispatcher then takes over once
+// the lease has lapsed.
+func (p *dispatcherParts) drain(ctx context.Context, l log.Logger) error {
+	p.Heartbeats.SetSelf(true, p.Document.Head().Revision)
+	p.Dispatcher.BeginDrain()
+	release, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if err := p.Owners.Release(release); err != nil {
+		_ = level.Warn(l).Log("event", "releaseFailed", "err", err)
+	}
+	if err := p.Dispatcher.Drain(ctx); err != nil {
+		return err
+	}
+	patience := releaseTimeout
+	if len(candidates(p.Heartbeats.Members())) <= 1 {
+		// Nobody is there to take over, which is what leaving waits for.
+		patience = aloneTimeout
+	}
+	leave, cancelLeave := context.WithTimeout(ctx, patience)
+	defer cancelLeave()
+	if err := p.Owners.Leave(leave); err != nil {
+		_ = level.Warn(l).Log("event", "leaveFailed", "err", err)
+	}
+	flush, cancelFlush := context.WithTimeout(ctx, releaseTimeout)
+	defer cancelFlush()
+	return p.Claims.Flush(flush)
 }
 
 func countDispatcher(t *ggsstate.State, k *ggsdispatch.Stats) {
--- a/cmd/ggsnode/endpoints.go
+++ b/cmd/ggsnode/endpoints.go
@@ -6,6 +6,9 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsfleet"
+	"greengageslip/core/ggsmember"
+	"greengageslip/core/ggsowner"
+	"greengageslip/io/ggsdispatch"
 )
 
 // endpointsInterval is how often changes of ownership are looked for besides
@@ -21,24 +24,16 @@
 
 func newEndpoints(p dispatcherParts) *endpoints {
 	e := &endpoints{parts: p, changed: make(chan struct{}, 1)}
-	p.VMs.Subscribe(func([]ggscore.VM) { e.wake() })
-	p.Owner.mode = e.mode
+	p.VMs.Subscribe(func(vms []ggscore.VM) {
+		p.Heartbeats.SetListed(vms)
+		p.Owners.SetVMs(p.Clock(), vms)
+		e.wake()
+	})
+	p.Owners.Subscribe(e.wake)
+	p.Heartbeats.Subscribe(e.wake)
 	return e
 }
 
-func (e *endpoints) mode() ggscore.OwnerMode {
-	vms, _ := e.parts.VMs.List()
-	for _, v := range ggsfleet.Dispatchers(vms) {
-		if v.Domain == e.parts.Settings.Domain && v.State == ggscore.VMLive {
-			if v.ID == e.parts.Settings.VM {
-				return ggscore.ModeFull
-			}
-			break
-		}
-	}
-	return ggscore.ModeNone
-}
-
 func (e *endpoints) run(ctx context.Context) error {
 	documents := e.parts.Document.Subscribe(ctx)
 	t := time.NewTicker(endpointsInterval)
@@ -65,15 +60,29 @@
 	})
 }
 
+// set passes on what is known of endpoints and dispatchers.
 func (e *endpoints) set() {
-	d := e.parts.Document.Current()
-	vms, known := e.parts.VMs.List()
+	p := &e.parts
+	p.Heartbeats.SetSelf(false, p.Document.Head().Revision)
+	p.Owners.SetCandidates(candidates(p.Heartbeats.Members()))
+	d := p.Document.Current()
+	vms, known := p.VMs.List()
 	if d == nil || !known {
 		return
 	}
-	m := e.mode()
-	e.parts.Dispatcher.SetEndpoints(ggsfleet.Endpoints(vms, d, e.parts.Settings.Domain),
-		func(ggscore.EndpointID) ggscore.OwnerMode { return m })
+	es := ggsfleet.Endpoints(vms, d, p.Settings.Domain)
+	ids := make([]ggscore.EndpointID, 0, len(es))
+	for i := range es {
+		ids = append(ids, es[i].ID)
+	}
+	p.Owners.SetEndpoints(ids)
+	owned := make([]ggsdispatch.OwnedEndpoint, 0, len(es))
+	for _, n := range es {
+		owned = append(owned, ggsdispatch.OwnedEndpoint{
+			Endpoint: n, Mode: p.Owners.Mode(p.Clock(), n.ID), Pins: p.Owners.Pins(n.ID),
+		})
+	}
+	p.Dispatcher.SetEndpoints(owned)
 }
 
 func (e *endpoints) wake() {
@@ -107,3 +116,14 @@
 		InTransit:      max(d.Policy.LoadsInTransit/n, 1),
 	}
 }
+
+// candidates are the live dispatchers that may own endpoints.
+func candidates(ms []ggsmember.Member) []ggsowner.Holder {
+	hs := make([]ggsowner.Holder, 0, len(ms))
+	for _, m := range ms {
+		if !m.Leaving && m.Incarnation != "" {
+			hs = append(hs, ggsowner.Holder{VM: m.VM, Incarnation: m.Incarnation})
+		}
+	}
+	return hs
+}
--- a/cmd/ggsnode/errors.go
+++ b/cmd/ggsnode/errors.go
@@ -15,9 +15,3 @@
 
 // Error implements error.
 func (e *NotReadyError) Error() string { return e.Reason }
-
-// A NotOwnerError says that another dispatcher owns an endpoint.
-type NotOwnerError struct{ Endpoint string }
-
-// Error implements error.
-func (e *NotOwnerError) Error() string { return "endpoint " + e.Endpoint + " is not owned" }
--- a/core/claim.go
+++ b/core/claim.go
@@ -75,3 +75,8 @@
 type OwnerGuard interface {
 	Check(now time.Time, id EndpointID, a AdapterRef, k OrderKind) (FenceNumber, error)
 }
+
+// A ReportObserver is told of runners' reports.
+type ReportObserver interface {
+	Observe(r RunnerReport)
+}
--- a/io/ggsdispatch/dispatcher.go
+++ b/io/ggsdispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,8 +51,10 @@
 	Reporter  ggscore.RunnerReporter
 	Claims    ggscore.Claimer
 	Guard     ggscore.OwnerGuard
-	Clock     func() time.Time
-	Log       log.Logger
+	// Observer is told of every report of a runner.
+	Observer ggscore.ReportObserver
+	Clock    func() time.Time
+	Log      log.Logger
 }
 
 // A Dispatcher runs requests on the endpoints that it owns.
@@ -67,13 +70,16 @@
 	draining  bool
 	sequence  uint64
 	jobs      map[ggscore.RequestID]*job
-	endpoints map[ggscore.EndpointID]ownedEndpoint
+	endpoints map[ggscore.EndpointID]OwnedEndpoint
 	changed   chan struct{}
 }
 
-type ownedEndpoint struct {
-	endpoint ggscore.Endpoint
-	mode     ggscore.OwnerMode
+// An OwnedEndpoint is an endpoint with what its owner may do with it now.
+type OwnedEndpoint struct {
+	Endpoint ggscore.Endpoint
+	Mode     ggscore.OwnerMode
+	// Pins are the adapters that earlier owners may be using.
+	Pins []ggscore.AdapterRef
 }
 
 // New returns a Dispatcher without endpoints.
@@ -85,7 +91,7 @@
 		orders:    newOrderQueue(),
 		wake:      make(chan struct{}, 1),
 		jobs:      make(map[ggscore.RequestID]*job),
-		endpoints: make(map[ggscore.EndpointID]ownedEndpoint),
+		endpoints: make(map[ggscore.EndpointID]OwnedEndpoint),
 		changed:   make(chan struct{}),
 	}
 }
@@ -109,10 +115,10 @@
 	return o
 }
 
-// Drain refuses new requests, hands queued ones back as not run, and waits
-// until all in progress have ended and been read, or the context ends.
-func (d *Dispatcher) Drain(ctx context.Context) error {
+// BeginDrain refuses new requests and hands queued ones back as not run.
+func (d *Dispatcher) BeginDrain() {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.draining = true
 	for _, j := range d.jobs {
 		if j.state == jobQueued {
@@ -120,7 +126,24 @@
 		}
 	}
 	d.touch()
-	d.mu.Unlock()
+}
+
+// Busy reports whether a request is in progress on one of the endpoints. It
+// counts from before the Guard is asked.
+func (d *Dispatcher) Busy(ids []ggscore.EndpointID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, j := range d.jobs {
+		if j.state == jobRunning && slices.Contains(ids, j.endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
+// Drain waits until all requests in progress have ended and been read, or the
+// context ends. BeginDrain goes before it.
+func (d *Dispatcher) Drain(ctx context.Context) error {
 	t := time.NewTicker(idleTick)
 	defer t.Stop()
 	for !d.idle() {
@@ -148,22 +171,15 @@
 	return g.Wait()
 }
 
-// SetEndpoints replaces the endpoints that this process may use, with what it
-// may do with each.
-func (d *Dispatcher) SetEndpoints(es []ggscore.Endpoint, mode func(ggscore.EndpointID) ggscore.OwnerMode) {
+// SetEndpoints replaces the endpoints that this process may use.
+func (d *Dispatcher) SetEndpoints(es []OwnedEndpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.parts.Clock()
 	keep := make(map[ggscore.EndpointID]bool, len(es))
 	for _, e := range es {
-		n := ownedEndpoint{endpoint: e, mode: mode(e.ID)}
-		keep[e.ID] = true
-		if old, ok := d.endpoints[e.ID]; ok && old == n {
-			continue
-		}
-		d.endpoints[e.ID] = n
-		d.apply(d.parts.Scheduler.SetEndpoint(now, e, n.mode))
-		d.touch()
+		keep[e.Endpoint.ID] = true
+		d.setEndpoint(now, e)
 	}
 	for id := range d.endpoints {
 		if !keep[id] {
@@ -174,6 +190,26 @@
 	}
 }
 
+// setEndpoint needs d.mu.
+func (d *Dispatcher) setEndpoint(now time.Time, e OwnedEndpoint) {
+	id := e.Endpoint.ID
+	old, known := d.endpoints[id]
+	d.endpoints[id] = e
+	// Pins go before the mode: with it, the scheduler may evict at once.
+	if !slices.Equal(old.Pins, e.Pins) && known {
+		d.apply(d.parts.Scheduler.Protect(now, id, e.Pins))
+	}
+	if known && old.Endpoint == e.Endpoint && old.Mode == e.Mode {
+		return
+	}
+	if !known && len(e.Pins) > 0 {
+		d.apply(d.parts.Scheduler.SetEndpoint(now, e.Endpoint, ggscore.ModeNone))
+		d.apply(d.parts.Scheduler.Protect(now, id, e.Pins))
+	}
+	d.apply(d.parts.Scheduler.SetEndpoint(now, e.Endpoint, e.Mode))
+	d.touch()
+}
+
 // Schedule passes an event to the scheduler and carries out what it orders.
 func (d *Dispatcher) Schedule(f func(ggscore.Scheduler, time.Time) []ggscore.Order) {
 	d.mu.Lock()
@@ -216,6 +252,7 @@
 		case ggscore.OrderDispatch:
 			if j := d.jobs[o.Request.ID]; j != nil {
 				j.state = jobRunning
+				j.endpoint = o.Endpoint
 				j.started = d.parts.Clock()
 			}
 			d.requests.add(o)
@@ -236,7 +273,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e, ok := d.endpoints[id]
-	return e.endpoint.Addr, ok
+	return e.Endpoint.Addr, ok
 }
 
 func (d *Dispatcher) idle() bool {
--- a/io/ggsdispatch/job.go
+++ b/io/ggsdispatch/job.go
@@ -20,7 +20,9 @@
 	request *ggscore.Request
 	stream  *stream
 	state   jobState
-	outcome ggscore.Outcome
+	// endpoint is where it runs or ran last.
+	endpoint ggscore.EndpointID
+	outcome  ggscore.Outcome
 	// abandoned says that no gateway will read the answer.
 	abandoned bool
 	cancel    context.CancelFunc
--- a/io/ggsdispatch/orders.go
+++ b/io/ggsdispatch/orders.go
@@ -11,7 +11,13 @@
 	"greengageslip/core"
 )
 
-const orderTimeout = 30 * time.Second
+const (
+	orderTimeout = 30 * time.Second
+	// protectTimeout is how long an adapter that is there waits to be recorded
+	// as protected, protectInterval the time between two looks.
+	protectTimeout  = time.Second
+	protectInterval = 2 * time.Millisecond
+)
 
 // order carries out a load or an eviction.
 func (d *Dispatcher) order(ctx context.Context, o ggscore.Order) {
@@ -24,6 +30,9 @@
 	if f := (*ggscore.FencedError)(nil); errors.As(err, &f) {
 		d.stats.Fenced.Add(1)
 	}
+	if o.Kind == ggscore.OrderLoad && err == nil {
+		d.awaitProtected(ctx, o.Endpoint, o.Adapter)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.parts.Clock()
@@ -71,6 +80,26 @@
 	return ggscore.EndUnknown
 }
 
+// awaitProtected waits until an adapter that is there may be used. The record
+// of what this owner protects is written while the load is under way; a request
+// that came before it would be turned away by the guard, and one try after the
+// other with it.
+func (d *Dispatcher) awaitProtected(ctx context.Context, id ggscore.EndpointID, a ggscore.AdapterRef) {
+	until := d.parts.Clock().Add(protectTimeout)
+	t := time.NewTicker(protectInterval)
+	defer t.Stop()
+	for d.parts.Clock().Before(until) {
+		if _, err := d.parts.Guard.Check(d.parts.Clock(), id, a, ggscore.OrderDispatch); err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // report asks every runner for its report, again and again.
 func (d *Dispatcher) report(ctx context.Context) error {
 	t := time.NewTicker(d.options.ReportInterval)
@@ -100,6 +129,10 @@
 			// The report is no younger than the question: what was ordered
 			// after it was asked for isn't settled by it.
 			r.Endpoint, r.At = e.ID, asked
+			d.parts.Observer.Observe(r)
+			for _, a := range r.Resident {
+				d.awaitProtected(ctx, e.ID, a.Ref)
+			}
 			d.Schedule(func(s ggscore.Scheduler, now time.Time) []ggscore.Order { return s.Report(now, r) })
 		})
 	}
@@ -110,8 +143,8 @@
 	defer d.mu.Unlock()
 	es := make([]ggscore.Endpoint, 0, len(d.endpoints))
 	for _, e := range d.endpoints {
-		if e.endpoint.Kind == ggscore.KindModel && e.mode != ggscore.ModeNone {
-			es = append(es, e.endpoint)
+		if e.Endpoint.Kind == ggscore.KindModel && e.Mode != ggscore.ModeNone {
+			es = append(es, e.Endpoint)
 		}
 	}
 	return es
--- a/io/ggsdispatch/run.go
+++ b/io/ggsdispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -212,7 +213,7 @@
 		return &ggscore.CallError{NotSent: true, Kind: ggscore.FailureNotOwner, Cause: &NotOwnerError{Endpoint: o.Endpoint}}
 	}
 	sink := func(c ggscore.Chunk) error {
-		if c.Status != 0 && j.request.Kind == ggscore.KindModel && c.Served != j.request.Adapter && c.Failure == nil {
+		if c.Status == http.StatusOK && j.request.Kind == ggscore.KindModel && c.Served != j.request.Adapter {
 			return &WrongAdapterError{Asked: j.request.Adapter, Served: c.Served}
 		}
 		r.add(c)
--- a/io/ggssettings/settings.go
+++ b/io/ggssettings/settings.go
@@ -20,7 +20,7 @@
 
 const (
 	defaultDrainTimeout  = 10 * time.Minute
-	defaultLeaseTTL      = 6 * time.Second
+	defaultLeaseTTL      = 8 * time.Second
 	defaultListInterval  = time.Second
 	minLeaseTTL          = time.Second
 	defaultPolicyRetries = 3
