feat: recall known claims while the platform is away

Cause: a repeat was refused as for a key that was never sent, though the process had seen its answer recorded. A recorded answer stays true and is replayed; a key seen claimed is answered unknown, also where the caller says that it never sent it. Seen failing with the guard taken out: seen keys told "not run", no recall, recall of claims that may have changed.

--- a/core/ggsclaim/decision.go
+++ b/core/ggsclaim/decision.go
@@ -72,6 +72,8 @@
 	Grant  Grant
 	State  State
 	Result Result
+	// Seen is set with DecisionAway where the key was claimed before.
+	Seen bool
 	// RetryAfter is set with DecisionAway, DecisionFull and
 	// DecisionInProgress.
 	RetryAfter time.Duration
@@ -127,7 +129,7 @@
 
 func awayFailure(d Decision, firstSend bool) *ggscore.Failure {
 	o := ggscore.OutcomeUnknown
-	if firstSend {
+	if firstSend && !d.Seen {
 		o = ggscore.OutcomeNotRun
 	}
 	return &ggscore.Failure{
--- a/core/ggsclaim/writer.go
+++ b/core/ggsclaim/writer.go
@@ -86,8 +86,8 @@
 func NewWriter(l Limits) *Writer { return &Writer{limits: l} }
 
 // Away reports that a read or write had no effect, since the platform's
-// service did not take it, or that a read failed. Claims are answered at once
-// and not dispatched; outcomes stay for a later try.
+// service did not take it, or that a read failed. Claims are answered at once,
+// by Recall, and not dispatched; outcomes stay for a later try.
 func (w *Writer) Away(retryAfter time.Duration) {
 	w.requeue()
 	w.known = false
@@ -95,7 +95,7 @@
 	for _, o := range w.pending {
 		o.reading = false
 		if o.finish == 0 {
-			w.settle(o, Decision{Kind: DecisionAway, RetryAfter: retryAfter})
+			w.settle(o, w.Recall(o.key, o.body, retryAfter))
 			if !o.mayStand {
 				continue
 			}
@@ -185,6 +185,17 @@
 	}
 }
 
+// Recall decides on a key while the platform's service is away, from what was
+// last known of the shard: a recorded answer stays true. Any other claim may
+// have changed since, so that the key is only known to have been sent before.
+func (w *Writer) Recall(k Key, b BodyHash, retryAfter time.Duration) Decision {
+	c, seen := w.shard.Claims[k.Hash]
+	if seen && c.State == StateDone && c.Body == b {
+		return Decision{Kind: DecisionReplay, State: c.State, Result: c.Result}
+	}
+	return Decision{Kind: DecisionAway, Seen: seen, RetryAfter: retryAfter}
+}
+
 // Settled returns the operations answered since the last call.
 func (w *Writer) Settled() []Settlement {
 	s := w.settled
--- a/io/ggsclaims/committer.go
+++ b/io/ggsclaims/committer.go
@@ -87,9 +87,10 @@
 	if c.opts.Limits.Expired(now, key.Issued) {
 		return ggscore.ClaimDecision{Answer: ggscore.ClaimExpired}, nil
 	}
-	sh, id, answer := c.begin(now, key, ggsclaim.HashBody(r.Body))
+	body := ggsclaim.HashBody(r.Body)
+	sh, id, answer := c.begin(now, key, body)
 	if answer == nil {
-		return claimDecision(c.away(), r.FirstSend)
+		return claimDecision(c.recall(key, body), r.FirstSend)
 	}
 	select {
 	case d := <-answer:
@@ -201,6 +202,16 @@
 	return c.away()
 }
 
+// recall answers a claim while the platform's service is away.
+func (c *Committer) recall(k ggsclaim.Key, b ggsclaim.BodyHash) ggsclaim.Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if sh, ok := c.shards[k.Slot()]; ok {
+		return sh.writer.Recall(k, b, c.opts.RetryAfter)
+	}
+	return c.away()
+}
+
 // count keeps the number of pending operations and wakes flushes at zero.
 func (c *Committer) count(before int, sh *shard) {
 	c.stats.Pending += sh.writer.Len() - before
--- a/io/ggsclaims/committer_test.go
+++ b/io/ggsclaims/committer_test.go
@@ -204,6 +204,30 @@
 	}
 }
 
+// A landlord's repeat is told "not run" during an outage, though the process
+// that it reaches knows better. It replays a recorded answer, and says unknown
+// of a key that it has seen claimed.
+func TestOutageRecallsWhatIsKnown(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	m := b.process()
+	done := b.begin(m, request(1))
+	b.begin(m, request(2))
+	result := ggscore.ClaimResult{Outcome: ggscore.OutcomeDone, Status: 200, Whole: true, Body: []byte("paid")}
+	b.c.Assert(m.Finish(b.context(), done.ID, result), qt.IsNil)
+	b.c.Assert(m.Flush(b.context()), qt.IsNil)
+	b.platform.SetFaults(ggsfakeplatform.Faults{Outage: true})
+	for range 2 {
+		b.c.Assert(b.begin(m, request(1)), qt.DeepEquals, ggscore.ClaimDecision{Answer: ggscore.ClaimReplay, Result: result})
+		r := request(2)
+		r.FirstSend = true
+		_, err := m.Begin(b.context(), r)
+		var f *ggscore.Failure
+		b.c.Assert(errors.As(err, &f), qt.IsTrue)
+		b.c.Assert(f.Outcome, qt.Equals, ggscore.OutcomeUnknown)
+	}
+}
+
 // A deposit is released a second time, long after the first: its key was
 // forgotten. Keys are refused before they are forgotten.
 func TestKeysExpireBeforeTheyAreForgotten(t *testing.T) {
