--- a/core/ggsschedule/cost_test.go
+++ b/core/ggsschedule/cost_test.go
@@ -18,7 +18,7 @@
 	free     []int
 	running  []int
 	loading  []ggscore.Order
-	at       int
+	reported time.Time
 }
 
 // newLoad returns a scheduler with runners and adapters that it has seen.
@@ -66,6 +66,21 @@
 	}
 }
 
+// report delivers every runner's report once a second.
+func (l *load) report() {
+	if l.now.Sub(l.reported) < time.Second {
+		return
+	}
+	l.reported = l.now
+	for _, m := range l.s.Summary(l.now) {
+		p := report(string(m.Endpoint), "one", l.now)
+		for _, a := range m.Resident {
+			p.Resident = append(p.Resident, ggscore.ResidentAdapter{Ref: a})
+		}
+		l.carryOut(l.s.Report(l.now, p))
+	}
+}
+
 // endOldest ends runs until at most n are left, and all loads and evictions.
 func (l *load) endOldest(n int) {
 	for len(l.loading) > 0 {
@@ -104,6 +119,7 @@
 				q := l.requests[l.free[n&(len(l.free)-1)]]
 				l.carryOut(l.s.Submit(l.now, q))
 				l.endOldest(6 * c.runners)
+				l.report()
 			}
 		})
 	}
--- a/core/ggsschedule/endpoints.go
+++ b/core/ggsschedule/endpoints.go
@@ -115,7 +115,7 @@
 func (s *Scheduler) unbind(now time.Time, e *endpoint) {
 	for _, a := range slices.Clone(e.service.waiting) {
 		var bound []*job
-		for _, j := range a.jobs() {
+		for _, j := range a.queued() {
 			if j.bound == e {
 				bound = append(bound, j)
 			}
--- a/core/ggsschedule/loads.go
+++ b/core/ggsschedule/loads.go
@@ -15,6 +15,8 @@
 	loadRetryLimit = 20 * time.Second
 	// maxDoublings keeps the back-off from overflowing.
 	maxDoublings = 10
+	// goneKept is how long an evicted adapter is remembered without a report.
+	goneKept = 30 * time.Second
 	// failingWeight is the weight of a new sample in the fraction of failed
 	// loads, and leastSuccess bounds what is made of it.
 	failingWeight = 32
@@ -93,7 +95,7 @@
 // LoadEnded takes the end of a load.
 func (s *Scheduler) LoadEnded(now time.Time, id ggscore.EndpointID, ref ggscore.AdapterRef, k ggscore.EndKind) []ggscore.Order {
 	s.begin(now)
-	r := s.ordered1(id, ref, stateLoading)
+	r := s.pendingOrder(id, ref, stateLoading)
 	if r == nil {
 		return s.finish(now)
 	}
@@ -130,7 +132,7 @@
 // UnloadEnded takes the end of an eviction.
 func (s *Scheduler) UnloadEnded(now time.Time, id ggscore.EndpointID, ref ggscore.AdapterRef, k ggscore.EndKind) []ggscore.Order {
 	s.begin(now)
-	r := s.ordered1(id, ref, stateUnloading)
+	r := s.pendingOrder(id, ref, stateUnloading)
 	if r == nil {
 		return s.finish(now)
 	}
@@ -160,7 +162,7 @@
 	if a.placedOn(now) > 0 {
 		return
 	}
-	for _, j := range a.jobs() {
+	for _, j := range a.queued() {
 		if a.retryAt.Add(s.options.LoadTime).After(j.deadline) {
 			s.refuseQueued(now, j, "adapter could not be loaded in time")
 		}
@@ -219,14 +221,18 @@
 	r.foreign = 0
 }
 
-// ordered1 returns the replica that an order's end is about, or nil when the
+// pendingOrder returns the replica that an order's end is about, or nil when the
 // end comes late: the endpoint was removed, or the order is forgotten.
-func (s *Scheduler) ordered1(id ggscore.EndpointID, ref ggscore.AdapterRef, want replicaState) *replica {
+func (s *Scheduler) pendingOrder(id ggscore.EndpointID, ref ggscore.AdapterRef, want replicaState) *replica {
 	e := s.endpoints[id]
 	if e == nil {
 		return nil
 	}
-	r := e.find(e.service.adapter(ref))
+	a := e.service.adapters[ref]
+	if a == nil {
+		return nil
+	}
+	r := e.find(a)
 	if r == nil || r.state != want {
 		return nil
 	}
@@ -237,6 +243,7 @@
 // its way to the engine since before a restart, and run on the adapter once it
 // is back; requests that haven't ended therefore pin the new entry.
 func (s *Scheduler) place(now time.Time, a *adapter, e *endpoint, t replicaState) *replica {
+	s.sweepGone(now, e)
 	r := &replica{adapter: a, endpoint: e, state: t, since: now, used: now}
 	for _, j := range e.running {
 		if j.adapter == a && !a.anywhere() {
@@ -249,6 +256,16 @@
 	return r
 }
 
+// sweepGone forgets adapters that are long gone from a runner that doesn't
+// report. A report that is still on its way is younger than that.
+func (s *Scheduler) sweepGone(now time.Time, e *endpoint) {
+	for i := len(e.replicas) - 1; i >= 0; i-- {
+		if r := e.replicas[i]; r.state == stateGone && now.Sub(r.since) > goneKept {
+			s.drop(now, r, false)
+		}
+	}
+}
+
 // reserve takes a token for a load of an adapter on an endpoint.
 func (s *Scheduler) reserve(now time.Time, a *adapter, e *endpoint) *replica {
 	r := e.find(a)
@@ -298,8 +315,8 @@
 	r.since = now
 }
 
-// jobs returns the adapter's waiting jobs in the order of their arrival.
-func (a *adapter) jobs() []*job {
+// queued returns the adapter's waiting jobs in the order of their arrival.
+func (a *adapter) queued() []*job {
 	var all []*job
 	for i := range a.queue.All {
 		all = append(all, i.Value)
--- a/core/ggsschedule/options.go
+++ b/core/ggsschedule/options.go
@@ -37,6 +37,7 @@
 const (
 	defaultLoadTime    = 250 * time.Millisecond
 	defaultMaxQueued   = 4096
+	defaultMaxAdapters = 32768
 	defaultSettleAfter = time.Second
 	defaultStallWeight = 0.5
 )
@@ -54,6 +55,9 @@
 	// MaxQueued bounds the waiting requests of one service; zero stands for
 	// 4096.
 	MaxQueued int
+	// MaxAdapters is the number of adapters of one service beyond which idle
+	// ones are forgotten; zero stands for 32,768.
+	MaxAdapters int
 	// ReportLag is how much older than its At a report's contents may be.
 	ReportLag time.Duration
 	// SettleAfter is how long an order whose end is unknown may still take
@@ -72,6 +76,9 @@
 	if o.MaxQueued == 0 {
 		o.MaxQueued = defaultMaxQueued
 	}
+	if o.MaxAdapters == 0 {
+		o.MaxAdapters = defaultMaxAdapters
+	}
 	if o.SettleAfter == 0 {
 		o.SettleAfter = defaultSettleAfter
 	}
--- a/core/ggsschedule/plan.go
+++ b/core/ggsschedule/plan.go
@@ -114,7 +114,7 @@
 // waiting requests are bound to and that lacks the adapter, oldest first.
 func (s *Scheduler) appendBound(now time.Time, all []want, a *adapter) []want {
 	first := len(all)
-	for _, j := range a.jobs() {
+	for _, j := range a.queued() {
 		if j.bound == nil {
 			s.bind(now, j)
 			if j.bound == nil {
--- a/core/ggsschedule/reports.go
+++ b/core/ggsschedule/reports.go
@@ -64,7 +64,7 @@
 
 // sawResident takes an adapter that a report shows resident.
 func (s *Scheduler) sawResident(now, at time.Time, e *endpoint, m ggscore.ResidentAdapter) {
-	a := e.service.adapter(m.Ref)
+	a := e.service.adapter(now, m.Ref, s.options.MaxAdapters)
 	r := e.find(a)
 	if r == nil {
 		r = s.place(now, a, e, stateResident)
@@ -104,7 +104,7 @@
 // sawLoading takes an adapter that a report shows being loaded. One that we
 // didn't order, an earlier owner did.
 func (s *Scheduler) sawLoading(now, at time.Time, e *endpoint, ref ggscore.AdapterRef) {
-	a := e.service.adapter(ref)
+	a := e.service.adapter(now, ref, s.options.MaxAdapters)
 	r := e.find(a)
 	if r == nil {
 		r = s.place(now, a, e, stateLoadUncertain)
--- a/core/ggsschedule/requests.go
+++ b/core/ggsschedule/requests.go
@@ -71,7 +71,7 @@
 		return s.finish(now)
 	}
 	v := s.service(r.Service, r.Kind)
-	a := v.adapter(r.Adapter)
+	a := v.adapter(now, r.Adapter, s.options.MaxAdapters)
 	v.drift.Observe(now, a.rate(now) <= v.evicted)
 	a.meter.Add(now, v.drift.Since())
 	j := s.admit(now, r, a)
@@ -104,6 +104,7 @@
 		Seq:      s.sequence,
 	}
 	s.jobs[r.ID] = j
+	a.jobs++
 	return j
 }
 
@@ -198,6 +199,7 @@
 // forget drops a job that has ended.
 func (s *Scheduler) forget(j *job) {
 	delete(s.jobs, j.request.ID)
+	j.adapter.jobs--
 	*j = job{next: s.free, timer: -1}
 	s.free = j
 }
--- a/core/ggsschedule/tables.go
+++ b/core/ggsschedule/tables.go
@@ -9,6 +9,14 @@
 	"greengageslip/core/ggsqueue"
 )
 
+const (
+	// forgetBelow is the popularity, in arrivals a second, below which an
+	// adapter's entry may be forgotten.
+	forgetBelow = 0.0005
+	// forgetTries is the number of entries that are looked at for each new one.
+	forgetTries = 2
+)
+
 // A replicaState says what is known of an adapter on a runner.
 type replicaState int
 
@@ -159,6 +167,15 @@
 	waiting int
 	// listed says that the adapter stands in service.refill.
 	listed bool
+	// jobs counts its requests that haven't ended.
+	jobs int
+}
+
+// idle reports whether nothing would be lost with the entry but a popularity
+// that has nearly faded.
+func (a *adapter) idle(now time.Time) bool {
+	used := len(a.replicas) > 0 || a.jobs > 0 || a.listed || a.anywhere()
+	return !used && a.rate(now) < forgetBelow
 }
 
 // anywhere reports whether requests need no adapter to be resident.
@@ -170,6 +187,9 @@
 	kind      ggscore.ServiceKind
 	endpoints []*endpoint
 	adapters  map[ggscore.AdapterRef]*adapter
+	// known lists the adapters, and hand is the one that was last looked at.
+	known []*adapter
+	hand  int
 	// waiting lists the adapters with waiting requests.
 	waiting []*adapter
 	// everywhere lists the adapters whose requests run on any endpoint.
@@ -191,19 +211,43 @@
 	runTime time.Duration
 }
 
-// adapter returns the entry of ref. It makes one if need be.
-func (v *service) adapter(ref ggscore.AdapterRef) *adapter {
+// adapter returns the entry of ref. It makes one if need be. Beyond limit
+// entries each new one makes two old ones be looked at, and forgotten if idle:
+// 200,000 adapters that are each asked for once a day would otherwise fill the
+// memory.
+func (v *service) adapter(now time.Time, ref ggscore.AdapterRef, limit int) *adapter {
 	if a := v.adapters[ref]; a != nil {
 		return a
 	}
+	for range forgetTries {
+		v.forgetIdle(now, limit)
+	}
 	a := &adapter{service: v, ref: ref, waiting: -1}
 	v.adapters[ref] = a
+	v.known = append(v.known, a)
 	if a.anywhere() {
 		v.everywhere = append(v.everywhere, a)
 	}
 	return a
 }
 
+// forgetIdle looks at the next known adapter, and forgets it if it is idle.
+func (v *service) forgetIdle(now time.Time, limit int) {
+	n := len(v.known)
+	if n <= limit {
+		return
+	}
+	v.hand = (v.hand + 1) % n
+	a := v.known[v.hand]
+	if !a.idle(now) {
+		return
+	}
+	delete(v.adapters, a.ref)
+	v.known[v.hand] = v.known[n-1]
+	v.known[n-1] = nil
+	v.known = v.known[:n-1]
+}
+
 // A job is one request that was submitted and hasn't ended.
 type job struct {
 	item     ggsqueue.Item[*job]
