--- a/core/ggsschedule/costs.go
+++ b/core/ggsschedule/costs.go
@@ -11,6 +11,9 @@
 	// refillLeast is the least popularity, in arrivals a second, that is worth
 	// a load ahead of demand.
 	refillLeast = 0.002
+	// hysteresis is how much more popular an adapter must be than the one that
+	// is evicted for it ahead of demand, lest the two take turns.
+	hysteresis = 2
 	// spareFactor is what is left of the cost of an eviction when the adapter
 	// is resident elsewhere too.
 	spareFactor = 0.25
@@ -249,10 +252,6 @@
 
 // awaited reports whether waiting requests may be about to use the replica.
 func (r *replica) awaited() bool {
-	for i := range r.adapter.queue.All {
-		if b := i.Value.bound; b == nil || b == r.endpoint {
-			return true
-		}
-	}
-	return false
+	a := r.adapter
+	return a.queue.Len() > a.boundCount || a.bound[r.endpoint] > 0
 }
--- a/core/ggsschedule/endpoints.go
+++ b/core/ggsschedule/endpoints.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// unbind frees jobs that a baseline policy had bound to a removed endpoint.
+// unbind binds jobs anew that a baseline policy had bound to a removed endpoint.
 func (s *Scheduler) unbind(now time.Time, e *endpoint) {
 	for _, a := range slices.Clone(e.service.waiting) {
 		var bound []*job
--- a/core/ggsschedule/plan.go
+++ b/core/ggsschedule/plan.go
@@ -13,6 +13,8 @@
 	// bound is the only endpoint that a baseline policy allows, or nil.
 	bound *endpoint
 	score float64
+	// ahead says that no request waits for it yet.
+	ahead bool
 }
 
 // orderLoads orders the loads that are worth it, as far as the share allows.
@@ -114,20 +116,21 @@
 // waiting requests are bound to and that lacks the adapter, oldest first.
 func (s *Scheduler) appendBound(now time.Time, all []want, a *adapter) []want {
 	first := len(all)
-	for _, j := range a.queued() {
+	for i := range a.queue.All {
+		j := i.Value
 		if j.bound == nil {
-			s.bind(now, j)
-			if j.bound == nil {
-				continue
-			}
-			j.bound.bound++
+			continue
 		}
-		r := j.bound.find(a)
-		known := slices.ContainsFunc(all[first:], func(w want) bool { return w.bound == j.bound })
-		if known || (r != nil && r.state != stateGone) {
+		waited := now.Sub(j.queuedAt).Seconds()
+		at := slices.IndexFunc(all[first:], func(w want) bool { return w.bound == j.bound })
+		if at >= 0 {
+			w := &all[first+at]
+			w.score = max(w.score, waited)
 			continue
 		}
-		all = append(all, want{adapter: a, bound: j.bound, score: now.Sub(j.queuedAt).Seconds()})
+		if r := j.bound.find(a); r == nil || r.state == stateGone {
+			all = append(all, want{adapter: a, bound: j.bound, score: waited})
+		}
 	}
 	return all
 }
@@ -135,7 +138,7 @@
 // orderLoad orders one load, or the eviction that makes room for it.
 func (s *Scheduler) orderLoad(now time.Time, w want) bool {
 	e, victim := s.placement(now, w)
-	if e == nil {
+	if e == nil || (w.ahead && victim != nil && s.evictionCost(now, victim)*hysteresis > w.adapter.rate(now)) {
 		return false
 	}
 	r := s.reserve(now, w.adapter, e)
@@ -163,7 +166,7 @@
 			if coming+there > 0 || a.rate(now) < refillLeast {
 				continue
 			}
-			if s.orderLoad(now, want{adapter: a}) {
+			if s.orderLoad(now, want{adapter: a, ahead: true}) {
 				return true
 			}
 		}
--- a/core/ggsschedule/requests.go
+++ b/core/ggsschedule/requests.go
@@ -127,7 +127,7 @@
 	a.queue.Remove(&j.item)
 	a.queuedSum -= j.queuedAt.Sub(s.epoch)
 	if j.bound != nil {
-		j.bound.bound--
+		a.countBound(j.bound, -1)
 	}
 	if !j.gathering {
 		a.urgent--
@@ -154,7 +154,7 @@
 	}
 	a.queuedSum += j.queuedAt.Sub(s.epoch)
 	if j.bound != nil {
-		j.bound.bound++
+		a.countBound(j.bound, 1)
 	}
 	a.queue.Push(&s.clock, &j.item)
 	heap.Push(&s.timers, j)
@@ -283,6 +283,19 @@
 	r.foreign++
 }
 
+// countBound counts waiting jobs that are bound to an endpoint.
+func (a *adapter) countBound(e *endpoint, n int) {
+	if a.bound == nil {
+		a.bound = make(map[*endpoint]int)
+	}
+	a.bound[e] += n
+	if a.bound[e] == 0 {
+		delete(a.bound, e)
+	}
+	a.boundCount += n
+	e.bound += n
+}
+
 // unplaced reports whether an adapter's requests have to wait for its first
 // load, under the policy that cuts standing queues.
 func (s *Scheduler) unplaced(now time.Time, a *adapter) bool {
--- /dev/null
+++ b/core/ggsschedule/stories_test.go
@@ -0,0 +1,309 @@
+package ggsschedule_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsschedule"
+)
+
+// resident returns a scheduler whose only runner holds the adapters, idle.
+func resident(now time.Time, adapters ...string) *ggsschedule.Scheduler {
+	s := newScheduler(now, "r1")
+	s.Report(now.Add(time.Millisecond), report("r1", "one", now.Add(time.Millisecond), idle(adapters...)...))
+	return s
+}
+
+func idle(adapters ...string) []ggscore.ResidentAdapter {
+	var all []ggscore.ResidentAdapter
+	for _, a := range adapters {
+		all = append(all, ggscore.ResidentAdapter{Ref: ref(a)})
+	}
+	return all
+}
+
+// kinds names the orders, as "dispatch q1", "load a" and so on.
+func kinds(orders []ggscore.Order) []string {
+	all := []string{}
+	for _, o := range orders {
+		switch o.Kind {
+		case ggscore.OrderDispatch:
+			all = append(all, "dispatch "+string(o.Request.ID))
+		case ggscore.OrderRefuse:
+			all = append(all, "refuse "+string(o.Request.ID))
+		case ggscore.OrderLoad:
+			all = append(all, "load "+o.Adapter.Name)
+		case ggscore.OrderUnload:
+			all = append(all, "unload "+o.Adapter.Name)
+		}
+	}
+	return all
+}
+
+// A load's answer is lost. If the scheduler believed a report from before the
+// order, it would order the load again, or send a request that the engine
+// answers with a missing adapter; callers would see errors and double loads.
+func TestOldReportDoesNotSettleLoad(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := newScheduler(now, "r1")
+	now = now.Add(time.Second)
+	s.Submit(now, request("q1", "a"))
+	before := now.Add(100 * time.Millisecond)
+	now = now.Add(250 * time.Millisecond)
+	c.Assert(kinds(s.LoadEnded(now, "r1", ref("a"), ggscore.EndUnknown)), qt.HasLen, 0)
+	c.Assert(kinds(s.Report(now, report("r1", "one", before))), qt.HasLen, 0)
+	c.Assert(kinds(s.Report(now, report("r1", "one", before.Add(1), idle("a")...))), qt.HasLen, 0)
+	now = now.Add(100 * time.Millisecond)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now))), qt.HasLen, 0)
+	now = now.Add(2 * time.Second)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now, idle("a")...))), qt.DeepEquals, []string{"dispatch q1"})
+}
+
+// An eviction's answer is lost and the adapter is still there. A request that
+// was sent to it could lose it when the first order comes through after all; it
+// is evicted once more, and loaded anew, before it serves again.
+func TestLostEvictionIsRepeated(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a", "b")
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Submit(now, request("q1", "c"))), qt.DeepEquals, []string{"unload a"})
+	s.UnloadEnded(now, "r1", ref("a"), ggscore.EndUnknown)
+	c.Assert(kinds(s.Submit(now, request("q2", "a"))), qt.Not(qt.Contains), "dispatch q2")
+	now = now.Add(1500 * time.Millisecond)
+	orders := kinds(s.Report(now, report("r1", "one", now, idle("a", "b")...)))
+	c.Assert(orders, qt.Contains, "unload a")
+	c.Assert(orders, qt.Not(qt.Contains), "dispatch q2")
+}
+
+// A new owner takes a runner over while the old owner's request still streams
+// its answer. Evicting its adapter would break that answer, though the new
+// owner never saw the request.
+func TestForeignRunPinsUntilIdle(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := newScheduler(now)
+	spec := runner("r1")
+	spec.AdapterSlots = 1
+	s.SetEndpoint(now, spec, ggscore.ModeFull)
+	busy := ggscore.ResidentAdapter{Ref: ref("a"), Running: 1}
+	s.Report(now, report("r1", "one", now, busy))
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Submit(now, request("q1", "b"))), qt.HasLen, 0)
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now, busy))), qt.HasLen, 0)
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now, idle("a")...))), qt.DeepEquals, []string{"unload a"})
+}
+
+// An old owner was paused, and sends one more request after the new owner's
+// first report. The next report shows more runs than ours; the adapter must not
+// be evicted beneath it.
+func TestRunsBeyondOursPin(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := newScheduler(now)
+	spec := runner("r1")
+	spec.AdapterSlots = 1
+	s.SetEndpoint(now, spec, ggscore.ModeFull)
+	s.Report(now, report("r1", "one", now, idle("a")...))
+	now = now.Add(time.Second)
+	s.Report(now, report("r1", "one", now, ggscore.ResidentAdapter{Ref: ref("a"), Running: 1}))
+	c.Assert(kinds(s.Submit(now, request("q1", "b"))), qt.HasLen, 0)
+}
+
+// A release instruction is dispatched and its connection breaks. A second
+// dispatch would pay a landlord twice; only a proof that it did not run allows
+// another try.
+func TestUnknownEndIsNotDispatchedAgain(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		end  ggscore.EndKind
+		want []string
+	}{
+		"unknown":         {ggscore.EndUnknown, []string{}},
+		"done":            {ggscore.EndDone, []string{}},
+		"proved not run":  {ggscore.EndFailed, []string{"dispatch q1"}},
+		"adapter missing": {ggscore.EndAdapterMissing, []string{"load a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			now := epoch()
+			s := resident(now, "a")
+			now = now.Add(time.Second)
+			r := request("q1", "a")
+			r.NonIdempotent, r.Key = true, "k"
+			c.Assert(kinds(s.Submit(now, r)), qt.DeepEquals, []string{"dispatch q1"})
+			c.Assert(kinds(s.RequestEnded(now, "q1", tc.end)), qt.DeepEquals, tc.want)
+		})
+	}
+}
+
+// A third of the runners restart and hold nothing. If all their adapters were
+// loaded at once the weight store would stall every load; if the rare ones came
+// first, the busy ones' callers would wait.
+func TestRestartRefillsHottestFirst(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "rare", "busy")
+	now = now.Add(time.Second)
+	for i := range 9 {
+		a := "busy"
+		if i%4 == 0 {
+			a = "rare"
+		}
+		id := fmt.Sprintf("q%d", i)
+		s.Submit(now, request(id, a))
+		s.RequestEnded(now.Add(time.Millisecond), ggscore.RequestID(id), ggscore.EndDone)
+		now = now.Add(time.Second)
+	}
+	s.SetLoadShare(now, ggscore.LoadShare{LoadsPerSecond: 4, InTransit: 1})
+	c.Assert(kinds(s.Report(now, report("r1", "two", now))), qt.DeepEquals, []string{"load busy"})
+	now = now.Add(250 * time.Millisecond)
+	c.Assert(kinds(s.LoadEnded(now, "r1", ref("busy"), ggscore.EndDone)), qt.DeepEquals, []string{"load rare"})
+}
+
+// One market sends a flood at once, another a few requests after it. In the
+// order of arrival the few would wait for the whole flood.
+func TestMarketsShareByWeight(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a", "b")
+	s.SetMarkets(map[ggscore.Market]int{"flood": 1, "few": 2})
+	now = now.Add(time.Second)
+	send := func(market, adapter string, n int) {
+		for i := range n {
+			r := request(fmt.Sprintf("%s%d", market, i), adapter)
+			r.Market = ggscore.Market(market)
+			r.Budget = time.Hour
+			s.Submit(now, r)
+		}
+	}
+	send("flood", "a", 20)
+	send("few", "b", 8)
+	served := map[string]int{}
+	ended := []ggscore.RequestID{"flood0", "flood1"}
+	for range 9 {
+		now = now.Add(time.Second)
+		for _, o := range s.RequestEnded(now, ended[0], ggscore.EndDone) {
+			if o.Kind == ggscore.OrderDispatch {
+				served[string(o.Request.Market)]++
+				ended = append(ended, o.Request.ID)
+			}
+		}
+		ended = ended[1:]
+	}
+	c.Assert(served, qt.DeepEquals, map[string]int{"flood": 3, "few": 6})
+}
+
+// Long summaries wait for slots when a lookup arrives. A tenant in an agency
+// office would wait for all of them; the lookup goes first, and among equals the
+// one whose deadline is nearest.
+func TestPriorityThenDeadline(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a")
+	now = now.Add(time.Second)
+	for i, r := range []struct {
+		priority ggscore.Priority
+		budget   time.Duration
+	}{
+		{ggscore.PriorityNormal, time.Minute},
+		{ggscore.PriorityNormal, time.Minute},
+		{ggscore.PriorityNormal, time.Minute},
+		{ggscore.PriorityNormal, 40 * time.Second},
+		{ggscore.PriorityInteractive, 50 * time.Second},
+	} {
+		q := request(fmt.Sprintf("q%d", i), "a")
+		q.Priority, q.Budget = r.priority, r.budget
+		s.Submit(now, q)
+	}
+	var order []string
+	for _, id := range []ggscore.RequestID{"q0", "q1", "q4"} {
+		now = now.Add(time.Second)
+		order = append(order, kinds(s.RequestEnded(now, id, ggscore.EndDone))...)
+	}
+	c.Assert(order, qt.DeepEquals, []string{"dispatch q4", "dispatch q3", "dispatch q2"})
+}
+
+// A mediator's request can't be served in its time. Told so at once, the caller
+// tries again elsewhere; held back, it would have lost its time for nothing.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		prepare func(s *ggsschedule.Scheduler, now time.Time)
+		budget  time.Duration
+	}{
+		"no endpoint": {
+			func(s *ggsschedule.Scheduler, now time.Time) { s.RemoveEndpoint(now, "r1") }, time.Minute,
+		},
+		"no owner": {
+			func(s *ggsschedule.Scheduler, now time.Time) { s.SetEndpoint(now, runner("r1"), ggscore.ModeNone) }, time.Minute,
+		},
+		"load takes longer than the budget": {
+			func(*ggsschedule.Scheduler, time.Time) {}, 200 * time.Millisecond,
+		},
+		"no share of the weight store": {
+			func(s *ggsschedule.Scheduler, now time.Time) { s.SetLoadShare(now, ggscore.LoadShare{}) }, 5 * time.Second,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			now := epoch()
+			s := newScheduler(now, "r1")
+			tc.prepare(s, now)
+			r := request("q1", "a")
+			r.Budget = tc.budget
+			orders := s.Submit(now.Add(time.Second), r)
+			c.Assert(kinds(orders), qt.DeepEquals, []string{"refuse q1"})
+			c.Assert(orders[0].Failure.Kind, qt.Equals, ggscore.FailureNoCapacity)
+			c.Assert(orders[0].Failure.Outcome, qt.Equals, ggscore.OutcomeNotRun)
+			c.Assert(orders[0].Failure.RetryAfter > 0, qt.IsTrue)
+		})
+	}
+}
+
+// Loads of one adapter keep failing. Callers of other adapters must not wait
+// behind its retries, and its own callers hear of it within their budget.
+func TestFailedLoadDoesNotBlockOthers(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := newScheduler(now, "r1")
+	s.SetLoadShare(now, ggscore.LoadShare{LoadsPerSecond: 4, InTransit: 1})
+	now = now.Add(time.Second)
+	s.Submit(now, request("bad", "bad"))
+	s.Submit(now, request("good", "good"))
+	now = now.Add(250 * time.Millisecond)
+	c.Assert(kinds(s.LoadEnded(now, "r1", ref("bad"), ggscore.EndFailed)), qt.DeepEquals, []string{"load good"})
+	now = now.Add(250 * time.Millisecond)
+	c.Assert(kinds(s.LoadEnded(now, "r1", ref("good"), ggscore.EndDone))[0], qt.Equals, "dispatch good")
+	for range 20 {
+		now = s.NextTick()
+		if now.IsZero() {
+			break
+		}
+		for _, o := range s.Tick(now) {
+			if o.Kind == ggscore.OrderRefuse {
+				c.Assert(now.Sub(epoch()) <= 6*time.Second, qt.IsTrue)
+				return
+			}
+			c.Assert(kinds(s.LoadEnded(now, "r1", ref("bad"), ggscore.EndFailed)), qt.Not(qt.Contains), "load bad")
+		}
+	}
+	c.Fatal("the request of the failing adapter was never answered")
+}
--- a/core/ggsschedule/tables.go
+++ b/core/ggsschedule/tables.go
@@ -167,6 +167,10 @@
 	waiting int
 	// listed says that the adapter stands in service.refill.
 	listed bool
+	// bound counts the waiting jobs that a baseline policy bound to each
+	// endpoint, and boundCount all of them.
+	bound      map[*endpoint]int
+	boundCount int
 	// jobs counts its requests that haven't ended.
 	jobs int
 }
