--- a/cmd/ggsctl/deployment_test.go
+++ b/cmd/ggsctl/deployment_test.go
@@ -32,6 +32,9 @@
 	gatewayStatePort    = 7301
 )
 
+// endpoints is the number of a session's endpoints.
+const endpoints = 2
+
 // firstOctet keeps sessions apart from other tests of the same process id.
 const firstOctet = 100
 
@@ -84,15 +87,17 @@
 	}
 }
 
+// healthy reports whether the gateway sees an owner for both endpoints.
 func (d *deployment) healthy(ctx context.Context) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr(gatewayPort).String()+"/healthz", http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr(gatewayStatePort).String()+"/state", http.NoBody)
 	d.ts.Check(err)
 	s, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return false
 	}
-	_ = s.Body.Close()
-	return s.StatusCode == http.StatusOK
+	defer func() { _ = s.Body.Close() }()
+	text, err := io.ReadAll(s.Body)
+	return err == nil && bytes.Count(text, []byte(`"mode": "full"`)) == endpoints
 }
 
 // list sets the platform's list of VMs.
