feat: bound retries by market budgets and leave sick dispatchers alone

The gateway's own count of attempts let a market multiply its traffic during an outage. ggsretry's budgets and breakers now decide; hand-overs cost no budget, since the dispatcher that hands over is healthy.

--- a/io/ggsgateway/gateway.go
+++ b/io/ggsgateway/gateway.go
@@ -11,6 +11,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggslimit"
+	"greengageslip/core/ggsretry"
 	"greengageslip/core/ggsroute"
 )
 
@@ -77,7 +78,10 @@
 	mu       sync.Mutex
 	router   *ggsroute.Router
 	limiter  *ggslimit.Limiter
+	retries  *ggsretry.Policy
+	breakers *ggsretry.Breakers[ggscore.VMID]
 	revision ggscore.Revision
+	markets  map[ggscore.Market]ggscore.MarketSpec
 	peers    map[ggscore.VMID]peer
 	listed   []ggscore.VM
 	changed  chan struct{}
@@ -107,12 +111,14 @@
 		o.HandOverTimeout = defaultHandOver
 	}
 	return &Gateway{
-		options: o,
-		parts:   p,
-		router:  ggsroute.New(ggsroute.Options{Region: o.Region, Seed: o.Seed}),
-		limiter: ggslimit.New(ggslimit.Options{MaxInFlight: o.MaxInFlight}),
-		peers:   make(map[ggscore.VMID]peer),
-		changed: make(chan struct{}, 1),
+		options:  o,
+		parts:    p,
+		router:   ggsroute.New(ggsroute.Options{Region: o.Region, Seed: o.Seed}),
+		limiter:  ggslimit.New(ggslimit.Options{MaxInFlight: o.MaxInFlight}),
+		retries:  ggsretry.NewPolicy(ggsretry.Options{Seed: o.Seed, MaxAttempts: o.MaxAttempts}),
+		breakers: ggsretry.NewBreakers[ggscore.VMID](ggsretry.BreakerOptions{Seed: o.Seed}),
+		peers:    make(map[ggscore.VMID]peer),
+		changed:  make(chan struct{}, 1),
 	}
 }
 
@@ -149,8 +155,15 @@
 		return
 	}
 	g.revision = d.Revision
+	for name := range g.markets {
+		if _, still := d.Markets[name]; !still {
+			g.limiter.RemoveMarket(name)
+		}
+	}
+	g.markets = d.Markets
 	for name, m := range d.Markets {
 		g.limiter.SetMarket(name, ggslimit.LimitOf(m))
 	}
+	g.retries.Keep(d.Markets)
 	g.router.SetPolicy(now, d.Policy)
 }
--- a/io/ggsgateway/handler.go
+++ b/io/ggsgateway/handler.go
@@ -89,6 +89,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.adopt(r.Arrived, d)
+	g.retries.Request(r.Arrived, r.Market)
 	err := g.limiter.Admit(r.Arrived, r.Market)
 	if l := (*ggslimit.OverLimitError)(nil); errors.As(err, &l) {
 		return l.Failure()
--- a/io/ggsgateway/peers.go
+++ b/io/ggsgateway/peers.go
@@ -94,6 +94,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.router.Remove(g.parts.Clock(), vm)
+		g.breakers.Remove(vm)
 		delete(g.peers, vm)
 	}
 }
--- a/io/ggsgateway/send.go
+++ b/io/ggsgateway/send.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsretry"
 	"greengageslip/core/ggsroute"
 	"greengageslip/io/ggsrpc"
 	"greengageslip/io/ggswire"
@@ -30,14 +32,18 @@
 	answer  *answer
 	choice  ggsroute.Choice
 	addr    netip.AddrPort
+	// unreachable says that the dispatcher didn't answer.
+	unreachable bool
 }
 
 // A trail is what became of the offers of one request so far.
 type trail struct {
-	// tried are not asked again, unless all have been; stopped are never.
+	// tried are not asked again; stopped are never, whatever happens.
 	tried   []ggscore.VMID
 	stopped []ggscore.VMID
-	last    *ggscore.Failure
+	// number counts the offers that spoke against their dispatcher.
+	number int
+	last   *ggscore.Failure
 	// since is when the first offer came back for a hand-over.
 	since time.Time
 }
@@ -52,35 +58,62 @@
 func (t *trail) note(now time.Time, vm ggscore.VMID, f *ggscore.Failure) {
 	t.last = f
 	t.tried = append(t.tried, vm)
+	switch {
+	case !t.handOver():
+		t.number++
+	case t.since.IsZero():
+		t.since = now
+	}
 	if f.Kind == ggscore.FailureStopping {
 		t.stopped = append(t.stopped, vm)
 	}
-	if t.handOver() && t.since.IsZero() {
-		t.since = now
-	}
 }
 
 // send offers a request to one dispatcher after the other until one answers.
 // Only a request that is proved not to have run is offered again.
 func (g *Gateway) send(ctx context.Context, r *ggscore.Request, a *answer) *ggscore.Failure {
 	t := &trail{}
-	for n := 0; n < g.options.MaxAttempts; {
+	for {
 		o, f := g.routeOn(ctx, r, a, t)
 		if f != nil {
 			return f
 		}
 		f = g.try(ctx, o)
-		if f == nil || !retryable(f) || a.next > 0 || ctx.Err() != nil || g.left(r) <= 0 {
+		if f == nil || a.next > 0 || ctx.Err() != nil || g.left(r) <= 0 {
 			return f
 		}
 		t.note(g.parts.Clock(), o.choice.VM, f)
-		if !t.handOver() {
-			n++
+		wait, again := g.retry(r, t)
+		if !again {
+			return f
 		}
 		g.stats.Retries.Add(1)
 		_ = level.Info(g.parts.Log).Log("event", "requestRerouted", "request", r.ID, "from", o.choice.VM, "kind", f.Kind)
+		g.pause(ctx, wait)
+	}
+}
+
+// retry decides whether a request whose offer failed is offered again. Offers
+// that fail for a hand-over are bounded by its time and cost no budget: they
+// came to a healthy dispatcher that merely isn't the owner any more.
+func (g *Gateway) retry(r *ggscore.Request, t *trail) (time.Duration, bool) {
+	if t.last.Outcome != ggscore.OutcomeNotRun {
+		return 0, false
 	}
-	return t.last
+	if t.handOver() {
+		return 0, true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f := *t.last
+	if f.Kind == ggscore.FailureNoCapacity {
+		// Its wait is for the dispatcher that refused; another may have room.
+		f.RetryAfter = 0
+	}
+	wait, err := g.retries.Retry(g.parts.Clock(), ggsretry.Attempt{
+		Market: r.Market, Number: t.number, Failure: &f, Left: g.left(r),
+	})
+	return wait, err == nil
 }
 
 // routeOn routes a request, or says why it can't be sent on.
@@ -108,20 +141,6 @@
 	return o, nil
 }
 
-// retryable reports whether another dispatcher may do better.
-func retryable(f *ggscore.Failure) bool {
-	if f.Outcome != ggscore.OutcomeNotRun {
-		return false
-	}
-	switch f.Kind {
-	case ggscore.FailureStopping, ggscore.FailureNotOwner, ggscore.FailureEndpoint,
-		ggscore.FailureNoCapacity, ggscore.FailureAdapterMissing:
-		return true
-	default:
-		return false
-	}
-}
-
 func (g *Gateway) left(r *ggscore.Request) time.Duration {
 	return r.Budget - g.parts.Clock().Sub(r.Arrived)
 }
@@ -130,23 +149,44 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.parts.Clock()
-	c, err := g.router.Route(now, r, tried)
+	// Exclude works on its own copy: tried is the request's, and what breakers
+	// leave out now may be asked later.
+	c, err := g.router.Route(now, r, g.breakers.Exclude(now, slices.Clone(tried)))
 	if n := (*ggsroute.NoDispatcherError)(nil); errors.As(err, &n) {
 		return nil, n.Failure()
 	}
 	g.router.Sent(now, c)
+	g.breakers.Started(now, c.VM)
 	return &attempt{request: r, answer: a, choice: c, addr: g.peers[c.VM].addr}, nil
 }
 
 // try hands a request to one dispatcher and relays its answer.
 func (g *Gateway) try(ctx context.Context, t *attempt) *ggscore.Failure {
 	sent := g.parts.Clock()
-	defer func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		now := g.parts.Clock()
-		g.router.Ended(now, t.choice, ggsroute.End{Held: now.Sub(sent), AnswerBytes: t.answer.bytes})
-	}()
+	f := g.offer(ctx, t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.parts.Clock()
+	g.router.Ended(now, t.choice, ggsroute.End{Held: now.Sub(sent), AnswerBytes: t.answer.bytes})
+	g.breakers.Ended(now, t.choice.VM, resultOf(t, f))
+	return f
+}
+
+// resultOf says whether an offer's end speaks against its dispatcher. Only what
+// the dispatcher itself failed at does: a refusal for want of room and an
+// endpoint's failure are answers of a healthy one.
+func resultOf(t *attempt, f *ggscore.Failure) ggsretry.Result {
+	switch {
+	case t.unreachable:
+		return ggsretry.ResultFailed
+	case f == nil:
+		return ggsretry.ResultOK
+	default:
+		return ggsretry.ResultNeutral
+	}
+}
+
+func (g *Gateway) offer(ctx context.Context, t *attempt) *ggscore.Failure {
 	if f := g.submit(ctx, t); f != nil {
 		return f
 	}
@@ -167,6 +207,7 @@
 	if err == nil {
 		return reply.Failure.Failure()
 	}
+	t.unreachable = ctx.Err() == nil
 	if d := (*ggsrpc.DialError)(nil); errors.As(err, &d) {
 		return notReached(err)
 	}
@@ -204,6 +245,7 @@
 				brokenSince = now
 			}
 			if now.Sub(brokenSince) > g.options.ResumeTimeout {
+				t.unreachable = true
 				return broken("the dispatcher can't be reached any more")
 			}
 			g.stats.Resumed.Add(1)
