--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -63,8 +63,8 @@
 		ggsclaims.DefaultOptions(ggsdocument.KeyRetention))
 }
 
-func newScheduler(c clock) *ggsschedule.Scheduler {
-	return ggsschedule.New(ggsschedule.Options{Seed: uint64(c().UnixNano())})
+func newScheduler(s *ggssettings.Dispatcher, c clock) *ggsschedule.Scheduler {
+	return ggsschedule.New(ggsschedule.Options{Policy: s.Policy, Seed: uint64(c().UnixNano())})
 }
 
 // An incarnation names one life of a process. Later lives sort after earlier
--- a/io/ggsdispatch/dispatcher.go
+++ b/io/ggsdispatch/dispatcher.go
@@ -71,7 +71,15 @@
 	sequence  uint64
 	jobs      map[ggscore.RequestID]*job
 	endpoints map[ggscore.EndpointID]OwnedEndpoint
-	changed   chan struct{}
+	// loaded is when adapters came that this process ordered.
+	loaded  map[placement]time.Time
+	changed chan struct{}
+}
+
+// A placement is an adapter on an endpoint.
+type placement struct {
+	endpoint ggscore.EndpointID
+	adapter  ggscore.AdapterRef
 }
 
 // An OwnedEndpoint is an endpoint with what its owner may do with it now.
@@ -92,6 +100,7 @@
 		wake:      make(chan struct{}, 1),
 		jobs:      make(map[ggscore.RequestID]*job),
 		endpoints: make(map[ggscore.EndpointID]OwnedEndpoint),
+		loaded:    make(map[placement]time.Time),
 		changed:   make(chan struct{}),
 	}
 }
@@ -253,7 +262,7 @@
 			if j := d.jobs[o.Request.ID]; j != nil {
 				j.state = jobRunning
 				j.endpoint = o.Endpoint
-				j.started = d.parts.Clock()
+				j.stall = max(0, d.loaded[placement{o.Endpoint, j.request.Adapter}].Sub(j.submitted))
 			}
 			d.requests.add(o)
 		case ggscore.OrderLoad, ggscore.OrderUnload:
--- a/io/ggsdispatch/job.go
+++ b/io/ggsdispatch/job.go
@@ -27,8 +27,9 @@
 	abandoned bool
 	cancel    context.CancelFunc
 	submitted time.Time
-	started   time.Time
 	ended     time.Time
+	// stall is how long the request waited for its adapter to arrive.
+	stall time.Duration
 	// claim is held from the first dispatch until the request has ended, so
 	// that a dispatch that is proved not run may be repeated under it.
 	claim ggscore.ClaimID
@@ -49,10 +50,7 @@
 	chunks, lost = j.stream.next(ctx, d.parts.Clock, from)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !j.started.IsZero() {
-		stall = j.started.Sub(j.submitted)
-	}
-	return chunks, stall, lost
+	return chunks, j.stall, lost
 }
 
 // Submit takes a request. A second submission of an id is the first one.
@@ -160,6 +158,12 @@
 			d.abandon(now, j)
 		}
 	}
+	for p, at := range d.loaded {
+		// No request waits this long, so the arrival is no stall any more.
+		if now.Sub(at) > d.options.JobRetention {
+			delete(d.loaded, p)
+		}
+	}
 }
 
 // abandon needs d.mu. A gateway that died leaves its requests unread; they
--- a/io/ggsdispatch/orders.go
+++ b/io/ggsdispatch/orders.go
@@ -40,6 +40,8 @@
 		d.stats.Loads.Add(1)
 		if err != nil {
 			d.stats.LoadsFailed.Add(1)
+		} else {
+			d.loaded[placement{o.Endpoint, o.Adapter}] = now
 		}
 		d.apply(d.parts.Scheduler.LoadEnded(now, o.Endpoint, o.Adapter, e))
 	} else {
--- a/io/ggsgateway/doc.go
+++ b/io/ggsgateway/doc.go
@@ -25,7 +25,7 @@
 // "done" or "unknown". A streamed answer that breaks ends with an event
 // "error" that holds the same object; an answer that isn't streamed and breaks
 // after its first megabyte ends with its connection. X-Load-Stall is the time,
-// such as "12ms", that the request waited for a slot and its adapter.
+// such as "12ms", that the request waited for its adapter to arrive.
 //
 // # Locks
 //
--- a/io/ggssettings/file.go
+++ b/io/ggssettings/file.go
@@ -6,6 +6,7 @@
 	"time"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsschedule"
 	"greengageslip/io/ggslog"
 	"greengageslip/io/ggstoml"
 )
@@ -37,6 +38,7 @@
 	RequestWorkers int              `toml:"requestWorkers"`
 	OrderWorkers   int              `toml:"orderWorkers"`
 	LeaseTTL       ggstoml.Duration `toml:"leaseTtl"`
+	Policy         string           `toml:"policy"`
 }
 
 var (
@@ -52,9 +54,22 @@
 	if f.LeaseTTL != 0 && time.Duration(f.LeaseTTL) < minLeaseTTL {
 		return &ggstoml.ValueError{Key: "leaseTtl", Want: "at least " + minLeaseTTL.String()}
 	}
+	if f.policy().String() != f.Policy && f.Policy != "" {
+		return &ggstoml.ValueError{Key: "policy", Want: "cost, random, leastLoaded or rendezvousLRU"}
+	}
 	return firstError(atLeast("requestWorkers", f.RequestWorkers), atLeast("orderWorkers", f.OrderWorkers))
 }
 
+// policy returns the policy of the name, or the default.
+func (f *dispatcherFile) policy() ggsschedule.Policy {
+	for _, p := range []ggsschedule.Policy{ggsschedule.PolicyRandom, ggsschedule.PolicyLeastLoaded, ggsschedule.PolicyRendezvousLRU} {
+		if p.String() == f.Policy {
+			return p
+		}
+	}
+	return ggsschedule.PolicyCost
+}
+
 // Check implements ggstoml.Checker.
 func (f *gatewayFile) Check() error {
 	if err := f.check(); err != nil {
--- a/io/ggssettings/settings.go
+++ b/io/ggssettings/settings.go
@@ -14,6 +14,7 @@
 	"time"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsschedule"
 	"greengageslip/io/ggslog"
 	"greengageslip/io/ggstoml"
 )
@@ -59,6 +60,8 @@
 	RequestWorkers int
 	OrderWorkers   int
 	LeaseTTL       time.Duration
+	// Policy is the scheduler's, for measurements against the baselines.
+	Policy ggsschedule.Policy
 }
 
 // ReadDispatcher reads a dispatcher's settings. Failures are *ggstoml.ReadError
@@ -70,7 +73,7 @@
 	}
 	return Dispatcher{
 		Node: f.node(), RequestWorkers: f.RequestWorkers, OrderWorkers: f.OrderWorkers,
-		LeaseTTL: orDefault(f.LeaseTTL, defaultLeaseTTL),
+		LeaseTTL: orDefault(f.LeaseTTL, defaultLeaseTTL), Policy: f.policy(),
 	}, nil
 }
 
