--- a/cmd/ggsctl/deployment_test.go
+++ b/cmd/ggsctl/deployment_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,36 +36,57 @@
 // endpoints is the number of a session's endpoints.
 const endpoints = 2
 
+// slowToken is the time between tokens of a slow deployment.
+const slowToken = 20 * time.Millisecond
+
 // firstOctet keeps sessions apart from other tests of the same process id.
 const firstOctet = 100
 
 var deployments atomic.Int32 //nolint:gochecknoglobals // gives each session an IP number
 
-// A deployment is a runner, a ledger, a dispatcher and a gateway.
+// A deployment is a runner, a ledger, a gateway and one or two dispatchers.
 type deployment struct {
-	ts *testscript.TestScript
-	s  *session
-	ip netip.Addr
+	ts     *testscript.TestScript
+	s      *session
+	ip     netip.Addr
+	engine *ggsfakeengine.Engine
+	// stops end the processes gracefully, by their words.
+	stops map[string]func() int
+	vms   []ggscore.VM
 }
 
 // startDeployment starts a small deployment of the processes' own code, and
 // waits until the gateway serves.
-func startDeployment(ts *testscript.TestScript, _ bool, _ []string) {
+//
+// Flags: "two" starts a second dispatcher, "slow" makes each token take 20 ms,
+// "narrow" gives the runner one slot.
+func startDeployment(ts *testscript.TestScript, _ bool, args []string) {
 	p := os.Getpid()
 	d := &deployment{
 		ts: ts, s: sessionOf(ts),
-		ip: netip.AddrFrom4([4]byte{127, byte(p), byte(p >> 8), byte(firstOctet + deployments.Add(1))}),
+		ip:    netip.AddrFrom4([4]byte{127, byte(p), byte(p >> 8), byte(firstOctet + deployments.Add(1))}),
+		stops: map[string]func() int{},
 	}
+	d.s.deployed = d
 	o := ggsfakeengine.DefaultOptions()
 	o.ID, o.Slots, o.AdapterSlots, o.ChecksFence = "runner-1", 8, 4, true
 	o.TokenInterval, o.FirstToken, o.DefaultTokens = time.Millisecond, time.Millisecond, 3
+	if slices.Contains(args, "slow") {
+		o.TokenInterval = slowToken
+	}
 	e := ggsfakeengine.New(o)
+	d.engine = e
 	ts.Defer(e.Close)
 	d.serve(enginePort, e.Handler())
 	d.serve(plainPort, ggsfakeplain.New(ggsfakeplain.Options{ID: "ledger-1"}).Handler())
 	d.list()
-	d.start(ggsnode.RunDispatcher, dispatcherPort, dispatcherStatePort)
-	d.start(ggsnode.RunGateway, gatewayPort, gatewayStatePort)
+	d.start("DISPATCHER", "cr-1", ggsnode.RunDispatcher, dispatcherPort, dispatcherStatePort)
+	if slices.Contains(args, "two") {
+		d.vms = append(d.vms, d.entry("cr-2", dispatcherPort+1))
+		d.s.platform.SetVMs(d.vms)
+		d.start("DISPATCHER-2", "cr-2", ggsnode.RunDispatcher, dispatcherPort+1, dispatcherStatePort+2)
+	}
+	d.start("GATEWAY", "cr-1", ggsnode.RunGateway, gatewayPort, gatewayStatePort)
 	d.s.name("GATEWAY", d.addr(gatewayPort))
 	d.s.name("DISPATCHER-STATE", d.addr(dispatcherStatePort))
 	d.s.name("GATEWAY-STATE", d.addr(gatewayStatePort))
@@ -87,27 +109,42 @@
 	}
 }
 
-// healthy reports whether the gateway sees an owner for both endpoints.
+// healthy reports whether the gateway has a document and sees an owner for both
+// endpoints.
 func (d *deployment) healthy(ctx context.Context) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr(gatewayStatePort).String()+"/state", http.NoBody)
+	state := "http://" + d.addr(gatewayStatePort).String()
+	code, _ := d.get(ctx, state+"/healthz")
+	_, text := d.get(ctx, state+"/state")
+	return code == http.StatusOK && bytes.Count(text, []byte(`"mode": "full"`)) == endpoints
+}
+
+func (d *deployment) get(ctx context.Context, url string) (int, []byte) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	d.ts.Check(err)
 	s, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return false
+		return 0, nil
 	}
 	defer func() { _ = s.Body.Close() }()
 	text, err := io.ReadAll(s.Body)
-	return err == nil && bytes.Count(text, []byte(`"mode": "full"`)) == endpoints
+	if err != nil {
+		return 0, nil
+	}
+	return s.StatusCode, text
 }
 
 // list sets the platform's list of VMs.
 func (d *deployment) list() {
-	vm := ggscore.VM{Region: "central", Domain: "cr-central-a"}
-	entry, runner, ledger := vm, vm, vm
-	entry.ID, entry.Role, entry.Addr = "cr-1", ggscore.RoleEntry, d.addr(dispatcherPort)
-	runner.ID, runner.Role, runner.Addr, runner.Service = "runner-1", ggscore.RoleEndpoint, d.addr(enginePort), "asistente"
-	ledger.ID, ledger.Role, ledger.Addr, ledger.Service = "ledger-1", ggscore.RoleEndpoint, d.addr(plainPort), "custodia"
-	d.s.platform.SetVMs([]ggscore.VM{entry, runner, ledger})
+	vm := ggscore.VM{Role: ggscore.RoleEndpoint, Region: "central", Domain: "cr-central-a"}
+	runner, ledger := vm, vm
+	runner.ID, runner.Addr, runner.Service = "runner-1", d.addr(enginePort), "asistente"
+	ledger.ID, ledger.Addr, ledger.Service = "ledger-1", d.addr(plainPort), "custodia"
+	d.vms = []ggscore.VM{d.entry("cr-1", dispatcherPort), runner, ledger}
+	d.s.platform.SetVMs(d.vms)
+}
+
+func (d *deployment) entry(id ggscore.VMID, port uint16) ggscore.VM {
+	return ggscore.VM{ID: id, Role: ggscore.RoleEntry, Region: "central", Domain: "cr-central-a", Addr: d.addr(port)}
 }
 
 func (d *deployment) serve(port uint16, h http.Handler) {
@@ -127,20 +164,24 @@
 
 // start starts a process and stops it at the session's end.
 func (d *deployment) start(
-	run func(context.Context, []string, io.Writer, io.Writer) int, port, statePort uint16,
+	word, vm string, run func(context.Context, []string, io.Writer, io.Writer) int, port, statePort uint16,
 ) {
-	text := fmt.Sprintf("vm = \"cr-1\"\nregion = \"central\"\ndomain = \"cr-central-a\"\nlisten = %q\nstateListen = %q\n"+
-		"platform = %q\nlistInterval = \"50ms\"\ndrainTimeout = \"5s\"\n",
-		d.addr(port), d.addr(statePort), d.s.addrs["PLATFORM"])
+	text := fmt.Sprintf("vm = %q\nregion = \"central\"\ndomain = \"cr-central-a\"\nlisten = %q\nstateListen = %q\n"+
+		"platform = %q\nlistInterval = \"50ms\"\ndrainTimeout = \"10s\"\n",
+		vm, d.addr(port), d.addr(statePort), d.s.addrs["PLATFORM"])
 	f := filepath.Join(d.ts.MkAbs("."), fmt.Sprintf("node-%d.toml", port))
 	d.ts.Check(os.WriteFile(f, []byte(text), 0o600))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan int, 1)
 	w := &lockedBuffer{}
 	go func() { done <- run(ctx, []string{"--settings", f}, w, w) }()
-	d.ts.Defer(func() {
+	stop := sync.OnceValue(func() int {
 		cancel()
-		if code := <-done; code != 0 {
+		return <-done
+	})
+	d.stops[word] = stop
+	d.ts.Defer(func() {
+		if code := stop(); code != 0 {
 			d.ts.Logf("process ended with %d\n%s", code, w.String())
 		}
 	})
--- a/cmd/ggsctl/script_test.go
+++ b/cmd/ggsctl/script_test.go
@@ -34,6 +34,10 @@
 
 var shownKey = regexp.MustCompile(`(?m)^key: (\S+)$`) //nolint:gochecknoglobals // a constant
 
+var retryMillis = regexp.MustCompile(`"retryAfterMillis":[0-9]+`) //nolint:gochecknoglobals // a constant
+
+var retryAfter = regexp.MustCompile(`retry after [0-9.hmsµn]+`) //nolint:gochecknoglobals // a constant
+
 var requestID = regexp.MustCompile(`\b[0-9a-f]{32}\b`) //nolint:gochecknoglobals // a constant
 
 var update = flag.Bool("update", false, "rewrite the golden sessions") //nolint:gochecknoglobals // a flag of the test
@@ -48,6 +52,8 @@
 	transcript bytes.Buffer
 	words      map[string]string
 	addrs      map[string]netip.AddrPort
+	deployed   *deployment
+	begun      map[string]chan string
 	// outageNext says that an outage follows the next lost answer.
 	outageNext atomic.Bool
 }
@@ -62,7 +68,13 @@
 		Setup:         setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"ggsctl":  ctl,
+			"begin":   begin,
+			"cut":     cutStreams,
 			"deploy":  startDeployment,
+			"finish":  finish,
+			"post":    post,
+			"running": awaitRunning,
+			"drain":   stopProcess,
 			"entry":   startEntry,
 			"fault":   setFault,
 			"leave":   leave,
@@ -73,7 +85,7 @@
 }
 
 func setup(e *testscript.Env) error {
-	s := &session{words: map[string]string{}, addrs: map[string]netip.AddrPort{}}
+	s := &session{words: map[string]string{}, addrs: map[string]netip.AddrPort{}, begun: map[string]chan string{}}
 	s.platform = ggsfakeplatform.New(ggsfakeplatform.Options{Now: time.Now, MaxValueBytes: 1 << 20}) //nolint:forbidigo // a stand-in's clock
 	s.platform.SetVMs([]ggscore.VM{
 		{ID: "cr-1", Role: ggscore.RoleEntry, Region: "central", Domain: "cr-central-a", Addr: anyAddr()},
--- a/io/ggsconfig/poll.go
+++ b/io/ggsconfig/poll.go
@@ -20,6 +20,8 @@
 	startPeers = 16
 	// startCalls bounds the calls to them at once.
 	startCalls = 4
+	// startPart is the part of the poll interval at which it asks them.
+	startPart = 5
 	// farPolls is the share of the rounds, one in so many, in which a VM that
 	// doesn't watch polls another VM besides a watcher of its domain.
 	farPolls = 4
@@ -38,12 +40,15 @@
 // which carries a change into a domain that is cut off from the platform.
 func (f *Follower) poll(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
+		pause := f.options.PollInterval
 		if f.Current() == nil {
+			// Nothing can be served yet, so it asks more often.
 			f.askAll(ctx)
+			pause /= startPart
 		} else {
 			f.pollOnce(ctx, round)
 		}
-		wait(ctx, jittered(f.options.PollInterval))
+		wait(ctx, jittered(pause))
 	}
 }
 
--- a/io/ggsgateway/gateway.go
+++ b/io/ggsgateway/gateway.go
@@ -83,8 +83,10 @@
 	revision ggscore.Revision
 	markets  map[ggscore.Market]ggscore.MarketSpec
 	peers    map[ggscore.VMID]peer
-	listed   []ggscore.VM
-	changed  chan struct{}
+	// routed is when a request of a service found a dispatcher last.
+	routed  map[ggscore.Service]time.Time
+	listed  []ggscore.VM
+	changed chan struct{}
 }
 
 // A peer is a dispatcher that answers.
@@ -118,6 +120,7 @@
 		retries:  ggsretry.NewPolicy(ggsretry.Options{Seed: o.Seed, MaxAttempts: o.MaxAttempts}),
 		breakers: ggsretry.NewBreakers[ggscore.VMID](ggsretry.BreakerOptions{Seed: o.Seed}),
 		peers:    make(map[ggscore.VMID]peer),
+		routed:   make(map[ggscore.Service]time.Time),
 		changed:  make(chan struct{}, 1),
 	}
 }
--- a/io/ggsgateway/send.go
+++ b/io/ggsgateway/send.go
@@ -120,25 +120,36 @@
 //
 // A dispatcher that stops hands its queue back while the next owner of its
 // runners is only taking over, so that for a moment nobody owns them. Refusing
-// then would cut off requests in progress by a planned stop; the route is
-// looked for again until the next owner is there or HandOverTimeout has passed.
+// then would cut off requests in progress by a planned stop, and refuse new
+// ones; the route is looked for again until the next owner is there or
+// HandOverTimeout has passed since there was an owner.
 func (g *Gateway) routeOn(ctx context.Context, r *ggscore.Request, a *answer, t *trail) (*attempt, *ggscore.Failure) {
 	o, f := g.route(r, a, t.tried)
-	if f == nil || t.last == nil {
-		return o, f
+	if f == nil {
+		return o, nil
 	}
-	if !t.handOver() {
+	since := t.since
+	if t.last == nil {
+		since = g.lastRouted(r.Service)
+	} else if !t.handOver() {
 		return nil, t.last
 	}
-	until := t.since.Add(g.options.HandOverTimeout)
+	until := since.Add(g.options.HandOverTimeout)
 	for f != nil && ctx.Err() == nil && g.left(r) > 0 && g.parts.Clock().Before(until) {
 		g.pause(ctx, handOverInterval)
 		o, f = g.route(r, a, t.stopped)
 	}
-	if f != nil {
+	if f != nil && t.last != nil {
 		return nil, t.last
 	}
-	return o, nil
+	return o, f
+}
+
+// lastRouted returns when a request of the service found a dispatcher last.
+func (g *Gateway) lastRouted(s ggscore.Service) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.routed[s]
 }
 
 func (g *Gateway) left(r *ggscore.Request) time.Duration {
@@ -155,6 +166,7 @@
 	if n := (*ggsroute.NoDispatcherError)(nil); errors.As(err, &n) {
 		return nil, n.Failure()
 	}
+	g.routed[r.Service] = now
 	g.router.Sent(now, c)
 	g.breakers.Started(now, c.VM)
 	return &attempt{request: r, answer: a, choice: c, addr: g.peers[c.VM].addr}, nil
