--- a/core/ggsschedule/requests.go
+++ b/core/ggsschedule/requests.go
@@ -71,7 +71,7 @@
 		return s.finish(now)
 	}
 	v := s.service(r.Service, r.Kind)
-	a := v.adapter(r.Adapter)
+	a := v.adapter(now, r.Adapter, s.options.MaxAdapters)
 	v.drift.Observe(now, a.rate(now) <= v.evicted)
 	a.meter.Add(now, v.drift.Since())
 	j := s.admit(now, r, a)
@@ -104,6 +104,7 @@
 		Seq:      s.sequence,
 	}
 	s.jobs[r.ID] = j
+	a.jobs++
 	return j
 }
 
@@ -126,7 +127,7 @@
 	a.queue.Remove(&j.item)
 	a.queuedSum -= j.queuedAt.Sub(s.epoch)
 	if j.bound != nil {
-		j.bound.bound--
+		a.countBound(j.bound, -1)
 	}
 	if !j.gathering {
 		a.urgent--
@@ -153,7 +154,7 @@
 	}
 	a.queuedSum += j.queuedAt.Sub(s.epoch)
 	if j.bound != nil {
-		j.bound.bound++
+		a.countBound(j.bound, 1)
 	}
 	a.queue.Push(&s.clock, &j.item)
 	heap.Push(&s.timers, j)
@@ -198,6 +199,7 @@
 // forget drops a job that has ended.
 func (s *Scheduler) forget(j *job) {
 	delete(s.jobs, j.request.ID)
+	j.adapter.jobs--
 	*j = job{next: s.free, timer: -1}
 	s.free = j
 }
@@ -281,6 +283,19 @@
 	r.foreign++
 }
 
+// countBound counts waiting jobs that are bound to an endpoint.
+func (a *adapter) countBound(e *endpoint, n int) {
+	if a.bound == nil {
+		a.bound = make(map[*endpoint]int)
+	}
+	a.bound[e] += n
+	if a.bound[e] == 0 {
+		delete(a.bound, e)
+	}
+	a.boundCount += n
+	e.bound += n
+}
+
 // unplaced reports whether an adapter's requests have to wait for its first
 // load, under the policy that cuts standing queues.
 func (s *Scheduler) unplaced(now time.Time, a *adapter) bool {
