fix: let the last dispatcher of a domain leave

Cause: Leave waited until the record named another owner, so a planned stop without another dispatcher hung until its context's end (seen: 20 s, the test's limit).

--- a/core/ggsowner/group.go
+++ b/core/ggsowner/group.go
@@ -211,9 +211,10 @@
 
 // Involved reports whether this holder has a part in the group: it owns it, or
 // has pins left from when it did.
-func (g *Group) Involved() bool { return g.record.Owner == g.self || g.pins() }
+func (g *Group) Involved() bool { return g.record.Owner == g.self || g.Pinning() }
 
-func (g *Group) pins() bool {
+// Pinning reports whether the record keeps pins of this holder.
+func (g *Group) Pinning() bool {
 	for _, p := range g.record.Pins {
 		if p.Holder == g.self {
 			return true
--- a/io/ggsowners/owners_test.go
+++ b/io/ggsowners/owners_test.go
@@ -196,6 +196,28 @@
 	b.c.Assert(next.Pins(runner), qt.HasLen, 0)
 }
 
+// A planned stop of a domain's last dispatcher hangs: it waits for another to
+// take over, and there is none.
+func TestLastDispatcherLeaves(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	o := b.owner()
+	ctx, cancel := context.WithCancel(b.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = o.Run(ctx)
+	}()
+	b.c.Assert(o.Release(b.ctx), qt.IsNil)
+	b.c.Assert(o.Leave(b.ctx), qt.IsNil)
+	cancel()
+	<-done
+	next := b.dispatcher("vm-b", lifeB)
+	next.Poll(b.ctx)
+	b.c.Assert(next.Mode(b.clock(), runner), qt.Equals, ggscore.ModeFull)
+	b.c.Assert(next.Pins(runner), qt.HasLen, 0)
+}
+
 // An owner's answers from the platform are lost; it must neither believe in a
 // protection that isn't recorded nor lose the runner.
 func TestLostAnswersAreReadBack(t *testing.T) {
