fix: keep one bad claim shard from stopping all claims

Now a bad shard refuses its own keys only, and a refused call spares the platform for a tenth of the time. Seen failing with the guards taken out: bad shard taken for an outage, and for an empty one. The shorter pause has no test of its own.

--- a/io/ggsclaims/committer_test.go
+++ b/io/ggsclaims/committer_test.go
@@ -277,6 +277,31 @@
 	}
 }
 
+// All releases are refused for one bad value in the platform's service: it was
+// taken for an outage, or for a shard without claims.
+func TestBadShardStopsItsOwnKeysOnly(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	m := b.process()
+	k, err := ggsclaim.ParseKey("cr", request(1).Key, time.Time{})
+	b.c.Assert(err, qt.IsNil)
+	client := ggsplatform.NewClient(b.addr)
+	b.c.Cleanup(client.Close)
+	_, err = client.Put(b.context(), shardKey(k.Slot()), []byte("bad"), 0, 0)
+	b.c.Assert(err, qt.IsNil)
+	refused := 0
+	for n := range 64 {
+		_, err := m.Begin(b.context(), request(n))
+		o, perr := ggsclaim.ParseKey("cr", request(n).Key, time.Time{})
+		b.c.Assert(perr, qt.IsNil)
+		b.c.Assert(err != nil, qt.Equals, o.Slot() == k.Slot())
+		if err != nil {
+			refused++
+		}
+	}
+	b.c.Assert(refused > 0, qt.IsTrue)
+}
+
 func FuzzDecodeShard(f *testing.F) {
 	f.Add(encodeShard(ggsclaim.NewShard(map[ggsclaim.KeyHash]ggsclaim.Claim{
 		{1}: {ID: ggsclaim.ClaimID{2}, State: ggsclaim.StateDone, At: time.UnixMilli(3), Result: ggsclaim.Result{
--- a/io/ggsclaims/work.go
+++ b/io/ggsclaims/work.go
@@ -10,6 +10,9 @@
 	"greengageslip/core/ggsclaim"
 )
 
+// busyPart is the part of RetryAfter that is waited after a call over the rate.
+const busyPart = 10
+
 // work serves ready shards until ctx ends.
 func (c *Committer) work(ctx context.Context) {
 	for {
@@ -87,7 +90,7 @@
 	defer c.mu.Unlock()
 	c.stats.Reads++
 	if err != nil {
-		c.goneAway(sh)
+		c.goneAway(sh, err)
 		return false
 	}
 	sh.writer.ReadDone(s, e.Revision)
@@ -103,7 +106,7 @@
 	defer c.mu.Unlock()
 	c.stats.Writes++
 	if hadNoEffect(err) {
-		c.goneAway(sh)
+		c.goneAway(sh, err)
 		return false
 	}
 	before := sh.writer.Len()
@@ -114,8 +117,11 @@
 }
 
 // goneAway answers a shard's claims and leaves its outcomes for later.
-func (c *Committer) goneAway(sh *shard) {
-	c.awayUntil = c.clock().Add(c.opts.RetryAfter)
+func (c *Committer) goneAway(sh *shard, err error) {
+	until := c.clock().Add(c.pause(err))
+	if until.After(c.awayUntil) {
+		c.awayUntil = until
+	}
 	before := sh.writer.Len()
 	sh.writer.Away(c.opts.RetryAfter)
 	sh.queued = false
@@ -123,6 +129,22 @@
 	c.count(before, sh)
 }
 
+// pause returns for how long the platform's service is spared. A value that
+// can't be read is no outage: it would stop the claims of all other shards.
+// Nor is a call over the rate: the others need some of them refused, not all.
+func (c *Committer) pause(err error) time.Duration {
+	var bad *BadShardError
+	var busy *ggscore.StoreBusyError
+	switch {
+	case errors.As(err, &bad):
+		return 0
+	case errors.As(err, &busy):
+		return c.opts.RetryAfter / busyPart
+	default:
+		return c.opts.RetryAfter
+	}
+}
+
 func (c *Committer) writeResult(err error) ggsclaim.WriteResult {
 	var conflict *ggscore.ConflictError
 	switch {
