--- a/io/ggsconfig/head.go
+++ b/io/ggsconfig/head.go
@@ -7,7 +7,7 @@
 	"maps"
 	"slices"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 	"greengageslip/core/ggsdocument"
 )
 
@@ -36,6 +36,7 @@
 	ID       string `json:"id"`
 	Revision uint64 `json:"revision"`
 	Section  string `json:"section"`
+	Replaced string `json:"replaced,omitempty"`
 }
 
 // SectionKey returns the key of a section's text.
@@ -43,7 +44,8 @@
 	return ggscore.KeyOf(sectionsPrefix, hex.EncodeToString(d[:]))
 }
 
-// EncodeHead encodes a head; equal heads give equal bytes.
+// EncodeHead encodes a head, as JSON compressed by gzip: each watcher reads the
+// whole of it at each change.
 func EncodeHead(h ggsdocument.Head) []byte {
 	w := headWire{
 		Revision: uint64(h.Revision),
@@ -61,12 +63,14 @@
 		})
 	}
 	for _, c := range h.Changes {
-		w.Changes = append(w.Changes, changeWire{
-			ID: string(c.ID), Revision: uint64(c.Revision), Section: string(c.Section),
-		})
+		x := changeWire{ID: string(c.ID), Revision: uint64(c.Revision), Section: string(c.Section)}
+		if c.Replaced != (ggscore.Digest{}) {
+			x.Replaced = hex.EncodeToString(c.Replaced[:])
+		}
+		w.Changes = append(w.Changes, x)
 	}
 	b, _ := json.Marshal(w) // a struct of texts and numbers always encodes
-	return b
+	return pack(b)
 }
 
 // DecodeHead decodes a head. An empty value is the head of an empty document.
@@ -74,10 +78,14 @@
 	if len(b) == 0 {
 		return ggsdocument.Head{}, nil
 	}
+	text, err := unpack(b)
+	if err != nil {
+		return ggsdocument.Head{}, &BadHeadError{Cause: err}
+	}
 	var w headWire
-	d := json.NewDecoder(bytes.NewReader(b))
+	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&w); err != nil {
+	if err = d.Decode(&w); err != nil {
 		return ggsdocument.Head{}, &BadHeadError{Cause: err}
 	}
 	h := ggsdocument.Head{
@@ -98,10 +106,17 @@
 		}
 	}
 	for _, c := range w.Changes {
+		var replaced ggscore.Digest
+		if c.Replaced != "" {
+			if replaced, err = parseDigest(c.Replaced); err != nil {
+				return ggsdocument.Head{}, &BadHeadError{Cause: err}
+			}
+		}
 		h.Changes = append(h.Changes, ggsdocument.AcceptedChange{
 			ID:       ggsdocument.ChangeID(c.ID),
 			Revision: ggscore.Revision(c.Revision),
 			Section:  ggscore.SectionName(c.Section),
+			Replaced: replaced,
 		})
 	}
 	return h, nil
