--- a/core/ggsroute/route_test.go
+++ b/core/ggsroute/route_test.go
@@ -252,3 +252,17 @@
 		})
 	}
 }
+
+// Boards are read every ten seconds. A group fills up in between, and its
+// gateways go on sending to it although every answer shows its queue.
+func TestAnswersTellOfTheLoad(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	r := newRouter(c, "a", "b")
+	first, err := r.Route(at(0), request(), nil)
+	c.Assert(err, qt.IsNil)
+	r.Observe(first, 60)
+	second, err := r.Route(at(0), request(), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(second.VM, qt.Not(qt.Equals), first.VM)
+}
--- a/core/ggsroute/update.go
+++ b/core/ggsroute/update.go
@@ -138,3 +138,14 @@
 	}
 	return p
 }
+
+// Observe takes a dispatcher's own word on its load, which its answers carry:
+// the requests that run and wait on the chosen pool.
+//
+// Boards are read seldom in a large deployment, and each gateway sends little
+// of the whole. The answers that pass through it keep what it knows of the
+// busiest pools fresh, without a message of their own.
+func (r *Router) Observe(c Choice, load int) {
+	c.pool.reported = max(load, 0)
+	c.pool.sent = 0
+}
