feat: use rare adapters in the region where they are resident

A request now crosses to where its adapter is resident, unless the region's rate pays for a load; only gains of waiting are damped, since a resident adapter doesn't move with the requests. Stalls that callers met are learnt, as a dispatcher's queue for loads shows in no summary: End.Stall is new, and Held counts with it.

--- a/core/ggsroute/apply.go
+++ b/core/ggsroute/apply.go
@@ -64,8 +64,7 @@
 	m := v.members[c.Number]
 	if i := c.Identity; i != nil {
 		m = &member{group: r.groupOf(i.VM), incarnation: i.Incarnation}
-		m.group.region = i.Region
-		m.group.local = i.Region == r.options.Region
+		r.place(m.group, i.Region)
 		v.members[c.Number] = m
 	}
 	if m == nil {
--- a/core/ggsroute/choose.go
+++ b/core/ggsroute/choose.go
@@ -8,6 +8,9 @@
 // holdGain is the weight of a new sample in a service's mean hold.
 const holdGain = 0.05
 
+// stallGain is the weight of a new sample in a pool's mean stall.
+const stallGain = 0.2
+
 // defaultLoadTime stands in while the document sets none.
 const defaultLoadTime = 250 * time.Millisecond
 
@@ -59,7 +62,7 @@
 		if h.pool.group.local != local || !q.allows(h.pool) {
 			continue
 		}
-		c := r.holderCandidate(h)
+		c := r.holderCandidate(q, h)
 		if h.rank < rank {
 			others = pick(c, others)
 			continue
@@ -81,11 +84,11 @@
 }
 
 // holderCandidate predicts the cost of a pool that holds the adapter.
-func (r *Router) holderCandidate(h *holder) candidate {
+func (r *Router) holderCandidate(q *query, h *holder) candidate {
 	c := candidate{pool: h.pool, rank: h.rank, wait: h.wait(), reason: ReasonResident}
 	if h.loading {
 		c.reason = ReasonLoading
-		c.stall = r.loadTime() / 2
+		c.stall = r.loadStall(q.now, h.pool) / 2
 	}
 	return c
 }
@@ -131,7 +134,7 @@
 		best = fallback
 	}
 	if best.pool != nil {
-		best.stall = r.loadStall(q.service)
+		best.stall = r.loadStall(q.now, best.pool)
 		best.reason = ReasonHome
 	}
 	return best
@@ -202,33 +205,88 @@
 	if remote.pool == nil || !r.crossing.allows(q.now, bytes) {
 		return false
 	}
-	if best.pool != nil && !r.pays(best.cost()-remote.cost(), price) {
+	if best.pool != nil && !r.leaves(q, best, &remote) {
 		return false
 	}
 	*best = remote
 	return true
 }
 
+// leaves reports whether a request that both can serve goes to the remote
+// candidate.
+func (r *Router) leaves(q *query, local, remote *candidate) bool {
+	if remote.reason != ReasonResident || local.reason == ReasonResident {
+		return r.pays(local.cost() - remote.cost())
+	}
+	return r.savesLoad(q, local) || r.pays(local.wait-remote.wait)
+}
+
+// savesLoad reports whether the request crosses to where its adapter is
+// resident, rather than have it loaded in the region.
+//
+// Each region would else hold copies of the same busy adapters, and the weight
+// store would load them once a region: with three regions of 32 places the 96
+// places hold a third of what they could, and callers wait for loads that
+// queue. An adapter that the region's callers ask for often enough to pay for
+// its load is loaded here all the same: the first request waits for it, and
+// those that come meanwhile cross. Crossing doesn't move an adapter, so that
+// regions can't take turns over it.
+func (r *Router) savesLoad(q *query, local *candidate) bool {
+	price := r.policy.CrossRegionPrice
+	if local.stall <= price {
+		return false
+	}
+	if local.reason == ReasonLoading {
+		return true
+	}
+	expected := r.regionRate(q) * rateWindow.Seconds()
+	return time.Duration(expected*float64(price)) < local.stall
+}
+
+// regionRate predicts the rate at which the region's callers ask for the
+// adapter, from the router's own.
+func (r *Router) regionRate(q *query) float64 {
+	s := r.rates.peek(q.hash)
+	if s == nil {
+		return 0
+	}
+	s.decay(q.now)
+	return s.perSec * float64(r.gateways) / float64(r.regions)
+}
+
 // pays reports whether a gain is worth the price of crossing.
 //
 // Summaries lag, so all gateways see the same quiet region at once; if all
 // crossed, it would be the busy one a moment later, and all would come back.
 // Each crosses only with the probability that evens the two regions out, which
 // falls to zero as the gain nears the price.
-func (r *Router) pays(gain, price time.Duration) bool {
+func (r *Router) pays(gain time.Duration) bool {
+	price := r.policy.CrossRegionPrice
 	if gain <= price {
 		return false
 	}
 	return r.rng.Float64() < float64(gain-price)/float64(gain)/2
 }
 
-// loadStall predicts how long a request waits for a new load.
-func (r *Router) loadStall(s *service) time.Duration {
+// loadStall predicts how long a request waits for a new load on a pool: by the
+// loads that are known to be under way, or as long as requests lately waited
+// there, if that is longer. A dispatcher's queue for loads shows in no summary.
+func (r *Router) loadStall(now time.Time, p *pool) time.Duration {
 	stall := r.loadTime()
 	if rate := r.policy.LoadsPerSecond; rate > 0 {
-		stall += time.Duration(float64(s.loading) / rate * float64(time.Second))
+		stall += time.Duration(float64(p.service.loading) / rate * float64(time.Second))
+	}
+	age := now.Sub(p.stalledAt)
+	return max(stall, time.Duration(float64(p.stall)*math.Exp(-age.Seconds()/rateWindow.Seconds())))
+}
+
+// learnStall takes how long a request waited for a load.
+func (p *pool) learnStall(now time.Time, c *Choice, stall time.Duration) {
+	if c.Reason != ReasonHome && c.Reason != ReasonLoading || stall <= 0 {
+		return
 	}
-	return stall
+	p.stall += time.Duration(stallGain * float64(stall-p.stall))
+	p.stalledAt = now
 }
 
 // loadTime returns how long a load takes at full speed.
--- a/core/ggsroute/pool.go
+++ b/core/ggsroute/pool.go
@@ -38,6 +38,10 @@
 	// own is the number of own requests in flight.
 	own     int
 	loading int
+	// stall is the mean stall of requests that had to wait for a load, as it
+	// was at stalledAt.
+	stall     time.Duration
+	stalledAt time.Time
 	// held lists the adapters that have this pool among their holders.
 	held []*adapter
 	// generation numbers its summaries.
--- a/core/ggsroute/region_test.go
+++ b/core/ggsroute/region_test.go
@@ -180,3 +180,66 @@
 		})
 	}
 }
+
+// Three regions hold the same thirty busy adapters each, and the rest of their
+// callers wait for loads in turn, although each of those adapters could be
+// resident in one of the regions. Rare adapters are to be used where they are;
+// a busy one is to be loaded here, and its callers to cross until it is.
+func TestRareAdaptersAreUsedWhereTheyAre(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		before  int
+		crosses bool
+	}{
+		"a rare adapter": {crosses: true},
+		"a busy adapter": {before: 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := newRouter(c, "a")
+			r.SetPolicy(at(0), ggscore.PolicySpec{CrossRegionPrice: price, LoadTime: 250 * time.Millisecond})
+			far := summary("far", 1)
+			far.Region = "caribe"
+			far.Runners[0].Resident = []ggscore.AdapterRef{adapterRef()}
+			r.Update(at(0), far)
+			for range tc.before {
+				choice, err := r.Route(at(0), request(), []ggscore.VMID{"a"})
+				c.Assert(err, qt.IsNil)
+				r.Sent(at(0), choice)
+				r.Ended(at(0), choice, ggsroute.End{})
+			}
+			choice, err := r.Route(at(0), request(), nil)
+			c.Assert(err, qt.IsNil)
+			c.Check(choice.CrossRegion, qt.Equals, tc.crosses)
+			r.Sent(at(0), choice)
+			for range 50 {
+				next, err := r.Route(at(0), request(), nil)
+				c.Assert(err, qt.IsNil)
+				c.Check(next.CrossRegion, qt.IsTrue, qt.Commentf("one load is under way"))
+			}
+		})
+	}
+}
+
+// Loads queue at a dispatcher for seconds, and its summaries don't show it.
+// Every caller of a rare adapter is sent there to wait, while another's loads
+// take a quarter of a second.
+func TestStallsAreLearnt(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	r := newRouter(c, "a", "b")
+	first, err := r.Route(at(0), request(), nil)
+	c.Assert(err, qt.IsNil)
+	for range 20 {
+		r.Sent(at(0), first)
+		r.Ended(at(0), first, ggsroute.End{Held: 5 * time.Second, Stall: 4 * time.Second})
+	}
+	r.Update(at(0), summary(string(first.VM), 2))
+	again, err := r.Route(at(0), &ggscore.Request{Service: service, Adapter: adapterRef()}, nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(again.Wait > 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", again.Wait))
+	later, err := r.Route(at(time.Minute).Add(-time.Minute+2*time.Second), request(), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(later.Wait < again.Wait, qt.IsTrue)
+}
--- a/core/ggsroute/route.go
+++ b/core/ggsroute/route.go
@@ -55,8 +55,10 @@
 
 // An End tells how a request that was sent has ended.
 type End struct {
-	// Held is how long it kept its slot, or zero where that isn't known.
+	// Held is how long it was in flight, or zero where that isn't known.
 	Held time.Duration
+	// Stall is the part of it that it waited for a slot and its adapter.
+	Stall time.Duration
 	// AnswerBytes is the size of the answer.
 	AnswerBytes int
 }
@@ -114,9 +116,10 @@
 	if h := p.holderOf(c.hash); h != nil && h.load+h.sent > 0 {
 		h.sent--
 	}
-	if e.Held > 0 {
-		p.service.hold += time.Duration(holdGain * float64(e.Held-p.service.hold))
+	if held := e.Held - e.Stall; held > 0 {
+		p.service.hold += time.Duration(holdGain * float64(held-p.service.hold))
 	}
+	p.learnStall(now, &c, e.Stall)
 	if c.CrossRegion {
 		r.crossing.take(now, e.AnswerBytes-expectedAnswerBytes)
 	}
@@ -183,7 +186,7 @@
 	h.sent = 1
 	p.loading++
 	p.service.loading++
-	h.presumedUntil = now.Add(r.options.MaxAge + r.loadStall(p.service))
+	h.presumedUntil = now.Add(r.options.MaxAge + r.loadStall(now, p))
 }
 
 // best returns the best candidate inside the region, or outside it.
--- a/core/ggsroute/router.go
+++ b/core/ggsroute/router.go
@@ -59,6 +59,8 @@
 	options  Options
 	policy   ggscore.PolicySpec
 	gateways int
+	// regions is the number of regions with dispatchers, the own among them.
+	regions  int
 	rng      *rand.Rand
 	groups   map[ggscore.VMID]*group
 	services map[ggscore.Service]*service
@@ -90,6 +92,7 @@
 	return &Router{
 		options:  o,
 		gateways: 1,
+		regions:  1,
 		rng:      rand.New(rand.NewPCG(o.Seed, seedStream)),
 		groups:   map[ggscore.VMID]*group{},
 		services: map[ggscore.Service]*service{},
--- a/core/ggsroute/update.go
+++ b/core/ggsroute/update.go
@@ -79,8 +79,7 @@
 	if !g.order.accept(s, g.silent(now)) {
 		return false
 	}
-	g.region = s.Region
-	g.local = s.Region == r.options.Region
+	r.place(g, s.Region)
 	g.expires = now.Add(r.options.MaxAge)
 	for _, p := range g.pools {
 		p.clear()
@@ -94,6 +93,22 @@
 	return true
 }
 
+// place notes where a dispatcher stands.
+func (r *Router) place(g *group, region ggscore.Region) {
+	if g.region == region {
+		return
+	}
+	g.region = region
+	g.local = region == r.options.Region
+	regions := map[ggscore.Region]bool{r.options.Region: true}
+	for _, o := range r.groups {
+		if o.region != "" {
+			regions[o.region] = true
+		}
+	}
+	r.regions = len(regions)
+}
+
 // groupOf returns the state of a dispatcher, new where there was none.
 func (r *Router) groupOf(vm ggscore.VMID) *group {
 	g, ok := r.groups[vm]
