fix: share the bytes across regions among gateways

Each gateway used the whole of crossRegionBytesPerSecond, so that the deployment could use it as many times over as it has gateways. Answers' expected size is learnt instead of always 8 KB, and a shorter answer gives back what it didn't use, also in the count. Seen failing without the division.

--- a/core/ggsroute/crossing.go
+++ b/core/ggsroute/crossing.go
@@ -31,8 +31,7 @@
 }
 
 // setRate changes the rate and keeps the level.
-func (b *bucket) setRate(now time.Time, rate float64) {
-	b.fill(now)
+func (b *bucket) setRate(rate float64) {
 	if b.rate == 0 {
 		b.tokens = rate * crossingBurst
 	}
@@ -40,10 +39,10 @@
 	b.tokens = min(b.tokens, b.rate*crossingBurst)
 }
 
-// take counts bytes that cross.
+// take counts bytes that cross, or fewer than were counted before.
 func (b *bucket) take(now time.Time, bytes int) {
 	b.fill(now)
-	b.total += int64(max(bytes, 0))
+	b.total += int64(bytes)
 	if b.rate > 0 {
 		b.tokens -= float64(bytes)
 	}
--- a/core/ggsroute/region_test.go
+++ b/core/ggsroute/region_test.go
@@ -112,7 +112,9 @@
 	c := qt.New(t)
 	const rate = 100_000
 	r := ggsroute.New(ggsroute.Options{Region: "caribe", Seed: 1, MaxAge: time.Hour})
-	r.SetPolicy(at(0), ggscore.PolicySpec{CrossRegionBytesPerSecond: rate})
+	const gateways = 9
+	r.SetGateways(gateways)
+	r.SetPolicy(at(0), ggscore.PolicySpec{CrossRegionBytesPerSecond: gateways * rate})
 	r.Update(at(0), summary("a", 1))
 	bytes, refused := 0, 0
 	for i := range 10_000 {
--- a/core/ggsroute/route.go
+++ b/core/ggsroute/route.go
@@ -20,9 +20,10 @@
 	maxReplicas = 16
 	// retryAfter is the wait told to callers while dispatchers are away.
 	retryAfter = time.Second
-	// expectedAnswerBytes is what an answer is presumed to carry across
-	// regions until it has ended.
-	expectedAnswerBytes = 8 << 10
+	// firstAnswerBytes is the guess of an answer's size before any ended, and
+	// answerGain the weight of a new one in their mean.
+	firstAnswerBytes = 8 << 10
+	answerGain       = 0.05
 )
 
 // A Reason says why a dispatcher was chosen.
@@ -48,9 +49,11 @@
 	CrossRegion bool
 	Reason      Reason
 
-	pool    *pool
-	hash    uint64
-	reserve int
+	pool *pool
+	hash uint64
+	// body and answer are the bytes that Sent reserves for a crossing.
+	body   int
+	answer int
 }
 
 // An End tells how a request that was sent has ended.
@@ -120,8 +123,9 @@
 		p.service.hold += time.Duration(holdGain * float64(held-p.service.hold))
 	}
 	p.learnStall(now, &c, e.Stall)
+	r.answerBytes += answerGain * (float64(e.AnswerBytes) - r.answerBytes)
 	if c.CrossRegion {
-		r.crossing.take(now, e.AnswerBytes-expectedAnswerBytes)
+		r.crossing.take(now, e.AnswerBytes-c.answer)
 	}
 }
 
@@ -140,7 +144,8 @@
 		q.replicas = r.replicasOf(&q)
 	}
 	best := r.best(&q, true)
-	bytes := len(req.Body) + expectedAnswerBytes
+	answer := int(r.answerBytes)
+	bytes := len(req.Body) + answer
 	crosses := r.crosses(&q, &best, bytes)
 	if best.pool == nil {
 		return Choice{}, r.refusal(&q, bytes)
@@ -154,7 +159,8 @@
 		Reason:      best.reason,
 		pool:        best.pool,
 		hash:        q.hash,
-		reserve:     bytes,
+		body:        len(req.Body),
+		answer:      answer,
 	}, nil
 }
 
@@ -164,7 +170,7 @@
 	p.own++
 	p.sent++
 	if c.CrossRegion {
-		r.crossing.take(now, c.reserve)
+		r.crossing.take(now, c.body+c.answer)
 	}
 	if c.hash == 0 {
 		return
--- a/core/ggsroute/router.go
+++ b/core/ggsroute/router.go
@@ -67,6 +67,8 @@
 	boards   map[string]*view
 	rates    *rateTable
 	crossing bucket
+	// answerBytes is the mean size of an answer.
+	answerBytes float64
 }
 
 // A service is what the router knows of one service.
@@ -98,17 +100,29 @@
 		services: map[ggscore.Service]*service{},
 		boards:   map[string]*view{},
 		rates:    newRateTable(),
+
+		answerBytes: firstAnswerBytes,
 	}
 }
 
 // SetGateways sets the number of live gateways, by which the router scales its
-// own rates up to the deployment's.
-func (r *Router) SetGateways(n int) { r.gateways = max(n, 1) }
+// own rates up to the deployment's, and of whose bytes across regions each may
+// use an equal part.
+func (r *Router) SetGateways(n int) {
+	r.gateways = max(n, 1)
+	r.setCrossing()
+}
 
 // SetPolicy sets the document's policy.
 func (r *Router) SetPolicy(now time.Time, p ggscore.PolicySpec) {
 	r.policy = p
-	r.crossing.setRate(now, p.CrossRegionBytesPerSecond)
+	r.crossing.fill(now)
+	r.setCrossing()
+}
+
+// setCrossing gives the router its part of the bytes that may cross.
+func (r *Router) setCrossing() {
+	r.crossing.setRate(r.policy.CrossRegionBytesPerSecond / float64(r.gateways))
 }
 
 // serviceOf returns the state of a service, new where there was none.
