--- /dev/null
+++ b/core/ggspopularity/rate_test.go
@@ -0,0 +1,71 @@
+package ggspopularity_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/core/ggspopularity"
+)
+
+func TestRates(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		every      time.Duration
+		n          int
+		silence    time.Duration
+		least, max float64
+	}{
+		"never":                     {time.Second, 0, 0, 0, 0},
+		"once":                      {time.Second, 1, time.Second, 0.001, 0.002},
+		"two close together":        {time.Millisecond, 2, time.Second, 0.002, 0.005},
+		"ten a second for a minute": {100 * time.Millisecond, 600, 0, 8, 12},
+		"one a minute for an hour":  {time.Minute, 60, 0, 0.012, 0.025},
+		"fell silent":               {100 * time.Millisecond, 600, 5 * time.Minute, 0, 0.011},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			var m ggspopularity.Meter
+			now := time.Unix(1_800_000_000, 0)
+			for range tc.n {
+				now = now.Add(tc.every)
+				m.Add(now, time.Time{})
+			}
+			r := m.PerSecond(now.Add(tc.silence), time.Time{})
+			c.Assert(r >= tc.least && r <= tc.max, qt.IsTrue, qt.Commentf("%v a second", r))
+		})
+	}
+}
+
+// Popularity shifts without warning: yesterday's rare adapters become tonight's
+// busiest. While the old favourites are still thought to be popular, the new
+// ones are evicted one after the other, and every caller waits for a load.
+func TestShiftForgetsOldFavourites(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	var d ggspopularity.Drift
+	var old ggspopularity.Meter
+	now := time.Unix(1_800_000_000, 0)
+	arrive := func(surprise bool) bool {
+		now = now.Add(200 * time.Millisecond)
+		return d.Observe(now, surprise)
+	}
+	for i := range 1000 {
+		old.Add(now, d.Since())
+		c.Assert(arrive(i%3 == 0), qt.IsFalse)
+	}
+	shifted := 0
+	for i := range 40 {
+		if arrive(true) {
+			shifted = i
+			break
+		}
+	}
+	c.Assert(shifted > 5 && shifted < 40, qt.IsTrue)
+	c.Assert(old.PerSecond(now, d.Since()), qt.Equals, 0.0)
+	for range 100 {
+		c.Assert(arrive(true), qt.IsFalse)
+	}
+}
--- a/core/ggsschedule/policies_test.go
+++ b/core/ggsschedule/policies_test.go
@@ -126,7 +126,7 @@
 			policies := []ggsschedule.Policy{ggsschedule.PolicyCost, ggsschedule.PolicyRendezvousLRU}
 			if testing.Verbose() {
 				policies = append([]ggsschedule.Policy{ggsschedule.PolicyCost}, baselines()...)
-			} else {
+			} else if name == "whole" {
 				d.length, d.warmUp = 8*time.Minute, 2*time.Minute
 			}
 			cells := runAll(d, policies)
