--- a/core/ggsschedule/stories_test.go
+++ b/core/ggsschedule/stories_test.go
@@ -307,3 +307,86 @@
 	}
 	c.Fatal("the request of the failing adapter was never answered")
 }
+
+// An eviction takes ten seconds while its load's token is reserved. If the
+// bucket filled up behind it, two loads would follow each other at once, on top
+// of the other owners' shares, and the weight store would stall everyone's.
+func TestSlowEvictionDoesNotSaveUpLoads(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a", "b")
+	s.SetLoadShare(now, ggscore.LoadShare{LoadsPerSecond: 1, InTransit: 3})
+	now = now.Add(time.Second)
+	patient := func(id, adapter string) *ggscore.Request {
+		r := request(id, adapter)
+		r.Budget = time.Minute
+		return r
+	}
+	c.Assert(kinds(s.Submit(now, patient("q1", "c"))), qt.DeepEquals, []string{"unload a"})
+	now = now.Add(10 * time.Second)
+	c.Assert(kinds(s.UnloadEnded(now, "r1", ref("a"), ggscore.EndDone)), qt.DeepEquals, []string{"load c"})
+	c.Assert(kinds(s.Submit(now, patient("q2", "d"))), qt.HasLen, 0)
+	c.Assert(kinds(s.Tick(now.Add(time.Second))), qt.DeepEquals, []string{"unload b"})
+}
+
+// Two loads wait for evictions when the owner's share shrinks to one load a
+// second, since another owner took part of it over. Both at once would exceed
+// it, and the sum of all shares with it.
+func TestShrunkShareHoldsForReservedLoads(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a", "b")
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Submit(now, request("q1", "c"))), qt.DeepEquals, []string{"unload a"})
+	c.Assert(kinds(s.Submit(now, request("q2", "d"))), qt.DeepEquals, []string{"unload b"})
+	s.SetLoadShare(now, ggscore.LoadShare{LoadsPerSecond: 1, InTransit: 3})
+	c.Assert(kinds(s.UnloadEnded(now, "r1", ref("a"), ggscore.EndDone)), qt.DeepEquals, []string{"load c"})
+	c.Assert(kinds(s.UnloadEnded(now, "r1", ref("b"), ggscore.EndDone)), qt.HasLen, 0)
+	c.Assert(kinds(s.Tick(now.Add(time.Second))), qt.DeepEquals, []string{"load d"})
+}
+
+// Reminders for one adapter come in while its load is held up. They may wait,
+// but none may be lost: each is dispatched once the adapter is there, or refused
+// before its budget is over.
+func TestDeferrableWorkIsNeverLost(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := newScheduler(now, "r1")
+	s.SetLoadShare(now, ggscore.LoadShare{LoadsPerSecond: 0.1, InTransit: 1})
+	answered := map[string]int{}
+	running := []ggscore.RequestID{}
+	follow := func(orders []ggscore.Order) {
+		for _, o := range orders {
+			if o.Request != nil {
+				answered[string(o.Request.ID)]++
+			}
+			if o.Kind == ggscore.OrderDispatch {
+				running = append(running, o.Request.ID)
+			}
+		}
+	}
+	follow(s.Submit(now, request("first", "other")))
+	for i := range 20 {
+		r := request(fmt.Sprintf("q%d", i), "reminders")
+		r.Priority, r.Budget, r.Deferrable = ggscore.PriorityDeferrable, 40*time.Second, 10*time.Second
+		follow(s.Submit(now, r))
+	}
+	for range 200 {
+		now = now.Add(500 * time.Millisecond)
+		follow(s.LoadEnded(now, "r1", ref("other"), ggscore.EndDone))
+		follow(s.LoadEnded(now, "r1", ref("reminders"), ggscore.EndDone))
+		follow(s.Tick(now))
+		if len(running) > 0 {
+			id := running[0]
+			running = running[1:]
+			follow(s.RequestEnded(now, id, ggscore.EndDone))
+		}
+	}
+	c.Assert(answered, qt.HasLen, 21)
+	for id, n := range answered {
+		c.Check(n, qt.Equals, 1, qt.Commentf("%s", id))
+	}
+}
