--- a/core/ggsschedule/loads.go
+++ b/core/ggsschedule/loads.go
@@ -202,9 +202,9 @@
 	}
 }
 
-// load orders a load into a free slot. The token was taken.
+// load orders a load into a free slot. The token was taken, and the bucket is
+// filled up to now.
 func (s *Scheduler) load(now time.Time, r *replica) {
-	s.bucket.fill(now)
 	s.bucket.reserved--
 	r.become(stateLoading, now)
 	s.orders = append(s.orders, ggscore.Order{
--- a/core/ggsschedule/stories_test.go
+++ b/core/ggsschedule/stories_test.go
@@ -77,6 +77,8 @@
 	c.Assert(kinds(s.Submit(now, request("q1", "c"))), qt.DeepEquals, []string{"unload a"})
 	s.UnloadEnded(now, "r1", ref("a"), ggscore.EndUnknown)
 	c.Assert(kinds(s.Submit(now, request("q2", "a"))), qt.Not(qt.Contains), "dispatch q2")
+	now = now.Add(500 * time.Millisecond)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now, idle("a", "b")...))), qt.Not(qt.Contains), "unload a")
 	now = now.Add(1500 * time.Millisecond)
 	orders := kinds(s.Report(now, report("r1", "one", now, idle("a", "b")...)))
 	c.Assert(orders, qt.Contains, "unload a")
@@ -390,3 +392,112 @@
 		c.Check(n, qt.Equals, 1, qt.Commentf("%s", id))
 	}
 }
+
+// Ownership passed to another VM and came back. A report that the runner made
+// before that still shows the adapter; the other owner has evicted it since, and
+// callers would be sent to an adapter that is gone.
+func TestReportFromBeforeOwnershipIsIgnored(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a")
+	now = now.Add(time.Second)
+	s.SetEndpoint(now, runner("r1"), ggscore.ModeNone)
+	before := now.Add(time.Second)
+	now = now.Add(2 * time.Second)
+	s.SetEndpoint(now, runner("r1"), ggscore.ModeFull)
+	s.Report(now, report("r1", "one", before, idle("a")...))
+	c.Assert(kinds(s.Submit(now, request("q1", "a"))), qt.HasLen, 0)
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now, idle("a")...))), qt.DeepEquals, []string{"dispatch q1"})
+}
+
+// While ownership was in doubt an earlier owner's request came in on a protected
+// adapter. A report counts one run, which looks like our own request that is
+// still on its way; once ours has ended the adapter must stay until a report
+// shows it idle.
+func TestDoubtfulOwnershipPins(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := newScheduler(now)
+	spec := runner("r1")
+	spec.AdapterSlots = 1
+	s.SetEndpoint(now, spec, ggscore.ModeResidentOnly)
+	s.Protect(now, "r1", []ggscore.AdapterRef{ref("a")})
+	s.Report(now, report("r1", "one", now, idle("a")...))
+	now = now.Add(time.Second)
+	s.SetEndpoint(now, spec, ggscore.ModeFull)
+	c.Assert(kinds(s.Submit(now, request("q1", "a"))), qt.DeepEquals, []string{"dispatch q1"})
+	now = now.Add(time.Second)
+	s.Report(now, report("r1", "one", now, ggscore.ResidentAdapter{Ref: ref("a"), Running: 1}))
+	s.RequestEnded(now, "q1", ggscore.EndDone)
+	s.Protect(now, "r1", nil)
+	c.Assert(kinds(s.Submit(now, request("q2", "b"))), qt.HasLen, 0)
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now, idle("a")...))), qt.DeepEquals, []string{"unload a"})
+}
+
+// A caller hangs up while its request runs, and the run then fails. Tried again
+// it would take a slot for an answer that nobody reads.
+func TestCancelledRequestIsNotTriedAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a")
+	now = now.Add(time.Second)
+	s.Submit(now, request("q1", "a"))
+	c.Assert(kinds(s.Cancel(now, "q1")), qt.HasLen, 0)
+	orders := s.RequestEnded(now, "q1", ggscore.EndFailed)
+	c.Assert(kinds(orders), qt.DeepEquals, []string{"refuse q1"})
+	c.Assert(orders[0].Failure.Kind, qt.Equals, ggscore.FailureCancelled)
+}
+
+// A runner fails every request at once. Without a bound one request would go
+// round for ever, and without a pause the runner, whose slots are always free,
+// would draw all others to itself.
+func TestSickRunnerIsPaused(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a")
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Submit(now, request("q1", "a"))), qt.DeepEquals, []string{"dispatch q1"})
+	c.Assert(kinds(s.RequestEnded(now, "q1", ggscore.EndFailed)), qt.DeepEquals, []string{"dispatch q1"})
+	c.Assert(kinds(s.RequestEnded(now, "q1", ggscore.EndFailed)), qt.DeepEquals, []string{"dispatch q1"})
+	orders := s.RequestEnded(now, "q1", ggscore.EndFailed)
+	c.Assert(kinds(orders), qt.DeepEquals, []string{"refuse q1"})
+	c.Assert(orders[0].Failure.Kind, qt.Equals, ggscore.FailureEndpoint)
+	c.Assert(kinds(s.Submit(now, request("q2", "a"))), qt.HasLen, 0)
+	c.Assert(kinds(s.Tick(s.NextTick())), qt.DeepEquals, []string{"dispatch q2"})
+}
+
+// The last runner goes while requests wait. They are told at once that they did
+// not run, instead of when their budget is over.
+func TestWaitingRequestsHearOfLostRunner(t *testing.T) {
+	t.Parallel()
+	for name, lose := range map[string]func(s *ggsschedule.Scheduler, now time.Time) []ggscore.Order{
+		"removed": func(s *ggsschedule.Scheduler, now time.Time) []ggscore.Order {
+			return s.RemoveEndpoint(now, "r1")
+		},
+		"owner lost": func(s *ggsschedule.Scheduler, now time.Time) []ggscore.Order {
+			return s.SetEndpoint(now, runner("r1"), ggscore.ModeNone)
+		},
+		"leaving": func(s *ggsschedule.Scheduler, now time.Time) []ggscore.Order {
+			e := runner("r1")
+			e.Leaving = true
+			return s.SetEndpoint(now, e, ggscore.ModeFull)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			now := epoch()
+			s := newScheduler(now, "r1")
+			now = now.Add(time.Second)
+			s.Submit(now, request("q1", "a"))
+			c.Assert(kinds(s.Submit(now, request("q1", "a"))), qt.HasLen, 0)
+			c.Assert(kinds(lose(s, now)), qt.DeepEquals, []string{"refuse q1"})
+		})
+	}
+}
