fix: serve resident adapters while the lease is not confirmed

Once the platform had been away for longer than an owner's lease, its dispatcher refused everything with 503 noCapacity "no endpoint can serve it now", also resident adapters and plain idempotent calls.

Cause: the scheduler serves only protected adapters in ModeResidentOnly, and plain endpoints only where the zero AdapterRef is protected, but it was told just the pins of earlier owners. Ruled out: the guard (it allows dispatches of what the record protects) and the gateway's routes.

Change: in that mode the endpoints' protection is what is resident and passes the guard, or the zero AdapterRef for a plain service. A mode's change sets new pins before and drops old ones after it: dropped first, the requests that wait for them would be refused on the way back to ModeFull, and what was protected all along would be doubted.

--- a/cmd/ggsnode/endpoints.go
+++ b/cmd/ggsnode/endpoints.go
@@ -1,7 +1,9 @@
 package ggsnode
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	ggscore "greengageslip/core"
@@ -77,14 +79,41 @@
 	}
 	p.Owners.SetEndpoints(ids)
 	owned := make([]ggsdispatch.OwnedEndpoint, 0, len(es))
-	for _, n := range es {
-		owned = append(owned, ggsdispatch.OwnedEndpoint{
-			Endpoint: n, Mode: p.Owners.Mode(p.Clock(), n.ID), Pins: p.Owners.Pins(n.ID),
-		})
+	for i := range es {
+		owned = append(owned, e.owned(&es[i]))
 	}
 	p.Dispatcher.SetEndpoints(owned)
 }
 
+// owned says what may be done with an endpoint now.
+func (e *endpoints) owned(n *ggscore.Endpoint) ggsdispatch.OwnedEndpoint {
+	p := &e.parts
+	o := ggsdispatch.OwnedEndpoint{Endpoint: *n, Mode: p.Owners.Mode(p.Clock(), n.ID), Pins: p.Owners.Pins(n.ID)}
+	if o.Mode == ggscore.ModeResidentOnly {
+		o.Pins = e.usable(n)
+	}
+	return o
+}
+
+// usable returns what an endpoint serves while its owner's lease is not
+// confirmed: its resident adapters that the owner's record protects.
+//
+// The scheduler serves only protected adapters in that mode. An owner that
+// passed on just the pins of earlier owners would refuse all requests once the
+// platform had been away for longer than its lease.
+func (e *endpoints) usable(n *ggscore.Endpoint) []ggscore.AdapterRef {
+	if n.Kind == ggscore.KindPlain {
+		return []ggscore.AdapterRef{{}}
+	}
+	p := &e.parts
+	refs := slices.DeleteFunc(p.Dispatcher.Resident(n.ID), func(a ggscore.AdapterRef) bool {
+		_, err := p.Owners.Check(p.Clock(), n.ID, a, ggscore.OrderDispatch)
+		return err != nil
+	})
+	slices.SortFunc(refs, func(a, b ggscore.AdapterRef) int { return cmp.Compare(a.String(), b.String()) })
+	return refs
+}
+
 func (e *endpoints) wake() {
 	select {
 	case e.changed <- struct{}{}:
--- a/io/ggsdispatch/dispatcher.go
+++ b/io/ggsdispatch/dispatcher.go
@@ -165,6 +165,18 @@
 	return nil
 }
 
+// Resident returns the adapters that an endpoint holds.
+func (d *Dispatcher) Resident(id ggscore.EndpointID) []ggscore.AdapterRef {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.parts.Scheduler.Summary(d.parts.Clock()) {
+		if r.Endpoint == id {
+			return slices.Clone(r.Resident)
+		}
+	}
+	return nil
+}
+
 // Run works until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -204,14 +216,17 @@
 	id := e.Endpoint.ID
 	old, known := d.endpoints[id]
 	d.endpoints[id] = e
-	// Pins go before the mode: with it, the scheduler may evict at once.
-	if !slices.Equal(old.Pins, e.Pins) && known {
-		d.apply(d.parts.Scheduler.Protect(now, id, e.Pins))
-	}
 	if known && old.Endpoint == e.Endpoint && old.Mode == e.Mode {
+		if !slices.Equal(old.Pins, e.Pins) {
+			d.apply(d.parts.Scheduler.Protect(now, id, e.Pins))
+		}
+		return
+	}
+	if known {
+		d.changeMode(now, old, e)
 		return
 	}
-	if !known && len(e.Pins) > 0 {
+	if len(e.Pins) > 0 {
 		d.apply(d.parts.Scheduler.SetEndpoint(now, e.Endpoint, ggscore.ModeNone))
 		d.apply(d.parts.Scheduler.Protect(now, id, e.Pins))
 	}
@@ -219,6 +234,19 @@
 	d.touch()
 }
 
+// changeMode needs d.mu. New pins go before the mode, with which the scheduler
+// may evict at once. Old ones go after it: what they protect is served in
+// ModeResidentOnly, and taken away first, the requests that wait for it would
+// be refused although the new mode serves them.
+func (d *Dispatcher) changeMode(now time.Time, old, e OwnedEndpoint) {
+	id := e.Endpoint.ID
+	both := slices.Concat(old.Pins, e.Pins)
+	d.apply(d.parts.Scheduler.Protect(now, id, both))
+	d.apply(d.parts.Scheduler.SetEndpoint(now, e.Endpoint, e.Mode))
+	d.apply(d.parts.Scheduler.Protect(now, id, e.Pins))
+	d.touch()
+}
+
 // Schedule passes an event to the scheduler and carries out what it orders.
 func (d *Dispatcher) Schedule(f func(ggscore.Scheduler, time.Time) []ggscore.Order) {
 	d.mu.Lock()
