test: provoke faults on whole gateways and dispatchers

SIGKILL and SIGSTOP need real processes: TestMain lets the test binary be a dispatcher or a gateway. They are ended by their process id, and end with their standard input where the test itself is lost. os/exec carries a nolint with its reason.

--- a/cmd/ggsnode/bench_test.go
+++ b/cmd/ggsnode/bench_test.go
@@ -41,7 +41,7 @@
 )
 
 const (
-	servicesSection = `
+	modelService = `
 [[services]]
 name = "asistente"
 kind = "model"
@@ -49,7 +49,8 @@
 slots = 4
 adapterSlots = 2
 checksFence = true
-
+`
+	servicesSection = modelService + `
 [[services]]
 name = "custodia"
 kind = "plain"
@@ -213,21 +214,34 @@
 	return s
 }
 
-// dispatcher starts a dispatcher and lists it.
-func (b *bench) dispatcher(n int, domain string) *node {
-	vm := fmt.Sprintf("%s-%d", domain, n)
-	b.list(vm, ggscore.RoleEntry, domain, uint16(rpcPort+n), "")
-	return b.start(ggsnode.RunDispatcher, vm, domain, uint16(rpcPort+n), n)
+// dispatcher starts a dispatcher and lists it. More are further settings.
+func (b *bench) dispatcher(n int, domain string, more ...string) *node {
+	v := b.dispatcherVM(n, domain, more...)
+	b.list(v.vm, ggscore.RoleEntry, domain, v.port, "")
+	return b.start(ggsnode.RunDispatcher, v)
+}
+
+func (b *bench) dispatcherVM(n int, domain string, more ...string) entryVM {
+	return entryVM{vm: fmt.Sprintf("%s-%d", domain, n), domain: domain, port: uint16(rpcPort + n), state: uint16(statePort + n), more: more}
 }
 
-// gateway starts a gateway.
+// gateway starts a gateway and waits until it sees all owners.
 func (b *bench) gateway(n int, domain string) *node {
-	g := b.start(ggsnode.RunGateway, fmt.Sprintf("%s-%d", domain, n), domain, uint16(callersPort+n), n+20)
+	g := b.start(ggsnode.RunGateway, b.gatewayVM(n, domain))
+	b.ready(g)
+	return g
+}
+
+func (b *bench) gatewayVM(n int, domain string, more ...string) entryVM {
+	return entryVM{vm: fmt.Sprintf("%s-%d", domain, n), domain: domain, port: uint16(callersPort + n), state: uint16(statePort + 20 + n), more: more}
+}
+
+// ready waits until a gateway sees all owners.
+func (b *bench) ready(g *node) {
 	b.eventually("gateway is ready", func() bool {
 		status, _, _ := b.get("http://" + g.addr.String() + "/healthz")
 		return status == http.StatusOK && b.routed(g)
 	})
-	return g
 }
 
 // routed reports whether a gateway sees an owner for every listed endpoint.
@@ -242,13 +256,32 @@
 	return true
 }
 
-func (b *bench) start(
-	run func(context.Context, []string, io.Writer, io.Writer) int, vm, domain string, port uint16, n int,
-) *node {
+// An entryVM is what a process of the bench is told.
+type entryVM struct {
+	vm, domain string
+	port       uint16
+	state      uint16
+	// platform is the port of the platform's service as this VM reaches it;
+	// zero means the service itself.
+	platform uint16
+	// more are further lines of the settings.
+	more []string
+}
+
+// settings writes the settings file of a process.
+func (b *bench) settings(v entryVM) string {
+	if v.platform == 0 {
+		v.platform = platformPort
+	}
 	text := fmt.Sprintf("vm = %q\nregion = %q\ndomain = %q\nlisten = %q\nstateListen = %q\nplatform = %q\nlistInterval = \"100ms\"\ndrainTimeout = \"15s\"\n",
-		vm, "region-"+domain, domain, b.addr(port), b.addr(uint16(statePort+n)), b.addr(platformPort))
-	f := filepath.Join(b.c.TempDir(), vm+".toml")
-	b.c.Assert(os.WriteFile(f, []byte(text), 0o600), qt.IsNil)
+		v.vm, "region-"+v.domain, v.domain, b.addr(v.port), b.addr(v.state), b.addr(v.platform))
+	f := filepath.Join(b.c.TempDir(), v.vm+".toml")
+	b.c.Assert(os.WriteFile(f, []byte(text+strings.Join(v.more, "\n")), 0o600), qt.IsNil)
+	return f
+}
+
+func (b *bench) start(run func(context.Context, []string, io.Writer, io.Writer) int, v entryVM) *node {
+	f := b.settings(v)
 	ctx, cancel := context.WithCancel(b.ctx)
 	done := make(chan int, 1)
 	go func() { done <- run(ctx, []string{"--settings", f}, b.logs, b.logs) }()
@@ -257,7 +290,7 @@
 		return <-done
 	})
 	b.c.Cleanup(func() { stop() })
-	return &node{stop: stop, addr: b.addr(port), state: b.addr(uint16(statePort + n))}
+	return &node{stop: stop, addr: b.addr(v.port), state: b.addr(v.state)}
 }
 
 func (b *bench) addr(port uint16) netip.AddrPort { return netip.AddrPortFrom(b.ip, port) }
--- /dev/null
+++ b/cmd/ggsnode/fault_gateway_test.go
@@ -0,0 +1,185 @@
+package ggsnode_test
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/cmd/ggsnode"
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakeengine"
+	"greengageslip/fakes/ggsfakelink"
+	"greengageslip/fakes/ggsfakeplain"
+	"greengageslip/io/ggsrpc"
+	"greengageslip/io/ggswire"
+)
+
+// linkPort is where links stand in for what they lead to.
+const linkPort = 7400
+
+// A gateway's VM was lost while it relayed answers. Its requests held their
+// slots to ends that nobody read, so that others' callers waited; and a release
+// that was in progress was paid again when its caller repeated it elsewhere.
+func TestGatewayKilled(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", slowTokens)
+	ledger := b.plain("ledger-1", "a")
+	b.document()
+	d := b.dispatcher(1, "a")
+	lost := b.gatewayProcess(1, "a")
+	other := b.gateway(2, "a")
+	ledger.SetFaults(ggsfakeplain.Faults{Slow: 2 * time.Second})
+
+	key := newKey()
+	b.release(&lost.node, key)
+	for i := range 4 {
+		b.ask(&lost.node, []string{"deposits@v1", "disputes@v7"}[i%2], 100000)
+	}
+	b.running(e, 4)
+	b.eventually("the release runs", func() bool { return runsOf(ledger, key) == 1 })
+	lost.signal(syscall.SIGKILL)
+
+	b.eventually("the release ends", func() bool { return b.counter(d, "done") == 1 })
+	r := b.await(b.release(other, key))
+	c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.text))
+	c.Assert(strings.Contains(r.text, key), qt.IsTrue, qt.Commentf("%s", r.text))
+	c.Assert(runsOf(ledger, key), qt.Equals, 1)
+
+	b.eventually("the slots are free", func() bool { return e.Stats().Cancelled == 4 })
+	b.whole(b.ask(other, "deposits@v1", 5))
+}
+
+// A switch between gateway and dispatcher failed for a moment while an answer
+// was relayed. The caller's sentence lacked some words, or had some twice, or
+// ended short and looked whole.
+func TestCutBetweenGatewayAndDispatcher(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		fault ggsfakelink.Faults
+		// heals says that the link is good again while the gateway still tries.
+		heals bool
+		want  string
+	}{
+		"broken for a moment":  {ggsfakelink.Faults{Refuse: true}, true, "done"},
+		"stalled for a moment": {ggsfakelink.Faults{Stall: true}, true, "done"},
+		"broken for long":      {ggsfakelink.Faults{Refuse: true}, false, "unknown"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			b := newBench(t)
+			e := b.engine("runner-1", "a", slowTokens)
+			b.document()
+			l := b.link(linkPort, rpcPort+1)
+			b.list("a-1", ggscore.RoleEntry, "a", linkPort, "")
+			d := b.start(ggsnode.RunDispatcher, b.dispatcherVM(1, "a"))
+			g := b.gateway(1, "a")
+
+			const tokens = 200
+			k, first := b.askRead(g, "deposits@v1", tokens)
+			c.Assert(strings.HasPrefix(first, "data: "), qt.IsTrue)
+			l.SetFaults(tc.fault)
+			if tc.heals {
+				// What the engine made during the cut waits at the dispatcher.
+				b.eventually("the engine ends the run", func() bool { return e.Stats().Done == 1 && b.counter(d, "done") == 1 })
+				l.SetFaults(ggsfakelink.Faults{})
+			}
+			c.Assert(outcomeOf(c, k, b.await(k)), qt.Equals, tc.want)
+			l.SetFaults(ggsfakelink.Faults{})
+			if tc.heals && tc.fault.Refuse {
+				c.Assert(b.counter(g, "resumed") > 0, qt.IsTrue)
+			}
+			b.eventually("requests are served", func() bool {
+				k := b.ask(g, "deposits@v1", 5)
+				return outcomeOf(c, k, b.await(k)) == "done"
+			})
+		})
+	}
+}
+
+// askRead sends a streamed chat request and returns once its first line is
+// here; the rest is read in the background.
+func (b *bench) askRead(g *node, model string, tokens int) (k *call, first string) {
+	b.c.Helper()
+	k = &call{model: model, tokens: tokens, done: make(chan reply, 1)}
+	lines := make(chan string, 1)
+	go func() {
+		r, err := http.NewRequestWithContext(b.ctx, http.MethodPost, "http://"+g.addr.String()+chatPath, strings.NewReader(chatOf(model, tokens)))
+		if err != nil {
+			return
+		}
+		r.Header.Set("X-Market", "cr")
+		r.Header.Set("X-Service", "asistente")
+		a, err := http.DefaultClient.Do(r)
+		if err != nil {
+			k.done <- reply{text: err.Error()}
+			return
+		}
+		defer func() { _ = a.Body.Close() }()
+		body := bufio.NewReader(a.Body)
+		line, _ := body.ReadString('\n')
+		lines <- line
+		var rest strings.Builder
+		_, err = body.WriteTo(&rest)
+		text := line + rest.String()
+		if err != nil {
+			text += "\n" + err.Error()
+		}
+		k.done <- reply{status: a.StatusCode, header: a.Header, text: text}
+	}()
+	ctx, cancel := context.WithTimeout(b.ctx, testDeadline)
+	defer cancel()
+	select {
+	case first = <-lines:
+	case <-ctx.Done():
+		b.c.Fatalf("waited in vain for an answer's first line")
+	}
+	return k, first
+}
+
+// A dispatcher was so busy that a gateway gave a submission up, withdrew it
+// over a new connection and told the caller that it had not run. Then the first
+// submission came out of a socket's buffer, and the release ran.
+func TestLateSubmissionOfWithdrawnRequest(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", func(o *ggsfakeengine.Options) { o.FirstToken = 0 })
+	ledger := b.plain("ledger-1", "a")
+	b.document()
+	d := b.dispatcher(1, "a")
+	g := b.gateway(1, "a")
+	p := ggsrpc.NewPool(ggsrpc.PoolOptions{})
+	defer func() { _ = p.Close() }()
+
+	key := newKey()
+	late := &ggscore.Request{
+		ID: "late", Market: "cr", Service: "custodia", Kind: ggscore.KindPlain,
+		Operation: ggscore.Operation{Method: http.MethodPost, Path: "/release"},
+		Key:       ggscore.IdempotencyKey(key), NonIdempotent: true, Body: []byte(`{"deposit":1}`),
+	}
+	var withdrawn ggswire.WithdrawReply
+	c.Assert(p.Call(b.ctx, d.addr, ggswire.MethodWithdraw, &ggswire.WithdrawArgs{ID: "late"}, &withdrawn), qt.IsNil)
+	c.Assert(ggscore.Outcome(withdrawn.Outcome), qt.Equals, ggscore.OutcomeNotRun)
+	args := ggswire.SubmitArgs{Request: ggswire.FromRequest(late, 5*time.Second)}
+	var submitted ggswire.SubmitReply
+	c.Assert(p.Call(b.ctx, d.addr, ggswire.MethodSubmit, &args, &submitted), qt.IsNil)
+	f := submitted.Failure.Failure()
+	c.Assert(f != nil, qt.IsTrue)
+	c.Assert(f.Outcome, qt.Equals, ggscore.OutcomeNotRun)
+
+	// What is submitted behind it runs, and the late copy has not.
+	r := b.await(b.release(g, newKey()))
+	c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.text))
+	b.whole(b.ask(g, "deposits@v1", 5))
+	c.Assert(runsOf(ledger, key), qt.Equals, 0)
+	c.Assert(e.Stats().Started, qt.Equals, uint64(1))
+}
--- /dev/null
+++ b/cmd/ggsnode/fault_owner_test.go
@@ -0,0 +1,272 @@
+package ggsnode_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakeengine"
+	"greengageslip/fakes/ggsfakeplain"
+	"greengageslip/io/ggsengine"
+)
+
+// slowTokens makes answers long enough that a fault falls into them.
+func slowTokens(o *ggsfakeengine.Options) { o.TokenInterval = 10 * time.Millisecond }
+
+// The VM of an endpoints' owner was lost while callers read their answers.
+// Some took the first half of an answer for the whole, the next owner evicted
+// adapters that the lost one's runs still used, and a release that was in
+// progress was paid a second time when its caller repeated it.
+func TestOwnerKilled(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", slowTokens)
+	ledger := b.plain("ledger-1", "a")
+	b.document()
+	first, second := b.twoOwners(shortLease)
+	g := b.gateway(1, "a")
+	ledger.SetFaults(ggsfakeplain.Faults{Slow: 2 * time.Second})
+
+	key := newKey()
+	paid := b.release(g, key)
+	var calls []*call
+	for i := range 4 {
+		calls = append(calls, b.ask(g, []string{"deposits@v1", "disputes@v7"}[i%2], 2000))
+	}
+	b.running(e, 4)
+	for i := range 4 {
+		calls = append(calls, b.ask(g, []string{"deposits@v1", "deposits@v2"}[i%2], 5))
+	}
+	b.eventually("four requests run and four wait", func() bool {
+		return b.jobs(&first.node, "queued") == 4 && runsOf(ledger, key) == 1
+	})
+	first.signal(syscall.SIGKILL)
+	b.eventually("the other dispatcher takes over", func() bool { return b.owns(second) })
+
+	for _, k := range calls[:4] {
+		c.Check(outcomeOf(c, k, b.await(k)), qt.Equals, "unknown")
+	}
+	for _, k := range calls[4:] {
+		r := b.await(k)
+		if o := outcomeOf(c, k, r); o == "notRun" {
+			c.Check(e.Runs()[r.header.Get("X-Request-Id")], qt.Equals, 0)
+		}
+	}
+	c.Check(outcomeOf(c, paid, b.await(paid)), qt.Equals, "unknown")
+	for range 2 {
+		r := b.await(b.release(g, key))
+		c.Check(r.status, qt.Equals, http.StatusConflict, qt.Commentf("%s", r.text))
+		c.Check(failureOf(c, r.text).Error.Outcome, qt.Equals, "unknown")
+	}
+	c.Check(runsOf(ledger, key), qt.Equals, 1)
+
+	b.whole(b.ask(g, "deposits@v1", 5))
+	b.whole(b.ask(g, "disputes@v7", 5))
+	c.Check(e.Stats().BrokenByUnload, qt.Equals, uint64(0))
+}
+
+// The process of an endpoints' owner was frozen past its lease and another
+// dispatcher took over. When the first woke, it went on where it had stopped:
+// it evicted an adapter that the new owner's requests were using, and sent
+// releases that their callers had meanwhile repeated at another gateway.
+func TestFrozenOwnerWakes(t *testing.T) {
+	t.Parallel()
+	for name, checks := range map[string]bool{"engines check fences": true, "engines ignore fences": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testFrozenOwnerWakes(t, checks)
+		})
+	}
+}
+
+func testFrozenOwnerWakes(t *testing.T, checksFence bool) {
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", func(o *ggsfakeengine.Options) {
+		o.TokenInterval, o.ChecksFence = 10*time.Millisecond, checksFence
+	})
+	ledger := b.plain("ledger-1", "a")
+	b.document()
+	if !checksFence {
+		b.apply("services", strings.Replace(servicesSection, "checksFence = true", "checksFence = false", 1))
+	}
+	first, second := b.twoOwners(shortLease)
+	g := b.gateway(1, "a")
+	ledger.SetFaults(ggsfakeplain.Faults{Slow: 500 * time.Millisecond})
+
+	// At the freeze, both adapters are in use, a third is to be loaded, and a
+	// fifth release waits behind four that run.
+	calls := []*call{
+		b.ask(g, "deposits@v1", 450), b.ask(g, "deposits@v1", 450),
+		b.ask(g, "disputes@v7", 150), b.ask(g, "disputes@v7", 150),
+	}
+	b.running(e, 4)
+	waiting := []*call{b.ask(g, "deposits@v2", 5), b.ask(g, "deposits@v1", 5), b.ask(g, "disputes@v7", 5)}
+	var keys []string
+	var releases []*call
+	for i := range 5 {
+		keys = append(keys, newKey())
+		releases = append(releases, b.release(g, keys[i]))
+	}
+	b.eventually("requests wait at the first owner", func() bool { return b.jobs(&first.node, "queued") == 4 })
+	first.signal(syscall.SIGSTOP)
+	b.eventually("the other dispatcher takes over", func() bool { return b.owns(second) })
+
+	// A gateway that starts now knows of the new owner alone. Of the adapters
+	// that the frozen one's runs use, deposits@v1 is idle at the new owner, and
+	// a third adapter is asked for.
+	other := b.gateway(2, "a")
+	for range 2 {
+		calls = append(calls, b.ask(other, "disputes@v7", 300))
+	}
+	b.eventually("requests run at the new owner", func() bool { return b.jobs(second, "running") == 2 })
+	waiting = append(waiting, b.ask(other, "deposits@v2", 5))
+	var repeats []*call
+	for _, key := range keys {
+		repeats = append(repeats, b.release(other, key))
+	}
+	for _, k := range repeats {
+		c.Check(outcomeOf(c, k, b.await(k)), qt.Not(qt.Equals), "notRun")
+	}
+	first.signal(syscall.SIGCONT)
+
+	for _, k := range calls {
+		b.whole(k)
+	}
+	for _, k := range waiting {
+		r := b.await(k)
+		if outcomeOf(c, k, r) == "notRun" {
+			c.Check(e.Runs()[r.header.Get("X-Request-Id")], qt.Equals, 0)
+		}
+	}
+	for _, k := range releases {
+		b.await(k)
+	}
+	for _, key := range keys {
+		c.Check(runsOf(ledger, key), qt.Equals, 1)
+	}
+	c.Check(b.owns(second), qt.IsTrue)
+	c.Check(e.Stats().BrokenByUnload, qt.Equals, uint64(0))
+}
+
+// A gate is a weight store that gives nothing until it is opened.
+type gate struct{ opened chan struct{} }
+
+// Fetch implements ggsfakeengine.Fetcher.
+func (g *gate) Fetch(ctx context.Context, _ ggscore.AdapterRef) error {
+	select {
+	case <-g.opened:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// An owner had ordered an eviction, which waited behind a slow load when its
+// process was frozen. Another took over and ran requests on that adapter. The
+// first woke, the load ended, and the eviction went out beneath those requests:
+// the engine had seen no greater fencing number yet, so that it obeyed.
+func TestFrozenOwnersQueuedOrder(t *testing.T) {
+	t.Parallel()
+	for name, checks := range map[string]bool{"engines check fences": true, "engines ignore fences": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testFrozenOwnersQueuedOrder(t, checks)
+		})
+	}
+}
+
+func testFrozenOwnersQueuedOrder(t *testing.T, checksFence bool) {
+	c := qt.New(t)
+	b := newBench(t)
+	w := &gate{opened: make(chan struct{})}
+	options := func(o *ggsfakeengine.Options) {
+		o.TokenInterval, o.ChecksFence = 10*time.Millisecond, checksFence
+	}
+	e := b.engine("runner-1", "a", options)
+	slow := b.engine("runner-2", "a", func(o *ggsfakeengine.Options) {
+		options(o)
+		o.Weights = w
+	})
+	b.vms[1].Service = "resumenes"
+	b.document()
+	services := servicesSection + strings.Replace(modelService, "asistente", "resumenes", 1)
+	b.apply("services", strings.ReplaceAll(services, "checksFence = true", fmt.Sprintf("checksFence = %t", checksFence)))
+	b.apply("market/cr", marketSection+"\n[[uses]]\nservice = \"resumenes\"\npriority = \"interactive\"\ndeadline = \"10s\"\n")
+	first, second := b.twoOwners(shortLease, "orderWorkers = 1")
+	g := b.gateway(1, "a")
+	b.whole(b.ask(g, "deposits@v1", 5))
+	b.whole(b.ask(g, "disputes@v7", 5))
+
+	b.askService(g, "resumenes", "deposits@v1", 5)
+	b.eventually("a load is under way", func() bool { return len(slow.Resident()) == 0 && b.loading(&first.node, "runner-2") })
+	waiting := b.ask(g, "deposits@v2", 5)
+	b.eventually("an eviction is ordered", func() bool { return b.resident(&first.node, "runner-1") == 1 })
+	first.signal(syscall.SIGSTOP)
+	b.eventually("the other dispatcher takes over", func() bool { return b.owns(second) })
+
+	other := b.gateway(2, "a")
+	var calls []*call
+	for i := range 4 {
+		calls = append(calls, b.ask(other, []string{"deposits@v1", "disputes@v7"}[i%2], 200))
+	}
+	b.running(e, 2+4)
+	close(w.opened)
+	first.signal(syscall.SIGCONT)
+	for _, k := range calls {
+		b.whole(k)
+	}
+	if r := b.await(waiting); outcomeOf(c, waiting, r) == "notRun" {
+		c.Check(e.Runs()[r.header.Get("X-Request-Id")], qt.Equals, 0)
+	}
+	c.Check(e.Stats().BrokenByUnload, qt.Equals, uint64(0))
+}
+
+// A new owner took an adapter for idle, since the engine's reports lag, and
+// evicted it beneath a run of the frozen owner, whose connection still stood.
+// The caller's answer broke off in the middle.
+func TestNewOwnerKeepsAdaptersOfFrozenOwner(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	const lag = 2500 * time.Millisecond
+	e := b.engine("runner-1", "a", func(o *ggsfakeengine.Options) {
+		o.TokenInterval, o.AdapterSlots = 10*time.Millisecond, 1
+	})
+	b.document()
+	b.apply("services", strings.Replace(servicesSection, "adapterSlots = 2", "adapterSlots = 1", 1))
+	b.apply("market/cr", strings.Replace(marketSection, `deadline = "10s"`, `deadline = "4s"`, 1))
+	first, second := b.twoOwners(`leaseTtl = "1s"`)
+	g := b.gateway(1, "a")
+	b.whole(b.ask(g, "deposits@v1", 5))
+	e.SetFaults(ggsfakeengine.Faults{ReportLag: lag})
+	reporter := ggsengine.NewClient(ggsengine.DefaultSettings())
+	b.eventually("reports show the adapter idle", func() bool {
+		r, err := reporter.Report(b.ctx, b.addr(enginePort))
+		return err == nil && len(r.Resident) == 1
+	})
+
+	k := b.ask(g, "deposits@v1", 350)
+	b.running(e, 2)
+	b.eventually("the run is known", func() bool { return b.jobs(&first.node, "running") == 1 })
+	first.signal(syscall.SIGSTOP)
+	b.eventually("the other dispatcher takes over", func() bool { return b.owns(second) })
+	other := b.gateway(2, "a")
+	wanted := b.ask(other, "deposits@v2", 5)
+	b.eventually("another adapter is asked for", func() bool { return b.counter(second, "submitted") > 0 })
+	b.whole(b.ask(other, "deposits@v1", 5))
+	first.signal(syscall.SIGCONT)
+	b.whole(k)
+	if r := b.await(wanted); outcomeOf(c, wanted, r) == "notRun" {
+		c.Check(e.Runs()[r.header.Get("X-Request-Id")], qt.Equals, 0)
+	}
+	c.Check(e.Stats().BrokenByUnload, qt.Equals, uint64(0))
+}
--- /dev/null
+++ b/cmd/ggsnode/fault_platform_test.go
@@ -0,0 +1,189 @@
+package ggsnode_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/cmd/ggsnode"
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakelink"
+	"greengageslip/fakes/ggsfakeplain"
+	"greengageslip/fakes/ggsfakeplatform"
+)
+
+const (
+	balancePath = "/v1/services/custodia/balance"
+	// refusedWithin is how soon what can't be done is refused.
+	refusedWithin = 3 * time.Second
+)
+
+// A failure domain lost its link to the platform for longer than its owners'
+// leases. Lookups on adapters that were resident were refused with everything
+// else, a release ran without a claim or was held back for long, and after the
+// link was good again the domain went on with its old document.
+func TestDomainCutOffFromPlatform(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]ggsfakelink.Faults{
+		"stalled": {Stall: true},
+		"refused": {Refuse: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			b.engine("runner-1", "a", nil)
+			ledger := b.plain("ledger-1", "a")
+			b.document()
+			l := b.link(linkPort, platformPort)
+			nodes := []*node{b.linkedDispatcher(1, "a"), b.linkedDispatcher(2, "a")}
+			v := b.gatewayVM(1, "a")
+			v.platform = linkPort
+			g := b.start(ggsnode.RunGateway, v)
+			b.ready(g)
+			b.whole(b.ask(g, "deposits@v1", 5))
+			b.whole(b.ask(g, "disputes@v7", 5))
+
+			l.SetFaults(fault)
+			b.eventually("no lease is held", func() bool { return !b.owns(nodes[0]) && !b.owns(nodes[1]) })
+			key := newKey()
+			b.servesWhatItCan(g, ledger, key)
+			b.apply("market/cr", strings.Replace(marketSection, `current = "v1"`, `current = "v2"`, 1))
+			b.servesWhatItCan(g, ledger, key)
+
+			l.SetFaults(ggsfakelink.Faults{})
+			b.eventually("the change is in force", func() bool {
+				_, h, _ := b.post(g, chatPath, chat("deposits"))
+				return h.Get("X-Served-Model") == "deposits@v2"
+			})
+			b.runsOnce(g, ledger, key)
+		})
+	}
+}
+
+// The platform was away for all domains and for longer than any lease. All
+// domains stopped with it; and a gateway or dispatcher that was replaced
+// meanwhile had no document and served nobody.
+func TestPlatformAwayForAll(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]ggsfakeplatform.Faults{
+		"answers 503": {Outage: true},
+		"hangs":       {Hang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			b.engine("runner-1", "a", nil)
+			b.engine("runner-2", "b", nil)
+			ledger := b.plain("ledger-1", "a")
+			b.document()
+			nodes := []*node{b.dispatcher(1, "a", shortLease), b.dispatcher(2, "b", shortLease)}
+			gateways := []*node{b.gateway(1, "a"), b.gateway(2, "b")}
+			for _, g := range gateways {
+				b.whole(b.ask(g, "deposits@v1", 5))
+				b.whole(b.ask(g, "disputes@v7", 5))
+			}
+
+			b.platform.SetFaults(fault)
+			b.eventually("no lease is held", func() bool { return !b.owns(nodes[0]) && !b.owns(nodes[1]) })
+			key := newKey()
+			for _, g := range gateways {
+				b.servesWhatItCan(g, ledger, key)
+			}
+
+			// A dispatcher that starts now has only its settings' seeds, and a
+			// gateway only that dispatcher, from which it takes the document.
+			late := b.dispatcher(3, "a", shortLease, fmt.Sprintf("dispatchers = [%q]", nodes[0].addr))
+			b.eventually("the dispatcher has the document", func() bool { return b.counter(late, "revision") == 3 })
+			g := b.start(ggsnode.RunGateway, b.gatewayVM(3, "a", fmt.Sprintf("dispatchers = [%q, %q]", late.addr, nodes[0].addr)))
+			b.eventually("a gateway that starts now serves", func() bool {
+				return b.await(b.ask(g, "deposits@v1", 5)).status == http.StatusOK
+			})
+			b.servesWhatItCan(g, ledger, key)
+
+			b.platform.SetFaults(ggsfakeplatform.Faults{})
+			b.runsOnce(g, ledger, key)
+		})
+	}
+}
+
+// While the platform was away the VM of an endpoints' owner was lost as well.
+// Its requests were answered short or held back, nobody took the endpoints over
+// when the platform was there again, and a release was paid twice.
+func TestOwnerKilledWhilePlatformAway(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", slowTokens)
+	ledger := b.plain("ledger-1", "a")
+	b.document()
+	first, second := b.twoOwners(shortLease)
+	g := b.gateway(1, "a")
+	ledger.SetFaults(ggsfakeplain.Faults{Slow: 5 * time.Second})
+
+	key := newKey()
+	paid := b.release(g, key)
+	b.eventually("the release runs", func() bool { return runsOf(ledger, key) == 1 })
+	k := b.ask(g, "deposits@v1", 2000)
+	b.running(e, 1)
+	b.platform.SetFaults(ggsfakeplatform.Faults{Outage: true})
+	first.signal(syscall.SIGKILL)
+	c.Check(outcomeOf(c, k, b.await(k)), qt.Equals, "unknown")
+	c.Check(outcomeOf(c, paid, b.await(paid)), qt.Equals, "unknown")
+
+	// Nobody can take over; what comes now is refused at once.
+	began := time.Now()
+	r := b.await(b.ask(g, "deposits@v1", 5))
+	c.Check(r.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", r.text))
+	c.Check(failureOf(c, r.text).Error.Outcome, qt.Equals, "notRun")
+	c.Check(r.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	c.Check(time.Since(began) < refusedWithin, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	c.Check(b.owns(second), qt.IsFalse)
+
+	b.platform.SetFaults(ggsfakeplatform.Faults{})
+	b.eventually("the other dispatcher takes over", func() bool { return b.owns(second) })
+	b.eventually("requests are served", func() bool {
+		k := b.ask(g, "deposits@v1", 5)
+		return outcomeOf(c, k, b.await(k)) == "done"
+	})
+	r = b.await(b.release(g, key))
+	c.Check(r.status, qt.Equals, http.StatusConflict, qt.Commentf("%s", r.text))
+	c.Check(failureOf(c, r.text).Error.Outcome, qt.Equals, "unknown")
+	c.Check(runsOf(ledger, key), qt.Equals, 1)
+	c.Check(e.Stats().BrokenByUnload, qt.Equals, uint64(0))
+}
+
+// linkedDispatcher starts a dispatcher that reaches the platform by the link.
+func (b *bench) linkedDispatcher(n int, domain string) *node {
+	v := b.dispatcherVM(n, domain, shortLease)
+	v.platform = linkPort
+	b.list(v.vm, ggscore.RoleEntry, domain, v.port, "")
+	return b.start(ggsnode.RunDispatcher, v)
+}
+
+// servesWhatItCan checks a gateway's answers while the platform is away.
+func (b *bench) servesWhatItCan(g *node, ledger *ggsfakeplain.Service, key string) {
+	b.c.Helper()
+	b.whole(b.ask(g, "deposits@v1", 5))
+	b.whole(b.ask(g, "disputes@v7", 5))
+	status, _, text := b.post(g, balancePath, "{}")
+	b.c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	began := time.Now()
+	r := b.await(b.release(g, key))
+	b.c.Assert(r.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", r.text))
+	b.c.Assert(failureOf(b.c, r.text).Error.Outcome, qt.Equals, "notRun")
+	b.c.Assert(r.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	b.c.Assert(time.Since(began) < refusedWithin, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	b.c.Assert(runsOf(ledger, key), qt.Equals, 0)
+}
+
+// runsOnce repeats a refused non-idempotent call until it has run.
+func (b *bench) runsOnce(g *node, ledger *ggsfakeplain.Service, key string) {
+	b.c.Helper()
+	b.eventually("the release runs", func() bool { return b.await(b.release(g, key)).status == http.StatusOK })
+	b.c.Assert(runsOf(ledger, key), qt.Equals, 1)
+}
--- /dev/null
+++ b/cmd/ggsnode/fault_process_test.go
@@ -0,0 +1,316 @@
+package ggsnode_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec" //nolint:depguard // a test kills and freezes real processes; the product starts none
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/cmd/ggsnode"
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakeengine"
+	"greengageslip/fakes/ggsfakelink"
+)
+
+const (
+	// programVariable names the program that the test binary is to be.
+	programVariable   = "GGSNODE_TEST_PROGRAM"
+	dispatcherProgram = "ggsdispatcher"
+	gatewayProgram    = "ggsgateway"
+
+	shortLease = `leaseTtl = "2s"`
+)
+
+// TestMain lets the test binary be one of the programs, so that tests can kill
+// and freeze real processes.
+func TestMain(m *testing.M) {
+	programs := map[string]func(context.Context, []string, io.Writer, io.Writer) int{
+		dispatcherProgram: ggsnode.RunDispatcher,
+		gatewayProgram:    ggsnode.RunGateway,
+	}
+	run := programs[os.Getenv(programVariable)]
+	if run == nil {
+		os.Exit(m.Run())
+	}
+	// The end of the standard input is the end of the test that started this.
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(1)
+	}()
+	os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// A process is a node that runs as a process of its own.
+type process struct {
+	node
+	c   *qt.C
+	cmd *exec.Cmd
+}
+
+// dispatcherProcess starts a dispatcher as a process of its own and lists it.
+func (b *bench) dispatcherProcess(n int, domain string, more ...string) *process {
+	v := b.dispatcherVM(n, domain, more...)
+	b.list(v.vm, ggscore.RoleEntry, domain, v.port, "")
+	return b.spawn(dispatcherProgram, v)
+}
+
+// gatewayProcess starts a gateway as a process of its own.
+func (b *bench) gatewayProcess(n int, domain string) *process {
+	p := b.spawn(gatewayProgram, b.gatewayVM(n, domain))
+	b.ready(&p.node)
+	return p
+}
+
+func (b *bench) spawn(program string, v entryVM) *process {
+	cmd := exec.CommandContext(b.ctx, os.Args[0], "--settings", b.settings(v))
+	cmd.Env = append(os.Environ(), programVariable+"="+program)
+	cmd.Stdout, cmd.Stderr = b.logs, b.logs
+	_, err := cmd.StdinPipe()
+	b.c.Assert(err, qt.IsNil)
+	b.c.Assert(cmd.Start(), qt.IsNil)
+	p := &process{node: node{addr: b.addr(v.port), state: b.addr(v.state)}, c: b.c, cmd: cmd}
+	kill := sync.OnceFunc(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	b.c.Cleanup(kill)
+	p.stop = func() int {
+		kill()
+		return 0
+	}
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.c.Helper()
+	p.c.Assert(p.cmd.Process.Signal(s), qt.IsNil)
+}
+
+// A dispatcherDump is what these tests read of a dispatcher's dump.
+type dispatcherDump struct {
+	Parts struct {
+		Dispatcher struct {
+			Endpoints []struct {
+				ID       string   `json:"id"`
+				Mode     string   `json:"mode"`
+				Leaving  bool     `json:"leaving"`
+				Running  int      `json:"running"`
+				Queued   int      `json:"queued"`
+				Resident []string `json:"resident"`
+				Loading  []string `json:"loading"`
+			} `json:"endpoints"`
+			Jobs []struct {
+				ID    string `json:"id"`
+				State string `json:"state"`
+			} `json:"jobs"`
+		} `json:"dispatcher"`
+		Owners []struct {
+			Mode  string `json:"mode"`
+			Owner string `json:"owner"`
+		} `json:"owners"`
+		Members []struct {
+			VM string `json:"vm"`
+		} `json:"members"`
+	} `json:"parts"`
+}
+
+func (b *bench) dump(n *node) dispatcherDump {
+	var d dispatcherDump
+	if status, _, text := b.get("http://" + n.state.String() + "/state"); status == http.StatusOK {
+		b.c.Assert(json.Unmarshal([]byte(text), &d), qt.IsNil, qt.Commentf("%s", text))
+	}
+	return d
+}
+
+// owns reports whether a dispatcher may do all with its endpoints.
+func (b *bench) owns(n *node) bool {
+	es := b.dump(n).Parts.Dispatcher.Endpoints
+	for i := range es {
+		if es[i].Mode != "full" {
+			return false
+		}
+	}
+	return len(es) > 0
+}
+
+// resident counts the adapters that a dispatcher takes for resident.
+func (b *bench) resident(n *node, id string) int {
+	for _, e := range b.dump(n).Parts.Dispatcher.Endpoints {
+		if e.ID == id {
+			return len(e.Resident)
+		}
+	}
+	return 0
+}
+
+// loading reports whether a dispatcher has a load under way at an endpoint.
+func (b *bench) loading(n *node, id string) bool {
+	for _, e := range b.dump(n).Parts.Dispatcher.Endpoints {
+		if e.ID == id {
+			return len(e.Loading) > 0
+		}
+	}
+	return false
+}
+
+// leaving reports whether a dispatcher takes an endpoint for one that leaves.
+func (b *bench) leaving(n *node, id string) bool {
+	for _, e := range b.dump(n).Parts.Dispatcher.Endpoints {
+		if e.ID == id {
+			return e.Leaving
+		}
+	}
+	return false
+}
+
+// jobs counts a dispatcher's requests in a state.
+func (b *bench) jobs(n *node, state string) int {
+	k := 0
+	for _, j := range b.dump(n).Parts.Dispatcher.Jobs {
+		if j.State == state {
+			k++
+		}
+	}
+	return k
+}
+
+// counter reads one of a process's counters.
+func (b *bench) counter(n *node, name string) int64 {
+	var v struct {
+		Counters map[string]int64 `json:"greengageslip"`
+	}
+	if status, _, text := b.get("http://" + n.state.String() + "/debug/vars"); status == http.StatusOK {
+		b.c.Assert(json.Unmarshal([]byte(text), &v), qt.IsNil, qt.Commentf("%s", text))
+	}
+	return v.Counters[name]
+}
+
+// twoOwners starts a dispatcher of domain a as a process, which owns the
+// domain's endpoints, and then another that is to follow it. More are further
+// settings of the first.
+func (b *bench) twoOwners(lease string, more ...string) (*process, *node) {
+	first := b.dispatcherProcess(1, "a", append(more, lease)...)
+	b.eventually("the first dispatcher owns the endpoints", func() bool { return b.owns(&first.node) })
+	second := b.dispatcher(2, "a", lease)
+	b.eventually("the dispatchers know each other", func() bool {
+		return len(b.dump(second).Parts.Members) == 2 && len(b.dump(&first.node).Parts.Members) == 2
+	})
+	b.c.Assert(b.owns(&first.node), qt.IsTrue)
+	return first, second
+}
+
+// link starts a link to a port of the bench.
+func (b *bench) link(port, target uint16) *ggsfakelink.Link {
+	l := ggsfakelink.New(b.addr(target))
+	n, err := (&net.ListenConfig{}).Listen(b.ctx, "tcp", b.addr(port).String())
+	b.c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(b.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = l.Serve(ctx, n)
+	}()
+	b.c.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return l
+}
+
+// A reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	text   string
+}
+
+// A call is a request that a test's caller waits for.
+type call struct {
+	model  string
+	tokens int
+	done   chan reply
+}
+
+// ask sends a streamed chat request in the background.
+func (b *bench) ask(g *node, model string, tokens int) *call {
+	return b.askService(g, "asistente", model, tokens)
+}
+
+func (b *bench) askService(g *node, service, model string, tokens int) *call {
+	k := &call{model: model, tokens: tokens, done: make(chan reply, 1)}
+	go func() {
+		var r reply
+		r.status, r.header, r.text = b.post(g, chatPath, chatOf(model, tokens), "X-Service", service)
+		k.done <- r
+	}()
+	return k
+}
+
+// release sends a non-idempotent call in the background.
+func (b *bench) release(g *node, key string) *call {
+	k := &call{done: make(chan reply, 1)}
+	go func() {
+		var r reply
+		r.status, r.header, r.text = b.post(g, releasePath, `{"deposit":1}`, "Idempotency-Key", key)
+		k.done <- r
+	}()
+	return k
+}
+
+func (b *bench) await(k *call) reply {
+	b.c.Helper()
+	ctx, cancel := context.WithTimeout(b.ctx, testDeadline)
+	defer cancel()
+	select {
+	case r := <-k.done:
+		return r
+	case <-ctx.Done():
+		b.c.Fatalf("waited in vain for an answer")
+		return reply{}
+	}
+}
+
+// whole waits for a call and checks that its answer is whole.
+func (b *bench) whole(k *call) {
+	b.c.Helper()
+	r := b.await(k)
+	b.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.text))
+	checkWhole(b.c, r.header, r.text, k.model, k.tokens)
+}
+
+// outcomeOf returns the outcome that a caller was told: done where the answer
+// is whole, otherwise that of its error event or its refusal. An answer that
+// is neither fails the test.
+func outcomeOf(c *qt.C, k *call, r reply) string {
+	c.Helper()
+	if r.status == http.StatusOK && (k.model == "" || strings.HasSuffix(r.text, "data: [DONE]\n\n")) {
+		if k.model != "" {
+			checkWhole(c, r.header, r.text, k.model, k.tokens)
+		}
+		return "done"
+	}
+	text := r.text
+	if r.status == http.StatusOK {
+		const event = "event: error\ndata: "
+		at := strings.Index(text, event)
+		c.Assert(at > 0, qt.IsTrue, qt.Commentf("a short answer without an error: %s", text))
+		text = text[at+len(event):]
+	}
+	return failureOf(c, text).Error.Outcome
+}
+
+// running waits until an engine runs so many requests that began after the
+// first ones.
+func (b *bench) running(e *ggsfakeengine.Engine, started uint64) {
+	b.c.Helper()
+	b.eventually("the requests run", func() bool { return e.Stats().Started >= started })
+}
