fix: say notRun only where this life of a dispatcher proves it

Causes, found by reading: a dispatcher started anew at a dead one's address said notRun of requests that the dead one had dispatched; a gateway paused for longer than ids are known was told the same; a repeat of a key during an outage was told notRun although an earlier sending may have run. Change: submissions and withdrawals name the dispatcher's incarnation, a settlement counts for a minute, and a refusal for want of the platform says notRun only on the caller's word Idempotency-First-Send. An adapter that isn't protected yet no longer pauses its whole endpoint.

--- a/core/request.go
+++ b/core/request.go
@@ -34,9 +34,11 @@
 	// NonIdempotent marks a request that runs at most once. Key is then set.
 	NonIdempotent bool
 	Key           IdempotencyKey
-	Revision      Revision
-	Operation     Operation
-	Body          []byte
+	// FirstSend is the caller's word that it never sent the key before.
+	FirstSend bool
+	Revision  Revision
+	Operation Operation
+	Body      []byte
 	// Stream says that the caller reads the answer piece by piece.
 	Stream bool
 }
--- a/io/ggsdispatch/dispatcher.go
+++ b/io/ggsdispatch/dispatcher.go
@@ -370,6 +370,15 @@
 	}
 }
 
+// otherLife refuses a request that was meant for an earlier life of the
+// dispatcher.
+func otherLife() *ggscore.Failure {
+	return &ggscore.Failure{
+		Kind: ggscore.FailureNotOwner, Outcome: ggscore.OutcomeNotRun,
+		Detail: "the dispatcher was replaced", RetryAfter: time.Second,
+	}
+}
+
 func stopping() *ggscore.Failure {
 	return &ggscore.Failure{
 		Kind: ggscore.FailureStopping, Outcome: ggscore.OutcomeNotRun,
--- a/io/ggsdispatch/run.go
+++ b/io/ggsdispatch/run.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsowner"
 )
 
 const (
@@ -113,11 +114,12 @@
 	if err != nil {
 		_ = level.Warn(d.parts.Log).Log("event", "claimFailed", "request", r.ID, "err", err)
 		f := &ggscore.Failure{
-			Kind: ggscore.FailurePlatformAway, Detail: "the claim of the idempotency key could not be recorded",
+			Kind: ggscore.FailurePlatformAway, Outcome: ggscore.OutcomeUnknown, Detail: "the claim of the idempotency key could not be recorded",
 			RetryAfter: claimRetryAfter,
 		}
+		// The claimer says unknown where an earlier sending of the key may have
+		// run: notRun of this sending would lead its caller to a new key.
 		_ = errors.As(err, &f)
-		f.Outcome = ggscore.OutcomeNotRun
 		d.end(j, f.Outcome, f)
 		return false
 	}
@@ -136,7 +138,7 @@
 func (d *Dispatcher) beginClaim(ctx context.Context, r *ggscore.Request) (ggscore.ClaimDecision, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	q := ggscore.ClaimRequest{Market: r.Market, Key: r.Key, Body: bodyDigest(r)}
+	q := ggscore.ClaimRequest{Market: r.Market, Key: r.Key, Body: bodyDigest(r), FirstSend: r.FirstSend}
 	until := d.parts.Clock().Add(claimPatience)
 	for {
 		c, err := d.parts.Claims.Begin(ctx, q)
@@ -225,7 +227,7 @@
 	// here, in the goroutine that writes, so that only a pause within the call
 	// below could fall between check and write.
 	if _, err := d.parts.Guard.Check(d.parts.Clock(), o.Endpoint, j.request.Adapter, ggscore.OrderDispatch); err != nil {
-		return &ggscore.CallError{Addr: addr, NotSent: true, Kind: ggscore.FailureNotOwner, Cause: err}
+		return &ggscore.CallError{Addr: addr, NotSent: true, Kind: guardKind(err), Cause: err}
 	}
 	if j.request.Kind == ggscore.KindPlain {
 		return d.parts.Plain.Call(ctx, addr, j.request, sink)
@@ -233,6 +235,15 @@
 	return d.parts.Engine.Run(ctx, addr, j.request, sink)
 }
 
+// guardKind classifies a refusal of the guard. An adapter that isn't protected
+// can't be used on that endpoint, others there can.
+func guardKind(err error) ggscore.FailureKind {
+	if p := (*ggsowner.NotProtectedError)(nil); errors.As(err, &p) {
+		return ggscore.FailureAdapterMissing
+	}
+	return ggscore.FailureNotOwner
+}
+
 // requeue reports a run that is proved not to have happened. The scheduler
 // dispatches the request anew or refuses it.
 func (d *Dispatcher) requeue(o ggscore.Order, e ggscore.EndKind, err error) {
--- a/io/ggsdispatch/service.go
+++ b/io/ggsdispatch/service.go
@@ -44,6 +44,10 @@
 
 // Submit takes a request.
 func (s *Service) Submit(a *ggswire.SubmitArgs, r *ggswire.SubmitReply) error {
+	if a.Incarnation != s.dispatcher.options.Incarnation {
+		r.Failure = ggswire.FromFailure(otherLife())
+		return nil
+	}
 	f := s.dispatcher.Submit(a.Request.Request(s.dispatcher.parts.Clock()))
 	r.Failure = ggswire.FromFailure(f)
 	return nil
@@ -59,8 +63,15 @@
 	return nil
 }
 
-// Withdraw takes a request back.
+// Withdraw takes a request back. A process that was started anew at the address
+// of one that died knows nothing of what that one dispatched: it would say
+// notRun of requests that ran. The life that a request was handed to is
+// therefore named, and another one says unknown.
 func (s *Service) Withdraw(a *ggswire.WithdrawArgs, r *ggswire.WithdrawReply) error {
+	if a.Incarnation != s.dispatcher.options.Incarnation {
+		r.Outcome = int(ggscore.OutcomeUnknown)
+		return nil
+	}
 	r.Outcome = int(s.dispatcher.Withdraw(ggscore.RequestID(a.ID)))
 	return nil
 }
--- a/io/ggsgateway/admit.go
+++ b/io/ggsgateway/admit.go
@@ -19,6 +19,7 @@
 const (
 	headerMarket    = "X-Market"
 	headerService   = "X-Service"
+	headerFirstSend = "Idempotency-First-Send"
 	headerKey       = "Idempotency-Key"
 	headerRequestID = "X-Request-Id"
 	headerStall     = "X-Load-Stall"
@@ -113,6 +114,7 @@
 	}
 	r.Key = ggscore.IdempotencyKey(k)
 	r.NonIdempotent = true
+	r.FirstSend = c.GetHeader(headerFirstSend) == "true"
 	return nil
 }
 
--- a/io/ggsgateway/doc.go
+++ b/io/ggsgateway/doc.go
@@ -16,7 +16,9 @@
 // the current version or "name@version". POST
 // /v1/services/SERVICE/OPERATION calls a plain service. Idempotency-Key marks a
 // request that runs at most once; an operation that the document calls
-// non-idempotent needs one.
+// non-idempotent needs one. Idempotency-First-Send: true says that the key was
+// never sent before: only then can a refusal for want of the platform's service
+// say notRun, since an earlier sending may have run.
 //
 // # Answers
 //
--- a/io/ggsgateway/send.go
+++ b/io/ggsgateway/send.go
@@ -23,7 +23,9 @@
 	// handOverInterval is the time between two looks for the next owner.
 	handOverInterval = 25 * time.Millisecond
 	withdrawTimeout  = 2 * time.Second
-	awayRetryAfter   = time.Second
+	// maxSettleAge is well below the time for which dispatchers know ids.
+	maxSettleAge   = time.Minute
+	awayRetryAfter = time.Second
 )
 
 // An attempt is one offer of a request to one dispatcher.
@@ -32,6 +34,9 @@
 	answer  *answer
 	choice  ggsroute.Choice
 	addr    netip.AddrPort
+	// life is the dispatcher's incarnation, sent when it was handed over.
+	life string
+	sent time.Time
 	// unreachable says that the dispatcher didn't answer.
 	unreachable bool
 }
@@ -169,7 +174,7 @@
 	g.routed[r.Service] = now
 	g.router.Sent(now, c)
 	g.breakers.Started(now, c.VM)
-	return &attempt{request: r, answer: a, choice: c, addr: g.peers[c.VM].addr}, nil
+	return &attempt{request: r, answer: a, choice: c, addr: g.peers[c.VM].addr, life: g.peers[c.VM].summary.Incarnation, sent: now}, nil
 }
 
 // try hands a request to one dispatcher and relays its answer.
@@ -213,7 +218,7 @@
 func (g *Gateway) submit(ctx context.Context, t *attempt) *ggscore.Failure {
 	sub, cancel := context.WithTimeout(ctx, g.options.SubmitTimeout)
 	defer cancel()
-	args := ggswire.SubmitArgs{Request: ggswire.FromRequest(t.request, max(g.left(t.request), time.Millisecond))}
+	args := ggswire.SubmitArgs{Incarnation: t.life, Request: ggswire.FromRequest(t.request, max(g.left(t.request), time.Millisecond))}
 	var reply ggswire.SubmitReply
 	err := g.parts.Caller.Call(sub, t.addr, ggswire.MethodSubmit, &args, &reply)
 	if err == nil {
@@ -311,14 +316,21 @@
 }
 
 // withdraw takes a request back, even where the caller has gone.
+//
+// A gateway that was paused may ask so late that the dispatcher has forgotten
+// a request that ended; its notRun would then be wrong, so that it counts for
+// less than that time only.
 func (g *Gateway) withdraw(ctx context.Context, t *attempt) ggscore.Outcome {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
 	defer cancel()
 	var reply ggswire.WithdrawReply
-	args := ggswire.WithdrawArgs{ID: string(t.request.ID)}
+	args := ggswire.WithdrawArgs{Incarnation: t.life, ID: string(t.request.ID)}
 	if err := g.parts.Caller.Call(ctx, t.addr, ggswire.MethodWithdraw, &args, &reply); err != nil {
 		return ggscore.OutcomeUnknown
 	}
+	if g.parts.Clock().Sub(t.sent) > maxSettleAge {
+		return ggscore.OutcomeUnknown
+	}
 	return ggscore.Outcome(reply.Outcome)
 }
 
--- a/io/ggswire/request.go
+++ b/io/ggswire/request.go
@@ -19,7 +19,7 @@
 	ID, Market, Service, Base, Adapter, Version string
 	Kind, Priority                              int
 	Budget, Deferrable                          time.Duration
-	NonIdempotent, Stream                       bool
+	NonIdempotent, FirstSend, Stream            bool
 	Key                                         string
 	Revision                                    uint64
 	Method, Path                                string
@@ -33,7 +33,7 @@
 		Base: string(r.Base), Adapter: r.Adapter.Name, Version: string(r.Adapter.Version),
 		Kind: int(r.Kind), Priority: int(r.Priority),
 		Budget: budget, Deferrable: r.Deferrable,
-		NonIdempotent: r.NonIdempotent, Stream: r.Stream,
+		NonIdempotent: r.NonIdempotent, FirstSend: r.FirstSend, Stream: r.Stream,
 		Key: string(r.Key), Revision: uint64(r.Revision),
 		Method: r.Operation.Method, Path: r.Operation.Path, Body: r.Body,
 	}
@@ -48,7 +48,7 @@
 		Adapter:  ggscore.AdapterRef{Name: w.Adapter, Version: ggscore.Version(w.Version)},
 		Priority: ggscore.Priority(w.Priority), Arrived: now,
 		Budget: w.Budget, Deferrable: w.Deferrable,
-		NonIdempotent: w.NonIdempotent, Stream: w.Stream,
+		NonIdempotent: w.NonIdempotent, FirstSend: w.FirstSend, Stream: w.Stream,
 		Key: ggscore.IdempotencyKey(w.Key), Revision: ggscore.Revision(w.Revision),
 		Operation: ggscore.Operation{Method: w.Method, Path: w.Path}, Body: w.Body,
 	}
@@ -114,9 +114,12 @@
 	}
 }
 
-// SubmitArgs hands a request to a dispatcher. A repeat with the same id is
-// the same request.
-type SubmitArgs struct{ Request Request }
+// SubmitArgs hands a request to one life of a dispatcher. A repeat with the
+// same id is the same request.
+type SubmitArgs struct {
+	Incarnation string
+	Request     Request
+}
 
 // SubmitReply says whether the request was taken.
 type SubmitReply struct{ Failure Failure }
@@ -137,9 +140,10 @@
 	Lost   bool
 }
 
-// WithdrawArgs takes a request back. The dispatcher then never starts it, not
-// even if a late copy of its submission arrives.
-type WithdrawArgs struct{ ID string }
+// WithdrawArgs takes a request back from the life of a dispatcher that it was
+// handed to. That life then never starts it, not even if a late copy of its
+// submission arrives.
+type WithdrawArgs struct{ Incarnation, ID string }
 
 // WithdrawReply tells the outcome: notRun where the request never reached an
 // endpoint.
