--- a/core/ggsschedule/stories_test.go
+++ b/core/ggsschedule/stories_test.go
@@ -77,6 +77,8 @@
 	c.Assert(kinds(s.Submit(now, request("q1", "c"))), qt.DeepEquals, []string{"unload a"})
 	s.UnloadEnded(now, "r1", ref("a"), ggscore.EndUnknown)
 	c.Assert(kinds(s.Submit(now, request("q2", "a"))), qt.Not(qt.Contains), "dispatch q2")
+	now = now.Add(500 * time.Millisecond)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now, idle("a", "b")...))), qt.Not(qt.Contains), "unload a")
 	now = now.Add(1500 * time.Millisecond)
 	orders := kinds(s.Report(now, report("r1", "one", now, idle("a", "b")...)))
 	c.Assert(orders, qt.Contains, "unload a")
@@ -307,3 +309,195 @@
 	}
 	c.Fatal("the request of the failing adapter was never answered")
 }
+
+// An eviction takes ten seconds while its load's token is reserved. If the
+// bucket filled up behind it, two loads would follow each other at once, on top
+// of the other owners' shares, and the weight store would stall everyone's.
+func TestSlowEvictionDoesNotSaveUpLoads(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a", "b")
+	s.SetLoadShare(now, ggscore.LoadShare{LoadsPerSecond: 1, InTransit: 3})
+	now = now.Add(time.Second)
+	patient := func(id, adapter string) *ggscore.Request {
+		r := request(id, adapter)
+		r.Budget = time.Minute
+		return r
+	}
+	c.Assert(kinds(s.Submit(now, patient("q1", "c"))), qt.DeepEquals, []string{"unload a"})
+	now = now.Add(10 * time.Second)
+	c.Assert(kinds(s.UnloadEnded(now, "r1", ref("a"), ggscore.EndDone)), qt.DeepEquals, []string{"load c"})
+	c.Assert(kinds(s.Submit(now, patient("q2", "d"))), qt.HasLen, 0)
+	c.Assert(kinds(s.Tick(now.Add(time.Second))), qt.DeepEquals, []string{"unload b"})
+}
+
+// Two loads wait for evictions when the owner's share shrinks to one load a
+// second, since another owner took part of it over. Both at once would exceed
+// it, and the sum of all shares with it.
+func TestShrunkShareHoldsForReservedLoads(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a", "b")
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Submit(now, request("q1", "c"))), qt.DeepEquals, []string{"unload a"})
+	c.Assert(kinds(s.Submit(now, request("q2", "d"))), qt.DeepEquals, []string{"unload b"})
+	s.SetLoadShare(now, ggscore.LoadShare{LoadsPerSecond: 1, InTransit: 3})
+	c.Assert(kinds(s.UnloadEnded(now, "r1", ref("a"), ggscore.EndDone)), qt.DeepEquals, []string{"load c"})
+	c.Assert(kinds(s.UnloadEnded(now, "r1", ref("b"), ggscore.EndDone)), qt.HasLen, 0)
+	c.Assert(kinds(s.Tick(now.Add(time.Second))), qt.DeepEquals, []string{"load d"})
+}
+
+// Reminders for one adapter come in while its load is held up. They may wait,
+// but none may be lost: each is dispatched once the adapter is there, or refused
+// before its budget is over.
+func TestDeferrableWorkIsNeverLost(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := newScheduler(now, "r1")
+	s.SetLoadShare(now, ggscore.LoadShare{LoadsPerSecond: 0.1, InTransit: 1})
+	answered := map[string]int{}
+	running := []ggscore.RequestID{}
+	follow := func(orders []ggscore.Order) {
+		for _, o := range orders {
+			if o.Request != nil {
+				answered[string(o.Request.ID)]++
+			}
+			if o.Kind == ggscore.OrderDispatch {
+				running = append(running, o.Request.ID)
+			}
+		}
+	}
+	follow(s.Submit(now, request("first", "other")))
+	for i := range 20 {
+		r := request(fmt.Sprintf("q%d", i), "reminders")
+		r.Priority, r.Budget, r.Deferrable = ggscore.PriorityDeferrable, 40*time.Second, 10*time.Second
+		follow(s.Submit(now, r))
+	}
+	for range 200 {
+		now = now.Add(500 * time.Millisecond)
+		follow(s.LoadEnded(now, "r1", ref("other"), ggscore.EndDone))
+		follow(s.LoadEnded(now, "r1", ref("reminders"), ggscore.EndDone))
+		follow(s.Tick(now))
+		if len(running) > 0 {
+			id := running[0]
+			running = running[1:]
+			follow(s.RequestEnded(now, id, ggscore.EndDone))
+		}
+	}
+	c.Assert(answered, qt.HasLen, 21)
+	for id, n := range answered {
+		c.Check(n, qt.Equals, 1, qt.Commentf("%s", id))
+	}
+}
+
+// Ownership passed to another VM and came back. A report that the runner made
+// before that still shows the adapter; the other owner has evicted it since, and
+// callers would be sent to an adapter that is gone.
+func TestReportFromBeforeOwnershipIsIgnored(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a")
+	now = now.Add(time.Second)
+	s.SetEndpoint(now, runner("r1"), ggscore.ModeNone)
+	before := now.Add(time.Second)
+	now = now.Add(2 * time.Second)
+	s.SetEndpoint(now, runner("r1"), ggscore.ModeFull)
+	s.Report(now, report("r1", "one", before, idle("a")...))
+	c.Assert(kinds(s.Submit(now, request("q1", "a"))), qt.HasLen, 0)
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now, idle("a")...))), qt.DeepEquals, []string{"dispatch q1"})
+}
+
+// While ownership was in doubt an earlier owner's request came in on a protected
+// adapter. A report counts one run, which looks like our own request that is
+// still on its way; once ours has ended the adapter must stay until a report
+// shows it idle.
+func TestDoubtfulOwnershipPins(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := newScheduler(now)
+	spec := runner("r1")
+	spec.AdapterSlots = 1
+	s.SetEndpoint(now, spec, ggscore.ModeResidentOnly)
+	s.Protect(now, "r1", []ggscore.AdapterRef{ref("a")})
+	s.Report(now, report("r1", "one", now, idle("a")...))
+	now = now.Add(time.Second)
+	s.SetEndpoint(now, spec, ggscore.ModeFull)
+	c.Assert(kinds(s.Submit(now, request("q1", "a"))), qt.DeepEquals, []string{"dispatch q1"})
+	now = now.Add(time.Second)
+	s.Report(now, report("r1", "one", now, ggscore.ResidentAdapter{Ref: ref("a"), Running: 1}))
+	s.RequestEnded(now, "q1", ggscore.EndDone)
+	s.Protect(now, "r1", nil)
+	c.Assert(kinds(s.Submit(now, request("q2", "b"))), qt.HasLen, 0)
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now, idle("a")...))), qt.DeepEquals, []string{"unload a"})
+}
+
+// A caller hangs up while its request runs, and the run then fails. Tried again
+// it would take a slot for an answer that nobody reads.
+func TestCancelledRequestIsNotTriedAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a")
+	now = now.Add(time.Second)
+	s.Submit(now, request("q1", "a"))
+	c.Assert(kinds(s.Cancel(now, "q1")), qt.HasLen, 0)
+	orders := s.RequestEnded(now, "q1", ggscore.EndFailed)
+	c.Assert(kinds(orders), qt.DeepEquals, []string{"refuse q1"})
+	c.Assert(orders[0].Failure.Kind, qt.Equals, ggscore.FailureCancelled)
+}
+
+// A runner fails every request at once. Without a bound one request would go
+// round for ever, and without a pause the runner, whose slots are always free,
+// would draw all others to itself.
+func TestSickRunnerIsPaused(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a")
+	now = now.Add(time.Second)
+	c.Assert(kinds(s.Submit(now, request("q1", "a"))), qt.DeepEquals, []string{"dispatch q1"})
+	c.Assert(kinds(s.RequestEnded(now, "q1", ggscore.EndFailed)), qt.DeepEquals, []string{"dispatch q1"})
+	c.Assert(kinds(s.RequestEnded(now, "q1", ggscore.EndFailed)), qt.DeepEquals, []string{"dispatch q1"})
+	orders := s.RequestEnded(now, "q1", ggscore.EndFailed)
+	c.Assert(kinds(orders), qt.DeepEquals, []string{"refuse q1"})
+	c.Assert(orders[0].Failure.Kind, qt.Equals, ggscore.FailureEndpoint)
+	c.Assert(kinds(s.Submit(now, request("q2", "a"))), qt.HasLen, 0)
+	c.Assert(kinds(s.Tick(s.NextTick())), qt.DeepEquals, []string{"dispatch q2"})
+}
+
+// The last runner goes while requests wait. They are told at once that they did
+// not run, instead of when their budget is over.
+func TestWaitingRequestsHearOfLostRunner(t *testing.T) {
+	t.Parallel()
+	for name, lose := range map[string]func(s *ggsschedule.Scheduler, now time.Time) []ggscore.Order{
+		"removed": func(s *ggsschedule.Scheduler, now time.Time) []ggscore.Order {
+			return s.RemoveEndpoint(now, "r1")
+		},
+		"owner lost": func(s *ggsschedule.Scheduler, now time.Time) []ggscore.Order {
+			return s.SetEndpoint(now, runner("r1"), ggscore.ModeNone)
+		},
+		"leaving": func(s *ggsschedule.Scheduler, now time.Time) []ggscore.Order {
+			e := runner("r1")
+			e.Leaving = true
+			return s.SetEndpoint(now, e, ggscore.ModeFull)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			now := epoch()
+			s := newScheduler(now, "r1")
+			now = now.Add(time.Second)
+			s.Submit(now, request("q1", "a"))
+			c.Assert(kinds(s.Submit(now, request("q1", "a"))), qt.HasLen, 0)
+			c.Assert(kinds(lose(s, now)), qt.DeepEquals, []string{"refuse q1"})
+		})
+	}
+}
