fix: load nothing until the list of VMs tells the share

Change: the share is worked out with the endpoints, again at each change of the list, and is nothing before.

--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -37,7 +37,6 @@
 	leaseRenewPart  = 3
 	leasePollPart   = 6
 	releaseTimeout  = 3 * time.Second
-	aloneTimeout    = 200 * time.Millisecond
 )
 
 // RunDispatcher runs a dispatcher until a signal or the context's end and
@@ -152,12 +151,7 @@
 	if err := p.Dispatcher.Drain(ctx); err != nil {
 		return err
 	}
-	patience := releaseTimeout
-	if len(candidates(p.Heartbeats.Members())) <= 1 {
-		// Nobody is there to take over, which is what leaving waits for.
-		patience = aloneTimeout
-	}
-	leave, cancelLeave := context.WithTimeout(ctx, patience)
+	leave, cancelLeave := context.WithTimeout(ctx, releaseTimeout)
 	defer cancelLeave()
 	if err := p.Owners.Leave(leave); err != nil {
 		_ = level.Warn(l).Log("event", "leaveFailed", "err", err)
--- a/cmd/ggsnode/endpoints.go
+++ b/cmd/ggsnode/endpoints.go
@@ -22,6 +22,7 @@
 type endpoints struct {
 	parts   dispatcherParts
 	changed chan struct{}
+	share   ggscore.LoadShare
 }
 
 func newEndpoints(p dispatcherParts) *endpoints {
@@ -58,7 +59,7 @@
 	e.parts.Dispatcher.Schedule(func(_ ggscore.Scheduler, now time.Time) []ggscore.Order {
 		s := e.parts.Scheduler
 		s.SetMarkets(weightsOf(d))
-		return append(s.SetPolicy(now, d.Policy), s.SetLoadShare(now, e.share(d))...)
+		return s.SetPolicy(now, d.Policy)
 	})
 }
 
@@ -82,6 +83,7 @@
 	for i := range es {
 		owned = append(owned, e.owned(&es[i]))
 	}
+	e.setShare(shareOf(vms, d))
 	p.Dispatcher.SetEndpoints(owned)
 }
 
@@ -129,17 +131,31 @@
 	return w
 }
 
-// share is this domain's equal share of the weight store's limits. The shares'
+// setShare sets the share of the weight store's limits before the endpoints
+// are set: without one, nothing is loaded.
+func (e *endpoints) setShare(h ggscore.LoadShare) {
+	if h == e.share {
+		return
+	}
+	e.share = h
+	e.parts.Dispatcher.Schedule(func(s ggscore.Scheduler, now time.Time) []ggscore.Order {
+		return s.SetLoadShare(now, h)
+	})
+}
+
+// shareOf is a domain's equal share of the weight store's limits. The shares'
 // sum never passes them, whoever is cut off from whom.
-func (e *endpoints) share(d *ggscore.Document) ggscore.LoadShare {
-	vms, _ := e.parts.VMs.List()
+func shareOf(vms []ggscore.VM, d *ggscore.Document) ggscore.LoadShare {
 	domains := make(map[ggscore.Domain]bool)
 	for i := range vms {
 		if vms[i].Role == ggscore.RoleEndpoint {
 			domains[vms[i].Domain] = true
 		}
 	}
-	n := max(len(domains), 1)
+	n := len(domains)
+	if n == 0 {
+		return ggscore.LoadShare{}
+	}
 	return ggscore.LoadShare{
 		LoadsPerSecond: d.Policy.LoadsPerSecond / float64(n),
 		InTransit:      max(d.Policy.LoadsInTransit/n, 1),
--- /dev/null
+++ b/cmd/ggsnode/endpoints_test.go
@@ -0,0 +1,36 @@
+package ggsnode
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+)
+
+// One domain loaded at the whole weight store's rate while the others had their
+// thirds: its dispatcher had adopted the document before it knew the list of
+// VMs, took itself for the only domain and kept that share.
+func TestShareNeedsTheListOfVMs(t *testing.T) {
+	t.Parallel()
+	d := &ggscore.Document{Policy: ggscore.PolicySpec{LoadsPerSecond: 6, LoadsInTransit: 24}}
+	vm := func(r ggscore.VMRole, n ggscore.Domain) ggscore.VM { return ggscore.VM{Role: r, Domain: n} }
+	for name, tc := range map[string]struct {
+		vms  []ggscore.VM
+		want ggscore.LoadShare
+	}{
+		"no list":           {nil, ggscore.LoadShare{}},
+		"entry VMs only":    {[]ggscore.VM{vm(ggscore.RoleEntry, "a")}, ggscore.LoadShare{}},
+		"one domain":        {[]ggscore.VM{vm(ggscore.RoleEndpoint, "a")}, ggscore.LoadShare{LoadsPerSecond: 6, InTransit: 24}},
+		"two of three gone": {[]ggscore.VM{vm(ggscore.RoleEndpoint, "a"), vm(ggscore.RoleEntry, "b")}, ggscore.LoadShare{LoadsPerSecond: 6, InTransit: 24}},
+		"three domains": {
+			[]ggscore.VM{vm(ggscore.RoleEndpoint, "a"), vm(ggscore.RoleEndpoint, "b"), vm(ggscore.RoleEndpoint, "c")},
+			ggscore.LoadShare{LoadsPerSecond: 2, InTransit: 8},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			qt.New(t).Assert(shareOf(tc.vms, d), qt.Equals, tc.want)
+		})
+	}
+}
--- a/io/ggsgateway/send.go
+++ b/io/ggsgateway/send.go
@@ -184,7 +184,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.parts.Clock()
-	g.router.Ended(now, t.choice, ggsroute.End{Held: now.Sub(sent), AnswerBytes: t.answer.bytes})
+	g.router.Ended(now, t.choice, ggsroute.End{Held: now.Sub(sent), Stall: t.answer.stall, AnswerBytes: t.answer.bytes})
 	g.breakers.Ended(now, t.choice.VM, resultOf(t, f))
 	return f
 }
