perf: predict loads from their rate of late while no runner has room

Cause: at a peak every adapter on a runner is in use or waited for; the weight store's share says more loads than there is room for, so that requests were admitted that waited nearly their whole budget (one domain with the whole share, deferrable peak: stall p95 52.1 s).

--- a/core/ggsschedule/costs.go
+++ b/core/ggsschedule/costs.go
@@ -22,6 +22,10 @@
 	crowdingCost = 0.05
 	// recountEvery bounds the age of the counts that waits are predicted from.
 	recountEvery = 250 * time.Millisecond
+	// loadsConstant is the time over which the rate of loads is averaged, and
+	// leastLoadRate bounds it in parts of the share.
+	loadsConstant = 10 * time.Second
+	leastLoadRate = 0.05
 	// standingAfter is how long a queue for loads must stand to be cut, and
 	// patienceLoads the number of loads to which it is cut when only stalls
 	// weigh.
@@ -153,14 +157,13 @@
 
 // pressure is the predicted wait for a load as a part of the patience.
 func (s *Scheduler) pressure(now time.Time, v *service) float64 {
-	rate := s.bucket.share.LoadsPerSecond * s.bucket.success()
-	if rate <= 0 || s.bucket.share.InTransit <= 0 {
+	if s.bucket.share.LoadsPerSecond <= 0 || s.bucket.share.InTransit <= 0 {
 		return math.MaxInt32
 	}
 	if now.Sub(v.countedAt) > recountEvery {
 		s.recount(now, v)
 	}
-	return v.backlog / rate
+	return v.backlog / v.loadRate
 }
 
 // standing reports whether the queue for loads has been longer than patience
@@ -182,6 +185,7 @@
 func (s *Scheduler) recount(now time.Time, v *service) {
 	v.countedAt = now
 	v.backlog = 0
+	v.loadRate = s.loadRate(now, v)
 	for _, a := range v.waiting {
 		if c, t := a.supply(now); c+t == 0 && !a.anywhere() {
 			v.backlog += 1 / s.patience(a.queue.Head().Value).Seconds()
@@ -189,6 +193,23 @@
 	}
 }
 
+// loadRate predicts how many loads a second will succeed. While every runner is
+// full of adapters that requests run on or wait for, the weight store could do
+// more than there is room for: the rate of late is then taken.
+func (s *Scheduler) loadRate(now time.Time, v *service) float64 {
+	rate := s.bucket.share.LoadsPerSecond * s.bucket.success()
+	if v.hasRoom(now) {
+		return rate
+	}
+	late := v.loadsOfLate(now) / loadsConstant.Seconds()
+	return min(rate, max(late, rate*leastLoadRate))
+}
+
+// loadsOfLate is the decayed number of loads that were begun.
+func (v *service) loadsOfLate(now time.Time) float64 {
+	return v.loads * math.Exp(-now.Sub(v.loadsAt).Seconds()/loadsConstant.Seconds())
+}
+
 // inTime reports whether any waiting request can still gain from a load. One
 // that begins too late would take a slot and a token for nothing.
 func (s *Scheduler) inTime(now time.Time, a *adapter) bool {
--- a/core/ggsschedule/plan.go
+++ b/core/ggsschedule/plan.go
@@ -141,12 +141,14 @@
 	if e == nil || (w.ahead && victim != nil && s.evictionCost(now, victim)*hysteresis > w.adapter.rate(now)) {
 		return false
 	}
+	v := w.adapter.service
+	v.loads = v.loadsOfLate(now) + 1
+	v.loadsAt = now
 	r := s.reserve(now, w.adapter, e)
 	if victim == nil {
 		s.load(now, r)
 		return true
 	}
-	v := w.adapter.service
 	v.evicted += (victim.adapter.rate(now) - v.evicted) / evictedWeight
 	victim.successor = r
 	s.unload(now, victim)
--- a/core/ggsschedule/tables.go
+++ b/core/ggsschedule/tables.go
@@ -203,6 +203,11 @@
 	// inverse of their patience, as of countedAt and with those that came since.
 	backlog   float64
 	countedAt time.Time
+	// loadRate is the predicted rate of loads, as of countedAt; loads is the
+	// decayed number of loads that were begun, as of loadsAt.
+	loadRate float64
+	loads    float64
+	loadsAt  time.Time
 	// standingAt is since when the queue for loads is longer than patience.
 	standingAt time.Time
 	// drift notices shifts of popularity; evicted is the mean popularity of
