feat: take the list of VMs from a few readers a domain

Every process read the platform's whole list each second: worked out for the design size, 880 KB/s a node; and a VM that started while the platform was away had no list at all. Two dispatchers of a domain now read it, the others ask them with the digest of what they have; a list comes with its age and the younger one wins.

--- a/cmd/ggsnode/common.go
+++ b/cmd/ggsnode/common.go
@@ -53,12 +53,15 @@
 	})
 }
 
-func newVMs(n *ggssettings.Node, c *ggsplatform.Client, l log.Logger) *ggsvms.Follower {
-	return ggsvms.New(c, ggsvms.Options{Interval: n.ListInterval}, l)
+func newVMs(n *ggssettings.Node, c *ggsplatform.Client, p *ggsrpc.Pool, t clock, l log.Logger) *ggsvms.Follower {
+	return ggsvms.New(c, ggsvms.NewPeers(p), ggsvms.Options{Interval: n.ListInterval}, t, l)
 }
 
 // startFollowers starts what brings the document, and shows it in the dump.
-func startFollowers(h host, f *ggsconfig.Follower, v *ggsvms.Follower, t *ggsstate.State) {
+func startFollowers(
+	h host, n *ggssettings.Node, r role, m ggsconfig.MemberLister, f *ggsconfig.Follower, v *ggsvms.Follower, t *ggsstate.State,
+) {
+	v.SetMembers(&readers{node: n, role: r, members: m})
 	h.background("document", f.Run)
 	t.Add("document", func() any { return f.State() })
 	t.Add("vms", func() any {
--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -126,6 +126,9 @@
 		if err := s.Register(ggsconfig.ServiceName, ggsconfig.NewService(p.Document)); err != nil {
 			return err
 		}
+		if err := s.Register(ggsvms.ServiceName, ggsvms.NewService(p.VMs)); err != nil {
+			return err
+		}
 		return s.Register("Dispatch", ggsdispatch.NewService(ctx, p.Dispatcher))
 	})
 	countDispatcher(p.State, p.Dispatcher.Stats())
--- /dev/null
+++ b/cmd/ggsnode/readers.go
@@ -0,0 +1,65 @@
+package ggsnode
+
+import (
+	"slices"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsdocument"
+	"greengageslip/io/ggsconfig"
+	"greengageslip/io/ggssettings"
+	"greengageslip/io/ggsvms"
+)
+
+// listReaders is the number of VMs of a domain that read the platform's list.
+const listReaders = 2
+
+// A readers tells who reads the platform's list of VMs: those of a domain's
+// dispatchers that also watch the document.
+type readers struct {
+	node    *ggssettings.Node
+	role    role
+	members ggsconfig.MemberLister
+}
+
+var _ ggsvms.Membership = (*readers)(nil)
+
+// Others implements ggsvms.Membership.
+func (r *readers) Others() []ggsvms.Peer {
+	first := r.first()
+	return r.peers(func(m ggsconfig.Member) bool { return !slices.Contains(first, m.VM) })
+}
+
+// Readers implements ggsvms.Membership.
+func (r *readers) Readers() []ggsvms.Peer {
+	first := r.first()
+	return r.peers(func(m ggsconfig.Member) bool { return slices.Contains(first, m.VM) })
+}
+
+// Reads implements ggsvms.Membership.
+func (r *readers) Reads() bool {
+	return !r.role.peersOnly && slices.Contains(r.first(), r.node.VM)
+}
+
+// first returns the domain's dispatchers that read the list.
+func (r *readers) first() []ggscore.VMID {
+	var ids []ggscore.VMID
+	if !r.role.peersOnly {
+		ids = append(ids, r.node.VM)
+	}
+	for _, m := range r.members.Members() {
+		if m.Domain == r.node.Domain {
+			ids = append(ids, m.VM)
+		}
+	}
+	return ggsdocument.Watchers(r.node.Domain, ids, listReaders)
+}
+
+func (r *readers) peers(wanted func(ggsconfig.Member) bool) []ggsvms.Peer {
+	var ps []ggsvms.Peer
+	for _, m := range r.members.Members() {
+		if (r.role.peersOnly || m.VM != r.node.VM) && wanted(m) {
+			ps = append(ps, m.Addr)
+		}
+	}
+	return ps
+}
--- a/io/ggsgateway/handler.go
+++ b/io/ggsgateway/handler.go
@@ -10,6 +10,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggslimit"
+	"greengageslip/core/ggsroute"
 )
 
 // Handler returns the callers' HTTP handler.
@@ -81,7 +82,19 @@
 	}
 	defer g.leave(r)
 	a.stream = r.Stream
-	return g.send(c.Request.Context(), r, a)
+	return forCaller(r, g.send(c.Request.Context(), r, a))
+}
+
+// forCaller tells a caller of our processes' affairs what it is to him: nobody
+// could take the request.
+func forCaller(r *ggscore.Request, f *ggscore.Failure) *ggscore.Failure {
+	if f == nil || (f.Kind != ggscore.FailureNotOwner && f.Kind != ggscore.FailureStopping) {
+		return f
+	}
+	e := &ggsroute.NoDispatcherError{Service: r.Service, Cause: ggsroute.CauseAway, RetryAfter: max(f.RetryAfter, awayRetryAfter)}
+	n := e.Failure()
+	n.Outcome = f.Outcome
+	return n
 }
 
 // enter applies the market's limits.
