--- a/core/ggsschedule/costs.go
+++ b/core/ggsschedule/costs.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"greengageslip/core/ggsqueue"
@@ -198,13 +199,21 @@
 // more than there is room for: the rate of late is then taken.
 func (s *Scheduler) loadRate(now time.Time, v *service) float64 {
 	rate := s.bucket.share.LoadsPerSecond * s.bucket.success()
-	if v.hasRoom(now) {
+	if !v.crowded(now) {
 		return rate
 	}
 	late := v.loadsOfLate(now) / loadsConstant.Seconds()
 	return min(rate, max(late, rate*leastLoadRate))
 }
 
+// crowded reports whether all runners are full. Runners that have not reported
+// to a new owner yet say nothing: taken for full, they would have it refuse its
+// first requests by a rate of loads that it had no time to reach.
+func (v *service) crowded(now time.Time) bool {
+	reported := slices.ContainsFunc(v.endpoints, func(e *endpoint) bool { return e.loads(now) })
+	return reported && !v.hasRoom(now)
+}
+
 // loadsOfLate is the decayed number of loads that were begun.
 func (v *service) loadsOfLate(now time.Time) float64 {
 	return v.loads * math.Exp(-now.Sub(v.loadsAt).Seconds()/loadsConstant.Seconds())
