--- a/core/ggsschedule/stories_test.go
+++ b/core/ggsschedule/stories_test.go
@@ -545,3 +545,24 @@
 	now = now.Add(time.Second)
 	c.Assert(kinds(s.Report(now, report("r1", "one", now, idle("a")...))), qt.DeepEquals, []string{"unload a"})
 }
+
+// An engine's report shows an adapter for a moment after its eviction has ended.
+// Believed, it would draw requests to an adapter that is gone. One that is still
+// there later was loaded by somebody else, and takes a slot.
+func TestEvictedAdapterInReportIsDoubted(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := epoch()
+	s := resident(now, "a", "b")
+	now = now.Add(time.Second)
+	s.Submit(now, request("q1", "c"))
+	c.Assert(kinds(s.UnloadEnded(now, "r1", ref("a"), ggscore.EndDone)), qt.DeepEquals, []string{"load c"})
+	s.SetLoadShare(now, ggscore.LoadShare{LoadsPerSecond: 0.01, InTransit: 1})
+	now = now.Add(100 * time.Millisecond)
+	s.Report(now, report("r1", "one", now, idle("a", "b")...))
+	r := request("q2", "a")
+	r.Budget = time.Hour
+	c.Assert(kinds(s.Submit(now, r)), qt.HasLen, 0)
+	now = now.Add(2 * time.Second)
+	c.Assert(kinds(s.Report(now, report("r1", "one", now, idle("a", "b")...))), qt.Contains, "dispatch q2")
+}
