--- a/cmd/ggsnode/endpoints.go
+++ b/cmd/ggsnode/endpoints.go
@@ -1,7 +1,9 @@
 package ggsnode
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	ggscore "greengageslip/core"
@@ -20,6 +22,7 @@
 type endpoints struct {
 	parts   dispatcherParts
 	changed chan struct{}
+	share   ggscore.LoadShare
 }
 
 func newEndpoints(p dispatcherParts) *endpoints {
@@ -56,7 +59,7 @@
 	e.parts.Dispatcher.Schedule(func(_ ggscore.Scheduler, now time.Time) []ggscore.Order {
 		s := e.parts.Scheduler
 		s.SetMarkets(weightsOf(d))
-		return append(s.SetPolicy(now, d.Policy), s.SetLoadShare(now, e.share(d))...)
+		return s.SetPolicy(now, d.Policy)
 	})
 }
 
@@ -77,14 +80,42 @@
 	}
 	p.Owners.SetEndpoints(ids)
 	owned := make([]ggsdispatch.OwnedEndpoint, 0, len(es))
-	for _, n := range es {
-		owned = append(owned, ggsdispatch.OwnedEndpoint{
-			Endpoint: n, Mode: p.Owners.Mode(p.Clock(), n.ID), Pins: p.Owners.Pins(n.ID),
-		})
+	for i := range es {
+		owned = append(owned, e.owned(&es[i]))
 	}
+	e.setShare(shareOf(vms, d))
 	p.Dispatcher.SetEndpoints(owned)
 }
 
+// owned says what may be done with an endpoint now.
+func (e *endpoints) owned(n *ggscore.Endpoint) ggsdispatch.OwnedEndpoint {
+	p := &e.parts
+	o := ggsdispatch.OwnedEndpoint{Endpoint: *n, Mode: p.Owners.Mode(p.Clock(), n.ID), Pins: p.Owners.Pins(n.ID)}
+	if o.Mode == ggscore.ModeResidentOnly {
+		o.Pins = e.usable(n)
+	}
+	return o
+}
+
+// usable returns what an endpoint serves while its owner's lease is not
+// confirmed: its resident adapters that the owner's record protects.
+//
+// The scheduler serves only protected adapters in that mode. An owner that
+// passed on just the pins of earlier owners would refuse all requests once the
+// platform had been away for longer than its lease.
+func (e *endpoints) usable(n *ggscore.Endpoint) []ggscore.AdapterRef {
+	if n.Kind == ggscore.KindPlain {
+		return []ggscore.AdapterRef{{}}
+	}
+	p := &e.parts
+	refs := slices.DeleteFunc(p.Dispatcher.Resident(n.ID), func(a ggscore.AdapterRef) bool {
+		_, err := p.Owners.Check(p.Clock(), n.ID, a, ggscore.OrderDispatch)
+		return err != nil
+	})
+	slices.SortFunc(refs, func(a, b ggscore.AdapterRef) int { return cmp.Compare(a.String(), b.String()) })
+	return refs
+}
+
 func (e *endpoints) wake() {
 	select {
 	case e.changed <- struct{}{}:
@@ -100,17 +131,31 @@
 	return w
 }
 
-// share is this domain's equal share of the weight store's limits. The shares'
+// setShare sets the share of the weight store's limits before the endpoints
+// are set: without one, nothing is loaded.
+func (e *endpoints) setShare(h ggscore.LoadShare) {
+	if h == e.share {
+		return
+	}
+	e.share = h
+	e.parts.Dispatcher.Schedule(func(s ggscore.Scheduler, now time.Time) []ggscore.Order {
+		return s.SetLoadShare(now, h)
+	})
+}
+
+// shareOf is a domain's equal share of the weight store's limits. The shares'
 // sum never passes them, whoever is cut off from whom.
-func (e *endpoints) share(d *ggscore.Document) ggscore.LoadShare {
-	vms, _ := e.parts.VMs.List()
+func shareOf(vms []ggscore.VM, d *ggscore.Document) ggscore.LoadShare {
 	domains := make(map[ggscore.Domain]bool)
 	for i := range vms {
 		if vms[i].Role == ggscore.RoleEndpoint {
 			domains[vms[i].Domain] = true
 		}
 	}
-	n := max(len(domains), 1)
+	n := len(domains)
+	if n == 0 {
+		return ggscore.LoadShare{}
+	}
 	return ggscore.LoadShare{
 		LoadsPerSecond: d.Policy.LoadsPerSecond / float64(n),
 		InTransit:      max(d.Policy.LoadsInTransit/n, 1),
--- a/io/ggsgateway/send.go
+++ b/io/ggsgateway/send.go
@@ -23,7 +23,9 @@
 	// handOverInterval is the time between two looks for the next owner.
 	handOverInterval = 25 * time.Millisecond
 	withdrawTimeout  = 2 * time.Second
-	awayRetryAfter   = time.Second
+	// maxSettleAge is well below the time for which dispatchers know ids.
+	maxSettleAge   = time.Minute
+	awayRetryAfter = time.Second
 )
 
 // An attempt is one offer of a request to one dispatcher.
@@ -32,6 +34,9 @@
 	answer  *answer
 	choice  ggsroute.Choice
 	addr    netip.AddrPort
+	// life is the dispatcher's incarnation, sent when it was handed over.
+	life string
+	sent time.Time
 	// unreachable says that the dispatcher didn't answer.
 	unreachable bool
 }
@@ -120,25 +125,36 @@
 //
 // A dispatcher that stops hands its queue back while the next owner of its
 // runners is only taking over, so that for a moment nobody owns them. Refusing
-// then would cut off requests in progress by a planned stop; the route is
-// looked for again until the next owner is there or HandOverTimeout has passed.
+// then would cut off requests in progress by a planned stop, and refuse new
+// ones; the route is looked for again until the next owner is there or
+// HandOverTimeout has passed since there was an owner.
 func (g *Gateway) routeOn(ctx context.Context, r *ggscore.Request, a *answer, t *trail) (*attempt, *ggscore.Failure) {
 	o, f := g.route(r, a, t.tried)
-	if f == nil || t.last == nil {
-		return o, f
+	if f == nil {
+		return o, nil
 	}
-	if !t.handOver() {
+	since := t.since
+	if t.last == nil {
+		since = g.lastRouted(r.Service)
+	} else if !t.handOver() {
 		return nil, t.last
 	}
-	until := t.since.Add(g.options.HandOverTimeout)
+	until := since.Add(g.options.HandOverTimeout)
 	for f != nil && ctx.Err() == nil && g.left(r) > 0 && g.parts.Clock().Before(until) {
 		g.pause(ctx, handOverInterval)
 		o, f = g.route(r, a, t.stopped)
 	}
-	if f != nil {
+	if f != nil && t.last != nil {
 		return nil, t.last
 	}
-	return o, nil
+	return o, f
+}
+
+// lastRouted returns when a request of the service found a dispatcher last.
+func (g *Gateway) lastRouted(s ggscore.Service) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.routed[s]
 }
 
 func (g *Gateway) left(r *ggscore.Request) time.Duration {
@@ -155,9 +171,10 @@
 	if n := (*ggsroute.NoDispatcherError)(nil); errors.As(err, &n) {
 		return nil, n.Failure()
 	}
+	g.routed[r.Service] = now
 	g.router.Sent(now, c)
 	g.breakers.Started(now, c.VM)
-	return &attempt{request: r, answer: a, choice: c, addr: g.peers[c.VM].addr}, nil
+	return &attempt{request: r, answer: a, choice: c, addr: g.peers[c.VM].addr, life: g.peers[c.VM].summary.Incarnation, sent: now}, nil
 }
 
 // try hands a request to one dispatcher and relays its answer.
@@ -167,7 +184,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.parts.Clock()
-	g.router.Ended(now, t.choice, ggsroute.End{Held: now.Sub(sent), AnswerBytes: t.answer.bytes})
+	g.router.Ended(now, t.choice, ggsroute.End{Held: now.Sub(sent), Stall: t.answer.stall, AnswerBytes: t.answer.bytes})
 	g.breakers.Ended(now, t.choice.VM, resultOf(t, f))
 	return f
 }
@@ -201,7 +218,7 @@
 func (g *Gateway) submit(ctx context.Context, t *attempt) *ggscore.Failure {
 	sub, cancel := context.WithTimeout(ctx, g.options.SubmitTimeout)
 	defer cancel()
-	args := ggswire.SubmitArgs{Request: ggswire.FromRequest(t.request, max(g.left(t.request), time.Millisecond))}
+	args := ggswire.SubmitArgs{Incarnation: t.life, Request: ggswire.FromRequest(t.request, max(g.left(t.request), time.Millisecond))}
 	var reply ggswire.SubmitReply
 	err := g.parts.Caller.Call(sub, t.addr, ggswire.MethodSubmit, &args, &reply)
 	if err == nil {
@@ -299,14 +316,21 @@
 }
 
 // withdraw takes a request back, even where the caller has gone.
+//
+// A gateway that was paused may ask so late that the dispatcher has forgotten
+// a request that ended; its notRun would then be wrong, so that it counts for
+// less than that time only.
 func (g *Gateway) withdraw(ctx context.Context, t *attempt) ggscore.Outcome {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
 	defer cancel()
 	var reply ggswire.WithdrawReply
-	args := ggswire.WithdrawArgs{ID: string(t.request.ID)}
+	args := ggswire.WithdrawArgs{Incarnation: t.life, ID: string(t.request.ID)}
 	if err := g.parts.Caller.Call(ctx, t.addr, ggswire.MethodWithdraw, &args, &reply); err != nil {
 		return ggscore.OutcomeUnknown
 	}
+	if g.parts.Clock().Sub(t.sent) > maxSettleAge {
+		return ggscore.OutcomeUnknown
+	}
 	return ggscore.Outcome(reply.Outcome)
 }
 
