--- a/cmd/ggsnode/fault_platform_test.go
+++ b/cmd/ggsnode/fault_platform_test.go
@@ -187,3 +187,42 @@
 	b.eventually("the release runs", func() bool { return b.await(b.release(g, key)).status == http.StatusOK })
 	b.c.Assert(runsOf(ledger, key), qt.Equals, 1)
 }
+
+// An owner alone lost its link to the platform for longer than its lease, and
+// another dispatcher took over. Both served: the new one evicted an adapter for
+// a request of its own, beneath the old one's runs, which went on with what was
+// resident.
+func TestOwnerCutOffAlone(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", slowTokens)
+	b.document()
+	l := b.link(linkPort, platformPort)
+	first := b.linkedDispatcher(1, "a")
+	b.eventually("the first dispatcher owns the endpoints", func() bool { return b.owns(first) })
+	second := b.dispatcher(2, "a", shortLease)
+	g := b.gateway(1, "a")
+	calls := []*call{
+		b.ask(g, "deposits@v1", 500), b.ask(g, "disputes@v7", 500),
+		b.ask(g, "deposits@v1", 500), b.ask(g, "disputes@v7", 500),
+	}
+	b.running(e, 4)
+
+	l.SetFaults(ggsfakelink.Faults{Refuse: true})
+	b.eventually("the other dispatcher takes over", func() bool { return b.owns(second) })
+	c.Assert(b.owns(first), qt.IsFalse)
+	wanted := b.ask(g, "deposits@v2", 5)
+	calls = append(calls, b.ask(g, "deposits@v1", 5), b.ask(g, "disputes@v7", 5))
+	for _, k := range calls {
+		b.whole(k)
+	}
+	l.SetFaults(ggsfakelink.Faults{})
+	if r := b.await(wanted); outcomeOf(c, wanted, r) == "notRun" {
+		c.Check(e.Runs()[r.header.Get("X-Request-Id")], qt.Equals, 0)
+	}
+	b.eventually("the pins end with the first owner's runs", func() bool {
+		return b.await(b.ask(g, "deposits@v2", 5)).status == http.StatusOK
+	})
+	c.Check(e.Stats().BrokenByUnload, qt.Equals, uint64(0))
+}
