--- a/cmd/ggsnode/fault_platform_test.go
+++ b/cmd/ggsnode/fault_platform_test.go
@@ -226,3 +226,51 @@
 	})
 	c.Check(e.Stats().BrokenByUnload, qt.Equals, uint64(0))
 }
+
+// A landlord was paid twice: the claim of a release was written and the
+// answer to that write was lost, or came into effect only later. The claim was
+// taken for missing and made again, under which the release ran once more.
+func TestLostAnswerToClaimsWrite(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]ggsfakeplatform.Faults{
+		"answer lost":           {LoseWriteAnswers: 3, LosePrefix: "claims"},
+		"in effect later":       {DelayWrites: 3, Delay: 500 * time.Millisecond, LosePrefix: "claims"},
+		"in effect much later":  {DelayWrites: 1, Delay: 3 * time.Second, LosePrefix: "claims"},
+		"answers come slowly":   {Slow: time.Second},
+		"slow, and answer lost": {Slow: 500 * time.Millisecond, LoseWriteAnswers: 1, LosePrefix: "claims"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			b := newBench(t)
+			ledgers := []*ggsfakeplain.Service{b.plain("ledger-1", "a"), b.plain("ledger-2", "b")}
+			b.document()
+			b.dispatcher(1, "a")
+			b.dispatcher(2, "b")
+			gateways := []*node{b.gateway(1, "a"), b.gateway(2, "b")}
+			b.platform.SetFaults(fault)
+			var keys []string
+			var calls []*call
+			for i := range 4 {
+				keys = append(keys, newKey())
+				calls = append(calls, b.release(gateways[i%2], keys[i]), b.release(gateways[(i+1)%2], keys[i]))
+			}
+			for _, k := range calls {
+				b.await(k)
+			}
+			if fault.LosePrefix != "" {
+				c.Assert(b.platform.Calls().Failed > 0, qt.IsTrue)
+			}
+			b.platform.SetFaults(ggsfakeplatform.Faults{})
+			for i, key := range keys {
+				var r reply
+				b.eventually("the outcome is known", func() bool {
+					r = b.await(b.release(gateways[i%2], key))
+					return outcomeOf(c, &call{}, r) != "notRun"
+				})
+				n := runsOf(ledgers[0], key) + runsOf(ledgers[1], key)
+				c.Check(n == 1 || (n == 0 && r.status != http.StatusOK), qt.IsTrue, qt.Commentf("%d runs, %s", n, r.text))
+			}
+		})
+	}
+}
