--- a/core/ggsroute/update.go
+++ b/core/ggsroute/update.go
@@ -79,8 +79,7 @@
 	if !g.order.accept(s, g.silent(now)) {
 		return false
 	}
-	g.region = s.Region
-	g.local = s.Region == r.options.Region
+	r.place(g, s.Region)
 	g.expires = now.Add(r.options.MaxAge)
 	for _, p := range g.pools {
 		p.clear()
@@ -94,6 +93,22 @@
 	return true
 }
 
+// place notes where a dispatcher stands.
+func (r *Router) place(g *group, region ggscore.Region) {
+	if g.region == region {
+		return
+	}
+	g.region = region
+	g.local = region == r.options.Region
+	regions := map[ggscore.Region]bool{r.options.Region: true}
+	for _, o := range r.groups {
+		if o.region != "" {
+			regions[o.region] = true
+		}
+	}
+	r.regions = len(regions)
+}
+
 // groupOf returns the state of a dispatcher, new where there was none.
 func (r *Router) groupOf(vm ggscore.VMID) *group {
 	g, ok := r.groups[vm]
@@ -138,3 +153,14 @@
 	}
 	return p
 }
+
+// Observe takes a dispatcher's own word on its load, which its answers carry:
+// the requests that run and wait on the chosen pool.
+//
+// Boards are read seldom in a large deployment, and each gateway sends little
+// of the whole. The answers that pass through it keep what it knows of the
+// busiest pools fresh, without a message of their own.
+func (r *Router) Observe(c Choice, load int) {
+	c.pool.reported = max(load, 0)
+	c.pool.sent = 0
+}
