--- a/cmd/ggsnode/fault_platform_test.go
+++ b/cmd/ggsnode/fault_platform_test.go
@@ -187,3 +187,90 @@
 	b.eventually("the release runs", func() bool { return b.await(b.release(g, key)).status == http.StatusOK })
 	b.c.Assert(runsOf(ledger, key), qt.Equals, 1)
 }
+
+// An owner alone lost its link to the platform for longer than its lease, and
+// another dispatcher took over. Both served: the new one evicted an adapter for
+// a request of its own, beneath the old one's runs, which went on with what was
+// resident.
+func TestOwnerCutOffAlone(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", slowTokens)
+	b.document()
+	l := b.link(linkPort, platformPort)
+	first := b.linkedDispatcher(1, "a")
+	b.eventually("the first dispatcher owns the endpoints", func() bool { return b.owns(first) })
+	second := b.dispatcher(2, "a", shortLease)
+	g := b.gateway(1, "a")
+	calls := []*call{
+		b.ask(g, "deposits@v1", 500), b.ask(g, "disputes@v7", 500),
+		b.ask(g, "deposits@v1", 500), b.ask(g, "disputes@v7", 500),
+	}
+	b.running(e, 4)
+
+	l.SetFaults(ggsfakelink.Faults{Refuse: true})
+	b.eventually("the other dispatcher takes over", func() bool { return b.owns(second) })
+	c.Assert(b.owns(first), qt.IsFalse)
+	wanted := b.ask(g, "deposits@v2", 5)
+	calls = append(calls, b.ask(g, "deposits@v1", 5), b.ask(g, "disputes@v7", 5))
+	for _, k := range calls {
+		b.whole(k)
+	}
+	l.SetFaults(ggsfakelink.Faults{})
+	if r := b.await(wanted); outcomeOf(c, wanted, r) == "notRun" {
+		c.Check(e.Runs()[r.header.Get("X-Request-Id")], qt.Equals, 0)
+	}
+	b.eventually("the pins end with the first owner's runs", func() bool {
+		return b.await(b.ask(g, "deposits@v2", 5)).status == http.StatusOK
+	})
+	c.Check(e.Stats().BrokenByUnload, qt.Equals, uint64(0))
+}
+
+// A landlord was paid twice: the claim of a release was written and the
+// answer to that write was lost, or came into effect only later. The claim was
+// taken for missing and made again, under which the release ran once more.
+func TestLostAnswerToClaimsWrite(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]ggsfakeplatform.Faults{
+		"answer lost":           {LoseWriteAnswers: 3, LosePrefix: "claims"},
+		"in effect later":       {DelayWrites: 3, Delay: 500 * time.Millisecond, LosePrefix: "claims"},
+		"in effect much later":  {DelayWrites: 1, Delay: 3 * time.Second, LosePrefix: "claims"},
+		"answers come slowly":   {Slow: time.Second},
+		"slow, and answer lost": {Slow: 500 * time.Millisecond, LoseWriteAnswers: 1, LosePrefix: "claims"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			b := newBench(t)
+			ledgers := []*ggsfakeplain.Service{b.plain("ledger-1", "a"), b.plain("ledger-2", "b")}
+			b.document()
+			b.dispatcher(1, "a")
+			b.dispatcher(2, "b")
+			gateways := []*node{b.gateway(1, "a"), b.gateway(2, "b")}
+			b.platform.SetFaults(fault)
+			var keys []string
+			var calls []*call
+			for i := range 4 {
+				keys = append(keys, newKey())
+				calls = append(calls, b.release(gateways[i%2], keys[i]), b.release(gateways[(i+1)%2], keys[i]))
+			}
+			for _, k := range calls {
+				b.await(k)
+			}
+			if fault.LosePrefix != "" {
+				c.Assert(b.platform.Calls().Failed > 0, qt.IsTrue)
+			}
+			b.platform.SetFaults(ggsfakeplatform.Faults{})
+			for i, key := range keys {
+				var r reply
+				b.eventually("the outcome is known", func() bool {
+					r = b.await(b.release(gateways[i%2], key))
+					return outcomeOf(c, &call{}, r) != "notRun"
+				})
+				n := runsOf(ledgers[0], key) + runsOf(ledgers[1], key)
+				c.Check(n == 1 || (n == 0 && r.status != http.StatusOK), qt.IsTrue, qt.Commentf("%d runs, %s", n, r.text))
+			}
+		})
+	}
+}
