fix: read the list of VMs again where it was empty or nobody reads it

Cause: the platform's list was empty when the entry VMs started. Gateways then knew nobody to ask and no longer read it themselves; dispatchers ranked the nameless ones of their settings among the readers, so that in some domains nobody read (demo: 8 of 9 gateways without a document after 9 s). Ruled out: the document's follower, whose dispatchers all had revision 3. Change: an empty list counts as none, nameless members don't rank, and a process whose list has grown old reads it itself now and then.

--- a/cmd/ggsnode/common.go
+++ b/cmd/ggsnode/common.go
@@ -84,7 +84,7 @@
 func (m *listedMembers) Members() []ggsconfig.Member {
 	vms, known := m.vms.List()
 	var ms []ggsconfig.Member
-	if !known {
+	if !known || len(vms) == 0 {
 		for _, a := range m.node.Dispatchers {
 			ms = append(ms, ggsconfig.Member{VM: ggscore.VMID(a.String()), Domain: m.node.Domain, Addr: a})
 		}
--- a/cmd/ggsnode/readers.go
+++ b/cmd/ggsnode/readers.go
@@ -47,7 +47,8 @@
 		ids = append(ids, r.node.VM)
 	}
 	for _, m := range r.members.Members() {
-		if m.Domain == r.node.Domain {
+		// Dispatchers of the settings have no names until they are heard of.
+		if m.Domain == r.node.Domain && m.VM != ggscore.VMID(m.Addr.String()) {
 			ids = append(ids, m.VM)
 		}
 	}
--- a/io/ggsvms/vms.go
+++ b/io/ggsvms/vms.go
@@ -37,6 +37,10 @@
 	// farAsks is the share of rounds, one in so many, in which a process asks
 	// any member instead of one that reads the platform's list.
 	farAsks = 4
+	// oldIntervals is the age, in intervals, of an old list; oldReads is the
+	// share of rounds, one in so many, in which its holder reads it.
+	oldIntervals = 10
+	oldReads     = 4
 )
 
 // Options sets a Follower's times.
@@ -193,10 +197,7 @@
 // read reads the platform's list where this process is to; it reports whether
 // it did.
 func (f *Follower) read(ctx context.Context) bool {
-	f.mu.Lock()
-	m, known := f.members, !f.list.read.IsZero()
-	f.mu.Unlock()
-	if f.lister == nil || (known && m != nil && !m.Reads()) {
+	if f.lister == nil || !f.reads() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -211,6 +212,23 @@
 	return true
 }
 
+// reads reports whether this process reads the platform's list now.
+//
+// A process that knows no VM knows nobody to ask either. And who reads is each
+// process's own view of the members: if views differ, it may be nobody, and all
+// would keep an old list for ever. One whose list has grown old therefore reads
+// it now and then itself.
+func (f *Follower) reads() bool {
+	f.mu.Lock()
+	m, have := f.members, f.list
+	f.mu.Unlock()
+	if m == nil || len(have.vms) == 0 {
+		return true
+	}
+	old := f.clock().Sub(have.read) > oldIntervals*f.options.Interval
+	return m.Reads() || (old && rand.IntN(oldReads) == 0)
+}
+
 func (f *Follower) noteAway(ctx context.Context, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/ggsvms/vms_test.go
+++ b/io/ggsvms/vms_test.go
@@ -34,12 +34,18 @@
 	return d[p].answer(g), nil
 }
 
+// A membership asks its follower for the list, as the programs' do.
 type membership struct {
-	reads  bool
-	reader Peer
+	follower *Follower
+	reads    bool
+	reader   Peer
+}
+
+func (m membership) Reads() bool {
+	_, _ = m.follower.List()
+	return m.reads
 }
 
-func (m membership) Reads() bool     { return m.reads }
 func (m membership) Readers() []Peer { return []Peer{m.reader} }
 func (m membership) Others() []Peer  { return nil }
 
@@ -56,10 +62,10 @@
 	clock := func() time.Time { return w.now }
 	addr := netip.MustParseAddrPort("127.0.0.1:1")
 	peers := direct{}
-	w.reader = New(w.platform, peers, Options{}, clock, log.NewNopLogger())
-	w.reader.SetMembers(membership{reads: true, reader: addr})
-	w.asker = New(w.platform, peers, Options{}, clock, log.NewNopLogger())
-	w.asker.SetMembers(membership{reader: addr})
+	w.reader = New(w.platform, peers, Options{Interval: time.Second}, clock, log.NewNopLogger())
+	w.reader.SetMembers(membership{follower: w.reader, reads: true, reader: addr})
+	w.asker = New(w.platform, peers, Options{Interval: time.Second}, clock, log.NewNopLogger())
+	w.asker.SetMembers(membership{follower: w.asker, reader: addr})
 	peers[addr] = w.reader
 	return w
 }
@@ -123,6 +129,31 @@
 	c.Assert(idOf(w.asker), qt.Equals, ggscore.VMID("c"))
 }
 
+// The list that a platform gave at its start was empty. Its readers knew nobody
+// then, each took another for the reader, and the deployment stayed empty.
+func TestEmptyOrOldListIsReadAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := newWorld()
+	ctx := context.Background()
+	w.platform.vms = nil
+	c.Assert(w.asker.read(ctx), qt.IsTrue)
+	w.now = w.now.Add(time.Second)
+	w.platform.vms = []ggscore.VM{{ID: "a"}}
+	c.Assert(w.asker.read(ctx), qt.IsTrue)
+	c.Assert(idOf(w.asker), qt.Equals, ggscore.VMID("a"))
+
+	// Later nobody reads, since all take others for the readers.
+	w.now = w.now.Add(time.Hour)
+	w.platform.vms = []ggscore.VM{{ID: "b"}}
+	for range 1000 {
+		if w.asker.read(ctx) {
+			break
+		}
+	}
+	c.Assert(idOf(w.asker), qt.Equals, ggscore.VMID("b"))
+}
+
 func TestSubscribersHearOfChangesOnly(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
