--- a/cmd/ggsnode/fault_platform_test.go
+++ b/cmd/ggsnode/fault_platform_test.go
@@ -95,11 +95,14 @@
 				b.servesWhatItCan(g, ledger, key)
 			}
 
-			// A dispatcher that starts now has only its settings' seeds, and a
-			// gateway only that dispatcher, from which it takes the document.
+			// A dispatcher that starts now has only its settings' seed, and a
+			// gateway only that dispatcher: document and list come from peers.
 			late := b.dispatcher(3, "a", shortLease, fmt.Sprintf("dispatchers = [%q]", nodes[0].addr))
 			b.eventually("the dispatcher has the document", func() bool { return b.counter(late, "revision") == 3 })
-			g := b.start(ggsnode.RunGateway, b.gatewayVM(3, "a", fmt.Sprintf("dispatchers = [%q, %q]", late.addr, nodes[0].addr)))
+			b.eventually("the dispatcher has the list of VMs", func() bool {
+				return len(b.dump(late).Parts.Dispatcher.Endpoints) == 2
+			})
+			g := b.start(ggsnode.RunGateway, b.gatewayVM(3, "a", fmt.Sprintf("dispatchers = [%q]", late.addr)))
 			b.eventually("a gateway that starts now serves", func() bool {
 				return b.await(b.ask(g, "deposits@v1", 5)).status == http.StatusOK
 			})
