test: freeze the owner only when its releases run

TestFrozenOwnerWakes failed 2 of 5 under load (a key had 0 runs where 1 was wanted). Cause: the freeze could fall between a claim's write and its answer; the key then stays claimed, is told unknown and never runs, which the promise of at most once allows. Ruled out: a second run. The test now waits until four runs have begun, and still wants exactly one run of each key.

--- a/cmd/ggsnode/fault_owner_test.go
+++ b/cmd/ggsnode/fault_owner_test.go
@@ -100,7 +100,7 @@
 	}
 	first, second := b.twoOwners(shortLease)
 	g := b.gateway(1, "a")
-	ledger.SetFaults(ggsfakeplain.Faults{Slow: 500 * time.Millisecond})
+	ledger.SetFaults(ggsfakeplain.Faults{Slow: 3 * time.Second})
 
 	// At the freeze, both adapters are in use, a third is to be loaded, and a
 	// fifth release waits behind four that run.
@@ -116,8 +116,13 @@
 		keys = append(keys, newKey())
 		releases = append(releases, b.release(g, keys[i]))
 	}
-	b.eventually("requests wait at the first owner", func() bool { return b.jobs(&first.node, "queued") == 4 })
+	// A release whose claim is only being written at the freeze may end without
+	// a run. Here the four of them have begun.
+	b.eventually("requests run and wait at the first owner", func() bool {
+		return len(ledger.Runs()) == 4 && b.jobs(&first.node, "queued") == 4
+	})
 	first.signal(syscall.SIGSTOP)
+	ledger.SetFaults(ggsfakeplain.Faults{})
 	b.eventually("the other dispatcher takes over", func() bool { return b.owns(second) })
 
 	// A gateway that starts now knows of the new owner alone. Of the adapters
