--- a/core/ggsfleet/fleet.go
+++ b/core/ggsfleet/fleet.go
@@ -13,7 +13,7 @@
 	"cmp"
 	"slices"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // Dispatchers returns the entry VMs, ordered by id.
--- a/core/ggsfleet/fleet_test.go
+++ b/core/ggsfleet/fleet_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 	"greengageslip/core/ggsfleet"
 )
 
--- a/io/ggsdispatch/dispatcher.go
+++ b/io/ggsdispatch/dispatcher.go
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // Defaults of Options.
--- a/io/ggsdispatch/errors.go
+++ b/io/ggsdispatch/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // A StreamEndedError says that a piece came after an answer's end.
--- a/io/ggsdispatch/job.go
+++ b/io/ggsdispatch/job.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 type jobState int
--- a/io/ggsdispatch/orders.go
+++ b/io/ggsdispatch/orders.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 const (
--- a/io/ggsdispatch/queue.go
+++ b/io/ggsdispatch/queue.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // An orderQueue passes orders to a pool of workers. Adding never waits, so it
--- a/io/ggsdispatch/stats.go
+++ b/io/ggsdispatch/stats.go
@@ -3,7 +3,7 @@
 import (
 	"sync/atomic"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // Stats are a Dispatcher's counters.
--- a/io/ggsdispatch/stream.go
+++ b/io/ggsdispatch/stream.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // maxUnreadBytes bounds what a stream holds for a slow reader. The endpoint's
--- a/io/ggswire/request.go
+++ b/io/ggswire/request.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // The methods of a dispatcher.
--- a/io/ggswire/summary.go
+++ b/io/ggswire/summary.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"greengageslip/core"
+	ggscore "greengageslip/core"
 )
 
 // SummaryArgs asks for a dispatcher's summary at its next change, or when Wait
