--- a/core/ggsshare/plan.go
+++ b/core/ggsshare/plan.go
@@ -25,9 +25,7 @@
 // The package holds no clock, no goroutine and no lock.
 package ggsshare
 
-import (
-	ggscore "greengageslip/core"
-)
+import ggscore "greengageslip/core"
 
 // staticPart is the part of the units that is static.
 const staticPart = 0.25
