--- a/fakes/ggsfakeengine/engine_test.go
+++ b/fakes/ggsfakeengine/engine_test.go
@@ -14,29 +14,12 @@
 	"go.uber.org/goleak"
 
 	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeengine"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// A clock is moved by the test.
-type clock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (k *clock) Now() time.Time {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.now
-}
-
-func (k *clock) Advance(d time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.now = k.now.Add(d)
-}
-
 // A gatedStore lets each load end when the test says so.
 type gatedStore struct {
 	begun chan ggscore.AdapterRef
@@ -72,13 +55,11 @@
 	o.TokenInterval = 0
 	change(&o)
 	e := ggsfakeengine.New(o)
-	s := httptest.NewServer(e.Handler())
+	s := ggsfakebench.Serve(c, e.Handler())
 	t := &http.Transport{}
 	c.Cleanup(func() {
 		e.Close()
 		t.CloseIdleConnections()
-		s.CloseClientConnections()
-		s.Close()
 	})
 	return &bench{engine: e, server: s, client: &http.Client{Transport: t}}
 }
@@ -103,12 +84,6 @@
 	return resp.StatusCode, string(text)
 }
 
-func testContext(c *qt.C) context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	c.Cleanup(cancel)
-	return ctx
-}
-
 func waitFor(ctx context.Context, c *qt.C, what string, holds func() bool) {
 	c.Helper()
 	tick := time.NewTicker(time.Millisecond)
@@ -139,7 +114,7 @@
 	c := qt.New(t)
 	b := newBench(c, func(o *ggsfakeengine.Options) { o.Slots, o.FirstToken = 1, time.Hour })
 	b.engine.Preload(adapterA())
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	first, leave := context.WithCancel(ctx)
@@ -173,7 +148,7 @@
 			c := qt.New(t)
 			b := newBench(c, func(o *ggsfakeengine.Options) { o.GuardsRunning, o.FirstToken = tc.guards, time.Hour })
 			b.engine.Preload(adapterA())
-			ctx := testContext(c)
+			ctx := ggsfakebench.Context(c)
 			running, leave := context.WithCancel(ctx)
 			ended := make(chan int, 1)
 			go func() {
@@ -200,7 +175,7 @@
 	c := qt.New(t)
 	g := newGatedStore()
 	b := newBench(c, func(o *ggsfakeengine.Options) { o.Weights = g })
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	ordered, leave := context.WithCancel(ctx)
 	left := make(chan int, 1)
 	go func() {
@@ -230,7 +205,7 @@
 	c := qt.New(t)
 	g := newGatedStore()
 	b := newBench(c, func(o *ggsfakeengine.Options) { o.Weights = g })
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	ended := make(chan int, 1)
 	go func() {
 		status, _ := b.post(ctx, pathLoad, "", "", orderA)
@@ -251,9 +226,9 @@
 func TestReportLags(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	k := &clock{now: time.Unix(1_800_000_000, 0)}
+	k := ggsfakebench.NewClock()
 	b := newBench(c, func(o *ggsfakeengine.Options) { o.Now = k.Now })
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	status, _ := b.post(ctx, "/v1/faults", "", "", `{"reportLag":"2s"}`)
 	c.Assert(status, qt.Equals, http.StatusOK)
 	b.engine.Preload(adapterA())
@@ -271,7 +246,7 @@
 	c := qt.New(t)
 	b := newBench(c, func(*ggsfakeengine.Options) {})
 	b.engine.Preload(adapterA())
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	var wg sync.WaitGroup
 	for _, id := range []string{"q1", "q2", "q3"} {
 		wg.Go(func() {
@@ -299,7 +274,7 @@
 			t.Parallel()
 			c := qt.New(t)
 			b := newBench(c, func(*ggsfakeengine.Options) {})
-			status, _ := b.post(testContext(c), tc.path, "", "", tc.body)
+			status, _ := b.post(ggsfakebench.Context(c), tc.path, "", "", tc.body)
 			c.Assert(status, qt.Equals, tc.want)
 			c.Assert(b.engine.Runs(), qt.HasLen, 0)
 		})
--- a/fakes/ggsfakeplatform/platform_test.go
+++ b/fakes/ggsfakeplatform/platform_test.go
@@ -5,38 +5,20 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeplatform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// A clock is moved by the test.
-type clock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (k *clock) Now() time.Time {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.now
-}
-
-func (k *clock) Advance(d time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.now = k.now.Add(d)
-}
-
-func newPlatform() (*ggsfakeplatform.Platform, *clock) {
-	k := &clock{now: time.Unix(1_800_000_000, 0)}
+func newPlatform() (*ggsfakeplatform.Platform, *ggsfakebench.Clock) {
+	k := ggsfakebench.NewClock()
 	o := ggsfakeplatform.DefaultOptions()
 	o.Now = k.Now
 	return ggsfakeplatform.New(o), k
@@ -50,17 +32,11 @@
 	return w.Code, w.Body.String()
 }
 
-func testContext(c *qt.C) context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	c.Cleanup(cancel)
-	return ctx
-}
-
 func TestSession(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
 	p, k := newPlatform()
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	for _, s := range []struct {
 		method, path, body string
 		advance            time.Duration
@@ -112,7 +88,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	p, _ := newPlatform()
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	ended := make(chan int, 1)
 	go func() {
 		status, _ := do(ctx, p.Handler(), http.MethodGet, "/v1/watch?after=0&wait=1m", "")
@@ -131,7 +107,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	p := ggsfakeplatform.New(ggsfakeplatform.DefaultOptions())
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	do(ctx, p.Handler(), http.MethodPost, "/v1/leases", `{"ttl":"20ms"}`)
 	status, _ := do(ctx, p.Handler(), http.MethodPut, "/v1/kv", `{"key":"owner","lease":1}`)
 	c.Assert(status, qt.Equals, http.StatusOK)
@@ -147,7 +123,7 @@
 	o := ggsfakeplatform.DefaultOptions()
 	o.WritesPerSecond = 0
 	p := ggsfakeplatform.New(o)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	do(ctx, p.Handler(), http.MethodPut, "/v1/kv", `{"key":"still"}`)
 	prev := "0"
 	for range 3000 {
--- a/fakes/ggsfakeweights/store_test.go
+++ b/fakes/ggsfakeweights/store_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptest"
-	"net/netip"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeweights"
 )
 
@@ -47,9 +45,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	s := ggsfakeweights.New(ggsfakeweights.Options{AtOnce: 1})
-	srv := httptest.NewServer(s.Handler())
-	defer srv.Close()
-	cl := ggsfakeweights.NewClient(netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://")))
+	cl := ggsfakeweights.NewClient(ggsfakebench.AddrOf(c, ggsfakebench.Serve(c, s.Handler())))
 	defer cl.Close()
 	s.SetFaults(ggsfakeweights.Faults{FailNext: 1})
 	ctx := context.Background()
--- a/io/ggsclaims/committer_test.go
+++ b/io/ggsclaims/committer_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
-	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +16,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsclaim"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeplatform"
 	"greengageslip/io/ggsplatform"
 )
@@ -27,37 +26,24 @@
 // bench is a stand-in of the platform's service with a clock of the test.
 type bench struct {
 	c        *qt.C
+	clock    *ggsfakebench.Clock
 	platform *ggsfakeplatform.Platform
 	addr     netip.AddrPort
-	now      atomic.Int64
 	ids      atomic.Uint64
 }
 
 func newBench(t testing.TB) *bench {
 	t.Helper()
-	b := &bench{c: qt.New(t)}
-	b.now.Store(1_800_000_000)
-	o := ggsfakeplatform.DefaultOptions()
-	o.Now = b.clock
-	o.WritesPerSecond, o.ReadsPerSecond = 0, 0
-	b.platform = ggsfakeplatform.New(o)
-	s := httptest.NewServer(b.platform.Handler())
-	b.c.Cleanup(func() {
-		s.CloseClientConnections()
-		s.Close()
-	})
-	a, err := netip.ParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
-	b.c.Assert(err, qt.IsNil)
-	b.addr = a
+	b := &bench{c: qt.New(t), clock: ggsfakebench.NewClock()}
+	b.platform = ggsfakebench.NewPlatform(b.clock.Now)
+	b.addr = ggsfakebench.AddrOf(t, ggsfakebench.Serve(t, b.platform.Handler()))
 	return b
 }
 
-func (b *bench) clock() time.Time { return time.Unix(b.now.Load(), 0) }
-
 // process starts a Committer that ends with the test.
 func (b *bench) process() *Committer {
 	client := ggsplatform.NewClient(b.addr)
-	m := New(client, b.clock, func() ggsclaim.ClaimID {
+	m := New(client, b.clock.Now, func() ggsclaim.ClaimID {
 		var id ggsclaim.ClaimID
 		binary.BigEndian.PutUint64(id[:], b.ids.Add(1))
 		return id
@@ -76,18 +62,12 @@
 	return m
 }
 
-func (b *bench) context() context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	b.c.Cleanup(cancel)
-	return ctx
-}
-
 func request(n int) ggscore.ClaimRequest {
 	return ggscore.ClaimRequest{Market: "cr", Key: ggscore.IdempotencyKey(fmt.Sprintf("1800000000.release-%d", n))}
 }
 
 func (b *bench) begin(m *Committer, r ggscore.ClaimRequest) ggscore.ClaimDecision {
-	d, err := m.Begin(b.context(), r)
+	d, err := m.Begin(ggsfakebench.Context(b.c), r)
 	b.c.Assert(err, qt.IsNil)
 	return d
 }
@@ -107,7 +87,7 @@
 		m := b.process()
 		for n := range keys * repeats {
 			g.Go(func() {
-				d, err := m.Begin(b.context(), request(n%keys))
+				d, err := m.Begin(ggsfakebench.Context(b.c), request(n%keys))
 				if err == nil && d.Answer == ggscore.ClaimGranted {
 					granted[n%keys].Add(1)
 				}
@@ -146,13 +126,13 @@
 			first, second := b.process(), b.process()
 			d := b.begin(first, request(1))
 			b.c.Assert(d.Answer, qt.Equals, ggscore.ClaimGranted)
-			b.c.Assert(d.Before.After(b.clock()), qt.IsTrue)
+			b.c.Assert(d.Before.After(b.clock.Now()), qt.IsTrue)
 			b.c.Assert(b.begin(second, request(1)).Answer, qt.Equals, ggscore.ClaimInProgress)
 			other := request(1)
 			other.Body[0] = 1
 			b.c.Assert(b.begin(second, other).Answer, qt.Equals, ggscore.ClaimReused)
-			b.c.Assert(first.Finish(b.context(), d.ID, tc.result), qt.IsNil)
-			b.c.Assert(first.Flush(b.context()), qt.IsNil)
+			b.c.Assert(first.Finish(ggsfakebench.Context(b.c), d.ID, tc.result), qt.IsNil)
+			b.c.Assert(first.Flush(ggsfakebench.Context(b.c)), qt.IsNil)
 			b.c.Assert(b.begin(second, request(1)), qt.DeepEquals, tc.want)
 		})
 	}
@@ -165,8 +145,8 @@
 	b := newBench(t)
 	m := b.process()
 	d := b.begin(m, request(1))
-	b.c.Assert(m.Finish(b.context(), d.ID, ggscore.ClaimResult{Outcome: ggscore.OutcomeNotRun}), qt.IsNil)
-	b.c.Assert(m.Flush(b.context()), qt.IsNil)
+	b.c.Assert(m.Finish(ggsfakebench.Context(b.c), d.ID, ggscore.ClaimResult{Outcome: ggscore.OutcomeNotRun}), qt.IsNil)
+	b.c.Assert(m.Flush(ggsfakebench.Context(b.c)), qt.IsNil)
 	b.c.Assert(b.begin(m, request(1)).Answer, qt.Equals, ggscore.ClaimGranted)
 }
 
@@ -189,7 +169,7 @@
 			r := request(1)
 			r.FirstSend = tc.firstSend
 			for range 2 {
-				_, err := m.Begin(b.context(), r)
+				_, err := m.Begin(ggsfakebench.Context(b.c), r)
 				var f *ggscore.Failure
 				b.c.Assert(errors.As(err, &f), qt.IsTrue)
 				b.c.Assert(f.Kind, qt.Equals, ggscore.FailurePlatformAway)
@@ -198,7 +178,7 @@
 			}
 			b.c.Assert(m.Stats().Reads, qt.Equals, uint64(1))
 			b.platform.SetFaults(ggsfakeplatform.Faults{})
-			b.now.Add(2)
+			b.clock.Advance(2 * time.Second)
 			b.c.Assert(b.begin(m, r).Answer, qt.Equals, ggscore.ClaimGranted)
 		})
 	}
@@ -214,14 +194,14 @@
 	done := b.begin(m, request(1))
 	b.begin(m, request(2))
 	result := ggscore.ClaimResult{Outcome: ggscore.OutcomeDone, Status: 200, Whole: true, Body: []byte("paid")}
-	b.c.Assert(m.Finish(b.context(), done.ID, result), qt.IsNil)
-	b.c.Assert(m.Flush(b.context()), qt.IsNil)
+	b.c.Assert(m.Finish(ggsfakebench.Context(b.c), done.ID, result), qt.IsNil)
+	b.c.Assert(m.Flush(ggsfakebench.Context(b.c)), qt.IsNil)
 	b.platform.SetFaults(ggsfakeplatform.Faults{Outage: true})
 	for range 2 {
 		b.c.Assert(b.begin(m, request(1)), qt.DeepEquals, ggscore.ClaimDecision{Answer: ggscore.ClaimReplay, Result: result})
 		r := request(2)
 		r.FirstSend = true
-		_, err := m.Begin(b.context(), r)
+		_, err := m.Begin(ggsfakebench.Context(b.c), r)
 		var f *ggscore.Failure
 		b.c.Assert(errors.As(err, &f), qt.IsTrue)
 		b.c.Assert(f.Outcome, qt.Equals, ggscore.OutcomeUnknown)
@@ -235,20 +215,20 @@
 	b := newBench(t)
 	m := b.process()
 	b.c.Assert(b.begin(m, request(1)).Answer, qt.Equals, ggscore.ClaimGranted)
-	b.c.Assert(m.Sweep(b.context()), qt.IsNil)
-	b.now.Add(int64(time.Hour / time.Second))
-	b.c.Assert(m.Sweep(b.context()), qt.IsNil)
+	b.c.Assert(m.Sweep(ggsfakebench.Context(b.c)), qt.IsNil)
+	b.clock.Advance(time.Hour)
+	b.c.Assert(m.Sweep(ggsfakebench.Context(b.c)), qt.IsNil)
 	b.c.Assert(b.begin(m, request(1)).Answer, qt.Equals, ggscore.ClaimExpired)
 	client := ggsplatform.NewClient(b.addr)
 	b.c.Cleanup(client.Close)
-	es, err := client.List(b.context(), "claims/")
+	es, err := client.List(ggsfakebench.Context(b.c), "claims/")
 	b.c.Assert(err, qt.IsNil)
 	b.c.Assert(es, qt.HasLen, 1)
 	for range 3 {
-		b.now.Add(60)
-		b.c.Assert(m.Sweep(b.context()), qt.IsNil)
+		b.clock.Advance(time.Minute)
+		b.c.Assert(m.Sweep(ggsfakebench.Context(b.c)), qt.IsNil)
 	}
-	es, err = client.List(b.context(), "claims/")
+	es, err = client.List(ggsfakebench.Context(b.c), "claims/")
 	b.c.Assert(err, qt.IsNil)
 	b.c.Assert(es, qt.HasLen, 0)
 	b.c.Assert(m.Stats().Shards, qt.Equals, 0)
@@ -268,7 +248,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			b := newBench(t)
-			_, err := b.process().Begin(b.context(), ggscore.ClaimRequest{Market: "cr", Key: tc.key})
+			_, err := b.process().Begin(ggsfakebench.Context(b.c), ggscore.ClaimRequest{Market: "cr", Key: tc.key})
 			var f *ggscore.Failure
 			b.c.Assert(errors.As(err, &f), qt.IsTrue)
 			b.c.Assert(f.Kind, qt.Equals, ggscore.FailureBadRequest)
@@ -287,11 +267,11 @@
 	b.c.Assert(err, qt.IsNil)
 	client := ggsplatform.NewClient(b.addr)
 	b.c.Cleanup(client.Close)
-	_, err = client.Put(b.context(), shardKey(k.Slot()), []byte("bad"), 0, 0)
+	_, err = client.Put(ggsfakebench.Context(b.c), shardKey(k.Slot()), []byte("bad"), 0, 0)
 	b.c.Assert(err, qt.IsNil)
 	refused := 0
 	for n := range 64 {
-		_, err := m.Begin(b.context(), request(n))
+		_, err := m.Begin(ggsfakebench.Context(b.c), request(n))
 		o, perr := ggsclaim.ParseKey("cr", request(n).Key, time.Time{})
 		b.c.Assert(perr, qt.IsNil)
 		b.c.Assert(err != nil, qt.Equals, o.Slot() == k.Slot())
--- a/io/ggsengine/client_test.go
+++ b/io/ggsengine/client_test.go
@@ -1,8 +1,6 @@
 package ggsengine_test
 
 import (
-	"context"
-	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
@@ -13,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeengine"
 	"greengageslip/io/ggsengine"
 )
@@ -28,12 +27,6 @@
 	addr   netip.AddrPort
 }
 
-func addrOf(c *qt.C, s *httptest.Server) netip.AddrPort {
-	a, err := netip.ParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
-	c.Assert(err, qt.IsNil)
-	return a
-}
-
 func newBench(c *qt.C, change func(*ggsfakeengine.Options)) *bench {
 	o := ggsfakeengine.DefaultOptions()
 	o.ID = "r1"
@@ -44,10 +37,10 @@
 		change(&o)
 	}
 	e := ggsfakeengine.New(o)
-	s := newServer(c, e.Handler())
+	s := ggsfakebench.Serve(c, e.Handler())
 	cl := newClient(c, ggsengine.DefaultSettings())
 	c.Cleanup(e.Close)
-	return &bench{engine: e, client: cl, server: s, addr: addrOf(c, s)}
+	return &bench{engine: e, client: cl, server: s, addr: ggsfakebench.AddrOf(c, s)}
 }
 
 func newClient(c *qt.C, s ggsengine.Settings) *ggsengine.Client {
@@ -56,21 +49,6 @@
 	return cl
 }
 
-func newServer(c *qt.C, h http.Handler) *httptest.Server {
-	s := httptest.NewServer(h)
-	c.Cleanup(func() {
-		s.CloseClientConnections()
-		s.Close()
-	})
-	return s
-}
-
-func testContext(c *qt.C) context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	c.Cleanup(cancel)
-	return ctx
-}
-
 // request returns a streamed request for the adapter.
 func request(id string, a ggscore.AdapterRef, tokens int) *ggscore.Request {
 	body := `{"model":"` + a.String() + `","stream":true,"max_tokens":` + strconv.Itoa(tokens) + `}`
@@ -103,7 +81,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	c.Assert(b.client.Load(ctx, b.addr, adapterA(), 1), qt.IsNil)
 
 	var got taker
@@ -124,7 +102,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	b.engine.Preload(adapterA())
 
 	r := request("q1", adapterA(), 3)
@@ -139,7 +117,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	c.Assert(b.client.Load(ctx, b.addr, adapterA(), 1), qt.IsNil)
 	r, err := b.client.Report(ctx, b.addr)
 	c.Assert(err, qt.IsNil)
--- a/io/ggsengine/fault_test.go
+++ b/io/ggsengine/fault_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeengine"
 	"greengageslip/fakes/ggsfakeplain"
 	"greengageslip/io/ggsengine"
@@ -64,7 +65,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			ctx := testContext(c)
+			ctx := ggsfakebench.Context(c)
 			e := newRawEndpoint(c, func(n int) (string, bool) {
 				if n == 1 {
 					return "", true
@@ -88,7 +89,7 @@
 func TestNonIdempotentTakesNewConnection(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	e := newRawEndpoint(c, func(int) (string, bool) { return wholeAnswer, false })
 	cl := newClient(c, ggsengine.DefaultSettings())
 	r := release("{}")
@@ -107,7 +108,7 @@
 func TestRedirectIsNotFollowed(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	e := newRawEndpoint(c, func(int) (string, bool) {
 		return "HTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n", false
 	})
@@ -133,7 +134,7 @@
 			e := newRawEndpoint(c, func(int) (string, bool) { return text, true })
 			cl := newClient(c, ggsengine.DefaultSettings())
 			var got taker
-			err := cl.Call(testContext(c), e.addr, release("{}"), got.take)
+			err := cl.Call(ggsfakebench.Context(c), e.addr, release("{}"), got.take)
 			assertFailure(c, err, failure{false, ggscore.FailureBroken})
 			var foreign *ggsengine.ForeignAnswerError
 			c.Assert(err, qt.ErrorAs, &foreign)
@@ -173,7 +174,7 @@
 			e := newRawEndpoint(c, func(int) (string, bool) { return tc.answer, true })
 			cl := newClient(c, ggsengine.DefaultSettings())
 			var got taker
-			err := cl.Run(testContext(c), e.addr, request("q1", adapterA(), 1), got.take)
+			err := cl.Run(ggsfakebench.Context(c), e.addr, request("q1", adapterA(), 1), got.take)
 			assertFailure(c, err, tc.want)
 			c.Assert(got.chunks, qt.HasLen, 0)
 			c.Assert(e.seen(), qt.HasLen, 1)
@@ -202,7 +203,7 @@
 			e := newRawEndpoint(c, func(int) (string, bool) { return text, true })
 			cl := newClient(c, ggsengine.DefaultSettings())
 			var got taker
-			err := cl.Run(testContext(c), e.addr, request("q1", adapterA(), 1), got.take)
+			err := cl.Run(ggsfakebench.Context(c), e.addr, request("q1", adapterA(), 1), got.take)
 			assertFailure(c, err, failure{false, ggscore.FailureBroken})
 			for _, k := range got.chunks {
 				c.Assert(k.Final, qt.IsFalse)
@@ -228,7 +229,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			ctx := testContext(c)
+			ctx := ggsfakebench.Context(c)
 			e := newRawEndpoint(c, func(int) (string, bool) { return tc.text, false })
 			cl := newClient(c, ggsengine.DefaultSettings())
 			for range 2 {
@@ -257,7 +258,7 @@
 			})
 			cl := newClient(c, ggsengine.DefaultSettings())
 			var got taker
-			c.Assert(cl.Call(testContext(c), e.addr, release("{}"), got.take), qt.IsNil)
+			c.Assert(cl.Call(ggsfakebench.Context(c), e.addr, release("{}"), got.take), qt.IsNil)
 			c.Assert(got.text(c) == body, qt.IsTrue)
 			c.Assert(len(got.chunks) > 1, qt.IsTrue)
 		})
@@ -270,7 +271,7 @@
 	c := qt.New(t)
 	b := newBench(c, nil)
 	b.server.Close()
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	var got taker
 	err := b.client.Run(ctx, b.addr, request("q1", adapterA(), 1), got.take)
 	assertFailure(c, err, failure{true, ggscore.FailureEndpoint})
@@ -290,7 +291,7 @@
 	s := ggsengine.DefaultSettings()
 	s.MaxConns = 1
 	cl := newClient(c, s)
-	ctx, cancel := context.WithCancel(testContext(c))
+	ctx, cancel := context.WithCancel(ggsfakebench.Context(c))
 	ended := make(chan error, 1)
 	go func() {
 		var got taker
@@ -298,7 +299,7 @@
 	}()
 	waitFor(ctx, c, "first run", func() bool { return b.engine.Stats().Started == 1 })
 
-	short, leave := context.WithCancel(testContext(c))
+	short, leave := context.WithCancel(ggsfakebench.Context(c))
 	leave()
 	var got taker
 	err := cl.Run(short, b.addr, request("q2", adapterA(), 1), got.take)
@@ -306,7 +307,7 @@
 
 	cancel()
 	assertFailure(c, <-ended, failure{false, ggscore.FailureCancelled})
-	waitFor(testContext(c), c, "free slot", func() bool { return b.engine.Report().Running == 0 })
+	waitFor(ggsfakebench.Context(c), c, "free slot", func() bool { return b.engine.Report().Running == 0 })
 	c.Assert(b.engine.Runs(), qt.DeepEquals, map[string]int{"q1": 1})
 }
 
@@ -326,7 +327,7 @@
 			c := qt.New(t)
 			b := newBench(c, nil)
 			b.engine.Preload(adapterA())
-			ctx := testContext(c)
+			ctx := ggsfakebench.Context(c)
 			var got taker
 			err := b.client.Run(ctx, b.addr, request("q1", adapterA(), 1<<20), func(k ggscore.Chunk) error {
 				if k.Seq == 1 {
@@ -347,7 +348,7 @@
 	b.engine.Preload(adapterA())
 	b.engine.SetFaults(ggsfakeengine.Faults{CutStreamAfter: 2})
 	var got taker
-	err := b.client.Run(testContext(c), b.addr, request("q1", adapterA(), 5), got.take)
+	err := b.client.Run(ggsfakebench.Context(c), b.addr, request("q1", adapterA(), 5), got.take)
 	assertFailure(c, err, failure{false, ggscore.FailureBroken})
 	c.Assert(len(got.chunks) <= 2, qt.IsTrue)
 }
@@ -363,7 +364,7 @@
 	s.SilenceTimeout = time.Second
 	cl := newClient(c, s)
 	var got taker
-	err := cl.Run(testContext(c), b.addr, request("q1", adapterA(), 1<<20), func(k ggscore.Chunk) error {
+	err := cl.Run(ggsfakebench.Context(c), b.addr, request("q1", adapterA(), 1<<20), func(k ggscore.Chunk) error {
 		b.engine.Freeze(time.Hour)
 		return got.take(k)
 	})
@@ -379,7 +380,7 @@
 	c := qt.New(t)
 	b := newBench(c, nil)
 	b.engine.Preload(adapterA())
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	gone := &ggscore.Failure{Kind: ggscore.FailureCancelled}
 	err := b.client.Run(ctx, b.addr, request("q1", adapterA(), 1<<20), func(ggscore.Chunk) error { return gone })
 	assertFailure(c, err, failure{false, ggscore.FailureCancelled})
@@ -390,18 +391,18 @@
 func TestPlainCall(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	s := ggsfakeplain.New(ggsfakeplain.Options{ID: "ledger-1"})
-	srv := newServer(c, s.Handler())
+	srv := ggsfakebench.Serve(c, s.Handler())
 	cl := newClient(c, ggsengine.DefaultSettings())
 	var got taker
-	c.Assert(cl.Call(ctx, addrOf(c, srv), release("{}"), got.take), qt.IsNil)
+	c.Assert(cl.Call(ctx, ggsfakebench.AddrOf(c, srv), release("{}"), got.take), qt.IsNil)
 	c.Assert(got.text(c), qt.Equals, `{"endpoint":"ledger-1","path":"/release","key":"release-7","request":"q1","count":1}`)
 
 	s.SetFaults(ggsfakeplain.Faults{LoseAnswers: 1, Refuse: 1})
-	err := cl.Call(ctx, addrOf(c, srv), release("{}"), got.take)
+	err := cl.Call(ctx, ggsfakebench.AddrOf(c, srv), release("{}"), got.take)
 	assertFailure(c, err, failure{true, ggscore.FailureEndpoint})
-	err = cl.Call(ctx, addrOf(c, srv), release("{}"), got.take)
+	err = cl.Call(ctx, ggsfakebench.AddrOf(c, srv), release("{}"), got.take)
 	assertFailure(c, err, failure{false, ggscore.FailureBroken})
 	c.Assert(s.Runs(), qt.DeepEquals, map[ggsfakeplain.Run]int{{Key: "release-7", Request: "q1"}: 2})
 }
--- a/io/ggsengine/order_test.go
+++ b/io/ggsengine/order_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeengine"
 	"greengageslip/io/ggsengine"
 )
@@ -18,7 +19,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, func(o *ggsfakeengine.Options) { o.ChecksFence = true })
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	c.Assert(b.client.Load(ctx, b.addr, adapterA(), 7), qt.IsNil)
 	err := b.client.Unload(ctx, b.addr, adapterA(), 6)
 	var fenced *ggscore.FencedError
@@ -39,12 +40,12 @@
 	}{
 		"no slot": {
 			prepare: func(b *bench) { b.engine.Preload(other) },
-			order:   func(c *qt.C, b *bench) error { return b.client.Load(testContext(c), b.addr, adapterA(), 1) },
+			order:   func(c *qt.C, b *bench) error { return b.client.Load(ggsfakebench.Context(c), b.addr, adapterA(), 1) },
 			status:  http.StatusConflict,
 		},
 		"load fails": {
 			prepare: func(b *bench) { b.engine.SetFaults(ggsfakeengine.Faults{LoadFails: 1}) },
-			order:   func(c *qt.C, b *bench) error { return b.client.Load(testContext(c), b.addr, adapterA(), 1) },
+			order:   func(c *qt.C, b *bench) error { return b.client.Load(ggsfakebench.Context(c), b.addr, adapterA(), 1) },
 			status:  http.StatusInternalServerError,
 		},
 	} {
@@ -69,7 +70,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	b.engine.SetFaults(ggsfakeengine.Faults{LoseOrderAnswers: 1})
 	var ambiguous *ggscore.AmbiguousOrderError
 	c.Assert(b.client.Load(ctx, b.addr, adapterA(), 1), qt.ErrorAs, &ambiguous)
@@ -87,7 +88,7 @@
 	})
 	cl := newClient(c, ggsengine.DefaultSettings())
 	var ambiguous *ggscore.AmbiguousOrderError
-	c.Assert(cl.Load(testContext(c), e.addr, adapterA(), 1), qt.ErrorAs, &ambiguous)
+	c.Assert(cl.Load(ggsfakebench.Context(c), e.addr, adapterA(), 1), qt.ErrorAs, &ambiguous)
 }
 
 func TestBadReports(t *testing.T) {
@@ -103,7 +104,7 @@
 			c := qt.New(t)
 			e := newRawEndpoint(c, func(int) (string, bool) { return text, true })
 			cl := newClient(c, ggsengine.DefaultSettings())
-			_, err := cl.Report(testContext(c), e.addr)
+			_, err := cl.Report(ggsfakebench.Context(c), e.addr)
 			assertFailure(c, err, failure{false, ggscore.FailureEndpoint})
 		})
 	}
--- a/io/ggsowners/engine_test.go
+++ b/io/ggsowners/engine_test.go
@@ -1,15 +1,14 @@
 package ggsowners
 
 import (
-	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeengine"
 	"greengageslip/io/ggsengine"
 )
@@ -29,22 +28,17 @@
 	e.ID, e.ChecksFence = runner, checksFence
 	e.FirstToken, e.TokenInterval = time.Millisecond, time.Millisecond
 	p := &plant{bench: b, engine: ggsfakeengine.New(e), client: ggsengine.NewClient(ggsengine.DefaultSettings())}
-	s := httptest.NewServer(p.engine.Handler())
-	a, err := netip.ParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
-	b.c.Assert(err, qt.IsNil)
-	p.runner = a
+	p.runner = ggsfakebench.AddrOf(t, ggsfakebench.Serve(t, p.engine.Handler()))
 	b.c.Cleanup(func() {
 		p.client.Close()
 		p.engine.Close()
-		s.CloseClientConnections()
-		s.Close()
 	})
 	return p
 }
 
 // order checks an order and gives it, as a dispatcher does.
 func (p *plant) order(o *Owners, name string, k ggscore.OrderKind) error {
-	f, err := o.Check(p.clock(), runner, adapter(name), k)
+	f, err := o.Check(p.clock.Now(), runner, adapter(name), k)
 	if err != nil {
 		return err
 	}
@@ -73,13 +67,13 @@
 			p.c.Assert(p.order(old, "deposits", ggscore.OrderLoad), qt.IsNil)
 			old.serveAll(p.ctx)
 			p.busy.Store(true)
-			fence, err := old.Check(p.clock(), runner, adapter("deposits"), ggscore.OrderDispatch)
+			fence, err := old.Check(p.clock.Now(), runner, adapter("deposits"), ggscore.OrderDispatch)
 			p.c.Assert(err, qt.IsNil)
 
 			started, whole := make(chan struct{}), make(chan error, 1)
 			go func() { whole <- p.run(started) }()
 			<-started
-			p.pass(10 * time.Second)
+			p.clock.Advance(10 * time.Second)
 			next := p.dispatcher("vm-b", lifeB)
 			next.Poll(p.ctx)
 			p.c.Assert(p.order(next, "rules", ggscore.OrderLoad), qt.IsNil)
--- a/io/ggsowners/owners_test.go
+++ b/io/ggsowners/owners_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +13,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsowner"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeplatform"
 	"greengageslip/io/ggsplatform"
 )
@@ -34,39 +33,21 @@
 type bench struct {
 	c        *qt.C
 	ctx      context.Context //nolint:containedctx // The test's own.
+	clock    *ggsfakebench.Clock
 	platform *ggsfakeplatform.Platform
 	addr     netip.AddrPort
-	now      atomic.Int64
 	busy     atomic.Bool
 	all      []ggsowner.Holder
 }
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	b := &bench{c: qt.New(t)}
-	b.now.Store(int64(time.Unix(1_800_000_000, 0).UnixNano()))
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	b.c.Cleanup(cancel)
-	b.ctx = ctx
-	o := ggsfakeplatform.DefaultOptions()
-	o.Now = b.clock
-	o.WritesPerSecond, o.ReadsPerSecond = 0, 0
-	b.platform = ggsfakeplatform.New(o)
-	s := httptest.NewServer(b.platform.Handler())
-	b.c.Cleanup(func() {
-		s.CloseClientConnections()
-		s.Close()
-	})
-	a, err := netip.ParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
-	b.c.Assert(err, qt.IsNil)
-	b.addr = a
+	b := &bench{c: qt.New(t), ctx: ggsfakebench.Context(t), clock: ggsfakebench.NewClock()}
+	b.platform = ggsfakebench.NewPlatform(b.clock.Now)
+	b.addr = ggsfakebench.AddrOf(t, ggsfakebench.Serve(t, b.platform.Handler()))
 	return b
 }
 
-func (b *bench) clock() time.Time { return time.Unix(0, b.now.Load()) }
-
-func (b *bench) pass(d time.Duration) { b.now.Add(int64(d)) }
-
 // dispatcher returns one with a lease, which the test drives step by step.
 func (b *bench) dispatcher(vm ggscore.VMID, life string) *Owners {
 	client := ggsplatform.NewClient(b.addr)
@@ -74,7 +55,7 @@
 	opts := DefaultOptions("cr-central-a")
 	opts.Busy = func([]ggscore.EndpointID) bool { return b.busy.Load() }
 	h := ggsowner.Holder{VM: vm, Incarnation: life}
-	o := New(client, b.clock, h, opts, log.NewNopLogger())
+	o := New(client, b.clock.Now, h, opts, log.NewNopLogger())
 	o.SetEndpoints([]ggscore.EndpointID{runner})
 	b.all = append(b.all, h)
 	o.SetCandidates(b.all)
@@ -83,7 +64,7 @@
 }
 
 func (b *bench) check(o *Owners, name string, k ggscore.OrderKind) error {
-	_, err := o.Check(b.clock(), runner, adapter(name), k)
+	_, err := o.Check(b.clock.Now(), runner, adapter(name), k)
 	return err
 }
 
@@ -105,10 +86,10 @@
 	b := newBench(t)
 	o := b.owner()
 	b.platform.SetFaults(ggsfakeplatform.Faults{Outage: true})
-	b.pass(time.Hour)
+	b.clock.Advance(time.Hour)
 	b.c.Assert(o.Renew(b.ctx), qt.IsNotNil)
 	o.Poll(b.ctx)
-	b.c.Assert(o.Mode(b.clock(), runner), qt.Equals, ggscore.ModeResidentOnly)
+	b.c.Assert(o.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeResidentOnly)
 	b.c.Assert(b.check(o, "deposits", ggscore.OrderDispatch), qt.IsNil)
 	b.c.Assert(b.check(o, "deposits", ggscore.OrderUnload), qt.ErrorMatches, "not the owner.*")
 	b.c.Assert(b.check(o, "rules", ggscore.OrderLoad), qt.ErrorMatches, "not the owner.*")
@@ -116,7 +97,7 @@
 	b.c.Assert(o.Renew(b.ctx), qt.IsNotNil)
 	b.c.Assert(o.Renew(b.ctx), qt.IsNil)
 	o.Poll(b.ctx)
-	b.c.Assert(o.Mode(b.clock(), runner), qt.Equals, ggscore.ModeFull)
+	b.c.Assert(o.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeFull)
 }
 
 // A renter's answer breaks off when a frozen dispatcher wakes: the next owner
@@ -136,11 +117,11 @@
 			next.SetCandidates([]ggsowner.Holder{{VM: "vm-a", Incarnation: lifeC}, next.self})
 		},
 		"its VM is gone": func(b *bench, _, next *Owners) {
-			next.SetVMs(b.clock(), []ggscore.VM{{ID: "vm-a"}, {ID: "vm-b"}})
-			next.SetVMs(b.clock(), []ggscore.VM{{ID: "vm-b"}})
+			next.SetVMs(b.clock.Now(), []ggscore.VM{{ID: "vm-a"}, {ID: "vm-b"}})
+			next.SetVMs(b.clock.Now(), []ggscore.VM{{ID: "vm-b"}})
 			next.Poll(b.ctx)
 			b.c.Assert(next.Pins(runner), qt.HasLen, 1)
-			b.pass(2 * time.Minute)
+			b.clock.Advance(2 * time.Minute)
 			b.c.Assert(next.Renew(b.ctx), qt.IsNotNil)
 			b.c.Assert(next.Renew(b.ctx), qt.IsNil)
 		},
@@ -151,15 +132,15 @@
 			old := b.owner()
 			next := b.dispatcher("vm-b", lifeB)
 			next.Poll(b.ctx)
-			b.c.Assert(next.Mode(b.clock(), runner), qt.Equals, ggscore.ModeNone)
-			b.pass(8 * time.Second)
+			b.c.Assert(next.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeNone)
+			b.clock.Advance(8 * time.Second)
 			b.c.Assert(b.check(old, "deposits", ggscore.OrderUnload), qt.ErrorMatches, "not the owner.*")
 			b.c.Assert(next.Renew(b.ctx), qt.IsNil)
 			next.Poll(b.ctx)
-			b.c.Assert(next.Mode(b.clock(), runner), qt.Equals, ggscore.ModeNone)
-			b.pass(2 * time.Second)
+			b.c.Assert(next.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeNone)
+			b.clock.Advance(2 * time.Second)
 			next.Poll(b.ctx)
-			b.c.Assert(next.Mode(b.clock(), runner), qt.Equals, ggscore.ModeFull)
+			b.c.Assert(next.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeFull)
 			b.c.Assert(next.Pins(runner), qt.DeepEquals, []ggscore.AdapterRef{adapter("deposits")})
 			b.c.Assert(b.check(next, "deposits", ggscore.OrderUnload), qt.ErrorMatches, ".*pinned by vm-a")
 			stop(b, old, next)
@@ -186,7 +167,7 @@
 	}()
 	b.c.Assert(old.Release(b.ctx), qt.IsNil)
 	next.Poll(b.ctx)
-	b.c.Assert(next.Mode(b.clock(), runner), qt.Equals, ggscore.ModeFull)
+	b.c.Assert(next.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeFull)
 	b.c.Assert(next.Pins(runner), qt.HasLen, 1)
 	b.busy.Store(false)
 	b.c.Assert(old.Leave(b.ctx), qt.IsNil)
@@ -214,7 +195,7 @@
 	<-done
 	next := b.dispatcher("vm-b", lifeB)
 	next.Poll(b.ctx)
-	b.c.Assert(next.Mode(b.clock(), runner), qt.Equals, ggscore.ModeFull)
+	b.c.Assert(next.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeFull)
 	b.c.Assert(next.Pins(runner), qt.HasLen, 0)
 }
 
@@ -226,9 +207,9 @@
 	o := b.dispatcher("vm-a", lifeA)
 	b.platform.SetFaults(ggsfakeplatform.Faults{LoseWriteAnswers: 1, LosePrefix: "owners/"})
 	o.Poll(b.ctx)
-	b.c.Assert(o.Mode(b.clock(), runner), qt.Equals, ggscore.ModeNone)
+	b.c.Assert(o.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeNone)
 	o.Poll(b.ctx)
-	b.c.Assert(o.Mode(b.clock(), runner), qt.Equals, ggscore.ModeFull)
+	b.c.Assert(o.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeFull)
 	b.platform.SetFaults(ggsfakeplatform.Faults{LoseWriteAnswers: 1, LosePrefix: "owners/"})
 	o.Observe(ggscore.RunnerReport{Endpoint: runner, Resident: []ggscore.ResidentAdapter{{Ref: adapter("rules")}}})
 	o.serveAll(b.ctx)
@@ -246,5 +227,5 @@
 	_, err := o.store.Put(b.ctx, "owners/cr-central-a/0", []byte(`{"protected":{"r":["@"]}}`), 0, 0)
 	b.c.Assert(err, qt.IsNil)
 	o.Poll(b.ctx)
-	b.c.Assert(o.Mode(b.clock(), runner), qt.Equals, ggscore.ModeNone)
+	b.c.Assert(o.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeNone)
 }
--- a/io/ggsplatform/bench_test.go
+++ b/io/ggsplatform/bench_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"net"
-	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -12,19 +11,17 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakelink"
-	"greengageslip/fakes/ggsfakeplatform"
 	"greengageslip/io/ggsplatform"
 )
 
 // benchLink returns a client that reaches an unlimited stand-in directly, and
 // one that reaches it over a link, which counts the bytes.
 func benchLink(c *qt.C) (direct, linked *ggsplatform.Client, l *ggsfakelink.Link) {
-	o := ggsfakeplatform.DefaultOptions()
-	o.ReadsPerSecond, o.WritesPerSecond = 0, 0
-	s := httptest.NewServer(ggsfakeplatform.New(o).Handler())
-	direct = ggsplatform.NewClient(addrOf(c, s))
-	l = ggsfakelink.New(addrOf(c, s))
+	s := ggsfakebench.Serve(c, ggsfakebench.NewPlatform(nil).Handler())
+	direct = ggsplatform.NewClient(ggsfakebench.AddrOf(c, s))
+	l = ggsfakelink.New(ggsfakebench.AddrOf(c, s))
 	n, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -36,7 +33,6 @@
 		linked.Close()
 		cancel()
 		c.Check(<-served, qt.IsNil)
-		s.Close()
 	})
 	return direct, linked, l
 }
--- a/io/ggsplatform/client_test.go
+++ b/io/ggsplatform/client_test.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -14,71 +12,38 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeplatform"
 	"greengageslip/io/ggsplatform"
 )
 
-// A clock is moved by the test.
-type clock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *clock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *clock) Advance(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 // A bench is a stand-in and a client of it.
 type bench struct {
-	clock    *clock
+	clock    *ggsfakebench.Clock
 	platform *ggsfakeplatform.Platform
 	server   *httptest.Server
 	client   *ggsplatform.Client
 }
 
-func addrOf(c *qt.C, s *httptest.Server) netip.AddrPort {
-	a, err := netip.ParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
-	c.Assert(err, qt.IsNil)
-	return a
-}
-
 func newBench(c *qt.C, change func(*ggsfakeplatform.Options)) *bench {
-	k := &clock{now: time.Unix(1_800_000_000, 0)}
+	k := ggsfakebench.NewClock()
 	o := ggsfakeplatform.DefaultOptions()
 	o.Now = k.Now
 	if change != nil {
 		change(&o)
 	}
 	p := ggsfakeplatform.New(o)
-	s := httptest.NewServer(p.Handler())
-	cl := ggsplatform.NewClient(addrOf(c, s))
-	c.Cleanup(func() {
-		cl.Close()
-		s.CloseClientConnections()
-		s.Close()
-	})
+	s := ggsfakebench.Serve(c, p.Handler())
+	cl := ggsplatform.NewClient(ggsfakebench.AddrOf(c, s))
+	c.Cleanup(cl.Close)
 	return &bench{clock: k, platform: p, server: s, client: cl}
 }
 
-func testContext(c *qt.C) context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	c.Cleanup(cancel)
-	return ctx
-}
-
 func TestCompareAndSwap(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 
 	missing, err := b.client.Get(ctx, "a/1")
 	c.Assert(err, qt.IsNil)
@@ -112,7 +77,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 
 	l, err := b.client.Grant(ctx, 3*time.Second)
 	c.Assert(err, qt.IsNil)
@@ -140,7 +105,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 
 	l, err := b.client.Grant(ctx, time.Minute)
 	c.Assert(err, qt.IsNil)
@@ -157,7 +122,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 
 	r1, err := b.client.Put(ctx, "w/1", []byte("x"), 0, 0)
 	c.Assert(err, qt.IsNil)
@@ -193,7 +158,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 
 	b.platform.SetFaults(ggsfakeplatform.Faults{LoseWriteAnswers: 1, LosePrefix: "section/"})
 	_, err := b.client.Put(ctx, "other", nil, 0, 0)
@@ -214,7 +179,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 
 	b.platform.SetFaults(ggsfakeplatform.Faults{DelayWrites: 1, Delay: 2 * time.Second})
 	_, err := b.client.Put(ctx, "k", []byte("late"), 0, 0)
@@ -241,7 +206,7 @@
 			t.Parallel()
 			c := qt.New(t)
 			b := newBench(c, nil)
-			ctx := testContext(c)
+			ctx := ggsfakebench.Context(c)
 			cut(b)
 			var away *ggscore.StoreAwayError
 			_, err := b.client.Put(ctx, "k", nil, 0, 0)
@@ -261,7 +226,7 @@
 	c := qt.New(t)
 	b := newBench(c, nil)
 	b.platform.SetFaults(ggsfakeplatform.Faults{Hang: true})
-	ctx, leave := context.WithCancel(testContext(c))
+	ctx, leave := context.WithCancel(ggsfakebench.Context(c))
 	ended := make(chan error, 2)
 	go func() {
 		_, err := b.client.Put(ctx, "k", nil, 0, 0)
@@ -285,7 +250,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, func(o *ggsfakeplatform.Options) { o.WritesPerSecond = 4 })
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	_, err := b.client.Put(ctx, "a", nil, 0, 0)
 	c.Assert(err, qt.IsNil)
 	_, err = b.client.Put(ctx, "b", nil, 0, 0)
@@ -301,7 +266,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	_, err := b.client.Put(ctx, "k", make([]byte, 1<<20), 0, 0)
 	c.Assert(err, qt.IsNil)
 	_, err = b.client.Put(ctx, "l", make([]byte, 1<<20+1), 0, 0)
@@ -314,7 +279,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, func(o *ggsfakeplatform.Options) { o.VMLag = 5 * time.Second })
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	v := ggscore.VM{
 		ID: "r1", Role: ggscore.RoleEndpoint, State: ggscore.VMLeaving, Region: "perth", Domain: "perth-a",
 		Addr: netip.MustParseAddrPort("127.0.0.1:9001"), Service: "assist-llm",
--- a/io/ggsplatform/wrap_test.go
+++ b/io/ggsplatform/wrap_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakebench"
 	"greengageslip/fakes/ggsfakeplatform"
 	"greengageslip/io/ggsplatform"
 )
@@ -17,7 +18,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	counts := new(expvar.Map).Init()
 	s := ggsplatform.NewMetered(b.client, counts)
 
@@ -49,7 +50,7 @@
 	c := qt.New(t)
 	b := newBench(c, nil)
 	s := ggsplatform.NewLimited(b.client, 0.001, 0.001)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	_, err := s.Get(ctx, "k")
 	c.Assert(err, qt.IsNil)
 	_, err = s.Put(ctx, "k", nil, 0, 0)
@@ -81,7 +82,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := newBench(c, nil)
-	ctx := testContext(c)
+	ctx := ggsfakebench.Context(c)
 	s := ggsplatform.NewReadOnly(b.client)
 	_, err := s.Get(ctx, "k")
 	c.Assert(err, qt.IsNil)
