--- a/io/ggssettings/settings.go
+++ b/io/ggssettings/settings.go
@@ -20,11 +20,11 @@
 )
 
 const (
-	defaultDrainTimeout  = 10 * time.Minute
-	defaultLeaseTTL      = 8 * time.Second
-	defaultListInterval  = time.Second
-	minLeaseTTL          = time.Second
-	defaultPolicyRetries = 3
+	defaultDrainTimeout = 10 * time.Minute
+	defaultLeaseTTL     = 8 * time.Second
+	defaultListInterval = time.Second
+	minLeaseTTL         = time.Second
+	defaultMaxAttempts  = 3
 )
 
 // A Node is what all processes are told.
@@ -89,7 +89,7 @@
 		MaxInFlight: f.MaxInFlight, MaxAttempts: f.MaxAttempts,
 	}
 	if g.MaxAttempts == 0 {
-		g.MaxAttempts = defaultPolicyRetries
+		g.MaxAttempts = defaultMaxAttempts
 	}
 	return g, nil
 }
