--- a/core/ggsclaim/writer_test.go
+++ b/core/ggsclaim/writer_test.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// ask claims key 1 by a process, without faults, and returns the answer.
+func (w *world) ask(p int) output {
+	w.begin(p, 1, 1)
+	w.settle(p)
+	return w.lastAnswer()
+}
+
+// beginWrite claims key 1 by the first process, up to the claim's write.
+func (w *world) beginWrite() OpID {
+	op := w.begin(0, 1, 1)
+	w.start(0)
+	w.end(0, endAnswered)
+	w.start(0)
+	return op
+}
+
 // lastAnswer returns the last answer to a claim.
 func (w *world) lastAnswer() output {
 	return w.history[len(w.history)-1].Output.(output)
@@ -101,19 +117,14 @@
 			t.Parallel()
 			c := qt.New(t)
 			w := newWorld(1)
-			w.begin(0, 1, 1)
-			w.start(0)
-			w.end(0, endAnswered)
-			w.start(0)
+			w.beginWrite()
 			w.end(0, how)
 			w.settle(0)
 			c.Assert(w.lastAnswer().kind, qt.Equals, DecisionGranted)
 			for i := range w.delayed {
 				w.land(i)
 			}
-			w.begin(0, 1, 1)
-			w.settle(0)
-			c.Assert(w.lastAnswer().kind, qt.Equals, DecisionInProgress)
+			c.Assert(w.ask(0).kind, qt.Equals, DecisionInProgress)
 		})
 	}
 }
@@ -129,10 +140,7 @@
 			t.Parallel()
 			c := qt.New(t)
 			w := newWorld(2)
-			op := w.begin(0, 1, 1)
-			w.start(0)
-			w.end(0, endAnswered)
-			w.start(0)
+			op := w.beginWrite()
 			w.end(0, endLostBeforeEffect)
 			w.cancel(op)
 			if landFirst {
@@ -142,9 +150,7 @@
 			if !landFirst {
 				w.land(0)
 			}
-			w.begin(1, 1, 1)
-			w.settle(1)
-			c.Assert(w.lastAnswer().kind, qt.Equals, DecisionGranted)
+			c.Assert(w.ask(1).kind, qt.Equals, DecisionGranted)
 		})
 	}
 }
@@ -155,16 +161,11 @@
 	t.Parallel()
 	c := qt.New(t)
 	w := newWorld(2)
-	op := w.begin(0, 1, 1)
-	w.start(0)
-	w.end(0, endAnswered)
-	w.start(0)
+	op := w.beginWrite()
 	w.cancel(op)
 	w.end(0, endAnswered)
 	w.settle(0)
-	w.begin(1, 1, 1)
-	w.settle(1)
-	c.Assert(w.lastAnswer().kind, qt.Equals, DecisionGranted)
+	c.Assert(w.ask(1).kind, qt.Equals, DecisionGranted)
 }
 
 // A booking is refused all night: its claim took effect, the answer was lost,
@@ -173,17 +174,12 @@
 	t.Parallel()
 	c := qt.New(t)
 	w := newWorld(2)
-	w.begin(0, 1, 1)
-	w.start(0)
-	w.end(0, endAnswered)
-	w.start(0)
+	w.beginWrite()
 	w.end(0, endLostAfterEffect)
 	w.start(0)
 	w.end(0, endAway)
 	w.settle(0)
-	w.begin(1, 1, 1)
-	w.settle(1)
-	c.Assert(w.lastAnswer().kind, qt.Equals, DecisionGranted)
+	c.Assert(w.ask(1).kind, qt.Equals, DecisionGranted)
 }
 
 // A landlord is paid twice: a holder that gave its claim back records late
@@ -196,26 +192,19 @@
 			t.Parallel()
 			c := qt.New(t)
 			w := newWorld(2)
-			w.begin(0, 1, 1)
-			w.settle(0)
+			w.ask(0)
 			first := w.granted[0]
 			w.finish(0, first, StateReleased)
 			w.settle(0)
-			w.begin(1, 1, 1)
-			w.settle(1)
-			w.begin(0, 1, 1)
-			w.settle(0)
+			w.ask(1)
+			w.ask(0)
 			w.finish(0, first, late)
 			w.settle(0)
-			w.begin(0, 1, 1)
-			w.settle(0)
-			c.Assert(w.lastAnswer().kind, qt.Equals, DecisionInProgress)
+			c.Assert(w.ask(0).kind, qt.Equals, DecisionInProgress)
 			w.finish(1, w.granted[1], StateDone)
 			w.finish(1, w.granted[1], StateReleased)
 			w.settle(1)
-			w.begin(0, 1, 1)
-			w.settle(0)
-			c.Assert(w.lastAnswer(), qt.Equals, output{kind: DecisionReplay, state: StateDone})
+			c.Assert(w.ask(0), qt.Equals, output{kind: DecisionReplay, state: StateDone})
 		})
 	}
 }
@@ -227,13 +216,10 @@
 	t.Parallel()
 	c := qt.New(t)
 	w := newWorld(2)
-	w.begin(0, 1, 1)
-	w.settle(0)
+	w.ask(0)
 	w.finish(0, w.granted[0], StateUnknown)
 	w.settle(0)
-	w.begin(1, 1, 1)
-	w.settle(1)
-	c.Assert(w.lastAnswer(), qt.Equals, output{kind: DecisionReplay, state: StateUnknown})
+	c.Assert(w.ask(1), qt.Equals, output{kind: DecisionReplay, state: StateUnknown})
 }
 
 // A holder gives its claim back, the answer is lost, and the key is claimed
@@ -243,14 +229,11 @@
 	t.Parallel()
 	c := qt.New(t)
 	w := newWorld(2)
-	w.begin(0, 1, 1)
-	w.settle(0)
+	w.ask(0)
 	w.finish(0, w.granted[0], StateReleased)
 	w.start(0)
 	w.end(0, endLostAfterEffect)
-	w.begin(1, 1, 1)
-	w.settle(1)
-	c.Assert(w.lastAnswer().kind, qt.Equals, DecisionGranted)
+	c.Assert(w.ask(1).kind, qt.Equals, DecisionGranted)
 	w.settle(0)
 	c.Assert(w.lastAnswer().kind, qt.Equals, DecisionGone)
 	c.Assert(porcupine.CheckOperations(model(), w.history), qt.IsTrue, qt.Commentf(w.print()))
@@ -262,10 +245,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	w := newWorld(1)
-	w.begin(0, 1, 1)
-	w.start(0)
-	w.end(0, endAnswered)
-	w.start(0)
+	w.beginWrite()
 	w.now = w.now.Add(2 * w.limits.Retention)
 	w.end(0, endAnswered)
 	c.Assert(w.lastAnswer().kind, qt.Equals, DecisionExpired)
@@ -279,17 +259,12 @@
 	t.Parallel()
 	c := qt.New(t)
 	w := newWorld(2)
-	w.begin(0, 1, 1)
-	w.settle(0)
+	w.ask(0)
 	c.Assert(w.granted, qt.HasLen, 1)
 	w.crash(0)
-	w.begin(1, 1, 1)
-	w.settle(1)
-	c.Assert(w.lastAnswer().kind, qt.Equals, DecisionInProgress)
+	c.Assert(w.ask(1).kind, qt.Equals, DecisionInProgress)
 	w.now = w.now.Add(w.limits.InProgress + time.Second)
-	w.begin(1, 1, 1)
-	w.settle(1)
-	c.Assert(w.lastAnswer(), qt.Equals, output{kind: DecisionReplay, state: StateUnknown})
+	c.Assert(w.ask(1), qt.Equals, output{kind: DecisionReplay, state: StateUnknown})
 }
 
 // An opening night's bookings pass the platform's rate: each claim took a
@@ -298,10 +273,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	w := newWorld(1)
-	w.begin(0, 1, 1)
-	w.start(0)
-	w.end(0, endAnswered)
-	w.start(0)
+	w.beginWrite()
 	for key := byte(2); key < 100; key++ {
 		w.begin(0, key, 1)
 	}
