--- a/core/ggsretry/breaker.go
+++ b/core/ggsretry/breaker.go
@@ -1,6 +1,7 @@
 package ggsretry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -70,10 +71,10 @@
 
 // NewBreakers returns breakers that are all closed.
 func NewBreakers[K comparable](o BreakerOptions) *Breakers[K] {
-	o.Failures = orDefault(o.Failures, DefaultFailures)
-	o.Open = orDefault(o.Open, DefaultOpen)
-	o.MaxOpen = orDefault(o.MaxOpen, DefaultMaxOpen)
-	o.Probe = orDefault(o.Probe, DefaultProbe)
+	o.Failures = cmp.Or(o.Failures, DefaultFailures)
+	o.Open = cmp.Or(o.Open, DefaultOpen)
+	o.MaxOpen = cmp.Or(o.MaxOpen, DefaultMaxOpen)
+	o.Probe = cmp.Or(o.Probe, DefaultProbe)
 	return &Breakers[K]{
 		options:  o,
 		rng:      rand.New(rand.NewPCG(o.Seed, breakerStream)),
--- a/core/ggsretry/budget.go
+++ b/core/ggsretry/budget.go
@@ -21,6 +21,7 @@
 package ggsretry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -83,11 +84,11 @@
 
 // NewPolicy returns a policy in which each market has a full budget.
 func NewPolicy(o Options) *Policy {
-	o.Ratio = orDefault(o.Ratio, DefaultRatio)
-	o.Depth = orDefault(o.Depth, DefaultDepth)
-	o.MaxAttempts = orDefault(o.MaxAttempts, DefaultMaxAttempts)
-	o.Base = orDefault(o.Base, DefaultBase)
-	o.MaxWait = orDefault(o.MaxWait, DefaultMaxWait)
+	o.Ratio = cmp.Or(o.Ratio, DefaultRatio)
+	o.Depth = cmp.Or(o.Depth, DefaultDepth)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, DefaultMaxAttempts)
+	o.Base = cmp.Or(o.Base, DefaultBase)
+	o.MaxWait = cmp.Or(o.MaxWait, DefaultMaxWait)
 	return &Policy{
 		options: o,
 		rng:     rand.New(rand.NewPCG(o.Seed, seedStream)),
@@ -175,12 +176,3 @@
 	}
 	return false
 }
-
-// orDefault returns d where v is zero.
-func orDefault[T comparable](v, d T) T {
-	var zero T
-	if v == zero {
-		return d
-	}
-	return v
-}
--- a/core/ggsroute/router.go
+++ b/core/ggsroute/router.go
@@ -27,6 +27,7 @@
 package ggsroute
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -85,12 +86,8 @@
 
 // New returns a router that knows no dispatcher.
 func New(o Options) *Router {
-	if o.MaxAge == 0 {
-		o.MaxAge = DefaultMaxAge
-	}
-	if o.Hold == 0 {
-		o.Hold = DefaultHold
-	}
+	o.MaxAge = cmp.Or(o.MaxAge, DefaultMaxAge)
+	o.Hold = cmp.Or(o.Hold, DefaultHold)
 	return &Router{
 		options:  o,
 		gateways: 1,
--- a/io/ggsconfig/editor.go
+++ b/io/ggsconfig/editor.go
@@ -1,6 +1,7 @@
 package ggsconfig
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -72,12 +73,8 @@
 
 // NewEditor returns an Editor on the platform's service.
 func NewEditor(s EditorStore, o EditorOptions) *Editor {
-	if o.Tries == 0 {
-		o.Tries = defaultTries
-	}
-	if o.Pause == 0 {
-		o.Pause = defaultPause
-	}
+	o.Tries = cmp.Or(o.Tries, defaultTries)
+	o.Pause = cmp.Or(o.Pause, defaultPause)
 	return &Editor{store: s, options: o}
 }
 
--- a/io/ggsconfig/follower.go
+++ b/io/ggsconfig/follower.go
@@ -1,6 +1,7 @@
 package ggsconfig
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/netip"
@@ -114,18 +115,10 @@
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
-	if o.Watchers == 0 {
-		o.Watchers = defaultWatchers
-	}
-	if o.WatchWait == 0 {
-		o.WatchWait = defaultWatchWait
-	}
-	if o.PollInterval == 0 {
-		o.PollInterval = defaultPollInterval
-	}
-	if o.CallTimeout == 0 {
-		o.CallTimeout = defaultCallTimeout
-	}
+	o.Watchers = cmp.Or(o.Watchers, defaultWatchers)
+	o.WatchWait = cmp.Or(o.WatchWait, defaultWatchWait)
+	o.PollInterval = cmp.Or(o.PollInterval, defaultPollInterval)
+	o.CallTimeout = cmp.Or(o.CallTimeout, defaultCallTimeout)
 	return &Follower{
 		options: o,
 		rules:   ggsdocument.NewFollower(ggstoml.Codec{}),
--- a/io/ggsdispatch/dispatcher.go
+++ b/io/ggsdispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package ggsdispatch
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -106,21 +107,11 @@
 }
 
 func withDefaults(o Options) Options {
-	if o.RequestWorkers == 0 {
-		o.RequestWorkers = defaultRequestWorkers
-	}
-	if o.OrderWorkers == 0 {
-		o.OrderWorkers = defaultOrderWorkers
-	}
-	if o.ReaderTimeout == 0 {
-		o.ReaderTimeout = defaultReaderTimeout
-	}
-	if o.ReportInterval == 0 {
-		o.ReportInterval = defaultReportInterval
-	}
-	if o.JobRetention == 0 {
-		o.JobRetention = defaultJobRetention
-	}
+	o.RequestWorkers = cmp.Or(o.RequestWorkers, defaultRequestWorkers)
+	o.OrderWorkers = cmp.Or(o.OrderWorkers, defaultOrderWorkers)
+	o.ReaderTimeout = cmp.Or(o.ReaderTimeout, defaultReaderTimeout)
+	o.ReportInterval = cmp.Or(o.ReportInterval, defaultReportInterval)
+	o.JobRetention = cmp.Or(o.JobRetention, defaultJobRetention)
 	return o
 }
 
--- a/io/ggsgateway/gateway.go
+++ b/io/ggsgateway/gateway.go
@@ -1,6 +1,7 @@
 package ggsgateway
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -97,21 +98,11 @@
 
 // New returns a Gateway that knows its seeds only.
 func New(o Options, p Parts) *Gateway {
-	if o.MaxInFlight == 0 {
-		o.MaxInFlight = defaultMaxInFlight
-	}
-	if o.MaxAttempts == 0 {
-		o.MaxAttempts = defaultMaxAttempts
-	}
-	if o.SubmitTimeout == 0 {
-		o.SubmitTimeout = defaultSubmitTimeout
-	}
-	if o.ResumeTimeout == 0 {
-		o.ResumeTimeout = defaultResumeTimeout
-	}
-	if o.HandOverTimeout == 0 {
-		o.HandOverTimeout = defaultHandOver
-	}
+	o.MaxInFlight = cmp.Or(o.MaxInFlight, defaultMaxInFlight)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, defaultMaxAttempts)
+	o.SubmitTimeout = cmp.Or(o.SubmitTimeout, defaultSubmitTimeout)
+	o.ResumeTimeout = cmp.Or(o.ResumeTimeout, defaultResumeTimeout)
+	o.HandOverTimeout = cmp.Or(o.HandOverTimeout, defaultHandOver)
 	return &Gateway{
 		options:  o,
 		parts:    p,
