style: drop comments that restate names, unexport what nothing uses

Comments such as "readResult reads a result" on unexported items are gone; on exported ones (Region, Domain, BaseModel, ServiceSpec, MarketSpec) and on staticPart they now say what the name doesn't. ggsretry.Retryable and ggstoml.Locate had no user outside their packages. No change of behaviour.

--- a/cmd/ggsctl/exit.go
+++ b/cmd/ggsctl/exit.go
@@ -9,7 +9,6 @@
 	"greengageslip/io/ggstoml"
 )
 
-// An exitCode is the exit code of a command.
 type exitCode int
 
 // The exit codes.
--- a/cmd/ggsctl/validate.go
+++ b/cmd/ggsctl/validate.go
@@ -28,7 +28,6 @@
 	} `positional-args:"yes"`
 }
 
-// A sectionFile is a file that holds a section.
 type sectionFile struct {
 	section ggscore.SectionName
 	file    string
--- a/cmd/ggsload/answer.go
+++ b/cmd/ggsload/answer.go
@@ -16,7 +16,6 @@
 	endOfStream     = "[DONE]"
 )
 
-// A chatRequest is the body of a chat.
 type chatRequest struct {
 	Model     string        `json:"model"`
 	Stream    bool          `json:"stream"`
--- a/cmd/ggsload/client.go
+++ b/cmd/ggsload/client.go
@@ -102,7 +102,6 @@
 	return a
 }
 
-// request builds a request.
 func (c *client) request(ctx context.Context, now time.Time, n int, q *planned) (*http.Request, error) {
 	path := "/v1/chat/completions"
 	body := chatRequest{
--- a/cmd/ggsload/plan.go
+++ b/cmd/ggsload/plan.go
@@ -13,7 +13,6 @@
 // planStream separates the plan's random numbers from others of one seed.
 const planStream = 0x6c6f6164
 
-// A kind is a kind of requests.
 type kind struct {
 	// stream and whole are chats; else the call names a plain service's
 	// operation, and once says that it carries an idempotency key.
@@ -44,7 +43,6 @@
 	w.sums = append(w.sums, weight+w.total())
 }
 
-// draw returns an item.
 func (w *weighted[T]) draw(g *rand.Rand) T {
 	x := g.Float64() * w.total()
 	i := sort.Search(len(w.sums), func(i int) bool { return w.sums[i] > x })
--- a/cmd/ggsload/result.go
+++ b/cmd/ggsload/result.go
@@ -104,7 +104,6 @@
 
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
-// readResult reads a result.
 func readResult(file string) (*result, error) {
 	b, err := os.ReadFile(file)
 	if err != nil {
--- a/core/document.go
+++ b/core/document.go
@@ -20,7 +20,7 @@
 	Policy   PolicySpec
 }
 
-// A ServiceSpec describes a service.
+// A ServiceSpec is a service of the section services.
 type ServiceSpec struct {
 	Name Service
 	Kind ServiceKind
@@ -39,7 +39,7 @@
 	NonIdempotent bool
 }
 
-// A MarketSpec describes a market.
+// A MarketSpec is the section of one market.
 type MarketSpec struct {
 	Name Market
 	// Weight is its share when markets compete.
--- a/core/ggsretry/budget.go
+++ b/core/ggsretry/budget.go
@@ -120,7 +120,7 @@
 // part to Ratio. The waits are drawn at random from their whole range, so that
 // requests that failed together don't come back together.
 func (p *Policy) Retry(now time.Time, a Attempt) (time.Duration, error) {
-	if !Retryable(a.Failure) {
+	if !retryable(a.Failure) {
 		return 0, &NoRetryError{Market: a.Market, Cause: CauseNotRetryable}
 	}
 	if a.Number >= p.options.MaxAttempts {
@@ -162,9 +162,9 @@
 	return a.Failure.RetryAfter + time.Duration(p.rng.Int64N(int64(top)))
 }
 
-// Retryable reports whether a failed attempt may be tried again elsewhere: it
+// retryable reports whether a failed attempt may be tried again elsewhere: it
 // is proved not to have run, and another dispatcher may answer otherwise.
-func Retryable(f *ggscore.Failure) bool {
+func retryable(f *ggscore.Failure) bool {
 	if f == nil || f.Outcome != ggscore.OutcomeNotRun {
 		return false
 	}
--- a/core/ggsshare/plan.go
+++ b/core/ggsshare/plan.go
@@ -27,7 +27,8 @@
 
 import ggscore "greengageslip/core"
 
-// staticPart is the part of the units that is static.
+// staticPart is small, since a static unit lies idle while its group loads
+// nothing; without any, a group that is cut off could load nothing at all.
 const staticPart = 0.25
 
 // A Unit numbers a borrowed unit.
--- a/core/names.go
+++ b/core/names.go
@@ -8,10 +8,12 @@
 // A Service names a service, either a model service or a plain one.
 type Service string
 
-// A Domain names a failure domain.
+// A Domain names a failure domain: VMs and endpoints of one region that can be
+// cut off together.
 type Domain string
 
-// A Region names a region.
+// A Region names a part of the deployment. Traffic between regions is bounded
+// and has a price.
 type Region string
 
 // A VMID names a VM.
@@ -23,7 +25,7 @@
 // A RequestID names one request inside the system. It is unique for ever.
 type RequestID string
 
-// A BaseModel names a base model.
+// A BaseModel names what a runner serves and an adapter is made for.
 type BaseModel string
 
 // A Version names an immutable version of an adapter.
--- a/fakes/ggsfakeengine/engine.go
+++ b/fakes/ggsfakeengine/engine.go
@@ -33,7 +33,6 @@
 	busySince   time.Time
 }
 
-// An adapter is a resident adapter.
 type adapter struct {
 	running int
 	// gone is closed when it is unloaded.
--- a/fakes/ggsfakeengine/errors.go
+++ b/fakes/ggsfakeengine/errors.go
@@ -6,7 +6,6 @@
 // Error implements error.
 func (e *brokenError) Error() string { return "run broken: " + e.reason }
 
-// A refusal is an error answer.
 type refusal struct {
 	status  int
 	kind    string
--- a/fakes/ggsfakeplatform/errors.go
+++ b/fakes/ggsfakeplatform/errors.go
@@ -19,7 +19,6 @@
 // Error implements error.
 func (e *lapsedError) Error() string { return fmt.Sprintf("lease %d is not known", e.lease) }
 
-// A badCallError says that a call is wrong.
 type badCallError struct{ detail string }
 
 // Error implements error.
--- a/io/ggsengine/order.go
+++ b/io/ggsengine/order.go
@@ -105,5 +105,4 @@
 	return w, err
 }
 
-// reportBytes bounds a report.
 const reportBytes = 4 << 20
--- a/io/ggsengine/pass.go
+++ b/io/ggsengine/pass.go
@@ -87,7 +87,6 @@
 	}
 }
 
-// eventData returns the data of an event.
 func eventData(raw []byte) []byte {
 	var data []byte
 	for line := range bytes.Lines(raw) {
--- a/io/ggsgateway/answer.go
+++ b/io/ggsgateway/answer.go
@@ -16,7 +16,6 @@
 // it is whole, so that one that breaks can still be answered with an error.
 const maxHeldBytes = 1 << 20
 
-// An errorBody is the body of a failure.
 type errorBody struct {
 	Error errorObject `json:"error"`
 }
--- a/io/ggstoml/locate.go
+++ b/io/ggstoml/locate.go
@@ -27,12 +27,12 @@
 	names   map[string]string
 }
 
-// Locate returns the line of a key in a TOML text, counted from one. Elements
+// locate returns the line of a key in a TOML text, counted from one. Elements
 // of arrays of tables stand in the key by index or by the value of their key
 // name or service, as adapters[3].current or adapters["deposits-es"].current.
 // Where the key isn't set, it returns the line of the table that lacks it,
 // and zero where that is missing as well.
-func Locate(text []byte, key string) int {
+func locate(text []byte, key string) int {
 	l := newLocator(text)
 	for want := key; want != ""; want = parentOf(want) {
 		if f, found := l.find(want); found {
--- a/io/ggstoml/section.go
+++ b/io/ggstoml/section.go
@@ -143,7 +143,7 @@
 		return err
 	}
 	w := *e
-	w.Line = Locate(text, e.Key)
+	w.Line = locate(text, e.Key)
 	return &w
 }
 
--- a/io/ggstoml/set.go
+++ b/io/ggstoml/set.go
@@ -9,8 +9,8 @@
 )
 
 // Set returns a TOML text with the value of one key replaced; all else stays as
-// it is, comments too. The key is a path as Locate takes it. A value that is
-// no TOML value is taken for a string. A key that isn't set is added to its
+// it is, comments too. The key is a path as DecodeError names it. A value that
+// is no TOML value is taken for a string. A key that isn't set is added to its
 // table, which must be there; else Set returns a *DecodeError.
 func Set(source string, text []byte, key, value string) ([]byte, error) {
 	var all map[string]any
--- a/io/ggstoml/settings.go
+++ b/io/ggstoml/settings.go
@@ -38,7 +38,7 @@
 	}
 	var v *ValueError
 	if errors.As(err, &v) {
-		return &DecodeError{Source: source, Key: v.Key, Line: Locate(text, v.Key), Cause: v}
+		return &DecodeError{Source: source, Key: v.Key, Line: locate(text, v.Key), Cause: v}
 	}
 	return err
 }
