docs: list the gateway's failures and their statuses

The public interface pointed to the unexported statusOf. The list is that function's, without notOwner, which the gateway turns into noCapacity for its callers (forCaller).

--- a/io/ggsgateway/doc.go
+++ b/io/ggsgateway/doc.go
@@ -23,8 +23,19 @@
 // # Answers
 //
 // A refusal is {"error":{"type","message","outcome","requestId",
-// "retryAfterMillis"}} with the statuses of statusOf. outcome is "notRun",
-// "done" or "unknown". A streamed answer that breaks ends with an event
+// "retryAfterMillis"}}. outcome is "notRun", "done" or "unknown". The status
+// goes by the type:
+//
+//	400 badRequest
+//	404 unknownMarket, unknownAdapter, unknownService
+//	409 keyInUse, keyExpired
+//	413 tooLarge
+//	422 keyReused
+//	429 overLimit
+//	502 endpoint, broken, wrongAdapter, internal
+//	503 noCapacity, stopping, platformAway, noDocument, adapterMissing, cancelled
+//
+// A streamed answer that breaks ends with an event
 // "error" that holds the same object; an answer that isn't streamed and breaks
 // after its first megabyte ends with its connection. X-Load-Stall is the time,
 // such as "12ms", that the request waited for its adapter to arrive.
