--- a/core/ggsretry/budget.go
+++ b/core/ggsretry/budget.go
@@ -21,6 +21,7 @@
 package ggsretry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -83,11 +84,11 @@
 
 // NewPolicy returns a policy in which each market has a full budget.
 func NewPolicy(o Options) *Policy {
-	o.Ratio = orDefault(o.Ratio, DefaultRatio)
-	o.Depth = orDefault(o.Depth, DefaultDepth)
-	o.MaxAttempts = orDefault(o.MaxAttempts, DefaultMaxAttempts)
-	o.Base = orDefault(o.Base, DefaultBase)
-	o.MaxWait = orDefault(o.MaxWait, DefaultMaxWait)
+	o.Ratio = cmp.Or(o.Ratio, DefaultRatio)
+	o.Depth = cmp.Or(o.Depth, DefaultDepth)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, DefaultMaxAttempts)
+	o.Base = cmp.Or(o.Base, DefaultBase)
+	o.MaxWait = cmp.Or(o.MaxWait, DefaultMaxWait)
 	return &Policy{
 		options: o,
 		rng:     rand.New(rand.NewPCG(o.Seed, seedStream)),
@@ -119,7 +120,7 @@
 // part to Ratio. The waits are drawn at random from their whole range, so that
 // requests that failed together don't come back together.
 func (p *Policy) Retry(now time.Time, a Attempt) (time.Duration, error) {
-	if !Retryable(a.Failure) {
+	if !retryable(a.Failure) {
 		return 0, &NoRetryError{Market: a.Market, Cause: CauseNotRetryable}
 	}
 	if a.Number >= p.options.MaxAttempts {
@@ -161,9 +162,9 @@
 	return a.Failure.RetryAfter + time.Duration(p.rng.Int64N(int64(top)))
 }
 
-// Retryable reports whether a failed attempt may be tried again elsewhere: it
+// retryable reports whether a failed attempt may be tried again elsewhere: it
 // is proved not to have run, and another dispatcher may answer otherwise.
-func Retryable(f *ggscore.Failure) bool {
+func retryable(f *ggscore.Failure) bool {
 	if f == nil || f.Outcome != ggscore.OutcomeNotRun {
 		return false
 	}
@@ -175,12 +176,3 @@
 	}
 	return false
 }
-
-// orDefault returns d where v is zero.
-func orDefault[T comparable](v, d T) T {
-	var zero T
-	if v == zero {
-		return d
-	}
-	return v
-}
