test: want a change in force within 3 s of a cut's end

Cause: a watcher that lost the platform looks again after up to 3 s (io/ggsconfig maxPause 2 s, jittered by half), and gateways poll it each second.

--- a/cmd/ggsnode/fault_platform_test.go
+++ b/cmd/ggsnode/fault_platform_test.go
@@ -21,6 +21,8 @@
 	balancePath = "/v1/services/custodia/balance"
 	// refusedWithin is how soon what can't be done is refused.
 	refusedWithin = 3 * time.Second
+	// inForceWithin is how soon an accepted change is in force after a cut.
+	inForceWithin = 3 * time.Second
 )
 
 // A failure domain lost its link to the platform for longer than its owners'
@@ -56,10 +58,12 @@
 			b.servesWhatItCan(g, ledger, key)
 
 			l.SetFaults(ggsfakelink.Faults{})
+			healed := time.Now()
 			b.eventually("the change is in force", func() bool {
 				_, h, _ := b.post(g, chatPath, chat("deposits"))
 				return h.Get("X-Served-Model") == "deposits@v2"
 			})
+			qt.Check(t, time.Since(healed) < inForceWithin, qt.IsTrue, qt.Commentf("%s", time.Since(healed)))
 			b.runsOnce(g, ledger, key)
 		})
 	}
