--- a/io/ggsconfig/pause.go
+++ b/io/ggsconfig/pause.go
@@ -7,7 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 )
 
-const maxPause = 2 * time.Second
+const maxPause = 500 * time.Millisecond
 
 // A pauser makes the growing, jittered pauses between tries.
 type pauser struct{ backOff *backoff.ExponentialBackOff }
