--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -25,7 +25,6 @@
 	"greengageslip/io/ggsowners"
 	"greengageslip/io/ggsrpc"
 	"greengageslip/io/ggssettings"
-	"greengageslip/io/ggsshares"
 	"greengageslip/io/ggsstate"
 	"greengageslip/io/ggsvms"
 )
@@ -54,7 +53,7 @@
 	}
 	l := ggslog.New(stderr, dispatcherProgram, s.VM, s.LogLevel)
 	return runApp(ctx, &s.Node, l, common(role{program: dispatcherProgram}), fx.Supply(&s),
-		fx.Provide(newIncarnation, newHeartbeats, newMembers, newClaims, newScheduler, newShares, newDispatcher),
+		fx.Provide(newIncarnation, newHeartbeats, newMembers, newClaims, newScheduler, newDispatcher),
 		fx.Invoke(startFollowers, startDispatcher))
 }
 
@@ -80,7 +79,7 @@
 // the one guards what the other does, and asks it what is in progress.
 func newDispatcher(
 	s *ggssettings.Dispatcher, store ggscore.Store, i incarnation, k *ggsschedule.Scheduler,
-	c *ggsclaims.Committer, h *ggsshares.Shares, t clock, l log.Logger,
+	c *ggsclaims.Committer, t clock, l log.Logger,
 ) (*ggsowners.Owners, *ggsdispatch.Dispatcher) {
 	var d *ggsdispatch.Dispatcher
 	q := ggsowners.DefaultOptions(s.Domain)
@@ -94,7 +93,7 @@
 		Self: s.VM, Region: s.Region, Domain: s.Domain, Incarnation: string(i),
 		RequestWorkers: s.RequestWorkers, OrderWorkers: s.OrderWorkers,
 	}, ggsdispatch.Parts{
-		Scheduler: newSharedScheduler(k, h.Share), Engine: e, Plain: e, Orderer: e, Reporter: e,
+		Scheduler: k, Engine: e, Plain: e, Orderer: e, Reporter: e,
 		Claims: c, Guard: o, Observer: o, Clock: t, Log: l,
 	})
 	return o, d
@@ -111,7 +110,6 @@
 	Document   *ggsconfig.Follower
 	VMs        *ggsvms.Follower
 	Owners     *ggsowners.Owners
-	Shares     *ggsshares.Shares
 	Heartbeats *ggsheartbeat.Server
 	Clock      clock
 	State      *ggsstate.State
@@ -121,7 +119,6 @@
 	h.background("vms", p.VMs.Run)
 	h.background("heartbeats", p.Heartbeats.Run)
 	h.background("owners", p.Owners.Run)
-	h.background("shares", p.Shares.Run)
 	h.background("claims", p.Claims.Run)
 	h.background("dispatcher", p.Dispatcher.Run)
 	h.background("endpoints", newEndpoints(p).run)
--- a/cmd/ggsnode/endpoints.go
+++ b/cmd/ggsnode/endpoints.go
@@ -22,6 +22,7 @@
 type endpoints struct {
 	parts   dispatcherParts
 	changed chan struct{}
+	share   ggscore.LoadShare
 }
 
 func newEndpoints(p dispatcherParts) *endpoints {
@@ -33,7 +34,6 @@
 	})
 	p.Owners.Subscribe(e.wake)
 	p.Heartbeats.Subscribe(e.wake)
-	p.Shares.Subscribe(e.wake)
 	return e
 }
 
@@ -56,12 +56,10 @@
 
 // adopt brings the scheduler up to a new document.
 func (e *endpoints) adopt(d *ggscore.Document) {
-	e.parts.Dispatcher.Schedule(func(h ggscore.Scheduler, now time.Time) []ggscore.Order {
+	e.parts.Dispatcher.Schedule(func(_ ggscore.Scheduler, now time.Time) []ggscore.Order {
 		s := e.parts.Scheduler
 		s.SetMarkets(weightsOf(d))
-		// The tick brings the share up to date, which SetPolicy does not.
-		orders := slices.Clone(h.Tick(now))
-		return append(orders, s.SetPolicy(now, d.Policy)...)
+		return s.SetPolicy(now, d.Policy)
 	})
 }
 
@@ -85,7 +83,7 @@
 	for i := range es {
 		owned = append(owned, e.owned(&es[i]))
 	}
-	e.setShare(vms, d, owned)
+	e.setShare(shareOf(vms, d))
 	p.Dispatcher.SetEndpoints(owned)
 }
 
@@ -133,6 +131,37 @@
 	return w
 }
 
+// setShare sets the share of the weight store's limits before the endpoints
+// are set: without one, nothing is loaded.
+func (e *endpoints) setShare(h ggscore.LoadShare) {
+	if h == e.share {
+		return
+	}
+	e.share = h
+	e.parts.Dispatcher.Schedule(func(s ggscore.Scheduler, now time.Time) []ggscore.Order {
+		return s.SetLoadShare(now, h)
+	})
+}
+
+// shareOf is a domain's equal share of the weight store's limits. The shares'
+// sum never passes them, whoever is cut off from whom.
+func shareOf(vms []ggscore.VM, d *ggscore.Document) ggscore.LoadShare {
+	domains := make(map[ggscore.Domain]bool)
+	for i := range vms {
+		if vms[i].Role == ggscore.RoleEndpoint {
+			domains[vms[i].Domain] = true
+		}
+	}
+	n := len(domains)
+	if n == 0 {
+		return ggscore.LoadShare{}
+	}
+	return ggscore.LoadShare{
+		LoadsPerSecond: d.Policy.LoadsPerSecond / float64(n),
+		InTransit:      max(d.Policy.LoadsInTransit/n, 1),
+	}
+}
+
 // candidates are the live dispatchers that may own endpoints.
 func candidates(ms []ggsmember.Member) []ggsowner.Holder {
 	hs := make([]ggsowner.Holder, 0, len(ms))
--- a/core/ggsowner/lease.go
+++ b/core/ggsowner/lease.go
@@ -26,15 +26,6 @@
 // NewLease returns a Lease that isn't held.
 func NewLease(l Limits) Lease { return Lease{limits: l} }
 
-// Expires returns until when the lease is certainly held, as HeldAt judges it:
-// zero where it isn't held at now.
-func (l *Lease) Expires(now time.Time) time.Time {
-	if !l.HeldAt(now) {
-		return time.Time{}
-	}
-	return l.expires
-}
-
 // Granted reports a lease that was asked for at sent and is in force.
 func (l *Lease) Granted(id ggscore.LeaseID, sent time.Time) {
 	l.id = id
