fix: let only listed dispatchers take endpoints over

Change: a candidate must be listed. TestUnlistedDispatcherTakesNothingOver fails without the comparison (got 1 candidate).

--- a/cmd/ggsnode/endpoints.go
+++ b/cmd/ggsnode/endpoints.go
@@ -67,9 +67,9 @@
 func (e *endpoints) set() {
 	p := &e.parts
 	p.Heartbeats.SetSelf(false, p.Document.Head().Revision)
-	p.Owners.SetCandidates(candidates(p.Heartbeats.Members()))
 	d := p.Document.Current()
 	vms, known := p.VMs.List()
+	p.Owners.SetCandidates(candidates(p.Heartbeats.Members(), vms))
 	if d == nil || !known {
 		return
 	}
@@ -163,10 +163,18 @@
 }
 
 // candidates are the live dispatchers that may own endpoints.
-func candidates(ms []ggsmember.Member) []ggsowner.Holder {
+//
+// Gateways know dispatchers by the platform's list, which lags. One that is not
+// yet listed would be heard of by its domain at once and take endpoints over
+// that no gateway can then reach, until it is listed; it is left out until then.
+func candidates(ms []ggsmember.Member, vms []ggscore.VM) []ggsowner.Holder {
+	listed := make(map[ggscore.VMID]bool, len(vms))
+	for i := range vms {
+		listed[vms[i].ID] = vms[i].Role == ggscore.RoleEntry
+	}
 	hs := make([]ggsowner.Holder, 0, len(ms))
 	for _, m := range ms {
-		if !m.Leaving && m.Incarnation != "" {
+		if !m.Leaving && m.Incarnation != "" && listed[m.VM] {
 			hs = append(hs, ggsowner.Holder{VM: m.VM, Incarnation: m.Incarnation})
 		}
 	}
--- a/cmd/ggsnode/endpoints_test.go
+++ b/cmd/ggsnode/endpoints_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsmember"
 )
 
 // One domain loaded at the whole weight store's rate while the others had their
@@ -34,3 +35,32 @@
 		})
 	}
 }
+
+// Endpoints were out of reach for seconds after a VM was replaced: the new VM's
+// dispatcher was heard of and took them over before the platform listed it, and
+// gateways follow listed dispatchers only.
+func TestUnlistedDispatcherTakesNothingOver(t *testing.T) {
+	t.Parallel()
+	member := func(id ggscore.VMID, leaving bool, life string) ggsmember.Member {
+		return ggsmember.Member{VM: id, Leaving: leaving, Incarnation: life}
+	}
+	vms := []ggscore.VM{
+		{ID: "listed", Role: ggscore.RoleEntry},
+		{ID: "runner", Role: ggscore.RoleEndpoint},
+	}
+	for name, tc := range map[string]struct {
+		member ggsmember.Member
+		want   int
+	}{
+		"listed":     {member("listed", false, "1"), 1},
+		"unlisted":   {member("new", false, "1"), 0},
+		"leaving":    {member("listed", true, "1"), 0},
+		"not heard":  {member("listed", false, ""), 0},
+		"no entryVM": {member("runner", false, "1"), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			qt.New(t).Assert(candidates([]ggsmember.Member{tc.member}, vms), qt.HasLen, tc.want)
+		})
+	}
+}
