--- a/cmd/ggsctl/request.go
+++ b/cmd/ggsctl/request.go
@@ -30,6 +30,9 @@
 	headerMarket  = "X-Market"
 	headerService = "X-Service"
 	headerKey     = "Idempotency-Key"
+	// headerFirstSend says that the key was never sent before, so that a
+	// refusal may say notRun.
+	headerFirstSend = "Idempotency-First-Send"
 )
 
 // The lines of a stream of events.
@@ -203,6 +206,9 @@
 	if c.Key != "" {
 		r.Header.Set(headerKey, c.Key)
 	}
+	if c.NewKey {
+		r.Header.Set(headerFirstSend, "true")
+	}
 	return r, nil
 }
 
