fix: tell a request's offers to one dispatcher apart

Cause, found by reading: jobs were known by the request's id alone. A request that was given back while the ownership changed hands and offered again to the same dispatcher met the answer to its first offer, and the withdrawal of the first, which is sent without waiting, could end the second. Change: an attempt's number goes with the id.

--- a/core/request.go
+++ b/core/request.go
@@ -17,7 +17,9 @@
 
 // A Request is one caller's request, resolved on one revision of the document.
 type Request struct {
-	ID       RequestID
+	ID RequestID
+	// Attempt numbers a request's offers to dispatchers.
+	Attempt  int
 	Market   Market
 	Service  Service
 	Kind     ServiceKind
--- a/io/ggsdispatch/dispatcher.go
+++ b/io/ggsdispatch/dispatcher.go
@@ -70,7 +70,7 @@
 	mu        sync.Mutex
 	draining  bool
 	sequence  uint64
-	jobs      map[ggscore.RequestID]*job
+	jobs      map[jobKey]*job
 	endpoints map[ggscore.EndpointID]OwnedEndpoint
 	// loaded is when adapters came that this process ordered.
 	loaded  map[placement]time.Time
@@ -99,7 +99,7 @@
 		requests:  newOrderQueue(),
 		orders:    newOrderQueue(),
 		wake:      make(chan struct{}, 1),
-		jobs:      make(map[ggscore.RequestID]*job),
+		jobs:      make(map[jobKey]*job),
 		endpoints: make(map[ggscore.EndpointID]OwnedEndpoint),
 		loaded:    make(map[placement]time.Time),
 		changed:   make(chan struct{}),
@@ -278,7 +278,7 @@
 	for _, o := range orders {
 		switch o.Kind {
 		case ggscore.OrderDispatch:
-			if j := d.jobs[o.Request.ID]; j != nil {
+			if j := d.jobs[keyOf(o.Request)]; j != nil {
 				j.state = jobRunning
 				j.endpoint = o.Endpoint
 				j.stall = max(0, d.loaded[placement{o.Endpoint, j.request.Adapter}].Sub(j.submitted))
--- a/io/ggsdispatch/job.go
+++ b/io/ggsdispatch/job.go
@@ -15,6 +15,16 @@
 	jobEnded
 )
 
+// A jobKey names one offer of a request. A request that was given back may be
+// offered again to the same dispatcher, where the answer to its first offer, or
+// that one's late withdrawal, must not be taken for the second's.
+type jobKey struct {
+	id      ggscore.RequestID
+	attempt int
+}
+
+func keyOf(r *ggscore.Request) jobKey { return jobKey{id: r.ID, attempt: r.Attempt} }
+
 // A job is a request from its submission until its id is forgotten.
 type job struct {
 	request *ggscore.Request
@@ -40,9 +50,9 @@
 // Next returns pieces of an answer from a number on, waiting for the first
 // until the context ends. lost is set where the request isn't known or the
 // piece is no longer held.
-func (d *Dispatcher) Next(ctx context.Context, id ggscore.RequestID, from int) (chunks []ggscore.Chunk, stall time.Duration, lost bool) {
+func (d *Dispatcher) Next(ctx context.Context, k jobKey, from int) (chunks []ggscore.Chunk, stall time.Duration, lost bool) {
 	d.mu.Lock()
-	j := d.jobs[id]
+	j := d.jobs[k]
 	d.mu.Unlock()
 	if j == nil || j.stream == nil {
 		return nil, 0, true
@@ -57,7 +67,7 @@
 func (d *Dispatcher) Submit(r *ggscore.Request) *ggscore.Failure {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if j := d.jobs[r.ID]; j != nil {
+	if j := d.jobs[keyOf(r)]; j != nil {
 		if j.stream == nil {
 			return withdrawn()
 		}
@@ -68,7 +78,7 @@
 	}
 	now := d.parts.Clock()
 	j := &job{request: r, stream: newStream(now), submitted: now}
-	d.jobs[r.ID] = j
+	d.jobs[keyOf(r)] = j
 	d.stats.Submitted.Add(1)
 	d.apply(d.parts.Scheduler.Submit(now, r))
 	return nil
@@ -80,13 +90,13 @@
 // A submission whose answer was lost may still stand in a socket's buffer.
 // If it were taken after the gateway was told notRun, the request would run
 // all the same. The remembered id makes such a late copy a refusal.
-func (d *Dispatcher) Withdraw(id ggscore.RequestID) ggscore.Outcome {
+func (d *Dispatcher) Withdraw(k jobKey) ggscore.Outcome {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.parts.Clock()
-	j := d.jobs[id]
+	j := d.jobs[k]
 	if j == nil {
-		d.jobs[id] = &job{state: jobEnded, outcome: ggscore.OutcomeNotRun, ended: now, abandoned: true}
+		d.jobs[k] = &job{state: jobEnded, outcome: ggscore.OutcomeNotRun, ended: now, abandoned: true}
 		return ggscore.OutcomeNotRun
 	}
 	j.abandoned = true
@@ -116,7 +126,7 @@
 
 // refuse needs d.mu.
 func (d *Dispatcher) refuse(o ggscore.Order) {
-	j := d.jobs[o.Request.ID]
+	j := d.jobs[keyOf(o.Request)]
 	if j == nil {
 		return
 	}
@@ -145,10 +155,10 @@
 func (d *Dispatcher) sweepAt(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for id, j := range d.jobs {
+	for k, j := range d.jobs {
 		if j.state == jobEnded {
 			if now.Sub(j.ended) > d.options.JobRetention {
-				delete(d.jobs, id)
+				delete(d.jobs, k)
 			} else if j.stream != nil && j.abandonedAt(now, d.options.ReaderTimeout) {
 				j.abandoned = true
 			}
--- a/io/ggsdispatch/run.go
+++ b/io/ggsdispatch/run.go
@@ -91,7 +91,7 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	j := d.jobs[o.Request.ID]
+	j := d.jobs[keyOf(o.Request)]
 	if j == nil {
 		cancel()
 		return nil, nil, nil
@@ -250,7 +250,7 @@
 	_ = level.Info(d.parts.Log).Log("event", "dispatchRefused", "request", o.Request.ID, "endpoint", o.Endpoint, "err", err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	j := d.jobs[o.Request.ID]
+	j := d.jobs[keyOf(o.Request)]
 	if j != nil && j.state == jobRunning {
 		j.state = jobQueued
 		j.cancel = nil
--- a/io/ggsdispatch/service.go
+++ b/io/ggsdispatch/service.go
@@ -33,7 +33,7 @@
 func (s *Service) Next(a *ggswire.NextArgs, r *ggswire.NextReply) error {
 	ctx, cancel := s.waiting(a.Wait)
 	defer cancel()
-	c, stall, lost := s.dispatcher.Next(ctx, ggscore.RequestID(a.ID), a.From)
+	c, stall, lost := s.dispatcher.Next(ctx, jobKey{id: ggscore.RequestID(a.ID), attempt: a.Attempt}, a.From)
 	r.Lost, r.Stall = lost, stall
 	r.Chunks = make([]ggswire.Chunk, 0, len(c))
 	for i := range c {
@@ -72,6 +72,6 @@
 		r.Outcome = int(ggscore.OutcomeUnknown)
 		return nil
 	}
-	r.Outcome = int(s.dispatcher.Withdraw(ggscore.RequestID(a.ID)))
+	r.Outcome = int(s.dispatcher.Withdraw(jobKey{id: ggscore.RequestID(a.ID), attempt: a.Attempt}))
 	return nil
 }
--- a/io/ggsdispatch/state.go
+++ b/io/ggsdispatch/state.go
@@ -44,12 +44,12 @@
 		s.Endpoints = append(s.Endpoints, endpointState(&v.Runners[i]))
 	}
 	now := d.parts.Clock()
-	for id, j := range d.jobs {
+	for k, j := range d.jobs {
 		if j.state == jobEnded {
 			continue
 		}
 		s.Jobs = append(s.Jobs, JobState{
-			ID: string(id), Market: string(j.request.Market), Adapter: j.request.Adapter.String(),
+			ID: string(k.id), Market: string(j.request.Market), Adapter: j.request.Adapter.String(),
 			State: j.state.String(), Age: now.Sub(j.submitted).String(), Revision: uint64(j.request.Revision),
 		})
 	}
--- a/io/ggsgateway/send.go
+++ b/io/ggsgateway/send.go
@@ -37,6 +37,8 @@
 	// life is the dispatcher's incarnation, sent when it was handed over.
 	life string
 	sent time.Time
+	// number is the request's attempt.
+	number int
 	// unreachable says that the dispatcher didn't answer.
 	unreachable bool
 }
@@ -83,6 +85,8 @@
 		if f != nil {
 			return f
 		}
+		r.Attempt++
+		o.number = r.Attempt
 		f = g.try(ctx, o)
 		if f == nil || a.next > 0 || ctx.Err() != nil || g.left(r) <= 0 {
 			return f
@@ -281,7 +285,7 @@
 func (g *Gateway) next(ctx context.Context, t *attempt) (*ggswire.NextReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, nextWait+nextMargin)
 	defer cancel()
-	args := ggswire.NextArgs{ID: string(t.request.ID), From: t.answer.next, Wait: nextWait}
+	args := ggswire.NextArgs{ID: string(t.request.ID), Attempt: t.number, From: t.answer.next, Wait: nextWait}
 	reply := &ggswire.NextReply{}
 	if err := g.parts.Caller.Call(ctx, t.addr, ggswire.MethodNext, &args, reply); err != nil {
 		return nil, err
@@ -324,7 +328,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
 	defer cancel()
 	var reply ggswire.WithdrawReply
-	args := ggswire.WithdrawArgs{Incarnation: t.life, ID: string(t.request.ID)}
+	args := ggswire.WithdrawArgs{Incarnation: t.life, ID: string(t.request.ID), Attempt: t.number}
 	if err := g.parts.Caller.Call(ctx, t.addr, ggswire.MethodWithdraw, &args, &reply); err != nil {
 		return ggscore.OutcomeUnknown
 	}
--- a/io/ggswire/request.go
+++ b/io/ggswire/request.go
@@ -17,7 +17,7 @@
 // A Request is the wire form of ggscore.Request.
 type Request struct {
 	ID, Market, Service, Base, Adapter, Version string
-	Kind, Priority                              int
+	Attempt, Kind, Priority                     int
 	Budget, Deferrable                          time.Duration
 	NonIdempotent, FirstSend, Stream            bool
 	Key                                         string
@@ -29,7 +29,7 @@
 // FromRequest maps a request to its wire form. Budget is what is left of it.
 func FromRequest(r *ggscore.Request, budget time.Duration) Request {
 	return Request{
-		ID: string(r.ID), Market: string(r.Market), Service: string(r.Service),
+		ID: string(r.ID), Attempt: r.Attempt, Market: string(r.Market), Service: string(r.Service),
 		Base: string(r.Base), Adapter: r.Adapter.Name, Version: string(r.Adapter.Version),
 		Kind: int(r.Kind), Priority: int(r.Priority),
 		Budget: budget, Deferrable: r.Deferrable,
@@ -42,7 +42,7 @@
 // Request maps the wire form to a request that arrived at now.
 func (w *Request) Request(now time.Time) *ggscore.Request {
 	return &ggscore.Request{
-		ID: ggscore.RequestID(w.ID), Market: ggscore.Market(w.Market),
+		ID: ggscore.RequestID(w.ID), Attempt: w.Attempt, Market: ggscore.Market(w.Market),
 		Service: ggscore.Service(w.Service), Kind: ggscore.ServiceKind(w.Kind),
 		Base:     ggscore.BaseModel(w.Base),
 		Adapter:  ggscore.AdapterRef{Name: w.Adapter, Version: ggscore.Version(w.Version)},
@@ -115,7 +115,7 @@
 }
 
 // SubmitArgs hands a request to one life of a dispatcher. A repeat with the
-// same id is the same request.
+// same id and attempt is the same request.
 type SubmitArgs struct {
 	Incarnation string
 	Request     Request
@@ -127,9 +127,10 @@
 // NextArgs asks for the pieces of an answer from number From on. Pieces below
 // From are thereby acknowledged.
 type NextArgs struct {
-	ID   string
-	From int
-	Wait time.Duration
+	ID      string
+	Attempt int
+	From    int
+	Wait    time.Duration
 }
 
 // NextReply holds pieces in order, or none if none came in time. Lost says
@@ -143,7 +144,10 @@
 // WithdrawArgs takes a request back from the life of a dispatcher that it was
 // handed to. That life then never starts it, not even if a late copy of its
 // submission arrives.
-type WithdrawArgs struct{ Incarnation, ID string }
+type WithdrawArgs struct {
+	Incarnation, ID string
+	Attempt         int
+}
 
 // WithdrawReply tells the outcome: notRun where the request never reached an
 // endpoint.
