fix: hand endpoints over when the platform lists the VM as leaving

Cause, seen with a new test: gateways send nothing to a dispatcher on a listed VM, but it went on owning its endpoints until it was stopped, so that for these minutes the domain's runners got no work (503 away). Ruled out: the second dispatcher, which took over as soon as it could. Change: a dispatcher that finds its VM listed as leaving releases its endpoints and only finishes what is in progress.

--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -121,7 +121,7 @@
 	h.background("owners", p.Owners.Run)
 	h.background("claims", p.Claims.Run)
 	h.background("dispatcher", p.Dispatcher.Run)
-	h.background("endpoints", newEndpoints(p).run)
+	h.background("endpoints", newEndpoints(p, h.Log).run)
 	h.serveRPC(p.Settings.Listen, func(ctx context.Context, s *ggsrpc.Server) error {
 		if err := s.Register(ggsconfig.ServiceName, ggsconfig.NewService(p.Document)); err != nil {
 			return err
@@ -144,13 +144,7 @@
 // platform that is away delays neither: another dispatcher then takes over once
 // the lease has lapsed.
 func (p *dispatcherParts) drain(ctx context.Context, l log.Logger) error {
-	p.Heartbeats.SetSelf(true, p.Document.Head().Revision)
-	p.Dispatcher.BeginDrain()
-	release, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	if err := p.Owners.Release(release); err != nil {
-		_ = level.Warn(l).Log("event", "releaseFailed", "err", err)
-	}
+	p.handOver(ctx, l)
 	if err := p.Dispatcher.Drain(ctx); err != nil {
 		return err
 	}
@@ -164,6 +158,18 @@
 	return p.Claims.Flush(flush)
 }
 
+// handOver takes no new work from now on and releases the endpoints, so that
+// another dispatcher takes them over at once.
+func (p *dispatcherParts) handOver(ctx context.Context, l log.Logger) {
+	p.Heartbeats.SetSelf(true, p.Document.Head().Revision)
+	p.Dispatcher.BeginDrain()
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if err := p.Owners.Release(ctx); err != nil {
+		_ = level.Warn(l).Log("event", "releaseFailed", "err", err)
+	}
+}
+
 func countDispatcher(t *ggsstate.State, k *ggsdispatch.Stats) {
 	t.Count("submitted", k.Submitted.Load)
 	t.Count("done", k.Done.Load)
--- a/cmd/ggsnode/endpoints.go
+++ b/cmd/ggsnode/endpoints.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsfleet"
 	"greengageslip/core/ggsmember"
@@ -23,10 +26,13 @@
 	parts   dispatcherParts
 	changed chan struct{}
 	share   ggscore.LoadShare
+	log     log.Logger
+	// leaving says that the endpoints were handed over.
+	leaving bool
 }
 
-func newEndpoints(p dispatcherParts) *endpoints {
-	e := &endpoints{parts: p, changed: make(chan struct{}, 1)}
+func newEndpoints(p dispatcherParts, l log.Logger) *endpoints {
+	e := &endpoints{parts: p, log: l, changed: make(chan struct{}, 1)}
 	p.VMs.Subscribe(func(vms []ggscore.VM) {
 		p.Heartbeats.SetListed(vms)
 		p.Owners.SetVMs(p.Clock(), vms)
@@ -51,9 +57,26 @@
 		case <-t.C:
 		}
 		e.set()
+		if !e.leaving && e.listedLeaving() {
+			e.leaving = true
+			_ = level.Info(e.log).Log("event", "listedLeaving")
+			e.parts.handOver(ctx, e.log)
+		}
 	}
 }
 
+// listedLeaving reports whether the platform lists this VM as leaving.
+//
+// Gateways send nothing to a listed one. If it kept its endpoints until it is
+// stopped, which may be minutes later, they would get no work meanwhile; it
+// hands them over at once and only finishes what is in progress.
+func (e *endpoints) listedLeaving() bool {
+	vms, _ := e.parts.VMs.List()
+	return slices.ContainsFunc(vms, func(v ggscore.VM) bool {
+		return v.ID == e.parts.Settings.VM && v.Role == ggscore.RoleEntry && v.State == ggscore.VMLeaving
+	})
+}
+
 // adopt brings the scheduler up to a new document.
 func (e *endpoints) adopt(d *ggscore.Document) {
 	e.parts.Dispatcher.Schedule(func(_ ggscore.Scheduler, now time.Time) []ggscore.Order {
--- a/cmd/ggsnode/system_test.go
+++ b/cmd/ggsnode/system_test.go
@@ -431,3 +431,48 @@
 	c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
 	checkWhole(c, h, text, "deposits@v1", 8)
 }
+
+// Lookups stalled when the platform announced the replacement of an entry VM:
+// gateways sent nothing more to its dispatcher, which was listed as leaving, but
+// it went on owning its runners until it was stopped.
+func TestListedLeavingDispatcherHandsOver(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(t)
+	e := b.engine("runner-1", "a", func(o *ggsfakeengine.Options) { o.TokenInterval = 10 * time.Millisecond })
+	b.document()
+	first := b.dispatcher(1, "a")
+	g := b.gateway(1, "a")
+	b.dispatcher(2, "a")
+	b.eventually("the second is heard of", func() bool {
+		_, _, text := b.get("http://" + first.state.String() + "/state")
+		return strings.Contains(text, `"vm": "a-2"`)
+	})
+	var w sync.WaitGroup
+	w.Go(func() {
+		status, h, text := b.post(g, chatPath, chatOf("deposits@v1", 100))
+		c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+		checkWhole(c, h, text, "deposits@v1", 100)
+	})
+	b.eventually("a request runs", func() bool { return e.Stats().Started == 1 })
+	for i := range b.vms {
+		if b.vms[i].ID == "a-1" {
+			b.vms[i].State = ggscore.VMLeaving
+		}
+	}
+	b.platform.SetVMs(append([]ggscore.VM(nil), b.vms...))
+	listed := time.Now()
+	b.eventually("the second serves", func() bool {
+		status, _, _ := b.post(g, chatPath, chat("deposits"))
+		return status == http.StatusOK
+	})
+	c.Check(time.Since(listed) < 3*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(listed)))
+	taken := b.counter(first, "submitted")
+	for range 3 {
+		status, _, text := b.post(g, chatPath, chat("deposits"))
+		c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	}
+	c.Assert(b.counter(first, "submitted"), qt.Equals, taken)
+	w.Wait()
+	c.Assert(e.Stats().BrokenByUnload, qt.Equals, uint64(0))
+}
