--- a/cmd/ggsnode/system_test.go
+++ b/cmd/ggsnode/system_test.go
@@ -443,7 +443,7 @@
 	b.document()
 	first := b.dispatcher(1, "a")
 	g := b.gateway(1, "a")
-	b.dispatcher(2, "a")
+	second := b.dispatcher(2, "a")
 	b.eventually("the second is heard of", func() bool {
 		_, _, text := b.get("http://" + first.state.String() + "/state")
 		return strings.Contains(text, `"vm": "a-2"`)
@@ -464,7 +464,7 @@
 	listed := time.Now()
 	b.eventually("the second serves", func() bool {
 		status, _, _ := b.post(g, chatPath, chat("deposits"))
-		return status == http.StatusOK
+		return status == http.StatusOK && b.counter(second, "submitted") > 0
 	})
 	c.Check(time.Since(listed) < 3*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(listed)))
 	taken := b.counter(first, "submitted")
