perf: look over endpoints and summaries less often

Cause: idle processes used 1.59% (dispatcher) and 0.81% (gateway) of a core at 9 entry VMs, growing by 0.063% and 0.044% a VM (./scripts/capacity processes). Events already wake both, so the timers are only for what events miss. Change: endpoints every second (was 200 ms), summaries every 500 ms (was 250 ms).

--- a/cmd/ggsnode/endpoints.go
+++ b/cmd/ggsnode/endpoints.go
@@ -18,7 +18,7 @@
 
 // endpointsInterval is how often changes of ownership are looked for besides
 // the events.
-const endpointsInterval = 200 * time.Millisecond
+const endpointsInterval = time.Second
 
 // An endpoints keeps a dispatcher's endpoints up to date with the list of VMs,
 // the document and the ownership.
--- a/io/ggsgateway/peers.go
+++ b/io/ggsgateway/peers.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	summaryWait    = 250 * time.Millisecond
+	summaryWait    = 500 * time.Millisecond
 	summaryTimeout = time.Second
 	summaryMinimum = 50 * time.Millisecond
 	awayInterval   = 300 * time.Millisecond
