--- a/cmd/ggsnode/bench_test.go
+++ b/cmd/ggsnode/bench_test.go
@@ -375,3 +375,21 @@
 	})
 	return bufio.NewReader(a.Body), cancel
 }
+
+// serving is a deployment with one runner, one dispatcher and one gateway.
+func serving(t *testing.T, change func(*ggsfakeengine.Options)) (*qt.C, *bench, *ggsfakeengine.Engine, *node) {
+	b := newBench(t)
+	e := b.engine("runner-1", "a", change)
+	b.document()
+	b.dispatcher(1, "a")
+	return b.c, b, e, b.gateway(1, "a")
+}
+
+// paying is a deployment with one ledger, one dispatcher and one gateway.
+func paying(t *testing.T) (*qt.C, *bench, *ggsfakeplain.Service, *node) {
+	b := newBench(t)
+	s := b.plain("ledger-1", "a")
+	b.document()
+	b.dispatcher(1, "a")
+	return b.c, b, s, b.gateway(1, "a")
+}
--- a/cmd/ggsnode/system_test.go
+++ b/cmd/ggsnode/system_test.go
@@ -63,12 +63,7 @@
 
 func TestStreamedAnswer(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	b := newBench(t)
-	b.engine("runner-1", "a", nil)
-	b.document()
-	b.dispatcher(1, "a")
-	g := b.gateway(1, "a")
+	c, b, _, g := serving(t, nil)
 	for model, want := range map[string]string{"deposits": "deposits@v1", "deposits@v2": "deposits@v2", "disputes@v7": "disputes@v7"} {
 		status, h, text := b.post(g, chatPath, chat(model))
 		c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
@@ -224,12 +219,7 @@
 // The caller was told that it had not run, and repeated it.
 func TestLostAnswerIsUnknownAndNeverRunsAgain(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	b := newBench(t)
-	ledger := b.plain("ledger-1", "a")
-	b.document()
-	b.dispatcher(1, "a")
-	g := b.gateway(1, "a")
+	c, b, ledger, g := paying(t)
 	ledger.SetFaults(ggsfakeplain.Faults{LoseAnswers: 1})
 	key := newKey()
 	status, _, text := b.post(g, releasePath, `{"deposit":1}`, "Idempotency-Key", key)
@@ -247,12 +237,7 @@
 // same claim, and the caller got the answer of the one run.
 func TestRefusedCallIsSentAgainUnderItsClaim(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	b := newBench(t)
-	ledger := b.plain("ledger-1", "a")
-	b.document()
-	b.dispatcher(1, "a")
-	g := b.gateway(1, "a")
+	c, b, ledger, g := paying(t)
 	ledger.SetFaults(ggsfakeplain.Faults{Refuse: 1})
 	key := newKey()
 	b.eventually("the call is answered", func() bool {
@@ -309,12 +294,7 @@
 // engine's connection broke and the answer was ended as if it were whole.
 func TestCutStreamEndsInAnErrorEvent(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	b := newBench(t)
-	e := b.engine("runner-1", "a", nil)
-	b.document()
-	b.dispatcher(1, "a")
-	g := b.gateway(1, "a")
+	c, b, e, g := serving(t, nil)
 	status, _, text := b.post(g, chatPath, chat("deposits"))
 	c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
 	e.SetFaults(ggsfakeengine.Faults{CutStreamAfter: 3})
@@ -331,12 +311,7 @@
 // believed its adapters resident. Requests were refused as long as it did.
 func TestColdStartIsServed(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	b := newBench(t)
-	e := b.engine("runner-1", "a", nil)
-	b.document()
-	b.dispatcher(1, "a")
-	g := b.gateway(1, "a")
+	c, b, e, g := serving(t, nil)
 	for range 3 {
 		status, h, text := b.post(g, chatPath, chat("deposits"))
 		c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
@@ -349,14 +324,9 @@
 // the answer that nobody read.
 func TestCancelledCallerFreesItsSlot(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	b := newBench(t)
-	e := b.engine("runner-1", "a", func(o *ggsfakeengine.Options) {
+	c, b, e, g := serving(t, func(o *ggsfakeengine.Options) {
 		o.TokenInterval = 5 * time.Millisecond
 	})
-	b.document()
-	b.dispatcher(1, "a")
-	g := b.gateway(1, "a")
 	r, cancel := b.open(g, chatPath, chatOf("deposits", 100000))
 	_, err := r.ReadString('\n')
 	c.Assert(err, qt.IsNil)
@@ -399,12 +369,7 @@
 // A planned stop of a gateway cut off the answers of its callers.
 func TestGatewayDrains(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	b := newBench(t)
-	e := b.engine("runner-1", "a", func(o *ggsfakeengine.Options) { o.TokenInterval = 5 * time.Millisecond })
-	b.document()
-	b.dispatcher(1, "a")
-	g := b.gateway(1, "a")
+	c, b, e, g := serving(t, func(o *ggsfakeengine.Options) { o.TokenInterval = 5 * time.Millisecond })
 	var w sync.WaitGroup
 	w.Go(func() {
 		status, h, text := b.post(g, chatPath, chatOf("deposits@v1", 100))
