--- a/io/ggsdispatch/run_test.go
+++ b/io/ggsdispatch/run_test.go
@@ -107,3 +107,23 @@
 	c.Assert(got, qt.HasLen, 0)
 	c.Assert(s.ends, qt.DeepEquals, []ggscore.EndKind{ggscore.EndFailed})
 }
+
+// A planned stop cut off long answers: the dispatcher ended while a request was
+// still running, or while its gateway had not read the answer to the end.
+func TestDrainWaitsForRunningAndUnreadAnswers(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e := &engine{serves: ggscore.AdapterRef{Name: "deposits", Version: "v1"}}
+	d := New(Options{}, Parts{Scheduler: &oneRunner{}, Engine: e, Guard: guard{}, Clock: fixedClock, Log: log.NewNopLogger()})
+	d.SetEndpoints([]OwnedEndpoint{{Endpoint: ggscore.Endpoint{ID: "runner-1"}, Mode: ggscore.ModeFull}})
+	r := &ggscore.Request{ID: "r", Adapter: e.serves}
+	c.Assert(d.Submit(r) == nil, qt.IsTrue)
+	d.BeginDrain()
+	c.Assert(d.Drain(closedContext()), qt.ErrorIs, context.Canceled)
+	o, ok := d.requests.take(context.Background())
+	c.Assert(ok, qt.IsTrue)
+	d.dispatch(context.Background(), o)
+	c.Assert(d.Drain(closedContext()), qt.ErrorIs, context.Canceled)
+	d.Next(closedContext(), keyOf(r), 1)
+	c.Assert(d.Drain(closedContext()), qt.IsNil)
+}
