--- /dev/null
+++ b/cmd/ggsnode/edge.go
@@ -0,0 +1,273 @@
+package ggsnode
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	ggscore "greengageslip/core"
+	"greengageslip/io/ggsclock"
+	"greengageslip/io/ggsedge"
+	"greengageslip/io/ggsexchange"
+	"greengageslip/io/ggslog"
+	"greengageslip/io/ggspeer"
+	"greengageslip/io/ggsrpc"
+	"greengageslip/io/ggsstate"
+	ggsdialect "greengageslip/platform"
+)
+
+const edgeProgram = "ggsedge"
+
+const (
+	// edgeHeaderTimeout bounds a caller's head. The configuration's own limit
+	// isn't known when the program starts to listen; callers that are cut stay
+	// well below both.
+	edgeHeaderTimeout = 10 * time.Second
+	// edgeIdleTimeout is how long callers' connections are kept. Callers go by
+	// the configuration's limit of some 15 s, so theirs end first.
+	edgeIdleTimeout = 40 * time.Second
+	// edgeHeaderBytes bounds a caller's head.
+	edgeHeaderBytes = 64 << 10
+	// leaveTime is how long a process that stops goes on taking connections:
+	// the balancer asks once a second and leaves it out after two misses.
+	leaveTime = 2300 * time.Millisecond
+	// graceMargin is the time before SIGKILL that is left for the last steps.
+	graceMargin = 700 * time.Millisecond
+	// memoryShare is the part of a process's memory at which the collector
+	// works harder: the rest is for goroutines, buffers and the C library.
+	memoryShare = 0.75
+)
+
+// An edgeLine is the edge's command line.
+type edgeLine struct {
+	LogLevel string `long:"log-level" value-name:"LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
+}
+
+// RunEdge runs an edge until a signal or the context's end and returns its
+// exit code.
+func RunEdge(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var c edgeLine
+	if code, ok := parseLine(edgeProgram, &c, args, stdout, stderr); !ok {
+		return code
+	}
+	s, err := ggsdialect.ReadSettings(os.Getenv(ggsdialect.SettingsVariable))
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "%s: %v\n", edgeProgram, err)
+		return exitUsage
+	}
+	runtime.GOMAXPROCS(s.Cores)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	w := ggslog.NewWriter(stdout)
+	logging, stop := context.WithCancel(context.WithoutCancel(ctx))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(logging)
+	}()
+	defer func() {
+		stop()
+		<-done
+	}()
+	l := ggslog.New(w, edgeProgram, s.VM, ggslog.Level(c.LogLevel))
+	return runEdge(ctx, &s, l)
+}
+
+// parseLine reads a command line. ok is false where the program is to end with
+// the code.
+func parseLine(program string, c any, args []string, stdout, stderr io.Writer) (code int, ok bool) {
+	p := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Options", "", c); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailure, false
+	}
+	rest, err := p.ParseArgs(args)
+	if f := (*flags.Error)(nil); errors.As(err, &f) && f.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(stdout, f.Message)
+		return exitOK, false
+	}
+	if err == nil && len(rest) > 0 {
+		err = &UnwantedArgumentError{Argument: rest[0]}
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "%s: %v\n", program, err)
+		return exitUsage, false
+	}
+	return exitOK, true
+}
+
+func runEdge(ctx context.Context, s *ggsdialect.Settings, l log.Logger) int {
+	app := fx.New(
+		fx.Supply(s),
+		fx.Provide(
+			func() log.Logger { return l },
+			func() *ggsexchange.Pool { return ggsexchange.NewPool(ggsexchange.Options{}) },
+			newEdge,
+		),
+		fx.WithLogger(func() fxevent.Logger { return ggslog.NewFx(l) }),
+		fx.Invoke(startEdge),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(s.Grace+stopMargin),
+	)
+	start, cancelStart := context.WithTimeout(ctx, startTimeout)
+	defer cancelStart()
+	if err := app.Start(start); err != nil {
+		return exitFailure
+	}
+	code := exitOK
+	select {
+	case <-ctx.Done():
+	case s := <-app.Wait():
+		code = s.ExitCode
+	}
+	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), app.StopTimeout())
+	defer cancelStop()
+	if err := app.Stop(stop); err != nil {
+		return exitFailure
+	}
+	return code
+}
+
+// edgeControl is where peers reach an edge: UDP and TCP at the first port of
+// its range.
+func edgeControl(s *ggsdialect.Settings) netip.AddrPort {
+	return netip.AddrPortFrom(s.Addr, s.FirstPort)
+}
+
+func newEdge(s *ggsdialect.Settings, p *ggsexchange.Pool, l log.Logger) (*ggsedge.Edge, error) {
+	u, err := ggspeer.Listen(context.Background(), edgeControl(s))
+	if err != nil {
+		return nil, err
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.VM))
+	return ggsedge.New(ggsedge.Options{
+		// A VM that comes back under an old name at another address is another
+		// machine to those that take its orders.
+		VM:     s.VM + "@" + ggscore.VMID(s.Addr.String()),
+		Domain: s.Domain, Regions: s.Regions, Seed: h.Sum64() ^ uint64(time.Now().UnixNano()),
+		Control: edgeControl(s), Turn: s.OrderTurn, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		VersionTime: s.VersionTime, IDHeader: ggsdialect.HeaderRequestID,
+		Keys: ggsedge.Keys{
+			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip",
+		},
+	}, ggsedge.Parts{
+		Store: ggsdialect.NewStore(s.Store), Codec: ggsdialect.Codec{}, Dialect: ggsdialect.Headers{},
+		Orderer: ggsdialect.NewOrderer(p), Pool: p, Peers: u, Calls: ggsrpc.NewPool(ggsrpc.PoolOptions{}),
+		Log: l, Now: ggsclock.Boot,
+	}), nil
+}
+
+// startEdge starts the parts of an edge. Hooks stop in the reverse order.
+func startEdge(h host, s *ggsdialect.Settings, e *ggsedge.Edge, p *ggsexchange.Pool) {
+	h.Lifecycle.Append(fx.Hook{OnStop: func(context.Context) error {
+		p.Close()
+		return nil
+	}})
+	h.Lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, graceMargin/2)
+		defer cancel()
+		e.Release(ctx)
+		return nil
+	}})
+	h.background("edge", e.Run)
+	h.background("hangup", func(ctx context.Context) error { return rereadSettings(ctx, h.Log) })
+	h.serveRPC(edgeControl(s), func(ctx context.Context, r *ggsrpc.Server) error {
+		return r.Register("Placement", ggsedge.NewPlacement(ctx, e))
+	})
+	serveCallers(h, s, e)
+	h.serveHTTP("ready", s.Ready, edgeState(s, e))
+}
+
+// rereadSettings checks the settings file whenever it is said to have changed.
+// What a process is and where it listens holds until it starts again.
+func rereadSettings(ctx context.Context, l log.Logger) error {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	defer signal.Stop(c)
+	for {
+		select {
+		case <-c:
+			_, err := ggsdialect.ReadSettings(os.Getenv(ggsdialect.SettingsVariable))
+			_ = level.Info(l).Log("event", "settingsReread", "err", err)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// serveCallers serves callers. A planned stop first says that the process
+// isn't ready and goes on serving until callers' connections go elsewhere,
+// then waits for what is under way.
+func serveCallers(h host, s *ggsdialect.Settings, e *ggsedge.Edge) {
+	v := &http.Server{
+		Handler: e, ReadHeaderTimeout: edgeHeaderTimeout, IdleTimeout: edgeIdleTimeout, MaxHeaderBytes: edgeHeaderBytes,
+	}
+	h.Lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			l, err := listen(ctx, s.Callers)
+			if err != nil {
+				return err
+			}
+			go func() {
+				if err := v.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+					_ = level.Error(h.Log).Log("event", "partFailed", "part", "callers", "err", err)
+					_ = h.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
+				}
+			}()
+			_ = level.Info(h.Log).Log("event", "listening", "part", "callers", "addr", s.Callers)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			e.Drain()
+			t := time.NewTimer(leaveTime)
+			defer t.Stop()
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+			}
+			ctx, cancel := context.WithTimeout(ctx, max(s.Grace-leaveTime-graceMargin, time.Second))
+			defer cancel()
+			if err := v.Shutdown(ctx); err != nil {
+				_ = level.Warn(h.Log).Log("event", "requestsCut", "active", e.Stats().Active.Load(), "err", err)
+				return v.Close()
+			}
+			return nil
+		},
+	})
+}
+
+// edgeState serves readiness, metrics and the state's dump.
+func edgeState(s *ggsdialect.Settings, e *ggsedge.Edge) http.Handler {
+	t := ggsstate.New(edgeProgram, s.VM, time.Now)
+	k := e.Stats()
+	t.Count("requests", k.Requests.Load)
+	t.Count("answered", k.Answered.Load)
+	t.Count("refused", k.Refused.Load)
+	t.Count("failed", k.Failed.Load)
+	t.Count("callersLeft", k.Left.Load)
+	t.Count("retries", k.Retries.Load)
+	t.Count("orders", k.Orders.Load)
+	t.Count("storeCalls", k.Store.Load)
+	t.Count("active", k.Active.Load)
+	t.Add("edge", func() any { return e.State() })
+	t.SetHealth(e.Ready)
+	return t.HandlerWithHealth(ggsdialect.PathReady)
+}
--- /dev/null
+++ b/core/ggsplace/table.go
@@ -0,0 +1,401 @@
+// Package ggsplace decides which endpoint a request goes to, and when one is
+// refused for want of one.
+//
+// # Usage
+//
+//	t := ggsplace.NewTable(ggsplace.Options{Domain: domain, Seed: 1})
+//	t.SetInstances(now, instances)
+//	t.SetPeer(now, vm, flights)              // a peer's requests in flight
+//	t.SetHeld(now, endpoint, held)           // what its orderer says it holds
+//	c, err := t.Choose(now, q)               // *RefusedError: answer with its RetryAfter
+//	t.Sent(now, c.Instance.ID, target)
+//	t.Ended(now, c.Instance.ID, result, load)
+//
+// All VMs choose alike over a view that is a fraction of a second old: an
+// adapter that is resident nowhere has the same home for all of them, so that
+// it is fetched once and found again in the endpoint's own memory later. The
+// package holds no clock, no goroutine and no lock.
+package ggsplace
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsretry"
+)
+
+// Costs of a choice, as the delay that a request is expected to meet.
+const (
+	// costInFlight is the delay for each request in flight at a runner: half of
+	// the time that it takes to read a usual prompt of 650 tokens at 38 a ms.
+	costInFlight = 12 * time.Millisecond
+	// costLoad is an adapter's time from the weight store.
+	costLoad = 250 * time.Millisecond
+	// costAway is added for a load at a runner that isn't the adapter's home,
+	// where it can't be in the runner's own memory and takes another's place.
+	costAway = 120 * time.Millisecond
+	// costRegion is a round trip to another region and the price of its bytes.
+	costRegion = 40 * time.Millisecond
+	// costPlain is the work of a plain service's request.
+	costPlain = 16 * time.Millisecond
+)
+
+// peerMaxAge is the age at which a peer's word on its requests in flight no
+// longer counts: several beats between VMs.
+const peerMaxAge = 1500 * time.Millisecond
+
+// heldMaxAge is the age at which an orderer's word on what its endpoint holds
+// yields to the endpoint's own entry, which is written every 1.2 s.
+const heldMaxAge = 2 * time.Second
+
+// plainQueueFactor bounds the requests at a plain endpoint, in multiples of its
+// slots: what waits behind two rounds of work misses most objectives, and the
+// endpoint sheds soon after.
+const plainQueueFactor = 3
+
+// An Options sets a Table. Zero fields take their defaults.
+type Options struct {
+	Domain  ggscore.Domain
+	Regions map[ggscore.Domain]ggscore.Region
+	Seed    uint64
+}
+
+// A Query asks for an endpoint.
+type Query struct {
+	Service ggscore.Service
+	// Engine is nil for plain services.
+	Engine *ggscore.EngineSpec
+	Target ggscore.ModelAdapter
+	// Version is the adapter's version that has to answer, zero for any.
+	Version uint64
+	// Tried lists endpoints that are not to be chosen again.
+	Tried []ggscore.EndpointID
+}
+
+// A Choice is an endpoint for a request. Resident says that it holds what the
+// request needs; else that has to be loaded first.
+type Choice struct {
+	Instance ggscore.Instance
+	Resident bool
+	// InFlight is the number of requests believed to be there.
+	InFlight int
+}
+
+// A Flight is a count of requests in flight at an endpoint.
+type Flight struct {
+	Endpoint ggscore.EndpointID
+	Count    int
+}
+
+// A Table holds what a VM knows of the endpoints.
+type Table struct {
+	options   Options
+	rng       *rand.Rand
+	endpoints map[ggscore.EndpointID]*endpoint
+	services  map[ggscore.Service][]*endpoint
+	peers     map[ggscore.VMID]*peer
+	breakers  *ggsretry.Breakers[ggscore.EndpointID]
+}
+
+type endpoint struct {
+	ggscore.Instance
+	own     int
+	peers   int
+	local   bool
+	entry   map[ggscore.ModelAdapter]uint64
+	told    map[ggscore.ModelAdapter]uint64
+	toldAt  time.Time
+	missing map[ggscore.ModelAdapter]time.Time
+}
+
+type peer struct {
+	at      time.Time
+	flights map[ggscore.EndpointID]int
+}
+
+// NewTable returns an empty table.
+func NewTable(o Options) *Table {
+	return &Table{
+		options:   o,
+		rng:       rand.New(rand.NewPCG(o.Seed, 0)),
+		endpoints: map[ggscore.EndpointID]*endpoint{},
+		services:  map[ggscore.Service][]*endpoint{},
+		peers:     map[ggscore.VMID]*peer{},
+		breakers:  ggsretry.NewBreakers[ggscore.EndpointID](ggsretry.BreakerOptions{Seed: o.Seed, MaxOpen: 4 * time.Second}),
+	}
+}
+
+// SetInstances takes the endpoints' entries and returns those that are gone.
+func (t *Table) SetInstances(list []ggscore.Instance) []ggscore.Instance {
+	seen := make(map[ggscore.EndpointID]bool, len(list))
+	for i := range list {
+		n := &list[i]
+		seen[n.ID] = true
+		e := t.endpoints[n.ID]
+		if e == nil || !e.Born.Equal(n.Born) || e.Addr != n.Addr {
+			e = &endpoint{missing: map[ggscore.ModelAdapter]time.Time{}}
+			t.endpoints[n.ID] = e
+			t.breakers.Remove(n.ID)
+		}
+		e.Instance = *n
+		e.local = n.Domain == t.options.Domain || t.options.Regions[n.Domain] == t.options.Regions[t.options.Domain]
+		e.entry = heldOf(n.Models)
+	}
+	var gone []ggscore.Instance
+	for id, e := range t.endpoints {
+		if !seen[id] {
+			gone = append(gone, e.Instance)
+			delete(t.endpoints, id)
+			t.breakers.Remove(id)
+		}
+	}
+	t.index()
+	t.sum(time.Time{})
+	return gone
+}
+
+func heldOf(ms []ggscore.ResidentModel) map[ggscore.ModelAdapter]uint64 {
+	h := map[ggscore.ModelAdapter]uint64{}
+	for _, m := range ms {
+		h[ggscore.ModelAdapter{Model: m.Name}] = 0
+		for _, a := range m.Adapters {
+			h[ggscore.ModelAdapter{Model: m.Name, Adapter: a.Adapter}] = a.Version
+		}
+	}
+	return h
+}
+
+func (t *Table) index() {
+	t.services = map[ggscore.Service][]*endpoint{}
+	for _, e := range t.endpoints {
+		t.services[e.Service] = append(t.services[e.Service], e)
+	}
+	for _, l := range t.services {
+		slices.SortFunc(l, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+// SetPeer takes a peer's requests in flight.
+func (t *Table) SetPeer(now time.Time, vm ggscore.VMID, fs []Flight) {
+	p := &peer{at: now, flights: make(map[ggscore.EndpointID]int, len(fs))}
+	for _, f := range fs {
+		p.flights[f.Endpoint] = f.Count
+	}
+	t.peers[vm] = p
+	t.sum(now)
+}
+
+// sum adds up the peers' requests in flight.
+func (t *Table) sum(now time.Time) {
+	for _, e := range t.endpoints {
+		e.peers = 0
+	}
+	for vm, p := range t.peers {
+		if !now.IsZero() && now.Sub(p.at) > peerMaxAge {
+			delete(t.peers, vm)
+			continue
+		}
+		for id, n := range p.flights {
+			if e := t.endpoints[id]; e != nil {
+				e.peers += n
+			}
+		}
+	}
+}
+
+// SetHeld takes the word of an endpoint's orderer on what it holds.
+func (t *Table) SetHeld(now time.Time, id ggscore.EndpointID, held []ggscore.AdapterVersion) {
+	e := t.endpoints[id]
+	if e == nil {
+		return
+	}
+	e.told = make(map[ggscore.ModelAdapter]uint64, len(held))
+	for _, h := range held {
+		e.told[h.Target] = h.Version
+		delete(e.missing, h.Target)
+	}
+	e.toldAt = now
+}
+
+// AddHeld notes that an endpoint holds an adapter.
+func (t *Table) AddHeld(id ggscore.EndpointID, v ggscore.AdapterVersion) {
+	e := t.endpoints[id]
+	if e == nil {
+		return
+	}
+	delete(e.missing, v.Target)
+	if e.told != nil {
+		e.told[v.Target] = v.Version
+	}
+	e.entry[v.Target] = v.Version
+}
+
+// SetMissing notes that an endpoint said that it doesn't hold an adapter.
+func (t *Table) SetMissing(now time.Time, id ggscore.EndpointID, a ggscore.ModelAdapter) {
+	if e := t.endpoints[id]; e != nil {
+		e.missing[a] = now
+		delete(e.told, a)
+	}
+}
+
+// missingFor is how long an endpoint's word that it lacks an adapter stands
+// against older words that it holds it: an entry's interval and its way.
+const missingFor = 1500 * time.Millisecond
+
+// holds reports whether the endpoint is believed to hold the adapter.
+func (e *endpoint) holds(now time.Time, a ggscore.ModelAdapter, version uint64) bool {
+	m := e.entry
+	if a.Adapter != "" && now.Sub(e.toldAt) < heldMaxAge {
+		m = e.told
+	}
+	v, ok := m[a]
+	if !ok || version > 0 && v != version {
+		return false
+	}
+	at, ok := e.missing[a]
+	return !ok || now.Sub(at) > missingFor
+}
+
+// Choose returns the endpoint where the request is expected to be answered
+// soonest, or a *RefusedError.
+func (t *Table) Choose(now time.Time, q Query) (Choice, error) {
+	list := t.services[q.Service]
+	excluded := t.breakers.Exclude(now, nil)
+	base := ggscore.ModelAdapter{Model: q.Target.Model}
+	home := t.home(now, list, q, base)
+	var best *endpoint
+	var bestCost time.Duration
+	var bestResident bool
+	ready := 0
+	for _, e := range list {
+		if e.Leaving || slices.Contains(q.Tried, e.ID) {
+			continue
+		}
+		if q.Engine != nil && !e.holds(now, base, 0) {
+			continue
+		}
+		ready++
+		if slices.Contains(excluded, e.ID) || t.full(e, q.Engine) {
+			continue
+		}
+		resident := q.Engine == nil || q.Target.Adapter == "" || e.holds(now, q.Target, q.Version)
+		c := t.cost(e, q.Engine, resident, e == home)
+		if best == nil || c < bestCost {
+			best, bestCost, bestResident = e, c, resident
+		}
+	}
+	if best == nil {
+		return Choice{}, t.refused(ready)
+	}
+	return Choice{Instance: best.Instance, Resident: bestResident, InFlight: best.own + best.peers}, nil
+}
+
+// home returns the endpoint that an adapter belongs to.
+func (t *Table) home(now time.Time, list []*endpoint, q Query, base ggscore.ModelAdapter) *endpoint {
+	if q.Target.Adapter == "" {
+		return nil
+	}
+	var best *endpoint
+	var rank uint64
+	name := q.Target.String()
+	for _, e := range list {
+		if e.Leaving || !e.holds(now, base, 0) {
+			continue
+		}
+		if h := xxhash.Sum64String(name + " " + string(e.ID)); best == nil || h > rank {
+			best, rank = e, h
+		}
+	}
+	return best
+}
+
+// full reports whether an endpoint has as many requests as it may get.
+func (t *Table) full(e *endpoint, g *ggscore.EngineSpec) bool {
+	n := e.own + e.peers
+	if g == nil {
+		return n >= plainQueueFactor*e.Slots
+	}
+	return n >= e.Slots
+}
+
+// cost returns the delay that a request is expected to meet at the endpoint.
+func (t *Table) cost(e *endpoint, g *ggscore.EngineSpec, resident, home bool) time.Duration {
+	n := e.own + e.peers
+	c := time.Duration(t.rng.Int64N(int64(time.Millisecond)))
+	if !e.local {
+		c += costRegion
+	}
+	if g == nil {
+		// Up to its slots a request starts at once; behind them it waits for
+		// the work before it.
+		return c + costPlain*time.Duration(n)/time.Duration(e.Slots) + costPlain*time.Duration(max(n+1-e.Slots, 0))
+	}
+	c += costInFlight * time.Duration(n)
+	if !resident {
+		c += costLoad
+		if !home {
+			c += costAway
+		}
+	}
+	return c
+}
+
+// Waits that refused callers are told. The load that fills endpoints comes in
+// waves of seconds; a second try within the objective still earns it.
+const (
+	retryFull   = 300 * time.Millisecond
+	retryNone   = 600 * time.Millisecond
+	retrySpread = 300 * time.Millisecond
+)
+
+func (t *Table) refused(ready int) error {
+	wait := retryNone
+	if ready > 0 {
+		wait = retryFull
+	}
+	wait += time.Duration(t.rng.Int64N(int64(retrySpread)))
+	return &RefusedError{Ready: ready, RetryAfter: wait}
+}
+
+// Sent notes a request that goes to an endpoint.
+func (t *Table) Sent(now time.Time, id ggscore.EndpointID) {
+	t.breakers.Started(now, id)
+	if e := t.endpoints[id]; e != nil {
+		e.own++
+	}
+}
+
+// Ended notes a request's end.
+func (t *Table) Ended(now time.Time, id ggscore.EndpointID, r ggsretry.Result) {
+	t.breakers.Ended(now, id, r)
+	if e := t.endpoints[id]; e != nil && e.own > 0 {
+		e.own--
+	}
+}
+
+// Own returns this VM's requests in flight.
+func (t *Table) Own() []Flight {
+	var fs []Flight
+	for id, e := range t.endpoints {
+		if e.own > 0 {
+			fs = append(fs, Flight{Endpoint: id, Count: e.own})
+		}
+	}
+	return fs
+}
+
+// Instances returns the endpoints of a service, or all for an empty name.
+func (t *Table) Instances(s ggscore.Service) []ggscore.Instance {
+	var l []ggscore.Instance
+	for _, e := range t.endpoints {
+		if s == "" || e.Service == s {
+			l = append(l, e.Instance)
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/core/ggsresident/ledger.go
@@ -0,0 +1,401 @@
+// Package ggsresident decides which orders an endpoint gets: what to load, and
+// what to evict for it.
+//
+// # Usage
+//
+//	l := ggsresident.NewLedger(ggsresident.Options{Slots: 16, Transit: 4})
+//	l.Sync(now, status)             // what the endpoint says it holds
+//	l.Want(now, target, version)    // a request waits for it
+//	l.Use(now, target)              // a request was sent
+//	o, ok := l.Next(now)            // the next order
+//	l.Ended(now, o, answer)
+//	at := l.Due(now)                // when to ask Next again
+//
+// One VM gives an endpoint its orders, one at a time, each under the condition
+// of the number of orders that the endpoint has accepted. So an order that is
+// carried out late either comes before every later one or does nothing, and
+// places are never promised twice. The package holds no clock, no goroutine and
+// no lock.
+package ggsresident
+
+import (
+	"cmp"
+	"time"
+
+	ggscore "greengageslip/core"
+)
+
+// Defaults of Options.
+const (
+	// DefaultTransit is how many adapters an endpoint fetches at once.
+	DefaultTransit = 4
+	// DefaultLoadTime is how long an adapter takes from the weight store.
+	DefaultLoadTime = 250 * time.Millisecond
+	// DefaultPoll is the time between questions for an adapter in transit. An
+	// order costs next to nothing; a late one delays its request.
+	DefaultPoll = 20 * time.Millisecond
+	// DefaultForget is how long an unwanted load is kept in the list.
+	DefaultForget = 3 * time.Second
+	// fastLoad is the first question after an order: an adapter that the
+	// endpoint held recently loads in a tenth of the time.
+	fastLoad = 26 * time.Millisecond
+	// resyncAfter is the age at which a ledger that met an unclear answer
+	// asks the endpoint, whose report is up to 100 ms old.
+	resyncAfter = 150 * time.Millisecond
+)
+
+// An Options sets a Ledger. Zero fields take their defaults.
+type Options struct {
+	// Slots is the number of adapters that the endpoint holds at once.
+	Slots    int
+	Transit  int
+	LoadTime time.Duration
+	Poll     time.Duration
+}
+
+// A Step is an order to give.
+type Step struct {
+	Unload   bool
+	Target   ggscore.ModelAdapter
+	Version  uint64
+	Expected uint64
+	// Poll says that the step asks again for what was ordered.
+	Poll bool
+}
+
+// A Ledger holds what an endpoint is known to hold.
+type Ledger struct {
+	options Options
+	synced  bool
+	// unclear is when an answer left open what the endpoint accepted.
+	unclear  time.Time
+	sequence uint64
+	models   map[ggscore.BaseModel]bool
+	held     map[ggscore.ModelAdapter]*held
+	wants    []want
+	// modelPoll is when a base model on its way is asked for again.
+	modelPoll time.Time
+}
+
+type held struct {
+	version uint64
+	// target is the version on its way, where that is another.
+	target uint64
+	// coming says that the adapter is in transit, evicting that it leaves when
+	// its requests have ended.
+	coming   bool
+	evicting bool
+	ordered  time.Time
+	poll     time.Time
+	used     time.Time
+	uses     float64
+}
+
+type want struct {
+	target  ggscore.ModelAdapter
+	version uint64
+	since   time.Time
+}
+
+// NewLedger returns a ledger that knows nothing of its endpoint.
+func NewLedger(o Options) *Ledger {
+	o.Transit = cmp.Or(o.Transit, DefaultTransit)
+	o.LoadTime = cmp.Or(o.LoadTime, DefaultLoadTime)
+	o.Poll = cmp.Or(o.Poll, DefaultPoll)
+	return &Ledger{options: o, models: map[ggscore.BaseModel]bool{}, held: map[ggscore.ModelAdapter]*held{}}
+}
+
+// Synced reports whether the ledger knows what the endpoint holds. Where not,
+// its status is to be asked for.
+func (l *Ledger) Synced(now time.Time) bool {
+	if !l.synced {
+		return false
+	}
+	return l.unclear.IsZero() || now.Sub(l.unclear) < resyncAfter
+}
+
+// Unclear reports whether an answer left open what the endpoint accepted.
+func (l *Ledger) Unclear() bool { return !l.unclear.IsZero() }
+
+// Sync takes the endpoint's own word.
+func (l *Ledger) Sync(now time.Time, s ggscore.InstanceStatus) {
+	if l.synced && s.Sequence < l.sequence && l.unclear.IsZero() {
+		return
+	}
+	l.synced, l.unclear, l.sequence = true, time.Time{}, s.Sequence
+	before := l.held
+	l.models, l.held = map[ggscore.BaseModel]bool{}, map[ggscore.ModelAdapter]*held{}
+	for _, m := range s.Models {
+		l.models[m.Name] = true
+		for _, a := range m.Adapters {
+			t := ggscore.ModelAdapter{Model: m.Name, Adapter: a.Adapter}
+			h := &held{version: a.Version, target: a.Version}
+			if b := before[t]; b != nil {
+				h.used, h.uses = b.used, b.uses
+			}
+			l.held[t] = h
+		}
+	}
+	for _, t := range s.Coming {
+		h := l.held[t]
+		if h == nil {
+			h = &held{}
+			l.held[t] = h
+		}
+		h.coming, h.ordered, h.poll = true, now, now.Add(l.options.Poll)
+		if b := before[t]; b != nil {
+			h.target, h.used, h.uses = b.target, b.used, b.uses
+		}
+	}
+}
+
+// Restarted forgets all: the endpoint started anew.
+func (l *Ledger) Restarted() {
+	*l = *NewLedger(l.options)
+}
+
+// Want notes that requests wait for an adapter in a version, zero for any.
+func (l *Ledger) Want(now time.Time, t ggscore.ModelAdapter, version uint64) {
+	for i := range l.wants {
+		if w := &l.wants[i]; w.target == t {
+			w.version, w.since = max(w.version, version), now
+			return
+		}
+	}
+	l.wants = append(l.wants, want{target: t, version: version, since: now})
+}
+
+// Use notes n requests for an adapter.
+func (l *Ledger) Use(now time.Time, t ggscore.ModelAdapter, n int) {
+	if h := l.held[t]; h != nil {
+		h.uses = h.rate(now) + float64(n)
+		h.used = now
+	}
+}
+
+// useHalf is the time in which a use loses half its weight: some seconds, as
+// the demand moves within seconds.
+const useHalf = 4 * time.Second
+
+// rate returns the uses of the last seconds, newer ones weighing more.
+func (h *held) rate(now time.Time) float64 {
+	r := h.uses
+	for d := now.Sub(h.used); d >= useHalf && r > 0.01; d -= useHalf {
+		r /= 2
+	}
+	return r
+}
+
+// Holds reports whether the endpoint holds the adapter in the version, zero
+// for any.
+func (l *Ledger) Holds(t ggscore.ModelAdapter, version uint64) bool {
+	if t.Adapter == "" {
+		return l.models[t.Model]
+	}
+	h := l.held[t]
+	return h != nil && !h.evicting && (!h.coming || h.version > 0) && h.version >= version &&
+		(h.version > 0 || !h.coming) && (version == 0 || h.version == version)
+}
+
+// Resident returns the adapters that requests may be sent for.
+func (l *Ledger) Resident() []ggscore.AdapterVersion {
+	var vs []ggscore.AdapterVersion
+	for t, h := range l.held {
+		if l.Holds(t, 0) {
+			vs = append(vs, ggscore.AdapterVersion{Target: t, Version: h.version})
+		}
+	}
+	return vs
+}
+
+// Version returns the version that the endpoint holds, zero for none.
+func (l *Ledger) Version(t ggscore.ModelAdapter) uint64 {
+	if h := l.held[t]; h != nil {
+		return h.version
+	}
+	return 0
+}
+
+// Next returns the order that is due.
+func (l *Ledger) Next(now time.Time) (Step, bool) {
+	if !l.synced {
+		return Step{}, false
+	}
+	if s, ok := l.poll(now); ok {
+		return s, true
+	}
+	for i := 0; i < len(l.wants); {
+		w := l.wants[i]
+		if l.Holds(w.target, w.version) || now.Sub(w.since) > DefaultForget {
+			l.wants = append(l.wants[:i], l.wants[i+1:]...)
+			continue
+		}
+		if s, ok := l.load(now, w); ok {
+			return s, true
+		}
+		i++
+	}
+	return Step{}, false
+}
+
+// load returns the order that brings a wanted adapter nearer.
+func (l *Ledger) load(now time.Time, w want) (Step, bool) {
+	if w.target.Adapter == "" || !l.models[w.target.Model] {
+		if now.Before(l.modelPoll) || l.models[w.target.Model] {
+			return Step{}, false
+		}
+		return Step{Target: ggscore.ModelAdapter{Model: w.target.Model}, Expected: l.sequence}, true
+	}
+	h := l.held[w.target]
+	if h != nil && (h.coming && h.target >= w.version || h.evicting) {
+		return Step{}, false
+	}
+	if l.transit() >= l.options.Transit {
+		return Step{}, false
+	}
+	s := Step{Target: w.target, Version: w.version, Expected: l.sequence}
+	if h != nil || len(l.held) < l.options.Slots {
+		return s, true
+	}
+	v, ok := l.victim(now)
+	if !ok {
+		return Step{}, false
+	}
+	return Step{Unload: true, Target: v, Expected: l.sequence}, true
+}
+
+// poll returns the question for what is on its way.
+func (l *Ledger) poll(now time.Time) (Step, bool) {
+	for t, h := range l.held {
+		if (h.coming || h.evicting) && !now.Before(h.poll) {
+			return Step{Unload: h.evicting, Target: t, Version: h.target, Expected: l.sequence, Poll: true}, true
+		}
+	}
+	return Step{}, false
+}
+
+// victim returns the adapter that is missed least: the one with the lowest
+// rate of use, the longest unused among equals.
+func (l *Ledger) victim(now time.Time) (ggscore.ModelAdapter, bool) {
+	var best ggscore.ModelAdapter
+	var bestHeld *held
+	var bestRate float64
+	for t, h := range l.held {
+		if h.coming || h.evicting || l.wanted(t) {
+			continue
+		}
+		r := h.rate(now)
+		if bestHeld == nil || r < bestRate || r == bestRate && h.used.Before(bestHeld.used) {
+			best, bestHeld, bestRate = t, h, r
+		}
+	}
+	return best, bestHeld != nil
+}
+
+func (l *Ledger) wanted(t ggscore.ModelAdapter) bool {
+	for i := range l.wants {
+		if l.wants[i].target == t {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) transit() int {
+	n := 0
+	for _, h := range l.held {
+		if h.coming {
+			n++
+		}
+	}
+	return n
+}
+
+// Ended takes the answer to an order.
+func (l *Ledger) Ended(now time.Time, s Step, a ggscore.PlacementAnswer) {
+	switch a {
+	case ggscore.PlacementAccepted:
+		l.accepted(now, s)
+	case ggscore.PlacementHolds:
+		l.done(now, s)
+	case ggscore.PlacementMisdirected:
+		l.synced = false
+	case ggscore.PlacementUnknown, ggscore.PlacementConflict, ggscore.PlacementFenced, ggscore.PlacementRefused:
+		l.postpone(now, s)
+	}
+}
+
+// accepted notes an order that is being carried out.
+func (l *Ledger) accepted(now time.Time, s Step) {
+	l.sequence = s.Expected + 1
+	l.unclear = time.Time{}
+	if s.Target.Adapter == "" {
+		l.modelPoll = now.Add(l.options.LoadTime)
+		return
+	}
+	h := l.held[s.Target]
+	if h == nil {
+		h = &held{used: now, uses: 1}
+		l.held[s.Target] = h
+	}
+	h.ordered, h.target = now, s.Version
+	if s.Unload {
+		h.evicting, h.poll = true, now.Add(l.options.Poll)
+		return
+	}
+	h.coming = true
+	h.poll = now.Add(fastLoad)
+}
+
+// done notes an order whose aim is reached.
+func (l *Ledger) done(now time.Time, s Step) {
+	if s.Target.Adapter == "" {
+		l.models[s.Target.Model] = true
+		return
+	}
+	if s.Unload {
+		delete(l.held, s.Target)
+		if !s.Poll {
+			l.sequence = s.Expected + 1
+		}
+		return
+	}
+	h := l.held[s.Target]
+	if h == nil {
+		h = &held{used: now, uses: 1}
+		l.held[s.Target] = h
+	}
+	h.coming, h.version = false, max(h.target, s.Version, 1)
+}
+
+// postpone puts off what an unclear answer was about.
+func (l *Ledger) postpone(now time.Time, s Step) {
+	if l.unclear.IsZero() {
+		l.unclear = now
+	}
+	if h := l.held[s.Target]; h != nil {
+		h.poll = now.Add(l.options.Poll)
+	}
+	if s.Target.Adapter == "" {
+		l.modelPoll = now.Add(l.options.LoadTime)
+	}
+}
+
+// Due returns when Next is wanted again, zero for not until something happens.
+func (l *Ledger) Due() time.Time {
+	var due time.Time
+	for _, h := range l.held {
+		if (h.coming || h.evicting) && (due.IsZero() || h.poll.Before(due)) {
+			due = h.poll
+		}
+	}
+	for i := range l.wants {
+		if w := &l.wants[i]; !l.models[w.target.Model] && (due.IsZero() || l.modelPoll.Before(due)) {
+			due = l.modelPoll
+		}
+	}
+	if !l.unclear.IsZero() && (due.IsZero() || l.unclear.Add(resyncAfter).Before(due)) {
+		due = l.unclear.Add(resyncAfter)
+	}
+	return due
+}
--- /dev/null
+++ b/core/serving.go
@@ -0,0 +1,97 @@
+package ggscore
+
+import "time"
+
+// A RouteKind says what may be repeated on a route.
+type RouteKind int
+
+// The kinds of routes.
+const (
+	// RouteUnsafe requests run at most once. It is the zero value, so that what
+	// isn't known is treated with the most care.
+	RouteUnsafe RouteKind = iota
+	// RouteSafe requests may run any number of times.
+	RouteSafe
+	// RouteStreaming answers are events; they run at most once unless the route
+	// is resumable.
+	RouteStreaming
+)
+
+// A Route sends requests of a host below a path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   RouteKind
+	// Resumable says that a broken stream may go on at another endpoint.
+	Resumable bool
+	// Timeout is the longest time that a request is kept waiting.
+	Timeout time.Duration
+	// Target is the latency objective: of the answer, or of a stream's first
+	// event. GapTarget is that of the pauses between events.
+	Target    time.Duration
+	GapTarget time.Duration
+	// Priority orders routes; a lower number is served first.
+	Priority Priority
+	// MaxAttempts is the number of endpoints that one request may run on.
+	MaxAttempts int
+	Targets     []RouteTarget
+}
+
+// A RouteTarget is a service and its share of a route's requests.
+type RouteTarget struct {
+	Service Service
+	Weight  int
+}
+
+// Idempotent reports whether the route's requests may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == RouteSafe || r.Kind == RouteStreaming && r.Resumable
+}
+
+// A ModelSpec describes a base model and its adapters.
+type ModelSpec struct {
+	Name        BaseModel
+	Bytes       int64
+	LoadTime    time.Duration
+	AdapterSize int64
+}
+
+// An EngineSpec describes a model service's runners.
+type EngineSpec struct {
+	Slots int
+	// CacheTokens is the memory for prompts and answers, in tokens.
+	CacheTokens int
+	Models      []ModelSpec
+	// Bytes is the memory for models and adapters together.
+	Bytes          int64
+	AdapterSlots   int
+	LoadsPerSecond float64
+}
+
+// A BackendSpec describes the endpoints of a service.
+type BackendSpec struct {
+	Service Service
+	// MaxConns is the number of connections that an endpoint takes from all
+	// callers together.
+	MaxConns int
+	// Engine is nil for plain services.
+	Engine *EngineSpec
+}
+
+// A ClientLimits bounds what a client may send.
+type ClientLimits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// A RoutingConfig is an accepted state of routes and services. It is immutable
+// once built.
+type RoutingConfig struct {
+	Version  uint64
+	Routes   []Route
+	Services map[Service]BackendSpec
+	Limits   ClientLimits
+}
--- /dev/null
+++ b/io/ggsedge/attempt.go
@@ -0,0 +1,236 @@
+package ggsedge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsplace"
+	"greengageslip/core/ggsretry"
+	"greengageslip/io/ggsexchange"
+)
+
+const (
+	// maxSends bounds the endpoints that a request is sent to, those that
+	// refused it included.
+	maxSends = 4
+	// retryBase and retryMaxWait are the waits before another endpoint is
+	// asked: it is another one, so only a herd is to be spread.
+	retryBase    = time.Millisecond
+	retryMaxWait = 20 * time.Millisecond
+	// leastLeft is the time under which sending a request is of no use.
+	leastLeft = 5 * time.Millisecond
+	// ownConns is the part of an endpoint's connections that this VM takes at
+	// most: callers fall on the VMs unevenly.
+	ownConns = 0.25
+)
+
+// run sends the request until it is answered or given up.
+func (e *Edge) run(ctx context.Context, j *job) {
+	for {
+		choice, err := e.choose(j)
+		if err != nil {
+			e.giveUp(ctx, j, err)
+			return
+		}
+		id := choice.Instance.ID
+		j.tried = append(j.tried, id)
+		if !choice.Resident {
+			if err := e.ensure(ctx, choice.Instance, j); err != nil {
+				_ = level.Info(e.Log).Log("event", "loadFailed", "request", j.meta.ID, "endpoint", id,
+					"adapter", j.meta.Model, "err", err)
+				if ctx.Err() != nil || len(j.tried) >= maxSends {
+					e.giveUp(ctx, j, err)
+					return
+				}
+				continue
+			}
+		}
+		failure := e.send(ctx, j, choice)
+		if failure == nil {
+			return
+		}
+		if j.granted {
+			j.granted = false
+			continue
+		}
+		if !e.again(ctx, j, failure) {
+			e.giveUp(ctx, j, failure)
+			return
+		}
+	}
+}
+
+func (e *Edge) choose(j *job) (ggsplace.Choice, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j.version = e.versions[j.meta.Model]
+	return e.table.Choose(e.Now(), ggsplace.Query{
+		Service: j.service, Engine: j.spec.Engine, Target: j.meta.Model, Version: j.version, Tried: j.tried,
+	})
+}
+
+// again reports whether a request that failed is sent to another endpoint. One
+// that may have run is only where it may run twice, and each counts against
+// the route's attempts; all count against the budget that the VMs share.
+func (e *Edge) again(ctx context.Context, j *job, f *ggscore.Failure) bool {
+	if j.committed || ctx.Err() != nil {
+		return false
+	}
+	if f.Outcome != ggscore.OutcomeNotRun {
+		if !j.route.Idempotent() || j.runs >= j.route.MaxAttempts {
+			return false
+		}
+		// The policy knows only of work that is proved not to have run. What
+		// may run twice is the same to it.
+		g := *f
+		g.Outcome = ggscore.OutcomeNotRun
+		f = &g
+	}
+	e.mu.Lock()
+	wait, err := e.retries.Retry(e.Now(), ggsretry.Attempt{
+		Market: ggscore.Market(j.service), Number: j.sends, Failure: f, Left: time.Until(j.until) - leastLeft,
+	})
+	e.mu.Unlock()
+	if err != nil {
+		return false
+	}
+	e.stats.Retries.Add(1)
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// giveUp answers a request that is not sent again.
+func (e *Edge) giveUp(ctx context.Context, j *job, err error) {
+	if j.committed {
+		e.stats.Failed.Add(1)
+		// The answer has begun: only a broken connection tells the caller that
+		// it isn't whole.
+		panic(http.ErrAbortHandler)
+	}
+	var over *DeadlineError
+	late := errors.As(context.Cause(ctx), &over)
+	if ctx.Err() != nil && !late {
+		e.stats.Left.Add(1)
+		_ = level.Info(e.Log).Log("event", "callerLeft", "request", j.meta.ID, "sends", j.sends, "took", time.Since(j.arrived))
+		panic(http.ErrAbortHandler)
+	}
+	var refused *ggsplace.RefusedError
+	var failure *ggscore.Failure
+	switch {
+	case j.runs > 0 && late:
+		e.fail(j, http.StatusGatewayTimeout, "the time is over, the request may have run")
+	case j.runs > 0:
+		e.fail(j, http.StatusBadGateway, "the answer is lost, the request may have run: "+err.Error())
+	case late:
+		e.refuse(j, lateWait, "the time is over, the request has not run")
+	case errors.As(err, &refused):
+		e.refuse(j, refused.RetryAfter, err.Error())
+	case errors.As(err, &failure):
+		e.refuse(j, max(failure.RetryAfter, notRunWait), err.Error())
+	default:
+		e.refuse(j, notRunWait, err.Error())
+	}
+}
+
+const (
+	// lateWait is told where the request's own time is over.
+	lateWait = time.Second
+	// notRunWait is told where endpoints refused: their queues empty within
+	// some tenths of a second.
+	notRunWait = 300 * time.Millisecond
+)
+
+// send sends the request once. It returns nil where the caller has its answer.
+func (e *Edge) send(ctx context.Context, j *job, c ggsplace.Choice) *ggscore.Failure {
+	i := c.Instance
+	left := time.Until(j.until)
+	if left < leastLeft {
+		return &ggscore.Failure{Kind: ggscore.FailureCancelled, Outcome: ggscore.OutcomeNotRun, Detail: "no time is left"}
+	}
+	e.begin(j, i.ID)
+	j.sends++
+	_ = level.Debug(e.Log).Log("event", "requestSent", "request", j.meta.ID, "endpoint", i.ID, "route", j.route.Name,
+		"adapter", j.meta.Model, "version", j.version, "resident", c.Resident, "inFlight", c.InFlight, "left", left)
+	a, err := e.Pool.Do(ctx, ggsexchange.Request{
+		Addr: i.Addr, Method: j.r.Method, URI: j.uri, Host: j.r.Host, Body: j.body,
+		Header:   e.Dialect.Forward(j.r.Header, ggscore.ForwardMeta{Endpoint: i.ID, Left: left, Version: j.version}),
+		ID:       j.meta.ID,
+		IDHeader: e.options.IDHeader,
+		MaxConns: connLimit(j.spec.MaxConns),
+	})
+	if err != nil {
+		return e.unanswered(ctx, j, i, err)
+	}
+	defer a.Close()
+	f, r := e.relay(ctx, j, i, a)
+	e.end(i.ID, r)
+	return f
+}
+
+func connLimit(conns int) int {
+	if conns == 0 {
+		return 0
+	}
+	return max(int(ownConns*float64(conns)), 2)
+}
+
+// unanswered returns the failure of an exchange without an answer.
+func (e *Edge) unanswered(ctx context.Context, j *job, i ggscore.Instance, err error) *ggscore.Failure {
+	f := &ggscore.Failure{Kind: ggscore.FailureBroken, Detail: err.Error()}
+	result := ggsretry.ResultFailed
+	var call *ggscore.CallError
+	if errors.As(err, &call) {
+		f.Kind, f.Outcome = call.Kind, call.Outcome()
+	}
+	var limit *ggsexchange.ConnLimitError
+	if errors.As(err, &limit) {
+		result, f.Kind = ggsretry.ResultNeutral, ggscore.FailureNoCapacity
+	}
+	if ctx.Err() != nil {
+		var over *DeadlineError
+		if !errors.As(context.Cause(ctx), &over) {
+			result = ggsretry.ResultNeutral
+		}
+	}
+	if f.Outcome != ggscore.OutcomeNotRun {
+		j.runs++
+	}
+	e.end(i.ID, result)
+	_ = level.Info(e.Log).Log("event", "attemptFailed", "request", j.meta.ID, "endpoint", i.ID, "outcome", f.Outcome, "err", err)
+	return f
+}
+
+// begin notes a request that is sent.
+func (e *Edge) begin(j *job, id ggscore.EndpointID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Now()
+	e.table.Sent(now, id)
+	if j.sends == 0 {
+		e.retries.Request(now, ggscore.Market(j.service))
+	}
+	if j.meta.Model.Adapter != "" {
+		e.uses[use{endpoint: id, target: j.meta.Model}]++
+		if w := e.workers[id]; w != nil {
+			w.ledger.Use(now, j.meta.Model, 1)
+		}
+	}
+}
+
+// end notes the end of a request that was sent.
+func (e *Edge) end(id ggscore.EndpointID, r ggsretry.Result) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.Ended(e.Now(), id, r)
+}
--- /dev/null
+++ b/io/ggsedge/edge.go
@@ -0,0 +1,239 @@
+package ggsedge
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsfencing"
+	"greengageslip/core/ggspath"
+	"greengageslip/core/ggsplace"
+	"greengageslip/core/ggsretry"
+	"greengageslip/io/ggsexchange"
+	"greengageslip/io/ggspeer"
+	"greengageslip/io/ggsrpc"
+)
+
+// An Options sets an Edge.
+type Options struct {
+	VM      ggscore.VMID
+	Domain  ggscore.Domain
+	Regions map[ggscore.Domain]ggscore.Region
+	Seed    uint64
+	// Control is the address for peers: beats by UDP, calls by TCP.
+	Control netip.AddrPort
+	// Turn is the time between orders of two VMs to one endpoint.
+	Turn time.Duration
+	// RetryRatio and RetrySlack bound what is sent to a service beyond each
+	// request's first, over all VMs.
+	RetryRatio float64
+	RetrySlack int
+	// VersionTime is how long requests may begin on an adapter's old version.
+	VersionTime time.Duration
+	// IDHeader bears the identity of requests and answers.
+	IDHeader string
+	Keys     Keys
+}
+
+// A Keys names what the edge follows in the store.
+type Keys struct {
+	// Operators is the prefix of the operators' entries, Config the key of the
+	// configuration below it.
+	Operators ggscore.Key
+	Config    ggscore.Key
+	// Instances is the prefix of the endpoints' entries.
+	Instances ggscore.Key
+	// Own is the prefix of the system's own records.
+	Own ggscore.Key
+}
+
+// A Codec reads the entries of the store.
+type Codec interface {
+	Config(e ggscore.Entry) (*ggscore.RoutingConfig, error)
+	Instance(e ggscore.Entry) (ggscore.Instance, error)
+	// Version reads an adapter's version; ok is false for other entries.
+	Version(e ggscore.Entry) (v ggscore.AdapterVersion, ok bool, err error)
+}
+
+// A Store is what the edge needs of the platform's store.
+type Store interface {
+	ggscore.Snapshotter
+	ggscore.Txner
+	ggscore.Watcher
+}
+
+// A Parts holds what an Edge is made of.
+type Parts struct {
+	Store   Store
+	Codec   Codec
+	Dialect ggscore.Dialect
+	Orderer ggscore.InstanceOrderer
+	Pool    *ggsexchange.Pool
+	Peers   *ggspeer.Conn
+	Calls   *ggsrpc.Pool
+	Log     log.Logger
+	// Now is the time of decisions. It goes on while the VM is suspended.
+	Now func() time.Time
+}
+
+// An Edge serves callers at one VM.
+type Edge struct {
+	options Options
+	Parts
+	stats Stats
+
+	paths    atomic.Pointer[ggspath.Table]
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	table    *ggsplace.Table
+	keeper   *ggsfencing.Keeper
+	retries  *ggsretry.Policy
+	versions map[ggscore.ModelAdapter]uint64
+	workers  map[ggscore.EndpointID]*worker
+	peers    map[ggscore.VMID]*member
+	uses     map[use]int
+	loads    map[load]*loading
+	listed   bool
+	sequence uint64
+	// kick wakes the loop that writes beats to the store.
+	kick chan struct{}
+}
+
+// A Stats counts what an Edge did.
+type Stats struct {
+	Requests atomic.Int64
+	Answered atomic.Int64
+	Refused  atomic.Int64
+	Failed   atomic.Int64
+	Left     atomic.Int64
+	Retries  atomic.Int64
+	Loads    atomic.Int64
+	Orders   atomic.Int64
+	Store    atomic.Int64
+	Active   atomic.Int64
+}
+
+// A member is a peer as its entry in the store names it.
+type member struct {
+	addr     netip.AddrPort
+	leaving  bool
+	started  int64
+	sequence uint64
+}
+
+// A use is an adapter at an endpoint.
+type use struct {
+	endpoint ggscore.EndpointID
+	target   ggscore.ModelAdapter
+}
+
+// New returns an Edge that knows nothing yet.
+func New(o Options, p Parts) *Edge {
+	return &Edge{
+		options:  o,
+		Parts:    p,
+		table:    ggsplace.NewTable(ggsplace.Options{Domain: o.Domain, Regions: o.Regions, Seed: o.Seed}),
+		keeper:   ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn}),
+		retries:  ggsretry.NewPolicy(retryOptions(o)),
+		versions: map[ggscore.ModelAdapter]uint64{},
+		workers:  map[ggscore.EndpointID]*worker{},
+		peers:    map[ggscore.VMID]*member{},
+		uses:     map[use]int{},
+		loads:    map[load]*loading{},
+		kick:     make(chan struct{}, 1),
+	}
+}
+
+// retryShare is the part of the deployment's bound on repeats that this VM
+// uses: it sees a share of the requests, and what it doesn't know of, such as
+// a peer that comes or goes, must not break the bound.
+const retryShare = 0.5
+
+// retryVMs is the number of VMs that share the slack.
+const retryVMs = 9
+
+func retryOptions(o Options) ggsretry.Options {
+	return ggsretry.Options{
+		Seed: o.Seed, Ratio: o.RetryRatio * retryShare, Depth: max(float64(o.RetrySlack)*retryShare/retryVMs, 1),
+		MaxAttempts: maxSends, Base: retryBase, MaxWait: retryMaxWait,
+	}
+}
+
+// Run follows store and peers and gives orders until the context ends.
+func (e *Edge) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return e.followOperators(ctx) })
+	g.Go(func() error { return e.followInstances(ctx) })
+	g.Go(func() error { return e.followMembers(ctx) })
+	g.Go(func() error { return e.tellPeers(ctx) })
+	g.Go(func() error { return e.Peers.Run(ctx, e.heard) })
+	g.Go(func() error { return e.giveOrders(ctx) })
+	return g.Wait()
+}
+
+// Ready returns nil while the edge takes new connections.
+func (e *Edge) Ready() error {
+	if e.draining.Load() {
+		return &NotReadyError{Reason: "stopping"}
+	}
+	if e.paths.Load() == nil {
+		return &NotReadyError{Reason: "no configuration yet"}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.listed {
+		return &NotReadyError{Reason: "no list of endpoints yet"}
+	}
+	return nil
+}
+
+// Drain makes the edge say that it takes no new connections.
+func (e *Edge) Drain() { e.draining.Store(true) }
+
+// Stats returns the counters.
+func (e *Edge) Stats() *Stats { return &e.stats }
+
+// A State is what a dump shows.
+type State struct {
+	Config    uint64
+	Endpoints []EndpointState
+	Peers     []ggscore.VMID
+}
+
+// An EndpointState is an endpoint in a dump.
+type EndpointState struct {
+	ID      ggscore.EndpointID
+	Service ggscore.Service
+	Domain  ggscore.Domain
+	Leaving bool
+	Orderer ggscore.VMID
+	Held    []ggscore.AdapterVersion
+}
+
+// State returns what the edge goes by.
+func (e *Edge) State() State {
+	var s State
+	if t := e.paths.Load(); t != nil {
+		s.Config = t.Config.Version
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, i := range e.table.Instances("") {
+		n := EndpointState{ID: i.ID, Service: i.Service, Domain: i.Domain, Leaving: i.Leaving, Orderer: e.keeper.Owner(i.ID)}
+		if w := e.workers[i.ID]; w != nil {
+			n.Held = w.ledger.Resident()
+		}
+		s.Endpoints = append(s.Endpoints, n)
+	}
+	for vm := range e.peers {
+		s.Peers = append(s.Peers, vm)
+	}
+	return s
+}
--- /dev/null
+++ b/io/ggsedge/errors.go
@@ -0,0 +1,49 @@
+package ggsedge
+
+import (
+	"fmt"
+	"time"
+
+	ggscore "greengageslip/core"
+)
+
+// A NotReadyError says why the edge takes no new connections.
+type NotReadyError struct{ Reason string }
+
+// Error implements error.
+func (e *NotReadyError) Error() string { return e.Reason }
+
+// A NoOrdererError says that no VM can be asked to load an adapter.
+type NoOrdererError struct{ Endpoint ggscore.EndpointID }
+
+// Error implements error.
+func (e *NoOrdererError) Error() string {
+	return fmt.Sprintf("no VM gives orders to %s", e.Endpoint)
+}
+
+// A LoadTimeoutError says that an adapter wasn't loaded in time.
+type LoadTimeoutError struct {
+	Endpoint ggscore.EndpointID
+	Target   ggscore.ModelAdapter
+	Waited   time.Duration
+}
+
+// Error implements error.
+func (e *LoadTimeoutError) Error() string {
+	return fmt.Sprintf("%s not loaded on %s after %s", e.Target, e.Endpoint, e.Waited)
+}
+
+// An AnswerError says that an endpoint's answer can't be passed on.
+type AnswerError struct {
+	Status int
+	Reason string
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string { return fmt.Sprintf("answer with status %d: %s", e.Status, e.Reason) }
+
+// A DeadlineError says that a request's time is over.
+type DeadlineError struct{ Limit time.Duration }
+
+// Error implements error.
+func (e *DeadlineError) Error() string { return fmt.Sprintf("time of %s is over", e.Limit) }
--- /dev/null
+++ b/io/ggsedge/handler.go
@@ -0,0 +1,163 @@
+package ggsedge
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggspath"
+)
+
+// Waits that callers are told.
+const (
+	// startWait is told while the edge has no configuration: a start takes
+	// about a second.
+	startWait = 500 * time.Millisecond
+	// minWait keeps callers from coming back at once.
+	minWait = 50 * time.Millisecond
+)
+
+// A job is one request on its way.
+type job struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	meta    ggscore.RequestMeta
+	route   *ggscore.Route
+	service ggscore.Service
+	spec    ggscore.BackendSpec
+	uri     string
+	body    []byte
+	arrived time.Time
+	// until is when its time is over.
+	until time.Time
+	limit time.Duration
+	// version is the adapter's version that has to answer, zero for any.
+	version uint64
+	tried   []ggscore.EndpointID
+	// sends counts the endpoints that it was sent to, runs those on which it
+	// may have run.
+	sends int
+	runs  int
+	// granted says that another send is granted already.
+	granted bool
+	// committed says that an answer has begun.
+	committed bool
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.stats.Requests.Add(1)
+	e.stats.Active.Add(1)
+	defer e.stats.Active.Add(-1)
+	if e.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	j := &job{w: w, r: r, arrived: time.Now()}
+	if !e.admit(j) {
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), j.until, &DeadlineError{Limit: j.limit})
+	defer cancel()
+	e.run(ctx, j)
+}
+
+// admit finds the request's route and reads it. It answers and returns false
+// where the request can't be served.
+func (e *Edge) admit(j *job) bool {
+	t := e.paths.Load()
+	if t == nil {
+		e.refuse(j, startWait, "no configuration yet")
+		return false
+	}
+	j.uri = j.r.RequestURI
+	if !strings.HasPrefix(j.uri, "/") {
+		// The absolute form names the host once more; endpoints get the other.
+		j.uri = j.r.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(j.uri, "?")
+	j.route = t.Find(j.r.Host, path)
+	if j.route == nil {
+		e.reject(j, http.StatusNotFound, "no route matches")
+		return false
+	}
+	j.meta = e.Dialect.Request(j.r.Header)
+	if j.meta.ID == "" {
+		e.reject(j, http.StatusBadRequest, "the request has no identity")
+		return false
+	}
+	j.service = ggspath.Pick(j.route, rand.Float64())
+	j.spec = t.Config.Services[j.service]
+	j.limit = j.route.Timeout
+	if d := j.meta.Deadline; d > 0 && d < j.limit {
+		j.limit = d
+	}
+	j.until = j.arrived.Add(j.limit)
+	return e.read(j, t.Config.Limits.MaxBodyBytes)
+}
+
+// read reads the request's body. It is read whole, so that a request that a
+// slow caller hasn't finished takes no endpoint's place, and so that it can be
+// offered to another endpoint.
+func (e *Edge) read(j *job, limit int64) bool {
+	if j.r.ContentLength > limit {
+		e.reject(j, http.StatusRequestEntityTooLarge, "the body is too long")
+		return false
+	}
+	if j.r.ContentLength == 0 {
+		return true
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
+	if err == nil {
+		j.body = b
+		return true
+	}
+	var long *http.MaxBytesError
+	if errors.As(err, &long) {
+		e.reject(j, http.StatusRequestEntityTooLarge, "the body is too long")
+		return false
+	}
+	e.reject(j, http.StatusBadRequest, "the body can't be read")
+	return false
+}
+
+// refuse answers that the request has not run, and when to come back.
+func (e *Edge) refuse(j *job, wait time.Duration, why string) {
+	e.stats.Refused.Add(1)
+	wait = max(wait, minWait)
+	j.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	e.answer(j, http.StatusServiceUnavailable, why)
+}
+
+// reject answers that the request isn't one to serve.
+func (e *Edge) reject(j *job, status int, why string) {
+	e.answer(j, status, why)
+}
+
+// fail answers that the request may have run.
+func (e *Edge) fail(j *job, status int, why string) {
+	e.stats.Failed.Add(1)
+	e.answer(j, status, why)
+}
+
+// answer writes an answer of the edge's own.
+func (e *Edge) answer(j *job, status int, why string) {
+	_ = level.Info(e.Log).Log("event", "requestEnded", "request", j.meta.ID, "status", status, "why", why,
+		"sends", j.sends, "runs", j.runs, "took", time.Since(j.arrived))
+	h := j.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(why)+1))
+	if j.meta.ID != "" {
+		h.Set(e.options.IDHeader, string(j.meta.ID))
+	}
+	j.w.WriteHeader(status)
+	// A caller that has gone away gets nothing, and nothing is to be done.
+	_, _ = io.WriteString(j.w, why+"\n")
+}
--- /dev/null
+++ b/io/ggsedge/members.go
@@ -0,0 +1,253 @@
+package ggsedge
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsfencing"
+)
+
+// beatInterval is the time between beats to the store: orders go on for 9 s
+// after the last one that was acknowledged.
+const beatInterval = 2 * time.Second
+
+// The own records' keys below the prefix.
+const (
+	memberPart  = "vm"
+	ordererPart = "orderer"
+)
+
+// A memberRecord is a VM's beat in the store.
+type memberRecord struct {
+	Domain  string `json:"domain"`
+	Addr    string `json:"addr"`
+	Leaving bool   `json:"leaving"`
+	// Count makes each beat a change.
+	Count uint64 `json:"count"`
+}
+
+// An ordererRecord says who gives an endpoint its orders.
+type ordererRecord struct {
+	Owner    string `json:"owner"`
+	Released bool   `json:"released"`
+}
+
+func (e *Edge) memberKey(vm ggscore.VMID) ggscore.Key {
+	return ggscore.KeyOf(string(e.options.Keys.Own), memberPart, string(vm))
+}
+
+func (e *Edge) ordererKey(id ggscore.EndpointID) ggscore.Key {
+	return ggscore.KeyOf(string(e.options.Keys.Own), ordererPart, string(id))
+}
+
+// followMembers keeps the records of VMs and of who gives orders. A stale
+// reading is enough: what is written goes by revisions.
+func (e *Edge) followMembers(ctx context.Context) error {
+	away, fresh := false, true
+	for ctx.Err() == nil {
+		es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Own+"/", !fresh)
+		e.stats.Store.Add(1)
+		e.dependency(&away, err == nil, "members", err)
+		wait := memberInterval
+		if err != nil {
+			wait = storePause
+		} else {
+			fresh = false
+			e.setMembers(ctx, es, at)
+		}
+		if !pause(ctx, wait) {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (e *Edge) setMembers(ctx context.Context, es []ggscore.Entry, at ggscore.StoreRevision) {
+	var records []ggsfencing.Record
+	var beats []ggsfencing.Beat
+	peers := map[ggscore.VMID]*member{}
+	for _, n := range es {
+		part, name, _ := strings.Cut(strings.TrimPrefix(string(n.Key), string(e.options.Keys.Own)+"/"), "/")
+		switch part {
+		case ordererPart:
+			var w ordererRecord
+			if err := json.Unmarshal(n.Value, &w); err != nil {
+				_ = level.Warn(e.Log).Log("event", "recordUnreadable", "key", n.Key, "revision", n.Revision, "err", err)
+				continue
+			}
+			records = append(records, ggsfencing.Record{
+				Endpoint: ggscore.EndpointID(name), Owner: ggscore.VMID(w.Owner), Released: w.Released, Revision: n.Revision,
+			})
+		case memberPart:
+			var w memberRecord
+			if err := json.Unmarshal(n.Value, &w); err != nil {
+				_ = level.Warn(e.Log).Log("event", "recordUnreadable", "key", n.Key, "revision", n.Revision, "err", err)
+				continue
+			}
+			vm := ggscore.VMID(name)
+			beats = append(beats, ggsfencing.Beat{
+				VM: vm, Domain: ggscore.Domain(w.Domain), Leaving: w.Leaving, Revision: n.Revision,
+			})
+			a, err := netip.ParseAddrPort(w.Addr)
+			if err == nil && vm != e.options.VM && !w.Leaving {
+				peers[vm] = &member{addr: a}
+			}
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.keeper.Observe(e.Now(), at, records, beats)
+	for vm, p := range peers {
+		if o := e.peers[vm]; o != nil {
+			p.started, p.sequence = o.started, o.sequence
+		}
+	}
+	e.peers = peers
+	e.setWorkers(ctx)
+}
+
+// giveOrders writes beats and claims.
+func (e *Edge) giveOrders(ctx context.Context) error {
+	leaving := false
+	var count uint64
+	for ctx.Err() == nil {
+		if e.beatOnce(ctx, leaving, &count) {
+			e.claimAll(ctx)
+		}
+		t := time.NewTimer(beatInterval)
+		select {
+		case <-t.C:
+		case <-e.kick:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+// beatOnce writes a beat and reports whether it was acknowledged.
+func (e *Edge) beatOnce(ctx context.Context, leaving bool, count *uint64) bool {
+	*count++
+	e.mu.Lock()
+	p := e.keeper.Beat()
+	e.mu.Unlock()
+	v, err := json.Marshal(&memberRecord{
+		Domain: string(e.options.Domain), Addr: e.options.Control.String(), Leaving: leaving, Count: *count,
+	})
+	if err != nil {
+		_ = level.Error(e.Log).Log("event", "beatUnencoded", "err", err)
+		return false
+	}
+	t := ggscore.Txn{
+		Conditions: []ggscore.TxnCondition{{Key: e.memberKey(e.options.VM), Revision: p.Revision}},
+		Writes:     []ggscore.TxnWrite{{Key: e.memberKey(e.options.VM), Value: v}},
+	}
+	for _, r := range p.Records {
+		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ordererKey(r.Endpoint), Revision: r.Revision})
+	}
+	sent := e.Now()
+	at, err := e.Store.Txn(ctx, t)
+	e.stats.Store.Add(1)
+	var conflict *ggscore.TxnConflictError
+	refused := errors.As(err, &conflict)
+	if err != nil && !refused {
+		_ = level.Info(e.Log).Log("event", "beatFailed", "err", err)
+		return false
+	}
+	e.mu.Lock()
+	e.keeper.BeatEnded(sent, p, at, refused)
+	e.mu.Unlock()
+	if refused {
+		_ = level.Info(e.Log).Log("event", "beatRefused", "revision", p.Revision, "records", len(p.Records))
+		e.reread(ctx)
+		return false
+	}
+	return true
+}
+
+// reread reads the own records anew after a refusal.
+func (e *Edge) reread(ctx context.Context) {
+	es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Own+"/", false)
+	e.stats.Store.Add(1)
+	if err != nil {
+		_ = level.Info(e.Log).Log("event", "rereadFailed", "err", err)
+		return
+	}
+	e.setMembers(ctx, es, at)
+	select {
+	case e.kick <- struct{}{}:
+	default:
+	}
+}
+
+// claimAll writes the claims that are this VM's to write.
+func (e *Edge) claimAll(ctx context.Context) {
+	specs := map[ggscore.Service]ggscore.BackendSpec{}
+	if t := e.paths.Load(); t != nil {
+		specs = t.Config.Services
+	}
+	e.mu.Lock()
+	var ready []ggscore.Instance
+	for _, i := range e.table.Instances("") {
+		if specs[i.Service].Engine != nil && !i.Leaving {
+			ready = append(ready, i)
+		}
+	}
+	cs := e.keeper.Claims(e.Now(), ready)
+	e.mu.Unlock()
+	for _, c := range cs {
+		v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM)})
+		if err != nil {
+			_ = level.Error(e.Log).Log("event", "claimUnencoded", "err", err)
+			return
+		}
+		t := ggscore.Txn{
+			Conditions: []ggscore.TxnCondition{{Key: e.ordererKey(c.Endpoint), Revision: c.RecordRevision}},
+			Writes:     []ggscore.TxnWrite{{Key: e.ordererKey(c.Endpoint), Value: v}},
+		}
+		if c.Owner != "" {
+			t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.memberKey(c.Owner), Revision: c.OwnerRevision})
+		}
+		sent := e.Now()
+		at, err := e.Store.Txn(ctx, t)
+		e.stats.Store.Add(1)
+		_ = level.Info(e.Log).Log("event", "ordersClaimed", "endpoint", c.Endpoint, "before", c.Owner, "revision", at, "err", err)
+		if err != nil {
+			continue
+		}
+		e.mu.Lock()
+		e.keeper.ClaimEnded(sent, c, at)
+		e.setWorkers(ctx)
+		e.mu.Unlock()
+	}
+}
+
+// Release ends this VM's orders and lets other VMs have its endpoints.
+func (e *Edge) Release(ctx context.Context) {
+	e.mu.Lock()
+	e.keeper.Stop()
+	own := e.keeper.Own()
+	e.mu.Unlock()
+	if len(own) == 0 {
+		return
+	}
+	v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM), Released: true})
+	if err != nil {
+		_ = level.Error(e.Log).Log("event", "releaseUnencoded", "err", err)
+		return
+	}
+	var t ggscore.Txn
+	for _, r := range own {
+		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ordererKey(r.Endpoint), Revision: r.Revision})
+		t.Writes = append(t.Writes, ggscore.TxnWrite{Key: e.ordererKey(r.Endpoint), Value: v})
+	}
+	_, err = e.Store.Txn(ctx, t)
+	_ = level.Info(e.Log).Log("event", "ordersReleased", "endpoints", len(own), "err", err)
+}
--- /dev/null
+++ b/io/ggsedge/placement.go
@@ -0,0 +1,318 @@
+package ggsedge
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsresident"
+)
+
+const (
+	// orderTimeout bounds an order; ggsfencing's margin covers it.
+	orderTimeout = time.Second
+	// loadWait bounds the wait for an adapter, which takes 250 ms when the
+	// weight store is well. A request that waited longer goes elsewhere.
+	loadWait = 1500 * time.Millisecond
+	// workerPause is the pause of an endpoint's worker that may give no orders,
+	// or whose endpoint answers none.
+	workerPause = 200 * time.Millisecond
+	// defaultAdapterSlots stands in while the configuration names none.
+	defaultAdapterSlots = 8
+)
+
+// A load is an adapter in a version that an endpoint is to hold.
+type load struct {
+	endpoint ggscore.EndpointID
+	target   ggscore.ModelAdapter
+	version  uint64
+}
+
+// A loading is a wait for a load that requests of this VM share.
+type loading struct {
+	done chan struct{}
+	err  error
+}
+
+// ensure has the request's adapter loaded at the endpoint. Requests that wait
+// for the same one share the wait.
+func (e *Edge) ensure(ctx context.Context, i ggscore.Instance, j *job) error {
+	l := load{endpoint: i.ID, target: j.meta.Model, version: j.version}
+	e.mu.Lock()
+	g := e.loads[l]
+	if g == nil {
+		g = &loading{done: make(chan struct{})}
+		e.loads[l] = g
+		// The wait outlives the request that began it: others share it.
+		go e.load(context.WithoutCancel(ctx), l, g)
+	}
+	e.mu.Unlock()
+	select {
+	case <-g.done:
+		return g.err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// load has an adapter loaded by whoever gives the endpoint its orders.
+func (e *Edge) load(ctx context.Context, l load, g *loading) {
+	ctx, cancel := context.WithTimeout(ctx, loadWait)
+	defer cancel()
+	e.mu.Lock()
+	owner := e.keeper.Owner(l.endpoint)
+	p := e.peers[owner]
+	e.mu.Unlock()
+	var version uint64
+	switch {
+	case owner == e.options.VM:
+		version, g.err = e.await(ctx, l)
+	case p != nil:
+		a := EnsureArgs{
+			Endpoint: string(l.endpoint), Model: string(l.target.Model), Adapter: l.target.Adapter, Version: l.version,
+		}
+		var r EnsureReply
+		g.err = e.Calls.Call(ctx, p.addr, ensureMethod, &a, &r)
+		version = r.Version
+	default:
+		g.err = &NoOrdererError{Endpoint: l.endpoint}
+	}
+	e.mu.Lock()
+	delete(e.loads, l)
+	if g.err == nil {
+		e.table.AddHeld(l.endpoint, ggscore.AdapterVersion{Target: l.target, Version: version})
+	}
+	e.mu.Unlock()
+	close(g.done)
+}
+
+// await has an adapter loaded at an endpoint that this VM gives orders to and
+// returns its version.
+func (e *Edge) await(ctx context.Context, l load) (uint64, error) {
+	begun := time.Now()
+	for {
+		e.mu.Lock()
+		w := e.workers[l.endpoint]
+		if w == nil {
+			e.mu.Unlock()
+			return 0, &NoOrdererError{Endpoint: l.endpoint}
+		}
+		if w.ledger.Holds(l.target, l.version) {
+			v := w.ledger.Version(l.target)
+			e.mu.Unlock()
+			return v, nil
+		}
+		w.ledger.Want(e.Now(), l.target, l.version)
+		changed := w.changed
+		w.wake()
+		e.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return 0, &LoadTimeoutError{Endpoint: l.endpoint, Target: l.target, Waited: time.Since(begun)}
+		}
+	}
+}
+
+const ensureMethod = "Placement.Ensure"
+
+// A Placement answers peers' calls.
+type Placement struct {
+	edge *Edge
+	ctx  context.Context //nolint:containedctx // net/rpc hands its methods none
+}
+
+// An EnsureArgs asks that an endpoint holds an adapter.
+type EnsureArgs struct {
+	Endpoint string
+	Model    string
+	Adapter  string
+	Version  uint64
+}
+
+// An EnsureReply says which version the endpoint holds.
+type EnsureReply struct{ Version uint64 }
+
+// NewPlacement returns what answers peers until the context ends.
+func NewPlacement(ctx context.Context, e *Edge) *Placement { return &Placement{edge: e, ctx: ctx} }
+
+// Ensure has an adapter loaded and answers when it is.
+func (p *Placement) Ensure(a *EnsureArgs, r *EnsureReply) error {
+	ctx, cancel := context.WithTimeout(p.ctx, loadWait)
+	defer cancel()
+	v, err := p.edge.await(ctx, load{
+		endpoint: ggscore.EndpointID(a.Endpoint), version: a.Version,
+		target: ggscore.ModelAdapter{Model: ggscore.BaseModel(a.Model), Adapter: a.Adapter},
+	})
+	r.Version = v
+	return err
+}
+
+// A worker gives one endpoint its orders. It is guarded by Edge.mu.
+type worker struct {
+	instance ggscore.Instance
+	ledger   *ggsresident.Ledger
+	// changed is closed and replaced when the ledger has changed.
+	changed chan struct{}
+	kick    chan struct{}
+	cancel  context.CancelFunc
+}
+
+func (w *worker) wake() {
+	select {
+	case w.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (w *worker) notify() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// setWorkers starts workers for the endpoints whose orders are this VM's and
+// ends those of others. Edge.mu is held.
+func (e *Edge) setWorkers(ctx context.Context) {
+	specs := map[ggscore.Service]ggscore.BackendSpec{}
+	if t := e.paths.Load(); t != nil {
+		specs = t.Config.Services
+	}
+	want := map[ggscore.EndpointID]bool{}
+	for _, i := range e.table.Instances("") {
+		s := specs[i.Service]
+		if s.Engine == nil || e.keeper.Owner(i.ID) != e.options.VM {
+			continue
+		}
+		want[i.ID] = true
+		w := e.workers[i.ID]
+		if w != nil && w.instance.Born.Equal(i.Born) && w.instance.Addr == i.Addr {
+			w.instance = i
+			continue
+		}
+		if w != nil {
+			w.cancel()
+		}
+		slots := s.Engine.AdapterSlots
+		if slots == 0 {
+			slots = defaultAdapterSlots
+		}
+		c, cancel := context.WithCancel(ctx)
+		w = &worker{
+			instance: i, ledger: ggsresident.NewLedger(ggsresident.Options{Slots: slots}),
+			changed: make(chan struct{}), kick: make(chan struct{}, 1), cancel: cancel,
+		}
+		e.workers[i.ID] = w
+		go e.work(c, w, s.Engine)
+	}
+	for id, w := range e.workers {
+		if !want[id] {
+			w.cancel()
+			w.notify()
+			delete(e.workers, id)
+		}
+	}
+}
+
+// work gives orders until the context ends.
+func (e *Edge) work(ctx context.Context, w *worker, g *ggscore.EngineSpec) {
+	for ctx.Err() == nil {
+		pause := e.step(ctx, w, g)
+		if pause == 0 {
+			continue
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-w.kick:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// step does what is due at an endpoint and returns the pause until the next.
+func (e *Edge) step(ctx context.Context, w *worker, g *ggscore.EngineSpec) time.Duration {
+	e.mu.Lock()
+	now := e.Now()
+	i := w.instance
+	fence, may := e.keeper.May(now, i.ID)
+	synced := w.ledger.Synced(now)
+	if may && synced {
+		e.wantModels(now, w, g)
+	}
+	s, ok := w.ledger.Next(now)
+	due := w.ledger.Due()
+	e.mu.Unlock()
+	if !may {
+		return workerPause
+	}
+	if !synced {
+		if !e.sync(ctx, w, i) {
+			return workerPause
+		}
+		return 0
+	}
+	if !ok {
+		if due.IsZero() {
+			return time.Hour
+		}
+		return max(due.Sub(now), time.Millisecond)
+	}
+	e.order(ctx, w, ggscore.PlacementOrder{
+		Unload: s.Unload, Endpoint: i.ID, Addr: i.Addr, Target: s.Target, Version: s.Version,
+		Expected: s.Expected, Holder: e.options.VM, Fence: fence,
+	}, s)
+	return 0
+}
+
+// wantModels asks for the base models of an endpoint that holds none: it has
+// started anew. Edge.mu is held.
+func (e *Edge) wantModels(now time.Time, w *worker, g *ggscore.EngineSpec) {
+	for _, m := range g.Models {
+		if w.ledger.Holds(ggscore.ModelAdapter{Model: m.Name}, 0) {
+			return
+		}
+	}
+	if len(g.Models) > 0 {
+		w.ledger.Want(now, ggscore.ModelAdapter{Model: g.Models[0].Name}, 0)
+	}
+}
+
+// sync asks an endpoint what it holds.
+func (e *Edge) sync(ctx context.Context, w *worker, i ggscore.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	st, err := e.Orderer.Status(ctx, i.ID, i.Addr)
+	if err != nil {
+		_ = level.Info(e.Log).Log("event", "statusFailed", "endpoint", i.ID, "err", err)
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.ledger.Sync(e.Now(), st)
+	e.table.SetHeld(e.Now(), i.ID, w.ledger.Resident())
+	w.notify()
+	return true
+}
+
+// order gives one order.
+func (e *Edge) order(ctx context.Context, w *worker, o ggscore.PlacementOrder, s ggsresident.Step) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	begun := time.Now()
+	e.stats.Orders.Add(1)
+	a, err := e.Orderer.Order(ctx, o)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.ledger.Ended(e.Now(), s, a)
+	e.table.SetHeld(e.Now(), o.Endpoint, w.ledger.Resident())
+	w.notify()
+	l := level.Debug(e.Log)
+	if a != ggscore.PlacementAccepted && a != ggscore.PlacementHolds {
+		l = level.Info(e.Log)
+	}
+	_ = l.Log("event", "orderGiven", "endpoint", o.Endpoint, "unload", o.Unload, "adapter", o.Target, "version", o.Version,
+		"expected", o.Expected, "poll", s.Poll, "fence", o.Fence, "answer", int(a), "took", time.Since(begun), "err", err)
+}
--- /dev/null
+++ b/io/ggsedge/relay.go
@@ -0,0 +1,159 @@
+package ggsedge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsretry"
+	"greengageslip/io/ggsexchange"
+)
+
+// wholeBytes is the length up to which an answer is read whole before the
+// caller gets its head: one that ends early can still be replaced.
+const wholeBytes = 64 << 10
+
+// pieceBytes is how much of a longer answer or of a stream is passed on at once.
+const pieceBytes = 8 << 10
+
+// relay passes an answer on. The failure is nil where the caller has it.
+func (e *Edge) relay(ctx context.Context, j *job, i ggscore.Instance, a *ggsexchange.Answer) (*ggscore.Failure, ggsretry.Result) {
+	m := e.Dialect.Answer(a.Status, a.Header)
+	if m.NotRun {
+		return e.notRun(j, i, a), ggsretry.ResultNeutral
+	}
+	j.runs++
+	success := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
+	if reason := unfit(a, m, success); reason != "" {
+		return e.broken(j, i, &AnswerError{Status: a.Status, Reason: reason}), ggsretry.ResultFailed
+	}
+	if !success && a.Status >= http.StatusInternalServerError && j.route.Idempotent() && j.runs < j.route.MaxAttempts {
+		f := &ggscore.Failure{Kind: ggscore.FailureEndpoint, Detail: "endpoint answered " + strconv.Itoa(a.Status)}
+		if e.again(ctx, j, f) {
+			j.granted = true
+			return f, ggsretry.ResultFailed
+		}
+	}
+	var err error
+	if success && j.route.Kind == ggscore.RouteStreaming || a.Length > wholeBytes || a.Length < 0 {
+		err = e.passOn(ctx, j, a)
+	} else {
+		err = e.passWhole(j, a)
+	}
+	if err != nil {
+		return e.broken(j, i, err), ggsretry.ResultFailed
+	}
+	e.stats.Answered.Add(1)
+	_ = level.Debug(e.Log).Log("event", "requestEnded", "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
+		"sends", j.sends, "took", time.Since(j.arrived))
+	if a.Status >= http.StatusInternalServerError {
+		return nil, ggsretry.ResultFailed
+	}
+	return nil, ggsretry.ResultOK
+}
+
+// unfit says why an answer can't be passed on, empty where it can. A success
+// bears the endpoint's mark; one in an encoding that the caller didn't ask for
+// isn't the endpoint's body.
+func unfit(a *ggsexchange.Answer, m ggscore.AnswerMeta, success bool) string {
+	switch {
+	case success && !m.Signed:
+		return "a success without the endpoint's mark"
+	case success && a.Header.Get("Content-Encoding") != "":
+		return "a body in an encoding that nobody asked for"
+	case a.Status < http.StatusOK || a.Status > 599:
+		return "a status that doesn't end a request"
+	}
+	return ""
+}
+
+// notRun returns the failure for an endpoint's word that it did not run the
+// request.
+func (e *Edge) notRun(j *job, i ggscore.Instance, a *ggsexchange.Answer) *ggscore.Failure {
+	// The rest is read so that the connection can be kept.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, wholeBytes))
+	if a.Status == http.StatusMisdirectedRequest && j.meta.Model.Adapter != "" {
+		e.mu.Lock()
+		e.table.SetMissing(e.Now(), i.ID, j.meta.Model)
+		e.mu.Unlock()
+	}
+	_ = level.Info(e.Log).Log("event", "endpointRefused", "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
+		"adapter", j.meta.Model, "version", j.version)
+	return &ggscore.Failure{
+		Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun,
+		Detail: "endpoint refused with " + strconv.Itoa(a.Status),
+	}
+}
+
+// broken returns the failure for an answer that isn't whole.
+func (e *Edge) broken(j *job, i ggscore.Instance, err error) *ggscore.Failure {
+	_ = level.Info(e.Log).Log("event", "answerBroken", "request", j.meta.ID, "endpoint", i.ID, "begun", j.committed, "err", err)
+	return &ggscore.Failure{Kind: ggscore.FailureBroken, Detail: err.Error()}
+}
+
+// passWhole passes on an answer that was read to its end first.
+func (e *Edge) passWhole(j *job, a *ggsexchange.Answer) error {
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		return errors.Wrap(err, "reading an answer")
+	}
+	e.head(j, a, int64(len(b)))
+	// A caller that has gone away gets nothing, and nothing is to be done.
+	_, _ = j.w.Write(b)
+	return nil
+}
+
+// passOn passes on an answer piece by piece, as it comes.
+func (e *Edge) passOn(ctx context.Context, j *job, a *ggsexchange.Answer) error {
+	b := make([]byte, pieceBytes)
+	c := http.NewResponseController(j.w)
+	for {
+		n, err := a.Body.Read(b)
+		if n > 0 {
+			if !j.committed {
+				e.head(j, a, a.Length)
+			}
+			if _, err := j.w.Write(b[:n]); err != nil {
+				return errors.Wrap(err, "passing an answer on")
+			}
+			if err := c.Flush(); err != nil {
+				return errors.Wrap(err, "passing an answer on")
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			if !j.committed {
+				e.head(j, a, a.Length)
+			}
+			return nil
+		}
+		if err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				err = errors.CombineErrors(cause, err)
+			}
+			return errors.Wrap(err, "reading an answer")
+		}
+	}
+}
+
+// head writes an answer's head.
+func (e *Edge) head(j *job, a *ggsexchange.Answer, length int64) {
+	j.committed = true
+	h := j.w.Header()
+	for k, vs := range a.Header {
+		switch k {
+		case "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade", "Proxy-Authenticate":
+		default:
+			h[k] = vs
+		}
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	j.w.WriteHeader(a.Status)
+}
--- /dev/null
+++ b/io/ggspeer/conn.go
@@ -0,0 +1,215 @@
+package ggspeer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	ggscore "greengageslip/core"
+)
+
+// maxDatagram is the size of the greatest datagram over IPv4.
+const maxDatagram = 65507
+
+// A Beat is what a VM tells its peers.
+type Beat struct {
+	VM ggscore.VMID
+	// Sequence numbers the beats of one process, whose start is Started.
+	Sequence uint64
+	Started  int64
+	Flights  []Flight
+	Holdings []Holding
+	Uses     []Use
+}
+
+// A Flight is the number of the VM's requests at an endpoint.
+type Flight struct {
+	Endpoint ggscore.EndpointID
+	Count    int
+}
+
+// A Holding is what an endpoint holds by the word of its orderer, the VM.
+type Holding struct {
+	Endpoint ggscore.EndpointID
+	Held     []ggscore.AdapterVersion
+}
+
+// A Use is the number of requests for an adapter that the VM has sent to an
+// endpoint since its last beat.
+type Use struct {
+	Endpoint ggscore.EndpointID
+	Target   ggscore.ModelAdapter
+	Count    int
+}
+
+// A Conn sends and receives beats.
+type Conn struct {
+	udp     *net.UDPConn
+	dropped atomic.Int64
+}
+
+type beatWire struct {
+	_        struct{} `cbor:",toarray"`
+	VM       string
+	Sequence uint64
+	Started  int64
+	// Models are the base models that the rest refers to by index.
+	Models   []string
+	Flights  []flightWire
+	Holdings []holdingWire
+	Uses     []useWire
+}
+
+type flightWire struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	Count    int
+}
+
+type holdingWire struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	Held     []heldWire
+}
+
+type heldWire struct {
+	_       struct{} `cbor:",toarray"`
+	Model   int
+	Adapter string
+	Version uint64
+}
+
+type useWire struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint string
+	Model    int
+	Adapter  string
+	Count    int
+}
+
+// Listen opens the socket for beats.
+func Listen(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
+	p, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp4", addr.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening for beats on %s", addr)
+	}
+	u, ok := p.(*net.UDPConn)
+	if !ok {
+		_ = p.Close()
+		return nil, &SocketError{Addr: addr}
+	}
+	return &Conn{udp: u}, nil
+}
+
+// Run hands each beat to the function until the context ends.
+func (c *Conn) Run(ctx context.Context, f func(Beat)) error {
+	stop := context.AfterFunc(ctx, func() { _ = c.udp.Close() })
+	defer stop()
+	b := make([]byte, maxDatagram)
+	for {
+		n, _, err := c.udp.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "receiving beats")
+		}
+		var w beatWire
+		if err := cbor.Unmarshal(b[:n], &w); err != nil {
+			c.dropped.Add(1)
+			continue
+		}
+		beat, err := w.beat()
+		if err != nil {
+			c.dropped.Add(1)
+			continue
+		}
+		f(beat)
+	}
+}
+
+// Dropped returns the number of datagrams that couldn't be read.
+func (c *Conn) Dropped() int64 { return c.dropped.Load() }
+
+// Send sends the beat to the addresses. A datagram that can't be sent is lost
+// like one on the way; the last failure is returned.
+func (c *Conn) Send(b Beat, to []netip.AddrPort) error {
+	p, err := cbor.Marshal(wireOf(b))
+	if err != nil {
+		return errors.Wrap(err, "encoding a beat")
+	}
+	var last error
+	for _, a := range to {
+		if _, err := c.udp.WriteToUDPAddrPort(p, a); err != nil {
+			last = err
+		}
+	}
+	return last
+}
+
+func wireOf(b Beat) beatWire {
+	w := beatWire{VM: string(b.VM), Sequence: b.Sequence, Started: b.Started}
+	index := map[ggscore.BaseModel]int{}
+	model := func(m ggscore.BaseModel) int {
+		i, ok := index[m]
+		if !ok {
+			i = len(w.Models)
+			index[m] = i
+			w.Models = append(w.Models, string(m))
+		}
+		return i
+	}
+	for _, f := range b.Flights {
+		w.Flights = append(w.Flights, flightWire{Endpoint: string(f.Endpoint), Count: f.Count})
+	}
+	for _, h := range b.Holdings {
+		hw := holdingWire{Endpoint: string(h.Endpoint)}
+		for _, v := range h.Held {
+			hw.Held = append(hw.Held, heldWire{Model: model(v.Target.Model), Adapter: v.Target.Adapter, Version: v.Version})
+		}
+		w.Holdings = append(w.Holdings, hw)
+	}
+	for _, u := range b.Uses {
+		w.Uses = append(w.Uses, useWire{
+			Endpoint: string(u.Endpoint), Model: model(u.Target.Model), Adapter: u.Target.Adapter, Count: u.Count,
+		})
+	}
+	return w
+}
+
+func (w *beatWire) beat() (Beat, error) {
+	b := Beat{VM: ggscore.VMID(w.VM), Sequence: w.Sequence, Started: w.Started}
+	for _, f := range w.Flights {
+		b.Flights = append(b.Flights, Flight{Endpoint: ggscore.EndpointID(f.Endpoint), Count: f.Count})
+	}
+	for _, hw := range w.Holdings {
+		h := Holding{Endpoint: ggscore.EndpointID(hw.Endpoint)}
+		for _, v := range hw.Held {
+			t, err := w.target(v.Model, v.Adapter)
+			if err != nil {
+				return Beat{}, err
+			}
+			h.Held = append(h.Held, ggscore.AdapterVersion{Target: t, Version: v.Version})
+		}
+		b.Holdings = append(b.Holdings, h)
+	}
+	for _, u := range w.Uses {
+		t, err := w.target(u.Model, u.Adapter)
+		if err != nil {
+			return Beat{}, err
+		}
+		b.Uses = append(b.Uses, Use{Endpoint: ggscore.EndpointID(u.Endpoint), Target: t, Count: u.Count})
+	}
+	return b, nil
+}
+
+func (w *beatWire) target(model int, adapter string) (ggscore.ModelAdapter, error) {
+	if model < 0 || model >= len(w.Models) {
+		return ggscore.ModelAdapter{}, &IndexError{Index: model, Count: len(w.Models)}
+	}
+	return ggscore.ModelAdapter{Model: ggscore.BaseModel(w.Models[model]), Adapter: adapter}, nil
+}
--- /dev/null
+++ b/io/ggspeer/doc.go
@@ -0,0 +1,14 @@
+// Package ggspeer carries what VMs tell each other of endpoints: datagrams with
+// their requests in flight, what their endpoints hold and what was asked for.
+//
+// # Usage
+//
+//	c, err := ggspeer.Listen(ctx, addr)
+//	go c.Run(ctx, func(b ggspeer.Beat) { … })
+//	err = c.Send(b, addrs)
+//
+// # Datagram
+//
+// A datagram is one CBOR array. A beat is whole by itself, so one that is lost
+// is made up for by the next; one that can't be read is counted and dropped.
+package ggspeer
--- /dev/null
+++ b/io/ggspeer/errors.go
@@ -0,0 +1,23 @@
+package ggspeer
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// An IndexError says that a beat refers to a base model that it doesn't list.
+type IndexError struct {
+	Index int
+	Count int
+}
+
+// Error implements error.
+func (e *IndexError) Error() string {
+	return fmt.Sprintf("base model %d of %d in a beat", e.Index, e.Count)
+}
+
+// A SocketError says that a socket isn't one for datagrams.
+type SocketError struct{ Addr netip.AddrPort }
+
+// Error implements error.
+func (e *SocketError) Error() string { return fmt.Sprintf("socket on %s takes no datagrams", e.Addr) }
--- a/io/ggsstate/state.go
+++ b/io/ggsstate/state.go
@@ -69,9 +69,15 @@
 }
 
 // Handler returns the HTTP handler.
-func (s *State) Handler() http.Handler {
+func (s *State) Handler() http.Handler { return s.HandlerWithHealth() }
+
+// HandlerWithHealth returns the HTTP handler, with the health at further paths.
+func (s *State) HandlerWithHealth(paths ...string) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
+	for _, p := range paths {
+		e.GET(p, s.healthz)
+	}
 	e.GET("/state", s.dump)
 	e.GET("/debug/vars", s.vars)
 	e.GET("/healthz", s.healthz)
