fix: evict only adapters that nobody uses

Cause: an order to unload an adapter in use holds up all other orders of its endpoint until its requests end (409 for 581 polls and 480 others), and the requests for it get 503; victims were chosen 160 ms after their load. Ruled out: the number of accepted orders, which polls don't change. Change: a victim is unused for 600 ms; beats name adapters in use.

--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -36,6 +36,11 @@
 	DefaultPoll = 20 * time.Millisecond
 	// DefaultForget is how long an unwanted load is kept in the list.
 	DefaultForget = 3 * time.Second
+	// idleTime is how long an adapter has to be unused before it is evicted.
+	// An endpoint takes no other order while one that evicts an adapter in use
+	// waits for its requests, and refuses new ones for it. What other VMs use is
+	// known a beat of 250 ms and its way later.
+	idleTime = 600 * time.Millisecond
 	// fastLoad is the first question after an order: an adapter that the
 	// endpoint held recently loads in a tenth of the time.
 	fastLoad = 26 * time.Millisecond
@@ -224,6 +229,11 @@
 	if s, ok := l.poll(now); ok {
 		return s, true
 	}
+	// After an unclear answer the number of accepted orders isn't known, and
+	// every order that expects a wrong one is refused.
+	if !l.unclear.IsZero() {
+		return Step{}, false
+	}
 	for i := 0; i < len(l.wants); {
 		w := l.wants[i]
 		if l.Holds(w.target, w.version) || now.Sub(w.since) > DefaultForget {
@@ -281,7 +291,7 @@
 	var bestHeld *held
 	var bestRate float64
 	for t, h := range l.held {
-		if h.coming || h.evicting || l.wanted(t) {
+		if h.coming || h.evicting || now.Sub(h.used) < idleTime || l.wanted(t) {
 			continue
 		}
 		r := h.rate(now)
@@ -326,7 +336,17 @@
 }
 
 // accepted notes an order that is being carried out.
+//
+// An endpoint says the same again of what is under way already, whatever the
+// order expects, and doesn't count it.
 func (l *Ledger) accepted(now time.Time, s Step) {
+	if h := l.held[s.Target]; s.Poll && h != nil {
+		h.poll = now.Add(l.options.Poll)
+		if slow := h.ordered.Add(l.options.LoadTime - l.options.Poll/2); h.coming && slow.After(h.poll) {
+			h.poll = slow
+		}
+		return
+	}
 	l.sequence = s.Expected + 1
 	l.unclear = time.Time{}
 	if s.Target.Adapter == "" {
@@ -366,6 +386,8 @@
 		l.held[s.Target] = h
 	}
 	h.coming, h.version = false, max(h.target, s.Version, 1)
+	// The requests that waited for it are sent now.
+	h.used = now
 }
 
 // postpone puts off what an unclear answer was about.
@@ -394,8 +416,27 @@
 			due = l.modelPoll
 		}
 	}
+	if len(l.wants) > 0 && len(l.held) >= l.options.Slots && l.unclear.IsZero() {
+		if idle, ok := l.nextIdle(); ok && (due.IsZero() || idle.Before(due)) {
+			due = idle
+		}
+	}
 	if !l.unclear.IsZero() && (due.IsZero() || l.unclear.Add(resyncAfter).Before(due)) {
 		due = l.unclear.Add(resyncAfter)
 	}
 	return due
 }
+
+// nextIdle returns when the next adapter may be evicted.
+func (l *Ledger) nextIdle() (time.Time, bool) {
+	var at time.Time
+	for t, h := range l.held {
+		if h.coming || h.evicting || l.wanted(t) {
+			continue
+		}
+		if i := h.used.Add(idleTime); at.IsZero() || i.Before(at) {
+			at = i
+		}
+	}
+	return at, !at.IsZero()
+}
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -174,7 +174,7 @@
 	}
 	defer a.Close()
 	f, r := e.relay(ctx, j, i, a)
-	e.end(i.ID, r)
+	e.end(j, i.ID, r)
 	return f
 }
 
@@ -206,7 +206,7 @@
 	if f.Outcome != ggscore.OutcomeNotRun {
 		j.runs++
 	}
-	e.end(i.ID, result)
+	e.end(j, i.ID, result)
 	_ = level.Info(e.Log).Log("event", "attemptFailed", "request", j.meta.ID, "endpoint", i.ID, "outcome", f.Outcome, "err", err)
 	return f
 }
@@ -221,7 +221,12 @@
 		e.retries.Request(now, ggscore.Market(j.service))
 	}
 	if j.meta.Model.Adapter != "" {
-		e.uses[use{endpoint: id, target: j.meta.Model}]++
+		u := use{endpoint: id, target: j.meta.Model}
+		if e.uses[u] == nil {
+			e.uses[u] = &usage{}
+		}
+		e.uses[u].sent++
+		e.uses[u].active++
 		if w := e.workers[id]; w != nil {
 			w.ledger.Use(now, j.meta.Model, 1)
 		}
@@ -229,8 +234,14 @@
 }
 
 // end notes the end of a request that was sent.
-func (e *Edge) end(id ggscore.EndpointID, r ggsretry.Result) {
+func (e *Edge) end(j *job, id ggscore.EndpointID, r ggsretry.Result) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if u := e.uses[use{endpoint: id, target: j.meta.Model}]; u != nil {
+		u.active--
+	}
+	if w := e.workers[id]; w != nil {
+		w.ledger.Use(e.Now(), j.meta.Model, 0)
+	}
 	e.table.Ended(e.Now(), id, r)
 }
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -98,7 +98,7 @@
 	versions map[ggscore.ModelAdapter]uint64
 	workers  map[ggscore.EndpointID]*worker
 	peers    map[ggscore.VMID]*member
-	uses     map[use]int
+	uses     map[use]*usage
 	loads    map[load]*loading
 	listed   bool
 	sequence uint64
@@ -134,6 +134,13 @@
 	target   ggscore.ModelAdapter
 }
 
+// A usage is this VM's requests for a use: how many were sent since the last
+// beat, and how many are under way.
+type usage struct {
+	sent   int
+	active int
+}
+
 // New returns an Edge that knows nothing yet.
 func New(o Options, p Parts) *Edge {
 	return &Edge{
@@ -145,7 +152,7 @@
 		versions: map[ggscore.ModelAdapter]uint64{},
 		workers:  map[ggscore.EndpointID]*worker{},
 		peers:    map[ggscore.VMID]*member{},
-		uses:     map[use]int{},
+		uses:     map[use]*usage{},
 		loads:    map[load]*loading{},
 		kick:     make(chan struct{}, 1),
 	}
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -210,9 +210,14 @@
 		}
 	}
 	for u, n := range e.uses {
-		b.Uses = append(b.Uses, ggspeer.Use{Endpoint: u.endpoint, Target: u.target, Count: n})
+		b.Uses = append(b.Uses, ggspeer.Use{Endpoint: u.endpoint, Target: u.target, Count: n.sent})
+		if n.sent = 0; n.active <= 0 {
+			delete(e.uses, u)
+		}
+		if w := e.workers[u.endpoint]; w != nil {
+			w.ledger.Use(e.Now(), u.target, 0)
+		}
 	}
-	clear(e.uses)
 	to := make([]netip.AddrPort, 0, len(e.peers))
 	for p := range maps.Values(e.peers) {
 		to = append(to, p.addr)
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -38,8 +38,9 @@
 	Held     []ggscore.AdapterVersion
 }
 
-// A Use is the number of requests for an adapter that the VM has sent to an
-// endpoint since its last beat.
+// A Use is an adapter at an endpoint that requests of the VM use. Count is the
+// number of those sent since the last beat; zero says that earlier ones are
+// still under way.
 type Use struct {
 	Endpoint ggscore.EndpointID
 	Target   ggscore.ModelAdapter
