--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -40,7 +40,9 @@
 }
 
 // Error implements error.
-func (e *AnswerError) Error() string { return fmt.Sprintf("answer with status %d: %s", e.Status, e.Reason) }
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("answer with status %d: %s", e.Status, e.Reason)
+}
 
 // A DeadlineError says that a request's time is over.
 type DeadlineError struct{ Limit time.Duration }
