fix: repeat orders whose answer was lost, and wait out evictions

An order without an answer blocked its endpoint for 1 s and was followed by a reading of a report that is 100 ms old, which took the ledger back; refusals while an eviction waited counted as unclear too. Ruled out: owners (all endpoints had one), the store's rates. Change: the same order under the same condition follows a lost one; no order is given while an eviction waits; a refused poll means that the adapter is there; reports are asked for 450 ms after an unclear answer; crowded endpoints refuse further loads at once.

--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -45,8 +45,12 @@
 	// endpoint held recently loads in a tenth of the time.
 	fastLoad = 26 * time.Millisecond
 	// resyncAfter is the age at which a ledger that met an unclear answer
-	// asks the endpoint, whose report is up to 100 ms old.
-	resyncAfter = 150 * time.Millisecond
+	// asks the endpoint, whose report is some 100 ms old: one from before the
+	// last order would take it back.
+	resyncAfter = 450 * time.Millisecond
+	// maxWants bounds the adapters that wait for a place in transit: two rounds
+	// of it, half a second. Requests for more are better off elsewhere.
+	maxWants = 8
 )
 
 // An Options sets a Ledger. Zero fields take their defaults.
@@ -66,6 +70,8 @@
 	Expected uint64
 	// Poll says that the step asks again for what was ordered.
 	Poll bool
+	// Again says that the step repeats one whose answer was lost.
+	Again bool
 }
 
 // A Ledger holds what an endpoint is known to hold.
@@ -78,6 +84,8 @@
 	models   map[ggscore.BaseModel]bool
 	held     map[ggscore.ModelAdapter]*held
 	wants    []want
+	// lost is an order whose answer was lost.
+	lost *Step
 	// modelPoll is when a base model on its way is asked for again.
 	modelPoll time.Time
 }
@@ -127,7 +135,7 @@
 	if l.synced && s.Sequence < l.sequence && l.unclear.IsZero() {
 		return
 	}
-	l.synced, l.unclear, l.sequence = true, time.Time{}, s.Sequence
+	l.synced, l.unclear, l.lost, l.sequence = true, time.Time{}, nil, s.Sequence
 	before := l.held
 	l.models, l.held = map[ggscore.BaseModel]bool{}, map[ggscore.ModelAdapter]*held{}
 	for _, m := range s.Models {
@@ -213,6 +221,23 @@
 	return vs
 }
 
+// evicting reports whether an adapter leaves when its requests have ended. Until
+// then the endpoint refuses all other orders.
+func (l *Ledger) evicting() bool {
+	for _, h := range l.held {
+		if h.evicting {
+			return true
+		}
+	}
+	return false
+}
+
+// Crowded reports whether so many adapters wait for a place in transit that
+// another has no business here.
+func (l *Ledger) Crowded(t ggscore.ModelAdapter) bool {
+	return len(l.wants) >= maxWants && !l.wanted(t)
+}
+
 // Version returns the version that the endpoint holds, zero for none.
 func (l *Ledger) Version(t ggscore.ModelAdapter) uint64 {
 	if h := l.held[t]; h != nil {
@@ -231,9 +256,12 @@
 	}
 	// After an unclear answer the number of accepted orders isn't known, and
 	// every order that expects a wrong one is refused.
-	if !l.unclear.IsZero() {
+	if !l.unclear.IsZero() || l.evicting() {
 		return Step{}, false
 	}
+	if l.lost != nil {
+		return *l.lost, true
+	}
 	for i := 0; i < len(l.wants); {
 		w := l.wants[i]
 		if l.Holds(w.target, w.version) || now.Sub(w.since) > DefaultForget {
@@ -323,6 +351,9 @@
 
 // Ended takes the answer to an order.
 func (l *Ledger) Ended(now time.Time, s Step, a ggscore.PlacementAnswer) {
+	if a != ggscore.PlacementUnknown && !s.Poll {
+		l.lost = nil
+	}
 	switch a {
 	case ggscore.PlacementAccepted:
 		l.accepted(now, s)
@@ -330,7 +361,44 @@
 		l.done(now, s)
 	case ggscore.PlacementMisdirected:
 		l.synced = false
-	case ggscore.PlacementUnknown, ggscore.PlacementConflict, ggscore.PlacementFenced, ggscore.PlacementRefused:
+	case ggscore.PlacementUnknown:
+		l.repeat(now, s)
+	case ggscore.PlacementConflict:
+		l.conflict(now, s)
+	case ggscore.PlacementFenced, ggscore.PlacementRefused:
+		l.postpone(now, s)
+	}
+}
+
+// repeat has an order whose answer was lost given again.
+//
+// It may be carried out late, seconds from now. The same order under the same
+// condition takes its place: whichever of the two comes first counts, and the
+// other finds its condition broken, so nothing is loaded twice and no place is
+// promised to two adapters.
+func (l *Ledger) repeat(now time.Time, s Step) {
+	if s.Poll {
+		if h := l.held[s.Target]; h != nil {
+			h.poll = now.Add(l.options.Poll)
+		}
+		return
+	}
+	s.Again = true
+	l.lost = &s
+}
+
+// conflict takes an endpoint's word that it met the order otherwise. It says
+// the same again of what is on its way before it looks at the condition, so a
+// question that meets this is about an adapter that has arrived, and a repeated
+// order about one that was carried out.
+func (l *Ledger) conflict(now time.Time, s Step) {
+	switch {
+	case s.Poll && !s.Unload:
+		l.done(now, s)
+	case s.Again && s.Target.Adapter != "":
+		l.sequence = s.Expected + 1
+		l.done(now, Step{Unload: s.Unload, Target: s.Target, Version: s.Version, Poll: true})
+	default:
 		l.postpone(now, s)
 	}
 }
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -22,6 +22,10 @@
 	// asked: it is another one, so only a herd is to be spread.
 	retryBase    = time.Millisecond
 	retryMaxWait = 20 * time.Millisecond
+	// giveUpShare is the part of a request's time after which it is no longer
+	// offered to further endpoints where adapters have to be loaded: what is left
+	// is better used by the caller's own next try.
+	giveUpShare = 0.35
 	// leastLeft is the time under which sending a request is of no use.
 	leastLeft = 5 * time.Millisecond
 	// ownConns is the part of an endpoint's connections that this VM takes at
@@ -43,7 +47,7 @@
 			if err := e.ensure(ctx, choice.Instance, j); err != nil {
 				_ = level.Info(e.Log).Log("event", "loadFailed", "request", j.meta.ID, "endpoint", id,
 					"adapter", j.meta.Model, "err", err)
-				if ctx.Err() != nil || len(j.tried) >= maxSends {
+				if ctx.Err() != nil || len(j.tried) >= maxSends || time.Since(j.arrived) > time.Duration(giveUpShare*float64(j.limit)) {
 					e.giveUp(ctx, j, err)
 					return
 				}
--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -33,6 +33,14 @@
 	return fmt.Sprintf("%s not loaded on %s after %s", e.Target, e.Endpoint, e.Waited)
 }
 
+// A CrowdedError says that too many adapters wait to be loaded on an endpoint.
+type CrowdedError struct{ Endpoint ggscore.EndpointID }
+
+// Error implements error.
+func (e *CrowdedError) Error() string {
+	return fmt.Sprintf("too many adapters wait to be loaded on %s", e.Endpoint)
+}
+
 // An AnswerError says that an endpoint's answer can't be passed on.
 type AnswerError struct {
 	Status int
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -11,11 +11,13 @@
 )
 
 const (
-	// orderTimeout bounds an order; ggsfencing's margin covers it.
-	orderTimeout = time.Second
+	// orderTimeout bounds an order, which is answered within 20 ms over a round
+	// trip of 16 ms at most; ggsfencing's margin covers it. Each order waits for
+	// the one before, so one that isn't answered must not hold up the rest.
+	orderTimeout = 200 * time.Millisecond
 	// loadWait bounds the wait for an adapter, which takes 250 ms when the
 	// weight store is well. A request that waited longer goes elsewhere.
-	loadWait = 1500 * time.Millisecond
+	loadWait = 900 * time.Millisecond
 	// workerPause is the pause of an endpoint's worker that may give no orders,
 	// or whose endpoint answers none.
 	workerPause = 200 * time.Millisecond
@@ -104,6 +106,10 @@
 			e.mu.Unlock()
 			return v, nil
 		}
+		if w.ledger.Crowded(l.target) {
+			e.mu.Unlock()
+			return 0, &CrowdedError{Endpoint: l.endpoint}
+		}
 		w.ledger.Want(e.Now(), l.target, l.version)
 		changed := w.changed
 		w.wake()
