--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -118,7 +118,8 @@
 		fx.Supply(s),
 		fx.Provide(
 			func() log.Logger { return l },
-			func() *ggsexchange.Pool { return ggsexchange.NewPool(ggsexchange.Options{}) },
+			func() clock { return time.Now }, //nolint:forbidigo // the one clock of a process
+			func(t clock) *ggsexchange.Pool { return ggsexchange.NewPool(ggsexchange.Options{Now: t}) },
 			newEdge,
 		),
 		fx.WithLogger(func() fxevent.Logger { return ggslog.NewFx(l) }),
@@ -151,7 +152,7 @@
 	return netip.AddrPortFrom(s.Addr, s.FirstPort)
 }
 
-func newEdge(s *ggsdialect.Settings, p *ggsexchange.Pool, l log.Logger) (*ggsedge.Edge, error) {
+func newEdge(s *ggsdialect.Settings, p *ggsexchange.Pool, t clock, l log.Logger) (*ggsedge.Edge, error) {
 	u, err := ggspeer.Listen(context.Background(), edgeControl(s))
 	if err != nil {
 		return nil, err
@@ -162,7 +163,7 @@
 		// A VM that comes back under an old name at another address is another
 		// machine to those that take its orders.
 		VM:     s.VM + "@" + ggscore.VMID(s.Addr.String()),
-		Domain: s.Domain, Regions: s.Regions, Seed: h.Sum64() ^ uint64(time.Now().UnixNano()),
+		Domain: s.Domain, Regions: s.Regions, Seed: h.Sum64() ^ uint64(t().UnixNano()),
 		Control: edgeControl(s), Turn: s.OrderTurn, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
 		VersionTime: s.VersionTime, IDHeader: ggsdialect.HeaderRequestID,
 		Keys: ggsedge.Keys{
@@ -171,12 +172,12 @@
 	}, ggsedge.Parts{
 		Store: ggsdialect.NewStore(s.Store), Codec: ggsdialect.Codec{}, Dialect: ggsdialect.Headers{},
 		Orderer: ggsdialect.NewOrderer(p), Pool: p, Peers: u, Calls: ggsrpc.NewPool(ggsrpc.PoolOptions{}),
-		Log: l, Now: ggsclock.Boot,
+		Log: l, Now: ggsclock.Boot, Steady: t,
 	}), nil
 }
 
 // startEdge starts the parts of an edge. Hooks stop in the reverse order.
-func startEdge(h host, s *ggsdialect.Settings, e *ggsedge.Edge, p *ggsexchange.Pool) {
+func startEdge(h host, s *ggsdialect.Settings, e *ggsedge.Edge, p *ggsexchange.Pool, t clock) {
 	h.Lifecycle.Append(fx.Hook{OnStop: func(context.Context) error {
 		p.Close()
 		return nil
@@ -193,7 +194,7 @@
 		return r.Register("Placement", ggsedge.NewPlacement(ctx, e))
 	})
 	serveCallers(h, s, e)
-	h.serveHTTP("ready", s.Ready, edgeState(s, e))
+	h.serveHTTP("ready", s.Ready, edgeState(s, e, t))
 }
 
 // rereadSettings checks the settings file whenever it is said to have changed.
@@ -255,8 +256,8 @@
 }
 
 // edgeState serves readiness, metrics and the state's dump.
-func edgeState(s *ggsdialect.Settings, e *ggsedge.Edge) http.Handler {
-	t := ggsstate.New(edgeProgram, s.VM, time.Now)
+func edgeState(s *ggsdialect.Settings, e *ggsedge.Edge, c clock) http.Handler {
+	t := ggsstate.New(edgeProgram, s.VM, c)
 	k := e.Stats()
 	t.Count("requests", k.Requests.Load)
 	t.Count("answered", k.Answered.Load)
--- a/io/ggsclock/clock.go
+++ b/io/ggsclock/clock.go
@@ -21,9 +21,9 @@
 func Boot() time.Time {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		// The clock exists on every Linux that Go runs on. Should it fail all
-		// the same, the machine's time of day goes on in suspension too.
-		return time.Now().Round(0)
+		// The clock exists on every Linux that Go runs on. A zero time is before
+		// all others and gives no right to anything.
+		return time.Time{}
 	}
 	return time.Unix(t.Unix())
 }
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -47,7 +47,7 @@
 			if err := e.ensure(ctx, choice.Instance, j); err != nil {
 				_ = level.Info(e.Log).Log("event", "loadFailed", "request", j.meta.ID, "endpoint", id,
 					"adapter", j.meta.Model, "err", err)
-				if ctx.Err() != nil || len(j.tried) >= maxSends || time.Since(j.arrived) > time.Duration(giveUpShare*float64(j.limit)) {
+				if ctx.Err() != nil || len(j.tried) >= maxSends || e.since(j.arrived) > time.Duration(giveUpShare*float64(j.limit)) {
 					e.giveUp(ctx, j, err)
 					return
 				}
@@ -97,7 +97,7 @@
 	}
 	e.mu.Lock()
 	wait, err := e.retries.Retry(e.Now(), ggsretry.Attempt{
-		Market: ggscore.Market(j.service), Number: j.sends, Failure: f, Left: time.Until(j.until) - leastLeft,
+		Market: ggscore.Market(j.service), Number: j.sends, Failure: f, Left: j.until.Sub(e.Steady()) - leastLeft,
 	})
 	e.mu.Unlock()
 	if err != nil {
@@ -126,7 +126,7 @@
 	late := errors.As(context.Cause(ctx), &over)
 	if ctx.Err() != nil && !late {
 		e.stats.Left.Add(1)
-		_ = level.Info(e.Log).Log("event", "callerLeft", "request", j.meta.ID, "sends", j.sends, "took", time.Since(j.arrived))
+		_ = level.Info(e.Log).Log("event", "callerLeft", "request", j.meta.ID, "sends", j.sends, "took", e.since(j.arrived))
 		panic(http.ErrAbortHandler)
 	}
 	var refused *ggsplace.RefusedError
@@ -158,7 +158,7 @@
 // send sends the request once. It returns nil where the caller has its answer.
 func (e *Edge) send(ctx context.Context, j *job, c ggsplace.Choice) *ggscore.Failure {
 	i := c.Instance
-	left := time.Until(j.until)
+	left := j.until.Sub(e.Steady())
 	if left < leastLeft {
 		return &ggscore.Failure{Kind: ggscore.FailureCancelled, Outcome: ggscore.OutcomeNotRun, Detail: "no time is left"}
 	}
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -80,6 +80,8 @@
 	Log     log.Logger
 	// Now is the time of decisions. It goes on while the VM is suspended.
 	Now func() time.Time
+	// Steady is the clock that requests' deadlines go by.
+	Steady func() time.Time
 }
 
 // An Edge serves callers at one VM.
@@ -123,7 +125,6 @@
 // A member is a peer as its entry in the store names it.
 type member struct {
 	addr     netip.AddrPort
-	leaving  bool
 	started  int64
 	sequence uint64
 }
@@ -201,6 +202,9 @@
 	return nil
 }
 
+// since returns the time that has passed since t.
+func (e *Edge) since(t time.Time) time.Duration { return e.Steady().Sub(t) }
+
 // Drain makes the edge say that it takes no new connections.
 func (e *Edge) Drain() { e.draining.Store(true) }
 
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -186,7 +186,7 @@
 
 // tellPeers sends beats to the peers.
 func (e *Edge) tellPeers(ctx context.Context) error {
-	started := time.Now().UnixNano()
+	started := e.Steady().UnixNano()
 	for pause(ctx, tellInterval) {
 		b, to := e.beat(started)
 		if err := e.Peers.Send(b, to); err != nil {
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -60,7 +60,7 @@
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{w: w, r: r, arrived: time.Now()}
+	j := &job{w: w, r: r, arrived: e.Steady()}
 	if !e.admit(j) {
 		return
 	}
@@ -150,7 +150,7 @@
 // answer writes an answer of the edge's own.
 func (e *Edge) answer(j *job, status int, why string) {
 	_ = level.Info(e.Log).Log("event", "requestEnded", "request", j.meta.ID, "status", status, "why", why,
-		"sends", j.sends, "runs", j.runs, "took", time.Since(j.arrived))
+		"sends", j.sends, "runs", j.runs, "took", e.since(j.arrived))
 	h := j.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(why)+1))
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -93,7 +93,7 @@
 // await has an adapter loaded at an endpoint that this VM gives orders to and
 // returns its version.
 func (e *Edge) await(ctx context.Context, l load) (uint64, error) {
-	begun := time.Now()
+	begun := e.Steady()
 	for {
 		e.mu.Lock()
 		w := e.workers[l.endpoint]
@@ -117,7 +117,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return 0, &LoadTimeoutError{Endpoint: l.endpoint, Target: l.target, Waited: time.Since(begun)}
+			return 0, &LoadTimeoutError{Endpoint: l.endpoint, Target: l.target, Waited: e.since(begun)}
 		}
 	}
 }
@@ -307,7 +307,7 @@
 func (e *Edge) order(ctx context.Context, w *worker, o ggscore.PlacementOrder, s ggsresident.Step) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	begun := time.Now()
+	begun := e.Steady()
 	e.stats.Orders.Add(1)
 	a, err := e.Orderer.Order(ctx, o)
 	e.mu.Lock()
@@ -320,5 +320,5 @@
 		l = level.Info(e.Log)
 	}
 	_ = l.Log("event", "orderGiven", "endpoint", o.Endpoint, "unload", o.Unload, "adapter", o.Target, "version", o.Version,
-		"expected", o.Expected, "poll", s.Poll, "fence", o.Fence, "answer", int(a), "took", time.Since(begun), "err", err)
+		"expected", o.Expected, "poll", s.Poll, "fence", o.Fence, "answer", int(a), "took", e.since(begun), "err", err)
 }
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
@@ -51,7 +50,7 @@
 	}
 	e.stats.Answered.Add(1)
 	_ = level.Debug(e.Log).Log("event", "requestEnded", "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
-		"sends", j.sends, "took", time.Since(j.arrived))
+		"sends", j.sends, "took", e.since(j.arrived))
 	if a.Status >= http.StatusInternalServerError {
 		return nil, ggsretry.ResultFailed
 	}
--- a/io/ggsexchange/doc.go
+++ b/io/ggsexchange/doc.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	p := ggsexchange.NewPool(ggsexchange.Options{})
+//	p := ggsexchange.NewPool(ggsexchange.Options{Now: time.Now})
 //	defer p.Close()
 //	a, err := p.Do(ctx, ggsexchange.Request{Addr: addr, Method: "POST", URI: "/x", Host: "h", Header: h, Body: b, ID: id})
 //	// *ggscore.CallError: NotSent says that nothing can have reached the endpoint
--- a/io/ggsexchange/exchange.go
+++ b/io/ggsexchange/exchange.go
@@ -65,7 +65,7 @@
 	}
 	// The caller's going away closes the connection, which is how an endpoint
 	// learns that nobody wants the answer.
-	stop := context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	a, err := p.exchange(c, r)
 	if err != nil {
 		stop()
--- a/io/ggsexchange/pool.go
+++ b/io/ggsexchange/pool.go
@@ -39,6 +39,8 @@
 	DialTimeout time.Duration
 	Idle        time.Duration
 	BufferBytes int
+	// Now is the clock that idle connections go by.
+	Now func() time.Time
 }
 
 // A Pool keeps connections to endpoints.
@@ -67,7 +69,7 @@
 	used  bool
 }
 
-// NewPool returns a pool without connections.
+// NewPool returns a pool without connections. Options.Now is to be set.
 func NewPool(o Options) *Pool {
 	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
 	o.Idle = cmp.Or(o.Idle, DefaultIdle)
@@ -88,7 +90,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range all {
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 }
 
@@ -115,7 +117,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range gone {
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 }
 
@@ -154,7 +156,7 @@
 
 // take returns an idle connection, or nil with a place for a new one.
 func (p *Pool) take(addr netip.AddrPort, limit int) (*conn, error) {
-	now := time.Now()
+	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[addr]
@@ -169,7 +171,7 @@
 			return c, nil
 		}
 		h.open--
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 	if limit > 0 && h.open >= limit {
 		return nil, &ConnLimitError{Addr: addr, Limit: limit}
@@ -182,12 +184,12 @@
 // put keeps a connection for another exchange.
 func (p *Pool) put(c *conn, keep time.Duration) {
 	c.used = true
-	c.until = time.Now().Add(keep)
+	c.until = p.options.Now().Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[c.addr]
 	if h == nil {
-		_ = c.Conn.Close()
+		_ = c.Close()
 		return
 	}
 	h.idle = append(h.idle, c)
@@ -195,7 +197,7 @@
 
 // discard closes a connection for good.
 func (p *Pool) discard(c *conn) {
-	_ = c.Conn.Close()
+	_ = c.Close()
 	p.release(c.addr)
 }
 
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -54,7 +54,7 @@
 }
 
 type beatWire struct {
-	_        struct{} `cbor:",toarray"`
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	VM       string
 	Sequence uint64
 	Started  int64
@@ -66,26 +66,26 @@
 }
 
 type flightWire struct {
-	_        struct{} `cbor:",toarray"`
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	Endpoint string
 	Count    int
 }
 
 type holdingWire struct {
-	_        struct{} `cbor:",toarray"`
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	Endpoint string
 	Held     []heldWire
 }
 
 type heldWire struct {
-	_       struct{} `cbor:",toarray"`
+	_       struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	Model   int
 	Adapter string
 	Version uint64
 }
 
 type useWire struct {
-	_        struct{} `cbor:",toarray"`
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	Endpoint string
 	Model    int
 	Adapter  string
