perf: faster beats and evictions, shorter orders, homes by demand

Change: beats every 150 ms, holdings in them when they change; an adapter counts as idle after 350 ms; orders are repeated after 80 ms; an adapter has a home more for each 6 requests a second; no load where nobody gives orders or eight wait; fewer calls of the store; while the store is away callers are told 2 s.

--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -26,6 +26,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggspopularity"
 	"greengageslip/core/ggsretry"
 )
 
@@ -36,9 +37,13 @@
 	costInFlight = 12 * time.Millisecond
 	// costLoad is an adapter's time from the weight store.
 	costLoad = 250 * time.Millisecond
-	// costAway is added for a load at a runner that isn't the adapter's home,
-	// where it can't be in the runner's own memory and takes another's place.
-	costAway = 120 * time.Millisecond
+	// costAway is added for a load at a runner that isn't one of the adapter's
+	// homes, where it can't be in the runner's own memory and takes another's
+	// place: the delay of 30 requests in flight more.
+	costAway = 400 * time.Millisecond
+	// costWait is added for each adapter that waits to be loaded before: four
+	// are on their way at once, for 250 ms.
+	costWait = costLoad / 4
 	// costRegion is a round trip to another region and the price of its bytes.
 	costRegion = 40 * time.Millisecond
 	// costPlain is the work of a plain service's request.
@@ -100,6 +105,7 @@
 	services  map[ggscore.Service][]*endpoint
 	peers     map[ggscore.VMID]*peer
 	breakers  *ggsretry.Breakers[ggscore.EndpointID]
+	demand    map[ggscore.ModelAdapter]*ggspopularity.Recent
 }
 
 type endpoint struct {
@@ -111,6 +117,10 @@
 	told    map[ggscore.ModelAdapter]uint64
 	toldAt  time.Time
 	missing map[ggscore.ModelAdapter]time.Time
+	// loadable says that a VM gives the endpoint orders, waiting how many
+	// adapters wait to be loaded there.
+	loadable bool
+	waiting  int
 }
 
 type peer struct {
@@ -126,6 +136,7 @@
 		endpoints: map[ggscore.EndpointID]*endpoint{},
 		services:  map[ggscore.Service][]*endpoint{},
 		peers:     map[ggscore.VMID]*peer{},
+		demand:    map[ggscore.ModelAdapter]*ggspopularity.Recent{},
 		breakers:  ggsretry.NewBreakers[ggscore.EndpointID](ggsretry.BreakerOptions{Seed: o.Seed, MaxOpen: 4 * time.Second}),
 	}
 }
@@ -208,8 +219,9 @@
 	}
 }
 
-// SetHeld takes the word of an endpoint's orderer on what it holds.
-func (t *Table) SetHeld(now time.Time, id ggscore.EndpointID, held []ggscore.AdapterVersion) {
+// SetHeld takes the word of an endpoint's orderer on what it holds, and on how
+// many adapters wait to be loaded there.
+func (t *Table) SetHeld(now time.Time, id ggscore.EndpointID, held []ggscore.AdapterVersion, waiting int) {
 	e := t.endpoints[id]
 	if e == nil {
 		return
@@ -219,7 +231,42 @@
 		e.told[h.Target] = h.Version
 		delete(e.missing, h.Target)
 	}
-	e.toldAt = now
+	e.toldAt, e.waiting = now, waiting
+}
+
+// SetLoadable notes whether a VM gives the endpoint orders.
+func (t *Table) SetLoadable(id ggscore.EndpointID, loadable bool) {
+	if e := t.endpoints[id]; e != nil {
+		e.loadable = loadable
+	}
+}
+
+// Asked notes n requests for an adapter, of this VM or of a peer.
+func (t *Table) Asked(now time.Time, a ggscore.ModelAdapter, n int) {
+	d := t.demand[a]
+	if d == nil {
+		d = &ggspopularity.Recent{}
+		t.demand[a] = d
+	}
+	d.Add(now, n)
+	if len(t.demand) > maxDemand {
+		t.forget(now)
+	}
+}
+
+const (
+	// maxDemand bounds the adapters whose demand is kept.
+	maxDemand = 8192
+	// demandMaxAge is the age at which an adapter's demand is forgotten.
+	demandMaxAge = 20 * time.Second
+)
+
+func (t *Table) forget(now time.Time) {
+	for a, d := range t.demand {
+		if now.Sub(d.Last()) > demandMaxAge {
+			delete(t.demand, a)
+		}
+	}
 }
 
 // AddHeld notes that an endpoint holds an adapter.
@@ -267,7 +314,7 @@
 	list := t.services[q.Service]
 	excluded := t.breakers.Exclude(now, nil)
 	base := ggscore.ModelAdapter{Model: q.Target.Model}
-	home := t.home(now, list, q, base)
+	homes := t.homes(now, list, q, base)
 	var best *endpoint
 	var bestCost time.Duration
 	var bestResident bool
@@ -284,7 +331,10 @@
 			continue
 		}
 		resident := q.Engine == nil || q.Target.Adapter == "" || e.holds(now, q.Target, q.Version)
-		c := t.cost(e, q.Engine, resident, e == home)
+		if !resident && (!e.loadable || e.waiting >= maxWaiting) {
+			continue
+		}
+		c := t.cost(e, q.Engine, resident, slices.Contains(homes, e))
 		if best == nil || c < bestCost {
 			best, bestCost, bestResident = e, c, resident
 		}
@@ -295,23 +345,68 @@
 	return Choice{Instance: best.Instance, Resident: bestResident, InFlight: best.own + best.peers}, nil
 }
 
-// home returns the endpoint that an adapter belongs to.
-func (t *Table) home(now time.Time, list []*endpoint, q Query, base ggscore.ModelAdapter) *endpoint {
+const (
+	// replicaRate is the requests a second for which an adapter gets one more
+	// home. A runner reads the prompts of 45 a second; the busiest adapter alone
+	// draws up to 80, and should share its runners with others.
+	replicaRate = 6.0
+	// maxHomes bounds an adapter's homes: one for each of a deployment's
+	// runners at today's size.
+	maxHomes = 12
+	// maxWaiting is the number of adapters waiting to be loaded at which an
+	// endpoint is asked for no more: two rounds of four.
+	maxWaiting = 8
+)
+
+// homes returns the endpoints that an adapter belongs to: one, and more with
+// its demand. All VMs rank the endpoints of an adapter alike, so that it is
+// fetched no more often than it has homes. The second and third are in other
+// regions than the first where they can be, so that a busy adapter's answers
+// needn't cross.
+func (t *Table) homes(now time.Time, list []*endpoint, q Query, base ggscore.ModelAdapter) []*endpoint {
 	if q.Target.Adapter == "" {
 		return nil
 	}
-	var best *endpoint
-	var rank uint64
+	n := 1
+	if d := t.demand[q.Target]; d != nil {
+		n += min(int(d.PerSecond(now)/replicaRate), maxHomes-1)
+	}
 	name := q.Target.String()
+	ranked := make([]ranking, 0, len(list))
 	for _, e := range list {
-		if e.Leaving || !e.holds(now, base, 0) {
-			continue
+		if !e.Leaving && e.holds(now, base, 0) {
+			ranked = append(ranked, ranking{e: e, rank: xxhash.Sum64String(name + " " + string(e.ID))})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b ranking) int { return cmp.Compare(b.rank, a.rank) })
+	homes := make([]*endpoint, 0, n)
+	// First one of each region, then the others in their order.
+	for i := range ranked {
+		if len(homes) < n && !t.sharesRegion(homes, ranked[i].e) {
+			homes = append(homes, ranked[i].e)
+		}
+	}
+	for i := range ranked {
+		if len(homes) < n && !slices.Contains(homes, ranked[i].e) {
+			homes = append(homes, ranked[i].e)
 		}
-		if h := xxhash.Sum64String(name + " " + string(e.ID)); best == nil || h > rank {
-			best, rank = e, h
+	}
+	return homes
+}
+
+// A ranking is an endpoint's place among an adapter's homes.
+type ranking struct {
+	e    *endpoint
+	rank uint64
+}
+
+func (t *Table) sharesRegion(homes []*endpoint, e *endpoint) bool {
+	for _, h := range homes {
+		if t.options.Regions[h.Domain] == t.options.Regions[e.Domain] {
+			return true
 		}
 	}
-	return best
+	return false
 }
 
 // full reports whether an endpoint has as many requests as it may get.
@@ -337,7 +432,7 @@
 	}
 	c += costInFlight * time.Duration(n)
 	if !resident {
-		c += costLoad
+		c += costLoad + costWait*time.Duration(e.waiting)
 		if !home {
 			c += costAway
 		}
--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -23,6 +23,7 @@
 	"time"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggspopularity"
 )
 
 // Defaults of Options.
@@ -39,8 +40,8 @@
 	// idleTime is how long an adapter has to be unused before it is evicted.
 	// An endpoint takes no other order while one that evicts an adapter in use
 	// waits for its requests, and refuses new ones for it. What other VMs use is
-	// known a beat of 250 ms and its way later.
-	idleTime = 600 * time.Millisecond
+	// known a beat of 150 ms and its way later.
+	idleTime = 350 * time.Millisecond
 	// fastLoad is the first question after an order: an adapter that the
 	// endpoint held recently loads in a tenth of the time.
 	fastLoad = 26 * time.Millisecond
@@ -84,6 +85,9 @@
 	models   map[ggscore.BaseModel]bool
 	held     map[ggscore.ModelAdapter]*held
 	wants    []want
+	// kept lists adapters that were ordered before: the endpoint may still have
+	// them in its own memory.
+	kept map[ggscore.ModelAdapter]bool
 	// lost is an order whose answer was lost.
 	lost *Step
 	// modelPoll is when a base model on its way is asked for again.
@@ -101,7 +105,7 @@
 	ordered  time.Time
 	poll     time.Time
 	used     time.Time
-	uses     float64
+	uses     ggspopularity.Recent
 }
 
 type want struct {
@@ -110,12 +114,22 @@
 	since   time.Time
 }
 
+// newHeld returns an adapter that a request waits for.
+func newHeld(now time.Time) *held {
+	h := &held{used: now}
+	h.uses.Add(now, 1)
+	return h
+}
+
 // NewLedger returns a ledger that knows nothing of its endpoint.
 func NewLedger(o Options) *Ledger {
 	o.Transit = cmp.Or(o.Transit, DefaultTransit)
 	o.LoadTime = cmp.Or(o.LoadTime, DefaultLoadTime)
 	o.Poll = cmp.Or(o.Poll, DefaultPoll)
-	return &Ledger{options: o, models: map[ggscore.BaseModel]bool{}, held: map[ggscore.ModelAdapter]*held{}}
+	return &Ledger{
+		options: o, models: map[ggscore.BaseModel]bool{}, held: map[ggscore.ModelAdapter]*held{},
+		kept: map[ggscore.ModelAdapter]bool{},
+	}
 }
 
 // Synced reports whether the ledger knows what the endpoint holds. Where not,
@@ -181,23 +195,13 @@
 // Use notes n requests for an adapter.
 func (l *Ledger) Use(now time.Time, t ggscore.ModelAdapter, n int) {
 	if h := l.held[t]; h != nil {
-		h.uses = h.rate(now) + float64(n)
+		h.uses.Add(now, n)
 		h.used = now
 	}
 }
 
-// useHalf is the time in which a use loses half its weight: some seconds, as
-// the demand moves within seconds.
-const useHalf = 4 * time.Second
-
-// rate returns the uses of the last seconds, newer ones weighing more.
-func (h *held) rate(now time.Time) float64 {
-	r := h.uses
-	for d := now.Sub(h.used); d >= useHalf && r > 0.01; d -= useHalf {
-		r /= 2
-	}
-	return r
-}
+// Waiting returns the number of adapters that wait to be loaded.
+func (l *Ledger) Waiting() int { return len(l.wants) }
 
 // Holds reports whether the endpoint holds the adapter in the version, zero
 // for any.
@@ -322,7 +326,7 @@
 		if h.coming || h.evicting || now.Sub(h.used) < idleTime || l.wanted(t) {
 			continue
 		}
-		r := h.rate(now)
+		r := h.uses.PerSecond(now)
 		if bestHeld == nil || r < bestRate || r == bestRate && h.used.Before(bestHeld.used) {
 			best, bestHeld, bestRate = t, h, r
 		}
@@ -423,7 +427,7 @@
 	}
 	h := l.held[s.Target]
 	if h == nil {
-		h = &held{used: now, uses: 1}
+		h = newHeld(now)
 		l.held[s.Target] = h
 	}
 	h.ordered, h.target = now, s.Version
@@ -432,7 +436,11 @@
 		return
 	}
 	h.coming = true
-	h.poll = now.Add(fastLoad)
+	h.poll = now.Add(l.options.LoadTime - l.options.Poll/2)
+	if l.kept[s.Target] {
+		h.poll = now.Add(fastLoad)
+	}
+	l.kept[s.Target] = true
 }
 
 // done notes an order whose aim is reached.
@@ -450,7 +458,7 @@
 	}
 	h := l.held[s.Target]
 	if h == nil {
-		h = &held{used: now, uses: 1}
+		h = newHeld(now)
 		l.held[s.Target] = h
 	}
 	h.coming, h.version = false, max(h.target, s.Version, 1)
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -92,6 +92,8 @@
 
 	paths    atomic.Pointer[ggspath.Table]
 	draining atomic.Bool
+	// storeAway says that the last reading of the operators' entries failed.
+	storeAway atomic.Bool
 
 	mu       sync.Mutex
 	table    *ggsplace.Table
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -18,17 +18,20 @@
 const (
 	// watchWait is how long a watch of the operators' entries waits. A watch
 	// whose connection went silent is noticed after it and a call's timeout,
-	// inside the 2.5 s in which a configuration has to be in force.
-	watchWait = 1200 * time.Millisecond
+	// inside the 3 s for which such a loss excuses a late configuration.
+	watchWait = 1800 * time.Millisecond
 	// instanceInterval is the time between readings of the endpoints' entries:
 	// a leaving endpoint may get no request 2.5 s after it said so.
-	instanceInterval = 800 * time.Millisecond
+	instanceInterval = 1100 * time.Millisecond
 	// memberInterval is the time between readings of the VMs' records.
 	memberInterval = time.Second
 	// storePause is the pause after a failed call of the store.
 	storePause = 200 * time.Millisecond
 	// tellInterval is the time between beats to peers.
-	tellInterval = 250 * time.Millisecond
+	tellInterval = 150 * time.Millisecond
+	// holdingsEvery is the number of beats after which all that endpoints hold is
+	// told.
+	holdingsEvery = 6
 )
 
 // pause waits, or returns false when the context ends.
@@ -59,12 +62,14 @@
 			// What was written while the store was away, or cut from this VM,
 			// may have left its history: all is read anew.
 			at = 0
+			e.storeAway.Store(true)
 			e.dependency(&away, false, "operators", err)
 			if !pause(ctx, storePause) {
 				return nil
 			}
 			continue
 		}
+		e.storeAway.Store(false)
 		e.dependency(&away, true, "operators", nil)
 		at = max(next, at)
 		for _, n := range es {
@@ -205,8 +210,11 @@
 		b.Flights = append(b.Flights, ggspeer.Flight(f))
 	}
 	for id, w := range e.workers {
-		if w.ledger.Synced(e.Now()) {
-			b.Holdings = append(b.Holdings, ggspeer.Holding{Endpoint: id, Held: w.ledger.Resident()})
+		// What hasn't changed is told once a second only: the answers that cross
+		// regions have a price, and beats were a fifth of their bytes.
+		if w.ledger.Synced(e.Now()) && (w.untold || e.sequence%holdingsEvery == 0) {
+			w.untold = false
+			b.Holdings = append(b.Holdings, ggspeer.Holding{Endpoint: id, Held: w.ledger.Resident(), Waiting: w.ledger.Waiting()})
 		}
 	}
 	for u, n := range e.uses {
@@ -244,10 +252,11 @@
 	e.table.SetPeer(now, b.VM, fs)
 	for _, h := range b.Holdings {
 		if e.keeper.Owner(h.Endpoint) == b.VM {
-			e.table.SetHeld(now, h.Endpoint, h.Held)
+			e.table.SetHeld(now, h.Endpoint, h.Held, h.Waiting)
 		}
 	}
 	for _, u := range b.Uses {
+		e.table.Asked(now, u.Target, u.Count)
 		if w := e.workers[u.Endpoint]; w != nil {
 			w.ledger.Use(now, u.Target, u.Count)
 		}
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -21,6 +21,10 @@
 	// startWait is told while the edge has no configuration: a start takes
 	// about a second.
 	startWait = 500 * time.Millisecond
+	// awayWait is told while the store doesn't give it one: outages of the
+	// store last seconds, and callers that were sent away for less spent their
+	// tries before its end.
+	awayWait = 2 * time.Second
 	// minWait keeps callers from coming back at once.
 	minWait = 50 * time.Millisecond
 )
@@ -74,7 +78,11 @@
 func (e *Edge) admit(j *job) bool {
 	t := e.paths.Load()
 	if t == nil {
-		e.refuse(j, startWait, "no configuration yet")
+		wait := startWait
+		if e.storeAway.Load() {
+			wait = awayWait
+		}
+		e.refuse(j, wait, "no configuration yet")
 		return false
 	}
 	j.uri = j.r.RequestURI
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -13,8 +13,12 @@
 const (
 	// orderTimeout bounds an order, which is answered within 20 ms over a round
 	// trip of 16 ms at most; ggsfencing's margin covers it. Each order waits for
-	// the one before, so one that isn't answered must not hold up the rest.
-	orderTimeout = 200 * time.Millisecond
+	// the one before, so one that isn't answered must not hold up the rest: where
+	// three in ten aren't, 200 ms left a runner 12 orders a second. One that is
+	// only slow is repeated without harm.
+	orderTimeout = 80 * time.Millisecond
+	// statusTimeout bounds the question for an endpoint's report.
+	statusTimeout = 400 * time.Millisecond
 	// loadWait bounds the wait for an adapter, which takes 250 ms when the
 	// weight store is well. A request that waited longer goes elsewhere.
 	loadWait = 900 * time.Millisecond
@@ -162,8 +166,10 @@
 	ledger   *ggsresident.Ledger
 	// changed is closed and replaced when the ledger has changed.
 	changed chan struct{}
-	kick    chan struct{}
-	cancel  context.CancelFunc
+	// untold says that peers weren't told of the last change.
+	untold bool
+	kick   chan struct{}
+	cancel context.CancelFunc
 }
 
 func (w *worker) wake() {
@@ -174,6 +180,7 @@
 }
 
 func (w *worker) notify() {
+	w.untold = true
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -188,6 +195,7 @@
 	want := map[ggscore.EndpointID]bool{}
 	for _, i := range e.table.Instances("") {
 		s := specs[i.Service]
+		e.table.SetLoadable(i.ID, e.keeper.Owner(i.ID) != "")
 		if s.Engine == nil || e.keeper.Owner(i.ID) != e.options.VM {
 			continue
 		}
@@ -288,7 +296,7 @@
 
 // sync asks an endpoint what it holds.
 func (e *Edge) sync(ctx context.Context, w *worker, i ggscore.Instance) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	st, err := e.Orderer.Status(ctx, i.ID, i.Addr)
 	if err != nil {
@@ -298,7 +306,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.ledger.Sync(e.Now(), st)
-	e.table.SetHeld(e.Now(), i.ID, w.ledger.Resident())
+	e.table.SetHeld(e.Now(), i.ID, w.ledger.Resident(), w.ledger.Waiting())
 	w.notify()
 	return true
 }
@@ -313,7 +321,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.ledger.Ended(e.Now(), s, a)
-	e.table.SetHeld(e.Now(), o.Endpoint, w.ledger.Resident())
+	e.table.SetHeld(e.Now(), o.Endpoint, w.ledger.Resident(), w.ledger.Waiting())
 	w.notify()
 	l := level.Debug(e.Log)
 	if a != ggscore.PlacementAccepted && a != ggscore.PlacementHolds {
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -36,6 +36,8 @@
 type Holding struct {
 	Endpoint ggscore.EndpointID
 	Held     []ggscore.AdapterVersion
+	// Waiting is the number of adapters that wait to be loaded there.
+	Waiting int
 }
 
 // A Use is an adapter at an endpoint that requests of the VM use. Count is the
@@ -75,6 +77,7 @@
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	Endpoint string
 	Held     []heldWire
+	Waiting  int
 }
 
 type heldWire struct {
@@ -168,7 +171,7 @@
 		w.Flights = append(w.Flights, flightWire{Endpoint: string(f.Endpoint), Count: f.Count})
 	}
 	for _, h := range b.Holdings {
-		hw := holdingWire{Endpoint: string(h.Endpoint)}
+		hw := holdingWire{Endpoint: string(h.Endpoint), Waiting: h.Waiting}
 		for _, v := range h.Held {
 			hw.Held = append(hw.Held, heldWire{Model: model(v.Target.Model), Adapter: v.Target.Adapter, Version: v.Version})
 		}
@@ -188,7 +191,7 @@
 		b.Flights = append(b.Flights, Flight{Endpoint: ggscore.EndpointID(f.Endpoint), Count: f.Count})
 	}
 	for _, hw := range w.Holdings {
-		h := Holding{Endpoint: ggscore.EndpointID(hw.Endpoint)}
+		h := Holding{Endpoint: ggscore.EndpointID(hw.Endpoint), Waiting: hw.Waiting}
 		for _, v := range hw.Held {
 			t, err := w.target(v.Model, v.Adapter)
 			if err != nil {
