test: hold fencing, the ledger of adapters and routes to their rules

The ledger's test found a worker that woke each millisecond while an adapter was on its way and no place was free: Due named the time at which another could be evicted though none had to be.

--- /dev/null
+++ b/core/ggsfencing/keeper_test.go
@@ -0,0 +1,150 @@
+package ggsfencing_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsfencing"
+)
+
+const (
+	turn    = 3 * time.Second
+	runner  = ggscore.EndpointID("runner")
+	takeout = ggsfencing.DefaultValidity + turn + ggsfencing.DefaultMargin
+)
+
+func at(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+func keeper(self ggscore.VMID) *ggsfencing.Keeper {
+	return ggsfencing.NewKeeper(ggsfencing.Options{Self: self, Domain: "d", Turn: turn})
+}
+
+func instances() []ggscore.Instance { return []ggscore.Instance{{ID: runner, Domain: "d"}} }
+
+// owner returns a keeper that owns the runner's orders since the start.
+func owner(c *qt.C) *ggsfencing.Keeper {
+	k := keeper("a")
+	k.Observe(at(0), 1, nil, nil)
+	k.BeatEnded(at(0), k.Beat(), 5, false)
+	cs := k.Claims(at(ggsfencing.DefaultSettle), instances())
+	c.Assert(cs, qt.HasLen, 1)
+	k.ClaimEnded(at(2*time.Second), cs[0], 10)
+	return k
+}
+
+func TestOrdersEndWithoutBeats(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := owner(c)
+	fence, ok := k.May(at(2*time.Second), runner)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(fence, qt.Equals, ggscore.FenceNumber(10))
+
+	k.BeatEnded(at(4*time.Second), k.Beat(), 11, false)
+	_, ok = k.May(at(4*time.Second+ggsfencing.DefaultValidity-1), runner)
+	c.Assert(ok, qt.IsTrue)
+	_, ok = k.May(at(4*time.Second+ggsfencing.DefaultValidity), runner)
+	c.Assert(ok, qt.IsFalse)
+}
+
+// An operator's tool rewrites a record, or another VM has taken it over: the
+// owner's beat is refused. Orders that it gave until it had read the store
+// again would take turns with those of the new owner.
+func TestRefusedBeatEndsOrdersAtOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := owner(c)
+	k.BeatEnded(at(4*time.Second), k.Beat(), 0, true)
+	_, ok := k.May(at(4*time.Second), runner)
+	c.Assert(ok, qt.IsFalse)
+}
+
+// A VM is killed and never comes back. Its runners would get no orders for
+// ever; taken over too early, the frozen owner's last order would meet those of
+// the next.
+func TestTakeoverWaitsOutTheOwner(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := keeper("b")
+	records := []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}}
+	beats := []ggsfencing.Beat{{VM: "a", Domain: "d", Revision: 20}}
+	k.Observe(at(0), 30, records, beats)
+	k.BeatEnded(at(0), k.Beat(), 31, false)
+	c.Assert(k.Claims(at(takeout-1), instances()), qt.HasLen, 0)
+
+	cs := k.Claims(at(takeout), instances())
+	c.Assert(cs, qt.DeepEquals, []ggsfencing.Claim{
+		{Endpoint: runner, RecordRevision: 10, Owner: "a", OwnerRevision: 20},
+	})
+
+	beats[0].Revision = 32
+	k.Observe(at(takeout), 33, records, beats)
+	c.Assert(k.Claims(at(takeout), instances()), qt.HasLen, 0)
+}
+
+func TestReleasedRecordIsClaimedAfterATurn(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := keeper("b")
+	k.Observe(at(0), 30, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Released: true, Revision: 10}}, nil)
+	k.BeatEnded(at(0), k.Beat(), 31, false)
+	c.Assert(k.Claims(at(turn), instances()), qt.HasLen, 0)
+	c.Assert(k.Claims(at(turn+ggsfencing.DefaultMargin), instances()), qt.HasLen, 1)
+	c.Assert(k.Owner(runner), qt.Equals, ggscore.VMID(""))
+}
+
+// A process is killed and starts again within a second on the same VM. It goes
+// on with its records once a beat under their condition is acknowledged.
+func TestRestartedOwnerGoesOn(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := keeper("a")
+	k.Observe(at(0), 30, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}},
+		[]ggsfencing.Beat{{VM: "a", Domain: "d", Revision: 20}})
+	_, ok := k.May(at(0), runner)
+	c.Assert(ok, qt.IsFalse)
+	p := k.Beat()
+	c.Assert(p, qt.DeepEquals, ggsfencing.BeatPlan{
+		Revision: 20, Records: []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}},
+	})
+	k.BeatEnded(at(0), p, 31, false)
+	fence, ok := k.May(at(0), runner)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(fence, qt.Equals, ggscore.FenceNumber(10))
+}
+
+// A stale answer of the store overtakes a fresh one: it must not bring back an
+// owner that has been replaced.
+func TestOlderReadingIsPassedOver(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := keeper("b")
+	k.Observe(at(0), 40, []ggsfencing.Record{{Endpoint: runner, Owner: "c", Revision: 35}}, nil)
+	k.Observe(at(1), 30, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}}, nil)
+	c.Assert(k.Owner(runner), qt.Equals, ggscore.VMID("c"))
+}
+
+func TestClaimsGoToOneVMInTheDomain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	vms := []ggsfencing.Beat{
+		{VM: "a", Domain: "d", Revision: 1},
+		{VM: "b", Domain: "d", Revision: 2},
+		{VM: "far", Domain: "e", Revision: 3},
+		{VM: "left", Domain: "d", Leaving: true, Revision: 4},
+	}
+	claims := 0
+	for _, vm := range vms {
+		k := ggsfencing.NewKeeper(ggsfencing.Options{Self: vm.VM, Domain: vm.Domain, Turn: turn})
+		k.Observe(at(0), 10, nil, vms)
+		n := len(k.Claims(at(ggsfencing.DefaultSettle), instances()))
+		if vm.Leaving || vm.Domain != "d" {
+			c.Assert(n, qt.Equals, 0, qt.Commentf("%s", vm.VM))
+		}
+		claims += n
+	}
+	c.Assert(claims, qt.Equals, 1)
+}
--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -492,7 +492,7 @@
 			due = l.modelPoll
 		}
 	}
-	if len(l.wants) > 0 && len(l.held) >= l.options.Slots && l.unclear.IsZero() {
+	if l.needsPlace() && l.unclear.IsZero() {
 		if idle, ok := l.nextIdle(); ok && (due.IsZero() || idle.Before(due)) {
 			due = idle
 		}
@@ -503,6 +503,19 @@
 	return due
 }
 
+// needsPlace reports whether a wanted adapter waits for another to be evicted.
+func (l *Ledger) needsPlace() bool {
+	if len(l.held) < l.options.Slots || l.transit() >= l.options.Transit || l.evicting() {
+		return false
+	}
+	for i := range l.wants {
+		if l.held[l.wants[i].target] == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // nextIdle returns when the next adapter may be evicted.
 func (l *Ledger) nextIdle() (time.Time, bool) {
 	var at time.Time
--- /dev/null
+++ b/core/ggsresident/ledger_test.go
@@ -0,0 +1,222 @@
+package ggsresident_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsresident"
+)
+
+func at(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+func adapter(n int) ggscore.ModelAdapter {
+	return ggscore.ModelAdapter{Model: "m", Adapter: "a" + strconv.Itoa(n)}
+}
+
+// synced returns the ledger of a runner with so many places that holds the
+// first n adapters, unused for a long time.
+func synced(slots, n int) *ggsresident.Ledger {
+	l := ggsresident.NewLedger(ggsresident.Options{Slots: slots})
+	m := ggscore.ResidentModel{Name: "m"}
+	for i := range n {
+		m.Adapters = append(m.Adapters, ggscore.ResidentVersion{Adapter: adapter(i).Adapter, Version: 1})
+	}
+	l.Sync(at(-time.Hour), ggscore.InstanceStatus{Sequence: 7, Models: []ggscore.ResidentModel{m}})
+	return l
+}
+
+// next returns the next step, which has to be there.
+func next(c *qt.C, l *ggsresident.Ledger, now time.Time) ggsresident.Step {
+	c.Helper()
+	s, ok := l.Next(now)
+	c.Assert(ok, qt.IsTrue)
+	return s
+}
+
+func TestLoadOnDemand(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := synced(2, 2)
+	l.Use(at(-2*time.Second), adapter(0), 1)
+	l.Want(at(0), adapter(9), 0)
+	s := next(c, l, at(0))
+	c.Assert(s, qt.DeepEquals, ggsresident.Step{Unload: true, Target: adapter(1), Expected: 7})
+	l.Ended(at(0), s, ggscore.PlacementHolds)
+	s = next(c, l, at(0))
+	c.Assert(s, qt.DeepEquals, ggsresident.Step{Target: adapter(9), Expected: 8})
+	l.Ended(at(0), s, ggscore.PlacementAccepted)
+	c.Assert(l.Holds(adapter(9), 0), qt.IsFalse)
+
+	_, ok := l.Next(at(time.Millisecond))
+	c.Assert(ok, qt.IsFalse)
+	s = next(c, l, l.Due())
+	c.Assert(s.Poll, qt.IsTrue)
+	c.Assert(s.Expected, qt.Equals, uint64(9))
+	l.Ended(at(250*time.Millisecond), s, ggscore.PlacementAccepted)
+	s = next(c, l, l.Due())
+	c.Assert(s.Expected, qt.Equals, uint64(9), qt.Commentf("a question isn't counted"))
+	l.Ended(at(270*time.Millisecond), s, ggscore.PlacementHolds)
+	c.Assert(l.Holds(adapter(9), 0), qt.IsTrue)
+	_, ok = l.Next(at(270 * time.Millisecond))
+	c.Assert(ok, qt.IsFalse)
+}
+
+// Callers of a busy adapter get 503, and for half a second nothing is loaded on
+// their runner: the adapter was evicted while requests used it, 160 ms after it
+// had come. The runner takes no other order until they have ended.
+func TestAdapterInUseIsNotEvicted(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := synced(1, 1)
+	l.Use(at(0), adapter(0), 1)
+	l.Want(at(0), adapter(9), 0)
+	_, ok := l.Next(at(300 * time.Millisecond))
+	c.Assert(ok, qt.IsFalse)
+	l.Use(at(300*time.Millisecond), adapter(0), 0)
+	_, ok = l.Next(at(600 * time.Millisecond))
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(l.Due().After(at(600*time.Millisecond)), qt.IsTrue)
+	s := next(c, l, l.Due())
+	c.Assert(s.Unload, qt.IsTrue)
+}
+
+// A runner evicts an adapter whose last request is still running. Orders given
+// meanwhile are refused; taken for a sign that the count of orders is wrong,
+// each cost a question for the report and half a second.
+func TestOrdersWaitForAnEviction(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := synced(1, 1)
+	l.Want(at(0), adapter(9), 0)
+	s := next(c, l, at(0))
+	l.Ended(at(0), s, ggscore.PlacementAccepted)
+	_, ok := l.Next(at(time.Millisecond))
+	c.Assert(ok, qt.IsFalse)
+	s = next(c, l, l.Due())
+	c.Assert(s, qt.DeepEquals, ggsresident.Step{Unload: true, Target: adapter(0), Expected: 8, Poll: true})
+	l.Ended(at(30*time.Millisecond), s, ggscore.PlacementHolds)
+	s = next(c, l, at(30*time.Millisecond))
+	c.Assert(s, qt.DeepEquals, ggsresident.Step{Target: adapter(9), Expected: 8})
+}
+
+// Three orders in ten get no answer and are carried out seconds later. The same
+// order under the same condition is given again at once: only one of the two
+// can count.
+func TestLostOrderIsRepeatedUnderItsCondition(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		answer ggscore.PlacementAnswer
+		holds  bool
+	}{
+		"the first was lost":         {answer: ggscore.PlacementAccepted},
+		"the first was carried out":  {answer: ggscore.PlacementConflict, holds: true},
+		"the first is being carried": {answer: ggscore.PlacementAccepted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			l := synced(4, 0)
+			l.Want(at(0), adapter(1), 0)
+			l.Want(at(0), adapter(2), 0)
+			s := next(c, l, at(0))
+			l.Ended(at(0), s, ggscore.PlacementUnknown)
+			again := next(c, l, at(0))
+			c.Assert(again.Target, qt.Equals, s.Target)
+			c.Assert(again.Expected, qt.Equals, s.Expected)
+			l.Ended(at(0), again, tc.answer)
+			c.Assert(l.Holds(s.Target, 0), qt.Equals, tc.holds)
+			s = next(c, l, at(0))
+			c.Assert(s.Expected, qt.Equals, uint64(8))
+		})
+	}
+}
+
+// After an unclear answer the number of accepted orders isn't known. A report
+// from before the last order would take the ledger back, so it is asked for
+// once it must be newer.
+func TestUnclearAnswerIsResolvedByALaterReport(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := synced(4, 0)
+	l.Want(at(0), adapter(1), 0)
+	l.Ended(at(0), next(c, l, at(0)), ggscore.PlacementConflict)
+	_, ok := l.Next(at(time.Millisecond))
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(l.Synced(at(100*time.Millisecond)), qt.IsTrue)
+	c.Assert(l.Synced(l.Due()), qt.IsFalse)
+	l.Sync(at(500*time.Millisecond), ggscore.InstanceStatus{Sequence: 20, Models: []ggscore.ResidentModel{{Name: "m"}}})
+	s := next(c, l, at(500*time.Millisecond))
+	c.Assert(s.Expected, qt.Equals, uint64(20))
+}
+
+func TestTransitIsBounded(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := synced(16, 0)
+	for i := range 6 {
+		l.Want(at(0), adapter(i), 0)
+	}
+	n := 0
+	for {
+		s, ok := l.Next(at(0))
+		if !ok {
+			break
+		}
+		l.Ended(at(0), s, ggscore.PlacementAccepted)
+		n++
+	}
+	c.Assert(n, qt.Equals, ggsresident.DefaultTransit)
+	c.Assert(l.Crowded(adapter(100)), qt.IsFalse)
+	for i := range 20 {
+		l.Want(at(0), adapter(i), 0)
+	}
+	c.Assert(l.Crowded(adapter(100)), qt.IsTrue)
+	c.Assert(l.Crowded(adapter(3)), qt.IsFalse)
+}
+
+// An operator names a new version of an adapter that is resident. Requests for
+// it must not begin on the old one.
+func TestNewVersionReplacesTheOld(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := synced(2, 2)
+	c.Assert(l.Holds(adapter(0), 1), qt.IsTrue)
+	c.Assert(l.Holds(adapter(0), 2), qt.IsFalse)
+	l.Want(at(0), adapter(0), 2)
+	s := next(c, l, at(0))
+	c.Assert(s, qt.DeepEquals, ggsresident.Step{Target: adapter(0), Version: 2, Expected: 7})
+	l.Ended(at(0), s, ggscore.PlacementAccepted)
+	l.Ended(at(250*time.Millisecond), next(c, l, l.Due()), ggscore.PlacementHolds)
+	c.Assert(l.Holds(adapter(0), 2), qt.IsTrue)
+	c.Assert(l.Version(adapter(0)), qt.Equals, uint64(2))
+}
+
+// A runner crashes and starts again empty: it answers nothing that it held
+// before, not even for its base model.
+func TestEmptyRunnerGetsItsModelFirst(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := ggsresident.NewLedger(ggsresident.Options{Slots: 4})
+	l.Sync(at(0), ggscore.InstanceStatus{})
+	l.Want(at(0), adapter(1), 0)
+	s := next(c, l, at(0))
+	c.Assert(s, qt.DeepEquals, ggsresident.Step{Target: ggscore.ModelAdapter{Model: "m"}})
+	l.Ended(at(0), s, ggscore.PlacementAccepted)
+	_, ok := l.Next(at(time.Millisecond))
+	c.Assert(ok, qt.IsFalse)
+	l.Ended(at(time.Second), next(c, l, l.Due()), ggscore.PlacementHolds)
+	c.Assert(l.Holds(ggscore.ModelAdapter{Model: "m"}, 0), qt.IsTrue)
+}
+
+func TestMisdirectedOrderAsksForTheReport(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := synced(2, 0)
+	l.Want(at(0), adapter(1), 0)
+	l.Ended(at(0), next(c, l, at(0)), ggscore.PlacementMisdirected)
+	c.Assert(l.Synced(at(0)), qt.IsFalse)
+}
--- /dev/null
+++ b/core/ggsresident/runner_test.go
@@ -0,0 +1,132 @@
+package ggsresident_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsresident"
+)
+
+// A model is a runner as its protocol describes it: it counts accepted orders,
+// says the same again of what is on its way, and then checks the condition.
+type model struct {
+	slots    int
+	sequence uint64
+	held     map[ggscore.ModelAdapter]uint64
+	coming   map[ggscore.ModelAdapter]time.Time
+	late     []lateOrder
+	overfull bool
+}
+
+type lateOrder struct {
+	at   time.Time
+	step ggsresident.Step
+}
+
+func (m *model) pass(now time.Time) {
+	for a, done := range m.coming {
+		if !now.Before(done) {
+			delete(m.coming, a)
+			m.held[a] = 1
+		}
+	}
+	for i := 0; i < len(m.late); {
+		if m.late[i].at.After(now) {
+			i++
+			continue
+		}
+		s := m.late[i].step
+		m.late = append(m.late[:i], m.late[i+1:]...)
+		m.order(now, s)
+	}
+}
+
+func (m *model) order(now time.Time, s ggsresident.Step) ggscore.PlacementAnswer {
+	if _, ok := m.coming[s.Target]; ok && !s.Unload {
+		return ggscore.PlacementAccepted
+	}
+	if s.Expected != m.sequence {
+		return ggscore.PlacementConflict
+	}
+	_, holds := m.held[s.Target]
+	switch {
+	case s.Unload && !holds, !s.Unload && holds:
+		return ggscore.PlacementHolds
+	case s.Unload:
+		m.sequence++
+		delete(m.held, s.Target)
+		return ggscore.PlacementHolds
+	}
+	m.sequence++
+	m.coming[s.Target] = now.Add(250 * time.Millisecond)
+	if len(m.held)+len(m.coming) > m.slots {
+		m.overfull = true
+	}
+	return ggscore.PlacementAccepted
+}
+
+func (m *model) status() ggscore.InstanceStatus {
+	s := ggscore.InstanceStatus{Sequence: m.sequence, Models: []ggscore.ResidentModel{{Name: "m"}}}
+	for a := range m.held {
+		s.Models[0].Adapters = append(s.Models[0].Adapters, ggscore.ResidentVersion{Adapter: a.Adapter, Version: 1})
+	}
+	for a := range m.coming {
+		s.Coming = append(s.Coming, a)
+	}
+	return s
+}
+
+// A runner that is ordered to load more than it has places for crashes, with
+// all that it runs. Orders get lost, or are carried out seconds later, after
+// newer ones; whatever comes, no place is promised twice, and what the ledger
+// says is resident is.
+func TestNoPlaceIsPromisedTwice(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			slots: rapid.IntRange(1, 5).Draw(t, "slots"),
+			held:  map[ggscore.ModelAdapter]uint64{}, coming: map[ggscore.ModelAdapter]time.Time{},
+		}
+		l := ggsresident.NewLedger(ggsresident.Options{Slots: m.slots})
+		now := at(0)
+		loaded := 0
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "pass")) * time.Millisecond)
+			m.pass(now)
+			if rapid.Bool().Draw(t, "want") {
+				l.Want(now, adapter(rapid.IntRange(0, 9).Draw(t, "adapter")), 0)
+			}
+			if !l.Synced(now) {
+				l.Sync(now, m.status())
+			}
+			s, ok := l.Next(now)
+			if !ok {
+				continue
+			}
+			answer := ggscore.PlacementUnknown
+			switch rapid.IntRange(0, 9).Draw(t, "fate") {
+			case 0: // lost
+			case 1: // carried out, the answer is lost
+				m.order(now, s)
+			case 2: // carried out late
+				d := time.Duration(rapid.IntRange(100, 12000).Draw(t, "late")) * time.Millisecond
+				m.late = append(m.late, lateOrder{at: now.Add(d), step: s})
+			default:
+				answer = m.order(now, s)
+			}
+			l.Ended(now, s, answer)
+			if m.overfull {
+				t.Fatalf("more adapters than places after %+v", s)
+			}
+			if answer != ggscore.PlacementUnknown && !s.Unload && l.Holds(s.Target, 0) {
+				loaded++
+				if _, ok := m.held[s.Target]; !ok {
+					t.Fatalf("ledger says %s is resident", s.Target)
+				}
+			}
+		}
+	})
+}
