--- /dev/null
+++ b/core/ggsplace/table_test.go
@@ -0,0 +1,216 @@
+package ggsplace_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsplace"
+	"greengageslip/core/ggsretry"
+)
+
+const (
+	models = ggscore.Service("models")
+	plain  = ggscore.Service("plain")
+)
+
+func at(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+func adapter(n int) ggscore.ModelAdapter {
+	return ggscore.ModelAdapter{Model: "m", Adapter: fmt.Sprintf("a%d", n)}
+}
+
+func engine() *ggscore.EngineSpec { return &ggscore.EngineSpec{Slots: 64} }
+
+// deployment returns four runners and an instance of a plain service in each of
+// three regions.
+func deployment() []ggscore.Instance {
+	var l []ggscore.Instance
+	for d := range 3 {
+		domain := ggscore.Domain(fmt.Sprintf("d%d", d))
+		for n := range 4 {
+			l = append(l, ggscore.Instance{
+				ID: ggscore.EndpointID(fmt.Sprintf("r%d%d", d, n)), Service: models, Domain: domain, Slots: 64,
+				Models: []ggscore.ResidentModel{{Name: "m"}},
+			})
+		}
+		l = append(l, ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("p%d", d)), Service: plain, Domain: domain, Slots: 6})
+	}
+	return l
+}
+
+// table returns the view of a VM in a domain. All endpoints have an orderer.
+func table(domain ggscore.Domain, seed uint64) *ggsplace.Table {
+	t := ggsplace.NewTable(ggsplace.Options{
+		Domain: domain, Seed: seed, Regions: map[ggscore.Domain]ggscore.Region{"d0": "r0", "d1": "r1", "d2": "r2"},
+	})
+	l := deployment()
+	t.SetInstances(l)
+	for _, i := range l {
+		t.SetLoadable(i.ID, true)
+	}
+	return t
+}
+
+func choose(c *qt.C, t *ggsplace.Table, q ggsplace.Query) ggsplace.Choice {
+	c.Helper()
+	choice, err := t.Choose(at(0), q)
+	c.Assert(err, qt.IsNil)
+	return choice
+}
+
+// Nine VMs ask for an adapter that is resident nowhere. If each had it loaded
+// where it liked, it would be fetched nine times and evict eight others.
+func TestRareAdapterHasOneHomeForAllVMs(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	homes := map[ggscore.EndpointID]int{}
+	for n := range 60 {
+		q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(n)}
+		first := choose(c, table("d0", 1), q)
+		c.Assert(first.Resident, qt.IsFalse)
+		for vm := range 9 {
+			x := choose(c, table(ggscore.Domain(fmt.Sprintf("d%d", vm%3)), uint64(vm)), q)
+			c.Assert(x.Instance.ID, qt.Equals, first.Instance.ID)
+		}
+		homes[first.Instance.ID]++
+	}
+	c.Assert(len(homes) > 8, qt.IsTrue, qt.Commentf("homes: %v", homes))
+}
+
+// The busiest adapter draws a quarter of all requests, more than one runner can
+// read the prompts of. Its answers also crossed regions, whose bytes are paid.
+func TestBusyAdapterHasAHomeInEachRegion(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	homes := map[ggscore.EndpointID]bool{}
+	for d := range 3 {
+		domain := ggscore.Domain(fmt.Sprintf("d%d", d))
+		tb := table(domain, uint64(d))
+		for i := range 400 {
+			tb.Asked(at(-time.Duration(i)*10*time.Millisecond), adapter(1), 1)
+		}
+		x := choose(c, tb, ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)})
+		c.Assert(x.Instance.Domain, qt.Equals, domain)
+		homes[x.Instance.ID] = true
+	}
+	c.Assert(homes, qt.HasLen, 3)
+}
+
+func TestResidentRunnerComesFirst(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		held    uint64
+		version uint64
+		missing bool
+		want    bool
+	}{
+		"any version":        {held: 1, want: true},
+		"the version":        {held: 2, version: 2, want: true},
+		"an older version":   {held: 1, version: 2},
+		"said to be missing": {held: 1, missing: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			tb := table("d0", 1)
+			tb.SetHeld(at(0), "r23", []ggscore.AdapterVersion{{Target: adapter(1), Version: tc.held}}, 0)
+			if tc.missing {
+				tb.SetMissing(at(0), "r23", adapter(1))
+			}
+			x := choose(c, tb, ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1), Version: tc.version})
+			c.Assert(x.Resident, qt.Equals, tc.want)
+			if tc.want {
+				c.Assert(x.Instance.ID, qt.Equals, ggscore.EndpointID("r23"))
+			}
+		})
+	}
+}
+
+// A runner that started anew has no VM yet that gives it orders, and another has
+// eight adapters waiting. Requests that were sent to have theirs loaded there
+// waited for nothing.
+func TestNoLoadWhereNoneCanBeHad(t *testing.T) {
+	t.Parallel()
+	for name, spoil := range map[string]func(*ggsplace.Table, ggscore.EndpointID){
+		"no orderer": func(t *ggsplace.Table, id ggscore.EndpointID) { t.SetLoadable(id, false) },
+		"crowded":    func(t *ggsplace.Table, id ggscore.EndpointID) { t.SetHeld(at(0), id, nil, 8) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)}
+			tb := table("d0", 1)
+			home := choose(c, tb, q).Instance.ID
+			spoil(tb, home)
+			other := choose(c, tb, q).Instance.ID
+			c.Assert(other, qt.Not(qt.Equals), home)
+
+			for _, i := range deployment() {
+				spoil(tb, i.ID)
+			}
+			_, err := tb.Choose(at(0), q)
+			var refused *ggsplace.RefusedError
+			c.Assert(errors.As(err, &refused), qt.IsTrue)
+			c.Assert(refused.Ready, qt.Equals, 12)
+			c.Assert(refused.RetryAfter > 0, qt.IsTrue)
+		})
+	}
+}
+
+func TestPlainServiceIsChosenByLoad(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d1", 1)
+	q := ggsplace.Query{Service: plain}
+	c.Assert(choose(c, tb, q).Instance.ID, qt.Equals, ggscore.EndpointID("p1"))
+	tb.SetPeer(at(0), "peer", []ggsplace.Flight{{Endpoint: "p1", Count: 12}})
+	c.Assert(choose(c, tb, q).Instance.ID, qt.Not(qt.Equals), ggscore.EndpointID("p1"))
+	tb.SetPeer(at(0), "peer", []ggsplace.Flight{{Endpoint: "p0", Count: 18}, {Endpoint: "p1", Count: 18}, {Endpoint: "p2", Count: 18}})
+	_, err := tb.Choose(at(0), q)
+	var refused *ggsplace.RefusedError
+	c.Assert(errors.As(err, &refused), qt.IsTrue)
+}
+
+func TestLeavingAndTriedEndpointsGetNothing(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	l := deployment()
+	for i := range l {
+		l[i].Leaving = l[i].ID == "p0"
+	}
+	tb.SetInstances(l)
+	for range 20 {
+		x := choose(c, tb, ggsplace.Query{Service: plain, Tried: []ggscore.EndpointID{"p1"}})
+		c.Assert(x.Instance.ID, qt.Equals, ggscore.EndpointID("p2"))
+	}
+}
+
+// An instance fails every request while its entry says that it is ready. Each
+// request that still went there was lost.
+func TestFailingEndpointIsLeftOut(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	for range ggsretry.DefaultFailures {
+		tb.Sent(at(0), "p0")
+		tb.Ended(at(0), "p0", ggsretry.ResultFailed)
+	}
+	tb.Sent(at(0), "p1")
+	tb.Ended(at(0), "p1", ggsretry.ResultOK)
+	c.Assert(choose(c, tb, ggsplace.Query{Service: plain}).Instance.ID, qt.Not(qt.Equals), ggscore.EndpointID("p0"))
+}
+
+func TestGoneInstancesAreReturned(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	gone := tb.SetInstances(deployment()[1:])
+	c.Assert(gone, qt.HasLen, 1)
+	c.Assert(gone[0].ID, qt.Equals, ggscore.EndpointID("r00"))
+}
--- /dev/null
+++ b/io/ggsexchange/pool_test.go
@@ -0,0 +1,277 @@
+package ggsexchange_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	ggscore "greengageslip/core"
+	"greengageslip/io/ggsexchange"
+)
+
+const idHeader = "Request-Id"
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// raw is an endpoint that answers each request with the bytes that the
+// function returns; "" closes the connection.
+type raw struct {
+	addr  netip.AddrPort
+	conns atomic.Int64
+}
+
+func serve(t *testing.T, answer func(n int, r *http.Request) string) *raw {
+	t.Helper()
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	s := &raw{addr: netip.MustParseAddrPort(l.Addr().String())}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			n, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.talk(ctx, n, answer)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+		<-done
+	})
+	return s
+}
+
+func (s *raw) talk(ctx context.Context, c net.Conn, answer func(int, *http.Request) string) {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		b := answer(n, req)
+		if b == "" {
+			return
+		}
+		if _, err := io.WriteString(c, b); err != nil {
+			return
+		}
+		if strings.Contains(b, "Connection: close") {
+			return
+		}
+	}
+}
+
+func pool(t *testing.T) *ggsexchange.Pool {
+	t.Helper()
+	p := ggsexchange.NewPool(ggsexchange.Options{Now: time.Now})
+	t.Cleanup(p.Close)
+	return p
+}
+
+func get(p *ggsexchange.Pool, addr netip.AddrPort, id string) (string, error) {
+	a, err := p.Do(context.Background(), ggsexchange.Request{
+		Addr: addr, Method: http.MethodGet, URI: "/", Host: "h", ID: ggscore.RequestID(id), IDHeader: idHeader,
+		Header: http.Header{idHeader: {id}},
+	})
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	b, err := io.ReadAll(a.Body)
+	return string(b), err
+}
+
+func whole(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + lengthOf(body) + "\r\n\r\n" + body
+}
+
+func lengthOf(s string) string { return string(rune('0' + len(s))) }
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := serve(t, func(_ int, r *http.Request) string { return whole(r.Header.Get(idHeader), "ok") })
+	p := pool(t)
+	for range 3 {
+		b, err := get(p, s.addr, "1")
+		c.Assert(err, qt.IsNil)
+		c.Assert(b, qt.Equals, "ok")
+	}
+	c.Assert(s.conns.Load(), qt.Equals, int64(1))
+	c.Assert(p.Dials(), qt.Equals, int64(1))
+}
+
+// An endpoint answers a request twice. The next request on the connection got
+// the second answer: one caller read another's balance.
+func TestSecondAnswerReachesNobody(t *testing.T) {
+	t.Parallel()
+	for name, answer := range map[string]func(int, *http.Request) string{
+		"at once, with an identity": func(_ int, r *http.Request) string {
+			w := whole(r.Header.Get(idHeader), "mine")
+			return w + w
+		},
+		"at once, without one": func(_ int, r *http.Request) string {
+			return whole(r.Header.Get(idHeader), "mine") + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+		},
+		"where the next is due": func(_ int, r *http.Request) string {
+			w := whole(r.Header.Get(idHeader), "mine")
+			return whole("stranger", "other") + w
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			s := serve(t, answer)
+			p := pool(t)
+			for _, id := range []string{"1", "2", "3"} {
+				b, err := get(p, s.addr, id)
+				c.Assert(err, qt.IsNil)
+				c.Assert(b, qt.Equals, "mine")
+			}
+		})
+	}
+}
+
+func TestOnlyForeignAnswers(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := serve(t, func(int, *http.Request) string { return strings.Repeat(whole("stranger", "other"), 4) })
+	_, err := get(pool(t), s.addr, "1")
+	var foreign *ggsexchange.ForeignAnswersError
+	c.Assert(errors.As(err, &foreign), qt.IsTrue)
+	c.Assert(foreign.Got, qt.Equals, ggscore.RequestID("stranger"))
+}
+
+// An endpoint closes a kept connection. A request that can't be repeated must
+// not be written to it: whether it ran would be open.
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := serve(t, func(n int, r *http.Request) string {
+		if n == 1 {
+			return ""
+		}
+		return whole(r.Header.Get(idHeader), "ok")
+	})
+	p := pool(t)
+	_, err := get(p, s.addr, "1")
+	c.Assert(err, qt.IsNil)
+	_, err = get(p, s.addr, "2")
+	var call *ggscore.CallError
+	c.Assert(errors.As(err, &call), qt.IsTrue)
+	c.Assert(call.NotSent, qt.IsFalse, qt.Commentf("bytes were written: nobody knows whether it ran"))
+	_, err = get(p, s.addr, "3")
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.conns.Load(), qt.Equals, int64(2))
+}
+
+// The answer's head says that the connection is kept for two seconds. A request
+// after that crosses the endpoint's close.
+func TestKeepAliveIsHonoured(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := serve(t, func(_ int, r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 0\r\nRequest-Id: " + r.Header.Get(idHeader) + "\r\n\r\n"
+	})
+	var now atomic.Int64
+	p := ggsexchange.NewPool(ggsexchange.Options{Now: func() time.Time { return time.Unix(0, now.Load()) }})
+	defer p.Close()
+	for _, pass := range []time.Duration{0, time.Second, 2 * time.Second} {
+		now.Add(int64(pass))
+		_, err := get(p, s.addr, "1")
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(p.Dials(), qt.Equals, int64(2))
+}
+
+func TestAnswerThatEndsEarly(t *testing.T) {
+	t.Parallel()
+	for name, answer := range map[string]string{
+		"short of its length":    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\nhalf",
+		"without its last chunk": "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"no answer":              "gibberish\r\n\r\nConnection: close",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := serve(t, func(int, *http.Request) string { return answer })
+			_, err := get(pool(t), s.addr, "1")
+			qt.New(t).Assert(err, qt.IsNotNil)
+		})
+	}
+}
+
+func TestNothingReachedTheEndpoint(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	c.Assert(l.Close(), qt.IsNil)
+	_, err = get(pool(t), addr, "1")
+	var call *ggscore.CallError
+	c.Assert(errors.As(err, &call), qt.IsTrue)
+	c.Assert(call.NotSent, qt.IsTrue)
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := serve(t, func(_ int, r *http.Request) string { return whole(r.Header.Get(idHeader), "ok") })
+	p := pool(t)
+	r := ggsexchange.Request{Addr: s.addr, Method: http.MethodGet, URI: "/", Host: "h", MaxConns: 1}
+	a, err := p.Do(context.Background(), r)
+	c.Assert(err, qt.IsNil)
+	_, err = p.Do(context.Background(), r)
+	var limit *ggsexchange.ConnLimitError
+	c.Assert(errors.As(err, &limit), qt.IsTrue)
+	a.Close()
+}
+
+// A caller leaves while its request runs. The endpoint goes on working for
+// nobody unless its connection is closed.
+func TestEndpointLearnsThatTheCallerLeft(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	closed := make(chan struct{})
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	go func() {
+		defer close(closed)
+		n, err := l.Accept()
+		if err != nil {
+			return
+		}
+		cancel()
+		_, _ = io.Copy(io.Discard, n)
+		_ = n.Close()
+	}()
+	_, err = pool(t).Do(ctx, ggsexchange.Request{
+		Addr: netip.MustParseAddrPort(l.Addr().String()), Method: http.MethodGet, URI: "/", Host: "h",
+	})
+	var call *ggscore.CallError
+	c.Assert(errors.As(err, &call), qt.IsTrue)
+	<-closed
+}
