--- /dev/null
+++ b/cmd/ggsnode/edge_test.go
@@ -0,0 +1,471 @@
+package ggsnode
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakesite"
+	ggsdialect "greengageslip/platform"
+)
+
+// A siteTest is a site with edges in front of it, all in this process.
+type siteTest struct {
+	c     *qt.C
+	site  *ggsfakesite.Site
+	edges []*edgeTest
+	ids   atomic.Int64
+	// network is the third number of the site's addresses.
+	network byte
+}
+
+type edgeTest struct {
+	settings ggsdialect.Settings
+	cancel   context.CancelFunc
+	done     chan int
+}
+
+// waitTime bounds each wait for an event.
+const waitTime = 20 * time.Second
+
+// startSite starts a site in two zones with so many edges, and waits until they
+// are ready and all runners have someone who gives them orders.
+func startSite(t *testing.T, edges int) *siteTest {
+	t.Helper()
+	c := qt.New(t)
+	s := &siteTest{c: c, network: byte(testSites.Add(1))}
+	ip := netip.AddrFrom4([4]byte{127, 9, s.network, 1})
+	s.site = ggsfakesite.NewSite(ggsfakesite.SiteOptions{
+		Listen: netip.AddrPortFrom(ip, 7000), Zones: []string{"a", "b"}, Events: 6, EventTime: 10 * time.Millisecond, Now: time.Now,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.site.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+	for n := range edges {
+		s.startEdge(t, n)
+	}
+	for n := range s.edges {
+		s.eventually("edge is ready", func() bool { return s.status(s.edges[n].settings.Ready, ggsdialect.PathReady) == http.StatusOK })
+	}
+	for n := range s.edges {
+		s.eventually("the edge knows who gives orders", func() bool { return s.orderers(n) == 2 })
+	}
+	return s
+}
+
+var testSites atomic.Int32 //nolint:gochecknoglobals // gives each test an address of its own
+
+func (s *siteTest) startEdge(t *testing.T, n int) {
+	t.Helper()
+	ip := netip.AddrFrom4([4]byte{127, 9, s.network, byte(10 + n)})
+	store := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, s.network, 1}), 7000)
+	e := &edgeTest{done: make(chan int, 1), settings: ggsdialect.Settings{
+		VM: ggscore.VMID(fmt.Sprintf("edge-%d", n)), Addr: ip, Domain: ggscore.Domain([]string{"a", "b"}[n%2]),
+		Regions: map[ggscore.Domain]ggscore.Region{"a": "west", "b": "east"},
+		Callers: netip.AddrPortFrom(ip, 7100), Ready: netip.AddrPortFrom(ip, 7101), FirstPort: 7200, LastPort: 7210,
+		Cores: 1, Store: store, Grace: 4 * time.Second, OrderTurn: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 58,
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go func() { e.done <- runEdge(ctx, &e.settings, log.NewNopLogger()) }()
+	s.edges = append(s.edges, e)
+	t.Cleanup(func() {
+		e.cancel()
+		<-e.done
+		e.done <- 0
+	})
+}
+
+func (s *siteTest) eventually(what string, ok func() bool) {
+	s.c.Helper()
+	deadline := time.Now().Add(waitTime)
+	for !ok() {
+		if time.Now().After(deadline) {
+			s.c.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// orderers returns the number of runners of which an edge knows who gives them
+// orders.
+func (s *siteTest) orderers(n int) int {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+s.edges[n].settings.Ready.String()+"/state", nil)
+	s.c.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var d struct {
+		Parts struct {
+			Edge struct {
+				Endpoints []struct{ Orderer string }
+			} `json:"edge"`
+		} `json:"parts"`
+	}
+	s.c.Assert(json.NewDecoder(resp.Body).Decode(&d), qt.IsNil)
+	known := 0
+	for _, e := range d.Parts.Edge.Endpoints {
+		if e.Orderer != "" {
+			known++
+		}
+	}
+	return known
+}
+
+func (s *siteTest) status(addr netip.AddrPort, path string) int {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+addr.String()+path, nil)
+	s.c.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// A reply is what a caller got. Whole is false where the answer broke off.
+type reply struct {
+	id     string
+	status int
+	body   string
+	header http.Header
+	whole  bool
+}
+
+// call sends a request to an edge.
+func (s *siteTest) call(n int, method, path, model, body string) reply {
+	return s.callContext(context.Background(), n, method, path, model, body)
+}
+
+func (s *siteTest) callContext(ctx context.Context, n int, method, path, model, body string) reply {
+	id := fmt.Sprintf("%016x", s.ids.Add(1))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+s.edges[n].settings.Callers.String()+path, strings.NewReader(body))
+	s.c.Assert(err, qt.IsNil)
+	r.Host = ggsfakesite.Host
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "4000")
+	if model != "" {
+		r.Header.Set("Model", model)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{id: id}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return reply{id: id, status: resp.StatusCode, body: string(b), header: resp.Header, whole: err == nil}
+}
+
+// setFault sets what goes wrong at all endpoints of a service, by the first
+// letters of their names.
+func (s *siteTest) setFault(prefix string, f func(ggsfakesite.Query) ggsfakesite.Fault) {
+	for id, e := range s.site.Endpoints {
+		if strings.HasPrefix(id, prefix) {
+			e.SetFault(f)
+		}
+	}
+}
+
+func always(f ggsfakesite.Fault) func(ggsfakesite.Query) ggsfakesite.Fault {
+	return func(ggsfakesite.Query) ggsfakesite.Fault { return f }
+}
+
+// first fails the first request that an endpoint gets.
+func first(f ggsfakesite.Fault) func(ggsfakesite.Query) ggsfakesite.Fault {
+	var seen atomic.Bool
+	return func(ggsfakesite.Query) ggsfakesite.Fault {
+		if seen.Swap(true) {
+			return ggsfakesite.FaultNone
+		}
+		return f
+	}
+}
+
+func TestEdgeServesStreamsAndPlainAnswers(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2)
+	r := s.call(0, http.MethodPost, "/chat/x", "m/a7", "Hola")
+	s.c.Assert(r.status, qt.Equals, http.StatusOK)
+	s.c.Assert(r.whole, qt.IsTrue)
+	s.c.Assert(strings.Count(r.body, "data: "+r.id), qt.Equals, 6)
+	s.c.Assert(r.header.Get("Server-Stamp"), qt.Not(qt.Equals), "")
+
+	// The other VM finds it where it is.
+	other := s.call(1, http.MethodPost, "/chat/x", "m/a7", "Hola")
+	s.c.Assert(other.header.Get("Server-Stamp"), qt.Equals, r.header.Get("Server-Stamp"))
+
+	p := s.call(1, http.MethodPost, "/pay/1?x=a%2Fb", "", `{"deposit":1}`)
+	s.c.Assert(p.status, qt.Equals, http.StatusOK)
+	s.c.Assert(strings.HasPrefix(p.body, "answer to "+p.id), qt.IsTrue)
+	s.c.Assert(s.site.Runs()[p.id], qt.Equals, 1)
+}
+
+func TestEdgeRefusesWhatItCantServe(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	for name, tc := range map[string]struct {
+		method, path, body string
+		fault              ggsfakesite.Fault
+		want               int
+	}{
+		"no route":       {method: http.MethodGet, path: "/nowhere/", want: http.StatusNotFound},
+		"body too long":  {method: http.MethodPost, path: "/pay/1", body: strings.Repeat("x", 70000), want: http.StatusRequestEntityTooLarge},
+		"endpoints full": {method: http.MethodGet, path: "/look/1", fault: ggsfakesite.FaultShed, want: http.StatusServiceUnavailable},
+	} {
+		s.setFault("ledger", always(tc.fault))
+		r := s.call(0, tc.method, tc.path, "", tc.body)
+		s.c.Check(r.status, qt.Equals, tc.want, qt.Commentf(name))
+		s.c.Check(s.site.Runs()[r.id], qt.Equals, 0, qt.Commentf(name))
+		if tc.want == http.StatusServiceUnavailable {
+			wait, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			s.c.Check(err, qt.IsNil)
+			s.c.Check(wait > 0, qt.IsTrue)
+		}
+	}
+}
+
+// A deposit release reaches the ledger, which runs it; its answer is lost. Sent
+// again, the landlord would be paid twice; answered "not run", the caller would
+// send it again.
+func TestUnsafeRequestRunsOnce(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]ggsfakesite.Fault{
+		"connection closed": ggsfakesite.FaultReset,
+		"answer cut":        ggsfakesite.FaultCut,
+		"answer unsigned":   ggsfakesite.FaultUnsigned,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, 1)
+			s.setFault("ledger", always(fault))
+			r := s.call(0, http.MethodPost, "/pay/1", "", "{}")
+			s.c.Assert(r.status, qt.Equals, http.StatusBadGateway)
+			s.c.Assert(s.site.Runs()[r.id], qt.Equals, 1)
+		})
+	}
+}
+
+// A balance lookup meets an instance that fails. It may run twice, so the caller
+// gets the other instance's answer.
+func TestSafeRequestGoesToAnotherInstance(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]ggsfakesite.Fault{
+		"connection closed": ggsfakesite.FaultReset,
+		"answer cut":        ggsfakesite.FaultCut,
+		"answer unsigned":   ggsfakesite.FaultUnsigned,
+		"failure":           ggsfakesite.FaultError,
+		"shed":              ggsfakesite.FaultShed,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, 1)
+			s.setFault("ledger", first(fault))
+			r := s.call(0, http.MethodGet, "/look/1", "", "")
+			s.c.Assert(r.status, qt.Equals, http.StatusOK)
+			s.c.Assert(r.whole, qt.IsTrue)
+		})
+	}
+}
+
+// Every instance fails a lookup: the caller gets the instance's own answer, as
+// it came.
+func TestEndpointsFailureIsPassedOn(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.setFault("ledger", always(ggsfakesite.FaultError))
+	r := s.call(0, http.MethodPost, "/pay/1", "", "{}")
+	s.c.Assert(r.status, qt.Equals, http.StatusInternalServerError)
+	s.c.Assert(r.body, qt.Equals, "failed\n")
+	s.c.Assert(r.header.Get("Server-Stamp"), qt.Not(qt.Equals), "")
+}
+
+// A runner crashes in the middle of a stream. The caller must not take what it
+// has for the whole answer.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.setFault("runner", always(ggsfakesite.FaultCut))
+	r := s.call(0, http.MethodPost, "/chat/x", "", "Hola")
+	s.c.Assert(r.status, qt.Equals, http.StatusOK)
+	s.c.Assert(r.whole, qt.IsFalse)
+}
+
+// A caller closes its connection while its request runs. The runner went on for
+// nobody until the request's deadline.
+func TestRunEndsWhenItsCallerLeaves(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.setFault("runner", always(ggsfakesite.FaultHang))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan reply, 1)
+	go func() { done <- s.callContext(ctx, 0, http.MethodPost, "/chat/x", "", "Hola") }()
+	s.eventually("the request runs", func() bool { return len(s.site.Runs()) > 0 })
+	cancel()
+	<-done
+	s.eventually("its run ends", func() bool {
+		n := 0
+		for _, e := range s.site.Endpoints {
+			n += e.Left()
+		}
+		return n == 1
+	})
+}
+
+// An instance answers nothing. The caller learns at the route's time limit that
+// its release may have run, and not that it hasn't.
+func TestTimeLimitOfARunningRequest(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.setFault("ledger", always(ggsfakesite.FaultHang))
+	begun := time.Now()
+	r := s.call(0, http.MethodPost, "/pay/1", "", "{}")
+	s.c.Assert(r.status, qt.Equals, http.StatusGatewayTimeout)
+	s.c.Assert(time.Since(begun) < 2*time.Second, qt.IsTrue)
+}
+
+// An operator names a new version of an adapter. Requests that begin after it is
+// known run on it.
+func TestNewVersionOfAnAdapterIsServed(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.eventually("the adapter is served", func() bool {
+		return s.call(0, http.MethodPost, "/chat/x", "m/a7", "Hola").status == http.StatusOK
+	})
+	for _, e := range s.site.Endpoints {
+		e.SetVersion("a7", 2)
+	}
+	s.site.Store.Put("op/version/m.a7", []byte(`{"model":"m","adapter":"a7","version":2}`))
+	s.eventually("version 2 is ordered", func() bool {
+		s.call(0, http.MethodPost, "/chat/x", "m/a7", "Hola")
+		for _, e := range s.site.Endpoints {
+			for _, o := range e.Orders() {
+				if o.Adapter == "a7" && o.Version == 2 {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	s.eventually("version 2 is served", func() bool {
+		return s.call(0, http.MethodPost, "/chat/x", "m/a7", "Hola").status == http.StatusOK
+	})
+}
+
+// A configuration moves a route. It is in force at once, and an older one that
+// arrives later changes nothing.
+func TestConfigurationOnlyGoesForward(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	served := func(path string) bool { return s.call(0, http.MethodPost, path, "", "Hola").status == http.StatusOK }
+	s.eventually("the first is in force", func() bool { return served("/chat/x") })
+	s.site.Store.Put("op/config", ggsfakesite.Config(5, "/talk/"))
+	s.eventually("the second is in force", func() bool { return served("/talk/x") })
+	for name, value := range map[string][]byte{"older": ggsfakesite.Config(3, "/chat/"), "unreadable": []byte("{")} {
+		s.site.Store.Put("op/config", value)
+		s.site.Store.Compact()
+		s.site.Store.Put("op/version/m.a1", []byte(`{"model":"m","adapter":"a1","version":1}`))
+		s.c.Check(served("/chat/x"), qt.IsFalse, qt.Commentf(name))
+		s.c.Check(served("/talk/x"), qt.IsTrue, qt.Commentf(name))
+	}
+}
+
+// The store is away. What is resident is served on, and a change that was made
+// meanwhile is in force once it is back.
+func TestStoreAway(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	served := func(path string) bool {
+		return s.call(0, http.MethodPost, path, "m/a7", "Hola").status == http.StatusOK
+	}
+	s.eventually("the adapter is served", func() bool { return served("/chat/x") })
+	s.site.Store.SetAway(true)
+	for range 5 {
+		s.c.Assert(served("/chat/x"), qt.IsTrue)
+	}
+	s.site.Store.Put("op/config", ggsfakesite.Config(9, "/talk/"))
+	s.site.Store.Compact()
+	s.site.Store.SetAway(false)
+	s.eventually("the change is in force", func() bool { return served("/talk/x") })
+}
+
+// A VM starts while the store is away and knows no configuration. It says so,
+// and that nothing has run.
+func TestNoConfigurationYet(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 0)
+	s.site.Store.SetAway(true)
+	s.startEdge(t, 0)
+	var r reply
+	s.eventually("the edge answers", func() bool {
+		r = s.call(0, http.MethodPost, "/pay/1", "", "{}")
+		return r.status != 0
+	})
+	s.c.Assert(r.status, qt.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(s.status(s.edges[0].settings.Ready, ggsdialect.PathReady), qt.Equals, http.StatusServiceUnavailable)
+}
+
+// A planned stop: the process says that it isn't ready, and the stream that it
+// is relaying ends whole.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.setFault("runner", always(ggsfakesite.FaultNone))
+	done := make(chan reply, 1)
+	go func() { done <- s.call(0, http.MethodPost, "/chat/x", "", "Hola") }()
+	s.eventually("the request runs", func() bool { return len(s.site.Runs()) > 0 })
+	s.edges[0].cancel()
+	r := <-done
+	s.c.Assert(r.status, qt.Equals, http.StatusOK)
+	s.c.Assert(r.whole, qt.IsTrue)
+	s.eventually("it isn't ready", func() bool {
+		return s.status(s.edges[0].settings.Ready, ggsdialect.PathReady) != http.StatusOK
+	})
+}
+
+// Bytes that look like a second request stand inside another's body, or behind
+// one whose length is told in two ways. An endpoint must never see them as a
+// request of their own.
+func TestSmuggledRequestsReachNobody(t *testing.T) {
+	t.Parallel()
+	inner := "POST /pay/2 HTTP/1.1\r\nHost: " + ggsfakesite.Host + "\r\nRequest-Id: smuggled\r\nContent-Length: 0\r\n\r\n"
+	for name, text := range map[string]string{
+		"length and chunks": "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(inner), inner),
+		"two lengths":       fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner),
+		"bad chunk size":    "Transfer-Encoding: chunked\r\n\r\n0x0\r\n\r\n" + inner,
+		"folded header":     "X-A: 1\r\n Content-Length: 0\r\nContent-Length: " + strconv.Itoa(len(inner)) + "\r\n\r\n" + inner,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, 1)
+			n, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", s.edges[0].settings.Callers.String())
+			s.c.Assert(err, qt.IsNil)
+			defer func() { _ = n.Close() }()
+			_, err = io.WriteString(n, "POST /pay/1 HTTP/1.1\r\nHost: "+ggsfakesite.Host+"\r\nRequest-Id: outer\r\nDeadline-Ms: 1000\r\n"+text)
+			s.c.Assert(err, qt.IsNil)
+			resp, err := http.ReadResponse(bufio.NewReader(n), nil)
+			s.c.Assert(err, qt.IsNil)
+			_ = resp.Body.Close()
+			s.c.Assert(s.site.Runs()["smuggled"], qt.Equals, 0)
+		})
+	}
+}
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -323,7 +323,7 @@
 		if e.Leaving || slices.Contains(q.Tried, e.ID) {
 			continue
 		}
-		if q.Engine != nil && !e.holds(now, base, 0) {
+		if q.Engine != nil && base.Model != "" && !e.holds(now, base, 0) {
 			continue
 		}
 		ready++
--- a/fakes/ggsfake/run.go
+++ b/fakes/ggsfake/run.go
@@ -58,6 +58,8 @@
 			return serveCommand(ctx, c, s.log)
 		case *linkCommand:
 			return c.run(ctx, s.log)
+		case *siteCommand:
+			return c.site().Run(ctx)
 		case *callCommand:
 			return c.call(ctx, s.out)
 		}
@@ -101,6 +103,7 @@
 		{"plain", "Run a plain service", &plainCommand{}},
 		{"weights", "Run the weight store", &weightsCommand{}},
 		{"link", "Run a network link with a delay, which can be cut", &linkCommand{}},
+		{"site", "Run the users' platform: its store and endpoints", &siteCommand{}},
 		{"call", "Call a stand-in and print its answer", &callCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.help, c.help+".", c.data); err != nil {
--- /dev/null
+++ b/fakes/ggsfakesite/site.go
@@ -0,0 +1,132 @@
+package ggsfakesite
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// The names of a Site's services and the host of its routes.
+const (
+	Models = "models"
+	Ledger = "ledger"
+	Host   = "site.example"
+)
+
+// entryInterval is how often a Site's endpoints write their entries.
+const entryInterval = 200 * time.Millisecond
+
+// A SiteOptions sets a Site. Zero fields mean one runner and one ledger a zone.
+type SiteOptions struct {
+	// Listen is the store's address; endpoints get the ports after it.
+	Listen  netip.AddrPort
+	Zones   []string
+	Runners int
+	Events  int
+	// EventTime is the time of each event of a stream.
+	EventTime time.Duration
+	Now       func() time.Time
+}
+
+// A Site is a store with the endpoints and the configuration of a small
+// deployment: streams below /chat/, answers that may not be repeated below
+// /pay/, and such that may below /look/.
+type Site struct {
+	Store     *Store
+	Endpoints map[string]*Endpoint
+
+	options SiteOptions
+	addrs   map[string]netip.AddrPort
+	zones   map[string]string
+	servers []*http.Server
+}
+
+// NewSite returns a site that doesn't run yet.
+func NewSite(o SiteOptions) *Site {
+	s := &Site{
+		Store: NewStore(), Endpoints: map[string]*Endpoint{}, options: o,
+		addrs: map[string]netip.AddrPort{}, zones: map[string]string{},
+	}
+	port := o.Listen.Port()
+	add := func(id, service, zone string, engine bool) {
+		port++
+		s.Endpoints[id] = NewEndpoint(EndpointOptions{
+			ID: id, Service: service, Engine: engine, Events: o.Events, EventTime: o.EventTime, Now: o.Now,
+		})
+		s.addrs[id], s.zones[id] = netip.AddrPortFrom(o.Listen.Addr(), port), zone
+	}
+	for z, zone := range o.Zones {
+		for n := range max(o.Runners, 1) {
+			add(fmt.Sprintf("runner-%d%d", z, n), Models, zone, true)
+		}
+		add(fmt.Sprintf("ledger-%d", z), Ledger, zone, false)
+	}
+	s.Store.Put("op/config", Config(1, "/chat/"))
+	return s
+}
+
+// Config returns a version of the configuration, with streams below a prefix.
+func Config(version int, chat string) []byte {
+	return []byte(fmt.Sprintf(`{"version":%d,"routes":[
+		{"name":"chat","hostname":%q,"pathPrefix":%q,"routeType":"streaming","timeoutMs":5000,"targetLatencyMs":800,"service":%q,"maxAttempts":1},
+		{"name":"pay","hostname":%q,"pathPrefix":"/pay/","routeType":"unsafe","timeoutMs":1200,"service":%q,"maxAttempts":1},
+		{"name":"look","hostname":%q,"pathPrefix":"/look/","routeType":"safe","timeoutMs":1200,"service":%q,"maxAttempts":2}],
+		"services":[{"name":%q,"maxConnections":100,"engine":{"slots":16,"models":[{"name":%q,"weightsMb":1,"loadS":1,"adapterMb":1}],"adapterSlots":4}},
+		{"name":%q,"maxConnections":100}],
+		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
+		version, Host, chat, Models, Host, Ledger, Host, Ledger, Models, DefaultModel, Ledger))
+}
+
+// Run serves until the context ends.
+func (s *Site) Run(ctx context.Context) error {
+	handlers := map[netip.AddrPort]http.Handler{s.options.Listen: s.Store}
+	for id, e := range s.Endpoints {
+		handlers[s.addrs[id]] = e
+	}
+	for addr, h := range handlers {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
+		if err != nil {
+			return err
+		}
+		v := &http.Server{Handler: h, ReadHeaderTimeout: entryInterval * 25}
+		s.servers = append(s.servers, v)
+		// The server's end is the context's.
+		go func() { _ = v.Serve(l) }()
+	}
+	defer func() {
+		for _, v := range s.servers {
+			_ = v.Close()
+		}
+	}()
+	t := time.NewTicker(entryInterval)
+	defer t.Stop()
+	for {
+		for id := range s.Endpoints {
+			s.announce(id, false)
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// announce writes an endpoint's entry.
+func (s *Site) announce(id string, draining bool) {
+	s.Store.Put("servers/"+id, s.Endpoints[id].Entry(s.addrs[id].String(), s.zones[id], draining))
+}
+
+// Runs returns how often each request was run by any endpoint.
+func (s *Site) Runs() map[string]int {
+	all := map[string]int{}
+	for _, e := range s.Endpoints {
+		for id, n := range e.Runs() {
+			all[id] += n
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/fakes/ggsfakesite/store.go
@@ -0,0 +1,233 @@
+package ggsfakesite
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// A Store is the platform's metadata store.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]item
+	history  []item
+	changed  chan struct{}
+	away     bool
+	// lose is the number of writes that are done and not answered.
+	lose  int
+	calls map[string]int
+}
+
+type item struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Revision  uint64 `json:"revision"`
+	CreateRev uint64 `json:"createRev,omitempty"`
+	Lease     uint64 `json:"lease,omitempty"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{revision: 1, items: map[string]item{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+// Put writes a value as an operator or an endpoint does.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.set(key, value)
+	s.wake()
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.wake()
+}
+
+// Get returns a value, nil for none.
+func (s *Store) Get(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
+// SetAway sets whether all calls are answered 503.
+func (s *Store) SetAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	s.wake()
+}
+
+// LoseAnswers has the next writes done and not answered.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.wake()
+}
+
+// Calls returns the number of calls by path.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	away := s.away
+	s.mu.Unlock()
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /greengageslip/kv-range":
+		s.list(w, r)
+	case "GET /greengageslip/kv-watch":
+		s.watch(w, r)
+	case "POST /greengageslip/kv-txn":
+		s.txn(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("pathPrefix")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := []item{}
+	for k, i := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			l = append(l, i)
+		}
+	}
+	slices.SortFunc(l, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	answer(w, http.StatusOK, map[string]any{"items": l, "morePages": false, "asOf": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("waitMs"))
+	t := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer t.Stop()
+	for {
+		s.mu.Lock()
+		away, changed, rev := s.away, s.changed, s.revision
+		gone := after < rev && (len(s.history) == 0 || s.history[0].Revision > after+1)
+		l := []item{}
+		for _, i := range s.history {
+			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("pathPrefix")) {
+				l = append(l, i)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case away:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(l) > 0:
+			answer(w, http.StatusOK, map[string]any{"events": l, "asOf": rev})
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-t.C:
+			answer(w, http.StatusOK, map[string]any{"events": l, "asOf": rev})
+			return
+		}
+	}
+}
+
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		Expected []struct {
+			Key      string `json:"key"`
+			Revision uint64 `json:"revision"`
+		} `json:"expected"`
+		SetKeys []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+		} `json:"setKeys"`
+		Remove []string `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range t.Expected {
+		if s.items[e.Key].Revision != e.Revision {
+			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []item{s.items[e.Key]}})
+			return
+		}
+	}
+	s.revision++
+	for _, k := range t.SetKeys {
+		s.set(k.Key, k.Value)
+	}
+	for _, k := range t.Remove {
+		s.remove(k)
+	}
+	s.wake()
+	if s.lose > 0 {
+		s.lose--
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, http.StatusOK, map[string]any{"revision": s.revision})
+}
+
+func (s *Store) set(key string, value []byte) {
+	i := item{Key: key, Value: value, Revision: s.revision, CreateRev: s.items[key].CreateRev}
+	if i.CreateRev == 0 {
+		i.CreateRev = s.revision
+	}
+	s.items[key] = i
+	s.history = append(s.history, i)
+}
+
+func (s *Store) remove(key string) {
+	delete(s.items, key)
+	s.history = append(s.history, item{Key: key, Revision: s.revision, Tombstone: true})
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has gone away gets nothing.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -53,6 +53,9 @@
 	for ctx.Err() == nil {
 		es, next, err := e.operators(ctx, at)
 		e.stats.Store.Add(1)
+		if err != nil && ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
 			var gone *ggscore.HistoryGoneError
 			if errors.As(err, &gone) {
--- a/io/ggsexchange/pool_test.go
+++ b/io/ggsexchange/pool_test.go
@@ -84,7 +84,7 @@
 
 func pool(t *testing.T) *ggsexchange.Pool {
 	t.Helper()
-	p := ggsexchange.NewPool(ggsexchange.Options{Now: time.Now})
+	p := ggsexchange.NewPool(ggsexchange.Options{Now: func() time.Time { return time.Unix(1, 0) }})
 	t.Cleanup(p.Close)
 	return p
 }
