--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -146,14 +146,14 @@
 	return code
 }
 
-// edgeControl is where peers reach an edge: UDP and TCP at the first port of
+// edgeBeats is where an edge hears its peers' beats: UDP at the first port of
 // its range.
-func edgeControl(s *ggsdialect.Settings) netip.AddrPort {
+func edgeBeats(s *ggsdialect.Settings) netip.AddrPort {
 	return netip.AddrPortFrom(s.Addr, s.FirstPort)
 }
 
 func newEdge(s *ggsdialect.Settings, p *ggsexchange.Pool, t clock, l log.Logger) (*ggsedge.Edge, error) {
-	u, err := ggspeer.Listen(context.Background(), edgeControl(s))
+	u, err := ggspeer.Listen(context.Background(), edgeBeats(s))
 	if err != nil {
 		return nil, err
 	}
@@ -164,7 +164,7 @@
 		// machine to those that take its orders.
 		VM:     s.VM + "@" + ggscore.VMID(s.Addr.String()),
 		Domain: s.Domain, Regions: s.Regions, Seed: h.Sum64() ^ uint64(t().UnixNano()),
-		Control: edgeControl(s), Turn: s.OrderTurn, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		Beats: edgeBeats(s), Control: s.Control, Seeds: s.Seeds, Turn: s.OrderTurn, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
 		VersionTime: s.VersionTime, IDHeader: ggsdialect.HeaderRequestID,
 		Keys: ggsedge.Keys{
 			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip",
@@ -190,7 +190,7 @@
 	}})
 	h.background("edge", e.Run)
 	h.background("hangup", func(ctx context.Context) error { return rereadSettings(ctx, h.Log) })
-	h.serveRPC(edgeControl(s), func(ctx context.Context, r *ggsrpc.Server) error {
+	h.serveRPC(s.Control, func(ctx context.Context, r *ggsrpc.Server) error {
 		return r.Register("Placement", ggsedge.NewPlacement(ctx, e))
 	})
 	serveCallers(h, s, e)
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -80,9 +80,12 @@
 	e := &edgeTest{done: make(chan int, 1), settings: ggsdialect.Settings{
 		VM: ggscore.VMID(fmt.Sprintf("edge-%d", n)), Addr: ip, Domain: ggscore.Domain([]string{"a", "b"}[n%2]),
 		Regions: map[ggscore.Domain]ggscore.Region{"a": "west", "b": "east"},
-		Callers: netip.AddrPortFrom(ip, 7100), Ready: netip.AddrPortFrom(ip, 7101), FirstPort: 7200, LastPort: 7210,
+		Callers: netip.AddrPortFrom(ip, 7100), Ready: netip.AddrPortFrom(ip, 7101), Control: netip.AddrPortFrom(ip, 7300), FirstPort: 7200, LastPort: 7210,
 		Cores: 1, Store: store, Grace: 4 * time.Second, OrderTurn: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 58,
 	}}
+	for _, o := range s.edges {
+		e.settings.Seeds = append(e.settings.Seeds, o.settings.Control)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	go func() { e.done <- runEdge(ctx, &e.settings, log.NewNopLogger()) }()
@@ -424,6 +427,25 @@
 	s.c.Assert(s.status(s.edges[0].settings.Ready, ggsdialect.PathReady), qt.Equals, http.StatusServiceUnavailable)
 }
 
+// The store is away while VMs are restarted one after the other. Each came back
+// without a configuration, and when the last had been restarted nobody was
+// served any more. A VM that starts asks another for what it goes by.
+func TestStartWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.c.Assert(s.call(0, http.MethodPost, "/chat/x", "m/a7", "Hola").status, qt.Equals, http.StatusOK)
+	s.site.Store.SetAway(true)
+	s.startEdge(t, 1)
+	s.eventually("the second edge is ready", func() bool {
+		return s.status(s.edges[1].settings.Ready, ggsdialect.PathReady) == http.StatusOK
+	})
+	r := s.call(1, http.MethodPost, "/pay/1", "", "{}")
+	s.c.Assert(r.status, qt.Equals, http.StatusOK)
+	s.eventually("the second edge serves the adapter", func() bool {
+		return s.call(1, http.MethodPost, "/chat/x", "m/a7", "Hola").status == http.StatusOK
+	})
+}
+
 // A planned stop: the process says that it isn't ready, and the stream that it
 // is relaying ends whole.
 func TestPlannedStopCutsNothing(t *testing.T) {
--- a/core/ggsfencing/keeper.go
+++ b/core/ggsfencing/keeper.go
@@ -134,7 +134,8 @@
 }
 
 // Observe takes a reading of the store as of a revision. One that is older
-// than the last is passed over.
+// than the last is passed over. Zero stands for a part of a peer's reading,
+// which says nothing of what it doesn't have.
 func (k *Keeper) Observe(now time.Time, at ggscore.StoreRevision, records []Record, beats []Beat) {
 	if at < k.read {
 		return
@@ -164,7 +165,7 @@
 		}
 	}
 	for vm, b := range k.beats {
-		if !alive[vm] && b.Revision != 0 {
+		if at > 0 && !alive[vm] && b.Revision != 0 {
 			k.beats[vm] = &beat{Beat: Beat{VM: vm}, since: now}
 		}
 	}
@@ -290,6 +291,15 @@
 // Own returns this VM's records.
 func (k *Keeper) Own() []Record { return k.Beat().Records }
 
+// Records returns all records that are known.
+func (k *Keeper) Records() []Record {
+	rs := make([]Record, 0, len(k.records))
+	for _, r := range k.records {
+		rs = append(rs, r.Record)
+	}
+	return rs
+}
+
 // Owner returns the VM that gives the endpoint its orders, empty where none
 // does.
 func (k *Keeper) Owner(id ggscore.EndpointID) ggscore.VMID {
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -350,6 +350,10 @@
 	// home. A runner reads the prompts of 45 a second; the busiest adapter alone
 	// draws up to 80, and should share its runners with others.
 	replicaRate = 6.0
+	// regionRate is the requests a second from which an adapter has a home in
+	// each region: a copy costs as much as 12 answers that cross, and stays for
+	// some seconds at least.
+	regionRate = 2.5
 	// maxHomes bounds an adapter's homes: one for each of a deployment's
 	// runners at today's size.
 	maxHomes = 12
@@ -369,7 +373,11 @@
 	}
 	n := 1
 	if d := t.demand[q.Target]; d != nil {
-		n += min(int(d.PerSecond(now)/replicaRate), maxHomes-1)
+		rate := d.PerSecond(now)
+		n += min(int(rate/replicaRate), maxHomes-1)
+		if rate >= regionRate {
+			n = max(n, t.regions())
+		}
 	}
 	name := q.Target.String()
 	ranked := make([]ranking, 0, len(list))
@@ -400,6 +408,15 @@
 	rank uint64
 }
 
+// regions returns the number of regions.
+func (t *Table) regions() int {
+	seen := make(map[ggscore.Region]bool, len(t.options.Regions))
+	for _, r := range t.options.Regions {
+		seen[r] = true
+	}
+	return len(seen)
+}
+
 func (t *Table) sharesRegion(homes []*endpoint, e *endpoint) bool {
 	for _, h := range homes {
 		if t.options.Regions[h.Domain] == t.options.Regions[e.Domain] {
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -26,8 +26,11 @@
 	Domain  ggscore.Domain
 	Regions map[ggscore.Domain]ggscore.Region
 	Seed    uint64
-	// Control is the address for peers: beats by UDP, calls by TCP.
+	// Beats is where this VM hears its peers' beats, Control where they call it.
+	Beats   netip.AddrPort
 	Control netip.AddrPort
+	// Seeds are other VMs to ask while the store is away; they may be gone.
+	Seeds []netip.AddrPort
 	// Turn is the time between orders of two VMs to one endpoint.
 	Turn time.Duration
 	// RetryRatio and RetrySlack bound what is sent to a service beyond each
@@ -105,6 +108,9 @@
 	uses     map[use]*usage
 	loads    map[load]*loading
 	listed   bool
+	// entries are the store's entries as last read, for VMs that start while
+	// the store is away.
+	entries  map[ggscore.Key][]ggscore.Entry
 	sequence uint64
 	// kick wakes the loop that writes beats to the store.
 	kick chan struct{}
@@ -126,7 +132,8 @@
 
 // A member is a peer as its entry in the store names it.
 type member struct {
-	addr     netip.AddrPort
+	beats    netip.AddrPort
+	calls    netip.AddrPort
 	started  int64
 	sequence uint64
 }
@@ -157,6 +164,7 @@
 		peers:    map[ggscore.VMID]*member{},
 		uses:     map[use]*usage{},
 		loads:    map[load]*loading{},
+		entries:  map[ggscore.Key][]ggscore.Entry{},
 		kick:     make(chan struct{}, 1),
 	}
 }
@@ -185,6 +193,7 @@
 	g.Go(func() error { return e.tellPeers(ctx) })
 	g.Go(func() error { return e.Peers.Run(ctx, e.heard) })
 	g.Go(func() error { return e.giveOrders(ctx) })
+	g.Go(func() error { return e.askSeeds(ctx) })
 	return g.Wait()
 }
 
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -75,6 +75,7 @@
 		e.storeAway.Store(false)
 		e.dependency(&away, true, "operators", nil)
 		at = max(next, at)
+		e.keepOperators(es)
 		for _, n := range es {
 			e.adopt(n)
 		}
@@ -184,6 +185,7 @@
 	e.mu.Lock()
 	gone := e.table.SetInstances(list)
 	e.listed = true
+	e.entries[e.options.Keys.Instances] = es
 	e.setWorkers(ctx)
 	e.mu.Unlock()
 	for _, g := range gone {
@@ -231,7 +233,7 @@
 	}
 	to := make([]netip.AddrPort, 0, len(e.peers))
 	for p := range maps.Values(e.peers) {
-		to = append(to, p.addr)
+		to = append(to, p.beats)
 	}
 	return b, to
 }
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -16,7 +16,7 @@
 
 // beatInterval is the time between beats to the store: orders go on for 9 s
 // after the last one that was acknowledged.
-const beatInterval = 2 * time.Second
+const beatInterval = 2500 * time.Millisecond
 
 // The own records' keys below the prefix.
 const (
@@ -27,7 +27,8 @@
 // A memberRecord is a VM's beat in the store.
 type memberRecord struct {
 	Domain  string `json:"domain"`
-	Addr    string `json:"addr"`
+	Beats   string `json:"beats"`
+	Control string `json:"control"`
 	Leaving bool   `json:"leaving"`
 	// Count makes each beat a change.
 	Count uint64 `json:"count"`
@@ -39,6 +40,20 @@
 	Released bool   `json:"released"`
 }
 
+// member returns the peer that a record names. One without readable addresses
+// is of another version of the program and isn't called.
+func (w *memberRecord) member() (*member, bool) {
+	b, err := netip.ParseAddrPort(w.Beats)
+	if err != nil {
+		return nil, false
+	}
+	c, err := netip.ParseAddrPort(w.Control)
+	if err != nil {
+		return nil, false
+	}
+	return &member{beats: b, calls: c}, true
+}
+
 func (e *Edge) memberKey(vm ggscore.VMID) ggscore.Key {
 	return ggscore.KeyOf(string(e.options.Keys.Own), memberPart, string(vm))
 }
@@ -70,47 +85,58 @@
 }
 
 func (e *Edge) setMembers(ctx context.Context, es []ggscore.Entry, at ggscore.StoreRevision) {
+	records, beats, peers := e.readOwn(es)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.keeper.Observe(e.Now(), at, records, beats)
+	if len(peers) > 0 || at > 0 {
+		for vm, p := range peers {
+			if o := e.peers[vm]; o != nil {
+				p.started, p.sequence = o.started, o.sequence
+			}
+		}
+		e.peers = peers
+	}
+	if at > 0 {
+		e.entries[e.options.Keys.Own] = es
+	}
+	e.setWorkers(ctx)
+}
+
+// readOwn reads the system's own records. One that can't be read is passed
+// over.
+func (e *Edge) readOwn(es []ggscore.Entry) ([]ggsfencing.Record, []ggsfencing.Beat, map[ggscore.VMID]*member) {
 	var records []ggsfencing.Record
 	var beats []ggsfencing.Beat
 	peers := map[ggscore.VMID]*member{}
 	for _, n := range es {
 		part, name, _ := strings.Cut(strings.TrimPrefix(string(n.Key), string(e.options.Keys.Own)+"/"), "/")
+		var err error
 		switch part {
 		case ordererPart:
 			var w ordererRecord
-			if err := json.Unmarshal(n.Value, &w); err != nil {
-				_ = level.Warn(e.Log).Log("event", "recordUnreadable", "key", n.Key, "revision", n.Revision, "err", err)
-				continue
+			if err = json.Unmarshal(n.Value, &w); err == nil {
+				records = append(records, ggsfencing.Record{
+					Endpoint: ggscore.EndpointID(name), Owner: ggscore.VMID(w.Owner), Released: w.Released, Revision: n.Revision,
+				})
 			}
-			records = append(records, ggsfencing.Record{
-				Endpoint: ggscore.EndpointID(name), Owner: ggscore.VMID(w.Owner), Released: w.Released, Revision: n.Revision,
-			})
 		case memberPart:
 			var w memberRecord
-			if err := json.Unmarshal(n.Value, &w); err != nil {
-				_ = level.Warn(e.Log).Log("event", "recordUnreadable", "key", n.Key, "revision", n.Revision, "err", err)
-				continue
-			}
 			vm := ggscore.VMID(name)
-			beats = append(beats, ggsfencing.Beat{
-				VM: vm, Domain: ggscore.Domain(w.Domain), Leaving: w.Leaving, Revision: n.Revision,
-			})
-			a, err := netip.ParseAddrPort(w.Addr)
-			if err == nil && vm != e.options.VM && !w.Leaving {
-				peers[vm] = &member{addr: a}
+			if err = json.Unmarshal(n.Value, &w); err == nil {
+				beats = append(beats, ggsfencing.Beat{
+					VM: vm, Domain: ggscore.Domain(w.Domain), Leaving: w.Leaving, Revision: n.Revision,
+				})
+			}
+			if p, ok := w.member(); ok && vm != e.options.VM && !w.Leaving {
+				peers[vm] = p
 			}
 		}
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.keeper.Observe(e.Now(), at, records, beats)
-	for vm, p := range peers {
-		if o := e.peers[vm]; o != nil {
-			p.started, p.sequence = o.started, o.sequence
+		if err != nil {
+			_ = level.Warn(e.Log).Log("event", "recordUnreadable", "key", n.Key, "revision", n.Revision, "err", err)
 		}
 	}
-	e.peers = peers
-	e.setWorkers(ctx)
+	return records, beats, peers
 }
 
 // giveOrders writes beats and claims.
@@ -139,7 +165,7 @@
 	p := e.keeper.Beat()
 	e.mu.Unlock()
 	v, err := json.Marshal(&memberRecord{
-		Domain: string(e.options.Domain), Addr: e.options.Control.String(), Leaving: leaving, Count: *count,
+		Domain: string(e.options.Domain), Beats: e.options.Beats.String(), Control: e.options.Control.String(), Leaving: leaving, Count: *count,
 	})
 	if err != nil {
 		_ = level.Error(e.Log).Log("event", "beatUnencoded", "err", err)
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -80,7 +80,7 @@
 			Endpoint: string(l.endpoint), Model: string(l.target.Model), Adapter: l.target.Adapter, Version: l.version,
 		}
 		var r EnsureReply
-		g.err = e.Calls.Call(ctx, p.addr, ensureMethod, &a, &r)
+		g.err = e.Calls.Call(ctx, p.calls, ensureMethod, &a, &r)
 		version = r.Version
 	default:
 		g.err = &NoOrdererError{Endpoint: l.endpoint}
