perf: pass beats on by region, and read the store for each other

Change: a beat crosses to one VM of each other region, which passes it on; the list is read by whichever VM finds that nobody has for 0.7 to 1 s, and beats tell its age and who saw what change; watches wait 1 to 6 s.

--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -63,7 +63,7 @@
 		s.startEdge(t, n)
 	}
 	for n := range s.edges {
-		s.eventually("edge is ready", func() bool { return s.status(s.edges[n].settings.Ready, ggsdialect.PathReady) == http.StatusOK })
+		s.eventually("edge is ready", func() bool { return s.ready(n) == http.StatusOK })
 	}
 	for n := range s.edges {
 		s.eventually("the edge knows who gives orders", func() bool { return s.orderers(n) == 2 })
@@ -135,8 +135,8 @@
 	return known
 }
 
-func (s *siteTest) status(addr netip.AddrPort, path string) int {
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+addr.String()+path, nil)
+func (s *siteTest) ready(n int) int {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+s.edges[n].settings.Ready.String()+ggsdialect.PathReady, nil)
 	s.c.Assert(err, qt.IsNil)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
@@ -392,6 +392,28 @@
 	}
 }
 
+// One VM reads the list of endpoints for all and tells the others what has
+// changed. When the VMs read at long intervals that had fallen into step, a
+// leaving ledger went on getting requests for 4 s.
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 3)
+	before := s.site.Store.Calls("/greengageslip/kv-range")
+	s.site.Drain("ledger-0")
+	time.Sleep(2500 * time.Millisecond)
+	ran := len(s.site.Endpoints["ledger-0"].Runs())
+	for n := range s.edges {
+		for range 20 {
+			s.c.Assert(s.call(n, http.MethodPost, "/pay/1", "", "{}").status, qt.Equals, http.StatusOK)
+		}
+	}
+	s.c.Assert(s.site.Endpoints["ledger-0"].Runs(), qt.HasLen, ran)
+	// Three VMs read their own records once a second each, and the list of
+	// endpoints once a second together.
+	calls := s.site.Store.Calls("/greengageslip/kv-range") - before
+	s.c.Assert(calls < 20, qt.IsTrue, qt.Commentf("%d readings", calls))
+}
+
 // The store is away. What is resident is served on, and a change that was made
 // meanwhile is in force once it is back.
 func TestStoreAway(t *testing.T) {
@@ -424,7 +446,7 @@
 		return r.status != 0
 	})
 	s.c.Assert(r.status, qt.Equals, http.StatusServiceUnavailable)
-	s.c.Assert(s.status(s.edges[0].settings.Ready, ggsdialect.PathReady), qt.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(s.ready(0), qt.Equals, http.StatusServiceUnavailable)
 }
 
 // The store is away while VMs are restarted one after the other. Each came back
@@ -437,7 +459,7 @@
 	s.site.Store.SetAway(true)
 	s.startEdge(t, 1)
 	s.eventually("the second edge is ready", func() bool {
-		return s.status(s.edges[1].settings.Ready, ggsdialect.PathReady) == http.StatusOK
+		return s.ready(1) == http.StatusOK
 	})
 	r := s.call(1, http.MethodPost, "/pay/1", "", "{}")
 	s.c.Assert(r.status, qt.Equals, http.StatusOK)
@@ -460,7 +482,7 @@
 	s.c.Assert(r.status, qt.Equals, http.StatusOK)
 	s.c.Assert(r.whole, qt.IsTrue)
 	s.eventually("it isn't ready", func() bool {
-		return s.status(s.edges[0].settings.Ready, ggsdialect.PathReady) != http.StatusOK
+		return s.ready(0) != http.StatusOK
 	})
 }
 
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -141,8 +141,9 @@
 	}
 }
 
-// SetInstances takes the endpoints' entries and returns those that are gone.
-func (t *Table) SetInstances(list []ggscore.Instance) []ggscore.Instance {
+// SetInstances takes the endpoints' entries. It returns those that are gone, and
+// whether endpoints came, went or changed their state.
+func (t *Table) SetInstances(list []ggscore.Instance) (gone []ggscore.Instance, changed bool) {
 	seen := make(map[ggscore.EndpointID]bool, len(list))
 	for i := range list {
 		n := &list[i]
@@ -152,12 +153,13 @@
 			e = &endpoint{missing: map[ggscore.ModelAdapter]time.Time{}}
 			t.endpoints[n.ID] = e
 			t.breakers.Remove(n.ID)
+			changed = true
 		}
+		changed = changed || e.Leaving != n.Leaving
 		e.Instance = *n
 		e.local = n.Domain == t.options.Domain || t.options.Regions[n.Domain] == t.options.Regions[t.options.Domain]
 		e.entry = heldOf(n.Models)
 	}
-	var gone []ggscore.Instance
 	for id, e := range t.endpoints {
 		if !seen[id] {
 			gone = append(gone, e.Instance)
@@ -167,7 +169,7 @@
 	}
 	t.index()
 	t.sum(time.Time{})
-	return gone
+	return gone, changed || len(gone) > 0
 }
 
 func heldOf(ms []ggscore.ResidentModel) map[ggscore.ModelAdapter]uint64 {
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -210,7 +210,10 @@
 	t.Parallel()
 	c := qt.New(t)
 	tb := table("d0", 1)
-	gone := tb.SetInstances(deployment()[1:])
+	_, changed := tb.SetInstances(deployment())
+	c.Assert(changed, qt.IsFalse)
+	gone, changed := tb.SetInstances(deployment()[1:])
+	c.Assert(changed, qt.IsTrue)
 	c.Assert(gone, qt.HasLen, 1)
 	c.Assert(gone[0].ID, qt.Equals, ggscore.EndpointID("r00"))
 }
--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 )
 
@@ -42,13 +43,17 @@
 	addrs   map[string]netip.AddrPort
 	zones   map[string]string
 	servers []*http.Server
+
+	// mu guards draining and is a leaf.
+	mu       sync.Mutex
+	draining map[string]bool
 }
 
 // NewSite returns a site that doesn't run yet.
 func NewSite(o SiteOptions) *Site {
 	s := &Site{
 		Store: NewStore(), Endpoints: map[string]*Endpoint{}, options: o,
-		addrs: map[string]netip.AddrPort{}, zones: map[string]string{},
+		addrs: map[string]netip.AddrPort{}, zones: map[string]string{}, draining: map[string]bool{},
 	}
 	port := o.Listen.Port()
 	add := func(id, service, zone string, engine bool) {
@@ -81,6 +86,8 @@
 }
 
 // Run serves until the context ends.
+//
+// Site.mu is never held while Store.mu or Endpoint.mu is locked.
 func (s *Site) Run(ctx context.Context) error {
 	handlers := map[netip.AddrPort]http.Handler{s.options.Listen: s.Store}
 	for id, e := range s.Endpoints {
@@ -105,7 +112,7 @@
 	defer t.Stop()
 	for {
 		for id := range s.Endpoints {
-			s.announce(id, false)
+			s.announce(id)
 		}
 		select {
 		case <-t.C:
@@ -115,8 +122,19 @@
 	}
 }
 
+// Drain makes an endpoint say that it leaves. It goes on serving.
+func (s *Site) Drain(id string) {
+	s.mu.Lock()
+	s.draining[id] = true
+	s.mu.Unlock()
+	s.announce(id)
+}
+
 // announce writes an endpoint's entry.
-func (s *Site) announce(id string, draining bool) {
+func (s *Site) announce(id string) {
+	s.mu.Lock()
+	draining := s.draining[id]
+	s.mu.Unlock()
 	s.Store.Put("servers/"+id, s.Endpoints[id].Entry(s.addrs[id].String(), s.zones[id], draining))
 }
 
--- /dev/null
+++ b/io/ggsedge/beats.go
@@ -0,0 +1,154 @@
+package ggsedge
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsplace"
+	"greengageslip/io/ggspeer"
+)
+
+const (
+	// tellInterval is the time between beats to peers: an adapter counts as
+	// unused 350 ms after its last use, wherever that was.
+	tellInterval = 150 * time.Millisecond
+	// holdingsEvery is the number of beats after which all that endpoints hold is
+	// told.
+	holdingsEvery = 6
+	// beatDelay is taken for a beat's way: a trip between regions, and a relay.
+	beatDelay = 20 * time.Millisecond
+)
+
+// tellPeers sends beats to the peers.
+func (e *Edge) tellPeers(ctx context.Context) error {
+	started := e.Steady().UnixNano()
+	for pause(ctx, tellInterval) {
+		b, near, far := e.beat(started)
+		err := e.Peers.Send(b, near)
+		b.Relay = true
+		if err := errors.CombineErrors(err, e.Peers.Send(b, far)); err != nil {
+			_ = level.Debug(e.Log).Log("event", "beatUnsent", "err", err)
+		}
+	}
+	return nil
+}
+
+// beat returns the next beat, the peers of this VM's region, and one of each
+// other.
+func (e *Edge) beat(started int64) (b ggspeer.Beat, near, far []netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	b = ggspeer.Beat{
+		VM: e.options.VM, Sequence: e.sequence, Started: started, ListedAt: e.listedAt, OperatedAt: e.operatedAt,
+		ListAge: min(e.Now().Sub(e.listOwn), time.Hour),
+	}
+	for _, f := range e.table.Own() {
+		b.Flights = append(b.Flights, ggspeer.Flight(f))
+	}
+	for id, w := range e.workers {
+		// What hasn't changed is told once a second only: the answers that cross
+		// regions have a price, and beats were a fifth of their bytes.
+		if w.ledger.Synced(e.Now()) && (w.untold || e.sequence%holdingsEvery == 0) {
+			w.untold = false
+			b.Holdings = append(b.Holdings, ggspeer.Holding{Endpoint: id, Held: w.ledger.Resident(), Waiting: w.ledger.Waiting()})
+		}
+	}
+	for u, n := range e.uses {
+		b.Uses = append(b.Uses, ggspeer.Use{Endpoint: u.endpoint, Target: u.target, Count: n.sent})
+		if n.sent = 0; n.active <= 0 {
+			delete(e.uses, u)
+		}
+		if w := e.workers[u.endpoint]; w != nil {
+			w.ledger.Use(e.Now(), u.target, 0)
+		}
+	}
+	near, far = e.receivers()
+	return b, near, far
+}
+
+// receivers returns the peers of this VM's region, and for each other region
+// the one that passes the next beat on there. It is another one each time, so
+// that one that is gone costs a part of the beats only. Edge.mu is held.
+func (e *Edge) receivers() (near, far []netip.AddrPort) {
+	regions := map[ggscore.Region][]ggscore.VMID{}
+	for vm, p := range e.peers {
+		if p.region == e.options.Regions[e.options.Domain] {
+			near = append(near, p.beats)
+			continue
+		}
+		regions[p.region] = append(regions[p.region], vm)
+	}
+	for _, vms := range regions {
+		slices.Sort(vms)
+		far = append(far, e.peers[vms[e.sequence%uint64(len(vms))]].beats)
+	}
+	return near, far
+}
+
+// passBeat passes a beat on to the VMs of this region.
+func (e *Edge) passBeat(b ggspeer.Beat) {
+	e.mu.Lock()
+	near, _ := e.receivers()
+	e.mu.Unlock()
+	b.Relay = false
+	if err := e.Peers.Send(b, near); err != nil {
+		_ = level.Debug(e.Log).Log("event", "beatUnsent", "err", err)
+	}
+}
+
+// heard takes a peer's beat.
+func (e *Edge) heard(b ggspeer.Beat) {
+	if b.Relay {
+		e.passBeat(b)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.peers[b.VM]
+	// Datagrams overtake each other, and those of an earlier process may come
+	// after the first of the next.
+	if p == nil || b.Started < p.started || b.Started == p.started && b.Sequence <= p.sequence {
+		return
+	}
+	now := e.Now()
+	p.started, p.sequence, p.heard = b.Started, b.Sequence, now
+	if at := now.Add(-b.ListAge - beatDelay); at.After(e.listSeen) {
+		e.listSeen = at
+	}
+	e.listTold = max(e.listTold, b.ListedAt)
+	if b.ListedAt > e.listRead {
+		poke(e.pokeList)
+	}
+	if b.OperatedAt > e.operatorsRead {
+		poke(e.pokeOperators)
+	}
+	fs := make([]ggsplace.Flight, 0, len(b.Flights))
+	for _, f := range b.Flights {
+		fs = append(fs, ggsplace.Flight(f))
+	}
+	e.table.SetPeer(now, b.VM, fs)
+	for _, h := range b.Holdings {
+		if e.keeper.Owner(h.Endpoint) == b.VM {
+			e.table.SetHeld(now, h.Endpoint, h.Held, h.Waiting)
+		}
+	}
+	for _, u := range b.Uses {
+		e.table.Asked(now, u.Target, u.Count)
+		if w := e.workers[u.Endpoint]; w != nil {
+			w.ledger.Use(now, u.Target, u.Count)
+		}
+	}
+}
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -112,8 +112,23 @@
 	// the store is away.
 	entries  map[ggscore.Key][]ggscore.Entry
 	sequence uint64
-	// kick wakes the loop that writes beats to the store.
-	kick chan struct{}
+	// listedAt and operatedAt are the revisions by which the list of endpoints
+	// and the operators' entries were seen to change last, listRead and
+	// operatorsRead those up to which they were read.
+	listedAt      ggscore.StoreRevision
+	operatedAt    ggscore.StoreRevision
+	listRead      ggscore.StoreRevision
+	operatorsRead ggscore.StoreRevision
+	// listTold is the newest revision by which a peer saw the list change.
+	// listOwn is when this VM read the list, listSeen when it or a peer did.
+	listTold ggscore.StoreRevision
+	listOwn  time.Time
+	listSeen time.Time
+	// kick wakes the loop that writes beats to the store, pokeList and
+	// pokeOperators those that read what a peer saw change.
+	kick          chan struct{}
+	pokeList      chan struct{}
+	pokeOperators chan struct{}
 }
 
 // A Stats counts what an Edge did.
@@ -132,8 +147,11 @@
 
 // A member is a peer as its entry in the store names it.
 type member struct {
-	beats    netip.AddrPort
-	calls    netip.AddrPort
+	beats  netip.AddrPort
+	calls  netip.AddrPort
+	region ggscore.Region
+	// heard is when it last sent a beat.
+	heard    time.Time
 	started  int64
 	sequence uint64
 }
@@ -166,6 +184,9 @@
 		loads:    map[load]*loading{},
 		entries:  map[ggscore.Key][]ggscore.Entry{},
 		kick:     make(chan struct{}, 1),
+
+		pokeList:      make(chan struct{}, 1),
+		pokeOperators: make(chan struct{}, 1),
 	}
 }
 
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"maps"
-	"net/netip"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,27 +10,29 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggspath"
-	"greengageslip/core/ggsplace"
-	"greengageslip/io/ggspeer"
 )
 
 const (
-	// watchWait is how long a watch of the operators' entries waits. A watch
-	// whose connection went silent is noticed after it and a call's timeout,
-	// inside the 3 s for which such a loss excuses a late configuration.
-	watchWait = 1800 * time.Millisecond
-	// instanceInterval is the time between readings of the endpoints' entries:
-	// a leaving endpoint may get no request 2.5 s after it said so.
-	instanceInterval = 1100 * time.Millisecond
+	// watchWait is how long a watch of the operators' entries waits at least. A
+	// watch whose connection went silent is noticed after it and a call's
+	// timeout, inside the 3 s for which such a loss excuses a late configuration.
+	watchWait = time.Second
+	// watchSpread is added at random where peers are heard: each tells the others
+	// what it sees changed, so the first to notice is enough.
+	watchSpread = 5 * time.Second
+	// watchAlone is added where no peer is heard.
+	watchAlone = 800 * time.Millisecond
+	// listMaxAge is the age at which the list of endpoints is read anew, unless a
+	// peer has read it since: a leaving endpoint may get no request 2.5 s after
+	// it said so. listSpread is added at random, so that one VM reads for all.
+	listMaxAge = 700 * time.Millisecond
+	listSpread = 300 * time.Millisecond
+	// listTick is how often the list's age is looked at.
+	listTick = 50 * time.Millisecond
 	// memberInterval is the time between readings of the VMs' records.
 	memberInterval = time.Second
 	// storePause is the pause after a failed call of the store.
 	storePause = 200 * time.Millisecond
-	// tellInterval is the time between beats to peers.
-	tellInterval = 150 * time.Millisecond
-	// holdingsEvery is the number of beats after which all that endpoints hold is
-	// told.
-	holdingsEvery = 6
 )
 
 // pause waits, or returns false when the context ends.
@@ -46,12 +47,26 @@
 	}
 }
 
+// pauseOr is pause, cut short by a poke.
+func pauseOr(ctx context.Context, d time.Duration, poke <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-poke:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // followOperators keeps the configuration and the adapters' versions.
 func (e *Edge) followOperators(ctx context.Context) error {
 	var at ggscore.StoreRevision
 	away := false
 	for ctx.Err() == nil {
-		es, next, err := e.operators(ctx, at)
+		es, next, err := e.operatorsOrPoke(ctx, &at)
 		e.stats.Store.Add(1)
 		if err != nil && ctx.Err() != nil {
 			return nil
@@ -75,6 +90,7 @@
 		e.storeAway.Store(false)
 		e.dependency(&away, true, "operators", nil)
 		at = max(next, at)
+		e.readOperators(at, len(es) > 0)
 		e.keepOperators(es)
 		for _, n := range es {
 			e.adopt(n)
@@ -89,9 +105,91 @@
 	if at == 0 {
 		return e.Store.Snapshot(ctx, e.options.Keys.Operators, false)
 	}
-	return e.Store.Watch(ctx, e.options.Keys.Operators, at, watchWait)
+	return e.Store.Watch(ctx, e.options.Keys.Operators, at, e.watchWait())
+}
+
+// operatorsOrPoke is operators, and reads all anew when a peer has seen a change
+// that this VM's watch doesn't tell: its connection may have gone silent.
+func (e *Edge) operatorsOrPoke(ctx context.Context, at *ggscore.StoreRevision) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	c, cancel := context.WithCancel(ctx)
+	defer cancel()
+	poked := make(chan bool, 1)
+	go func() {
+		select {
+		case <-e.pokeOperators:
+			poked <- true
+			cancel()
+		case <-c.Done():
+			poked <- false
+		}
+	}()
+	es, next, err := e.operators(c, *at)
+	cancel()
+	if <-poked && err != nil && ctx.Err() == nil {
+		*at = 0
+		return e.operators(ctx, 0)
+	}
+	return es, next, err
+}
+
+// readOperators notes how far the operators' entries were read.
+func (e *Edge) readOperators(at ggscore.StoreRevision, changed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.operatorsRead = max(e.operatorsRead, at)
+	if changed {
+		e.operatedAt = e.operatorsRead
+	}
+}
+
+// watchWait returns how long the next watch waits.
+func (e *Edge) watchWait() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.peers {
+		if e.Now().Sub(p.heard) < heardMaxAge {
+			return watchWait + time.Duration(rand.Int64N(int64(watchSpread)))
+		}
+	}
+	return watchWait + watchAlone
+}
+
+// waitForList waits until the list of endpoints is to be read: a peer saw it
+// change, or nobody has read it for some time.
+func (e *Edge) waitForList(ctx context.Context) bool {
+	limit := listMaxAge + time.Duration(rand.Int64N(int64(listSpread)))
+	for {
+		age := e.listAge()
+		if age >= limit {
+			return true
+		}
+		if !pauseOr(ctx, max(limit-age, listTick), e.pokeList) {
+			return false
+		}
+		if e.poked() {
+			return true
+		}
+	}
+}
+
+// listAge returns the time since this VM or a peer read the list.
+func (e *Edge) listAge() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Now().Sub(e.listSeen)
+}
+
+// poked reports whether a peer saw the list change after this VM read it.
+func (e *Edge) poked() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listTold > e.listRead
 }
 
+// heardMaxAge is the age of a peer's last beat at which it is no longer counted
+// on: some beats.
+const heardMaxAge = time.Second
+
 // dependency logs that a part of the store was lost or is back.
 func (e *Edge) dependency(away *bool, ok bool, what string, err error) {
 	switch {
@@ -163,16 +261,16 @@
 		}
 		if at >= read {
 			read = at
-			e.setInstances(ctx, es)
+			e.setInstances(ctx, es, at)
 		}
-		if !pause(ctx, instanceInterval) {
+		if !e.waitForList(ctx) {
 			return nil
 		}
 	}
 	return nil
 }
 
-func (e *Edge) setInstances(ctx context.Context, es []ggscore.Entry) {
+func (e *Edge) setInstances(ctx context.Context, es []ggscore.Entry, at ggscore.StoreRevision) {
 	list := make([]ggscore.Instance, 0, len(es))
 	for _, n := range es {
 		i, err := e.Codec.Instance(n)
@@ -183,7 +281,15 @@
 		list = append(list, i)
 	}
 	e.mu.Lock()
-	gone := e.table.SetInstances(list)
+	gone, changed := e.table.SetInstances(list)
+	if at > 0 {
+		e.listRead = max(e.listRead, at)
+		e.listOwn = e.Now()
+		e.listSeen = e.listOwn
+	}
+	if changed && at > 0 {
+		e.listedAt = e.listRead
+	}
 	e.listed = true
 	e.entries[e.options.Keys.Instances] = es
 	e.setWorkers(ctx)
@@ -193,77 +299,3 @@
 		e.Pool.Forget(g.Addr)
 	}
 }
-
-// tellPeers sends beats to the peers.
-func (e *Edge) tellPeers(ctx context.Context) error {
-	started := e.Steady().UnixNano()
-	for pause(ctx, tellInterval) {
-		b, to := e.beat(started)
-		if err := e.Peers.Send(b, to); err != nil {
-			_ = level.Debug(e.Log).Log("event", "beatUnsent", "err", err)
-		}
-	}
-	return nil
-}
-
-func (e *Edge) beat(started int64) (ggspeer.Beat, []netip.AddrPort) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.sequence++
-	b := ggspeer.Beat{VM: e.options.VM, Sequence: e.sequence, Started: started}
-	for _, f := range e.table.Own() {
-		b.Flights = append(b.Flights, ggspeer.Flight(f))
-	}
-	for id, w := range e.workers {
-		// What hasn't changed is told once a second only: the answers that cross
-		// regions have a price, and beats were a fifth of their bytes.
-		if w.ledger.Synced(e.Now()) && (w.untold || e.sequence%holdingsEvery == 0) {
-			w.untold = false
-			b.Holdings = append(b.Holdings, ggspeer.Holding{Endpoint: id, Held: w.ledger.Resident(), Waiting: w.ledger.Waiting()})
-		}
-	}
-	for u, n := range e.uses {
-		b.Uses = append(b.Uses, ggspeer.Use{Endpoint: u.endpoint, Target: u.target, Count: n.sent})
-		if n.sent = 0; n.active <= 0 {
-			delete(e.uses, u)
-		}
-		if w := e.workers[u.endpoint]; w != nil {
-			w.ledger.Use(e.Now(), u.target, 0)
-		}
-	}
-	to := make([]netip.AddrPort, 0, len(e.peers))
-	for p := range maps.Values(e.peers) {
-		to = append(to, p.beats)
-	}
-	return b, to
-}
-
-// heard takes a peer's beat.
-func (e *Edge) heard(b ggspeer.Beat) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	p := e.peers[b.VM]
-	// Datagrams overtake each other, and those of an earlier process may come
-	// after the first of the next.
-	if p == nil || b.Started < p.started || b.Started == p.started && b.Sequence <= p.sequence {
-		return
-	}
-	p.started, p.sequence = b.Started, b.Sequence
-	now := e.Now()
-	fs := make([]ggsplace.Flight, 0, len(b.Flights))
-	for _, f := range b.Flights {
-		fs = append(fs, ggsplace.Flight(f))
-	}
-	e.table.SetPeer(now, b.VM, fs)
-	for _, h := range b.Holdings {
-		if e.keeper.Owner(h.Endpoint) == b.VM {
-			e.table.SetHeld(now, h.Endpoint, h.Held, h.Waiting)
-		}
-	}
-	for _, u := range b.Uses {
-		e.table.Asked(now, u.Target, u.Count)
-		if w := e.workers[u.Endpoint]; w != nil {
-			w.ledger.Use(now, u.Target, u.Count)
-		}
-	}
-}
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -92,7 +92,7 @@
 	if len(peers) > 0 || at > 0 {
 		for vm, p := range peers {
 			if o := e.peers[vm]; o != nil {
-				p.started, p.sequence = o.started, o.sequence
+				p.started, p.sequence, p.heard = o.started, o.sequence, o.heard
 			}
 		}
 		e.peers = peers
@@ -129,6 +129,7 @@
 				})
 			}
 			if p, ok := w.member(); ok && vm != e.options.VM && !w.Leaving {
+				p.region = e.options.Regions[ggscore.Domain(w.Domain)]
 				peers[vm] = p
 			}
 		}
--- a/io/ggsedge/seeds.go
+++ b/io/ggsedge/seeds.go
@@ -122,7 +122,7 @@
 		}
 	case e.options.Keys.Instances:
 		if !e.started() {
-			e.setInstances(ctx, es)
+			e.setInstances(ctx, es, 0)
 		}
 	case e.options.Keys.Own:
 		e.setMembers(ctx, es, 0)
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -21,6 +22,14 @@
 	// Sequence numbers the beats of one process, whose start is Started.
 	Sequence uint64
 	Started  int64
+	// Relay asks the receiver to pass the beat on to the VMs of its region.
+	Relay bool
+	// ListedAt and OperatedAt are the store's revisions by which the VM saw the
+	// list of endpoints and the operators' entries change last.
+	ListedAt   ggscore.StoreRevision
+	OperatedAt ggscore.StoreRevision
+	// ListAge is the time since the VM read the list.
+	ListAge  time.Duration
 	Flights  []Flight
 	Holdings []Holding
 	Uses     []Use
@@ -60,6 +69,11 @@
 	VM       string
 	Sequence uint64
 	Started  int64
+	Relay    bool
+	Listed   uint64
+	Operated uint64
+	// ListAge counts milliseconds.
+	ListAge int64
 	// Models are the base models that the rest refers to by index.
 	Models   []string
 	Flights  []flightWire
@@ -156,7 +170,10 @@
 }
 
 func wireOf(b Beat) beatWire {
-	w := beatWire{VM: string(b.VM), Sequence: b.Sequence, Started: b.Started}
+	w := beatWire{
+		VM: string(b.VM), Sequence: b.Sequence, Started: b.Started, Relay: b.Relay,
+		Listed: uint64(b.ListedAt), Operated: uint64(b.OperatedAt), ListAge: b.ListAge.Milliseconds(),
+	}
 	index := map[ggscore.BaseModel]int{}
 	model := func(m ggscore.BaseModel) int {
 		i, ok := index[m]
@@ -186,7 +203,10 @@
 }
 
 func (w *beatWire) beat() (Beat, error) {
-	b := Beat{VM: ggscore.VMID(w.VM), Sequence: w.Sequence, Started: w.Started}
+	b := Beat{
+		VM: ggscore.VMID(w.VM), Sequence: w.Sequence, Started: w.Started, Relay: w.Relay,
+		ListedAt: ggscore.StoreRevision(w.Listed), OperatedAt: ggscore.StoreRevision(w.Operated), ListAge: time.Duration(w.ListAge) * time.Millisecond,
+	}
 	for _, f := range w.Flights {
 		b.Flights = append(b.Flights, Flight{Endpoint: ggscore.EndpointID(f.Endpoint), Count: f.Count})
 	}
--- a/io/ggspeer/conn_test.go
+++ b/io/ggspeer/conn_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
@@ -28,7 +29,7 @@
 
 	a := ggscore.ModelAdapter{Model: "m", Adapter: "a7"}
 	want := ggspeer.Beat{
-		VM: "vm", Sequence: 3, Started: 9,
+		VM: "vm", Sequence: 3, Started: 9, Relay: true, ListedAt: 4, OperatedAt: 5, ListAge: 6 * time.Millisecond,
 		Flights:  []ggspeer.Flight{{Endpoint: "r1", Count: 4}},
 		Holdings: []ggspeer.Holding{{Endpoint: "r1", Held: []ggscore.AdapterVersion{{Target: a, Version: 2}}, Waiting: 1}},
 		Uses:     []ggspeer.Use{{Endpoint: "r1", Target: a, Count: 5}},
