feat: explain requests from logs, serve metrics, avoid runners that fail a part

ggsctl explain tells a request's story; events have one vocabulary; lines of an event are bounded; metrics are served in Prometheus' format.

Cause of the last: a runner that fails half of its requests with good health never fails five in a row, and each VM sees one request a second there.

--- a/cmd/ggsctl/app.go
+++ b/cmd/ggsctl/app.go
@@ -80,6 +80,7 @@
 		{"diff", "compare a section with a file", diffLong, &diffCommand{}},
 		{"status", "show the revision in force on each VM", statusLong, &statusCommand{}},
 		{"dump", "print a process's state", dumpLong, &dumpCommand{}},
+		{"explain", "tell what became of a request, from logs", explainLong, &explainCommand{}},
 		{"request", "send a request through a gateway", requestLong, &requestCommand{}},
 	}
 }
--- a/cmd/ggsctl/errors.go
+++ b/cmd/ggsctl/errors.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"strconv"
+	"strings"
 
 	"greengageslip/core/ggsdocument"
 )
@@ -71,3 +72,14 @@
 func (e *requestError) Error() string {
 	return fmt.Sprintf("%s: %s (outcome %s)", e.kind, e.detail, e.outcome)
 }
+
+// A noRequestError says that no log names a request.
+type noRequestError struct {
+	request string
+	files   []string
+}
+
+// Error implements error.
+func (e *noRequestError) Error() string {
+	return fmt.Sprintf("request %s is in none of: %s", e.request, strings.Join(e.files, ", "))
+}
--- a/cmd/ggsctl/main.go
+++ b/cmd/ggsctl/main.go
@@ -12,6 +12,7 @@
 //	ggsctl diff market/cr cr.toml
 //	ggsctl status
 //	ggsctl dump 127.0.0.1:7301
+//	ggsctl explain 9c41d07be2a35f68 edge-1.log edge-2.log
 //	ggsctl request --market cr --service asistente --model deposits-es --message 'Hola'
 //
 // It exits with 0 on success, 1 on failure, 2 on wrong usage or bad input, 3 on
--- a/cmd/ggsctl/script_test.go
+++ b/cmd/ggsctl/script_test.go
@@ -187,7 +187,7 @@
 			in = strings.NewReader(ts.ReadFile(a[1:]))
 		case strings.HasPrefix(a, ">"):
 			to = ts.MkAbs(a[1:])
-		case strings.HasSuffix(a, ".toml"):
+		case strings.HasSuffix(a, ".toml") || strings.HasSuffix(a, ".log"):
 			rest = append(rest, absolute(ts, a))
 		default:
 			rest = append(rest, s.expand(a))
--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/jessevdk/go-flags"
@@ -34,6 +35,9 @@
 
 const edgeProgram = "ggsedge"
 
+// metricsPath is where the metrics are served.
+const metricsPath = "/metrics"
+
 const (
 	// edgeHeaderTimeout bounds a caller's head. The configuration's own limit
 	// isn't known when the program starts to listen; callers that are cut stay
@@ -57,6 +61,9 @@
 // An edgeLine is the edge's command line.
 type edgeLine struct {
 	LogLevel string `long:"log-level" value-name:"LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
+	// MetricsPort serves the metrics beside the address for readiness checks,
+	// whose port isn't known beforehand.
+	MetricsPort uint16 `long:"metrics-port" value-name:"PORT" description:"port of the VM that serves /metrics, beside the one for readiness"`
 }
 
 // RunEdge runs an edge until a signal or the context's end and returns its
@@ -86,8 +93,8 @@
 		stop()
 		<-done
 	}()
-	l := ggslog.New(w, edgeProgram, s.VM, ggslog.Level(c.LogLevel))
-	return runEdge(ctx, &s, l)
+	l := log.Logger(ggslog.NewLimit(ggslog.New(w, edgeProgram, s.VM, ggslog.Level(c.LogLevel)), time.Now)) //nolint:forbidigo // the clock of the log
+	return runEdge(ctx, &c, &s, l)
 }
 
 // parseLine reads a command line. ok is false where the program is to end with
@@ -113,9 +120,9 @@
 	return exitOK, true
 }
 
-func runEdge(ctx context.Context, s *ggsdialect.Settings, l log.Logger) int {
+func runEdge(ctx context.Context, c *edgeLine, s *ggsdialect.Settings, l log.Logger) int {
 	app := fx.New(
-		fx.Supply(s),
+		fx.Supply(c, s),
 		fx.Provide(
 			func() log.Logger { return l },
 			func() clock { return time.Now }, //nolint:forbidigo // the one clock of a process
@@ -177,7 +184,7 @@
 }
 
 // startEdge starts the parts of an edge. Hooks stop in the reverse order.
-func startEdge(h host, s *ggsdialect.Settings, e *ggsedge.Edge, p *ggsexchange.Pool, t clock) {
+func startEdge(h host, s *ggsdialect.Settings, c *edgeLine, e *ggsedge.Edge, p *ggsexchange.Pool, t clock) {
 	h.Lifecycle.Append(fx.Hook{OnStop: func(context.Context) error {
 		p.Close()
 		return nil
@@ -195,6 +202,9 @@
 	})
 	serveCallers(h, s, e)
 	h.serveHTTP("ready", s.Ready, edgeState(s, e, t))
+	if c.MetricsPort > 0 {
+		h.serveHTTP("metrics", netip.AddrPortFrom(s.Addr, c.MetricsPort), e.Metrics())
+	}
 }
 
 // rereadSettings checks the settings file whenever it is said to have changed.
@@ -207,7 +217,7 @@
 		select {
 		case <-c:
 			_, err := ggsdialect.ReadSettings(os.Getenv(ggsdialect.SettingsVariable))
-			_ = level.Info(l).Log("event", "settingsReread", "err", err)
+			_ = level.Info(l).Log("event", ggslog.EventSettingsReread, "err", err)
 		case <-ctx.Done():
 			return nil
 		}
@@ -229,11 +239,11 @@
 			}
 			go func() {
 				if err := v.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-					_ = level.Error(h.Log).Log("event", "partFailed", "part", "callers", "err", err)
+					_ = level.Error(h.Log).Log("event", ggslog.EventPartFailed, "part", "callers", "err", err)
 					_ = h.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
 				}
 			}()
-			_ = level.Info(h.Log).Log("event", "listening", "part", "callers", "addr", s.Callers)
+			_ = level.Info(h.Log).Log("event", ggslog.EventListening, "part", "callers", "addr", s.Callers)
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
@@ -247,7 +257,7 @@
 			ctx, cancel := context.WithTimeout(ctx, max(s.Grace-leaveTime-graceMargin, time.Second))
 			defer cancel()
 			if err := v.Shutdown(ctx); err != nil {
-				_ = level.Warn(h.Log).Log("event", "requestsCut", "active", e.Stats().Active.Load(), "err", err)
+				_ = level.Warn(h.Log).Log("event", ggslog.EventRequestsCut, "active", e.Stats().Active.Load(), "err", err)
 				return v.Close()
 			}
 			return nil
@@ -270,5 +280,7 @@
 	t.Count("active", k.Active.Load)
 	t.Add("edge", func() any { return e.State() })
 	t.SetHealth(e.Ready)
-	return t.HandlerWithHealth(ggsdialect.PathReady)
+	g := t.HandlerWithHealth(ggsdialect.PathReady)
+	g.GET(metricsPath, gin.WrapH(e.Metrics()))
+	return g
 }
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -88,7 +88,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	go func() { e.done <- runEdge(ctx, &e.settings, log.NewNopLogger()) }()
+	go func() { e.done <- runEdge(ctx, &edgeLine{}, &e.settings, log.NewNopLogger()) }()
 	s.edges = append(s.edges, e)
 	t.Cleanup(func() {
 		e.cancel()
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -46,6 +46,16 @@
 	costWait = costLoad / 4
 	// costRegion is a round trip to another region and the price of its bytes.
 	costRegion = 40 * time.Millisecond
+	// costFailure is the delay of a request that fails, multiplied by the part
+	// that does: most of a deadline. It is more than that of a load elsewhere
+	// where a third fail, and where all endpoints fail alike it changes nothing.
+	costFailure = 3 * time.Second
+	// failureUsual is the part that fails at sound endpoints: lookups of what
+	// doesn't exist are a twentieth of a ledger's requests.
+	failureUsual = 0.08
+	// failurePrior is the requests a second that a rate is told by at least, so
+	// that one failure after a silence says little.
+	failurePrior = 0.5
 	// costPlain is the work of a plain service's request.
 	costPlain = 16 * time.Millisecond
 )
@@ -91,10 +101,13 @@
 	InFlight int
 }
 
-// A Flight is a count of requests in flight at an endpoint.
+// A Flight is a count of requests in flight at an endpoint, and of those that
+// ended and that failed there since the last one.
 type Flight struct {
 	Endpoint ggscore.EndpointID
 	Count    int
+	Ended    int
+	Failed   int
 }
 
 // A Table holds what a VM knows of the endpoints.
@@ -117,6 +130,11 @@
 	told    map[ggscore.ModelAdapter]uint64
 	toldAt  time.Time
 	missing map[ggscore.ModelAdapter]time.Time
+	// ended and failed are the requests of all VMs that ended and failed in the
+	// last seconds, untold the own ones that peers weren't told of.
+	ended  ggspopularity.Recent
+	failed ggspopularity.Recent
+	untold Flight
 	// loadable says that a VM gives the endpoint orders, waiting how many
 	// adapters wait to be loaded there.
 	loadable bool
@@ -198,6 +216,10 @@
 	p := &peer{at: now, flights: make(map[ggscore.EndpointID]int, len(fs))}
 	for _, f := range fs {
 		p.flights[f.Endpoint] = f.Count
+		if e := t.endpoints[f.Endpoint]; e != nil {
+			e.ended.Add(now, f.Ended)
+			e.failed.Add(now, f.Failed)
+		}
 	}
 	t.peers[vm] = p
 	t.sum(now)
@@ -317,6 +339,7 @@
 	excluded := t.breakers.Exclude(now, nil)
 	base := ggscore.ModelAdapter{Model: q.Target.Model}
 	homes := t.homes(now, list, q, base)
+	sound := soundFailures(now, list)
 	var best *endpoint
 	var bestCost time.Duration
 	var bestResident bool
@@ -337,6 +360,7 @@
 			continue
 		}
 		c := t.cost(e, q.Engine, resident, slices.Contains(homes, e))
+		c += time.Duration(max(e.failures(now)-sound, 0) * float64(costFailure))
 		if best == nil || c < bestCost {
 			best, bestCost, bestResident = e, c, resident
 		}
@@ -487,22 +511,59 @@
 // Ended notes a request's end.
 func (t *Table) Ended(now time.Time, id ggscore.EndpointID, r ggsretry.Result) {
 	t.breakers.Ended(now, id, r)
-	if e := t.endpoints[id]; e != nil && e.own > 0 {
+	e := t.endpoints[id]
+	if e == nil {
+		return
+	}
+	if e.own > 0 {
 		e.own--
 	}
+	if r == ggsretry.ResultNeutral {
+		return
+	}
+	e.ended.Add(now, 1)
+	e.untold.Ended++
+	if r == ggsretry.ResultFailed {
+		e.failed.Add(now, 1)
+		e.untold.Failed++
+	}
 }
 
-// Own returns this VM's requests in flight.
+// Own returns this VM's requests in flight, and what ended since it was last
+// asked.
 func (t *Table) Own() []Flight {
 	var fs []Flight
 	for id, e := range t.endpoints {
-		if e.own > 0 {
-			fs = append(fs, Flight{Endpoint: id, Count: e.own})
+		f := Flight{Endpoint: id, Count: e.own, Ended: e.untold.Ended, Failed: e.untold.Failed}
+		e.untold = Flight{}
+		if f.Count > 0 || f.Ended > 0 {
+			fs = append(fs, f)
 		}
 	}
 	return fs
 }
 
+// failures returns the part of the requests of the last seconds that failed.
+func (e *endpoint) failures(now time.Time) float64 {
+	return e.failed.PerSecond(now) / (e.ended.PerSecond(now) + failurePrior)
+}
+
+// soundFailures returns the part of requests up to which an endpoint counts as
+// sound: what sound ones fail usually, and twice what half of the endpoints do.
+// Where all fail alike, by chance some fail more, and moving requests to the
+// others only has their adapters loaded once more.
+func soundFailures(now time.Time, list []*endpoint) float64 {
+	fs := make([]float64, 0, len(list))
+	for _, e := range list {
+		fs = append(fs, e.failures(now))
+	}
+	if len(fs) == 0 {
+		return failureUsual
+	}
+	slices.Sort(fs)
+	return failureUsual + 2*fs[len(fs)/2]
+}
+
 // Instances returns the endpoints of a service, or all for an empty name.
 func (t *Table) Instances(s ggscore.Service) []ggscore.Instance {
 	var l []ggscore.Instance
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -206,6 +206,40 @@
 	c.Assert(choose(c, tb, ggsplace.Query{Service: plain}).Instance.ID, qt.Not(qt.Equals), ggscore.EndpointID("p0"))
 }
 
+// A runner fails half of its requests, and its entry says that it is ready.
+// Never five fail in a row, so nobody left it out, and each VM alone sees one
+// request a second there. What all of them see tells within half a second.
+func TestPartlyFailingRunnerIsAvoided(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)}
+	home := choose(c, tb, q).Instance.ID
+	tb.SetHeld(at(0), home, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}}, 0)
+	tb.SetPeer(at(0), "peer", []ggsplace.Flight{{Endpoint: home, Ended: 8, Failed: 4}})
+	c.Assert(choose(c, tb, q).Instance.ID, qt.Not(qt.Equals), home)
+
+	var fs []ggsplace.Flight
+	for _, i := range deployment() {
+		fs = append(fs, ggsplace.Flight{Endpoint: i.ID, Ended: 8, Failed: 4})
+	}
+	tb = table("d0", 1)
+	tb.SetHeld(at(0), home, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}}, 0)
+	tb.SetPeer(at(0), "peer", fs)
+	c.Assert(choose(c, tb, q).Instance.ID, qt.Equals, home, qt.Commentf("all fail alike"))
+}
+
+// What ended is told once.
+func TestOwnTellsWhatEndedOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	tb.Sent(at(0), "p0")
+	tb.Ended(at(0), "p0", ggsretry.ResultFailed)
+	c.Assert(tb.Own(), qt.DeepEquals, []ggsplace.Flight{{Endpoint: "p0", Ended: 1, Failed: 1}})
+	c.Assert(tb.Own(), qt.HasLen, 0)
+}
+
 func TestGoneInstancesAreReturned(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/core/serving.go
+++ b/core/serving.go
@@ -17,6 +17,18 @@
 	RouteStreaming
 )
 
+// String returns the kind's name in metrics and dumps.
+func (k RouteKind) String() string {
+	switch k {
+	case RouteSafe:
+		return "safe"
+	case RouteStreaming:
+		return "streaming"
+	case RouteUnsafe:
+	}
+	return "unsafe"
+}
+
 // A Route sends requests of a host below a path prefix to services.
 type Route struct {
 	Name   string
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -12,6 +12,7 @@
 	"greengageslip/core/ggsplace"
 	"greengageslip/core/ggsretry"
 	"greengageslip/io/ggsexchange"
+	"greengageslip/io/ggslog"
 )
 
 const (
@@ -45,7 +46,7 @@
 		j.tried = append(j.tried, id)
 		if !choice.Resident {
 			if err := e.ensure(ctx, choice.Instance, j); err != nil {
-				_ = level.Info(e.Log).Log("event", "loadFailed", "request", j.meta.ID, "endpoint", id,
+				_ = level.Info(e.Log).Log("event", ggslog.EventLoadFailed, "request", j.meta.ID, "endpoint", id,
 					"adapter", j.meta.Model, "err", err)
 				if ctx.Err() != nil || len(j.tried) >= maxSends || e.since(j.arrived) > time.Duration(giveUpShare*float64(j.limit)) {
 					e.giveUp(ctx, j, err)
@@ -126,7 +127,7 @@
 	late := errors.As(context.Cause(ctx), &over)
 	if ctx.Err() != nil && !late {
 		e.stats.Left.Add(1)
-		_ = level.Info(e.Log).Log("event", "callerLeft", "request", j.meta.ID, "sends", j.sends, "took", e.since(j.arrived))
+		_ = level.Info(e.Log).Log("event", ggslog.EventCallerLeft, "request", j.meta.ID, "sends", j.sends, "took", e.since(j.arrived))
 		panic(http.ErrAbortHandler)
 	}
 	var refused *ggsplace.RefusedError
@@ -164,7 +165,7 @@
 	}
 	e.begin(j, i.ID)
 	j.sends++
-	_ = level.Debug(e.Log).Log("event", "requestSent", "request", j.meta.ID, "endpoint", i.ID, "route", j.route.Name,
+	_ = level.Info(e.Log).Log("event", ggslog.EventRequestSent, "request", j.meta.ID, "endpoint", i.ID, "route", j.route.Name,
 		"adapter", j.meta.Model, "version", j.version, "resident", c.Resident, "inFlight", c.InFlight, "left", left)
 	a, err := e.Pool.Do(ctx, ggsexchange.Request{
 		Addr: i.Addr, Method: j.r.Method, URI: j.uri, Host: j.r.Host, Body: j.body,
@@ -211,7 +212,7 @@
 		j.runs++
 	}
 	e.end(j, i.ID, result)
-	_ = level.Info(e.Log).Log("event", "attemptFailed", "request", j.meta.ID, "endpoint", i.ID, "outcome", f.Outcome, "err", err)
+	_ = level.Info(e.Log).Log("event", ggslog.EventAttemptFailed, "request", j.meta.ID, "endpoint", i.ID, "outcome", f.Outcome, "err", err)
 	return f
 }
 
--- a/io/ggsedge/beats.go
+++ b/io/ggsedge/beats.go
@@ -11,6 +11,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsplace"
+	"greengageslip/io/ggslog"
 	"greengageslip/io/ggspeer"
 )
 
@@ -33,7 +34,7 @@
 		err := e.Peers.Send(b, near)
 		b.Relay = true
 		if err := errors.CombineErrors(err, e.Peers.Send(b, far)); err != nil {
-			_ = level.Debug(e.Log).Log("event", "beatUnsent", "err", err)
+			_ = level.Debug(e.Log).Log("event", ggslog.EventBeatUnsent, "err", err)
 		}
 	}
 	return nil
@@ -99,7 +100,7 @@
 	e.mu.Unlock()
 	b.Relay = false
 	if err := e.Peers.Send(b, near); err != nil {
-		_ = level.Debug(e.Log).Log("event", "beatUnsent", "err", err)
+		_ = level.Debug(e.Log).Log("event", ggslog.EventBeatUnsent, "err", err)
 	}
 }
 
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -91,7 +91,8 @@
 type Edge struct {
 	options Options
 	Parts
-	stats Stats
+	stats   Stats
+	metrics *metrics
 
 	paths    atomic.Pointer[ggspath.Table]
 	draining atomic.Bool
@@ -171,7 +172,7 @@
 
 // New returns an Edge that knows nothing yet.
 func New(o Options, p Parts) *Edge {
-	return &Edge{
+	e := &Edge{
 		options:  o,
 		Parts:    p,
 		table:    ggsplace.NewTable(ggsplace.Options{Domain: o.Domain, Regions: o.Regions, Seed: o.Seed}),
@@ -188,6 +189,8 @@
 		pokeList:      make(chan struct{}, 1),
 		pokeOperators: make(chan struct{}, 1),
 	}
+	e.metrics = newMetrics(e)
+	return e
 }
 
 // retryShare is the part of the deployment's bound on repeats that this VM
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -10,6 +10,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggspath"
+	"greengageslip/io/ggslog"
 )
 
 const (
@@ -194,9 +195,9 @@
 func (e *Edge) dependency(away *bool, ok bool, what string, err error) {
 	switch {
 	case ok && *away:
-		_ = level.Info(e.Log).Log("event", "dependencyRegained", "dependency", "store", "part", what)
+		_ = level.Info(e.Log).Log("event", ggslog.EventDependencyRegained, "dependency", "store", "part", what)
 	case !ok && !*away:
-		_ = level.Warn(e.Log).Log("event", "dependencyLost", "dependency", "store", "part", what, "err", err)
+		_ = level.Warn(e.Log).Log("event", ggslog.EventDependencyLost, "dependency", "store", "part", what, "err", err)
 	}
 	*away = !ok
 }
@@ -210,7 +211,7 @@
 	}
 	v, ok, err := e.Codec.Version(n)
 	if err != nil {
-		_ = level.Warn(e.Log).Log("event", "versionUnreadable", "err", err)
+		_ = level.Warn(e.Log).Log("event", ggslog.EventVersionUnreadable, "err", err)
 		return
 	}
 	if !ok {
@@ -222,7 +223,7 @@
 		return
 	}
 	e.versions[v.Target] = v.Version
-	_ = level.Info(e.Log).Log("event", "versionAdopted", "adapter", v.Target, "version", v.Version, "revision", n.Revision)
+	_ = level.Info(e.Log).Log("event", ggslog.EventVersionAdopted, "adapter", v.Target, "version", v.Version, "revision", n.Revision)
 	for _, w := range e.workers {
 		if w.ledger.Holds(v.Target, 0) {
 			w.ledger.Want(e.Now(), v.Target, v.Version)
@@ -234,7 +235,7 @@
 func (e *Edge) adoptConfig(n ggscore.Entry) {
 	c, err := e.Codec.Config(n)
 	if err != nil {
-		_ = level.Warn(e.Log).Log("event", "configUnreadable", "err", err)
+		_ = level.Warn(e.Log).Log("event", ggslog.EventConfigUnreadable, "err", err)
 		return
 	}
 	// A stale answer must not take a configuration back.
@@ -242,7 +243,7 @@
 		return
 	}
 	e.paths.Store(ggspath.NewTable(c))
-	_ = level.Info(e.Log).Log("event", "configAdopted", "version", c.Version, "revision", n.Revision, "routes", len(c.Routes))
+	_ = level.Info(e.Log).Log("event", ggslog.EventConfigAdopted, "version", c.Version, "revision", n.Revision, "routes", len(c.Routes))
 }
 
 // followInstances keeps the endpoints' entries.
@@ -275,7 +276,7 @@
 	for _, n := range es {
 		i, err := e.Codec.Instance(n)
 		if err != nil {
-			_ = level.Debug(e.Log).Log("event", "entryUnreadable", "err", err)
+			_ = level.Debug(e.Log).Log("event", ggslog.EventEntryUnreadable, "err", err)
 			continue
 		}
 		list = append(list, i)
@@ -295,7 +296,7 @@
 	e.setWorkers(ctx)
 	e.mu.Unlock()
 	for _, g := range gone {
-		_ = level.Info(e.Log).Log("event", "endpointGone", "endpoint", g.ID, "addr", g.Addr)
+		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointGone, "endpoint", g.ID, "addr", g.Addr)
 		e.Pool.Forget(g.Addr)
 	}
 }
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -14,6 +14,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggspath"
+	"greengageslip/io/ggslog"
 )
 
 // Waits that callers are told.
@@ -157,7 +158,7 @@
 
 // answer writes an answer of the edge's own.
 func (e *Edge) answer(j *job, status int, why string) {
-	_ = level.Info(e.Log).Log("event", "requestEnded", "request", j.meta.ID, "status", status, "why", why,
+	_ = level.Info(e.Log).Log("event", ggslog.EventRequestEnded, "request", j.meta.ID, "status", status, "why", why,
 		"sends", j.sends, "runs", j.runs, "took", e.since(j.arrived))
 	h := j.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -12,6 +12,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsfencing"
+	"greengageslip/io/ggslog"
 )
 
 // beatInterval is the time between beats to the store: orders go on for 9 s
@@ -134,7 +135,7 @@
 			}
 		}
 		if err != nil {
-			_ = level.Warn(e.Log).Log("event", "recordUnreadable", "key", n.Key, "revision", n.Revision, "err", err)
+			_ = level.Warn(e.Log).Log("event", ggslog.EventRecordUnreadable, "key", n.Key, "revision", n.Revision, "err", err)
 		}
 	}
 	return records, beats, peers
@@ -169,7 +170,7 @@
 		Domain: string(e.options.Domain), Beats: e.options.Beats.String(), Control: e.options.Control.String(), Leaving: leaving, Count: *count,
 	})
 	if err != nil {
-		_ = level.Error(e.Log).Log("event", "beatUnencoded", "err", err)
+		_ = level.Error(e.Log).Log("event", ggslog.EventBeatUnencoded, "err", err)
 		return false
 	}
 	t := ggscore.Txn{
@@ -185,14 +186,14 @@
 	var conflict *ggscore.TxnConflictError
 	refused := errors.As(err, &conflict)
 	if err != nil && !refused {
-		_ = level.Info(e.Log).Log("event", "beatFailed", "err", err)
+		_ = level.Info(e.Log).Log("event", ggslog.EventBeatFailed, "err", err)
 		return false
 	}
 	e.mu.Lock()
 	e.keeper.BeatEnded(sent, p, at, refused)
 	e.mu.Unlock()
 	if refused {
-		_ = level.Info(e.Log).Log("event", "beatRefused", "revision", p.Revision, "records", len(p.Records))
+		_ = level.Info(e.Log).Log("event", ggslog.EventBeatRefused, "revision", p.Revision, "records", len(p.Records))
 		e.reread(ctx)
 		return false
 	}
@@ -204,7 +205,7 @@
 	es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Own+"/", false)
 	e.stats.Store.Add(1)
 	if err != nil {
-		_ = level.Info(e.Log).Log("event", "rereadFailed", "err", err)
+		_ = level.Info(e.Log).Log("event", ggslog.EventRereadFailed, "err", err)
 		return
 	}
 	e.setMembers(ctx, es, at)
@@ -232,7 +233,7 @@
 	for _, c := range cs {
 		v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM)})
 		if err != nil {
-			_ = level.Error(e.Log).Log("event", "claimUnencoded", "err", err)
+			_ = level.Error(e.Log).Log("event", ggslog.EventClaimUnencoded, "err", err)
 			return
 		}
 		t := ggscore.Txn{
@@ -245,7 +246,7 @@
 		sent := e.Now()
 		at, err := e.Store.Txn(ctx, t)
 		e.stats.Store.Add(1)
-		_ = level.Info(e.Log).Log("event", "ordersClaimed", "endpoint", c.Endpoint, "before", c.Owner, "revision", at, "err", err)
+		_ = level.Info(e.Log).Log("event", ggslog.EventOrdersClaimed, "endpoint", c.Endpoint, "before", c.Owner, "revision", at, "err", err)
 		if err != nil {
 			continue
 		}
@@ -267,7 +268,7 @@
 	}
 	v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM), Released: true})
 	if err != nil {
-		_ = level.Error(e.Log).Log("event", "releaseUnencoded", "err", err)
+		_ = level.Error(e.Log).Log("event", ggslog.EventReleaseUnencoded, "err", err)
 		return
 	}
 	var t ggscore.Txn
@@ -276,5 +277,5 @@
 		t.Writes = append(t.Writes, ggscore.TxnWrite{Key: e.ordererKey(r.Endpoint), Value: v})
 	}
 	_, err = e.Store.Txn(ctx, t)
-	_ = level.Info(e.Log).Log("event", "ordersReleased", "endpoints", len(own), "err", err)
+	_ = level.Info(e.Log).Log("event", ggslog.EventOrdersReleased, "endpoints", len(own), "err", err)
 }
--- /dev/null
+++ b/io/ggsedge/metrics.go
@@ -0,0 +1,118 @@
+package ggsedge
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	ggscore "greengageslip/core"
+)
+
+// Bounds of the latency histograms: objectives lie at 0.12 to 1 s, deadlines at
+// 1.2 to 12 s.
+const (
+	latencyLeast   = 0.005
+	latencyFactor  = 1.8
+	latencyBuckets = 14
+)
+
+// A metrics holds the latencies of an edge. Counters are those of Stats.
+type metrics struct {
+	registry *prometheus.Registry
+	answers  *prometheus.HistogramVec
+	first    *prometheus.HistogramVec
+	loads    prometheus.Histogram
+}
+
+func newMetrics(e *Edge) *metrics {
+	h := func(name, help string) prometheus.HistogramOpts {
+		return prometheus.HistogramOpts{
+			Namespace: "ggs", Name: name, Help: help,
+			Buckets: prometheus.ExponentialBuckets(latencyLeast, latencyFactor, latencyBuckets),
+		}
+	}
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		answers:  prometheus.NewHistogramVec(h("answer_seconds", "Time from a request's arrival to the end of its endpoint's answer."), []string{"kind"}),
+		first:    prometheus.NewHistogramVec(h("first_piece_seconds", "Time from a request's arrival to the first piece of its endpoint's answer."), []string{"kind"}),
+		loads:    prometheus.NewHistogram(h("load_wait_seconds", "Time that requests waited for an adapter.")),
+	}
+	m.registry.MustRegister(m.answers, m.first, m.loads, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.count(e)
+	m.believe(e)
+	return m
+}
+
+// count registers the counters of Stats.
+func (m *metrics) count(e *Edge) {
+	s := &e.stats
+	for _, c := range []struct {
+		name, help string
+		value      *atomic.Int64
+	}{
+		{"requests_total", "Requests that arrived.", &s.Requests},
+		{"answered_total", "Requests that got an endpoint's answer.", &s.Answered},
+		{"refused_total", "Requests that were refused and have not run.", &s.Refused},
+		{"failed_total", "Requests that may have run and got no answer.", &s.Failed},
+		{"callers_left_total", "Requests whose callers left.", &s.Left},
+		{"retries_total", "Sends beyond a request's first.", &s.Retries},
+		{"orders_total", "Orders to endpoints.", &s.Orders},
+		{"store_calls_total", "Calls of the store.", &s.Store},
+	} {
+		v := c.value
+		m.registry.MustRegister(prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Namespace: "ggs", Name: c.name, Help: c.help}, func() float64 { return float64(v.Load()) }))
+	}
+}
+
+// believe registers gauges of what the edge goes by.
+func (m *metrics) believe(e *Edge) {
+	locked := func(f func() float64) func() float64 {
+		return func() float64 {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return f()
+		}
+	}
+	for _, g := range []struct {
+		name, help string
+		value      func() float64
+	}{
+		{"active_requests", "Requests under way.", func() float64 { return float64(e.stats.Active.Load()) }},
+		{"config_version", "Version of the configuration in force, 0 for none.", func() float64 {
+			if t := e.paths.Load(); t != nil {
+				return float64(t.Config.Version)
+			}
+			return 0
+		}},
+		{"list_age_seconds", "Time since this VM or a peer read the list of endpoints.", locked(func() float64 {
+			return e.Now().Sub(e.listSeen).Seconds()
+		})},
+		{"endpoints", "Endpoints on the list.", locked(func() float64 { return float64(len(e.table.Instances(""))) })},
+		{"ordered_endpoints", "Endpoints that get their orders from this VM.", locked(func() float64 { return float64(len(e.workers)) })},
+		{"peers", "Other VMs that are known.", locked(func() float64 { return float64(len(e.peers)) })},
+	} {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Namespace: "ggs", Name: g.name, Help: g.help}, g.value))
+	}
+}
+
+// Metrics returns what serves the metrics in the text format of Prometheus.
+func (e *Edge) Metrics() http.Handler {
+	return promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{})
+}
+
+// answered notes an endpoint's answer that was passed on whole.
+func (m *metrics) answered(k ggscore.RouteKind, took time.Duration) {
+	m.answers.WithLabelValues(k.String()).Observe(took.Seconds())
+}
+
+// began notes the first piece of an answer.
+func (m *metrics) began(k ggscore.RouteKind, took time.Duration) {
+	m.first.WithLabelValues(k.String()).Observe(took.Seconds())
+}
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -8,6 +8,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsresident"
+	"greengageslip/io/ggslog"
 )
 
 const (
@@ -55,6 +56,8 @@
 		go e.load(context.WithoutCancel(ctx), l, g)
 	}
 	e.mu.Unlock()
+	begun := e.Steady()
+	defer func() { e.metrics.loads.Observe(e.since(begun).Seconds()) }()
 	select {
 	case <-g.done:
 		return g.err
@@ -300,7 +303,7 @@
 	defer cancel()
 	st, err := e.Orderer.Status(ctx, i.ID, i.Addr)
 	if err != nil {
-		_ = level.Info(e.Log).Log("event", "statusFailed", "endpoint", i.ID, "err", err)
+		_ = level.Info(e.Log).Log("event", ggslog.EventStatusFailed, "endpoint", i.ID, "err", err)
 		return false
 	}
 	e.mu.Lock()
@@ -327,6 +330,6 @@
 	if a != ggscore.PlacementAccepted && a != ggscore.PlacementHolds {
 		l = level.Info(e.Log)
 	}
-	_ = l.Log("event", "orderGiven", "endpoint", o.Endpoint, "unload", o.Unload, "adapter", o.Target, "version", o.Version,
+	_ = l.Log("event", ggslog.EventOrderGiven, "endpoint", o.Endpoint, "unload", o.Unload, "adapter", o.Target, "version", o.Version,
 		"expected", o.Expected, "poll", s.Poll, "fence", o.Fence, "answer", int(a), "took", e.since(begun), "err", err)
 }
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -12,6 +12,7 @@
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsretry"
 	"greengageslip/io/ggsexchange"
+	"greengageslip/io/ggslog"
 )
 
 // wholeBytes is the length up to which an answer is read whole before the
@@ -49,7 +50,8 @@
 		return e.broken(j, i, err), ggsretry.ResultFailed
 	}
 	e.stats.Answered.Add(1)
-	_ = level.Debug(e.Log).Log("event", "requestEnded", "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
+	e.metrics.answered(j.route.Kind, e.since(j.arrived))
+	_ = level.Info(e.Log).Log("event", ggslog.EventRequestEnded, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
 		"sends", j.sends, "took", e.since(j.arrived))
 	if a.Status >= http.StatusInternalServerError {
 		return nil, ggsretry.ResultFailed
@@ -82,7 +84,7 @@
 		e.table.SetMissing(e.Now(), i.ID, j.meta.Model)
 		e.mu.Unlock()
 	}
-	_ = level.Info(e.Log).Log("event", "endpointRefused", "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
+	_ = level.Info(e.Log).Log("event", ggslog.EventEndpointRefused, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
 		"adapter", j.meta.Model, "version", j.version)
 	return &ggscore.Failure{
 		Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun,
@@ -92,7 +94,7 @@
 
 // broken returns the failure for an answer that isn't whole.
 func (e *Edge) broken(j *job, i ggscore.Instance, err error) *ggscore.Failure {
-	_ = level.Info(e.Log).Log("event", "answerBroken", "request", j.meta.ID, "endpoint", i.ID, "begun", j.committed, "err", err)
+	_ = level.Info(e.Log).Log("event", ggslog.EventAnswerBroken, "request", j.meta.ID, "endpoint", i.ID, "begun", j.committed, "err", err)
 	return &ggscore.Failure{Kind: ggscore.FailureBroken, Detail: err.Error()}
 }
 
@@ -143,6 +145,7 @@
 // head writes an answer's head.
 func (e *Edge) head(j *job, a *ggsexchange.Answer, length int64) {
 	j.committed = true
+	e.metrics.began(j.route.Kind, e.since(j.arrived))
 	h := j.w.Header()
 	for k, vs := range a.Header {
 		switch k {
--- a/io/ggsedge/seeds.go
+++ b/io/ggsedge/seeds.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/io/ggslog"
 )
 
 const (
@@ -61,7 +62,7 @@
 	for _, r := range e.keeper.Records() {
 		v, err := json.Marshal(&ordererRecord{Owner: string(r.Owner), Released: r.Released})
 		if err != nil {
-			_ = level.Error(e.Log).Log("event", "recordUnencoded", "err", err)
+			_ = level.Error(e.Log).Log("event", ggslog.EventRecordUnencoded, "err", err)
 			continue
 		}
 		part.Entries = append(part.Entries, StoredEntry{Key: string(e.ordererKey(r.Endpoint)), Value: v, Revision: uint64(r.Revision)})
@@ -99,7 +100,7 @@
 	defer cancel()
 	var r EntriesReply
 	err := e.Calls.Call(ctx, seed, entriesMethod, &EntriesArgs{}, &r)
-	_ = level.Info(e.Log).Log("event", "seedAsked", "seed", seed, "parts", len(r.Parts), "err", err)
+	_ = level.Info(e.Log).Log("event", ggslog.EventSeedAsked, "seed", seed, "parts", len(r.Parts), "err", err)
 	if err != nil {
 		return
 	}
--- /dev/null
+++ b/io/ggslog/events.go
@@ -0,0 +1,93 @@
+package ggslog
+
+import "slices"
+
+// An Event names what a log line tells. docs/OPERATIONS.md explains each with its
+// keys.
+type Event string
+
+// The events of an edge.
+const (
+	EventAnswerBroken       Event = "answerBroken"
+	EventAttemptFailed      Event = "attemptFailed"
+	EventBeatFailed         Event = "beatFailed"
+	EventBeatRefused        Event = "beatRefused"
+	EventBeatUnencoded      Event = "beatUnencoded"
+	EventBeatUnsent         Event = "beatUnsent"
+	EventCallerLeft         Event = "callerLeft"
+	EventClaimUnencoded     Event = "claimUnencoded"
+	EventConfigAdopted      Event = "configAdopted"
+	EventConfigUnreadable   Event = "configUnreadable"
+	EventDependencyLost     Event = "dependencyLost"
+	EventDependencyRegained Event = "dependencyRegained"
+	EventEndpointGone       Event = "endpointGone"
+	EventEndpointRefused    Event = "endpointRefused"
+	EventEntryUnreadable    Event = "entryUnreadable"
+	EventListening          Event = "listening"
+	EventLoadFailed         Event = "loadFailed"
+	EventLogDropped         Event = "logDropped"
+	EventLogSampled         Event = "logSampled"
+	EventOrderGiven         Event = "orderGiven"
+	EventOrdersClaimed      Event = "ordersClaimed"
+	EventOrdersReleased     Event = "ordersReleased"
+	EventPartFailed         Event = "partFailed"
+	EventProcessStarted     Event = "processStarted"
+	EventRecordUnencoded    Event = "recordUnencoded"
+	EventRecordUnreadable   Event = "recordUnreadable"
+	EventReleaseUnencoded   Event = "releaseUnencoded"
+	EventRequestEnded       Event = "requestEnded"
+	EventRequestSent        Event = "requestSent"
+	EventRequestsCut        Event = "requestsCut"
+	EventRereadFailed       Event = "rereadFailed"
+	EventSeedAsked          Event = "seedAsked"
+	EventSettingsReread     Event = "settingsReread"
+	EventStatusFailed       Event = "statusFailed"
+	EventStopRequested      Event = "stopRequested"
+	EventVersionAdopted     Event = "versionAdopted"
+	EventVersionUnreadable  Event = "versionUnreadable"
+)
+
+// Events returns all events of an edge in their order.
+func Events() []Event {
+	l := []Event{
+		EventAnswerBroken,
+		EventAttemptFailed,
+		EventBeatFailed,
+		EventBeatRefused,
+		EventBeatUnencoded,
+		EventBeatUnsent,
+		EventCallerLeft,
+		EventClaimUnencoded,
+		EventConfigAdopted,
+		EventConfigUnreadable,
+		EventDependencyLost,
+		EventDependencyRegained,
+		EventEndpointGone,
+		EventEndpointRefused,
+		EventEntryUnreadable,
+		EventListening,
+		EventLoadFailed,
+		EventLogDropped,
+		EventLogSampled,
+		EventOrderGiven,
+		EventOrdersClaimed,
+		EventOrdersReleased,
+		EventPartFailed,
+		EventProcessStarted,
+		EventRecordUnencoded,
+		EventRecordUnreadable,
+		EventReleaseUnencoded,
+		EventRequestEnded,
+		EventRequestSent,
+		EventRequestsCut,
+		EventRereadFailed,
+		EventSeedAsked,
+		EventSettingsReread,
+		EventStatusFailed,
+		EventStopRequested,
+		EventVersionAdopted,
+		EventVersionUnreadable,
+	}
+	slices.Sort(l)
+	return l
+}
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -35,10 +35,13 @@
 	Uses     []Use
 }
 
-// A Flight is the number of the VM's requests at an endpoint.
+// A Flight is the number of the VM's requests at an endpoint, and how many have
+// ended and failed there since its last beat.
 type Flight struct {
 	Endpoint ggscore.EndpointID
 	Count    int
+	Ended    int
+	Failed   int
 }
 
 // A Holding is what an endpoint holds by the word of its orderer, the VM.
@@ -85,6 +88,8 @@
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	Endpoint string
 	Count    int
+	Ended    int
+	Failed   int
 }
 
 type holdingWire struct {
@@ -185,7 +190,9 @@
 		return i
 	}
 	for _, f := range b.Flights {
-		w.Flights = append(w.Flights, flightWire{Endpoint: string(f.Endpoint), Count: f.Count})
+		w.Flights = append(w.Flights, flightWire{
+			Endpoint: string(f.Endpoint), Count: f.Count, Ended: f.Ended, Failed: f.Failed,
+		})
 	}
 	for _, h := range b.Holdings {
 		hw := holdingWire{Endpoint: string(h.Endpoint), Waiting: h.Waiting}
@@ -208,7 +215,9 @@
 		ListedAt: ggscore.StoreRevision(w.Listed), OperatedAt: ggscore.StoreRevision(w.Operated), ListAge: time.Duration(w.ListAge) * time.Millisecond,
 	}
 	for _, f := range w.Flights {
-		b.Flights = append(b.Flights, Flight{Endpoint: ggscore.EndpointID(f.Endpoint), Count: f.Count})
+		b.Flights = append(b.Flights, Flight{
+			Endpoint: ggscore.EndpointID(f.Endpoint), Count: f.Count, Ended: f.Ended, Failed: f.Failed,
+		})
 	}
 	for _, hw := range w.Holdings {
 		h := Holding{Endpoint: ggscore.EndpointID(hw.Endpoint), Waiting: hw.Waiting}
--- a/io/ggsstate/state.go
+++ b/io/ggsstate/state.go
@@ -72,7 +72,7 @@
 func (s *State) Handler() http.Handler { return s.HandlerWithHealth() }
 
 // HandlerWithHealth returns the HTTP handler, with the health at further paths.
-func (s *State) HandlerWithHealth(paths ...string) http.Handler {
+func (s *State) HandlerWithHealth(paths ...string) *gin.Engine {
 	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
 	for _, p := range paths {
