fix: pass over runners that get no orders when an adapter's home is chosen

Change: a runner whose orderer sent no beat for 0.9 s is no home; the next in rank is, for all VMs alike.

--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -390,7 +390,8 @@
 
 // homes returns the endpoints that an adapter belongs to: one, and more with
 // its demand. All VMs rank the endpoints of an adapter alike, so that it is
-// fetched no more often than it has homes. The second and third are in other
+// fetched no more often than it has homes. Endpoints that get no orders now are
+// passed over: the next in rank takes their place for all VMs. The second and third are in other
 // regions than the first where they can be, so that a busy adapter's answers
 // needn't cross.
 func (t *Table) homes(now time.Time, list []*endpoint, q Query, base ggscore.ModelAdapter) []*endpoint {
@@ -408,7 +409,7 @@
 	name := q.Target.String()
 	ranked := make([]ranking, 0, len(list))
 	for _, e := range list {
-		if !e.Leaving && e.holds(now, base, 0) {
+		if !e.Leaving && e.loadable && e.holds(now, base, 0) {
 			ranked = append(ranked, ranking{e: e, rank: xxhash.Sum64String(name + " " + string(e.ID))})
 		}
 	}
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -162,6 +162,26 @@
 	}
 }
 
+// A VM is gone for good, and nobody gives its runners orders until its right to
+// has run out. Requests waited 900 ms for loads there; sent to wherever there was
+// room, their adapters were fetched by each VM to another runner.
+func TestNextHomeIsTheSameForAllVMs(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	for n := range 20 {
+		q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(n)}
+		home := choose(c, table("d0", 1), q).Instance.ID
+		seen := map[ggscore.EndpointID]bool{}
+		for vm := range 9 {
+			tb := table(ggscore.Domain(fmt.Sprintf("d%d", vm%3)), uint64(vm))
+			tb.SetLoadable(home, false)
+			seen[choose(c, tb, q).Instance.ID] = true
+		}
+		c.Assert(seen, qt.HasLen, 1)
+		c.Assert(seen[home], qt.IsFalse)
+	}
+}
+
 func TestPlainServiceIsChosenByLoad(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/io/ggsedge/beats.go
+++ b/io/ggsedge/beats.go
@@ -46,6 +46,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
+	e.setLoadable()
 	b = ggspeer.Beat{
 		VM: e.options.VM, Sequence: e.sequence, Started: started, ListedAt: e.listedAt, OperatedAt: e.operatedAt,
 		ListAge: min(e.Now().Sub(e.listOwn), time.Hour),
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -151,7 +151,7 @@
 	beats  netip.AddrPort
 	calls  netip.AddrPort
 	region ggscore.Region
-	// heard is when it last sent a beat.
+	// heard is when it last sent a beat, or became known.
 	heard    time.Time
 	started  int64
 	sequence uint64
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -94,6 +94,8 @@
 		for vm, p := range peers {
 			if o := e.peers[vm]; o != nil {
 				p.started, p.sequence, p.heard = o.started, o.sequence, o.heard
+			} else {
+				p.heard = e.Now()
 			}
 		}
 		e.peers = peers
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -198,7 +198,6 @@
 	want := map[ggscore.EndpointID]bool{}
 	for _, i := range e.table.Instances("") {
 		s := specs[i.Service]
-		e.table.SetLoadable(i.ID, e.keeper.Owner(i.ID) != "")
 		if s.Engine == nil || e.keeper.Owner(i.ID) != e.options.VM {
 			continue
 		}
@@ -223,6 +222,7 @@
 		e.workers[i.ID] = w
 		go e.work(c, w, s.Engine)
 	}
+	e.setLoadable()
 	for id, w := range e.workers {
 		if !want[id] {
 			w.cancel()
@@ -232,6 +232,26 @@
 	}
 }
 
+// peerSilence is the silence after which a peer isn't asked for loads: six beats.
+// One that is gone, frozen or cut off answers nothing, and requests waited 900 ms
+// for it before they went elsewhere.
+const peerSilence = 900 * time.Millisecond
+
+// setLoadable notes which endpoints get orders now. Edge.mu is held.
+func (e *Edge) setLoadable() {
+	now := e.Now()
+	for _, i := range e.table.Instances("") {
+		owner := e.keeper.Owner(i.ID)
+		loadable := false
+		if owner == e.options.VM {
+			_, loadable = e.keeper.May(now, i.ID)
+		} else if p := e.peers[owner]; p != nil {
+			loadable = now.Sub(p.heard) < peerSilence
+		}
+		e.table.SetLoadable(i.ID, loadable)
+	}
+}
+
 // work gives orders until the context ends.
 func (e *Edge) work(ctx context.Context, w *worker, g *ggscore.EngineSpec) {
 	for ctx.Err() == nil {
