fix: pass on an endpoint's failure where no other endpoint does better

Ruled out: asking for room first: the other endpoint may still fail. Change: the failure is kept while another endpoint is tried. ggsctl explain reads lines whose level comes after their time, as they are written.

--- a/cmd/ggsctl/explain.go
+++ b/cmd/ggsctl/explain.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		// What collects the lines may have put words of its own before them.
-		if i := strings.Index(t, "level="); i > 0 {
+		if i := strings.Index(t, "ts="); i > 0 {
 			t = t[i:]
 		}
 		if l, ok := parseLine(t); ok && l.keys["request"] == request {
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -290,7 +290,33 @@
 	}
 }
 
-// Every instance fails a lookup: the caller gets the instance's own answer, as
+// A lookup fails at an instance, and the other one has no room. The caller got
+// "502, it may have run" of the system's own in place of the first's answer.
+func TestFailureIsPassedOnWhereNoOtherDoesBetter(t *testing.T) {
+	t.Parallel()
+	for name, other := range map[string]ggsfakesite.Fault{
+		"sheds":  ggsfakesite.FaultShed,
+		"resets": ggsfakesite.FaultReset,
+		"fails":  ggsfakesite.FaultError,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, 1)
+			s.site.Endpoints["ledger-0"].SetFault(always(ggsfakesite.FaultError))
+			s.site.Endpoints["ledger-1"].SetFault(always(other))
+			for range 4 {
+				r := s.call(0, http.MethodGet, "/look/1", "", "")
+				if s.site.Runs()[r.id] == 0 {
+					continue
+				}
+				s.c.Assert(r.status == http.StatusInternalServerError || other == ggsfakesite.FaultReset && r.status == http.StatusBadGateway,
+					qt.IsTrue, qt.Commentf("%d", r.status))
+			}
+		})
+	}
+}
+
+// Every instance fails a release: the caller gets the instance's own answer, as
 // it came.
 func TestEndpointsFailureIsPassedOn(t *testing.T) {
 	t.Parallel()
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -130,6 +130,10 @@
 		_ = level.Info(e.Log).Log("event", ggslog.EventCallerLeft, "request", j.meta.ID, "sends", j.sends, "took", e.since(j.arrived))
 		panic(http.ErrAbortHandler)
 	}
+	if j.kept != nil {
+		e.passKept(j)
+		return
+	}
 	var refused *ggsplace.RefusedError
 	var failure *ggscore.Failure
 	switch {
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -53,6 +53,8 @@
 	runs  int
 	// granted says that another send is granted already.
 	granted bool
+	// kept is an endpoint's failure, while another endpoint is tried.
+	kept *keptAnswer
 	// committed says that an answer has begun.
 	committed bool
 }
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -33,10 +33,8 @@
 	if reason := unfit(a, m, success); reason != "" {
 		return e.broken(j, i, &AnswerError{Status: a.Status, Reason: reason}), ggsretry.ResultFailed
 	}
-	if !success && a.Status >= http.StatusInternalServerError && j.route.Idempotent() && j.runs < j.route.MaxAttempts {
-		f := &ggscore.Failure{Kind: ggscore.FailureEndpoint, Detail: "endpoint answered " + strconv.Itoa(a.Status)}
-		if e.again(ctx, j, f) {
-			j.granted = true
+	if a.Status >= http.StatusInternalServerError && j.route.Idempotent() && j.runs < j.route.MaxAttempts {
+		if f := e.keep(ctx, j, i, a); f != nil {
 			return f, ggsretry.ResultFailed
 		}
 	}
@@ -59,6 +57,45 @@
 	return nil, ggsretry.ResultOK
 }
 
+// A keptAnswer is an endpoint's failure that is passed on should no other
+// endpoint do better.
+type keptAnswer struct {
+	answer *ggsexchange.Answer
+	body   []byte
+}
+
+// keep keeps an endpoint's failure where the request is sent to another one, and
+// returns nil where it isn't. What is kept is no longer than one piece.
+func (e *Edge) keep(ctx context.Context, j *job, i ggscore.Instance, a *ggsexchange.Answer) *ggscore.Failure {
+	f := &ggscore.Failure{Kind: ggscore.FailureEndpoint, Detail: "endpoint answered " + strconv.Itoa(a.Status)}
+	if a.Length < 0 || a.Length > wholeBytes || !e.again(ctx, j, f) {
+		return nil
+	}
+	_ = level.Info(e.Log).Log("event", ggslog.EventAttemptFailed, "request", j.meta.ID, "endpoint", i.ID,
+		"outcome", ggscore.OutcomeDone, "err", f.Detail)
+	j.granted = true
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		// A failure that isn't whole can't be passed on; the other endpoint's
+		// answer is all that is left to wait for.
+		_ = level.Info(e.Log).Log("event", ggslog.EventAnswerBroken, "request", j.meta.ID, "endpoint", i.ID, "begun", false, "err", err)
+		return f
+	}
+	j.kept = &keptAnswer{answer: a, body: b}
+	return f
+}
+
+// passKept passes on the failure that was kept.
+func (e *Edge) passKept(j *job) {
+	k := j.kept
+	_ = level.Info(e.Log).Log("event", ggslog.EventRequestEnded, "request", j.meta.ID, "status", k.answer.Status,
+		"why", "no other endpoint did better", "sends", j.sends, "runs", j.runs, "took", e.since(j.arrived))
+	e.stats.Answered.Add(1)
+	e.head(j, k.answer, int64(len(k.body)))
+	// A caller that has gone away gets nothing, and nothing is to be done.
+	_, _ = j.w.Write(k.body)
+}
+
 // unfit says why an answer can't be passed on, empty where it can. A success
 // bears the endpoint's mark; one in an encoding that the caller didn't ask for
 // isn't the endpoint's body.
