--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -52,7 +52,7 @@
 		return exitUsage
 	}
 	l := ggslog.New(stderr, dispatcherProgram, s.VM, s.LogLevel)
-	return runApp(ctx, &s.Node, l, common(role{program: dispatcherProgram}), fx.Supply(&s),
+	return runNode(ctx, &s.Node, l, common(role{program: dispatcherProgram}), fx.Supply(&s),
 		fx.Provide(newIncarnation, newHeartbeats, newMembers, newClaims, newScheduler, newDispatcher),
 		fx.Invoke(startFollowers, startDispatcher))
 }
--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -18,9 +18,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"github.com/jessevdk/go-flags"
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 
 	ggscore "greengageslip/core"
 	"greengageslip/io/ggsclock"
@@ -97,60 +95,16 @@
 	return runEdge(ctx, &c, &s, l)
 }
 
-// parseLine reads a command line. ok is false where the program is to end with
-// the code.
-func parseLine(program string, c any, args []string, stdout, stderr io.Writer) (code int, ok bool) {
-	p := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := p.AddGroup("Options", "", c); err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailure, false
-	}
-	rest, err := p.ParseArgs(args)
-	if f := (*flags.Error)(nil); errors.As(err, &f) && f.Type == flags.ErrHelp {
-		_, _ = fmt.Fprintln(stdout, f.Message)
-		return exitOK, false
-	}
-	if err == nil && len(rest) > 0 {
-		err = &UnwantedArgumentError{Argument: rest[0]}
-	}
-	if err != nil {
-		_, _ = fmt.Fprintf(stderr, "%s: %v\n", program, err)
-		return exitUsage, false
-	}
-	return exitOK, true
-}
-
 func runEdge(ctx context.Context, c *edgeLine, s *ggsdialect.Settings, l log.Logger) int {
-	app := fx.New(
+	return runApp(ctx, s.Grace+stopMargin, l,
 		fx.Supply(c, s),
 		fx.Provide(
-			func() log.Logger { return l },
 			func() clock { return time.Now }, //nolint:forbidigo // the one clock of a process
 			func(t clock) *ggsexchange.Pool { return ggsexchange.NewPool(ggsexchange.Options{Now: t}) },
 			newEdge,
 		),
-		fx.WithLogger(func() fxevent.Logger { return ggslog.NewFx(l) }),
 		fx.Invoke(startEdge),
-		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(s.Grace+stopMargin),
 	)
-	start, cancelStart := context.WithTimeout(ctx, startTimeout)
-	defer cancelStart()
-	if err := app.Start(start); err != nil {
-		return exitFailure
-	}
-	code := exitOK
-	select {
-	case <-ctx.Done():
-	case s := <-app.Wait():
-		code = s.ExitCode
-	}
-	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), app.StopTimeout())
-	defer cancelStop()
-	if err := app.Stop(stop); err != nil {
-		return exitFailure
-	}
-	return code
 }
 
 // edgeBeats is where an edge hears its peers' beats: UDP at the first port of
--- a/cmd/ggsnode/gateway.go
+++ b/cmd/ggsnode/gateway.go
@@ -35,7 +35,7 @@
 		return exitUsage
 	}
 	l := ggslog.New(stderr, gatewayProgram, s.VM, s.LogLevel)
-	return runApp(ctx, &s.Node, l, common(role{program: gatewayProgram, peersOnly: true}), fx.Supply(&s),
+	return runNode(ctx, &s.Node, l, common(role{program: gatewayProgram, peersOnly: true}), fx.Supply(&s),
 		fx.Provide(newGatewayMembers, newGateway),
 		fx.Invoke(startFollowers, startGateway))
 }
--- a/cmd/ggsnode/run.go
+++ b/cmd/ggsnode/run.go
@@ -37,34 +37,45 @@
 // parse reads the command line. ok is false where the program is to end with
 // the code.
 func parse(program string, args []string, stdout, stderr io.Writer) (c commandLine, code int, ok bool) {
+	code, ok = parseLine(program, &c, args, stdout, stderr)
+	return c, code, ok
+}
+
+// parseLine reads a command line into a struct of options.
+func parseLine(program string, c any, args []string, stdout, stderr io.Writer) (code int, ok bool) {
 	p := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := p.AddGroup("Options", "", &c); err != nil {
+	if _, err := p.AddGroup("Options", "", c); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
-		return c, exitFailure, false
+		return exitFailure, false
 	}
 	rest, err := p.ParseArgs(args)
 	if f := (*flags.Error)(nil); errors.As(err, &f) && f.Type == flags.ErrHelp {
 		_, _ = fmt.Fprintln(stdout, f.Message)
-		return c, exitOK, false
+		return exitOK, false
 	}
 	if err == nil && len(rest) > 0 {
 		err = &UnwantedArgumentError{Argument: rest[0]}
 	}
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "%s: %v\n", program, err)
-		return c, exitUsage, false
+		return exitUsage, false
 	}
-	return c, exitOK, true
+	return exitOK, true
+}
+
+// runNode runs the parts of a process with settings of our own.
+func runNode(ctx context.Context, n *ggssettings.Node, l log.Logger, options ...fx.Option) int {
+	return runApp(ctx, n.DrainTimeout+stopMargin, l, append(options, fx.Supply(n))...)
 }
 
-// runApp runs the parts until a signal or the context's end.
-func runApp(ctx context.Context, n *ggssettings.Node, l log.Logger, options ...fx.Option) int {
+// runApp runs the parts until a signal or the context's end. A stop may take the
+// time.
+func runApp(ctx context.Context, stopTime time.Duration, l log.Logger, options ...fx.Option) int {
 	app := fx.New(append(options,
-		fx.Supply(n),
 		fx.Provide(func() log.Logger { return l }),
 		fx.WithLogger(func() fxevent.Logger { return ggslog.NewFx(l) }),
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(n.DrainTimeout+stopMargin),
+		fx.StopTimeout(stopTime),
 	)...)
 	start, cancelStart := context.WithTimeout(ctx, startTimeout)
 	defer cancelStart()
--- /dev/null
+++ b/core/ggsplace/homes.go
@@ -0,0 +1,122 @@
+package ggsplace
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggspopularity"
+)
+
+const (
+	// replicaRate is the requests a second for which an adapter gets one more
+	// home. A runner reads the prompts of 45 a second; the busiest adapter alone
+	// draws up to 80, and should share its runners with others.
+	replicaRate = 6.0
+	// regionRate is the requests a second from which an adapter has a home in
+	// each region: a copy costs as much as 12 answers that cross, and stays for
+	// some seconds at least.
+	regionRate = 2.5
+	// maxHomes bounds an adapter's homes: one for each of a deployment's
+	// runners at today's size.
+	maxHomes = 12
+	// maxWaiting is the number of adapters waiting to be loaded at which an
+	// endpoint is asked for no more: two rounds of four.
+	maxWaiting = 8
+)
+
+// homes returns the endpoints that an adapter belongs to: one, and more with
+// its demand. All VMs rank the endpoints of an adapter alike, so that it is
+// fetched no more often than it has homes. Endpoints that get no orders now are
+// passed over: the next in rank takes their place for all VMs. The second and third are in other
+// regions than the first where they can be, so that a busy adapter's answers
+// needn't cross.
+func (t *Table) homes(now time.Time, list []*endpoint, q Query, base ggscore.ModelAdapter) []*endpoint {
+	if q.Target.Adapter == "" {
+		return nil
+	}
+	n := 1
+	if d := t.demand[q.Target]; d != nil {
+		rate := d.PerSecond(now)
+		n += min(int(rate/replicaRate), maxHomes-1)
+		if rate >= regionRate {
+			n = max(n, t.regions())
+		}
+	}
+	name := q.Target.String()
+	ranked := make([]ranking, 0, len(list))
+	for _, e := range list {
+		if !e.Leaving && e.loadable && e.holds(now, base, 0) {
+			ranked = append(ranked, ranking{e: e, rank: xxhash.Sum64String(name + " " + string(e.ID))})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b ranking) int { return cmp.Compare(b.rank, a.rank) })
+	homes := make([]*endpoint, 0, n)
+	// First one of each region, then the others in their order.
+	for i := range ranked {
+		if len(homes) < n && !t.sharesRegion(homes, ranked[i].e) {
+			homes = append(homes, ranked[i].e)
+		}
+	}
+	for i := range ranked {
+		if len(homes) < n && !slices.Contains(homes, ranked[i].e) {
+			homes = append(homes, ranked[i].e)
+		}
+	}
+	return homes
+}
+
+// A ranking is an endpoint's place among an adapter's homes.
+type ranking struct {
+	e    *endpoint
+	rank uint64
+}
+
+// regions returns the number of regions.
+func (t *Table) regions() int {
+	seen := make(map[ggscore.Region]bool, len(t.options.Regions))
+	for _, r := range t.options.Regions {
+		seen[r] = true
+	}
+	return len(seen)
+}
+
+func (t *Table) sharesRegion(homes []*endpoint, e *endpoint) bool {
+	for _, h := range homes {
+		if t.options.Regions[h.Domain] == t.options.Regions[e.Domain] {
+			return true
+		}
+	}
+	return false
+}
+
+// Asked notes n requests for an adapter, of this VM or of a peer.
+func (t *Table) Asked(now time.Time, a ggscore.ModelAdapter, n int) {
+	d := t.demand[a]
+	if d == nil {
+		d = &ggspopularity.Recent{}
+		t.demand[a] = d
+	}
+	d.Add(now, n)
+	if len(t.demand) > maxDemand {
+		t.forget(now)
+	}
+}
+
+const (
+	// maxDemand bounds the adapters whose demand is kept.
+	maxDemand = 8192
+	// demandMaxAge is the age at which an adapter's demand is forgotten.
+	demandMaxAge = 20 * time.Second
+)
+
+func (t *Table) forget(now time.Time) {
+	for a, d := range t.demand {
+		if now.Sub(d.Last()) > demandMaxAge {
+			delete(t.demand, a)
+		}
+	}
+}
