--- a/fakes/ggsfake/call.go
+++ b/fakes/ggsfake/call.go
@@ -17,6 +17,9 @@
 	Method string  `long:"method" default:"GET" description:"the method"`
 	Path   string  `long:"path" required:"true" description:"the path"`
 	Body   string  `long:"body" description:"the JSON body"`
+	Host   string  `long:"host" description:"the host that the request names, if not the address"`
+	// Headers are NAME: VALUE.
+	Headers []string `long:"header" value-name:"HEADER" description:"a header; may be repeated"`
 }
 
 func (c *callCommand) call(ctx context.Context, out io.Writer) error {
@@ -24,6 +27,11 @@
 	if err != nil {
 		return errors.Wrap(err, "make the call")
 	}
+	req.Host = c.Host
+	for _, h := range c.Headers {
+		n, v, _ := strings.Cut(h, ":")
+		req.Header.Set(n, strings.TrimSpace(v))
+	}
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
 		return errors.Wrap(err, "call")
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -55,6 +55,8 @@
 	granted bool
 	// kept is an endpoint's failure, while another endpoint is tried.
 	kept *keptAnswer
+	// first is the time from its arrival to the first piece of its answer.
+	first time.Duration
 	// committed says that an answer has begun.
 	committed bool
 }
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -50,7 +50,7 @@
 	e.stats.Answered.Add(1)
 	e.metrics.answered(j.route.Kind, e.since(j.arrived))
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestEnded, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
-		"sends", j.sends, "took", e.since(j.arrived))
+		"sends", j.sends, "first", j.first, "took", e.since(j.arrived))
 	if a.Status >= http.StatusInternalServerError {
 		return nil, ggsretry.ResultFailed
 	}
@@ -182,7 +182,8 @@
 // head writes an answer's head.
 func (e *Edge) head(j *job, a *ggsexchange.Answer, length int64) {
 	j.committed = true
-	e.metrics.began(j.route.Kind, e.since(j.arrived))
+	j.first = e.since(j.arrived)
+	e.metrics.began(j.route.Kind, j.first)
 	h := j.w.Header()
 	for k, vs := range a.Header {
 		switch k {
