perf: prefer runners that held an adapter over its home

Ruled out: the runners' own time to the first piece (294 ms on average where late). Change: a runner is believed to keep the last 96 adapters that it held, which counts as a tenth of a load.

--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -35,6 +35,9 @@
 	costInFlight = 12 * time.Millisecond
 	// costLoad is an adapter's time from the weight store.
 	costLoad = 250 * time.Millisecond
+	// costWarm is the time of an adapter that the runner held before: it loads from
+	// the runner's own memory in a tenth of the time.
+	costWarm = costLoad / 10
 	// costAway is added for a load at a runner that isn't one of the adapter's
 	// homes, where it can't be in the runner's own memory and takes another's
 	// place: the delay of 30 requests in flight more.
@@ -128,6 +131,8 @@
 	told    map[ggscore.ModelAdapter]uint64
 	toldAt  time.Time
 	missing map[ggscore.ModelAdapter]time.Time
+	// warm lists the adapters that the endpoint held last, by version and time.
+	warm map[ggscore.ModelAdapter]warmth
 	// ended and failed are the requests of all VMs that ended and failed in the
 	// last seconds, untold the own ones that peers weren't told of.
 	ended  ggspopularity.Recent
@@ -166,7 +171,7 @@
 		seen[n.ID] = true
 		e := t.endpoints[n.ID]
 		if e == nil || !e.Born.Equal(n.Born) || e.Addr != n.Addr {
-			e = &endpoint{missing: map[ggscore.ModelAdapter]time.Time{}}
+			e = &endpoint{missing: map[ggscore.ModelAdapter]time.Time{}, warm: map[ggscore.ModelAdapter]warmth{}}
 			t.endpoints[n.ID] = e
 			t.breakers.Remove(n.ID)
 			changed = true
@@ -251,6 +256,7 @@
 	e.told = make(map[ggscore.ModelAdapter]uint64, len(held))
 	for _, h := range held {
 		e.told[h.Target] = h.Version
+		e.keep(now, h)
 		delete(e.missing, h.Target)
 	}
 	e.toldAt, e.waiting = now, waiting
@@ -329,7 +335,10 @@
 		if !resident && (!e.loadable || e.waiting >= maxWaiting) {
 			continue
 		}
-		c := t.cost(e, q.Engine, resident, slices.Contains(homes, e))
+		c := t.cost(e, q.Engine)
+		if !resident {
+			c += e.loadCost(&q, slices.Contains(homes, e))
+		}
 		c += time.Duration(max(e.failures(now)-sound, 0) * float64(costFailure))
 		if best == nil || c < bestCost {
 			best, bestCost, bestResident = e, c, resident
@@ -351,7 +360,7 @@
 }
 
 // cost returns the delay that a request is expected to meet at the endpoint.
-func (t *Table) cost(e *endpoint, g *ggscore.EngineSpec, resident, home bool) time.Duration {
+func (t *Table) cost(e *endpoint, g *ggscore.EngineSpec) time.Duration {
 	n := e.own + e.peers
 	c := time.Duration(t.rng.Int64N(int64(time.Millisecond)))
 	if !e.local {
@@ -362,14 +371,7 @@
 		// the work before it.
 		return c + costPlain*time.Duration(n)/time.Duration(e.Slots) + costPlain*time.Duration(max(n+1-e.Slots, 0))
 	}
-	c += costInFlight * time.Duration(n)
-	if !resident {
-		c += costLoad + costWait*time.Duration(e.waiting)
-		if !home {
-			c += costAway
-		}
-	}
-	return c
+	return c + costInFlight*time.Duration(n)
 }
 
 // Waits that refused callers are told. The load that fills endpoints comes in
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -182,6 +182,31 @@
 	}
 }
 
+// Runners come and become the homes of adapters that others have just held. Each
+// was fetched from the weight store once more, which was at its limit already.
+func TestRunnerThatHeldAnAdapterComesBeforeItsHome(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)}
+	home := choose(c, tb, q).Instance.ID
+	other := ggscore.EndpointID("r23")
+	c.Assert(home, qt.Not(qt.Equals), other)
+	tb.SetHeld(at(0), other, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}}, 0)
+	tb.SetHeld(at(0), other, nil, 0)
+	x := choose(c, tb, q)
+	c.Assert(x.Instance.ID, qt.Equals, other)
+	c.Assert(x.Resident, qt.IsFalse)
+
+	q.Version = 2
+	c.Assert(choose(c, tb, q).Instance.ID, qt.Equals, home, qt.Commentf("another version"))
+	q.Version = 0
+	for n := range 200 {
+		tb.SetHeld(at(time.Second), other, []ggscore.AdapterVersion{{Target: adapter(100 + n), Version: 1}}, 0)
+	}
+	c.Assert(choose(c, tb, q).Instance.ID, qt.Equals, home, qt.Commentf("long ago"))
+}
+
 func TestPlainServiceIsChosenByLoad(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- /dev/null
+++ b/core/ggsplace/warm.go
@@ -0,0 +1,57 @@
+package ggsplace
+
+import (
+	"time"
+
+	ggscore "greengageslip/core"
+)
+
+// maxWarm is the number of adapters that an endpoint is believed to keep in its
+// own memory, beside those that it holds: somewhat less than the 108 of today's
+// runners.
+const maxWarm = 96
+
+// A warmth is an adapter's version on an endpoint, and when it was last there.
+type warmth struct {
+	version uint64
+	at      time.Time
+}
+
+// keep notes that the endpoint holds an adapter.
+func (e *endpoint) keep(now time.Time, v ggscore.AdapterVersion) {
+	e.warm[v.Target] = warmth{version: v.Version, at: now}
+	if len(e.warm) <= maxWarm {
+		return
+	}
+	var oldest ggscore.ModelAdapter
+	var at time.Time
+	for t, w := range e.warm {
+		if at.IsZero() || w.at.Before(at) {
+			oldest, at = t, w.at
+		}
+	}
+	delete(e.warm, oldest)
+}
+
+// isWarm reports whether the endpoint is believed to have an adapter in its own
+// memory.
+func (e *endpoint) isWarm(a ggscore.ModelAdapter, version uint64) bool {
+	w, ok := e.warm[a]
+	return ok && (version == 0 || w.version == version)
+}
+
+// loadCost returns the delay of having the query's adapter loaded.
+//
+// When a runner comes, a part of the adapters get it for their home. Fetched
+// there, they took a third of the weight store's rate on days on which runners
+// come and go, though others had them in memory still.
+func (e *endpoint) loadCost(q *Query, home bool) time.Duration {
+	wait := costWait * time.Duration(e.waiting)
+	switch {
+	case e.isWarm(q.Target, q.Version):
+		return costWarm + wait
+	case home:
+		return costLoad + wait
+	}
+	return costLoad + costAway + wait
+}
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -170,7 +170,8 @@
 	e.begin(j, i.ID)
 	j.sends++
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestSent, "request", j.meta.ID, "endpoint", i.ID, "route", j.route.Name,
-		"adapter", j.meta.Model, "version", j.version, "resident", c.Resident, "inFlight", c.InFlight, "left", left)
+		"adapter", j.meta.Model, "version", j.version, "resident", c.Resident, "inFlight", c.InFlight,
+		"waited", e.since(j.arrived), "left", left)
 	a, err := e.Pool.Do(ctx, ggsexchange.Request{
 		Addr: i.Addr, Method: j.r.Method, URI: j.uri, Host: j.r.Host, Body: j.body,
 		Header:   e.Dialect.Forward(j.r.Header, ggscore.ForwardMeta{Endpoint: i.ID, Left: left, Version: j.version}),
