feat: bound what a burst, a body and an answer's head can take

Cause: nothing but the kernel bounded requests under way, the memory of their bodies and the head of an endpoint's answer; the slack of repeats was shared by nine VMs however many there are. Change: limits from the process's descriptors and memory, refused at once; the slack is shared by the VMs that are known.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -1,6 +1,7 @@
 package ggsnode
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -51,6 +52,18 @@
 	leaveTime = 2300 * time.Millisecond
 	// graceMargin is the time before SIGKILL that is left for the last steps.
 	graceMargin = 700 * time.Millisecond
+	// defaultFiles and defaultMemory stand in where the platform sets no limits:
+	// those of today's VMs.
+	defaultFiles  = 4100
+	defaultMemory = 284 << 20
+	// reservedFiles are the descriptors that the platform keeps for files.
+	reservedFiles = 200
+	// activeShare is the part of the other descriptors that requests under way may
+	// have for their callers: each may take one more for its endpoint, and a
+	// quarter is for idle connections.
+	activeShare = 0.35
+	// bodiesShare is the part of the memory for bodies of requests under way.
+	bodiesShare = 0.25
 	// memoryShare is the part of a process's memory at which the collector
 	// works harder: the rest is for goroutines, buffers and the C library.
 	memoryShare = 0.75
@@ -126,6 +139,8 @@
 		VM:     s.VM + "@" + ggscore.VMID(s.Addr.String()),
 		Domain: s.Domain, Regions: s.Regions, Seed: h.Sum64() ^ uint64(t().UnixNano()),
 		Beats: edgeBeats(s), Control: s.Control, Seeds: s.Seeds, Turn: s.OrderTurn, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		MaxActive: int64(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * activeShare),
+		MaxBodies: int64(float64(cmp.Or(s.MemoryBytes, defaultMemory)) * bodiesShare),
 		VersionTime: s.VersionTime, IDHeader: ggsdialect.HeaderRequestID,
 		Keys: ggsedge.Keys{
 			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip",
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -74,6 +74,12 @@
 var testSites atomic.Int32 //nolint:gochecknoglobals // gives each test an address of its own
 
 func (s *siteTest) startEdge(t *testing.T, n int) {
+	t.Helper()
+	s.startEdgeWith(t, n, func(*ggsdialect.Settings) {})
+}
+
+// startEdgeWith starts an edge with its settings changed.
+func (s *siteTest) startEdgeWith(t *testing.T, n int, change func(*ggsdialect.Settings)) {
 	t.Helper()
 	ip := netip.AddrFrom4([4]byte{127, 9, s.network, byte(10 + n)})
 	store := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, s.network, 1}), 7000)
@@ -81,8 +87,9 @@
 		VM: ggscore.VMID(fmt.Sprintf("edge-%d", n)), Addr: ip, Domain: ggscore.Domain([]string{"a", "b"}[n%2]),
 		Regions: map[ggscore.Domain]ggscore.Region{"a": "west", "b": "east"},
 		Callers: netip.AddrPortFrom(ip, 7100), Ready: netip.AddrPortFrom(ip, 7101), Control: netip.AddrPortFrom(ip, 7300), FirstPort: 7200, LastPort: 7210,
-		Cores: 1, Store: store, Grace: 4 * time.Second, OrderTurn: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 58,
+		Cores: 1, MaxFiles: 4100, MemoryBytes: 284 << 20, Store: store, Grace: 4 * time.Second, OrderTurn: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 58,
 	}}
+	change(&e.settings)
 	for _, o := range s.edges {
 		e.settings.Seeds = append(e.settings.Seeds, o.settings.Control)
 	}
@@ -247,6 +254,33 @@
 	}
 }
 
+// A burst brings more requests than the process can hold. It refuses the rest at
+// once, and goes on serving those that it has.
+func TestBurstIsRefusedBeforeTheProcessIsFull(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 0)
+	s.startEdgeWith(t, 0, func(d *ggsdialect.Settings) { d.MaxFiles = 210 })
+	s.eventually("edge is ready", func() bool { return s.ready(0) == http.StatusOK })
+	s.setFault("ledger", always(ggsfakesite.FaultHang))
+	replies := make(chan reply, 10)
+	for range cap(replies) {
+		go func() { replies <- s.call(0, http.MethodPost, "/pay/1", "", "{}") }()
+	}
+	refused, ran := 0, 0
+	for range cap(replies) {
+		r := <-replies
+		switch r.status {
+		case http.StatusServiceUnavailable:
+			refused++
+			s.c.Check(s.site.Runs()[r.id], qt.Equals, 0)
+		case http.StatusGatewayTimeout:
+			ran++
+		}
+	}
+	s.c.Assert(refused > 0, qt.IsTrue)
+	s.c.Assert(ran > 0, qt.IsTrue)
+}
+
 // A deposit release reaches the ledger, which runs it; its answer is lost. Sent
 // again, the landlord would be paid twice; answered "not run", the caller would
 // send it again.
--- a/core/ggsretry/budget.go
+++ b/core/ggsretry/budget.go
@@ -96,6 +96,15 @@
 	}
 }
 
+// SetDepth changes the number of retries that a market can save up. What it had
+// saved beyond that is lost.
+func (p *Policy) SetDepth(depth float64) {
+	p.options.Depth = depth
+	for _, b := range p.budgets {
+		b.tokens = min(b.tokens, depth)
+	}
+}
+
 // Keep forgets the budgets of markets that the document no longer names.
 func (p *Policy) Keep(markets map[ggscore.Market]ggscore.MarketSpec) {
 	for m := range p.budgets {
--- a/core/ggsretry/retry_test.go
+++ b/core/ggsretry/retry_test.go
@@ -18,6 +18,28 @@
 	return &ggscore.Failure{Kind: k, Outcome: ggscore.OutcomeNotRun}
 }
 
+// VMs come, and share with the others what they may send more than once together.
+func TestDepthFollowsTheDeployment(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	p := ggsretry.NewPolicy(ggsretry.Options{Seed: 1, Depth: 4, Ratio: 0.1, MaxAttempts: 9})
+	granted := func() int {
+		n := 0
+		for range 10 {
+			_, err := p.Retry(at(0), ggsretry.Attempt{
+				Market: "m", Number: 1, Failure: notRun(ggscore.FailureNoCapacity), Left: time.Minute,
+			})
+			if err == nil {
+				n++
+			}
+		}
+		return n
+	}
+	p.Request(at(0), "m")
+	p.SetDepth(2)
+	c.Assert(granted(), qt.Equals, 2)
+}
+
 // A deposit release is cut off after its first byte was sent. The gateway
 // tries it again on another dispatcher, and the landlord is paid twice.
 func TestOnlyWorkProvedNotRunIsRetried(t *testing.T) {
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -42,6 +42,10 @@
 	// IDHeader bears the identity of requests and answers.
 	IDHeader string
 	Keys     Keys
+	// MaxActive bounds the requests under way, MaxBodies the memory of their
+	// bodies.
+	MaxActive int64
+	MaxBodies int64
 }
 
 // A Keys names what the edge follows in the store.
@@ -144,6 +148,8 @@
 	Orders   atomic.Int64
 	Store    atomic.Int64
 	Active   atomic.Int64
+	// Bodies is the memory of the bodies of requests under way.
+	Bodies atomic.Int64
 }
 
 // A member is a peer as its entry in the store names it.
@@ -198,16 +204,22 @@
 // a peer that comes or goes, must not break the bound.
 const retryShare = 0.5
 
-// retryVMs is the number of VMs that share the slack.
-const retryVMs = 9
-
 func retryOptions(o Options) ggsretry.Options {
 	return ggsretry.Options{
-		Seed: o.Seed, Ratio: o.RetryRatio * retryShare, Depth: max(float64(o.RetrySlack)*retryShare/retryVMs, 1),
+		Seed: o.Seed, Ratio: o.RetryRatio * retryShare, Depth: retryDepth(o, leastVMs),
 		MaxAttempts: maxSends, Base: retryBase, MaxWait: retryMaxWait,
 	}
 }
 
+// leastVMs is the number of VMs that are taken to share the slack before others
+// are known: those of a small deployment.
+const leastVMs = 9
+
+// retryDepth returns this VM's part of the slack of so many VMs.
+func retryDepth(o Options, vms int) float64 {
+	return max(float64(o.RetrySlack)*retryShare/float64(max(vms, leastVMs)), 1)
+}
+
 // Run follows store and peers and gives orders until the context ends.
 func (e *Edge) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -26,6 +26,9 @@
 	// store last seconds, and callers that were sent away for less spent their
 	// tries before its end.
 	awayWait = 2 * time.Second
+	// fullWait is told where this VM has all the requests that it can hold; others
+	// may have room.
+	fullWait = 300 * time.Millisecond
 	// minWait keeps callers from coming back at once.
 	minWait = 50 * time.Millisecond
 )
@@ -70,9 +73,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{w: w, r: r, arrived: e.Steady()}
+	// A burst beyond what the process's memory and descriptors can hold would end
+	// it, and with it all that it serves.
+	if e.stats.Active.Load() > e.options.MaxActive {
+		e.refuse(j, fullWait, "too many requests are under way here")
+		return
+	}
 	if !e.admit(j) {
 		return
 	}
+	defer e.stats.Bodies.Add(-int64(len(j.body)))
 	ctx, cancel := context.WithDeadlineCause(r.Context(), j.until, &DeadlineError{Limit: j.limit})
 	defer cancel()
 	e.run(ctx, j)
@@ -130,6 +140,12 @@
 	b, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
 	if err == nil {
 		j.body = b
+		if e.stats.Bodies.Add(int64(len(b))) > e.options.MaxBodies {
+			e.stats.Bodies.Add(-int64(len(b)))
+			j.body = nil
+			e.refuse(j, fullWait, "the bodies of requests under way take all memory here")
+			return false
+		}
 		return true
 	}
 	var long *http.MaxBytesError
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -99,6 +99,7 @@
 			}
 		}
 		e.peers = peers
+		e.retries.SetDepth(retryDepth(e.options, len(peers)+1))
 	}
 	if at > 0 {
 		e.entries[e.options.Keys.Own] = es
--- a/io/ggsexchange/errors.go
+++ b/io/ggsexchange/errors.go
@@ -19,6 +19,14 @@
 	return fmt.Sprintf("all %d connections to %s are in use", e.Limit, e.Addr)
 }
 
+// A HeadTooLongError says that the head of an answer didn't end.
+type HeadTooLongError struct{ Limit int }
+
+// Error implements error.
+func (e *HeadTooLongError) Error() string {
+	return fmt.Sprintf("the head of an answer is longer than %d bytes", e.Limit)
+}
+
 // A ForeignAnswersError says that an endpoint sent only answers to other
 // requests.
 type ForeignAnswersError struct {
--- a/io/ggsexchange/exchange.go
+++ b/io/ggsexchange/exchange.go
@@ -24,6 +24,34 @@
 // foreignBytes bounds the body of an answer that is read past.
 const foreignBytes = 1 << 20
 
+// maxHeadBytes bounds the head of an answer. An endpoint that never ends its head
+// would take the process's memory.
+const maxHeadBytes = 64 << 10
+
+// noBound lets a boundedReader read on.
+const noBound = -1
+
+// A boundedReader reads no more than is left, or without a bound.
+type boundedReader struct {
+	r    io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, &HeadTooLongError{Limit: maxHeadBytes}
+	}
+	if b.left > 0 && len(p) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.r.Read(p)
+	if b.left > 0 {
+		b.left -= n
+	}
+	return n, err
+}
+
 // A Request is one to make.
 type Request struct {
 	Addr   netip.AddrPort
@@ -91,7 +119,9 @@
 	req := &http.Request{Method: r.Method}
 	var got ggscore.RequestID
 	for range maxForeign {
+		c.bound.left = maxHeadBytes
 		resp, err := readHead(c.r, req)
+		c.bound.left = noBound
 		if err != nil {
 			return nil, err
 		}
--- a/io/ggsexchange/pool.go
+++ b/io/ggsexchange/pool.go
@@ -65,6 +65,7 @@
 	net.Conn
 	addr  netip.AddrPort
 	r     *bufio.Reader
+	bound *boundedReader
 	until time.Time
 	used  bool
 }
@@ -151,7 +152,8 @@
 		p.release(addr)
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, p.options.BufferBytes)}, nil
+	b := &boundedReader{r: nc}
+	return &conn{Conn: nc, addr: addr, bound: b, r: bufio.NewReaderSize(b, p.options.BufferBytes)}, nil
 }
 
 // take returns an idle connection, or nil with a place for a new one.
--- a/io/ggsexchange/pool_test.go
+++ b/io/ggsexchange/pool_test.go
@@ -210,6 +210,7 @@
 	for name, answer := range map[string]string{
 		"short of its length":    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\nhalf",
 		"without its last chunk": "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"a head without end":     "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 80<<10),
 		"no answer":              "gibberish\r\n\r\nConnection: close",
 	} {
 		t.Run(name, func(t *testing.T) {
