fix: pause before a silent runner is given its order once more

Cause: an order without an answer was repeated at once; a crashed runner refuses connections in half a millisecond and met 1,500 orders a second, each over a connection of its own, until its entry was gone. Change: the first repeat goes out at once, later ones after 10 to 500 ms.

--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -49,6 +49,11 @@
 	// asks the endpoint, whose report is some 100 ms old: one from before the
 	// last order would take it back.
 	resyncAfter = 450 * time.Millisecond
+	// leastPause and maxPause bound the pause before an order is repeated once
+	// more: it doubles with each that isn't answered.
+	leastPause    = 10 * time.Millisecond
+	maxPause      = 500 * time.Millisecond
+	maxPauseShift = 6
 	// maxWants bounds the adapters that wait for a place in transit: two rounds
 	// of it, half a second. Requests for more are better off elsewhere.
 	maxWants = 8
@@ -88,8 +93,11 @@
 	// kept lists adapters that were ordered before: the endpoint may still have
 	// them in its own memory.
 	kept map[ggscore.ModelAdapter]bool
-	// lost is an order whose answer was lost.
-	lost *Step
+	// lost is an order whose answer was lost, losses how many were in a row, and
+	// again when it is repeated.
+	lost   *Step
+	losses int
+	again  time.Time
 	// modelPoll is when a base model on its way is asked for again.
 	modelPoll time.Time
 }
@@ -264,7 +272,7 @@
 		return Step{}, false
 	}
 	if l.lost != nil {
-		return *l.lost, true
+		return *l.lost, !now.Before(l.again)
 	}
 	for i := 0; i < len(l.wants); {
 		w := l.wants[i]
@@ -355,8 +363,11 @@
 
 // Ended takes the answer to an order.
 func (l *Ledger) Ended(now time.Time, s Step, a ggscore.PlacementAnswer) {
-	if a != ggscore.PlacementUnknown && !s.Poll {
-		l.lost = nil
+	if a != ggscore.PlacementUnknown {
+		l.losses = 0
+		if !s.Poll {
+			l.lost = nil
+		}
 	}
 	switch a {
 	case ggscore.PlacementAccepted:
@@ -380,15 +391,24 @@
 // condition takes its place: whichever of the two comes first counts, and the
 // other finds its condition broken, so nothing is loaded twice and no place is
 // promised to two adapters.
+//
+// The first repeat goes out at once. Those after it wait longer each time: a
+// runner that has crashed refuses connections in half a millisecond, and met
+// 1,500 orders a second until its entry was gone.
 func (l *Ledger) repeat(now time.Time, s Step) {
+	l.losses++
+	pause := time.Duration(0)
+	if l.losses > 1 {
+		pause = min(leastPause<<min(l.losses-2, maxPauseShift), maxPause)
+	}
 	if s.Poll {
 		if h := l.held[s.Target]; h != nil {
-			h.poll = now.Add(l.options.Poll)
+			h.poll = now.Add(l.options.Poll + pause)
 		}
 		return
 	}
 	s.Again = true
-	l.lost = &s
+	l.lost, l.again = &s, now.Add(pause)
 }
 
 // conflict takes an endpoint's word that it met the order otherwise. It says
@@ -497,6 +517,9 @@
 			due = idle
 		}
 	}
+	if l.lost != nil && (due.IsZero() || l.again.Before(due)) {
+		due = l.again
+	}
 	if !l.unclear.IsZero() && (due.IsZero() || l.unclear.Add(resyncAfter).Before(due)) {
 		due = l.unclear.Add(resyncAfter)
 	}
--- a/core/ggsresident/ledger_test.go
+++ b/core/ggsresident/ledger_test.go
@@ -135,6 +135,30 @@
 	}
 }
 
+// A runner crashes and refuses connections until its entry is gone, for 3.6 s. Its
+// VM gave it 1,500 orders a second, each over a connection of its own.
+func TestSilentRunnerIsNotFlooded(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := synced(4, 0)
+	l.Want(at(0), adapter(1), 0)
+	n := 0
+	for now := at(0); now.Before(at(3600 * time.Millisecond)); now = now.Add(time.Millisecond) {
+		s, ok := l.Next(now)
+		if ok {
+			n++
+			l.Ended(now, s, ggscore.PlacementUnknown)
+		}
+		if !ok {
+			c.Assert(l.Due().After(now), qt.IsTrue)
+		}
+	}
+	c.Assert(n < 20, qt.IsTrue, qt.Commentf("%d orders", n))
+	s := next(c, l, l.Due())
+	l.Ended(l.Due(), s, ggscore.PlacementAccepted)
+	c.Assert(l.Holds(adapter(1), 0), qt.IsFalse)
+}
+
 // After an unclear answer the number of accepted orders isn't known. A report
 // from before the last order would take the ledger back, so it is asked for
 // once it must be newer.
