feat: pass routes' priorities on to runners, and drop what nothing used

Cause: routes' priorities ended at the edge; an operator's limit of heads wasn't kept; a runner's places were taken from its slots alone, whatever its memory. Change: all three are carried out. Fields that were decoded and used by nothing are gone.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -139,9 +139,9 @@
 		VM:     s.VM + "@" + ggscore.VMID(s.Addr.String()),
 		Domain: s.Domain, Regions: s.Regions, Seed: h.Sum64() ^ uint64(t().UnixNano()),
 		Beats: edgeBeats(s), Control: s.Control, Seeds: s.Seeds, Turn: s.OrderTurn, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		MaxActive:   int64(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * activeShare),
-		MaxBodies:   int64(float64(cmp.Or(s.MemoryBytes, defaultMemory)) * bodiesShare),
-		VersionTime: s.VersionTime, IDHeader: ggsdialect.HeaderRequestID,
+		MaxActive: int64(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * activeShare),
+		MaxBodies: int64(float64(cmp.Or(s.MemoryBytes, defaultMemory)) * bodiesShare),
+		IDHeader:  ggsdialect.HeaderRequestID,
 		Keys: ggsedge.Keys{
 			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip",
 		},
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -86,7 +86,7 @@
 	e := &edgeTest{done: make(chan int, 1), settings: ggsdialect.Settings{
 		VM: ggscore.VMID(fmt.Sprintf("edge-%d", n)), Addr: ip, Domain: ggscore.Domain([]string{"a", "b"}[n%2]),
 		Regions: map[ggscore.Domain]ggscore.Region{"a": "west", "b": "east"},
-		Callers: netip.AddrPortFrom(ip, 7100), Ready: netip.AddrPortFrom(ip, 7101), Control: netip.AddrPortFrom(ip, 7300), FirstPort: 7200, LastPort: 7210,
+		Callers: netip.AddrPortFrom(ip, 7100), Ready: netip.AddrPortFrom(ip, 7101), Control: netip.AddrPortFrom(ip, 7300), FirstPort: 7200,
 		Cores: 1, MaxFiles: 4100, MemoryBytes: 284 << 20, Store: store, Grace: 4 * time.Second, OrderTurn: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 58,
 	}}
 	change(&e.settings)
@@ -254,6 +254,14 @@
 	}
 }
 
+func TestHeadBeyondTheLimitIsRefused(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	r := s.call(0, http.MethodPost, "/pay/1", strings.Repeat("m", 17000), "{}")
+	s.c.Assert(r.status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	s.c.Assert(s.site.Runs()[r.id], qt.Equals, 0)
+}
+
 // A burst brings more requests than the process can hold. It refuses the rest at
 // once, and goes on serving those that it has.
 func TestBurstIsRefusedBeforeTheProcessIsFull(t *testing.T) {
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -24,7 +24,7 @@
 	return ggscore.ModelAdapter{Model: "m", Adapter: fmt.Sprintf("a%d", n)}
 }
 
-func engine() *ggscore.EngineSpec { return &ggscore.EngineSpec{Slots: 64} }
+func engine() *ggscore.EngineSpec { return &ggscore.EngineSpec{AdapterSlots: 18} }
 
 // deployment returns four runners and an instance of a plain service in each of
 // three regions.
--- a/core/instance.go
+++ b/core/instance.go
@@ -50,23 +50,13 @@
 	return string(m.Model) + "/" + m.Adapter
 }
 
-// A PromptPart is a part of a prompt that requests share.
-type PromptPart struct {
-	ID     uint64
-	Tokens int
-}
-
 // A RequestMeta is what a caller says of its request beside method, path and
 // body.
 type RequestMeta struct {
 	ID RequestID
 	// Deadline is how long the caller waits, zero where it didn't say.
-	Deadline     time.Duration
-	Model        ModelAdapter
-	PromptTokens int
-	OutputTokens int
-	// Parts are the prompt's parts in their order.
-	Parts []PromptPart
+	Deadline time.Duration
+	Model    ModelAdapter
 }
 
 // A ForwardMeta is what the system adds to a request that it passes on.
@@ -76,9 +66,8 @@
 	Left time.Duration
 	// Version is the adapter's version that has to answer, zero for any.
 	Version uint64
-	// LastEvent is the last event that the caller has, for a stream that goes
-	// on; empty for one that begins.
-	LastEvent string
+	// Priority is the route's; an endpoint serves a lower number first.
+	Priority Priority
 }
 
 // A LoadReport is what an instance says of its load in an answer.
@@ -150,12 +139,9 @@
 // An InstanceStatus is an instance's report on itself, some 100 ms old.
 type InstanceStatus struct {
 	Sequence uint64
-	Busy     bool
 	Models   []ResidentModel
 	// Coming lists adapters on their way to the instance.
-	Coming  []ModelAdapter
-	Running int
-	Waiting int
+	Coming []ModelAdapter
 }
 
 // An InstanceOrderer gives orders to instances and asks for their status.
--- a/core/serving.go
+++ b/core/serving.go
@@ -39,10 +39,6 @@
 	Resumable bool
 	// Timeout is the longest time that a request is kept waiting.
 	Timeout time.Duration
-	// Target is the latency objective: of the answer, or of a stream's first
-	// event. GapTarget is that of the pauses between events.
-	Target    time.Duration
-	GapTarget time.Duration
 	// Priority orders routes; a lower number is served first.
 	Priority Priority
 	// MaxAttempts is the number of endpoints that one request may run on.
@@ -63,22 +59,28 @@
 
 // A ModelSpec describes a base model and its adapters.
 type ModelSpec struct {
-	Name        BaseModel
-	Bytes       int64
-	LoadTime    time.Duration
-	AdapterSize int64
+	Name  BaseModel
+	Bytes int64
+	// AdapterBytes is the size of each of its adapters.
+	AdapterBytes int64
 }
 
 // An EngineSpec describes a model service's runners.
 type EngineSpec struct {
-	Slots int
-	// CacheTokens is the memory for prompts and answers, in tokens.
-	CacheTokens int
-	Models      []ModelSpec
+	Models []ModelSpec
 	// Bytes is the memory for models and adapters together.
-	Bytes          int64
-	AdapterSlots   int
-	LoadsPerSecond float64
+	Bytes        int64
+	AdapterSlots int
+}
+
+// Places returns the number of adapters of its first model that a runner has
+// room for beside it: it crashes when it is ordered to load more.
+func (e *EngineSpec) Places() int {
+	n := e.AdapterSlots
+	if len(e.Models) > 0 && e.Bytes > 0 && e.Models[0].AdapterBytes > 0 {
+		n = min(n, int((e.Bytes-e.Models[0].Bytes)/e.Models[0].AdapterBytes))
+	}
+	return max(n, 0)
 }
 
 // A BackendSpec describes the endpoints of a service.
@@ -95,8 +97,6 @@
 type ClientLimits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
 }
 
 // A RoutingConfig is an accepted state of routes and services. It is immutable
--- /dev/null
+++ b/core/serving_test.go
@@ -0,0 +1,35 @@
+package ggscore_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+)
+
+// A runner has places for 18 adapters, and memory for fewer beside its model.
+// Ordered to load more than its memory holds it crashes, with all that it runs.
+func TestPlaces(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		spec ggscore.EngineSpec
+		want int
+	}{
+		"by slots": {spec: ggscore.EngineSpec{
+			AdapterSlots: 18, Bytes: 66600, Models: []ggscore.ModelSpec{{Bytes: 65100, AdapterBytes: 12}},
+		}, want: 18},
+		"by memory": {spec: ggscore.EngineSpec{
+			AdapterSlots: 18, Bytes: 65200, Models: []ggscore.ModelSpec{{Bytes: 65100, AdapterBytes: 12}},
+		}, want: 8},
+		"no room": {spec: ggscore.EngineSpec{
+			AdapterSlots: 18, Bytes: 65000, Models: []ggscore.ModelSpec{{Bytes: 65100, AdapterBytes: 12}},
+		}},
+		"sizes unknown": {spec: ggscore.EngineSpec{AdapterSlots: 18}, want: 18},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			qt.New(t).Assert(tc.spec.Places(), qt.Equals, tc.want)
+		})
+	}
+}
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -105,14 +105,7 @@
 		return false
 	}
 	e.stats.Retries.Add(1)
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause(ctx, wait)
 }
 
 // giveUp answers a request that is not sent again.
@@ -174,7 +167,7 @@
 		"waited", e.since(j.arrived), "left", left)
 	a, err := e.Pool.Do(ctx, ggsexchange.Request{
 		Addr: i.Addr, Method: j.r.Method, URI: j.uri, Host: j.r.Host, Body: j.body,
-		Header:   e.Dialect.Forward(j.r.Header, ggscore.ForwardMeta{Endpoint: i.ID, Left: left, Version: j.version}),
+		Header:   e.Dialect.Forward(j.r.Header, ggscore.ForwardMeta{Endpoint: i.ID, Left: left, Version: j.version, Priority: j.route.Priority}),
 		ID:       j.meta.ID,
 		IDHeader: e.options.IDHeader,
 		MaxConns: connLimit(j.spec.MaxConns),
--- a/io/ggsedge/doc.go
+++ b/io/ggsedge/doc.go
@@ -18,6 +18,7 @@
 //	400  the request bears no identity, or its body can't be read
 //	404  no route matches
 //	413  the body is longer than the configuration allows
+//	431  the head is longer than the configuration allows
 //	502  the request may have run and its answer is lost
 //	503  the request has not run and never will; Retry-After says when to come back
 //	504  the time is over and the request may have run
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -37,8 +37,6 @@
 	// request's first, over all VMs.
 	RetryRatio float64
 	RetrySlack int
-	// VersionTime is how long requests may begin on an adapter's old version.
-	VersionTime time.Duration
 	// IDHeader bears the identity of requests and answers.
 	IDHeader string
 	Keys     Keys
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -37,16 +37,7 @@
 )
 
 // pause waits, or returns false when the context ends.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func pause(ctx context.Context, d time.Duration) bool { return pauseOr(ctx, d, nil) }
 
 // pauseOr is pause, cut short by a poke.
 func pauseOr(ctx context.Context, d time.Duration, poke <-chan struct{}) bool {
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -1,6 +1,7 @@
 package ggsedge
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -33,6 +34,12 @@
 	minWait = 50 * time.Millisecond
 )
 
+// Limits of what callers send, where the configuration sets none.
+const (
+	defaultHeaderBytes = 32 << 10
+	defaultBodyBytes   = 4 << 20
+)
+
 // A job is one request on its way.
 type job struct {
 	w       http.ResponseWriter
@@ -111,6 +118,10 @@
 		e.reject(j, http.StatusNotFound, "no route matches")
 		return false
 	}
+	if headBytes(j.r.Header) > cmp.Or(t.Config.Limits.MaxHeaderBytes, defaultHeaderBytes) {
+		e.reject(j, http.StatusRequestHeaderFieldsTooLarge, "the head is too long")
+		return false
+	}
 	j.meta = e.Dialect.Request(j.r.Header)
 	if j.meta.ID == "" {
 		e.reject(j, http.StatusBadRequest, "the request has no identity")
@@ -123,7 +134,18 @@
 		j.limit = d
 	}
 	j.until = j.arrived.Add(j.limit)
-	return e.read(j, t.Config.Limits.MaxBodyBytes)
+	return e.read(j, cmp.Or(t.Config.Limits.MaxBodyBytes, defaultBodyBytes))
+}
+
+// headBytes returns the size of a request's headers as they were sent, about.
+func headBytes(h http.Header) int {
+	n := 0
+	for k, vs := range h {
+		for _, v := range vs {
+			n += len(k) + len(v) + len(": \r\n")
+		}
+	}
+	return n
 }
 
 // read reads the request's body. It is read whole, so that a request that a
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -26,8 +26,6 @@
 	// workerPause is the pause of an endpoint's worker that may give no orders,
 	// or whose endpoint answers none.
 	workerPause = 200 * time.Millisecond
-	// defaultAdapterSlots stands in while the configuration names none.
-	defaultAdapterSlots = 8
 )
 
 // A load is an adapter in a version that an endpoint is to hold.
@@ -210,13 +208,9 @@
 		if w != nil {
 			w.cancel()
 		}
-		slots := s.Engine.AdapterSlots
-		if slots == 0 {
-			slots = defaultAdapterSlots
-		}
 		c, cancel := context.WithCancel(ctx)
 		w = &worker{
-			instance: i, ledger: ggsresident.NewLedger(ggsresident.Options{Slots: slots}),
+			instance: i, ledger: ggsresident.NewLedger(ggsresident.Options{Slots: s.Engine.Places()}),
 			changed: make(chan struct{}), kick: make(chan struct{}, 1), cancel: cancel,
 		}
 		e.workers[i.ID] = w
