--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -554,6 +554,20 @@
 	})
 }
 
+// A VM's release of its runners takes effect seconds late, after its next process
+// has beaten and orders again. Another VM would claim them a turn after the
+// release, while the first may still order: so a release holds only while no
+// later beat was written.
+func TestReleaseIsBoundToTheLastBeat(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.edges[0].cancel()
+	s.eventually("the runners are released", func() bool {
+		return strings.Contains(string(s.site.Store.Get("greengageslip/orderer/runner-00")), `"released":true`)
+	})
+	s.c.Assert(s.site.Store.Conditions(), qt.Contains, "greengageslip/vm/edge-0@"+s.edges[0].settings.Addr.String())
+}
+
 // Bytes that look like a second request stand inside another's body, or behind
 // one whose length is told in two ways. An endpoint must never see them as a
 // request of their own.
--- a/core/ggsfencing/keeper.go
+++ b/core/ggsfencing/keeper.go
@@ -214,12 +214,25 @@
 
 // Claims returns the records that this VM is to write: those of endpoints that
 // nobody gives orders to, where this VM comes first.
+//
+// What this VM released itself it takes back at once: no other has given orders
+// since, or the record would be another's. In a rolling restart each VM's
+// endpoints would else get no orders for a turn and more, one VM's after the
+// other's.
 func (k *Keeper) Claims(now time.Time, ready []ggscore.Instance) []Claim {
-	if k.started.IsZero() || now.Sub(k.started) < k.options.Settle || k.own == 0 {
+	if k.started.IsZero() || k.own == 0 {
 		return nil
 	}
+	settled := now.Sub(k.started) >= k.options.Settle
 	var cs []Claim
 	for i := range ready {
+		if r := k.records[ready[i].ID]; r != nil && r.Released && r.Owner == k.options.Self {
+			cs = append(cs, Claim{Endpoint: ready[i].ID, RecordRevision: r.Revision})
+			continue
+		}
+		if !settled {
+			continue
+		}
 		c, ok := k.claim(now, ready[i].ID)
 		if ok && k.first(now, &ready[i]) == k.options.Self {
 			cs = append(cs, c)
@@ -288,9 +301,6 @@
 	return ggscore.FenceNumber(r.Revision), true
 }
 
-// Own returns this VM's records.
-func (k *Keeper) Own() []Record { return k.Beat().Records }
-
 // Records returns all records that are known.
 func (k *Keeper) Records() []Record {
 	rs := make([]Record, 0, len(k.records))
@@ -309,7 +319,10 @@
 	return ""
 }
 
-// Stop ends all orders of this VM.
+// Stop ends all orders of this VM. The records that it then releases are to be
+// written under the conditions of Beat: a release that takes effect late, after
+// the VM's next process has beaten, would let another VM order while that one
+// may.
 func (k *Keeper) Stop() {
 	for _, r := range k.records {
 		if r.Owner == k.options.Self {
--- a/core/ggsfencing/keeper_test.go
+++ b/core/ggsfencing/keeper_test.go
@@ -96,6 +96,22 @@
 	c.Assert(k.Owner(runner), qt.Equals, ggscore.VMID(""))
 }
 
+// VMs are stopped and started in turn. Each came back within a second, and its
+// endpoints got no orders for four: it waited for its own turn to pass.
+func TestReleasedRecordIsTakenBackAtOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := keeper("a")
+	k.Observe(at(0), 30, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Released: true, Revision: 10}}, nil)
+	c.Assert(k.Claims(at(0), instances()), qt.HasLen, 0, qt.Commentf("no beat yet"))
+	k.BeatEnded(at(0), k.Beat(), 31, false)
+	cs := k.Claims(at(0), instances())
+	c.Assert(cs, qt.DeepEquals, []ggsfencing.Claim{{Endpoint: runner, RecordRevision: 10}})
+	k.ClaimEnded(at(0), cs[0], 32)
+	_, ok := k.May(at(0), runner)
+	c.Assert(ok, qt.IsTrue)
+}
+
 // A process is killed and starts again within a second on the same VM. It goes
 // on with its records once a beat under their condition is acknowledged.
 func TestRestartedOwnerGoesOn(t *testing.T) {
--- a/core/ggsfencing/world_test.go
+++ b/core/ggsfencing/world_test.go
@@ -124,6 +124,25 @@
 	}
 }
 
+// release ends a VM's orders and leaves its record to others, as a planned stop
+// does; the process starts anew.
+func (w *world) release(t *rapid.T, v *vm) {
+	v.k.Stop()
+	p := v.k.Beat()
+	for _, r := range p.Records {
+		w.store(t, func() (ggscore.StoreRevision, bool) {
+			if w.record == nil || w.record.Revision != r.Revision || w.beats[v.id].Revision != p.Revision {
+				return 0, false
+			}
+			w.revision++
+			w.record = &ggsfencing.Record{Endpoint: runner, Owner: v.id, Released: true, Revision: w.revision}
+			w.remember()
+			return w.revision, true
+		}, func(ggscore.StoreRevision, bool) {})
+	}
+	v.k = keeper(v.id)
+}
+
 func (w *world) step(t *rapid.T) {
 	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 2500).Draw(t, "pass")) * time.Millisecond)
 	for i := 0; i < len(w.late); {
@@ -136,7 +155,7 @@
 		apply()
 	}
 	v := rapid.SampledFrom(w.vms).Draw(t, "vm")
-	switch rapid.SampledFrom([]string{"beat", "beat", "read", "claim", "order", "order", "restart"}).Draw(t, "act") {
+	switch rapid.SampledFrom([]string{"beat", "beat", "read", "claim", "order", "order", "restart", "release"}).Draw(t, "act") {
 	case "beat":
 		w.beat(t, v)
 	case "read":
@@ -150,6 +169,8 @@
 			flight := time.Duration(rapid.IntRange(0, int(ggsfencing.DefaultMargin.Milliseconds())).Draw(t, "flight")) * time.Millisecond
 			w.orders = append(w.orders, order{at: w.now.Add(flight), vm: v.id, fence: f})
 		}
+	case "release":
+		w.release(t, v)
 	case "restart":
 		if rapid.IntRange(0, 4).Draw(t, "really") == 0 {
 			v.k = keeper(v.id)
--- a/fakes/ggsfakesite/store.go
+++ b/fakes/ggsfakesite/store.go
@@ -21,6 +21,8 @@
 	// lose is the number of writes that are done and not answered.
 	lose  int
 	calls map[string]int
+	// conditions are the keys of the last transaction's conditions.
+	conditions []string
 }
 
 type item struct {
@@ -92,6 +94,13 @@
 	return s.calls[path]
 }
 
+// Conditions returns the keys of the last transaction's conditions.
+func (s *Store) Conditions() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.conditions)
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
@@ -185,6 +194,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.conditions = nil
+	for _, e := range t.Expected {
+		s.conditions = append(s.conditions, e.Key)
+	}
 	for _, e := range t.Expected {
 		if s.items[e.Key].Revision != e.Revision {
 			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []item{s.items[e.Key]}})
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -264,9 +264,9 @@
 func (e *Edge) Release(ctx context.Context) {
 	e.mu.Lock()
 	e.keeper.Stop()
-	own := e.keeper.Own()
+	p := e.keeper.Beat()
 	e.mu.Unlock()
-	if len(own) == 0 {
+	if len(p.Records) == 0 {
 		return
 	}
 	v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM), Released: true})
@@ -274,11 +274,11 @@
 		_ = level.Error(e.Log).Log("event", ggslog.EventReleaseUnencoded, "err", err)
 		return
 	}
-	var t ggscore.Txn
-	for _, r := range own {
+	t := ggscore.Txn{Conditions: []ggscore.TxnCondition{{Key: e.memberKey(e.options.VM), Revision: p.Revision}}}
+	for _, r := range p.Records {
 		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ordererKey(r.Endpoint), Revision: r.Revision})
 		t.Writes = append(t.Writes, ggscore.TxnWrite{Key: e.ordererKey(r.Endpoint), Value: v})
 	}
 	_, err = e.Store.Txn(ctx, t)
-	_ = level.Info(e.Log).Log("event", ggslog.EventOrdersReleased, "endpoints", len(own), "err", err)
+	_ = level.Info(e.Log).Log("event", ggslog.EventOrdersReleased, "endpoints", len(p.Records), "err", err)
 }
