fix: notice connections that went silent, and callers that left in mid-answer

Cause: a connection on which nothing moves any more answers nothing and closes nothing; a request written to it can't be sent elsewhere. A caller that left while its answer was passed on had no line of its own in the log. Change: probes end a connection after four seconds of silence; callerLeft is logged there too; ggsctl explain calls an endpoint's failure a failure. Not tested: the probes themselves; a test would have to drop packets.

--- a/cmd/ggsctl/explain.go
+++ b/cmd/ggsctl/explain.go
@@ -155,8 +155,10 @@
 	}
 	switch last.event {
 	case ggslog.EventRequestEnded:
-		if last.keys["endpoint"] != "" {
-			return "served with status " + last.keys["status"] + cause
+		if status := last.keys["status"]; last.keys["endpoint"] != "" && status < "400" {
+			return "served with status " + status + cause
+		} else if last.keys["endpoint"] != "" {
+			return last.keys["endpoint"] + " failed it with status " + status + ", which was passed on" + cause
 		}
 		if last.keys["runs"] == "0" {
 			return "not run: " + last.keys["why"] + cause
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -110,19 +110,20 @@
 
 // giveUp answers a request that is not sent again.
 func (e *Edge) giveUp(ctx context.Context, j *job, err error) {
-	if j.committed {
-		e.stats.Failed.Add(1)
-		// The answer has begun: only a broken connection tells the caller that
-		// it isn't whole.
-		panic(http.ErrAbortHandler)
-	}
 	var over *DeadlineError
 	late := errors.As(context.Cause(ctx), &over)
-	if ctx.Err() != nil && !late {
+	left := ctx.Err() != nil && !late
+	if left {
 		e.stats.Left.Add(1)
 		_ = level.Info(e.Log).Log("event", ggslog.EventCallerLeft, "request", j.meta.ID, "sends", j.sends, "took", e.since(j.arrived))
 		panic(http.ErrAbortHandler)
 	}
+	if j.committed {
+		e.stats.Failed.Add(1)
+		// The answer has begun: only a broken connection tells the caller that
+		// it isn't whole.
+		panic(http.ErrAbortHandler)
+	}
 	if j.kept != nil {
 		e.passKept(j)
 		return
--- a/io/ggsexchange/pool.go
+++ b/io/ggsexchange/pool.go
@@ -34,6 +34,16 @@
 // a partition answers nothing, and without it a connection hangs for minutes.
 const userTimeout = 3 * time.Second
 
+// Probes of connections on which nothing moves. An endpoint that went dark, or a
+// connection that went silent, answers nothing and closes nothing: a request that
+// waits for it would learn so at its deadline, and one that is written to it can't
+// be sent elsewhere any more. Four seconds of silence end the connection.
+const (
+	probeIdle     = 2 * time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+)
+
 // An Options sets a Pool. Zero fields take their defaults.
 type Options struct {
 	DialTimeout time.Duration
@@ -76,7 +86,10 @@
 	o.Idle = cmp.Or(o.Idle, DefaultIdle)
 	o.BufferBytes = cmp.Or(o.BufferBytes, DefaultBufferBytes)
 	p := &Pool{options: o, hosts: map[netip.AddrPort]*host{}}
-	p.dialer = net.Dialer{Timeout: o.DialTimeout, Control: setUserTimeout}
+	p.dialer = net.Dialer{
+		Timeout: o.DialTimeout, Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+	}
 	return p
 }
 
