perf: tell peers the revisions of changes, spread the readings of the list

Cause: peers told each other the store's revision at their reading, which grows with every beat, and had each other read all anew; and half of nine VMs read the list in each round, as a reading is known to the others 150 ms later. Change: peers are told the change's own revision, and a peer's word is passed on as it was; readings are spread over a second.

--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -25,9 +25,12 @@
 	watchAlone = 800 * time.Millisecond
 	// listMaxAge is the age at which the list of endpoints is read anew, unless a
 	// peer has read it since: a leaving endpoint may get no request 2.5 s after
-	// it said so. listSpread is added at random, so that one VM reads for all.
+	// it said so. listSpread is added at random, so that one VM reads for all: a
+	// reading is known to the others a beat of 150 ms later, and with 300 ms of
+	// spread half of nine VMs read. listAlone is added where no peer is heard.
 	listMaxAge = 700 * time.Millisecond
-	listSpread = 300 * time.Millisecond
+	listSpread = time.Second
+	listAlone  = 200 * time.Millisecond
 	// listTick is how often the list's age is looked at.
 	listTick = 50 * time.Millisecond
 	// memberInterval is the time between readings of the VMs' records.
@@ -82,7 +85,7 @@
 		e.storeAway.Store(false)
 		e.dependency(&away, true, "operators", nil)
 		at = max(next, at)
-		e.readOperators(at, len(es) > 0)
+		e.readOperators(at, es)
 		e.keepOperators(es)
 		for _, n := range es {
 			e.adopt(n)
@@ -124,32 +127,58 @@
 	return es, next, err
 }
 
-// readOperators notes how far the operators' entries were read.
-func (e *Edge) readOperators(at ggscore.StoreRevision, changed bool) {
+// readOperators notes how far the operators' entries were read, and the newest
+// change among them.
+//
+// Peers are told the change's own revision. Told the store's at the reading, which
+// grows with each beat and entry, each would find the other's word newer than its
+// own reading, read all anew, and say so: five calls a second for nothing.
+func (e *Edge) readOperators(at ggscore.StoreRevision, es []ggscore.Entry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.operatorsRead = max(e.operatorsRead, at)
-	if changed {
-		e.operatedAt = e.operatorsRead
+	for _, n := range es {
+		e.operatedAt = max(e.operatedAt, n.Revision)
+	}
+}
+
+// listChanged notes that the list was seen to change at a reading. What a peer told
+// of is told on as the peer's word, so that the two don't have each other read it
+// again. Edge.mu is held.
+func (e *Edge) listChanged(before, at ggscore.StoreRevision) {
+	if e.listTold > before {
+		at = e.listTold
 	}
+	e.listedAt = max(e.listedAt, at)
 }
 
 // watchWait returns how long the next watch waits.
 func (e *Edge) watchWait() time.Duration {
+	if e.hearsPeers() {
+		return watchWait + time.Duration(rand.Int64N(int64(watchSpread)))
+	}
+	return watchWait + watchAlone
+}
+
+// hearsPeers reports whether another VM's beats arrive.
+func (e *Edge) hearsPeers() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, p := range e.peers {
 		if e.Now().Sub(p.heard) < heardMaxAge {
-			return watchWait + time.Duration(rand.Int64N(int64(watchSpread)))
+			return true
 		}
 	}
-	return watchWait + watchAlone
+	return false
 }
 
 // waitForList waits until the list of endpoints is to be read: a peer saw it
 // change, or nobody has read it for some time.
 func (e *Edge) waitForList(ctx context.Context) bool {
-	limit := listMaxAge + time.Duration(rand.Int64N(int64(listSpread)))
+	limit := listMaxAge + listAlone
+	if e.hearsPeers() {
+		limit = listMaxAge + time.Duration(rand.Int64N(int64(listSpread)))
+	}
 	for {
 		age := e.listAge()
 		if age >= limit {
@@ -274,13 +303,14 @@
 	}
 	e.mu.Lock()
 	gone, changed := e.table.SetInstances(list)
+	before := e.listRead
 	if at > 0 {
 		e.listRead = max(e.listRead, at)
 		e.listOwn = e.Now()
 		e.listSeen = e.listOwn
 	}
 	if changed && at > 0 {
-		e.listedAt = e.listRead
+		e.listChanged(before, e.listRead)
 	}
 	e.listed = true
 	e.entries[e.options.Keys.Instances] = es
