fix: let workers outlive the question that started them

Cause: found by reading: a VM that starts while the store is away asks another what it goes by, and the workers of its own endpoints were started with that question's context: they ended after 0.7 s and were never started again. Ruled out: the other callers, which pass the process's own context. Change: only the question ends with its timeout. Conclusion: the test failed before (no orders within 20 s) and passes.

--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -536,6 +536,30 @@
 	})
 }
 
+// A VM is restarted while the store is away, and learns from another that it gave
+// its runner orders before. The worker that it started for the runner ended with
+// the question to the other VM, 0.7 s later, and the runner got no orders again.
+func TestOrdersGoOnAfterAStartWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2)
+	s.site.Store.SetAway(true)
+	s.edges[0].cancel()
+	s.edges[0].done <- <-s.edges[0].done
+	again := s.edges[0]
+	s.edges = s.edges[1:]
+	s.startEdge(t, 0)
+	s.eventually("the edge is ready again", func() bool { return s.ready(1) == http.StatusOK })
+	s.c.Assert(s.edges[1].settings.Callers, qt.Equals, again.settings.Callers)
+	time.Sleep(time.Second)
+	s.site.Store.SetAway(false)
+	n := 0
+	s.eventually("its runner gets orders", func() bool {
+		n++
+		s.call(0, http.MethodPost, "/chat/x", fmt.Sprintf("m/a%d", n), "Hola")
+		return len(s.site.Endpoints["runner-00"].Orders()) > 0
+	})
+}
+
 // A planned stop: the process says that it isn't ready, and the stream that it
 // is relaying ends whole.
 func TestPlannedStopCutsNothing(t *testing.T) {
--- a/io/ggsedge/seeds.go
+++ b/io/ggsedge/seeds.go
@@ -96,10 +96,12 @@
 
 func (e *Edge) askSeed(ctx context.Context, n int) {
 	seed := e.options.Seeds[n]
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	// Only the question ends with the timeout: what starts by its answer, such as
+	// the workers of endpoints, goes on.
+	call, cancel := context.WithTimeout(ctx, seedTimeout)
 	defer cancel()
 	var r EntriesReply
-	err := e.Calls.Call(ctx, seed, entriesMethod, &EntriesArgs{}, &r)
+	err := e.Calls.Call(call, seed, entriesMethod, &EntriesArgs{}, &r)
 	_ = level.Info(e.Log).Log("event", ggslog.EventSeedAsked, "seed", seed, "parts", len(r.Parts), "err", err)
 	if err != nil {
 		return
