fix: drop the records of endpoints that are gone, and bound those of a VM

Cause: found by reading: a record of who gives orders was kept for ever. A beat carries a condition for each of its VM's records, and the store takes 32: after 31 endpoints had come and gone at a VM all its beats would be refused, and with them all its orders. Ruled out: splitting beats: one VM needs no more than a few endpoints. Change: a beat deletes records of endpoints that are off the list for 20 s; a VM claims 27 endpoints at most.

--- a/core/ggsfencing/keeper.go
+++ b/core/ggsfencing/keeper.go
@@ -5,9 +5,9 @@
 //
 //	k := ggsfencing.NewKeeper(ggsfencing.Options{Self: vm, Turn: 3 * time.Second})
 //	k.Observe(now, at, records, beats)      // each reading of the store
-//	p := k.Beat()                           // write it; its conditions are p's
-//	k.BeatEnded(sent, p, revision, err)
-//	for _, c := range k.Claims(now, ready) { … k.ClaimEnded(sent, c, revision, err) }
+//	p := k.Beat(now)                        // write it; its conditions are p's
+//	k.BeatEnded(sent, p, revision, refused)
+//	for _, c := range k.Claims(now, ready) { … k.ClaimEnded(sent, c, revision) }
 //	fence, ok := k.May(now, endpoint)       // immediately before each order
 //
 // A record in the store names the VM that gives an endpoint its orders. Each VM
@@ -48,6 +48,13 @@
 	// DefaultSettle is how long a new VM waits before its first claims, so that
 	// VMs that start together share the endpoints.
 	DefaultSettle = 1500 * time.Millisecond
+	// DefaultForget is how long an endpoint is off the list before its record is
+	// dropped: no order can have been given for a takeover's wait by then.
+	DefaultForget = 20 * time.Second
+	// DefaultMaxRecords is the number of records that a VM has at most: a
+	// transaction of the store takes 32 conditions, one of them the VM's own beat,
+	// and maxDrops for records that are dropped.
+	DefaultMaxRecords = 27
 	// DefaultAlive is how long a VM counts as alive after its beat changed:
 	// three beats. It only decides who claims first.
 	DefaultAlive = 6 * time.Second
@@ -63,8 +70,14 @@
 	Margin   time.Duration
 	Settle   time.Duration
 	Alive    time.Duration
+	Forget   time.Duration
+	// MaxRecords bounds the endpoints that get their orders from this VM.
+	MaxRecords int
 }
 
+// maxDrops bounds the records that one beat drops.
+const maxDrops = 4
+
 // A Record says which VM gives an endpoint its orders. Released is set by an
 // owner that stops and gives no more.
 type Record struct {
@@ -87,6 +100,8 @@
 type BeatPlan struct {
 	Revision ggscore.StoreRevision
 	Records  []Record
+	// Drop are records of endpoints that are gone, to be deleted with the beat.
+	Drop []Record
 }
 
 // A Claim is a record to write, under the condition that the record and the
@@ -115,6 +130,8 @@
 	since time.Time
 	// until is when orders end, for own records.
 	until time.Time
+	// gone is when the endpoint was first seen to be off the list.
+	gone time.Time
 }
 
 type beat struct {
@@ -128,6 +145,8 @@
 	o.Margin = cmp.Or(o.Margin, DefaultMargin)
 	o.Settle = cmp.Or(o.Settle, DefaultSettle)
 	o.Alive = cmp.Or(o.Alive, DefaultAlive)
+	o.Forget = cmp.Or(o.Forget, DefaultForget)
+	o.MaxRecords = cmp.Or(o.MaxRecords, DefaultMaxRecords)
 	return &Keeper{
 		options: o, records: map[ggscore.EndpointID]*record{}, beats: map[ggscore.VMID]*beat{},
 	}
@@ -180,12 +199,34 @@
 	k.records[r.Endpoint] = &record{Record: r, since: now}
 }
 
-// Beat returns the next beat to write.
-func (k *Keeper) Beat() BeatPlan {
+// SetListed takes the endpoints that are on the list.
+func (k *Keeper) SetListed(now time.Time, list []ggscore.Instance) {
+	listed := make(map[ggscore.EndpointID]bool, len(list))
+	for i := range list {
+		listed[list[i].ID] = true
+	}
+	for id, r := range k.records {
+		switch {
+		case listed[id]:
+			r.gone = time.Time{}
+		case r.gone.IsZero():
+			r.gone = now
+		}
+	}
+}
+
+// Beat returns the next beat to write. It drops the records of endpoints that are
+// gone: kept, they would fill the beat's conditions as endpoints come and go, until
+// the store refused all beats and no endpoint got orders any more.
+func (k *Keeper) Beat(now time.Time) BeatPlan {
 	p := BeatPlan{Revision: k.own}
 	for _, r := range k.records {
-		if r.Owner == k.options.Self && !r.Released {
+		switch {
+		case r.Owner != k.options.Self || r.Released:
+		case r.gone.IsZero() || now.Sub(r.gone) < k.options.Forget:
 			p.Records = append(p.Records, r.Record)
+		case len(p.Drop) < maxDrops:
+			p.Drop = append(p.Drop, r.Record)
 		}
 	}
 	slices.SortFunc(p.Records, func(a, b Record) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
@@ -207,9 +248,13 @@
 			h.until = t
 		}
 	}
-	if !refused && at > k.own {
-		k.own = at
+	if refused {
+		return
 	}
+	for _, r := range p.Drop {
+		delete(k.records, r.Endpoint)
+	}
+	k.own = max(k.own, at)
 }
 
 // Claims returns the records that this VM is to write: those of endpoints that
@@ -224,8 +269,12 @@
 		return nil
 	}
 	settled := now.Sub(k.started) >= k.options.Settle
+	room := k.options.MaxRecords - len(k.Beat(now).Records)
 	var cs []Claim
 	for i := range ready {
+		if len(cs) >= room {
+			break
+		}
 		if r := k.records[ready[i].ID]; r != nil && r.Released && r.Owner == k.options.Self {
 			cs = append(cs, Claim{Endpoint: ready[i].ID, RecordRevision: r.Revision})
 			continue
--- a/core/ggsfencing/keeper_test.go
+++ b/core/ggsfencing/keeper_test.go
@@ -28,7 +28,7 @@
 func owner(c *qt.C) *ggsfencing.Keeper {
 	k := keeper("a")
 	k.Observe(at(0), 1, nil, nil)
-	k.BeatEnded(at(0), k.Beat(), 5, false)
+	k.BeatEnded(at(0), k.Beat(at(0)), 5, false)
 	cs := k.Claims(at(ggsfencing.DefaultSettle), instances())
 	c.Assert(cs, qt.HasLen, 1)
 	k.ClaimEnded(at(2*time.Second), cs[0], 10)
@@ -43,7 +43,7 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(fence, qt.Equals, ggscore.FenceNumber(10))
 
-	k.BeatEnded(at(4*time.Second), k.Beat(), 11, false)
+	k.BeatEnded(at(4*time.Second), k.Beat(at(0)), 11, false)
 	_, ok = k.May(at(4*time.Second+ggsfencing.DefaultValidity-1), runner)
 	c.Assert(ok, qt.IsTrue)
 	_, ok = k.May(at(4*time.Second+ggsfencing.DefaultValidity), runner)
@@ -57,7 +57,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	k := owner(c)
-	k.BeatEnded(at(4*time.Second), k.Beat(), 0, true)
+	k.BeatEnded(at(4*time.Second), k.Beat(at(0)), 0, true)
 	_, ok := k.May(at(4*time.Second), runner)
 	c.Assert(ok, qt.IsFalse)
 }
@@ -72,7 +72,7 @@
 	records := []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}}
 	beats := []ggsfencing.Beat{{VM: "a", Domain: "d", Revision: 20}}
 	k.Observe(at(0), 30, records, beats)
-	k.BeatEnded(at(0), k.Beat(), 31, false)
+	k.BeatEnded(at(0), k.Beat(at(0)), 31, false)
 	c.Assert(k.Claims(at(takeout-1), instances()), qt.HasLen, 0)
 
 	cs := k.Claims(at(takeout), instances())
@@ -90,7 +90,7 @@
 	c := qt.New(t)
 	k := keeper("b")
 	k.Observe(at(0), 30, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Released: true, Revision: 10}}, nil)
-	k.BeatEnded(at(0), k.Beat(), 31, false)
+	k.BeatEnded(at(0), k.Beat(at(0)), 31, false)
 	c.Assert(k.Claims(at(turn), instances()), qt.HasLen, 0)
 	c.Assert(k.Claims(at(turn+ggsfencing.DefaultMargin), instances()), qt.HasLen, 1)
 	c.Assert(k.Owner(runner), qt.Equals, ggscore.VMID(""))
@@ -104,7 +104,7 @@
 	k := keeper("a")
 	k.Observe(at(0), 30, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Released: true, Revision: 10}}, nil)
 	c.Assert(k.Claims(at(0), instances()), qt.HasLen, 0, qt.Commentf("no beat yet"))
-	k.BeatEnded(at(0), k.Beat(), 31, false)
+	k.BeatEnded(at(0), k.Beat(at(0)), 31, false)
 	cs := k.Claims(at(0), instances())
 	c.Assert(cs, qt.DeepEquals, []ggsfencing.Claim{{Endpoint: runner, RecordRevision: 10}})
 	k.ClaimEnded(at(0), cs[0], 32)
@@ -122,7 +122,7 @@
 		[]ggsfencing.Beat{{VM: "a", Domain: "d", Revision: 20}})
 	_, ok := k.May(at(0), runner)
 	c.Assert(ok, qt.IsFalse)
-	p := k.Beat()
+	p := k.Beat(at(0))
 	c.Assert(p, qt.DeepEquals, ggsfencing.BeatPlan{
 		Revision: 20, Records: []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}},
 	})
@@ -132,6 +132,46 @@
 	c.Assert(fence, qt.Equals, ggscore.FenceNumber(10))
 }
 
+// Runners come and go for weeks. The records of those that are gone filled the
+// conditions of the VM's beat, which the store then refused: no runner got orders
+// any more.
+func TestRecordsOfGoneEndpointsAreDropped(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := owner(c)
+	k.SetListed(at(0), instances())
+	c.Assert(k.Beat(at(time.Hour)).Records, qt.HasLen, 1)
+	k.SetListed(at(time.Hour), nil)
+	p := k.Beat(at(time.Hour + ggsfencing.DefaultForget - 1))
+	c.Assert(p.Records, qt.HasLen, 1)
+	c.Assert(p.Drop, qt.HasLen, 0)
+	p = k.Beat(at(time.Hour + ggsfencing.DefaultForget))
+	c.Assert(p.Records, qt.HasLen, 0)
+	c.Assert(p.Drop, qt.DeepEquals, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}})
+	k.BeatEnded(at(time.Hour+ggsfencing.DefaultForget), p, 40, false)
+	c.Assert(k.Records(), qt.HasLen, 0)
+}
+
+// Few VMs are left for many runners. A VM claims no more than its beat can carry
+// conditions for.
+func TestClaimsAreBounded(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := keeper("a")
+	k.Observe(at(0), 1, nil, nil)
+	k.BeatEnded(at(0), k.Beat(at(0)), 5, false)
+	var ready []ggscore.Instance
+	for i := range 100 {
+		ready = append(ready, ggscore.Instance{ID: ggscore.EndpointID(rune('a' + i)), Domain: "d"})
+	}
+	now := at(ggsfencing.DefaultSettle)
+	for n, cl := range k.Claims(now, ready) {
+		k.ClaimEnded(now, cl, ggscore.StoreRevision(10+n))
+	}
+	c.Assert(k.Beat(now).Records, qt.HasLen, ggsfencing.DefaultMaxRecords)
+	c.Assert(k.Claims(now, ready), qt.HasLen, 0)
+}
+
 // A stale answer of the store overtakes a fresh one: it must not bring back an
 // owner that has been replaced.
 func TestOlderReadingIsPassedOver(t *testing.T) {
--- a/core/ggsfencing/world_test.go
+++ b/core/ggsfencing/world_test.go
@@ -84,7 +84,7 @@
 }
 
 func (w *world) beat(t *rapid.T, v *vm) {
-	p, sent := v.k.Beat(), w.now
+	p, sent := v.k.Beat(w.now), w.now
 	w.store(t, func() (ggscore.StoreRevision, bool) {
 		if w.beats[v.id].Revision != p.Revision {
 			return 0, false
@@ -128,7 +128,7 @@
 // does; the process starts anew.
 func (w *world) release(t *rapid.T, v *vm) {
 	v.k.Stop()
-	p := v.k.Beat()
+	p := v.k.Beat(w.now)
 	for _, r := range p.Records {
 		w.store(t, func() (ggscore.StoreRevision, bool) {
 			if w.record == nil || w.record.Revision != r.Revision || w.beats[v.id].Revision != p.Revision {
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -303,6 +303,7 @@
 	}
 	e.mu.Lock()
 	gone, changed := e.table.SetInstances(list)
+	e.keeper.SetListed(e.Now(), list)
 	before := e.listRead
 	if at > 0 {
 		e.listRead = max(e.listRead, at)
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -167,7 +167,7 @@
 func (e *Edge) beatOnce(ctx context.Context, leaving bool, count *uint64) bool {
 	*count++
 	e.mu.Lock()
-	p := e.keeper.Beat()
+	p := e.keeper.Beat(e.Now())
 	e.mu.Unlock()
 	v, err := json.Marshal(&memberRecord{
 		Domain: string(e.options.Domain), Beats: e.options.Beats.String(), Control: e.options.Control.String(), Leaving: leaving, Count: *count,
@@ -183,6 +183,10 @@
 	for _, r := range p.Records {
 		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ordererKey(r.Endpoint), Revision: r.Revision})
 	}
+	for _, r := range p.Drop {
+		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ordererKey(r.Endpoint), Revision: r.Revision})
+		t.Deletes = append(t.Deletes, e.ordererKey(r.Endpoint))
+	}
 	sent := e.Now()
 	at, err := e.Store.Txn(ctx, t)
 	e.stats.Store.Add(1)
@@ -264,7 +268,7 @@
 func (e *Edge) Release(ctx context.Context) {
 	e.mu.Lock()
 	e.keeper.Stop()
-	p := e.keeper.Beat()
+	p := e.keeper.Beat(e.Now())
 	e.mu.Unlock()
 	if len(p.Records) == 0 {
 		return
