fix: tell peers of each change of the list of endpoints that is seen

A VM that was told of one change passed on only that, though its own reading showed another; with the list's fresh age nobody else read for up to 1.7 s. Ruled out: the store (stable then); slow readings. Change: a VM tells the revision of its own reading whenever it sees a change; the spread of readings is 0.6 s instead of 1.

--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -29,7 +29,7 @@
 	// reading is known to the others a beat of 150 ms later, and with 300 ms of
 	// spread half of nine VMs read. listAlone is added where no peer is heard.
 	listMaxAge = 700 * time.Millisecond
-	listSpread = time.Second
+	listSpread = 600 * time.Millisecond
 	listAlone  = 200 * time.Millisecond
 	// listTick is how often the list's age is looked at.
 	listTick = 50 * time.Millisecond
@@ -142,16 +142,6 @@
 	}
 }
 
-// listChanged notes that the list was seen to change at a reading. What a peer told
-// of is told on as the peer's word, so that the two don't have each other read it
-// again. Edge.mu is held.
-func (e *Edge) listChanged(before, at ggscore.StoreRevision) {
-	if e.listTold > before {
-		at = e.listTold
-	}
-	e.listedAt = max(e.listedAt, at)
-}
-
 // watchWait returns how long the next watch waits.
 func (e *Edge) watchWait() time.Duration {
 	if e.hearsPeers() {
@@ -304,14 +294,15 @@
 	e.mu.Lock()
 	gone, changed := e.table.SetInstances(list)
 	e.keeper.SetListed(e.Now(), list)
-	before := e.listRead
 	if at > 0 {
 		e.listRead = max(e.listRead, at)
 		e.listOwn = e.Now()
 		e.listSeen = e.listOwn
 	}
+	// A VM that was told of one change may see another: it tells its own reading,
+	// and those who have read as much already find nothing new and tell nothing.
 	if changed && at > 0 {
-		e.listChanged(before, e.listRead)
+		e.listedAt = e.listRead
 	}
 	e.listed = true
 	e.entries[e.options.Keys.Instances] = es
--- /dev/null
+++ b/io/ggsedge/list_test.go
@@ -0,0 +1,57 @@
+package ggsedge
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	ggscore "greengageslip/core"
+	"greengageslip/io/ggsexchange"
+)
+
+// A listCodec reads an entry whose value is "ready" or "leaving".
+type listCodec struct{ Codec }
+
+func (listCodec) Instance(e ggscore.Entry) (ggscore.Instance, error) {
+	return ggscore.Instance{
+		ID: ggscore.EndpointID(strings.TrimPrefix(string(e.Key), "list/")), Service: "s", Slots: 1,
+		Addr: netip.MustParseAddrPort("127.0.0.1:1"), Leaving: string(e.Value) == "leaving",
+	}, nil
+}
+
+func listEdge() *Edge {
+	now := func() time.Time { return time.Unix(1_000, 0) }
+	return New(Options{VM: "vm", Keys: Keys{Instances: "list/"}}, Parts{
+		Codec: listCodec{}, Log: log.NewNopLogger(), Now: now, Steady: now, Pool: ggsexchange.NewPool(ggsexchange.Options{Now: now}),
+	})
+}
+
+func entries(first, second string) []ggscore.Entry {
+	return []ggscore.Entry{{Key: "list/a", Value: []byte(first)}, {Key: "list/b", Value: []byte(second)}}
+}
+
+// Two runners leave shortly after each other. A VM that was told of the first reads
+// the list, and sees that the second leaves as well. It passed on only what it was
+// told, with the list's fresh age, so nobody else read the list for a second and
+// more, and the second runner got requests 2.6 s after it had said that it leaves.
+func TestSecondChangeIsTold(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e := listEdge()
+	ctx := context.Background()
+	e.setInstances(ctx, entries("ready", "ready"), 490)
+	e.listTold = 500
+	e.setInstances(ctx, entries("leaving", "leaving"), 510)
+	c.Assert(e.listedAt >= 510, qt.IsTrue, qt.Commentf("told %d", e.listedAt))
+
+	// Without a change nothing new is told, or two VMs would have each other read
+	// the list for ever.
+	at := e.listedAt
+	e.setInstances(ctx, entries("leaving", "leaving"), 520)
+	c.Assert(e.listedAt, qt.Equals, at)
+}
