fix: replace the connection to a peer that doesn't answer in its time

Cause: looked for after silent connections to the store: a call of a peer that met its timeout kept the connection, and with one that had gone silent every load at the peer's runners failed after 0.9 s, for as long as it stayed open. Ruled out: dropping it on every timeout of ggsrpc, whose other callers' times are their requests'. Change: a load waits 150 ms longer than the peer does, and then drops the connection. Conclusion: the test failed with the change taken out, and passes.

--- /dev/null
+++ b/io/ggsedge/load_test.go
@@ -0,0 +1,67 @@
+package ggsedge
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsfencing"
+	"greengageslip/io/ggsrpc"
+)
+
+// A muteFirst is a listener whose first connection nobody serves.
+type muteFirst struct {
+	net.Listener
+	seen atomic.Bool
+}
+
+func (m *muteFirst) Accept() (net.Conn, error) {
+	c, err := m.Listener.Accept()
+	if err != nil || m.seen.Swap(true) {
+		return c, err
+	}
+	return m.Listener.Accept()
+}
+
+// An orderer answers like a peer that has everything loaded at once.
+type orderer struct{}
+
+func (orderer) Ensure(_ *EnsureArgs, r *EnsureReply) error {
+	r.Version = 3
+	return nil
+}
+
+// The connection to a peer goes silent for good, while new ones work. Every load at
+// the peer's runners waited 0.9 s and failed, for as long as both processes ran.
+func TestSilentConnectionToAPeerIsReplaced(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	s := ggsrpc.NewServer()
+	c.Assert(s.Register("Placement", orderer{}), qt.IsNil)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, &muteFirst{Listener: l}) }()
+
+	e := listEdge()
+	e.Calls = ggsrpc.NewPool(ggsrpc.PoolOptions{})
+	e.keeper.Observe(e.Now(), 1, []ggsfencing.Record{{Endpoint: "r", Owner: "peer", Revision: 1}}, nil)
+	e.peers["peer"] = &member{calls: netip.MustParseAddrPort(l.Addr().String())}
+	loadOnce := func() error {
+		g := &loading{done: make(chan struct{})}
+		e.load(ctx, load{endpoint: "r", target: ggscore.ModelAdapter{Model: "m", Adapter: "a"}}, g)
+		<-g.done
+		return g.err
+	}
+	c.Assert(loadOnce(), qt.IsNotNil)
+	c.Assert(loadOnce(), qt.IsNil)
+	c.Assert(e.Calls.Close(), qt.IsNil)
+	cancel()
+	c.Assert(<-done, qt.IsNil)
+}
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -23,6 +23,9 @@
 	// loadWait bounds the wait for an adapter, which takes 250 ms when the
 	// weight store is well. A request that waited longer goes elsewhere.
 	loadWait = 900 * time.Millisecond
+	// callMargin is the time beyond a peer's own wait in which its answer comes: a
+	// round trip between regions and a wait for the processor.
+	callMargin = 150 * time.Millisecond
 	// workerPause is the pause of an endpoint's worker that may give no orders,
 	// or whose endpoint answers none.
 	workerPause = 200 * time.Millisecond
@@ -66,7 +69,7 @@
 
 // load has an adapter loaded by whoever gives the endpoint its orders.
 func (e *Edge) load(ctx context.Context, l load, g *loading) {
-	ctx, cancel := context.WithTimeout(ctx, loadWait)
+	ctx, cancel := context.WithTimeout(ctx, loadWait+callMargin)
 	defer cancel()
 	e.mu.Lock()
 	owner := e.keeper.Owner(l.endpoint)
@@ -83,6 +86,12 @@
 		var r EnsureReply
 		g.err = e.Calls.Call(ctx, p.calls, ensureMethod, &a, &r)
 		version = r.Version
+		// A peer answers within its own wait, so one that doesn't is gone, or the
+		// connection to it is silent: kept, it cost each load its whole wait, for as
+		// long as it stayed open.
+		if ctx.Err() != nil {
+			e.Calls.Forget(p.calls)
+		}
 	default:
 		g.err = &NoOrdererError{Endpoint: l.endpoint}
 	}
