perf: give up adapters once their requests have ended, and load popular ones first

Ruled out: the weight store (70 to 100 adapters a second of 96, at its limit only at a cold start and for 4 s after a crash); the time of a load (0.27 s). Change: VMs say whether a use is under way, and a rare adapter is evicted as soon as none is; victims are chosen by demand over minutes, all VMs' and weighed by other copies; popular adapters are loaded first; a choice weighs free places and what another copy takes.

--- a/core/ggsplace/homes.go
+++ b/core/ggsplace/homes.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	ggscore "greengageslip/core"
-	"greengageslip/core/ggspopularity"
 )
 
 const (
@@ -38,13 +37,10 @@
 	if q.Target.Adapter == "" {
 		return nil
 	}
-	n := 1
-	if d := t.demand[q.Target]; d != nil {
-		rate := d.PerSecond(now)
-		n += min(int(rate/replicaRate), maxHomes-1)
-		if rate >= regionRate {
-			n = max(n, t.regions())
-		}
+	rate := t.demand.Recent(now, q.Target)
+	n := 1 + min(int(rate/replicaRate), maxHomes-1)
+	if rate >= regionRate {
+		n = max(n, t.regions())
 	}
 	name := q.Target.String()
 	ranked := make([]ranking, 0, len(list))
@@ -94,29 +90,22 @@
 }
 
 // Asked notes n requests for an adapter, of this VM or of a peer.
-func (t *Table) Asked(now time.Time, a ggscore.ModelAdapter, n int) {
-	d := t.demand[a]
-	if d == nil {
-		d = &ggspopularity.Recent{}
-		t.demand[a] = d
-	}
-	d.Add(now, n)
-	if len(t.demand) > maxDemand {
-		t.forget(now)
-	}
-}
+func (t *Table) Asked(now time.Time, a ggscore.ModelAdapter, n int) { t.demand.Add(now, a, n) }
 
-const (
-	// maxDemand bounds the adapters whose demand is kept.
-	maxDemand = 8192
-	// demandMaxAge is the age at which an adapter's demand is forgotten.
-	demandMaxAge = 20 * time.Second
-)
+// missedElsewhere is the weight of requests for an adapter that another endpoint
+// holds too: they find it there, at most a round trip between regions away. Its
+// last copy is kept before a second one of an adapter three times as popular.
+const missedElsewhere = 0.3
 
-func (t *Table) forget(now time.Time) {
-	for a, d := range t.demand {
-		if now.Sub(d.Last()) > demandMaxAge {
-			delete(t.demand, a)
+// Missed implements ggscore.AdapterDemand.
+func (t *Table) Missed(now time.Time, id ggscore.EndpointID, a ggscore.ModelAdapter) float64 {
+	rate := t.demand.Usual(now, a)
+	if self := t.endpoints[id]; self != nil {
+		for _, e := range t.services[self.Service] {
+			if e != self && !e.Leaving && e.holds(now, a, 0) {
+				return rate * missedElsewhere
+			}
 		}
 	}
+	return rate
 }
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -45,6 +45,13 @@
 	// costWait is added for each adapter that waits to be loaded before: four
 	// are on their way at once, for 250 ms.
 	costWait = costLoad / 4
+	// costPlace is added for each adapter that waits for a place before: a busy
+	// runner's 18 places are held by streams of 1.1 s on average, some by several.
+	costPlace = 80 * time.Millisecond
+	// costCopy is added for a load of an adapter that enough endpoints hold: it
+	// takes the place of another, whose next request has to wait for a load. It is
+	// more than the way to another region and what a crowded runner adds.
+	costCopy = 200 * time.Millisecond
 	// costRegion is a round trip to another region and the price of its bytes.
 	costRegion = 40 * time.Millisecond
 	// costFailure is the delay of a request that fails, multiplied by the part
@@ -119,7 +126,7 @@
 	services  map[ggscore.Service][]*endpoint
 	peers     map[ggscore.VMID]*peer
 	breakers  *ggsretry.Breakers[ggscore.EndpointID]
-	demand    map[ggscore.ModelAdapter]*ggspopularity.Recent
+	demand    *ggspopularity.Demand
 }
 
 type endpoint struct {
@@ -142,6 +149,8 @@
 	// adapters wait to be loaded there.
 	loadable bool
 	waiting  int
+	// room is the number of adapters that find a place there at once.
+	room int
 }
 
 type peer struct {
@@ -149,6 +158,8 @@
 	flights map[ggscore.EndpointID]int
 }
 
+var _ ggscore.AdapterDemand = (*Table)(nil)
+
 // NewTable returns an empty table.
 func NewTable(o Options) *Table {
 	return &Table{
@@ -157,7 +168,7 @@
 		endpoints: map[ggscore.EndpointID]*endpoint{},
 		services:  map[ggscore.Service][]*endpoint{},
 		peers:     map[ggscore.VMID]*peer{},
-		demand:    map[ggscore.ModelAdapter]*ggspopularity.Recent{},
+		demand:    ggspopularity.NewDemand(),
 		breakers:  ggsretry.NewBreakers[ggscore.EndpointID](ggsretry.BreakerOptions{Seed: o.Seed, MaxOpen: 4 * time.Second}),
 	}
 }
@@ -246,9 +257,16 @@
 	}
 }
 
-// SetHeld takes the word of an endpoint's orderer on what it holds, and on how
-// many adapters wait to be loaded there.
-func (t *Table) SetHeld(now time.Time, id ggscore.EndpointID, held []ggscore.AdapterVersion, waiting int) {
+// SetRoom takes the word of an endpoint's orderer on how many adapters wait to
+// be loaded there, and how many find a place at once.
+func (t *Table) SetRoom(id ggscore.EndpointID, waiting, room int) {
+	if e := t.endpoints[id]; e != nil {
+		e.waiting, e.room = waiting, room
+	}
+}
+
+// SetHeld takes the word of an endpoint's orderer on what it holds.
+func (t *Table) SetHeld(now time.Time, id ggscore.EndpointID, held []ggscore.AdapterVersion) {
 	e := t.endpoints[id]
 	if e == nil {
 		return
@@ -259,7 +277,7 @@
 		e.keep(now, h)
 		delete(e.missing, h.Target)
 	}
-	e.toldAt, e.waiting = now, waiting
+	e.toldAt = now
 }
 
 // SetLoadable notes whether a VM gives the endpoint orders.
@@ -312,15 +330,49 @@
 // soonest, or a *RefusedError.
 func (t *Table) Choose(now time.Time, q Query) (Choice, error) {
 	list := t.services[q.Service]
-	excluded := t.breakers.Exclude(now, nil)
 	base := ggscore.ModelAdapter{Model: q.Target.Model}
 	homes := t.homes(now, list, q, base)
 	sound := soundFailures(now, list)
-	var best *endpoint
-	var bestCost time.Duration
-	var bestResident bool
-	ready := 0
-	for _, e := range list {
+	candidates, ready := t.candidates(now, q, base)
+	holders := 0
+	for _, c := range candidates {
+		if c.resident {
+			holders++
+		}
+	}
+	var best *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		c.cost = t.cost(c.endpoint, q.Engine)
+		if !c.resident {
+			c.cost += c.loadCost(&q, slices.Contains(homes, c.endpoint))
+			if holders >= max(len(homes), 1) {
+				c.cost += costCopy
+			}
+		}
+		c.cost += time.Duration(max(c.failures(now)-sound, 0) * float64(costFailure))
+		if best == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	if best == nil {
+		return Choice{}, t.refused(ready)
+	}
+	return Choice{Instance: best.Instance, Resident: best.resident, InFlight: best.own + best.peers}, nil
+}
+
+// A candidate is an endpoint that a request may go to.
+type candidate struct {
+	*endpoint
+	resident bool
+	cost     time.Duration
+}
+
+// candidates returns the endpoints that a request may go to now, and how many
+// there would be if none were full, crowded or failing.
+func (t *Table) candidates(now time.Time, q Query, base ggscore.ModelAdapter) (cs []candidate, ready int) {
+	excluded := t.breakers.Exclude(now, nil)
+	for _, e := range t.services[q.Service] {
 		if e.Leaving || slices.Contains(q.Tried, e.ID) {
 			continue
 		}
@@ -332,22 +384,11 @@
 			continue
 		}
 		resident := q.Engine == nil || q.Target.Adapter == "" || e.holds(now, q.Target, q.Version)
-		if !resident && (!e.loadable || e.waiting >= maxWaiting) {
-			continue
-		}
-		c := t.cost(e, q.Engine)
-		if !resident {
-			c += e.loadCost(&q, slices.Contains(homes, e))
-		}
-		c += time.Duration(max(e.failures(now)-sound, 0) * float64(costFailure))
-		if best == nil || c < bestCost {
-			best, bestCost, bestResident = e, c, resident
+		if resident || e.loadable && e.waiting < maxWaiting {
+			cs = append(cs, candidate{endpoint: e, resident: resident})
 		}
 	}
-	if best == nil {
-		return Choice{}, t.refused(ready)
-	}
-	return Choice{Instance: best.Instance, Resident: bestResident, InFlight: best.own + best.peers}, nil
+	return cs, ready
 }
 
 // full reports whether an endpoint has as many requests as it may get.
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -118,7 +118,7 @@
 			t.Parallel()
 			c := qt.New(t)
 			tb := table("d0", 1)
-			tb.SetHeld(at(0), "r23", []ggscore.AdapterVersion{{Target: adapter(1), Version: tc.held}}, 0)
+			tb.SetHeld(at(0), "r23", []ggscore.AdapterVersion{{Target: adapter(1), Version: tc.held}})
 			if tc.missing {
 				tb.SetMissing(at(0), "r23", adapter(1))
 			}
@@ -138,7 +138,7 @@
 	t.Parallel()
 	for name, spoil := range map[string]func(*ggsplace.Table, ggscore.EndpointID){
 		"no orderer": func(t *ggsplace.Table, id ggscore.EndpointID) { t.SetLoadable(id, false) },
-		"crowded":    func(t *ggsplace.Table, id ggscore.EndpointID) { t.SetHeld(at(0), id, nil, 8) },
+		"crowded":    func(t *ggsplace.Table, id ggscore.EndpointID) { t.SetRoom(id, 8, 0) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -192,8 +192,8 @@
 	home := choose(c, tb, q).Instance.ID
 	other := ggscore.EndpointID("r23")
 	c.Assert(home, qt.Not(qt.Equals), other)
-	tb.SetHeld(at(0), other, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}}, 0)
-	tb.SetHeld(at(0), other, nil, 0)
+	tb.SetHeld(at(0), other, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}})
+	tb.SetHeld(at(0), other, nil)
 	x := choose(c, tb, q)
 	c.Assert(x.Instance.ID, qt.Equals, other)
 	c.Assert(x.Resident, qt.IsFalse)
@@ -202,7 +202,7 @@
 	c.Assert(choose(c, tb, q).Instance.ID, qt.Equals, home, qt.Commentf("another version"))
 	q.Version = 0
 	for n := range 200 {
-		tb.SetHeld(at(time.Second), other, []ggscore.AdapterVersion{{Target: adapter(100 + n), Version: 1}}, 0)
+		tb.SetHeld(at(time.Second), other, []ggscore.AdapterVersion{{Target: adapter(100 + n), Version: 1}})
 	}
 	c.Assert(choose(c, tb, q).Instance.ID, qt.Equals, home, qt.Commentf("long ago"))
 }
@@ -260,7 +260,7 @@
 	tb := table("d0", 1)
 	q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)}
 	home := choose(c, tb, q).Instance.ID
-	tb.SetHeld(at(0), home, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}}, 0)
+	tb.SetHeld(at(0), home, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}})
 	tb.SetPeer(at(0), "peer", []ggsplace.Flight{{Endpoint: home, Ended: 8, Failed: 4}})
 	c.Assert(choose(c, tb, q).Instance.ID, qt.Not(qt.Equals), home)
 
@@ -269,7 +269,7 @@
 		fs = append(fs, ggsplace.Flight{Endpoint: i.ID, Ended: 8, Failed: 4})
 	}
 	tb = table("d0", 1)
-	tb.SetHeld(at(0), home, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}}, 0)
+	tb.SetHeld(at(0), home, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}})
 	tb.SetPeer(at(0), "peer", fs)
 	c.Assert(choose(c, tb, q).Instance.ID, qt.Equals, home, qt.Commentf("all fail alike"))
 }
@@ -296,3 +296,54 @@
 	c.Assert(gone, qt.HasLen, 1)
 	c.Assert(gone[0].ID, qt.Equals, ggscore.EndpointID("r00"))
 }
+
+// A quiet adapter is resident in another region, and its home here holds it in
+// memory: each request had it loaded once more, which evicted a third adapter.
+func TestQuietAdapterGetsNoSecondCopy(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)}
+	home := choose(c, tb, q).Instance.ID
+	held := []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}}
+	tb.SetHeld(at(0), home, held)
+	tb.SetHeld(at(0), home, nil)
+	far := ggscore.EndpointID("r23")
+	c.Assert(home, qt.Not(qt.Equals), far)
+	tb.SetHeld(at(0), far, held)
+	x := choose(c, tb, q)
+	c.Assert(x.Instance.ID, qt.Equals, far)
+	c.Assert(x.Resident, qt.IsTrue)
+}
+
+// All places of an adapter's home are in use, and others have room. Requests waited
+// at the home for a stream to end.
+func TestLoadGoesWhereThereIsRoom(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	for _, i := range deployment() {
+		tb.SetRoom(i.ID, 0, 9)
+	}
+	q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)}
+	home := choose(c, tb, q).Instance.ID
+	tb.SetRoom(home, 6, 0)
+	c.Assert(choose(c, tb, q).Instance.ID, qt.Not(qt.Equals), home)
+	tb.SetRoom(home, 2, 9)
+	c.Assert(choose(c, tb, q).Instance.ID, qt.Equals, home)
+}
+
+// The last copy of an adapter was evicted before the third of one that is asked
+// for as often.
+func TestLastCopyIsMissedMost(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	held := []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}, {Target: adapter(2), Version: 1}}
+	tb.SetHeld(at(0), "r00", held)
+	tb.SetHeld(at(0), "r10", held[:1])
+	tb.Asked(at(0), adapter(1), 4)
+	tb.Asked(at(0), adapter(2), 4)
+	c.Assert(tb.Missed(at(time.Second), "r00", adapter(1)) < tb.Missed(at(time.Second), "r00", adapter(2)), qt.IsTrue)
+	c.Assert(tb.Missed(at(time.Second), "r00", adapter(3)), qt.Equals, 0.0)
+}
--- a/core/ggsplace/warm.go
+++ b/core/ggsplace/warm.go
@@ -46,7 +46,7 @@
 // there, they took a third of the weight store's rate on days on which runners
 // come and go, though others had them in memory still.
 func (e *endpoint) loadCost(q *Query, home bool) time.Duration {
-	wait := costWait * time.Duration(e.waiting)
+	wait := max(costWait*time.Duration(e.waiting), costPlace*time.Duration(e.waiting+1-e.room))
 	switch {
 	case e.isWarm(q.Target, q.Version):
 		return costWarm + wait
--- a/core/ggspopularity/rate_test.go
+++ b/core/ggspopularity/rate_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	ggscore "greengageslip/core"
 	"greengageslip/core/ggspopularity"
 )
 
@@ -69,3 +70,29 @@
 		c.Assert(arrive(true), qt.IsFalse)
 	}
 }
+
+// Adapters that are asked for every few seconds looked like those that are asked
+// for once: after four seconds of silence both were forgotten.
+func TestDemandTellsQuietAdaptersApart(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	d := ggspopularity.NewDemand()
+	now := time.Unix(1_800_000_000, 0)
+	quiet, once, fallen := ggscore.ModelAdapter{Adapter: "quiet"}, ggscore.ModelAdapter{Adapter: "once"}, ggscore.ModelAdapter{Adapter: "fallen"}
+	for i := range 60 {
+		now = now.Add(time.Second)
+		if i%6 == 0 {
+			d.Add(now, quiet, 1)
+		}
+		if i < 30 {
+			d.Add(now, fallen, 4)
+		}
+	}
+	d.Add(now, once, 1)
+	now = now.Add(5 * time.Second)
+	c.Assert(d.Usual(now, quiet) > 2*d.Usual(now, once), qt.IsTrue)
+	c.Assert(d.Usual(now, quiet) > 0.1 && d.Usual(now, quiet) < 0.2, qt.IsTrue, qt.Commentf("%v", d.Usual(now, quiet)))
+	c.Assert(d.Usual(now, fallen) < 0.1, qt.IsTrue, qt.Commentf("%v", d.Usual(now, fallen)))
+	c.Assert(d.Recent(now, quiet) < 0.2, qt.IsTrue)
+	c.Assert(d.Usual(now, ggscore.ModelAdapter{Adapter: "never"}), qt.Equals, 0.0)
+}
--- a/core/ggsresident/answers.go
+++ b/core/ggsresident/answers.go
@@ -92,7 +92,7 @@
 	}
 	h := l.held[s.Target]
 	if h == nil {
-		h = newHeld(now)
+		h = &held{used: now}
 		l.held[s.Target] = h
 	}
 	h.ordered, h.target = now, s.Version
@@ -123,12 +123,12 @@
 	}
 	h := l.held[s.Target]
 	if h == nil {
-		h = newHeld(now)
+		h = &held{used: now}
 		l.held[s.Target] = h
 	}
 	h.coming, h.version = false, max(h.target, s.Version, 1)
 	// The requests that waited for it are sent now.
-	h.used = now
+	h.used, h.released = now, false
 }
 
 // postpone puts off what an unclear answer was about.
--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -6,7 +6,7 @@
 //	l := ggsresident.NewLedger(ggsresident.Options{Slots: 16, Transit: 4})
 //	l.Sync(now, status)             // what the endpoint says it holds
 //	l.Want(now, target, version)    // a request waits for it
-//	l.Use(now, target)              // a request was sent
+//	l.Use(now, target, vm, active)  // what a VM's requests do with it
 //	o, ok := l.Next(now)            // the next order
 //	l.Ended(now, o, answer)
 //	at := l.Due(now)                // when to ask Next again
@@ -23,7 +23,6 @@
 	"time"
 
 	ggscore "greengageslip/core"
-	"greengageslip/core/ggspopularity"
 )
 
 // Defaults of Options.
@@ -42,6 +41,13 @@
 	// waits for its requests, and refuses new ones for it. What other VMs use is
 	// known a beat of 150 ms and its way later.
 	idleTime = 350 * time.Millisecond
+	// rareRate is the requests a second up to which an adapter is evicted as soon
+	// as all VMs have said that they use it no more. Their words are 0.1 s old on
+	// average, so one eviction in sixty meets a request.
+	rareRate = 0.3
+	// wordMaxAge is the age at which a VM's word that it uses an adapter no longer
+	// counts: it says so with each beat.
+	wordMaxAge = 600 * time.Millisecond
 	// fastLoad is the first question after an order: an adapter that the
 	// endpoint held recently loads in a tenth of the time.
 	fastLoad = 26 * time.Millisecond
@@ -61,6 +67,10 @@
 
 // An Options sets a Ledger. Zero fields take their defaults.
 type Options struct {
+	Endpoint ggscore.EndpointID
+	// Demand says which adapter is missed least. Without one the longest unused
+	// is evicted.
+	Demand ggscore.AdapterDemand
 	// Slots is the number of adapters that the endpoint holds at once.
 	Slots    int
 	Transit  int
@@ -113,20 +123,18 @@
 	ordered  time.Time
 	poll     time.Time
 	used     time.Time
-	uses     ggspopularity.Recent
+	// users are the VMs whose requests use the adapter, and when they said so.
+	users map[ggscore.VMID]time.Time
+	// released says that all users have said that they use it no more.
+	released bool
 }
 
 type want struct {
 	target  ggscore.ModelAdapter
 	version uint64
 	since   time.Time
-}
-
-// newHeld returns an adapter that a request waits for.
-func newHeld(now time.Time) *held {
-	h := &held{used: now}
-	h.uses.Add(now, 1)
-	return h
+	// rate is the requests a second that miss it.
+	rate float64
 }
 
 // NewLedger returns a ledger that knows nothing of its endpoint.
@@ -166,7 +174,7 @@
 			t := ggscore.ModelAdapter{Model: m.Name, Adapter: a.Adapter}
 			h := &held{version: a.Version, target: a.Version}
 			if b := before[t]; b != nil {
-				h.used, h.uses = b.used, b.uses
+				h.used, h.users, h.released = b.used, b.users, b.released
 			}
 			l.held[t] = h
 		}
@@ -179,7 +187,7 @@
 		}
 		h.coming, h.ordered, h.poll = true, now, now.Add(l.options.Poll)
 		if b := before[t]; b != nil {
-			h.target, h.used, h.uses = b.target, b.used, b.uses
+			h.target, h.used, h.users, h.released = b.target, b.used, b.users, b.released
 		}
 	}
 }
@@ -200,12 +208,22 @@
 	l.wants = append(l.wants, want{target: t, version: version, since: now})
 }
 
-// Use notes n requests for an adapter.
-func (l *Ledger) Use(now time.Time, t ggscore.ModelAdapter, n int) {
-	if h := l.held[t]; h != nil {
-		h.uses.Add(now, n)
-		h.used = now
+// Use notes whether requests of a VM use an adapter.
+func (l *Ledger) Use(now time.Time, t ggscore.ModelAdapter, vm ggscore.VMID, active bool) {
+	h := l.held[t]
+	if h == nil {
+		return
+	}
+	h.used = now
+	if active {
+		if h.users == nil {
+			h.users = map[ggscore.VMID]time.Time{}
+		}
+		h.users[vm], h.released = now, false
+		return
 	}
+	delete(h.users, vm)
+	h.released = len(h.users) == 0
 }
 
 // Waiting returns the number of adapters that wait to be loaded.
--- a/core/ggsresident/ledger_test.go
+++ b/core/ggsresident/ledger_test.go
@@ -41,7 +41,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	l := synced(2, 2)
-	l.Use(at(-2*time.Second), adapter(0), 1)
+	l.Use(at(-2*time.Second), adapter(0), "vm", true)
 	l.Want(at(0), adapter(9), 0)
 	s := next(c, l, at(0))
 	c.Assert(s, qt.DeepEquals, ggsresident.Step{Unload: true, Target: adapter(1), Expected: 7})
@@ -53,11 +53,11 @@
 
 	_, ok := l.Next(at(time.Millisecond))
 	c.Assert(ok, qt.IsFalse)
-	s = next(c, l, l.Due())
+	s = next(c, l, l.Due(at(0)))
 	c.Assert(s.Poll, qt.IsTrue)
 	c.Assert(s.Expected, qt.Equals, uint64(9))
 	l.Ended(at(250*time.Millisecond), s, ggscore.PlacementAccepted)
-	s = next(c, l, l.Due())
+	s = next(c, l, l.Due(at(0)))
 	c.Assert(s.Expected, qt.Equals, uint64(9), qt.Commentf("a question isn't counted"))
 	l.Ended(at(270*time.Millisecond), s, ggscore.PlacementHolds)
 	c.Assert(l.Holds(adapter(9), 0), qt.IsTrue)
@@ -72,15 +72,15 @@
 	t.Parallel()
 	c := qt.New(t)
 	l := synced(1, 1)
-	l.Use(at(0), adapter(0), 1)
+	l.Use(at(0), adapter(0), "vm", true)
 	l.Want(at(0), adapter(9), 0)
 	_, ok := l.Next(at(300 * time.Millisecond))
 	c.Assert(ok, qt.IsFalse)
-	l.Use(at(300*time.Millisecond), adapter(0), 0)
+	l.Use(at(300*time.Millisecond), adapter(0), "vm", true)
 	_, ok = l.Next(at(600 * time.Millisecond))
 	c.Assert(ok, qt.IsFalse)
-	c.Assert(l.Due().After(at(600*time.Millisecond)), qt.IsTrue)
-	s := next(c, l, l.Due())
+	c.Assert(l.Due(at(0)).After(at(600*time.Millisecond)), qt.IsTrue)
+	s := next(c, l, l.Due(at(0)))
 	c.Assert(s.Unload, qt.IsTrue)
 }
 
@@ -96,7 +96,7 @@
 	l.Ended(at(0), s, ggscore.PlacementAccepted)
 	_, ok := l.Next(at(time.Millisecond))
 	c.Assert(ok, qt.IsFalse)
-	s = next(c, l, l.Due())
+	s = next(c, l, l.Due(at(0)))
 	c.Assert(s, qt.DeepEquals, ggsresident.Step{Unload: true, Target: adapter(0), Expected: 8, Poll: true})
 	l.Ended(at(30*time.Millisecond), s, ggscore.PlacementHolds)
 	s = next(c, l, at(30*time.Millisecond))
@@ -150,12 +150,12 @@
 			l.Ended(now, s, ggscore.PlacementUnknown)
 		}
 		if !ok {
-			c.Assert(l.Due().After(now), qt.IsTrue)
+			c.Assert(l.Due(now).After(now), qt.IsTrue)
 		}
 	}
 	c.Assert(n < 20, qt.IsTrue, qt.Commentf("%d orders", n))
-	s := next(c, l, l.Due())
-	l.Ended(l.Due(), s, ggscore.PlacementAccepted)
+	s := next(c, l, l.Due(at(0)))
+	l.Ended(l.Due(at(0)), s, ggscore.PlacementAccepted)
 	c.Assert(l.Holds(adapter(1), 0), qt.IsFalse)
 }
 
@@ -171,7 +171,7 @@
 	_, ok := l.Next(at(time.Millisecond))
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(l.Synced(at(100*time.Millisecond)), qt.IsTrue)
-	c.Assert(l.Synced(l.Due()), qt.IsFalse)
+	c.Assert(l.Synced(l.Due(at(0))), qt.IsFalse)
 	l.Sync(at(500*time.Millisecond), ggscore.InstanceStatus{Sequence: 20, Models: []ggscore.ResidentModel{{Name: "m"}}})
 	s := next(c, l, at(500*time.Millisecond))
 	c.Assert(s.Expected, qt.Equals, uint64(20))
@@ -214,7 +214,7 @@
 	s := next(c, l, at(0))
 	c.Assert(s, qt.DeepEquals, ggsresident.Step{Target: adapter(0), Version: 2, Expected: 7})
 	l.Ended(at(0), s, ggscore.PlacementAccepted)
-	l.Ended(at(250*time.Millisecond), next(c, l, l.Due()), ggscore.PlacementHolds)
+	l.Ended(at(250*time.Millisecond), next(c, l, l.Due(at(0))), ggscore.PlacementHolds)
 	c.Assert(l.Holds(adapter(0), 2), qt.IsTrue)
 	c.Assert(l.Version(adapter(0)), qt.Equals, uint64(2))
 }
@@ -232,7 +232,7 @@
 	l.Ended(at(0), s, ggscore.PlacementAccepted)
 	_, ok := l.Next(at(time.Millisecond))
 	c.Assert(ok, qt.IsFalse)
-	l.Ended(at(time.Second), next(c, l, l.Due()), ggscore.PlacementHolds)
+	l.Ended(at(time.Second), next(c, l, l.Due(at(0))), ggscore.PlacementHolds)
 	c.Assert(l.Holds(ggscore.ModelAdapter{Model: "m"}, 0), qt.IsTrue)
 }
 
@@ -244,3 +244,93 @@
 	l.Ended(at(0), next(c, l, at(0)), ggscore.PlacementMisdirected)
 	c.Assert(l.Synced(at(0)), qt.IsFalse)
 }
+
+// demand is a table of how much adapters are missed.
+type demand map[ggscore.ModelAdapter]float64
+
+func (d demand) Missed(_ time.Time, _ ggscore.EndpointID, a ggscore.ModelAdapter) float64 {
+	return d[a]
+}
+
+// full returns the ledger of a runner whose places are all held by the first
+// adapters, unused for a long time.
+func full(d demand, n int) *ggsresident.Ledger {
+	l := ggsresident.NewLedger(ggsresident.Options{Slots: n, Demand: d})
+	m := ggscore.ResidentModel{Name: "m"}
+	for i := range n {
+		m.Adapters = append(m.Adapters, ggscore.ResidentVersion{Adapter: adapter(i).Adapter, Version: 1})
+	}
+	l.Sync(at(-time.Hour), ggscore.InstanceStatus{Models: []ggscore.ResidentModel{m}})
+	return l
+}
+
+// An adapter that was asked for once, a second ago, is kept, and one that is asked
+// for every five seconds is evicted for it: its callers wait for a load each time.
+func TestLeastMissedIsEvicted(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := full(demand{adapter(0): 0.2, adapter(1): 0.02}, 2)
+	l.Use(at(-5*time.Second), adapter(0), "vm", true)
+	l.Use(at(-4*time.Second), adapter(0), "vm", false)
+	l.Use(at(-time.Second), adapter(1), "vm", true)
+	l.Use(at(-time.Second), adapter(1), "vm", false)
+	l.Want(at(0), adapter(9), 0)
+	s := next(c, l, at(0))
+	c.Assert(s.Unload, qt.IsTrue)
+	c.Assert(s.Target, qt.Equals, adapter(1))
+}
+
+// A rare adapter's request ends, and its place stays taken for another half of a
+// second, while callers wait for one. A popular adapter is asked for again before
+// all VMs have told, so it keeps its place a little longer.
+func TestReleasedAdapterMakesRoomAtOnce(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		rate  float64
+		users []ggscore.VMID
+		ended []ggscore.VMID
+		room  int
+	}{
+		"rare, ended":              {0.1, []ggscore.VMID{"v1", "v2"}, []ggscore.VMID{"v1", "v2"}, 1},
+		"rare, one is under way":   {0.1, []ggscore.VMID{"v1", "v2"}, []ggscore.VMID{"v2"}, 0},
+		"rare, only loaded so far": {0.1, nil, nil, 0},
+		"popular":                  {2, []ggscore.VMID{"v1"}, []ggscore.VMID{"v1"}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			l := ggsresident.NewLedger(ggsresident.Options{Slots: 1, Demand: demand{adapter(0): tc.rate}})
+			l.Sync(at(-time.Hour), ggscore.InstanceStatus{Models: []ggscore.ResidentModel{{Name: "m"}}})
+			l.Want(at(-time.Second), adapter(0), 0)
+			l.Ended(at(-time.Second), next(c, l, at(-time.Second)), ggscore.PlacementAccepted)
+			l.Ended(at(0), next(c, l, at(0)), ggscore.PlacementHolds)
+			_, ok := l.Next(at(0))
+			c.Assert(ok, qt.IsFalse)
+			for _, vm := range tc.users {
+				l.Use(at(50*time.Millisecond), adapter(0), vm, true)
+			}
+			for _, vm := range tc.ended {
+				l.Use(at(100*time.Millisecond), adapter(0), vm, false)
+			}
+			c.Assert(l.Room(at(110*time.Millisecond)), qt.Equals, tc.room)
+			c.Assert(l.Room(at(2*time.Second)), qt.Equals, 1, qt.Commentf("no word for long"))
+		})
+	}
+}
+
+// A runner starts anew, and all that it held is wanted at once. Popular adapters
+// waited behind rare ones that were asked for first, and requests piled up.
+func TestPopularAdapterIsLoadedFirst(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := ggsresident.NewLedger(ggsresident.Options{Slots: 4, Demand: demand{adapter(5): 0.1, adapter(6): 8, adapter(7): 1}})
+	l.Sync(at(0), ggscore.InstanceStatus{Models: []ggscore.ResidentModel{{Name: "m"}}})
+	for _, a := range []int{5, 6, 7} {
+		l.Want(at(0), adapter(a), 0)
+	}
+	for _, a := range []int{6, 7, 5} {
+		s := next(c, l, at(0))
+		c.Assert(s.Target, qt.Equals, adapter(a))
+		l.Ended(at(0), s, ggscore.PlacementAccepted)
+	}
+}
--- a/core/ggsresident/orders.go
+++ b/core/ggsresident/orders.go
@@ -1,6 +1,8 @@
 package ggsresident
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	ggscore "greengageslip/core"
@@ -22,20 +24,28 @@
 	if l.lost != nil {
 		return *l.lost, !now.Before(l.again)
 	}
-	for i := 0; i < len(l.wants); {
-		w := l.wants[i]
-		if l.Holds(w.target, w.version) || now.Sub(w.since) > DefaultForget {
-			l.wants = append(l.wants[:i], l.wants[i+1:]...)
-			continue
-		}
+	l.sortWants(now)
+	for _, w := range l.wants {
 		if s, ok := l.load(now, w); ok {
 			return s, true
 		}
-		i++
 	}
 	return Step{}, false
 }
 
+// sortWants drops what needs no load and puts first what is asked for most: more
+// requests come for it while it waits. In the order of their arrival, the popular
+// adapters of a runner that was lost waited behind rare ones.
+func (l *Ledger) sortWants(now time.Time) {
+	l.wants = slices.DeleteFunc(l.wants, func(w want) bool {
+		return l.Holds(w.target, w.version) || now.Sub(w.since) > DefaultForget
+	})
+	for i := range l.wants {
+		l.wants[i].rate = l.missed(now, l.wants[i].target)
+	}
+	slices.SortStableFunc(l.wants, func(a, b want) int { return cmp.Compare(b.rate, a.rate) })
+}
+
 // load returns the order that brings a wanted adapter nearer.
 func (l *Ledger) load(now time.Time, w want) (Step, bool) {
 	if w.target.Adapter == "" || !l.models[w.target.Model] {
@@ -72,17 +82,20 @@
 	return Step{}, false
 }
 
-// victim returns the adapter that is missed least: the one with the lowest
-// rate of use, the longest unused among equals.
+// victim returns the adapter that is missed least, the longest unused among
+// equals.
 func (l *Ledger) victim(now time.Time) (ggscore.ModelAdapter, bool) {
 	var best ggscore.ModelAdapter
 	var bestHeld *held
 	var bestRate float64
 	for t, h := range l.held {
-		if h.coming || h.evicting || now.Sub(h.used) < idleTime || l.wanted(t) {
+		if h.coming || h.evicting || l.wanted(t) {
+			continue
+		}
+		r := l.missed(now, t)
+		if now.Before(h.idle(now, r)) {
 			continue
 		}
-		r := h.uses.PerSecond(now)
 		if bestHeld == nil || r < bestRate || r == bestRate && h.used.Before(bestHeld.used) {
 			best, bestHeld, bestRate = t, h, r
 		}
@@ -90,6 +103,14 @@
 	return best, bestHeld != nil
 }
 
+// missed returns the requests a second that would miss an adapter.
+func (l *Ledger) missed(now time.Time, t ggscore.ModelAdapter) float64 {
+	if l.options.Demand == nil {
+		return 0
+	}
+	return l.options.Demand.Missed(now, l.options.Endpoint, t)
+}
+
 func (l *Ledger) wanted(t ggscore.ModelAdapter) bool {
 	for i := range l.wants {
 		if l.wants[i].target == t {
@@ -110,7 +131,7 @@
 }
 
 // Due returns when Next is wanted again, zero for not until something happens.
-func (l *Ledger) Due() time.Time {
+func (l *Ledger) Due(now time.Time) time.Time {
 	var due time.Time
 	for _, h := range l.held {
 		if (h.coming || h.evicting) && (due.IsZero() || h.poll.Before(due)) {
@@ -123,7 +144,7 @@
 		}
 	}
 	if l.needsPlace() && l.unclear.IsZero() {
-		if idle, ok := l.nextIdle(); ok && (due.IsZero() || idle.Before(due)) {
+		if idle, ok := l.nextIdle(now); ok && (due.IsZero() || idle.Before(due)) {
 			due = idle
 		}
 	}
@@ -149,14 +170,49 @@
 	return false
 }
 
+// Room returns the number of adapters that would find a place at once.
+func (l *Ledger) Room(now time.Time) int {
+	n := l.options.Slots - len(l.held)
+	for t, h := range l.held {
+		if !h.coming && !h.evicting && !l.wanted(t) && !now.Before(h.idle(now, l.missed(now, t))) {
+			n++
+		}
+	}
+	return n
+}
+
+// idle returns when an adapter that so many requests a second would miss counts
+// as unused.
+//
+// Half of the places of a busy runner were held by adapters whose requests had
+// ended: each waited idleTime after the last word of it. A rare one is given up
+// as soon as its users have ended; that another VM has just sent a request for it
+// is unlikely, and then only delays the runner's orders.
+func (h *held) idle(now time.Time, rate float64) time.Time {
+	if h.released && rate < rareRate {
+		return h.used
+	}
+	at := h.used.Add(idleTime)
+	for vm, said := range h.users {
+		if now.Sub(said) > wordMaxAge {
+			delete(h.users, vm)
+			continue
+		}
+		if u := said.Add(wordMaxAge); u.After(at) {
+			at = u
+		}
+	}
+	return at
+}
+
 // nextIdle returns when the next adapter may be evicted.
-func (l *Ledger) nextIdle() (time.Time, bool) {
+func (l *Ledger) nextIdle(now time.Time) (time.Time, bool) {
 	var at time.Time
 	for t, h := range l.held {
 		if h.coming || h.evicting || l.wanted(t) {
 			continue
 		}
-		if i := h.used.Add(idleTime); at.IsZero() || i.Before(at) {
+		if i := h.idle(now, l.missed(now, t)); at.IsZero() || i.Before(at) {
 			at = i
 		}
 	}
--- a/core/instance.go
+++ b/core/instance.go
@@ -156,3 +156,10 @@
 	Target  ModelAdapter
 	Version uint64
 }
+
+// An AdapterDemand tells how much an adapter is asked for.
+type AdapterDemand interface {
+	// Missed returns the requests a second that would miss the adapter if the
+	// endpoint gave it up. It only compares adapters with each other.
+	Missed(now time.Time, id EndpointID, a ModelAdapter) float64
+}
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -233,7 +233,7 @@
 		e.uses[u].sent++
 		e.uses[u].active++
 		if w := e.workers[id]; w != nil {
-			w.ledger.Use(now, j.meta.Model, 1)
+			w.ledger.Use(now, j.meta.Model, e.options.VM, true)
 		}
 	}
 }
@@ -244,9 +244,10 @@
 	defer e.mu.Unlock()
 	if u := e.uses[use{endpoint: id, target: j.meta.Model}]; u != nil {
 		u.active--
-	}
-	if w := e.workers[id]; w != nil {
-		w.ledger.Use(e.Now(), j.meta.Model, 0)
+		if w := e.workers[id]; w != nil {
+			w.ledger.Use(e.Now(), j.meta.Model, e.options.VM, u.active > 0)
+			w.wake()
+		}
 	}
 	e.table.Ended(e.Now(), id, r)
 }
--- a/io/ggsedge/beats.go
+++ b/io/ggsedge/beats.go
@@ -55,20 +55,26 @@
 		b.Flights = append(b.Flights, ggspeer.Flight(f))
 	}
 	for id, w := range e.workers {
+		if !w.ledger.Synced(e.Now()) {
+			continue
+		}
+		h := ggspeer.Holding{Endpoint: id, Waiting: w.ledger.Waiting(), Room: w.ledger.Room(e.Now())}
+		e.table.SetRoom(id, h.Waiting, h.Room)
 		// What hasn't changed is told once a second only: the answers that cross
 		// regions have a price, and beats were a fifth of their bytes.
-		if w.ledger.Synced(e.Now()) && (w.untold || e.sequence%holdingsEvery == 0) {
+		if w.untold || e.sequence%holdingsEvery == 0 {
 			w.untold = false
-			b.Holdings = append(b.Holdings, ggspeer.Holding{Endpoint: id, Held: w.ledger.Resident(), Waiting: w.ledger.Waiting()})
+			h.Held, h.Whole = w.ledger.Resident(), true
 		}
+		b.Holdings = append(b.Holdings, h)
 	}
 	for u, n := range e.uses {
-		b.Uses = append(b.Uses, ggspeer.Use{Endpoint: u.endpoint, Target: u.target, Count: n.sent})
+		b.Uses = append(b.Uses, ggspeer.Use{Endpoint: u.endpoint, Target: u.target, Count: n.sent, Active: n.active > 0})
 		if n.sent = 0; n.active <= 0 {
 			delete(e.uses, u)
 		}
 		if w := e.workers[u.endpoint]; w != nil {
-			w.ledger.Use(e.Now(), u.target, 0)
+			w.ledger.Use(e.Now(), u.target, e.options.VM, n.active > 0)
 		}
 	}
 	near, far = e.receivers()
@@ -136,14 +142,19 @@
 	}
 	e.table.SetPeer(now, b.VM, fs)
 	for _, h := range b.Holdings {
-		if e.keeper.Owner(h.Endpoint) == b.VM {
-			e.table.SetHeld(now, h.Endpoint, h.Held, h.Waiting)
+		if e.keeper.Owner(h.Endpoint) != b.VM {
+			continue
+		}
+		e.table.SetRoom(h.Endpoint, h.Waiting, h.Room)
+		if h.Whole {
+			e.table.SetHeld(now, h.Endpoint, h.Held)
 		}
 	}
 	for _, u := range b.Uses {
 		e.table.Asked(now, u.Target, u.Count)
 		if w := e.workers[u.Endpoint]; w != nil {
-			w.ledger.Use(now, u.Target, u.Count)
+			w.ledger.Use(now, u.Target, b.VM, u.Active)
+			w.wake()
 		}
 	}
 }
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -219,7 +219,7 @@
 		}
 		c, cancel := context.WithCancel(ctx)
 		w = &worker{
-			instance: i, ledger: ggsresident.NewLedger(ggsresident.Options{Slots: s.Engine.Places()}),
+			instance: i, ledger: ggsresident.NewLedger(ggsresident.Options{Endpoint: i.ID, Demand: e.table, Slots: s.Engine.Places()}),
 			changed: make(chan struct{}), kick: make(chan struct{}, 1), cancel: cancel,
 		}
 		e.workers[i.ID] = w
@@ -283,7 +283,7 @@
 		e.wantModels(now, w, g)
 	}
 	s, ok := w.ledger.Next(now)
-	due := w.ledger.Due()
+	due := w.ledger.Due(now)
 	e.mu.Unlock()
 	if !may {
 		return workerPause
@@ -332,11 +332,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.ledger.Sync(e.Now(), st)
-	e.table.SetHeld(e.Now(), i.ID, w.ledger.Resident(), w.ledger.Waiting())
+	e.noteHeld(i.ID, w)
 	w.notify()
 	return true
 }
 
+// noteHeld tells the table what an endpoint of this VM holds. Edge.mu is held.
+func (e *Edge) noteHeld(id ggscore.EndpointID, w *worker) {
+	now := e.Now()
+	e.table.SetHeld(now, id, w.ledger.Resident())
+	e.table.SetRoom(id, w.ledger.Waiting(), w.ledger.Room(now))
+}
+
 // order gives one order.
 func (e *Edge) order(ctx context.Context, w *worker, o ggscore.PlacementOrder, s ggsresident.Step) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -347,7 +354,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.ledger.Ended(e.Now(), s, a)
-	e.table.SetHeld(e.Now(), o.Endpoint, w.ledger.Resident(), w.ledger.Waiting())
+	e.noteHeld(o.Endpoint, w)
 	w.notify()
 	l := level.Debug(e.Log)
 	if a != ggscore.PlacementAccepted && a != ggscore.PlacementHolds {
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -47,18 +47,22 @@
 // A Holding is what an endpoint holds by the word of its orderer, the VM.
 type Holding struct {
 	Endpoint ggscore.EndpointID
-	Held     []ggscore.AdapterVersion
-	// Waiting is the number of adapters that wait to be loaded there.
+	// Held is what the endpoint holds, where Whole says that it is told.
+	Held  []ggscore.AdapterVersion
+	Whole bool
+	// Waiting is the number of adapters that wait to be loaded there, Room that of
+	// those that would find a place at once.
 	Waiting int
+	Room    int
 }
 
 // A Use is an adapter at an endpoint that requests of the VM use. Count is the
-// number of those sent since the last beat; zero says that earlier ones are
-// still under way.
+// number of those sent since the last beat, Active says that some are under way.
 type Use struct {
 	Endpoint ggscore.EndpointID
 	Target   ggscore.ModelAdapter
 	Count    int
+	Active   bool
 }
 
 // A Conn sends and receives beats.
@@ -96,7 +100,9 @@
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	Endpoint string
 	Held     []heldWire
+	Whole    bool
 	Waiting  int
+	Room     int
 }
 
 type heldWire struct {
@@ -112,6 +118,7 @@
 	Model    int
 	Adapter  string
 	Count    int
+	Active   bool
 }
 
 // Listen opens the socket for beats.
@@ -195,7 +202,7 @@
 		})
 	}
 	for _, h := range b.Holdings {
-		hw := holdingWire{Endpoint: string(h.Endpoint), Waiting: h.Waiting}
+		hw := holdingWire{Endpoint: string(h.Endpoint), Whole: h.Whole, Waiting: h.Waiting, Room: h.Room}
 		for _, v := range h.Held {
 			hw.Held = append(hw.Held, heldWire{Model: model(v.Target.Model), Adapter: v.Target.Adapter, Version: v.Version})
 		}
@@ -203,7 +210,7 @@
 	}
 	for _, u := range b.Uses {
 		w.Uses = append(w.Uses, useWire{
-			Endpoint: string(u.Endpoint), Model: model(u.Target.Model), Adapter: u.Target.Adapter, Count: u.Count,
+			Endpoint: string(u.Endpoint), Model: model(u.Target.Model), Adapter: u.Target.Adapter, Count: u.Count, Active: u.Active,
 		})
 	}
 	return w
@@ -220,7 +227,7 @@
 		})
 	}
 	for _, hw := range w.Holdings {
-		h := Holding{Endpoint: ggscore.EndpointID(hw.Endpoint), Waiting: hw.Waiting}
+		h := Holding{Endpoint: ggscore.EndpointID(hw.Endpoint), Whole: hw.Whole, Waiting: hw.Waiting, Room: hw.Room}
 		for _, v := range hw.Held {
 			t, err := w.target(v.Model, v.Adapter)
 			if err != nil {
@@ -235,7 +242,7 @@
 		if err != nil {
 			return Beat{}, err
 		}
-		b.Uses = append(b.Uses, Use{Endpoint: ggscore.EndpointID(u.Endpoint), Target: t, Count: u.Count})
+		b.Uses = append(b.Uses, Use{Endpoint: ggscore.EndpointID(u.Endpoint), Target: t, Count: u.Count, Active: u.Active})
 	}
 	return b, nil
 }
--- a/io/ggspeer/conn_test.go
+++ b/io/ggspeer/conn_test.go
@@ -31,8 +31,8 @@
 	want := ggspeer.Beat{
 		VM: "vm", Sequence: 3, Started: 9, Relay: true, ListedAt: 4, OperatedAt: 5, ListAge: 6 * time.Millisecond,
 		Flights:  []ggspeer.Flight{{Endpoint: "r1", Count: 4, Ended: 3, Failed: 2}},
-		Holdings: []ggspeer.Holding{{Endpoint: "r1", Held: []ggscore.AdapterVersion{{Target: a, Version: 2}}, Waiting: 1}},
-		Uses:     []ggspeer.Use{{Endpoint: "r1", Target: a, Count: 5}},
+		Holdings: []ggspeer.Holding{{Endpoint: "r1", Held: []ggscore.AdapterVersion{{Target: a, Version: 2}}, Whole: true, Waiting: 1, Room: 3}},
+		Uses:     []ggspeer.Use{{Endpoint: "r1", Target: a, Count: 5, Active: true}},
 	}
 	// Another writer's bytes must not stop the reading.
 	u, err := (&net.Dialer{}).DialContext(ctx, "udp", addr.String())
