perf: claim endpoints that come up at once, and not with the next beat

Ruled out: the wait of VMs that start (1.5 s, only after their own start). Change: VMs look for endpoints without orders every 0.3 s; a look that finds none makes no call.

--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -127,9 +127,10 @@
 	listTold ggscore.StoreRevision
 	listOwn  time.Time
 	listSeen time.Time
-	// kick wakes the loop that writes beats to the store, pokeList and
+	// kick wakes the loop that writes beats to the store, with kicked set, pokeList and
 	// pokeOperators those that read what a peer saw change.
 	kick          chan struct{}
+	kicked        atomic.Bool
 	pokeList      chan struct{}
 	pokeOperators chan struct{}
 }
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -19,6 +19,10 @@
 // after the last one that was acknowledged.
 const beatInterval = 2500 * time.Millisecond
 
+// claimInterval is the time between looks for endpoints that nobody gives orders:
+// a look that finds none makes no call.
+const claimInterval = 300 * time.Millisecond
+
 // The own records' keys below the prefix.
 const (
 	memberPart  = "vm"
@@ -149,18 +153,24 @@
 	leaving := false
 	var count uint64
 	for ctx.Err() == nil {
-		if e.beatOnce(ctx, leaving, &count) {
+		acked := e.beatOnce(ctx, leaving, &count)
+		e.claimUntil(ctx, e.Steady().Add(beatInterval), acked)
+	}
+	return nil
+}
+
+// claimUntil claims endpoints that come up until the next beat is due, unless the
+// last one wasn't acknowledged. An endpoint that started waited for its first
+// order, which brings its base model, until the beat: 1.2 s on average.
+func (e *Edge) claimUntil(ctx context.Context, due time.Time, acked bool) {
+	for {
+		if acked {
 			e.claimAll(ctx)
 		}
-		t := time.NewTimer(beatInterval)
-		select {
-		case <-t.C:
-		case <-e.kick:
-		case <-ctx.Done():
+		if !pauseOr(ctx, min(claimInterval, due.Sub(e.Steady())), e.kick) || e.kicked.Swap(false) || !e.Steady().Before(due) {
+			return
 		}
-		t.Stop()
 	}
-	return nil
 }
 
 // beatOnce writes a beat and reports whether it was acknowledged.
@@ -216,10 +226,8 @@
 		return
 	}
 	e.setMembers(ctx, es, at)
-	select {
-	case e.kick <- struct{}{}:
-	default:
-	}
+	e.kicked.Store(true)
+	poke(e.kick)
 }
 
 // claimAll writes the claims that are this VM's to write.
