--- a/cmd/ggsctl/app.go
+++ b/cmd/ggsctl/app.go
@@ -79,6 +79,7 @@
 		{"edit", "change values of a section", editLong, &editCommand{}},
 		{"diff", "compare a section with a file", diffLong, &diffCommand{}},
 		{"status", "show the revision in force on each VM", statusLong, &statusCommand{}},
+		{"fleet", "show a deployment on the users' platform", fleetLong, &fleetCommand{}},
 		{"dump", "print a process's state", dumpLong, &dumpCommand{}},
 		{"explain", "tell what became of a request, from logs", explainLong, &explainCommand{}},
 		{"request", "send a request through a gateway", requestLong, &requestCommand{}},
--- a/cmd/ggsctl/script_test.go
+++ b/cmd/ggsctl/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -23,6 +24,7 @@
 	ggscore "greengageslip/core"
 	"greengageslip/fakes/ggsfakeplatform"
 	"greengageslip/io/ggsconfig"
+	"greengageslip/io/ggsedge"
 	"greengageslip/io/ggsplatform"
 	"greengageslip/io/ggsstate"
 )
@@ -76,6 +78,7 @@
 			"running": awaitRunning,
 			"drain":   stopProcess,
 			"entry":   startEntry,
+			"edge":    startEdge,
 			"fault":   setFault,
 			"leave":   leave,
 			"inforce": awaitInForce,
@@ -187,7 +190,7 @@
 			in = strings.NewReader(ts.ReadFile(a[1:]))
 		case strings.HasPrefix(a, ">"):
 			to = ts.MkAbs(a[1:])
-		case strings.HasSuffix(a, ".toml") || strings.HasSuffix(a, ".log"):
+		case strings.HasSuffix(a, ".toml") || strings.HasSuffix(a, ".log") || strings.HasSuffix(a, ".yaml"):
 			rest = append(rest, absolute(ts, a))
 		default:
 			rest = append(rest, s.expand(a))
@@ -251,6 +254,18 @@
 	s.name(args[0], netip.MustParseAddrPort(h.Listener.Addr().String()))
 }
 
+// startEdge serves the state of a VM on the users' platform, as a file has it.
+func startEdge(ts *testscript.TestScript, _ bool, args []string) {
+	s := sessionOf(ts)
+	var e ggsedge.State
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(args[2])), &e))
+	t := ggsstate.New("ggsedge", ggscore.VMID(args[1]), func() time.Time { return time.Unix(0, 0) })
+	t.Add("edge", func() any { return e })
+	h := httptest.NewServer(t.Handler())
+	ts.Defer(h.Close)
+	s.name(args[0], netip.MustParseAddrPort(h.Listener.Addr().String()))
+}
+
 // setFault sets the platform's fault: none, lose, loseThenOutage, delay or
 // outage. Lost and delayed are writes of the head.
 func setFault(ts *testscript.TestScript, _ bool, args []string) {
--- a/cmd/ggsctl/state.go
+++ b/cmd/ggsctl/state.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	ggscore "greengageslip/core"
+	"greengageslip/io/ggsedge"
 )
 
 const (
@@ -28,6 +29,8 @@
 		Document struct {
 			Revision uint64 `json:"revision"`
 		} `json:"document"`
+		// Edge is what a VM on the users' platform goes by.
+		Edge *ggsedge.State `json:"edge"`
 	} `json:"parts"`
 }
 
@@ -37,7 +40,9 @@
 	program  string
 	vm       ggscore.VMID
 	revision ggscore.Revision
-	err      error
+	// edge is nil for the processes of the product's own interface.
+	edge *ggsedge.State
+	err  error
 }
 
 // readState reads the bytes of a process's state.
@@ -91,6 +96,7 @@
 	}
 	return processState{
 		addr: addr, program: w.Program, vm: ggscore.VMID(w.VM), revision: ggscore.Revision(w.Parts.Document.Revision),
+		edge: w.Parts.Edge,
 	}
 }
 
--- a/cmd/ggsctl/validate.go
+++ b/cmd/ggsctl/validate.go
@@ -12,6 +12,7 @@
 	"greengageslip/core/ggsdocument"
 	"greengageslip/io/ggsconfig"
 	"greengageslip/io/ggstoml"
+	ggsdialect "greengageslip/platform"
 )
 
 const validateLong = `Checks sections, each on its own and all together.
@@ -19,9 +20,11 @@
 A file named services.toml or policy.toml holds that section, one named
 market/NAME.toml holds the section market/NAME. SECTION=FILE names the section
 of any other file. With --merge the files are checked beside the platform's
-other sections.`
+other sections. With --vm each file is what the users' platform tells a process of
+its VM, and every failure is named with its line.`
 
 type validateCommand struct {
+	VM    bool `description:"check settings that the users' platform writes for a VM" long:"vm"`
 	Merge bool `description:"check beside the platform's other sections" long:"merge"`
 	Args  struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
@@ -35,6 +38,9 @@
 }
 
 func (c *validateCommand) run(ctx context.Context, a *app) error {
+	if c.VM {
+		return c.settings(a)
+	}
 	texts := map[ggscore.SectionName][]byte{}
 	files := map[ggscore.SectionName]sectionFile{}
 	bad := 0
@@ -67,6 +73,25 @@
 	return a.printf("valid: %s, %s, %s\n", count(len(texts), "section"), count(len(d.Markets), "market"), count(adapters(d), "adapter"))
 }
 
+// settings checks settings of VMs.
+func (c *validateCommand) settings(a *app) error {
+	bad := false
+	for _, f := range c.Args.Files {
+		t, err := a.readFile(f)
+		if err != nil {
+			return err
+		}
+		if _, err := ggsdialect.DecodeSettings(f, t); err != nil {
+			bad = true
+			a.report(&usageError{detail: err.Error()})
+		}
+	}
+	if bad {
+		return &shownError{code: exitUsage}
+	}
+	return a.printf("valid: %s\n", count(len(c.Args.Files), "settings file"))
+}
+
 // check checks the sections together.
 func (c *validateCommand) check(
 	ctx context.Context, a *app, texts map[ggscore.SectionName][]byte,
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -20,6 +20,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/fakes/ggsfakesite"
+	"greengageslip/io/ggsedge"
 	ggsdialect "greengageslip/platform"
 )
 
@@ -127,9 +128,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	var d struct {
 		Parts struct {
-			Edge struct {
-				Endpoints []struct{ Orderer string }
-			} `json:"edge"`
+			Edge ggsedge.State `json:"edge"`
 		} `json:"parts"`
 	}
 	s.c.Assert(json.NewDecoder(resp.Body).Decode(&d), qt.IsNil)
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -173,9 +173,18 @@
 	}
 }
 
-// SetInstances takes the endpoints' entries. It returns those that are gone, and
-// whether endpoints came, went or changed their state.
-func (t *Table) SetInstances(list []ggscore.Instance) (gone []ggscore.Instance, changed bool) {
+// A Change is how a reading of the endpoints' entries differs from the one before.
+type Change struct {
+	Gone []ggscore.Instance
+	// Leaving are those that have turned to leaving.
+	Leaving []ggscore.Instance
+	// Any says that endpoints came, went or changed their state.
+	Any bool
+}
+
+// SetInstances takes the endpoints' entries.
+func (t *Table) SetInstances(list []ggscore.Instance) Change {
+	var c Change
 	seen := make(map[ggscore.EndpointID]bool, len(list))
 	for i := range list {
 		n := &list[i]
@@ -185,23 +194,27 @@
 			e = &endpoint{missing: map[ggscore.ModelAdapter]time.Time{}, warm: map[ggscore.ModelAdapter]warmth{}}
 			t.endpoints[n.ID] = e
 			t.breakers.Remove(n.ID)
-			changed = true
+			c.Any = true
+		}
+		if n.Leaving && !e.Leaving {
+			c.Leaving = append(c.Leaving, *n)
 		}
-		changed = changed || e.Leaving != n.Leaving
+		c.Any = c.Any || e.Leaving != n.Leaving
 		e.Instance = *n
 		e.local = n.Domain == t.options.Domain || t.options.Regions[n.Domain] == t.options.Regions[t.options.Domain]
 		e.entry = heldOf(n.Models)
 	}
 	for id, e := range t.endpoints {
 		if !seen[id] {
-			gone = append(gone, e.Instance)
+			c.Gone = append(c.Gone, e.Instance)
 			delete(t.endpoints, id)
 			t.breakers.Remove(id)
 		}
 	}
 	t.index()
 	t.sum(time.Time{})
-	return gone, changed || len(gone) > 0
+	c.Any = c.Any || len(c.Gone) > 0
+	return c
 }
 
 func heldOf(ms []ggscore.ResidentModel) map[ggscore.ModelAdapter]uint64 {
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -289,12 +289,16 @@
 	t.Parallel()
 	c := qt.New(t)
 	tb := table("d0", 1)
-	_, changed := tb.SetInstances(deployment())
-	c.Assert(changed, qt.IsFalse)
-	gone, changed := tb.SetInstances(deployment()[1:])
-	c.Assert(changed, qt.IsTrue)
-	c.Assert(gone, qt.HasLen, 1)
-	c.Assert(gone[0].ID, qt.Equals, ggscore.EndpointID("r00"))
+	c.Assert(tb.SetInstances(deployment()).Any, qt.IsFalse)
+	l := deployment()[1:]
+	l[0].Leaving = true
+	x := tb.SetInstances(l)
+	c.Assert(x.Any, qt.IsTrue)
+	c.Assert(x.Gone, qt.HasLen, 1)
+	c.Assert(x.Gone[0].ID, qt.Equals, ggscore.EndpointID("r00"))
+	c.Assert(x.Leaving, qt.HasLen, 1)
+	c.Assert(x.Leaving[0].ID, qt.Equals, ggscore.EndpointID("r01"))
+	c.Assert(tb.SetInstances(l), qt.DeepEquals, ggsplace.Change{})
 }
 
 // A quiet adapter is resident in another region, and its home here holds it in
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -267,7 +267,7 @@
 		list = append(list, i)
 	}
 	e.mu.Lock()
-	gone, changed := e.table.SetInstances(list)
+	change := e.table.SetInstances(list)
 	e.keeper.SetListed(e.Now(), list)
 	if at > 0 {
 		e.listRead = max(e.listRead, at)
@@ -276,14 +276,17 @@
 	}
 	// A VM that was told of one change may see another: it tells its own reading,
 	// and those who have read as much already find nothing new and tell nothing.
-	if changed && at > 0 {
+	if change.Any && at > 0 {
 		e.listedAt = e.listRead
 	}
 	e.listed = true
 	e.entries[e.options.Keys.Instances] = es
 	e.setWorkers(ctx)
 	e.mu.Unlock()
-	for _, g := range gone {
+	for _, l := range change.Leaving {
+		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLeaving, "endpoint", l.ID, "service", l.Service, "revision", at)
+	}
+	for _, g := range change.Gone {
 		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointGone, "endpoint", g.ID, "addr", g.Addr)
 		e.Pool.Forget(g.Addr)
 	}
--- /dev/null
+++ b/io/ggsedge/state.go
@@ -0,0 +1,177 @@
+package ggsedge
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	ggscore "greengageslip/core"
+)
+
+// A State is what an Edge goes by.
+type State struct {
+	Domain ggscore.Domain
+	// Config is the version of the configuration in force, zero for none, and
+	// Routes the number of its routes.
+	Config uint64
+	Routes int
+	// ListAge is the age of the list of endpoints, and StoreAway says that the
+	// last reading of the operators' entries failed.
+	ListAge   time.Duration
+	StoreAway bool
+	Endpoints []EndpointState
+	Peers     []PeerState
+	Versions  []ggscore.AdapterVersion
+}
+
+// An EndpointState is an endpoint as an Edge knows it.
+type EndpointState struct {
+	ID      ggscore.EndpointID
+	Service ggscore.Service
+	Domain  ggscore.Domain
+	Leaving bool
+	// Orderer is the VM that gives the endpoint orders, empty for none.
+	Orderer ggscore.VMID
+	// Held is what this VM, as the orderer, knows the endpoint to hold.
+	Held []ggscore.AdapterVersion
+}
+
+// A PeerState is a VM that an Edge knows, and the time since it was heard.
+type PeerState struct {
+	VM      ggscore.VMID
+	Domain  ggscore.Domain
+	Silence time.Duration
+}
+
+// State returns what the edge goes by, in the order of names.
+func (e *Edge) State() State {
+	s := State{Domain: e.options.Domain, StoreAway: e.storeAway.Load()}
+	if t := e.paths.Load(); t != nil {
+		s.Config, s.Routes = t.Config.Version, len(t.Config.Routes)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Now()
+	if e.listed {
+		s.ListAge = now.Sub(e.listSeen)
+	}
+	for _, i := range e.table.Instances("") {
+		n := EndpointState{ID: i.ID, Service: i.Service, Domain: i.Domain, Leaving: i.Leaving, Orderer: e.keeper.Owner(i.ID)}
+		if w := e.workers[i.ID]; w != nil {
+			n.Held = w.ledger.Resident()
+			sortVersions(n.Held)
+		}
+		s.Endpoints = append(s.Endpoints, n)
+	}
+	for vm, p := range e.peers {
+		s.Peers = append(s.Peers, PeerState{VM: vm, Domain: p.domain, Silence: now.Sub(p.heard)})
+	}
+	for t, v := range e.versions {
+		s.Versions = append(s.Versions, ggscore.AdapterVersion{Target: t, Version: v})
+	}
+	sortVersions(s.Versions)
+	slices.SortFunc(s.Endpoints, func(a, b EndpointState) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	slices.SortFunc(s.Peers, func(a, b PeerState) int { return cmp.Compare(a.VM, b.VM) })
+	return s
+}
+
+func sortVersions(vs []ggscore.AdapterVersion) {
+	slices.SortFunc(vs, func(a, b ggscore.AdapterVersion) int { return cmp.Compare(a.Target.String(), b.Target.String()) })
+}
+
+// The wire form of a State. Durations are in seconds.
+type stateWire struct {
+	Domain         string         `json:"domain"`
+	ConfigVersion  uint64         `json:"configVersion"`
+	Routes         int            `json:"routes"`
+	ListAgeSeconds float64        `json:"listAgeSeconds"`
+	StoreAway      bool           `json:"storeAway"`
+	Endpoints      []endpointWire `json:"endpoints"`
+	Peers          []peerWire     `json:"peers"`
+	// Versions and Held are texts, MODEL/ADAPTER and its version.
+	Versions []versionWire `json:"versions"`
+}
+
+type endpointWire struct {
+	ID      string        `json:"id"`
+	Service string        `json:"service"`
+	Domain  string        `json:"domain"`
+	Leaving bool          `json:"leaving"`
+	Orderer string        `json:"orderer"`
+	Held    []versionWire `json:"held"`
+}
+
+type peerWire struct {
+	VM             string  `json:"vm"`
+	Domain         string  `json:"domain"`
+	SilenceSeconds float64 `json:"silenceSeconds"`
+}
+
+type versionWire struct {
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Version uint64 `json:"version"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (s State) MarshalJSON() ([]byte, error) {
+	w := stateWire{
+		Domain: string(s.Domain), ConfigVersion: s.Config, Routes: s.Routes, ListAgeSeconds: s.ListAge.Seconds(),
+		StoreAway: s.StoreAway, Versions: versionWires(s.Versions),
+	}
+	for _, n := range s.Endpoints {
+		w.Endpoints = append(w.Endpoints, endpointWire{
+			ID: string(n.ID), Service: string(n.Service), Domain: string(n.Domain), Leaving: n.Leaving,
+			Orderer: string(n.Orderer), Held: versionWires(n.Held),
+		})
+	}
+	for _, p := range s.Peers {
+		w.Peers = append(w.Peers, peerWire{VM: string(p.VM), Domain: string(p.Domain), SilenceSeconds: p.Silence.Seconds()})
+	}
+	return json.Marshal(&w)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *State) UnmarshalJSON(b []byte) error {
+	var w stateWire
+	if err := json.Unmarshal(b, &w); err != nil {
+		return err
+	}
+	*s = State{
+		Domain: ggscore.Domain(w.Domain), Config: w.ConfigVersion, Routes: w.Routes, ListAge: duration(w.ListAgeSeconds),
+		StoreAway: w.StoreAway, Versions: versionsOf(w.Versions),
+	}
+	for _, n := range w.Endpoints {
+		s.Endpoints = append(s.Endpoints, EndpointState{
+			ID: ggscore.EndpointID(n.ID), Service: ggscore.Service(n.Service), Domain: ggscore.Domain(n.Domain),
+			Leaving: n.Leaving, Orderer: ggscore.VMID(n.Orderer), Held: versionsOf(n.Held),
+		})
+	}
+	for _, p := range w.Peers {
+		s.Peers = append(s.Peers, PeerState{VM: ggscore.VMID(p.VM), Domain: ggscore.Domain(p.Domain), Silence: duration(p.SilenceSeconds)})
+	}
+	return nil
+}
+
+func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+func versionWires(vs []ggscore.AdapterVersion) []versionWire {
+	ws := make([]versionWire, 0, len(vs))
+	for _, v := range vs {
+		ws = append(ws, versionWire{Model: string(v.Target.Model), Adapter: v.Target.Adapter, Version: v.Version})
+	}
+	return ws
+}
+
+func versionsOf(ws []versionWire) []ggscore.AdapterVersion {
+	var vs []ggscore.AdapterVersion
+	for _, w := range ws {
+		vs = append(vs, ggscore.AdapterVersion{
+			Target: ggscore.ModelAdapter{Model: ggscore.BaseModel(w.Model), Adapter: w.Adapter}, Version: w.Version,
+		})
+	}
+	return vs
+}
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -21,6 +21,7 @@
 	EventDependencyLost     Event = "dependencyLost"
 	EventDependencyRegained Event = "dependencyRegained"
 	EventEndpointGone       Event = "endpointGone"
+	EventEndpointLeaving    Event = "endpointLeaving"
 	EventEndpointRefused    Event = "endpointRefused"
 	EventEntryUnreadable    Event = "entryUnreadable"
 	EventListening          Event = "listening"
@@ -63,6 +64,7 @@
 		EventDependencyLost,
 		EventDependencyRegained,
 		EventEndpointGone,
+		EventEndpointLeaving,
 		EventEndpointRefused,
 		EventEntryUnreadable,
 		EventListening,
