perf: have VMs that give no orders beat to the store rarely

Cause: with 65 VMs beats were 26 calls a second of the store, a third of them of VMs that give no orders, and a VM that stopped beating counted as alive for 6 s. Change: VMs without orders beat every 10 s, owners every 4 s from 30 VMs on; who claims first goes by the words between VMs; the field for leaving VMs, which nothing set, is gone.

--- a/core/ggsfencing/keeper.go
+++ b/core/ggsfencing/keeper.go
@@ -5,6 +5,7 @@
 //
 //	k := ggsfencing.NewKeeper(ggsfencing.Options{Self: vm, Turn: 3 * time.Second})
 //	k.Observe(now, at, records, beats)      // each reading of the store
+//	k.SetHeard(vms)                         // whose words arrive
 //	p := k.Beat(now)                        // write it; its conditions are p's
 //	k.BeatEnded(sent, p, revision, refused)
 //	for _, c := range k.Claims(now, ready) { … k.ClaimEnded(sent, c, revision) }
@@ -55,9 +56,6 @@
 	// transaction of the store takes 32 conditions, one of them the VM's own beat,
 	// and maxDrops for records that are dropped.
 	DefaultMaxRecords = 27
-	// DefaultAlive is how long a VM counts as alive after its beat changed:
-	// three beats. It only decides who claims first.
-	DefaultAlive = 6 * time.Second
 )
 
 // An Options sets a Keeper. Zero fields take their defaults.
@@ -69,7 +67,6 @@
 	Validity time.Duration
 	Margin   time.Duration
 	Settle   time.Duration
-	Alive    time.Duration
 	Forget   time.Duration
 	// MaxRecords bounds the endpoints that get their orders from this VM.
 	MaxRecords int
@@ -91,7 +88,6 @@
 type Beat struct {
 	VM       ggscore.VMID
 	Domain   ggscore.Domain
-	Leaving  bool
 	Revision ggscore.StoreRevision
 }
 
@@ -122,6 +118,8 @@
 	records map[ggscore.EndpointID]*record
 	beats   map[ggscore.VMID]*beat
 	own     ggscore.StoreRevision
+	// heard are the VMs whose words arrive. It only decides who claims first.
+	heard map[ggscore.VMID]bool
 }
 
 type record struct {
@@ -144,7 +142,6 @@
 	o.Validity = cmp.Or(o.Validity, DefaultValidity)
 	o.Margin = cmp.Or(o.Margin, DefaultMargin)
 	o.Settle = cmp.Or(o.Settle, DefaultSettle)
-	o.Alive = cmp.Or(o.Alive, DefaultAlive)
 	o.Forget = cmp.Or(o.Forget, DefaultForget)
 	o.MaxRecords = cmp.Or(o.MaxRecords, DefaultMaxRecords)
 	return &Keeper{
@@ -283,7 +280,7 @@
 			continue
 		}
 		c, ok := k.claim(now, ready[i].ID)
-		if ok && k.first(now, &ready[i]) == k.options.Self {
+		if ok && k.first(&ready[i]) == k.options.Self {
 			cs = append(cs, c)
 		}
 	}
@@ -313,14 +310,31 @@
 	return c, now.Sub(since) >= k.options.Validity+k.options.Turn+k.options.Margin
 }
 
-// first returns the VM that is to claim the endpoint: of those that are alive,
-// in the endpoint's domain where there are any, the one that the endpoint's
-// name falls on.
-func (k *Keeper) first(now time.Time, i *ggscore.Instance) ggscore.VMID {
+// SetHeard takes the VMs whose words arrive.
+func (k *Keeper) SetHeard(vms []ggscore.VMID) {
+	k.heard = make(map[ggscore.VMID]bool, len(vms))
+	for _, vm := range vms {
+		k.heard[vm] = true
+	}
+}
+
+// Owns reports whether this VM gives orders to an endpoint.
+func (k *Keeper) Owns() bool {
+	for _, r := range k.records {
+		if r.Owner == k.options.Self && !r.Released {
+			return true
+		}
+	}
+	return false
+}
+
+// first returns the VM that is to claim the endpoint: of those that are heard, in
+// the endpoint's domain where there are any, the one that the endpoint's name falls
+// on. Where two think so of themselves, the store lets one of them have it.
+func (k *Keeper) first(i *ggscore.Instance) ggscore.VMID {
 	best, rank, near := k.options.Self, uint64(0), false
 	for vm, b := range k.beats {
-		live := vm == k.options.Self || now.Sub(b.since) < k.options.Alive && b.Revision != 0
-		if !live || b.Leaving {
+		if vm != k.options.Self && !k.heard[vm] {
 			continue
 		}
 		n := b.Domain == i.Domain
--- a/core/ggsfencing/keeper_test.go
+++ b/core/ggsfencing/keeper_test.go
@@ -183,6 +183,8 @@
 	c.Assert(k.Owner(runner), qt.Equals, ggscore.VMID("c"))
 }
 
+// Runners come up, and each VM that sees them claims all of them: one claim in ten
+// counts. Only a VM whose words the others hear is left to be first.
 func TestClaimsGoToOneVMInTheDomain(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
@@ -190,14 +192,19 @@
 		{VM: "a", Domain: "d", Revision: 1},
 		{VM: "b", Domain: "d", Revision: 2},
 		{VM: "far", Domain: "e", Revision: 3},
-		{VM: "left", Domain: "d", Leaving: true, Revision: 4},
+		{VM: "gone", Domain: "d", Revision: 4},
 	}
+	heard := []ggscore.VMID{"a", "b", "far"}
 	claims := 0
 	for _, vm := range vms {
 		k := ggsfencing.NewKeeper(ggsfencing.Options{Self: vm.VM, Domain: vm.Domain, Turn: turn})
 		k.Observe(at(0), 10, nil, vms)
+		k.SetHeard(heard)
+		if vm.VM == "gone" {
+			continue
+		}
 		n := len(k.Claims(at(ggsfencing.DefaultSettle), instances()))
-		if vm.Leaving || vm.Domain != "d" {
+		if vm.Domain != "d" {
 			c.Assert(n, qt.Equals, 0, qt.Commentf("%s", vm.VM))
 		}
 		claims += n
--- a/core/ggsgossip/gossip.go
+++ b/core/ggsgossip/gossip.go
@@ -7,6 +7,7 @@
 //	rs := ggsgossip.Routes(self, peers, beat.Relay, beat.Sequence) // pass a beat on
 //	age := ggsgossip.ReadAge(ggsgossip.Rank(self.VM, heard), rand.Float64())
 //	wait := ggsgossip.WatchWait(len(heard)+1, rand.Float64())
+//	next := ggsgossip.BeatInterval(len(heard)+1, owner)
 //
 // A word goes straight to the VMs of the own failure domain, to one VM of each
 // other domain of the region, and to one of each other region, which pass it on:
@@ -137,6 +138,32 @@
 	return min(watchLeast+time.Duration(x*float64(vms)*float64(watchPerVM)), watchMost)
 }
 
+const (
+	// beatOwner is the time between beats to the store of a VM that gives orders:
+	// it does so for 9 s after the last one that was acknowledged, so outages of
+	// 6.5 s stop none.
+	beatOwner = 2500 * time.Millisecond
+	// beatOwnerMany is that in a deployment of manyVMs and more, where beats were
+	// half of the calls: outages of 5 s stop no orders.
+	beatOwnerMany = 4 * time.Second
+	manyVMs       = 30
+	// beatIdle is that of a VM that gives no orders. Its record only tells others
+	// that it is there, and lasts.
+	beatIdle = 10 * time.Second
+)
+
+// BeatInterval returns the time between a VM's beats to the store where so many
+// VMs hear each other.
+func BeatInterval(vms int, owner bool) time.Duration {
+	switch {
+	case !owner:
+		return beatIdle
+	case vms >= manyVMs:
+		return beatOwnerMany
+	}
+	return beatOwner
+}
+
 const (
 	// recordsLeast is the least time between readings of the VMs' own records, and
 	// recordsPerVM what each VM adds: a reading costs a tenth of a call.
--- a/core/ggsgossip/gossip_test.go
+++ b/core/ggsgossip/gossip_test.go
@@ -155,3 +155,14 @@
 	c.Assert(ggsgossip.RecordsInterval(9), qt.Equals, time.Second)
 	c.Assert(ggsgossip.RecordsInterval(65) > 2*time.Second, qt.IsTrue)
 }
+
+// Orders go on for 9 s after a VM's last beat: one that gives any beats twice in
+// that time at least, also when it has just claimed its first endpoint.
+func TestOwnersBeatWhileTheyMayOrder(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	for _, vms := range []int{1, 9, 65, 410} {
+		c.Assert(2*ggsgossip.BeatInterval(vms, true) < 9*time.Second, qt.IsTrue)
+		c.Assert(ggsgossip.BeatInterval(vms, false) > ggsgossip.BeatInterval(vms, true), qt.IsTrue)
+	}
+}
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -16,10 +16,6 @@
 	"greengageslip/io/ggslog"
 )
 
-// beatInterval is the time between beats to the store: orders go on for 9 s
-// after the last one that was acknowledged.
-const beatInterval = 2500 * time.Millisecond
-
 // claimInterval is the time between looks for endpoints that nobody gives orders:
 // a look that finds none makes no call.
 const claimInterval = 300 * time.Millisecond
@@ -35,7 +31,6 @@
 	Domain  string `json:"domain"`
 	Beats   string `json:"beats"`
 	Control string `json:"control"`
-	Leaving bool   `json:"leaving"`
 	// Count makes each beat a change.
 	Count uint64 `json:"count"`
 }
@@ -134,10 +129,10 @@
 			vm := ggscore.VMID(name)
 			if err = json.Unmarshal(n.Value, &w); err == nil {
 				beats = append(beats, ggsfencing.Beat{
-					VM: vm, Domain: ggscore.Domain(w.Domain), Leaving: w.Leaving, Revision: n.Revision,
+					VM: vm, Domain: ggscore.Domain(w.Domain), Revision: n.Revision,
 				})
 			}
-			if p, ok := w.member(); ok && vm != e.options.VM && !w.Leaving {
+			if p, ok := w.member(); ok && vm != e.options.VM {
 				p.domain = ggscore.Domain(w.Domain)
 				p.region = e.options.Regions[p.domain]
 				peers[vm] = p
@@ -152,37 +147,47 @@
 
 // giveOrders writes beats and claims.
 func (e *Edge) giveOrders(ctx context.Context) error {
-	leaving := false
 	var count uint64
 	for ctx.Err() == nil {
-		acked := e.beatOnce(ctx, leaving, &count)
-		e.claimUntil(ctx, e.Steady().Add(beatInterval), acked)
+		sent := e.Steady()
+		e.claimUntilBeat(ctx, sent, e.beatOnce(ctx, &count))
 	}
 	return nil
 }
 
-// claimUntil claims endpoints that come up until the next beat is due, unless the
-// last one wasn't acknowledged. An endpoint that started waited for its first
+// claimUntilBeat claims endpoints that come up until the next beat is due, unless
+// the last one wasn't acknowledged. An endpoint that started waited for its first
 // order, which brings its base model, until the beat: 1.2 s on average.
-func (e *Edge) claimUntil(ctx context.Context, due time.Time, acked bool) {
+func (e *Edge) claimUntilBeat(ctx context.Context, sent time.Time, acked bool) {
 	for {
 		if acked {
 			e.claimAll(ctx)
 		}
-		if !pauseOr(ctx, min(claimInterval, due.Sub(e.Steady())), e.kick) || e.kicked.Swap(false) || !e.Steady().Before(due) {
+		left := e.beatInterval(acked) - e.since(sent)
+		if !pauseOr(ctx, min(claimInterval, left), e.kick) || e.kicked.Swap(false) || left <= claimInterval {
 			return
 		}
 	}
 }
 
+// beatInterval returns the time between this VM's beats to the store. One that
+// wasn't acknowledged is repeated as soon as an owner's is due: until then other
+// VMs may not know this one.
+func (e *Edge) beatInterval(acked bool) time.Duration {
+	heard := len(e.heardPeers())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return ggsgossip.BeatInterval(heard+1, e.keeper.Owns() || !acked)
+}
+
 // beatOnce writes a beat and reports whether it was acknowledged.
-func (e *Edge) beatOnce(ctx context.Context, leaving bool, count *uint64) bool {
+func (e *Edge) beatOnce(ctx context.Context, count *uint64) bool {
 	*count++
 	e.mu.Lock()
 	p := e.keeper.Beat(e.Now())
 	e.mu.Unlock()
 	v, err := json.Marshal(&memberRecord{
-		Domain: string(e.options.Domain), Beats: e.options.Beats.String(), Control: e.options.Control.String(), Leaving: leaving, Count: *count,
+		Domain: string(e.options.Domain), Beats: e.options.Beats.String(), Control: e.options.Control.String(), Count: *count,
 	})
 	if err != nil {
 		_ = level.Error(e.Log).Log("event", ggslog.EventBeatUnencoded, "err", err)
@@ -238,7 +243,9 @@
 	if t := e.paths.Load(); t != nil {
 		specs = t.Config.Services
 	}
+	heard := e.heardPeers()
 	e.mu.Lock()
+	e.keeper.SetHeard(heard)
 	var ready []ggscore.Instance
 	for _, i := range e.table.Instances("") {
 		if specs[i.Service].Engine != nil && !i.Leaving {
