test: a randomized soak of the platform's edges as real processes

Change: TestSoak plays seeds: four edges as processes before the stand-in site, killed, stopped, frozen, restarted, cut off by a loopback proxy, with a store that goes away, loses answers and its history, endpoints that fail and leave, and newer configurations and versions; it checks at most once, "not run", whole answers, no 4xx, turns of orders, leaving endpoints, planned stops, and that all serve again. Found while writing: two faults that restart one process at once had it started twice; each process has one fault of its life at a time now.

--- a/cmd/ggsnode/fault_process_test.go
+++ b/cmd/ggsnode/fault_process_test.go
@@ -26,6 +26,7 @@
 	programVariable   = "GGSNODE_TEST_PROGRAM"
 	dispatcherProgram = "ggsdispatcher"
 	gatewayProgram    = "ggsgateway"
+	edgeProcess       = "ggsedge"
 
 	shortLease = `leaseTtl = "2s"`
 )
@@ -36,6 +37,7 @@
 	programs := map[string]func(context.Context, []string, io.Writer, io.Writer) int{
 		dispatcherProgram: ggsnode.RunDispatcher,
 		gatewayProgram:    ggsnode.RunGateway,
+		edgeProcess:       ggsnode.RunEdge,
 	}
 	run := programs[os.Getenv(programVariable)]
 	if run == nil {
--- /dev/null
+++ b/cmd/ggsnode/soak_check_test.go
@@ -0,0 +1,202 @@
+package ggsnode_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/fakes/ggsfakesite"
+)
+
+const (
+	soakEvents   = 6
+	soakAdapters = 12
+	soakDeadline = 4 * time.Second
+)
+
+// An outcome is what a client saw of a request.
+type outcome struct {
+	id   string
+	path string
+	edge *soakEdge
+	from time.Time
+	to   time.Time
+	// status is zero where no answer came, whole says that it came to its end.
+	status int
+	body   string
+	whole  bool
+	wait   time.Duration
+	err    error
+}
+
+// client sends requests over connections that it keeps, until the context ends.
+func (s *soak) client(ctx context.Context, r *rand.Rand) {
+	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: soakDeadline + time.Second}
+	defer h.CloseIdleConnections()
+	for ctx.Err() == nil {
+		e := s.edge(r)
+		path := []string{"/chat/x", "/pay/release", "/look/balance"}[r.IntN(3)]
+		model := ""
+		if strings.HasPrefix(path, "/chat") {
+			model = fmt.Sprintf("m/a%d", min(r.IntN(soakAdapters), r.IntN(soakAdapters)))
+		}
+		o := s.send(ctx, h, e, path, model)
+		if ctx.Err() != nil {
+			return
+		}
+		s.mu.Lock()
+		s.outcomes = append(s.outcomes, o)
+		s.mu.Unlock()
+		if o.status == 0 {
+			o.wait = 100 * time.Millisecond
+		}
+		select {
+		case <-time.After(o.wait + time.Duration(r.IntN(60))*time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// send sends one request and reads its answer.
+func (s *soak) send(ctx context.Context, h *http.Client, e *soakEdge, path, model string) outcome {
+	o := outcome{id: fmt.Sprintf("%08x", s.ids.Add(1)), path: path, edge: e, from: time.Now()}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers()+path, strings.NewReader("{}"))
+	s.c.Check(err, qt.IsNil)
+	r.GetBody = nil // the client sends nothing twice
+	r.Host = ggsfakesite.Host
+	r.Header.Set("Request-Id", o.id)
+	r.Header.Set("Deadline-Ms", strconv.FormatInt(soakDeadline.Milliseconds(), 10))
+	if model != "" {
+		r.Header.Set("Model", model)
+	}
+	resp, err := h.Do(r)
+	if err != nil {
+		o.to, o.err = time.Now(), err
+		return o
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	o.to, o.status, o.body, o.whole, o.err = time.Now(), resp.StatusCode, string(b), err == nil, err
+	if w, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		o.wait = time.Duration(w * float64(time.Second))
+	}
+	return o
+}
+
+// allServe reports whether each edge serves each kind of request.
+func (s *soak) allServe() bool {
+	ctx, cancel := context.WithTimeout(s.ctx, soakDeadline)
+	defer cancel()
+	h := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, e := range s.edges {
+		for path, model := range map[string]string{"/chat/x": "m/a0", "/pay/release": "", "/look/balance": ""} {
+			if o := s.send(ctx, h, e, path, model); o.status != http.StatusOK {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// recover waits until all is served again: nothing is broken any more.
+func (s *soak) recover() {
+	s.await("each VM serves each kind of request after the faults", soakCalm, s.allServe)
+}
+
+// check checks what callers and endpoints saw.
+func (s *soak) check() {
+	runs := s.site.Runs()
+	counts := map[int]int{}
+	for _, o := range s.outcomes {
+		counts[o.status]++
+		s.checkOutcome(o, runs[o.id])
+	}
+	s.t.Logf("%d requests by status: %v", len(s.outcomes), counts)
+	s.c.Check(counts[http.StatusOK] > len(s.outcomes)/4, qt.IsTrue, qt.Commentf("few are served: %v", counts))
+	s.checkOrders()
+	s.checkDrains()
+}
+
+func (s *soak) checkOutcome(o outcome, runs int) {
+	what := qt.Commentf("%s %s at %s: status %d, runs %d, %q, %v", o.id, o.path, o.from.Format("05.000"), o.status, runs, o.body, o.err)
+	if !strings.HasPrefix(o.path, "/look") {
+		s.c.Check(runs <= 1, qt.IsTrue, what)
+		if o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests {
+			s.c.Check(runs, qt.Equals, 0, what)
+		}
+	}
+	s.c.Check(o.status == http.StatusNotFound || o.status == http.StatusBadRequest, qt.IsFalse, what)
+	if o.status == http.StatusOK && o.whole {
+		s.c.Check(wholeAnswer(o), qt.IsTrue, what)
+	}
+	if (o.status == 0 || !o.whole) && runs > 0 {
+		s.c.Check(s.cutByStop(o), qt.IsFalse, what)
+	}
+}
+
+// wholeAnswer reports whether an answer is one endpoint's whole answer to the
+// request.
+func wholeAnswer(o outcome) bool {
+	if !strings.HasPrefix(o.path, "/chat") {
+		return strings.HasPrefix(o.body, "answer to "+o.id+" by ") && strings.Count(o.body, "\n") == 1 && strings.HasSuffix(o.body, "\n")
+	}
+	_, by, _ := strings.Cut(o.body, " by ")
+	by, _, _ = strings.Cut(by, "\n")
+	var want strings.Builder
+	for n := range soakEvents {
+		fmt.Fprintf(&want, "id: %d\ndata: %s by %s\n\n", n+1, o.id, by)
+	}
+	return o.body == want.String()
+}
+
+// cutByStop reports whether a request that had reached an endpoint was cut off by a
+// planned stop of its VM, with no other fault around.
+func (s *soak) cutByStop(o outcome) bool {
+	for _, u := range s.unplanned {
+		if u.from.Before(o.to) && u.to.After(o.from.Add(-soakQuiet)) {
+			return false
+		}
+	}
+	for _, p := range o.edge.stopping {
+		if o.from.Before(p.to) && o.to.After(p.from) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkOrders checks that VMs gave an endpoint orders a turn apart.
+func (s *soak) checkOrders() {
+	for id, e := range s.site.Endpoints {
+		var last ggsfakesite.Order
+		for _, o := range e.Orders() {
+			if last.Holder != "" && last.Holder != o.Holder {
+				s.c.Check(o.At.Sub(last.At) >= soakTurn && o.Fence > last.Fence, qt.IsTrue,
+					qt.Commentf("%s: %s at %s, %s at %s", id, last.Holder, last.At, o.Holder, o.At))
+			}
+			last = o
+		}
+	}
+}
+
+// checkDrains checks that endpoints that leave got nothing after the bound, where
+// nothing kept VMs from learning it.
+func (s *soak) checkDrains() {
+	for id, at := range s.drained {
+		until := at.Add(soakDrain)
+		harmed := false
+		for _, u := range s.unplanned {
+			harmed = harmed || u.to.After(at.Add(-soakQuiet))
+		}
+		if !harmed {
+			s.c.Check(s.site.Endpoints[id].LastRun().After(until), qt.IsFalse, qt.Commentf("%s left at %s", id, at))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/ggsnode/soak_faults_test.go
@@ -0,0 +1,202 @@
+package ggsnode_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"greengageslip/fakes/ggsfakelink"
+	"greengageslip/fakes/ggsfakesite"
+)
+
+// A soakFault breaks something for some time and mends it.
+type soakFault struct {
+	name string
+	// planned says that it must not cost callers a request.
+	planned bool
+	run     func(s *soak, r *rand.Rand, for_ time.Duration)
+}
+
+// soakFaults returns what may go wrong.
+func soakFaults() []soakFault {
+	return []soakFault{
+		{"kill", false, (*soak).kill},
+		{"stop", true, (*soak).stop},
+		{"freeze", false, (*soak).freeze},
+		{"hangup", true, (*soak).hangup},
+		{"store link", false, (*soak).breakStoreLink},
+		{"endpoint link", false, (*soak).breakEndpointLink},
+		{"store away", false, (*soak).storeAway},
+		{"store loses answers", false, (*soak).storeLoses},
+		{"store forgets", false, func(s *soak, _ *rand.Rand, _ time.Duration) { s.site.Store.Compact() }},
+		{"endpoints fail", false, (*soak).failEndpoints},
+		{"endpoint leaves", true, (*soak).drain},
+		{"configuration", true, (*soak).configure},
+		{"version", true, (*soak).bump},
+	}
+}
+
+// injectUntil breaks things at random, several at once and in series, and returns
+// when all is mended.
+func (s *soak) injectUntil(end time.Time, work *sync.WaitGroup) {
+	var running sync.WaitGroup
+	faults := soakFaults()
+	for time.Now().Before(end) {
+		f := faults[s.rng.IntN(len(faults))]
+		r := rand.New(rand.NewPCG(s.rng.Uint64(), 3))
+		d := time.Duration(300+s.rng.IntN(3000)) * time.Millisecond
+		running.Add(1)
+		work.Go(func() {
+			defer running.Done()
+			from := time.Now()
+			f.run(s, r, d)
+			s.t.Logf("%s to %s: %s", from.Format("05.000"), time.Now().Format("05.000"), f.name)
+			if !f.planned {
+				s.mu.Lock()
+				s.unplanned = append(s.unplanned, span{from, time.Now()})
+				s.mu.Unlock()
+			}
+		})
+		s.sleep(time.Duration(50+s.rng.IntN(900)) * time.Millisecond)
+	}
+	running.Wait()
+}
+
+func (s *soak) edge(r *rand.Rand) *soakEdge { return s.edges[r.IntN(len(s.edges))] }
+
+func (s *soak) kill(r *rand.Rand, d time.Duration) {
+	e := s.edge(r)
+	if !e.life.TryLock() {
+		return
+	}
+	defer e.life.Unlock()
+	e.signal(syscall.SIGKILL)
+	s.restart(e, d/4)
+}
+
+func (s *soak) stop(r *rand.Rand, _ time.Duration) {
+	e := s.edge(r)
+	if !e.life.TryLock() {
+		return
+	}
+	defer e.life.Unlock()
+	from := time.Now()
+	e.signal(syscall.SIGTERM)
+	s.restart(e, 50*time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.stopping = append(e.stopping, span{from, time.Now()})
+}
+
+func (s *soak) freeze(r *rand.Rand, d time.Duration) {
+	e := s.edge(r)
+	e.signal(syscall.SIGSTOP)
+	s.sleep(d)
+	e.signal(syscall.SIGCONT)
+}
+
+func (s *soak) hangup(r *rand.Rand, _ time.Duration) { s.edge(r).signal(syscall.SIGHUP) }
+
+// harm returns a way to harm a link.
+func harm(r *rand.Rand) ggsfakelink.Faults {
+	return []ggsfakelink.Faults{
+		{Stall: true},
+		{Refuse: true},
+		{Delay: time.Duration(20+r.IntN(300)) * time.Millisecond},
+	}[r.IntN(3)]
+}
+
+func (s *soak) breakStoreLink(r *rand.Rand, d time.Duration) {
+	e := s.edge(r)
+	e.store.SetFaults(harm(r))
+	s.sleep(d)
+	e.store.SetFaults(ggsfakelink.Faults{})
+}
+
+func (s *soak) breakEndpointLink(r *rand.Rand, d time.Duration) {
+	l := s.links[s.endpoint(r, "")]
+	l.SetFaults(harm(r))
+	s.sleep(d)
+	l.SetFaults(ggsfakelink.Faults{})
+}
+
+// endpoint returns the name of an endpoint with a prefix.
+func (s *soak) endpoint(r *rand.Rand, prefix string) string {
+	var ids []string
+	for id := range s.site.Endpoints {
+		if strings.HasPrefix(id, prefix) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids[r.IntN(len(ids))]
+}
+
+func (s *soak) storeAway(_ *rand.Rand, d time.Duration) {
+	s.site.Store.SetAway(true)
+	s.sleep(d)
+	s.site.Store.SetAway(false)
+}
+
+func (s *soak) storeLoses(r *rand.Rand, d time.Duration) {
+	s.site.Store.LoseAnswers(1 + r.IntN(3))
+	s.sleep(d)
+	s.site.Store.LoseAnswers(0)
+}
+
+func (s *soak) failEndpoints(r *rand.Rand, d time.Duration) {
+	faults := []ggsfakesite.Fault{
+		ggsfakesite.FaultReset, ggsfakesite.FaultShed, ggsfakesite.FaultCut, ggsfakesite.FaultError, ggsfakesite.FaultUnsigned,
+	}
+	f := faults[r.IntN(len(faults))]
+	e := s.site.Endpoints[s.endpoint(r, "")]
+	every := 2 + r.IntN(8)
+	e.SetFault(func(q ggsfakesite.Query) ggsfakesite.Fault {
+		if q.Number%every == 0 {
+			return f
+		}
+		return ggsfakesite.FaultNone
+	})
+	s.sleep(d)
+	e.SetFault(func(ggsfakesite.Query) ggsfakesite.Fault { return ggsfakesite.FaultNone })
+}
+
+// drain has one runner and one ledger leave in a play at most, so that others
+// serve.
+func (s *soak) drain(r *rand.Rand, _ time.Duration) {
+	prefix := []string{"runner", "ledger"}[r.IntN(2)]
+	id := s.endpoint(r, prefix)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for d := range s.drained {
+		if strings.HasPrefix(d, prefix) {
+			return
+		}
+	}
+	s.site.Drain(id)
+	s.drained[id] = time.Now()
+}
+
+// configure writes a newer configuration, with streams below another prefix too.
+func (s *soak) configure(*rand.Rand, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.site.Store.Put("op/config", ggsfakesite.Config(s.version, "/chat/"))
+}
+
+// bump names a new version of an adapter.
+func (s *soak) bump(r *rand.Rand, _ time.Duration) {
+	a := fmt.Sprintf("a%d", r.IntN(soakAdapters))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions[a]++
+	for _, e := range s.site.Endpoints {
+		e.SetVersion(a, s.versions[a])
+	}
+	s.site.Store.Put("op/version/m."+a, fmt.Appendf(nil, `{"model":"m","adapter":%q,"version":%d}`, a, s.versions[a]))
+}
--- /dev/null
+++ b/cmd/ggsnode/soak_test.go
@@ -0,0 +1,273 @@
+package ggsnode_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec" //nolint:depguard // the soak kills and freezes real processes; the product starts none
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/fakes/ggsfakelink"
+	"greengageslip/fakes/ggsfakesite"
+)
+
+// The soak runs edges as processes of their own before a stand-in of the users'
+// platform, and breaks what is around them at random: processes are killed,
+// stopped, frozen and restarted, links are cut, delayed and reset by a proxy, the
+// store goes away, loses answers and its history, endpoints fail and leave, and
+// operators change the configuration meanwhile. Clients keep their connections. What
+// callers and endpoints saw is checked at the end.
+//
+//	go test ./cmd/ggsnode -run TestSoak -soak.seeds 50 -soak.length 25s
+//	go test ./cmd/ggsnode -run TestSoak -soak.seed 7 -soak.length 25s -v
+//
+//nolint:gochecknoglobals // flags of the test
+var (
+	soakSeed   = flag.Uint64("soak.seed", 0, "play this seed only")
+	soakSeeds  = flag.Int("soak.seeds", 0, "play so many fresh seeds")
+	soakLength = flag.Duration("soak.length", 6*time.Second, "time of faults in each play")
+)
+
+// soakCases are seeds that are always played, with what each is for.
+//
+//nolint:gochecknoglobals // a table of cases
+var soakCases = map[string]uint64{
+	"an ordinary mix": 1,
+}
+
+const (
+	soakEdges   = 4
+	soakClients = 16
+	soakTurn    = 3 * time.Second
+	// soakCalm is the time after the faults in which all has to be served again.
+	soakCalm = 20 * time.Second
+	// soakDrain is the time after which a leaving endpoint gets nothing more.
+	soakDrain = 2500 * time.Millisecond
+	// soakQuiet is the time without other faults around a planned stop in which no
+	// request may be cut off.
+	soakQuiet = 3 * time.Second
+)
+
+func TestSoak(t *testing.T) {
+	t.Parallel()
+	switch {
+	case *soakSeed > 0:
+		playSoak(t, *soakSeed)
+	case *soakSeeds > 0:
+		for range *soakSeeds {
+			seed := rand.Uint64N(1 << 32)
+			//nolint:paralleltest // plays one after the other, so that timing is each one's own
+			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playSoak(t, seed) })
+		}
+	default:
+		for name, seed := range soakCases {
+			//nolint:paralleltest // as above
+			t.Run(name, func(t *testing.T) { playSoak(t, seed) })
+		}
+	}
+}
+
+var soaks atomic.Int32 //nolint:gochecknoglobals // gives each play an address of its own
+
+// A soak is one play.
+type soak struct {
+	t     *testing.T
+	c     *qt.C
+	ctx   context.Context //nolint:containedctx // the play's, which ends all of it
+	rng   *rand.Rand
+	site  *ggsfakesite.Site
+	edges []*soakEdge
+	// links are the ways to endpoints, by their names.
+	links map[string]*ggsfakelink.Link
+	log   *os.File
+
+	mu sync.Mutex
+	// unplanned are the times of faults that nobody planned, drained when endpoints
+	// began to leave.
+	unplanned []span
+	drained   map[string]time.Time
+	outcomes  []outcome
+	// version is the configuration's, versions are the adapters'.
+	version  int
+	versions map[string]uint64
+	ids      atomic.Int64
+}
+
+type span struct{ from, to time.Time }
+
+// A soakEdge is a VM: its process, and its way to the store.
+type soakEdge struct {
+	ip       netip.Addr
+	settings string
+	store    *ggsfakelink.Link
+	// life is held while the process is ended and started again.
+	life sync.Mutex
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	// stopping are the times of planned stops.
+	stopping []span
+}
+
+func (e *soakEdge) callers() string { return netip.AddrPortFrom(e.ip, 7100).String() }
+
+func playSoak(t *testing.T, seed uint64) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &soak{
+		t: t, c: c, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 2)),
+		links: map[string]*ggsfakelink.Link{}, drained: map[string]time.Time{}, version: 1, versions: map[string]uint64{},
+	}
+	t.Logf("seed %d", seed)
+	var work sync.WaitGroup
+	t.Cleanup(func() {
+		for _, e := range s.edges {
+			e.signal(syscall.SIGCONT)
+			e.signal(syscall.SIGKILL)
+		}
+		cancel()
+		work.Wait()
+	})
+	s.start(&work)
+	load, stop := context.WithCancel(ctx)
+	var clients sync.WaitGroup
+	for n := range soakClients {
+		clients.Go(func() { s.client(load, rand.New(rand.NewPCG(seed, uint64(100+n)))) })
+	}
+	s.injectUntil(time.Now().Add(*soakLength), &work)
+	s.recover()
+	stop()
+	clients.Wait()
+	s.check()
+}
+
+// start starts the stand-in, the links and the processes, and waits until all are
+// ready.
+func (s *soak) start(work *sync.WaitGroup) {
+	net3 := byte(soaks.Add(1))
+	p := os.Getpid()
+	ip := func(n byte) netip.Addr {
+		return netip.AddrFrom4([4]byte{127, 64 + byte(p>>8)%64, byte(p), net3*16 + n})
+	}
+	site := netip.AddrPortFrom(ip(0), 7000)
+	advertised := map[string]netip.AddrPort{}
+	o := ggsfakesite.SiteOptions{
+		Listen: site, Zones: []string{"a", "b"}, Runners: 2, Events: soakEvents, EventTime: 15 * time.Millisecond,
+		Now: time.Now, Advertised: advertised,
+	}
+	s.site = ggsfakesite.NewSite(o)
+	port := uint16(7400)
+	for id := range s.site.Endpoints {
+		port++
+		advertised[id] = netip.AddrPortFrom(ip(0), port)
+		s.links[id] = s.link(work, advertised[id], s.site.Addr(id))
+	}
+	work.Go(func() { s.c.Check(s.site.Run(s.ctx), qt.IsNil) })
+	dir := s.t.TempDir()
+	f, err := os.Create(filepath.Join(dir, "edges.log"))
+	s.c.Assert(err, qt.IsNil)
+	s.log = f
+	s.t.Cleanup(func() { s.keepLog(dir) })
+	for n := range soakEdges {
+		e := &soakEdge{ip: ip(byte(n + 1)), settings: filepath.Join(dir, fmt.Sprintf("edge-%d.yaml", n))}
+		at := netip.AddrPortFrom(ip(0), uint16(7300+n))
+		e.store = s.link(work, at, site)
+		zone := []string{"a", "b"}[n%2]
+		text := fmt.Sprintf(`nodeName: "edge-%[1]d"
+ip: "%[2]s"
+zone: "%[3]s"
+region: "%[3]s"
+zones: {a: "a", b: "b"}
+listen: {front: "%[2]s:7100", ready: "%[2]s:7101", control: "%[2]s:7102"}
+portRange: [7200, 7210]
+seeds: ["%[4]s:7102", "%[5]s:7102"]
+limits: {cores: 1, memoryMb: 284, maxFds: 4100}
+bounds: {graceS: 8, leaseMs: %[6]d, retryBudgetRatio: 0.2, retrySlack: 58}
+platform: {address: "%[7]s"}
+`, n, e.ip, zone, ip(1), ip(2), soakTurn.Milliseconds(), at)
+		s.c.Assert(os.WriteFile(e.settings, []byte(text), 0o600), qt.IsNil)
+		s.edges = append(s.edges, e)
+		s.spawn(e)
+	}
+	s.await("all serve", soakCalm, s.allServe)
+}
+
+func (s *soak) link(work *sync.WaitGroup, at, to netip.AddrPort) *ggsfakelink.Link {
+	l := ggsfakelink.New(to)
+	n, err := (&net.ListenConfig{}).Listen(s.ctx, "tcp", at.String())
+	s.c.Assert(err, qt.IsNil)
+	work.Go(func() { s.c.Check(l.Serve(s.ctx, n), qt.IsNil) })
+	return l
+}
+
+// keepLog keeps the processes' log of a play that failed.
+func (s *soak) keepLog(dir string) {
+	_ = s.log.Close()
+	if s.t.Failed() {
+		to := filepath.Join(os.TempDir(), filepath.Base(filepath.Dir(dir))+"-edges.log")
+		s.t.Logf("log kept: %s, %v", to, os.Rename(s.log.Name(), to))
+	}
+}
+
+// spawn starts an edge's process.
+func (s *soak) spawn(e *soakEdge) {
+	cmd := exec.CommandContext(s.ctx, os.Args[0])
+	cmd.Env = append(os.Environ(), programVariable+"="+edgeProcess, "GREENGAGESLIP_NODE_FILE="+e.settings)
+	cmd.Stdout, cmd.Stderr = s.log, s.log
+	_, err := cmd.StdinPipe()
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(cmd.Start(), qt.IsNil)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cmd = cmd
+}
+
+// signal sends a signal to the edge's process, which may have ended.
+func (e *soakEdge) signal(g syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cmd != nil {
+		_ = e.cmd.Process.Signal(g)
+	}
+}
+
+// restart waits for the process's end and starts the next. soakEdge.life is held.
+func (s *soak) restart(e *soakEdge, pause time.Duration) {
+	e.mu.Lock()
+	cmd := e.cmd
+	e.mu.Unlock()
+	_ = cmd.Wait() // it was killed or told to stop
+	s.sleep(pause)
+	if s.ctx.Err() == nil {
+		s.spawn(e)
+	}
+}
+
+func (s *soak) sleep(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-s.ctx.Done():
+	}
+}
+
+func (s *soak) await(what string, limit time.Duration, ok func() bool) {
+	s.c.Helper()
+	end := time.Now().Add(limit)
+	for !ok() {
+		if time.Now().After(end) {
+			s.c.Fatalf("waited %s in vain: %s", limit, what)
+		}
+		s.sleep(50 * time.Millisecond)
+	}
+}
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -76,6 +76,7 @@
 	orders   []Order
 	left     int
 	number   int
+	lastRun  time.Time
 }
 
 // An Order is one that the endpoint was given.
@@ -87,6 +88,8 @@
 	Expected  *uint64 `json:"expected"`
 	Holder    string  `json:"holder"`
 	Fence     uint64  `json:"fencingToken"`
+	// At is when it was accepted.
+	At time.Time `json:"-"`
 }
 
 // NewEndpoint returns an endpoint that holds its model and no adapters.
@@ -154,6 +157,13 @@
 	return append([]Order(nil), e.orders...)
 }
 
+// LastRun returns when the last request began to run.
+func (e *Endpoint) LastRun() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastRun
+}
+
 // Left returns the number of requests whose callers left.
 func (e *Endpoint) Left() int {
 	e.mu.Lock()
@@ -187,6 +197,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.settle()
+	o.At = e.options.Now()
 	_, holds := e.held[o.Adapter]
 	_, coming := e.coming[o.Adapter]
 	wanted := max(o.Version, e.versions[o.Adapter], 1)
@@ -267,6 +278,7 @@
 	missing := e.missing(r)
 	if f != FaultShed && !missing {
 		e.runs[id]++
+		e.lastRun = e.options.Now()
 		e.bodies[id] = string(b)
 	}
 	e.mu.Unlock()
--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -30,6 +30,9 @@
 	// EventTime is the time of each event of a stream.
 	EventTime time.Duration
 	Now       func() time.Time
+	// Advertised are addresses that entries name in place of the endpoints' own,
+	// such as those of links before them.
+	Advertised map[string]netip.AddrPort
 }
 
 // A Site is a store with the endpoints and the configuration of a small
@@ -85,6 +88,9 @@
 		version, Host, chat, Models, Host, Ledger, Host, Ledger, Models, DefaultModel, Ledger))
 }
 
+// Addr returns an endpoint's own address.
+func (s *Site) Addr(id string) netip.AddrPort { return s.addrs[id] }
+
 // Run serves until the context ends.
 //
 // Site.mu is never held while Store.mu or Endpoint.mu is locked.
@@ -135,7 +141,11 @@
 	s.mu.Lock()
 	draining := s.draining[id]
 	s.mu.Unlock()
-	s.Store.Put("servers/"+id, s.Endpoints[id].Entry(s.addrs[id].String(), s.zones[id], draining))
+	addr, ok := s.options.Advertised[id]
+	if !ok {
+		addr = s.addrs[id]
+	}
+	s.Store.Put("servers/"+id, s.Endpoints[id].Entry(addr.String(), s.zones[id], draining))
 }
 
 // Runs returns how often each request was run by any endpoint.
