--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -43,7 +43,7 @@
 	idleTime = 350 * time.Millisecond
 	// rareRate is the requests a second up to which an adapter is evicted as soon
 	// as all VMs have said that they use it no more. Their words are 0.1 s old on
-	// average, so one eviction in sixty meets a request.
+	// average, so one eviction in thirty meets a request at most.
 	rareRate = 0.3
 	// wordMaxAge is the age at which a VM's word that it uses an adapter no longer
 	// counts: it says so with each beat.
