--- a/core/ggsplace/flights.go
+++ b/core/ggsplace/flights.go
@@ -41,9 +41,9 @@
 	t.addFlights(p, 1)
 }
 
-// addFlights adds a peer's requests in flight to the endpoints', or takes them
-// off. Added up anew for each beat they took 54 us a beat with 65
-// VMs, which hear 430 beats a second; so it takes 5 (a benchmark of 65 peers).
+// addFlights adds a peer's requests in flight to the endpoints', or takes them off.
+// VMs of a deployment of 65 hear 430 beats a second: with all peers' requests added
+// up anew a beat takes 54 µs, and so 5 µs (a benchmark of 65 peers, 79 endpoints).
 func (t *Table) addFlights(p *peer, sign int) {
 	if p == nil {
 		return
