feat: have prompts begin at an endpoint one after the other, where streams would pause

An event holds three tokens, a step reads up to 2,048 prompt tokens in 107 ms, so prompts that fall on one runner together stop all its streams for 350 ms.

Change: core/ggsturn gives each prompt a turn: within a stretch as long as the shortest pause that a route wants, no more is begun at a runner than it reads in that time. A VM takes the next turn that its own view leaves free and tells the others in a datagram at once, so nobody has to be asked and nobody's loss stops it; a turn is looked at once more when it is due. How fast runners read is learnt from first pieces, shared with the beats and kept in the VMs' records.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -28,6 +28,7 @@
 	"greengageslip/io/ggslog"
 	"greengageslip/io/ggspeer"
 	"greengageslip/io/ggsrpc"
+	"greengageslip/io/ggssettings"
 	"greengageslip/io/ggsstate"
 	ggsdialect "greengageslip/platform"
 )
@@ -75,6 +76,8 @@
 	// MetricsPort serves the metrics beside the address for readiness checks,
 	// whose port isn't known beforehand.
 	MetricsPort uint16 `long:"metrics-port" value-name:"PORT" description:"port of the VM that serves /metrics, beside the one for readiness"`
+	// Policy names a file that switches mechanisms off, for measurements.
+	Policy string `long:"policy" value-name:"FILE" description:"TOML file that switches parts of the decisions off: off = [\"turns\"]"`
 }
 
 // RunEdge runs an edge until a signal or the context's end and returns its
@@ -89,6 +92,13 @@
 		_, _ = fmt.Fprintf(stderr, "%s: %v\n", edgeProgram, err)
 		return exitUsage
 	}
+	var policy ggscore.Policy
+	if c.Policy != "" {
+		if policy, err = ggssettings.ReadPolicy(c.Policy); err != nil {
+			_, _ = fmt.Fprintf(stderr, "%s: %v\n", edgeProgram, err)
+			return exitUsage
+		}
+	}
 	runtime.GOMAXPROCS(s.Cores)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
@@ -105,12 +115,12 @@
 		<-done
 	}()
 	l := log.Logger(ggslog.NewLimit(ggslog.New(w, edgeProgram, s.VM, ggslog.Level(c.LogLevel)), time.Now)) //nolint:forbidigo // the clock of the log
-	return runEdge(ctx, &c, &s, l)
+	return runEdge(ctx, &c, &s, policy, l)
 }
 
-func runEdge(ctx context.Context, c *edgeLine, s *ggsdialect.Settings, l log.Logger) int {
+func runEdge(ctx context.Context, c *edgeLine, s *ggsdialect.Settings, policy ggscore.Policy, l log.Logger) int {
 	return runApp(ctx, s.Grace+stopMargin, l,
-		fx.Supply(c, s),
+		fx.Supply(c, s, policy),
 		fx.Provide(
 			func() clock { return time.Now }, //nolint:forbidigo // the one clock of a process
 			func(t clock) *ggsexchange.Pool { return ggsexchange.NewPool(ggsexchange.Options{Now: t}) },
@@ -126,7 +136,7 @@
 	return netip.AddrPortFrom(s.Addr, s.FirstPort)
 }
 
-func newEdge(s *ggsdialect.Settings, p *ggsexchange.Pool, t clock, l log.Logger) (*ggsedge.Edge, error) {
+func newEdge(s *ggsdialect.Settings, policy ggscore.Policy, p *ggsexchange.Pool, t clock, l log.Logger) (*ggsedge.Edge, error) {
 	u, err := ggspeer.Listen(context.Background(), edgeBeats(s))
 	if err != nil {
 		return nil, err
@@ -136,6 +146,7 @@
 	return ggsedge.New(ggsedge.Options{
 		// A VM that comes back under an old name at another address is another
 		// machine to those that take its orders.
+		Policy: policy,
 		VM:     s.VM + "@" + ggscore.VMID(s.Addr.String()),
 		Domain: s.Domain, Regions: s.Regions, Seed: h.Sum64() ^ uint64(t().UnixNano()),
 		Beats: edgeBeats(s), Control: s.Control, Seeds: s.Seeds, Turn: s.OrderTurn, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -94,7 +94,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	go func() { e.done <- runEdge(ctx, &edgeLine{}, &e.settings, log.NewNopLogger()) }()
+	go func() { e.done <- runEdge(ctx, &edgeLine{}, &e.settings, ggscore.Policy{}, log.NewNopLogger()) }()
 	s.edges = append(s.edges, e)
 	t.Cleanup(func() {
 		e.cancel()
--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -9,8 +9,10 @@
 
 // Costs of a choice, as the delay that a request is expected to meet.
 const (
-	// costInFlight is the delay for each request in flight at a runner: half of
-	// the time that it takes to read a usual prompt of 650 tokens at 38 a ms.
+	// costInFlight is the delay for each request in flight at a runner, beside the
+	// prompts that it has yet to read: each lengthens every step and takes a slot and
+	// memory. At 2 ms popular adapters' runners filled up, and 2 to 6 callers in a
+	// hundred more were late on the heaviest days.
 	costInFlight = 12 * time.Millisecond
 	// costLoad is an adapter's time from the weight store.
 	costLoad = 250 * time.Millisecond
@@ -60,6 +62,8 @@
 	Target ggscore.ModelAdapter
 	// Version is the adapter's version that has to answer, zero for any.
 	Version uint64
+	// PromptTokens is the size of the prompt, zero where it isn't known.
+	PromptTokens int
 	// Tried lists endpoints that are not to be chosen again.
 	Tried []ggscore.EndpointID
 }
@@ -91,13 +95,17 @@
 	for i := range candidates {
 		c := &candidates[i]
 		c.cost = t.cost(c.endpoint, q.Engine)
+		var load time.Duration
 		if !c.resident {
-			c.cost += c.loadCost(&q, slices.Contains(homes, c.endpoint))
+			load = t.loadCost(c.endpoint, &q, slices.Contains(homes, c.endpoint))
 			if holders >= max(len(homes), 1) {
-				c.cost += costCopy
+				load += costCopy
 			}
 		}
-		c.cost += time.Duration(max(c.failures(now)-sound, 0) * float64(costFailure))
+		c.cost += t.untilRead(now, c.endpoint, &q, load)
+		if t.options.Policy.On(ggscore.MechanismFailures) {
+			c.cost += time.Duration(max(c.failures(now)-sound, 0) * float64(costFailure))
+		}
 		if best == nil || c.cost < best.cost {
 			best = c
 		}
@@ -118,7 +126,10 @@
 // candidates returns the endpoints that a request may go to now, and how many
 // there would be if none were full, crowded or failing.
 func (t *Table) candidates(now time.Time, q Query, base ggscore.ModelAdapter) (cs []candidate, ready int) {
-	excluded := t.breakers.Exclude(now, nil)
+	var excluded []ggscore.EndpointID
+	if t.options.Policy.On(ggscore.MechanismBreakers) {
+		excluded = t.breakers.Exclude(now, nil)
+	}
 	for _, e := range t.services[q.Service] {
 		if e.Leaving || slices.Contains(q.Tried, e.ID) {
 			continue
@@ -151,7 +162,7 @@
 func (t *Table) cost(e *endpoint, g *ggscore.EngineSpec) time.Duration {
 	n := e.own + e.peers
 	c := time.Duration(t.rng.Int64N(int64(time.Millisecond)))
-	if !e.local {
+	if !e.local && t.options.Policy.On(ggscore.MechanismRegions) {
 		c += costRegion
 	}
 	if g == nil {
@@ -162,6 +173,15 @@
 	return c + costInFlight*time.Duration(n)
 }
 
+// untilRead returns the delay until an endpoint has read the prompt of a request
+// that waits for a load. The prompts before are read meanwhile.
+func (t *Table) untilRead(now time.Time, e *endpoint, q *Query, load time.Duration) time.Duration {
+	if q.Engine == nil || t.options.Turns == nil || !t.options.Policy.On(ggscore.MechanismTurns) {
+		return load
+	}
+	return max(t.options.Turns.Expect(now, q.Service, e.ID, q.PromptTokens).Ready, load)
+}
+
 // Waits that refused callers are told. The load that fills endpoints comes in
 // waves of seconds; a second try within the objective still earns it.
 const (
--- a/core/ggsplace/homes.go
+++ b/core/ggsplace/homes.go
@@ -38,6 +38,9 @@
 		return nil
 	}
 	rate := t.demand.Recent(now, q.Target)
+	if !t.options.Policy.On(ggscore.MechanismCopies) {
+		rate = 0
+	}
 	n := 1 + min(int(rate/replicaRate), maxHomes-1)
 	if rate >= regionRate {
 		n = max(n, t.regions())
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -39,6 +39,10 @@
 	Domain  ggscore.Domain
 	Regions map[ggscore.Domain]ggscore.Region
 	Seed    uint64
+	// Turns tells what prompts wait for at endpoints. Without it only requests in
+	// flight count.
+	Turns  ggscore.TurnExpecter
+	Policy ggscore.Policy
 }
 
 // A Table holds what a VM knows of the endpoints.
--- a/core/ggsplace/warm.go
+++ b/core/ggsplace/warm.go
@@ -45,12 +45,12 @@
 // When a runner comes, a part of the adapters get it for their home. Fetched
 // there, they took a third of the weight store's rate on days on which runners
 // come and go, though others had them in memory still.
-func (e *endpoint) loadCost(q *Query, home bool) time.Duration {
+func (t *Table) loadCost(e *endpoint, q *Query, home bool) time.Duration {
 	wait := max(costWait*time.Duration(e.waiting), costPlace*time.Duration(e.waiting+1-e.room))
 	switch {
-	case e.isWarm(q.Target, q.Version):
+	case e.isWarm(q.Target, q.Version) && t.options.Policy.On(ggscore.MechanismWarm):
 		return costWarm + wait
-	case home:
+	case home || !t.options.Policy.On(ggscore.MechanismHomes):
 		return costLoad + wait
 	}
 	return costLoad + costAway + wait
--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -79,6 +79,7 @@
 	Transit  int
 	LoadTime time.Duration
 	Poll     time.Duration
+	Policy   ggscore.Policy
 }
 
 // A Step is an order to give.
--- a/core/ggsresident/orders.go
+++ b/core/ggsresident/orders.go
@@ -42,6 +42,9 @@
 	l.wants = slices.DeleteFunc(l.wants, func(w want) bool {
 		return l.Holds(w.target, w.version) || now.Sub(w.since) > DefaultForget
 	})
+	if !l.options.Policy.On(ggscore.MechanismWantedFirst) {
+		return
+	}
 	for i := range l.wants {
 		l.wants[i].rate = l.missed(now, l.wants[i].target)
 	}
@@ -99,7 +102,7 @@
 			continue
 		}
 		r := l.missed(now, t)
-		if now.Before(h.idle(now, r)) {
+		if now.Before(l.idle(now, h, r)) {
 			continue
 		}
 		if bestHeld == nil || r < bestRate || r == bestRate && h.used.Before(bestHeld.used) {
@@ -111,7 +114,7 @@
 
 // missed returns the requests a second that would miss an adapter.
 func (l *Ledger) missed(now time.Time, t ggscore.ModelAdapter) float64 {
-	if l.options.Demand == nil {
+	if l.options.Demand == nil || !l.options.Policy.On(ggscore.MechanismDemand) {
 		return 0
 	}
 	return l.options.Demand.Missed(now, l.options.Endpoint, t)
@@ -180,7 +183,7 @@
 func (l *Ledger) Room(now time.Time) int {
 	n := l.options.Slots - len(l.held)
 	for t, h := range l.held {
-		if !h.coming && !h.evicting && !l.wanted(t) && !now.Before(h.idle(now, l.missed(now, t))) {
+		if !h.coming && !h.evicting && !l.wanted(t) && !now.Before(l.idle(now, h, l.missed(now, t))) {
 			n++
 		}
 	}
@@ -194,8 +197,8 @@
 // ended: each waited idleTime after the last word of it. A rare one is given up
 // as soon as its users have ended; that another VM has just sent a request for it
 // is unlikely, and then only delays the runner's orders.
-func (h *held) idle(now time.Time, rate float64) time.Time {
-	if h.released && rate < rareRate {
+func (l *Ledger) idle(now time.Time, h *held, rate float64) time.Time {
+	if h.released && rate < rareRate && l.options.Policy.On(ggscore.MechanismRelease) {
 		return h.used
 	}
 	at := h.used.Add(idleTime)
@@ -218,7 +221,7 @@
 		if h.coming || h.evicting || l.wanted(t) {
 			continue
 		}
-		if i := h.idle(now, l.missed(now, t)); at.IsZero() || i.Before(at) {
+		if i := l.idle(now, h, l.missed(now, t)); at.IsZero() || i.Before(at) {
 			at = i
 		}
 	}
--- /dev/null
+++ b/core/ggsturn/table_test.go
@@ -0,0 +1,148 @@
+package ggsturn_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsturn"
+)
+
+const (
+	models = ggscore.Service("models")
+	runner = ggscore.EndpointID("r1")
+	gapAim = 300 * time.Millisecond
+	way    = 2 * time.Millisecond
+	// perToken is the speed that tests teach: a prompt of 1,000 tokens takes 50 ms.
+	perToken = 50 * time.Microsecond
+	quiet    = 30 * time.Millisecond
+)
+
+func at(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+// table returns a table that knows the speed and lets prompts wait: 255 ms of reading
+// may begin within 300.
+func table(vm ggscore.VMID) *ggsturn.Table {
+	t := ggsturn.NewTable(ggsturn.Options{VM: vm})
+	t.SetService(models, gapAim)
+	t.Adopt(at(0), ggscore.TurnShape{Service: models, PerToken: perToken, Quiet: quiet, Waits: true, Without: 0.5})
+	return t
+}
+
+func take(t *ggsturn.Table, now time.Duration, tokens int) time.Duration {
+	return t.Take(at(now), models, runner, tokens, 0).Begin.Sub(at(0))
+}
+
+// Four prompts come at the same moment. Read one after the other without a pause they
+// would stop every stream of the runner for as long.
+func TestPromptsBeginAsStreamsAllow(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := table("vm")
+	c.Assert(take(b, 0, 2000), qt.Equals, time.Duration(0))
+	c.Assert(take(b, 0, 3000), qt.Equals, time.Duration(0))
+	c.Assert(take(b, 0, 1000), qt.Equals, gapAim, qt.Commentf("250 ms of reading have begun"))
+	c.Assert(take(b, 0, 1000), qt.Equals, gapAim)
+	e := b.Expect(at(10*time.Millisecond), models, runner, 1000)
+	c.Assert(e.Wait, qt.Equals, gapAim-10*time.Millisecond)
+	c.Assert(e.Ready, qt.Equals, gapAim+3*50*time.Millisecond-10*time.Millisecond)
+}
+
+// A prompt longer than all that may begin within the aim has to be read some time. It
+// waits until nothing else was begun of late, and shorter ones don't pass it.
+func TestLongPromptIsntStarved(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := table("vm")
+	c.Assert(take(b, 0, 1000), qt.Equals, time.Duration(0))
+	c.Assert(take(b, 10*time.Millisecond, 9000), qt.Equals, gapAim)
+	c.Assert(take(b, 20*time.Millisecond, 100), qt.Equals, 2*gapAim)
+}
+
+// A caller leaves while its prompt waits: the turn is free for the next one.
+func TestUnusedTurnIsFree(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := table("vm")
+	n := b.Take(at(0), models, runner, 4000, 0)
+	b.Drop(n)
+	c.Assert(take(b, 0, 5000), qt.Equals, time.Duration(0))
+}
+
+// Two VMs take a turn within the way of a datagram, and neither knows of the other's.
+// Both prompts would be read at once, 400 ms of them: the later one steps back.
+func TestTurnsTakenAtOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	a, b := table("a"), table("b")
+	x := a.Take(at(0), models, runner, 4000, way)
+	y := b.Take(at(time.Millisecond), models, runner, 4000, way)
+	c.Assert(x.Begin, qt.Equals, at(way))
+	c.Assert(y.Begin, qt.Equals, at(time.Millisecond+way))
+	a.Add(at(2*time.Millisecond), y)
+	b.Add(at(time.Millisecond), x)
+	x, ok := a.Confirm(at(way), x)
+	c.Assert(ok, qt.IsTrue)
+	y, ok = b.Confirm(y.Begin, y)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(y.Begin, qt.Equals, x.Begin.Add(gapAim))
+	y, ok = b.Confirm(y.Begin, y)
+	c.Assert(ok, qt.IsTrue)
+}
+
+// Callers don't all say how long their prompts are, or say something absurd: those
+// count as usual prompts, and nobody gets an endpoint to itself for minutes.
+func TestPromptsWithoutASize(t *testing.T) {
+	t.Parallel()
+	for name, tokens := range map[string]int{"none": 0, "negative": -5, "huge": 1 << 40} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			b := table("vm")
+			for range 200 {
+				n := b.Take(at(0), models, "r2", 400, 0)
+				b.Drop(n)
+			}
+			c.Assert(b.Take(at(0), models, runner, tokens, 0).Tokens, qt.Equals, 400)
+		})
+	}
+}
+
+// The runners read a token in 25 µs, and one first piece in six came late for another
+// reason. What is learnt is off by a tenth at most.
+func TestReadingSpeedIsLearnt(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := ggsturn.NewTable(ggsturn.Options{VM: "vm"})
+	b.SetService(models, gapAim)
+	ready := func() time.Duration { return b.Expect(at(0), models, runner, 10_000).Ready }
+	c.Assert(ready(), qt.Equals, 500*time.Millisecond, qt.Commentf("before anything was seen"))
+	for i := range 60 {
+		tokens := 200 + 97*i%3000
+		took := 20*time.Millisecond + time.Duration(tokens)*25*time.Microsecond
+		if i%6 == 0 {
+			took += 400 * time.Millisecond
+		}
+		b.LearnFirst(ggscore.TurnSample{Service: models, Tokens: tokens, Took: took})
+	}
+	c.Assert(ready() > 225*time.Millisecond && ready() < 275*time.Millisecond, qt.IsTrue, qt.Commentf("%s", ready()))
+}
+
+// A runner turns slow. Its first pieces show it within some answers, and prompts are
+// expected to wait longer there than at the others.
+func TestSlowEndpointIsNoticed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := table("vm")
+	now := time.Duration(0)
+	for range 12 {
+		n := b.Take(at(now), models, runner, 1000, 0)
+		b.First(at(now+200*time.Millisecond), n, at(now))
+		now += time.Second
+	}
+	slow := b.Expect(at(now), models, runner, 1000).Ready
+	c.Assert(slow > 100*time.Millisecond, qt.IsTrue, qt.Commentf("%s", slow))
+	c.Assert(b.Expect(at(now), models, "r2", 1000).Ready, qt.Equals, 50*time.Millisecond)
+}
--- a/core/instance.go
+++ b/core/instance.go
@@ -57,6 +57,8 @@
 	// Deadline is how long the caller waits, zero where it didn't say.
 	Deadline time.Duration
 	Model    ModelAdapter
+	// PromptTokens is the size of the prompt, zero where the caller didn't say.
+	PromptTokens int
 }
 
 // A ForwardMeta is what the system adds to a request that it passes on.
--- a/core/serving.go
+++ b/core/serving.go
@@ -1,6 +1,9 @@
 package ggscore
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A RouteKind says what may be repeated on a route.
 type RouteKind int
@@ -39,6 +42,11 @@
 	Resumable bool
 	// Timeout is the longest time that a request is kept waiting.
 	Timeout time.Duration
+	// Target is the time within which callers want the answer, of streams the first
+	// piece, and GapAim the longest pause between a stream's pieces that they want.
+	// Both are zero where the configuration doesn't say.
+	Target time.Duration
+	GapAim time.Duration
 	// Priority orders routes; a lower number is served first.
 	Priority Priority
 	// MaxAttempts is the number of endpoints that one request may run on.
@@ -65,6 +73,22 @@
 	AdapterBytes int64
 }
 
+// GapAim returns the shortest pause between pieces that a route to a service wants,
+// zero where none wants one.
+func (c *RoutingConfig) GapAim(s Service) time.Duration {
+	var aim time.Duration
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.GapAim <= 0 || aim > 0 && r.GapAim >= aim {
+			continue
+		}
+		if slices.ContainsFunc(r.Targets, func(t RouteTarget) bool { return t.Service == s }) {
+			aim = r.GapAim
+		}
+	}
+	return aim
+}
+
 // An EngineSpec describes a model service's runners.
 type EngineSpec struct {
 	Models []ModelSpec
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -75,7 +75,7 @@
 	defer e.mu.Unlock()
 	j.version = e.versions[j.meta.Model]
 	return e.table.Choose(e.Now(), ggsplace.Query{
-		Service: j.service, Engine: j.spec.Engine, Target: j.meta.Model, Version: j.version, Tried: j.tried,
+		Service: j.service, Engine: j.spec.Engine, Target: j.meta.Model, Version: j.version, PromptTokens: j.meta.PromptTokens, Tried: j.tried,
 	})
 }
 
@@ -162,10 +162,16 @@
 		return &ggscore.Failure{Kind: ggscore.FailureCancelled, Outcome: ggscore.OutcomeNotRun, Detail: "no time is left"}
 	}
 	e.begin(j, i.ID)
+	if !e.takeTurn(ctx, j, i) {
+		e.end(j, i.ID, ggsretry.ResultNeutral)
+		return &ggscore.Failure{Kind: ggscore.FailureCancelled, Outcome: ggscore.OutcomeNotRun, Detail: "its time was over before its turn"}
+	}
+	left = j.until.Sub(e.Steady())
 	j.sends++
+	j.sentAt = e.Now()
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestSent, "request", j.meta.ID, "endpoint", i.ID, "route", j.route.Name,
 		"adapter", j.meta.Model, "version", j.version, "resident", c.Resident, "inFlight", c.InFlight,
-		"waited", e.since(j.arrived), "left", left)
+		"tokens", j.turn.Tokens, "turnWait", j.turnWait, "waited", e.since(j.arrived), "left", left)
 	a, err := e.Pool.Do(ctx, ggsexchange.Request{
 		Addr: i.Addr, Method: j.r.Method, URI: j.uri, Host: j.r.Host, Body: j.body,
 		Header:   e.Dialect.Forward(j.r.Header, ggscore.ForwardMeta{Endpoint: i.ID, Left: left, Version: j.version, Priority: j.route.Priority}),
@@ -178,6 +184,9 @@
 	}
 	defer a.Close()
 	f, r := e.relay(ctx, j, i, a)
+	if f != nil && !j.committed {
+		e.dropTurn(j)
+	}
 	e.end(j, i.ID, r)
 	return f
 }
@@ -211,6 +220,7 @@
 		j.runs++
 	}
 	e.end(j, i.ID, result)
+	e.dropTurn(j)
 	_ = level.Info(e.Log).Log("event", ggslog.EventAttemptFailed, "request", j.meta.ID, "endpoint", i.ID, "outcome", f.Outcome, "err", err)
 	return f
 }
--- a/io/ggsedge/beats.go
+++ b/io/ggsedge/beats.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -36,13 +35,7 @@
 
 // spread sends a beat as far as the relay says.
 func (e *Edge) spread(b ggspeer.Beat, reach ggscore.Relay) {
-	to := map[ggscore.Relay][]netip.AddrPort{}
-	e.mu.Lock()
-	for _, r := range ggsgossip.Routes(e.self(), e.members(), reach, b.Sequence) {
-		to[r.Relay] = append(to[r.Relay], e.peers[r.To].beats)
-	}
-	e.mu.Unlock()
-	for relay, addrs := range to {
+	for relay, addrs := range e.routes(reach, b.Sequence) {
 		b.Relay = relay
 		if err := e.Peers.Send(b, addrs); err != nil {
 			_ = level.Debug(e.Log).Log("event", ggslog.EventBeatUnsent, "err", err)
@@ -74,6 +67,7 @@
 		VM: e.options.VM, Sequence: e.sequence, Started: started, ListedAt: e.listedAt, OperatedAt: e.operatedAt,
 		ListAge: min(e.Now().Sub(e.listOwn), time.Hour),
 	}
+	b.Samples, b.Tallies = e.turns.Untold()
 	for _, f := range e.table.Own() {
 		b.Flights = append(b.Flights, ggspeer.Flight(f))
 	}
@@ -142,6 +136,12 @@
 			e.table.SetHeld(now, h.Endpoint, h.Held)
 		}
 	}
+	for _, s := range b.Samples {
+		e.turns.LearnFirst(s)
+	}
+	for _, n := range b.Tallies {
+		e.turns.LearnTally(now, n)
+	}
 	for _, u := range b.Uses {
 		e.table.Asked(now, u.Target, u.Count)
 		if w := e.workers[u.Endpoint]; w != nil {
--- a/io/ggsedge/doc.go
+++ b/io/ggsedge/doc.go
@@ -26,8 +26,8 @@
 // # Following a request
 //
 // handler.go admits it, attempt.go sends it, relay.go passes the answer on;
-// placement.go has adapters loaded, and follow.go keeps what the decisions go
-// by.
+// placement.go has adapters loaded, turns.go has prompts wait for each other, and
+// follow.go keeps what the decisions go by.
 //
 // # Locks
 //
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -15,6 +15,7 @@
 	"greengageslip/core/ggspath"
 	"greengageslip/core/ggsplace"
 	"greengageslip/core/ggsretry"
+	"greengageslip/core/ggsturn"
 	"greengageslip/io/ggsexchange"
 	"greengageslip/io/ggspeer"
 	"greengageslip/io/ggsrpc"
@@ -22,6 +23,7 @@
 
 // An Options sets an Edge.
 type Options struct {
+	Policy  ggscore.Policy
 	VM      ggscore.VMID
 	Domain  ggscore.Domain
 	Regions map[ggscore.Domain]ggscore.Region
@@ -104,6 +106,7 @@
 	mu       sync.Mutex
 	table    *ggsplace.Table
 	keeper   *ggsfencing.Keeper
+	turns    *ggsturn.Table
 	retries  *ggsretry.Policy
 	versions map[ggscore.ModelAdapter]uint64
 	workers  map[ggscore.EndpointID]*worker
@@ -178,10 +181,12 @@
 
 // New returns an Edge that knows nothing yet.
 func New(o Options, p Parts) *Edge {
+	turns := ggsturn.NewTable(ggsturn.Options{VM: o.VM, First: o.Seed})
 	e := &Edge{
 		options:  o,
 		Parts:    p,
-		table:    ggsplace.NewTable(ggsplace.Options{Domain: o.Domain, Regions: o.Regions, Seed: o.Seed}),
+		turns:    turns,
+		table:    ggsplace.NewTable(ggsplace.Options{Domain: o.Domain, Regions: o.Regions, Seed: o.Seed, Turns: turns, Policy: o.Policy}),
 		keeper:   ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn}),
 		retries:  ggsretry.NewPolicy(retryOptions(o)),
 		versions: map[ggscore.ModelAdapter]uint64{},
@@ -227,7 +232,7 @@
 	g.Go(func() error { return e.followInstances(ctx) })
 	g.Go(func() error { return e.followMembers(ctx) })
 	g.Go(func() error { return e.tellPeers(ctx) })
-	g.Go(func() error { return e.Peers.Run(ctx, e.heard) })
+	g.Go(func() error { return e.Peers.Run(ctx, ggspeer.Handler{Beat: e.heard, Notice: e.noticed}) })
 	g.Go(func() error { return e.giveOrders(ctx) })
 	g.Go(func() error { return e.askSeeds(ctx) })
 	return g.Wait()
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -245,6 +245,11 @@
 		return
 	}
 	e.paths.Store(ggspath.NewTable(c))
+	e.mu.Lock()
+	for s := range c.Services {
+		e.turns.SetService(s, c.GapAim(s))
+	}
+	e.mu.Unlock()
 	_ = level.Info(e.Log).Log("event", ggslog.EventConfigAdopted, "version", c.Version, "revision", n.Revision, "routes", len(c.Routes))
 }
 
@@ -308,5 +313,8 @@
 	for _, g := range change.Gone {
 		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointGone, "endpoint", g.ID, "addr", g.Addr)
 		e.Pool.Forget(g.Addr)
+		e.mu.Lock()
+		e.turns.Remove(g.ID)
+		e.mu.Unlock()
 	}
 }
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -65,6 +65,18 @@
 	granted bool
 	// kept is an endpoint's failure, while another endpoint is tried.
 	kept *keptAnswer
+	// turn is its turn at the endpoint that it was sent to last, sentAt when it was.
+	turn   ggscore.PromptTurn
+	sentAt time.Time
+	// turnWait is how long it waited for its turn.
+	turnWait time.Duration
+	// pieceAt is when the last piece of its answer came.
+	pieceAt time.Time
+	// gap is the longest pause between two pieces of its answer.
+	gap time.Duration
+	// hurt says that prompts of others made its answer pause for longer than callers
+	// of the route want, or that it was late for its turn.
+	hurt bool
 	// first is the time from its arrival to the first piece of its answer.
 	first time.Duration
 	// committed says that an answer has begun.
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -34,6 +34,37 @@
 	Control string `json:"control"`
 	// Count makes each beat a change.
 	Count uint64 `json:"count"`
+	// Shapes are what the VM has learnt of how endpoints read, for VMs that start.
+	Shapes []shapeRecord `json:"shapes,omitempty"`
+}
+
+// A shapeRecord is a ggscore.TurnShape. Durations are in microseconds.
+type shapeRecord struct {
+	Service  string  `json:"service"`
+	PerToken int64   `json:"perTokenNanoseconds"`
+	Start    int64   `json:"startMicroseconds"`
+	Quiet    int64   `json:"quietMicroseconds"`
+	Waits    bool    `json:"waits"`
+	Without  float64 `json:"without"`
+}
+
+func shapeRecords(hs []ggscore.TurnShape) []shapeRecord {
+	var rs []shapeRecord
+	for _, h := range hs {
+		rs = append(rs, shapeRecord{
+			Service: string(h.Service), PerToken: h.PerToken.Nanoseconds(), Start: h.Start.Microseconds(),
+			Quiet: h.Quiet.Microseconds(), Waits: h.Waits, Without: h.Without,
+		})
+	}
+	return rs
+}
+
+func (r *shapeRecord) shape() ggscore.TurnShape {
+	us := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+	return ggscore.TurnShape{
+		Service: ggscore.Service(r.Service), PerToken: time.Duration(r.PerToken), Start: us(r.Start),
+		Quiet: us(r.Quiet), Waits: r.Waits, Without: r.Without,
+	}
 }
 
 // An ordererRecord says who gives an endpoint its orders.
@@ -133,6 +164,7 @@
 				beats = append(beats, ggsfencing.Beat{
 					VM: vm, Domain: ggscore.Domain(w.Domain), Revision: n.Revision,
 				})
+				e.adoptShapes(w.Shapes)
 			}
 			if p, ok := w.member(); ok && vm != e.options.VM {
 				p.domain = ggscore.Domain(w.Domain)
@@ -147,6 +179,15 @@
 	return records, beats, peers
 }
 
+// adoptShapes takes what a VM had learnt of how endpoints read.
+func (e *Edge) adoptShapes(rs []shapeRecord) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range rs {
+		e.turns.Adopt(e.Now(), rs[i].shape())
+	}
+}
+
 // giveOrders writes beats and claims.
 func (e *Edge) giveOrders(ctx context.Context) error {
 	var count uint64
@@ -187,9 +228,11 @@
 	*count++
 	e.mu.Lock()
 	p := e.keeper.Beat(e.Now())
+	shapes := e.turns.Shapes()
 	e.mu.Unlock()
 	v, err := json.Marshal(&memberRecord{
 		Domain: string(e.options.Domain), Beats: e.options.Beats.String(), Control: e.options.Control.String(), Count: *count,
+		Shapes: shapeRecords(shapes),
 	})
 	if err != nil {
 		_ = level.Error(e.Log).Log("event", ggslog.EventBeatUnencoded, "err", err)
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -47,10 +47,11 @@
 	if err != nil {
 		return e.broken(j, i, err), ggsretry.ResultFailed
 	}
+	e.streamed(j)
 	e.stats.Answered.Add(1)
 	e.metrics.answered(j.route.Kind, e.since(j.arrived))
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestEnded, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
-		"sends", j.sends, "first", j.first, "took", e.since(j.arrived))
+		"sends", j.sends, "first", j.first, "gap", j.gap, "took", e.since(j.arrived))
 	if a.Status >= http.StatusInternalServerError {
 		return nil, ggsretry.ResultFailed
 	}
@@ -154,6 +155,7 @@
 	for {
 		n, err := a.Body.Read(b)
 		if n > 0 {
+			e.piece(j)
 			if !j.committed {
 				e.head(j, a, a.Length)
 			}
@@ -179,6 +181,38 @@
 	}
 }
 
+// piece notes that a piece of a stream came.
+func (e *Edge) piece(j *job) {
+	now := e.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hurt := false
+	if !j.committed {
+		e.turns.First(now, j.turn, j.sentAt)
+		first := e.since(j.arrived)
+		hurt = first > j.route.Target && first-j.turnWait <= j.route.Target
+	} else {
+		gap := now.Sub(j.pieceAt)
+		j.gap = max(j.gap, gap)
+		hurt = e.turns.Gap(now, j.service, j.turn.Endpoint, gap)
+	}
+	j.pieceAt = now
+	if hurt && !j.hurt {
+		j.hurt = true
+		e.turns.Stream(now, j.service, true)
+	}
+}
+
+// streamed notes a stream that ended whole and wasn't hurt.
+func (e *Edge) streamed(j *job) {
+	if j.hurt || j.route.Kind != ggscore.RouteStreaming {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.turns.Stream(e.Now(), j.service, false)
+}
+
 // head writes an answer's head.
 func (e *Edge) head(j *job, a *ggsexchange.Answer, length int64) {
 	j.committed = true
--- /dev/null
+++ b/io/ggsedge/turns.go
@@ -0,0 +1,134 @@
+package ggsedge
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsgossip"
+	"greengageslip/io/ggslog"
+	"greengageslip/io/ggspeer"
+)
+
+const (
+	// nearWay and farWay are the times that word of a turn takes to the VMs of the
+	// endpoint's region, from that region and from another: a trip of 1 or 8 ms, a
+	// relay, and a wait for the processor.
+	nearWay = 3 * time.Millisecond
+	farWay  = 12 * time.Millisecond
+	// mostTurns bounds how often a request takes its turn anew.
+	mostTurns = 3
+)
+
+// takeTurn waits until the endpoint may read the request's prompt. It returns false
+// where the caller left or the time was over before.
+func (e *Edge) takeTurn(ctx context.Context, j *job, i ggscore.Instance) bool {
+	if j.spec.Engine == nil || !e.options.Policy.On(ggscore.MechanismTurns) {
+		return true
+	}
+	begun := e.Steady()
+	for tries := 0; ; tries++ {
+		n, wait := e.turn(j, i, tries)
+		j.turn, j.turnWait = n, e.since(begun)
+		if wait <= 0 {
+			return true
+		}
+		if !pause(ctx, wait) {
+			e.dropTurn(j)
+			return false
+		}
+	}
+}
+
+// turn takes a request's turn, or looks at it once more, and returns the time until it
+// is due.
+func (e *Edge) turn(j *job, i ggscore.Instance, tries int) (ggscore.PromptTurn, time.Duration) {
+	way := nearWay
+	if !e.near(i.Domain) {
+		way = farWay
+	}
+	e.mu.Lock()
+	now := e.Now()
+	n, ok := j.turn, false
+	if tries == 0 {
+		n = e.turns.Take(now, j.service, i.ID, j.meta.PromptTokens, way)
+	} else if n, ok = e.turns.Confirm(now, n); tries >= mostTurns {
+		ok = true
+	}
+	e.mu.Unlock()
+	if ok {
+		return n, 0
+	}
+	wait := n.Begin.Sub(now)
+	e.notify(n, ggspeer.Notice{Wait: max(wait, 0)})
+	return n, wait
+}
+
+// near reports whether a failure domain is in this VM's region.
+func (e *Edge) near(d ggscore.Domain) bool {
+	return d == e.options.Domain || e.options.Regions[d] == e.options.Regions[e.options.Domain]
+}
+
+// dropTurn takes back the turn of a request whose endpoint has read nothing for it.
+// Kept, it would count as a prompt that the endpoint has yet to read: others would
+// wait for it, and streams' pauses would seem to pass beside a backlog.
+func (e *Edge) dropTurn(j *job) {
+	if j.turn.Endpoint == "" {
+		return
+	}
+	e.mu.Lock()
+	e.turns.Drop(j.turn)
+	e.mu.Unlock()
+	e.notify(j.turn, ggspeer.Notice{Unused: true})
+	j.turn = ggscore.PromptTurn{}
+}
+
+// notify tells the peers of a turn of this VM.
+func (e *Edge) notify(n ggscore.PromptTurn, w ggspeer.Notice) {
+	w.VM, w.Number, w.Service, w.Endpoint, w.Tokens = n.VM, n.Number, n.Service, n.Endpoint, n.Tokens
+	e.spreadNotice(w, ggscore.RelayRegions)
+}
+
+// spreadNotice sends a notice as far as the relay says.
+func (e *Edge) spreadNotice(n ggspeer.Notice, reach ggscore.Relay) {
+	for relay, addrs := range e.routes(reach, n.Number) {
+		n.Relay = relay
+		if err := e.Peers.SendNotice(n, addrs); err != nil {
+			_ = level.Debug(e.Log).Log("event", ggslog.EventBeatUnsent, "err", err)
+		}
+	}
+}
+
+// routes returns the addresses that a word goes to, by how far they pass it on.
+func (e *Edge) routes(reach ggscore.Relay, sequence uint64) map[ggscore.Relay][]netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	to := map[ggscore.Relay][]netip.AddrPort{}
+	for _, r := range ggsgossip.Routes(e.self(), e.members(), reach, sequence) {
+		to[r.Relay] = append(to[r.Relay], e.peers[r.To].beats)
+	}
+	return to
+}
+
+// noticed takes a peer's notice.
+func (e *Edge) noticed(n ggspeer.Notice) {
+	if n.Relay > ggscore.RelayNone {
+		e.spreadNotice(n, n.Relay)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Now()
+	t := ggscore.PromptTurn{
+		VM: n.VM, Number: n.Number, Service: n.Service, Endpoint: n.Endpoint, Begin: now.Add(n.Wait), Tokens: n.Tokens,
+	}
+	if n.Unused {
+		e.turns.Drop(t)
+		return
+	}
+	// A turn that was taken anew comes under its number again.
+	e.turns.Drop(t)
+	e.turns.Add(now, t)
+}
--- a/io/ggsedge/worker.go
+++ b/io/ggsedge/worker.go
@@ -100,7 +100,10 @@
 		}
 		c, cancel := context.WithCancel(ctx)
 		w = &worker{
-			instance: i, ledger: ggsresident.NewLedger(ggsresident.Options{Endpoint: i.ID, Demand: e.table, Slots: s.Engine.Places()}),
+			instance: i,
+			ledger: ggsresident.NewLedger(ggsresident.Options{
+				Endpoint: i.ID, Demand: e.table, Slots: s.Engine.Places(), Policy: e.options.Policy,
+			}),
 			changed: make(chan struct{}), kick: make(chan struct{}, 1), cancel: cancel,
 		}
 		e.workers[i.ID] = w
@@ -193,7 +196,7 @@
 		Unload: s.Unload, Endpoint: i.ID, Addr: i.Addr, Target: s.Target, Version: s.Version,
 		Expected: s.Expected, Holder: e.options.VM, Fence: fence,
 	}
-	if s.Poll {
+	if s.Poll && e.options.Policy.On(ggscore.MechanismQuestions) {
 		questions.Go(func() {
 			e.order(ctx, w, o, s, timeout)
 			w.wake()
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -33,6 +33,9 @@
 	Flights  []Flight
 	Holdings []Holding
 	Uses     []Use
+	// Samples and Tallies tell how endpoints read.
+	Samples []ggscore.TurnSample
+	Tallies []ggscore.TurnTally
 }
 
 // A Flight is the number of the VM's requests at an endpoint, and how many have
@@ -86,6 +89,8 @@
 	Flights  []flightWire
 	Holdings []holdingWire
 	Uses     []useWire
+	Samples  []sampleWire
+	Tallies  []tallyWire
 }
 
 type flightWire struct {
@@ -121,6 +126,21 @@
 	Active   bool
 }
 
+type sampleWire struct {
+	_       struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Service string
+	Tokens  int
+	// Took counts microseconds.
+	Took int64
+}
+
+type tallyWire struct {
+	_       struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Service string
+	Streams int
+	Hurt    int
+}
+
 // Listen opens the socket for beats.
 func Listen(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
 	p, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp4", addr.String())
@@ -135,8 +155,20 @@
 	return &Conn{udp: u}, nil
 }
 
-// Run hands each beat to the function until the context ends.
-func (c *Conn) Run(ctx context.Context, f func(Beat)) error {
+// The kinds of datagrams, their first byte.
+const (
+	kindBeat   = 'b'
+	kindNotice = 'n'
+)
+
+// A Handler takes what peers say.
+type Handler struct {
+	Beat   func(Beat)
+	Notice func(Notice)
+}
+
+// Run hands each beat and notice to the handler until the context ends.
+func (c *Conn) Run(ctx context.Context, h Handler) error {
 	stop := context.AfterFunc(ctx, func() { _ = c.udp.Close() })
 	defer stop()
 	b := make([]byte, maxDatagram)
@@ -148,18 +180,38 @@
 			}
 			return errors.Wrap(err, "receiving beats")
 		}
-		var w beatWire
-		if err := cbor.Unmarshal(b[:n], &w); err != nil {
+		if !h.take(b[:n]) {
 			c.dropped.Add(1)
-			continue
 		}
-		beat, err := w.beat()
+	}
+}
+
+// take hands a datagram on, and returns false for one that can't be read.
+func (h *Handler) take(p []byte) bool {
+	if len(p) == 0 {
+		return false
+	}
+	switch p[0] {
+	case kindBeat:
+		var w beatWire
+		if cbor.Unmarshal(p[1:], &w) != nil {
+			return false
+		}
+		b, err := w.beat()
 		if err != nil {
-			c.dropped.Add(1)
-			continue
+			return false
 		}
-		f(beat)
+		h.Beat(b)
+		return true
+	case kindNotice:
+		var w noticeWire
+		if cbor.Unmarshal(p[1:], &w) != nil {
+			return false
+		}
+		h.Notice(w.notice())
+		return true
 	}
+	return false
 }
 
 // Dropped returns the number of datagrams that couldn't be read.
@@ -167,11 +219,19 @@
 
 // Send sends the beat to the addresses. A datagram that can't be sent is lost
 // like one on the way; the last failure is returned.
-func (c *Conn) Send(b Beat, to []netip.AddrPort) error {
-	p, err := cbor.Marshal(wireOf(b))
+func (c *Conn) Send(b Beat, to []netip.AddrPort) error { return c.send(kindBeat, wireOf(b), to) }
+
+// SendNotice sends the notice to the addresses, like Send.
+func (c *Conn) SendNotice(n Notice, to []netip.AddrPort) error {
+	return c.send(kindNotice, noticeWireOf(n), to)
+}
+
+func (c *Conn) send(kind byte, w any, to []netip.AddrPort) error {
+	p, err := cbor.Marshal(w)
 	if err != nil {
-		return errors.Wrap(err, "encoding a beat")
+		return errors.Wrap(err, "encoding a datagram")
 	}
+	p = append([]byte{kind}, p...)
 	var last error
 	for _, a := range to {
 		if _, err := c.udp.WriteToUDPAddrPort(p, a); err != nil {
@@ -213,6 +273,12 @@
 			Endpoint: string(u.Endpoint), Model: model(u.Target.Model), Adapter: u.Target.Adapter, Count: u.Count, Active: u.Active,
 		})
 	}
+	for _, x := range b.Samples {
+		w.Samples = append(w.Samples, sampleWire{Service: string(x.Service), Tokens: x.Tokens, Took: x.Took.Microseconds()})
+	}
+	for _, x := range b.Tallies {
+		w.Tallies = append(w.Tallies, tallyWire{Service: string(x.Service), Streams: x.Streams, Hurt: x.Hurt})
+	}
 	return w
 }
 
@@ -244,6 +310,14 @@
 		}
 		b.Uses = append(b.Uses, Use{Endpoint: ggscore.EndpointID(u.Endpoint), Target: t, Count: u.Count, Active: u.Active})
 	}
+	for _, x := range w.Samples {
+		b.Samples = append(b.Samples, ggscore.TurnSample{
+			Service: ggscore.Service(x.Service), Tokens: x.Tokens, Took: time.Duration(x.Took) * time.Microsecond,
+		})
+	}
+	for _, x := range w.Tallies {
+		b.Tallies = append(b.Tallies, ggscore.TurnTally{Service: ggscore.Service(x.Service), Streams: x.Streams, Hurt: x.Hurt})
+	}
 	return b, nil
 }
 
--- a/io/ggspeer/conn_test.go
+++ b/io/ggspeer/conn_test.go
@@ -16,7 +16,7 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func TestBeatArrivesWhole(t *testing.T) {
+func TestWordsArriveWhole(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -25,7 +25,13 @@
 	c.Assert(err, qt.IsNil)
 	got := make(chan ggspeer.Beat, 1)
 	done := make(chan error, 1)
-	go func() { done <- conn.Run(ctx, func(b ggspeer.Beat) { got <- b }) }()
+	told := make(chan ggspeer.Notice, 1)
+	go func() {
+		done <- conn.Run(ctx, ggspeer.Handler{
+			Beat:   func(b ggspeer.Beat) { got <- b },
+			Notice: func(n ggspeer.Notice) { told <- n },
+		})
+	}()
 
 	a := ggscore.ModelAdapter{Model: "m", Adapter: "a7"}
 	want := ggspeer.Beat{
@@ -33,18 +39,25 @@
 		Flights:  []ggspeer.Flight{{Endpoint: "r1", Count: 4, Ended: 3, Failed: 2}},
 		Holdings: []ggspeer.Holding{{Endpoint: "r1", Held: []ggscore.AdapterVersion{{Target: a, Version: 2}}, Whole: true, Waiting: 1, Room: 3}},
 		Uses:     []ggspeer.Use{{Endpoint: "r1", Target: a, Count: 5, Active: true}},
+		Samples:  []ggscore.TurnSample{{Service: "s", Tokens: 1460, Took: 70 * time.Millisecond}},
+		Tallies:  []ggscore.TurnTally{{Service: "s", Streams: 9, Hurt: 2}},
 	}
 	// Another writer's bytes must not stop the reading.
 	u, err := (&net.Dialer{}).DialContext(ctx, "udp", addr.String())
 	c.Assert(err, qt.IsNil)
-	for _, b := range []string{"garbage", "\x87\x00"} {
+	for _, b := range []string{"garbage", "b\x87\x00", "n\x87\x00", ""} {
 		_, err = u.Write([]byte(b))
 		c.Assert(err, qt.IsNil)
 	}
 	c.Assert(u.Close(), qt.IsNil)
 	c.Assert(conn.Send(want, []netip.AddrPort{addr}), qt.IsNil)
 	c.Assert(<-got, qt.DeepEquals, want)
-	c.Assert(conn.Dropped(), qt.Equals, int64(2))
+	n := ggspeer.Notice{
+		VM: "vm", Number: 7, Relay: ggscore.RelayDomain, Service: "s", Endpoint: "r1", Wait: 30 * time.Millisecond, Tokens: 1460, Unused: true,
+	}
+	c.Assert(conn.SendNotice(n, []netip.AddrPort{addr}), qt.IsNil)
+	c.Assert(<-told, qt.DeepEquals, n)
+	c.Assert(conn.Dropped(), qt.Equals, int64(4))
 	cancel()
 	c.Assert(<-done, qt.IsNil)
 }
--- /dev/null
+++ b/io/ggspeer/notice.go
@@ -0,0 +1,52 @@
+package ggspeer
+
+import (
+	"time"
+
+	ggscore "greengageslip/core"
+)
+
+// A Notice is what a VM tells its peers at once: a prompt's turn at an endpoint, or
+// that it isn't used.
+type Notice struct {
+	VM ggscore.VMID
+	// Number tells apart the turns of a VM.
+	Number uint64
+	// Relay says how far the receiver passes the notice on.
+	Relay    ggscore.Relay
+	Service  ggscore.Service
+	Endpoint ggscore.EndpointID
+	// Wait is the time until the turn begins. Clocks differ between VMs; the way
+	// of a datagram is short beside a turn.
+	Wait   time.Duration
+	Tokens int
+	// Unused takes the turn back.
+	Unused bool
+}
+
+type noticeWire struct {
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	VM       string
+	Number   uint64
+	Relay    int
+	Service  string
+	Endpoint string
+	// Wait counts milliseconds.
+	Wait   int64
+	Tokens int
+	Unused bool
+}
+
+func noticeWireOf(n Notice) noticeWire {
+	return noticeWire{
+		VM: string(n.VM), Number: n.Number, Relay: int(n.Relay), Service: string(n.Service), Endpoint: string(n.Endpoint),
+		Wait: n.Wait.Milliseconds(), Tokens: n.Tokens, Unused: n.Unused,
+	}
+}
+
+func (w *noticeWire) notice() Notice {
+	return Notice{
+		VM: ggscore.VMID(w.VM), Number: w.Number, Relay: ggscore.Relay(w.Relay), Service: ggscore.Service(w.Service),
+		Endpoint: ggscore.EndpointID(w.Endpoint), Wait: time.Duration(w.Wait) * time.Millisecond, Tokens: w.Tokens, Unused: w.Unused,
+	}
+}
