refactor: let one VM decide whether prompts wait, and the others follow it

Change: the first of the VMs that are heard decides, its beats say so. A VM that is cut off decides for itself.

--- a/core/ggsturn/pauses.go
+++ b/core/ggsturn/pauses.go
@@ -114,6 +114,10 @@
 		keep = math.Exp(-float64(now.Sub(p.at)) / float64(hurtConstant))
 	}
 	p.at, p.streams, p.hurt = now, p.streams*keep+float64(streams), p.hurt*keep+float64(hurt)
+}
+
+// decide has prompts wait or not by the streams that were seen.
+func (p *pauses) decide(now time.Time) {
 	if p.streams < leastStreams {
 		return
 	}
--- a/core/ggsturn/pauses_test.go
+++ b/core/ggsturn/pauses_test.go
@@ -14,6 +14,7 @@
 func learner() *ggsturn.Table {
 	t := ggsturn.NewTable(ggsturn.Options{VM: "vm"})
 	t.SetService(models, gapAim)
+	t.SetDecides(true)
 	t.Adopt(at(0), ggscore.TurnShape{Service: models, PerToken: perToken, Quiet: quiet})
 	return t
 }
@@ -135,6 +136,24 @@
 	c.Assert(b.Expect(at(0), models, runner, 1000).Ready, qt.Equals, 50*time.Millisecond)
 }
 
+// Every VM counts streams, each a little differently. If each decided for itself, some
+// would have their prompts wait while those of others go ahead of them.
+func TestOneVMDecides(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	a, b := learner(), learner()
+	b.SetDecides(false)
+	now := streams(a, 0, 500*time.Millisecond, 40)
+	streams(b, 0, 500*time.Millisecond, 40)
+	c.Assert(waits(a, now), qt.IsTrue)
+	c.Assert(waits(b, now), qt.IsFalse)
+	for _, m := range a.Modes() {
+		b.Follow(at(now), m)
+	}
+	c.Assert(waits(b, now), qt.IsTrue)
+	c.Assert(b.Modes(), qt.DeepEquals, a.Modes())
+}
+
 func TestUntoldIsToldOnce(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/core/ggsturn/samples.go
+++ b/core/ggsturn/samples.go
@@ -20,7 +20,32 @@
 
 // LearnTally takes the streams of a peer.
 func (t *Table) LearnTally(now time.Time, n ggscore.TurnTally) {
-	t.service(n.Service).pauses.tally(now, n.Streams, n.Hurt)
+	p := &t.service(n.Service).pauses
+	p.tally(now, n.Streams, n.Hurt)
+	if t.decides {
+		p.decide(now)
+	}
+}
+
+// Modes returns whether prompts wait, by service.
+func (t *Table) Modes() []ggscore.TurnMode {
+	var ms []ggscore.TurnMode
+	for n, v := range t.services {
+		if v.gapAim > 0 {
+			ms = append(ms, ggscore.TurnMode{Service: n, Waits: v.pauses.waits, Without: v.pauses.without})
+		}
+	}
+	return ms
+}
+
+// Follow takes the word of the VM that decides whether prompts wait.
+func (t *Table) Follow(now time.Time, m ggscore.TurnMode) {
+	p := &t.service(m.Service).pauses
+	if t.decides || p.waits == m.Waits {
+		return
+	}
+	p.without = m.Without
+	p.turn(now, m.Waits)
 }
 
 // Untold returns what this VM saw since it was last asked.
@@ -37,7 +62,7 @@
 		if v.gapAim > 0 && v.speed.known() {
 			hs = append(hs, ggscore.TurnShape{
 				Service: n, PerToken: v.speed.slope, Start: v.speed.start,
-				Quiet: v.pauses.quiet, Waits: v.pauses.waits, Without: v.pauses.without,
+				Quiet: v.pauses.quiet, Mode: ggscore.TurnMode{Service: n, Waits: v.pauses.waits, Without: v.pauses.without},
 			})
 		}
 	}
@@ -57,8 +82,8 @@
 	}
 	v.speed.slope, v.speed.start = min(max(h.PerToken, leastPerToken), mostPerToken), max(h.Start, 0)
 	v.pauses.quiet = max(h.Quiet, 0)
-	if h.Waits {
-		v.pauses.without = min(max(h.Without, hurtMost), 1)
+	if h.Mode.Waits {
+		v.pauses.without = min(max(h.Mode.Without, hurtMost), 1)
 		v.pauses.turn(now, true)
 	}
 }
--- a/core/ggsturn/table.go
+++ b/core/ggsturn/table.go
@@ -22,6 +22,8 @@
 //	samples, tallies := t.Untold()                 // tell peers what was seen
 //	t.LearnFirst(sample)                           // what a peer saw
 //	t.LearnTally(now, tally)
+//	t.SetDecides(first)                            // one VM decides if prompts wait
+//	t.Follow(now, mode)                            // and the others do as it says
 //
 // Nobody grants turns. A VM takes the next one that its own view leaves free and
 // tells the others at once; two that take the same one, within the way of a
@@ -49,6 +51,7 @@
 type Table struct {
 	options  Options
 	number   uint64
+	decides  bool
 	services map[ggscore.Service]*service
 	queues   map[ggscore.EndpointID]*queue
 	// samples and tallies are what peers weren't told of.
@@ -84,6 +87,10 @@
 	return &Table{options: o, number: o.First, services: map[ggscore.Service]*service{}, queues: map[ggscore.EndpointID]*queue{}}
 }
 
+// SetDecides sets whether this VM decides if prompts wait. One does for all: where some
+// VMs had theirs wait and others didn't, streams were hurt and callers waited for it.
+func (t *Table) SetDecides(decides bool) { t.decides = decides }
+
 // SetService sets the shortest pause between pieces that a route to the service
 // allows, zero for none.
 func (t *Table) SetService(s ggscore.Service, gapAim time.Duration) { t.service(s).gapAim = gapAim }
--- a/core/turn.go
+++ b/core/turn.go
@@ -44,6 +44,14 @@
 	Hurt    int
 }
 
+// A TurnMode says whether prompts of a service wait for each other.
+type TurnMode struct {
+	Service Service
+	Waits   bool
+	// Without is the part of streams that was hurt before they did.
+	Without float64
+}
+
 // A TurnShape is what was learnt of how endpoints of a service read. Unknown parts are
 // zero.
 type TurnShape struct {
@@ -54,8 +62,5 @@
 	Start    time.Duration
 	// Quiet is the pause of a stream whose endpoint reads nothing.
 	Quiet time.Duration
-	// Waits says that prompts wait for each other, Without is the part of streams that
-	// was hurt before they did.
-	Waits   bool
-	Without float64
+	Mode  TurnMode
 }
--- a/fakes/ggsfakebatch/fleet_test.go
+++ b/fakes/ggsfakebatch/fleet_test.go
@@ -120,6 +120,7 @@
 		name := ggscore.VMID(fmt.Sprintf("vm%d", n))
 		v := &fleetVM{name: name, domain: fleetDomain(n), turns: ggsturn.NewTable(ggsturn.Options{VM: name})}
 		v.turns.SetService(fleetService, l.gapAim)
+		v.turns.SetDecides(n == 0)
 		v.table = ggsplace.NewTable(ggsplace.Options{Domain: fleetDomain(n), Regions: regions, Seed: seed + uint64(n), Turns: v.turns, Policy: policy})
 		v.table.SetInstances(list)
 		f.vms = append(f.vms, v)
@@ -294,6 +295,7 @@
 	for _, v := range f.vms {
 		flights := v.table.Own()
 		samples, tallies := v.turns.Untold()
+		modes := v.turns.Modes()
 		f.tell(v, func(o *fleetVM, now time.Time) {
 			o.table.SetPeer(now, v.name, flights)
 			for _, s := range samples {
@@ -302,6 +304,12 @@
 			for _, n := range tallies {
 				o.turns.LearnTally(now, n)
 			}
+			if v != f.vms[0] {
+				return
+			}
+			for _, m := range modes {
+				o.turns.Follow(now, m)
+			}
 		})
 	}
 }
--- a/io/ggsedge/beats.go
+++ b/io/ggsedge/beats.go
@@ -67,7 +67,9 @@
 		VM: e.options.VM, Sequence: e.sequence, Started: started, ListedAt: e.listedAt, OperatedAt: e.operatedAt,
 		ListAge: min(e.Now().Sub(e.listOwn), time.Hour),
 	}
+	e.turns.SetDecides(e.firstHeard() == e.options.VM)
 	b.Samples, b.Tallies = e.turns.Untold()
+	b.Modes = e.turns.Modes()
 	for _, f := range e.table.Own() {
 		b.Flights = append(b.Flights, ggspeer.Flight(f))
 	}
@@ -142,6 +144,11 @@
 	for _, n := range b.Tallies {
 		e.turns.LearnTally(now, n)
 	}
+	if b.VM == e.firstHeard() {
+		for _, m := range b.Modes {
+			e.turns.Follow(now, m)
+		}
+	}
 	for _, u := range b.Uses {
 		e.table.Asked(now, u.Target, u.Count)
 		if w := e.workers[u.Endpoint]; w != nil {
@@ -151,6 +158,18 @@
 	}
 }
 
+// firstHeard returns the first of the VMs that are heard, this one counted. Edge.mu is
+// held.
+func (e *Edge) firstHeard() ggscore.VMID {
+	first, now := e.options.VM, e.Now()
+	for vm, p := range e.peers {
+		if vm < first && now.Sub(p.heard) < heardMaxAge {
+			first = vm
+		}
+	}
+	return first
+}
+
 func poke(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -53,7 +53,7 @@
 	for _, h := range hs {
 		rs = append(rs, shapeRecord{
 			Service: string(h.Service), PerToken: h.PerToken.Nanoseconds(), Start: h.Start.Microseconds(),
-			Quiet: h.Quiet.Microseconds(), Waits: h.Waits, Without: h.Without,
+			Quiet: h.Quiet.Microseconds(), Waits: h.Mode.Waits, Without: h.Mode.Without,
 		})
 	}
 	return rs
@@ -63,7 +63,7 @@
 	us := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 	return ggscore.TurnShape{
 		Service: ggscore.Service(r.Service), PerToken: time.Duration(r.PerToken), Start: us(r.Start),
-		Quiet: us(r.Quiet), Waits: r.Waits, Without: r.Without,
+		Quiet: us(r.Quiet), Mode: ggscore.TurnMode{Service: ggscore.Service(r.Service), Waits: r.Waits, Without: r.Without},
 	}
 }
 
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -36,6 +36,8 @@
 	// Samples and Tallies tell how endpoints read.
 	Samples []ggscore.TurnSample
 	Tallies []ggscore.TurnTally
+	// Modes say whether prompts wait, by the VM.
+	Modes []ggscore.TurnMode
 }
 
 // A Flight is the number of the VM's requests at an endpoint, and how many have
@@ -91,6 +93,7 @@
 	Uses     []useWire
 	Samples  []sampleWire
 	Tallies  []tallyWire
+	Modes    []modeWire
 }
 
 type flightWire struct {
@@ -141,6 +144,13 @@
 	Hurt    int
 }
 
+type modeWire struct {
+	_       struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Service string
+	Waits   bool
+	Without float64
+}
+
 // Listen opens the socket for beats.
 func Listen(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
 	p, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp4", addr.String())
@@ -279,6 +289,9 @@
 	for _, x := range b.Tallies {
 		w.Tallies = append(w.Tallies, tallyWire{Service: string(x.Service), Streams: x.Streams, Hurt: x.Hurt})
 	}
+	for _, x := range b.Modes {
+		w.Modes = append(w.Modes, modeWire{Service: string(x.Service), Waits: x.Waits, Without: x.Without})
+	}
 	return w
 }
 
@@ -318,6 +331,9 @@
 	for _, x := range w.Tallies {
 		b.Tallies = append(b.Tallies, ggscore.TurnTally{Service: ggscore.Service(x.Service), Streams: x.Streams, Hurt: x.Hurt})
 	}
+	for _, x := range w.Modes {
+		b.Modes = append(b.Modes, ggscore.TurnMode{Service: ggscore.Service(x.Service), Waits: x.Waits, Without: x.Without})
+	}
 	return b, nil
 }
 
--- a/io/ggspeer/conn_test.go
+++ b/io/ggspeer/conn_test.go
@@ -41,6 +41,7 @@
 		Uses:     []ggspeer.Use{{Endpoint: "r1", Target: a, Count: 5, Active: true}},
 		Samples:  []ggscore.TurnSample{{Service: "s", Tokens: 1460, Took: 70 * time.Millisecond}},
 		Tallies:  []ggscore.TurnTally{{Service: "s", Streams: 9, Hurt: 2}},
+		Modes:    []ggscore.TurnMode{{Service: "s", Waits: true, Without: 0.25}},
 	}
 	// Another writer's bytes must not stop the reading.
 	u, err := (&net.Dialer{}).DialContext(ctx, "udp", addr.String())
