feat: tell where requests missed what their routes want, from logs

ggsctl report counts, by route, time and endpoint, which part of the way made requests late or lost: the wait for the adapter, for the prompt's turn, the endpoint's first piece, a pause, a broken answer, a refusal, a failure, a caller that left. Log lines of ended requests say what the route wants.

--- a/cmd/ggsctl/app.go
+++ b/cmd/ggsctl/app.go
@@ -82,6 +82,7 @@
 		{"fleet", "show a deployment on the users' platform", fleetLong, &fleetCommand{}},
 		{"dump", "print a process's state", dumpLong, &dumpCommand{}},
 		{"explain", "tell what became of a request, from logs", explainLong, &explainCommand{}},
+		{"report", "tell where requests missed what their routes want, from logs", reportLong, &reportCommand{}},
 		{"request", "send a request through a gateway", requestLong, &requestCommand{}},
 	}
 }
--- a/cmd/ggsctl/errors.go
+++ b/cmd/ggsctl/errors.go
@@ -73,6 +73,14 @@
 	return fmt.Sprintf("%s: %s (outcome %s)", e.kind, e.detail, e.outcome)
 }
 
+// A noRequestsError says that no log tells of a request that ended.
+type noRequestsError struct{ files []string }
+
+// Error implements error.
+func (e *noRequestsError) Error() string {
+	return "no request ended in: " + strings.Join(e.files, ", ")
+}
+
 // A noRequestError says that no log names a request.
 type noRequestError struct {
 	request string
--- a/cmd/ggsctl/explain.go
+++ b/cmd/ggsctl/explain.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"os"
 	"slices"
 	"strings"
@@ -59,36 +58,42 @@
 
 // readLog returns the lines of a log that bear the request's identity.
 func (a *app) readLog(name, request string) ([]logLine, error) {
+	var lines []logLine
+	err := a.scanLog(name, "request="+request, func(l logLine) {
+		if l.keys["request"] == request {
+			lines = append(lines, l)
+		}
+	})
+	return lines, err
+}
+
+// scanLog hands on the lines of a log that contain a text; "-" is standard input.
+func (a *app) scanLog(name, text string, f func(logLine)) error {
 	r := a.streams.in
 	if name != "-" {
-		f, err := os.Open(name)
+		o, err := os.Open(name)
 		if err != nil {
-			return nil, errors.Wrap(err, "reading a log")
+			return errors.Wrap(err, "reading a log")
 		}
-		defer func() { _ = f.Close() }()
-		r = f
+		defer func() { _ = o.Close() }()
+		r = o
 	}
-	return linesOf(r, request)
-}
-
-func linesOf(r io.Reader, request string) ([]logLine, error) {
-	var lines []logLine
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, lineBytes)
 	for s.Scan() {
 		t := s.Text()
-		if !strings.Contains(t, "request="+request) {
+		if !strings.Contains(t, text) {
 			continue
 		}
 		// What collects the lines may have put words of its own before them.
 		if i := strings.Index(t, "ts="); i > 0 {
 			t = t[i:]
 		}
-		if l, ok := parseLine(t); ok && l.keys["request"] == request {
-			lines = append(lines, l)
+		if l, ok := parseLine(t); ok {
+			f(l)
 		}
 	}
-	return lines, errors.Wrap(s.Err(), "reading a log")
+	return errors.Wrap(s.Err(), "reading a log")
 }
 
 // parseLine reads one line. ok is false where it isn't one of key=value pairs
--- /dev/null
+++ b/cmd/ggsctl/report.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"image/color"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const reportLong = `Tells from the logs of a deployment's processes where requests missed what their
+routes want: by route, by time, and by endpoint. FILEs are logs, "-" is standard
+input.`
+
+// The size of the plot.
+const (
+	reportWidth  = 24 * vg.Centimeter
+	reportHeight = 12 * vg.Centimeter
+	barWidth     = 9 * vg.Millimeter
+	// leftGray is the shade of callers that left: the palette has a colour too few.
+	leftGray = 0x99
+)
+
+// worstEndpoints is the number of endpoints that a report lists.
+const worstEndpoints = 5
+
+type reportCommand struct {
+	Every time.Duration `default:"2s" description:"length of a row of the table by time" long:"every" value-name:"DURATION"`
+	Plot  string        `description:"where a plot of the losses by time goes (.svg or .png)" long:"plot" value-name:"FILE"`
+	Args  struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// A lossTable counts requests by row and loss.
+type lossTable map[string]map[loss]int
+
+func (t lossTable) add(row string, l loss) {
+	if t[row] == nil {
+		t[row] = map[loss]int{}
+	}
+	t[row][l]++
+}
+
+// total returns the number of requests of a row.
+func (t lossTable) total(row string) int {
+	n := 0
+	for _, c := range t[row] {
+		n += c
+	}
+	return n
+}
+
+func (c *reportCommand) run(_ context.Context, a *app) error {
+	if c.Every <= 0 {
+		return &usageError{detail: "--every: want a positive duration"}
+	}
+	journeys := map[string]*journey{}
+	for _, f := range c.Args.Files {
+		err := a.scanLog(f, "request=", func(l logLine) {
+			id := l.keys["request"]
+			if journeys[id] == nil {
+				journeys[id] = &journey{}
+			}
+			journeys[id].add(l)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	var ended []*journey
+	for _, j := range journeys {
+		if j.end.event != "" && j.end.keys["status"] != "404" {
+			ended = append(ended, j)
+		}
+	}
+	if len(ended) == 0 {
+		return &noRequestsError{files: c.Args.Files}
+	}
+	slices.SortFunc(ended, func(a, b *journey) int { return a.end.at.Compare(b.end.at) })
+	return c.print(a, ended)
+}
+
+// print writes the tables, and the plot where one is asked for.
+func (c *reportCommand) print(a *app, ended []*journey) error {
+	routes, times, endpoints := lossTable{}, lossTable{}, lossTable{}
+	var steps []string
+	for _, j := range ended {
+		l := j.loss()
+		routes.add(cmp.Or(j.sent.keys["route"], "(not sent)"), l)
+		step := "+" + j.end.at.Sub(ended[0].end.at).Truncate(c.Every).String()
+		if times[step] == nil {
+			steps = append(steps, step)
+		}
+		times.add(step, l)
+		if e := j.sent.keys["endpoint"]; e != "" {
+			endpoints.add(e, l)
+		}
+	}
+	if err := a.printLosses("route", routes, rowsOf(routes)); err != nil {
+		return err
+	}
+	if err := a.printLosses("ended", times, steps); err != nil {
+		return err
+	}
+	rows := rowsOf(endpoints)
+	slices.SortStableFunc(rows, func(x, y string) int { return cmp.Compare(endpoints.lost(y), endpoints.lost(x)) })
+	if err := a.printLosses("endpoint", endpoints, rows[:min(worstEndpoints, len(rows))]); err != nil {
+		return err
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	return plotLosses(c.Plot, times, steps)
+}
+
+// lost returns the number of requests of a row that missed what their routes want.
+func (t lossTable) lost(row string) int { return t.total(row) - t[row][lossNone] }
+
+func rowsOf(t lossTable) []string {
+	var rows []string
+	for r := range t {
+		rows = append(rows, r)
+	}
+	slices.Sort(rows)
+	return rows
+}
+
+func (a *app) printLosses(title string, t lossTable, rows []string) error {
+	w := tabwriter.NewWriter(a.streams.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	write := func(cells ...string) {
+		for _, c := range cells {
+			_, _ = w.Write([]byte(c + "\t"))
+		}
+		_, _ = w.Write([]byte("\n"))
+	}
+	head := []string{title, "requests"}
+	for _, l := range losses() {
+		head = append(head, string(l))
+	}
+	write(head...)
+	for _, r := range rows {
+		cells := []string{r, strconv.Itoa(t.total(r))}
+		for _, l := range losses() {
+			cells = append(cells, strconv.Itoa(t[r][l]))
+		}
+		write(cells...)
+	}
+	if err := w.Flush(); err != nil {
+		return errors.Wrap(err, "printing a report")
+	}
+	return a.printf("\n")
+}
+
+// plotLosses draws the losses by time as bars upon each other.
+func plotLosses(file string, t lossTable, steps []string) error {
+	p := plot.New()
+	p.Title.Text = "Requests that missed what their routes want"
+	p.X.Label.Text = "ended"
+	p.Y.Label.Text = "requests"
+	p.Legend.Top = true
+	var below *plotter.BarChart
+	for i, l := range losses()[1:] {
+		v := make(plotter.Values, 0, len(steps))
+		for _, s := range steps {
+			v = append(v, float64(t[s][l]))
+		}
+		b, err := plotter.NewBarChart(v, barWidth)
+		if err != nil {
+			return errors.Wrap(err, "drawing a report")
+		}
+		b.Color, b.LineStyle.Width = plotutil.Color(i), 0
+		if l == lossLeft {
+			b.Color = color.Gray{Y: leftGray}
+		}
+		if below != nil {
+			b.StackOn(below)
+		}
+		below = b
+		p.Add(b)
+		p.Legend.Add(string(l), b)
+	}
+	p.NominalX(steps...)
+	return errors.Wrap(p.Save(reportWidth, reportHeight, file), "writing a report's plot")
+}
--- a/core/ggsturn/pauses.go
+++ b/core/ggsturn/pauses.go
@@ -40,7 +40,7 @@
 	restGrow  = 3
 	// withoutConstant is the time in which the part that was hurt without turns loses
 	// two thirds of its weight: the load changes, so now and then it is seen anew.
-	withoutConstant = 40 * time.Second
+	withoutConstant = 5 * time.Minute
 )
 
 // A pauses learns whether prompts have to wait for each other.
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -51,7 +51,7 @@
 	e.stats.Answered.Add(1)
 	e.metrics.answered(j.route.Kind, e.since(j.arrived))
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestEnded, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
-		"sends", j.sends, "first", j.first, "gap", j.gap, "took", e.since(j.arrived))
+		"sends", j.sends, "first", j.first, "target", j.route.Target, "gap", j.gap, "gapAim", j.route.GapAim, "took", e.since(j.arrived))
 	if a.Status >= http.StatusInternalServerError {
 		return nil, ggsretry.ResultFailed
 	}
