--- a/io/ggsedge/beats.go
+++ b/io/ggsedge/beats.go
@@ -122,6 +122,7 @@
 		poke(e.pokeList)
 	}
 	if b.OperatedAt > e.operatorsRead {
+		e.announceOperators(now, b.OperatedAt)
 		poke(e.pokeOperators)
 	}
 	fs := make([]ggsplace.Flight, 0, len(b.Flights))
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -125,6 +125,10 @@
 	operatedAt    ggscore.StoreRevision
 	listRead      ggscore.StoreRevision
 	operatorsRead ggscore.StoreRevision
+	// operatorsAnnounced is the newest revision of the operators' entries that a peer
+	// announced, and behindSince when this VM first heard of one that it has not read.
+	operatorsAnnounced ggscore.StoreRevision
+	behindSince        time.Time
 	// listTold is the newest revision by which a peer saw the list change.
 	// listOwn is when this VM read the list, listSeen when it or a peer did.
 	listTold ggscore.StoreRevision
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -63,6 +63,7 @@
 			e.storeAway.Store(true)
 			e.dependency(&away, false, "operators", err)
 			failures++
+			e.readFailed("operators", failures, err)
 			if !e.pauseFailed(ctx, failures) {
 				return nil
 			}
@@ -108,12 +109,20 @@
 	es, next, err := e.operators(c, *at)
 	cancel()
 	if <-poked && err != nil && ctx.Err() == nil {
+		e.watchPreempted(*at)
 		*at = 0
 		return e.operators(ctx, 0)
 	}
 	return es, next, err
 }
 
+func (e *Edge) watchPreempted(at ggscore.StoreRevision) {
+	e.mu.Lock()
+	announced := e.operatorsAnnounced
+	e.mu.Unlock()
+	_ = level.Info(e.Log).Log("event", ggslog.EventWatchPreempted, "revision", at, "peerRevision", announced)
+}
+
 // readOperators notes how far the operators' entries were read, and the newest
 // change among them.
 //
@@ -124,11 +133,32 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.operatorsRead = max(e.operatorsRead, at)
+	if e.operatorsRead >= e.operatorsAnnounced {
+		e.behindSince = time.Time{}
+	}
 	for _, n := range es {
 		e.operatedAt = max(e.operatedAt, n.Revision)
 	}
 }
 
+// announceOperators notes a revision of the operators' entries that a peer has read and
+// this VM has not. Edge.mu is held.
+func (e *Edge) announceOperators(now time.Time, at ggscore.StoreRevision) {
+	e.operatorsAnnounced = max(e.operatorsAnnounced, at)
+	if e.behindSince.IsZero() {
+		e.behindSince = now
+	}
+}
+
+// operatorsLag returns the time since a peer announced operators' entries that this VM
+// has not read yet, zero for none. Edge.mu is held.
+func (e *Edge) operatorsLag() time.Duration {
+	if e.behindSince.IsZero() {
+		return 0
+	}
+	return e.Now().Sub(e.behindSince)
+}
+
 // heardPeers returns the VMs whose beats arrive.
 func (e *Edge) heardPeers() []ggscore.VMID {
 	e.mu.Lock()
@@ -204,6 +234,13 @@
 	*away = !ok
 }
 
+// readFailed logs the first, second, fourth, eighth … failure in a row of a reading.
+func (e *Edge) readFailed(part string, failures int, err error) {
+	if failures&(failures-1) == 0 {
+		_ = level.Warn(e.Log).Log("event", ggslog.EventReadFailed, "part", part, "failures", failures, "err", err)
+	}
+}
+
 // adopt takes an operators' entry. One that can't be read leaves what was
 // before in force.
 func (e *Edge) adopt(n ggscore.Entry) {
@@ -263,6 +300,7 @@
 		e.dependency(&away, err == nil, "instances", err)
 		if err != nil {
 			failures++
+			e.readFailed("instances", failures, err)
 			if !e.pauseFailed(ctx, failures) {
 				return nil
 			}
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -93,6 +93,9 @@
 		{"list_age_seconds", "Time since this VM or a peer read the list of endpoints.", locked(func() float64 {
 			return e.Now().Sub(e.listSeen).Seconds()
 		})},
+		{"operators_lag_seconds", "Time since a peer announced operators' entries that this VM has not read yet.", locked(func() float64 {
+			return e.operatorsLag().Seconds()
+		})},
 		{"endpoints", "Endpoints on the list.", locked(func() float64 { return float64(len(e.table.Instances(""))) })},
 		{"ordered_endpoints", "Endpoints that get their orders from this VM.", locked(func() float64 { return float64(len(e.workers)) })},
 		{"peers", "Other VMs that are known.", locked(func() float64 { return float64(len(e.peers)) })},
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -33,6 +33,7 @@
 	EventOrdersReleased     Event = "ordersReleased"
 	EventPartFailed         Event = "partFailed"
 	EventProcessStarted     Event = "processStarted"
+	EventReadFailed         Event = "readFailed"
 	EventRecordUnencoded    Event = "recordUnencoded"
 	EventRecordUnreadable   Event = "recordUnreadable"
 	EventReleaseUnencoded   Event = "releaseUnencoded"
@@ -46,6 +47,7 @@
 	EventStopRequested      Event = "stopRequested"
 	EventVersionAdopted     Event = "versionAdopted"
 	EventVersionUnreadable  Event = "versionUnreadable"
+	EventWatchPreempted     Event = "watchPreempted"
 )
 
 // Events returns all events of an edge in their order.
@@ -76,6 +78,7 @@
 		EventOrdersReleased,
 		EventPartFailed,
 		EventProcessStarted,
+		EventReadFailed,
 		EventRecordUnencoded,
 		EventRecordUnreadable,
 		EventReleaseUnencoded,
@@ -89,6 +92,7 @@
 		EventStopRequested,
 		EventVersionAdopted,
 		EventVersionUnreadable,
+		EventWatchPreempted,
 	}
 	slices.Sort(l)
 	return l
