fix: leave a watch alone whose answer is arriving when a peer's notification overtakes it

What callers saw: nothing by itself.

Notifications are for connections that went silent.

Change: a watch is cancelled only if this VM is behind its peers' announcements and no byte has arrived on the watch's connection for 0.4 s since the notification. A silent watch is still replaced (TestSilentWatchIsPreempted).

--- a/cmd/ggsnode/edge_bandwidth_test.go
+++ b/cmd/ggsnode/edge_bandwidth_test.go
@@ -75,12 +75,13 @@
 	s.eventually("the second edge is ready", func() bool { return s.ready(1) == http.StatusOK })
 	s.eventually("the edges serve", func() bool { return s.served(0, "/chat/x") && s.served(1, "/chat/x") })
 	config := ggsfakesite.LargeConfig(2, "/talk/", largeRoutes)
-	before := l.Stats().BytesFromTarget
+	before, snapshots := l.Stats().BytesFromTarget, s.site.Store.Snapshots("op/")
 	s.site.Store.Put("op/config", config)
 	s.eventually("the change is in force behind the thin link", func() bool { return s.served(1, "/talk/x") })
 	received := l.Stats().BytesFromTarget - before
 	once := uint64(len(config)) * 4 / 3
 	s.c.Assert(received < once*3/2, qt.IsTrue, qt.Commentf("%d bytes for an answer of %d", received, once))
+	s.c.Assert(s.site.Store.Snapshots("op/"), qt.Equals, snapshots)
 }
 
 // Guards against a VM that never starts while the store is away because its seed's answer takes longer than a call.
--- a/core/ggsgossip/gossip.go
+++ b/core/ggsgossip/gossip.go
@@ -137,6 +137,11 @@
 	watchMost = 28 * time.Second
 )
 
+// WatchGrace is how long a watch that a peer's notification overtook may go on without
+// a byte: the store answers all watches of a change one after the other, and a watch
+// that answers costs less than the full snapshot in its place.
+const WatchGrace = 400 * time.Millisecond
+
 // WatchWait returns how long a watch of the operators' entries waits where so many
 // VMs hear each other, this one counted; x is drawn from 0 to 1.
 func WatchWait(vms int, x float64) time.Duration {
--- a/fakes/ggsfakesite/store.go
+++ b/fakes/ggsfakesite/store.go
@@ -21,6 +21,8 @@
 	// lose is the number of writes that are done and not answered.
 	lose  int
 	calls map[string]int
+	// snapshots counts the readings of all items below a prefix.
+	snapshots map[string]int
 	// conditions are the keys of the last transaction's conditions.
 	conditions []string
 }
@@ -36,7 +38,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]item{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{revision: 1, items: map[string]item{}, changed: make(chan struct{}), calls: map[string]int{}, snapshots: map[string]int{}}
 }
 
 // Put writes a value as an operator or an endpoint does.
@@ -94,6 +96,13 @@
 	return s.calls[path]
 }
 
+// Snapshots returns the number of readings of all items below a prefix.
+func (s *Store) Snapshots(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshots[prefix]
+}
+
 // Conditions returns the keys of the last transaction's conditions.
 func (s *Store) Conditions() []string {
 	s.mu.Lock()
@@ -127,6 +136,7 @@
 	prefix := r.URL.Query().Get("pathPrefix")
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.snapshots[prefix]++
 	l := []item{}
 	for k, i := range s.items {
 		if strings.HasPrefix(k, prefix) {
--- a/io/ggsconn/conn.go
+++ b/io/ggsconn/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // A conn notes whether the request that it carries has written anything. It has
@@ -10,6 +11,7 @@
 // connection would write past the notes.
 type conn struct {
 	net.Conn
+	received atomic.Int64
 
 	mu     sync.Mutex
 	wrote  bool
@@ -25,6 +27,13 @@
 	return c.Conn.Write(p)
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // begin starts the notes of a new request.
 func (c *conn) begin() {
 	c.mu.Lock()
--- a/io/ggsconn/flight.go
+++ b/io/ggsconn/flight.go
@@ -45,6 +45,18 @@
 	return none
 }
 
+// Received returns the bytes that have arrived on the request's connections, those of
+// earlier requests included.
+func (f *Flight) Received() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var n int64
+	for _, c := range f.conns {
+		n += c.received.Load()
+	}
+	return n
+}
+
 func (f *Flight) gotConn(i httptrace.GotConnInfo) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -11,6 +11,7 @@
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsgossip"
 	"greengageslip/core/ggspath"
+	"greengageslip/io/ggsconn"
 	"greengageslip/io/ggslog"
 )
 
@@ -46,7 +47,7 @@
 	var at ggscore.StoreRevision
 	away, failures := false, 0
 	for ctx.Err() == nil {
-		es, next, err := e.operatorsOrPoke(ctx, &at)
+		es, next, err := e.operators(ctx, &at)
 		e.stats.Store.Add(1)
 		if err != nil && ctx.Err() != nil {
 			return nil
@@ -82,38 +83,68 @@
 	return nil
 }
 
-// operators returns the operators' entries that changed after the revision, or
-// all for zero.
-func (e *Edge) operators(ctx context.Context, at ggscore.StoreRevision) ([]ggscore.Entry, ggscore.StoreRevision, error) {
-	if at == 0 {
-		return e.Store.Snapshot(ctx, e.options.Keys.Operators, false)
+// operators returns the operators' entries that changed after the revision, or all for
+// zero. It reads all in place of a watch that says nothing of a change that a peer has
+// read: its connection may have gone silent.
+func (e *Edge) operators(ctx context.Context, at *ggscore.StoreRevision) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	if *at > 0 {
+		es, next, preempted, err := e.watchOperators(ctx, *at)
+		if !preempted {
+			return es, next, err
+		}
+		e.watchPreempted(*at)
+		*at = 0
 	}
-	return e.Store.Watch(ctx, e.options.Keys.Operators, at, ggsgossip.WatchWait(len(e.heardPeers())+1, rand.Float64()))
+	return e.Store.Snapshot(ctx, e.options.Keys.Operators, false)
 }
 
-// operatorsOrPoke is operators, and reads all anew when a peer has seen a change
-// that this VM's watch doesn't tell: its connection may have gone silent.
-func (e *Edge) operatorsOrPoke(ctx context.Context, at *ggscore.StoreRevision) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+// watchOperators waits for changes after the revision, and reports whether it gave the
+// watch up for a notification.
+func (e *Edge) watchOperators(
+	ctx context.Context, at ggscore.StoreRevision,
+) (es []ggscore.Entry, next ggscore.StoreRevision, preempted bool, err error) {
 	c, cancel := context.WithCancel(ctx)
 	defer cancel()
-	poked := make(chan bool, 1)
+	c, f := ggsconn.Track(c)
+	ended := make(chan bool, 1)
 	go func() {
+		ended <- e.overtaken(c, f)
+		cancel()
+	}()
+	es, next, err = e.Store.Watch(c, e.options.Keys.Operators, at, ggsgossip.WatchWait(len(e.heardPeers())+1, rand.Float64()))
+	cancel()
+	preempted = <-ended && err != nil && ctx.Err() == nil
+	return es, next, preempted, err
+}
+
+// overtaken waits until a peer has read a newer change and nothing has arrived for the
+// watch's grace since. It returns false when the context ends first.
+func (e *Edge) overtaken(ctx context.Context, f *ggsconn.Flight) bool {
+	for {
 		select {
 		case <-e.pokeOperators:
-			poked <- true
-			cancel()
-		case <-c.Done():
-			poked <- false
+		case <-ctx.Done():
+			return false
+		}
+		received := f.Received()
+		if !e.operatorsBehind() {
+			continue
+		}
+		if !pause(ctx, ggsgossip.WatchGrace) {
+			return false
+		}
+		if f.Received() == received && e.operatorsBehind() {
+			return true
 		}
-	}()
-	es, next, err := e.operators(c, *at)
-	cancel()
-	if <-poked && err != nil && ctx.Err() == nil {
-		e.watchPreempted(*at)
-		*at = 0
-		return e.operators(ctx, 0)
 	}
-	return es, next, err
+}
+
+// operatorsBehind reports whether a peer announced operators' entries that this VM has
+// not read.
+func (e *Edge) operatorsBehind() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.behindSince.IsZero()
 }
 
 func (e *Edge) watchPreempted(at ggscore.StoreRevision) {
--- a/io/ggsedge/follow_test.go
+++ b/io/ggsedge/follow_test.go
@@ -1,12 +1,14 @@
 package ggsedge
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsgossip"
 	"greengageslip/io/ggspeer"
 )
 
@@ -34,3 +36,35 @@
 	e.readOperators(14, nil)
 	c.Assert(e.operatorsLag(), qt.Equals, time.Duration(0))
 }
+
+// A silentStore answers snapshots, and no watch.
+type silentStore struct{ Store }
+
+func (silentStore) Watch(
+	ctx context.Context, _ ggscore.Key, _ ggscore.StoreRevision, _ time.Duration,
+) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func (silentStore) Snapshot(context.Context, ggscore.Key, bool) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	return []ggscore.Entry{{Key: "op/config", Revision: 12}}, 13, nil
+}
+
+// Guards against a change that a VM misses for as long as its silent watch waits.
+func TestSilentWatchIsPreempted(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e := listEdge()
+	e.Store = silentStore{}
+	e.peers["peer"] = &member{}
+	e.readOperators(10, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*ggsgossip.WatchGrace)
+	defer cancel()
+	e.heard(ggspeer.Beat{VM: "peer", Sequence: 1, OperatedAt: 12})
+	at := ggscore.StoreRevision(10)
+	es, next, err := e.operators(ctx, &at)
+	c.Assert(err, qt.IsNil)
+	c.Assert(es, qt.HasLen, 1)
+	c.Assert(next, qt.Equals, ggscore.StoreRevision(13))
+}
