fix: let a seed's answer take as long as its bytes keep coming

What callers saw: a VM that was restarted while the store was down, in a deployment with a large configuration and thin links, answered 503 until the store was back.

A VM without the store asks a seed for all that it goes by and gave the whole answer 0.7 s; configuration and list are over 1 MB. The answer that was given up went on arriving on the same connection, before the next.

Change: ggsrpc.Pool.CallLong waits as long as bytes arrive on the call's connection, and closes it after 0.7 s without any (TestLongAnswerOutlivesTheSilenceBound).

--- a/io/ggsedge/seeds.go
+++ b/io/ggsedge/seeds.go
@@ -15,8 +15,8 @@
 	// seedPause is the pause between questions to seeds, and the time that the
 	// store has at a start before they are asked.
 	seedPause = 300 * time.Millisecond
-	// seedTimeout bounds a question to a seed, which may be gone.
-	seedTimeout = 700 * time.Millisecond
+	// seedSilence is how long a seed, which may be gone, may send nothing.
+	seedSilence = 700 * time.Millisecond
 )
 
 const entriesMethod = "Placement.Entries"
@@ -96,12 +96,8 @@
 
 func (e *Edge) askSeed(ctx context.Context, n int) {
 	seed := e.options.Seeds[n]
-	// Only the question ends with the timeout: what starts by its answer, such as
-	// the workers of endpoints, goes on.
-	call, cancel := context.WithTimeout(ctx, seedTimeout)
-	defer cancel()
 	var r EntriesReply
-	err := e.Calls.Call(call, seed, entriesMethod, &EntriesArgs{}, &r)
+	err := e.Calls.CallLong(ctx, seedSilence, seed, entriesMethod, &EntriesArgs{}, &r)
 	_ = level.Info(e.Log).Log("event", ggslog.EventSeedAsked, "seed", seed, "parts", len(r.Parts), "err", err)
 	if err != nil {
 		return
--- a/io/ggsrpc/doc.go
+++ b/io/ggsrpc/doc.go
@@ -10,7 +10,8 @@
 //	defer p.Close()
 //	err = p.Call(ctx, addr, "Config.Head", &args, &reply)
 //
-// A call's failure is a *DialError where the call cannot have reached the
+// Call is bounded by its context alone; CallLong suits answers whose length grows with
+// data. A call's failure is a *DialError where the call cannot have reached the
 // other process, a *BrokenError where that is not known, and a *RemoteError
 // where the other process answered with an error.
 //
--- a/io/ggsrpc/errors.go
+++ b/io/ggsrpc/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 )
 
 // A DialError says that no connection was made, so the call had no effect.
@@ -44,3 +45,9 @@
 func (e *RemoteError) Error() string {
 	return fmt.Sprintf("%s at %s: %s", e.Method, e.Addr, e.Text)
 }
+
+// A SilentError says that nothing arrived from the other process for a time.
+type SilentError struct{ Silence time.Duration }
+
+// Error implements error.
+func (e *SilentError) Error() string { return fmt.Sprintf("nothing arrived for %s", e.Silence) }
--- a/io/ggsrpc/ggsrpc_test.go
+++ b/io/ggsrpc/ggsrpc_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
+	"greengageslip/fakes/ggsfakelink"
 	"greengageslip/io/ggsrpc"
 )
 
@@ -22,6 +24,8 @@
 
 type echo struct{ hold chan struct{} }
 
+const longBytes = 600_000
+
 func (e *echo) Echo(a *EchoArgs, r *EchoArgs) error {
 	r.Text = a.Text
 	return nil
@@ -32,6 +36,11 @@
 	return nil
 }
 
+func (e *echo) Long(_ *EchoArgs, r *EchoArgs) error {
+	r.Text = strings.Repeat("x", longBytes)
+	return nil
+}
+
 func (e *echo) Refuse(_ *EchoArgs, _ *EchoArgs) error { return &refusedError{} }
 
 func serve(ctx context.Context, c *qt.C, e *echo) (netip.AddrPort, chan error) {
@@ -73,3 +82,34 @@
 	c.Assert(errors.As(p.Call(context.Background(), addr, "Echo.Echo", &EchoArgs{}, &r), &dial), qt.IsTrue)
 	c.Assert(p.Close(), qt.IsNil)
 }
+
+// Guards against an answer that is never whole because its time is bounded and its length isn't.
+func TestLongAnswerOutlivesTheSilenceBound(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	addr, done := serve(ctx, c, &echo{})
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	k := ggsfakelink.New(addr)
+	carried := make(chan error, 1)
+	go func() { carried <- k.Serve(ctx, l) }()
+	p := ggsrpc.NewPool(ggsrpc.PoolOptions{})
+	const silence = 200 * time.Millisecond
+	k.SetFaults(ggsfakelink.Faults{BytesPerSecond: 1_000_000})
+	at := netip.MustParseAddrPort(l.Addr().String())
+
+	var r EchoArgs
+	c.Assert(p.CallLong(ctx, silence, at, "Echo.Long", &EchoArgs{}, &r), qt.IsNil)
+	c.Assert(r.Text, qt.HasLen, longBytes)
+
+	k.SetFaults(ggsfakelink.Faults{Stall: true})
+	var silent *ggsrpc.SilentError
+	err = p.CallLong(ctx, silence, at, "Echo.Long", &EchoArgs{}, &EchoArgs{})
+	c.Assert(errors.As(err, &silent), qt.IsTrue, qt.Commentf("%v", err))
+
+	c.Assert(p.Close(), qt.IsNil)
+	cancel()
+	c.Assert(<-done, qt.IsNil)
+	c.Assert(<-carried, qt.IsNil)
+}
--- a/io/ggsrpc/pool.go
+++ b/io/ggsrpc/pool.go
@@ -23,7 +23,13 @@
 type Pool struct {
 	options PoolOptions
 	mu      sync.Mutex
-	clients map[netip.AddrPort]*rpc.Client
+	clients map[netip.AddrPort]*client
+}
+
+// A client is a connection to a process.
+type client struct {
+	*rpc.Client
+	conn *countedConn
 }
 
 // NewPool returns an empty Pool.
@@ -31,7 +37,7 @@
 	if o.DialTimeout == 0 {
 		o.DialTimeout = defaultDialTimeout
 	}
-	return &Pool{options: o, clients: make(map[netip.AddrPort]*rpc.Client)}
+	return &Pool{options: o, clients: make(map[netip.AddrPort]*client)}
 }
 
 // Call calls a method of the process at addr and waits for its answer or the
@@ -41,20 +47,43 @@
 	if err != nil {
 		return &DialError{Addr: addr, Cause: err}
 	}
+	return p.wait(ctx, addr, c, c.Go(method, args, reply, make(chan *rpc.Call, 1)))
+}
+
+// CallLong is Call for an answer that grows with data: it may take as long as bytes
+// arrive on its connection, and is given up after the silence without any. The
+// connection is then closed, so that the rest of the answer isn't sent.
+func (p *Pool) CallLong(ctx context.Context, silence time.Duration, addr netip.AddrPort, method string, args, reply any) error {
+	c, err := p.client(ctx, addr)
+	if err != nil {
+		return &DialError{Addr: addr, Cause: err}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	go c.conn.cancelWhenSilent(ctx, silence, cancel)
+	err = p.wait(ctx, addr, c, call)
+	if err != nil && ctx.Err() != nil {
+		p.drop(addr, c)
+	}
+	return err
+}
+
+// wait waits for the answer of a call.
+func (p *Pool) wait(ctx context.Context, addr netip.AddrPort, c *client, call *rpc.Call) error {
 	select {
 	case <-ctx.Done():
-		return &BrokenError{Addr: addr, Method: method, Cause: ctx.Err()}
+		return &BrokenError{Addr: addr, Method: call.ServiceMethod, Cause: context.Cause(ctx)}
 	case <-call.Done:
 	}
 	if call.Error == nil {
 		return nil
 	}
 	if s := rpc.ServerError(""); errors.As(call.Error, &s) {
-		return &RemoteError{Addr: addr, Method: method, Text: string(s)}
+		return &RemoteError{Addr: addr, Method: call.ServiceMethod, Text: string(s)}
 	}
 	p.drop(addr, c)
-	return &BrokenError{Addr: addr, Method: method, Cause: call.Error}
+	return &BrokenError{Addr: addr, Method: call.ServiceMethod, Cause: call.Error}
 }
 
 // Close ends all connections.
@@ -78,7 +107,7 @@
 	}
 }
 
-func (p *Pool) client(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
+func (p *Pool) client(ctx context.Context, addr netip.AddrPort) (*client, error) {
 	p.mu.Lock()
 	c := p.clients[addr]
 	p.mu.Unlock()
@@ -90,7 +119,8 @@
 	if err != nil {
 		return nil, err
 	}
-	n := rpc.NewClient(conn)
+	counted := &countedConn{Conn: conn}
+	n := &client{Client: rpc.NewClient(counted), conn: counted}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c = p.clients[addr]; c != nil {
@@ -101,7 +131,7 @@
 	return n, nil
 }
 
-func (p *Pool) drop(addr netip.AddrPort, c *rpc.Client) {
+func (p *Pool) drop(addr netip.AddrPort, c *client) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.clients[addr] == c {
