fix: let sections of the document take as long as their bytes keep coming

The platform's client gave a whole answer 3 s, and the follower gave the reading of a section 1 s whichever way it came; a section of 1 MB takes 1.1 s on a link of 10 Mbit/s and was begun anew for ever.

Evidence: TestLongAnswerOnASlowLinkArrives (io/ggsplatform) and TestLongSectionOnASlowLinkIsFollowed failed before (revision 0 after 20 s) and pass.

Change: the client bounds silence, as that of the users' store does; the follower leaves the bound on sections to its store and its peers' client, which bounds silence as well. Heads, writes and watches keep their time: they are short.

--- a/io/ggsconfig/follower.go
+++ b/io/ggsconfig/follower.go
@@ -63,7 +63,8 @@
 	// Watchers is the number of VMs in a domain that watch the platform.
 	Watchers int
 	// WatchWait is how long a watch waits; PollInterval is the mean time
-	// between polls of peers; CallTimeout bounds every other call.
+	// between polls of peers; CallTimeout bounds every other call but readings of
+	// sections, which may be long: Store and Peers bound the silence of these.
 	WatchWait    time.Duration
 	PollInterval time.Duration
 	CallTimeout  time.Duration
--- a/io/ggsconfig/follower_test.go
+++ b/io/ggsconfig/follower_test.go
@@ -32,6 +32,8 @@
 	cut     map[ggscore.Domain]bool
 	// repair is where processes write their head back, nil for nowhere.
 	repair ggsconfig.EditorStore
+	// sectionTime is how long the platform's answer with a section takes to arrive.
+	sectionTime time.Duration
 }
 
 // Members implements ggsconfig.MemberLister.
@@ -109,6 +111,15 @@
 }
 
 func (s *cutStore) Get(ctx context.Context, k ggscore.Key) (ggscore.Entry, error) {
+	if k != ggsconfig.HeadKey {
+		t := time.NewTimer(s.network.sectionTime)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ggscore.Entry{}, &ggscore.StoreAwayError{Cause: ctx.Err()}
+		}
+	}
 	if s.away() {
 		return ggscore.Entry{}, &ggscore.StoreAwayError{Cause: &causeError{}}
 	}
@@ -360,6 +371,15 @@
 	}
 }
 
+// Guards against a section that is read over and over because it takes longer than a call.
+func TestLongSectionOnASlowLinkIsFollowed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	n := newNetwork()
+	n.sectionTime = 1500 * time.Millisecond
+	await(c, n.start(c, filledStore(c), "a1", "a"), 2)
+}
+
 func TestPeers(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/io/ggsconfig/peer.go
+++ b/io/ggsconfig/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -88,6 +89,9 @@
 	return nil
 }
 
+// sectionSilence is how long a peer that is asked for a section may send nothing.
+const sectionSilence = time.Second
+
 // Peers asks other processes over net/rpc.
 type Peers struct{ pool *ggsrpc.Pool }
 
@@ -114,7 +118,7 @@
 // Section implements PeerConfig.
 func (p *Peers) Section(ctx context.Context, addr netip.AddrPort, d ggscore.Digest) ([]byte, error) {
 	var r SectionReply
-	if err := p.pool.Call(ctx, addr, methodSection, &SectionArgs{Digest: d}, &r); err != nil {
+	if err := p.pool.CallLong(ctx, sectionSilence, addr, methodSection, &SectionArgs{Digest: d}, &r); err != nil {
 		return nil, &PeerError{Addr: addr, Cause: err}
 	}
 	if !r.Found {
--- a/io/ggsconfig/poll.go
+++ b/io/ggsconfig/poll.go
@@ -110,8 +110,6 @@
 
 func (f *Follower) followPeer(ctx context.Context, o offeredHead) {
 	s := source{name: string(o.from.VM), section: func(ctx context.Context, d ggscore.Digest) ([]byte, error) {
-		ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
-		defer cancel()
 		return f.options.Peers.Section(ctx, o.from.Addr, d)
 	}}
 	if err := f.follow(ctx, o.head, s); err != nil && !isRefusal(err) && ctx.Err() == nil {
--- a/io/ggsconfig/watch.go
+++ b/io/ggsconfig/watch.go
@@ -83,8 +83,6 @@
 		return err
 	}
 	s := source{name: platformName, section: func(ctx context.Context, d ggscore.Digest) ([]byte, error) {
-		ctx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
-		defer cancel()
 		return readText(ctx, f.options.Store, d)
 	}}
 	if err = f.follow(ctx, h, s); isRefusal(err) {
--- a/io/ggsplatform/call.go
+++ b/io/ggsplatform/call.go
@@ -34,8 +34,8 @@
 
 // do makes the call once and decodes its answer into out, if out isn't nil.
 func (c *Client) do(ctx context.Context, cl call, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.settings.CallTimeout+cl.wait)
-	defer cancel()
+	ctx, dog := ggsconn.NewWatchdog(ctx, c.settings.CallTimeout+cl.wait, c.settings.CallTimeout)
+	defer dog.Stop()
 	ctx, flight := ggsconn.Track(ctx)
 	req, err := c.request(ctx, cl)
 	if err != nil {
@@ -43,18 +43,19 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		err = dog.Explain(err)
 		if flight.NothingWritten() {
 			return &ggscore.StoreAwayError{Cause: err}
 		}
 		return cl.lost(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := readAll(resp.Body)
+	body, err := readAll(dog.Reader(resp.Body))
 	if resp.StatusCode != http.StatusOK {
 		return cl.refused(resp.StatusCode, body)
 	}
 	if err != nil {
-		return cl.lost(err)
+		return cl.lost(dog.Explain(err))
 	}
 	if out == nil {
 		return nil
--- a/io/ggsplatform/client.go
+++ b/io/ggsplatform/client.go
@@ -15,7 +15,8 @@
 // Settings bound a client's calls, beside their contexts. All are to be
 // positive.
 type Settings struct {
-	// CallTimeout bounds each call; for Watch it is added to the wait.
+	// CallTimeout bounds the wait for the first byte of each answer, and for each further
+	// one; for Watch the wait is added to the first.
 	CallTimeout time.Duration
 	// DialTimeout bounds the making of a connection.
 	DialTimeout time.Duration
--- a/io/ggsplatform/client_test.go
+++ b/io/ggsplatform/client_test.go
@@ -1,7 +1,9 @@
 package ggsplatform_test
 
 import (
+	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -13,6 +15,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/fakes/ggsfakebench"
+	"greengageslip/fakes/ggsfakelink"
 	"greengageslip/fakes/ggsfakeplatform"
 	"greengageslip/io/ggsplatform"
 )
@@ -294,3 +297,31 @@
 	c.Assert(vs, qt.HasLen, 1)
 	c.Assert(vs[0], qt.Equals, v)
 }
+
+// Guards against readings that start over for ever because an answer needs more than the time of a call.
+func TestLongAnswerOnASlowLinkArrives(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := newBench(c, nil)
+	ctx, cancel := context.WithCancel(ggsfakebench.Context(c))
+	value := bytes.Repeat([]byte("x"), 300_000)
+	_, err := b.client.Put(ctx, "a", value, 0, 0)
+	c.Assert(err, qt.IsNil)
+
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	k := ggsfakelink.New(ggsfakebench.AddrOf(c, b.server))
+	k.SetFaults(ggsfakelink.Faults{BytesPerSecond: 500_000})
+	done := make(chan error, 1)
+	go func() { done <- k.Serve(ctx, l) }()
+	s := ggsplatform.DefaultSettings()
+	s.CallTimeout = 300 * time.Millisecond
+	thin := ggsplatform.NewClientWithSettings(netip.MustParseAddrPort(l.Addr().String()), s)
+
+	e, err := thin.Get(ctx, "a")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Value, qt.HasLen, len(value))
+	thin.Close()
+	cancel()
+	c.Assert(<-done, qt.IsNil)
+}
