--- a/fakes/ggsfakelink/link_test.go
+++ b/fakes/ggsfakelink/link_test.go
@@ -160,6 +160,6 @@
 		wg.Go(func() { _, _ = io.ReadFull(k, make([]byte, len(text))) })
 	}
 	wg.Wait()
-	took := time.Since(begun)
+	took := time.Since(begun) //nolint:forbidigo // measures real time
 	c.Assert(took >= 240*time.Millisecond, qt.IsTrue, qt.Commentf("%s", took))
 }
