test: have the soak check that configurations are in force, large ones and behind thin links

The soak wrote configurations of three routes and asked only whether all is served again, so a VM that kept an old one passed. Now half of them are of nearly 1 MB, two of the four VMs reach the store over 10 Mbit/s, and 4 s after the faults each VM has to have the newest in force.

--- a/cmd/ggsnode/soak_check_test.go
+++ b/cmd/ggsnode/soak_check_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengageslip/fakes/ggsfakesite"
+	"greengageslip/io/ggsedge"
 )
 
 const (
@@ -105,9 +108,41 @@
 	return true
 }
 
+// allCurrent reports whether each edge has the newest configuration in force.
+func (s *soak) allCurrent() bool {
+	s.mu.Lock()
+	version := uint64(s.version)
+	s.mu.Unlock()
+	for _, e := range s.edges {
+		if s.configOf(e) != version {
+			return false
+		}
+	}
+	return true
+}
+
+// configOf returns the version of the configuration in force at an edge, zero for none.
+func (s *soak) configOf(e *soakEdge) uint64 {
+	r, err := http.NewRequestWithContext(s.ctx, http.MethodGet, "http://"+netip.AddrPortFrom(e.ip, 7101).String()+"/state", nil)
+	s.c.Assert(err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var d struct {
+		Parts struct {
+			Edge ggsedge.State `json:"edge"`
+		} `json:"parts"`
+	}
+	s.c.Assert(json.NewDecoder(resp.Body).Decode(&d), qt.IsNil)
+	return d.Parts.Edge.Config
+}
+
 // recover waits until all is served again: nothing is broken any more.
 func (s *soak) recover() {
 	s.await("each VM serves each kind of request after the faults", soakCalm, s.allServe)
+	s.await("the newest configuration is in force everywhere", soakApply, s.allCurrent)
 }
 
 // check checks what callers and endpoints saw.
--- a/cmd/ggsnode/soak_faults_test.go
+++ b/cmd/ggsnode/soak_faults_test.go
@@ -114,7 +114,7 @@
 	e := s.edge(r)
 	e.store.SetFaults(harm(r))
 	s.sleep(d)
-	e.store.SetFaults(ggsfakelink.Faults{})
+	e.store.SetFaults(ggsfakelink.Faults{BytesPerSecond: e.bandwidth})
 }
 
 func (s *soak) breakEndpointLink(r *rand.Rand, d time.Duration) {
@@ -181,12 +181,12 @@
 	s.drained[id] = time.Now()
 }
 
-// configure writes a newer configuration, with streams below another prefix too.
-func (s *soak) configure(*rand.Rand, time.Duration) {
+// configure writes a newer configuration, a small or a large one.
+func (s *soak) configure(r *rand.Rand, _ time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.site.Store.Put("op/config", ggsfakesite.Config(s.version, "/chat/"))
+	s.site.Store.Put("op/config", ggsfakesite.LargeConfig(s.version, "/chat/", r.IntN(2)*soakRoutes))
 }
 
 // bump names a new version of an adapter.
--- a/cmd/ggsnode/soak_test.go
+++ b/cmd/ggsnode/soak_test.go
@@ -45,12 +45,21 @@
 //nolint:gochecknoglobals // a table of cases
 var soakCases = map[string]uint64{
 	"an ordinary mix": 1,
+	// A VM behind a thin link never took over a configuration of 1 MB.
+	"a large configuration": 2944054447,
 }
 
 const (
 	soakEdges   = 4
 	soakClients = 16
 	soakTurn    = 3 * time.Second
+	// soakThinLink is 10 Mbit/s in bytes a second.
+	soakThinLink = 10_000_000 / 8
+	// soakRoutes make a configuration of nearly the 1 MB that a value may hold.
+	soakRoutes = 4800
+	// soakApply is the time after the faults within which the newest configuration is in
+	// force everywhere.
+	soakApply = 4 * time.Second
 	// soakCalm is the time after the faults in which all has to be served again.
 	soakCalm = 20 * time.Second
 	// soakDrain is the time after which a leaving endpoint gets nothing more.
@@ -112,6 +121,8 @@
 	ip       netip.Addr
 	settings string
 	store    *ggsfakelink.Link
+	// bandwidth is that of the way to the store in bytes a second, zero for unlimited.
+	bandwidth int
 	// life is held while the process is ended and started again.
 	life sync.Mutex
 	mu   sync.Mutex
@@ -183,6 +194,10 @@
 		e := &soakEdge{ip: ip(byte(n + 1)), settings: filepath.Join(dir, fmt.Sprintf("edge-%d.yaml", n))}
 		at := netip.AddrPortFrom(ip(0), uint16(7300+n))
 		e.store = s.link(work, at, site)
+		if n%2 == 1 {
+			e.bandwidth = soakThinLink
+			e.store.SetFaults(ggsfakelink.Faults{BytesPerSecond: e.bandwidth})
+		}
 		zone := []string{"a", "b"}[n%2]
 		text := fmt.Sprintf(`nodeName: "edge-%[1]d"
 ip: "%[2]s"
