refactor: give the operators' entries a file of their own, and the terms of the field

poke, told, seen, own and heard become notify, announced, observed, read and live where the limits on silence touched them. No logic changes.

--- a/io/ggsedge/beats.go
+++ b/io/ggsedge/beats.go
@@ -65,7 +65,7 @@
 	e.setLoadable()
 	b := ggspeer.Beat{
 		VM: e.options.VM, Sequence: e.sequence, Started: started, ListedAt: e.listedAt, OperatedAt: e.operatedAt,
-		ListAge: min(e.Now().Sub(e.listOwn), time.Hour),
+		ListAge: min(e.Now().Sub(e.listReadTime), time.Hour),
 	}
 	e.turns.SetDecides(e.firstHeard() == e.options.VM)
 	b.Samples, b.Tallies = e.turns.Untold()
@@ -114,16 +114,16 @@
 	}
 	now := e.Now()
 	p.started, p.sequence, p.heard = b.Started, b.Sequence, now
-	if at := now.Add(-b.ListAge - beatDelay); at.After(e.listSeen) {
-		e.listSeen = at
+	if at := now.Add(-b.ListAge - beatDelay); at.After(e.listObserved) {
+		e.listObserved = at
 	}
-	e.listTold = max(e.listTold, b.ListedAt)
+	e.listAnnounced = max(e.listAnnounced, b.ListedAt)
 	if b.ListedAt > e.listRead {
-		poke(e.pokeList)
+		notify(e.listNotified)
 	}
 	if b.OperatedAt > e.operatorsRead {
 		e.announceOperators(now, b.OperatedAt)
-		poke(e.pokeOperators)
+		notify(e.operatorsNotified)
 	}
 	fs := make([]ggsplace.Flight, 0, len(b.Flights))
 	for _, f := range b.Flights {
@@ -164,14 +164,14 @@
 func (e *Edge) firstHeard() ggscore.VMID {
 	first, now := e.options.VM, e.Now()
 	for vm, p := range e.peers {
-		if vm < first && now.Sub(p.heard) < heardMaxAge {
+		if vm < first && now.Sub(p.heard) < peerLiveness {
 			first = vm
 		}
 	}
 	return first
 }
 
-func poke(c chan struct{}) {
+func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
--- a/io/ggsedge/doc.go
+++ b/io/ggsedge/doc.go
@@ -27,7 +27,7 @@
 //
 // handler.go admits it, attempt.go sends it, relay.go passes the answer on;
 // placement.go has adapters loaded, turns.go has prompts wait for each other, and
-// follow.go keeps what the decisions go by.
+// operators.go and follow.go keep what the decisions go by.
 //
 // # Locks
 //
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -129,17 +129,17 @@
 	// announced, and behindSince when this VM first heard of one that it has not read.
 	operatorsAnnounced ggscore.StoreRevision
 	behindSince        time.Time
-	// listTold is the newest revision by which a peer saw the list change.
-	// listOwn is when this VM read the list, listSeen when it or a peer did.
-	listTold ggscore.StoreRevision
-	listOwn  time.Time
-	listSeen time.Time
-	// kick wakes the loop that writes beats to the store, with kicked set, pokeList and
-	// pokeOperators those that read what a peer saw change.
-	kick          chan struct{}
-	kicked        atomic.Bool
-	pokeList      chan struct{}
-	pokeOperators chan struct{}
+	// listAnnounced is the newest revision by which a peer saw the list change.
+	// listReadTime is when this VM read the list, listObserved when it or a peer did.
+	listAnnounced ggscore.StoreRevision
+	listReadTime  time.Time
+	listObserved  time.Time
+	// kick wakes the loop that writes beats to the store, with kicked set, listNotified and
+	// operatorsNotified those that read what a peer saw change.
+	kick              chan struct{}
+	kicked            atomic.Bool
+	listNotified      chan struct{}
+	operatorsNotified chan struct{}
 }
 
 // A Stats counts what an Edge did.
@@ -201,8 +201,8 @@
 		entries:  map[ggscore.Key][]ggscore.Entry{},
 		kick:     make(chan struct{}, 1),
 
-		pokeList:      make(chan struct{}, 1),
-		pokeOperators: make(chan struct{}, 1),
+		listNotified:      make(chan struct{}, 1),
+		operatorsNotified: make(chan struct{}, 1),
 	}
 	e.metrics = newMetrics(e)
 	return e
--- a/io/ggsedge/list_test.go
+++ b/io/ggsedge/list_test.go
@@ -45,7 +45,7 @@
 	e := listEdge()
 	ctx := context.Background()
 	e.setInstances(ctx, entries("ready", "ready"), 490)
-	e.listTold = 500
+	e.listAnnounced = 500
 	e.setInstances(ctx, entries("leaving", "leaving"), 510)
 	c.Assert(e.listedAt >= 510, qt.IsTrue, qt.Commentf("told %d", e.listedAt))
 
@@ -64,8 +64,8 @@
 		read        time.Duration
 		least, most time.Duration
 	}{
-		"read just now":         {0, pokePause - 50*time.Millisecond, pokePause + 300*time.Millisecond},
-		"read some time before": {pokePause, 0, 200 * time.Millisecond},
+		"read just now":         {0, minResyncInterval - 50*time.Millisecond, minResyncInterval + 300*time.Millisecond},
+		"read some time before": {minResyncInterval, 0, 200 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -73,9 +73,9 @@
 			e := listEdge()
 			e.Now = time.Now //nolint:forbidigo // the wait is in real time
 			e.setInstances(context.Background(), entries("ready", "ready"), 490)
-			e.listOwn = e.listOwn.Add(-tc.read)
-			e.listTold = 500
-			poke(e.pokeList)
+			e.listReadTime = e.listReadTime.Add(-tc.read)
+			e.listAnnounced = 500
+			notify(e.listNotified)
 			begun := e.Now()
 			c.Assert(e.waitForList(context.Background()), qt.IsTrue)
 			took := e.Now().Sub(begun)
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -103,7 +103,7 @@
 		es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Own+"/", !fresh)
 		e.stats.Store.Add(1)
 		e.dependency(&away, err == nil, "members", err)
-		wait := ggsgossip.RecordsInterval(len(e.heardPeers()) + 1)
+		wait := ggsgossip.RecordsInterval(len(e.livePeers()) + 1)
 		if err != nil {
 			failures++
 			wait = ggsgossip.RetryPause(failures, e.started(), rand.Float64())
@@ -217,7 +217,7 @@
 // wasn't acknowledged is repeated as soon as an owner's is due: until then other
 // VMs may not know this one.
 func (e *Edge) beatInterval(acked bool) time.Duration {
-	heard := len(e.heardPeers())
+	heard := len(e.livePeers())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return ggsgossip.BeatInterval(heard+1, e.keeper.Owns() || !acked)
@@ -279,7 +279,7 @@
 	}
 	e.setMembers(ctx, es, at)
 	e.kicked.Store(true)
-	poke(e.kick)
+	notify(e.kick)
 }
 
 // claimAll writes the claims that are this VM's to write.
@@ -288,7 +288,7 @@
 	if t := e.paths.Load(); t != nil {
 		specs = t.Config.Services
 	}
-	heard := e.heardPeers()
+	heard := e.livePeers()
 	e.mu.Lock()
 	e.keeper.SetHeard(heard)
 	var ready []ggscore.Instance
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -91,7 +91,7 @@
 			return 0
 		}},
 		{"list_age_seconds", "Time since this VM or a peer read the list of endpoints.", locked(func() float64 {
-			return e.Now().Sub(e.listSeen).Seconds()
+			return e.Now().Sub(e.listObserved).Seconds()
 		})},
 		{"operators_lag_seconds", "Time since a peer announced operators' entries that this VM has not read yet.", locked(func() float64 {
 			return e.operatorsLag().Seconds()
--- /dev/null
+++ b/io/ggsedge/operators.go
@@ -0,0 +1,213 @@
+package ggsedge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsgossip"
+	"greengageslip/core/ggspath"
+	"greengageslip/io/ggsconn"
+	"greengageslip/io/ggslog"
+)
+
+// followOperators keeps the configuration and the adapters' versions.
+func (e *Edge) followOperators(ctx context.Context) error {
+	var at ggscore.StoreRevision
+	away, failures := false, 0
+	for ctx.Err() == nil {
+		es, next, err := e.operators(ctx, &at)
+		e.stats.Store.Add(1)
+		if err != nil && ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			var gone *ggscore.HistoryGoneError
+			if errors.As(err, &gone) {
+				at = 0
+				continue
+			}
+			// What was written while the store was unreachable may have left its
+			// history: only a full snapshot has it.
+			at = 0
+			e.storeAway.Store(true)
+			e.dependency(&away, false, "operators", err)
+			failures++
+			e.readFailed("operators", failures, err)
+			if !e.pauseFailed(ctx, failures) {
+				return nil
+			}
+			continue
+		}
+		failures = 0
+		e.storeAway.Store(false)
+		e.dependency(&away, true, "operators", nil)
+		at = max(next, at)
+		e.readOperators(at, es)
+		e.keepOperators(es)
+		for _, n := range es {
+			e.adopt(n)
+		}
+	}
+	return nil
+}
+
+// operators returns the operators' entries that changed after the revision, or all for
+// zero. It reads all in place of a watch that says nothing of a change that a peer has
+// read: its connection may have gone silent.
+func (e *Edge) operators(ctx context.Context, at *ggscore.StoreRevision) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	if *at > 0 {
+		es, next, preempted, err := e.watchOperators(ctx, *at)
+		if !preempted {
+			return es, next, err
+		}
+		e.watchPreempted(*at)
+		*at = 0
+	}
+	return e.Store.Snapshot(ctx, e.options.Keys.Operators, false)
+}
+
+// watchOperators waits for changes after the revision, and reports whether it gave the
+// watch up for a notification.
+func (e *Edge) watchOperators(
+	ctx context.Context, at ggscore.StoreRevision,
+) (es []ggscore.Entry, next ggscore.StoreRevision, preempted bool, err error) {
+	c, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c, f := ggsconn.Track(c)
+	ended := make(chan bool, 1)
+	go func() {
+		ended <- e.overtaken(c, f)
+		cancel()
+	}()
+	es, next, err = e.Store.Watch(c, e.options.Keys.Operators, at, ggsgossip.WatchWait(len(e.livePeers())+1, rand.Float64()))
+	cancel()
+	preempted = <-ended && err != nil && ctx.Err() == nil
+	return es, next, preempted, err
+}
+
+// overtaken waits until a peer has read a newer change and nothing has arrived for the
+// watch's grace since. It returns false when the context ends first.
+func (e *Edge) overtaken(ctx context.Context, f *ggsconn.Flight) bool {
+	for {
+		select {
+		case <-e.operatorsNotified:
+		case <-ctx.Done():
+			return false
+		}
+		received := f.Received()
+		if !e.operatorsBehind() {
+			continue
+		}
+		if !pause(ctx, ggsgossip.WatchGrace) {
+			return false
+		}
+		if f.Received() == received && e.operatorsBehind() {
+			return true
+		}
+	}
+}
+
+// operatorsBehind reports whether a peer announced operators' entries that this VM has
+// not read.
+func (e *Edge) operatorsBehind() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.behindSince.IsZero()
+}
+
+func (e *Edge) watchPreempted(at ggscore.StoreRevision) {
+	e.mu.Lock()
+	announced := e.operatorsAnnounced
+	e.mu.Unlock()
+	_ = level.Info(e.Log).Log("event", ggslog.EventWatchPreempted, "revision", at, "peerRevision", announced)
+}
+
+// readOperators notes how far the operators' entries were read, and the newest
+// change among them.
+//
+// Peers are told the change's own revision. Told the store's at the reading, which
+// grows with each beat and entry, each would find the other's word newer than its
+// own reading, read all anew, and say so: five calls a second for nothing.
+func (e *Edge) readOperators(at ggscore.StoreRevision, es []ggscore.Entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.operatorsRead = max(e.operatorsRead, at)
+	if e.operatorsRead >= e.operatorsAnnounced {
+		e.behindSince = time.Time{}
+	}
+	for _, n := range es {
+		e.operatedAt = max(e.operatedAt, n.Revision)
+	}
+}
+
+// announceOperators notes a revision of the operators' entries that a peer has read and
+// this VM has not. Edge.mu is held.
+func (e *Edge) announceOperators(now time.Time, at ggscore.StoreRevision) {
+	e.operatorsAnnounced = max(e.operatorsAnnounced, at)
+	if e.behindSince.IsZero() {
+		e.behindSince = now
+	}
+}
+
+// operatorsLag returns the time since a peer announced operators' entries that this VM
+// has not read yet, zero for none. Edge.mu is held.
+func (e *Edge) operatorsLag() time.Duration {
+	if e.behindSince.IsZero() {
+		return 0
+	}
+	return e.Now().Sub(e.behindSince)
+}
+
+// adopt takes an operators' entry. One that can't be read leaves what was
+// before in force.
+func (e *Edge) adopt(n ggscore.Entry) {
+	if n.Key == e.options.Keys.Config && n.Value != nil {
+		e.adoptConfig(n)
+		return
+	}
+	v, ok, err := e.Codec.Version(n)
+	if err != nil {
+		_ = level.Warn(e.Log).Log("event", ggslog.EventVersionUnreadable, "err", err)
+		return
+	}
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if v.Version <= e.versions[v.Target] {
+		return
+	}
+	e.versions[v.Target] = v.Version
+	_ = level.Info(e.Log).Log("event", ggslog.EventVersionAdopted, "adapter", v.Target, "version", v.Version, "revision", n.Revision)
+	for _, w := range e.workers {
+		if w.ledger.Holds(v.Target, 0) {
+			w.ledger.Want(e.Now(), v.Target, v.Version)
+			w.wake()
+		}
+	}
+}
+
+func (e *Edge) adoptConfig(n ggscore.Entry) {
+	c, err := e.Codec.Config(n)
+	if err != nil {
+		_ = level.Warn(e.Log).Log("event", ggslog.EventConfigUnreadable, "err", err)
+		return
+	}
+	// A stale answer must not take a configuration back.
+	if t := e.paths.Load(); t != nil && c.Version <= t.Config.Version {
+		return
+	}
+	e.paths.Store(ggspath.NewTable(c))
+	e.mu.Lock()
+	for s := range c.Services {
+		e.turns.SetService(s, c.GapAim(s))
+	}
+	e.mu.Unlock()
+	_ = level.Info(e.Log).Log("event", ggslog.EventConfigAdopted, "version", c.Version, "revision", n.Revision, "routes", len(c.Routes))
+}
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -54,7 +54,7 @@
 	defer e.mu.Unlock()
 	now := e.Now()
 	if e.listed {
-		s.ListAge = now.Sub(e.listSeen)
+		s.ListAge = now.Sub(e.listObserved)
 	}
 	for _, i := range e.table.Instances("") {
 		n := EndpointState{ID: i.ID, Service: i.Service, Domain: i.Domain, Leaving: i.Leaving, Orderer: e.keeper.Owner(i.ID)}
