fix: read only the newest version of entries whose changes a VM is behind

What callers saw: nothing yet; found by asking what else grows with data behind a thin link. When large configurations follow each other faster than a VM can read them, the newest isn't in force there in time.

Cause: a watch replays each change since its revision. While one version of 1.2 MB arrives, others are written, and the next watch brings all of them: time spent on versions that are no longer wanted grows with their number.

--- a/cmd/ggsnode/edge_bandwidth_test.go
+++ b/cmd/ggsnode/edge_bandwidth_test.go
@@ -99,3 +99,25 @@
 	s.eventually("the second edge is ready", func() bool { return s.ready(1) == http.StatusOK })
 	s.c.Assert(s.call(1, http.MethodPost, "/pay/1", "", "{}").status, qt.Equals, http.StatusOK)
 }
+
+// Guards against a VM that falls behind for each large version of a configuration that changes in quick succession.
+func TestLargeConfigurationsInSuccessionAreInForceBehindAThinLink(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	_, at := s.linkTo(t, s.store())
+	s.startEdgeWith(t, 1, func(d *ggsdialect.Settings) { d.Store = at })
+	s.eventually("the second edge is ready", func() bool { return s.ready(1) == http.StatusOK })
+	s.eventually("the edges serve", func() bool { return s.served(0, "/chat/x") && s.served(1, "/chat/x") })
+	pause := time.NewTicker(200 * time.Millisecond)
+	defer pause.Stop()
+	const last = 7
+	for version := 2; version < last; version++ {
+		s.site.Store.Put("op/config", ggsfakesite.LargeConfig(version, "/chat/", largeRoutes))
+		<-pause.C
+	}
+	s.site.Store.Put("op/config", ggsfakesite.LargeConfig(last, "/talk/", largeRoutes))
+	acked := time.Now()
+	s.eventually("the last change is in force behind the thin link", func() bool { return s.served(1, "/talk/x") })
+	took := time.Since(acked)
+	s.c.Assert(took < applyBound, qt.IsTrue, qt.Commentf("%s", took))
+}
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -126,8 +126,10 @@
 	listRead      ggscore.StoreRevision
 	operatorsRead ggscore.StoreRevision
 	// operatorsAnnounced is the newest revision of the operators' entries that a peer
-	// announced, and behindSince when this VM first heard of one that it has not read.
+	// announced, operatorsSynced that before the last full snapshot, and behindSince when
+	// this VM first heard of one that it has not read.
 	operatorsAnnounced ggscore.StoreRevision
+	operatorsSynced    ggscore.StoreRevision
 	behindSince        time.Time
 	// listAnnounced is the newest revision by which a peer saw the list change.
 	// listReadTime is when this VM read the list, listObserved when it or a peer did.
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -57,18 +57,34 @@
 }
 
 // operators returns the operators' entries that changed after the revision, or all for
-// zero. It reads all in place of a watch that says nothing of a change that a peer has
-// read: its connection may have gone silent.
+// zero. It takes a full snapshot in place of a watch that is silent about a change that a
+// peer has read, and where this VM is behind its peers already: a watch would replay each
+// version in between, a snapshot has the newest only.
 func (e *Edge) operators(ctx context.Context, at *ggscore.StoreRevision) ([]ggscore.Entry, ggscore.StoreRevision, error) {
-	if *at > 0 {
+	if *at > 0 && !e.operatorsBehind() {
 		es, next, preempted, err := e.watchOperators(ctx, *at)
 		if !preempted {
 			return es, next, err
 		}
 		e.watchPreempted(*at)
-		*at = 0
 	}
-	return e.Store.Snapshot(ctx, e.options.Keys.Operators, false)
+	*at = 0
+	return e.snapshotOperators(ctx)
+}
+
+// snapshotOperators returns all of the operators' entries. What peers announced before
+// counts as read: a revision that the store doesn't have is not asked for again.
+func (e *Edge) snapshotOperators(ctx context.Context) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	e.mu.Lock()
+	announced := e.operatorsAnnounced
+	e.mu.Unlock()
+	es, next, err := e.Store.Snapshot(ctx, e.options.Keys.Operators, false)
+	if err == nil {
+		e.mu.Lock()
+		e.operatorsSynced = announced
+		e.mu.Unlock()
+	}
+	return es, next, err
 }
 
 // watchOperators waits for changes after the revision, and reports whether it gave the
@@ -117,7 +133,7 @@
 func (e *Edge) operatorsBehind() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.behindSince.IsZero()
+	return e.operatorsAnnounced > max(e.operatorsRead, e.operatorsSynced)
 }
 
 func (e *Edge) watchPreempted(at ggscore.StoreRevision) {
--- a/io/ggsedge/operators_test.go
+++ b/io/ggsedge/operators_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,16 +39,22 @@
 }
 
 // A silentStore answers snapshots, and no watch.
-type silentStore struct{ Store }
+type silentStore struct {
+	Store
+	watches   chan struct{}
+	snapshots atomic.Int32
+}
 
-func (silentStore) Watch(
+func (s *silentStore) Watch(
 	ctx context.Context, _ ggscore.Key, _ ggscore.StoreRevision, _ time.Duration,
 ) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	s.watches <- struct{}{}
 	<-ctx.Done()
 	return nil, 0, ctx.Err()
 }
 
-func (silentStore) Snapshot(context.Context, ggscore.Key, bool) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+func (s *silentStore) Snapshot(context.Context, ggscore.Key, bool) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	s.snapshots.Add(1)
 	return []ggscore.Entry{{Key: "op/config", Revision: 12}}, 13, nil
 }
 
@@ -55,16 +62,41 @@
 func TestSilentWatchIsPreempted(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	e := listEdge()
-	e.Store = silentStore{}
+	e, s := listEdge(), &silentStore{watches: make(chan struct{}, 1)}
+	e.Store = s
 	e.peers["peer"] = &member{}
 	e.readOperators(10, nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 4*ggsgossip.WatchGrace)
 	defer cancel()
-	e.heard(ggspeer.Beat{VM: "peer", Sequence: 1, OperatedAt: 12})
+	go func() {
+		<-s.watches
+		e.heard(ggspeer.Beat{VM: "peer", Sequence: 1, OperatedAt: 12})
+	}()
 	at := ggscore.StoreRevision(10)
 	es, next, err := e.operators(ctx, &at)
 	c.Assert(err, qt.IsNil)
 	c.Assert(es, qt.HasLen, 1)
 	c.Assert(next, qt.Equals, ggscore.StoreRevision(13))
 }
+
+// Guards against a VM that reads everything over and over for a revision that the store doesn't have.
+func TestAnnouncedRevisionIsAskedForOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e, s := listEdge(), &silentStore{watches: make(chan struct{}, 1)}
+	e.Store = s
+	e.peers["peer"] = &member{}
+	e.readOperators(10, nil)
+	e.heard(ggspeer.Beat{VM: "peer", Sequence: 1, OperatedAt: 99})
+	at := ggscore.StoreRevision(10)
+	es, next, err := e.operators(context.Background(), &at)
+	c.Assert(err, qt.IsNil)
+	e.readOperators(next, es)
+	e.heard(ggspeer.Beat{VM: "peer", Sequence: 2, OperatedAt: 99})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*ggsgossip.WatchGrace)
+	defer cancel()
+	at = next
+	_, _, err = e.operators(ctx, &at)
+	c.Assert(err, qt.Equals, context.DeadlineExceeded)
+	c.Assert(s.snapshots.Load(), qt.Equals, int32(1))
+}
