--- a/cmd/ggsnode/edge_bandwidth_test.go
+++ b/cmd/ggsnode/edge_bandwidth_test.go
@@ -42,6 +42,18 @@
 	return l, netip.MustParseAddrPort(n.Addr().String())
 }
 
+// startThinSite starts a site with two edges that serve, the second of which reaches the
+// store over a thin link.
+func startThinSite(t *testing.T) (*siteTest, *ggsfakelink.Link) {
+	t.Helper()
+	s := startSite(t, 1)
+	l, at := s.linkTo(t, s.store())
+	s.startEdgeWith(t, 1, func(d *ggsdialect.Settings) { d.Store = at })
+	s.eventually("the second edge is ready", func() bool { return s.ready(1) == http.StatusOK })
+	s.eventually("the edges serve", func() bool { return s.served(0, "/chat/x") && s.served(1, "/chat/x") })
+	return s, l
+}
+
 func (s *siteTest) store() netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, s.network, 1}), 7000)
 }
@@ -53,11 +65,7 @@
 // Guards against a VM on a thin link that keeps an old configuration because the new one takes longer than a call.
 func TestLargeConfigurationIsInForceBehindAThinLink(t *testing.T) {
 	t.Parallel()
-	s := startSite(t, 1)
-	_, at := s.linkTo(t, s.store())
-	s.startEdgeWith(t, 1, func(d *ggsdialect.Settings) { d.Store = at })
-	s.eventually("the second edge is ready", func() bool { return s.ready(1) == http.StatusOK })
-	s.eventually("the edges serve", func() bool { return s.served(0, "/chat/x") && s.served(1, "/chat/x") })
+	s, _ := startThinSite(t)
 	s.site.Store.Put("op/config", ggsfakesite.LargeConfig(2, "/talk/", largeRoutes))
 	acked := time.Now()
 	s.eventually("the change is in force behind the wide link", func() bool { return s.served(0, "/talk/x") })
@@ -69,11 +77,7 @@
 // Guards against a peer's notification that throws away an answer which is arriving.
 func TestLargeConfigurationIsReadOnce(t *testing.T) {
 	t.Parallel()
-	s := startSite(t, 1)
-	l, at := s.linkTo(t, s.store())
-	s.startEdgeWith(t, 1, func(d *ggsdialect.Settings) { d.Store = at })
-	s.eventually("the second edge is ready", func() bool { return s.ready(1) == http.StatusOK })
-	s.eventually("the edges serve", func() bool { return s.served(0, "/chat/x") && s.served(1, "/chat/x") })
+	s, l := startThinSite(t)
 	config := ggsfakesite.LargeConfig(2, "/talk/", largeRoutes)
 	before, snapshots := l.Stats().BytesFromTarget, s.site.Store.Snapshots("op/")
 	s.site.Store.Put("op/config", config)
@@ -103,11 +107,7 @@
 // Guards against a VM that falls behind for each large version of a configuration that changes in quick succession.
 func TestLargeConfigurationsInSuccessionAreInForceBehindAThinLink(t *testing.T) {
 	t.Parallel()
-	s := startSite(t, 1)
-	_, at := s.linkTo(t, s.store())
-	s.startEdgeWith(t, 1, func(d *ggsdialect.Settings) { d.Store = at })
-	s.eventually("the second edge is ready", func() bool { return s.ready(1) == http.StatusOK })
-	s.eventually("the edges serve", func() bool { return s.served(0, "/chat/x") && s.served(1, "/chat/x") })
+	s, _ := startThinSite(t)
 	pause := time.NewTicker(200 * time.Millisecond)
 	defer pause.Stop()
 	const last = 7
--- a/io/ggsconn/doc.go
+++ b/io/ggsconn/doc.go
@@ -1,5 +1,5 @@
 // Package ggsconn makes HTTP transports that can prove that a failed request
-// wrote nothing.
+// wrote nothing, and bounds calls by their peers' silence.
 //
 // # Usage
 //
@@ -10,6 +10,11 @@
 //		// the peer can't have seen a byte of the request
 //	}
 //
+//	ctx, dog := ggsconn.NewWatchdog(ctx, timeout, timeout)
+//	defer dog.Stop()
+//	resp, err := client.Do(req.WithContext(ctx))
+//	b, err := io.ReadAll(dog.Reader(resp.Body)) // as long as bytes come
+//
 // net/http doesn't tell whether a failed request reached its connection: a
 // trace reports when a request was written whole, not whether its first byte
 // left. Connections of this package note their own writes. NothingWritten
