--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -15,9 +15,7 @@
 const (
 	// listTick is how often the list's age is looked at.
 	listTick = 50 * time.Millisecond
-	// minResyncInterval limits resyncs of the list that peers trigger. It delays what a
-	// VM learns of the second of two changes, and an endpoint that leaves may get
-	// requests for 2.5 s.
+	// minResyncInterval limits resyncs of the list triggered by peers.
 	minResyncInterval = 300 * time.Millisecond
 )
 
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -143,12 +143,11 @@
 	_ = level.Info(e.Log).Log("event", ggslog.EventWatchPreempted, "revision", at, "peerRevision", announced)
 }
 
-// readOperators notes how far the operators' entries were read, and the newest
+// readOperators records how far the operators' entries were read, and the newest
 // change among them.
 //
-// Peers are told the change's own revision. Told the store's at the reading, which
-// grows with each beat and entry, each would find the other's word newer than its
-// own reading, read all anew, and say so: five calls a second for nothing.
+// Peers are told the change's own revision. The store's grows with each heartbeat, so
+// that VMs which announced it would have each other resync for ever.
 func (e *Edge) readOperators(at ggscore.StoreRevision, es []ggscore.Entry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
