fix: bound the dial of a long call by its silence, too, and notice silence in time

A seed that is gone cost a VM that starts without the store 1 s for its dial, where the whole question had 0.7 s before the limit on silence; a seed that fell silent in the middle was noticed after up to twice the silence. Both are 0.7 s again, give or take an eighth.

--- a/io/ggsrpc/conn.go
+++ b/io/ggsrpc/conn.go
@@ -20,23 +20,25 @@
 	return n, err
 }
 
+// silenceSteps is how often a silence is looked at while it lasts.
+const silenceSteps = 8
+
 // cancelWhenSilent cancels with a *SilentError once nothing has arrived for the silence.
 // It returns when the context ends.
 func (c *countedConn) cancelWhenSilent(ctx context.Context, silence time.Duration, cancel context.CancelCauseFunc) {
-	t := time.NewTicker(silence)
+	t := time.NewTicker(silence / silenceSteps)
 	defer t.Stop()
-	received := c.received.Load()
-	for {
+	received, silent := c.received.Load(), 0
+	for silent < silenceSteps {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		now := c.received.Load()
-		if now == received {
-			cancel(&SilentError{Silence: silence})
-			return
+		silent++
+		if now := c.received.Load(); now != received {
+			received, silent = now, 0
 		}
-		received = now
 	}
+	cancel(&SilentError{Silence: silence})
 }
--- a/io/ggsrpc/pool.go
+++ b/io/ggsrpc/pool.go
@@ -54,7 +54,9 @@
 // arrive on its connection, and is given up after the silence without any. The
 // connection is then closed, so that the rest of the answer isn't sent.
 func (p *Pool) CallLong(ctx context.Context, silence time.Duration, addr netip.AddrPort, method string, args, reply any) error {
-	c, err := p.client(ctx, addr)
+	dial, cancelDial := context.WithTimeout(ctx, silence)
+	defer cancelDial()
+	c, err := p.client(dial, addr)
 	if err != nil {
 		return &DialError{Addr: addr, Cause: err}
 	}
