--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -136,6 +136,12 @@
 	return netip.AddrPortFrom(s.Addr, s.FirstPort)
 }
 
+// edgeCapacity compares VMs: the product of processor and link counts for passing on
+// datagrams, in thousandths of a core times Mbit/s.
+func edgeCapacity(s *ggsdialect.Settings) uint64 {
+	return uint64(1000 * s.CPUShare * float64(s.Cores) * s.LinkMbps)
+}
+
 func newEdge(s *ggsdialect.Settings, policy ggscore.Policy, p *ggsexchange.Pool, t clock, l log.Logger) (*ggsedge.Edge, error) {
 	u, err := ggspeer.Listen(context.Background(), edgeBeats(s))
 	if err != nil {
@@ -149,7 +155,8 @@
 		Policy: policy,
 		VM:     s.VM + "@" + ggscore.VMID(s.Addr.String()),
 		Domain: s.Domain, Regions: s.Regions, Seed: h.Sum64() ^ uint64(t().UnixNano()),
-		Beats: edgeBeats(s), Control: s.Control, Seeds: s.Seeds, Turn: s.OrderTurn, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		Capacity: edgeCapacity(s),
+		Beats:    edgeBeats(s), Control: s.Control, Seeds: s.Seeds, Turn: s.OrderTurn, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
 		MaxActive: int64(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * activeShare),
 		MaxBodies: int64(float64(cmp.Or(s.MemoryBytes, defaultMemory)) * bodiesShare),
 		IDHeader:  ggsdialect.HeaderRequestID,
--- a/core/ggsfencing/keeper.go
+++ b/core/ggsfencing/keeper.go
@@ -86,8 +86,10 @@
 
 // A Beat is a VM's sign of life in the store.
 type Beat struct {
-	VM       ggscore.VMID
-	Domain   ggscore.Domain
+	VM     ggscore.VMID
+	Domain ggscore.Domain
+	// Capacity compares VMs: those of more are to have more endpoints.
+	Capacity uint64
 	Revision ggscore.StoreRevision
 }
 
--- a/core/ggsgossip/gossip.go
+++ b/core/ggsgossip/gossip.go
@@ -108,6 +108,19 @@
 	aloneAge = 900 * time.Millisecond
 )
 
+// followerAge and followerSpread are the age at which a VM that leaves the list to relays
+// reads it: an endpoint that leaves may get no request 2.5 s after it said so.
+const (
+	followerAge    = 1600 * time.Millisecond
+	followerSpread = 200 * time.Millisecond
+)
+
+// FollowerReadAge returns the age of the list of endpoints at which a VM that leaves it to
+// relays reads it; x is drawn from 0 to 1.
+func FollowerReadAge(x float64) time.Duration {
+	return followerAge + time.Duration(x*float64(followerSpread))
+}
+
 // ReadAge returns the age of the list of endpoints at which a VM of a rank reads
 // it; x is drawn from 0 to 1.
 func ReadAge(rank int, x float64) time.Duration {
@@ -137,6 +150,10 @@
 	watchMost = 28 * time.Second
 )
 
+// OperatorsStale is the time without a reading of the operators' entries by any VM from
+// which one that leaves them to relays watches them itself.
+const OperatorsStale = 3 * time.Second
+
 // WatchGrace is how long a watch that a peer's notification overtook may go on without
 // a byte: the store answers all watches of a change one after the other, and a watch
 // that answers costs less than the full snapshot in its place.
--- a/core/ggsplace/flights.go
+++ b/core/ggsplace/flights.go
@@ -11,22 +11,13 @@
 // longer counts: several beats between VMs.
 const peerMaxAge = 1500 * time.Millisecond
 
-// A Flight is a count of requests in flight at an endpoint, and of those that
-// ended and that failed there since the last one.
-type Flight struct {
-	Endpoint ggscore.EndpointID
-	Count    int
-	Ended    int
-	Failed   int
-}
-
 type peer struct {
 	at      time.Time
 	flights map[ggscore.EndpointID]int
 }
 
 // SetPeer takes a peer's requests in flight.
-func (t *Table) SetPeer(now time.Time, vm ggscore.VMID, fs []Flight) {
+func (t *Table) SetPeer(now time.Time, vm ggscore.VMID, fs []ggscore.InFlight) {
 	t.dropSilent(now)
 	t.addFlights(t.peers[vm], -1)
 	p := &peer{at: now, flights: make(map[ggscore.EndpointID]int, len(fs))}
@@ -41,6 +32,20 @@
 	t.addFlights(p, 1)
 }
 
+// allPeers stands for all peers together.
+const allPeers ggscore.VMID = ""
+
+// SetPeers takes the requests in flight of all peers together, in place of each one's.
+func (t *Table) SetPeers(now time.Time, fs []ggscore.InFlight) {
+	for vm, p := range t.peers {
+		if vm != allPeers {
+			t.addFlights(p, -1)
+			delete(t.peers, vm)
+		}
+	}
+	t.SetPeer(now, allPeers, fs)
+}
+
 // addFlights adds a peer's requests in flight to the endpoints', or takes them off.
 // VMs of a deployment of 65 hear 430 beats a second: with all peers' requests added
 // up anew a beat takes 54 µs, and so 5 µs (a benchmark of 65 peers, 79 endpoints).
@@ -110,11 +115,11 @@
 
 // Own returns this VM's requests in flight, and what ended since it was last
 // asked.
-func (t *Table) Own() []Flight {
-	var fs []Flight
+func (t *Table) Own() []ggscore.InFlight {
+	var fs []ggscore.InFlight
 	for id, e := range t.endpoints {
-		f := Flight{Endpoint: id, Count: e.own, Ended: e.untold.Ended, Failed: e.untold.Failed}
-		e.untold = Flight{}
+		f := ggscore.InFlight{Endpoint: id, Count: e.own, Ended: e.untold.Ended, Failed: e.untold.Failed}
+		e.untold = ggscore.InFlight{}
 		if f.Count > 0 || f.Ended > 0 {
 			fs = append(fs, f)
 		}
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -73,7 +73,7 @@
 	// last seconds, untold the own ones that peers weren't told of.
 	ended  ggspopularity.Recent
 	failed ggspopularity.Recent
-	untold Flight
+	untold ggscore.InFlight
 	// loadable says that a VM gives the endpoint orders, waiting how many
 	// adapters wait to be loaded there.
 	loadable bool
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -213,9 +213,9 @@
 	tb := table("d1", 1)
 	q := ggsplace.Query{Service: plain}
 	c.Assert(choose(c, tb, q).Instance.ID, qt.Equals, ggscore.EndpointID("p1"))
-	tb.SetPeer(at(0), "peer", []ggsplace.Flight{{Endpoint: "p1", Count: 12}})
+	tb.SetPeer(at(0), "peer", []ggscore.InFlight{{Endpoint: "p1", Count: 12}})
 	c.Assert(choose(c, tb, q).Instance.ID, qt.Not(qt.Equals), ggscore.EndpointID("p1"))
-	tb.SetPeer(at(0), "peer", []ggsplace.Flight{{Endpoint: "p0", Count: 18}, {Endpoint: "p1", Count: 18}, {Endpoint: "p2", Count: 18}})
+	tb.SetPeer(at(0), "peer", []ggscore.InFlight{{Endpoint: "p0", Count: 18}, {Endpoint: "p1", Count: 18}, {Endpoint: "p2", Count: 18}})
 	_, err := tb.Choose(at(0), q)
 	var refused *ggsplace.RefusedError
 	c.Assert(errors.As(err, &refused), qt.IsTrue)
@@ -261,12 +261,12 @@
 	q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)}
 	home := choose(c, tb, q).Instance.ID
 	tb.SetHeld(at(0), home, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}})
-	tb.SetPeer(at(0), "peer", []ggsplace.Flight{{Endpoint: home, Ended: 8, Failed: 4}})
+	tb.SetPeer(at(0), "peer", []ggscore.InFlight{{Endpoint: home, Ended: 8, Failed: 4}})
 	c.Assert(choose(c, tb, q).Instance.ID, qt.Not(qt.Equals), home)
 
-	var fs []ggsplace.Flight
+	var fs []ggscore.InFlight
 	for _, i := range deployment() {
-		fs = append(fs, ggsplace.Flight{Endpoint: i.ID, Ended: 8, Failed: 4})
+		fs = append(fs, ggscore.InFlight{Endpoint: i.ID, Ended: 8, Failed: 4})
 	}
 	tb = table("d0", 1)
 	tb.SetHeld(at(0), home, []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}})
@@ -281,7 +281,7 @@
 	tb := table("d0", 1)
 	tb.Sent(at(0), "p0")
 	tb.Ended(at(0), "p0", ggsretry.ResultFailed)
-	c.Assert(tb.Own(), qt.DeepEquals, []ggsplace.Flight{{Endpoint: "p0", Ended: 1, Failed: 1}})
+	c.Assert(tb.Own(), qt.DeepEquals, []ggscore.InFlight{{Endpoint: "p0", Ended: 1, Failed: 1}})
 	c.Assert(tb.Own(), qt.HasLen, 0)
 }
 
@@ -363,11 +363,11 @@
 	inFlight := func() int { return choose(c, tb, q).InFlight }
 	all := deployment()
 	tb.SetInstances(all[:len(all)-1])
-	tb.SetPeer(at(0), "vm1", []ggsplace.Flight{{Endpoint: "p2", Count: 3}})
+	tb.SetPeer(at(0), "vm1", []ggscore.InFlight{{Endpoint: "p2", Count: 3}})
 	tb.SetInstances(all)
-	tb.SetPeer(at(time.Second), "vm2", []ggsplace.Flight{{Endpoint: "p2", Count: 2}})
+	tb.SetPeer(at(time.Second), "vm2", []ggscore.InFlight{{Endpoint: "p2", Count: 2}})
 	c.Assert(inFlight(), qt.Equals, 5)
-	tb.SetPeer(at(time.Second), "vm1", []ggsplace.Flight{{Endpoint: "p2", Count: 1}})
+	tb.SetPeer(at(time.Second), "vm1", []ggscore.InFlight{{Endpoint: "p2", Count: 1}})
 	c.Assert(inFlight(), qt.Equals, 3)
 	tb.SetPeer(at(2*time.Second), "vm1", nil)
 	c.Assert(inFlight(), qt.Equals, 2)
@@ -376,3 +376,17 @@
 	}
 	c.Assert(inFlight(), qt.Equals, 0)
 }
+
+// Guards against requests of a peer that count twice once a relay sums them up.
+func TestSummedRequestsReplaceEachPeers(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	tb := table("d0", 1)
+	q := ggsplace.Query{Service: plain, Tried: []ggscore.EndpointID{"p0", "p1"}}
+	inFlight := func() int { return choose(c, tb, q).InFlight }
+	tb.SetPeer(at(0), "vm1", []ggscore.InFlight{{Endpoint: "p2", Count: 3}})
+	tb.SetPeers(at(0), []ggscore.InFlight{{Endpoint: "p2", Count: 4}})
+	c.Assert(inFlight(), qt.Equals, 4)
+	tb.SetPeers(at(0), nil)
+	c.Assert(inFlight(), qt.Equals, 0)
+}
--- /dev/null
+++ b/core/ggsrelay/sim_test.go
@@ -0,0 +1,261 @@
+package ggsrelay_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsrelay"
+)
+
+// A sim plays VMs that exchange heartbeats and summaries on a virtual clock. Each VM has
+// requests at an endpoint of its own, whose number is the time in milliseconds, so that
+// the age of what others believe shows.
+type sim struct {
+	rng     *rand.Rand
+	now     time.Duration
+	queue   events
+	nodes   map[ggscore.VMID]*simNode
+	members []ggsrelay.Member
+	loss    float64
+	// cut says which domains don't reach each other.
+	cut func(a, b ggscore.Domain) bool
+	// received counts datagrams by VM since the last reset.
+	received map[ggscore.VMID]int
+}
+
+type simNode struct {
+	*ggsrelay.Node
+	member   ggsrelay.Member
+	sequence uint64
+	down     bool
+	// up is when it came up.
+	up time.Duration
+	// believed is what the VM believes of the others' requests, live when it last heard
+	// that they are live, counted the requests that it was told of.
+	believed map[ggscore.EndpointID]int
+	at       time.Duration
+	live     map[ggscore.VMID]time.Duration
+	demand   int
+	holds    map[ggscore.EndpointID]time.Duration
+}
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+type events []event
+
+func (q events) Len() int           { return len(q) }
+func (q events) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q events) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+const (
+	thin = 4
+	wide = 160
+)
+
+// newSim returns so many VMs over domains, two of each region, of which three of a domain
+// are wide.
+func newSim(seed uint64, vms, domains int) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 0)), nodes: map[ggscore.VMID]*simNode{}, received: map[ggscore.VMID]int{},
+		cut: func(ggscore.Domain, ggscore.Domain) bool { return false },
+	}
+	for i := range vms {
+		m := ggsrelay.Member{
+			VM:     ggscore.VMID(fmt.Sprintf("vm-%03d", i)),
+			Domain: ggscore.Domain(fmt.Sprintf("domain-%d", i%domains)), Region: ggscore.Region(fmt.Sprintf("region-%d", i%domains/2)),
+			Capacity: thin,
+		}
+		if i/domains < 3 {
+			m.Capacity = wide
+		}
+		s.members = append(s.members, m)
+	}
+	for _, m := range s.members {
+		s.start(m)
+	}
+	return s
+}
+
+func clock(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+// start starts a VM that knows the others at once, at a random phase.
+func (s *sim) start(m ggsrelay.Member) *simNode {
+	n := &simNode{
+		Node: ggsrelay.NewNode(ggsrelay.Options{Self: m, Started: int64(s.now) + 1}), member: m,
+		believed: map[ggscore.EndpointID]int{}, live: map[ggscore.VMID]time.Duration{}, holds: map[ggscore.EndpointID]time.Duration{},
+	}
+	n.SetMembers(slices.DeleteFunc(slices.Clone(s.members), func(o ggsrelay.Member) bool { return o.VM == m.VM }))
+	s.nodes[m.VM] = n
+	s.after(time.Duration(s.rng.Int64N(int64(ggsrelay.ReportInterval))), func() { s.report(n) })
+	s.after(time.Duration(s.rng.Int64N(int64(ggsrelay.RelayInterval))), func() { s.tick(n) })
+	return n
+}
+
+// resume has a VM go on that was down.
+func (s *sim) resume(vm ggscore.VMID) {
+	n := s.nodes[vm]
+	n.down, n.up = false, s.now
+}
+
+func (s *sim) after(d time.Duration, run func()) { heap.Push(&s.queue, event{at: s.now + d, run: run}) }
+
+func (s *sim) run(d time.Duration) {
+	end := s.now + d
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+func endpointOf(vm ggscore.VMID) ggscore.EndpointID { return "e-" + ggscore.EndpointID(vm) }
+
+func (s *sim) report(n *simNode) {
+	if s.nodes[n.member.VM] != n {
+		return
+	}
+	s.after(ggsrelay.ReportInterval, func() { s.report(n) })
+	if n.down {
+		return
+	}
+	n.sequence++
+	h := ggscore.Heartbeat{
+		VM: n.member.VM, Sequence: n.sequence, Started: 1,
+		InFlight: []ggscore.InFlight{{Endpoint: endpointOf(n.member.VM), Count: int(s.now.Milliseconds())}},
+		Uses:     []ggscore.Use{{Endpoint: "shared", Target: ggscore.ModelAdapter{Model: "m", Adapter: "a"}, Count: 1, Active: true}},
+	}
+	if n.sequence%9 == 0 {
+		h.Holdings = []ggscore.Holding{{Endpoint: endpointOf(n.member.VM), Whole: true}}
+	}
+	carrier, to := n.Report(clock(s.now), h)
+	h.Carrier = carrier
+	for _, vm := range to {
+		s.send(n, vm, func(o *simNode) { o.Heartbeat(clock(s.now), h) })
+	}
+}
+
+func (s *sim) tick(n *simNode) {
+	if s.nodes[n.member.VM] != n {
+		return
+	}
+	s.after(ggsrelay.RelayInterval, func() { s.tick(n) })
+	if n.down {
+		return
+	}
+	ms, v, ok := n.Tick(clock(s.now), func(ggscore.EndpointID) ggscore.Domain { return "domain-0" })
+	if ok {
+		s.apply(n, v)
+	}
+	for _, m := range ms {
+		for _, vm := range m.To {
+			s.send(n, vm, func(o *simNode) {
+				if v, ok := o.Summary(clock(s.now), m.Summary); ok {
+					s.apply(o, v)
+				}
+			})
+		}
+	}
+}
+
+func (s *sim) send(from *simNode, to ggscore.VMID, arrive func(*simNode)) {
+	o := s.nodes[to]
+	if o == nil || s.rng.Float64() < s.loss || s.cut(from.member.Domain, o.member.Domain) {
+		return
+	}
+	d := time.Millisecond
+	if from.member.Region != o.member.Region {
+		d = 8 * time.Millisecond
+	}
+	d += time.Duration(s.rng.Int64N(int64(4 * time.Millisecond)))
+	s.after(d, func() {
+		if o := s.nodes[to]; o != nil && !o.down {
+			s.received[to]++
+			arrive(o)
+		}
+	})
+}
+
+func (s *sim) apply(n *simNode, v ggsrelay.View) {
+	n.at = s.now
+	if v.Counts {
+		clear(n.believed)
+		for _, f := range v.InFlight {
+			n.believed[f.Endpoint] = f.Count
+		}
+	}
+	for _, vm := range v.VMs {
+		n.live[vm] = s.now
+	}
+	for _, d := range v.Demand {
+		n.demand += d.Count
+	}
+	for _, h := range v.Holdings {
+		n.holds[h.Endpoint] = s.now
+	}
+}
+
+// upTime is the time that a VM that comes up and others have to learn of each other.
+const upTime = 700 * time.Millisecond
+
+func (s *sim) settled(n *simNode) bool { return !n.down && (n.up == 0 || s.now-n.up > upTime) }
+
+// ages returns the age of what each VM that is up believes of each other's requests; what
+// it knows nothing of is as old as the clock.
+func (s *sim) ages() []time.Duration {
+	var as []time.Duration
+	for vm, n := range s.nodes {
+		for other, o := range s.nodes {
+			if vm != other && s.settled(n) && s.settled(o) {
+				as = append(as, s.now-time.Duration(n.believed[endpointOf(other)])*time.Millisecond)
+			}
+		}
+	}
+	slices.Sort(as)
+	return as
+}
+
+// worst samples ages for a time and returns the 99th in 100 and the greatest.
+func (s *sim) worst(d time.Duration) (p99, most time.Duration) {
+	var as []time.Duration
+	for end := s.now + d; s.now < end; {
+		s.run(170 * time.Millisecond)
+		as = append(as, s.ages()...)
+	}
+	slices.Sort(as)
+	return as[len(as)*99/100], as[len(as)-1]
+}
+
+// busiest returns the datagrams a second that the busiest VM received, and those of all VMs.
+func (s *sim) busiest(d time.Duration) (busiest, all float64) {
+	clear(s.received)
+	s.run(d)
+	most, sum := 0, 0
+	for _, n := range s.received {
+		most, sum = max(most, n), sum+n
+	}
+	return float64(most) / d.Seconds(), float64(sum) / d.Seconds()
+}
+
+// relays returns the relays of a domain as most of its VMs choose them.
+func (s *sim) relays(d ggscore.Domain) []ggscore.VMID {
+	for _, m := range s.members {
+		if n := s.nodes[m.VM]; m.Domain == d && n != nil && !n.down && m.Capacity == thin {
+			return n.Relays(clock(s.now))
+		}
+	}
+	return nil
+}
--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -79,7 +79,10 @@
 	Transit  int
 	LoadTime time.Duration
 	Poll     time.Duration
-	Policy   ggscore.Policy
+	// NewsDelay is the time that VMs' words take to come here beyond that of a heartbeat
+	// that is sent directly.
+	NewsDelay time.Duration
+	Policy    ggscore.Policy
 }
 
 // A Step is an order to give.
--- a/core/ggsresident/orders.go
+++ b/core/ggsresident/orders.go
@@ -201,13 +201,14 @@
 	if h.released && rate < rareRate && l.options.Policy.On(ggscore.MechanismRelease) {
 		return h.used
 	}
-	at := h.used.Add(idleTime)
+	at := h.used.Add(idleTime + l.options.NewsDelay)
+	maxAge := wordMaxAge + l.options.NewsDelay
 	for vm, said := range h.users {
-		if now.Sub(said) > wordMaxAge {
+		if now.Sub(said) > maxAge {
 			delete(h.users, vm)
 			continue
 		}
-		if u := said.Add(wordMaxAge); u.After(at) {
+		if u := said.Add(maxAge); u.After(at) {
 			at = u
 		}
 	}
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -14,6 +14,7 @@
 	"greengageslip/core/ggsfencing"
 	"greengageslip/core/ggspath"
 	"greengageslip/core/ggsplace"
+	"greengageslip/core/ggsrelay"
 	"greengageslip/core/ggsretry"
 	"greengageslip/core/ggsturn"
 	"greengageslip/io/ggsexchange"
@@ -28,6 +29,9 @@
 	Domain  ggscore.Domain
 	Regions map[ggscore.Domain]ggscore.Region
 	Seed    uint64
+	// Capacity compares VMs by processor and link: the widest of a failure domain pass on
+	// heartbeats and give orders.
+	Capacity uint64
 	// Beats is where this VM hears its peers' beats, Control where they call it.
 	Beats   netip.AddrPort
 	Control netip.AddrPort
@@ -97,6 +101,7 @@
 	Parts
 	stats   Stats
 	metrics *metrics
+	packer  packer
 
 	paths    atomic.Pointer[ggspath.Table]
 	draining atomic.Bool
@@ -107,6 +112,7 @@
 	table    *ggsplace.Table
 	keeper   *ggsfencing.Keeper
 	turns    *ggsturn.Table
+	node     *ggsrelay.Node
 	retries  *ggsretry.Policy
 	versions map[ggscore.ModelAdapter]uint64
 	workers  map[ggscore.EndpointID]*worker
@@ -116,8 +122,14 @@
 	listed   bool
 	// entries are the store's entries as last read, for VMs that start while
 	// the store is away.
-	entries  map[ggscore.Key][]ggscore.Entry
-	sequence uint64
+	entries map[ggscore.Key][]ggscore.Entry
+	// startedAt tells this process from those before, sequence numbers its heartbeats.
+	// toldWhole is when all that endpoints hold was told last, summarized when a relay's
+	// summary was adopted last.
+	startedAt  int64
+	sequence   uint64
+	toldWhole  time.Time
+	summarized time.Time
 	// listedAt and operatedAt are the revisions by which the list of endpoints
 	// and the operators' entries were seen to change last, listRead and
 	// operatorsRead those up to which they were read.
@@ -131,6 +143,10 @@
 	operatorsAnnounced ggscore.StoreRevision
 	operatorsSynced    ggscore.StoreRevision
 	behindSince        time.Time
+	// operatorsReadTime is when this VM read the operators' entries or its watch of them
+	// ended, operatorsObserved when it or a peer did.
+	operatorsReadTime time.Time
+	operatorsObserved time.Time
 	// listAnnounced is the newest revision by which a peer saw the list change.
 	// listReadTime is when this VM read the list, listObserved when it or a peer did.
 	listAnnounced ggscore.StoreRevision
@@ -166,6 +182,8 @@
 	calls  netip.AddrPort
 	domain ggscore.Domain
 	region ggscore.Region
+	// capacity compares VMs by processor and link.
+	capacity uint64
 	// heard is when it last sent a beat, or became known.
 	heard    time.Time
 	started  int64
@@ -189,19 +207,21 @@
 func New(o Options, p Parts) *Edge {
 	turns := ggsturn.NewTable(ggsturn.Options{VM: o.VM, First: o.Seed})
 	e := &Edge{
-		options:  o,
-		Parts:    p,
-		turns:    turns,
-		table:    ggsplace.NewTable(ggsplace.Options{Domain: o.Domain, Regions: o.Regions, Seed: o.Seed, Turns: turns, Policy: o.Policy}),
-		keeper:   ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn}),
-		retries:  ggsretry.NewPolicy(retryOptions(o)),
-		versions: map[ggscore.ModelAdapter]uint64{},
-		workers:  map[ggscore.EndpointID]*worker{},
-		peers:    map[ggscore.VMID]*member{},
-		uses:     map[use]*usage{},
-		loads:    map[load]*loading{},
-		entries:  map[ggscore.Key][]ggscore.Entry{},
-		kick:     make(chan struct{}, 1),
+		options:   o,
+		Parts:     p,
+		turns:     turns,
+		node:      ggsrelay.NewNode(ggsrelay.Options{Self: o.member(), Started: p.Steady().UnixNano()}),
+		table:     ggsplace.NewTable(ggsplace.Options{Domain: o.Domain, Regions: o.Regions, Seed: o.Seed, Turns: turns, Policy: o.Policy}),
+		keeper:    ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn}),
+		retries:   ggsretry.NewPolicy(retryOptions(o)),
+		versions:  map[ggscore.ModelAdapter]uint64{},
+		workers:   map[ggscore.EndpointID]*worker{},
+		peers:     map[ggscore.VMID]*member{},
+		uses:      map[use]*usage{},
+		loads:     map[load]*loading{},
+		entries:   map[ggscore.Key][]ggscore.Entry{},
+		startedAt: p.Steady().UnixNano(),
+		kick:      make(chan struct{}, 1),
 
 		listNotified:      make(chan struct{}, 1),
 		operatorsNotified: make(chan struct{}, 1),
@@ -210,6 +230,11 @@
 	return e
 }
 
+// member returns this VM's place.
+func (o *Options) member() ggsrelay.Member {
+	return ggsrelay.Member{VM: o.VM, Domain: o.Domain, Region: o.Regions[o.Domain], Capacity: o.Capacity}
+}
+
 // retryShare is the part of the deployment's bound on repeats that this VM
 // uses: it sees a share of the requests, and what it doesn't know of, such as
 // a peer that comes or goes, must not break the bound.
@@ -237,8 +262,11 @@
 	g.Go(func() error { return e.followOperators(ctx) })
 	g.Go(func() error { return e.followInstances(ctx) })
 	g.Go(func() error { return e.followMembers(ctx) })
-	g.Go(func() error { return e.tellPeers(ctx) })
-	g.Go(func() error { return e.Peers.Run(ctx, ggspeer.Handler{Beat: e.heard, Notice: e.noticed}) })
+	g.Go(func() error { return e.sendHeartbeats(ctx) })
+	g.Go(func() error { return e.sendSummaries(ctx) })
+	g.Go(func() error {
+		return e.Peers.Run(ctx, ggspeer.Handler{Heartbeat: e.heard, Summary: e.summed, Notice: e.noticed})
+	})
 	g.Go(func() error { return e.giveOrders(ctx) })
 	g.Go(func() error { return e.askSeeds(ctx) })
 	return g.Wait()
--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -57,3 +57,21 @@
 
 // Error implements error.
 func (e *DeadlineError) Error() string { return fmt.Sprintf("time of %s is over", e.Limit) }
+
+// A PartUnknownError says that a VM has not read a part of the store yet.
+type PartUnknownError struct{ Prefix ggscore.Key }
+
+// Error implements error.
+func (e *PartUnknownError) Error() string { return fmt.Sprintf("%s has not been read yet", e.Prefix) }
+
+// A PartBehindError says that a relay has not read a part of the store so far.
+type PartBehindError struct {
+	Prefix ggscore.Key
+	At     ggscore.StoreRevision
+	Want   ggscore.StoreRevision
+}
+
+// Error implements error.
+func (e *PartBehindError) Error() string {
+	return fmt.Sprintf("%s has been read up to %d, not %d", e.Prefix, e.At, e.Want)
+}
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -52,10 +53,7 @@
 // waitForList waits until the list of endpoints is to be read: a peer saw it
 // change, or nobody has read it for some time.
 func (e *Edge) waitForList(ctx context.Context) bool {
-	limit := ggsgossip.AloneAge()
-	if heard := e.livePeers(); len(heard) > 0 {
-		limit = ggsgossip.ReadAge(ggsgossip.Rank(e.options.VM, heard), rand.Float64())
-	}
+	limit := e.listLimit()
 	for {
 		age := e.listAge()
 		if age >= limit {
@@ -70,6 +68,24 @@
 	}
 }
 
+// listLimit returns the age of the list from which this VM reads it.
+func (e *Edge) listLimit() time.Duration {
+	heard := e.livePeers()
+	if len(heard) == 0 {
+		return ggsgossip.AloneAge()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.node.Large() {
+		return ggsgossip.ReadAge(ggsgossip.Rank(e.options.VM, heard), rand.Float64())
+	}
+	relays := e.node.AllRelays(e.Now())
+	if !slices.Contains(relays, e.options.VM) {
+		return ggsgossip.FollowerReadAge(rand.Float64())
+	}
+	return ggsgossip.ReadAge(ggsgossip.Rank(e.options.VM, relays), rand.Float64())
+}
+
 // sinceListRead returns the time since this VM read the list.
 func (e *Edge) sinceListRead() time.Duration {
 	e.mu.Lock()
@@ -122,8 +138,7 @@
 	away, failures := false, 0
 	var read ggscore.StoreRevision
 	for ctx.Err() == nil {
-		es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Instances, false)
-		e.stats.Store.Add(1)
+		r, err := e.readList(ctx)
 		e.dependency(&away, err == nil, "instances", err)
 		if err != nil {
 			failures++
@@ -134,9 +149,9 @@
 			continue
 		}
 		failures = 0
-		if at >= read {
-			read = at
-			e.setInstances(ctx, es, at)
+		if r.at >= read {
+			read = r.at
+			e.setInstances(ctx, r)
 		}
 		if !e.waitForList(ctx) {
 			return nil
@@ -145,7 +160,26 @@
 	return nil
 }
 
-func (e *Edge) setInstances(ctx context.Context, es []ggscore.Entry, at ggscore.StoreRevision) {
+// readList reads the list of endpoints, from a relay of the domain where a peer saw it
+// change.
+func (e *Edge) readList(ctx context.Context) (partReading, error) {
+	e.mu.Lock()
+	announced, behind := e.listAnnounced, e.listRead > 0 && e.listAnnounced > e.listRead
+	e.mu.Unlock()
+	if behind && e.follows() {
+		if r, err := e.fromRelay(ctx, e.options.Keys.Instances, announced); err == nil {
+			return r, nil
+		}
+	}
+	es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Instances, false)
+	e.stats.Store.Add(1)
+	return partReading{entries: es, at: at, read: e.Now()}, err
+}
+
+// setInstances takes a reading of the list of endpoints. Its revision is zero where a seed
+// told it.
+func (e *Edge) setInstances(ctx context.Context, r partReading) {
+	es, at := r.entries, r.at
 	list := make([]ggscore.Instance, 0, len(es))
 	for _, n := range es {
 		i, err := e.Codec.Instance(n)
@@ -160,8 +194,10 @@
 	e.keeper.SetListed(e.Now(), list)
 	if at > 0 {
 		e.listRead = max(e.listRead, at)
-		e.listReadTime = e.Now()
-		e.listObserved = e.listReadTime
+		e.listReadTime = r.read
+		if r.read.After(e.listObserved) {
+			e.listObserved = r.read
+		}
 	}
 	// A VM that was told of one change may see another: it tells its own reading,
 	// and those who have read as much already find nothing new and tell nothing.
--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -2,45 +2,123 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsgossip"
-	"greengageslip/core/ggsplace"
+	"greengageslip/core/ggsrelay"
 	"greengageslip/io/ggslog"
-	"greengageslip/io/ggspeer"
 )
 
 const (
-	// tellInterval is the time between beats to peers: an adapter counts as
-	// unused 350 ms after its last use, wherever that was.
-	tellInterval = 150 * time.Millisecond
-	// holdingsEvery is the number of beats after which all that endpoints hold is
-	// told.
-	holdingsEvery = 6
-	// beatDelay is taken for a beat's way: a trip between regions, and a relay.
-	beatDelay = 20 * time.Millisecond
+	// heartbeatInterval is the time between heartbeats that go to each VM.
+	heartbeatInterval = 150 * time.Millisecond
+	// wholeInterval is the time after which all that endpoints hold is told, changed or not.
+	wholeInterval = 900 * time.Millisecond
+	// heartbeatDelay is taken for a heartbeat's way: a trip between regions, and a relay.
+	heartbeatDelay = 20 * time.Millisecond
+	// summaryAge is the age of the last summary up to which heartbeats that arrive directly
+	// are left out of the counts: a relay's summaries count them.
+	summaryAge = time.Second
+	// fleet stands for all VMs together where a summary says who uses an adapter.
+	fleet ggscore.VMID = ""
 )
 
-// tellPeers sends beats to the peers.
-func (e *Edge) tellPeers(ctx context.Context) error {
-	started := e.Steady().UnixNano()
-	for pause(ctx, tellInterval) {
-		e.spread(e.beat(started), ggscore.RelayRegions)
+// sendHeartbeats sends heartbeats to the peers, through relays where there are many.
+func (e *Edge) sendHeartbeats(ctx context.Context) error {
+	for pause(ctx, e.heartbeatInterval()) {
+		h := e.heartbeat()
+		if !e.large() {
+			e.spread(h, ggscore.RelayRegions)
+			continue
+		}
+		e.mu.Lock()
+		carrier, vms := e.node.Report(e.Now(), h)
+		to := e.addrs(vms)
+		e.mu.Unlock()
+		h.Carrier = carrier
+		e.sent(e.Peers.Send(h, to))
+	}
+	return nil
+}
+
+// sendSummaries sends summaries while this VM is a relay.
+func (e *Edge) sendSummaries(ctx context.Context) error {
+	for pause(ctx, ggsrelay.RelayInterval) {
+		if !e.large() {
+			continue
+		}
+		e.mu.Lock()
+		ms, v, ok := e.node.Tick(e.Now(), e.controllerDomain)
+		if ok {
+			e.adoptView(v)
+		}
+		to := make([][]netip.AddrPort, 0, len(ms))
+		for _, m := range ms {
+			to = append(to, e.addrs(m.To))
+		}
+		e.mu.Unlock()
+		for i, m := range ms {
+			e.sent(e.Peers.SendSummary(m.Summary, to[i]))
+		}
 	}
 	return nil
 }
 
-// spread sends a beat as far as the relay says.
-func (e *Edge) spread(b ggspeer.Beat, reach ggscore.Relay) {
-	for relay, addrs := range e.routes(reach, b.Sequence) {
-		b.Relay = relay
-		if err := e.Peers.Send(b, addrs); err != nil {
-			_ = level.Debug(e.Log).Log("event", ggslog.EventBeatUnsent, "err", err)
+// sent logs a datagram that couldn't be sent. The next one makes up for it.
+func (e *Edge) sent(err error) {
+	if err != nil {
+		_ = level.Debug(e.Log).Log("event", ggslog.EventBeatUnsent, "err", err)
+	}
+}
+
+func (e *Edge) heartbeatInterval() time.Duration {
+	if e.large() {
+		return ggsrelay.ReportInterval
+	}
+	return heartbeatInterval
+}
+
+// large reports whether heartbeats go through relays.
+func (e *Edge) large() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.node.Large()
+}
+
+// addrs returns where VMs receive datagrams. Edge.mu is held.
+func (e *Edge) addrs(vms []ggscore.VMID) []netip.AddrPort {
+	as := make([]netip.AddrPort, 0, len(vms))
+	for _, vm := range vms {
+		if p := e.peers[vm]; p != nil {
+			as = append(as, p.beats)
 		}
 	}
+	return as
+}
+
+// controllerDomain returns the domain of the VM that gives an endpoint its orders, empty
+// where none does. Edge.mu is held.
+func (e *Edge) controllerDomain(id ggscore.EndpointID) ggscore.Domain {
+	vm := e.keeper.Owner(id)
+	if vm == e.options.VM {
+		return e.options.Domain
+	}
+	if p := e.peers[vm]; p != nil {
+		return p.domain
+	}
+	return ""
+}
+
+// spread sends a heartbeat to each VM, as far as the relay says.
+func (e *Edge) spread(h ggscore.Heartbeat, reach ggscore.Relay) {
+	for relay, addrs := range e.routes(reach, h.Sequence) {
+		h.Relay = relay
+		e.sent(e.Peers.Send(h, addrs))
+	}
 }
 
 // self returns this VM's place.
@@ -57,81 +135,175 @@
 	return ms
 }
 
-// beat returns the next beat.
-func (e *Edge) beat(started int64) ggspeer.Beat {
+// heartbeat returns the next heartbeat.
+func (e *Edge) heartbeat() ggscore.Heartbeat {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := e.Now()
 	e.sequence++
 	e.setLoadable()
-	b := ggspeer.Beat{
-		VM: e.options.VM, Sequence: e.sequence, Started: started, ListedAt: e.listedAt, OperatedAt: e.operatedAt,
-		ListAge: min(e.Now().Sub(e.listReadTime), time.Hour),
-	}
 	e.turns.SetDecides(e.firstHeard() == e.options.VM)
-	b.Samples, b.Tallies = e.turns.Untold()
-	b.Modes = e.turns.Modes()
-	for _, f := range e.table.Own() {
-		b.Flights = append(b.Flights, ggspeer.Flight(f))
+	h := ggscore.Heartbeat{
+		VM: e.options.VM, Sequence: e.sequence, Started: e.startedAt, News: e.news(now),
+		InFlight: e.table.Own(), Holdings: e.holdings(now), Uses: e.ownUses(now),
 	}
+	h.Samples, h.Tallies = e.turns.Untold()
+	h.Modes = e.turns.Modes()
+	return h
+}
+
+// news returns how far this VM read the store. Edge.mu is held.
+func (e *Edge) news(now time.Time) ggscore.News {
+	return ggscore.News{
+		ListedAt: e.listedAt, OperatedAt: e.operatedAt,
+		ListAge: min(now.Sub(e.listReadTime), time.Hour), OperatorsAge: min(now.Sub(e.operatorsReadTime), time.Hour),
+	}
+}
+
+// holdings returns what the endpoints hold that get their orders from this VM. What hasn't
+// changed is told whole only now and then. Edge.mu is held.
+func (e *Edge) holdings(now time.Time) []ggscore.Holding {
+	whole := now.Sub(e.toldWhole) >= wholeInterval
+	if whole {
+		e.toldWhole = now
+	}
+	var hs []ggscore.Holding
 	for id, w := range e.workers {
-		if !w.ledger.Synced(e.Now()) {
+		if !w.ledger.Synced(now) {
 			continue
 		}
-		h := ggspeer.Holding{Endpoint: id, Waiting: w.ledger.Waiting(), Room: w.ledger.Room(e.Now())}
+		h := ggscore.Holding{Endpoint: id, Waiting: w.ledger.Waiting(), Room: w.ledger.Room(now)}
 		e.table.SetRoom(id, h.Waiting, h.Room)
-		// What hasn't changed is told once a second only: the answers that cross
-		// regions have a price, and beats were a fifth of their bytes.
-		if w.untold || e.sequence%holdingsEvery == 0 {
+		if w.untold || whole {
 			w.untold = false
 			h.Held, h.Whole = w.ledger.Resident(), true
 		}
-		b.Holdings = append(b.Holdings, h)
+		hs = append(hs, h)
 	}
+	return hs
+}
+
+// ownUses returns the adapters that this VM's requests use. Edge.mu is held.
+func (e *Edge) ownUses(now time.Time) []ggscore.Use {
+	var us []ggscore.Use
 	for u, n := range e.uses {
-		b.Uses = append(b.Uses, ggspeer.Use{Endpoint: u.endpoint, Target: u.target, Count: n.sent, Active: n.active > 0})
+		us = append(us, ggscore.Use{Endpoint: u.endpoint, Target: u.target, Count: n.sent, Active: n.active > 0})
 		if n.sent = 0; n.active <= 0 {
 			delete(e.uses, u)
 		}
 		if w := e.workers[u.endpoint]; w != nil {
-			w.ledger.Use(e.Now(), u.target, e.options.VM, n.active > 0)
+			w.ledger.Use(now, u.target, e.options.VM, n.active > 0)
 		}
 	}
-	return b
+	return us
 }
 
-// heard takes a peer's beat.
-func (e *Edge) heard(b ggspeer.Beat) {
-	if b.Relay > ggscore.RelayNone {
-		e.spread(b, b.Relay)
+// heard takes a peer's heartbeat.
+func (e *Edge) heard(from netip.AddrPort, h ggscore.Heartbeat) {
+	if h.Relay > ggscore.RelayNone {
+		e.spread(h, h.Relay)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := e.peers[b.VM]
+	p := e.peers[h.VM]
 	// Datagrams overtake each other, and those of an earlier process may come
 	// after the first of the next.
-	if p == nil || b.Started < p.started || b.Started == p.started && b.Sequence <= p.sequence {
+	if p == nil || h.Started < p.started || h.Started == p.started && h.Sequence <= p.sequence {
 		return
 	}
 	now := e.Now()
-	p.started, p.sequence, p.heard = b.Started, b.Sequence, now
-	if at := now.Add(-b.ListAge - beatDelay); at.After(e.listObserved) {
+	h.Holdings = e.controlled(h.VM, h.Holdings)
+	if e.node.Large() {
+		if from != p.beats {
+			e.metrics.reject(rejectedAddress)
+			return
+		}
+		e.node.Heartbeat(now, h)
+	}
+	p.started, p.sequence, p.heard = h.Started, h.Sequence, now
+	if e.node.Large() && now.Sub(e.summarized) < summaryAge {
+		return
+	}
+	e.adoptNews(now, h.News)
+	e.table.SetPeer(now, h.VM, h.InFlight)
+	e.adoptHoldings(now, h.Holdings)
+	e.adoptTurns(now, h.VM, h.Samples, h.Tallies, h.Modes)
+	for _, u := range h.Uses {
+		e.table.Asked(now, u.Target, u.Count)
+		e.used(now, h.VM, u)
+	}
+}
+
+// summed takes a relay's summary.
+func (e *Edge) summed(from netip.AddrPort, s ggscore.Summary) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.peers[s.From]; p == nil || p.beats != from {
+		e.metrics.reject(rejectedAddress)
+		return
+	}
+	if v, ok := e.node.Summary(e.Now(), s); ok {
+		e.adoptView(v)
+	}
+}
+
+// adoptView takes the sum over all VMs. Edge.mu is held.
+func (e *Edge) adoptView(v ggsrelay.View) {
+	now := e.Now()
+	e.summarized = now
+	for _, vm := range v.VMs {
+		if p := e.peers[vm]; p != nil {
+			p.heard = now
+		}
+	}
+	e.adoptNews(now, v.News)
+	if v.Counts {
+		e.table.SetPeers(now, v.InFlight)
+	}
+	e.adoptHoldings(now, v.Holdings)
+	e.adoptTurns(now, v.Decider, v.Samples, v.Tallies, v.Modes)
+	for _, d := range v.Demand {
+		e.table.Asked(now, d.Target, d.Count)
+	}
+	for _, u := range v.Uses {
+		e.used(now, fleet, u)
+	}
+}
+
+// controlled returns the holdings of endpoints that get their orders from the VM. Another
+// VM's word on them counts for nothing. Edge.mu is held.
+func (e *Edge) controlled(vm ggscore.VMID, hs []ggscore.Holding) []ggscore.Holding {
+	var own []ggscore.Holding
+	for _, h := range hs {
+		if e.keeper.Owner(h.Endpoint) == vm {
+			own = append(own, h)
+		}
+	}
+	return own
+}
+
+// adoptNews takes how far others read the store. Edge.mu is held.
+func (e *Edge) adoptNews(now time.Time, n ggscore.News) {
+	if at := now.Add(-n.ListAge - heartbeatDelay); at.After(e.listObserved) {
 		e.listObserved = at
 	}
-	e.listAnnounced = max(e.listAnnounced, b.ListedAt)
-	if b.ListedAt > e.listRead {
+	if at := now.Add(-n.OperatorsAge - heartbeatDelay); at.After(e.operatorsObserved) {
+		e.operatorsObserved = at
+	}
+	e.listAnnounced = max(e.listAnnounced, n.ListedAt)
+	if n.ListedAt > e.listRead {
 		notify(e.listNotified)
 	}
-	if b.OperatedAt > e.operatorsRead {
-		e.announceOperators(now, b.OperatedAt)
+	if n.OperatedAt > e.operatorsRead {
+		e.announceOperators(now, n.OperatedAt)
 		notify(e.operatorsNotified)
 	}
-	fs := make([]ggsplace.Flight, 0, len(b.Flights))
-	for _, f := range b.Flights {
-		fs = append(fs, ggsplace.Flight(f))
-	}
-	e.table.SetPeer(now, b.VM, fs)
-	for _, h := range b.Holdings {
-		if e.keeper.Owner(h.Endpoint) != b.VM {
+}
+
+// adoptHoldings takes what endpoints hold. Edge.mu is held.
+func (e *Edge) adoptHoldings(now time.Time, hs []ggscore.Holding) {
+	for _, h := range hs {
+		if e.workers[h.Endpoint] != nil {
 			continue
 		}
 		e.table.SetRoom(h.Endpoint, h.Waiting, h.Room)
@@ -139,24 +311,35 @@
 			e.table.SetHeld(now, h.Endpoint, h.Held)
 		}
 	}
-	for _, s := range b.Samples {
-		e.turns.LearnFirst(s)
+}
+
+// adoptTurns takes what others learnt of how endpoints read, and the modes of the VM that
+// decides them. Edge.mu is held.
+func (e *Edge) adoptTurns(
+	now time.Time, vm ggscore.VMID, xs []ggscore.TurnSample, ys []ggscore.TurnTally, ms []ggscore.TurnMode,
+) {
+	for _, x := range xs {
+		e.turns.LearnFirst(x)
 	}
-	for _, n := range b.Tallies {
-		e.turns.LearnTally(now, n)
+	for _, y := range ys {
+		e.turns.LearnTally(now, y)
 	}
-	if b.VM == e.firstHeard() {
-		for _, m := range b.Modes {
-			e.turns.Follow(now, m)
-		}
+	if vm != e.firstHeard() || vm == e.options.VM {
+		return
 	}
-	for _, u := range b.Uses {
-		e.table.Asked(now, u.Target, u.Count)
-		if w := e.workers[u.Endpoint]; w != nil {
-			w.ledger.Use(now, u.Target, b.VM, u.Active)
-			w.wake()
-		}
+	for _, m := range ms {
+		e.turns.Follow(now, m)
+	}
+}
+
+// used notes what a VM's requests do with an adapter. Edge.mu is held.
+func (e *Edge) used(now time.Time, vm ggscore.VMID, u ggscore.Use) {
+	w := e.workers[u.Endpoint]
+	if w == nil {
+		return
 	}
+	w.ledger.Use(now, u.Target, vm, u.Active)
+	w.wake()
 }
 
 // firstHeard returns the first of the VMs that are heard, this one counted. Edge.mu is
--- a/io/ggsedge/list_test.go
+++ b/io/ggsedge/list_test.go
@@ -44,15 +44,15 @@
 	c := qt.New(t)
 	e := listEdge()
 	ctx := context.Background()
-	e.setInstances(ctx, entries("ready", "ready"), 490)
+	e.setInstances(ctx, partReading{entries: entries("ready", "ready"), at: 490, read: e.Now()})
 	e.listAnnounced = 500
-	e.setInstances(ctx, entries("leaving", "leaving"), 510)
+	e.setInstances(ctx, partReading{entries: entries("leaving", "leaving"), at: 510, read: e.Now()})
 	c.Assert(e.listedAt >= 510, qt.IsTrue, qt.Commentf("told %d", e.listedAt))
 
 	// Without a change nothing new is told, or two VMs would have each other read
 	// the list for ever.
 	at := e.listedAt
-	e.setInstances(ctx, entries("leaving", "leaving"), 520)
+	e.setInstances(ctx, partReading{entries: entries("leaving", "leaving"), at: 520, read: e.Now()})
 	c.Assert(e.listedAt, qt.Equals, at)
 }
 
@@ -72,7 +72,7 @@
 			c := qt.New(t)
 			e := listEdge()
 			e.Now = time.Now //nolint:forbidigo // the wait is in real time
-			e.setInstances(context.Background(), entries("ready", "ready"), 490)
+			e.setInstances(context.Background(), partReading{entries: entries("ready", "ready"), at: 490, read: e.Now()})
 			e.listReadTime = e.listReadTime.Add(-tc.read)
 			e.listAnnounced = 500
 			notify(e.listNotified)
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -14,6 +14,7 @@
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsfencing"
 	"greengageslip/core/ggsgossip"
+	"greengageslip/core/ggsrelay"
 	"greengageslip/io/ggslog"
 )
 
@@ -32,6 +33,8 @@
 	Domain  string `json:"domain"`
 	Beats   string `json:"beats"`
 	Control string `json:"control"`
+	// Capacity compares VMs by processor and link.
+	Capacity uint64 `json:"capacity,omitempty"`
 	// Count makes each beat a change.
 	Count uint64 `json:"count"`
 	// Shapes are what the VM has learnt of how endpoints read, for VMs that start.
@@ -84,7 +87,7 @@
 	if err != nil {
 		return nil, false
 	}
-	return &member{beats: b, calls: c}, true
+	return &member{beats: b, calls: c, capacity: w.Capacity}, true
 }
 
 func (e *Edge) memberKey(vm ggscore.VMID) ggscore.Key {
@@ -132,6 +135,7 @@
 			}
 		}
 		e.peers = peers
+		e.node.SetMembers(e.relayMembers())
 		e.retries.SetDepth(retryDepth(e.options, len(peers)+1))
 	}
 	if at > 0 {
@@ -140,6 +144,15 @@
 	e.setWorkers(ctx)
 }
 
+// relayMembers returns the peers' places and capacities. Edge.mu is held.
+func (e *Edge) relayMembers() []ggsrelay.Member {
+	ms := make([]ggsrelay.Member, 0, len(e.peers))
+	for vm, p := range e.peers {
+		ms = append(ms, ggsrelay.Member{VM: vm, Domain: p.domain, Region: p.region, Capacity: p.capacity})
+	}
+	return ms
+}
+
 // readOwn reads the system's own records. One that can't be read is passed
 // over.
 func (e *Edge) readOwn(es []ggscore.Entry) ([]ggsfencing.Record, []ggsfencing.Beat, map[ggscore.VMID]*member) {
@@ -162,7 +175,7 @@
 			vm := ggscore.VMID(name)
 			if err = json.Unmarshal(n.Value, &w); err == nil {
 				beats = append(beats, ggsfencing.Beat{
-					VM: vm, Domain: ggscore.Domain(w.Domain), Revision: n.Revision,
+					VM: vm, Domain: ggscore.Domain(w.Domain), Capacity: w.Capacity, Revision: n.Revision,
 				})
 				e.adoptShapes(w.Shapes)
 			}
@@ -232,7 +245,8 @@
 	e.mu.Unlock()
 	v, err := json.Marshal(&memberRecord{
 		Domain: string(e.options.Domain), Beats: e.options.Beats.String(), Control: e.options.Control.String(), Count: *count,
-		Shapes: shapeRecords(shapes),
+		Capacity: e.options.Capacity,
+		Shapes:   shapeRecords(shapes),
 	})
 	if err != nil {
 		_ = level.Error(e.Log).Log("event", ggslog.EventBeatUnencoded, "err", err)
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -26,8 +26,12 @@
 	answers  *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	loads    prometheus.Histogram
+	rejected *prometheus.CounterVec
 }
 
+// Causes for which datagrams of peers are rejected.
+const rejectedAddress = "address"
+
 func newMetrics(e *Edge) *metrics {
 	h := func(name, help string) prometheus.HistogramOpts {
 		return prometheus.HistogramOpts{
@@ -41,7 +45,10 @@
 		first:    prometheus.NewHistogramVec(h("first_piece_seconds", "Time from a request's arrival to the first piece of its endpoint's answer."), []string{"kind"}),
 		loads:    prometheus.NewHistogram(h("load_wait_seconds", "Time that requests waited for an adapter.")),
 	}
-	m.registry.MustRegister(m.answers, m.first, m.loads, collectors.NewGoCollector(),
+	m.rejected = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "ggs", Name: "datagrams_rejected_total", Help: "Datagrams of peers that changed nothing, by cause.",
+	}, []string{"cause"})
+	m.registry.MustRegister(m.answers, m.first, m.loads, m.rejected, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.count(e)
 	m.believe(e)
@@ -110,6 +117,9 @@
 	return promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{})
 }
 
+// reject counts a datagram that changes nothing.
+func (m *metrics) reject(cause string) { m.rejected.WithLabelValues(cause).Inc() }
+
 // answered notes an endpoint's answer that was passed on whole.
 func (m *metrics) answered(k ggscore.RouteKind, took time.Duration) {
 	m.answers.WithLabelValues(k.String()).Observe(took.Seconds())
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -21,7 +21,6 @@
 	away, failures := false, 0
 	for ctx.Err() == nil {
 		es, next, err := e.operators(ctx, &at)
-		e.stats.Store.Add(1)
 		if err != nil && ctx.Err() != nil {
 			return nil
 		}
@@ -61,6 +60,11 @@
 // peer has read, and where this VM is behind its peers already: a watch would replay each
 // version in between, a snapshot has the newest only.
 func (e *Edge) operators(ctx context.Context, at *ggscore.StoreRevision) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	if *at > 0 && e.awaitRelays(ctx) {
+		if r, err := e.operatorsFromRelay(ctx); err == nil {
+			return r.entries, r.at, nil
+		}
+	}
 	if *at > 0 && !e.operatorsBehind() {
 		es, next, preempted, err := e.watchOperators(ctx, *at)
 		if !preempted {
@@ -72,6 +76,52 @@
 	return e.snapshotOperators(ctx)
 }
 
+// awaitRelays waits while the relays of the domain read the operators' entries, and reports
+// whether they have read newer ones than this VM.
+func (e *Edge) awaitRelays(ctx context.Context) bool {
+	for e.follows() && e.operatorsAge() < ggsgossip.OperatorsStale {
+		if e.operatorsBehind() {
+			return true
+		}
+		if !pauseOr(ctx, ggsgossip.OperatorsStale/4, e.operatorsNotified) {
+			return false
+		}
+	}
+	return false
+}
+
+// operatorsAge returns the time since this VM or a peer read the operators' entries.
+func (e *Edge) operatorsAge() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Now().Sub(e.operatorsObserved)
+}
+
+// operatorsFromRelay returns the operators' entries as a relay read them.
+func (e *Edge) operatorsFromRelay(ctx context.Context) (partReading, error) {
+	e.mu.Lock()
+	announced := e.operatorsAnnounced
+	e.mu.Unlock()
+	r, err := e.fromRelay(ctx, e.options.Keys.Operators, announced)
+	if err == nil {
+		e.mu.Lock()
+		e.operatorsSynced = max(e.operatorsSynced, announced)
+		e.mu.Unlock()
+	}
+	return r, err
+}
+
+// watchers returns the number of VMs that watch the operators' entries.
+func (e *Edge) watchers() int {
+	live := e.livePeers()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now := e.Now(); e.node.Large() && e.node.Relay(now) {
+		return len(e.node.AllRelays(now))
+	}
+	return len(live) + 1
+}
+
 // snapshotOperators returns all of the operators' entries. What peers announced before
 // counts as read: a revision that the store doesn't have is not asked for again.
 func (e *Edge) snapshotOperators(ctx context.Context) ([]ggscore.Entry, ggscore.StoreRevision, error) {
@@ -79,14 +129,22 @@
 	announced := e.operatorsAnnounced
 	e.mu.Unlock()
 	es, next, err := e.Store.Snapshot(ctx, e.options.Keys.Operators, false)
+	e.stats.Store.Add(1)
 	if err == nil {
 		e.mu.Lock()
 		e.operatorsSynced = announced
+		e.storeAnswered()
 		e.mu.Unlock()
 	}
 	return es, next, err
 }
 
+// storeAnswered notes that the store told how the operators' entries stand. Edge.mu is held.
+func (e *Edge) storeAnswered() {
+	e.operatorsReadTime = e.Now()
+	e.operatorsObserved = e.operatorsReadTime
+}
+
 // watchOperators waits for changes after the revision, and reports whether it gave the
 // watch up for a notification.
 func (e *Edge) watchOperators(
@@ -100,7 +158,13 @@
 		ended <- e.overtaken(c, f)
 		cancel()
 	}()
-	es, next, err = e.Store.Watch(c, e.options.Keys.Operators, at, ggsgossip.WatchWait(len(e.livePeers())+1, rand.Float64()))
+	es, next, err = e.Store.Watch(c, e.options.Keys.Operators, at, ggsgossip.WatchWait(e.watchers(), rand.Float64()))
+	e.stats.Store.Add(1)
+	if err == nil {
+		e.mu.Lock()
+		e.storeAnswered()
+		e.mu.Unlock()
+	}
 	cancel()
 	preempted = <-ended && err != nil && ctx.Err() == nil
 	return es, next, preempted, err
--- a/io/ggsedge/operators_test.go
+++ b/io/ggsedge/operators_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,7 +11,6 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsgossip"
-	"greengageslip/io/ggspeer"
 )
 
 func TestOperatorsLagCountsFromTheFirstAnnouncement(t *testing.T) {
@@ -22,7 +22,7 @@
 	e.peers["peer"] = &member{}
 	announce := func(at ggscore.StoreRevision) {
 		e.peers["peer"].sequence = 0
-		e.heard(ggspeer.Beat{VM: "peer", Sequence: 1, OperatedAt: at})
+		e.heard(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 1, News: ggscore.News{OperatedAt: at}})
 	}
 	e.readOperators(10, nil)
 	announce(10)
@@ -70,7 +70,7 @@
 	defer cancel()
 	go func() {
 		<-s.watches
-		e.heard(ggspeer.Beat{VM: "peer", Sequence: 1, OperatedAt: 12})
+		e.heard(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 1, News: ggscore.News{OperatedAt: 12}})
 	}()
 	at := ggscore.StoreRevision(10)
 	es, next, err := e.operators(ctx, &at)
@@ -87,12 +87,12 @@
 	e.Store = s
 	e.peers["peer"] = &member{}
 	e.readOperators(10, nil)
-	e.heard(ggspeer.Beat{VM: "peer", Sequence: 1, OperatedAt: 99})
+	e.heard(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 1, News: ggscore.News{OperatedAt: 99}})
 	at := ggscore.StoreRevision(10)
 	es, next, err := e.operators(context.Background(), &at)
 	c.Assert(err, qt.IsNil)
 	e.readOperators(next, es)
-	e.heard(ggspeer.Beat{VM: "peer", Sequence: 2, OperatedAt: 99})
+	e.heard(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 2, News: ggscore.News{OperatedAt: 99}})
 	ctx, cancel := context.WithTimeout(context.Background(), 2*ggsgossip.WatchGrace)
 	defer cancel()
 	at = next
--- /dev/null
+++ b/io/ggsedge/parts.go
@@ -0,0 +1,184 @@
+package ggsedge
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/gob"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsrelay"
+	"greengageslip/io/ggslog"
+)
+
+const (
+	// partWait is how long a relay waits for its own reading of what it is asked for.
+	partWait = 500 * time.Millisecond
+	// partSilence is how long a relay may send nothing.
+	partSilence = partWait + 300*time.Millisecond
+	// partBytes bounds a part when it is unpacked.
+	partBytes = 64 << 20
+)
+
+const partMethod = "Placement.Part"
+
+// A PartArgs asks for a part of the store that was read up to a revision.
+type PartArgs struct {
+	Prefix string
+	Up     uint64
+}
+
+// A PartReply has a part of the store as of a revision.
+type PartReply struct {
+	At uint64
+	// Age is the time since it was read.
+	Age time.Duration
+	// Entries are packed.
+	Entries []byte
+}
+
+// A partReading is a part of the store as this VM last read it.
+type partReading struct {
+	entries []ggscore.Entry
+	at      ggscore.StoreRevision
+	read    time.Time
+}
+
+// A packer keeps the parts that it packed last: many VMs ask for each.
+type packer struct {
+	mu     sync.Mutex
+	packed map[ggscore.Key]packedPart
+}
+
+type packedPart struct {
+	at    ggscore.StoreRevision
+	bytes []byte
+}
+
+// pack returns the packed entries of a part.
+func (p *packer) pack(prefix ggscore.Key, r partReading) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k, ok := p.packed[prefix]; ok && k.at == r.at {
+		return k.bytes, nil
+	}
+	b, err := packEntries(r.entries)
+	if err != nil {
+		return nil, err
+	}
+	if p.packed == nil {
+		p.packed = map[ggscore.Key]packedPart{}
+	}
+	p.packed[prefix] = packedPart{at: r.at, bytes: b}
+	return b, nil
+}
+
+func packEntries(es []ggscore.Entry) ([]byte, error) {
+	ws := make([]StoredEntry, 0, len(es))
+	for _, n := range es {
+		ws = append(ws, StoredEntry{Key: string(n.Key), Value: n.Value, Revision: uint64(n.Revision)})
+	}
+	var b bytes.Buffer
+	z, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "packing entries")
+	}
+	if err := gob.NewEncoder(z).Encode(ws); err != nil {
+		return nil, errors.Wrap(err, "packing entries")
+	}
+	if err := z.Close(); err != nil {
+		return nil, errors.Wrap(err, "packing entries")
+	}
+	return b.Bytes(), nil
+}
+
+func unpackEntries(b []byte) ([]ggscore.Entry, error) {
+	z := flate.NewReader(bytes.NewReader(b))
+	defer func() { _ = z.Close() }()
+	var ws []StoredEntry
+	if err := gob.NewDecoder(io.LimitReader(z, partBytes)).Decode(&ws); err != nil {
+		return nil, errors.Wrap(err, "unpacking entries")
+	}
+	es := make([]ggscore.Entry, 0, len(ws))
+	for _, w := range ws {
+		es = append(es, ggscore.Entry{Key: ggscore.Key(w.Key), Value: w.Value, Revision: ggscore.StoreRevision(w.Revision)})
+	}
+	return es, nil
+}
+
+// Part answers with a part of the store, once this VM has read it so far or partWait has
+// passed.
+func (p *Placement) Part(a *PartArgs, r *PartReply) error {
+	prefix := ggscore.Key(a.Prefix)
+	ctx, cancel := context.WithTimeout(p.ctx, partWait)
+	defer cancel()
+	part, err := p.edge.part(prefix)
+	for err == nil && part.at < ggscore.StoreRevision(a.Up) && pause(ctx, listTick) {
+		part, err = p.edge.part(prefix)
+	}
+	if err != nil {
+		return err
+	}
+	r.At, r.Age = uint64(part.at), p.edge.Now().Sub(part.read)
+	r.Entries, err = p.edge.packer.pack(prefix, part)
+	return err
+}
+
+// part returns a part of the store as this VM last read it.
+func (e *Edge) part(prefix ggscore.Key) (partReading, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := partReading{entries: append([]ggscore.Entry(nil), e.entries[prefix]...)}
+	switch prefix {
+	case e.options.Keys.Operators:
+		r.at, r.read = e.operatorsRead, e.operatorsReadTime
+	case e.options.Keys.Instances:
+		r.at, r.read = e.listRead, e.listReadTime
+	}
+	if r.at == 0 {
+		return partReading{}, &PartUnknownError{Prefix: prefix}
+	}
+	return r, nil
+}
+
+// follows reports whether this VM leaves it to the relays of its domain to read the store.
+func (e *Edge) follows() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Now()
+	return e.node.Large() && now.Sub(e.summarized) < summaryAge && !e.node.Relay(now)
+}
+
+// fromRelay returns a part of the store as a relay of the domain read it, up to the
+// revision at least.
+func (e *Edge) fromRelay(ctx context.Context, prefix ggscore.Key, up ggscore.StoreRevision) (partReading, error) {
+	e.mu.Lock()
+	vms := e.node.Relays(e.Now())
+	to := e.addrs(vms)
+	e.mu.Unlock()
+	var err error = &PartUnknownError{Prefix: prefix}
+	first := int(ggsrelay.Hash(e.options.VM))
+	for i := range to {
+		addr := to[(first+i)%len(to)]
+		var r PartReply
+		err = e.Calls.CallLong(ctx, partSilence, addr, partMethod, &PartArgs{Prefix: string(prefix), Up: uint64(up)}, &r)
+		if err == nil && ggscore.StoreRevision(r.At) < up {
+			err = &PartBehindError{Prefix: prefix, At: ggscore.StoreRevision(r.At), Want: up}
+		}
+		if err != nil {
+			_ = level.Info(e.Log).Log("event", ggslog.EventPartUnread, "part", prefix, "relay", addr, "want", up, "err", err)
+			continue
+		}
+		var es []ggscore.Entry
+		if es, err = unpackEntries(r.Entries); err == nil {
+			return partReading{entries: es, at: ggscore.StoreRevision(r.At), read: e.Now().Add(-r.Age)}, nil
+		}
+	}
+	return partReading{}, err
+}
--- /dev/null
+++ b/io/ggsedge/parts_test.go
@@ -0,0 +1,125 @@
+package ggsedge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsgossip"
+	"greengageslip/core/ggsrelay"
+	"greengageslip/io/ggsrpc"
+)
+
+const (
+	fleetSize = 40
+	configKey = ggscore.Key("op/config")
+)
+
+// follower returns a VM of a large deployment whose relays answer at the address.
+func follower(s Store, relay netip.AddrPort) *Edge {
+	e := listEdge()
+	e.options.Domain, e.options.Keys.Operators = "d", "op/"
+	e.node = ggsrelay.NewNode(ggsrelay.Options{Self: e.options.member()})
+	e.Store, e.Calls = s, ggsrpc.NewPool(ggsrpc.PoolOptions{})
+	for i := range fleetSize {
+		p := &member{calls: relay, beats: relay, domain: "d", capacity: uint64(1 << (2 * (i % 10)))}
+		e.peers[ggscore.VMID(fmt.Sprintf("peer-%d", i))] = p
+	}
+	e.node.SetMembers(e.relayMembers())
+	e.summarized, e.operatorsObserved = e.Now(), e.Now()
+	e.readOperators(10, nil)
+	e.announceOperators(e.Now(), 12)
+	return e
+}
+
+// serveParts serves the parts that a VM has read, and returns the address.
+func serveParts(ctx context.Context, c *qt.C, e *Edge) (netip.AddrPort, chan error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	s := ggsrpc.NewServer()
+	c.Assert(s.Register("Placement", NewPlacement(ctx, e)), qt.IsNil)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, l) }()
+	return netip.MustParseAddrPort(l.Addr().String()), done
+}
+
+// Guards against a store that hundreds of VMs ask for each change.
+func TestFollowerReadsPartsFromARelay(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		relayAt   ggscore.StoreRevision
+		snapshots int32
+	}{
+		"the relay has read the change": {12, 0},
+		"the relay is behind":           {11, 1},
+		"the relay has read nothing":    {0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			relay := listEdge()
+			relay.options.Keys.Operators = "op/"
+			relay.Now = time.Now //nolint:forbidigo // the relay waits in real time
+			value := []byte(strings.Repeat("routes ", 1000))
+			relay.keepOperators([]ggscore.Entry{{Key: configKey, Value: value, Revision: 12}})
+			relay.readOperators(tc.relayAt, nil)
+			addr, done := serveParts(ctx, c, relay)
+			s := &silentStore{watches: make(chan struct{}, 1)}
+			e := follower(s, addr)
+			at := ggscore.StoreRevision(10)
+			es, next, err := e.operators(ctx, &at)
+			c.Assert(err, qt.IsNil)
+			c.Assert(next >= 12, qt.IsTrue)
+			c.Assert(es, qt.HasLen, 1)
+			c.Assert(s.snapshots.Load(), qt.Equals, tc.snapshots)
+			if tc.snapshots == 0 {
+				c.Assert(es[0].Value, qt.DeepEquals, value)
+			}
+			c.Assert(e.Calls.Close(), qt.IsNil)
+			cancel()
+			c.Assert(<-done, qt.IsNil)
+		})
+	}
+}
+
+// Guards against VMs that trust relays which no longer reach the store.
+func TestFollowerWatchesWhenNobodyReads(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := &silentStore{watches: make(chan struct{}, 1)}
+	e := follower(s, netip.AddrPort{})
+	e.readOperators(12, nil)
+	e.operatorsObserved = e.Now().Add(-ggsgossip.OperatorsStale)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-s.watches
+		cancel()
+	}()
+	at := ggscore.StoreRevision(12)
+	_, _, err := e.operators(ctx, &at)
+	c.Assert(err, qt.Equals, context.Canceled)
+	c.Assert(e.Calls.Close(), qt.IsNil)
+}
+
+func TestPackedEntriesComeBack(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	want := []ggscore.Entry{{Key: "a", Value: []byte("x"), Revision: 3}, {Key: "b", Revision: 4}}
+	b, err := packEntries(want)
+	c.Assert(err, qt.IsNil)
+	got, err := unpackEntries(b)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, want)
+	for name, bad := range map[string][]byte{"nothing": nil, "garbage": []byte("garbage"), "cut short": b[:len(b)/2]} {
+		_, err := unpackEntries(bad)
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%s", name))
+	}
+}
--- a/io/ggsedge/seeds.go
+++ b/io/ggsedge/seeds.go
@@ -121,7 +121,7 @@
 		}
 	case e.options.Keys.Instances:
 		if !e.started() {
-			e.setInstances(ctx, es, 0)
+			e.setInstances(ctx, partReading{entries: es})
 		}
 	case e.options.Keys.Own:
 		e.setMembers(ctx, es, 0)
--- a/io/ggsedge/worker.go
+++ b/io/ggsedge/worker.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsrelay"
 	"greengageslip/core/ggsresident"
 	"greengageslip/io/ggslog"
 )
@@ -102,7 +103,7 @@
 		w = &worker{
 			instance: i,
 			ledger: ggsresident.NewLedger(ggsresident.Options{
-				Endpoint: i.ID, Demand: e.table, Slots: s.Engine.Places(), Policy: e.options.Policy,
+				Endpoint: i.ID, Demand: e.table, Slots: s.Engine.Places(), NewsDelay: e.newsDelay(), Policy: e.options.Policy,
 			}),
 			changed: make(chan struct{}), kick: make(chan struct{}, 1), cancel: cancel,
 		}
@@ -119,6 +120,14 @@
 	}
 }
 
+// newsDelay returns the time that other VMs' words take through relays. Edge.mu is held.
+func (e *Edge) newsDelay() time.Duration {
+	if e.node.Large() {
+		return ggsrelay.NewsDelay
+	}
+	return 0
+}
+
 // peerSilence is the silence after which a peer isn't asked for loads: six beats.
 // One that is gone, frozen or cut off answers nothing, and requests waited 900 ms
 // for it before they went elsewhere.
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -32,6 +32,7 @@
 	EventOrdersClaimed      Event = "ordersClaimed"
 	EventOrdersReleased     Event = "ordersReleased"
 	EventPartFailed         Event = "partFailed"
+	EventPartUnread         Event = "partUnread"
 	EventProcessStarted     Event = "processStarted"
 	EventReadFailed         Event = "readFailed"
 	EventRecordUnencoded    Event = "recordUnencoded"
@@ -77,6 +78,7 @@
 		EventOrdersClaimed,
 		EventOrdersReleased,
 		EventPartFailed,
+		EventPartUnread,
 		EventProcessStarted,
 		EventReadFailed,
 		EventRecordUnencoded,
--- a/io/ggspeer/conn_test.go
+++ b/io/ggspeer/conn_test.go
@@ -23,22 +23,25 @@
 	addr := freeAddr(c)
 	conn, err := ggspeer.Listen(ctx, addr)
 	c.Assert(err, qt.IsNil)
-	got := make(chan ggspeer.Beat, 1)
+	got := make(chan ggscore.Heartbeat, 1)
 	done := make(chan error, 1)
+	summed := make(chan ggscore.Summary, 1)
 	told := make(chan ggspeer.Notice, 1)
 	go func() {
 		done <- conn.Run(ctx, ggspeer.Handler{
-			Beat:   func(b ggspeer.Beat) { got <- b },
-			Notice: func(n ggspeer.Notice) { told <- n },
+			Heartbeat: func(_ netip.AddrPort, h ggscore.Heartbeat) { got <- h },
+			Summary:   func(_ netip.AddrPort, s ggscore.Summary) { summed <- s },
+			Notice:    func(n ggspeer.Notice) { told <- n },
 		})
 	}()
 
 	a := ggscore.ModelAdapter{Model: "m", Adapter: "a7"}
-	want := ggspeer.Beat{
-		VM: "vm", Sequence: 3, Started: 9, Relay: ggscore.RelayDomains, ListedAt: 4, OperatedAt: 5, ListAge: 6 * time.Millisecond,
-		Flights:  []ggspeer.Flight{{Endpoint: "r1", Count: 4, Ended: 3, Failed: 2}},
-		Holdings: []ggspeer.Holding{{Endpoint: "r1", Held: []ggscore.AdapterVersion{{Target: a, Version: 2}}, Whole: true, Waiting: 1, Room: 3}},
-		Uses:     []ggspeer.Use{{Endpoint: "r1", Target: a, Count: 5, Active: true}},
+	want := ggscore.Heartbeat{
+		VM: "vm", Sequence: 3, Started: 9, Relay: ggscore.RelayDomains, Carrier: "relay",
+		News:     ggscore.News{ListedAt: 4, OperatedAt: 5, ListAge: 6 * time.Millisecond, OperatorsAge: 7 * time.Millisecond},
+		InFlight: []ggscore.InFlight{{Endpoint: "r1", Count: 4, Ended: 3, Failed: 2}},
+		Holdings: []ggscore.Holding{{Endpoint: "r1", Held: []ggscore.AdapterVersion{{Target: a, Version: 2}}, Whole: true, Waiting: 1, Room: 3}},
+		Uses:     []ggscore.Use{{Endpoint: "r1", Target: a, Count: 5, Active: true}},
 		Samples:  []ggscore.TurnSample{{Service: "s", Tokens: 1460, Took: 70 * time.Millisecond}},
 		Tallies:  []ggscore.TurnTally{{Service: "s", Streams: 9, Hurt: 2}},
 		Modes:    []ggscore.TurnMode{{Service: "s", Waits: true, Without: 0.25}},
@@ -46,19 +49,27 @@
 	// Another writer's bytes must not stop the reading.
 	u, err := (&net.Dialer{}).DialContext(ctx, "udp", addr.String())
 	c.Assert(err, qt.IsNil)
-	for _, b := range []string{"garbage", "b\x87\x00", "n\x87\x00", ""} {
+	for _, b := range []string{"garbage", "h\x87\x00", "s\x87\x00", "n\x87\x00", ""} {
 		_, err = u.Write([]byte(b))
 		c.Assert(err, qt.IsNil)
 	}
 	c.Assert(u.Close(), qt.IsNil)
 	c.Assert(conn.Send(want, []netip.AddrPort{addr}), qt.IsNil)
 	c.Assert(<-got, qt.DeepEquals, want)
+	s := ggscore.Summary{
+		From: "relay", Domain: "d", Fleet: true, Settling: true, Sequence: 4, Started: 8, News: want.News,
+		Included: []ggscore.IncludedHeartbeat{{VM: 77, Sequence: 3}}, Live: []ggscore.VMHash{77, 1 << 31}, LiveWhole: true,
+		InFlight: want.InFlight, Holdings: want.Holdings, Uses: want.Uses, Demand: []ggscore.Demand{{Target: a, Count: 6}},
+		Samples: want.Samples, Tallies: want.Tallies, Decider: "vm", Modes: want.Modes,
+	}
+	c.Assert(conn.SendSummary(s, []netip.AddrPort{addr}), qt.IsNil)
+	c.Assert(<-summed, qt.DeepEquals, s)
 	n := ggspeer.Notice{
 		VM: "vm", Number: 7, Relay: ggscore.RelayDomain, Service: "s", Endpoint: "r1", Wait: 30 * time.Millisecond, Tokens: 1460, Unused: true,
 	}
 	c.Assert(conn.SendNotice(n, []netip.AddrPort{addr}), qt.IsNil)
 	c.Assert(<-told, qt.DeepEquals, n)
-	c.Assert(conn.Dropped(), qt.Equals, int64(4))
+	c.Assert(conn.Dropped(), qt.Equals, int64(5))
 	cancel()
 	c.Assert(<-done, qt.IsNil)
 }
--- /dev/null
+++ b/io/ggspeer/heartbeat.go
@@ -0,0 +1,47 @@
+package ggspeer
+
+import ggscore "greengageslip/core"
+
+type heartbeatWire struct {
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	VM       string
+	Sequence uint64
+	Started  int64
+	Relay    int
+	Carrier  string
+	News     newsWire
+	Models   modelNames
+	InFlight []inFlightWire
+	Holdings []holdingWire
+	Uses     []useWire
+	Samples  []sampleWire
+	Tallies  []tallyWire
+	Modes    []modeWire
+}
+
+func heartbeatWireOf(h ggscore.Heartbeat) *heartbeatWire {
+	w := &heartbeatWire{
+		VM: string(h.VM), Sequence: h.Sequence, Started: h.Started, Relay: int(h.Relay), Carrier: string(h.Carrier),
+		News: newsWireOf(h.News), InFlight: inFlightWires(h.InFlight),
+		Samples: sampleWires(h.Samples), Tallies: tallyWires(h.Tallies), Modes: modeWires(h.Modes),
+	}
+	w.Holdings = w.Models.holdingWires(h.Holdings)
+	w.Uses = w.Models.useWires(h.Uses)
+	return w
+}
+
+func (w *heartbeatWire) heartbeat() (ggscore.Heartbeat, error) {
+	h := ggscore.Heartbeat{
+		VM: ggscore.VMID(w.VM), Sequence: w.Sequence, Started: w.Started, Relay: ggscore.Relay(w.Relay), Carrier: ggscore.VMID(w.Carrier),
+		News: w.News.news(), InFlight: inFlightOf(w.InFlight),
+		Samples: samplesOf(w.Samples), Tallies: talliesOf(w.Tallies), Modes: modesOf(w.Modes),
+	}
+	var err error
+	if h.Holdings, err = w.Models.holdings(w.Holdings); err != nil {
+		return ggscore.Heartbeat{}, err
+	}
+	if h.Uses, err = w.Models.uses(w.Uses); err != nil {
+		return ggscore.Heartbeat{}, err
+	}
+	return h, nil
+}
--- /dev/null
+++ b/io/ggspeer/wire.go
@@ -0,0 +1,228 @@
+package ggspeer
+
+import (
+	"time"
+
+	ggscore "greengageslip/core"
+)
+
+type inFlightWire struct {
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Endpoint string
+	Count    int
+	Ended    int
+	Failed   int
+}
+
+type holdingWire struct {
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Endpoint string
+	Held     []heldWire
+	Whole    bool
+	Waiting  int
+	Room     int
+}
+
+type heldWire struct {
+	_       struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Model   int
+	Adapter string
+	Version uint64
+}
+
+type useWire struct {
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Endpoint string
+	Model    int
+	Adapter  string
+	Count    int
+	Active   bool
+}
+
+type demandWire struct {
+	_       struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Model   int
+	Adapter string
+	Count   int
+}
+
+type sampleWire struct {
+	_       struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Service string
+	Tokens  int
+	// Took counts microseconds.
+	Took int64
+}
+
+type tallyWire struct {
+	_       struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Service string
+	Streams int
+	Hurt    int
+}
+
+type modeWire struct {
+	_       struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Service string
+	Waits   bool
+	Without float64
+}
+
+type newsWire struct {
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Listed   uint64
+	Operated uint64
+	// ListAge and OperatorsAge count milliseconds.
+	ListAge      int64
+	OperatorsAge int64
+}
+
+func newsWireOf(n ggscore.News) newsWire {
+	return newsWire{
+		Listed: uint64(n.ListedAt), Operated: uint64(n.OperatedAt),
+		ListAge: n.ListAge.Milliseconds(), OperatorsAge: n.OperatorsAge.Milliseconds(),
+	}
+}
+
+func (w *newsWire) news() ggscore.News {
+	return ggscore.News{
+		ListedAt: ggscore.StoreRevision(w.Listed), OperatedAt: ggscore.StoreRevision(w.Operated),
+		ListAge: time.Duration(w.ListAge) * time.Millisecond, OperatorsAge: time.Duration(w.OperatorsAge) * time.Millisecond,
+	}
+}
+
+// modelNames lists the base models that the rest of a datagram refers to by index.
+type modelNames []string
+
+func (m *modelNames) index(name ggscore.BaseModel) int {
+	for i, n := range *m {
+		if n == string(name) {
+			return i
+		}
+	}
+	*m = append(*m, string(name))
+	return len(*m) - 1
+}
+
+func (m modelNames) target(index int, adapter string) (ggscore.ModelAdapter, error) {
+	if index < 0 || index >= len(m) {
+		return ggscore.ModelAdapter{}, &IndexError{Index: index, Count: len(m)}
+	}
+	return ggscore.ModelAdapter{Model: ggscore.BaseModel(m[index]), Adapter: adapter}, nil
+}
+
+func inFlightWires(fs []ggscore.InFlight) []inFlightWire {
+	ws := make([]inFlightWire, 0, len(fs))
+	for _, f := range fs {
+		ws = append(ws, inFlightWire{Endpoint: string(f.Endpoint), Count: f.Count, Ended: f.Ended, Failed: f.Failed})
+	}
+	return ws
+}
+
+func inFlightOf(ws []inFlightWire) []ggscore.InFlight {
+	var fs []ggscore.InFlight
+	for _, w := range ws {
+		fs = append(fs, ggscore.InFlight{Endpoint: ggscore.EndpointID(w.Endpoint), Count: w.Count, Ended: w.Ended, Failed: w.Failed})
+	}
+	return fs
+}
+
+func (m *modelNames) holdingWires(hs []ggscore.Holding) []holdingWire {
+	ws := make([]holdingWire, 0, len(hs))
+	for _, h := range hs {
+		w := holdingWire{Endpoint: string(h.Endpoint), Whole: h.Whole, Waiting: h.Waiting, Room: h.Room}
+		for _, v := range h.Held {
+			w.Held = append(w.Held, heldWire{Model: m.index(v.Target.Model), Adapter: v.Target.Adapter, Version: v.Version})
+		}
+		ws = append(ws, w)
+	}
+	return ws
+}
+
+func (m modelNames) holdings(ws []holdingWire) ([]ggscore.Holding, error) {
+	var hs []ggscore.Holding
+	for _, w := range ws {
+		h := ggscore.Holding{Endpoint: ggscore.EndpointID(w.Endpoint), Whole: w.Whole, Waiting: w.Waiting, Room: w.Room}
+		for _, v := range w.Held {
+			t, err := m.target(v.Model, v.Adapter)
+			if err != nil {
+				return nil, err
+			}
+			h.Held = append(h.Held, ggscore.AdapterVersion{Target: t, Version: v.Version})
+		}
+		hs = append(hs, h)
+	}
+	return hs, nil
+}
+
+func (m *modelNames) useWires(us []ggscore.Use) []useWire {
+	ws := make([]useWire, 0, len(us))
+	for _, u := range us {
+		ws = append(ws, useWire{
+			Endpoint: string(u.Endpoint), Model: m.index(u.Target.Model), Adapter: u.Target.Adapter, Count: u.Count, Active: u.Active,
+		})
+	}
+	return ws
+}
+
+func (m modelNames) uses(ws []useWire) ([]ggscore.Use, error) {
+	var us []ggscore.Use
+	for _, w := range ws {
+		t, err := m.target(w.Model, w.Adapter)
+		if err != nil {
+			return nil, err
+		}
+		us = append(us, ggscore.Use{Endpoint: ggscore.EndpointID(w.Endpoint), Target: t, Count: w.Count, Active: w.Active})
+	}
+	return us, nil
+}
+
+func sampleWires(xs []ggscore.TurnSample) []sampleWire {
+	ws := make([]sampleWire, 0, len(xs))
+	for _, x := range xs {
+		ws = append(ws, sampleWire{Service: string(x.Service), Tokens: x.Tokens, Took: x.Took.Microseconds()})
+	}
+	return ws
+}
+
+func samplesOf(ws []sampleWire) []ggscore.TurnSample {
+	var xs []ggscore.TurnSample
+	for _, w := range ws {
+		xs = append(xs, ggscore.TurnSample{
+			Service: ggscore.Service(w.Service), Tokens: w.Tokens, Took: time.Duration(w.Took) * time.Microsecond,
+		})
+	}
+	return xs
+}
+
+func tallyWires(xs []ggscore.TurnTally) []tallyWire {
+	ws := make([]tallyWire, 0, len(xs))
+	for _, x := range xs {
+		ws = append(ws, tallyWire{Service: string(x.Service), Streams: x.Streams, Hurt: x.Hurt})
+	}
+	return ws
+}
+
+func talliesOf(ws []tallyWire) []ggscore.TurnTally {
+	var xs []ggscore.TurnTally
+	for _, w := range ws {
+		xs = append(xs, ggscore.TurnTally{Service: ggscore.Service(w.Service), Streams: w.Streams, Hurt: w.Hurt})
+	}
+	return xs
+}
+
+func modeWires(xs []ggscore.TurnMode) []modeWire {
+	ws := make([]modeWire, 0, len(xs))
+	for _, x := range xs {
+		ws = append(ws, modeWire{Service: string(x.Service), Waits: x.Waits, Without: x.Without})
+	}
+	return ws
+}
+
+func modesOf(ws []modeWire) []ggscore.TurnMode {
+	var xs []ggscore.TurnMode
+	for _, w := range ws {
+		xs = append(xs, ggscore.TurnMode{Service: ggscore.Service(w.Service), Waits: w.Waits, Without: w.Without})
+	}
+	return xs
+}
