fix: take runners to keep adapters in proportion to their places

Callers saw: on runners with few places some requests waited for an adapter from the weight store (250 ms) that was expected from the runner's own memory (25 ms).

Cause: a runner was believed to keep 96 adapters beside those that it holds, which is what one of 16 to 18 places keeps; one of 9 to 12 places keeps two thirds of that.

Change: five times the places of the service, by its configuration. TestRunnersKeepAdaptersByTheirPlaces fails on the code before.

--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	t := ggsplace.NewTable(ggsplace.Options{Domain: domain, Seed: 1})
+//	t.SetPlaces(service, places)
 //	change := t.SetInstances(instances)
 //	t.SetPeer(now, vm, flights)              // a peer's requests in flight
 //	t.SetHeld(now, endpoint, held)           // what its orderer says it holds
@@ -51,6 +52,7 @@
 	rng       *rand.Rand
 	endpoints map[ggscore.EndpointID]*endpoint
 	services  map[ggscore.Service][]*endpoint
+	places    map[ggscore.Service]int
 	peers     map[ggscore.VMID]*peer
 	// looked is when silent peers were looked for last.
 	looked   time.Time
@@ -91,6 +93,7 @@
 		rng:       rand.New(rand.NewPCG(o.Seed, 0)),
 		endpoints: map[ggscore.EndpointID]*endpoint{},
 		services:  map[ggscore.Service][]*endpoint{},
+		places:    map[ggscore.Service]int{},
 		peers:     map[ggscore.VMID]*peer{},
 		demand:    ggspopularity.NewDemand(),
 		breakers:  ggsretry.NewBreakers[ggscore.EndpointID](ggsretry.BreakerOptions{Seed: o.Seed, MaxOpen: 4 * time.Second}),
@@ -179,7 +182,7 @@
 	e.told = make(map[ggscore.ModelAdapter]uint64, len(held))
 	for _, h := range held {
 		e.told[h.Target] = h.Version
-		e.keep(now, h)
+		t.keep(now, e, h)
 		delete(e.missing, h.Target)
 	}
 	e.toldAt = now
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -377,6 +377,40 @@
 	c.Assert(inFlight(), qt.Equals, 0)
 }
 
+// Guards against requests that go where an adapter is believed to be kept, though the runner has dropped it.
+func TestRunnersKeepAdaptersByTheirPlaces(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		places, after int
+		kept          bool
+	}{
+		"few places, few adapters since":  {4, 10, true},
+		"few places, many adapters since": {4, 60, false},
+		"many places":                     {18, 60, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			tb := table("d0", 1)
+			tb.SetPlaces(models, tc.places)
+			q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(0)}
+			home := choose(c, tb, q).Instance.ID
+			other := ggscore.EndpointID("r00")
+			if home == other {
+				other = "r01"
+			}
+			for n := range tc.after + 1 {
+				tb.SetHeld(at(time.Duration(n)*time.Millisecond), other, []ggscore.AdapterVersion{{Target: adapter(n), Version: 1}})
+			}
+			want := home
+			if tc.kept {
+				want = other
+			}
+			c.Assert(choose(c, tb, q).Instance.ID, qt.Equals, want)
+		})
+	}
+}
+
 // Guards against requests of a peer that count twice once a relay sums them up.
 func TestSummedRequestsReplaceEachPeers(t *testing.T) {
 	t.Parallel()
--- a/core/ggsplace/warm.go
+++ b/core/ggsplace/warm.go
@@ -1,15 +1,22 @@
 package ggsplace
 
 import (
+	"cmp"
 	"time"
 
 	ggscore "greengageslip/core"
 )
 
-// maxWarm is the number of adapters that an endpoint is believed to keep in its
-// own memory, beside those that it holds: somewhat less than the 108 of today's
-// runners.
-const maxWarm = 96
+const (
+	// warmRounds is the number of adapters that a runner is believed to keep in its own
+	// memory beside those that it holds, in multiples of its places for adapters.
+	warmRounds = 5
+	// usualPlaces stands in where a service's places aren't known.
+	usualPlaces = 16
+)
+
+// SetPlaces takes the number of adapters that the runners of a service hold at once.
+func (t *Table) SetPlaces(s ggscore.Service, places int) { t.places[s] = places }
 
 // A warmth is an adapter's version on an endpoint, and when it was last there.
 type warmth struct {
@@ -18,16 +25,16 @@
 }
 
 // keep notes that the endpoint holds an adapter.
-func (e *endpoint) keep(now time.Time, v ggscore.AdapterVersion) {
+func (t *Table) keep(now time.Time, e *endpoint, v ggscore.AdapterVersion) {
 	e.warm[v.Target] = warmth{version: v.Version, at: now}
-	if len(e.warm) <= maxWarm {
+	if len(e.warm) <= warmRounds*cmp.Or(t.places[e.Service], usualPlaces) {
 		return
 	}
 	var oldest ggscore.ModelAdapter
 	var at time.Time
-	for t, w := range e.warm {
+	for a, w := range e.warm {
 		if at.IsZero() || w.at.Before(at) {
-			oldest, at = t, w.at
+			oldest, at = a, w.at
 		}
 	}
 	delete(e.warm, oldest)
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -284,8 +284,11 @@
 	}
 	e.paths.Store(ggspath.NewTable(c))
 	e.mu.Lock()
-	for s := range c.Services {
+	for s, spec := range c.Services {
 		e.turns.SetService(s, c.GapAim(s))
+		if spec.Engine != nil {
+			e.table.SetPlaces(s, spec.Engine.Places())
+		}
 	}
 	e.mu.Unlock()
 	_ = level.Info(e.Log).Log("event", ggslog.EventConfigAdopted, "version", c.Version, "revision", n.Revision, "routes", len(c.Routes))
