perf: have wide VMs control endpoints

Callers saw: nothing. In a deployment of 195 VMs and 62 runners some 50 VMs control one or two runners each, and each writes to the store every 4 s to go on doing so, most of them thin ones.

Change: endpoints are shared out by the VMs' capacity, and a VM that has no room for more is passed over: where it came first, an endpoint stayed without a controller. TestClaimsGoToWideVMsWithRoom fails on the code before.

--- a/core/ggsfencing/keeper.go
+++ b/core/ggsfencing/keeper.go
@@ -28,6 +28,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -330,24 +331,43 @@
 	return false
 }
 
-// first returns the VM that is to claim the endpoint: of those that are heard, in
-// the endpoint's domain where there are any, the one that the endpoint's name falls
-// on. Where two think so of themselves, the store lets one of them have it.
+// first returns the VM that is to claim the endpoint: of those that are heard and have
+// room, in the endpoint's domain where there are any, the one that the endpoint's name
+// falls on. Where two think so of themselves, the store lets one of them have it.
 func (k *Keeper) first(i *ggscore.Instance) ggscore.VMID {
-	best, rank, near := k.options.Self, uint64(0), false
+	counts := k.counts()
+	best, most, near := k.options.Self, 0.0, false
 	for vm, b := range k.beats {
-		if vm != k.options.Self && !k.heard[vm] {
+		if vm != k.options.Self && (!k.heard[vm] || counts[vm] >= k.options.MaxRecords) {
 			continue
 		}
 		n := b.Domain == i.Domain
-		h := xxhash.Sum64String(string(vm) + " " + string(i.ID))
-		if n && !near || n == near && h >= rank {
-			best, rank, near = vm, h, n
+		w := weight(vm, i.ID, b.Capacity)
+		if n && !near || n == near && w >= most {
+			best, most, near = vm, w, n
 		}
 	}
 	return best
 }
 
+// weight ranks VMs for an endpoint so that each gets endpoints by its capacity: few VMs of
+// a large deployment then write to the store for the endpoints that they control.
+func weight(vm ggscore.VMID, id ggscore.EndpointID, capacity uint64) float64 {
+	x := (float64(xxhash.Sum64String(string(vm)+" "+string(id))>>11) + 1) / (1 << 53)
+	return -float64(max(capacity, 1)) / math.Log(x)
+}
+
+// counts returns the endpoints that each VM controls.
+func (k *Keeper) counts() map[ggscore.VMID]int {
+	n := make(map[ggscore.VMID]int, len(k.beats))
+	for _, r := range k.records {
+		if !r.Released {
+			n[r.Owner]++
+		}
+	}
+	return n
+}
+
 // ClaimEnded takes the end of a claim that was written.
 func (k *Keeper) ClaimEnded(sent time.Time, c Claim, at ggscore.StoreRevision) {
 	k.records[c.Endpoint] = &record{
--- a/core/ggsfencing/keeper_test.go
+++ b/core/ggsfencing/keeper_test.go
@@ -1,6 +1,7 @@
 package ggsfencing_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -211,3 +212,38 @@
 	}
 	c.Assert(claims, qt.Equals, 1)
 }
+
+// Guards against endpoints that nobody controls because the VM that comes first has no room.
+func TestClaimsGoToWideVMsWithRoom(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	const endpoints = 20
+	vms := []ggsfencing.Beat{{VM: "wide", Domain: "d", Capacity: 40, Revision: 1}}
+	heard := []ggscore.VMID{"wide"}
+	for i := range 10 {
+		vm := ggscore.VMID(fmt.Sprintf("thin-%d", i))
+		vms = append(vms, ggsfencing.Beat{VM: vm, Domain: "d", Capacity: 1, Revision: 1})
+		heard = append(heard, vm)
+	}
+	var ready []ggscore.Instance
+	for i := range endpoints {
+		ready = append(ready, ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("r%d", i)), Domain: "d"})
+	}
+	claims := func(vm ggscore.VMID, most int, records []ggsfencing.Record) int {
+		k := ggsfencing.NewKeeper(ggsfencing.Options{Self: vm, Domain: "d", Turn: turn, MaxRecords: most})
+		k.Observe(at(0), 10, records, vms)
+		k.SetHeard(heard)
+		return len(k.Claims(at(ggsfencing.DefaultSettle), ready))
+	}
+	c.Assert(claims("wide", endpoints, nil) >= endpoints/2, qt.IsTrue)
+
+	const most = 3
+	records := []ggsfencing.Record{
+		{Endpoint: "r0", Owner: "wide", Revision: 2}, {Endpoint: "r1", Owner: "wide", Revision: 2}, {Endpoint: "r2", Owner: "wide", Revision: 2},
+	}
+	claimed := 0
+	for _, b := range vms {
+		claimed += claims(b.VM, most, records)
+	}
+	c.Assert(claimed >= endpoints-len(records), qt.IsTrue, qt.Commentf("%d", claimed))
+}
