--- a/core/ggsgossip/gossip.go
+++ b/core/ggsgossip/gossip.go
@@ -180,6 +180,8 @@
 	// beatIdle is that of a VM that gives no orders. Its record only tells others
 	// that it is there, and lasts.
 	beatIdle = 10 * time.Second
+	// beatIdlePerVM is what each VM adds to it: the beats of a second stay as many.
+	beatIdlePerVM = 400 * time.Millisecond
 )
 
 // BeatInterval returns the time between a VM's beats to the store where so many
@@ -187,7 +189,7 @@
 func BeatInterval(vms int, owner bool) time.Duration {
 	switch {
 	case !owner:
-		return beatIdle
+		return max(beatIdle, beatIdlePerVM*time.Duration(vms))
 	case vms >= manyVMs:
 		return beatOwnerMany
 	}
