fix: call relays where they take calls

Callers saw: nothing; VMs behind a change asked the store as before, after two refused connections each.

Cause: the address of heartbeats was taken for that of calls, and the test gave both the same.

TestFollowerReadsPartsFromARelay fails on the code before. Calls of the store are counted by name (ggs_store_calls_total).

--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -227,6 +227,10 @@
 		operatorsNotified: make(chan struct{}, 1),
 	}
 	e.metrics = newMetrics(e)
+	e.Store = &meteredStore{Store: p.Store, count: func(call string) {
+		e.stats.Store.Add(1)
+		e.metrics.storeCalls.WithLabelValues(call).Inc()
+	}}
 	return e
 }
 
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -172,7 +172,6 @@
 		}
 	}
 	es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Instances, false)
-	e.stats.Store.Add(1)
 	return partReading{entries: es, at: at, read: e.Now()}, err
 }
 
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -104,7 +104,6 @@
 	away, fresh, failures := false, true, 0
 	for ctx.Err() == nil {
 		es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Own+"/", !fresh)
-		e.stats.Store.Add(1)
 		e.dependency(&away, err == nil, "members", err)
 		wait := ggsgossip.RecordsInterval(len(e.livePeers()) + 1)
 		if err != nil {
@@ -265,7 +264,6 @@
 	}
 	sent := e.Now()
 	at, err := e.Store.Txn(ctx, t)
-	e.stats.Store.Add(1)
 	var conflict *ggscore.TxnConflictError
 	refused := errors.As(err, &conflict)
 	if err != nil && !refused {
@@ -286,7 +284,6 @@
 // reread reads the own records anew after a refusal.
 func (e *Edge) reread(ctx context.Context) {
 	es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Own+"/", false)
-	e.stats.Store.Add(1)
 	if err != nil {
 		_ = level.Info(e.Log).Log("event", ggslog.EventRereadFailed, "err", err)
 		return
@@ -328,7 +325,6 @@
 		}
 		sent := e.Now()
 		at, err := e.Store.Txn(ctx, t)
-		e.stats.Store.Add(1)
 		_ = level.Info(e.Log).Log("event", ggslog.EventOrdersClaimed, "endpoint", c.Endpoint, "before", c.Owner, "revision", at, "err", err)
 		if err != nil {
 			continue
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -27,6 +27,8 @@
 	first    *prometheus.HistogramVec
 	loads    prometheus.Histogram
 	rejected *prometheus.CounterVec
+	// storeCalls counts the calls of the store by name.
+	storeCalls *prometheus.CounterVec
 }
 
 // Causes for which datagrams of peers are rejected.
@@ -48,7 +50,10 @@
 	m.rejected = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "ggs", Name: "datagrams_rejected_total", Help: "Datagrams of peers that changed nothing, by cause.",
 	}, []string{"cause"})
-	m.registry.MustRegister(m.answers, m.first, m.loads, m.rejected, collectors.NewGoCollector(),
+	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "ggs", Name: "store_calls_total", Help: "Calls of the store, by name.",
+	}, []string{"call"})
+	m.registry.MustRegister(m.answers, m.first, m.loads, m.rejected, m.storeCalls, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.count(e)
 	m.believe(e)
@@ -69,7 +74,6 @@
 		{"callers_left_total", "Requests whose callers left.", &s.Left},
 		{"retries_total", "Sends beyond a request's first.", &s.Retries},
 		{"orders_total", "Orders to endpoints.", &s.Orders},
-		{"store_calls_total", "Calls of the store.", &s.Store},
 	} {
 		v := c.value
 		m.registry.MustRegister(prometheus.NewCounterFunc(
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -129,7 +129,6 @@
 	announced := e.operatorsAnnounced
 	e.mu.Unlock()
 	es, next, err := e.Store.Snapshot(ctx, e.options.Keys.Operators, false)
-	e.stats.Store.Add(1)
 	if err == nil {
 		e.mu.Lock()
 		e.operatorsSynced = announced
@@ -159,7 +158,6 @@
 		cancel()
 	}()
 	es, next, err = e.Store.Watch(c, e.options.Keys.Operators, at, ggsgossip.WatchWait(e.watchers(), rand.Float64()))
-	e.stats.Store.Add(1)
 	if err == nil {
 		e.mu.Lock()
 		e.storeAnswered()
--- a/io/ggsedge/parts.go
+++ b/io/ggsedge/parts.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/gob"
 	"io"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -155,13 +156,23 @@
 	return e.node.Large() && now.Sub(e.summarized) < summaryAge && !e.node.Relay(now)
 }
 
+// relayCalls returns where the relays of the domain take calls.
+func (e *Edge) relayCalls() []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var to []netip.AddrPort
+	for _, vm := range e.node.Relays(e.Now()) {
+		if p := e.peers[vm]; p != nil {
+			to = append(to, p.calls)
+		}
+	}
+	return to
+}
+
 // fromRelay returns a part of the store as a relay of the domain read it, up to the
 // revision at least.
 func (e *Edge) fromRelay(ctx context.Context, prefix ggscore.Key, up ggscore.StoreRevision) (partReading, error) {
-	e.mu.Lock()
-	vms := e.node.Relays(e.Now())
-	to := e.addrs(vms)
-	e.mu.Unlock()
+	to := e.relayCalls()
 	var err error = &PartUnknownError{Prefix: prefix}
 	first := int(ggsrelay.Hash(e.options.VM))
 	for i := range to {
--- a/io/ggsedge/parts_test.go
+++ b/io/ggsedge/parts_test.go
@@ -29,7 +29,7 @@
 	e.node = ggsrelay.NewNode(ggsrelay.Options{Self: e.options.member()})
 	e.Store, e.Calls = s, ggsrpc.NewPool(ggsrpc.PoolOptions{})
 	for i := range fleetSize {
-		p := &member{calls: relay, beats: relay, domain: "d", capacity: uint64(1 << (2 * (i % 10)))}
+		p := &member{calls: relay, domain: "d", capacity: uint64(1 << (2 * (i % 10)))}
 		e.peers[ggscore.VMID(fmt.Sprintf("peer-%d", i))] = p
 	}
 	e.node.SetMembers(e.relayMembers())
