fix: leave a store that turns a VM away to its relays

Callers saw: nothing; 68 VMs that the store turned away for 9 s asked it 1,132 times for the operators' entries and the own records, each refusal paid for like an answer.

Cause: after a failed reading the next one began from nothing, and only VMs that had a revision waited for relays; a failed reading of the own records was repeated within 0.8 s.

Change: a VM that serves goes by its relays also then, and repeats readings of the own records after a quarter of their interval. TestFollowerLeavesAStoreThatFailsToRelays fails on the code before.

--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -108,7 +108,7 @@
 		wait := ggsgossip.RecordsInterval(len(e.livePeers()) + 1)
 		if err != nil {
 			failures++
-			wait = ggsgossip.RetryPause(failures, e.started(), rand.Float64())
+			wait = max(ggsgossip.RetryPause(failures, e.started(), rand.Float64()), e.recordsRetry(wait))
 		} else {
 			fresh, failures = false, 0
 			e.setMembers(ctx, es, at)
@@ -120,6 +120,17 @@
 	return nil
 }
 
+// recordsRetryShare is the part of the time between readings of the own records after which
+// one that failed is repeated by a VM that serves.
+const recordsRetryShare = 4
+
+func (e *Edge) recordsRetry(interval time.Duration) time.Duration {
+	if !e.started() {
+		return 0
+	}
+	return interval / recordsRetryShare
+}
+
 func (e *Edge) setMembers(ctx context.Context, es []ggscore.Entry, at ggscore.StoreRevision) {
 	records, beats, peers := e.readOwn(es)
 	e.mu.Lock()
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -60,7 +60,7 @@
 // peer has read, and where this VM is behind its peers already: a watch would replay each
 // version in between, a snapshot has the newest only.
 func (e *Edge) operators(ctx context.Context, at *ggscore.StoreRevision) ([]ggscore.Entry, ggscore.StoreRevision, error) {
-	if *at > 0 && e.awaitRelays(ctx) {
+	if e.started() && e.awaitRelays(ctx) {
 		if r, err := e.operatorsFromRelay(ctx); err == nil {
 			return r.entries, r.at, nil
 		}
--- a/io/ggsedge/parts_test.go
+++ b/io/ggsedge/parts_test.go
@@ -13,6 +13,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsgossip"
+	"greengageslip/core/ggspath"
 	"greengageslip/core/ggsrelay"
 	"greengageslip/io/ggsrpc"
 )
@@ -34,6 +35,8 @@
 	}
 	e.node.SetMembers(e.relayMembers())
 	e.summarized, e.operatorsObserved = e.Now(), e.Now()
+	e.listed = true
+	e.paths.Store(ggspath.NewTable(&ggscore.RoutingConfig{}))
 	e.readOperators(10, nil)
 	e.announceOperators(e.Now(), 12)
 	return e
@@ -90,6 +93,28 @@
 	}
 }
 
+// Guards against VMs that keep asking a store which turns them away, though their relays reach it.
+func TestFollowerLeavesAStoreThatFailsToRelays(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	relay := listEdge()
+	relay.options.Keys.Operators = "op/"
+	relay.keepOperators([]ggscore.Entry{{Key: configKey, Revision: 12}})
+	relay.readOperators(12, nil)
+	addr, done := serveParts(ctx, c, relay)
+	s := &silentStore{watches: make(chan struct{}, 1)}
+	e := follower(s, addr)
+	at := ggscore.StoreRevision(0)
+	_, next, err := e.operators(ctx, &at)
+	c.Assert(err, qt.IsNil)
+	c.Assert(next, qt.Equals, ggscore.StoreRevision(12))
+	c.Assert(s.snapshots.Load(), qt.Equals, int32(0))
+	c.Assert(e.Calls.Close(), qt.IsNil)
+	cancel()
+	c.Assert(<-done, qt.IsNil)
+}
+
 // Guards against VMs that trust relays which no longer reach the store.
 func TestFollowerWatchesWhenNobodyReads(t *testing.T) {
 	t.Parallel()
