fix: drop datagrams with counts below zero

Callers saw: nothing; found while reading. A datagram of a faulty VM with counts below zero would have made endpoints look emptier than they are, by hundreds of VMs at once now that a relay adds counts up.

Change: such a datagram is dropped whole and counted.

--- /dev/null
+++ b/io/ggspeer/datagram_test.go
@@ -0,0 +1,106 @@
+package ggspeer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsrelay"
+)
+
+func instant() time.Time { return time.Unix(1_000_000, 0) }
+
+// node returns a relay that knows the VMs that the datagrams name.
+func node() *ggsrelay.Node {
+	n := ggsrelay.NewNode(ggsrelay.Options{Self: ggsrelay.Member{VM: "self", Domain: "d"}, Started: 1})
+	n.SetMembers([]ggsrelay.Member{{VM: "near", Domain: "d"}})
+	return n
+}
+
+// datagrams returns one of each kind.
+func datagrams(c *qt.C) [][]byte {
+	a := ggscore.ModelAdapter{Model: "m", Adapter: "a7"}
+	h := ggscore.Heartbeat{
+		VM: "near", Sequence: 3, Started: 9, InFlight: []ggscore.InFlight{{Endpoint: "r1", Count: 4, Ended: 3, Failed: 2}},
+		Holdings: []ggscore.Holding{{Endpoint: "r1", Held: []ggscore.AdapterVersion{{Target: a, Version: 2}}, Whole: true}},
+		Uses:     []ggscore.Use{{Endpoint: "r1", Target: a, Count: 5, Active: true}},
+	}
+	s := ggscore.Summary{
+		From: "near", Domain: "d", Fleet: true, Sequence: 4, Started: 8, InFlight: h.InFlight, Holdings: h.Holdings, Uses: h.Uses,
+		Included: []ggscore.IncludedHeartbeat{{VM: ggsrelay.Hash("self"), Sequence: 1}}, Live: []ggscore.VMHash{77}, LiveWhole: true,
+		Demand: []ggscore.Demand{{Target: a, Count: 6}},
+	}
+	n := Notice{VM: "near", Number: 7, Service: "s", Endpoint: "r1"}
+	var ps [][]byte
+	for kind, w := range map[byte]any{kindHeartbeat: heartbeatWireOf(h), kindSummary: summaryWireOf(s), kindNotice: noticeWireOf(n)} {
+		p, err := cbor.Marshal(w)
+		c.Assert(err, qt.IsNil)
+		ps = append(ps, append([]byte{kind}, p...))
+	}
+	return ps
+}
+
+// taker feeds what can be read to a node.
+func taker(n *ggsrelay.Node) *Handler {
+	return &Handler{
+		Heartbeat: func(_ netip.AddrPort, h ggscore.Heartbeat) { n.Heartbeat(instant(), h) },
+		Summary:   func(_ netip.AddrPort, s ggscore.Summary) { n.Summary(instant(), s) },
+		Notice:    func(Notice) {},
+	}
+}
+
+// Guards against datagrams that stop a process: cut short, forged or of another version.
+func TestSpoiledDatagramsAreDropped(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	const rounds = 20_000
+	n := node()
+	h := taker(n)
+	rng := rand.New(rand.NewPCG(1, 0))
+	ps := datagrams(c)
+	for _, p := range ps {
+		c.Assert(h.take(netip.AddrPort{}, p), qt.IsTrue)
+		c.Assert(h.take(netip.AddrPort{}, p[:len(p)-1]), qt.IsFalse)
+	}
+	for range rounds {
+		p := append([]byte(nil), ps[rng.IntN(len(ps))]...)
+		for range 1 + rng.IntN(4) {
+			p[rng.IntN(len(p))] = byte(rng.UintN(256))
+		}
+		h.take(netip.AddrPort{}, p[:1+rng.IntN(len(p))])
+	}
+	_, _, _ = n.Tick(instant(), func(ggscore.EndpointID) ggscore.Domain { return "d" })
+}
+
+// Guards against counts below zero, which would make endpoints look empty.
+func TestNegativeCountsAreDropped(t *testing.T) {
+	t.Parallel()
+	n := node()
+	h := taker(n)
+	for name, f := range map[string]ggscore.InFlight{
+		"in flight": {Endpoint: "r1", Count: -1}, "ended": {Endpoint: "r1", Ended: -1}, "failed": {Endpoint: "r1", Failed: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			p, err := cbor.Marshal(heartbeatWireOf(ggscore.Heartbeat{VM: "near", Sequence: 1, InFlight: []ggscore.InFlight{f}}))
+			c.Assert(err, qt.IsNil)
+			c.Assert(h.take(netip.AddrPort{}, append([]byte{kindHeartbeat}, p...)), qt.IsFalse)
+		})
+	}
+}
+
+func FuzzDatagram(f *testing.F) {
+	for _, p := range datagrams(qt.New(f)) {
+		f.Add(p)
+	}
+	f.Fuzz(func(_ *testing.T, p []byte) {
+		n := node()
+		taker(n).take(netip.AddrPort{}, p)
+	})
+}
--- a/io/ggspeer/errors.go
+++ b/io/ggspeer/errors.go
@@ -5,7 +5,7 @@
 	"net/netip"
 )
 
-// An IndexError says that a beat refers to a base model that it doesn't list.
+// An IndexError says that a datagram refers to a base model that it doesn't list.
 type IndexError struct {
 	Index int
 	Count int
@@ -13,7 +13,7 @@
 
 // Error implements error.
 func (e *IndexError) Error() string {
-	return fmt.Sprintf("base model %d of %d in a beat", e.Index, e.Count)
+	return fmt.Sprintf("base model %d of %d in a datagram", e.Index, e.Count)
 }
 
 // A SocketError says that a socket isn't one for datagrams.
@@ -21,3 +21,9 @@
 
 // Error implements error.
 func (e *SocketError) Error() string { return fmt.Sprintf("socket on %s takes no datagrams", e.Addr) }
+
+// A CountError says that a datagram has a count below zero.
+type CountError struct{ Count int }
+
+// Error implements error.
+func (e *CountError) Error() string { return fmt.Sprintf("count %d is below zero", e.Count) }
--- a/io/ggspeer/heartbeat.go
+++ b/io/ggspeer/heartbeat.go
@@ -33,10 +33,13 @@
 func (w *heartbeatWire) heartbeat() (ggscore.Heartbeat, error) {
 	h := ggscore.Heartbeat{
 		VM: ggscore.VMID(w.VM), Sequence: w.Sequence, Started: w.Started, Relay: ggscore.Relay(w.Relay), Carrier: ggscore.VMID(w.Carrier),
-		News: w.News.news(), InFlight: inFlightOf(w.InFlight),
+		News:    w.News.news(),
 		Samples: samplesOf(w.Samples), Tallies: talliesOf(w.Tallies), Modes: modesOf(w.Modes),
 	}
 	var err error
+	if h.InFlight, err = inFlightOf(w.InFlight); err != nil {
+		return ggscore.Heartbeat{}, err
+	}
 	if h.Holdings, err = w.Models.holdings(w.Holdings); err != nil {
 		return ggscore.Heartbeat{}, err
 	}
--- a/io/ggspeer/summary.go
+++ b/io/ggspeer/summary.go
@@ -54,7 +54,7 @@
 func (w *summaryWire) summary() (ggscore.Summary, error) {
 	d := ggscore.Summary{
 		From: ggscore.VMID(w.From), Domain: ggscore.Domain(w.Domain), Fleet: w.Fleet, Settling: w.Settling, Sequence: w.Sequence, Started: w.Started,
-		News: w.News.news(), LiveWhole: w.LiveWhole, InFlight: inFlightOf(w.InFlight),
+		News: w.News.news(), LiveWhole: w.LiveWhole,
 		Samples: samplesOf(w.Samples), Tallies: talliesOf(w.Tallies), Decider: ggscore.VMID(w.Decider), Modes: modesOf(w.Modes),
 	}
 	for _, n := range w.Included {
@@ -64,6 +64,9 @@
 		d.Live = append(d.Live, ggscore.VMHash(vm))
 	}
 	var err error
+	if d.InFlight, err = inFlightOf(w.InFlight); err != nil {
+		return ggscore.Summary{}, err
+	}
 	if d.Holdings, err = w.Models.holdings(w.Holdings); err != nil {
 		return ggscore.Summary{}, err
 	}
@@ -71,6 +74,9 @@
 		return ggscore.Summary{}, err
 	}
 	for _, n := range w.Demand {
+		if n.Count < 0 {
+			return ggscore.Summary{}, &CountError{Count: n.Count}
+		}
 		t, err := w.Models.target(n.Model, n.Adapter)
 		if err != nil {
 			return ggscore.Summary{}, err
--- a/io/ggspeer/wire.go
+++ b/io/ggspeer/wire.go
@@ -119,12 +119,15 @@
 	return ws
 }
 
-func inFlightOf(ws []inFlightWire) []ggscore.InFlight {
+func inFlightOf(ws []inFlightWire) ([]ggscore.InFlight, error) {
 	var fs []ggscore.InFlight
 	for _, w := range ws {
+		if least := min(w.Count, w.Ended, w.Failed); least < 0 {
+			return nil, &CountError{Count: least}
+		}
 		fs = append(fs, ggscore.InFlight{Endpoint: ggscore.EndpointID(w.Endpoint), Count: w.Count, Ended: w.Ended, Failed: w.Failed})
 	}
-	return fs
+	return fs, nil
 }
 
 func (m *modelNames) holdingWires(hs []ggscore.Holding) []holdingWire {
@@ -168,6 +171,9 @@
 func (m modelNames) uses(ws []useWire) ([]ggscore.Use, error) {
 	var us []ggscore.Use
 	for _, w := range ws {
+		if w.Count < 0 {
+			return nil, &CountError{Count: w.Count}
+		}
 		t, err := m.target(w.Model, w.Adapter)
 		if err != nil {
 			return nil, err
