--- a/io/ggsedge/doc.go
+++ b/io/ggsedge/doc.go
@@ -27,7 +27,8 @@
 //
 // handler.go admits it, attempt.go sends it, relay.go passes the answer on;
 // placement.go has adapters loaded, turns.go has prompts wait for each other, and
-// operators.go and follow.go keep what the decisions go by.
+// operators.go and follow.go keep what the decisions go by; heartbeats.go exchanges it
+// with other VMs, and parts.go has relays read the store for the others.
 //
 // # Locks
 //
