--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -47,7 +47,7 @@
 
 // sendSummaries sends summaries while this VM is a relay.
 func (e *Edge) sendSummaries(ctx context.Context) error {
-	for pause(ctx, ggsrelay.RelayInterval) {
+	for pause(ctx, e.summaryInterval()) {
 		if !e.large() {
 			continue
 		}
@@ -68,6 +68,18 @@
 	return nil
 }
 
+// idleTicks is the time between looks of a VM whether it has become a relay, in summaries.
+const idleTicks = 3
+
+func (e *Edge) summaryInterval() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.node.Relay(e.Now()) {
+		return ggsrelay.RelayInterval
+	}
+	return idleTicks * ggsrelay.RelayInterval
+}
+
 // sent logs a datagram that couldn't be sent. The next one makes up for it.
 func (e *Edge) sent(err error) {
 	if err != nil {
