--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -107,6 +107,18 @@
 		{"operators_lag_seconds", "Time since a peer announced operators' entries that this VM has not read yet.", locked(func() float64 {
 			return e.operatorsLag().Seconds()
 		})},
+		{"relay", "1 while this VM passes on the heartbeats of its failure domain.", locked(func() float64 {
+			if e.node.Large() && e.node.Relay(e.Now()) {
+				return 1
+			}
+			return 0
+		})},
+		{"summary_age_seconds", "Time since a relay's summary was adopted, 0 where none was.", locked(func() float64 {
+			if e.summarized.IsZero() {
+				return 0
+			}
+			return e.Now().Sub(e.summarized).Seconds()
+		})},
 		{"endpoints", "Endpoints on the list.", locked(func() float64 { return float64(len(e.table.Instances(""))) })},
 		{"ordered_endpoints", "Endpoints that get their orders from this VM.", locked(func() float64 { return float64(len(e.workers)) })},
 		{"peers", "Other VMs that are known.", locked(func() float64 { return float64(len(e.peers)) })},
