--- a/core/ggsrelay/node.go
+++ b/core/ggsrelay/node.go
@@ -168,7 +168,7 @@
 	}
 	if !own {
 		if n.table.summary(now, s) {
-			n.choosers[s.Domain].hear(now, s.From)
+			n.choosers[s.Domain].observe(now, s.From)
 		}
 		return View{}, false
 	}
@@ -177,7 +177,7 @@
 		return View{}, false
 	}
 	n.relays[s.From] = q
-	n.choosers[s.Domain].hear(now, s.From)
+	n.choosers[s.Domain].observe(now, s.From)
 	return n.view(now, s)
 }
 
--- a/core/ggsrelay/pick.go
+++ b/core/ggsrelay/pick.go
@@ -59,27 +59,27 @@
 	return vms
 }
 
-// A chooser keeps the relays of a domain by what is heard of them.
+// A chooser keeps the relays of a domain by their summaries.
 type chooser struct {
 	self    ggscore.VMID
 	silence time.Duration
 	ranked  []ggscore.VMID
-	// chosen is when a relay was chosen, heard when its last summary came, lost when it
+	// chosen is when a relay was chosen, lastSummary when its last summary came, lost whether it
 	// was found silent.
-	chosen map[ggscore.VMID]time.Time
-	heard  map[ggscore.VMID]time.Time
-	lost   map[ggscore.VMID]bool
+	chosen      map[ggscore.VMID]time.Time
+	lastSummary map[ggscore.VMID]time.Time
+	lost        map[ggscore.VMID]bool
 }
 
 func newChooser(self ggscore.VMID, silence time.Duration) *chooser {
 	return &chooser{
-		self: self, silence: silence, chosen: map[ggscore.VMID]time.Time{}, heard: map[ggscore.VMID]time.Time{}, lost: map[ggscore.VMID]bool{},
+		self: self, silence: silence, chosen: map[ggscore.VMID]time.Time{}, lastSummary: map[ggscore.VMID]time.Time{}, lost: map[ggscore.VMID]bool{},
 	}
 }
 
-// hear notes a summary of a relay.
-func (c *chooser) hear(now time.Time, vm ggscore.VMID) {
-	c.heard[vm] = now
+// observe notes a summary of a relay.
+func (c *chooser) observe(now time.Time, vm ggscore.VMID) {
+	c.lastSummary[vm] = now
 	delete(c.lost, vm)
 }
 
@@ -142,8 +142,8 @@
 }
 
 func (c *chooser) silent(now time.Time, vm ggscore.VMID, since time.Time) bool {
-	if heard := c.heard[vm]; heard.After(since) {
-		return now.Sub(heard) > c.silence
+	if last := c.lastSummary[vm]; last.After(since) {
+		return now.Sub(last) > c.silence
 	}
 	return now.Sub(since) > relayGrace
 }
--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -79,7 +79,7 @@
 	Transit  int
 	LoadTime time.Duration
 	Poll     time.Duration
-	// NewsDelay is the time that VMs' words take to come here beyond that of a heartbeat
+	// NewsDelay is how much longer reports of VMs take to come here than a heartbeat
 	// that is sent directly.
 	NewsDelay time.Duration
 	Policy    ggscore.Policy
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -124,11 +124,11 @@
 	// the store is away.
 	entries map[ggscore.Key][]ggscore.Entry
 	// startedAt tells this process from those before, sequence numbers its heartbeats.
-	// toldWhole is when all that endpoints hold was told last, summarized when a relay's
+	// lastWhole is when all that endpoints hold was sent last, summarized when a relay's
 	// summary was adopted last.
 	startedAt  int64
 	sequence   uint64
-	toldWhole  time.Time
+	lastWhole  time.Time
 	summarized time.Time
 	// listedAt and operatedAt are the revisions by which the list of endpoints
 	// and the operators' entries were seen to change last, listRead and
@@ -269,7 +269,7 @@
 	g.Go(func() error { return e.sendHeartbeats(ctx) })
 	g.Go(func() error { return e.sendSummaries(ctx) })
 	g.Go(func() error {
-		return e.Peers.Run(ctx, ggspeer.Handler{Heartbeat: e.heard, Summary: e.summed, Notice: e.noticed})
+		return e.Peers.Run(ctx, ggspeer.Handler{Heartbeat: e.receiveHeartbeat, Summary: e.receiveSummary, Notice: e.noticed})
 	})
 	g.Go(func() error { return e.giveOrders(ctx) })
 	g.Go(func() error { return e.askSeeds(ctx) })
--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -175,9 +175,9 @@
 // holdings returns what the endpoints hold that get their orders from this VM. What hasn't
 // changed is told whole only now and then. Edge.mu is held.
 func (e *Edge) holdings(now time.Time) []ggscore.Holding {
-	whole := now.Sub(e.toldWhole) >= wholeInterval
+	whole := now.Sub(e.lastWhole) >= wholeInterval
 	if whole {
-		e.toldWhole = now
+		e.lastWhole = now
 	}
 	var hs []ggscore.Holding
 	for id, w := range e.workers {
@@ -210,8 +210,8 @@
 	return us
 }
 
-// heard takes a peer's heartbeat.
-func (e *Edge) heard(from netip.AddrPort, h ggscore.Heartbeat) {
+// receiveHeartbeat takes a peer's heartbeat.
+func (e *Edge) receiveHeartbeat(from netip.AddrPort, h ggscore.Heartbeat) {
 	if h.Relay > ggscore.RelayNone {
 		e.spread(h, h.Relay)
 	}
@@ -246,8 +246,8 @@
 	}
 }
 
-// summed takes a relay's summary.
-func (e *Edge) summed(from netip.AddrPort, s ggscore.Summary) {
+// receiveSummary takes a relay's summary.
+func (e *Edge) receiveSummary(from netip.AddrPort, s ggscore.Summary) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if p := e.peers[s.From]; p == nil || p.beats != from {
@@ -282,8 +282,8 @@
 	}
 }
 
-// controlled returns the holdings of endpoints that get their orders from the VM. Another
-// VM's word on them counts for nothing. Edge.mu is held.
+// controlled returns the holdings of endpoints that get their orders from the VM. What another
+// VM says of them is left out. Edge.mu is held.
 func (e *Edge) controlled(vm ggscore.VMID, hs []ggscore.Holding) []ggscore.Holding {
 	var own []ggscore.Holding
 	for _, h := range hs {
--- a/io/ggsedge/worker.go
+++ b/io/ggsedge/worker.go
@@ -120,7 +120,7 @@
 	}
 }
 
-// newsDelay returns the time that other VMs' words take through relays. Edge.mu is held.
+// newsDelay returns how much longer heartbeats take through relays. Edge.mu is held.
 func (e *Edge) newsDelay() time.Duration {
 	if e.node.Large() {
 		return ggsrelay.NewsDelay
