--- /dev/null
+++ b/core/ggsthrottle/table_test.go
@@ -0,0 +1,46 @@
+package ggsthrottle_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsthrottle"
+)
+
+const endpoint ggscore.EndpointID = "runner"
+
+func at(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+func limit(perSecond float64) *ggscore.RateLimit {
+	return &ggscore.RateLimit{RequestsPerSecond: perSecond}
+}
+
+func TestLimitHoldsUntilALaterAnswerNamesNone(t *testing.T) {
+	t.Parallel()
+	type answer struct {
+		limit *ggscore.RateLimit
+		asOf  time.Duration
+	}
+	for name, tc := range map[string]struct {
+		answers []answer
+		want    *ggscore.RateLimit
+	}{
+		"none named":             {answers: []answer{{nil, 0}}},
+		"named":                  {answers: []answer{{limit(5), 0}}, want: limit(5)},
+		"changed":                {answers: []answer{{limit(5), 0}, {limit(7), time.Second}}, want: limit(7)},
+		"lifted":                 {answers: []answer{{limit(5), 0}, {nil, time.Second}}},
+		"answer begun before it": {answers: []answer{{limit(5), time.Second}, {nil, 0}}, want: limit(5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := ggsthrottle.NewTable()
+			for _, a := range tc.answers {
+				h.Observe(endpoint, a.limit, at(a.asOf))
+			}
+			qt.Assert(t, h.Limit(endpoint), qt.DeepEquals, tc.want)
+		})
+	}
+}
--- a/core/instance.go
+++ b/core/instance.go
@@ -88,8 +88,14 @@
 	NotRun bool
 	// Load is nil where the instance didn't tell it.
 	Load *LoadReport
+	// Limit is nil where the instance names none.
+	Limit *RateLimit
 }
 
+// A RateLimit is what an instance takes from all VMs together for as long as its
+// answers name it.
+type RateLimit struct{ RequestsPerSecond float64 }
+
 // A Dialect reads and writes the headers that callers, the system and
 // instances understand.
 type Dialect interface {
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -16,6 +16,7 @@
 	"greengageslip/core/ggsplace"
 	"greengageslip/core/ggsrelay"
 	"greengageslip/core/ggsretry"
+	"greengageslip/core/ggsthrottle"
 	"greengageslip/core/ggsturn"
 	"greengageslip/io/ggsexchange"
 	"greengageslip/io/ggspeer"
@@ -114,6 +115,7 @@
 	turns    *ggsturn.Table
 	node     *ggsrelay.Node
 	retries  *ggsretry.Policy
+	limits   *ggsthrottle.Table
 	versions map[ggscore.ModelAdapter]uint64
 	workers  map[ggscore.EndpointID]*worker
 	peers    map[ggscore.VMID]*member
@@ -214,6 +216,7 @@
 		table:     ggsplace.NewTable(ggsplace.Options{Domain: o.Domain, Regions: o.Regions, Seed: o.Seed, Turns: turns, Policy: o.Policy}),
 		keeper:    ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn}),
 		retries:   ggsretry.NewPolicy(retryOptions(o)),
+		limits:    ggsthrottle.NewTable(),
 		versions:  map[ggscore.ModelAdapter]uint64{},
 		workers:   map[ggscore.EndpointID]*worker{},
 		peers:     map[ggscore.VMID]*member{},
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -215,6 +215,7 @@
 		e.Pool.Forget(g.Addr)
 		e.mu.Lock()
 		e.turns.Remove(g.ID)
+		e.limits.Remove(g.ID)
 		e.mu.Unlock()
 	}
 }
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -120,6 +120,7 @@
 			return e.Now().Sub(e.summarized).Seconds()
 		})},
 		{"endpoints", "Endpoints on the list.", locked(func() float64 { return float64(len(e.table.Instances(""))) })},
+		{"limited_endpoints", "Endpoints whose answers name a rate limit.", locked(func() float64 { return float64(e.limits.Limited()) })},
 		{"ordered_endpoints", "Endpoints that get their orders from this VM.", locked(func() float64 { return float64(len(e.workers)) })},
 		{"peers", "Other VMs that are known.", locked(func() float64 { return float64(len(e.peers)) })},
 	} {
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -31,6 +31,8 @@
 	Service ggscore.Service
 	Domain  ggscore.Domain
 	Leaving bool
+	// Limit is the rate limit that the endpoint names, nil for none.
+	Limit *ggscore.RateLimit
 	// Orderer is the VM that gives the endpoint orders, empty for none.
 	Orderer ggscore.VMID
 	// Held is what this VM, as the orderer, knows the endpoint to hold.
@@ -57,7 +59,7 @@
 		s.ListAge = now.Sub(e.listObserved)
 	}
 	for _, i := range e.table.Instances("") {
-		n := EndpointState{ID: i.ID, Service: i.Service, Domain: i.Domain, Leaving: i.Leaving, Orderer: e.keeper.Owner(i.ID)}
+		n := EndpointState{ID: i.ID, Service: i.Service, Domain: i.Domain, Leaving: i.Leaving, Limit: e.limits.Limit(i.ID), Orderer: e.keeper.Owner(i.ID)}
 		if w := e.workers[i.ID]; w != nil {
 			n.Held = w.ledger.Resident()
 			sortVersions(n.Held)
@@ -100,6 +102,8 @@
 	Service string        `json:"service"`
 	Domain  string        `json:"domain"`
 	Leaving bool          `json:"leaving"`
+	// LimitPerSecond is left out where the endpoint names no limit.
+	LimitPerSecond *float64 `json:"limitPerSecond,omitempty"`
 	Orderer string        `json:"orderer"`
 	Held    []versionWire `json:"held"`
 }
@@ -123,10 +127,14 @@
 		StoreAway: s.StoreAway, Versions: versionWires(s.Versions),
 	}
 	for _, n := range s.Endpoints {
-		w.Endpoints = append(w.Endpoints, endpointWire{
+		x := endpointWire{
 			ID: string(n.ID), Service: string(n.Service), Domain: string(n.Domain), Leaving: n.Leaving,
 			Orderer: string(n.Orderer), Held: versionWires(n.Held),
-		})
+		}
+		if n.Limit != nil {
+			x.LimitPerSecond = &n.Limit.RequestsPerSecond
+		}
+		w.Endpoints = append(w.Endpoints, x)
 	}
 	for _, p := range s.Peers {
 		w.Peers = append(w.Peers, peerWire{VM: string(p.VM), Domain: string(p.Domain), SilenceSeconds: p.Silence.Seconds()})
@@ -145,10 +153,14 @@
 		StoreAway: w.StoreAway, Versions: versionsOf(w.Versions),
 	}
 	for _, n := range w.Endpoints {
-		s.Endpoints = append(s.Endpoints, EndpointState{
+		x := EndpointState{
 			ID: ggscore.EndpointID(n.ID), Service: ggscore.Service(n.Service), Domain: ggscore.Domain(n.Domain),
 			Leaving: n.Leaving, Orderer: ggscore.VMID(n.Orderer), Held: versionsOf(n.Held),
-		})
+		}
+		if n.LimitPerSecond != nil {
+			x.Limit = &ggscore.RateLimit{RequestsPerSecond: *n.LimitPerSecond}
+		}
+		s.Endpoints = append(s.Endpoints, x)
 	}
 	for _, p := range w.Peers {
 		s.Peers = append(s.Peers, PeerState{VM: ggscore.VMID(p.VM), Domain: ggscore.Domain(p.Domain), Silence: duration(p.SilenceSeconds)})
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -22,7 +22,9 @@
 	EventDependencyRegained Event = "dependencyRegained"
 	EventEndpointGone       Event = "endpointGone"
 	EventEndpointLeaving    Event = "endpointLeaving"
+	EventEndpointLimited    Event = "endpointLimited"
 	EventEndpointRefused    Event = "endpointRefused"
+	EventEndpointUnlimited  Event = "endpointUnlimited"
 	EventEntryUnreadable    Event = "entryUnreadable"
 	EventListening          Event = "listening"
 	EventLoadFailed         Event = "loadFailed"
@@ -68,7 +70,9 @@
 		EventDependencyRegained,
 		EventEndpointGone,
 		EventEndpointLeaving,
+		EventEndpointLimited,
 		EventEndpointRefused,
+		EventEndpointUnlimited,
 		EventEntryUnreadable,
 		EventListening,
 		EventLoadFailed,
