--- /dev/null
+++ b/cmd/ggsnode/edge_limit_test.go
@@ -0,0 +1,84 @@
+package ggsnode
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// callSteadily has each edge called once in every interval until the time is over. It
+// returns the number of calls that were answered 200, and that of all.
+func (s *siteTest) callSteadily(method, path, model string, interval, length time.Duration) (ok, all int) {
+	var served, sent atomic.Int64
+	var calls sync.WaitGroup
+	for n := range s.edges {
+		calls.Go(func() {
+			t := time.NewTicker(interval)
+			defer t.Stop()
+			for end := time.Now().Add(length); time.Now().Before(end); <-t.C {
+				sent.Add(1)
+				calls.Go(func() {
+					if r := s.call(n, method, path, model, ""); r.status == http.StatusOK && r.whole {
+						served.Add(1)
+					}
+				})
+			}
+		})
+	}
+	calls.Wait()
+	return int(served.Load()), int(sent.Load())
+}
+
+// mostWithin returns the most arrivals within a window that begins after a time.
+func mostWithin(arrivals []time.Time, from time.Time, window time.Duration) int {
+	most := 0
+	for i, first := range arrivals {
+		if first.Before(from) {
+			continue
+		}
+		n := 0
+		for _, a := range arrivals[i:] {
+			if a.Sub(first) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+const (
+	testLimit   = 5.0
+	limitWindow = 4 * time.Second
+	// limitSettles is the time in which all VMs are to follow a limit.
+	limitSettles = 3 * time.Second
+	// limitMost is what an endpoint may get within limitWindow.
+	limitMost = int(1.5*testLimit*4) + 5
+)
+
+// Guards against an endpoint that names a rate limit getting its usual load, from several VMs together.
+func TestRateLimitOfAnEndpointHoldsForAllVMsTogether(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		endpoint, method, path, model string
+	}{
+		"plain service": {endpoint: "ledger-0", method: http.MethodGet, path: "/look/1"},
+		"model engine":  {endpoint: "runner-00", method: http.MethodPost, path: "/chat/1", model: "m/a1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, 3)
+			e := s.site.Endpoints[tc.endpoint]
+			e.SetRateLimit(testLimit)
+			begun := time.Now()
+			served, all := s.callSteadily(tc.method, tc.path, tc.model, 50*time.Millisecond, limitSettles+2*limitWindow)
+			most := mostWithin(e.Arrivals(), begun.Add(limitSettles), limitWindow)
+			s.c.Check(most <= limitMost, qt.IsTrue, qt.Commentf("%d requests in %s, %d allowed", most, limitWindow, limitMost))
+			s.c.Check(served, qt.Equals, all)
+		})
+	}
+}
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,6 +78,9 @@
 	left     int
 	number   int
 	lastRun  time.Time
+	// limit is what answers name as the rate limit, empty for none.
+	limit    string
+	arrivals []time.Time
 }
 
 // An Order is one that the endpoint was given.
@@ -125,6 +129,23 @@
 	e.fault = f
 }
 
+// SetRateLimit has answers name a limit of requests a second, or none for zero.
+func (e *Endpoint) SetRateLimit(perSecond float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = ""
+	if perSecond > 0 {
+		e.limit = strconv.FormatFloat(perSecond, 'f', -1, 64)
+	}
+}
+
+// Arrivals returns when requests arrived, those that were refused included.
+func (e *Endpoint) Arrivals() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.arrivals)
+}
+
 // SetVersion names an adapter's newest version.
 func (e *Endpoint) SetVersion(adapter string, version uint64) {
 	e.mu.Lock()
@@ -274,6 +295,7 @@
 	}
 	e.mu.Lock()
 	e.number++
+	e.arrivals = append(e.arrivals, e.options.Now())
 	f := e.fault(Query{ID: id, Path: r.URL.Path, Number: e.number})
 	missing := e.missing(r)
 	if f != FaultShed && !missing {
@@ -281,9 +303,13 @@
 		e.lastRun = e.options.Now()
 		e.bodies[id] = string(b)
 	}
+	limit := e.limit
 	e.mu.Unlock()
 	h := w.Header()
 	h.Set("Request-Id", id)
+	if limit != "" {
+		h.Set("Server-Limit", limit)
+	}
 	switch {
 	case missing:
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -98,14 +98,14 @@
 }
 
 type endpointWire struct {
-	ID      string        `json:"id"`
-	Service string        `json:"service"`
-	Domain  string        `json:"domain"`
-	Leaving bool          `json:"leaving"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Domain  string `json:"domain"`
+	Leaving bool   `json:"leaving"`
 	// LimitPerSecond is left out where the endpoint names no limit.
-	LimitPerSecond *float64 `json:"limitPerSecond,omitempty"`
-	Orderer string        `json:"orderer"`
-	Held    []versionWire `json:"held"`
+	LimitPerSecond *float64      `json:"limitPerSecond,omitempty"`
+	Orderer        string        `json:"orderer"`
+	Held           []versionWire `json:"held"`
 }
 
 type peerWire struct {
