--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -121,7 +121,7 @@
 		}
 	}
 	if best == nil {
-		return Choice{}, t.refused(ready)
+		return Choice{}, t.refused(now, q, ready)
 	}
 	return Choice{Instance: best.Instance, Resident: best.resident, InFlight: best.own + best.peers}, nil
 }
@@ -148,7 +148,7 @@
 			continue
 		}
 		ready++
-		if slices.Contains(excluded, e.ID) || t.full(e, q.Engine) {
+		if slices.Contains(excluded, e.ID) || t.full(e, q.Engine) || !t.allows(now, e) {
 			continue
 		}
 		resident := q.Engine == nil || q.Target.Adapter == "" || e.holds(now, q.Target, q.Version)
@@ -159,6 +159,16 @@
 	return cs, ready
 }
 
+// allows reports whether this VM may send to an endpoint by its rate limit.
+func (t *Table) allows(now time.Time, e *endpoint) bool {
+	return t.options.Throttle == nil || t.options.Throttle.Allows(now, e.ID)
+}
+
+// limited reports whether an endpoint names a rate limit.
+func (t *Table) limited(e *endpoint) bool {
+	return t.options.Throttle != nil && t.options.Throttle.Limit(e.ID) != nil
+}
+
 // full reports whether an endpoint has as many requests as it may get.
 func (t *Table) full(e *endpoint, g *ggscore.EngineSpec) bool {
 	n := e.own + e.peers
@@ -200,11 +210,29 @@
 	retrySpread = 300 * time.Millisecond
 )
 
-func (t *Table) refused(ready int) error {
+func (t *Table) refused(now time.Time, q Query, ready int) error {
 	wait := retryNone
 	if ready > 0 {
-		wait = retryFull
+		wait = max(retryFull, t.throttled(now, q))
 	}
 	wait += time.Duration(t.rng.Int64N(int64(retrySpread)))
 	return &RefusedError{Ready: ready, RetryAfter: wait}
 }
+
+// throttled returns the time until the first endpoint of the service may get a request by
+// its rate limit.
+func (t *Table) throttled(now time.Time, q Query) time.Duration {
+	if t.options.Throttle == nil {
+		return 0
+	}
+	least, found := time.Duration(0), false
+	for _, e := range t.services[q.Service] {
+		if e.Leaving {
+			continue
+		}
+		if w := t.options.Throttle.Wait(now, e.ID); !found || w < least {
+			least, found = w, true
+		}
+	}
+	return least
+}
--- a/core/ggsplace/homes.go
+++ b/core/ggsplace/homes.go
@@ -49,10 +49,10 @@
 	ranked := make([]ranking, 0, len(list))
 	for _, e := range list {
 		if !e.Leaving && e.loadable && e.holds(now, base, 0) {
-			ranked = append(ranked, ranking{e: e, rank: xxhash.Sum64String(name + " " + string(e.ID))})
+			ranked = append(ranked, ranking{e: e, limited: t.limited(e), rank: xxhash.Sum64String(name + " " + string(e.ID))})
 		}
 	}
-	slices.SortFunc(ranked, func(a, b ranking) int { return cmp.Compare(b.rank, a.rank) })
+	slices.SortFunc(ranked, ranking.compare)
 	homes := make([]*endpoint, 0, n)
 	// First one of each region, then the others in their order.
 	for i := range ranked {
@@ -70,8 +70,20 @@
 
 // A ranking is an endpoint's place among an adapter's homes.
 type ranking struct {
-	e    *endpoint
-	rank uint64
+	e *endpoint
+	// limited says that the endpoint names a rate limit.
+	limited bool
+	rank    uint64
+}
+
+func (r ranking) compare(o ranking) int {
+	if r.limited != o.limited {
+		if r.limited {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(o.rank, r.rank)
 }
 
 // regions returns the number of regions.
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -14,6 +14,9 @@
 //	t.Sent(now, c.Instance.ID)
 //	t.Ended(now, c.Instance.ID, result)
 //
+// Endpoints that name a rate limit get what Options.Throttle allows, and are the last to
+// be an adapter's home.
+//
 // All VMs choose alike over a view that is a fraction of a second old: an
 // adapter that is resident nowhere has the same home for all of them, so that
 // it is fetched once and found again in the endpoint's own memory later. The
@@ -42,8 +45,10 @@
 	Seed    uint64
 	// Turns tells what prompts wait for at endpoints. Without it only requests in
 	// flight count.
-	Turns  ggscore.TurnExpecter
-	Policy ggscore.Policy
+	Turns ggscore.TurnExpecter
+	// Throttle keeps to the rate limits of endpoints. Without it none is kept.
+	Throttle ggscore.EndpointThrottle
+	Policy   ggscore.Policy
 }
 
 // A Table holds what a VM knows of the endpoints.
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -424,3 +425,76 @@
 	tb.SetPeers(at(0), nil)
 	c.Assert(inFlight(), qt.Equals, 0)
 }
+
+// A fixedThrottle limits the endpoints that it lists, for so long.
+type fixedThrottle map[ggscore.EndpointID]time.Duration
+
+func (f fixedThrottle) Limit(id ggscore.EndpointID) *ggscore.RateLimit {
+	if _, ok := f[id]; !ok {
+		return nil
+	}
+	return &ggscore.RateLimit{RequestsPerSecond: 5}
+}
+
+func (f fixedThrottle) Allows(_ time.Time, id ggscore.EndpointID) bool { return f[id] == 0 }
+
+func (f fixedThrottle) Wait(_ time.Time, id ggscore.EndpointID) time.Duration { return f[id] }
+
+// Guards against requests that go to endpoints beyond their rate limit, and against
+// refusals whose callers come back before there is room.
+func TestRateLimitedEndpointsGetWhatTheyTake(t *testing.T) {
+	t.Parallel()
+	all := func(wait time.Duration) fixedThrottle { return fixedThrottle{"p0": wait, "p1": wait, "p2": wait} }
+	for name, tc := range map[string]struct {
+		throttle fixedThrottle
+		want     []ggscore.EndpointID
+		// least is the least wait of refused callers.
+		least time.Duration
+	}{
+		"none limited":             {throttle: fixedThrottle{}, want: []ggscore.EndpointID{"p0"}},
+		"the nearest is used up":   {throttle: fixedThrottle{"p0": time.Second}, want: []ggscore.EndpointID{"p1", "p2"}},
+		"the nearest has some yet": {throttle: fixedThrottle{"p0": 0}, want: []ggscore.EndpointID{"p0"}},
+		"all are used up":          {throttle: all(700 * time.Millisecond), least: 700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			h := ggsplace.NewTable(ggsplace.Options{
+				Domain: "d0", Regions: map[ggscore.Domain]ggscore.Region{"d0": "r0", "d1": "r1", "d2": "r2"}, Throttle: tc.throttle,
+			})
+			h.SetInstances(deployment())
+			choice, err := h.Choose(at(0), ggsplace.Query{Service: plain})
+			if tc.want != nil {
+				c.Assert(err, qt.IsNil)
+				c.Assert(slices.Contains(tc.want, choice.Instance.ID), qt.IsTrue, qt.Commentf("%s", choice.Instance.ID))
+				return
+			}
+			var refused *ggsplace.RefusedError
+			c.Assert(errors.As(err, &refused), qt.IsTrue)
+			c.Assert(refused.RetryAfter >= tc.least, qt.IsTrue, qt.Commentf("%s", refused.RetryAfter))
+		})
+	}
+}
+
+// Guards against adapters that are loaded at an endpoint that has no room for their requests.
+func TestRateLimitedEndpointIsTheLastHome(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	h := fixedThrottle{}
+	t0 := ggsplace.NewTable(ggsplace.Options{
+		Domain: "d0", Regions: map[ggscore.Domain]ggscore.Region{"d0": "r0", "d1": "r1", "d2": "r2"}, Throttle: h,
+	})
+	l := deployment()
+	t0.SetInstances(l)
+	for _, i := range l {
+		t0.SetLoadable(i.ID, true)
+	}
+	q := ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)}
+	home := choose(c, t0, q).Instance.ID
+	h[home] = 0
+	c.Assert(choose(c, t0, q).Instance.ID, qt.Not(qt.Equals), home)
+	for _, i := range l {
+		h[i.ID] = 0
+	}
+	c.Assert(choose(c, t0, q).Instance.ID, qt.Equals, home)
+}
--- a/core/ggsrelay/node_test.go
+++ b/core/ggsrelay/node_test.go
@@ -214,3 +214,31 @@
 		})
 	}
 }
+
+// Guards against VMs of other domains that don't learn of an endpoint's rate limit, or
+// learn an old one.
+func TestNewestLimitReachesAllVMs(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newSim(4, 60, 6)
+	s.run(settled)
+	limit := func(perSecond float64) *ggscore.RateLimit { return &ggscore.RateLimit{RequestsPerSecond: perSecond} }
+	s.limits = func(vm ggscore.VMID) []ggscore.EndpointLimit {
+		switch vm {
+		case "vm-017":
+			return []ggscore.EndpointLimit{{Endpoint: "needy", Limit: limit(5), Age: time.Second}, {Endpoint: "well", Age: time.Second}}
+		case "vm-031":
+			return []ggscore.EndpointLimit{{Endpoint: "needy", Limit: limit(7), Age: 0}, {Endpoint: "well", Limit: limit(3), Age: 3 * time.Second}}
+		}
+		return nil
+	}
+	s.run(limitAge)
+	for _, n := range s.nodes {
+		c.Assert(n.limits["needy"].Limit, qt.DeepEquals, limit(7), qt.Commentf("%s", n.member.VM))
+		c.Assert(n.limits["well"].Limit, qt.IsNil, qt.Commentf("%s", n.member.VM))
+		c.Assert(n.limits["needy"].Age <= limitAge, qt.IsTrue, qt.Commentf("%s", n.limits["needy"].Age))
+	}
+}
+
+// limitAge is the time in which all VMs learn of a limit.
+const limitAge = time.Second
--- a/core/ggsrelay/table.go
+++ b/core/ggsrelay/table.go
@@ -186,6 +186,7 @@
 			s.Live = append(s.Live, Hash(vm))
 		}
 		s.News = s.News.Merge(h.News.Aged(now.Sub(h.at)))
+		s.Limits = mergeLimits(s.Limits, h.Limits, now.Sub(h.at))
 		if s.Decider == "" || vm < s.Decider {
 			s.Decider, s.Modes = vm, h.Modes
 		}
@@ -198,6 +199,7 @@
 	for _, d := range t.domains {
 		s.Live = append(s.Live, d.live...)
 		s.News = s.News.Merge(d.News.Aged(now.Sub(d.at)))
+		s.Limits = mergeLimits(s.Limits, d.Limits, now.Sub(d.at))
 		if d.Decider != "" && (s.Decider == "" || d.Decider < s.Decider) {
 			s.Decider, s.Modes = d.Decider, d.Modes
 		}
@@ -213,3 +215,19 @@
 	slices.SortFunc(s.Included, func(a, b ggscore.IncludedHeartbeat) int { return cmp.Compare(a.VM, b.VM) })
 	slices.Sort(s.Live)
 }
+
+// mergeLimits adds limits that were told some time ago to a list: of each endpoint's the
+// newest stays.
+func mergeLimits(ls, told []ggscore.EndpointLimit, passed time.Duration) []ggscore.EndpointLimit {
+	for _, l := range told {
+		l.Age += passed
+		i := slices.IndexFunc(ls, func(o ggscore.EndpointLimit) bool { return o.Endpoint == l.Endpoint })
+		switch {
+		case i < 0:
+			ls = append(ls, l)
+		case l.Age < ls[i].Age:
+			ls[i] = l
+		}
+	}
+	return ls
+}
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -24,6 +24,8 @@
 	Tallies []TurnTally
 	// Modes say whether prompts wait, by the VM.
 	Modes []TurnMode
+	// Limits are the rate limits that endpoints named or lifted lately.
+	Limits []EndpointLimit
 }
 
 // A News says how far the store was read.
@@ -114,6 +116,7 @@
 	// Modes are those of Decider, the first of the VMs.
 	Decider VMID
 	Modes   []TurnMode
+	Limits  []EndpointLimit
 }
 
 // A VMHash stands for a VM in summaries, which name hundreds.
--- a/core/instance.go
+++ b/core/instance.go
@@ -96,6 +96,24 @@
 // answers name it.
 type RateLimit struct{ RequestsPerSecond float64 }
 
+// An EndpointLimit is what an endpoint said last of its rate limit.
+type EndpointLimit struct {
+	Endpoint EndpointID
+	// Limit is nil where the endpoint no longer names one.
+	Limit *RateLimit
+	// Age is the time since it said so.
+	Age time.Duration
+}
+
+// An EndpointThrottle says whether this VM may send to endpoints that name a rate limit.
+type EndpointThrottle interface {
+	// Limit returns the limit that an endpoint names, nil for none.
+	Limit(id EndpointID) *RateLimit
+	Allows(now time.Time, id EndpointID) bool
+	// Wait returns the time until a request may be sent.
+	Wait(now time.Time, id EndpointID) time.Duration
+}
+
 // A Dialect reads and writes the headers that callers, the system and
 // instances understand.
 type Dialect interface {
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -55,6 +55,9 @@
 				continue
 			}
 		}
+		if !e.takeLimit(id) {
+			continue
+		}
 		failure := e.send(ctx, j, choice)
 		if failure == nil {
 			return
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -208,15 +208,18 @@
 // New returns an Edge that knows nothing yet.
 func New(o Options, p Parts) *Edge {
 	turns := ggsturn.NewTable(ggsturn.Options{VM: o.VM, First: o.Seed})
+	limits := ggsthrottle.NewTable(o.VM)
 	e := &Edge{
-		options:   o,
-		Parts:     p,
-		turns:     turns,
-		node:      ggsrelay.NewNode(ggsrelay.Options{Self: o.member(), Started: p.Steady().UnixNano()}),
-		table:     ggsplace.NewTable(ggsplace.Options{Domain: o.Domain, Regions: o.Regions, Seed: o.Seed, Turns: turns, Policy: o.Policy}),
+		options: o,
+		Parts:   p,
+		turns:   turns,
+		node:    ggsrelay.NewNode(ggsrelay.Options{Self: o.member(), Started: p.Steady().UnixNano()}),
+		table: ggsplace.NewTable(ggsplace.Options{
+			Domain: o.Domain, Regions: o.Regions, Seed: o.Seed, Turns: turns, Throttle: limits, Policy: o.Policy,
+		}),
 		keeper:    ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn}),
 		retries:   ggsretry.NewPolicy(retryOptions(o)),
-		limits:    ggsthrottle.NewTable(),
+		limits:    limits,
 		versions:  map[ggscore.ModelAdapter]uint64{},
 		workers:   map[ggscore.EndpointID]*worker{},
 		peers:     map[ggscore.VMID]*member{},
--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -161,6 +161,8 @@
 	}
 	h.Samples, h.Tallies = e.turns.Untold()
 	h.Modes = e.turns.Modes()
+	e.shareLimits(now)
+	h.Limits = e.limits.Known(now)
 	return h
 }
 
@@ -240,6 +242,7 @@
 	e.table.SetPeer(now, h.VM, h.InFlight)
 	e.adoptHoldings(now, h.Holdings)
 	e.adoptTurns(now, h.VM, h.Samples, h.Tallies, h.Modes)
+	e.adoptLimits(now, h.Limits)
 	for _, u := range h.Uses {
 		e.table.Asked(now, u.Target, u.Count)
 		e.used(now, h.VM, u)
@@ -274,6 +277,7 @@
 	}
 	e.adoptHoldings(now, v.Holdings)
 	e.adoptTurns(now, v.Decider, v.Samples, v.Tallies, v.Modes)
+	e.adoptLimits(now, v.Limits)
 	for _, d := range v.Demand {
 		e.table.Asked(now, d.Target, d.Count)
 	}
--- a/io/ggspeer/datagram_test.go
+++ b/io/ggspeer/datagram_test.go
@@ -1,6 +1,7 @@
 package ggspeer
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -95,6 +96,27 @@
 	}
 }
 
+// Guards against limits and ages that no endpoint can have named.
+func TestSpoiledLimitsAreDropped(t *testing.T) {
+	t.Parallel()
+	rate := func(perSecond float64) *float64 { return &perSecond }
+	for name, l := range map[string]limitWire{
+		"below zero":     {Endpoint: "r1", PerSecond: rate(-1)},
+		"not a number":   {Endpoint: "r1", PerSecond: rate(math.NaN())},
+		"infinite":       {Endpoint: "r1", PerSecond: rate(math.Inf(1))},
+		"age below zero": {Endpoint: "r1", Age: -1},
+		"age overflows":  {Endpoint: "r1", Age: math.MaxInt64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			p, err := cbor.Marshal(&heartbeatWire{VM: "near", Sequence: 1, Limits: []limitWire{l}})
+			c.Assert(err, qt.IsNil)
+			c.Assert(taker(node()).take(netip.AddrPort{}, append([]byte{kindHeartbeat}, p...)), qt.IsFalse)
+		})
+	}
+}
+
 func FuzzDatagram(f *testing.F) {
 	for _, p := range datagrams(qt.New(f)) {
 		f.Add(p)
--- a/io/ggspeer/errors.go
+++ b/io/ggspeer/errors.go
@@ -27,3 +27,15 @@
 
 // Error implements error.
 func (e *CountError) Error() string { return fmt.Sprintf("count %d is below zero", e.Count) }
+
+// A LimitError is a rate limit that isn't one.
+type LimitError struct{ PerSecond float64 }
+
+// Error implements error.
+func (e *LimitError) Error() string { return fmt.Sprintf("rate limit of %g a second", e.PerSecond) }
+
+// An AgeError is an age that can't be.
+type AgeError struct{ Milliseconds int64 }
+
+// Error implements error.
+func (e *AgeError) Error() string { return fmt.Sprintf("age of %d ms", e.Milliseconds) }
--- a/io/ggspeer/heartbeat.go
+++ b/io/ggspeer/heartbeat.go
@@ -17,6 +17,7 @@
 	Samples  []sampleWire
 	Tallies  []tallyWire
 	Modes    []modeWire
+	Limits   []limitWire
 }
 
 func heartbeatWireOf(h ggscore.Heartbeat) *heartbeatWire {
@@ -24,6 +25,7 @@
 		VM: string(h.VM), Sequence: h.Sequence, Started: h.Started, Relay: int(h.Relay), Carrier: string(h.Carrier),
 		News: newsWireOf(h.News), InFlight: inFlightWires(h.InFlight),
 		Samples: sampleWires(h.Samples), Tallies: tallyWires(h.Tallies), Modes: modeWires(h.Modes),
+		Limits: limitWires(h.Limits),
 	}
 	w.Holdings = w.Models.holdingWires(h.Holdings)
 	w.Uses = w.Models.useWires(h.Uses)
@@ -46,5 +48,8 @@
 	if h.Uses, err = w.Models.uses(w.Uses); err != nil {
 		return ggscore.Heartbeat{}, err
 	}
+	if h.Limits, err = limitsOf(w.Limits); err != nil {
+		return ggscore.Heartbeat{}, err
+	}
 	return h, nil
 }
--- a/io/ggspeer/summary.go
+++ b/io/ggspeer/summary.go
@@ -23,6 +23,7 @@
 	Tallies   []tallyWire
 	Decider   string
 	Modes     []modeWire
+	Limits    []limitWire
 }
 
 type includedWire struct {
@@ -36,6 +37,7 @@
 		From: string(d.From), Domain: string(d.Domain), Fleet: d.Fleet, Settling: d.Settling, Sequence: d.Sequence, Started: d.Started,
 		News: newsWireOf(d.News), LiveWhole: d.LiveWhole, InFlight: inFlightWires(d.InFlight),
 		Samples: sampleWires(d.Samples), Tallies: tallyWires(d.Tallies), Decider: string(d.Decider), Modes: modeWires(d.Modes),
+		Limits: limitWires(d.Limits),
 	}
 	for _, n := range d.Included {
 		w.Included = append(w.Included, includedWire{VM: uint32(n.VM), Sequence: n.Sequence})
@@ -73,6 +75,9 @@
 	if d.Uses, err = w.Models.uses(w.Uses); err != nil {
 		return ggscore.Summary{}, err
 	}
+	if d.Limits, err = limitsOf(w.Limits); err != nil {
+		return ggscore.Summary{}, err
+	}
 	for _, n := range w.Demand {
 		if n.Count < 0 {
 			return ggscore.Summary{}, &CountError{Count: n.Count}
--- a/io/ggspeer/wire.go
+++ b/io/ggspeer/wire.go
@@ -1,6 +1,7 @@
 package ggspeer
 
 import (
+	"math"
 	"time"
 
 	ggscore "greengageslip/core"
@@ -68,6 +69,15 @@
 	Without float64
 }
 
+type limitWire struct {
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Endpoint string
+	// PerSecond is nil where the limit was lifted.
+	PerSecond *float64
+	// Age counts milliseconds.
+	Age int64
+}
+
 type newsWire struct {
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	Listed   uint64
@@ -232,3 +242,36 @@
 	}
 	return xs
 }
+
+func limitWires(ls []ggscore.EndpointLimit) []limitWire {
+	ws := make([]limitWire, 0, len(ls))
+	for _, l := range ls {
+		w := limitWire{Endpoint: string(l.Endpoint), Age: l.Age.Milliseconds()}
+		if l.Limit != nil {
+			w.PerSecond = &l.Limit.RequestsPerSecond
+		}
+		ws = append(ws, w)
+	}
+	return ws
+}
+
+func limitsOf(ws []limitWire) ([]ggscore.EndpointLimit, error) {
+	var ls []ggscore.EndpointLimit
+	for _, w := range ws {
+		l := ggscore.EndpointLimit{Endpoint: ggscore.EndpointID(w.Endpoint), Age: time.Duration(w.Age) * time.Millisecond}
+		if w.PerSecond != nil {
+			if r := *w.PerSecond; r < 0 || math.IsInf(r, 0) || math.IsNaN(r) {
+				return nil, &LimitError{PerSecond: r}
+			}
+			l.Limit = &ggscore.RateLimit{RequestsPerSecond: *w.PerSecond}
+		}
+		if w.Age < 0 || w.Age > maxAge.Milliseconds() {
+			return nil, &AgeError{Milliseconds: w.Age}
+		}
+		ls = append(ls, l)
+	}
+	return ls, nil
+}
+
+// maxAge is the greatest age that a datagram may tell.
+const maxAge = time.Hour
