--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -80,6 +80,7 @@
 	lastRun  time.Time
 	// limit is what answers name as the rate limit, empty for none.
 	limit    string
+	leaving  bool
 	arrivals []time.Time
 }
 
@@ -139,6 +140,14 @@
 	}
 }
 
+// SetLeaving sets whether answers say that the endpoint leaves. Its entry in the store is
+// another matter.
+func (e *Endpoint) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
 // Arrivals returns when requests arrived, those that were refused included.
 func (e *Endpoint) Arrivals() []time.Time {
 	e.mu.Lock()
@@ -303,13 +312,16 @@
 		e.lastRun = e.options.Now()
 		e.bodies[id] = string(b)
 	}
-	limit := e.limit
+	limit, leaving := e.limit, e.leaving
 	e.mu.Unlock()
 	h := w.Header()
 	h.Set("Request-Id", id)
 	if limit != "" {
 		h.Set("Server-Limit", limit)
 	}
+	if leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	switch {
 	case missing:
 		w.WriteHeader(http.StatusMisdirectedRequest)
