--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -7,10 +7,12 @@
 //	t.SetPlaces(service, places)
 //	change := t.SetInstances(instances)
 //	t.SetPeer(now, vm, flights)              // a peer's requests in flight
+//	t.Depart(departure)                      // an answer said that its endpoint leaves
 //	t.SetHeld(now, endpoint, held)           // what its orderer says it holds
 //	t.SetRoom(endpoint, waiting, room)       // and has room for
 //	t.Asked(now, adapter, n)                 // requests, of all VMs
 //	c, err := t.Choose(now, q)               // *RefusedError: answer with its RetryAfter
+//	t.Takes(c.Instance.ID)                   // still, right before it is sent
 //	t.Sent(now, c.Instance.ID)
 //	t.Ended(now, c.Instance.ID, result)
 //
@@ -87,6 +89,8 @@
 	waiting  int
 	// room is the number of adapters that find a place there at once.
 	room int
+	// departed says that an answer said that the endpoint leaves. Its entry may say so later.
+	departed bool
 }
 
 var _ ggscore.AdapterDemand = (*Table)(nil)
@@ -118,8 +122,7 @@
 func (t *Table) SetInstances(list []ggscore.Instance) Change {
 	var c Change
 	seen := make(map[ggscore.EndpointID]bool, len(list))
-	for i := range list {
-		n := &list[i]
+	for _, n := range list {
 		seen[n.ID] = true
 		e := t.endpoints[n.ID]
 		if e == nil || !e.Born.Equal(n.Born) || e.Addr != n.Addr {
@@ -129,11 +132,12 @@
 			e.peers = t.inFlight(n.ID)
 			c.Any = true
 		}
+		n.Leaving = n.Leaving || e.departed
 		if n.Leaving && !e.Leaving {
-			c.Leaving = append(c.Leaving, *n)
+			c.Leaving = append(c.Leaving, n)
 		}
 		c.Any = c.Any || e.Leaving != n.Leaving
-		e.Instance = *n
+		e.Instance = n
 		e.local = n.Domain == t.options.Domain || t.options.Regions[n.Domain] == t.options.Regions[t.options.Domain]
 		e.entry = heldOf(n.Models)
 	}
--- a/core/ggsrelay/node_test.go
+++ b/core/ggsrelay/node_test.go
@@ -215,9 +215,9 @@
 	}
 }
 
-// Guards against VMs of other domains that don't learn of an endpoint's rate limit, or
-// learn an old one.
-func TestNewestLimitReachesAllVMs(t *testing.T) {
+// Guards against VMs of other domains that don't learn what an endpoint said in an answer,
+// or learn an old word of it.
+func TestWhatEndpointsSayReachesAllVMs(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
 	s := newSim(4, 60, 6)
@@ -232,8 +232,15 @@
 		}
 		return nil
 	}
+	s.departures = func(vm ggscore.VMID) []ggscore.Departure {
+		if vm == "vm-017" {
+			return []ggscore.Departure{{Endpoint: "leaves", Born: time.UnixMilli(1)}}
+		}
+		return nil
+	}
 	s.run(limitAge)
 	for _, n := range s.nodes {
+		c.Assert(n.departed["leaves"].Equal(time.UnixMilli(1)), qt.IsTrue, qt.Commentf("%s", n.member.VM))
 		c.Assert(n.limits["needy"].Limit, qt.DeepEquals, limit(7), qt.Commentf("%s", n.member.VM))
 		c.Assert(n.limits["well"].Limit, qt.IsNil, qt.Commentf("%s", n.member.VM))
 		c.Assert(n.limits["needy"].Age <= limitAge, qt.IsTrue, qt.Commentf("%s", n.limits["needy"].Age))
--- a/core/ggsrelay/sim_test.go
+++ b/core/ggsrelay/sim_test.go
@@ -25,6 +25,8 @@
 	cut func(a, b ggscore.Domain) bool
 	// limits are what a VM knows of endpoints' rate limits.
 	limits func(ggscore.VMID) []ggscore.EndpointLimit
+	// departures are the endpoints that a VM saw leave.
+	departures func(ggscore.VMID) []ggscore.Departure
 	// received counts datagrams by VM since the last reset.
 	received map[ggscore.VMID]int
 }
@@ -44,6 +46,7 @@
 	demand   int
 	holds    map[ggscore.EndpointID]time.Duration
 	limits   map[ggscore.EndpointID]ggscore.EndpointLimit
+	departed map[ggscore.EndpointID]time.Time
 }
 
 type event struct {
@@ -73,8 +76,9 @@
 func newSim(seed uint64, vms, domains int) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 0)), nodes: map[ggscore.VMID]*simNode{}, received: map[ggscore.VMID]int{},
-		cut:    func(ggscore.Domain, ggscore.Domain) bool { return false },
-		limits: func(ggscore.VMID) []ggscore.EndpointLimit { return nil },
+		cut:        func(ggscore.Domain, ggscore.Domain) bool { return false },
+		limits:     func(ggscore.VMID) []ggscore.EndpointLimit { return nil },
+		departures: func(ggscore.VMID) []ggscore.Departure { return nil },
 	}
 	for i := range vms {
 		m := ggsrelay.Member{
@@ -100,7 +104,7 @@
 	n := &simNode{
 		Node: ggsrelay.NewNode(ggsrelay.Options{Self: m, Started: int64(s.now) + 1}), member: m,
 		believed: map[ggscore.EndpointID]int{}, live: map[ggscore.VMID]time.Duration{}, holds: map[ggscore.EndpointID]time.Duration{},
-		limits: map[ggscore.EndpointID]ggscore.EndpointLimit{},
+		limits: map[ggscore.EndpointID]ggscore.EndpointLimit{}, departed: map[ggscore.EndpointID]time.Time{},
 	}
 	n.SetMembers(slices.DeleteFunc(slices.Clone(s.members), func(o ggsrelay.Member) bool { return o.VM == m.VM }))
 	s.nodes[m.VM] = n
@@ -143,7 +147,7 @@
 		InFlight: []ggscore.InFlight{{Endpoint: endpointOf(n.member.VM), Count: int(s.now.Milliseconds())}},
 		Uses:     []ggscore.Use{{Endpoint: "shared", Target: ggscore.ModelAdapter{Model: "m", Adapter: "a"}, Count: 1, Active: true}},
 	}
-	h.Limits = s.limits(n.member.VM)
+	h.Limits, h.Departures = s.limits(n.member.VM), s.departures(n.member.VM)
 	if n.sequence%9 == 0 {
 		h.Holdings = []ggscore.Holding{{Endpoint: endpointOf(n.member.VM), Whole: true}}
 	}
@@ -209,6 +213,9 @@
 	for _, d := range v.Demand {
 		n.demand += d.Count
 	}
+	for _, d := range v.Departures {
+		n.departed[d.Endpoint] = d.Born
+	}
 	for _, l := range v.Limits {
 		n.limits[l.Endpoint] = l
 	}
--- a/core/ggsrelay/table.go
+++ b/core/ggsrelay/table.go
@@ -187,6 +187,7 @@
 		}
 		s.News = s.News.Merge(h.News.Aged(now.Sub(h.at)))
 		s.Limits = mergeLimits(s.Limits, h.Limits, now.Sub(h.at))
+		s.Departures = mergeDepartures(s.Departures, h.Departures)
 		if s.Decider == "" || vm < s.Decider {
 			s.Decider, s.Modes = vm, h.Modes
 		}
@@ -200,6 +201,7 @@
 		s.Live = append(s.Live, d.live...)
 		s.News = s.News.Merge(d.News.Aged(now.Sub(d.at)))
 		s.Limits = mergeLimits(s.Limits, d.Limits, now.Sub(d.at))
+		s.Departures = mergeDepartures(s.Departures, d.Departures)
 		if d.Decider != "" && (s.Decider == "" || d.Decider < s.Decider) {
 			s.Decider, s.Modes = d.Decider, d.Modes
 		}
@@ -231,3 +233,12 @@
 	}
 	return ls
 }
+
+func mergeDepartures(ds, told []ggscore.Departure) []ggscore.Departure {
+	for _, d := range told {
+		if !slices.ContainsFunc(ds, func(o ggscore.Departure) bool { return o.Endpoint == d.Endpoint && o.Born.Equal(d.Born) }) {
+			ds = append(ds, d)
+		}
+	}
+	return ds
+}
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -26,6 +26,8 @@
 	Modes []TurnMode
 	// Limits are the rate limits that endpoints named or lifted lately.
 	Limits []EndpointLimit
+	// Departures are the endpoints that said in answers that they leave.
+	Departures []Departure
 }
 
 // A News says how far the store was read.
@@ -117,6 +119,8 @@
 	Decider VMID
 	Modes   []TurnMode
 	Limits  []EndpointLimit
+	// Departures are the endpoints that said in answers that they leave.
+	Departures []Departure
 }
 
 // A VMHash stands for a VM in summaries, which name hundreds.
--- a/core/instance.go
+++ b/core/instance.go
@@ -90,6 +90,8 @@
 	Load *LoadReport
 	// Limit is nil where the instance names none.
 	Limit *RateLimit
+	// Leaving says that the instance is about to stop.
+	Leaving bool
 }
 
 // A RateLimit is what an instance takes from all VMs together for as long as its
@@ -105,6 +107,13 @@
 	Age time.Duration
 }
 
+// A Departure is an endpoint that said in an answer that it leaves, whatever its entry says.
+type Departure struct {
+	Endpoint EndpointID
+	// Born tells its process from others under the same identity.
+	Born time.Time
+}
+
 // An EndpointThrottle says whether this VM may send to endpoints that name a rate limit.
 type EndpointThrottle interface {
 	// Limit returns the limit that an endpoint names, nil for none.
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -169,6 +169,10 @@
 		e.end(j, i.ID, ggsretry.ResultNeutral)
 		return &ggscore.Failure{Kind: ggscore.FailureCancelled, Outcome: ggscore.OutcomeNotRun, Detail: "its time was over before its turn"}
 	}
+	if !e.takes(i.ID) {
+		// It said that it leaves while the request waited.
+		return e.unsent(j, i)
+	}
 	left = j.until.Sub(e.Steady())
 	j.sends++
 	j.sentAt = e.Now()
@@ -194,6 +198,17 @@
 	return f
 }
 
+// unsent returns the failure of a request whose endpoint takes no more. Nothing was sent, so
+// another endpoint is tried without a retry of the budget.
+func (e *Edge) unsent(j *job, i ggscore.Instance) *ggscore.Failure {
+	e.end(j, i.ID, ggsretry.ResultNeutral)
+	e.dropTurn(j)
+	j.granted = true
+	return &ggscore.Failure{
+		Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun, Detail: string(i.ID) + " takes no more requests",
+	}
+}
+
 func connLimit(conns int) int {
 	if conns == 0 {
 		return 0
--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -163,6 +163,7 @@
 	h.Modes = e.turns.Modes()
 	e.shareLimits(now)
 	h.Limits = e.limits.Known(now)
+	h.Departures = e.table.Departures()
 	return h
 }
 
@@ -243,6 +244,7 @@
 	e.adoptHoldings(now, h.Holdings)
 	e.adoptTurns(now, h.VM, h.Samples, h.Tallies, h.Modes)
 	e.adoptLimits(now, h.Limits)
+	e.adoptDepartures(h.Departures)
 	for _, u := range h.Uses {
 		e.table.Asked(now, u.Target, u.Count)
 		e.used(now, h.VM, u)
@@ -278,6 +280,7 @@
 	e.adoptHoldings(now, v.Holdings)
 	e.adoptTurns(now, v.Decider, v.Samples, v.Tallies, v.Modes)
 	e.adoptLimits(now, v.Limits)
+	e.adoptDepartures(v.Departures)
 	for _, d := range v.Demand {
 		e.table.Asked(now, d.Target, d.Count)
 	}
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -26,6 +26,7 @@
 func (e *Edge) relay(ctx context.Context, j *job, i ggscore.Instance, a *ggsexchange.Answer) (*ggscore.Failure, ggsretry.Result) {
 	m := e.Dialect.Answer(a.Status, a.Header)
 	e.observeLimit(j, i.ID, m.Limit)
+	e.observeDeparture(j, i, m.Leaving)
 	if m.NotRun {
 		return e.notRun(j, i, a), ggsretry.ResultNeutral
 	}
--- a/io/ggspeer/conn_test.go
+++ b/io/ggspeer/conn_test.go
@@ -48,6 +48,7 @@
 		Limits: []ggscore.EndpointLimit{
 			{Endpoint: "r1", Limit: &ggscore.RateLimit{RequestsPerSecond: 5.2}, Age: 40 * time.Millisecond}, {Endpoint: "r2", Age: time.Second},
 		},
+		Departures: []ggscore.Departure{{Endpoint: "r1", Born: time.UnixMilli(1_000_000)}},
 	}
 	// Another writer's bytes must not stop the reading.
 	u, err := (&net.Dialer{}).DialContext(ctx, "udp", addr.String())
@@ -63,7 +64,7 @@
 		From: "relay", Domain: "d", Fleet: true, Settling: true, Sequence: 4, Started: 8, News: want.News,
 		Included: []ggscore.IncludedHeartbeat{{VM: 77, Sequence: 3}}, Live: []ggscore.VMHash{77, 1 << 31}, LiveWhole: true,
 		InFlight: want.InFlight, Holdings: want.Holdings, Uses: want.Uses, Demand: []ggscore.Demand{{Target: a, Count: 6}},
-		Samples: want.Samples, Tallies: want.Tallies, Decider: "vm", Modes: want.Modes, Limits: want.Limits,
+		Samples: want.Samples, Tallies: want.Tallies, Decider: "vm", Modes: want.Modes, Limits: want.Limits, Departures: want.Departures,
 	}
 	c.Assert(conn.SendSummary(s, []netip.AddrPort{addr}), qt.IsNil)
 	c.Assert(<-summed, qt.DeepEquals, s)
--- a/io/ggspeer/heartbeat.go
+++ b/io/ggspeer/heartbeat.go
@@ -18,6 +18,7 @@
 	Tallies  []tallyWire
 	Modes    []modeWire
 	Limits   []limitWire
+	Leaving  []departureWire
 }
 
 func heartbeatWireOf(h ggscore.Heartbeat) *heartbeatWire {
@@ -25,7 +26,7 @@
 		VM: string(h.VM), Sequence: h.Sequence, Started: h.Started, Relay: int(h.Relay), Carrier: string(h.Carrier),
 		News: newsWireOf(h.News), InFlight: inFlightWires(h.InFlight),
 		Samples: sampleWires(h.Samples), Tallies: tallyWires(h.Tallies), Modes: modeWires(h.Modes),
-		Limits: limitWires(h.Limits),
+		Limits: limitWires(h.Limits), Leaving: departureWires(h.Departures),
 	}
 	w.Holdings = w.Models.holdingWires(h.Holdings)
 	w.Uses = w.Models.useWires(h.Uses)
@@ -37,6 +38,7 @@
 		VM: ggscore.VMID(w.VM), Sequence: w.Sequence, Started: w.Started, Relay: ggscore.Relay(w.Relay), Carrier: ggscore.VMID(w.Carrier),
 		News:    w.News.news(),
 		Samples: samplesOf(w.Samples), Tallies: talliesOf(w.Tallies), Modes: modesOf(w.Modes),
+		Departures: departuresOf(w.Leaving),
 	}
 	var err error
 	if h.InFlight, err = inFlightOf(w.InFlight); err != nil {
--- a/io/ggspeer/wire.go
+++ b/io/ggspeer/wire.go
@@ -78,6 +78,13 @@
 	Age int64
 }
 
+type departureWire struct {
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Endpoint string
+	// Born counts milliseconds since 1970.
+	Born int64
+}
+
 type newsWire struct {
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	Listed   uint64
@@ -275,3 +282,19 @@
 
 // maxAge is the greatest age that a datagram may tell.
 const maxAge = time.Hour
+
+func departureWires(ds []ggscore.Departure) []departureWire {
+	ws := make([]departureWire, 0, len(ds))
+	for _, d := range ds {
+		ws = append(ws, departureWire{Endpoint: string(d.Endpoint), Born: d.Born.UnixMilli()})
+	}
+	return ws
+}
+
+func departuresOf(ws []departureWire) []ggscore.Departure {
+	var ds []ggscore.Departure
+	for _, w := range ws {
+		ds = append(ds, ggscore.Departure{Endpoint: ggscore.EndpointID(w.Endpoint), Born: time.UnixMilli(w.Born)})
+	}
+	return ds
+}
