--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -79,9 +79,11 @@
 	number   int
 	lastRun  time.Time
 	// limit is what answers name as the rate limit, empty for none.
-	limit    string
-	leaving  bool
-	arrivals []time.Time
+	limit   string
+	leaving bool
+	// retryAfter is what refusals ask for, zero for nothing.
+	retryAfter time.Duration
+	arrivals   []time.Time
 }
 
 // An Order is one that the endpoint was given.
@@ -148,6 +150,13 @@
 	e.leaving = leaving
 }
 
+// SetRetryAfter has requests that FaultShed refuses told when to come back.
+func (e *Endpoint) SetRetryAfter(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retryAfter = d
+}
+
 // Arrivals returns when requests arrived, those that were refused included.
 func (e *Endpoint) Arrivals() []time.Time {
 	e.mu.Lock()
@@ -312,16 +321,10 @@
 		e.lastRun = e.options.Now()
 		e.bodies[id] = string(b)
 	}
-	limit, leaving := e.limit, e.leaving
+	e.describe(w.Header(), f)
 	e.mu.Unlock()
 	h := w.Header()
 	h.Set("Request-Id", id)
-	if limit != "" {
-		h.Set("Server-Limit", limit)
-	}
-	if leaving {
-		h.Set("Server-Leaving", "1")
-	}
 	switch {
 	case missing:
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -348,6 +351,19 @@
 	e.answer(w, r, id, f)
 }
 
+// describe sets what answers say of the endpoint. The lock is held.
+func (e *Endpoint) describe(h http.Header, f Fault) {
+	if e.limit != "" {
+		h.Set("Server-Limit", e.limit)
+	}
+	if e.leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	if f == FaultShed && e.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(e.retryAfter.Seconds(), 'f', -1, 64))
+	}
+}
+
 func (e *Endpoint) answer(w http.ResponseWriter, r *http.Request, id string, f Fault) {
 	if !e.options.Engine {
 		text := "answer to " + id + " by " + e.options.ID + "\n"
