--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		ready++
-		if slices.Contains(excluded, e.ID) || t.full(e, q.Engine) || !t.allows(now, e) {
+		if slices.Contains(excluded, e.ID) || t.full(e, q.Engine) || e.paused(now) || !t.allows(now, e) {
 			continue
 		}
 		resident := q.Engine == nil || q.Target.Adapter == "" || e.holds(now, q.Target, q.Version)
@@ -213,24 +213,25 @@
 func (t *Table) refused(now time.Time, q Query, ready int) error {
 	wait := retryNone
 	if ready > 0 {
-		wait = max(retryFull, t.throttled(now, q))
+		wait = max(retryFull, t.opensIn(now, q))
 	}
 	wait += time.Duration(t.rng.Int64N(int64(retrySpread)))
 	return &RefusedError{Ready: ready, RetryAfter: wait}
 }
 
-// throttled returns the time until the first endpoint of the service may get a request by
-// its rate limit.
-func (t *Table) throttled(now time.Time, q Query) time.Duration {
-	if t.options.Throttle == nil {
-		return 0
-	}
+// opensIn returns the time until the first endpoint of the service takes a request of this
+// VM by its rate limit and by what it asked for when it refused one.
+func (t *Table) opensIn(now time.Time, q Query) time.Duration {
 	least, found := time.Duration(0), false
 	for _, e := range t.services[q.Service] {
 		if e.Leaving {
 			continue
 		}
-		if w := t.options.Throttle.Wait(now, e.ID); !found || w < least {
+		w := max(e.pausedUntil.Sub(now), 0)
+		if t.options.Throttle != nil {
+			w = max(w, t.options.Throttle.Wait(now, e.ID))
+		}
+		if !found || w < least {
 			least, found = w, true
 		}
 	}
--- a/core/ggsplace/departures.go
+++ b/core/ggsplace/departures.go
@@ -30,9 +30,3 @@
 	slices.SortFunc(ds, func(a, b ggscore.Departure) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return ds
 }
-
-// Takes reports whether an endpoint takes new requests. One that is gone takes none.
-func (t *Table) Takes(id ggscore.EndpointID) bool {
-	e := t.endpoints[id]
-	return e != nil && !e.Leaving
-}
--- a/core/ggsplace/departures_test.go
+++ b/core/ggsplace/departures_test.go
@@ -1,6 +1,8 @@
 package ggsplace_test
 
 import (
+	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,10 +46,50 @@
 			}
 			c.Check(news, qt.Equals, tc.news)
 			h.SetInstances(tc.after)
-			c.Check(h.Takes("p0"), qt.Equals, tc.takes)
+			c.Check(h.Takes(at(0), "p0"), qt.Equals, tc.takes)
 			c.Check(h.Departures(), qt.HasLen, tc.departs)
 			_, err := h.Choose(at(0), ggsplace.Query{Service: plain})
 			c.Check(err == nil, qt.Equals, tc.takes)
 		})
 	}
 }
+
+// Guards against requests to an endpoint that asked for nothing, and against callers that are told to come back before.
+func TestPausedEndpointIsLeftAlone(t *testing.T) {
+	t.Parallel()
+	const pause = 2 * time.Second
+	for name, tc := range map[string]struct {
+		paused []ggscore.EndpointID
+		after  time.Duration
+		// refused says that no endpoint is left.
+		refused bool
+		takes   bool
+	}{
+		"none":                {takes: true},
+		"one":                 {paused: []ggscore.EndpointID{"p0"}},
+		"all":                 {paused: []ggscore.EndpointID{"p0", "p1", "p2"}, refused: true},
+		"all, until now":      {paused: []ggscore.EndpointID{"p0", "p1", "p2"}, after: pause, takes: true},
+		"one that is unknown": {paused: []ggscore.EndpointID{"p9"}, takes: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			h := table("d0", 1)
+			for _, id := range tc.paused {
+				h.Pause(at(0), id, pause)
+				// An earlier end doesn't shorten it.
+				h.Pause(at(0), id, 0)
+			}
+			c.Check(h.Takes(at(tc.after), "p0"), qt.Equals, tc.takes)
+			choice, err := h.Choose(at(tc.after), ggsplace.Query{Service: plain})
+			if !tc.refused {
+				c.Assert(err, qt.IsNil)
+				c.Check(slices.Contains(tc.paused, choice.Instance.ID) && tc.after < pause, qt.IsFalse)
+				return
+			}
+			var refused *ggsplace.RefusedError
+			c.Assert(errors.As(err, &refused), qt.IsTrue)
+			c.Check(refused.RetryAfter >= pause, qt.IsTrue, qt.Commentf("%s", refused.RetryAfter))
+		})
+	}
+}
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -8,11 +8,12 @@
 //	change := t.SetInstances(instances)
 //	t.SetPeer(now, vm, flights)              // a peer's requests in flight
 //	t.Depart(departure)                      // an answer said that its endpoint leaves
+//	t.Pause(now, endpoint, d)                // it refused and wants nothing for so long
 //	t.SetHeld(now, endpoint, held)           // what its orderer says it holds
 //	t.SetRoom(endpoint, waiting, room)       // and has room for
 //	t.Asked(now, adapter, n)                 // requests, of all VMs
 //	c, err := t.Choose(now, q)               // *RefusedError: answer with its RetryAfter
-//	t.Takes(c.Instance.ID)                   // still, right before it is sent
+//	t.Takes(now, c.Instance.ID)              // still, right before it is sent
 //	t.Sent(now, c.Instance.ID)
 //	t.Ended(now, c.Instance.ID, result)
 //
@@ -91,6 +92,8 @@
 	room int
 	// departed says that an answer said that the endpoint leaves. Its entry may say so later.
 	departed bool
+	// pausedUntil is when the endpoint takes requests of this VM again.
+	pausedUntil time.Time
 }
 
 var _ ggscore.AdapterDemand = (*Table)(nil)
--- a/core/instance.go
+++ b/core/instance.go
@@ -92,6 +92,9 @@
 	Limit *RateLimit
 	// Leaving says that the instance is about to stop.
 	Leaving bool
+	// RetryAfter is how long an instance that refused wants nothing from this VM, zero where
+	// it didn't say.
+	RetryAfter time.Duration
 }
 
 // A RateLimit is what an instance takes from all VMs together for as long as its
--- a/io/ggsedge/departures.go
+++ b/io/ggsedge/departures.go
@@ -1,6 +1,8 @@
 package ggsedge
 
 import (
+	"time"
+
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
@@ -29,9 +31,19 @@
 	}
 }
 
+// observePause takes how long an endpoint that refused wants nothing from this VM.
+func (e *Edge) observePause(i ggscore.Instance, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.Pause(e.Now(), i.ID, d)
+}
+
 // takes reports whether an endpoint still takes requests.
 func (e *Edge) takes(id ggscore.EndpointID) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.table.Takes(id)
+	return e.table.Takes(e.Now(), id)
 }
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -27,8 +27,9 @@
 	m := e.Dialect.Answer(a.Status, a.Header)
 	e.observeLimit(j, i.ID, m.Limit)
 	e.observeDeparture(j, i, m.Leaving)
+	e.observePause(i, m.RetryAfter)
 	if m.NotRun {
-		return e.notRun(j, i, a), ggsretry.ResultNeutral
+		return e.notRun(j, i, a, m), ggsretry.ResultNeutral
 	}
 	j.runs++
 	success := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
@@ -116,7 +117,7 @@
 
 // notRun returns the failure for an endpoint's word that it did not run the
 // request.
-func (e *Edge) notRun(j *job, i ggscore.Instance, a *ggsexchange.Answer) *ggscore.Failure {
+func (e *Edge) notRun(j *job, i ggscore.Instance, a *ggsexchange.Answer, m ggscore.AnswerMeta) *ggscore.Failure {
 	// The rest is read so that the connection can be kept.
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, wholeBytes))
 	if a.Status == http.StatusMisdirectedRequest && j.meta.Model.Adapter != "" {
@@ -125,7 +126,7 @@
 		e.mu.Unlock()
 	}
 	_ = level.Info(e.Log).Log("event", ggslog.EventEndpointRefused, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
-		"adapter", j.meta.Model, "version", j.version)
+		"adapter", j.meta.Model, "version", j.version, "retryAfter", m.RetryAfter)
 	return &ggscore.Failure{
 		Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun,
 		Detail: "endpoint refused with " + strconv.Itoa(a.Status),
