--- a/cmd/ggsnode/edge_leaving_test.go
+++ b/cmd/ggsnode/edge_leaving_test.go
@@ -34,7 +34,7 @@
 			served, all := s.callSteadily(tc.method, tc.path, tc.model, 100*time.Millisecond, 2*drainTime)
 			late := 0
 			for _, a := range e.Arrivals() {
-				if a.Sub(begun) > drainTime {
+				if a.At.Sub(begun) > drainTime {
 					late++
 				}
 			}
--- a/cmd/ggsnode/edge_limit_test.go
+++ b/cmd/ggsnode/edge_limit_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengageslip/fakes/ggsfakesite"
 )
 
 // retryAfter returns the wait that a refusal asks for.
@@ -50,15 +52,15 @@
 }
 
 // mostWithin returns the most arrivals within a window that begins after a time.
-func mostWithin(arrivals []time.Time, from time.Time, window time.Duration) int {
+func mostWithin(arrivals []ggsfakesite.Arrival, from time.Time, window time.Duration) int {
 	most := 0
 	for i, first := range arrivals {
-		if first.Before(from) {
+		if first.At.Before(from) {
 			continue
 		}
 		n := 0
 		for _, a := range arrivals[i:] {
-			if a.Sub(first) < window {
+			if a.At.Sub(first.At) < window {
 				n++
 			}
 		}
--- a/cmd/ggsnode/edge_retryafter_test.go
+++ b/cmd/ggsnode/edge_retryafter_test.go
@@ -40,7 +40,7 @@
 			later, laterAll := s.callSteadily(tc.method, tc.path, tc.model, 50*time.Millisecond, testRetryAfter)
 			early, again := 0, 0
 			for _, a := range e.Arrivals() {
-				switch d := a.Sub(begun); {
+				switch d := a.At.Sub(begun); {
 				case d > testRetryAfter+retryAfterSettles:
 					again++
 				case d > retryAfterSettles && d < testRetryAfter:
--- /dev/null
+++ b/cmd/ggsnode/soak_answers_test.go
@@ -0,0 +1,140 @@
+package ggsnode_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/fakes/ggsfakesite"
+)
+
+const (
+	// soakLimitSettles is the time in which all VMs are to follow an endpoint's limit, and
+	// soakLimitWindow the time over which the endpoint counts.
+	soakLimitSettles = 3 * time.Second
+	soakLimitWindow  = 4 * time.Second
+	soakLimitExcess  = 1.5
+	soakLimitSlack   = 5
+)
+
+// A soakLimit is a time in which an endpoint named a limit.
+type soakLimit struct {
+	span
+	endpoint  string
+	perSecond float64
+}
+
+// answerFaults returns what endpoints may say of themselves in answers.
+func answerFaults() []soakFault {
+	return []soakFault{
+		{"endpoint is limited", true, (*soak).limit},
+		{"endpoint leaves by its answers", true, (*soak).depart},
+		{"endpoint wants nothing for a while", true, (*soak).pause},
+	}
+}
+
+// limit has an endpoint name a limit for long enough to count.
+func (s *soak) limit(r *rand.Rand, d time.Duration) {
+	l := soakLimit{endpoint: s.endpoint(r, ""), perSecond: float64(2 + r.IntN(8)), span: span{from: time.Now()}}
+	e := s.site.Endpoints[l.endpoint]
+	e.SetRateLimit(l.perSecond)
+	s.sleep(soakLimitSettles + soakLimitWindow + d)
+	l.to = time.Now()
+	e.SetRateLimit(0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limited = append(s.limited, l)
+}
+
+// depart has an endpoint say in its answers that it leaves, and in its entry only later.
+func (s *soak) depart(r *rand.Rand, d time.Duration) {
+	prefix := []string{"runner", "ledger"}[r.IntN(2)]
+	id := s.endpoint(r, prefix)
+	s.mu.Lock()
+	for o := range s.drained {
+		if strings.HasPrefix(o, prefix) {
+			s.mu.Unlock()
+			return
+		}
+	}
+	s.drained[id] = time.Now().Add(d)
+	s.departed[id] = time.Now()
+	s.mu.Unlock()
+	s.site.Endpoints[id].SetLeaving(true)
+	s.sleep(d)
+	s.site.Drain(id)
+}
+
+// pause has an endpoint refuse all requests for some time, which it names.
+func (s *soak) pause(r *rand.Rand, d time.Duration) {
+	e := s.site.Endpoints[s.endpoint(r, "")]
+	e.SetRetryAfter(d)
+	e.SetFault(func(ggsfakesite.Query) ggsfakesite.Fault { return ggsfakesite.FaultShed })
+	s.sleep(d)
+	e.SetFault(func(ggsfakesite.Query) ggsfakesite.Fault { return ggsfakesite.FaultNone })
+	e.SetRetryAfter(0)
+}
+
+// disturbedWithin reports whether an edge's process did not run all the while between two times.
+func (e *soakEdge) disturbedWithin(from, to time.Time) bool {
+	for _, d := range e.disturbed {
+		if d.from.Before(to) && d.to.After(from) {
+			return true
+		}
+	}
+	return false
+}
+
+// by reports whether an outcome is an endpoint's whole answer.
+func (o *outcome) by(endpoint string) bool {
+	return o.whole && strings.Contains(o.body, " by "+endpoint+"\n")
+}
+
+// checkDepartures checks that an edge that passed on an answer that says that its endpoint
+// leaves sent it nothing new after the bound.
+func (s *soak) checkDepartures() {
+	for id, at := range s.departed {
+		told := map[*soakEdge]time.Time{}
+		for _, o := range s.outcomes {
+			if t, ok := told[o.edge]; o.by(id) && o.from.After(at) && (!ok || o.to.Before(t)) {
+				told[o.edge] = o.to
+			}
+		}
+		for _, o := range s.outcomes {
+			t, ok := told[o.edge]
+			late := ok && o.by(id) && o.from.Sub(t) > soakDrain && !o.edge.disturbedWithin(t, o.from)
+			s.c.Check(late, qt.IsFalse, qt.Commentf("%s of %s reached %s, whose answer at %s said that it leaves",
+				o.id, o.from.Format("05.000"), id, t.Format("05.000")))
+		}
+	}
+}
+
+// checkLimits checks that the edges that ran all the while kept to endpoints' limits together.
+func (s *soak) checkLimits() {
+	edges := map[string]*soakEdge{}
+	for _, o := range s.outcomes {
+		edges[o.id] = o.edge
+	}
+	for _, l := range s.limited {
+		var at []time.Time
+		for _, a := range s.site.Endpoints[l.endpoint].Arrivals() {
+			e := edges[a.ID]
+			if e != nil && a.At.Sub(l.from) > soakLimitSettles && a.At.Before(l.to) && !e.disturbedWithin(l.from, a.At) {
+				at = append(at, a.At)
+			}
+		}
+		allowed := int(soakLimitExcess*l.perSecond*soakLimitWindow.Seconds()) + soakLimitSlack
+		for i := range at {
+			n := 0
+			for _, a := range at[i:] {
+				if a.Sub(at[i]) < soakLimitWindow {
+					n++
+				}
+			}
+			s.c.Check(n <= allowed, qt.IsTrue, qt.Commentf("%s got %d requests from %s on, %d allowed by its limit of %g from %s to %s",
+				l.endpoint, n, at[i].Format("05.000"), allowed, l.perSecond, l.from.Format("05.000"), l.to.Format("05.000")))
+		}
+	}
+}
--- a/cmd/ggsnode/soak_check_test.go
+++ b/cmd/ggsnode/soak_check_test.go
@@ -157,6 +157,8 @@
 	s.c.Check(counts[http.StatusOK] > len(s.outcomes)/4, qt.IsTrue, qt.Commentf("few are served: %v", counts))
 	s.checkOrders()
 	s.checkDrains()
+	s.checkDepartures()
+	s.checkLimits()
 }
 
 func (s *soak) checkOutcome(o outcome, runs int) {
--- a/cmd/ggsnode/soak_faults_test.go
+++ b/cmd/ggsnode/soak_faults_test.go
@@ -42,9 +42,8 @@
 
 // injectUntil breaks things at random, several at once and in series, and returns
 // when all is mended.
-func (s *soak) injectUntil(end time.Time, work *sync.WaitGroup) {
+func (s *soak) injectUntil(end time.Time, faults []soakFault, work *sync.WaitGroup) {
 	var running sync.WaitGroup
-	faults := soakFaults()
 	for time.Now().Before(end) {
 		f := faults[s.rng.IntN(len(faults))]
 		r := rand.New(rand.NewPCG(s.rng.Uint64(), 3))
@@ -74,10 +73,18 @@
 		return
 	}
 	defer e.life.Unlock()
+	defer s.disturb(e, time.Now())
 	e.signal(syscall.SIGKILL)
 	s.restart(e, d/4)
 }
 
+// disturb notes that an edge's process did not run all the while from a time until now.
+func (s *soak) disturb(e *soakEdge, from time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.disturbed = append(e.disturbed, span{from, time.Now()})
+}
+
 func (s *soak) stop(r *rand.Rand, _ time.Duration) {
 	e := s.edge(r)
 	if !e.life.TryLock() {
@@ -85,6 +92,7 @@
 	}
 	defer e.life.Unlock()
 	from := time.Now()
+	defer s.disturb(e, from)
 	e.signal(syscall.SIGTERM)
 	s.restart(e, 50*time.Millisecond)
 	s.mu.Lock()
@@ -94,6 +102,7 @@
 
 func (s *soak) freeze(r *rand.Rand, d time.Duration) {
 	e := s.edge(r)
+	defer s.disturb(e, time.Now())
 	e.signal(syscall.SIGSTOP)
 	s.sleep(d)
 	e.signal(syscall.SIGCONT)
--- a/cmd/ggsnode/soak_test.go
+++ b/cmd/ggsnode/soak_test.go
@@ -35,18 +35,27 @@
 //
 //nolint:gochecknoglobals // flags of the test
 var (
-	soakSeed   = flag.Uint64("soak.seed", 0, "play this seed only")
-	soakSeeds  = flag.Int("soak.seeds", 0, "play so many fresh seeds")
-	soakLength = flag.Duration("soak.length", 6*time.Second, "time of faults in each play")
+	soakSeed    = flag.Uint64("soak.seed", 0, "play this seed only")
+	soakSeeds   = flag.Int("soak.seeds", 0, "play so many fresh seeds")
+	soakAnswers = flag.Bool("soak.answers", true, "endpoints also say in answers that they leave, are limited or want nothing for a while")
+	soakLength  = flag.Duration("soak.length", 6*time.Second, "time of faults in each play")
 )
 
 // soakCases are seeds that are always played, with what each is for.
 //
 //nolint:gochecknoglobals // a table of cases
-var soakCases = map[string]uint64{
-	"an ordinary mix": 1,
+var soakCases = map[string]soakCase{
+	"an ordinary mix": {seed: 1},
 	// A VM behind a thin link never took over a configuration of 1 MB.
-	"a large configuration": 2944054447,
+	"a large configuration":         {seed: 2944054447},
+	"what endpoints say in answers": {seed: 2, answers: true},
+}
+
+// A soakCase is a play. Faults of answers are another set to draw from, so that a seed found
+// without them plays the same.
+type soakCase struct {
+	seed    uint64
+	answers bool
 }
 
 const (
@@ -73,17 +82,17 @@
 	t.Parallel()
 	switch {
 	case *soakSeed > 0:
-		playSoak(t, *soakSeed)
+		playSoak(t, soakCase{*soakSeed, *soakAnswers})
 	case *soakSeeds > 0:
 		for range *soakSeeds {
 			seed := rand.Uint64N(1 << 32)
 			//nolint:paralleltest // plays one after the other, so that timing is each one's own
-			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playSoak(t, seed) })
+			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playSoak(t, soakCase{seed, *soakAnswers}) })
 		}
 	default:
-		for name, seed := range soakCases {
+		for name, k := range soakCases {
 			//nolint:paralleltest // as above
-			t.Run(name, func(t *testing.T) { playSoak(t, seed) })
+			t.Run(name, func(t *testing.T) { playSoak(t, k) })
 		}
 	}
 }
@@ -107,7 +116,11 @@
 	// began to leave.
 	unplanned []span
 	drained   map[string]time.Time
-	outcomes  []outcome
+	// departed are when endpoints began to say in answers that they leave, limited the
+	// times in which they named a limit.
+	departed map[string]time.Time
+	limited  []soakLimit
+	outcomes []outcome
 	// version is the configuration's, versions are the adapters'.
 	version  int
 	versions map[string]uint64
@@ -127,18 +140,22 @@
 	life sync.Mutex
 	mu   sync.Mutex
 	cmd  *exec.Cmd
-	// stopping are the times of planned stops.
-	stopping []span
+	// stopping are the times of planned stops, disturbed those in which the process did not
+	// run all the while. soak.mu guards both.
+	stopping  []span
+	disturbed []span
 }
 
 func (e *soakEdge) callers() string { return netip.AddrPortFrom(e.ip, 7100).String() }
 
-func playSoak(t *testing.T, seed uint64) {
+func playSoak(t *testing.T, k soakCase) {
+	seed := k.seed
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &soak{
 		t: t, c: c, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 2)),
-		links: map[string]*ggsfakelink.Link{}, drained: map[string]time.Time{}, version: 1, versions: map[string]uint64{},
+		links: map[string]*ggsfakelink.Link{}, drained: map[string]time.Time{},
+		departed: map[string]time.Time{}, version: 1, versions: map[string]uint64{},
 	}
 	t.Logf("seed %d", seed)
 	var work sync.WaitGroup
@@ -156,7 +173,11 @@
 	for n := range soakClients {
 		clients.Go(func() { s.client(load, rand.New(rand.NewPCG(seed, uint64(100+n)))) })
 	}
-	s.injectUntil(time.Now().Add(*soakLength), &work)
+	faults := soakFaults()
+	if k.answers {
+		faults = append(faults, answerFaults()...)
+	}
+	s.injectUntil(time.Now().Add(*soakLength), faults, &work)
 	s.recover()
 	stop()
 	clients.Wait()
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -83,7 +83,7 @@
 	leaving bool
 	// retryAfter is what refusals ask for, zero for nothing.
 	retryAfter time.Duration
-	arrivals   []time.Time
+	arrivals   []Arrival
 }
 
 // An Order is one that the endpoint was given.
@@ -99,6 +99,12 @@
 	At time.Time `json:"-"`
 }
 
+// An Arrival is a request that arrived, run or not.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // NewEndpoint returns an endpoint that holds its model and no adapters.
 func NewEndpoint(o EndpointOptions) *Endpoint {
 	if o.AdapterSlots == 0 {
@@ -157,8 +163,8 @@
 	e.retryAfter = d
 }
 
-// Arrivals returns when requests arrived, those that were refused included.
-func (e *Endpoint) Arrivals() []time.Time {
+// Arrivals returns the requests that arrived, those that were refused included.
+func (e *Endpoint) Arrivals() []Arrival {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return slices.Clone(e.arrivals)
@@ -313,7 +319,7 @@
 	}
 	e.mu.Lock()
 	e.number++
-	e.arrivals = append(e.arrivals, e.options.Now())
+	e.arrivals = append(e.arrivals, Arrival{ID: id, At: e.options.Now()})
 	f := e.fault(Query{ID: id, Path: r.URL.Path, Number: e.number})
 	missing := e.missing(r)
 	if f != FaultShed && !missing {
