--- a/core/ggsturn/pauses.go
+++ b/core/ggsturn/pauses.go
@@ -60,6 +60,8 @@
 	since time.Time
 	// without is the part that was hurt when prompts began to wait.
 	without float64
+	// watchUntil is until when all endpoints are observed.
+	watchUntil time.Time
 	// rest is how long prompts don't wait after a try that failed, until when.
 	rest  time.Duration
 	until time.Time
@@ -73,13 +75,19 @@
 		return false
 	}
 	v.pauses.seeQuiet(gap)
+	if !v.knows(now, id) {
+		return false
+	}
 	return gap > v.gapAim && float64(v.reading(t.queue(id), now, gap)) >= filled*float64(gap)
 }
 
 // Stream notes a stream of this VM that ended whole, or one that was hurt when it was
 // first: by a pause that Gap reports, or by a first piece that came late only because
 // its prompt waited for its turn.
-func (t *Table) Stream(now time.Time, s ggscore.Service, hurt bool) {
+func (t *Table) Stream(now time.Time, s ggscore.Service, id ggscore.EndpointID, hurt bool) {
+	if !t.service(s).knows(now, id) {
+		return
+	}
 	n := ggscore.TurnTally{Service: s, Streams: 1}
 	if hurt {
 		n.Hurt = 1
--- a/core/ggsturn/pauses_test.go
+++ b/core/ggsturn/pauses_test.go
@@ -29,7 +29,7 @@
 // streams plays streams of a hundred a second, of which so many are hurt.
 func streams(t *ggsturn.Table, from, length time.Duration, hurt int) time.Duration {
 	for n := range int(length / (10 * time.Millisecond)) {
-		t.Stream(at(from+time.Duration(n)*10*time.Millisecond), models, n*37%100 < hurt)
+		t.Stream(at(from+time.Duration(n)*10*time.Millisecond), models, "r1", n*37%100 < hurt)
 	}
 	return from + length
 }
@@ -158,8 +158,8 @@
 	t.Parallel()
 	c := qt.New(t)
 	b := learner()
-	b.Stream(at(0), models, true)
-	b.Stream(at(0), models, false)
+	b.Stream(at(0), models, "r1", true)
+	b.Stream(at(0), models, "r1", false)
 	n := b.Take(at(0), models, runner, 1000, 0)
 	b.First(at(70*time.Millisecond), n, at(0))
 	s, l := b.Untold()
--- a/core/ggsturn/samples.go
+++ b/core/ggsturn/samples.go
@@ -22,6 +22,7 @@
 func (t *Table) LearnTally(now time.Time, n ggscore.TurnTally) {
 	p := &t.service(n.Service).pauses
 	p.tally(now, n.Streams, n.Hurt)
+	p.watch(now)
 	if t.decides {
 		p.decide(now)
 	}
--- a/core/ggsturn/speed.go
+++ b/core/ggsturn/speed.go
@@ -137,7 +137,7 @@
 func (t *Table) First(now time.Time, n ggscore.PromptTurn, sent time.Time) {
 	v, q := t.service(n.Service), t.queue(n.Endpoint)
 	i := q.find(n)
-	if i < 0 || n.Tokens <= 0 {
+	if i < 0 || n.Tokens <= 0 || !v.knows(now, n.Endpoint) {
 		return
 	}
 	took, alone := now.Sub(sent), true
--- a/core/ggsturn/table.go
+++ b/core/ggsturn/table.go
@@ -12,13 +12,15 @@
 //	t.SetService(service, gapAim)                  // by the configuration
 //	e := t.Expect(now, service, endpoint, tokens)  // for the choice of an endpoint
 //	n := t.Take(now, service, endpoint, tokens, w) // tell peers, wait until n.Begin
+//	t.SetEndpoints(service, endpoints)             // in a large fleet
+//	tell := t.Tells(now, n)                        // whether peers need to know of it
 //	n, ok := t.Confirm(now, n)                     // send, or tell peers and wait again
 //	t.Cancel(n)                                    // its caller left: tell peers
 //	t.Add(now, n)                                  // a peer's turn
 //	t.Drop(n)                                      // and its end
 //	t.First(now, n, sent)                          // the first piece came
 //	hurt := t.Gap(now, service, endpoint, gap)     // a pause between two pieces
-//	t.Stream(now, service, hurt)                   // a stream ended, or was hurt first
+//	t.Stream(now, service, endpoint, hurt)         // a stream ended, or was hurt first
 //	samples, tallies := t.Untold()                 // tell peers what was seen
 //	t.LearnFirst(sample)                           // what a peer saw
 //	t.LearnTally(now, tally)
@@ -67,6 +69,8 @@
 	speed  speed
 	pauses pauses
 	size   usualSize
+	// observed are the endpoints whose turns are told while prompts don't wait, nil for all.
+	observed map[ggscore.EndpointID]bool
 }
 
 // A queue holds an endpoint's turns in the order of their beginning.
--- a/core/ggsturn/table_test.go
+++ b/core/ggsturn/table_test.go
@@ -1,6 +1,8 @@
 package ggsturn_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -146,3 +148,35 @@
 	c.Assert(slow > 100*time.Millisecond, qt.IsTrue, qt.Commentf("%s", slow))
 	c.Assert(b.Expect(at(now), models, "r2", 1000).Ready, qt.Equals, 50*time.Millisecond)
 }
+
+// Guards against VMs of a large fleet that observe other endpoints than each other, and
+// against prompts that wait while nobody knows of the others.
+func TestAllVMsObserveTheSameEndpoints(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	var ids []ggscore.EndpointID
+	for n := range 60 {
+		ids = append(ids, ggscore.EndpointID(fmt.Sprintf("r%02d", n)))
+	}
+	a, b := learner(), learner()
+	a.SetEndpoints(models, ids)
+	slices.Reverse(ids)
+	b.SetEndpoints(models, ids)
+	told := 0
+	for _, id := range ids {
+		n := ggscore.PromptTurn{VM: "vm", Service: models, Endpoint: id, Tokens: 10}
+		c.Check(a.Tells(at(0), n), qt.Equals, b.Tells(at(0), n), qt.Commentf("%s", id))
+		if a.Tells(at(0), n) {
+			told++
+		}
+		n.Tokens = 100_000
+		c.Check(a.Tells(at(0), n), qt.IsTrue, qt.Commentf("a long prompt at %s", id))
+	}
+	c.Check(told, qt.Equals, 8)
+
+	// Prompts wait now, and all are told of.
+	a.LearnTally(at(0), ggscore.TurnTally{Service: models, Streams: 100, Hurt: 50})
+	for _, id := range ids {
+		c.Check(a.Tells(at(time.Second), ggscore.PromptTurn{VM: "vm", Service: models, Endpoint: id, Tokens: 10}), qt.IsTrue)
+	}
+}
--- a/fakes/ggsfakebatch/fleet_test.go
+++ b/fakes/ggsfakebatch/fleet_test.go
@@ -42,6 +42,8 @@
 	length         time.Duration
 	// slow makes the first engine so many times slower.
 	slow float64
+	// large has VMs tell each other of the turns at some engines only.
+	large bool
 }
 
 // A fleet is VMs that decide, each by its own view, before engines.
@@ -66,6 +68,8 @@
 	// long counts streams with a pause over the aim, late first pieces over fleetTarget.
 	long, late int
 	first      []time.Duration
+	// told counts the turns that VMs told each other of.
+	told int
 }
 
 // A fleetVM is a VM's view.
@@ -97,6 +101,14 @@
 
 func engineID(n int) ggscore.EndpointID { return ggscore.EndpointID(fmt.Sprintf("r%02d", n)) }
 
+func engineIDs(engines int) []ggscore.EndpointID {
+	ids := make([]ggscore.EndpointID, 0, engines)
+	for n := range engines {
+		ids = append(ids, engineID(n))
+	}
+	return ids
+}
+
 // fleetDomain spreads engines and VMs over two regions.
 func fleetDomain(n int) ggscore.Domain { return ggscore.Domain(fmt.Sprintf("d%d", n%2)) }
 
@@ -123,6 +135,9 @@
 		v.turns.SetDecides(n == 0)
 		v.table = ggsplace.NewTable(ggsplace.Options{Domain: fleetDomain(n), Regions: regions, Seed: seed + uint64(n), Turns: v.turns, Policy: policy})
 		v.table.SetInstances(list)
+		if l.large {
+			v.turns.SetEndpoints(fleetService, engineIDs(l.engines))
+		}
 		f.vms = append(f.vms, v)
 	}
 	return f
@@ -206,6 +221,10 @@
 
 func (f *fleet) tellTurn(s *stream) {
 	n := s.turn
+	if !s.vm.turns.Tells(f.now, n) {
+		return
+	}
+	f.result.told++
 	f.tell(s.vm, func(o *fleetVM, now time.Time) {
 		o.turns.Drop(n)
 		o.turns.Add(now, n)
@@ -263,7 +282,7 @@
 		}
 		s.hurt = first > fleetTarget && first-s.sent.Sub(s.arrived) <= fleetTarget
 		if s.hurt {
-			s.vm.turns.Stream(p.At, fleetService, true)
+			s.vm.turns.Stream(p.At, fleetService, engineID(n), true)
 		}
 		s.vm.turns.First(p.At, s.turn, s.sent)
 	} else {
@@ -271,7 +290,7 @@
 		s.gap = max(s.gap, gap)
 		if s.vm.turns.Gap(p.At, fleetService, engineID(n), gap) && !s.hurt {
 			s.hurt = true
-			s.vm.turns.Stream(p.At, fleetService, true)
+			s.vm.turns.Stream(p.At, fleetService, engineID(n), true)
 		}
 	}
 	s.last = p.At
@@ -284,7 +303,7 @@
 	if p.Last {
 		f.result.whole++
 		if !s.hurt {
-			s.vm.turns.Stream(p.At, fleetService, false)
+			s.vm.turns.Stream(p.At, fleetService, engineID(n), false)
 		}
 		s.vm.table.Ended(f.now, engineID(n), ggsretry.ResultOK)
 		delete(f.streams, p.ID)
@@ -388,3 +407,37 @@
 	c.Check(share(with.long, with.ended) <= 5, qt.IsTrue)
 	c.Check(share(with.late, with.whole) <= share(without.late, without.whole)+1, qt.IsTrue)
 }
+
+// inLargeFleet returns a load for a fleet that tells of the turns at some engines only.
+func inLargeFleet(l load) load {
+	l.engines, l.vms, l.large = 40, 24, true
+	return l
+}
+
+// Guards against a large fleet that doesn't see that prompts make streams pause.
+func TestStreamsDontPauseForPromptsInLargeFleets(t *testing.T) {
+	t.Parallel()
+	for name, l := range map[string]load{"slow engine": inLargeFleet(slowEngine()), "wide engine": inLargeFleet(wideEngine())} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			with, without := playBoth(t, l)
+			c.Check(share(with.long, with.ended) <= 5, qt.IsTrue)
+			c.Check(share(with.late, with.whole) <= 5, qt.IsTrue)
+			c.Check(share(without.long, without.ended) > 15, qt.IsTrue, qt.Commentf("the load has to need turns"))
+		})
+	}
+}
+
+// Guards against VMs of a large fleet that tell all others of each prompt though none waits.
+func TestFewTurnsAreToldInLargeFleets(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := inLargeFleet(smallSteps())
+	l.reading, l.prompt, l.length = 0.45, 400, 8*time.Second
+	with, without := playBoth(t, l)
+	t.Logf("told of %d turns of %d", with.told, with.asked)
+	c.Check(float64(with.told) <= 0.3*float64(with.asked), qt.IsTrue)
+	c.Check(share(with.long, with.ended) <= 5, qt.IsTrue)
+	c.Check(share(with.late, with.whole) <= share(without.late, without.whole)+1, qt.IsTrue)
+}
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -206,6 +206,9 @@
 	e.listed = true
 	e.entries[e.options.Keys.Instances] = es
 	e.setWorkers(ctx)
+	if e.node.Large() {
+		e.setTurnEndpoints(list)
+	}
 	e.mu.Unlock()
 	for _, l := range change.Leaving {
 		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLeaving, "endpoint", l.ID, "service", l.Service, "revision", at)
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -202,7 +202,7 @@
 	j.pieceAt = now
 	if hurt && !j.hurt {
 		j.hurt = true
-		e.turns.Stream(now, j.service, true)
+		e.turns.Stream(now, j.service, j.turn.Endpoint, true)
 	}
 }
 
@@ -213,7 +213,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.turns.Stream(e.Now(), j.service, false)
+	e.turns.Stream(e.Now(), j.service, j.turn.Endpoint, false)
 }
 
 // head writes an answer's head.
--- a/io/ggsedge/turns.go
+++ b/io/ggsedge/turns.go
@@ -58,11 +58,15 @@
 	} else if n, ok = e.turns.Confirm(now, n); tries >= mostTurns {
 		ok = true
 	}
+	tells := e.turns.Tells(now, n)
 	e.mu.Unlock()
 	if ok {
 		return n, 0
 	}
 	wait := n.Begin.Sub(now)
+	if !tells {
+		return n, wait
+	}
 	e.notify(n, ggspeer.Notice{Wait: max(wait, 0)})
 	return n, wait
 }
@@ -81,8 +85,11 @@
 	}
 	e.mu.Lock()
 	e.turns.Drop(j.turn)
+	tells := e.turns.Tells(e.Now(), j.turn)
 	e.mu.Unlock()
-	e.notify(j.turn, ggspeer.Notice{Unused: true})
+	if tells {
+		e.notify(j.turn, ggspeer.Notice{Unused: true})
+	}
 	j.turn = ggscore.PromptTurn{}
 }
 
@@ -132,3 +139,14 @@
 	e.turns.Drop(t)
 	e.turns.Add(now, t)
 }
+
+// setTurnEndpoints takes the endpoints that turns are told of. Edge.mu is held.
+func (e *Edge) setTurnEndpoints(list []ggscore.Instance) {
+	ids := map[ggscore.Service][]ggscore.EndpointID{}
+	for _, i := range list {
+		ids[i.Service] = append(ids[i.Service], i.ID)
+	}
+	for s, l := range ids {
+		e.turns.SetEndpoints(s, l)
+	}
+}
