--- a/fakes/ggsfakesite/store.go
+++ b/fakes/ggsfakesite/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -34,6 +35,17 @@
 	CreateRev uint64 `json:"createRev,omitempty"`
 	Lease     uint64 `json:"lease,omitempty"`
 	Tombstone bool   `json:"tombstone,omitempty"`
+	// encoded is the item as JSON. It is encoded once: large ones are answered often.
+	encoded []byte
+}
+
+func (i item) encode() item {
+	b, err := json.Marshal(i)
+	if err != nil {
+		panic(err) // no field of an item can fail
+	}
+	i.encoded = b
+	return i
 }
 
 // NewStore returns an empty store.
@@ -135,16 +147,17 @@
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("pathPrefix")
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.snapshots[prefix]++
-	l := []item{}
+	l, rev := []item{}, s.revision
 	for k, i := range s.items {
 		if strings.HasPrefix(k, prefix) {
 			l = append(l, i)
 		}
 	}
+	// A reader behind a slow link must not hold up the others.
+	s.mu.Unlock()
 	slices.SortFunc(l, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	answer(w, http.StatusOK, map[string]any{"items": l, "morePages": false, "asOf": s.revision})
+	answerItems(w, `{"morePages":false,"items":`, l, rev)
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
@@ -172,7 +185,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(l) > 0:
-			answer(w, http.StatusOK, map[string]any{"events": l, "asOf": rev})
+			answerItems(w, `{"events":`, l, rev)
 			return
 		}
 		select {
@@ -180,7 +193,7 @@
 		case <-r.Context().Done():
 			return
 		case <-t.C:
-			answer(w, http.StatusOK, map[string]any{"events": l, "asOf": rev})
+			answerItems(w, `{"events":`, l, rev)
 			return
 		}
 	}
@@ -234,13 +247,14 @@
 	if i.CreateRev == 0 {
 		i.CreateRev = s.revision
 	}
+	i = i.encode()
 	s.items[key] = i
 	s.history = append(s.history, i)
 }
 
 func (s *Store) remove(key string) {
 	delete(s.items, key)
-	s.history = append(s.history, item{Key: key, Revision: s.revision, Tombstone: true})
+	s.history = append(s.history, item{Key: key, Revision: s.revision, Tombstone: true}.encode())
 }
 
 func (s *Store) wake() {
@@ -248,12 +262,29 @@
 	s.changed = make(chan struct{})
 }
 
+// answerItems answers with a head, items and the store's revision.
+func answerItems(w http.ResponseWriter, head string, l []item, rev uint64) {
+	b := []byte(head + "[")
+	for n, i := range l {
+		if n > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, i.encoded...)
+	}
+	b = append(b, fmt.Sprintf(`],"asOf":%d}`, rev)...)
+	answerBytes(w, http.StatusOK, b)
+}
+
 func answer(w http.ResponseWriter, status int, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	answerBytes(w, status, b)
+}
+
+func answerBytes(w http.ResponseWriter, status int, b []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	w.WriteHeader(status)
