--- a/core/ggsthrottle/share_test.go
+++ b/core/ggsthrottle/share_test.go
@@ -129,17 +129,20 @@
 func TestVMsTogetherKeepToALimit(t *testing.T) {
 	t.Parallel()
 	for name, tc := range map[string]struct {
-		vms    int
-		limit  float64
-		perVM  float64
+		vms   int
+		limit float64
+		perVM float64
+		// jitter is the part by which the limit that is named goes up and down.
+		jitter float64
 		events func(c *crowd)
 	}{
-		"one VM":                       {vms: 1, limit: 5.2, perVM: 40},
-		"9 VMs":                        {vms: 9, limit: 5.2, perVM: 20},
-		"9 VMs, limit above their own": {vms: 9, limit: 60, perVM: 20},
-		"9 VMs, limit below one":       {vms: 9, limit: 0.6, perVM: 20},
-		"91 VMs":                       {vms: 91, limit: 6.6, perVM: 10},
-		"410 VMs":                      {vms: 410, limit: 5.2, perVM: 4},
+		"one VM":                         {vms: 1, limit: 5.2, perVM: 40},
+		"9 VMs":                          {vms: 9, limit: 5.2, perVM: 20},
+		"9 VMs, limit above their own":   {vms: 9, limit: 60, perVM: 20},
+		"9 VMs, limit below one":         {vms: 9, limit: 0.6, perVM: 20},
+		"91 VMs":                         {vms: 91, limit: 6.6, perVM: 10},
+		"410 VMs":                        {vms: 410, limit: 5.2, perVM: 4},
+		"limit changes with each answer": {vms: 9, limit: 5.2, perVM: 20, jitter: 0.3},
 		"VMs go and come": {vms: 9, limit: 5.2, perVM: 20, events: func(c *crowd) {
 			c.down[0], c.down[4] = true, true
 			c.play(10*time.Second, 14*time.Second, 20)
@@ -153,6 +156,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := newCrowd(tc.vms, constant(tc.limit))
+			if tc.jitter > 0 {
+				c.limit = func(time.Duration) float64 { return tc.limit * (1 + tc.jitter*(2*c.rng.Float64()-1)) }
+			}
 			c.play(0, 10*time.Second, tc.perVM)
 			if tc.events != nil {
 				tc.events(c)
--- a/core/ggsthrottle/table.go
+++ b/core/ggsthrottle/table.go
@@ -61,7 +61,7 @@
 	}
 	t.vms = vms
 	for _, e := range t.endpoints {
-		e.share = share{}
+		e.share.valid = false
 	}
 }
 
@@ -82,8 +82,12 @@
 		return false
 	}
 	changed := (limit == nil) != (e.limit == nil)
-	if changed || limit != nil && *limit != *e.limit {
+	switch {
+	case changed:
 		e.share = share{}
+	case limit != nil && *limit != *e.limit:
+		// What was unused stays: endpoints may name another limit in each answer.
+		e.share.valid = false
 	}
 	e.limit, e.asOf = limit, asOf
 	return changed
