--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -249,7 +249,8 @@
 	defer e.mu.Unlock()
 	now := e.Now()
 	e.table.Sent(now, id)
-	if j.sends == 0 {
+	if !j.counted {
+		j.counted = true
 		e.retries.Request(now, ggscore.Market(j.service))
 	}
 	if j.meta.Model.Adapter != "" {
--- /dev/null
+++ b/io/ggsedge/attempt_test.go
@@ -0,0 +1,40 @@
+package ggsedge
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsretry"
+	"greengageslip/io/ggsexchange"
+)
+
+// Guards against a request that is placed anew before it is sent and earns repeats twice.
+func TestRequestEarnsRepeatsOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := func() time.Time { return time.Unix(1_000, 0) }
+	// Each request earns half a repeat.
+	e := New(Options{VM: "vm", RetryRatio: 0.5 / retryShare}, Parts{
+		Log: log.NewNopLogger(), Now: now, Steady: now, Pool: ggsexchange.NewPool(ggsexchange.Options{Now: now}),
+	})
+	granted := func() bool {
+		_, err := e.retries.Retry(now(), ggsretry.Attempt{
+			Market: "s", Number: 1, Left: time.Minute, Failure: &ggscore.Failure{Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun},
+		})
+		return err == nil
+	}
+	for granted() {
+	}
+	j := &job{service: "s"}
+	for _, id := range []ggscore.EndpointID{"a", "b"} {
+		e.begin(j, id)
+		e.end(j, id, ggsretry.ResultNeutral)
+	}
+	c.Assert(granted(), qt.IsFalse)
+	e.begin(&job{service: "s"}, "a")
+	c.Assert(granted(), qt.IsTrue)
+}
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -61,6 +61,8 @@
 	// may have run.
 	sends int
 	runs  int
+	// counted says that the retry budget counts it.
+	counted bool
 	// granted says that another send is granted already.
 	granted bool
 	// kept is an endpoint's failure, while another endpoint is tried.
