--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -243,8 +243,7 @@
 	e.table.SetPeer(now, h.VM, h.InFlight)
 	e.adoptHoldings(now, h.Holdings)
 	e.adoptTurns(now, h.VM, h.Samples, h.Tallies, h.Modes)
-	e.adoptLimits(now, h.Limits)
-	e.adoptDepartures(h.Departures)
+	e.adoptSignals(now, h.Limits, h.Departures)
 	for _, u := range h.Uses {
 		e.table.Asked(now, u.Target, u.Count)
 		e.used(now, h.VM, u)
@@ -279,8 +278,7 @@
 	}
 	e.adoptHoldings(now, v.Holdings)
 	e.adoptTurns(now, v.Decider, v.Samples, v.Tallies, v.Modes)
-	e.adoptLimits(now, v.Limits)
-	e.adoptDepartures(v.Departures)
+	e.adoptSignals(now, v.Limits, v.Departures)
 	for _, d := range v.Demand {
 		e.table.Asked(now, d.Target, d.Count)
 	}
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -25,9 +25,7 @@
 // relay passes an answer on. The failure is nil where the caller has it.
 func (e *Edge) relay(ctx context.Context, j *job, i ggscore.Instance, a *ggsexchange.Answer) (*ggscore.Failure, ggsretry.Result) {
 	m := e.Dialect.Answer(a.Status, a.Header)
-	e.observeLimit(j, i.ID, m.Limit)
-	e.observeDeparture(j, i, m.Leaving)
-	e.observePause(i, m.RetryAfter)
+	e.observe(j, i, m)
 	if m.NotRun {
 		return e.notRun(j, i, a, m), ggsretry.ResultNeutral
 	}
--- /dev/null
+++ b/io/ggsedge/signals.go
@@ -0,0 +1,87 @@
+package ggsedge
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/io/ggslog"
+)
+
+// observe takes what an answer says of its endpoint: that it leaves, its rate limit, and how
+// long it wants nothing from this VM.
+func (e *Edge) observe(j *job, i ggscore.Instance, m ggscore.AnswerMeta) {
+	e.mu.Lock()
+	now := e.Now()
+	leaves := m.Leaving && e.table.Depart(ggscore.Departure{Endpoint: i.ID, Born: i.Born})
+	limited := e.observeLimit(now, j, i.ID, m.Limit)
+	if m.RetryAfter > 0 {
+		e.table.Pause(now, i.ID, m.RetryAfter)
+	}
+	e.mu.Unlock()
+	if leaves {
+		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLeaving, "endpoint", i.ID, "service", i.Service, "request", j.meta.ID)
+	}
+	switch {
+	case limited && m.Limit != nil:
+		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLimited, "request", j.meta.ID, "endpoint", i.ID,
+			"perSecond", m.Limit.RequestsPerSecond)
+	case limited:
+		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointUnlimited, "request", j.meta.ID, "endpoint", i.ID)
+	}
+}
+
+// observeLimit reports whether an answer named or lifted its endpoint's limit. Edge.mu is
+// held.
+func (e *Edge) observeLimit(now time.Time, j *job, id ggscore.EndpointID, l *ggscore.RateLimit) bool {
+	asOf := now
+	if l == nil {
+		asOf = j.sentAt
+	}
+	changed := e.limits.Observe(now, id, l, asOf)
+	if changed {
+		e.shareLimits(now)
+	}
+	return changed
+}
+
+// shareLimits takes the VMs that rate limits are shared by. Edge.mu is held.
+func (e *Edge) shareLimits(now time.Time) {
+	if e.limits.Limited() == 0 {
+		return
+	}
+	vms := []ggscore.VMID{e.options.VM}
+	for vm, p := range e.peers {
+		if now.Sub(p.heard) < peerLiveness {
+			vms = append(vms, vm)
+		}
+	}
+	e.limits.SetVMs(vms)
+}
+
+// adoptSignals takes what others know of rate limits, and the endpoints that they saw leave.
+// Edge.mu is held.
+func (e *Edge) adoptSignals(now time.Time, ls []ggscore.EndpointLimit, ds []ggscore.Departure) {
+	e.limits.Learn(now.Add(-heartbeatDelay), ls)
+	for _, d := range ds {
+		if e.table.Depart(d) {
+			_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLeaving, "endpoint", d.Endpoint, "peers", true)
+		}
+	}
+}
+
+// takeLimit takes a request's part of an endpoint's rate limit, and reports whether one was
+// left. Requests that were placed at the same time may have taken it since.
+func (e *Edge) takeLimit(id ggscore.EndpointID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.limits.Take(e.Now(), id)
+}
+
+// takes reports whether an endpoint still takes requests.
+func (e *Edge) takes(id ggscore.EndpointID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table.Takes(e.Now(), id)
+}
--- a/io/ggspeer/heartbeat.go
+++ b/io/ggspeer/heartbeat.go
@@ -3,22 +3,22 @@
 import ggscore "greengageslip/core"
 
 type heartbeatWire struct {
-	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
-	VM       string
-	Sequence uint64
-	Started  int64
-	Relay    int
-	Carrier  string
-	News     newsWire
-	Models   modelNames
-	InFlight []inFlightWire
-	Holdings []holdingWire
-	Uses     []useWire
-	Samples  []sampleWire
-	Tallies  []tallyWire
-	Modes    []modeWire
-	Limits   []limitWire
-	Leaving  []departureWire
+	_          struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	VM         string
+	Sequence   uint64
+	Started    int64
+	Relay      int
+	Carrier    string
+	News       newsWire
+	Models     modelNames
+	InFlight   []inFlightWire
+	Holdings   []holdingWire
+	Uses       []useWire
+	Samples    []sampleWire
+	Tallies    []tallyWire
+	Modes      []modeWire
+	Limits     []limitWire
+	Departures []departureWire
 }
 
 func heartbeatWireOf(h ggscore.Heartbeat) *heartbeatWire {
@@ -26,7 +26,7 @@
 		VM: string(h.VM), Sequence: h.Sequence, Started: h.Started, Relay: int(h.Relay), Carrier: string(h.Carrier),
 		News: newsWireOf(h.News), InFlight: inFlightWires(h.InFlight),
 		Samples: sampleWires(h.Samples), Tallies: tallyWires(h.Tallies), Modes: modeWires(h.Modes),
-		Limits: limitWires(h.Limits), Leaving: departureWires(h.Departures),
+		Limits: limitWires(h.Limits), Departures: departureWires(h.Departures),
 	}
 	w.Holdings = w.Models.holdingWires(h.Holdings)
 	w.Uses = w.Models.useWires(h.Uses)
@@ -38,7 +38,7 @@
 		VM: ggscore.VMID(w.VM), Sequence: w.Sequence, Started: w.Started, Relay: ggscore.Relay(w.Relay), Carrier: ggscore.VMID(w.Carrier),
 		News:    w.News.news(),
 		Samples: samplesOf(w.Samples), Tallies: talliesOf(w.Tallies), Modes: modesOf(w.Modes),
-		Departures: departuresOf(w.Leaving),
+		Departures: departuresOf(w.Departures),
 	}
 	var err error
 	if h.InFlight, err = inFlightOf(w.InFlight); err != nil {
--- a/io/ggspeer/summary.go
+++ b/io/ggspeer/summary.go
@@ -3,28 +3,28 @@
 import ggscore "greengageslip/core"
 
 type summaryWire struct {
-	_         struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
-	From      string
-	Domain    string
-	Fleet     bool
-	Settling  bool
-	Sequence  uint64
-	Started   int64
-	News      newsWire
-	Included  []includedWire
-	Live      []uint32
-	LiveWhole bool
-	Models    modelNames
-	InFlight  []inFlightWire
-	Holdings  []holdingWire
-	Uses      []useWire
-	Demand    []demandWire
-	Samples   []sampleWire
-	Tallies   []tallyWire
-	Decider   string
-	Modes     []modeWire
-	Limits    []limitWire
-	Leaving   []departureWire
+	_          struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	From       string
+	Domain     string
+	Fleet      bool
+	Settling   bool
+	Sequence   uint64
+	Started    int64
+	News       newsWire
+	Included   []includedWire
+	Live       []uint32
+	LiveWhole  bool
+	Models     modelNames
+	InFlight   []inFlightWire
+	Holdings   []holdingWire
+	Uses       []useWire
+	Demand     []demandWire
+	Samples    []sampleWire
+	Tallies    []tallyWire
+	Decider    string
+	Modes      []modeWire
+	Limits     []limitWire
+	Departures []departureWire
 }
 
 type includedWire struct {
@@ -38,7 +38,7 @@
 		From: string(d.From), Domain: string(d.Domain), Fleet: d.Fleet, Settling: d.Settling, Sequence: d.Sequence, Started: d.Started,
 		News: newsWireOf(d.News), LiveWhole: d.LiveWhole, InFlight: inFlightWires(d.InFlight),
 		Samples: sampleWires(d.Samples), Tallies: tallyWires(d.Tallies), Decider: string(d.Decider), Modes: modeWires(d.Modes),
-		Limits: limitWires(d.Limits), Leaving: departureWires(d.Departures),
+		Limits: limitWires(d.Limits), Departures: departureWires(d.Departures),
 	}
 	for _, n := range d.Included {
 		w.Included = append(w.Included, includedWire{VM: uint32(n.VM), Sequence: n.Sequence})
@@ -59,7 +59,7 @@
 		From: ggscore.VMID(w.From), Domain: ggscore.Domain(w.Domain), Fleet: w.Fleet, Settling: w.Settling, Sequence: w.Sequence, Started: w.Started,
 		News: w.News.news(), LiveWhole: w.LiveWhole,
 		Samples: samplesOf(w.Samples), Tallies: talliesOf(w.Tallies), Decider: ggscore.VMID(w.Decider), Modes: modesOf(w.Modes),
-		Departures: departuresOf(w.Leaving),
+		Departures: departuresOf(w.Departures),
 	}
 	for _, n := range w.Included {
 		d.Included = append(d.Included, ggscore.IncludedHeartbeat{VM: ggscore.VMHash(n.VM), Sequence: n.Sequence})
