--- a/core/ggsrelay/table.go
+++ b/core/ggsrelay/table.go
@@ -218,10 +218,10 @@
 	slices.Sort(s.Live)
 }
 
-// mergeLimits adds limits that were told some time ago to a list: of each endpoint's the
-// newest stays.
-func mergeLimits(ls, told []ggscore.EndpointLimit, passed time.Duration) []ggscore.EndpointLimit {
-	for _, l := range told {
+// mergeLimits adds limits of a heartbeat or summary of some time ago to a list. Of each
+// endpoint's the newest stays.
+func mergeLimits(ls, others []ggscore.EndpointLimit, passed time.Duration) []ggscore.EndpointLimit {
+	for _, l := range others {
 		l.Age += passed
 		i := slices.IndexFunc(ls, func(o ggscore.EndpointLimit) bool { return o.Endpoint == l.Endpoint })
 		switch {
@@ -234,8 +234,8 @@
 	return ls
 }
 
-func mergeDepartures(ds, told []ggscore.Departure) []ggscore.Departure {
-	for _, d := range told {
+func mergeDepartures(ds, others []ggscore.Departure) []ggscore.Departure {
+	for _, d := range others {
 		if !slices.ContainsFunc(ds, func(o ggscore.Departure) bool { return o.Endpoint == d.Endpoint && o.Born.Equal(d.Born) }) {
 			ds = append(ds, d)
 		}
--- a/core/ggsthrottle/table.go
+++ b/core/ggsthrottle/table.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// toldFor is the age up to which peers are told what an endpoint said last. It is
+	// gossipFor is the age up to which heartbeats carry what an endpoint said last. It is
 	// longer than any VM goes without a heartbeat, so that no VM brings back a limit that
 	// the others saw lifted.
-	toldFor = 10 * time.Second
-	// maxTold bounds the limits that a heartbeat has.
-	maxTold = 64
+	gossipFor = 10 * time.Second
+	// maxGossiped bounds the limits that a heartbeat carries.
+	maxGossiped = 64
 	// staleAfter is the age of an endpoint's last answer after which other VMs are
 	// entitled to send to it.
 	staleAfter = 5 * time.Second
@@ -96,20 +96,20 @@
 // Learn takes what a peer knows.
 func (t *Table) Learn(now time.Time, ls []ggscore.EndpointLimit) {
 	for _, l := range ls {
-		if l.Age <= toldFor {
+		if l.Age <= gossipFor {
 			t.Observe(now, l.Endpoint, l.Limit, now.Add(-l.Age))
 		}
 	}
 }
 
-// Known returns what peers are told: what endpoints said lately of their limits, the
-// newest first.
+// Known returns what heartbeats carry: what endpoints said lately of their limits, the newest
+// first.
 func (t *Table) Known(now time.Time) []ggscore.EndpointLimit {
 	var ls []ggscore.EndpointLimit
 	for id, e := range t.endpoints {
 		age := max(now.Sub(e.asOf), 0)
 		switch {
-		case age <= toldFor:
+		case age <= gossipFor:
 			ls = append(ls, ggscore.EndpointLimit{Endpoint: id, Limit: e.limit, Age: age})
 		case e.limit == nil:
 			delete(t.endpoints, id)
@@ -118,7 +118,7 @@
 	slices.SortFunc(ls, func(a, b ggscore.EndpointLimit) int {
 		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
-	return ls[:min(len(ls), maxTold)]
+	return ls[:min(len(ls), maxGossiped)]
 }
 
 // Limit returns the limit that an endpoint names, nil for none.
--- a/core/ggsturn/observed.go
+++ b/core/ggsturn/observed.go
@@ -25,9 +25,9 @@
 	longWork = 100 * time.Millisecond
 )
 
-// SetEndpoints takes the endpoints of a service of a large fleet, where telling all VMs of
-// each turn costs more than it gains. While prompts don't wait, turns are told of some
-// endpoints only, the same for all VMs, and streams there stand for all.
+// SetEndpoints takes the endpoints of a service of a large fleet, where announcing each
+// turn to all VMs costs more than it gains. While prompts don't wait, turns are announced at
+// some endpoints only, the same for all VMs, and streams there stand for all.
 func (t *Table) SetEndpoints(s ggscore.Service, ids []ggscore.EndpointID) {
 	ranked := slices.Clone(ids)
 	slices.SortFunc(ranked, func(a, b ggscore.EndpointID) int {
@@ -57,8 +57,8 @@
 	}
 }
 
-// Tells reports whether peers are to be told of a turn.
-func (t *Table) Tells(now time.Time, n ggscore.PromptTurn) bool {
+// Announces reports whether a turn is announced to peers.
+func (t *Table) Announces(now time.Time, n ggscore.PromptTurn) bool {
 	v := t.service(n.Service)
 	return v.knows(now, n.Endpoint) || v.usual(n.Tokens) >= longWork
 }
--- a/core/ggsturn/table.go
+++ b/core/ggsturn/table.go
@@ -13,7 +13,7 @@
 //	e := t.Expect(now, service, endpoint, tokens)  // for the choice of an endpoint
 //	n := t.Take(now, service, endpoint, tokens, w) // tell peers, wait until n.Begin
 //	t.SetEndpoints(service, endpoints)             // in a large fleet
-//	tell := t.Tells(now, n)                        // whether peers need to know of it
+//	ok := t.Announces(now, n)                      // whether peers need to know of it
 //	n, ok := t.Confirm(now, n)                     // send, or tell peers and wait again
 //	t.Cancel(n)                                    // its caller left: tell peers
 //	t.Add(now, n)                                  // a peer's turn
@@ -69,7 +69,8 @@
 	speed  speed
 	pauses pauses
 	size   usualSize
-	// observed are the endpoints whose turns are told while prompts don't wait, nil for all.
+	// observed are the endpoints whose turns are announced while prompts don't wait, nil
+	// for all.
 	observed map[ggscore.EndpointID]bool
 }
 
--- a/core/ggsturn/table_test.go
+++ b/core/ggsturn/table_test.go
@@ -162,21 +162,21 @@
 	a.SetEndpoints(models, ids)
 	slices.Reverse(ids)
 	b.SetEndpoints(models, ids)
-	told := 0
+	announced := 0
 	for _, id := range ids {
 		n := ggscore.PromptTurn{VM: "vm", Service: models, Endpoint: id, Tokens: 10}
-		c.Check(a.Tells(at(0), n), qt.Equals, b.Tells(at(0), n), qt.Commentf("%s", id))
-		if a.Tells(at(0), n) {
-			told++
+		c.Check(a.Announces(at(0), n), qt.Equals, b.Announces(at(0), n), qt.Commentf("%s", id))
+		if a.Announces(at(0), n) {
+			announced++
 		}
 		n.Tokens = 100_000
-		c.Check(a.Tells(at(0), n), qt.IsTrue, qt.Commentf("a long prompt at %s", id))
+		c.Check(a.Announces(at(0), n), qt.IsTrue, qt.Commentf("a long prompt at %s", id))
 	}
-	c.Check(told, qt.Equals, 8)
+	c.Check(announced, qt.Equals, 8)
 
-	// Prompts wait now, and all are told of.
+	// Prompts wait now, and all are announced.
 	a.LearnTally(at(0), ggscore.TurnTally{Service: models, Streams: 100, Hurt: 50})
 	for _, id := range ids {
-		c.Check(a.Tells(at(time.Second), ggscore.PromptTurn{VM: "vm", Service: models, Endpoint: id, Tokens: 10}), qt.IsTrue)
+		c.Check(a.Announces(at(time.Second), ggscore.PromptTurn{VM: "vm", Service: models, Endpoint: id, Tokens: 10}), qt.IsTrue)
 	}
 }
--- a/fakes/ggsfakebatch/fleet_test.go
+++ b/fakes/ggsfakebatch/fleet_test.go
@@ -42,7 +42,7 @@
 	length         time.Duration
 	// slow makes the first engine so many times slower.
 	slow float64
-	// large has VMs tell each other of the turns at some engines only.
+	// large has VMs announce turns at some engines only.
 	large bool
 }
 
@@ -68,8 +68,8 @@
 	// long counts streams with a pause over the aim, late first pieces over fleetTarget.
 	long, late int
 	first      []time.Duration
-	// told counts the turns that VMs told each other of.
-	told int
+	// announced counts the turns that VMs announced to each other.
+	announced int
 }
 
 // A fleetVM is a VM's view.
@@ -221,10 +221,10 @@
 
 func (f *fleet) tellTurn(s *stream) {
 	n := s.turn
-	if !s.vm.turns.Tells(f.now, n) {
+	if !s.vm.turns.Announces(f.now, n) {
 		return
 	}
-	f.result.told++
+	f.result.announced++
 	f.tell(s.vm, func(o *fleetVM, now time.Time) {
 		o.turns.Drop(n)
 		o.turns.Add(now, n)
@@ -408,7 +408,7 @@
 	c.Check(share(with.late, with.whole) <= share(without.late, without.whole)+1, qt.IsTrue)
 }
 
-// inLargeFleet returns a load for a fleet that tells of the turns at some engines only.
+// inLargeFleet returns a load for a fleet that announces turns at some engines only.
 func inLargeFleet(l load) load {
 	l.engines, l.vms, l.large = 40, 24, true
 	return l
@@ -429,15 +429,15 @@
 	}
 }
 
-// Guards against VMs of a large fleet that tell all others of each prompt though none waits.
-func TestFewTurnsAreToldInLargeFleets(t *testing.T) {
+// Guards against VMs of a large fleet that announce each prompt to all others though none waits.
+func TestFewTurnsAreAnnouncedInLargeFleets(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
 	l := inLargeFleet(smallSteps())
 	l.reading, l.prompt, l.length = 0.45, 400, 8*time.Second
 	with, without := playBoth(t, l)
-	t.Logf("told of %d turns of %d", with.told, with.asked)
-	c.Check(float64(with.told) <= 0.3*float64(with.asked), qt.IsTrue)
+	t.Logf("announced %d turns of %d", with.announced, with.asked)
+	c.Check(float64(with.announced) <= 0.3*float64(with.asked), qt.IsTrue)
 	c.Check(share(with.long, with.ended) <= 5, qt.IsTrue)
 	c.Check(share(with.late, with.whole) <= share(without.late, without.whole)+1, qt.IsTrue)
 }
--- a/io/ggsedge/turns.go
+++ b/io/ggsedge/turns.go
@@ -58,13 +58,13 @@
 	} else if n, ok = e.turns.Confirm(now, n); tries >= mostTurns {
 		ok = true
 	}
-	tells := e.turns.Tells(now, n)
+	announced := e.turns.Announces(now, n)
 	e.mu.Unlock()
 	if ok {
 		return n, 0
 	}
 	wait := n.Begin.Sub(now)
-	if !tells {
+	if !announced {
 		return n, wait
 	}
 	e.notify(n, ggspeer.Notice{Wait: max(wait, 0)})
@@ -85,9 +85,9 @@
 	}
 	e.mu.Lock()
 	e.turns.Drop(j.turn)
-	tells := e.turns.Tells(e.Now(), j.turn)
+	announced := e.turns.Announces(e.Now(), j.turn)
 	e.mu.Unlock()
-	if tells {
+	if announced {
 		e.notify(j.turn, ggspeer.Notice{Unused: true})
 	}
 	j.turn = ggscore.PromptTurn{}
@@ -140,7 +140,7 @@
 	e.turns.Add(now, t)
 }
 
-// setTurnEndpoints takes the endpoints that turns are told of. Edge.mu is held.
+// setTurnEndpoints takes the endpoints that prompts take turns at. Edge.mu is held.
 func (e *Edge) setTurnEndpoints(list []ggscore.Instance) {
 	ids := map[ggscore.Service][]ggscore.EndpointID{}
 	for _, i := range list {
