--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -152,6 +152,8 @@
 		if r.at >= read {
 			read = r.at
 			e.setInstances(ctx, r)
+		} else {
+			_ = level.Warn(e.Log).Log("event", ggslog.EventReadingDropped, "part", "instances", "revision", r.at, "last", read)
 		}
 		if !e.waitForList(ctx) {
 			return nil
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -37,6 +37,7 @@
 	EventPartUnread         Event = "partUnread"
 	EventProcessStarted     Event = "processStarted"
 	EventReadFailed         Event = "readFailed"
+	EventReadingDropped     Event = "readingDropped"
 	EventRecordUnencoded    Event = "recordUnencoded"
 	EventRecordUnreadable   Event = "recordUnreadable"
 	EventReleaseUnencoded   Event = "releaseUnencoded"
@@ -85,6 +86,7 @@
 		EventPartUnread,
 		EventProcessStarted,
 		EventReadFailed,
+		EventReadingDropped,
 		EventRecordUnencoded,
 		EventRecordUnreadable,
 		EventReleaseUnencoded,
