test(ggsfakesite): let the stand-in's store come back from an older copy

The store may lose some seconds of acknowledged writes: era in all answers, revisions given out again, 410 for a watch from one that it doesn't have, writes that are carried out later where their conditions hold. Endpoints write their entries again after a while.

--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -48,9 +48,11 @@
 	zones   map[string]string
 	servers []*http.Server
 
-	// mu guards draining and is a leaf.
+	// mu guards draining and quietUntil, and is a leaf.
 	mu       sync.Mutex
 	draining map[string]bool
+	// quietUntil is when endpoints write their entries again.
+	quietUntil time.Time
 }
 
 // NewSite returns a site that doesn't run yet.
@@ -150,11 +152,24 @@
 	s.announce(id)
 }
 
+// Return has the store come back from a copy; endpoints write their entries again after some
+// time.
+func (s *Site) Return(c Copy, after time.Duration) {
+	s.mu.Lock()
+	s.quietUntil = time.Now().Add(after)
+	s.mu.Unlock()
+	s.Store.Return(c)
+}
+
 // announce writes an endpoint's entry.
 func (s *Site) announce(id string) {
 	s.mu.Lock()
 	draining := s.draining[id]
+	quiet := time.Now().Before(s.quietUntil)
 	s.mu.Unlock()
+	if quiet {
+		return
+	}
 	addr, ok := s.options.Advertised[id]
 	if !ok {
 		addr = s.addrs[id]
--- a/fakes/ggsfakesite/store.go
+++ b/fakes/ggsfakesite/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,6 +15,8 @@
 // A Store is the platform's metadata store.
 type Store struct {
 	mu       sync.Mutex
+	// era counts the times that the store came back from a copy, from one on.
+	era      uint64
 	revision uint64
 	items    map[string]item
 	history  []item
@@ -26,8 +29,21 @@
 	snapshots map[string]int
 	// conditions are the keys of the last transaction's conditions.
 	conditions []string
+	// hold is the number of writes that are to be held back, held those that are.
+	hold int
+	held []transaction
 }
 
+// A Copy is a store's state at a moment.
+type Copy struct {
+	revision uint64
+	items    map[string]item
+	history  []item
+}
+
+// eraHeader names the store's era in all its answers.
+const eraHeader = "Store-Era"
+
 type item struct {
 	Key       string `json:"key"`
 	Value     []byte `json:"value,omitempty"`
@@ -50,7 +66,55 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]item{}, changed: make(chan struct{}), calls: map[string]int{}, snapshots: map[string]int{}}
+	return &Store{
+		era: 1, revision: 1, items: map[string]item{}, changed: make(chan struct{}), calls: map[string]int{}, snapshots: map[string]int{},
+	}
+}
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{revision: s.revision, items: maps.Clone(s.items), history: slices.Clone(s.history)}
+}
+
+// Return has the store come back from a copy: what was written since is lost, and its
+// revisions are given out again.
+func (s *Store) Return(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.items, s.history = c.revision, maps.Clone(c.items), slices.Clone(c.history)
+	s.wake()
+}
+
+// Era returns the number that the store names in its answers.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// HoldWrites has the next writes not answered, and carried out by CarryOutHeld.
+func (s *Store) HoldWrites(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold = n
+}
+
+// CarryOutHeld carries out the writes that were held back, where their conditions hold, and
+// returns how many did.
+func (s *Store) CarryOutHeld() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	done := 0
+	for _, t := range s.held {
+		if _, ok := s.apply(t); ok {
+			done++
+		}
+	}
+	s.held = nil
+	return done
 }
 
 // Put writes a value as an operator or an endpoint does.
@@ -127,6 +191,7 @@
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
 	away := s.away
+	w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if away {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -169,7 +234,8 @@
 	for {
 		s.mu.Lock()
 		away, changed, rev := s.away, s.changed, s.revision
-		gone := after < rev && (len(s.history) == 0 || s.history[0].Revision > after+1)
+		w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
+		gone := after > rev || after < rev && (len(s.history) == 0 || s.history[0].Revision > after+1)
 		l := []item{}
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, q.Get("pathPrefix")) {
@@ -199,18 +265,21 @@
 	}
 }
 
+// A transaction is a set of writes under conditions.
+type transaction struct {
+	Expected []struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	} `json:"expected"`
+	SetKeys []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+	} `json:"setKeys"`
+	Remove []string `json:"remove"`
+}
+
 func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
-	var t struct {
-		Expected []struct {
-			Key      string `json:"key"`
-			Revision uint64 `json:"revision"`
-		} `json:"expected"`
-		SetKeys []struct {
-			Key   string `json:"key"`
-			Value []byte `json:"value"`
-		} `json:"setKeys"`
-		Remove []string `json:"remove"`
-	}
+	var t transaction
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -221,10 +290,29 @@
 	for _, e := range t.Expected {
 		s.conditions = append(s.conditions, e.Key)
 	}
+	if s.hold > 0 {
+		s.hold--
+		s.held = append(s.held, t)
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
+	if i, ok := s.apply(t); !ok {
+		answer(w, http.StatusPreconditionFailed, map[string]any{"items": []item{i}})
+		return
+	}
+	if s.lose > 0 {
+		s.lose--
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, http.StatusOK, map[string]any{"revision": s.revision})
+}
+
+// apply carries out a transaction, or returns the item whose condition doesn't hold. Store.mu
+// is held.
+func (s *Store) apply(t transaction) (item, bool) {
 	for _, e := range t.Expected {
 		if s.items[e.Key].Revision != e.Revision {
-			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []item{s.items[e.Key]}})
-			return
+			return s.items[e.Key], false
 		}
 	}
 	s.revision++
@@ -235,11 +323,7 @@
 		s.remove(k)
 	}
 	s.wake()
-	if s.lose > 0 {
-		s.lose--
-		panic(http.ErrAbortHandler)
-	}
-	answer(w, http.StatusOK, map[string]any{"revision": s.revision})
+	return item{}, true
 }
 
 func (s *Store) set(key string, value []byte) {
--- a/fakes/ggsfakesite/store_test.go
+++ b/fakes/ggsfakesite/store_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +41,56 @@
 	c.Assert(resp.Body.Close(), qt.IsNil)
 	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
 }
+
+// Guards against a stand-in that keeps what a store loses that comes back from an older copy.
+func TestStoreComesBackFromACopy(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := ggsfakesite.NewStore()
+	v := httptest.NewServer(s)
+	defer v.Close()
+	get := func(query string) (status int, era, body string) {
+		r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, v.URL+"/greengageslip/"+query, nil)
+		c.Assert(err, qt.IsNil)
+		resp, err := v.Client().Do(r)
+		c.Assert(err, qt.IsNil)
+		b, err := io.ReadAll(resp.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Body.Close(), qt.IsNil)
+		return resp.StatusCode, resp.Header.Get("Store-Era"), string(b)
+	}
+	txn := func(key string, revision uint64) error {
+		body := fmt.Sprintf(`{"expected":[{"key":%q,"revision":%d}],"setKeys":[{"key":%q,"value":"eA=="}]}`, key, revision, key)
+		r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, v.URL+"/greengageslip/kv-txn", strings.NewReader(body))
+		c.Assert(err, qt.IsNil)
+		resp, err := v.Client().Do(r)
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	}
+	s.Put("a", []byte("1"))
+	k := s.Copy()
+	s.Put("b", []byte("2"))
+	s.HoldWrites(1)
+	c.Assert(txn("a", 2), qt.IsNotNil)
+	s.Put("a", []byte("3"))
+	s.Return(k)
+
+	c.Check(s.Get("b"), qt.IsNil)
+	c.Check(string(s.Get("a")), qt.Equals, "1")
+	status, era, body := get("kv-range?pathPrefix=")
+	c.Check(status, qt.Equals, http.StatusOK)
+	c.Check(era, qt.Equals, "2")
+	c.Check(strings.HasSuffix(body, `"asOf":2}`), qt.IsTrue, qt.Commentf("%s", body))
+	status, era, _ = get("kv-watch?pathPrefix=&after=4&waitMs=1000")
+	c.Check(status, qt.Equals, http.StatusGone)
+	c.Check(era, qt.Equals, "2")
+	s.SetAway(true)
+	_, era, _ = get("kv-range?pathPrefix=")
+	c.Check(era, qt.Equals, "2")
+
+	// The write's condition holds again: its revision is that of the copy.
+	c.Check(s.CarryOutHeld(), qt.Equals, 1)
+	c.Check(string(s.Get("a")), qt.Equals, "x")
+}
