fix: compare what is read of the store within one epoch of its history only

Callers saw: requests at an endpoint 2.56 s after it had said that it leaves (DRAIN).

Cause: VMs compared readings of the store by bare revisions. The store came back from an older copy, so its revisions were lower than before, and the VM that had read the list furthest dropped each reading of it until the counter had caught up. In the users' record configuration 22 is at revision 228 before the outage and 24 at 206 after it. Eight VMs log endpointLeaving at revision 207; the ninth, the one that reads the list for all and so has the highest revision, never does.

Ruled out: that the VM didn't read the list (the dropped readings are in the log), and that its readings said "ready" (they were not looked at).

A transaction whose conditions were read in another epoch than its answer's counts as not acknowledged, a watch as one whose history is gone. Heartbeats, summaries, parts and announcements carry positions; a VM that learns of an epoch from the store or a peer reads list, operators' entries and records anew. Datagrams of a version without epochs have another shape and are dropped, both ways.

Why it works: only positions of the same epoch are ordered by revision, and a later epoch's reading is newer whatever its revision is.

--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -32,10 +32,12 @@
 
 // A News says how far the store was read.
 type News struct {
-	// ListedAt and OperatedAt are the store's revisions by which the list of endpoints
-	// and the operators' entries were seen to change last.
-	ListedAt   StoreRevision
-	OperatedAt StoreRevision
+	// Epoch is the store's epoch that the VM knows.
+	Epoch StoreEpoch
+	// ListedAt and OperatedAt are the points in the store's history by which the list of
+	// endpoints and the operators' entries were seen to change last.
+	ListedAt   StorePosition
+	OperatedAt StorePosition
 	// ListAge and OperatorsAge are the times since they were read.
 	ListAge      time.Duration
 	OperatorsAge time.Duration
@@ -44,7 +46,8 @@
 // Merge returns the newest of two readings.
 func (n News) Merge(o News) News {
 	return News{
-		ListedAt: max(n.ListedAt, o.ListedAt), OperatedAt: max(n.OperatedAt, o.OperatedAt),
+		Epoch:    max(n.Epoch, o.Epoch),
+		ListedAt: n.ListedAt.Max(o.ListedAt), OperatedAt: n.OperatedAt.Max(o.OperatedAt),
 		ListAge: min(n.ListAge, o.ListAge), OperatorsAge: min(n.OperatorsAge, o.OperatorsAge),
 	}
 }
--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -156,7 +156,7 @@
 // time.
 func (s *Site) Return(c Copy, after time.Duration) {
 	s.mu.Lock()
-	s.quietUntil = time.Now().Add(after)
+	s.quietUntil = s.options.Now().Add(after)
 	s.mu.Unlock()
 	s.Store.Return(c)
 }
@@ -165,7 +165,7 @@
 func (s *Site) announce(id string) {
 	s.mu.Lock()
 	draining := s.draining[id]
-	quiet := time.Now().Before(s.quietUntil)
+	quiet := s.options.Now().Before(s.quietUntil)
 	s.mu.Unlock()
 	if quiet {
 		return
--- a/fakes/ggsfakesite/store.go
+++ b/fakes/ggsfakesite/store.go
@@ -14,7 +14,7 @@
 
 // A Store is the platform's metadata store.
 type Store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
 	// era counts the times that the store came back from a copy, from one on.
 	era      uint64
 	revision uint64
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -77,7 +77,7 @@
 type Store interface {
 	ggscore.Snapshotter
 	ggscore.Txner
-	ggscore.Watcher
+	ggscore.HistoryWatcher
 }
 
 // A Parts holds what an Edge is made of.
@@ -103,6 +103,7 @@
 	stats   Stats
 	metrics *metrics
 	packer  packer
+	epochs  *epochs
 
 	paths    atomic.Pointer[ggspath.Table]
 	draining atomic.Bool
@@ -132,34 +133,36 @@
 	sequence   uint64
 	lastWhole  time.Time
 	summarized time.Time
-	// listedAt and operatedAt are the revisions by which the list of endpoints
+	// listedAt and operatedAt are the positions by which the list of endpoints
 	// and the operators' entries were seen to change last, listRead and
 	// operatorsRead those up to which they were read.
-	listedAt      ggscore.StoreRevision
-	operatedAt    ggscore.StoreRevision
-	listRead      ggscore.StoreRevision
-	operatorsRead ggscore.StoreRevision
-	// operatorsAnnounced is the newest revision of the operators' entries that a peer
+	listedAt      ggscore.StorePosition
+	operatedAt    ggscore.StorePosition
+	listRead      ggscore.StorePosition
+	operatorsRead ggscore.StorePosition
+	// operatorsAnnounced is the newest position of the operators' entries that a peer
 	// announced, operatorsSynced that before the last full snapshot, and behindSince when
 	// this VM first heard of one that it has not read.
-	operatorsAnnounced ggscore.StoreRevision
-	operatorsSynced    ggscore.StoreRevision
+	operatorsAnnounced ggscore.StorePosition
+	operatorsSynced    ggscore.StorePosition
 	behindSince        time.Time
 	// operatorsReadTime is when this VM read the operators' entries or its watch of them
 	// ended, operatorsObserved when it or a peer did.
 	operatorsReadTime time.Time
 	operatorsObserved time.Time
-	// listAnnounced is the newest revision by which a peer saw the list change.
+	// listAnnounced is the newest position by which a peer saw the list change.
 	// listReadTime is when this VM read the list, listObserved when it or a peer did.
-	listAnnounced ggscore.StoreRevision
+	listAnnounced ggscore.StorePosition
 	listReadTime  time.Time
 	listObserved  time.Time
 	// kick wakes the loop that writes beats to the store, with kicked set, listNotified and
-	// operatorsNotified those that read what a peer saw change.
+	// operatorsNotified those that read what a peer saw change, membersNotified that which
+	// reads the VMs' own records.
 	kick              chan struct{}
 	kicked            atomic.Bool
 	listNotified      chan struct{}
 	operatorsNotified chan struct{}
+	membersNotified   chan struct{}
 }
 
 // A Stats counts what an Edge did.
@@ -231,12 +234,14 @@
 
 		listNotified:      make(chan struct{}, 1),
 		operatorsNotified: make(chan struct{}, 1),
+		membersNotified:   make(chan struct{}, 1),
 	}
 	e.metrics = newMetrics(e)
-	e.Store = &meteredStore{Store: p.Store, count: func(call string) {
+	e.epochs = newEpochs(p.Log, e.epochChanged)
+	e.Store = &epochStore{epochs: e.epochs, Store: &meteredStore{Store: p.Store, count: func(call string) {
 		e.stats.Store.Add(1)
 		e.metrics.storeCalls.WithLabelValues(call).Inc()
-	}}
+	}}}
 	return e
 }
 
--- /dev/null
+++ b/io/ggsedge/epoch_test.go
@@ -0,0 +1,109 @@
+package ggsedge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	ggscore "greengageslip/core"
+)
+
+// An epochFake answers each call with a position and an error, after a function has run.
+type epochFake struct {
+	at   ggscore.StorePosition
+	err  error
+	then func()
+}
+
+func (f *epochFake) answer() (ggscore.StorePosition, error) {
+	if f.then != nil {
+		f.then()
+	}
+	return f.at, f.err
+}
+
+func (f *epochFake) Snapshot(context.Context, ggscore.Key, bool) ([]ggscore.Entry, ggscore.StorePosition, error) {
+	at, err := f.answer()
+	return nil, at, err
+}
+
+func (f *epochFake) Watch(
+	context.Context, ggscore.Key, ggscore.StorePosition, time.Duration,
+) ([]ggscore.Entry, ggscore.StorePosition, error) {
+	at, err := f.answer()
+	return nil, at, err
+}
+
+func (f *epochFake) Txn(context.Context, ggscore.Txn) (ggscore.StorePosition, error) {
+	return f.answer()
+}
+
+// Guards against answers that count in a history of the store which they aren't of.
+func TestAnswersOfAnotherEpochDontCount(t *testing.T) {
+	t.Parallel()
+	const epoch = 2
+	read := ggscore.StorePosition{Epoch: epoch, Revision: 5}
+	snapshot := func(s Store) error {
+		_, _, err := s.Snapshot(context.Background(), "k", false)
+		return err
+	}
+	watch := func(s Store) error {
+		_, _, err := s.Watch(context.Background(), "k", read, time.Second)
+		return err
+	}
+	txn := func(s Store) error {
+		_, err := s.Txn(context.Background(), ggscore.Txn{Epoch: epoch})
+		return err
+	}
+	is := func(target any) func(error) bool { return func(err error) bool { return errors.As(err, target) } }
+	fine := func(err error) bool { return err == nil }
+	for name, tc := range map[string]struct {
+		// named is the answer's epoch, learnt one that a peer names before it arrives.
+		named, learnt ggscore.StoreEpoch
+		err           error
+		call          func(Store) error
+		want          func(error) bool
+		current       ggscore.StoreEpoch
+	}{
+		"reading":                     {named: 2, call: snapshot, want: fine, current: 2},
+		"reading of the next":         {named: 3, call: snapshot, want: fine, current: 3},
+		"late reading":                {named: 2, learnt: 3, call: snapshot, want: is(new(*ggscore.LateAnswerError)), current: 3},
+		"reading, epoch absent":       {call: snapshot, want: fine, current: 2},
+		"late reading, epoch absent":  {learnt: 3, call: snapshot, want: is(new(*ggscore.LateAnswerError)), current: 3},
+		"refusal of the next":         {named: 3, err: &ggscore.StoreBusyError{}, call: snapshot, want: is(new(*ggscore.StoreBusyError)), current: 3},
+		"watch":                       {named: 2, call: watch, want: fine, current: 2},
+		"watch answered by the next":  {named: 3, call: watch, want: is(new(*ggscore.HistoryGoneError)), current: 3},
+		"write":                       {named: 2, call: txn, want: fine, current: 2},
+		"write in the next":           {named: 3, call: txn, want: is(new(*ggscore.EpochChangedError)), current: 3},
+		"write acknowledged late":     {named: 2, learnt: 3, call: txn, want: is(new(*ggscore.LateAnswerError)), current: 3},
+		"condition fails in the next": {named: 3, err: &ggscore.TxnConflictError{}, call: txn, want: is(new(*ggscore.EpochChangedError)), current: 3},
+		"condition fails":             {named: 2, err: &ggscore.TxnConflictError{}, call: txn, want: is(new(*ggscore.TxnConflictError)), current: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			e := newEpochs(log.NewNopLogger(), func(_, _ ggscore.StoreEpoch, _ string) {})
+			e.learn(epoch)
+			f := &epochFake{at: ggscore.StorePosition{Epoch: tc.named, Revision: 9}, err: tc.err, then: func() { e.learn(tc.learnt) }}
+			err := tc.call(&epochStore{Store: f, epochs: e})
+			c.Check(tc.want(err), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(e.current(), qt.Equals, tc.current)
+		})
+	}
+}
+
+// Guards against a condition on a revision that was read before the store came back from a copy.
+func TestTransactionOfAnEndedEpochIsNotSent(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e := newEpochs(log.NewNopLogger(), func(_, _ ggscore.StoreEpoch, _ string) {})
+	e.learn(2)
+	s := &epochStore{Store: &epochFake{then: func() { t.Error("sent") }}, epochs: e}
+	_, err := s.Txn(context.Background(), ggscore.Txn{Epoch: 1})
+	var changed *ggscore.EpochChangedError
+	c.Assert(errors.As(err, &changed), qt.IsTrue)
+}
--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -67,11 +67,11 @@
 // A PartBehindError says that a relay has not read a part of the store so far.
 type PartBehindError struct {
 	Prefix ggscore.Key
-	At     ggscore.StoreRevision
-	Want   ggscore.StoreRevision
+	At     ggscore.StorePosition
+	Want   ggscore.StorePosition
 }
 
 // Error implements error.
 func (e *PartBehindError) Error() string {
-	return fmt.Sprintf("%s has been read up to %d, not %d", e.Prefix, e.At, e.Want)
+	return fmt.Sprintf("%s has been read up to %s, not %s", e.Prefix, e.At, e.Want)
 }
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -100,11 +100,13 @@
 	return e.Now().Sub(e.listObserved)
 }
 
-// listBehind reports whether a peer saw the list change after this VM read it.
+// listBehind reports whether a peer saw the list change after this VM read it, or the store
+// came back from a copy since.
 func (e *Edge) listBehind() bool {
+	epoch := e.epochs.current()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.listAnnounced > e.listRead
+	return e.listRead.Before(e.listAnnounced) || e.listRead.Epoch < epoch
 }
 
 // pauseFailed waits after so many failed calls of the store in a row.
@@ -136,7 +138,7 @@
 // followInstances keeps the endpoints' entries.
 func (e *Edge) followInstances(ctx context.Context) error {
 	away, failures := false, 0
-	var read ggscore.StoreRevision
+	var read ggscore.StorePosition
 	for ctx.Err() == nil {
 		r, err := e.readList(ctx)
 		e.dependency(&away, err == nil, "instances", err)
@@ -149,11 +151,11 @@
 			continue
 		}
 		failures = 0
-		if r.at >= read {
+		if !r.at.Before(read) {
 			read = r.at
 			e.setInstances(ctx, r)
 		} else {
-			_ = level.Warn(e.Log).Log("event", ggslog.EventReadingDropped, "part", "instances", "revision", r.at, "last", read)
+			_ = level.Warn(e.Log).Log("event", ggslog.EventReadingDropped, "part", "instances", "revision", r.at.Revision, "last", read.Revision)
 		}
 		if !e.waitForList(ctx) {
 			return nil
@@ -166,7 +168,8 @@
 // change.
 func (e *Edge) readList(ctx context.Context) (partReading, error) {
 	e.mu.Lock()
-	announced, behind := e.listAnnounced, e.listRead > 0 && e.listAnnounced > e.listRead
+	announced := e.listAnnounced.Max(e.epochs.begun())
+	behind := !e.listRead.IsZero() && e.listRead.Before(announced)
 	e.mu.Unlock()
 	if behind && e.follows() {
 		if r, err := e.fromRelay(ctx, e.options.Keys.Instances, announced); err == nil {
@@ -177,8 +180,8 @@
 	return partReading{entries: es, at: at, read: e.Now()}, err
 }
 
-// setInstances takes a reading of the list of endpoints. Its revision is zero where a seed
-// told it.
+// setInstances takes a reading of the list of endpoints. Its position is zero where a seed
+// answered it.
 func (e *Edge) setInstances(ctx context.Context, r partReading) {
 	es, at := r.entries, r.at
 	list := make([]ggscore.Instance, 0, len(es))
@@ -193,8 +196,8 @@
 	e.mu.Lock()
 	change := e.table.SetInstances(list)
 	e.keeper.SetListed(e.Now(), list)
-	if at > 0 {
-		e.listRead = max(e.listRead, at)
+	if !at.IsZero() {
+		e.listRead = e.listRead.Max(at)
 		e.listReadTime = r.read
 		if r.read.After(e.listObserved) {
 			e.listObserved = r.read
@@ -202,7 +205,7 @@
 	}
 	// A VM that was told of one change may see another: it tells its own reading,
 	// and those who have read as much already find nothing new and tell nothing.
-	if change.Any && at > 0 {
+	if change.Any && !at.IsZero() {
 		e.listedAt = e.listRead
 	}
 	e.listed = true
@@ -213,7 +216,7 @@
 	}
 	e.mu.Unlock()
 	for _, l := range change.Leaving {
-		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLeaving, "endpoint", l.ID, "service", l.Service, "revision", at)
+		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLeaving, "endpoint", l.ID, "service", l.Service, "revision", at.Revision)
 	}
 	for _, g := range change.Gone {
 		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointGone, "endpoint", g.ID, "addr", g.Addr)
--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -170,6 +170,7 @@
 // news returns how far this VM read the store. Edge.mu is held.
 func (e *Edge) news(now time.Time) ggscore.News {
 	return ggscore.News{
+		Epoch:    e.epochs.current(),
 		ListedAt: e.listedAt, OperatedAt: e.operatedAt,
 		ListAge: min(now.Sub(e.listReadTime), time.Hour), OperatorsAge: min(now.Sub(e.operatorsReadTime), time.Hour),
 	}
@@ -301,17 +302,21 @@
 
 // adoptNews takes how far others read the store. Edge.mu is held.
 func (e *Edge) adoptNews(now time.Time, n ggscore.News) {
-	if at := now.Add(-n.ListAge - heartbeatDelay); at.After(e.listObserved) {
-		e.listObserved = at
-	}
-	if at := now.Add(-n.OperatorsAge - heartbeatDelay); at.After(e.operatorsObserved) {
-		e.operatorsObserved = at
+	e.epochs.learn(n.Epoch)
+	// What was read in an epoch that has ended is no reading of the store.
+	if n.Epoch == e.epochs.current() {
+		if at := now.Add(-n.ListAge - heartbeatDelay); at.After(e.listObserved) {
+			e.listObserved = at
+		}
+		if at := now.Add(-n.OperatorsAge - heartbeatDelay); at.After(e.operatorsObserved) {
+			e.operatorsObserved = at
+		}
 	}
-	e.listAnnounced = max(e.listAnnounced, n.ListedAt)
-	if n.ListedAt > e.listRead {
+	e.listAnnounced = e.listAnnounced.Max(n.ListedAt)
+	if e.listRead.Before(n.ListedAt) {
 		notify(e.listNotified)
 	}
-	if n.OperatedAt > e.operatorsRead {
+	if e.operatorsRead.Before(n.OperatedAt) {
 		e.announceOperators(now, n.OperatedAt)
 		notify(e.operatorsNotified)
 	}
--- a/io/ggsedge/list_test.go
+++ b/io/ggsedge/list_test.go
@@ -24,6 +24,11 @@
 	}, nil
 }
 
+// position returns a position of the store's only epoch.
+func position(r ggscore.StoreRevision) ggscore.StorePosition {
+	return ggscore.StorePosition{Revision: r}
+}
+
 func listEdge() *Edge {
 	now := func() time.Time { return time.Unix(1_000, 0) }
 	return New(Options{VM: "vm", Keys: Keys{Instances: "list/"}}, Parts{
@@ -44,15 +49,15 @@
 	c := qt.New(t)
 	e := listEdge()
 	ctx := context.Background()
-	e.setInstances(ctx, partReading{entries: entries("ready", "ready"), at: 490, read: e.Now()})
-	e.listAnnounced = 500
-	e.setInstances(ctx, partReading{entries: entries("leaving", "leaving"), at: 510, read: e.Now()})
-	c.Assert(e.listedAt >= 510, qt.IsTrue, qt.Commentf("told %d", e.listedAt))
+	e.setInstances(ctx, partReading{entries: entries("ready", "ready"), at: position(490), read: e.Now()})
+	e.listAnnounced = position(500)
+	e.setInstances(ctx, partReading{entries: entries("leaving", "leaving"), at: position(510), read: e.Now()})
+	c.Assert(e.listedAt.Before(position(510)), qt.IsFalse, qt.Commentf("told %s", e.listedAt))
 
 	// Without a change nothing new is told, or two VMs would have each other read
 	// the list for ever.
 	at := e.listedAt
-	e.setInstances(ctx, partReading{entries: entries("leaving", "leaving"), at: 520, read: e.Now()})
+	e.setInstances(ctx, partReading{entries: entries("leaving", "leaving"), at: position(520), read: e.Now()})
 	c.Assert(e.listedAt, qt.Equals, at)
 }
 
@@ -72,9 +77,9 @@
 			c := qt.New(t)
 			e := listEdge()
 			e.Now = time.Now //nolint:forbidigo // the wait is in real time
-			e.setInstances(context.Background(), partReading{entries: entries("ready", "ready"), at: 490, read: e.Now()})
+			e.setInstances(context.Background(), partReading{entries: entries("ready", "ready"), at: position(490), read: e.Now()})
 			e.listReadTime = e.listReadTime.Add(-tc.read)
-			e.listAnnounced = 500
+			e.listAnnounced = position(500)
 			notify(e.listNotified)
 			begun := e.Now()
 			c.Assert(e.waitForList(context.Background()), qt.IsTrue)
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -131,12 +131,12 @@
 	return interval / recordsRetryShare
 }
 
-func (e *Edge) setMembers(ctx context.Context, es []ggscore.Entry, at ggscore.StoreRevision) {
+func (e *Edge) setMembers(ctx context.Context, es []ggscore.Entry, at ggscore.StorePosition) {
 	records, beats, peers := e.readOwn(es)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.keeper.Observe(e.Now(), at, records, beats)
-	if len(peers) > 0 || at > 0 {
+	e.keeper.Observe(e.Now(), at.Revision, records, beats)
+	if len(peers) > 0 || !at.IsZero() {
 		for vm, p := range peers {
 			if o := e.peers[vm]; o != nil {
 				p.started, p.sequence, p.heard = o.started, o.sequence, o.heard
@@ -148,7 +148,7 @@
 		e.node.SetMembers(e.relayMembers())
 		e.retries.SetDepth(retryDepth(e.options, len(peers)+1))
 	}
-	if at > 0 {
+	if !at.IsZero() {
 		e.entries[e.options.Keys.Own] = es
 	}
 	e.setWorkers(ctx)
@@ -263,6 +263,7 @@
 		return false
 	}
 	t := ggscore.Txn{
+		Epoch:      e.epochs.current(),
 		Conditions: []ggscore.TxnCondition{{Key: e.memberKey(e.options.VM), Revision: p.Revision}},
 		Writes:     []ggscore.TxnWrite{{Key: e.memberKey(e.options.VM), Value: v}},
 	}
@@ -282,7 +283,7 @@
 		return false
 	}
 	e.mu.Lock()
-	e.keeper.BeatEnded(sent, p, at, refused)
+	e.keeper.BeatEnded(sent, p, at.Revision, refused)
 	e.mu.Unlock()
 	if refused {
 		_ = level.Info(e.Log).Log("event", ggslog.EventBeatRefused, "revision", p.Revision, "records", len(p.Records))
@@ -328,6 +329,7 @@
 			return
 		}
 		t := ggscore.Txn{
+			Epoch:      e.epochs.current(),
 			Conditions: []ggscore.TxnCondition{{Key: e.ordererKey(c.Endpoint), Revision: c.RecordRevision}},
 			Writes:     []ggscore.TxnWrite{{Key: e.ordererKey(c.Endpoint), Value: v}},
 		}
@@ -336,12 +338,12 @@
 		}
 		sent := e.Now()
 		at, err := e.Store.Txn(ctx, t)
-		_ = level.Info(e.Log).Log("event", ggslog.EventOrdersClaimed, "endpoint", c.Endpoint, "before", c.Owner, "revision", at, "err", err)
+		_ = level.Info(e.Log).Log("event", ggslog.EventOrdersClaimed, "endpoint", c.Endpoint, "before", c.Owner, "revision", at.Revision, "err", err)
 		if err != nil {
 			continue
 		}
 		e.mu.Lock()
-		e.keeper.ClaimEnded(sent, c, at)
+		e.keeper.ClaimEnded(sent, c, at.Revision)
 		e.setWorkers(ctx)
 		e.mu.Unlock()
 	}
@@ -361,7 +363,10 @@
 		_ = level.Error(e.Log).Log("event", ggslog.EventReleaseUnencoded, "err", err)
 		return
 	}
-	t := ggscore.Txn{Conditions: []ggscore.TxnCondition{{Key: e.memberKey(e.options.VM), Revision: p.Revision}}}
+	t := ggscore.Txn{
+		Epoch:      e.epochs.current(),
+		Conditions: []ggscore.TxnCondition{{Key: e.memberKey(e.options.VM), Revision: p.Revision}},
+	}
 	for _, r := range p.Records {
 		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ordererKey(r.Endpoint), Revision: r.Revision})
 		t.Writes = append(t.Writes, ggscore.TxnWrite{Key: e.ordererKey(r.Endpoint), Value: v})
--- a/io/ggsedge/metered.go
+++ b/io/ggsedge/metered.go
@@ -24,7 +24,7 @@
 var _ Store = (*meteredStore)(nil)
 
 // Snapshot implements ggscore.Snapshotter.
-func (m *meteredStore) Snapshot(ctx context.Context, prefix ggscore.Key, stale bool) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+func (m *meteredStore) Snapshot(ctx context.Context, prefix ggscore.Key, stale bool) ([]ggscore.Entry, ggscore.StorePosition, error) {
 	if stale {
 		m.count(callStaleSnapshot)
 	} else {
@@ -33,16 +33,16 @@
 	return m.Store.Snapshot(ctx, prefix, stale)
 }
 
-// Watch implements ggscore.Watcher.
+// Watch implements ggscore.HistoryWatcher.
 func (m *meteredStore) Watch(
-	ctx context.Context, prefix ggscore.Key, after ggscore.StoreRevision, wait time.Duration,
-) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	ctx context.Context, prefix ggscore.Key, after ggscore.StorePosition, wait time.Duration,
+) ([]ggscore.Entry, ggscore.StorePosition, error) {
 	m.count(callWatch)
 	return m.Store.Watch(ctx, prefix, after, wait)
 }
 
 // Txn implements ggscore.Txner.
-func (m *meteredStore) Txn(ctx context.Context, t ggscore.Txn) (ggscore.StoreRevision, error) {
+func (m *meteredStore) Txn(ctx context.Context, t ggscore.Txn) (ggscore.StorePosition, error) {
 	m.count(callTxn)
 	return m.Store.Txn(ctx, t)
 }
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -17,7 +17,7 @@
 
 // followOperators keeps the configuration and the adapters' versions.
 func (e *Edge) followOperators(ctx context.Context) error {
-	var at ggscore.StoreRevision
+	var at ggscore.StorePosition
 	away, failures := false, 0
 	for ctx.Err() == nil {
 		es, next, err := e.operators(ctx, &at)
@@ -27,12 +27,12 @@
 		if err != nil {
 			var gone *ggscore.HistoryGoneError
 			if errors.As(err, &gone) {
-				at = 0
+				at = ggscore.StorePosition{}
 				continue
 			}
 			// What was written while the store was unreachable may have left its
 			// history: only a full snapshot has it.
-			at = 0
+			at = ggscore.StorePosition{}
 			e.storeAway.Store(true)
 			e.dependency(&away, false, "operators", err)
 			failures++
@@ -45,7 +45,7 @@
 		failures = 0
 		e.storeAway.Store(false)
 		e.dependency(&away, true, "operators", nil)
-		at = max(next, at)
+		at = at.Max(next)
 		e.readOperators(at, es)
 		e.keepOperators(es)
 		for _, n := range es {
@@ -55,24 +55,24 @@
 	return nil
 }
 
-// operators returns the operators' entries that changed after the revision, or all for
+// operators returns the operators' entries that changed after the position, or all for
 // zero. It takes a full snapshot in place of a watch that is silent about a change that a
 // peer has read, and where this VM is behind its peers already: a watch would replay each
 // version in between, a snapshot has the newest only.
-func (e *Edge) operators(ctx context.Context, at *ggscore.StoreRevision) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+func (e *Edge) operators(ctx context.Context, at *ggscore.StorePosition) ([]ggscore.Entry, ggscore.StorePosition, error) {
 	if e.started() && e.awaitRelays(ctx) {
 		if r, err := e.operatorsFromRelay(ctx); err == nil {
 			return r.entries, r.at, nil
 		}
 	}
-	if *at > 0 && !e.operatorsBehind() {
+	if !at.IsZero() && !e.operatorsBehind() {
 		es, next, preempted, err := e.watchOperators(ctx, *at)
 		if !preempted {
 			return es, next, err
 		}
 		e.watchPreempted(*at)
 	}
-	*at = 0
+	*at = ggscore.StorePosition{}
 	return e.snapshotOperators(ctx)
 }
 
@@ -100,12 +100,12 @@
 // operatorsFromRelay returns the operators' entries as a relay read them.
 func (e *Edge) operatorsFromRelay(ctx context.Context) (partReading, error) {
 	e.mu.Lock()
-	announced := e.operatorsAnnounced
+	announced := e.operatorsAnnounced.Max(e.epochs.begun())
 	e.mu.Unlock()
 	r, err := e.fromRelay(ctx, e.options.Keys.Operators, announced)
 	if err == nil {
 		e.mu.Lock()
-		e.operatorsSynced = max(e.operatorsSynced, announced)
+		e.operatorsSynced = e.operatorsSynced.Max(announced)
 		e.mu.Unlock()
 	}
 	return r, err
@@ -124,7 +124,7 @@
 
 // snapshotOperators returns all of the operators' entries. What peers announced before
 // counts as read: a revision that the store doesn't have is not asked for again.
-func (e *Edge) snapshotOperators(ctx context.Context) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+func (e *Edge) snapshotOperators(ctx context.Context) ([]ggscore.Entry, ggscore.StorePosition, error) {
 	e.mu.Lock()
 	announced := e.operatorsAnnounced
 	e.mu.Unlock()
@@ -144,11 +144,11 @@
 	e.operatorsObserved = e.operatorsReadTime
 }
 
-// watchOperators waits for changes after the revision, and reports whether it gave the
+// watchOperators waits for changes after the position, and reports whether it gave the
 // watch up for a notification.
 func (e *Edge) watchOperators(
-	ctx context.Context, at ggscore.StoreRevision,
-) (es []ggscore.Entry, next ggscore.StoreRevision, preempted bool, err error) {
+	ctx context.Context, at ggscore.StorePosition,
+) (es []ggscore.Entry, next ggscore.StorePosition, preempted bool, err error) {
 	c, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c, f := ggsconn.Track(c)
@@ -191,18 +191,19 @@
 }
 
 // operatorsBehind reports whether a peer announced operators' entries that this VM has
-// not read.
+// not read, or the store came back from a copy since.
 func (e *Edge) operatorsBehind() bool {
+	epoch := e.epochs.current()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.operatorsAnnounced > max(e.operatorsRead, e.operatorsSynced)
+	return e.operatorsRead.Max(e.operatorsSynced).Before(e.operatorsAnnounced) || e.operatorsRead.Epoch < epoch
 }
 
-func (e *Edge) watchPreempted(at ggscore.StoreRevision) {
+func (e *Edge) watchPreempted(at ggscore.StorePosition) {
 	e.mu.Lock()
 	announced := e.operatorsAnnounced
 	e.mu.Unlock()
-	_ = level.Info(e.Log).Log("event", ggslog.EventWatchPreempted, "revision", at, "peerRevision", announced)
+	_ = level.Info(e.Log).Log("event", ggslog.EventWatchPreempted, "revision", at.Revision, "peerRevision", announced.Revision)
 }
 
 // readOperators records how far the operators' entries were read, and the newest
@@ -210,22 +211,22 @@
 //
 // Peers are told the change's own revision. The store's grows with each heartbeat, so
 // that VMs which announced it would have each other resync for ever.
-func (e *Edge) readOperators(at ggscore.StoreRevision, es []ggscore.Entry) {
+func (e *Edge) readOperators(at ggscore.StorePosition, es []ggscore.Entry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.operatorsRead = max(e.operatorsRead, at)
-	if e.operatorsRead >= e.operatorsAnnounced {
+	e.operatorsRead = e.operatorsRead.Max(at)
+	if !e.operatorsRead.Before(e.operatorsAnnounced) {
 		e.behindSince = time.Time{}
 	}
 	for _, n := range es {
-		e.operatedAt = max(e.operatedAt, n.Revision)
+		e.operatedAt = e.operatedAt.Max(ggscore.StorePosition{Epoch: at.Epoch, Revision: n.Revision})
 	}
 }
 
-// announceOperators notes a revision of the operators' entries that a peer has read and
+// announceOperators notes a position of the operators' entries that a peer has read and
 // this VM has not. Edge.mu is held.
-func (e *Edge) announceOperators(now time.Time, at ggscore.StoreRevision) {
-	e.operatorsAnnounced = max(e.operatorsAnnounced, at)
+func (e *Edge) announceOperators(now time.Time, at ggscore.StorePosition) {
+	e.operatorsAnnounced = e.operatorsAnnounced.Max(at)
 	if e.behindSince.IsZero() {
 		e.behindSince = now
 	}
--- a/io/ggsedge/operators_test.go
+++ b/io/ggsedge/operators_test.go
@@ -20,21 +20,21 @@
 	now := e.Now()
 	e.Now = func() time.Time { return now }
 	e.peers["peer"] = &member{}
-	announce := func(at ggscore.StoreRevision) {
+	announce := func(at ggscore.StorePosition) {
 		e.peers["peer"].sequence = 0
 		e.receiveHeartbeat(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 1, News: ggscore.News{OperatedAt: at}})
 	}
-	e.readOperators(10, nil)
-	announce(10)
+	e.readOperators(position(10), nil)
+	announce(position(10))
 	now = now.Add(time.Second)
 	c.Assert(e.operatorsLag(), qt.Equals, time.Duration(0))
-	announce(12)
+	announce(position(12))
 	now = now.Add(time.Second)
-	announce(14)
+	announce(position(14))
 	now = now.Add(time.Second)
-	e.readOperators(12, nil)
+	e.readOperators(position(12), nil)
 	c.Assert(e.operatorsLag(), qt.Equals, 2*time.Second)
-	e.readOperators(14, nil)
+	e.readOperators(position(14), nil)
 	c.Assert(e.operatorsLag(), qt.Equals, time.Duration(0))
 }
 
@@ -46,16 +46,16 @@
 }
 
 func (s *silentStore) Watch(
-	ctx context.Context, _ ggscore.Key, _ ggscore.StoreRevision, _ time.Duration,
-) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+	ctx context.Context, _ ggscore.Key, _ ggscore.StorePosition, _ time.Duration,
+) ([]ggscore.Entry, ggscore.StorePosition, error) {
 	s.watches <- struct{}{}
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, ggscore.StorePosition{}, ctx.Err()
 }
 
-func (s *silentStore) Snapshot(context.Context, ggscore.Key, bool) ([]ggscore.Entry, ggscore.StoreRevision, error) {
+func (s *silentStore) Snapshot(context.Context, ggscore.Key, bool) ([]ggscore.Entry, ggscore.StorePosition, error) {
 	s.snapshots.Add(1)
-	return []ggscore.Entry{{Key: "op/config", Revision: 12}}, 13, nil
+	return []ggscore.Entry{{Key: "op/config", Revision: 12}}, position(13), nil
 }
 
 // Guards against a change that a VM misses for as long as its silent watch waits.
@@ -65,18 +65,18 @@
 	e, s := listEdge(), &silentStore{watches: make(chan struct{}, 1)}
 	e.Store = s
 	e.peers["peer"] = &member{}
-	e.readOperators(10, nil)
+	e.readOperators(position(10), nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 4*ggsgossip.WatchGrace)
 	defer cancel()
 	go func() {
 		<-s.watches
-		e.receiveHeartbeat(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 1, News: ggscore.News{OperatedAt: 12}})
+		e.receiveHeartbeat(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 1, News: ggscore.News{OperatedAt: position(12)}})
 	}()
-	at := ggscore.StoreRevision(10)
+	at := position(10)
 	es, next, err := e.operators(ctx, &at)
 	c.Assert(err, qt.IsNil)
 	c.Assert(es, qt.HasLen, 1)
-	c.Assert(next, qt.Equals, ggscore.StoreRevision(13))
+	c.Assert(next, qt.Equals, position(13))
 }
 
 // Guards against a VM that reads everything over and over for a revision that the store doesn't have.
@@ -86,13 +86,13 @@
 	e, s := listEdge(), &silentStore{watches: make(chan struct{}, 1)}
 	e.Store = s
 	e.peers["peer"] = &member{}
-	e.readOperators(10, nil)
-	e.receiveHeartbeat(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 1, News: ggscore.News{OperatedAt: 99}})
-	at := ggscore.StoreRevision(10)
+	e.readOperators(position(10), nil)
+	e.receiveHeartbeat(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 1, News: ggscore.News{OperatedAt: position(99)}})
+	at := position(10)
 	es, next, err := e.operators(context.Background(), &at)
 	c.Assert(err, qt.IsNil)
 	e.readOperators(next, es)
-	e.receiveHeartbeat(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 2, News: ggscore.News{OperatedAt: 99}})
+	e.receiveHeartbeat(netip.AddrPort{}, ggscore.Heartbeat{VM: "peer", Sequence: 2, News: ggscore.News{OperatedAt: position(99)}})
 	ctx, cancel := context.WithTimeout(context.Background(), 2*ggsgossip.WatchGrace)
 	defer cancel()
 	at = next
--- a/io/ggsedge/parts.go
+++ b/io/ggsedge/parts.go
@@ -29,15 +29,17 @@
 
 const partMethod = "Placement.Part"
 
-// A PartArgs asks for a part of the store that was read up to a revision.
+// A PartArgs asks for a part of the store that was read up to a revision of an epoch.
 type PartArgs struct {
 	Prefix string
+	Epoch  uint64
 	Up     uint64
 }
 
-// A PartReply has a part of the store as of a revision.
+// A PartReply has a part of the store as of a revision of an epoch.
 type PartReply struct {
-	At uint64
+	Epoch uint64
+	At    uint64
 	// Age is the time since it was read.
 	Age time.Duration
 	// Entries are packed.
@@ -47,7 +49,7 @@
 // A partReading is a part of the store as this VM last read it.
 type partReading struct {
 	entries []ggscore.Entry
-	at      ggscore.StoreRevision
+	at      ggscore.StorePosition
 	read    time.Time
 }
 
@@ -58,7 +60,7 @@
 }
 
 type packedPart struct {
-	at    ggscore.StoreRevision
+	at    ggscore.StorePosition
 	bytes []byte
 }
 
@@ -120,13 +122,14 @@
 	ctx, cancel := context.WithTimeout(p.ctx, partWait)
 	defer cancel()
 	part, err := p.edge.part(prefix)
-	for err == nil && part.at < ggscore.StoreRevision(a.Up) && pause(ctx, listTick) {
+	up := ggscore.StorePosition{Epoch: ggscore.StoreEpoch(a.Epoch), Revision: ggscore.StoreRevision(a.Up)}
+	for err == nil && part.at.Before(up) && pause(ctx, listTick) {
 		part, err = p.edge.part(prefix)
 	}
 	if err != nil {
 		return err
 	}
-	r.At, r.Age = uint64(part.at), p.edge.Now().Sub(part.read)
+	r.Epoch, r.At, r.Age = uint64(part.at.Epoch), uint64(part.at.Revision), p.edge.Now().Sub(part.read)
 	r.Entries, err = p.edge.packer.pack(prefix, part)
 	return err
 }
@@ -142,7 +145,7 @@
 	case e.options.Keys.Instances:
 		r.at, r.read = e.listRead, e.listReadTime
 	}
-	if r.at == 0 {
+	if r.at.IsZero() {
 		return partReading{}, &PartUnknownError{Prefix: prefix}
 	}
 	return r, nil
@@ -170,17 +173,20 @@
 }
 
 // fromRelay returns a part of the store as a relay of the domain read it, up to the
-// revision at least.
-func (e *Edge) fromRelay(ctx context.Context, prefix ggscore.Key, up ggscore.StoreRevision) (partReading, error) {
+// position at least.
+func (e *Edge) fromRelay(ctx context.Context, prefix ggscore.Key, up ggscore.StorePosition) (partReading, error) {
 	to := e.relayCalls()
 	var err error = &PartUnknownError{Prefix: prefix}
 	first := int(ggsrelay.Hash(e.options.VM))
 	for i := range to {
 		addr := to[(first+i)%len(to)]
 		var r PartReply
-		err = e.Calls.CallLong(ctx, partSilence, addr, partMethod, &PartArgs{Prefix: string(prefix), Up: uint64(up)}, &r)
-		if err == nil && ggscore.StoreRevision(r.At) < up {
-			err = &PartBehindError{Prefix: prefix, At: ggscore.StoreRevision(r.At), Want: up}
+		err = e.Calls.CallLong(ctx, partSilence, addr, partMethod, &PartArgs{
+			Prefix: string(prefix), Epoch: uint64(up.Epoch), Up: uint64(up.Revision),
+		}, &r)
+		at := ggscore.StorePosition{Epoch: ggscore.StoreEpoch(r.Epoch), Revision: ggscore.StoreRevision(r.At)}
+		if err == nil && at.Before(up) {
+			err = &PartBehindError{Prefix: prefix, At: at, Want: up}
 		}
 		if err != nil {
 			_ = level.Info(e.Log).Log("event", ggslog.EventPartUnread, "part", prefix, "relay", addr, "want", up, "err", err)
@@ -188,7 +194,7 @@
 		}
 		var es []ggscore.Entry
 		if es, err = unpackEntries(r.Entries); err == nil {
-			return partReading{entries: es, at: ggscore.StoreRevision(r.At), read: e.Now().Add(-r.Age)}, nil
+			return partReading{entries: es, at: at, read: e.Now().Add(-r.Age)}, nil
 		}
 	}
 	return partReading{}, err
--- a/io/ggsedge/parts_test.go
+++ b/io/ggsedge/parts_test.go
@@ -37,8 +37,8 @@
 	e.summarized, e.operatorsObserved = e.Now(), e.Now()
 	e.listed = true
 	e.paths.Store(ggspath.NewTable(&ggscore.RoutingConfig{}))
-	e.readOperators(10, nil)
-	e.announceOperators(e.Now(), 12)
+	e.readOperators(position(10), nil)
+	e.announceOperators(e.Now(), position(12))
 	return e
 }
 
@@ -57,12 +57,12 @@
 func TestFollowerReadsPartsFromARelay(t *testing.T) {
 	t.Parallel()
 	for name, tc := range map[string]struct {
-		relayAt   ggscore.StoreRevision
+		relayAt   ggscore.StorePosition
 		snapshots int32
 	}{
-		"the relay has read the change": {12, 0},
-		"the relay is behind":           {11, 1},
-		"the relay has read nothing":    {0, 1},
+		"the relay has read the change": {position(12), 0},
+		"the relay is behind":           {position(11), 1},
+		"the relay has read nothing":    {position(0), 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -77,10 +77,10 @@
 			addr, done := serveParts(ctx, c, relay)
 			s := &silentStore{watches: make(chan struct{}, 1)}
 			e := follower(s, addr)
-			at := ggscore.StoreRevision(10)
+			at := position(10)
 			es, next, err := e.operators(ctx, &at)
 			c.Assert(err, qt.IsNil)
-			c.Assert(next >= 12, qt.IsTrue)
+			c.Assert(next.Before(position(12)), qt.IsFalse)
 			c.Assert(es, qt.HasLen, 1)
 			c.Assert(s.snapshots.Load(), qt.Equals, tc.snapshots)
 			if tc.snapshots == 0 {
@@ -101,14 +101,14 @@
 	relay := listEdge()
 	relay.options.Keys.Operators = "op/"
 	relay.keepOperators([]ggscore.Entry{{Key: configKey, Revision: 12}})
-	relay.readOperators(12, nil)
+	relay.readOperators(position(12), nil)
 	addr, done := serveParts(ctx, c, relay)
 	s := &silentStore{watches: make(chan struct{}, 1)}
 	e := follower(s, addr)
-	at := ggscore.StoreRevision(0)
+	at := position(0)
 	_, next, err := e.operators(ctx, &at)
 	c.Assert(err, qt.IsNil)
-	c.Assert(next, qt.Equals, ggscore.StoreRevision(12))
+	c.Assert(next, qt.Equals, position(12))
 	c.Assert(s.snapshots.Load(), qt.Equals, int32(0))
 	c.Assert(e.Calls.Close(), qt.IsNil)
 	cancel()
@@ -121,14 +121,14 @@
 	c := qt.New(t)
 	s := &silentStore{watches: make(chan struct{}, 1)}
 	e := follower(s, netip.AddrPort{})
-	e.readOperators(12, nil)
+	e.readOperators(position(12), nil)
 	e.operatorsObserved = e.Now().Add(-ggsgossip.OperatorsStale)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		<-s.watches
 		cancel()
 	}()
-	at := ggscore.StoreRevision(12)
+	at := position(12)
 	_, _, err := e.operators(ctx, &at)
 	c.Assert(err, qt.Equals, context.Canceled)
 	c.Assert(e.Calls.Close(), qt.IsNil)
--- a/io/ggsedge/seeds.go
+++ b/io/ggsedge/seeds.go
@@ -124,7 +124,7 @@
 			e.setInstances(ctx, partReading{entries: es})
 		}
 	case e.options.Keys.Own:
-		e.setMembers(ctx, es, 0)
+		e.setMembers(ctx, es, ggscore.StorePosition{})
 	}
 }
 
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -49,6 +49,8 @@
 	EventSettingsReread     Event = "settingsReread"
 	EventStatusFailed       Event = "statusFailed"
 	EventStopRequested      Event = "stopRequested"
+	EventStoreEraChanged    Event = "storeEraChanged"
+	EventStoreEraIgnored    Event = "storeEraIgnored"
 	EventVersionAdopted     Event = "versionAdopted"
 	EventVersionUnreadable  Event = "versionUnreadable"
 	EventWatchPreempted     Event = "watchPreempted"
@@ -98,6 +100,8 @@
 		EventSettingsReread,
 		EventStatusFailed,
 		EventStopRequested,
+		EventStoreEraChanged,
+		EventStoreEraIgnored,
 		EventVersionAdopted,
 		EventVersionUnreadable,
 		EventWatchPreempted,
--- a/io/ggspeer/wire.go
+++ b/io/ggspeer/wire.go
@@ -87,23 +87,40 @@
 
 type newsWire struct {
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
-	Listed   uint64
-	Operated uint64
+	Epoch    uint64
+	Listed   positionWire
+	Operated positionWire
 	// ListAge and OperatorsAge count milliseconds.
 	ListAge      int64
 	OperatorsAge int64
 }
 
+type positionWire struct {
+	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Epoch    uint64
+	Revision uint64
+}
+
+func positionWireOf(p ggscore.StorePosition) positionWire {
+	return positionWire{Epoch: uint64(p.Epoch), Revision: uint64(p.Revision)}
+}
+
+func (w *positionWire) position() ggscore.StorePosition {
+	return ggscore.StorePosition{Epoch: ggscore.StoreEpoch(w.Epoch), Revision: ggscore.StoreRevision(w.Revision)}
+}
+
 func newsWireOf(n ggscore.News) newsWire {
 	return newsWire{
-		Listed: uint64(n.ListedAt), Operated: uint64(n.OperatedAt),
+		Epoch:  uint64(n.Epoch),
+		Listed: positionWireOf(n.ListedAt), Operated: positionWireOf(n.OperatedAt),
 		ListAge: n.ListAge.Milliseconds(), OperatorsAge: n.OperatorsAge.Milliseconds(),
 	}
 }
 
 func (w *newsWire) news() ggscore.News {
 	return ggscore.News{
-		ListedAt: ggscore.StoreRevision(w.Listed), OperatedAt: ggscore.StoreRevision(w.Operated),
+		Epoch:    ggscore.StoreEpoch(w.Epoch),
+		ListedAt: w.Listed.position(), OperatedAt: w.Operated.position(),
 		ListAge: time.Duration(w.ListAge) * time.Millisecond, OperatorsAge: time.Duration(w.OperatorsAge) * time.Millisecond,
 	}
 }
