fix(ggsresident): leave room for late orders to an endpoint's former process

Callers would see: an endpoint that is ordered to load more than it has places for crashes with all that it runs (LIMIT).

Cause: each order expects the number of orders that the endpoint has accepted, so one that is carried out late does nothing. The numbers start anew with the endpoint's process, which may bear the same identity: a late order to the former process meets its condition when the new one has accepted as many, and loads an adapter for which there is no place.

Ruled out: the same within one life of the process (TestNoPlaceIsPromisedTwice holds it).

Change: orders without an answer are remembered for 20 s, beyond the endpoint's process, and where orders to a former one could be carried out in a row once the next is accepted, so many places are left free. They cost nothing where no process restarts under its identity.

VMs that start anew or take an endpoint over know nothing of orders that others sent.

--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -14,7 +14,8 @@
 // One VM gives an endpoint its orders, one at a time, each under the condition
 // of the number of orders that the endpoint has accepted. So an order that is
 // carried out late either comes before every later one or does nothing, and
-// places are never promised twice. The package holds no clock, no goroutine and
+// places are never promised twice. Numbers start anew with the endpoint's process: places
+// are left free for late orders to the former one where they could count. The package holds no clock, no goroutine and
 // no lock.
 package ggsresident
 
@@ -79,6 +80,8 @@
 	Transit  int
 	LoadTime time.Duration
 	Poll     time.Duration
+	// Unanswered are the orders to the endpoint's processes that weren't answered.
+	Unanswered *Unanswered
 	// NewsDelay is how much longer reports of VMs take to come here than a heartbeat
 	// that is sent directly.
 	NewsDelay time.Duration
@@ -106,9 +109,11 @@
 	// unclear is when an answer left open what the endpoint accepted.
 	unclear  time.Time
 	sequence uint64
-	models   map[ggscore.BaseModel]bool
-	held     map[ggscore.ModelAdapter]*held
-	wants    []want
+	// born is when the endpoint's process started, by its own word.
+	born   time.Time
+	models map[ggscore.BaseModel]bool
+	held   map[ggscore.ModelAdapter]*held
+	wants  []want
 	// kept lists adapters that were ordered before: the endpoint may still have
 	// them in its own memory.
 	kept map[ggscore.ModelAdapter]bool
@@ -155,6 +160,9 @@
 	o.Transit = cmp.Or(o.Transit, DefaultTransit)
 	o.LoadTime = cmp.Or(o.LoadTime, DefaultLoadTime)
 	o.Poll = cmp.Or(o.Poll, DefaultPoll)
+	if o.Unanswered == nil {
+		o.Unanswered = &Unanswered{}
+	}
 	return &Ledger{
 		options: o, models: map[ggscore.BaseModel]bool{}, held: map[ggscore.ModelAdapter]*held{},
 		kept: map[ggscore.ModelAdapter]bool{},
@@ -185,7 +193,7 @@
 	if l.synced && s.Sequence < l.sequence && l.unclear.IsZero() {
 		return
 	}
-	l.synced, l.unclear, l.lost, l.sequence = true, time.Time{}, nil, s.Sequence
+	l.synced, l.unclear, l.lost, l.sequence, l.born = true, time.Time{}, nil, s.Sequence, s.Born
 	before := l.held
 	l.models, l.held = map[ggscore.BaseModel]bool{}, map[ggscore.ModelAdapter]*held{}
 	for _, m := range s.Models {
--- a/core/ggsresident/orders.go
+++ b/core/ggsresident/orders.go
@@ -67,16 +67,22 @@
 		return Step{}, false
 	}
 	s := Step{Target: w.target, Version: w.version, Expected: l.sequence}
-	if h != nil || len(l.held) < l.options.Slots {
+	if h != nil || len(l.held)+1+l.late(now) <= l.options.Slots {
 		return s, true
 	}
 	v, ok := l.victim(now)
-	if !ok {
+	if !ok || len(l.held)-1+l.late(now) > l.options.Slots {
 		return Step{}, false
 	}
 	return Step{Unload: true, Target: v, Expected: l.sequence}, true
 }
 
+// late returns how many late orders to the endpoint's former processes may be carried out
+// once it has accepted the next order.
+func (l *Ledger) late(now time.Time) int {
+	return l.options.Unanswered.chain(now, l.born, l.sequence+1)
+}
+
 // poll returns the question for what is on its way.
 func (l *Ledger) poll(now time.Time) (Step, bool) {
 	for t, h := range l.held {
--- a/core/ggsresident/runner_test.go
+++ b/core/ggsresident/runner_test.go
@@ -26,6 +26,11 @@
 	step ggsresident.Step
 }
 
+// restart starts the runner anew under its identity.
+func (m *model) restart() {
+	m.sequence, m.held, m.coming = 0, map[ggscore.ModelAdapter]uint64{}, map[ggscore.ModelAdapter]time.Time{}
+}
+
 func (m *model) pass(now time.Time) {
 	for a, done := range m.coming {
 		if !now.Before(done) {
@@ -134,3 +139,61 @@
 		}
 	})
 }
+
+// Guards against a late order to a runner's former process that meets its condition at the next one, which is full.
+func TestNoPlaceIsPromisedTwiceAfterARestart(t *testing.T) {
+	t.Parallel()
+	const (
+		late = 12 * time.Second
+		// mostLate is fewer than the places: orders that are late in a row fill an endpoint
+		// that nobody has asked yet.
+		mostLate = 3
+		// listed is the time until the list shows that the runner started anew.
+		listed = 1500 * time.Millisecond
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{slots: rapid.IntRange(mostLate+1, 8).Draw(t, "slots")}
+		m.restart()
+		now, born, unanswered := at(0), at(-time.Hour), &ggsresident.Unanswered{}
+		ledger := func() *ggsresident.Ledger {
+			return ggsresident.NewLedger(ggsresident.Options{Slots: m.slots, Unanswered: unanswered})
+		}
+		l, noticed := ledger(), at(0)
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "pass")) * time.Millisecond)
+			m.pass(now)
+			if m.overfull {
+				t.Fatalf("more adapters than places by late orders")
+			}
+			if rapid.IntRange(0, 49).Draw(t, "runner") == 0 {
+				m.restart()
+				born = now
+				noticed = now.Add(time.Duration(rapid.Int64Range(0, int64(listed)).Draw(t, "noticed")))
+			}
+			if !noticed.IsZero() && !now.Before(noticed) {
+				l, noticed = ledger(), time.Time{}
+			}
+			l.Want(now, adapter(rapid.IntRange(0, 19).Draw(t, "adapter")), 0)
+			if !l.Synced(now) {
+				st := m.status()
+				st.Born = born
+				l.Sync(now, st)
+			}
+			s, ok := l.Next(now)
+			if !ok {
+				continue
+			}
+			answer := ggscore.PlacementUnknown
+			if len(m.late) < mostLate && rapid.IntRange(0, 2).Draw(t, "fate") == 0 {
+				d := time.Duration(rapid.Int64Range(int64(time.Second), int64(late)).Draw(t, "late"))
+				m.late = append(m.late, lateOrder{at: now.Add(d), step: s})
+			} else {
+				answer = m.order(now, s)
+			}
+			l.Ended(now, s, answer)
+			if m.overfull {
+				t.Fatalf("more adapters than places after %+v", s)
+			}
+		}
+	})
+}
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -15,6 +15,7 @@
 	"greengageslip/core/ggspath"
 	"greengageslip/core/ggsplace"
 	"greengageslip/core/ggsrelay"
+	"greengageslip/core/ggsresident"
 	"greengageslip/core/ggsretry"
 	"greengageslip/core/ggsthrottle"
 	"greengageslip/core/ggsturn"
@@ -119,10 +120,13 @@
 	limits   *ggsthrottle.Table
 	versions map[ggscore.ModelAdapter]uint64
 	workers  map[ggscore.EndpointID]*worker
-	peers    map[ggscore.VMID]*member
-	uses     map[use]*usage
-	loads    map[load]*loading
-	listed   bool
+	// unanswered has the orders that endpoints didn't answer, also those to processes that
+	// are gone.
+	unansweredOrders map[ggscore.EndpointID]*ggsresident.Unanswered
+	peers            map[ggscore.VMID]*member
+	uses             map[use]*usage
+	loads            map[load]*loading
+	listed           bool
 	// entries are the store's entries as last read, for VMs that start while
 	// the store is away.
 	entries map[ggscore.Key][]ggscore.Entry
@@ -220,17 +224,18 @@
 		table: ggsplace.NewTable(ggsplace.Options{
 			Domain: o.Domain, Regions: o.Regions, Seed: o.Seed, Turns: turns, Throttle: limits, Policy: o.Policy,
 		}),
-		keeper:    ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn}),
-		retries:   ggsretry.NewPolicy(retryOptions(o)),
-		limits:    limits,
-		versions:  map[ggscore.ModelAdapter]uint64{},
-		workers:   map[ggscore.EndpointID]*worker{},
-		peers:     map[ggscore.VMID]*member{},
-		uses:      map[use]*usage{},
-		loads:     map[load]*loading{},
-		entries:   map[ggscore.Key][]ggscore.Entry{},
-		startedAt: p.Steady().UnixNano(),
-		kick:      make(chan struct{}, 1),
+		keeper:           ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn}),
+		retries:          ggsretry.NewPolicy(retryOptions(o)),
+		limits:           limits,
+		versions:         map[ggscore.ModelAdapter]uint64{},
+		workers:          map[ggscore.EndpointID]*worker{},
+		unansweredOrders: map[ggscore.EndpointID]*ggsresident.Unanswered{},
+		peers:            map[ggscore.VMID]*member{},
+		uses:             map[use]*usage{},
+		loads:            map[load]*loading{},
+		entries:          map[ggscore.Key][]ggscore.Entry{},
+		startedAt:        p.Steady().UnixNano(),
+		kick:             make(chan struct{}, 1),
 
 		listNotified:      make(chan struct{}, 1),
 		operatorsNotified: make(chan struct{}, 1),
--- a/io/ggsedge/worker.go
+++ b/io/ggsedge/worker.go
@@ -103,7 +103,8 @@
 		w = &worker{
 			instance: i,
 			ledger: ggsresident.NewLedger(ggsresident.Options{
-				Endpoint: i.ID, Demand: e.table, Slots: s.Engine.Places(), NewsDelay: e.newsDelay(), Policy: e.options.Policy,
+				Endpoint: i.ID, Demand: e.table, Slots: s.Engine.Places(), Unanswered: e.unansweredOf(i.ID),
+				NewsDelay: e.newsDelay(), Policy: e.options.Policy,
 			}),
 			changed: make(chan struct{}), kick: make(chan struct{}, 1), cancel: cancel,
 		}
@@ -120,6 +121,22 @@
 	}
 }
 
+// unansweredOf returns the orders that an endpoint didn't answer. Edge.mu is held.
+func (e *Edge) unansweredOf(id ggscore.EndpointID) *ggsresident.Unanswered {
+	now := e.Now()
+	for o, u := range e.unansweredOrders {
+		if e.workers[o] == nil && u.Empty(now) {
+			delete(e.unansweredOrders, o)
+		}
+	}
+	u := e.unansweredOrders[id]
+	if u == nil {
+		u = &ggsresident.Unanswered{}
+		e.unansweredOrders[id] = u
+	}
+	return u
+}
+
 // newsDelay returns how much longer heartbeats take through relays. Edge.mu is held.
 func (e *Edge) newsDelay() time.Duration {
 	if e.node.Large() {
