--- a/cmd/ggsnode/edge_epoch_test.go
+++ b/cmd/ggsnode/edge_epoch_test.go
@@ -1,11 +1,14 @@
 package ggsnode
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengageslip/fakes/ggsfakesite"
 )
 
 const (
@@ -17,7 +20,11 @@
 
 // returnFromCopy has the store come back from a copy that is as old as storeLost.
 func (s *siteTest) returnFromCopy(meanwhile func()) {
-	k := s.site.Store.Copy()
+	s.returnFrom(s.site.Store.Copy(), meanwhile)
+}
+
+// returnFrom has the store come back from a copy once storeLost has passed.
+func (s *siteTest) returnFrom(k ggsfakesite.Copy, meanwhile func()) {
 	begun := time.Now()
 	meanwhile()
 	time.Sleep(storeLost - time.Since(begun))
@@ -51,3 +58,41 @@
 	s.c.Check(s.lateArrivals("ledger-0", begun), qt.Equals, 0)
 	s.c.Check(served, qt.Equals, all)
 }
+
+// loadTime is the time after the store's return within which adapters are loaded again.
+const loadTime = 6 * time.Second
+
+// Guards against endpoints that get no orders any more, since beats and records of an epoch that has ended are gone.
+func TestNewAdaptersAreServedAfterTheStoreCameBackFromACopy(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct{ older bool }{
+		"the copy has the controllers":         {},
+		"the copy is older than their records": {older: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, 2)
+			k := s.site.Store.Copy()
+			if tc.older {
+				k = k.Without("greengageslip/")
+			}
+			s.returnFrom(k, func() {})
+			begun := time.Now()
+			served, all := 0, 0
+			var first time.Duration
+			for n := 0; time.Since(begun) < 20*time.Second; n++ {
+				r := s.call(n%len(s.edges), http.MethodPost, "/chat/x", fmt.Sprintf("m/new%d", n), "Hola")
+				all++
+				if r.status == http.StatusOK {
+					served++
+					if first == 0 {
+						first = time.Since(begun)
+					}
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+			s.c.Check(first > 0 && first < loadTime, qt.IsTrue, qt.Commentf("first after %s", first))
+			s.c.Check(served >= all*9/10, qt.IsTrue, qt.Commentf("%d of %d", served, all))
+		})
+	}
+}
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -86,7 +86,7 @@
 		VM: ggscore.VMID(fmt.Sprintf("edge-%d", n)), Addr: ip, Domain: ggscore.Domain([]string{"a", "b"}[n%2]),
 		Regions: map[ggscore.Domain]ggscore.Region{"a": "west", "b": "east"},
 		Callers: netip.AddrPortFrom(ip, 7100), Ready: netip.AddrPortFrom(ip, 7101), Control: netip.AddrPortFrom(ip, 7300), FirstPort: 7200,
-		Cores: 1, MaxFiles: 4100, MemoryBytes: 284 << 20, Store: store, Grace: 4 * time.Second, OrderTurn: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 58,
+		Cores: 1, MaxFiles: 4100, MemoryBytes: 284 << 20, Store: store, FirstStart: true, Grace: 4 * time.Second, OrderTurn: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 58,
 	}}
 	change(&e.settings)
 	for _, o := range s.edges {
--- a/core/ggsfencing/keeper.go
+++ b/core/ggsfencing/keeper.go
@@ -4,11 +4,11 @@
 // # Usage
 //
 //	k := ggsfencing.NewKeeper(ggsfencing.Options{Self: vm, Turn: 3 * time.Second})
-//	k.Observe(now, at, records, beats)      // each reading of the store
-//	k.SetHeard(vms)                         // whose words arrive
+//	k.Observe(now, at, reading)             // each reading of the store
+//	k.SetHeard(vms)                         // whose heartbeats arrive
 //	p := k.Beat(now)                        // write it; its conditions are p's
-//	k.BeatEnded(sent, p, revision, refused)
-//	for _, c := range k.Claims(now, ready) { … k.ClaimEnded(sent, c, revision) }
+//	k.BeatEnded(sent, p, at, refused)
+//	for _, c := range k.Claims(now, ready) { … k.ClaimEnded(sent, c, at) }
 //	fence, ok := k.May(now, endpoint)       // immediately before each order
 //
 // A record in the store names the VM that gives an endpoint its orders. Each VM
@@ -22,6 +22,22 @@
 // only delays a takeover; a takeover's write that takes effect late still meets
 // its conditions.
 //
+// # Epochs
+//
+// A store that comes back from an older copy has lost beats and records, and has those of
+// VMs that gave orders before. The right to give orders doesn't rest on what the store has
+// but on what it acknowledged: it goes on until its Validity ends. In the new epoch
+//
+//   - only the VM that has the right for an endpoint claims it at once;
+//   - every other VM waits Validity plus Turn plus Margin since it first read the epoch,
+//     by when the rights of epochs before have ended;
+//   - a record counts for the epoch that its own value names: one that was copied, or
+//     that was written late, says nothing of who gives orders;
+//   - a write counts for the epoch of its conditions: what another epoch acknowledges
+//     isn't acknowledged.
+//
+// VMs that have waited say so in the store (Settled), for those that start later.
+//
 // Times are to come from a clock that goes on while the VM is suspended. The
 // package holds no clock, no goroutine and no lock.
 package ggsfencing
@@ -71,6 +87,9 @@
 	Forget   time.Duration
 	// MaxRecords bounds the endpoints that get their orders from this VM.
 	MaxRecords int
+	// FirstStart says that the deployment starts for the first time: no VM has given orders
+	// before.
+	FirstStart bool
 }
 
 // maxDrops bounds the records that one beat drops.
@@ -82,9 +101,20 @@
 	Endpoint ggscore.EndpointID
 	Owner    ggscore.VMID
 	Released bool
+	// Epoch is the one in which its owner wrote it, by its value.
+	Epoch    ggscore.StoreEpoch
 	Revision ggscore.StoreRevision
 }
 
+// A Reading is what the store has of the VMs' own records.
+type Reading struct {
+	Records []Record
+	Beats   []Beat
+	// Settled is the last epoch in which a VM has waited for rights of epochs before to
+	// end, zero for none.
+	Settled ggscore.StoreEpoch
+}
+
 // A Beat is a VM's sign of life in the store.
 type Beat struct {
 	VM     ggscore.VMID
@@ -95,20 +125,24 @@
 }
 
 // A BeatPlan is a beat to write, under the condition that the own beat and the
-// records are at their revisions.
+// records are at their revisions of an epoch.
 type BeatPlan struct {
+	Epoch    ggscore.StoreEpoch
 	Revision ggscore.StoreRevision
 	Records  []Record
 	// Drop are records of endpoints that are gone, to be deleted with the beat.
 	Drop []Record
+	// Settle says that the epoch is to be written as settled.
+	Settle bool
 }
 
 // A Claim is a record to write, under the condition that the record and the
-// beat of its owner are at their revisions.
+// beat of its owner are at their revisions of an epoch.
 type Claim struct {
 	Endpoint       ggscore.EndpointID
+	Epoch          ggscore.StoreEpoch
 	RecordRevision ggscore.StoreRevision
-	// Owner is the VM that gave orders before, empty where none did.
+	// Owner is the VM that gave orders before, empty where none did or its right has ended.
 	Owner         ggscore.VMID
 	OwnerRevision ggscore.StoreRevision
 }
@@ -117,11 +151,23 @@
 type Keeper struct {
 	options Options
 	started time.Time
+	// epoch is that of the last reading, since when it was first read, read how far, and
+	// settled says that no right of an epoch before goes on.
+	epoch   ggscore.StoreEpoch
+	since   time.Time
 	read    ggscore.StoreRevision
+	synced  bool
+	settled bool
+	// written is the epoch that the store says is settled.
+	written ggscore.StoreEpoch
 	records map[ggscore.EndpointID]*record
 	beats   map[ggscore.VMID]*beat
 	own     ggscore.StoreRevision
-	// heard are the VMs whose words arrive. It only decides who claims first.
+	// rights are this VM's to give orders.
+	rights map[ggscore.EndpointID]right
+	// owners are the VMs that gave orders in the epoch before.
+	owners map[ggscore.EndpointID]ggscore.VMID
+	// heard are the VMs whose heartbeats arrive. It only decides who claims first.
 	heard map[ggscore.VMID]bool
 }
 
@@ -129,8 +175,6 @@
 	Record
 	// since is when the record was first seen at its revision.
 	since time.Time
-	// until is when orders end, for own records.
-	until time.Time
 	// gone is when the endpoint was first seen to be off the list.
 	gone time.Time
 }
@@ -140,6 +184,12 @@
 	since time.Time
 }
 
+// A right is that to give an endpoint orders.
+type right struct {
+	until time.Time
+	fence ggscore.FenceNumber
+}
+
 // NewKeeper returns a Keeper that knows nothing.
 func NewKeeper(o Options) *Keeper {
 	o.Validity = cmp.Or(o.Validity, DefaultValidity)
@@ -149,30 +199,65 @@
 	o.MaxRecords = cmp.Or(o.MaxRecords, DefaultMaxRecords)
 	return &Keeper{
 		options: o, records: map[ggscore.EndpointID]*record{}, beats: map[ggscore.VMID]*beat{},
+		rights: map[ggscore.EndpointID]right{}, owners: map[ggscore.EndpointID]ggscore.VMID{},
 	}
 }
 
-// Observe takes a reading of the store as of a revision. One that is older
-// than the last is passed over. Zero stands for a part of a peer's reading,
-// which says nothing of what it doesn't have.
-func (k *Keeper) Observe(now time.Time, at ggscore.StoreRevision, records []Record, beats []Beat) {
-	if at < k.read {
+// wait is the time after which a right has ended and its last order is a turn old.
+func (k *Keeper) wait() time.Duration {
+	return k.options.Validity + k.options.Turn + k.options.Margin
+}
+
+// Observe takes a reading of the store as of a position. One that is older
+// than the last is passed over. The zero position stands for a part of a peer's
+// reading, which says nothing of what it doesn't have and counts until the store is read.
+func (k *Keeper) Observe(now time.Time, at ggscore.StorePosition, r Reading) {
+	if at.IsZero() && k.synced || at.Before(ggscore.StorePosition{Epoch: k.epoch, Revision: k.read}) && !at.IsZero() {
 		return
 	}
-	k.read = at
 	if k.started.IsZero() {
 		k.started = now
 	}
-	seen := make(map[ggscore.EndpointID]bool, len(records))
-	for _, r := range records {
-		seen[r.Endpoint] = true
-		k.see(now, r)
+	if !at.IsZero() && (!k.synced || at.Epoch != k.epoch) {
+		k.enter(now, at.Epoch, r)
 	}
-	for id, r := range k.records {
-		if !seen[id] && r.Revision <= at {
+	k.read = at.Revision
+	k.written = r.Settled
+	k.settled = k.settled || r.Settled == k.epoch
+	seen := make(map[ggscore.EndpointID]bool, len(r.Records))
+	for _, x := range r.Records {
+		seen[x.Endpoint] = true
+		k.see(now, x)
+	}
+	for id, x := range k.records {
+		if !seen[id] && x.Revision <= at.Revision {
 			delete(k.records, id)
+			delete(k.rights, id)
 		}
 	}
+	k.seeBeats(now, at, r.Beats)
+}
+
+// enter begins an epoch with its first reading.
+func (k *Keeper) enter(now time.Time, e ggscore.StoreEpoch, r Reading) {
+	first := !k.synced
+	k.owners = map[ggscore.EndpointID]ggscore.VMID{}
+	for id := range k.records {
+		k.owners[id] = k.Owner(id)
+	}
+	k.epoch, k.since, k.synced, k.read, k.own = e, now, true, 0, 0
+	// A store that names no epochs loses nothing.
+	k.settled = e == 0 || first && k.options.FirstStart && k.allOf(e, r.Records)
+	clear(k.records)
+	clear(k.beats)
+}
+
+// allOf reports whether all records were written in the epoch.
+func (k *Keeper) allOf(e ggscore.StoreEpoch, rs []Record) bool {
+	return !slices.ContainsFunc(rs, func(r Record) bool { return r.Epoch != e })
+}
+
+func (k *Keeper) seeBeats(now time.Time, at ggscore.StorePosition, beats []Beat) {
 	alive := make(map[ggscore.VMID]bool, len(beats))
 	for _, b := range beats {
 		alive[b.VM] = true
@@ -184,7 +269,7 @@
 		}
 	}
 	for vm, b := range k.beats {
-		if at > 0 && !alive[vm] && b.Revision != 0 {
+		if !at.IsZero() && !alive[vm] && b.Revision != 0 {
 			k.beats[vm] = &beat{Beat: Beat{VM: vm}, since: now}
 		}
 	}
@@ -197,6 +282,17 @@
 		return
 	}
 	k.records[r.Endpoint] = &record{Record: r, since: now}
+	if k.counts(r) && (r.Owner != k.options.Self || r.Released) {
+		delete(k.rights, r.Endpoint)
+	}
+}
+
+// counts reports whether a record says who gives orders in the present epoch.
+func (k *Keeper) counts(r Record) bool { return r.Epoch == k.epoch }
+
+// waited reports whether no right of an epoch before goes on.
+func (k *Keeper) waited(now time.Time) bool {
+	return k.settled || k.synced && now.Sub(k.since) >= k.wait()
 }
 
 // SetListed takes the endpoints that are on the list.
@@ -219,10 +315,10 @@
 // gone: kept, they would fill the beat's conditions as endpoints come and go, until
 // the store refused all beats and no endpoint got orders any more.
 func (k *Keeper) Beat(now time.Time) BeatPlan {
-	p := BeatPlan{Revision: k.own}
+	p := BeatPlan{Epoch: k.epoch, Revision: k.own, Settle: k.synced && k.written != k.epoch && k.waited(now)}
 	for _, r := range k.records {
 		switch {
-		case r.Owner != k.options.Self || r.Released:
+		case r.Owner != k.options.Self || r.Released || !k.counts(r.Record):
 		case r.gone.IsZero() || now.Sub(r.gone) < k.options.Forget:
 			p.Records = append(p.Records, r.Record)
 		case len(p.Drop) < maxDrops:
@@ -236,36 +332,62 @@
 // BeatEnded takes the end of writing a beat that was sent at the time. After a
 // refusal one of its records may be another's, so no order is given on any
 // until a later beat is acknowledged; the store has to be read anew.
-func (k *Keeper) BeatEnded(sent time.Time, p BeatPlan, at ggscore.StoreRevision, refused bool) {
+func (k *Keeper) BeatEnded(sent time.Time, p BeatPlan, at ggscore.StorePosition, refused bool) {
+	if p.Epoch != k.epoch || at.Epoch != k.epoch {
+		return
+	}
 	for _, r := range p.Records {
 		h := k.records[r.Endpoint]
 		if h == nil || h.Revision != r.Revision {
 			continue
 		}
 		if refused {
-			h.until = time.Time{}
-		} else if t := sent.Add(k.options.Validity); t.After(h.until) {
-			h.until = t
+			delete(k.rights, r.Endpoint)
+			continue
 		}
+		k.extend(sent, r)
 	}
 	if refused {
 		return
 	}
 	for _, r := range p.Drop {
 		delete(k.records, r.Endpoint)
+		delete(k.rights, r.Endpoint)
+	}
+	k.own = max(k.own, at.Revision)
+	if p.Settle {
+		k.written = p.Epoch
 	}
-	k.own = max(k.own, at)
+}
+
+// extend has the right that a record gives go on from the time at which its beat or claim was
+// sent.
+func (k *Keeper) extend(sent time.Time, r Record) {
+	until := sent.Add(k.options.Validity)
+	if o := k.rights[r.Endpoint]; o.until.After(until) {
+		until = o.until
+	}
+	k.rights[r.Endpoint] = right{until: until, fence: fence(r)}
+}
+
+// epochShift leaves the lower half of a fencing number to the record's revision.
+const epochShift = 32
+
+// fence returns the fencing number of a record. It rises with epochs, though revisions fall.
+func fence(r Record) ggscore.FenceNumber {
+	return ggscore.FenceNumber(uint64(r.Epoch)<<epochShift | uint64(r.Revision))
 }
 
 // Claims returns the records that this VM is to write: those of endpoints that
-// nobody gives orders to, where this VM comes first.
+// nobody gives orders to, where this VM comes first, and those of its own rights that an
+// epoch before has given.
 //
 // What this VM released itself it takes back at once: no other has given orders
 // since, or the record would be another's. In a rolling restart each VM's
 // endpoints would else get no orders for a turn and more, one VM's after the
 // other's.
 func (k *Keeper) Claims(now time.Time, ready []ggscore.Instance) []Claim {
-	if k.started.IsZero() || k.own == 0 {
+	if !k.synced || k.own == 0 {
 		return nil
 	}
 	settled := now.Sub(k.started) >= k.options.Settle
@@ -275,34 +397,51 @@
 		if len(cs) >= room {
 			break
 		}
-		if r := k.records[ready[i].ID]; r != nil && r.Released && r.Owner == k.options.Self {
-			cs = append(cs, Claim{Endpoint: ready[i].ID, RecordRevision: r.Revision})
-			continue
-		}
-		if !settled {
-			continue
+		c, ok := k.renewal(now, ready[i].ID)
+		if !ok && settled {
+			c, ok = k.claim(now, ready[i].ID)
+			ok = ok && k.first(&ready[i]) == k.options.Self
 		}
-		c, ok := k.claim(now, ready[i].ID)
-		if ok && k.first(&ready[i]) == k.options.Self {
+		if ok {
 			cs = append(cs, c)
 		}
 	}
 	return cs
 }
 
+// renewal returns the claim of an endpoint that no other VM may give orders to: this one has
+// the right from an epoch before, or released it in this one.
+func (k *Keeper) renewal(now time.Time, id ggscore.EndpointID) (Claim, bool) {
+	c := Claim{Endpoint: id, Epoch: k.epoch}
+	r := k.records[id]
+	if r != nil {
+		c.RecordRevision = r.Revision
+	}
+	if r == nil || !k.counts(r.Record) {
+		return c, now.Before(k.rights[id].until)
+	}
+	return c, r.Released && r.Owner == k.options.Self
+}
+
 // claim returns the claim of an endpoint that may be claimed.
 func (k *Keeper) claim(now time.Time, id ggscore.EndpointID) (Claim, bool) {
+	c := Claim{Endpoint: id, Epoch: k.epoch}
 	r := k.records[id]
 	if r == nil {
-		return Claim{Endpoint: id}, true
+		return c, k.waited(now)
+	}
+	c.RecordRevision = r.Revision
+	if !k.counts(r.Record) {
+		// A late write of an epoch before may have replaced a record that counted.
+		return c, now.Sub(r.since) >= k.wait()
 	}
 	if r.Released {
-		return Claim{Endpoint: id, RecordRevision: r.Revision}, now.Sub(r.since) >= k.options.Turn+k.options.Margin
+		return c, now.Sub(r.since) >= k.options.Turn+k.options.Margin
 	}
 	if r.Owner == k.options.Self {
 		return Claim{}, false
 	}
-	c := Claim{Endpoint: id, RecordRevision: r.Revision, Owner: r.Owner}
+	c.Owner = r.Owner
 	since := r.since
 	if b := k.beats[r.Owner]; b != nil {
 		c.OwnerRevision = b.Revision
@@ -310,7 +449,7 @@
 			since = b.since
 		}
 	}
-	return c, now.Sub(since) >= k.options.Validity+k.options.Turn+k.options.Margin
+	return c, now.Sub(since) >= k.wait()
 }
 
 // SetHeard takes the VMs whose words arrive.
@@ -324,7 +463,7 @@
 // Owns reports whether this VM gives orders to an endpoint.
 func (k *Keeper) Owns() bool {
 	for _, r := range k.records {
-		if r.Owner == k.options.Self && !r.Released {
+		if r.Owner == k.options.Self && !r.Released && k.counts(r.Record) {
 			return true
 		}
 	}
@@ -335,10 +474,10 @@
 // room, in the endpoint's domain where there are any, the one that the endpoint's name
 // falls on. Where two think so of themselves, the store lets one of them have it.
 func (k *Keeper) first(i *ggscore.Instance) ggscore.VMID {
-	counts := k.counts()
+	owned := k.owned()
 	best, most, near := k.options.Self, 0.0, false
 	for vm, b := range k.beats {
-		if vm != k.options.Self && (!k.heard[vm] || counts[vm] >= k.options.MaxRecords) {
+		if vm != k.options.Self && (!k.heard[vm] || owned[vm] >= k.options.MaxRecords) {
 			continue
 		}
 		n := b.Domain == i.Domain
@@ -357,8 +496,8 @@
 	return -float64(max(capacity, 1)) / math.Log(x)
 }
 
-// counts returns the endpoints that each VM controls.
-func (k *Keeper) counts() map[ggscore.VMID]int {
+// owned returns the number of endpoints that each VM controls.
+func (k *Keeper) owned() map[ggscore.VMID]int {
 	n := make(map[ggscore.VMID]int, len(k.beats))
 	for _, r := range k.records {
 		if !r.Released {
@@ -369,21 +508,23 @@
 }
 
 // ClaimEnded takes the end of a claim that was written.
-func (k *Keeper) ClaimEnded(sent time.Time, c Claim, at ggscore.StoreRevision) {
-	k.records[c.Endpoint] = &record{
-		Record: Record{Endpoint: c.Endpoint, Owner: k.options.Self, Revision: at},
-		since:  sent, until: sent.Add(k.options.Validity),
+func (k *Keeper) ClaimEnded(sent time.Time, c Claim, at ggscore.StorePosition) {
+	if c.Epoch != k.epoch || at.Epoch != k.epoch {
+		return
 	}
+	r := Record{Endpoint: c.Endpoint, Owner: k.options.Self, Epoch: at.Epoch, Revision: at.Revision}
+	k.records[c.Endpoint] = &record{Record: r, since: sent}
+	k.extend(sent, r)
 }
 
 // May returns the fencing number for an order to the endpoint, and whether
 // this VM may give one now.
 func (k *Keeper) May(now time.Time, id ggscore.EndpointID) (ggscore.FenceNumber, bool) {
-	r := k.records[id]
-	if r == nil || r.Owner != k.options.Self || r.Released || !now.Before(r.until) {
+	r, ok := k.rights[id]
+	if !ok || !now.Before(r.until) {
 		return 0, false
 	}
-	return ggscore.FenceNumber(r.Revision), true
+	return r.fence, true
 }
 
 // Records returns all records that are known.
@@ -396,22 +537,28 @@
 }
 
 // Owner returns the VM that gives the endpoint its orders, empty where none
-// does.
+// does. In a new epoch it is the one of the epoch before until a record says otherwise.
 func (k *Keeper) Owner(id ggscore.EndpointID) ggscore.VMID {
-	if r := k.records[id]; r != nil && !r.Released {
+	r := k.records[id]
+	switch {
+	case r != nil && (k.counts(r.Record) || !k.synced):
+		if r.Released {
+			return ""
+		}
+		return r.Owner
+	case k.owners[id] != "":
+		return k.owners[id]
+	case r != nil && !r.Released:
 		return r.Owner
 	}
 	return ""
 }
 
+// Epoch returns the epoch of the last reading, and whether there was one.
+func (k *Keeper) Epoch() (ggscore.StoreEpoch, bool) { return k.epoch, k.synced }
+
 // Stop ends all orders of this VM. The records that it then releases are to be
 // written under the conditions of Beat: a release that takes effect late, after
 // the VM's next process has beaten, would let another VM order while that one
 // may.
-func (k *Keeper) Stop() {
-	for _, r := range k.records {
-		if r.Owner == k.options.Self {
-			r.until = time.Time{}
-		}
-	}
-}
+func (k *Keeper) Stop() { clear(k.rights) }
--- a/core/ggsfencing/keeper_test.go
+++ b/core/ggsfencing/keeper_test.go
@@ -19,6 +19,11 @@
 
 func at(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
 
+// position returns a position of a store that names no epoch.
+func position(r ggscore.StoreRevision) ggscore.StorePosition {
+	return ggscore.StorePosition{Revision: r}
+}
+
 func keeper(self ggscore.VMID) *ggsfencing.Keeper {
 	return ggsfencing.NewKeeper(ggsfencing.Options{Self: self, Domain: "d", Turn: turn})
 }
@@ -28,11 +33,11 @@
 // owner returns a keeper that owns the runner's orders since the start.
 func owner(c *qt.C) *ggsfencing.Keeper {
 	k := keeper("a")
-	k.Observe(at(0), 1, nil, nil)
-	k.BeatEnded(at(0), k.Beat(at(0)), 5, false)
+	k.Observe(at(0), position(1), ggsfencing.Reading{})
+	k.BeatEnded(at(0), k.Beat(at(0)), position(5), false)
 	cs := k.Claims(at(ggsfencing.DefaultSettle), instances())
 	c.Assert(cs, qt.HasLen, 1)
-	k.ClaimEnded(at(2*time.Second), cs[0], 10)
+	k.ClaimEnded(at(2*time.Second), cs[0], position(10))
 	return k
 }
 
@@ -44,7 +49,7 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(fence, qt.Equals, ggscore.FenceNumber(10))
 
-	k.BeatEnded(at(4*time.Second), k.Beat(at(0)), 11, false)
+	k.BeatEnded(at(4*time.Second), k.Beat(at(0)), position(11), false)
 	_, ok = k.May(at(4*time.Second+ggsfencing.DefaultValidity-1), runner)
 	c.Assert(ok, qt.IsTrue)
 	_, ok = k.May(at(4*time.Second+ggsfencing.DefaultValidity), runner)
@@ -58,7 +63,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	k := owner(c)
-	k.BeatEnded(at(4*time.Second), k.Beat(at(0)), 0, true)
+	k.BeatEnded(at(4*time.Second), k.Beat(at(0)), position(0), true)
 	_, ok := k.May(at(4*time.Second), runner)
 	c.Assert(ok, qt.IsFalse)
 }
@@ -72,8 +77,8 @@
 	k := keeper("b")
 	records := []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}}
 	beats := []ggsfencing.Beat{{VM: "a", Domain: "d", Revision: 20}}
-	k.Observe(at(0), 30, records, beats)
-	k.BeatEnded(at(0), k.Beat(at(0)), 31, false)
+	k.Observe(at(0), position(30), ggsfencing.Reading{Records: records, Beats: beats})
+	k.BeatEnded(at(0), k.Beat(at(0)), position(31), false)
 	c.Assert(k.Claims(at(takeout-1), instances()), qt.HasLen, 0)
 
 	cs := k.Claims(at(takeout), instances())
@@ -82,7 +87,7 @@
 	})
 
 	beats[0].Revision = 32
-	k.Observe(at(takeout), 33, records, beats)
+	k.Observe(at(takeout), position(33), ggsfencing.Reading{Records: records, Beats: beats})
 	c.Assert(k.Claims(at(takeout), instances()), qt.HasLen, 0)
 }
 
@@ -90,8 +95,8 @@
 	t.Parallel()
 	c := qt.New(t)
 	k := keeper("b")
-	k.Observe(at(0), 30, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Released: true, Revision: 10}}, nil)
-	k.BeatEnded(at(0), k.Beat(at(0)), 31, false)
+	k.Observe(at(0), position(30), ggsfencing.Reading{Records: []ggsfencing.Record{{Endpoint: runner, Owner: "a", Released: true, Revision: 10}}})
+	k.BeatEnded(at(0), k.Beat(at(0)), position(31), false)
 	c.Assert(k.Claims(at(turn), instances()), qt.HasLen, 0)
 	c.Assert(k.Claims(at(turn+ggsfencing.DefaultMargin), instances()), qt.HasLen, 1)
 	c.Assert(k.Owner(runner), qt.Equals, ggscore.VMID(""))
@@ -103,12 +108,12 @@
 	t.Parallel()
 	c := qt.New(t)
 	k := keeper("a")
-	k.Observe(at(0), 30, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Released: true, Revision: 10}}, nil)
+	k.Observe(at(0), position(30), ggsfencing.Reading{Records: []ggsfencing.Record{{Endpoint: runner, Owner: "a", Released: true, Revision: 10}}})
 	c.Assert(k.Claims(at(0), instances()), qt.HasLen, 0, qt.Commentf("no beat yet"))
-	k.BeatEnded(at(0), k.Beat(at(0)), 31, false)
+	k.BeatEnded(at(0), k.Beat(at(0)), position(31), false)
 	cs := k.Claims(at(0), instances())
 	c.Assert(cs, qt.DeepEquals, []ggsfencing.Claim{{Endpoint: runner, RecordRevision: 10}})
-	k.ClaimEnded(at(0), cs[0], 32)
+	k.ClaimEnded(at(0), cs[0], position(32))
 	_, ok := k.May(at(0), runner)
 	c.Assert(ok, qt.IsTrue)
 }
@@ -119,15 +124,17 @@
 	t.Parallel()
 	c := qt.New(t)
 	k := keeper("a")
-	k.Observe(at(0), 30, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}},
-		[]ggsfencing.Beat{{VM: "a", Domain: "d", Revision: 20}})
+	k.Observe(at(0), position(30), ggsfencing.Reading{
+		Records: []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}},
+		Beats:   []ggsfencing.Beat{{VM: "a", Domain: "d", Revision: 20}},
+	})
 	_, ok := k.May(at(0), runner)
 	c.Assert(ok, qt.IsFalse)
 	p := k.Beat(at(0))
 	c.Assert(p, qt.DeepEquals, ggsfencing.BeatPlan{
 		Revision: 20, Records: []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}},
 	})
-	k.BeatEnded(at(0), p, 31, false)
+	k.BeatEnded(at(0), p, position(31), false)
 	fence, ok := k.May(at(0), runner)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(fence, qt.Equals, ggscore.FenceNumber(10))
@@ -149,7 +156,7 @@
 	p = k.Beat(at(time.Hour + ggsfencing.DefaultForget))
 	c.Assert(p.Records, qt.HasLen, 0)
 	c.Assert(p.Drop, qt.DeepEquals, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}})
-	k.BeatEnded(at(time.Hour+ggsfencing.DefaultForget), p, 40, false)
+	k.BeatEnded(at(time.Hour+ggsfencing.DefaultForget), p, position(40), false)
 	c.Assert(k.Records(), qt.HasLen, 0)
 }
 
@@ -159,15 +166,15 @@
 	t.Parallel()
 	c := qt.New(t)
 	k := keeper("a")
-	k.Observe(at(0), 1, nil, nil)
-	k.BeatEnded(at(0), k.Beat(at(0)), 5, false)
+	k.Observe(at(0), position(1), ggsfencing.Reading{})
+	k.BeatEnded(at(0), k.Beat(at(0)), position(5), false)
 	var ready []ggscore.Instance
 	for i := range 100 {
 		ready = append(ready, ggscore.Instance{ID: ggscore.EndpointID(rune('a' + i)), Domain: "d"})
 	}
 	now := at(ggsfencing.DefaultSettle)
 	for n, cl := range k.Claims(now, ready) {
-		k.ClaimEnded(now, cl, ggscore.StoreRevision(10+n))
+		k.ClaimEnded(now, cl, position(ggscore.StoreRevision(10+n)))
 	}
 	c.Assert(k.Beat(now).Records, qt.HasLen, ggsfencing.DefaultMaxRecords)
 	c.Assert(k.Claims(now, ready), qt.HasLen, 0)
@@ -179,8 +186,8 @@
 	t.Parallel()
 	c := qt.New(t)
 	k := keeper("b")
-	k.Observe(at(0), 40, []ggsfencing.Record{{Endpoint: runner, Owner: "c", Revision: 35}}, nil)
-	k.Observe(at(1), 30, []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}}, nil)
+	k.Observe(at(0), position(40), ggsfencing.Reading{Records: []ggsfencing.Record{{Endpoint: runner, Owner: "c", Revision: 35}}})
+	k.Observe(at(1), position(30), ggsfencing.Reading{Records: []ggsfencing.Record{{Endpoint: runner, Owner: "a", Revision: 10}}})
 	c.Assert(k.Owner(runner), qt.Equals, ggscore.VMID("c"))
 }
 
@@ -199,7 +206,7 @@
 	claims := 0
 	for _, vm := range vms {
 		k := ggsfencing.NewKeeper(ggsfencing.Options{Self: vm.VM, Domain: vm.Domain, Turn: turn})
-		k.Observe(at(0), 10, nil, vms)
+		k.Observe(at(0), position(10), ggsfencing.Reading{Beats: vms})
 		k.SetHeard(heard)
 		if vm.VM == "gone" {
 			continue
@@ -231,7 +238,7 @@
 	}
 	claims := func(vm ggscore.VMID, most int, records []ggsfencing.Record) int {
 		k := ggsfencing.NewKeeper(ggsfencing.Options{Self: vm, Domain: "d", Turn: turn, MaxRecords: most})
-		k.Observe(at(0), 10, records, vms)
+		k.Observe(at(0), position(10), ggsfencing.Reading{Records: records, Beats: vms})
 		k.SetHeard(heard)
 		return len(k.Claims(at(ggsfencing.DefaultSettle), ready))
 	}
--- a/core/ggsfencing/world_test.go
+++ b/core/ggsfencing/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -11,35 +12,60 @@
 	"greengageslip/core/ggsfencing"
 )
 
-// A world is a store, VMs and one runner. Writes are answered, lost, or carried
-// out late where their conditions still hold; readings are stale; VMs stand
-// still. The runner notes who gave orders when.
+// A world is a store, VMs and endpoints. Writes are answered, lost, or carried out late where
+// their conditions hold by then; readings are stale; VMs stand still; the store comes back from
+// older copies of itself. The endpoints note who gave orders when.
 type world struct {
-	now      time.Time
+	now  time.Time
+	site state
+	past []state
+	late []write
+	// endpoints are those on the list.
+	endpoints []ggscore.Instance
+	vms       []*vm
+	orders    []order
+}
+
+// A state is what the store has.
+type state struct {
+	epoch    ggscore.StoreEpoch
 	revision ggscore.StoreRevision
-	record   *ggsfencing.Record
+	records  map[ggscore.EndpointID]ggsfencing.Record
 	beats    map[ggscore.VMID]ggsfencing.Beat
-	past     []reading
-	late     []write
-	vms      []*vm
-	orders   []order
+	settled  ggscore.StoreEpoch
+}
+
+func (s state) clone() state {
+	s.records, s.beats = maps.Clone(s.records), maps.Clone(s.beats)
+	return s
 }
 
-type reading struct {
-	at      ggscore.StoreRevision
-	records []ggsfencing.Record
-	beats   []ggsfencing.Beat
+func (s state) at() ggscore.StorePosition {
+	return ggscore.StorePosition{Epoch: s.epoch, Revision: s.revision}
+}
+
+func (s state) reading() ggsfencing.Reading {
+	r := ggsfencing.Reading{Settled: s.settled}
+	for _, x := range s.records {
+		r.Records = append(r.Records, x)
+	}
+	for _, b := range s.beats {
+		r.Beats = append(r.Beats, b)
+	}
+	return r
 }
 
+// A write is a transaction: it is refused where its conditions don't hold.
 type write struct {
 	at    time.Time
-	apply func() (ggscore.StoreRevision, bool)
+	apply func() bool
 }
 
 type order struct {
-	at    time.Time
-	vm    ggscore.VMID
-	fence ggscore.FenceNumber
+	at       time.Time
+	endpoint ggscore.EndpointID
+	vm       ggscore.VMID
+	fence    ggscore.FenceNumber
 }
 
 type vm struct {
@@ -47,104 +73,139 @@
 	k  *ggsfencing.Keeper
 }
 
-func newWorld(n int) *world {
-	w := &world{now: at(0), revision: 1, beats: map[ggscore.VMID]ggsfencing.Beat{}}
-	for i := range n {
+func newWorld(vms, endpoints int) *world {
+	w := &world{now: at(0), site: state{
+		epoch: 1, revision: 1, records: map[ggscore.EndpointID]ggsfencing.Record{}, beats: map[ggscore.VMID]ggsfencing.Beat{},
+	}}
+	for i := range vms {
 		id := ggscore.VMID(fmt.Sprintf("vm-%d", i))
 		w.vms = append(w.vms, &vm{id: id, k: keeper(id)})
 	}
+	for i := range endpoints {
+		w.endpoints = append(w.endpoints, ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("runner-%d", i)), Domain: "d"})
+	}
 	w.remember()
 	return w
 }
 
-func (w *world) remember() {
-	r := reading{at: w.revision}
-	if w.record != nil {
-		r.records = append(r.records, *w.record)
-	}
-	for _, b := range w.beats {
-		r.beats = append(r.beats, b)
-	}
-	w.past = append(w.past, r)
+func (w *world) remember() { w.past = append(w.past, w.site.clone()) }
+
+// comeBack has the store come back from a copy.
+func (w *world) comeBack(k state) {
+	epoch := w.site.epoch + 1
+	w.site = k.clone()
+	w.site.epoch = epoch
+	w.remember()
 }
 
-// store carries a write out by the fate that is drawn for it.
-func (w *world) store(t *rapid.T, apply func() (ggscore.StoreRevision, bool), ended func(ggscore.StoreRevision, bool)) {
-	switch rapid.IntRange(0, 5).Draw(t, "fate") {
-	case 0: // lost before it arrives
-	case 1: // carried out, the answer is lost
+// A fate is what becomes of a transaction.
+type fate int
+
+const (
+	// answered transactions are carried out and acknowledged.
+	answered fate = iota
+	lost
+	// unanswered ones are carried out, their answers are lost.
+	unanswered
+	// delayed ones are carried out late, and not answered.
+	delayed
+)
+
+// store carries a transaction out by its fate. What the store acknowledges in another epoch
+// than that of the conditions counts as not acknowledged.
+func (w *world) store(f fate, late time.Duration, epoch ggscore.StoreEpoch, apply func() bool, ended func(at ggscore.StorePosition, ok bool)) {
+	switch f {
+	case lost:
+	case unanswered:
 		apply()
-	case 2: // carried out late
-		d := time.Duration(rapid.IntRange(1, 15000).Draw(t, "late")) * time.Millisecond
-		w.late = append(w.late, write{at: w.now.Add(d), apply: apply})
+	case delayed:
+		w.late = append(w.late, write{at: w.now.Add(late), apply: apply})
 	default:
-		rev, ok := apply()
-		ended(rev, ok)
+		if ok := apply(); epoch == w.site.epoch {
+			ended(w.site.at(), ok)
+		}
 	}
 }
 
-func (w *world) beat(t *rapid.T, v *vm) {
+func (w *world) beat(v *vm, f fate, late time.Duration) {
 	p, sent := v.k.Beat(w.now), w.now
-	w.store(t, func() (ggscore.StoreRevision, bool) {
-		if w.beats[v.id].Revision != p.Revision {
-			return 0, false
+	if _, ok := v.k.Epoch(); !ok {
+		return
+	}
+	w.store(f, late, p.Epoch, func() bool {
+		if w.site.beats[v.id].Revision != p.Revision {
+			return false
 		}
-		for _, r := range p.Records {
-			if w.record == nil || w.record.Revision != r.Revision {
-				return 0, false
+		for _, r := range append(p.Drop, p.Records...) {
+			if w.site.records[r.Endpoint].Revision != r.Revision {
+				return false
 			}
 		}
-		w.revision++
-		w.beats[v.id] = ggsfencing.Beat{VM: v.id, Domain: "d", Revision: w.revision}
+		w.site.revision++
+		w.site.beats[v.id] = ggsfencing.Beat{VM: v.id, Domain: "d", Revision: w.site.revision}
+		for _, r := range p.Drop {
+			delete(w.site.records, r.Endpoint)
+		}
+		if p.Settle {
+			w.site.settled = p.Epoch
+		}
 		w.remember()
-		return w.revision, true
-	}, func(rev ggscore.StoreRevision, ok bool) { v.k.BeatEnded(sent, p, rev, !ok) })
+		return true
+	}, func(at ggscore.StorePosition, ok bool) { v.k.BeatEnded(sent, p, at, !ok) })
 }
 
-func (w *world) claim(t *rapid.T, v *vm) {
-	for _, c := range v.k.Claims(w.now, instances()) {
-		sent := w.now
-		w.store(t, func() (ggscore.StoreRevision, bool) {
-			have := ggscore.StoreRevision(0)
-			if w.record != nil {
-				have = w.record.Revision
-			}
-			if have != c.RecordRevision || c.Owner != "" && w.beats[c.Owner].Revision != c.OwnerRevision {
-				return 0, false
-			}
-			w.revision++
-			w.record = &ggsfencing.Record{Endpoint: runner, Owner: v.id, Revision: w.revision}
-			w.remember()
-			return w.revision, true
-		}, func(rev ggscore.StoreRevision, ok bool) {
-			if ok {
-				v.k.ClaimEnded(sent, c, rev)
-			}
-		})
+// claim writes the n-th of a VM's claims.
+func (w *world) claim(v *vm, n int, f fate, late time.Duration) {
+	cs := v.k.Claims(w.now, w.endpoints)
+	if n >= len(cs) {
+		return
 	}
+	c, sent := cs[n], w.now
+	w.store(f, late, c.Epoch, func() bool {
+		if w.site.records[c.Endpoint].Revision != c.RecordRevision || c.Owner != "" && w.site.beats[c.Owner].Revision != c.OwnerRevision {
+			return false
+		}
+		w.put(ggsfencing.Record{Endpoint: c.Endpoint, Owner: v.id, Epoch: c.Epoch})
+		return true
+	}, func(at ggscore.StorePosition, ok bool) {
+		if ok {
+			v.k.ClaimEnded(sent, c, at)
+		}
+	})
 }
 
-// release ends a VM's orders and leaves its record to others, as a planned stop
+func (w *world) put(r ggsfencing.Record) {
+	w.site.revision++
+	r.Revision = w.site.revision
+	w.site.records[r.Endpoint] = r
+	w.remember()
+}
+
+// release ends a VM's orders and leaves its records to others, as a planned stop
 // does; the process starts anew.
-func (w *world) release(t *rapid.T, v *vm) {
+func (w *world) release(v *vm, f fate, late time.Duration) {
 	v.k.Stop()
 	p := v.k.Beat(w.now)
-	for _, r := range p.Records {
-		w.store(t, func() (ggscore.StoreRevision, bool) {
-			if w.record == nil || w.record.Revision != r.Revision || w.beats[v.id].Revision != p.Revision {
-				return 0, false
+	w.store(f, late, p.Epoch, func() bool {
+		if w.site.beats[v.id].Revision != p.Revision {
+			return false
+		}
+		for _, r := range p.Records {
+			if w.site.records[r.Endpoint].Revision != r.Revision {
+				return false
 			}
-			w.revision++
-			w.record = &ggsfencing.Record{Endpoint: runner, Owner: v.id, Released: true, Revision: w.revision}
-			w.remember()
-			return w.revision, true
-		}, func(ggscore.StoreRevision, bool) {})
-	}
+		}
+		for _, r := range p.Records {
+			w.put(ggsfencing.Record{Endpoint: r.Endpoint, Owner: v.id, Released: true, Epoch: p.Epoch})
+		}
+		return true
+	}, func(ggscore.StorePosition, bool) {})
 	v.k = keeper(v.id)
 }
 
-func (w *world) step(t *rapid.T) {
-	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 2500).Draw(t, "pass")) * time.Millisecond)
+// pass has time pass, and writes carried out that were delayed.
+func (w *world) pass(d time.Duration) {
+	w.now = w.now.Add(d)
 	for i := 0; i < len(w.late); {
 		if w.late[i].at.After(w.now) {
 			i++
@@ -154,27 +215,69 @@
 		w.late = append(w.late[:i], w.late[i+1:]...)
 		apply()
 	}
+}
+
+// read has a VM read the store as it was so many changes ago. Readings of an epoch that has
+// ended arrive late.
+func (w *world) read(v *vm, back int) {
+	s := w.past[len(w.past)-1-min(back, len(w.past)-1)]
+	v.k.Observe(w.now, s.at(), s.reading())
+}
+
+// order has a VM give an endpoint an order that arrives a while later.
+func (w *world) order(v *vm, id ggscore.EndpointID, flight time.Duration) {
+	if f, ok := v.k.May(w.now, id); ok {
+		w.orders = append(w.orders, order{at: w.now.Add(flight), endpoint: id, vm: v.id, fence: f})
+	}
+}
+
+// turns returns what is wrong with the orders, empty for nothing.
+func (w *world) turns() string {
+	for _, a := range w.orders {
+		for _, b := range w.orders {
+			switch {
+			case a.endpoint != b.endpoint || a.vm == b.vm || b.at.Before(a.at):
+			case b.at.Sub(a.at) < turn:
+				return fmt.Sprintf("%s orders %s at %s, %s %s later", a.vm, a.endpoint, a.at, b.vm, b.at.Sub(a.at))
+			case b.fence <= a.fence:
+				return fmt.Sprintf("%s orders %s with %d, then %s with %d", a.vm, a.endpoint, a.fence, b.vm, b.fence)
+			}
+		}
+	}
+	return ""
+}
+
+// drawFate draws what becomes of a transaction.
+func drawFate(t *rapid.T) (fate, time.Duration) {
+	f := rapid.SampledFrom([]fate{lost, unanswered, delayed, answered, answered, answered}).Draw(t, "fate")
+	return f, time.Duration(rapid.IntRange(1, 15000).Draw(t, "late")) * time.Millisecond
+}
+
+// step does something at random.
+func (w *world) step(t *rapid.T, acts []string) {
+	w.pass(time.Duration(rapid.IntRange(1, 2500).Draw(t, "pass")) * time.Millisecond)
 	v := rapid.SampledFrom(w.vms).Draw(t, "vm")
-	switch rapid.SampledFrom([]string{"beat", "beat", "read", "claim", "order", "order", "restart", "release"}).Draw(t, "act") {
+	e := rapid.SampledFrom(w.endpoints).Draw(t, "endpoint")
+	f, late := drawFate(t)
+	switch rapid.SampledFrom(acts).Draw(t, "act") {
 	case "beat":
-		w.beat(t, v)
+		w.beat(v, f, late)
 	case "read":
-		back := min(rapid.IntRange(0, 3).Draw(t, "stale"), len(w.past)-1)
-		r := w.past[len(w.past)-1-back]
-		v.k.Observe(w.now, r.at, r.records, r.beats)
+		w.read(v, rapid.IntRange(0, 3).Draw(t, "stale"))
 	case "claim":
-		w.claim(t, v)
+		w.claim(v, rapid.IntRange(0, len(w.endpoints)-1).Draw(t, "claim"), f, late)
 	case "order":
-		if f, ok := v.k.May(w.now, runner); ok {
-			flight := time.Duration(rapid.IntRange(0, int(ggsfencing.DefaultMargin.Milliseconds())).Draw(t, "flight")) * time.Millisecond
-			w.orders = append(w.orders, order{at: w.now.Add(flight), vm: v.id, fence: f})
-		}
+		w.order(v, e.ID, time.Duration(rapid.IntRange(0, int(ggsfencing.DefaultMargin.Milliseconds())).Draw(t, "flight"))*time.Millisecond)
 	case "release":
-		w.release(t, v)
+		w.release(v, f, late)
 	case "restart":
 		if rapid.IntRange(0, 4).Draw(t, "really") == 0 {
 			v.k = keeper(v.id)
 		}
+	case "return":
+		if rapid.IntRange(0, 2).Draw(t, "really") == 0 {
+			w.comeBack(w.past[rapid.IntRange(0, len(w.past)-1).Draw(t, "copy")])
+		}
 	}
 }
 
@@ -183,23 +286,22 @@
 // other has promised to its requests.
 func TestNoTwoVMsTakeTurns(t *testing.T) {
 	t.Parallel()
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(3)
-		for range 150 {
-			w.step(t)
-		}
-		for _, a := range w.orders {
-			for _, b := range w.orders {
-				if a.vm == b.vm || b.at.Before(a.at) {
-					continue
-				}
-				if b.at.Sub(a.at) < turn {
-					t.Fatalf("%s orders at %s, %s %s later", a.vm, a.at, b.vm, b.at.Sub(a.at))
+	usual := []string{"beat", "beat", "read", "claim", "order", "order", "restart", "release"}
+	for name, acts := range map[string][]string{
+		"one epoch":      usual,
+		"several epochs": append([]string{"return", "read", "claim"}, usual...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, func(t *rapid.T) {
+				w := newWorld(rapid.IntRange(2, 4).Draw(t, "vms"), 2)
+				for range 150 {
+					w.step(t, acts)
 				}
-				if b.fence <= a.fence {
-					t.Fatalf("%s orders with %d, then %s with %d", a.vm, a.fence, b.vm, b.fence)
+				if s := w.turns(); s != "" {
+					t.Fatal(s)
 				}
-			}
-		}
-	})
+			})
+		})
+	}
 }
--- a/fakes/ggsfakesite/store.go
+++ b/fakes/ggsfakesite/store.go
@@ -78,6 +78,13 @@
 	return Copy{revision: s.revision, items: maps.Clone(s.items), history: slices.Clone(s.history)}
 }
 
+// Without returns a copy from before any key below a prefix was written.
+func (c Copy) Without(prefix string) Copy {
+	c.items = maps.Clone(c.items)
+	maps.DeleteFunc(c.items, func(k string, _ item) bool { return strings.HasPrefix(k, prefix) })
+	return c
+}
+
 // Return has the store come back from a copy: what was written since is lost, and its
 // revisions are given out again.
 func (s *Store) Return(c Copy) {
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -41,6 +41,8 @@
 	Seeds []netip.AddrPort
 	// Turn is the time between orders of two VMs to one endpoint.
 	Turn time.Duration
+	// FirstStart says that the deployment starts for the first time.
+	FirstStart bool
 	// RetryRatio and RetrySlack bound what is sent to a service beyond each
 	// request's first, over all VMs.
 	RetryRatio float64
@@ -224,7 +226,7 @@
 		table: ggsplace.NewTable(ggsplace.Options{
 			Domain: o.Domain, Regions: o.Regions, Seed: o.Seed, Turns: turns, Throttle: limits, Policy: o.Policy,
 		}),
-		keeper:           ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn}),
+		keeper:           ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn, FirstStart: o.FirstStart}),
 		retries:          ggsretry.NewPolicy(retryOptions(o)),
 		limits:           limits,
 		versions:         map[ggscore.ModelAdapter]uint64{},
--- a/io/ggsedge/load_test.go
+++ b/io/ggsedge/load_test.go
@@ -51,7 +51,7 @@
 
 	e := listEdge()
 	e.Calls = ggsrpc.NewPool(ggsrpc.PoolOptions{})
-	e.keeper.Observe(e.Now(), 1, []ggsfencing.Record{{Endpoint: "r", Owner: "peer", Revision: 1}}, nil)
+	e.keeper.Observe(e.Now(), position(1), ggsfencing.Reading{Records: []ggsfencing.Record{{Endpoint: "r", Owner: "peer", Revision: 1}}})
 	e.peers["peer"] = &member{calls: netip.MustParseAddrPort(l.Addr().String())}
 	loadOnce := func() error {
 		g := &loading{done: make(chan struct{})}
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -26,6 +26,7 @@
 const (
 	memberPart  = "vm"
 	ordererPart = "orderer"
+	epochPart   = "epoch"
 )
 
 // A memberRecord is a VM's beat in the store.
@@ -74,6 +75,14 @@
 type ordererRecord struct {
 	Owner    string `json:"owner"`
 	Released bool   `json:"released"`
+	// Epoch is the store's when the record was written: a copy of the store, and a write
+	// that is carried out late, have another one than the store.
+	Epoch uint64 `json:"epoch,omitempty"`
+}
+
+// An epochRecord says that no right to give orders goes on from before an epoch.
+type epochRecord struct {
+	Settled uint64 `json:"settled"`
 }
 
 // member returns the peer that a record names. One without readable addresses
@@ -98,22 +107,40 @@
 	return ggscore.KeyOf(string(e.options.Keys.Own), ordererPart, string(id))
 }
 
+func (e *Edge) epochKey() ggscore.Key {
+	return ggscore.KeyOf(string(e.options.Keys.Own), epochPart)
+}
+
+// freshRecords is the time for which the own records are read fresh in a new epoch: a stale
+// reading may be of the one before and name the new one.
+const freshRecords = 5 * time.Second
+
 // followMembers keeps the records of VMs and of who gives orders. A stale
 // reading is enough: what is written goes by revisions.
 func (e *Edge) followMembers(ctx context.Context) error {
-	away, fresh, failures := false, true, 0
+	away, failures := false, 0
+	var epoch ggscore.StoreEpoch
+	fresh := e.Now().Add(freshRecords)
+	read := false
 	for ctx.Err() == nil {
-		es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Own+"/", !fresh)
+		if c := e.epochs.current(); c != epoch {
+			epoch, fresh, read = c, e.Now().Add(freshRecords), false
+		}
+		es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Own+"/", read && (epoch == 0 || !e.Now().Before(fresh)))
 		e.dependency(&away, err == nil, "members", err)
 		wait := ggsgossip.RecordsInterval(len(e.livePeers()) + 1)
 		if err != nil {
 			failures++
 			wait = max(ggsgossip.RetryPause(failures, e.started(), rand.Float64()), e.recordsRetry(wait))
 		} else {
-			fresh, failures = false, 0
+			failures = 0
 			e.setMembers(ctx, es, at)
+			if !read {
+				e.wakeBeats()
+			}
+			read = true
 		}
-		if !pause(ctx, wait) {
+		if !pauseOr(ctx, wait, e.membersNotified) {
 			return nil
 		}
 	}
@@ -132,10 +159,10 @@
 }
 
 func (e *Edge) setMembers(ctx context.Context, es []ggscore.Entry, at ggscore.StorePosition) {
-	records, beats, peers := e.readOwn(es)
+	r, peers := e.readOwn(es)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.keeper.Observe(e.Now(), at.Revision, records, beats)
+	e.keeper.Observe(e.Now(), at, r)
 	if len(peers) > 0 || !at.IsZero() {
 		for vm, p := range peers {
 			if o := e.peers[vm]; o != nil {
@@ -144,6 +171,12 @@
 				p.heard = e.Now()
 			}
 		}
+		// A peer whose record is lost writes it again.
+		for vm, p := range e.peers {
+			if peers[vm] == nil && e.Now().Sub(p.heard) < peerLiveness {
+				peers[vm] = p
+			}
+		}
 		e.peers = peers
 		e.node.SetMembers(e.relayMembers())
 		e.retries.SetDepth(retryDepth(e.options, len(peers)+1))
@@ -165,9 +198,8 @@
 
 // readOwn reads the system's own records. One that can't be read is passed
 // over.
-func (e *Edge) readOwn(es []ggscore.Entry) ([]ggsfencing.Record, []ggsfencing.Beat, map[ggscore.VMID]*member) {
-	var records []ggsfencing.Record
-	var beats []ggsfencing.Beat
+func (e *Edge) readOwn(es []ggscore.Entry) (ggsfencing.Reading, map[ggscore.VMID]*member) {
+	var r ggsfencing.Reading
 	peers := map[ggscore.VMID]*member{}
 	for _, n := range es {
 		part, name, _ := strings.Cut(strings.TrimPrefix(string(n.Key), string(e.options.Keys.Own)+"/"), "/")
@@ -176,15 +208,16 @@
 		case ordererPart:
 			var w ordererRecord
 			if err = json.Unmarshal(n.Value, &w); err == nil {
-				records = append(records, ggsfencing.Record{
-					Endpoint: ggscore.EndpointID(name), Owner: ggscore.VMID(w.Owner), Released: w.Released, Revision: n.Revision,
+				r.Records = append(r.Records, ggsfencing.Record{
+					Endpoint: ggscore.EndpointID(name), Owner: ggscore.VMID(w.Owner), Released: w.Released,
+					Epoch: ggscore.StoreEpoch(w.Epoch), Revision: n.Revision,
 				})
 			}
 		case memberPart:
 			var w memberRecord
 			vm := ggscore.VMID(name)
 			if err = json.Unmarshal(n.Value, &w); err == nil {
-				beats = append(beats, ggsfencing.Beat{
+				r.Beats = append(r.Beats, ggsfencing.Beat{
 					VM: vm, Domain: ggscore.Domain(w.Domain), Capacity: w.Capacity, Revision: n.Revision,
 				})
 				e.adoptShapes(w.Shapes)
@@ -194,12 +227,17 @@
 				p.region = e.options.Regions[p.domain]
 				peers[vm] = p
 			}
+		case epochPart:
+			var w epochRecord
+			if err = json.Unmarshal(n.Value, &w); err == nil {
+				r.Settled = ggscore.StoreEpoch(w.Settled)
+			}
 		}
 		if err != nil {
 			_ = level.Warn(e.Log).Log("event", ggslog.EventRecordUnreadable, "key", n.Key, "revision", n.Revision, "err", err)
 		}
 	}
-	return records, beats, peers
+	return r, peers
 }
 
 // adoptShapes takes what a VM had learnt of how endpoints read.
@@ -246,8 +284,27 @@
 	return ggsgossip.BeatInterval(heard+1, e.keeper.Owns() || !acked)
 }
 
+// recordsRead reports whether the own records were read in the current epoch. What is written
+// goes by their revisions.
+func (e *Edge) recordsRead() bool {
+	c := e.epochs.current()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	k, ok := e.keeper.Epoch()
+	return ok && k == c
+}
+
+// wakeBeats has a beat written at once.
+func (e *Edge) wakeBeats() {
+	e.kicked.Store(true)
+	notify(e.kick)
+}
+
 // beatOnce writes a beat and reports whether it was acknowledged.
 func (e *Edge) beatOnce(ctx context.Context, count *uint64) bool {
+	if !e.recordsRead() {
+		return false
+	}
 	*count++
 	e.mu.Lock()
 	p := e.keeper.Beat(e.Now())
@@ -263,10 +320,13 @@
 		return false
 	}
 	t := ggscore.Txn{
-		Epoch:      e.epochs.current(),
+		Epoch:      p.Epoch,
 		Conditions: []ggscore.TxnCondition{{Key: e.memberKey(e.options.VM), Revision: p.Revision}},
 		Writes:     []ggscore.TxnWrite{{Key: e.memberKey(e.options.VM), Value: v}},
 	}
+	if p.Settle {
+		t.Writes = append(t.Writes, e.settled(p.Epoch)...)
+	}
 	for _, r := range p.Records {
 		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ordererKey(r.Endpoint), Revision: r.Revision})
 	}
@@ -283,7 +343,7 @@
 		return false
 	}
 	e.mu.Lock()
-	e.keeper.BeatEnded(sent, p, at.Revision, refused)
+	e.keeper.BeatEnded(sent, p, at, refused)
 	e.mu.Unlock()
 	if refused {
 		_ = level.Info(e.Log).Log("event", ggslog.EventBeatRefused, "revision", p.Revision, "records", len(p.Records))
@@ -301,8 +361,17 @@
 		return
 	}
 	e.setMembers(ctx, es, at)
-	e.kicked.Store(true)
-	notify(e.kick)
+	e.wakeBeats()
+}
+
+// settled returns the write that says that an epoch is settled.
+func (e *Edge) settled(c ggscore.StoreEpoch) []ggscore.TxnWrite {
+	v, err := json.Marshal(&epochRecord{Settled: uint64(c)})
+	if err != nil {
+		_ = level.Error(e.Log).Log("event", ggslog.EventRecordUnencoded, "err", err)
+		return nil
+	}
+	return []ggscore.TxnWrite{{Key: e.epochKey(), Value: v}}
 }
 
 // claimAll writes the claims that are this VM's to write.
@@ -323,13 +392,13 @@
 	cs := e.keeper.Claims(e.Now(), ready)
 	e.mu.Unlock()
 	for _, c := range cs {
-		v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM)})
+		v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM), Epoch: uint64(c.Epoch)})
 		if err != nil {
 			_ = level.Error(e.Log).Log("event", ggslog.EventClaimUnencoded, "err", err)
 			return
 		}
 		t := ggscore.Txn{
-			Epoch:      e.epochs.current(),
+			Epoch:      c.Epoch,
 			Conditions: []ggscore.TxnCondition{{Key: e.ordererKey(c.Endpoint), Revision: c.RecordRevision}},
 			Writes:     []ggscore.TxnWrite{{Key: e.ordererKey(c.Endpoint), Value: v}},
 		}
@@ -343,7 +412,7 @@
 			continue
 		}
 		e.mu.Lock()
-		e.keeper.ClaimEnded(sent, c, at.Revision)
+		e.keeper.ClaimEnded(sent, c, at)
 		e.setWorkers(ctx)
 		e.mu.Unlock()
 	}
@@ -358,13 +427,13 @@
 	if len(p.Records) == 0 {
 		return
 	}
-	v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM), Released: true})
+	v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM), Released: true, Epoch: uint64(p.Epoch)})
 	if err != nil {
 		_ = level.Error(e.Log).Log("event", ggslog.EventReleaseUnencoded, "err", err)
 		return
 	}
 	t := ggscore.Txn{
-		Epoch:      e.epochs.current(),
+		Epoch:      p.Epoch,
 		Conditions: []ggscore.TxnCondition{{Key: e.memberKey(e.options.VM), Revision: p.Revision}},
 	}
 	for _, r := range p.Records {
--- a/io/ggsedge/seeds.go
+++ b/io/ggsedge/seeds.go
@@ -60,7 +60,7 @@
 func (e *Edge) ordererPart() EntriesPart {
 	part := EntriesPart{Prefix: string(e.options.Keys.Own)}
 	for _, r := range e.keeper.Records() {
-		v, err := json.Marshal(&ordererRecord{Owner: string(r.Owner), Released: r.Released})
+		v, err := json.Marshal(&ordererRecord{Owner: string(r.Owner), Released: r.Released, Epoch: uint64(r.Epoch)})
 		if err != nil {
 			_ = level.Error(e.Log).Log("event", ggslog.EventRecordUnencoded, "err", err)
 			continue
