fix(ggsresident): leave room for late orders under numbers that are reached later

Cause: an order that is carried out late does nothing where others have been accepted since. But the ledger sometimes counts an order that the endpoint didn't, gives the next one under a number that the endpoint hasn't reached, and goes back when it reads the report. If that order is late, it meets its condition once the endpoint has accepted one more, which may have taken the last place.

--- a/core/ggsresident/answers.go
+++ b/core/ggsresident/answers.go
@@ -25,7 +25,7 @@
 	case ggscore.PlacementMisdirected:
 		l.synced, l.moved = false, now
 	case ggscore.PlacementUnknown:
-		l.options.Unanswered.add(now, l.born, s.Expected)
+		l.options.Unanswered.add(now, s.Expected)
 		l.repeat(now, s)
 	case ggscore.PlacementConflict:
 		l.conflict(now, s)
--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -14,8 +14,9 @@
 // One VM gives an endpoint its orders, one at a time, each under the condition
 // of the number of orders that the endpoint has accepted. So an order that is
 // carried out late either comes before every later one or does nothing, and
-// places are never promised twice. Numbers start anew with the endpoint's process: places
-// are left free for late orders to the former one where they could count. The package holds no clock, no goroutine and
+// places are never promised twice. Where an order was given under a number that the endpoint
+// hadn't reached, or that its next process reaches, a place is left free for it while it may
+// still be carried out. The package holds no clock, no goroutine and
 // no lock.
 package ggsresident
 
@@ -109,8 +110,6 @@
 	// unclear is when an answer left open what the endpoint accepted.
 	unclear  time.Time
 	sequence uint64
-	// born is when the endpoint's process started, by its own word.
-	born   time.Time
 	models map[ggscore.BaseModel]bool
 	held   map[ggscore.ModelAdapter]*held
 	wants  []want
@@ -193,7 +192,7 @@
 	if l.synced && s.Sequence < l.sequence && l.unclear.IsZero() {
 		return
 	}
-	l.synced, l.unclear, l.lost, l.sequence, l.born = true, time.Time{}, nil, s.Sequence, s.Born
+	l.synced, l.unclear, l.lost, l.sequence = true, time.Time{}, nil, s.Sequence
 	before := l.held
 	l.models, l.held = map[ggscore.BaseModel]bool{}, map[ggscore.ModelAdapter]*held{}
 	for _, m := range s.Models {
--- a/core/ggsresident/orders.go
+++ b/core/ggsresident/orders.go
@@ -77,10 +77,10 @@
 	return Step{Unload: true, Target: v, Expected: l.sequence}, true
 }
 
-// late returns how many late orders to the endpoint's former processes may be carried out
-// once it has accepted the next order.
+// late returns how many late orders may be carried out once the endpoint has accepted the
+// next order.
 func (l *Ledger) late(now time.Time) int {
-	return l.options.Unanswered.chain(now, l.born, l.sequence+1)
+	return l.options.Unanswered.chain(now, l.sequence+1)
 }
 
 // poll returns the question for what is on its way.
--- a/core/ggsresident/runner_test.go
+++ b/core/ggsresident/runner_test.go
@@ -10,17 +10,29 @@
 	"greengageslip/core/ggsresident"
 )
 
+// replaceTime is how long a newer version waits for the requests of the one before.
+const replaceTime = 700 * time.Millisecond
+
 // A model is a runner as its protocol describes it: it counts accepted orders,
 // says the same again of what is on its way, and then checks the condition.
 type model struct {
 	slots    int
 	sequence uint64
 	held     map[ggscore.ModelAdapter]uint64
-	coming   map[ggscore.ModelAdapter]time.Time
+	coming   map[ggscore.ModelAdapter]replacement
+	// replaced are adapters whose newer version waits for the requests of the one before;
+	// until then the endpoint takes no other order, and its report says nothing of it.
+	replaced map[ggscore.ModelAdapter]replacement
 	late     []lateOrder
 	overfull bool
 }
 
+// A replacement is an adapter's version on its way.
+type replacement struct {
+	version uint64
+	done    time.Time
+}
+
 type lateOrder struct {
 	at   time.Time
 	step ggsresident.Step
@@ -28,14 +40,17 @@
 
 // restart starts the runner anew under its identity.
 func (m *model) restart() {
-	m.sequence, m.held, m.coming = 0, map[ggscore.ModelAdapter]uint64{}, map[ggscore.ModelAdapter]time.Time{}
+	m.sequence, m.held, m.coming = 0, map[ggscore.ModelAdapter]uint64{}, map[ggscore.ModelAdapter]replacement{}
+	m.replaced = map[ggscore.ModelAdapter]replacement{}
 }
 
 func (m *model) pass(now time.Time) {
-	for a, done := range m.coming {
-		if !now.Before(done) {
-			delete(m.coming, a)
-			m.held[a] = 1
+	for _, under := range []map[ggscore.ModelAdapter]replacement{m.coming, m.replaced} {
+		for a, r := range under {
+			if !now.Before(r.done) {
+				delete(under, a)
+				m.held[a] = r.version
+			}
 		}
 	}
 	for i := 0; i < len(m.late); {
@@ -50,14 +65,20 @@
 }
 
 func (m *model) order(now time.Time, s ggsresident.Step) ggscore.PlacementAnswer {
-	if _, ok := m.coming[s.Target]; ok && !s.Unload {
-		return ggscore.PlacementAccepted
+	for _, under := range []map[ggscore.ModelAdapter]replacement{m.coming, m.replaced} {
+		if r, ok := under[s.Target]; ok && !s.Unload && s.Version <= r.version {
+			return ggscore.PlacementAccepted
+		}
 	}
-	if s.Expected != m.sequence {
+	if s.Expected != m.sequence || len(m.replaced) > 0 {
 		return ggscore.PlacementConflict
 	}
-	_, holds := m.held[s.Target]
+	v, holds := m.held[s.Target]
 	switch {
+	case holds && !s.Unload && s.Version > v:
+		m.sequence++
+		m.replaced[s.Target] = replacement{s.Version, now.Add(replaceTime)}
+		return ggscore.PlacementAccepted
 	case s.Unload && !holds, !s.Unload && holds:
 		return ggscore.PlacementHolds
 	case s.Unload:
@@ -65,8 +86,11 @@
 		delete(m.held, s.Target)
 		return ggscore.PlacementHolds
 	}
+	if _, ok := m.coming[s.Target]; ok {
+		return ggscore.PlacementConflict
+	}
 	m.sequence++
-	m.coming[s.Target] = now.Add(250 * time.Millisecond)
+	m.coming[s.Target] = replacement{max(s.Version, 1), now.Add(250 * time.Millisecond)}
 	if len(m.held)+len(m.coming) > m.slots {
 		m.overfull = true
 	}
@@ -75,8 +99,8 @@
 
 func (m *model) status() ggscore.InstanceStatus {
 	s := ggscore.InstanceStatus{Sequence: m.sequence, Models: []ggscore.ResidentModel{{Name: "m"}}}
-	for a := range m.held {
-		s.Models[0].Adapters = append(s.Models[0].Adapters, ggscore.ResidentVersion{Adapter: a.Adapter, Version: 1})
+	for a, v := range m.held {
+		s.Models[0].Adapters = append(s.Models[0].Adapters, ggscore.ResidentVersion{Adapter: a.Adapter, Version: v})
 	}
 	for a := range m.coming {
 		s.Coming = append(s.Coming, a)
@@ -91,10 +115,8 @@
 func TestNoPlaceIsPromisedTwice(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{
-			slots: rapid.IntRange(1, 5).Draw(t, "slots"),
-			held:  map[ggscore.ModelAdapter]uint64{}, coming: map[ggscore.ModelAdapter]time.Time{},
-		}
+		m := &model{slots: rapid.IntRange(1, 5).Draw(t, "slots")}
+		m.restart()
 		l := ggsresident.NewLedger(ggsresident.Options{Slots: m.slots})
 		now := at(0)
 		loaded := 0
@@ -154,7 +176,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{slots: rapid.IntRange(mostLate+1, 8).Draw(t, "slots")}
 		m.restart()
-		now, born, unanswered := at(0), at(-time.Hour), &ggsresident.Unanswered{}
+		now, unanswered := at(0), &ggsresident.Unanswered{}
 		ledger := func() *ggsresident.Ledger {
 			return ggsresident.NewLedger(ggsresident.Options{Slots: m.slots, Unanswered: unanswered})
 		}
@@ -167,7 +189,6 @@
 			}
 			if rapid.IntRange(0, 49).Draw(t, "runner") == 0 {
 				m.restart()
-				born = now
 				noticed = now.Add(time.Duration(rapid.Int64Range(0, int64(listed)).Draw(t, "noticed")))
 			}
 			if !noticed.IsZero() && !now.Before(noticed) {
@@ -175,9 +196,7 @@
 			}
 			l.Want(now, adapter(rapid.IntRange(0, 19).Draw(t, "adapter")), 0)
 			if !l.Synced(now) {
-				st := m.status()
-				st.Born = born
-				l.Sync(now, st)
+				l.Sync(now, m.status())
 			}
 			s, ok := l.Next(now)
 			if !ok {
--- a/core/ggsresident/unanswered.go
+++ b/core/ggsresident/unanswered.go
@@ -9,21 +9,20 @@
 // out.
 const lateOrders = 20 * time.Second
 
-// An Unanswered has the orders that an endpoint didn't answer. It outlives the
-// endpoint's process: an order to a process that is gone may meet its condition at the next
-// one, which counts its orders anew.
+// An Unanswered has the orders that an endpoint didn't answer. One that was given under a
+// number which the endpoint hadn't reached meets its condition later. It outlives the
+// endpoint's process: the next one counts its orders anew.
 type Unanswered struct{ orders []unansweredOrder }
 
 type unansweredOrder struct {
 	expected uint64
-	born     time.Time
 	sent     time.Time
 }
 
-// add notes an order that the process which started at the time didn't answer.
-func (u *Unanswered) add(now time.Time, born time.Time, expected uint64) {
+// add notes an order that wasn't answered.
+func (u *Unanswered) add(now time.Time, expected uint64) {
 	u.prune(now)
-	u.orders = append(u.orders, unansweredOrder{expected: expected, born: born, sent: now})
+	u.orders = append(u.orders, unansweredOrder{expected: expected, sent: now})
 }
 
 // Empty reports whether no order may still be carried out.
@@ -36,14 +35,12 @@
 	u.orders = slices.DeleteFunc(u.orders, func(o unansweredOrder) bool { return now.Sub(o.sent) > lateOrders })
 }
 
-// chain returns how many orders to former processes may be carried out in a row at the one
-// that started at the time, once it has accepted so many orders.
-func (u *Unanswered) chain(now time.Time, born time.Time, sequence uint64) int {
+// chain returns how many late orders may be carried out in a row once the endpoint has
+// accepted so many orders.
+func (u *Unanswered) chain(now time.Time, sequence uint64) int {
 	u.prune(now)
 	n := 0
-	for slices.ContainsFunc(u.orders, func(o unansweredOrder) bool {
-		return o.expected == sequence+uint64(n) && !o.born.Equal(born)
-	}) {
+	for slices.ContainsFunc(u.orders, func(o unansweredOrder) bool { return o.expected == sequence+uint64(n) }) {
 		n++
 	}
 	return n
--- a/core/instance.go
+++ b/core/instance.go
@@ -176,8 +176,6 @@
 
 // An InstanceStatus is an instance's report on itself, some 100 ms old.
 type InstanceStatus struct {
-	// Born is when the process started, zero where the instance didn't say.
-	Born     time.Time
 	Sequence uint64
 	Models   []ResidentModel
 	// Coming lists adapters on their way to the instance.
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -296,7 +296,7 @@
 	defer e.mu.Unlock()
 	e.settle()
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, `{"stage":"both","models":%s,"busy":false,"seq":%d,"waiting":0,"running":0,"born":1}`, e.models(), e.sequence)
+	_, _ = fmt.Fprintf(w, `{"stage":"both","models":%s,"busy":false,"seq":%d,"waiting":0,"running":0}`, e.models(), e.sequence)
 }
 
 // missing reports whether the request needs an adapter that isn't there.
