fix(ggsresident): don't order a version again that waits for the one before

Callers saw: for 2 s at a time an endpoint took no orders, so requests for adapters that it didn't hold waited and were refused, while a newer version of one of its adapters was due.

Cause: while a newer version waits for the requests of the one before, the endpoint refuses all other orders, and its report names the old version only. The ledger read it, ordered the version again, was told "accepted" for an order that the endpoint didn't count, and gave all others under a number too high.

Ruled out: that the orders themselves are late (the refusals arrive in 0.5 to 5 ms).

Change: a version that was accepted stays on its way when a report names an older one, and is asked for, which the endpoint doesn't count either way.

Figures: TestVersionOnItsWayIsNotOrderedAgain fails before (the order isn't a question).

--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -202,6 +202,7 @@
 			h := &held{version: a.Version, target: a.Version}
 			if b := before[t]; b != nil {
 				h.used, h.users, h.released = b.used, b.users, b.released
+				h.replace(now, b)
 			}
 			l.held[t] = h
 		}
@@ -219,6 +220,14 @@
 	}
 }
 
+// replace keeps that a newer version is on its way, which the report doesn't say while it
+// waits for the requests of the one before.
+func (h *held) replace(now time.Time, before *held) {
+	if before.coming && before.target > h.version {
+		h.coming, h.target, h.ordered, h.poll = true, before.target, before.ordered, now
+	}
+}
+
 // Restarted forgets all: the endpoint started anew.
 func (l *Ledger) Restarted() {
 	*l = *NewLedger(l.options)
--- a/core/ggsresident/number_test.go
+++ b/core/ggsresident/number_test.go
@@ -46,3 +46,27 @@
 		c.Assert(s.Unload, qt.IsTrue, qt.Commentf("%+v", s))
 	}
 }
+
+// Guards against a version that is ordered again while it waits for the requests of the one before: the endpoint doesn't
+// count it, and refuses each order under the next number.
+func TestVersionOnItsWayIsNotOrderedAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	const resync = 450 * time.Millisecond
+	l := ggsresident.NewLedger(ggsresident.Options{Slots: 2})
+	now := at(0)
+	l.Sync(now, report(10, adapter(0), 1))
+	l.Want(now, adapter(0), 2)
+	l.Ended(now, next(c, l, now), ggscore.PlacementAccepted)
+	l.Want(now, adapter(1), 0)
+	l.Ended(now, next(c, l, now), ggscore.PlacementConflict)
+	now = now.Add(resync)
+	l.Sync(now, report(11, adapter(0), 1))
+
+	l.Want(now, adapter(0), 2)
+	s := next(c, l, now)
+	c.Assert(s, qt.Equals, ggsresident.Step{Target: adapter(0), Version: 2, Expected: 11, Poll: true})
+	l.Ended(now, s, ggscore.PlacementAccepted)
+	l.Want(now, adapter(1), 0)
+	c.Assert(next(c, l, now), qt.Equals, ggsresident.Step{Target: adapter(1), Expected: 11})
+}
--- a/core/ggsresident/runner_test.go
+++ b/core/ggsresident/runner_test.go
@@ -216,3 +216,46 @@
 		}
 	})
 }
+
+// Guards against a late order that was given under a number which the endpoint had not reached: it counts once others have filled its place.
+func TestNoPlaceIsPromisedTwiceWhileVersionsAreReplaced(t *testing.T) {
+	t.Parallel()
+	const adapters = 12
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{slots: rapid.IntRange(3, 6).Draw(t, "slots")}
+		m.restart()
+		l := ggsresident.NewLedger(ggsresident.Options{Slots: m.slots})
+		now := at(0)
+		var newest [adapters]uint64
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "pass")) * time.Millisecond)
+			m.pass(now)
+			if m.overfull {
+				t.Fatal("more adapters than places")
+			}
+			a := rapid.IntRange(0, adapters-1).Draw(t, "adapter")
+			if rapid.IntRange(0, 9).Draw(t, "newer") == 0 {
+				newest[a]++
+			}
+			l.Want(now, adapter(a), newest[a])
+			if !l.Synced(now) {
+				l.Sync(now, m.status())
+			}
+			s, ok := l.Next(now)
+			if !ok {
+				continue
+			}
+			answer := ggscore.PlacementUnknown
+			switch rapid.IntRange(0, 5).Draw(t, "fate") {
+			case 0: // carried out, the answer is lost
+				m.order(now, s)
+			case 1: // carried out late
+				d := time.Duration(rapid.IntRange(2000, 12000).Draw(t, "late")) * time.Millisecond
+				m.late = append(m.late, lateOrder{at: now.Add(d), step: s})
+			default:
+				answer = m.order(now, s)
+			}
+			l.Ended(now, s, answer)
+		}
+	})
+}
