fix(ggsedge): pause between beats that the store refuses

Cause: a refused beat has the records read anew and the next beat written at once. Where that one is refused as well, as each was after the store came back from an older copy, nothing paused in between.

--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -252,9 +252,16 @@
 // giveOrders writes beats and claims.
 func (e *Edge) giveOrders(ctx context.Context) error {
 	var count uint64
+	refusals := 0
 	for ctx.Err() == nil {
 		sent := e.Steady()
-		e.claimUntilBeat(ctx, sent, e.beatOnce(ctx, &count))
+		r := e.beatOnce(ctx, &count)
+		if r != beatRefused {
+			refusals = 0
+		} else if refusals++; refusals > 1 && !e.pauseFailed(ctx, refusals-1) {
+			return nil
+		}
+		e.claimUntilBeat(ctx, sent, r == beatAcknowledged)
 	}
 	return nil
 }
@@ -300,10 +307,20 @@
 	notify(e.kick)
 }
 
-// beatOnce writes a beat and reports whether it was acknowledged.
-func (e *Edge) beatOnce(ctx context.Context, count *uint64) bool {
+// A beatResult is what became of a beat.
+type beatResult int
+
+const (
+	// beatUnsent is a beat that wasn't written, or whose answer was lost.
+	beatUnsent beatResult = iota
+	beatAcknowledged
+	beatRefused
+)
+
+// beatOnce writes a beat.
+func (e *Edge) beatOnce(ctx context.Context, count *uint64) beatResult {
 	if !e.recordsRead() {
-		return false
+		return beatUnsent
 	}
 	*count++
 	e.mu.Lock()
@@ -317,7 +334,7 @@
 	})
 	if err != nil {
 		_ = level.Error(e.Log).Log("event", ggslog.EventBeatUnencoded, "err", err)
-		return false
+		return beatUnsent
 	}
 	t := ggscore.Txn{
 		Epoch:      p.Epoch,
@@ -340,7 +357,7 @@
 	refused := errors.As(err, &conflict)
 	if err != nil && !refused {
 		_ = level.Info(e.Log).Log("event", ggslog.EventBeatFailed, "err", err)
-		return false
+		return beatUnsent
 	}
 	e.mu.Lock()
 	e.keeper.BeatEnded(sent, p, at, refused)
@@ -348,9 +365,9 @@
 	if refused {
 		_ = level.Info(e.Log).Log("event", ggslog.EventBeatRefused, "revision", p.Revision, "records", len(p.Records))
 		e.reread(ctx)
-		return false
+		return beatRefused
 	}
-	return true
+	return beatAcknowledged
 }
 
 // reread reads the own records anew after a refusal.
