--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -110,9 +110,9 @@
 	// unclear is when an answer left open what the endpoint accepted.
 	unclear  time.Time
 	sequence uint64
-	models map[ggscore.BaseModel]bool
-	held   map[ggscore.ModelAdapter]*held
-	wants  []want
+	models   map[ggscore.BaseModel]bool
+	held     map[ggscore.ModelAdapter]*held
+	wants    []want
 	// kept lists adapters that were ordered before: the endpoint may still have
 	// them in its own memory.
 	kept map[ggscore.ModelAdapter]bool
