fix(ggsedge): keep what was seen of endpoints while the store's copy knows less

Callers saw: after the store came back from an older copy, requests at an endpoint that had said that it leaves (its entry says "ready" again until the endpoint writes it), and refusals for want of endpoints whose entries are missing.

Cause: each reading of the list replaced the one before. That is right within one history of the store; a copy lacks entries that were written since and still has those that are gone.

Change: core/ggsregistry decides on the list across epochs. An endpoint that was seen leaving stays so for its process, one that is missing stays for 2 s, one that was seen to be gone stays so until its entry is written in the new epoch or has outlived a process by 10 s. The list is read again when one of these times is over, also where no peer sees it change.

--- a/cmd/ggsnode/edge_epoch_test.go
+++ b/cmd/ggsnode/edge_epoch_test.go
@@ -96,3 +96,26 @@
 		})
 	}
 }
+
+// Guards against an endpoint that said that it leaves in what the store lost, and is ready in the copy.
+func TestEndpointThatWasSeenLeavingStaysSoAfterTheStoreCameBackFromACopy(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2)
+	var begun time.Time
+	s.returnFromCopy(func() {
+		begun = time.Now()
+		s.site.Drain("ledger-0")
+	})
+	served, all := s.callSteadily(http.MethodGet, "/look/1", "", 20*time.Millisecond, 2*rewriteTime)
+	s.c.Check(s.lateArrivals("ledger-0", begun), qt.Equals, 0)
+	s.c.Check(served, qt.Equals, all)
+}
+
+// Guards against endpoints that came up in what the store lost, and are taken for gone until they write their entries again.
+func TestEndpointsAreKeptWhileTheirEntriesAreLost(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2)
+	s.returnFrom(s.site.Store.Copy().Without("servers/"), func() {})
+	served, all := s.callSteadily(http.MethodGet, "/look/1", "", 20*time.Millisecond, 2*rewriteTime)
+	s.c.Check(served, qt.Equals, all)
+}
--- /dev/null
+++ b/core/ggsregistry/registry_test.go
@@ -0,0 +1,137 @@
+package ggsregistry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsregistry"
+)
+
+func at(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+
+func position(e ggscore.StoreEpoch, r ggscore.StoreRevision) ggscore.StorePosition {
+	return ggscore.StorePosition{Epoch: e, Revision: r}
+}
+
+func entry(id ggscore.EndpointID, r ggscore.StoreRevision, born int64, leaving bool) ggsregistry.Entry {
+	return ggsregistry.Entry{Instance: ggscore.Instance{ID: id, Born: time.UnixMilli(born), Leaving: leaving}, Revision: r}
+}
+
+// A reading is one of the list, some time after the start.
+type reading struct {
+	after   time.Duration
+	at      ggscore.StorePosition
+	entries []ggsregistry.Entry
+}
+
+// Guards against endpoints that a copy of the store brings back, or takes from the list, though they said otherwise.
+func TestListOfANewEpoch(t *testing.T) {
+	t.Parallel()
+	const (
+		back  = 10 * time.Second
+		short = back + time.Second
+	)
+	ready := entry("e", 5, 1, false)
+	for name, tc := range map[string]struct {
+		readings []reading
+		// listed says that the endpoint is on the list at the end, leaving that it leaves.
+		listed, leaving bool
+	}{
+		"one epoch, leaving is taken back": {
+			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry("e", 7, 1, true)}}, {short, position(1, 12), []ggsregistry.Entry{ready}}},
+			listed:   true,
+		},
+		"seen leaving, the copy says ready": {
+			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry("e", 7, 1, true)}}, {back, position(2, 6), []ggsregistry.Entry{ready}}},
+			listed:   true, leaving: true,
+		},
+		"seen leaving, two returns": {
+			readings: []reading{
+				{0, position(1, 9), []ggsregistry.Entry{entry("e", 7, 1, true)}},
+				{back, position(2, 6), []ggsregistry.Entry{ready}},
+				{short, position(3, 6), []ggsregistry.Entry{ready}},
+			},
+			listed: true, leaving: true,
+		},
+		"seen leaving, started anew": {
+			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry("e", 7, 1, true)}}, {back, position(2, 6), []ggsregistry.Entry{entry("e", 6, 2, false)}}},
+			listed:   true,
+		},
+		"seen gone, the copy has it": {
+			readings: []reading{{0, position(1, 6), []ggsregistry.Entry{ready}}, {time.Second, position(1, 9), nil}, {back, position(2, 6), []ggsregistry.Entry{ready}}},
+		},
+		"seen gone, its entry is written again": {
+			readings: []reading{
+				{0, position(1, 6), []ggsregistry.Entry{ready}},
+				{time.Second, position(1, 9), nil},
+				{back, position(2, 6), []ggsregistry.Entry{ready}},
+				{short, position(2, 8), []ggsregistry.Entry{entry("e", 8, 1, false)}},
+			},
+			listed: true,
+		},
+		"seen gone, started anew": {
+			readings: []reading{{0, position(1, 6), []ggsregistry.Entry{ready}}, {time.Second, position(1, 9), nil}, {back, position(2, 6), []ggsregistry.Entry{entry("e", 5, 2, false)}}},
+			listed:   true,
+		},
+		"seen gone, its entry outlives it": {
+			readings: []reading{
+				{0, position(1, 6), []ggsregistry.Entry{ready}},
+				{time.Second, position(1, 9), nil},
+				{back, position(2, 6), []ggsregistry.Entry{ready}},
+				{back + ggsregistry.CopyTrust, position(2, 8), []ggsregistry.Entry{ready}},
+			},
+			listed: true,
+		},
+		"missing for a moment": {
+			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry("e", 8, 1, false)}}, {back, position(2, 6), nil}},
+			listed:   true,
+		},
+		"missing for a moment, leaving": {
+			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry("e", 8, 1, true)}}, {back, position(2, 6), nil}},
+			listed:   true, leaving: true,
+		},
+		"still missing": {
+			readings: []reading{
+				{0, position(1, 9), []ggsregistry.Entry{entry("e", 8, 1, false)}}, {back, position(2, 6), nil}, {back + ggsregistry.MissingGrace, position(2, 8), nil},
+			},
+		},
+		"missing, back, then gone": {
+			readings: []reading{
+				{0, position(1, 9), []ggsregistry.Entry{entry("e", 8, 1, false)}},
+				{back, position(2, 6), nil},
+				{back + time.Second/2, position(2, 7), []ggsregistry.Entry{entry("e", 7, 1, false)}},
+				{short, position(2, 8), nil},
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := ggsregistry.NewRegistry()
+			var list []ggscore.Instance
+			for _, x := range tc.readings {
+				list = r.Read(at(x.after), x.at, x.entries)
+			}
+			c.Assert(len(list) > 0, qt.Equals, tc.listed)
+			if tc.listed {
+				c.Check(list[0].Leaving, qt.Equals, tc.leaving)
+			}
+		})
+	}
+}
+
+// Guards against a VM that keeps a missing endpoint because nobody sees the list change.
+func TestListIsDueAgainWhileItMayChangeByItself(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	r := ggsregistry.NewRegistry()
+	r.Read(at(0), position(1, 9), []ggsregistry.Entry{entry("e", 8, 1, false)})
+	c.Check(r.Due(at(0)).IsZero(), qt.IsTrue)
+	r.Read(at(time.Second), position(2, 6), nil)
+	c.Check(r.Due(at(time.Second)), qt.Equals, at(time.Second+ggsregistry.MissingGrace))
+	r.Read(at(time.Second+ggsregistry.MissingGrace), position(2, 8), nil)
+	c.Check(r.Due(at(time.Second+ggsregistry.MissingGrace)).IsZero(), qt.IsTrue)
+}
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -14,6 +14,7 @@
 	"greengageslip/core/ggsfencing"
 	"greengageslip/core/ggspath"
 	"greengageslip/core/ggsplace"
+	"greengageslip/core/ggsregistry"
 	"greengageslip/core/ggsrelay"
 	"greengageslip/core/ggsresident"
 	"greengageslip/core/ggsretry"
@@ -115,6 +116,7 @@
 
 	mu       sync.Mutex
 	table    *ggsplace.Table
+	registry *ggsregistry.Registry
 	keeper   *ggsfencing.Keeper
 	turns    *ggsturn.Table
 	node     *ggsrelay.Node
@@ -229,6 +231,7 @@
 		keeper:           ggsfencing.NewKeeper(ggsfencing.Options{Self: o.VM, Domain: o.Domain, Turn: o.Turn, FirstStart: o.FirstStart}),
 		retries:          ggsretry.NewPolicy(retryOptions(o)),
 		limits:           limits,
+		registry:         ggsregistry.NewRegistry(),
 		versions:         map[ggscore.ModelAdapter]uint64{},
 		workers:          map[ggscore.EndpointID]*worker{},
 		unansweredOrders: map[ggscore.EndpointID]*ggsresident.Unanswered{},
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,6 +11,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsgossip"
+	"greengageslip/core/ggsregistry"
 	"greengageslip/io/ggslog"
 )
 
@@ -55,11 +57,11 @@
 func (e *Edge) waitForList(ctx context.Context) bool {
 	limit := e.listLimit()
 	for {
-		age := e.listAge()
-		if age >= limit {
+		left := min(limit-e.listAge(), e.untilListDue())
+		if left <= 0 {
 			return true
 		}
-		if !pauseOr(ctx, max(limit-age, listTick), e.listNotified) {
+		if !pauseOr(ctx, max(left, listTick), e.listNotified) {
 			return false
 		}
 		if e.listBehind() {
@@ -68,6 +70,18 @@
 	}
 }
 
+// untilListDue returns the time until the list may change though no entry does.
+func (e *Edge) untilListDue() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Now()
+	due := e.registry.Due(now)
+	if due.IsZero() {
+		return math.MaxInt64
+	}
+	return due.Sub(now)
+}
+
 // listLimit returns the age of the list from which this VM reads it.
 func (e *Edge) listLimit() time.Duration {
 	heard := e.livePeers()
@@ -184,6 +198,7 @@
 // answered it.
 func (e *Edge) setInstances(ctx context.Context, r partReading) {
 	es, at := r.entries, r.at
+	readable := make([]ggsregistry.Entry, 0, len(es))
 	list := make([]ggscore.Instance, 0, len(es))
 	for _, n := range es {
 		i, err := e.Codec.Instance(n)
@@ -191,9 +206,13 @@
 			_ = level.Debug(e.Log).Log("event", ggslog.EventEntryUnreadable, "err", err)
 			continue
 		}
+		readable = append(readable, ggsregistry.Entry{Instance: i, Revision: n.Revision})
 		list = append(list, i)
 	}
 	e.mu.Lock()
+	if !at.IsZero() {
+		list = e.registry.Read(e.Now(), at, readable)
+	}
 	change := e.table.SetInstances(list)
 	e.keeper.SetListed(e.Now(), list)
 	if !at.IsZero() {
