fix(ggsedge): fetch from peers what operators wrote and the store has lost

Callers saw: a VM that starts on an older copy of the store handles requests by an older configuration than all others, for as long as the operator doesn't write the newest again.

Cause: a VM that had read the store took its word alone; peers were asked only while the store is away. What VMs keep for such questions was replaced by the copy's older entries.

Change: heartbeats and summaries say which version of the configuration is in force, and the sum of the adapters' versions. A VM that has read the store as far as a peer and still has less a second later asks that peer, or the relays of its domain. Entries that are kept for others go by their own versions, not by the store's revisions.

Why it works: versions only rise, so what a peer has in force is never older than what the store has lost. Two VMs that each know a version of another adapter that the other lacks have the same sum and don't ask; the operator's writing again mends that.

Evidence: TestNewestConfigurationOutlivesTheStoreThatLostIt fails before (20 s in vain), and passes after.

--- a/cmd/ggsnode/edge_epoch_test.go
+++ b/cmd/ggsnode/edge_epoch_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengageslip/fakes/ggsfakesite"
+	ggsdialect "greengageslip/platform"
 )
 
 const (
@@ -119,3 +120,37 @@
 	served, all := s.callSteadily(http.MethodGet, "/look/1", "", 20*time.Millisecond, 2*rewriteTime)
 	s.c.Check(served, qt.Equals, all)
 }
+
+// Guards against VMs that start on an older copy of the store and go by an older configuration than their peers.
+func TestNewestConfigurationOutlivesTheStoreThatLostIt(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2)
+	served := func(n int, path, model string) bool {
+		return s.call(n, http.MethodPost, path, model, "Hola").status == http.StatusOK
+	}
+	s.returnFromCopy(func() {
+		s.site.Store.Put("op/config", ggsfakesite.Config(5, "/talk/"))
+		s.site.Store.Put("op/version/m.a7", []byte(`{"model":"m","adapter":"a7","version":2}`))
+		for n := range s.edges {
+			s.eventually("the newest is in force", func() bool { return served(n, "/talk/x", "") })
+		}
+	})
+	s.startEdgeWith(t, len(s.edges), func(c *ggsdialect.Settings) { c.FirstStart = false })
+	last := len(s.edges) - 1
+	s.eventually("the newest is in force at a VM that starts", func() bool { return served(last, "/talk/x", "") })
+	for n := range s.edges {
+		s.c.Check(served(n, "/chat/x", ""), qt.IsFalse, qt.Commentf("edge %d", n))
+	}
+	s.eventually("the adapter's version is known at a VM that starts", func() bool {
+		for _, v := range s.state(last).Versions {
+			if v.Target.Adapter == "a7" && v.Version == 2 {
+				return true
+			}
+		}
+		return false
+	})
+	s.site.Store.Put("op/config", ggsfakesite.Config(6, "/speak/"))
+	for n := range s.edges {
+		s.eventually("the operator's next is in force", func() bool { return served(n, "/speak/x", "") })
+	}
+}
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -117,11 +117,22 @@
 // orderers returns the number of runners of which an edge knows who gives them
 // orders.
 func (s *siteTest) orderers(n int) int {
+	known := 0
+	for _, e := range s.state(n).Endpoints {
+		if e.Orderer != "" {
+			known++
+		}
+	}
+	return known
+}
+
+// state returns what an edge goes by, empty where it doesn't answer.
+func (s *siteTest) state(n int) ggsedge.State {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+s.edges[n].settings.Ready.String()+"/state", nil)
 	s.c.Assert(err, qt.IsNil)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0
+		return ggsedge.State{}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var d struct {
@@ -130,13 +141,7 @@
 		} `json:"parts"`
 	}
 	s.c.Assert(json.NewDecoder(resp.Body).Decode(&d), qt.IsNil)
-	known := 0
-	for _, e := range d.Parts.Edge.Endpoints {
-		if e.Orderer != "" {
-			known++
-		}
-	}
-	return known
+	return d.Parts.Edge
 }
 
 func (s *siteTest) ready(n int) int {
--- a/core/ggsregistry/registry_test.go
+++ b/core/ggsregistry/registry_test.go
@@ -16,8 +16,8 @@
 	return ggscore.StorePosition{Epoch: e, Revision: r}
 }
 
-func entry(id ggscore.EndpointID, r ggscore.StoreRevision, born int64, leaving bool) ggsregistry.Entry {
-	return ggsregistry.Entry{Instance: ggscore.Instance{ID: id, Born: time.UnixMilli(born), Leaving: leaving}, Revision: r}
+func entry(r ggscore.StoreRevision, born int64, leaving bool) ggsregistry.Entry {
+	return ggsregistry.Entry{Instance: ggscore.Instance{ID: "e", Born: time.UnixMilli(born), Leaving: leaving}, Revision: r}
 }
 
 // A reading is one of the list, some time after the start.
@@ -34,30 +34,30 @@
 		back  = 10 * time.Second
 		short = back + time.Second
 	)
-	ready := entry("e", 5, 1, false)
+	ready := entry(5, 1, false)
 	for name, tc := range map[string]struct {
 		readings []reading
 		// listed says that the endpoint is on the list at the end, leaving that it leaves.
 		listed, leaving bool
 	}{
 		"one epoch, leaving is taken back": {
-			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry("e", 7, 1, true)}}, {short, position(1, 12), []ggsregistry.Entry{ready}}},
+			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry(7, 1, true)}}, {short, position(1, 12), []ggsregistry.Entry{ready}}},
 			listed:   true,
 		},
 		"seen leaving, the copy says ready": {
-			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry("e", 7, 1, true)}}, {back, position(2, 6), []ggsregistry.Entry{ready}}},
+			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry(7, 1, true)}}, {back, position(2, 6), []ggsregistry.Entry{ready}}},
 			listed:   true, leaving: true,
 		},
 		"seen leaving, two returns": {
 			readings: []reading{
-				{0, position(1, 9), []ggsregistry.Entry{entry("e", 7, 1, true)}},
+				{0, position(1, 9), []ggsregistry.Entry{entry(7, 1, true)}},
 				{back, position(2, 6), []ggsregistry.Entry{ready}},
 				{short, position(3, 6), []ggsregistry.Entry{ready}},
 			},
 			listed: true, leaving: true,
 		},
 		"seen leaving, started anew": {
-			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry("e", 7, 1, true)}}, {back, position(2, 6), []ggsregistry.Entry{entry("e", 6, 2, false)}}},
+			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry(7, 1, true)}}, {back, position(2, 6), []ggsregistry.Entry{entry(6, 2, false)}}},
 			listed:   true,
 		},
 		"seen gone, the copy has it": {
@@ -68,12 +68,12 @@
 				{0, position(1, 6), []ggsregistry.Entry{ready}},
 				{time.Second, position(1, 9), nil},
 				{back, position(2, 6), []ggsregistry.Entry{ready}},
-				{short, position(2, 8), []ggsregistry.Entry{entry("e", 8, 1, false)}},
+				{short, position(2, 8), []ggsregistry.Entry{entry(8, 1, false)}},
 			},
 			listed: true,
 		},
 		"seen gone, started anew": {
-			readings: []reading{{0, position(1, 6), []ggsregistry.Entry{ready}}, {time.Second, position(1, 9), nil}, {back, position(2, 6), []ggsregistry.Entry{entry("e", 5, 2, false)}}},
+			readings: []reading{{0, position(1, 6), []ggsregistry.Entry{ready}}, {time.Second, position(1, 9), nil}, {back, position(2, 6), []ggsregistry.Entry{entry(5, 2, false)}}},
 			listed:   true,
 		},
 		"seen gone, its entry outlives it": {
@@ -86,23 +86,23 @@
 			listed: true,
 		},
 		"missing for a moment": {
-			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry("e", 8, 1, false)}}, {back, position(2, 6), nil}},
+			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry(8, 1, false)}}, {back, position(2, 6), nil}},
 			listed:   true,
 		},
 		"missing for a moment, leaving": {
-			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry("e", 8, 1, true)}}, {back, position(2, 6), nil}},
+			readings: []reading{{0, position(1, 9), []ggsregistry.Entry{entry(8, 1, true)}}, {back, position(2, 6), nil}},
 			listed:   true, leaving: true,
 		},
 		"still missing": {
 			readings: []reading{
-				{0, position(1, 9), []ggsregistry.Entry{entry("e", 8, 1, false)}}, {back, position(2, 6), nil}, {back + ggsregistry.MissingGrace, position(2, 8), nil},
+				{0, position(1, 9), []ggsregistry.Entry{entry(8, 1, false)}}, {back, position(2, 6), nil}, {back + ggsregistry.MissingGrace, position(2, 8), nil},
 			},
 		},
 		"missing, back, then gone": {
 			readings: []reading{
-				{0, position(1, 9), []ggsregistry.Entry{entry("e", 8, 1, false)}},
+				{0, position(1, 9), []ggsregistry.Entry{entry(8, 1, false)}},
 				{back, position(2, 6), nil},
-				{back + time.Second/2, position(2, 7), []ggsregistry.Entry{entry("e", 7, 1, false)}},
+				{back + time.Second/2, position(2, 7), []ggsregistry.Entry{entry(7, 1, false)}},
 				{short, position(2, 8), nil},
 			},
 		},
@@ -128,7 +128,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	r := ggsregistry.NewRegistry()
-	r.Read(at(0), position(1, 9), []ggsregistry.Entry{entry("e", 8, 1, false)})
+	r.Read(at(0), position(1, 9), []ggsregistry.Entry{entry(8, 1, false)})
 	c.Check(r.Due(at(0)).IsZero(), qt.IsTrue)
 	r.Read(at(time.Second), position(2, 6), nil)
 	c.Check(r.Due(at(time.Second)), qt.Equals, at(time.Second+ggsregistry.MissingGrace))
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -41,6 +41,10 @@
 	// ListAge and OperatorsAge are the times since they were read.
 	ListAge      time.Duration
 	OperatorsAge time.Duration
+	// Config is the version of the configuration in force, Versions the sum of those of
+	// adapters: they may be greater than the store's, which may have lost the newest.
+	Config   uint64
+	Versions uint64
 }
 
 // Merge returns the newest of two readings.
@@ -49,6 +53,7 @@
 		Epoch:    max(n.Epoch, o.Epoch),
 		ListedAt: n.ListedAt.Max(o.ListedAt), OperatedAt: n.OperatedAt.Max(o.OperatedAt),
 		ListAge: min(n.ListAge, o.ListAge), OperatorsAge: min(n.OperatorsAge, o.OperatorsAge),
+		Config: max(n.Config, o.Config), Versions: max(n.Versions, o.Versions),
 	}
 }
 
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -122,8 +122,11 @@
 	node     *ggsrelay.Node
 	retries  *ggsretry.Policy
 	limits   *ggsthrottle.Table
-	versions map[ggscore.ModelAdapter]uint64
-	workers  map[ggscore.EndpointID]*worker
+	// versions are those of adapters in force, versionSum their sum.
+	versions   map[ggscore.ModelAdapter]uint64
+	versionSum uint64
+	newer      newerEntries
+	workers    map[ggscore.EndpointID]*worker
 	// unanswered has the orders that endpoints didn't answer, also those to processes that
 	// are gone.
 	unansweredOrders map[ggscore.EndpointID]*ggsresident.Unanswered
@@ -294,6 +297,7 @@
 	})
 	g.Go(func() error { return e.giveOrders(ctx) })
 	g.Go(func() error { return e.askSeeds(ctx) })
+	g.Go(func() error { return e.fetchNewer(ctx) })
 	return g.Wait()
 }
 
--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -173,6 +173,7 @@
 		Epoch:    e.epochs.current(),
 		ListedAt: e.listedAt, OperatedAt: e.operatedAt,
 		ListAge: min(now.Sub(e.listReadTime), time.Hour), OperatorsAge: min(now.Sub(e.operatorsReadTime), time.Hour),
+		Config: e.configVersion(), Versions: e.versionSum,
 	}
 }
 
@@ -240,7 +241,7 @@
 	if e.node.Large() && now.Sub(e.summarized) < summaryAge {
 		return
 	}
-	e.adoptNews(now, h.News)
+	e.adoptNews(now, h.VM, h.News)
 	e.table.SetPeer(now, h.VM, h.InFlight)
 	e.adoptHoldings(now, h.Holdings)
 	e.adoptTurns(now, h.VM, h.Samples, h.Tallies, h.Modes)
@@ -273,7 +274,7 @@
 			p.heard = now
 		}
 	}
-	e.adoptNews(now, v.News)
+	e.adoptNews(now, fleet, v.News)
 	if v.Counts {
 		e.table.SetPeers(now, v.InFlight)
 	}
@@ -300,9 +301,10 @@
 	return own
 }
 
-// adoptNews takes how far others read the store. Edge.mu is held.
-func (e *Edge) adoptNews(now time.Time, n ggscore.News) {
+// adoptNews takes how far a VM or the fleet read the store. Edge.mu is held.
+func (e *Edge) adoptNews(now time.Time, vm ggscore.VMID, n ggscore.News) {
 	e.epochs.learn(n.Epoch)
+	e.noteNewer(now, vm, n)
 	// What was read in an epoch that has ended is no reading of the store.
 	if n.Epoch == e.epochs.current() {
 		if at := now.Add(-n.ListAge - heartbeatDelay); at.After(e.listObserved) {
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -95,12 +95,7 @@
 		value      func() float64
 	}{
 		{"active_requests", "Requests under way.", func() float64 { return float64(e.stats.Active.Load()) }},
-		{"config_version", "Version of the configuration in force, 0 for none.", func() float64 {
-			if t := e.paths.Load(); t != nil {
-				return float64(t.Config.Version)
-			}
-			return 0
-		}},
+		{"config_version", "Version of the configuration in force, 0 for none.", func() float64 { return float64(e.configVersion()) }},
 		{"list_age_seconds", "Time since this VM or a peer read the list of endpoints.", locked(func() float64 {
 			return e.Now().Sub(e.listObserved).Seconds()
 		})},
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -47,10 +47,7 @@
 		e.dependency(&away, true, "operators", nil)
 		at = at.Max(next)
 		e.readOperators(at, es)
-		e.keepOperators(es)
-		for _, n := range es {
-			e.adopt(n)
-		}
+		e.adoptOperators(es)
 	}
 	return nil
 }
@@ -241,26 +238,38 @@
 	return e.Now().Sub(e.behindSince)
 }
 
-// adopt takes an operators' entry. One that can't be read leaves what was
-// before in force.
-func (e *Edge) adopt(n ggscore.Entry) {
+// adoptOperators takes operators' entries, and keeps those that aren't older than what is in
+// force: after a return of the store from a copy its own may be.
+func (e *Edge) adoptOperators(es []ggscore.Entry) {
+	var kept []ggscore.Entry
+	for _, n := range es {
+		if e.adopt(n) {
+			kept = append(kept, n)
+		}
+	}
+	e.keepOperators(kept)
+}
+
+// adopt takes an operators' entry, and reports whether it is as new as what is in force. One
+// that can't be read leaves what was before in force.
+func (e *Edge) adopt(n ggscore.Entry) bool {
 	if n.Key == e.options.Keys.Config && n.Value != nil {
-		e.adoptConfig(n)
-		return
+		return e.adoptConfig(n)
 	}
 	v, ok, err := e.Codec.Version(n)
 	if err != nil {
 		_ = level.Warn(e.Log).Log("event", ggslog.EventVersionUnreadable, "err", err)
-		return
+		return false
 	}
 	if !ok {
-		return
+		return true
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if v.Version <= e.versions[v.Target] {
-		return
+		return v.Version == e.versions[v.Target]
 	}
+	e.versionSum += v.Version - e.versions[v.Target]
 	e.versions[v.Target] = v.Version
 	_ = level.Info(e.Log).Log("event", ggslog.EventVersionAdopted, "adapter", v.Target, "version", v.Version, "revision", n.Revision)
 	for _, w := range e.workers {
@@ -269,17 +278,26 @@
 			w.wake()
 		}
 	}
+	return true
+}
+
+// configVersion returns the version of the configuration in force, zero for none.
+func (e *Edge) configVersion() uint64 {
+	if t := e.paths.Load(); t != nil {
+		return t.Config.Version
+	}
+	return 0
 }
 
-func (e *Edge) adoptConfig(n ggscore.Entry) {
+func (e *Edge) adoptConfig(n ggscore.Entry) bool {
 	c, err := e.Codec.Config(n)
 	if err != nil {
 		_ = level.Warn(e.Log).Log("event", ggslog.EventConfigUnreadable, "err", err)
-		return
+		return false
 	}
 	// A stale answer must not take a configuration back.
-	if t := e.paths.Load(); t != nil && c.Version <= t.Config.Version {
-		return
+	if in := e.configVersion(); c.Version <= in {
+		return c.Version == in
 	}
 	e.paths.Store(ggspath.NewTable(c))
 	e.mu.Lock()
@@ -291,4 +309,5 @@
 	}
 	e.mu.Unlock()
 	_ = level.Info(e.Log).Log("event", ggslog.EventConfigAdopted, "version", c.Version, "revision", n.Revision, "routes", len(c.Routes))
+	return true
 }
--- a/io/ggsedge/parts.go
+++ b/io/ggsedge/parts.go
@@ -82,6 +82,13 @@
 	return b, nil
 }
 
+// forget has a part packed anew: its entries have changed at the same position.
+func (p *packer) forget(prefix ggscore.Key) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.packed, prefix)
+}
+
 func packEntries(es []ggscore.Entry) ([]byte, error) {
 	ws := make([]StoredEntry, 0, len(es))
 	for _, n := range es {
@@ -180,22 +187,32 @@
 	first := int(ggsrelay.Hash(e.options.VM))
 	for i := range to {
 		addr := to[(first+i)%len(to)]
-		var r PartReply
-		err = e.Calls.CallLong(ctx, partSilence, addr, partMethod, &PartArgs{
-			Prefix: string(prefix), Epoch: uint64(up.Epoch), Up: uint64(up.Revision),
-		}, &r)
-		at := ggscore.StorePosition{Epoch: ggscore.StoreEpoch(r.Epoch), Revision: ggscore.StoreRevision(r.At)}
-		if err == nil && at.Before(up) {
-			err = &PartBehindError{Prefix: prefix, At: at, Want: up}
-		}
-		if err != nil {
-			_ = level.Info(e.Log).Log("event", ggslog.EventPartUnread, "part", prefix, "relay", addr, "want", up, "err", err)
-			continue
-		}
-		var es []ggscore.Entry
-		if es, err = unpackEntries(r.Entries); err == nil {
-			return partReading{entries: es, at: at, read: e.Now().Add(-r.Age)}, nil
+		var r partReading
+		if r, err = e.partOf(ctx, addr, prefix, up); err == nil {
+			return r, nil
 		}
+		_ = level.Info(e.Log).Log("event", ggslog.EventPartUnread, "part", prefix, "relay", addr, "want", up, "err", err)
 	}
 	return partReading{}, err
 }
+
+// partOf returns a part of the store as the VM at an address read it, up to the position at
+// least.
+func (e *Edge) partOf(ctx context.Context, addr netip.AddrPort, prefix ggscore.Key, up ggscore.StorePosition) (partReading, error) {
+	var r PartReply
+	err := e.Calls.CallLong(ctx, partSilence, addr, partMethod, &PartArgs{
+		Prefix: string(prefix), Epoch: uint64(up.Epoch), Up: uint64(up.Revision),
+	}, &r)
+	if err != nil {
+		return partReading{}, err
+	}
+	at := ggscore.StorePosition{Epoch: ggscore.StoreEpoch(r.Epoch), Revision: ggscore.StoreRevision(r.At)}
+	if at.Before(up) {
+		return partReading{}, &PartBehindError{Prefix: prefix, At: at, Want: up}
+	}
+	es, err := unpackEntries(r.Entries)
+	if err != nil {
+		return partReading{}, err
+	}
+	return partReading{entries: es, at: at, read: e.Now().Add(-r.Age)}, nil
+}
--- a/io/ggsedge/seeds.go
+++ b/io/ggsedge/seeds.go
@@ -115,10 +115,7 @@
 func (e *Edge) adoptPart(ctx context.Context, prefix ggscore.Key, es []ggscore.Entry) {
 	switch prefix {
 	case e.options.Keys.Operators:
-		e.keepOperators(es)
-		for _, n := range es {
-			e.adopt(n)
-		}
+		e.adoptOperators(es)
 	case e.options.Keys.Instances:
 		if !e.started() {
 			e.setInstances(ctx, partReading{entries: es})
@@ -128,7 +125,7 @@
 	}
 }
 
-// keepOperators keeps the newest of each of the operators' entries.
+// keepOperators keeps operators' entries in place of those of the same keys.
 func (e *Edge) keepOperators(es []ggscore.Entry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -142,7 +139,7 @@
 		switch {
 		case i == len(kept):
 			kept = append(kept, n)
-		case kept[i].Revision < n.Revision:
+		default:
 			kept[i] = n
 		}
 	}
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -30,6 +30,7 @@
 	EventLoadFailed         Event = "loadFailed"
 	EventLogDropped         Event = "logDropped"
 	EventLogSampled         Event = "logSampled"
+	EventNewerEntriesRead   Event = "newerEntriesRead"
 	EventOrderGiven         Event = "orderGiven"
 	EventOrdersClaimed      Event = "ordersClaimed"
 	EventOrdersReleased     Event = "ordersReleased"
@@ -81,6 +82,7 @@
 		EventLoadFailed,
 		EventLogDropped,
 		EventLogSampled,
+		EventNewerEntriesRead,
 		EventOrderGiven,
 		EventOrdersClaimed,
 		EventOrdersReleased,
--- a/io/ggspeer/wire.go
+++ b/io/ggspeer/wire.go
@@ -93,6 +93,8 @@
 	// ListAge and OperatorsAge count milliseconds.
 	ListAge      int64
 	OperatorsAge int64
+	Config       uint64
+	Versions     uint64
 }
 
 type positionWire struct {
@@ -114,6 +116,7 @@
 		Epoch:  uint64(n.Epoch),
 		Listed: positionWireOf(n.ListedAt), Operated: positionWireOf(n.OperatedAt),
 		ListAge: n.ListAge.Milliseconds(), OperatorsAge: n.OperatorsAge.Milliseconds(),
+		Config: n.Config, Versions: n.Versions,
 	}
 }
 
@@ -122,6 +125,7 @@
 		Epoch:    ggscore.StoreEpoch(w.Epoch),
 		ListedAt: w.Listed.position(), OperatedAt: w.Operated.position(),
 		ListAge: time.Duration(w.ListAge) * time.Millisecond, OperatorsAge: time.Duration(w.OperatorsAge) * time.Millisecond,
+		Config: w.Config, Versions: w.Versions,
 	}
 }
 
