test(ggsfencing): play all short sequences of a store that comes back from older copies

Two VMs, one endpoint, the real keepers: reads, beats, claims and releases that are answered or carried out late, restarts, time that passes to just before and after each bound, and a store that comes back from its first, a middle or its last copy but one, from four states. After each step both VMs order where they may. One VM at a time orders (3 s apart with an order of 1 s on its way), numbers never fall, and once all is calm the endpoint has a controller again.

The random model has up to four VMs and two endpoints.

--- a/core/ggsfencing/world_test.go
+++ b/core/ggsfencing/world_test.go
@@ -55,10 +55,53 @@
 	return r
 }
 
-// A write is a transaction: it is refused where its conditions don't hold.
+// A write is a transaction to be carried out late.
 type write struct {
-	at    time.Time
-	apply func() bool
+	at time.Time
+	transaction
+}
+
+// A transaction is refused where its conditions don't hold. Of revisions zero stands for none.
+type transaction struct {
+	// epoch is that of the conditions.
+	epoch   ggscore.StoreEpoch
+	beats   map[ggscore.VMID]ggscore.StoreRevision
+	records map[ggscore.EndpointID]ggscore.StoreRevision
+	// beat is the VM whose beat is written, empty for none.
+	beat   ggscore.VMID
+	put    []ggsfencing.Record
+	drop   []ggsfencing.Record
+	settle bool
+}
+
+// apply carries a transaction out, and reports whether its conditions held.
+func (w *world) apply(x transaction) bool {
+	for vm, r := range x.beats {
+		if w.site.beats[vm].Revision != r {
+			return false
+		}
+	}
+	for id, r := range x.records {
+		if w.site.records[id].Revision != r {
+			return false
+		}
+	}
+	w.site.revision++
+	if x.beat != "" {
+		w.site.beats[x.beat] = ggsfencing.Beat{VM: x.beat, Domain: "d", Revision: w.site.revision}
+	}
+	for _, r := range x.put {
+		r.Revision = w.site.revision
+		w.site.records[r.Endpoint] = r
+	}
+	for _, r := range x.drop {
+		delete(w.site.records, r.Endpoint)
+	}
+	if x.settle {
+		w.site.settled = x.epoch
+	}
+	w.remember()
+	return true
 }
 
 type order struct {
@@ -113,15 +156,15 @@
 
 // store carries a transaction out by its fate. What the store acknowledges in another epoch
 // than that of the conditions counts as not acknowledged.
-func (w *world) store(f fate, late time.Duration, epoch ggscore.StoreEpoch, apply func() bool, ended func(at ggscore.StorePosition, ok bool)) {
+func (w *world) store(f fate, late time.Duration, x transaction, ended func(at ggscore.StorePosition, ok bool)) {
 	switch f {
 	case lost:
 	case unanswered:
-		apply()
+		w.apply(x)
 	case delayed:
-		w.late = append(w.late, write{at: w.now.Add(late), apply: apply})
+		w.late = append(w.late, write{at: w.now.Add(late), transaction: x})
 	default:
-		if ok := apply(); epoch == w.site.epoch {
+		if ok := w.apply(x); x.epoch == w.site.epoch {
 			ended(w.site.at(), ok)
 		}
 	}
@@ -132,26 +175,19 @@
 	if _, ok := v.k.Epoch(); !ok {
 		return
 	}
-	w.store(f, late, p.Epoch, func() bool {
-		if w.site.beats[v.id].Revision != p.Revision {
-			return false
-		}
-		for _, r := range append(p.Drop, p.Records...) {
-			if w.site.records[r.Endpoint].Revision != r.Revision {
-				return false
-			}
-		}
-		w.site.revision++
-		w.site.beats[v.id] = ggsfencing.Beat{VM: v.id, Domain: "d", Revision: w.site.revision}
-		for _, r := range p.Drop {
-			delete(w.site.records, r.Endpoint)
-		}
-		if p.Settle {
-			w.site.settled = p.Epoch
-		}
-		w.remember()
-		return true
-	}, func(at ggscore.StorePosition, ok bool) { v.k.BeatEnded(sent, p, at, !ok) })
+	x := transaction{
+		epoch: p.Epoch, beats: map[ggscore.VMID]ggscore.StoreRevision{v.id: p.Revision},
+		records: revisions(append(p.Drop, p.Records...)), beat: v.id, drop: p.Drop, settle: p.Settle,
+	}
+	w.store(f, late, x, func(at ggscore.StorePosition, ok bool) { v.k.BeatEnded(sent, p, at, !ok) })
+}
+
+func revisions(rs []ggsfencing.Record) map[ggscore.EndpointID]ggscore.StoreRevision {
+	m := map[ggscore.EndpointID]ggscore.StoreRevision{}
+	for _, r := range rs {
+		m[r.Endpoint] = r.Revision
+	}
+	return m
 }
 
 // claim writes the n-th of a VM's claims.
@@ -161,45 +197,31 @@
 		return
 	}
 	c, sent := cs[n], w.now
-	w.store(f, late, c.Epoch, func() bool {
-		if w.site.records[c.Endpoint].Revision != c.RecordRevision || c.Owner != "" && w.site.beats[c.Owner].Revision != c.OwnerRevision {
-			return false
-		}
-		w.put(ggsfencing.Record{Endpoint: c.Endpoint, Owner: v.id, Epoch: c.Epoch})
-		return true
-	}, func(at ggscore.StorePosition, ok bool) {
+	x := transaction{
+		epoch:   c.Epoch,
+		records: map[ggscore.EndpointID]ggscore.StoreRevision{c.Endpoint: c.RecordRevision},
+		put:     []ggsfencing.Record{{Endpoint: c.Endpoint, Owner: v.id, Epoch: c.Epoch}},
+	}
+	if c.Owner != "" {
+		x.beats = map[ggscore.VMID]ggscore.StoreRevision{c.Owner: c.OwnerRevision}
+	}
+	w.store(f, late, x, func(at ggscore.StorePosition, ok bool) {
 		if ok {
 			v.k.ClaimEnded(sent, c, at)
 		}
 	})
 }
 
-func (w *world) put(r ggsfencing.Record) {
-	w.site.revision++
-	r.Revision = w.site.revision
-	w.site.records[r.Endpoint] = r
-	w.remember()
-}
-
 // release ends a VM's orders and leaves its records to others, as a planned stop
 // does; the process starts anew.
 func (w *world) release(v *vm, f fate, late time.Duration) {
 	v.k.Stop()
 	p := v.k.Beat(w.now)
-	w.store(f, late, p.Epoch, func() bool {
-		if w.site.beats[v.id].Revision != p.Revision {
-			return false
-		}
-		for _, r := range p.Records {
-			if w.site.records[r.Endpoint].Revision != r.Revision {
-				return false
-			}
-		}
-		for _, r := range p.Records {
-			w.put(ggsfencing.Record{Endpoint: r.Endpoint, Owner: v.id, Released: true, Epoch: p.Epoch})
-		}
-		return true
-	}, func(ggscore.StorePosition, bool) {})
+	x := transaction{epoch: p.Epoch, beats: map[ggscore.VMID]ggscore.StoreRevision{v.id: p.Revision}, records: revisions(p.Records)}
+	for _, r := range p.Records {
+		x.put = append(x.put, ggsfencing.Record{Endpoint: r.Endpoint, Owner: v.id, Released: true, Epoch: p.Epoch})
+	}
+	w.store(f, late, x, func(ggscore.StorePosition, bool) {})
 	v.k = keeper(v.id)
 }
 
@@ -211,9 +233,9 @@
 			i++
 			continue
 		}
-		apply := w.late[i].apply
-		w.late = append(w.late[:i], w.late[i+1:]...)
-		apply()
+		x := w.late[i].transaction
+		w.late = append(w.late[:i:i], w.late[i+1:]...)
+		w.apply(x)
 	}
 }
 
