--- a/cmd/ggsctl/fleet.go
+++ b/cmd/ggsctl/fleet.go
@@ -88,13 +88,13 @@
 func printVMs(a *app, states []processState) error {
 	w := tabwriter.NewWriter(a.streams.out, 0, 0, 2, ' ', 0)
 	r := rows{w: w}
-	r.add("VM", "DOMAIN", "CONFIG", "ROUTES", "LIST AGE", "ENDPOINTS", "PEERS HEARD", "STORE")
+	r.add("VM", "DOMAIN", "CONFIG", "ROUTES", "LIST AGE", "ENDPOINTS", "PEERS HEARD", "STORE", "ERA")
 	for _, s := range states {
 		switch {
 		case s.err != nil:
-			r.add(s.addr.String(), unknownText, unknownText, unknownText, unknownText, unknownText, unknownText, "unreachable")
+			r.add(s.addr.String(), unknownText, unknownText, unknownText, unknownText, unknownText, unknownText, "unreachable", unknownText)
 		case s.edge == nil:
-			r.add(string(s.vm), unknownText, unknownText, unknownText, unknownText, unknownText, unknownText, "is a "+s.program)
+			r.add(string(s.vm), unknownText, unknownText, unknownText, unknownText, unknownText, unknownText, "is a "+s.program, unknownText)
 		default:
 			e := s.edge
 			store := "there"
@@ -102,7 +102,7 @@
 				store = "away"
 			}
 			r.add(string(s.vm), string(e.Domain), strconv.FormatUint(e.Config, 10), strconv.Itoa(e.Routes),
-				e.ListAge.Round(time.Millisecond).String(), strconv.Itoa(len(e.Endpoints)), strconv.Itoa(heard(e)), store)
+				e.ListAge.Round(time.Millisecond).String(), strconv.Itoa(len(e.Endpoints)), strconv.Itoa(heard(e)), store, strconv.FormatUint(uint64(e.Epoch), 10))
 		}
 	}
 	return w.Flush()
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -151,6 +151,10 @@
 	operatedAt    ggscore.StorePosition
 	listRead      ggscore.StorePosition
 	operatorsRead ggscore.StorePosition
+	// resynced is the last epoch in which list, operators' entries and records were read,
+	// resyncTook the time until then.
+	resynced   ggscore.StoreEpoch
+	resyncTook time.Duration
 	// operatorsAnnounced is the newest position of the operators' entries that a peer
 	// announced, operatorsSynced that before the last full snapshot, and behindSince when
 	// this VM first heard of one that it has not read.
@@ -250,7 +254,7 @@
 		membersNotified:   make(chan struct{}, 1),
 	}
 	e.metrics = newMetrics(e)
-	e.epochs = newEpochs(p.Log, e.epochChanged)
+	e.epochs = newEpochs(p.Log, p.Now, e.epochChanged)
 	e.Store = &epochStore{epochs: e.epochs, Store: &meteredStore{Store: p.Store, count: func(call string) {
 		e.stats.Store.Add(1)
 		e.metrics.storeCalls.WithLabelValues(call).Inc()
--- a/io/ggsedge/epoch_test.go
+++ b/io/ggsedge/epoch_test.go
@@ -86,7 +86,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			e := newEpochs(log.NewNopLogger(), func(_, _ ggscore.StoreEpoch, _ string) {})
+			e := newEpochs(log.NewNopLogger(), func() time.Time { return time.Unix(1_000, 0) }, func(epochChange) {})
 			e.learn(epoch)
 			f := &epochFake{at: ggscore.StorePosition{Epoch: tc.named, Revision: 9}, err: tc.err, then: func() { e.learn(tc.learnt) }}
 			err := tc.call(&epochStore{Store: f, epochs: e})
@@ -100,7 +100,7 @@
 func TestTransactionOfAnEndedEpochIsNotSent(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	e := newEpochs(log.NewNopLogger(), func(_, _ ggscore.StoreEpoch, _ string) {})
+	e := newEpochs(log.NewNopLogger(), func() time.Time { return time.Unix(1_000, 0) }, func(epochChange) {})
 	e.learn(2)
 	s := &epochStore{Store: &epochFake{then: func() { t.Error("sent") }}, epochs: e}
 	_, err := s.Txn(context.Background(), ggscore.Txn{Epoch: 1})
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -217,6 +217,7 @@
 	e.keeper.SetListed(e.Now(), list)
 	if !at.IsZero() {
 		e.listRead = e.listRead.Max(at)
+		e.noteResynced()
 		e.listReadTime = r.read
 		if r.read.After(e.listObserved) {
 			e.listObserved = r.read
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -163,6 +163,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.keeper.Observe(e.Now(), at, r)
+	e.noteResynced()
 	if len(peers) > 0 || !at.IsZero() {
 		for vm, p := range peers {
 			if o := e.peers[vm]; o != nil {
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -102,6 +102,12 @@
 		{"operators_lag_seconds", "Time since a peer announced operators' entries that this VM has not read yet.", locked(func() float64 {
 			return e.operatorsLag().Seconds()
 		})},
+		{"store_epoch", "Epoch of the store, which rises each time it comes back from an older copy.", func() float64 {
+			return float64(e.epochs.current())
+		}},
+		{"store_resync_seconds", "Time until the store was read in its epoch, or so far.", locked(func() float64 {
+			return e.resyncTime().Seconds()
+		})},
 		{"relay", "1 while this VM passes on the heartbeats of its failure domain.", locked(func() float64 {
 			if e.node.Large() && e.node.Relay(e.Now()) {
 				return 1
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -212,6 +212,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.operatorsRead = e.operatorsRead.Max(at)
+	e.noteResynced()
 	if !e.operatorsRead.Before(e.operatorsAnnounced) {
 		e.behindSince = time.Time{}
 	}
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -20,9 +20,12 @@
 	// last reading of the operators' entries failed.
 	ListAge   time.Duration
 	StoreAway bool
-	Endpoints []EndpointState
-	Peers     []PeerState
-	Versions  []ggscore.AdapterVersion
+	// Epoch is the store's, ResyncTime the time until it was read in it, or so far.
+	Epoch      ggscore.StoreEpoch
+	ResyncTime time.Duration
+	Endpoints  []EndpointState
+	Peers      []PeerState
+	Versions   []ggscore.AdapterVersion
 }
 
 // An EndpointState is an endpoint as an Edge knows it.
@@ -55,6 +58,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Now()
+	s.Epoch, s.ResyncTime = e.epochs.current(), e.resyncTime()
 	if e.listed {
 		s.ListAge = now.Sub(e.listObserved)
 	}
@@ -91,6 +95,8 @@
 	Routes         int            `json:"routes"`
 	ListAgeSeconds float64        `json:"listAgeSeconds"`
 	StoreAway      bool           `json:"storeAway"`
+	StoreEpoch     uint64         `json:"storeEpoch"`
+	ResyncSeconds  float64        `json:"storeResyncSeconds"`
 	Endpoints      []endpointWire `json:"endpoints"`
 	Peers          []peerWire     `json:"peers"`
 	// Versions and Held are texts, MODEL/ADAPTER and its version.
@@ -124,7 +130,7 @@
 func (s State) MarshalJSON() ([]byte, error) {
 	w := stateWire{
 		Domain: string(s.Domain), ConfigVersion: s.Config, Routes: s.Routes, ListAgeSeconds: s.ListAge.Seconds(),
-		StoreAway: s.StoreAway, Versions: versionWires(s.Versions),
+		StoreAway: s.StoreAway, StoreEpoch: uint64(s.Epoch), ResyncSeconds: s.ResyncTime.Seconds(), Versions: versionWires(s.Versions),
 	}
 	for _, n := range s.Endpoints {
 		x := endpointWire{
@@ -150,7 +156,7 @@
 	}
 	*s = State{
 		Domain: ggscore.Domain(w.Domain), Config: w.ConfigVersion, Routes: w.Routes, ListAge: duration(w.ListAgeSeconds),
-		StoreAway: w.StoreAway, Versions: versionsOf(w.Versions),
+		StoreAway: w.StoreAway, Epoch: ggscore.StoreEpoch(w.StoreEpoch), ResyncTime: duration(w.ResyncSeconds), Versions: versionsOf(w.Versions),
 	}
 	for _, n := range w.Endpoints {
 		x := EndpointState{
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -52,6 +52,7 @@
 	EventStopRequested      Event = "stopRequested"
 	EventStoreEraChanged    Event = "storeEraChanged"
 	EventStoreEraIgnored    Event = "storeEraIgnored"
+	EventStoreResynced      Event = "storeResynced"
 	EventVersionAdopted     Event = "versionAdopted"
 	EventVersionUnreadable  Event = "versionUnreadable"
 	EventWatchPreempted     Event = "watchPreempted"
@@ -104,6 +105,7 @@
 		EventStopRequested,
 		EventStoreEraChanged,
 		EventStoreEraIgnored,
+		EventStoreResynced,
 		EventVersionAdopted,
 		EventVersionUnreadable,
 		EventWatchPreempted,
