test(ggsnode): the soak's store comes back from copies; callers beside a return; free addresses

A test of callers asks for 98 in 100 in the 10 s after a return, and nothing run twice. Tests of sites probe for loopback addresses, so that two checkouts' tests can run side by side.

--- a/cmd/ggsnode/edge_epoch_test.go
+++ b/cmd/ggsnode/edge_epoch_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,3 +156,32 @@
 		s.eventually("the operator's next is in force", func() bool { return served(n, "/speak/x", "") })
 	}
 }
+
+// Guards against callers that are refused or lost, and work that runs twice, while VMs read a store anew.
+func TestCallersAreServedWhileTheStoreComesBackFromACopy(t *testing.T) {
+	t.Parallel()
+	const (
+		length = 10 * time.Second
+		// least is the share of callers that are served.
+		least = 0.98
+	)
+	s := startSite(t, 3)
+	s.callSteadily(http.MethodPost, "/chat/x", "m/a1", 100*time.Millisecond, time.Second)
+	s.returnFromCopy(func() {})
+	var served, all atomic.Int64
+	var load sync.WaitGroup
+	for _, k := range []struct{ method, path, model string }{
+		{http.MethodPost, "/chat/x", "m/a1"}, {http.MethodPost, "/pay/1", ""}, {http.MethodGet, "/look/1", ""},
+	} {
+		load.Go(func() {
+			ok, n := s.callSteadily(k.method, k.path, k.model, 50*time.Millisecond, length)
+			served.Add(int64(ok))
+			all.Add(int64(n))
+		})
+	}
+	load.Wait()
+	s.c.Check(float64(served.Load()) >= least*float64(all.Load()), qt.IsTrue, qt.Commentf("%d of %d", served.Load(), all.Load()))
+	for id, runs := range s.site.Runs() {
+		s.c.Check(runs <= 1, qt.IsTrue, qt.Commentf("request %s ran %d times", id, runs))
+	}
+}
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -46,7 +48,7 @@
 func startSite(t *testing.T, edges int) *siteTest {
 	t.Helper()
 	c := qt.New(t)
-	s := &siteTest{c: c, network: byte(testSites.Add(1))}
+	s := &siteTest{c: c, network: freeNetwork(t)}
 	ip := netip.AddrFrom4([4]byte{127, 9, s.network, 1})
 	s.site = ggsfakesite.NewSite(ggsfakesite.SiteOptions{
 		Listen: netip.AddrPortFrom(ip, 7000), Zones: []string{"a", "b"}, Events: 6, EventTime: 10 * time.Millisecond, Now: time.Now,
@@ -70,7 +72,22 @@
 	return s
 }
 
-var testSites atomic.Int32 //nolint:gochecknoglobals // gives each test an address of its own
+// freeNetwork returns the third number of loopback addresses that no other test uses, also of
+// another checkout, until the test's end.
+func freeNetwork(t *testing.T) byte {
+	t.Helper()
+	const claimPort = 6999
+	for n := byte(1); n < math.MaxUint8; n++ {
+		claim := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, n, 1}), claimPort)
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", claim.String())
+		if err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+			return n
+		}
+	}
+	t.Fatal("no free loopback addresses")
+	return 0
+}
 
 func (s *siteTest) startEdge(t *testing.T, n int) {
 	t.Helper()
--- a/cmd/ggsnode/soak_faults_test.go
+++ b/cmd/ggsnode/soak_faults_test.go
@@ -195,7 +195,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.site.Store.Put("op/config", ggsfakesite.LargeConfig(s.version, "/chat/", r.IntN(2)*soakRoutes))
+	s.write("op/config", ggsfakesite.LargeConfig(s.version, "/chat/", r.IntN(2)*soakRoutes))
+}
+
+// write writes an operator's entry. soak.mu is held.
+func (s *soak) write(key string, value []byte) {
+	s.written[key] = value
+	s.site.Store.Put(key, value)
+}
+
+// storeReturns has the store come back from a copy, at times from the same one again soon
+// after. Writes are held back meanwhile and carried out later; endpoints and operators write
+// again what was lost.
+func (s *soak) storeReturns(r *rand.Rand, d time.Duration) {
+	k := s.site.Store.Copy()
+	s.sleep(d)
+	rewrite := func() time.Duration { return time.Duration(r.IntN(int(soakRewrite))) }
+	for range 1 + r.IntN(2) {
+		s.site.Store.HoldWrites(r.IntN(4))
+		s.site.Store.SetAway(r.IntN(3) > 0)
+		s.sleep(time.Duration(r.IntN(1000)) * time.Millisecond)
+		s.site.Return(k, rewrite())
+		s.site.Store.SetAway(false)
+		s.sleep(rewrite())
+		s.site.Store.HoldWrites(0)
+		s.site.Store.CarryOutHeld()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, value := range s.written {
+		s.site.Store.Put(key, value)
+	}
 }
 
 // bump names a new version of an adapter.
@@ -207,5 +237,5 @@
 	for _, e := range s.site.Endpoints {
 		e.SetVersion(a, s.versions[a])
 	}
-	s.site.Store.Put("op/version/m."+a, fmt.Appendf(nil, `{"model":"m","adapter":%q,"version":%d}`, a, s.versions[a]))
+	s.write("op/version/m."+a, fmt.Appendf(nil, `{"model":"m","adapter":%q,"version":%d}`, a, s.versions[a]))
 }
--- a/cmd/ggsnode/soak_test.go
+++ b/cmd/ggsnode/soak_test.go
@@ -1,6 +1,7 @@
 package ggsnode_test
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -38,6 +39,7 @@
 	soakSeed    = flag.Uint64("soak.seed", 0, "play this seed only")
 	soakSeeds   = flag.Int("soak.seeds", 0, "play so many fresh seeds")
 	soakAnswers = flag.Bool("soak.answers", true, "endpoints also say in answers that they leave, are limited or want nothing for a while")
+	soakReturns = flag.Bool("soak.returns", true, "the store also comes back from copies of itself")
 	soakLength  = flag.Duration("soak.length", 6*time.Second, "time of faults in each play")
 )
 
@@ -49,13 +51,15 @@
 	// A VM behind a thin link never took over a configuration of 1 MB.
 	"a large configuration":         {seed: 2944054447},
 	"what endpoints say in answers": {seed: 2, answers: true},
+	"a store that comes back":       {seed: 3, answers: true, returns: true},
 }
 
-// A soakCase is a play. Faults of answers are another set to draw from, so that a seed found
-// without them plays the same.
+// A soakCase is a play. Faults of answers and returns of the store are other sets to draw from,
+// so that a seed found without them plays the same.
 type soakCase struct {
 	seed    uint64
 	answers bool
+	returns bool
 }
 
 const (
@@ -73,6 +77,8 @@
 	soakCalm = 20 * time.Second
 	// soakDrain is the time after which a leaving endpoint gets nothing more.
 	soakDrain = 2500 * time.Millisecond
+	// soakRewrite is the time within which what a store has lost is written again.
+	soakRewrite = 2 * time.Second
 	// soakQuiet is the time without other faults around a planned stop in which no
 	// request may be cut off.
 	soakQuiet = 3 * time.Second
@@ -82,12 +88,12 @@
 	t.Parallel()
 	switch {
 	case *soakSeed > 0:
-		playSoak(t, soakCase{*soakSeed, *soakAnswers})
+		playSoak(t, soakCase{*soakSeed, *soakAnswers, *soakReturns})
 	case *soakSeeds > 0:
 		for range *soakSeeds {
 			seed := rand.Uint64N(1 << 32)
 			//nolint:paralleltest // plays one after the other, so that timing is each one's own
-			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playSoak(t, soakCase{seed, *soakAnswers}) })
+			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playSoak(t, soakCase{seed, *soakAnswers, *soakReturns}) })
 		}
 	default:
 		for name, k := range soakCases {
@@ -124,7 +130,9 @@
 	// version is the configuration's, versions are the adapters'.
 	version  int
 	versions map[string]uint64
-	ids      atomic.Int64
+	// written are the operators' entries as they were written last.
+	written map[string][]byte
+	ids     atomic.Int64
 }
 
 type span struct{ from, to time.Time }
@@ -156,6 +164,7 @@
 		t: t, c: c, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 2)),
 		links: map[string]*ggsfakelink.Link{}, drained: map[string]time.Time{},
 		departed: map[string]time.Time{}, version: 1, versions: map[string]uint64{},
+		written: map[string][]byte{"op/config": ggsfakesite.Config(1, "/chat/")},
 	}
 	t.Logf("seed %d", seed)
 	var work sync.WaitGroup
@@ -177,6 +186,9 @@
 	if k.answers {
 		faults = append(faults, answerFaults()...)
 	}
+	if k.returns {
+		faults = append(faults, soakFault{"store comes back from a copy", false, (*soak).storeReturns})
+	}
 	s.injectUntil(time.Now().Add(*soakLength), faults, &work)
 	s.recover()
 	stop()
@@ -227,6 +239,7 @@
 zones: {a: "a", b: "b"}
 listen: {front: "%[2]s:7100", ready: "%[2]s:7101", control: "%[2]s:7102"}
 portRange: [7200, 7210]
+bootstrap: true
 seeds: ["%[4]s:7102", "%[5]s:7102"]
 limits: {cores: 1, memoryMb: 284, maxFds: 4100}
 bounds: {graceS: 8, leaseMs: %[6]d, retryBudgetRatio: 0.2, retrySlack: 58}
@@ -237,6 +250,16 @@
 		s.spawn(e)
 	}
 	s.await("all serve", soakCalm, s.allServe)
+	for _, e := range s.edges {
+		e.startedOnce(s.c)
+	}
+}
+
+// startedOnce has the settings say that the deployment has started before.
+func (e *soakEdge) startedOnce(c *qt.C) {
+	b, err := os.ReadFile(e.settings)
+	c.Assert(err, qt.IsNil)
+	c.Assert(os.WriteFile(e.settings, bytes.Replace(b, []byte("bootstrap: true"), []byte("bootstrap: false"), 1), 0o600), qt.IsNil)
 }
 
 func (s *soak) link(work *sync.WaitGroup, at, to netip.AddrPort) *ggsfakelink.Link {
