fix(core): take the ages of merged news from the newer epoch alone

Callers would see: a VM goes by its list a little longer because another one read it lately, in a history of the store that has ended.

Cause: summaries merge the news of VMs; the least age counted, whatever epoch it was read in, and the sum bears the newest epoch.

Evidence: TestAgesAreOfTheNewerEpoch fails before.

--- a/core/ggsrelay/sim_test.go
+++ b/core/ggsrelay/sim_test.go
@@ -47,6 +47,8 @@
 	holds    map[ggscore.EndpointID]time.Duration
 	limits   map[ggscore.EndpointID]ggscore.EndpointLimit
 	departed map[ggscore.EndpointID]time.Time
+	// epoch is the store's that the VM knows.
+	epoch ggscore.StoreEpoch
 }
 
 type event struct {
@@ -147,6 +149,7 @@
 		InFlight: []ggscore.InFlight{{Endpoint: endpointOf(n.member.VM), Count: int(s.now.Milliseconds())}},
 		Uses:     []ggscore.Use{{Endpoint: "shared", Target: ggscore.ModelAdapter{Model: "m", Adapter: "a"}, Count: 1, Active: true}},
 	}
+	h.News.Epoch = n.epoch
 	h.Limits, h.Departures = s.limits(n.member.VM), s.departures(n.member.VM)
 	if n.sequence%9 == 0 {
 		h.Holdings = []ggscore.Holding{{Endpoint: endpointOf(n.member.VM), Whole: true}}
@@ -201,6 +204,7 @@
 
 func (s *sim) apply(n *simNode, v ggsrelay.View) {
 	n.at = s.now
+	n.epoch = max(n.epoch, v.News.Epoch)
 	if v.Counts {
 		clear(n.believed)
 		for _, f := range v.InFlight {
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -47,14 +47,21 @@
 	Versions uint64
 }
 
-// Merge returns the newest of two readings.
+// Merge returns the newest of two readings. Ages are those of readings in the newer epoch.
 func (n News) Merge(o News) News {
-	return News{
-		Epoch:    max(n.Epoch, o.Epoch),
+	if n.Epoch < o.Epoch {
+		n, o = o, n
+	}
+	m := News{
+		Epoch:    n.Epoch,
 		ListedAt: n.ListedAt.Max(o.ListedAt), OperatedAt: n.OperatedAt.Max(o.OperatedAt),
-		ListAge: min(n.ListAge, o.ListAge), OperatorsAge: min(n.OperatorsAge, o.OperatorsAge),
+		ListAge: n.ListAge, OperatorsAge: n.OperatorsAge,
 		Config: max(n.Config, o.Config), Versions: max(n.Versions, o.Versions),
 	}
+	if n.Epoch == o.Epoch {
+		m.ListAge, m.OperatorsAge = min(n.ListAge, o.ListAge), min(n.OperatorsAge, o.OperatorsAge)
+	}
+	return m
 }
 
 // Aged returns the reading after some time has passed.
--- /dev/null
+++ b/core/heartbeat_test.go
@@ -0,0 +1,25 @@
+package ggscore_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+)
+
+// Guards against a list that counts as read lately because a VM read it in an epoch that has ended.
+func TestAgesAreOfTheNewerEpoch(t *testing.T) {
+	t.Parallel()
+	old := ggscore.News{Epoch: 1, ListAge: time.Second, OperatorsAge: time.Second, Config: 7}
+	now := ggscore.News{Epoch: 2, ListAge: 9 * time.Second, OperatorsAge: 8 * time.Second, Config: 3}
+	for name, m := range map[string]ggscore.News{"older first": old.Merge(now), "newer first": now.Merge(old)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			c.Check(m, qt.Equals, ggscore.News{Epoch: 2, ListAge: now.ListAge, OperatorsAge: now.OperatorsAge, Config: 7})
+		})
+	}
+	qt.Assert(t, now.Merge(ggscore.News{Epoch: 2, ListAge: time.Second, OperatorsAge: time.Hour}).ListAge, qt.Equals, time.Second)
+}
