fix(ggsnode): don't let a hang-up end a process that is starting

Callers would see: a VM that is gone until the platform starts its process again, because a change of the settings was announced in its first moments.

Cause: SIGHUP ends a process that doesn't listen for it, and the edge listened once all its parts were built, which takes some hundred milliseconds on a busy machine.

Ruled out: the store's return, which the other three VMs got over in 0.01 to 0.2 s.

Change: the signal is ignored from the first line on, until the process listens for it.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -83,6 +83,8 @@
 // RunEdge runs an edge until a signal or the context's end and returns its
 // exit code.
 func RunEdge(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	// A hang-up that arrives before the process listens for it would end the process.
+	signal.Ignore(syscall.SIGHUP)
 	var c edgeLine
 	if code, ok := parseLine(edgeProgram, &c, args, stdout, stderr); !ok {
 		return code
