fix(ggsfencing): drop records of gone endpoints that a copy of the store brought back

Callers would see nothing; such records stayed in the store for good, one for each endpoint that had gone before the copy was taken.

Cause: a beat drops its VM's records of endpoints that are gone, and since records of an epoch before say nothing, it passed over them.

Evidence: TestRecordsOfAnEpochBeforeAreDropped fails before.

--- a/core/ggsfencing/keeper.go
+++ b/core/ggsfencing/keeper.go
@@ -317,12 +317,13 @@
 func (k *Keeper) Beat(now time.Time) BeatPlan {
 	p := BeatPlan{Epoch: k.epoch, Revision: k.own, Settle: k.synced && k.written != k.epoch && k.waited(now)}
 	for _, r := range k.records {
+		gone := !r.gone.IsZero() && now.Sub(r.gone) >= k.options.Forget
 		switch {
-		case r.Owner != k.options.Self || r.Released || !k.counts(r.Record):
-		case r.gone.IsZero() || now.Sub(r.gone) < k.options.Forget:
-			p.Records = append(p.Records, r.Record)
-		case len(p.Drop) < maxDrops:
+		case r.Owner != k.options.Self || r.Released:
+		case gone && len(p.Drop) < maxDrops:
 			p.Drop = append(p.Drop, r.Record)
+		case !gone && k.counts(r.Record):
+			p.Records = append(p.Records, r.Record)
 		}
 	}
 	slices.SortFunc(p.Records, func(a, b Record) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
--- a/core/ggsfencing/keeper_test.go
+++ b/core/ggsfencing/keeper_test.go
@@ -254,3 +254,17 @@
 	}
 	c.Assert(claimed >= endpoints-len(records), qt.IsTrue, qt.Commentf("%d", claimed))
 }
+
+// Guards against records of endpoints that are gone, which a copy of the store brought back and nobody drops.
+func TestRecordsOfAnEpochBeforeAreDropped(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	k := keeper("a")
+	copied := ggsfencing.Record{Endpoint: runner, Owner: "a", Epoch: 1, Revision: 10}
+	k.Observe(at(0), ggscore.StorePosition{Epoch: 2, Revision: 20}, ggsfencing.Reading{Records: []ggsfencing.Record{copied}})
+	k.SetListed(at(0), nil)
+	c.Check(k.Beat(at(ggsfencing.DefaultForget-1)).Drop, qt.HasLen, 0)
+	p := k.Beat(at(ggsfencing.DefaultForget))
+	c.Check(p.Records, qt.HasLen, 0)
+	c.Check(p.Drop, qt.DeepEquals, []ggsfencing.Record{copied})
+}
