perf(ggsplace): don't follow old counts of plain services to one endpoint

Cause: VMs choose the plain endpoint with the fewest requests in flight. Through relays these counts are 0.43 s old, seven times as long as a request lasts, so between two summaries all VMs of a region send to the same endpoint, and to the other after the next.

Ruled out: too few slots (24 of 36 are used on average), and failing endpoints (the same before and after).

Change: where counts come as a sum through relays, they weigh a tenth, and 20 ms are added at random, less than the way to another region. A queue still tells, a slot more or less doesn't.

--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -47,6 +47,12 @@
 	failurePrior = 0.5
 	// costPlain is the work of a plain service's request.
 	costPlain = 16 * time.Millisecond
+	// sumWeight divides what the counts of a summary mean for a plain service: they are older
+	// than its requests last, and VMs that follow them closely choose the same endpoint until
+	// the next one.
+	sumWeight = 10
+	// sumSpread is added at random there. It is less than the way to another region.
+	sumSpread = 20 * time.Millisecond
 )
 
 // LoadWait is how long a request waits for an adapter at an endpoint before it goes
@@ -188,7 +194,11 @@
 	if g == nil {
 		// Up to its slots a request starts at once; behind them it waits for
 		// the work before it.
-		return c + costPlain*time.Duration(n)/time.Duration(e.Slots) + costPlain*time.Duration(max(n+1-e.Slots, 0))
+		queue := costPlain*time.Duration(n)/time.Duration(e.Slots) + costPlain*time.Duration(max(n+1-e.Slots, 0))
+		if t.summed() {
+			return c + queue/sumWeight + time.Duration(t.rng.Int64N(int64(sumSpread)))
+		}
+		return c + queue
 	}
 	return c + costInFlight*time.Duration(n)
 }
--- a/core/ggsplace/flights.go
+++ b/core/ggsplace/flights.go
@@ -35,6 +35,9 @@
 // allPeers stands for all peers together.
 const allPeers ggscore.VMID = ""
 
+// summed reports whether the peers' requests come as a sum.
+func (t *Table) summed() bool { return t.peers[allPeers] != nil }
+
 // SetPeers takes the requests in flight of all peers together, in place of each one's.
 func (t *Table) SetPeers(now time.Time, fs []ggscore.InFlight) {
 	for vm, p := range t.peers {
