--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -47,12 +47,12 @@
 	failurePrior = 0.5
 	// costPlain is the work of a plain service's request.
 	costPlain = 16 * time.Millisecond
-	// sumWeight divides what the counts of a summary mean for a plain service: they are older
-	// than its requests last, and VMs that follow them closely choose the same endpoint until
-	// the next one.
-	sumWeight = 10
-	// sumSpread is added at random there. It is less than the way to another region.
-	sumSpread = 20 * time.Millisecond
+	// summedDamping divides the queueing delay of plain endpoints that a summary's counts
+	// stand for. They are older than requests last: VMs that follow them closely all choose
+	// the same endpoint until the next summary.
+	summedDamping = 10
+	// summedJitter spreads those choices. It is less than costRegion.
+	summedJitter = 20 * time.Millisecond
 )
 
 // LoadWait is how long a request waits for an adapter at an endpoint before it goes
@@ -196,7 +196,7 @@
 		// the work before it.
 		queue := costPlain*time.Duration(n)/time.Duration(e.Slots) + costPlain*time.Duration(max(n+1-e.Slots, 0))
 		if t.summed() {
-			return c + queue/sumWeight + time.Duration(t.rng.Int64N(int64(sumSpread)))
+			return c + queue/summedDamping + time.Duration(t.rng.Int64N(int64(summedJitter)))
 		}
 		return c + queue
 	}
--- a/core/ggsregistry/registry.go
+++ b/core/ggsregistry/registry.go
@@ -83,7 +83,7 @@
 	out := make([]ggscore.Instance, 0, len(es))
 	for _, e := range es {
 		delete(r.missing, e.ID)
-		if r.buried(now, e) {
+		if r.staleCopy(now, e) {
 			continue
 		}
 		i := e.Instance
@@ -120,8 +120,8 @@
 	return !r.since.IsZero() && now.Sub(r.since) < d
 }
 
-// buried reports whether an entry is a copy's of a process that was seen to be gone.
-func (r *Registry) buried(now time.Time, e Entry) bool {
+// staleCopy reports whether an entry is a copy's of a process that was seen to be gone.
+func (r *Registry) staleCopy(now time.Time, e Entry) bool {
 	d, ok := r.gone[e.ID]
 	return ok && d.born.Equal(e.Born) && d.at.Before(r.since) && r.copied[e.ID] == e.Revision && r.within(now, CopyTrust)
 }
