--- a/core/position.go
+++ b/core/position.go
@@ -14,6 +14,9 @@
 // UnreadableEpoch stands for an epoch that was named and can't be read.
 const UnreadableEpoch StoreEpoch = math.MaxUint64
 
+// Named reports whether an answer named the epoch, so that it can be compared.
+func (e StoreEpoch) Named() bool { return e != 0 && e != UnreadableEpoch }
+
 // A StorePosition is a point in the store's history. Revisions have an order within an epoch
 // only. The zero position comes before all others.
 type StorePosition struct {
