test(ggsnode): let the soak limit an endpoint once at a time

Cause, by the processes' log and the soak's: another fault of the same kind had limited the same endpoint from 34.778 on and lifted the limit at 42.335, so that its answers named none from then on (endpointUnlimited at 43.27 and 43.31 s). The requests in question follow that. The edges were right, the check went by the second fault's end.

Change: a fault that meets an endpoint which names a limit does nothing. The bound is as it was.

--- a/cmd/ggsnode/soak_answers_test.go
+++ b/cmd/ggsnode/soak_answers_test.go
@@ -35,9 +35,14 @@
 	}
 }
 
-// limit has an endpoint name a limit for long enough to count.
+// limit has an endpoint name a limit for long enough to count. It names one at a time: the end
+// of another's would lift it early.
 func (s *soak) limit(r *rand.Rand, d time.Duration) {
 	l := soakLimit{endpoint: s.endpoint(r, ""), perSecond: float64(2 + r.IntN(8)), span: span{from: time.Now()}}
+	if _, busy := s.limiting.LoadOrStore(l.endpoint, true); busy {
+		return
+	}
+	defer s.limiting.Delete(l.endpoint)
 	e := s.site.Endpoints[l.endpoint]
 	e.SetRateLimit(l.perSecond)
 	s.sleep(soakLimitSettles + soakLimitWindow + d)
--- a/cmd/ggsnode/soak_test.go
+++ b/cmd/ggsnode/soak_test.go
@@ -52,6 +52,8 @@
 	"a large configuration":         {seed: 2944054447},
 	"what endpoints say in answers": {seed: 2, answers: true},
 	"a store that comes back":       {seed: 3, answers: true, returns: true},
+	// Two limits of one endpoint at a time: the end of the first lifted the second.
+	"limits that overlap": {seed: 1075990872, answers: true, returns: true},
 }
 
 // A soakCase is a play. Faults of answers and returns of the store are other sets to draw from,
@@ -126,6 +128,8 @@
 	// times in which they named a limit.
 	departed map[string]time.Time
 	limited  []soakLimit
+	// limiting are the endpoints that name a limit now.
+	limiting sync.Map
 	outcomes []outcome
 	// version is the configuration's, versions are the adapters'.
 	version  int
