--- a/cmd/ggsctl/fleet.go
+++ b/cmd/ggsctl/fleet.go
@@ -88,7 +88,7 @@
 func printVMs(a *app, states []processState) error {
 	w := tabwriter.NewWriter(a.streams.out, 0, 0, 2, ' ', 0)
 	r := rows{w: w}
-	r.add("VM", "DOMAIN", "CONFIG", "ROUTES", "LIST AGE", "ENDPOINTS", "PEERS HEARD", "STORE", "ERA")
+	r.add("VM", "DOMAIN", "CONFIG", "ROUTES", "LIST AGE", "ENDPOINTS", "PEERS HEARD", "STORE", "EPOCH")
 	for _, s := range states {
 		switch {
 		case s.err != nil:
--- a/io/ggsedge/epoch.go
+++ b/io/ggsedge/epoch.go
@@ -102,7 +102,7 @@
 	}
 	e.mu.Unlock()
 	if first {
-		_ = level.Warn(e.log).Log("event", ggslog.EventStoreEraIgnored, "reason", a.Ignored, "named", at.Epoch, "current", a.Epoch)
+		_ = level.Warn(e.log).Log("event", ggslog.EventStoreEpochIgnored, "reason", a.Ignored, "named", at.Epoch, "current", a.Epoch)
 	}
 	if a.Changed {
 		e.changed(c)
@@ -113,7 +113,7 @@
 // epochChanged has all that was read in the epoch before read anew. It takes no lock.
 func (e *Edge) epochChanged(c epochChange) {
 	if c.from > 0 {
-		_ = level.Info(e.Log).Log("event", ggslog.EventStoreEraChanged, "from", c.from, "to", c.to, "revision", c.revision, "by", c.by)
+		_ = level.Info(e.Log).Log("event", ggslog.EventStoreEpochChanged, "from", c.from, "to", c.to, "revision", c.revision, "by", c.by)
 	}
 	notify(e.listNotified)
 	notify(e.operatorsNotified)
@@ -142,7 +142,7 @@
 		return
 	}
 	e.resynced, e.resyncTook = c, e.Now().Sub(since)
-	_ = level.Info(e.Log).Log("event", ggslog.EventStoreResynced, "era", c, "took", e.resyncTook)
+	_ = level.Info(e.Log).Log("event", ggslog.EventStoreResynced, "epoch", c, "took", e.resyncTook)
 }
 
 // begun returns the first position of the current epoch.
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -50,8 +50,8 @@
 	EventSettingsReread     Event = "settingsReread"
 	EventStatusFailed       Event = "statusFailed"
 	EventStopRequested      Event = "stopRequested"
-	EventStoreEraChanged    Event = "storeEraChanged"
-	EventStoreEraIgnored    Event = "storeEraIgnored"
+	EventStoreEpochChanged  Event = "storeEraChanged"
+	EventStoreEpochIgnored  Event = "storeEpochIgnored"
 	EventStoreResynced      Event = "storeResynced"
 	EventVersionAdopted     Event = "versionAdopted"
 	EventVersionUnreadable  Event = "versionUnreadable"
@@ -103,8 +103,8 @@
 		EventSettingsReread,
 		EventStatusFailed,
 		EventStopRequested,
-		EventStoreEraChanged,
-		EventStoreEraIgnored,
+		EventStoreEpochChanged,
+		EventStoreEpochIgnored,
 		EventStoreResynced,
 		EventVersionAdopted,
 		EventVersionUnreadable,
