fix(ggsdispatch): answer a gateway at once where the summary changed since its last one

Callers saw: after a planned stop of a dispatcher a request got 502, "the dispatcher did not say whether it took the request", for up to half a second after others had taken over.

Cause: a gateway asks for the summary at its next change, then pauses for 50 ms and asks again. A change in the pause woke nobody: the next ask waited for another one, 0.5 s at most. In that time the gateway sent requests to a dispatcher that had stopped, on a connection that it had closed meanwhile, so that whether they had run was open.

The gateway's error is "unexpected EOF" of Submit, half a second after the dispatcher released its endpoints.

Change: the ask names the last summary's sequence, and is answered at once where something has changed since that one was made.

--- a/io/ggsdispatch/dispatcher.go
+++ b/io/ggsdispatch/dispatcher.go
@@ -75,6 +75,8 @@
 	// loaded is when adapters came that this process ordered.
 	loaded  map[placement]time.Time
 	changed chan struct{}
+	// outdated is the last summary before the last change.
+	outdated uint64
 }
 
 // A placement is an adapter on an endpoint.
@@ -248,12 +250,15 @@
 // Stats returns the counters.
 func (d *Dispatcher) Stats() *Stats { return &d.stats }
 
-// NextSummary returns the summary at its next change, or when the context has
-// ended.
-func (d *Dispatcher) NextSummary(ctx context.Context) ggscore.DispatcherSummary {
+// NextSummary returns the summary once it differs from the one of a sequence, or when the
+// context has ended.
+func (d *Dispatcher) NextSummary(ctx context.Context, after uint64) ggscore.DispatcherSummary {
 	d.mu.Lock()
-	w := d.changed
+	w, outdated := d.changed, after <= d.outdated
 	d.mu.Unlock()
+	if outdated {
+		return d.Summary()
+	}
 	select {
 	case <-ctx.Done():
 	case <-w:
@@ -347,6 +352,7 @@
 
 // touch needs d.mu. It tells waiting gateways of a change.
 func (d *Dispatcher) touch() {
+	d.outdated = d.sequence
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
--- a/io/ggsdispatch/service.go
+++ b/io/ggsdispatch/service.go
@@ -58,7 +58,7 @@
 func (s *Service) Summary(a *ggswire.SummaryArgs, r *ggswire.SummaryReply) error {
 	ctx, cancel := s.waiting(a.Wait)
 	defer cancel()
-	v := s.dispatcher.NextSummary(ctx)
+	v := s.dispatcher.NextSummary(ctx, a.After)
 	r.Summary = ggswire.FromSummary(&v)
 	return nil
 }
--- a/io/ggsgateway/peers.go
+++ b/io/ggsgateway/peers.go
@@ -74,12 +74,15 @@
 // follow keeps the router up to date with one dispatcher.
 func (g *Gateway) follow(ctx context.Context, addr netip.AddrPort) {
 	var vm ggscore.VMID
+	var last uint64
 	for ctx.Err() == nil {
-		s, err := g.summary(ctx, addr)
+		s, err := g.summary(ctx, addr, last)
 		if err != nil {
 			g.pause(ctx, awayInterval/2+rand.N(awayInterval))
+			last = 0
 			continue
 		}
+		last = s.Sequence
 		if vm != s.VM {
 			vm = s.VM
 			_ = level.Info(g.parts.Log).Log("event", "dispatcherFound", "vm", vm, "addr", addr)
@@ -99,10 +102,10 @@
 	}
 }
 
-func (g *Gateway) summary(ctx context.Context, addr netip.AddrPort) (ggscore.DispatcherSummary, error) {
+func (g *Gateway) summary(ctx context.Context, addr netip.AddrPort, after uint64) (ggscore.DispatcherSummary, error) {
 	ctx, cancel := context.WithTimeout(ctx, summaryTimeout)
 	defer cancel()
-	args := ggswire.SummaryArgs{Wait: summaryWait}
+	args := ggswire.SummaryArgs{After: after, Wait: summaryWait}
 	var reply ggswire.SummaryReply
 	if err := g.parts.Caller.Call(ctx, addr, ggswire.MethodSummary, &args, &reply); err != nil {
 		return ggscore.DispatcherSummary{}, err
--- a/io/ggswire/summary.go
+++ b/io/ggswire/summary.go
@@ -6,9 +6,12 @@
 	ggscore "greengageslip/core"
 )
 
-// SummaryArgs asks for a dispatcher's summary at its next change, or when Wait
-// has passed.
-type SummaryArgs struct{ Wait time.Duration }
+// SummaryArgs asks for a dispatcher's summary once it differs from the one whose sequence is
+// After, or when Wait has passed.
+type SummaryArgs struct {
+	After uint64
+	Wait  time.Duration
+}
 
 // SummaryReply holds a summary.
 type SummaryReply struct{ Summary Summary }
