--- a/core/ggsfencing/keeper.go
+++ b/core/ggsfencing/keeper.go
@@ -44,12 +44,9 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	ggscore "greengageslip/core"
 )
 
@@ -208,109 +205,6 @@
 	return k.options.Validity + k.options.Turn + k.options.Margin
 }
 
-// Observe takes a reading of the store as of a position. One that is older
-// than the last is passed over. The zero position stands for a part of a peer's
-// reading, which says nothing of what it doesn't have and counts until the store is read.
-func (k *Keeper) Observe(now time.Time, at ggscore.StorePosition, r Reading) {
-	if at.IsZero() && k.synced || at.Before(ggscore.StorePosition{Epoch: k.epoch, Revision: k.read}) && !at.IsZero() {
-		return
-	}
-	if k.started.IsZero() {
-		k.started = now
-	}
-	if !at.IsZero() && (!k.synced || at.Epoch != k.epoch) {
-		k.enter(now, at.Epoch, r)
-	}
-	k.read = at.Revision
-	k.written = r.Settled
-	k.settled = k.settled || r.Settled == k.epoch
-	seen := make(map[ggscore.EndpointID]bool, len(r.Records))
-	for _, x := range r.Records {
-		seen[x.Endpoint] = true
-		k.see(now, x)
-	}
-	for id, x := range k.records {
-		if !seen[id] && x.Revision <= at.Revision {
-			delete(k.records, id)
-			delete(k.rights, id)
-		}
-	}
-	k.seeBeats(now, at, r.Beats)
-}
-
-// enter begins an epoch with its first reading.
-func (k *Keeper) enter(now time.Time, e ggscore.StoreEpoch, r Reading) {
-	first := !k.synced
-	k.owners = map[ggscore.EndpointID]ggscore.VMID{}
-	for id := range k.records {
-		k.owners[id] = k.Owner(id)
-	}
-	k.epoch, k.since, k.synced, k.read, k.own = e, now, true, 0, 0
-	// A store that names no epochs loses nothing.
-	k.settled = e == 0 || first && k.options.FirstStart && k.allOf(e, r.Records)
-	clear(k.records)
-	clear(k.beats)
-}
-
-// allOf reports whether all records were written in the epoch.
-func (k *Keeper) allOf(e ggscore.StoreEpoch, rs []Record) bool {
-	return !slices.ContainsFunc(rs, func(r Record) bool { return r.Epoch != e })
-}
-
-func (k *Keeper) seeBeats(now time.Time, at ggscore.StorePosition, beats []Beat) {
-	alive := make(map[ggscore.VMID]bool, len(beats))
-	for _, b := range beats {
-		alive[b.VM] = true
-		if h := k.beats[b.VM]; h == nil || h.Revision != b.Revision {
-			k.beats[b.VM] = &beat{Beat: b, since: now}
-		}
-		if b.VM == k.options.Self && b.Revision > k.own {
-			k.own = b.Revision
-		}
-	}
-	for vm, b := range k.beats {
-		if !at.IsZero() && !alive[vm] && b.Revision != 0 {
-			k.beats[vm] = &beat{Beat: Beat{VM: vm}, since: now}
-		}
-	}
-}
-
-// see takes a record as it stands in the store.
-func (k *Keeper) see(now time.Time, r Record) {
-	h := k.records[r.Endpoint]
-	if h != nil && h.Revision >= r.Revision {
-		return
-	}
-	k.records[r.Endpoint] = &record{Record: r, since: now}
-	if k.counts(r) && (r.Owner != k.options.Self || r.Released) {
-		delete(k.rights, r.Endpoint)
-	}
-}
-
-// counts reports whether a record says who gives orders in the present epoch.
-func (k *Keeper) counts(r Record) bool { return r.Epoch == k.epoch }
-
-// waited reports whether no right of an epoch before goes on.
-func (k *Keeper) waited(now time.Time) bool {
-	return k.settled || k.synced && now.Sub(k.since) >= k.wait()
-}
-
-// SetListed takes the endpoints that are on the list.
-func (k *Keeper) SetListed(now time.Time, list []ggscore.Instance) {
-	listed := make(map[ggscore.EndpointID]bool, len(list))
-	for i := range list {
-		listed[list[i].ID] = true
-	}
-	for id, r := range k.records {
-		switch {
-		case listed[id]:
-			r.gone = time.Time{}
-		case r.gone.IsZero():
-			r.gone = now
-		}
-	}
-}
-
 // Beat returns the next beat to write. It drops the records of endpoints that are
 // gone: kept, they would fill the beat's conditions as endpoints come and go, until
 // the store refused all beats and no endpoint got orders any more.
@@ -379,88 +273,6 @@
 	return ggscore.FenceNumber(uint64(r.Epoch)<<epochShift | uint64(r.Revision))
 }
 
-// Claims returns the records that this VM is to write: those of endpoints that
-// nobody gives orders to, where this VM comes first, and those of its own rights that an
-// epoch before has given.
-//
-// What this VM released itself it takes back at once: no other has given orders
-// since, or the record would be another's. In a rolling restart each VM's
-// endpoints would else get no orders for a turn and more, one VM's after the
-// other's.
-func (k *Keeper) Claims(now time.Time, ready []ggscore.Instance) []Claim {
-	if !k.synced || k.own == 0 {
-		return nil
-	}
-	settled := now.Sub(k.started) >= k.options.Settle
-	room := k.options.MaxRecords - len(k.Beat(now).Records)
-	var cs []Claim
-	for i := range ready {
-		if len(cs) >= room {
-			break
-		}
-		c, ok := k.renewal(now, ready[i].ID)
-		if !ok && settled {
-			c, ok = k.claim(now, ready[i].ID)
-			ok = ok && k.first(&ready[i]) == k.options.Self
-		}
-		if ok {
-			cs = append(cs, c)
-		}
-	}
-	return cs
-}
-
-// renewal returns the claim of an endpoint that no other VM may give orders to: this one has
-// the right from an epoch before, or released it in this one.
-func (k *Keeper) renewal(now time.Time, id ggscore.EndpointID) (Claim, bool) {
-	c := Claim{Endpoint: id, Epoch: k.epoch}
-	r := k.records[id]
-	if r != nil {
-		c.RecordRevision = r.Revision
-	}
-	if r == nil || !k.counts(r.Record) {
-		return c, now.Before(k.rights[id].until)
-	}
-	return c, r.Released && r.Owner == k.options.Self
-}
-
-// claim returns the claim of an endpoint that may be claimed.
-func (k *Keeper) claim(now time.Time, id ggscore.EndpointID) (Claim, bool) {
-	c := Claim{Endpoint: id, Epoch: k.epoch}
-	r := k.records[id]
-	if r == nil {
-		return c, k.waited(now)
-	}
-	c.RecordRevision = r.Revision
-	if !k.counts(r.Record) {
-		// A late write of an epoch before may have replaced a record that counted.
-		return c, now.Sub(r.since) >= k.wait()
-	}
-	if r.Released {
-		return c, now.Sub(r.since) >= k.options.Turn+k.options.Margin
-	}
-	if r.Owner == k.options.Self {
-		return Claim{}, false
-	}
-	c.Owner = r.Owner
-	since := r.since
-	if b := k.beats[r.Owner]; b != nil {
-		c.OwnerRevision = b.Revision
-		if b.since.After(since) {
-			since = b.since
-		}
-	}
-	return c, now.Sub(since) >= k.wait()
-}
-
-// SetHeard takes the VMs whose words arrive.
-func (k *Keeper) SetHeard(vms []ggscore.VMID) {
-	k.heard = make(map[ggscore.VMID]bool, len(vms))
-	for _, vm := range vms {
-		k.heard[vm] = true
-	}
-}
-
 // Owns reports whether this VM gives orders to an endpoint.
 func (k *Keeper) Owns() bool {
 	for _, r := range k.records {
@@ -471,53 +283,6 @@
 	return false
 }
 
-// first returns the VM that is to claim the endpoint: of those that are heard and have
-// room, in the endpoint's domain where there are any, the one that the endpoint's name
-// falls on. Where two think so of themselves, the store lets one of them have it.
-func (k *Keeper) first(i *ggscore.Instance) ggscore.VMID {
-	owned := k.owned()
-	best, most, near := k.options.Self, 0.0, false
-	for vm, b := range k.beats {
-		if vm != k.options.Self && (!k.heard[vm] || owned[vm] >= k.options.MaxRecords) {
-			continue
-		}
-		n := b.Domain == i.Domain
-		w := weight(vm, i.ID, b.Capacity)
-		if n && !near || n == near && w >= most {
-			best, most, near = vm, w, n
-		}
-	}
-	return best
-}
-
-// weight ranks VMs for an endpoint so that each gets endpoints by its capacity: few VMs of
-// a large deployment then write to the store for the endpoints that they control.
-func weight(vm ggscore.VMID, id ggscore.EndpointID, capacity uint64) float64 {
-	x := (float64(xxhash.Sum64String(string(vm)+" "+string(id))>>11) + 1) / (1 << 53)
-	return -float64(max(capacity, 1)) / math.Log(x)
-}
-
-// owned returns the number of endpoints that each VM controls.
-func (k *Keeper) owned() map[ggscore.VMID]int {
-	n := make(map[ggscore.VMID]int, len(k.beats))
-	for _, r := range k.records {
-		if !r.Released {
-			n[r.Owner]++
-		}
-	}
-	return n
-}
-
-// ClaimEnded takes the end of a claim that was written.
-func (k *Keeper) ClaimEnded(sent time.Time, c Claim, at ggscore.StorePosition) {
-	if c.Epoch != k.epoch || at.Epoch != k.epoch {
-		return
-	}
-	r := Record{Endpoint: c.Endpoint, Owner: k.options.Self, Epoch: at.Epoch, Revision: at.Revision}
-	k.records[c.Endpoint] = &record{Record: r, since: sent}
-	k.extend(sent, r)
-}
-
 // May returns the fencing number for an order to the endpoint, and whether
 // this VM may give one now.
 func (k *Keeper) May(now time.Time, id ggscore.EndpointID) (ggscore.FenceNumber, bool) {
--- /dev/null
+++ b/io/ggsedge/control.go
@@ -0,0 +1,230 @@
+package ggsedge
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsgossip"
+	"greengageslip/io/ggslog"
+)
+
+// claimInterval is the time between looks for endpoints that nobody gives orders:
+// a look that finds none makes no call.
+const claimInterval = 300 * time.Millisecond
+
+// giveOrders writes beats and claims.
+func (e *Edge) giveOrders(ctx context.Context) error {
+	var count uint64
+	refusals := 0
+	for ctx.Err() == nil {
+		sent := e.Steady()
+		r := e.beatOnce(ctx, &count)
+		if r != beatRefused {
+			refusals = 0
+		} else if refusals++; refusals > 1 && !e.pauseFailed(ctx, refusals-1) {
+			return nil
+		}
+		e.claimUntilBeat(ctx, sent, r == beatAcknowledged)
+	}
+	return nil
+}
+
+// claimUntilBeat claims endpoints that come up until the next beat is due, unless
+// the last one wasn't acknowledged. An endpoint that started waited for its first
+// order, which brings its base model, until the beat: 1.2 s on average.
+func (e *Edge) claimUntilBeat(ctx context.Context, sent time.Time, acked bool) {
+	for {
+		if acked {
+			e.claimAll(ctx)
+		}
+		left := e.beatInterval(acked) - e.since(sent)
+		if !pauseOr(ctx, min(claimInterval, left), e.kick) || e.kicked.Swap(false) || left <= claimInterval {
+			return
+		}
+	}
+}
+
+// beatInterval returns the time between this VM's beats to the store. One that
+// wasn't acknowledged is repeated as soon as an owner's is due: until then other
+// VMs may not know this one.
+func (e *Edge) beatInterval(acked bool) time.Duration {
+	heard := len(e.livePeers())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return ggsgossip.BeatInterval(heard+1, e.keeper.Owns() || !acked)
+}
+
+// recordsRead reports whether the own records were read in the current epoch. What is written
+// goes by their revisions.
+func (e *Edge) recordsRead() bool {
+	c := e.epochs.current()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	k, ok := e.keeper.Epoch()
+	return ok && k == c
+}
+
+// wakeBeats has a beat written at once.
+func (e *Edge) wakeBeats() {
+	e.kicked.Store(true)
+	notify(e.kick)
+}
+
+// A beatResult is what became of a beat.
+type beatResult int
+
+const (
+	// beatUnsent is a beat that wasn't written, or whose answer was lost.
+	beatUnsent beatResult = iota
+	beatAcknowledged
+	beatRefused
+)
+
+// beatOnce writes a beat.
+func (e *Edge) beatOnce(ctx context.Context, count *uint64) beatResult {
+	if !e.recordsRead() {
+		return beatUnsent
+	}
+	*count++
+	e.mu.Lock()
+	p := e.keeper.Beat(e.Now())
+	shapes := e.turns.Shapes()
+	e.mu.Unlock()
+	v, err := json.Marshal(&memberRecord{
+		Domain: string(e.options.Domain), Beats: e.options.Beats.String(), Control: e.options.Control.String(), Count: *count,
+		Capacity: e.options.Capacity,
+		Shapes:   shapeRecords(shapes),
+	})
+	if err != nil {
+		_ = level.Error(e.Log).Log("event", ggslog.EventBeatUnencoded, "err", err)
+		return beatUnsent
+	}
+	t := ggscore.Txn{
+		Epoch:      p.Epoch,
+		Conditions: []ggscore.TxnCondition{{Key: e.memberKey(e.options.VM), Revision: p.Revision}},
+		Writes:     []ggscore.TxnWrite{{Key: e.memberKey(e.options.VM), Value: v}},
+	}
+	if p.Settle {
+		t.Writes = append(t.Writes, e.settled(p.Epoch)...)
+	}
+	for _, r := range p.Records {
+		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ordererKey(r.Endpoint), Revision: r.Revision})
+	}
+	for _, r := range p.Drop {
+		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ordererKey(r.Endpoint), Revision: r.Revision})
+		t.Deletes = append(t.Deletes, e.ordererKey(r.Endpoint))
+	}
+	sent := e.Now()
+	at, err := e.Store.Txn(ctx, t)
+	var conflict *ggscore.TxnConflictError
+	refused := errors.As(err, &conflict)
+	if err != nil && !refused {
+		_ = level.Info(e.Log).Log("event", ggslog.EventBeatFailed, "err", err)
+		return beatUnsent
+	}
+	e.mu.Lock()
+	e.keeper.BeatEnded(sent, p, at, refused)
+	e.mu.Unlock()
+	if refused {
+		_ = level.Info(e.Log).Log("event", ggslog.EventBeatRefused, "revision", p.Revision, "records", len(p.Records))
+		e.reread(ctx)
+		return beatRefused
+	}
+	return beatAcknowledged
+}
+
+// reread reads the own records anew after a refusal.
+func (e *Edge) reread(ctx context.Context) {
+	es, at, err := e.Store.Snapshot(ctx, e.options.Keys.Own+"/", false)
+	if err != nil {
+		_ = level.Info(e.Log).Log("event", ggslog.EventRereadFailed, "err", err)
+		return
+	}
+	e.setMembers(ctx, es, at)
+	e.wakeBeats()
+}
+
+// settled returns the write that says that an epoch is settled.
+func (e *Edge) settled(c ggscore.StoreEpoch) []ggscore.TxnWrite {
+	v, err := json.Marshal(&epochRecord{Settled: uint64(c)})
+	if err != nil {
+		_ = level.Error(e.Log).Log("event", ggslog.EventRecordUnencoded, "err", err)
+		return nil
+	}
+	return []ggscore.TxnWrite{{Key: e.epochKey(), Value: v}}
+}
+
+// claimAll writes the claims that are this VM's to write.
+func (e *Edge) claimAll(ctx context.Context) {
+	specs := map[ggscore.Service]ggscore.BackendSpec{}
+	if t := e.paths.Load(); t != nil {
+		specs = t.Config.Services
+	}
+	heard := e.livePeers()
+	e.mu.Lock()
+	e.keeper.SetHeard(heard)
+	var ready []ggscore.Instance
+	for _, i := range e.table.Instances("") {
+		if specs[i.Service].Engine != nil && !i.Leaving {
+			ready = append(ready, i)
+		}
+	}
+	cs := e.keeper.Claims(e.Now(), ready)
+	e.mu.Unlock()
+	for _, c := range cs {
+		v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM), Epoch: uint64(c.Epoch)})
+		if err != nil {
+			_ = level.Error(e.Log).Log("event", ggslog.EventClaimUnencoded, "err", err)
+			return
+		}
+		t := ggscore.Txn{
+			Epoch:      c.Epoch,
+			Conditions: []ggscore.TxnCondition{{Key: e.ordererKey(c.Endpoint), Revision: c.RecordRevision}},
+			Writes:     []ggscore.TxnWrite{{Key: e.ordererKey(c.Endpoint), Value: v}},
+		}
+		if c.Owner != "" {
+			t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.memberKey(c.Owner), Revision: c.OwnerRevision})
+		}
+		sent := e.Now()
+		at, err := e.Store.Txn(ctx, t)
+		_ = level.Info(e.Log).Log("event", ggslog.EventOrdersClaimed, "endpoint", c.Endpoint, "before", c.Owner, "revision", at.Revision, "err", err)
+		if err != nil {
+			continue
+		}
+		e.mu.Lock()
+		e.keeper.ClaimEnded(sent, c, at)
+		e.setWorkers(ctx)
+		e.mu.Unlock()
+	}
+}
+
+// Release ends this VM's orders and lets other VMs have its endpoints.
+func (e *Edge) Release(ctx context.Context) {
+	e.mu.Lock()
+	e.keeper.Stop()
+	p := e.keeper.Beat(e.Now())
+	e.mu.Unlock()
+	if len(p.Records) == 0 {
+		return
+	}
+	v, err := json.Marshal(&ordererRecord{Owner: string(e.options.VM), Released: true, Epoch: uint64(p.Epoch)})
+	if err != nil {
+		_ = level.Error(e.Log).Log("event", ggslog.EventReleaseUnencoded, "err", err)
+		return
+	}
+	t := ggscore.Txn{
+		Epoch:      p.Epoch,
+		Conditions: []ggscore.TxnCondition{{Key: e.memberKey(e.options.VM), Revision: p.Revision}},
+	}
+	for _, r := range p.Records {
+		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ordererKey(r.Endpoint), Revision: r.Revision})
+		t.Writes = append(t.Writes, ggscore.TxnWrite{Key: e.ordererKey(r.Endpoint), Value: v})
+	}
+	_, err = e.Store.Txn(ctx, t)
+	_ = level.Info(e.Log).Log("event", ggslog.EventOrdersReleased, "endpoints", len(p.Records), "err", err)
+}
--- a/io/ggsedge/epoch.go
+++ b/io/ggsedge/epoch.go
@@ -1,11 +1,9 @@
 package ggsedge
 
 import (
-	"context"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -152,70 +150,3 @@
 	}
 	return ggscore.StorePosition{}
 }
-
-// An epochStore passes on a store's answers with the epoch that they are of. Answers of an
-// epoch that has ended, and those to what was read in another, are errors.
-type epochStore struct {
-	Store
-	epochs *epochs
-}
-
-var _ Store = (*epochStore)(nil)
-
-// Snapshot implements ggscore.Snapshotter.
-func (s *epochStore) Snapshot(ctx context.Context, prefix ggscore.Key, stale bool) ([]ggscore.Entry, ggscore.StorePosition, error) {
-	sent := s.epochs.current()
-	es, at, err := s.Store.Snapshot(ctx, prefix, stale)
-	at, err = s.place(sent, at, stale, err)
-	if err != nil {
-		return nil, at, err
-	}
-	return es, at, nil
-}
-
-// Watch implements ggscore.HistoryWatcher.
-func (s *epochStore) Watch(
-	ctx context.Context, prefix ggscore.Key, after ggscore.StorePosition, wait time.Duration,
-) ([]ggscore.Entry, ggscore.StorePosition, error) {
-	sent := s.epochs.current()
-	es, at, err := s.Store.Watch(ctx, prefix, after, wait)
-	at, err = s.place(sent, at, false, err)
-	if err == nil && at.Epoch != after.Epoch {
-		err = &ggscore.HistoryGoneError{After: after}
-	}
-	if err != nil {
-		return nil, at, err
-	}
-	return es, at, nil
-}
-
-// Txn implements ggscore.Txner.
-func (s *epochStore) Txn(ctx context.Context, t ggscore.Txn) (ggscore.StorePosition, error) {
-	sent := s.epochs.current()
-	if t.Epoch != sent {
-		return ggscore.StorePosition{Epoch: sent}, &ggscore.EpochChangedError{From: t.Epoch, To: sent}
-	}
-	at, err := s.Store.Txn(ctx, t)
-	at, err = s.place(sent, at, false, err)
-	var conflict *ggscore.TxnConflictError
-	if at.Epoch != t.Epoch && (err == nil || errors.As(err, &conflict)) {
-		err = &ggscore.EpochChangedError{From: t.Epoch, To: at.Epoch}
-	}
-	return at, err
-}
-
-// place returns the position that an answer is of, and an error for one that changes nothing.
-// A call without an answer names no epoch.
-func (s *epochStore) place(
-	sent ggscore.StoreEpoch, at ggscore.StorePosition, stale bool, err error,
-) (ggscore.StorePosition, error) {
-	if err != nil && at.Epoch == 0 {
-		return ggscore.StorePosition{Epoch: sent}, err
-	}
-	a := s.epochs.answer(sent, at, stale)
-	if a.Late && err == nil {
-		err = &ggscore.LateAnswerError{Named: at.Epoch, Current: a.Epoch}
-	}
-	at.Epoch = a.Epoch
-	return at, err
-}
