test(ggsnode): wait for events around a return of the store

What the store loses is counted in revisions, which pass at once, and each wait is for what edges show.

--- a/cmd/ggsnode/edge_epoch_test.go
+++ b/cmd/ggsnode/edge_epoch_test.go
@@ -11,30 +11,54 @@
 	qt "github.com/frankban/quicktest"
 
 	"greengageslip/fakes/ggsfakesite"
+	"greengageslip/io/ggsedge"
 	ggsdialect "greengageslip/platform"
 )
 
 const (
-	// storeLost is what a store loses that comes back from an older copy.
-	storeLost = 6 * time.Second
-	// rewriteTime is the time after which endpoints write their entries again.
-	rewriteTime = time.Second
+	// lostRevisions are what a store loses that comes back from an older copy: more than are
+	// written again during a test.
+	lostRevisions = 10_000
+	// neverTime is longer than any test: endpoints write their entries again when told to.
+	neverTime = time.Hour
 )
 
-// returnFromCopy has the store come back from a copy that is as old as storeLost.
+// returnFromCopy has the store come back from a copy of what it has now.
 func (s *siteTest) returnFromCopy(meanwhile func()) {
 	s.returnFrom(s.site.Store.Copy(), meanwhile)
 }
 
-// returnFrom has the store come back from a copy once storeLost has passed.
+// returnFrom has the store come back from a copy, once edges have read and written what is lost,
+// and waits until all edges know. Endpoints write their entries again by Site.Rewrite.
 func (s *siteTest) returnFrom(k ggsfakesite.Copy, meanwhile func()) {
-	begun := time.Now()
+	const list, own = "servers/", "greengageslip/vm/"
 	meanwhile()
-	time.Sleep(storeLost - time.Since(begun))
+	s.site.Store.Advance(lostRevisions)
+	mark, read := s.site.Store.Revision(), s.site.Store.Snapshots(list)
+	s.eventually("the list is read", func() bool { return s.site.Store.Snapshots(list) > read+1 })
+	s.eventually("beats are written", func() bool { return s.site.Store.Written(own, mark) > 0 })
 	s.site.Store.SetAway(true)
-	time.Sleep(time.Second)
-	s.site.Return(k, rewriteTime)
+	s.eachEdge("the store is unreachable", func(e ggsedge.State) bool { return e.StoreAway })
+	s.site.Return(k, neverTime)
 	s.site.Store.SetAway(false)
+	s.eachEdge("the epoch is known", func(e ggsedge.State) bool { return uint64(e.Epoch) == s.site.Store.Era() })
+}
+
+// rewrite has endpoints write their entries again, and waits until they have.
+func (s *siteTest) rewrite() {
+	mark := s.site.Store.Revision()
+	s.site.Rewrite()
+	s.eventually("all entries are written", func() bool {
+		return s.site.Store.Written("servers/", mark) == len(s.site.Endpoints)
+	})
+}
+
+// eachEdge waits until a condition holds at each edge.
+func (s *siteTest) eachEdge(what string, ok func(ggsedge.State) bool) {
+	s.c.Helper()
+	for n := range s.edges {
+		s.eventually(what, func() bool { return ok(s.state(n)) })
+	}
 }
 
 // lateArrivals returns the number of requests that reached an endpoint later than the drain
@@ -54,7 +78,7 @@
 	t.Parallel()
 	s := startSite(t, 3)
 	s.returnFromCopy(func() { s.callSteadily(http.MethodGet, "/look/1", "", 100*time.Millisecond, time.Second) })
-	time.Sleep(rewriteTime + 500*time.Millisecond)
+	s.rewrite()
 	begun := time.Now()
 	s.site.Drain("ledger-0")
 	served, all := s.callSteadily(http.MethodGet, "/look/1", "", 50*time.Millisecond, 3*drainTime)
@@ -80,7 +104,10 @@
 				k = k.Without("greengageslip/")
 			}
 			s.returnFrom(k, func() {})
+			s.rewrite()
 			begun := time.Now()
+			pace := time.NewTicker(500 * time.Millisecond)
+			defer pace.Stop()
 			served, all := 0, 0
 			var first time.Duration
 			for n := 0; time.Since(begun) < 20*time.Second; n++ {
@@ -92,7 +119,7 @@
 						first = time.Since(begun)
 					}
 				}
-				time.Sleep(500 * time.Millisecond)
+				<-pace.C
 			}
 			s.c.Check(first > 0 && first < loadTime, qt.IsTrue, qt.Commentf("first after %s", first))
 			s.c.Check(served >= all*9/10, qt.IsTrue, qt.Commentf("%d of %d", served, all))
@@ -109,7 +136,8 @@
 		begun = time.Now()
 		s.site.Drain("ledger-0")
 	})
-	served, all := s.callSteadily(http.MethodGet, "/look/1", "", 20*time.Millisecond, 2*rewriteTime)
+	served, all := s.callSteadily(http.MethodGet, "/look/1", "", 20*time.Millisecond, drainTime+time.Second)
+	s.rewrite()
 	s.c.Check(s.lateArrivals("ledger-0", begun), qt.Equals, 0)
 	s.c.Check(served, qt.Equals, all)
 }
@@ -119,8 +147,11 @@
 	t.Parallel()
 	s := startSite(t, 2)
 	s.returnFrom(s.site.Store.Copy().Without("servers/"), func() {})
-	served, all := s.callSteadily(http.MethodGet, "/look/1", "", 20*time.Millisecond, 2*rewriteTime)
-	s.c.Check(served, qt.Equals, all)
+	for range 2 {
+		served, all := s.callSteadily(http.MethodGet, "/look/1", "", 20*time.Millisecond, time.Second)
+		s.c.Check(served, qt.Equals, all)
+		s.rewrite()
+	}
 }
 
 // Guards against VMs that start on an older copy of the store and go by an older configuration than their peers.
--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -161,6 +161,13 @@
 	s.Store.Return(c)
 }
 
+// Rewrite has endpoints write their entries again.
+func (s *Site) Rewrite() {
+	s.mu.Lock()
+	s.quietUntil = time.Time{}
+	s.mu.Unlock()
+}
+
 // announce writes an endpoint's entry.
 func (s *Site) announce(id string) {
 	s.mu.Lock()
--- a/fakes/ggsfakesite/store.go
+++ b/fakes/ggsfakesite/store.go
@@ -149,6 +149,33 @@
 	return s.items[key].Value
 }
 
+// Advance has so many revisions pass, as by the writes of others.
+func (s *Store) Advance(n uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision += n
+}
+
+// Written returns the number of keys below a prefix that were written after a revision.
+func (s *Store) Written(prefix string, after uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for k, i := range s.items {
+		if strings.HasPrefix(k, prefix) && i.Revision > after {
+			n++
+		}
+	}
+	return n
+}
+
+// Revision returns the revision of the last write.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // SetAway sets whether all calls are answered 503.
 func (s *Store) SetAway(away bool) {
 	s.mu.Lock()
