--- a/core/ggsfencing/explore_test.go
+++ b/core/ggsfencing/explore_test.go
@@ -165,8 +165,7 @@
 	return worlds, ""
 }
 
-// Guards against two VMs that order one endpoint, numbers of orders that fall, and endpoints that get none, over all short
-// sequences of what may happen to a store and two VMs.
+// Guards against two VMs that order one endpoint, fencing numbers that fall, and endpoints that nobody orders any more.
 func TestEverySequenceKeepsOneController(t *testing.T) {
 	t.Parallel()
 	calm := func(x *exploration) {
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -440,8 +440,7 @@
 
 func (f fixedThrottle) Wait(_ time.Time, id ggscore.EndpointID) time.Duration { return f[id] }
 
-// Guards against requests that go to endpoints beyond their rate limit, and against
-// refusals whose callers come back before there is room.
+// Guards against requests beyond an endpoint's rate limit, and callers that are told to come back before there is room.
 func TestRateLimitedEndpointsGetWhatTheyTake(t *testing.T) {
 	t.Parallel()
 	all := func(wait time.Duration) fixedThrottle { return fixedThrottle{"p0": wait, "p1": wait, "p2": wait} }
--- a/core/ggsrelay/node_test.go
+++ b/core/ggsrelay/node_test.go
@@ -215,8 +215,7 @@
 	}
 }
 
-// Guards against VMs of other domains that don't learn what an endpoint said in an answer,
-// or learn an old word of it.
+// Guards against VMs of other domains that don't learn what an endpoint said in an answer, or learn something older.
 func TestWhatEndpointsSayReachesAllVMs(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/core/ggsresident/number_test.go
+++ b/core/ggsresident/number_test.go
@@ -17,8 +17,7 @@
 	}}}
 }
 
-// Guards against a place that is given away while an unanswered order for it may still be carried out, under a number
-// that the endpoint reaches only then.
+// Guards against a place that is given away while an unanswered order under a later number may still take it.
 func TestPlaceIsLeftForALateOrderUnderALaterNumber(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
@@ -47,8 +46,7 @@
 	}
 }
 
-// Guards against a version that is ordered again while it waits for the requests of the one before: the endpoint doesn't
-// count it, and refuses each order under the next number.
+// Guards against orders under wrong numbers, since a version that waits for the one before was ordered and counted again.
 func TestVersionOnItsWayIsNotOrderedAgain(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/core/ggsresident/runner_test.go
+++ b/core/ggsresident/runner_test.go
@@ -108,6 +108,27 @@
 	return s
 }
 
+// give has the ledger give its next order, if there is one, by a fate that answers it.
+func (m *model) give(
+	now time.Time, l *ggsresident.Ledger, fate func(ggsresident.Step) ggscore.PlacementAnswer,
+) (s ggsresident.Step, a ggscore.PlacementAnswer, ok bool) {
+	if !l.Synced(now) {
+		l.Sync(now, m.status())
+	}
+	if s, ok = l.Next(now); !ok {
+		return s, a, false
+	}
+	a = fate(s)
+	l.Ended(now, s, a)
+	return s, a, true
+}
+
+// delay has an order carried out later, and not answered.
+func (m *model) delay(s ggsresident.Step, until time.Time) ggscore.PlacementAnswer {
+	m.late = append(m.late, lateOrder{at: until, step: s})
+	return ggscore.PlacementUnknown
+}
+
 // A runner that is ordered to load more than it has places for crashes, with
 // all that it runs. Orders get lost, or are carried out seconds later, after
 // newer ones; whatever comes, no place is promised twice, and what the ledger
@@ -130,25 +151,21 @@
 			if rapid.IntRange(0, 29).Draw(t, "restart") == 0 {
 				l = ggsresident.NewLedger(ggsresident.Options{Slots: m.slots})
 			}
-			if !l.Synced(now) {
-				l.Sync(now, m.status())
-			}
-			s, ok := l.Next(now)
+			s, answer, ok := m.give(now, l, func(s ggsresident.Step) ggscore.PlacementAnswer {
+				switch rapid.IntRange(0, 9).Draw(t, "fate") {
+				case 0: // lost
+				case 1: // carried out, the answer is lost
+					m.order(now, s)
+				case 2:
+					return m.delay(s, now.Add(time.Duration(rapid.IntRange(100, 12000).Draw(t, "late"))*time.Millisecond))
+				default:
+					return m.order(now, s)
+				}
+				return ggscore.PlacementUnknown
+			})
 			if !ok {
 				continue
 			}
-			answer := ggscore.PlacementUnknown
-			switch rapid.IntRange(0, 9).Draw(t, "fate") {
-			case 0: // lost
-			case 1: // carried out, the answer is lost
-				m.order(now, s)
-			case 2: // carried out late
-				d := time.Duration(rapid.IntRange(100, 12000).Draw(t, "late")) * time.Millisecond
-				m.late = append(m.late, lateOrder{at: now.Add(d), step: s})
-			default:
-				answer = m.order(now, s)
-			}
-			l.Ended(now, s, answer)
 			if m.overfull {
 				t.Fatalf("more adapters than places after %+v", s)
 			}
@@ -195,21 +212,12 @@
 				l, noticed = ledger(), time.Time{}
 			}
 			l.Want(now, adapter(rapid.IntRange(0, 19).Draw(t, "adapter")), 0)
-			if !l.Synced(now) {
-				l.Sync(now, m.status())
-			}
-			s, ok := l.Next(now)
-			if !ok {
-				continue
-			}
-			answer := ggscore.PlacementUnknown
-			if len(m.late) < mostLate && rapid.IntRange(0, 2).Draw(t, "fate") == 0 {
-				d := time.Duration(rapid.Int64Range(int64(time.Second), int64(late)).Draw(t, "late"))
-				m.late = append(m.late, lateOrder{at: now.Add(d), step: s})
-			} else {
-				answer = m.order(now, s)
-			}
-			l.Ended(now, s, answer)
+			s, _, _ := m.give(now, l, func(s ggsresident.Step) ggscore.PlacementAnswer {
+				if len(m.late) < mostLate && rapid.IntRange(0, 2).Draw(t, "fate") == 0 {
+					return m.delay(s, now.Add(time.Duration(rapid.Int64Range(int64(time.Second), int64(late)).Draw(t, "late"))))
+				}
+				return m.order(now, s)
+			})
 			if m.overfull {
 				t.Fatalf("more adapters than places after %+v", s)
 			}
@@ -238,24 +246,16 @@
 				newest[a]++
 			}
 			l.Want(now, adapter(a), newest[a])
-			if !l.Synced(now) {
-				l.Sync(now, m.status())
-			}
-			s, ok := l.Next(now)
-			if !ok {
-				continue
-			}
-			answer := ggscore.PlacementUnknown
-			switch rapid.IntRange(0, 5).Draw(t, "fate") {
-			case 0: // carried out, the answer is lost
-				m.order(now, s)
-			case 1: // carried out late
-				d := time.Duration(rapid.IntRange(2000, 12000).Draw(t, "late")) * time.Millisecond
-				m.late = append(m.late, lateOrder{at: now.Add(d), step: s})
-			default:
-				answer = m.order(now, s)
-			}
-			l.Ended(now, s, answer)
+			m.give(now, l, func(s ggsresident.Step) ggscore.PlacementAnswer {
+				switch rapid.IntRange(0, 5).Draw(t, "fate") {
+				case 0: // carried out, the answer is lost
+					m.order(now, s)
+					return ggscore.PlacementUnknown
+				case 1:
+					return m.delay(s, now.Add(time.Duration(rapid.IntRange(2000, 12000).Draw(t, "late"))*time.Millisecond))
+				}
+				return m.order(now, s)
+			})
 		}
 	})
 }
--- a/core/ggsturn/table_test.go
+++ b/core/ggsturn/table_test.go
@@ -149,8 +149,7 @@
 	c.Assert(b.Expect(at(now), models, "r2", 1000).Ready, qt.Equals, 50*time.Millisecond)
 }
 
-// Guards against VMs of a large fleet that observe other endpoints than each other, and
-// against prompts that wait while nobody knows of the others.
+// Guards against VMs of a large fleet that observe other endpoints than each other, so that nobody knows of all prompts.
 func TestAllVMsObserveTheSameEndpoints(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
