test(ggsnode): VMs that are partitioned from all endpoints serve their callers, failing

The dialer of an edge becomes a part that tests replace (no change of logic), and the stand-in partitions one VM from all endpoints.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -120,16 +120,22 @@
 	return runEdge(ctx, &c, &s, policy, l)
 }
 
-func runEdge(ctx context.Context, c *edgeCommandLine, s *ggsdialect.Settings, policy ggscore.Policy, l log.Logger) int {
-	return runApp(ctx, s.Grace+stopMargin, l,
+// runEdge runs an edge. The options change its parts.
+func runEdge(
+	ctx context.Context, c *edgeCommandLine, s *ggsdialect.Settings, policy ggscore.Policy, l log.Logger, options ...fx.Option,
+) int {
+	return runApp(ctx, s.Grace+stopMargin, l, append(options,
 		fx.Supply(c, s, policy),
 		fx.Provide(
 			func() clock { return time.Now }, //nolint:forbidigo // the one clock of a process
-			func(t clock) *ggsexchange.Pool { return ggsexchange.NewPool(ggsexchange.Options{Now: t}) },
+			func() ggscore.Dialer { return ggsexchange.NewDirectDialer(0) },
+			func(d ggscore.Dialer, t clock) *ggsexchange.Pool {
+				return ggsexchange.NewPool(ggsexchange.Options{Dialer: d, Now: t})
+			},
 			newEdge,
 		),
 		fx.Invoke(startEdge),
-	)
+	)...)
 }
 
 // edgeDatagramAddr returns the UDP address at which an edge receives its peers' datagrams, with
--- /dev/null
+++ b/cmd/ggsnode/edge_partition_test.go
@@ -0,0 +1,134 @@
+package ggsnode
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/fx"
+
+	ggscore "greengageslip/core"
+	"greengageslip/fakes/ggsfakelink"
+	ggsdialect "greengageslip/platform"
+)
+
+// contactTime is the time from the start of a partition after which the VMs must serve again.
+const contactTime = 3 * time.Second
+
+// A partitionTest is a site whose edges can be partitioned from all endpoints.
+type partitionTest struct {
+	*siteTest
+	partitions []*ggsfakelink.Partition
+}
+
+// startPartitionTest starts a site with the given number of edges.
+func startPartitionTest(t *testing.T, edges int) *partitionTest {
+	t.Helper()
+	p := &partitionTest{partitions: make([]*ggsfakelink.Partition, edges)}
+	p.siteTest = startSiteWith(t, edges, func(s *siteTest, n int) {
+		created := make(chan *ggsfakelink.Partition, 1)
+		s.startEdgeWith(t, n, func(*ggsdialect.Settings) {}, fx.Decorate(func(d ggscore.Dialer) ggscore.Dialer {
+			l := ggsfakelink.NewPartition(d)
+			created <- l
+			return l
+		}))
+		p.partitions[n] = <-created
+	})
+	return p
+}
+
+func (p *partitionTest) partition(edges []int, m ggsfakelink.PartitionMode) {
+	for _, n := range edges {
+		p.partitions[n].SetMode(m)
+	}
+}
+
+// A firstTries counts the first attempts of clients at an edge, and those that were served.
+type firstTries struct{ served, sent int }
+
+// countFirstTries sends requests of each kind to each edge for the given length and returns the
+// counts by edge. It checks that no unsafe request ran twice, and none that was reported as not
+// run.
+func (p *partitionTest) countFirstTries(length time.Duration) []firstTries {
+	counts := make([]firstTries, len(p.edges))
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	send := func(n int, method, path, model string) {
+		calls.Go(func() {
+			r := p.call(n, method, path, model, "{}")
+			runs := p.site.Runs()[r.id]
+			p.c.Check(method == http.MethodGet || runs <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", r.id, runs))
+			p.c.Check(r.status != http.StatusServiceUnavailable || runs == 0, qt.IsTrue, qt.Commentf("%s has run", r.id))
+			mu.Lock()
+			defer mu.Unlock()
+			counts[n].sent++
+			if r.status == http.StatusOK && r.complete {
+				counts[n].served++
+			} else {
+				p.c.Logf("edge %d answered %s with status %d: %s", n, path, r.status, r.body)
+			}
+		})
+	}
+	t := time.NewTicker(100 * time.Millisecond)
+	defer t.Stop()
+	begun := time.Now()
+	for i := 0; time.Since(begun) < length; i++ {
+		for n := range p.edges {
+			send(n, http.MethodPost, "/chat/1", fmt.Sprintf("m/a%d", i%4))
+			send(n, http.MethodPost, "/pay/1", "")
+			send(n, http.MethodGet, "/look/1", "")
+		}
+		<-t.C
+	}
+	calls.Wait()
+	return counts
+}
+
+// Guards against VMs that fail their callers while they don't reach the endpoints, although other
+// VMs do.
+func TestVMPartitionedFromAllEndpointsServes(t *testing.T) {
+	t.Parallel()
+	for name, mode := range map[string]ggsfakelink.PartitionMode{
+		"connections hang":            ggsfakelink.PartitionHang,
+		"connections are reset":       ggsfakelink.PartitionReset,
+		"new connections are refused": ggsfakelink.PartitionRefuse,
+	} {
+		for edges, cut := range map[int][]int{3: {0}, 4: {0, 1, 2}} {
+			t.Run(fmt.Sprintf("%s at %d of %d VMs", name, len(cut), edges), func(t *testing.T) {
+				t.Parallel()
+				p := startPartitionTest(t, edges)
+				p.countFirstTries(500 * time.Millisecond)
+				p.partition(cut, mode)
+				p.countFirstTries(contactTime)
+				p.checkFirstTries(cut, p.countFirstTries(3*time.Second))
+				p.partition(cut, ggsfakelink.PartitionNone)
+				p.countFirstTries(contactTime)
+				p.checkFirstTries(cut, p.countFirstTries(time.Second))
+			})
+		}
+	}
+}
+
+// checkFirstTries checks that the cut VMs serve at least two thirds as many first attempts as the
+// others, and that 10 and 1 in 50 fail there at most.
+func (p *partitionTest) checkFirstTries(cut []int, counts []firstTries) {
+	p.c.Helper()
+	var at, others firstTries
+	for n, k := range counts {
+		s := &others
+		for _, x := range cut {
+			if x == n {
+				s = &at
+			}
+		}
+		s.served += k.served
+		s.sent += k.sent
+	}
+	comment := qt.Commentf("partitioned VMs served %d of %d, the others %d of %d", at.served, at.sent, others.served, others.sent)
+	p.c.Check(3*at.served*others.sent >= 2*others.served*at.sent, qt.IsTrue, comment)
+	p.c.Check(at.sent-at.served <= 10+at.sent/50, qt.IsTrue, comment)
+	p.c.Check(others.sent-others.served <= 10+others.sent/50, qt.IsTrue, comment)
+}
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -17,6 +17,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
+	"go.uber.org/fx"
 
 	ggscore "greengageslip/core"
 	"greengageslip/fakes/ggsfakesite"
@@ -46,6 +47,12 @@
 // startSite starts a site in two zones with the given number of edges, and waits until all edges
 // are ready and know the owner of each runner.
 func startSite(t *testing.T, edges int) *siteTest {
+	t.Helper()
+	return startSiteWith(t, edges, func(s *siteTest, n int) { s.startEdge(t, n) })
+}
+
+// startSiteWith is like startSite. The function start starts the edge with a number.
+func startSiteWith(t *testing.T, edges int, start func(s *siteTest, n int)) *siteTest {
 	t.Helper()
 	c := qt.New(t)
 	s := &siteTest{c: c, network: freeNetwork(t)}
@@ -61,7 +68,7 @@
 		c.Check(<-done, qt.IsNil)
 	})
 	for n := range edges {
-		s.startEdge(t, n)
+		start(s, n)
 	}
 	for n := range s.edges {
 		s.eventually("edge is ready", func() bool { return s.ready(n) == http.StatusOK })
@@ -94,8 +101,9 @@
 	s.startEdgeWith(t, n, func(*ggsdialect.Settings) {})
 }
 
-// startEdgeWith starts an edge with settings modified by change.
-func (s *siteTest) startEdgeWith(t *testing.T, n int, change func(*ggsdialect.Settings)) {
+// startEdgeWith starts an edge with settings modified by change, and with other parts given by
+// options.
+func (s *siteTest) startEdgeWith(t *testing.T, n int, change func(*ggsdialect.Settings), options ...fx.Option) {
 	t.Helper()
 	ip := netip.AddrFrom4([4]byte{127, 9, s.network, byte(10 + n)})
 	store := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, s.network, 1}), 7000)
@@ -111,7 +119,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	go func() { e.done <- runEdge(ctx, &edgeCommandLine{}, &e.settings, ggscore.Policy{}, log.NewNopLogger()) }()
+	go func() { e.done <- runEdge(ctx, &edgeCommandLine{}, &e.settings, ggscore.Policy{}, log.NewNopLogger(), options...) }()
 	s.edges = append(s.edges, e)
 	t.Cleanup(func() {
 		e.cancel()
--- a/io/ggsexchange/pool.go
+++ b/io/ggsexchange/pool.go
@@ -11,13 +11,12 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	ggscore "greengageslip/core"
 )
 
 // Defaults of Options.
 const (
-	// DefaultDialTimeout covers two opening packets between regions and a margin. An endpoint
-	// that hasn't accepted a connection by then is down or unreachable.
-	DefaultDialTimeout = 600 * time.Millisecond
 	// DefaultIdleTimeout is how long an idle connection is kept if the endpoint doesn't announce
 	// its own timeout.
 	DefaultIdleTimeout = 20 * time.Second
@@ -30,23 +29,10 @@
 // granularity of the announced time.
 const idleMargin = 700 * time.Millisecond
 
-// userTimeout is the TCP_USER_TIMEOUT, which bounds how long sent bytes may stay unacknowledged.
-// Without it, a connection to a peer behind a network partition hangs for minutes.
-const userTimeout = 3 * time.Second
-
-// TCP keep-alive of connections without traffic. An endpoint that lost power or network neither
-// answers nor closes its connections. A request that waits for its answer would fail only at its
-// deadline, and a request that was written to it can't be sent to another endpoint any more. With
-// these values, the connection is closed after 4 s without a packet from the endpoint.
-const (
-	keepAliveIdle     = 2 * time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
-)
-
 // Options configures a Pool. Zero fields take their defaults. Now is required.
 type Options struct {
-	DialTimeout time.Duration
+	// Dialer opens the connections. The default is a DirectDialer.
+	Dialer      ggscore.Dialer
 	IdleTimeout time.Duration
 	BufferBytes int
 	// Now is the clock for the idle timeouts.
@@ -56,7 +42,6 @@
 // A Pool opens connections to endpoints and reuses idle ones. It is safe for concurrent use.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
 
 	mu    sync.Mutex
 	hosts map[netip.AddrPort]*hostConns
@@ -83,15 +68,12 @@
 
 // NewPool returns a pool without connections.
 func NewPool(o Options) *Pool {
-	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	if o.Dialer == nil {
+		o.Dialer = NewDirectDialer(0)
+	}
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
 	o.BufferBytes = cmp.Or(o.BufferBytes, DefaultBufferBytes)
-	p := &Pool{options: o, hosts: map[netip.AddrPort]*hostConns{}}
-	p.dialer = net.Dialer{
-		Timeout: o.DialTimeout, Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-	}
-	return p
+	return &Pool{options: o, hosts: map[netip.AddrPort]*hostConns{}}
 }
 
 // Close closes the idle connections.
@@ -161,7 +143,7 @@
 		}
 		p.discard(c)
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", addr.String())
+	nc, err := p.options.Dialer.Dial(ctx, addr)
 	if err != nil {
 		p.release(addr)
 		return nil, err
@@ -237,7 +219,7 @@
 // another caller's bytes. If the endpoint closed the connection, the next request would fail with
 // an unknown outcome. Peeking at the socket detects both before anything is written.
 func (c *conn) reusable() bool {
-	t, ok := c.Conn.(*net.TCPConn)
+	t, ok := c.Conn.(syscall.Conn)
 	if !ok || c.r.Buffered() > 0 {
 		return false
 	}
@@ -254,14 +236,3 @@
 	})
 	return err == nil && reusable
 }
-
-// setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	if e := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	}); e != nil {
-		return e
-	}
-	return err
-}
