fix(ggstunnel): reach endpoints through peers while the own path is broken

Requests got 503 after the 600 ms of the dial timeout, though VMs in touch used 2 to 6% of their processor.

Cause: a VM had one path to an endpoint, its own, and took that path's failure for the endpoint's. Evidence: dials time out at six VMs (81 to 128 each in 8 s), to endpoints that answer the other three in the same second. Ruled out: timeouts of connections (11 requests that were under way when the cut began; later ones fail by new dials) and failure counts that spread (VMs in touch served 695 of 705).

Change: a dial has a second way. If the direct one fails, or after 150 ms beside it, a peer is asked to open the connection (HTTP CONNECT on its own port). A path counts as broken only if the direct dial failed and a peer connected; two such paths without a byte from any endpoint since make the VM isolated. Connections that are silent while requests wait are checked. Idle direct connections aren't reused while the path is broken, tunnels aren't after it works; an unframed answer through a tunnel never looks complete; orders never go through one. Failures on a broken path count neither against the endpoint's breaker nor to peers.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -22,6 +22,7 @@
 	"go.uber.org/fx"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsegress"
 	"greengageslip/io/ggsclock"
 	"greengageslip/io/ggsedge"
 	"greengageslip/io/ggsexchange"
@@ -30,6 +31,7 @@
 	"greengageslip/io/ggsrpc"
 	"greengageslip/io/ggssettings"
 	"greengageslip/io/ggsstate"
+	"greengageslip/io/ggstunnel"
 	ggsdialect "greengageslip/platform"
 )
 
@@ -60,8 +62,11 @@
 	// reservedFiles is the number of descriptors that the platform reserves for files.
 	reservedFiles = 200
 	// inFlightShare is the share of the other descriptors for the callers of requests in flight.
-	// Each request may use one more for its endpoint, and a quarter is for idle connections.
+	// Each request may use one more for its endpoint.
 	inFlightShare = 0.35
+	// tunnelShare is the share of the other descriptors for tunnels of other VMs, each of which
+	// uses two. The rest is for idle connections.
+	tunnelShare = 0.15
 	// bodiesShare is the share of the memory for bodies of requests in flight.
 	bodiesShare = 0.25
 	// memoryLimitShare is the share of a process's memory set as Go's soft memory limit, above
@@ -129,17 +134,43 @@
 		fx.Provide(
 			func() clock { return time.Now }, //nolint:forbidigo // the one clock of a process
 			func() ggscore.Dialer { return ggsexchange.NewDirectDialer(0) },
-			func(d ggscore.Dialer, t clock) *ggsexchange.Pool {
+			newTunnelDialer,
+			func(d *ggstunnel.Dialer, t clock) *ggsexchange.Pool {
 				return ggsexchange.NewPool(ggsexchange.Options{Dialer: d, Now: t})
 			},
 			newEdge,
+			newTunnelServer,
 		),
 		fx.Invoke(startEdge),
 	)...)
 }
 
-// edgeDatagramAddr returns the UDP address at which an edge receives its peers' datagrams, with
-// the first port of its range.
+// newTunnelDialer returns a dialer that reaches endpoints through peers while this VM doesn't reach
+// them itself.
+func newTunnelDialer(s *ggsdialect.Settings, d ggscore.Dialer, l log.Logger) *ggstunnel.Dialer {
+	return ggstunnel.NewDialer(ggstunnel.Options{
+		Direct: d, Peers: ggsexchange.NewDirectDialer(0), Now: ggsclock.Boot, Log: l,
+		Table: ggsegress.NewTable(ggsegress.Options{Domain: s.Domain, Regions: s.Regions, Seed: hash64(string(s.VM))}),
+	})
+}
+
+// newTunnelServer returns the server that opens connections to endpoints for peers.
+func newTunnelServer(s *ggsdialect.Settings, direct ggscore.Dialer, d *ggstunnel.Dialer, e *ggsedge.Edge, l log.Logger) *ggstunnel.Server {
+	const descriptorsPerTunnel = 2
+	return ggstunnel.NewServer(ggstunnel.ServerOptions{
+		Dialer: direct, Paths: d, Known: e.KnowsEndpoint, Now: ggsclock.Boot, Log: l,
+		MaxTunnels: int(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * tunnelShare / descriptorsPerTunnel),
+	})
+}
+
+func hash64(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// edgeDatagramAddr returns the address at which an edge receives its peers' datagrams over UDP and
+// their tunnels over TCP, with the first port of its range.
 func edgeDatagramAddr(s *ggsdialect.Settings) netip.AddrPort {
 	return netip.AddrPortFrom(s.Addr, s.FirstPort)
 }
@@ -150,19 +181,21 @@
 	return uint64(1000 * s.CPUShare * float64(s.Cores) * s.LinkMbps)
 }
 
-func newEdge(s *ggsdialect.Settings, policy ggscore.Policy, p *ggsexchange.Pool, t clock, l log.Logger) (*ggsedge.Edge, error) {
+func newEdge(
+	s *ggsdialect.Settings, policy ggscore.Policy, p *ggsexchange.Pool, d *ggstunnel.Dialer, t clock, l log.Logger,
+) (*ggsedge.Edge, error) {
 	u, err := ggspeer.Listen(context.Background(), edgeDatagramAddr(s))
 	if err != nil {
 		return nil, err
 	}
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(s.VM))
-	return ggsedge.New(ggsedge.Options{
+	// Orders don't go through tunnels: an endpoint must get them from its owner's address.
+	orders := ggsexchange.NewPool(ggsexchange.Options{Dialer: d.Direct(), Now: t})
+	e := ggsedge.New(ggsedge.Options{
 		Policy: policy,
 		// The address is part of the ID, so that endpoints distinguish a VM from an earlier one
 		// of the same name at another address.
 		VM:     s.VM + "@" + ggscore.VMID(s.Addr.String()),
-		Domain: s.Domain, Regions: s.Regions, Seed: h.Sum64() ^ uint64(t().UnixNano()),
+		Domain: s.Domain, Regions: s.Regions, Seed: hash64(string(s.VM)) ^ uint64(t().UnixNano()),
 		Capacity:     edgeCapacity(s),
 		DatagramAddr: edgeDatagramAddr(s), ControlAddr: s.Control, Seeds: s.Seeds, MinOrderGap: s.MinOrderGap, FirstStart: s.FirstStart, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
 		MaxInFlight:    int64(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * inFlightShare),
@@ -173,13 +206,17 @@
 		},
 	}, ggsedge.Parts{
 		Store: ggsdialect.NewStore(s.Store), Codec: ggsdialect.Codec{}, Dialect: ggsdialect.Headers{},
-		PlacementClient: ggsdialect.NewOrderer(p), Pool: p, Peers: u, Calls: ggsrpc.NewPool(ggsrpc.PoolOptions{}),
-		Log: l, Now: ggsclock.Boot, Monotonic: t,
-	}), nil
+		PlacementClient: ggsdialect.NewOrderer(orders), Pool: p, Peers: u, Calls: ggsrpc.NewPool(ggsrpc.PoolOptions{}),
+		Paths: d, Log: l, Now: ggsclock.Boot, Monotonic: t,
+	})
+	d.OnChange(e.PathsChanged)
+	return e, nil
 }
 
 // startEdge starts the parts of an edge. Hooks stop in the reverse order.
-func startEdge(h host, s *ggsdialect.Settings, c *edgeCommandLine, e *ggsedge.Edge, p *ggsexchange.Pool, t clock) {
+func startEdge(
+	h host, s *ggsdialect.Settings, c *edgeCommandLine, e *ggsedge.Edge, p *ggsexchange.Pool, d *ggstunnel.Dialer, n *ggstunnel.Server, t clock,
+) {
 	h.Lifecycle.Append(fx.Hook{OnStop: func(context.Context) error {
 		p.Close()
 		return nil
@@ -195,8 +232,10 @@
 	h.serveRPC(s.Control, func(ctx context.Context, r *ggsrpc.Server) error {
 		return r.Register("Placement", ggsedge.NewPlacement(ctx, e))
 	})
-	serveCallers(h, s, e)
-	h.serveHTTP("ready", s.Ready, edgeState(s, e, t))
+	h.background("paths", d.Run)
+	h.serveHTTP("tunnels", edgeDatagramAddr(s), n)
+	serveCallers(h, s, e, n)
+	h.serveHTTP("ready", s.Ready, edgeState(s, e, d, n, t))
 	if c.MetricsPort > 0 {
 		h.serveHTTP("metrics", netip.AddrPortFrom(s.Addr, c.MetricsPort), e.Metrics())
 	}
@@ -220,8 +259,9 @@
 }
 
 // serveCallers serves callers. A planned stop first reports the process as not ready, continues to
-// serve until the load balancer has removed it, and then waits for the requests in flight.
-func serveCallers(h host, s *ggsdialect.Settings, e *ggsedge.Edge) {
+// serve until the load balancer has removed it, and then waits for the requests in flight, also for
+// those of other VMs' tunnels.
+func serveCallers(h host, s *ggsdialect.Settings, e *ggsedge.Edge, n *ggstunnel.Server) {
 	v := &http.Server{
 		Handler: e, ReadHeaderTimeout: edgeHeaderTimeout, IdleTimeout: edgeIdleTimeout, MaxHeaderBytes: edgeHeaderBytes,
 	}
@@ -242,6 +282,7 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			e.Drain()
+			n.Drain()
 			t := time.NewTimer(deregisterDelay)
 			defer t.Stop()
 			select {
@@ -250,6 +291,7 @@
 			}
 			ctx, cancel := context.WithTimeout(ctx, max(s.Grace-deregisterDelay-graceMargin, time.Second))
 			defer cancel()
+			defer n.Wait(ctx)
 			if err := v.Shutdown(ctx); err != nil {
 				_ = level.Warn(h.Log).Log("event", ggslog.EventRequestsCut, "active", e.Stats().InFlight.Load(), "err", err)
 				return v.Close()
@@ -260,7 +302,7 @@
 }
 
 // edgeState returns a handler for readiness, metrics and the state dump.
-func edgeState(s *ggsdialect.Settings, e *ggsedge.Edge, c clock) http.Handler {
+func edgeState(s *ggsdialect.Settings, e *ggsedge.Edge, d *ggstunnel.Dialer, n *ggstunnel.Server, c clock) http.Handler {
 	t := ggsstate.New(edgeProgram, s.VM, c)
 	k := e.Stats()
 	t.AddCounter("requests", k.Requests.Load)
@@ -272,6 +314,8 @@
 	t.AddCounter("orders", k.Orders.Load)
 	t.AddCounter("storeCalls", k.StoreCalls.Load)
 	t.AddCounter("active", k.InFlight.Load)
+	t.AddCounter("tunnelsUsed", d.Tunnels)
+	t.AddCounter("tunnelsServed", n.Opened)
 	t.AddPart("edge", func() any { return e.State() })
 	t.SetHealth(e.Ready)
 	g := t.HandlerWithHealth(ggsdialect.PathReady)
--- a/cmd/ggsnode/edge_partition_test.go
+++ b/cmd/ggsnode/edge_partition_test.go
@@ -77,7 +77,7 @@
 	begun := time.Now()
 	for i := 0; time.Since(begun) < length; i++ {
 		for n := range p.edges {
-			send(n, http.MethodPost, "/chat/1", fmt.Sprintf("m/a%d", i%4))
+			send(n, http.MethodPost, "/chat/1", adapter(i))
 			send(n, http.MethodPost, "/pay/1", "")
 			send(n, http.MethodGet, "/look/1", "")
 		}
@@ -87,6 +87,19 @@
 	return counts
 }
 
+const testAdapters = 4
+
+func adapter(n int) string { return fmt.Sprintf("m/a%d", n%testAdapters) }
+
+// loadAdapters has all adapters loaded by requests at one edge.
+func (p *partitionTest) loadAdapters(n int) {
+	for i := range testAdapters {
+		p.eventually("the adapter is loaded", func() bool {
+			return p.call(n, http.MethodPost, "/chat/1", adapter(i), "{}").status == http.StatusOK
+		})
+	}
+}
+
 // Guards against VMs that fail their callers while they don't reach the endpoints, although other
 // VMs do.
 func TestVMPartitionedFromAllEndpointsServes(t *testing.T) {
@@ -100,7 +113,12 @@
 			t.Run(fmt.Sprintf("%s at %d of %d VMs", name, len(cut), edges), func(t *testing.T) {
 				t.Parallel()
 				p := startPartitionTest(t, edges)
-				p.countFirstTries(500 * time.Millisecond)
+				if mode == ggsfakelink.PartitionRefuse {
+					// The partitioned VMs have no open connections, but the adapters are loaded.
+					p.loadAdapters(edges - 1)
+				} else {
+					p.countFirstTries(500 * time.Millisecond)
+				}
 				p.partition(cut, mode)
 				p.countFirstTries(contactTime)
 				p.checkFirstTries(cut, p.countFirstTries(3*time.Second))
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -119,7 +119,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	go func() { e.done <- runEdge(ctx, &edgeCommandLine{}, &e.settings, ggscore.Policy{}, log.NewNopLogger(), options...) }()
+	go func() {
+		e.done <- runEdge(ctx, &edgeCommandLine{}, &e.settings, ggscore.Policy{}, log.NewNopLogger(), options...)
+	}()
 	s.edges = append(s.edges, e)
 	t.Cleanup(func() {
 		e.cancel()
--- a/core/ggsplace/failures.go
+++ b/core/ggsplace/failures.go
@@ -3,8 +3,21 @@
 import (
 	"slices"
 	"time"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggspopularity"
 )
 
+// ForgetFailures forgets the failures at an endpoint that this VM observed and has not reported yet,
+// and closes its circuit breaker.
+func (t *Table) ForgetFailures(id ggscore.EndpointID) {
+	t.breakers.Remove(id)
+	if e := t.endpoints[id]; e != nil {
+		e.failed = ggspopularity.Recent{}
+		e.unreported.Failed = 0
+	}
+}
+
 // failures returns the fraction of recent requests that failed.
 func (e *endpoint) failures(now time.Time) float64 {
 	return e.failed.PerSecond(now) / (e.ended.PerSecond(now) + failurePriorRate)
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -263,6 +263,15 @@
 	return !ok || now.Sub(at) > missingTTL
 }
 
+// Instance returns an endpoint.
+func (t *Table) Instance(id ggscore.EndpointID) (ggscore.Instance, bool) {
+	e := t.endpoints[id]
+	if e == nil {
+		return ggscore.Instance{}, false
+	}
+	return e.Instance, true
+}
+
 // Instances returns the endpoints of a service, or all endpoints if the name is empty.
 func (t *Table) Instances(s ggscore.Service) []ggscore.Instance {
 	var l []ggscore.Instance
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -234,6 +234,9 @@
 			result = ggsretry.ResultNeutral
 		}
 	}
+	if e.Paths.Blocked(i.Addr) {
+		result = ggsretry.ResultNeutral
+	}
 	if f.Outcome != ggscore.OutcomeNotRun {
 		j.runs++
 	}
--- a/io/ggsedge/doc.go
+++ b/io/ggsedge/doc.go
@@ -35,7 +35,7 @@
 // endpoints announce. operators.go and follow.go read the operators' entries and the list of
 // endpoints, members.go reads the VMs' records, and control.go writes store heartbeats and
 // claims. heartbeats.go exchanges state with other VMs, and parts.go serves the relays'
-// readings of the store to other VMs.
+// readings of the store to other VMs. paths.go handles broken network paths to endpoints.
 //
 // Two kinds of heartbeats exist: datagrams to peers, and store heartbeats, which are writes
 // of this VM's record in the store.
@@ -43,5 +43,6 @@
 // # Locks
 //
 // Edge.mu guards the state that decisions use. While it is held, no network call is made, and
-// epochState.mu is the only other lock of the package that is taken. epochState.mu is a leaf.
+// epochState.mu and the lock of Parts.Paths are the only other locks that are taken. Both are
+// leaves.
 package ggsedge
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -95,7 +95,9 @@
 	Pool            *ggsexchange.Pool
 	Peers           *ggspeer.Conn
 	Calls           *ggsrpc.Pool
-	Log             log.Logger
+	// Paths are the network paths to the endpoints. Without it, they count as working.
+	Paths ggscore.Paths
+	Log   log.Logger
 	// Now is the clock for decisions. It advances while the VM is suspended.
 	Now func() time.Time
 	// Monotonic is the clock for the deadlines of requests.
@@ -209,6 +211,8 @@
 	region       ggscore.Region
 	// capacity compares VMs by processor and network link.
 	capacity uint64
+	// isolated is set while the peer has no path to any endpoint.
+	isolated bool
 	// lastSeen is when the peer's last heartbeat arrived, when a summary last listed the peer as
 	// live, or when the peer became known.
 	lastSeen time.Time
@@ -231,6 +235,9 @@
 
 // New returns an Edge that has read no state yet.
 func New(o Options, p Parts) *Edge {
+	if p.Paths == nil {
+		p.Paths = workingPaths{}
+	}
 	turns := ggsturn.NewTable(ggsturn.Options{VM: o.VM, LastNumber: o.Seed})
 	limits := ggsthrottle.NewTable(o.VM)
 	e := &Edge{
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -218,6 +218,7 @@
 		list = e.registry.Read(e.Now(), at, readable)
 	}
 	change := e.table.SetInstances(list)
+	e.setPathEndpoints()
 	e.ownership.SetListed(e.Now(), list)
 	if !at.IsZero() {
 		e.listRead = e.listRead.Max(at)
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -31,6 +31,8 @@
 	ControlAddr  string `json:"control"`
 	// Capacity compares VMs by processor and network link.
 	Capacity uint64 `json:"capacity,omitempty"`
+	// Isolated is set while the VM has no path to any endpoint.
+	Isolated bool `json:"isolated,omitempty"`
 	// Count grows with each store heartbeat, so that each heartbeat changes the record.
 	Count uint64 `json:"count"`
 	// TurnStates are the learned prefill times of services, for VMs that start.
@@ -92,7 +94,7 @@
 	if err != nil {
 		return nil, false
 	}
-	return &member{datagramAddr: b, controlAddr: c, capacity: w.Capacity}, true
+	return &member{datagramAddr: b, controlAddr: c, capacity: w.Capacity, isolated: w.Isolated}, true
 }
 
 func (e *Edge) memberKey(vm ggscore.VMID) ggscore.Key {
@@ -177,6 +179,7 @@
 		e.peers = peers
 		e.node.SetMembers(e.relayMembers())
 		e.retries.SetDepth(retryDepth(e.options, len(peers)+1))
+		e.setTunnelPeers()
 	}
 	if !at.IsZero() {
 		e.entries[e.options.Keys.Own] = es
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -121,6 +121,9 @@
 			return e.Now().Sub(e.lastSummary).Seconds()
 		})},
 		{"endpoints", "Endpoints on the list.", locked(func() float64 { return float64(len(e.table.Instances(""))) })},
+		{"blocked_endpoints", "Endpoints that this VM reaches only through peers.", locked(func() float64 {
+			return float64(e.blockedCount())
+		})},
 		{"limited_endpoints", "Endpoints whose answers name a rate limit.", locked(func() float64 { return float64(e.limits.LimitedCount()) })},
 		{"ordered_endpoints", "Endpoints that get their orders from this VM.", locked(func() float64 { return float64(len(e.workers)) })},
 		{"peers", "Other VMs that are known.", locked(func() float64 { return float64(len(e.peers)) })},
--- a/io/ggsexchange/dialer.go
+++ b/io/ggsexchange/dialer.go
@@ -39,11 +39,26 @@
 // NewDirectDialer returns a DirectDialer. A zero timeout means DefaultDialTimeout.
 func NewDirectDialer(timeout time.Duration) *DirectDialer {
 	return &DirectDialer{dialer: net.Dialer{
-		Timeout: cmp.Or(timeout, DefaultDialTimeout), Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		Timeout: cmp.Or(timeout, DefaultDialTimeout), Control: setUserTimeout, KeepAliveConfig: keepAliveConfig(),
 	}}
 }
 
+func keepAliveConfig() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+}
+
+// DetectLoss makes an accepted connection detect an unreachable peer as dialed ones do.
+func DetectLoss(c *net.TCPConn) error {
+	if err := c.SetKeepAliveConfig(keepAliveConfig()); err != nil {
+		return err
+	}
+	r, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout("", "", r)
+}
+
 // Dial implements ggscore.Dialer.
 func (d *DirectDialer) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	return d.dialer.DialContext(ctx, "tcp", addr.String())
--- a/io/ggsexchange/exchange.go
+++ b/io/ggsexchange/exchange.go
@@ -178,7 +178,8 @@
 	return a.pool.options.IdleTimeout
 }
 
-// An eofReader marks the answer as complete at the end of its body.
+// An eofReader marks the answer as complete at the end of its body. An answer without explicit
+// framing never ends completely on a tunneled connection: its end may be that of the other VM.
 type eofReader struct {
 	r      io.Reader
 	answer *Answer
@@ -188,6 +189,9 @@
 func (e *eofReader) Read(b []byte) (int, error) {
 	n, err := e.r.Read(b)
 	if errors.Is(err, io.EOF) {
+		if !e.answer.framed && e.answer.conn.tunneled() {
+			return n, io.ErrUnexpectedEOF
+		}
 		e.answer.complete = true
 	}
 	return n, err
--- a/io/ggsexchange/pool.go
+++ b/io/ggsexchange/pool.go
@@ -213,12 +213,16 @@
 	}
 }
 
-// reusable reports whether the endpoint has sent nothing, not even a close, since the last answer.
+// reusable reports whether the connection is usable and the endpoint has sent nothing, not even a
+// close, since the last answer.
 //
 // If the endpoint sent a second answer to the previous request, the next caller would receive
 // another caller's bytes. If the endpoint closed the connection, the next request would fail with
 // an unknown outcome. Peeking at the socket detects both before anything is written.
 func (c *conn) reusable() bool {
+	if n, ok := c.Conn.(ggscore.EndpointConn); ok && !n.Usable() {
+		return false
+	}
 	t, ok := c.Conn.(syscall.Conn)
 	if !ok || c.r.Buffered() > 0 {
 		return false
@@ -236,3 +240,9 @@
 	})
 	return err == nil && reusable
 }
+
+// tunneled reports whether the connection goes through another VM.
+func (c *conn) tunneled() bool {
+	n, ok := c.Conn.(ggscore.EndpointConn)
+	return ok && n.Tunneled()
+}
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -36,6 +36,7 @@
 	EventOrdersReleased     Event = "ordersReleased"
 	EventPartFailed         Event = "partFailed"
 	EventPartUnread         Event = "partUnread"
+	EventPathsChanged       Event = "pathsChanged"
 	EventProcessStarted     Event = "processStarted"
 	EventReadFailed         Event = "readFailed"
 	EventReadingDropped     Event = "readingDropped"
@@ -53,6 +54,7 @@
 	EventStoreEpochChanged  Event = "storeEraChanged"
 	EventStoreEpochIgnored  Event = "storeEpochIgnored"
 	EventStoreResynced      Event = "storeResynced"
+	EventTunnelFailed       Event = "tunnelFailed"
 	EventVersionAdopted     Event = "versionAdopted"
 	EventVersionUnreadable  Event = "versionUnreadable"
 	EventWatchPreempted     Event = "watchPreempted"
@@ -89,6 +91,7 @@
 		EventOrdersReleased,
 		EventPartFailed,
 		EventPartUnread,
+		EventPathsChanged,
 		EventProcessStarted,
 		EventReadFailed,
 		EventReadingDropped,
@@ -106,6 +109,7 @@
 		EventStoreEpochChanged,
 		EventStoreEpochIgnored,
 		EventStoreResynced,
+		EventTunnelFailed,
 		EventVersionAdopted,
 		EventVersionUnreadable,
 		EventWatchPreempted,
--- /dev/null
+++ b/io/ggstunnel/connect.go
@@ -0,0 +1,50 @@
+package ggstunnel
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	ggscore "greengageslip/core"
+)
+
+// connect asks the peer at the other end of c to join the connection to one to addr.
+func connect(ctx context.Context, c net.Conn, vm ggscore.VMID, addr netip.AddrPort) error {
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
+	host := addr.String()
+	if _, err := io.WriteString(c, "CONNECT "+host+" HTTP/1.1\r\nHost: "+host+"\r\n\r\n"); err != nil {
+		return err
+	}
+	// The peer sends nothing after its answer before the endpoint has received a request, so the
+	// reader holds no bytes of the endpoint.
+	a, err := http.ReadResponse(bufio.NewReaderSize(c, connectBufferBytes), &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return &NoAnswerError{VM: vm, Addr: addr, Cause: err}
+	}
+	_ = a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return &RefusedError{VM: vm, Addr: addr, Status: a.StatusCode}
+	}
+	return nil
+}
+
+// connectBufferBytes fits the head of a peer's answer to CONNECT.
+const connectBufferBytes = 512
+
+// unreachable reports whether a peer answered that it failed to connect to the endpoint.
+func unreachable(err error) bool {
+	var r *RefusedError
+	return errors.As(err, &r) && r.Status == http.StatusBadGateway
+}
+
+// peerFailed reports whether a peer was reached, but not through it the endpoint.
+func peerFailed(err error) bool {
+	var n *NoAnswerError
+	return unreachable(err) || errors.As(err, &n)
+}
--- /dev/null
+++ b/io/ggstunnel/server.go
@@ -0,0 +1,207 @@
+package ggstunnel
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/io/ggsexchange"
+	"greengageslip/io/ggslog"
+)
+
+const (
+	// copyBytes is the size of the buffer of each direction of a tunnel.
+	copyBytes = 8 << 10
+	// answerPause is the pause in an answer after which its tunnel counts as idle at a stop.
+	answerPause = 300 * time.Millisecond
+	// waitInterval is the time between checks for tunnels in use.
+	waitInterval = 50 * time.Millisecond
+)
+
+// ServerOptions configure a Server. All fields are required.
+type ServerOptions struct {
+	// Dialer opens the connections to endpoints.
+	Dialer ggscore.Dialer
+	Paths  ggscore.Paths
+	// Known reports whether an endpoint has the address.
+	Known func(netip.AddrPort) bool
+	// MaxTunnels bounds the open tunnels.
+	MaxTunnels int
+	Now        func() time.Time
+	Log        log.Logger
+}
+
+// A Server opens connections to endpoints for other VMs.
+type Server struct {
+	options  ServerOptions
+	draining atomic.Bool
+	opened   atomic.Int64
+
+	mu      sync.Mutex
+	tunnels map[*tunnel]struct{}
+}
+
+var _ http.Handler = (*Server)(nil)
+
+// A tunnel joins a connection from a VM and one to an endpoint.
+type tunnel struct {
+	vm, endpoint net.Conn
+	// requestAt and answerAt are the times of the last bytes in each direction, as Unix times in
+	// nanoseconds.
+	requestAt atomic.Int64
+	answerAt  atomic.Int64
+}
+
+// NewServer returns a Server without tunnels.
+func NewServer(o ServerOptions) *Server {
+	return &Server{options: o, tunnels: map[*tunnel]struct{}{}}
+}
+
+// Open returns the number of open tunnels, and Opened that of all tunnels since the start.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tunnels)
+}
+
+// Opened returns the number of tunnels that were opened.
+func (s *Server) Opened() int64 { return s.opened.Load() }
+
+// Drain makes the server open no more tunnels.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Wait waits until no tunnel has a request in progress, or the context ends, and closes all
+// tunnels.
+func (s *Server) Wait(ctx context.Context) {
+	t := time.NewTicker(waitInterval)
+	defer t.Stop()
+	for s.busy() {
+		select {
+		case <-t.C:
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := range s.tunnels {
+		_ = n.vm.Close()
+		_ = n.endpoint.Close()
+	}
+}
+
+// busy reports whether a tunnel has a request in progress, as far as the times of its bytes show.
+func (s *Server) busy() bool {
+	now := s.options.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := range s.tunnels {
+		request, answer := n.requestAt.Load(), n.answerAt.Load()
+		if request > answer || now.Sub(time.Unix(0, answer)) < answerPause {
+			return true
+		}
+	}
+	return false
+}
+
+// ServeHTTP implements http.Handler. It answers CONNECT requests.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	addr, err := netip.ParseAddrPort(r.Host)
+	switch {
+	case r.Method != http.MethodConnect:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	case err != nil || !s.options.Known(addr):
+		w.WriteHeader(http.StatusForbidden)
+		return
+	case s.draining.Load() || s.options.Paths.Blocked(addr) || s.Open() >= s.options.MaxTunnels:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	endpoint, err := s.options.Dialer.Dial(r.Context(), addr)
+	if err != nil {
+		_ = level.Debug(s.options.Log).Log("event", ggslog.EventTunnelFailed, "addr", addr, "from", r.RemoteAddr, "err", err)
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	s.serve(w, r, endpoint)
+}
+
+// serve answers the request and forwards bytes until one of the connections ends.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, endpoint net.Conn) {
+	defer func() { _ = endpoint.Close() }()
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	vm, b, err := h.Hijack()
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { _ = vm.Close() }()
+	if t, ok := vm.(*net.TCPConn); ok {
+		if err := ggsexchange.DetectLoss(t); err != nil {
+			_ = level.Warn(s.options.Log).Log("event", ggslog.EventTunnelFailed, "addr", r.Host, "from", r.RemoteAddr, "err", err)
+			return
+		}
+	}
+	if b.Reader.Buffered() > 0 {
+		// The VM must wait for the answer before it sends a request.
+		return
+	}
+	if _, err := io.WriteString(vm, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+		return
+	}
+	s.opened.Add(1)
+	n := &tunnel{vm: vm, endpoint: endpoint}
+	s.mu.Lock()
+	s.tunnels[n] = struct{}{}
+	s.mu.Unlock()
+	n.forward(s.options.Now)
+	s.mu.Lock()
+	delete(s.tunnels, n)
+	s.mu.Unlock()
+}
+
+// forward copies bytes in both directions. The end of either connection ends the tunnel: an
+// endpoint must learn at once that its caller has left.
+func (t *tunnel) forward(now func() time.Time) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		copyBytesOf(t.endpoint, t.vm, &t.requestAt, now)
+		_ = t.endpoint.Close()
+	}()
+	copyBytesOf(t.vm, t.endpoint, &t.answerAt, now)
+	_ = t.vm.Close()
+	<-done
+}
+
+// copyBytesOf copies until one of the connections ends, and records the time of the last bytes.
+func copyBytesOf(to, from net.Conn, at *atomic.Int64, now func() time.Time) {
+	b := make([]byte, copyBytes)
+	for {
+		n, err := from.Read(b)
+		if n > 0 {
+			at.Store(now().UnixNano())
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
