fix(ggsedge): release endpoints that their owner doesn't reach

Orders can't go through a peer: an endpoint would get them from two VMs.

Change: a VM releases the endpoints to which its path is broken, claims none of them, and says in its record when it has no path at all. Others don't wait for a VM that has released an endpoint and could claim it again at once. The wait between two owners' orders stays.

Before, TestAdaptersAreLoadedWhileTheirOwnerIsPartitioned times out after 20 s: the partitioned VM still owns its endpoints. Now others own them, new adapters are served, and orders of two VMs are at least 3 s apart. TestReleasedEndpointIsClaimedByAnotherVM fails without the change.

--- a/cmd/ggsnode/edge_partition_test.go
+++ b/cmd/ggsnode/edge_partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -150,3 +151,47 @@
 	p.c.Check(at.sent-at.served <= 10+at.sent/50, qt.IsTrue, comment)
 	p.c.Check(others.sent-others.served <= 10+others.sent/50, qt.IsTrue, comment)
 }
+
+// Guards against adapters that are loaded nowhere because the VM that owns the endpoints doesn't
+// reach them, and against orders of two VMs to one endpoint in quick succession.
+func TestAdaptersAreLoadedWhileTheirOwnerIsPartitioned(t *testing.T) {
+	t.Parallel()
+	p := startPartitionTest(t, 3)
+	// Edge 1 is the only VM of its failure domain, so it owns the runner there.
+	cut := p.edges[1].settings.VM
+	p.countFirstTries(500 * time.Millisecond)
+	p.partition([]int{1}, ggsfakelink.PartitionHang)
+	p.countFirstTries(contactTime)
+	p.eventually("the partitioned VM owns no endpoint", func() bool { return p.ownedBy(0, cut) == 0 })
+	p.eventually("all runners have an owner again", func() bool { return p.knownOwners(0) == 2 && p.knownOwners(1) == 2 })
+	served, sent := 0, 0
+	for i := range 12 {
+		for n := range p.edges {
+			sent++
+			if r := p.call(n, http.MethodPost, "/chat/1", fmt.Sprintf("m/b%d-%d", i, n), "{}"); r.status == http.StatusOK && r.complete {
+				served++
+			}
+		}
+	}
+	p.c.Check(served >= sent*49/50, qt.IsTrue, qt.Commentf("served %d of %d requests for new adapters", served, sent))
+	for id, e := range p.site.Endpoints {
+		orders := e.Orders()
+		for i := 1; i < len(orders); i++ {
+			if orders[i].Holder != orders[i-1].Holder {
+				gap := orders[i].At.Sub(orders[i-1].At)
+				p.c.Check(gap >= p.edges[0].settings.MinOrderGap, qt.IsTrue, qt.Commentf("orders of two VMs at %s within %s", id, gap))
+			}
+		}
+	}
+}
+
+// ownedBy returns the number of endpoints that a VM owns, as an edge knows it.
+func (p *partitionTest) ownedBy(n int, vm ggscore.VMID) int {
+	owned := 0
+	for _, e := range p.state(n).Endpoints {
+		if strings.HasPrefix(string(e.Owner), string(vm)+"@") {
+			owned++
+		}
+	}
+	return owned
+}
--- a/core/ggsfencing/claims.go
+++ b/core/ggsfencing/claims.go
@@ -95,14 +95,19 @@
 }
 
 // preferredOwner returns the VM that is to claim the endpoint. Candidates are this VM and the
-// reachable VMs with fewer than MaxRecords endpoints. VMs in the endpoint's failure domain
+// reachable VMs with fewer than MaxRecords endpoints that aren't isolated and haven't released the
+// endpoint themselves: a VM that can send orders claims what it has released at once. VMs in the endpoint's failure domain
 // take precedence, and rendezvous hashing selects one of them. If two VMs both select
 // themselves, the conditions of the store's transaction let only one claim succeed.
 func (t *OwnershipTracker) preferredOwner(i *ggscore.Instance) ggscore.VMID {
 	owned := t.ownedCounts()
 	best, bestWeight, bestLocal := t.options.Self, 0.0, false
+	released := ggscore.VMID("")
+	if r := t.records[i.ID]; r != nil && r.Released {
+		released = r.Owner
+	}
 	for vm, b := range t.heartbeats {
-		if vm != t.options.Self && (!t.reachable[vm] || owned[vm] >= t.options.MaxRecords) {
+		if vm != t.options.Self && (!t.reachable[vm] || b.Isolated || vm == released || owned[vm] >= t.options.MaxRecords) {
 			continue
 		}
 		local := b.Domain == i.Domain
--- a/core/ggsfencing/tracker.go
+++ b/core/ggsfencing/tracker.go
@@ -127,6 +127,8 @@
 	Domain ggscore.Domain
 	// Capacity is the VM's relative share of endpoints.
 	Capacity uint64
+	// Isolated is set while the VM has no path to any endpoint, so that it can't send orders.
+	Isolated bool
 	Revision ggscore.StoreRevision
 }
 
@@ -339,6 +341,10 @@
 // Epoch returns the epoch of the last reading, and whether the store has been read.
 func (t *OwnershipTracker) Epoch() (ggscore.StoreEpoch, bool) { return t.epoch, t.synced }
 
+// Revoke revokes this VM's right to send orders to an endpoint until its next acknowledged
+// heartbeat. A caller that then releases the record must write it as described at Stop.
+func (t *OwnershipTracker) Revoke(id ggscore.EndpointID) { delete(t.rights, id) }
+
 // Stop revokes all rights of this VM to send orders. A caller that then releases the records
 // must write them under the conditions of NextHeartbeat. Without those conditions, a release
 // that takes effect after the first heartbeat of the VM's next process would let two VMs send
--- a/core/ggsfencing/tracker_test.go
+++ b/core/ggsfencing/tracker_test.go
@@ -269,3 +269,35 @@
 	c.Check(p.Records, qt.HasLen, 0)
 	c.Check(p.Drop, qt.DeepEquals, []ggsfencing.Record{copied})
 }
+
+// Guards against an endpoint that gets no orders because the VM that released it, since it doesn't
+// reach the endpoint, stays its preferred owner.
+func TestReleasedEndpointIsClaimedByAnotherVM(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct{ isolated, released bool }{
+		"released":                  {released: true},
+		"released, owner isolated":  {released: true, isolated: true},
+		"no owner, others isolated": {isolated: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			claimed := 0
+			for n := range 20 {
+				id := ggscore.EndpointID(fmt.Sprintf("runner-%d", n))
+				o := newTracker("b")
+				r := ggsfencing.Reading{Heartbeats: []ggsfencing.Heartbeat{
+					{VM: "a", Domain: "d", Isolated: tc.isolated, Revision: 20}, {VM: "b", Domain: "d", Revision: 21},
+				}}
+				if tc.released {
+					r.Records = []ggsfencing.Record{{Endpoint: id, Owner: "a", Released: true, Revision: 10}}
+				}
+				o.Observe(at(0), position(30), r)
+				o.HeartbeatAnswered(at(0), o.NextHeartbeat(at(0)), position(31), false)
+				o.SetReachable([]ggscore.VMID{"a"})
+				claimed += len(o.Claims(at(takeoverWait), []ggscore.Instance{{ID: id, Domain: "d"}}))
+			}
+			c.Assert(claimed, qt.Equals, 20)
+		})
+	}
+}
--- a/io/ggsedge/control.go
+++ b/io/ggsedge/control.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsfencing"
 	"greengageslip/core/ggsgossip"
 	"greengageslip/io/ggslog"
 )
@@ -29,6 +30,9 @@
 		} else if refusals++; refusals > 1 && !e.pauseFailed(ctx, refusals-1) {
 			return nil
 		}
+		if r == heartbeatAcknowledged {
+			e.releaseBlocked(ctx)
+		}
 		e.claimUntilHeartbeat(ctx, sent, r == heartbeatAcknowledged)
 	}
 	return nil
@@ -99,6 +103,7 @@
 	v, err := json.Marshal(&memberRecord{
 		Domain: string(e.options.Domain), DatagramAddr: e.options.DatagramAddr.String(), ControlAddr: e.options.ControlAddr.String(), Count: *count,
 		Capacity:   e.options.Capacity,
+		Isolated:   e.Paths.Isolated(),
 		TurnStates: turnStateRecords(shapes),
 	})
 	if err != nil {
@@ -172,7 +177,7 @@
 	e.ownership.SetReachable(live)
 	var ready []ggscore.Instance
 	for _, i := range e.table.Instances("") {
-		if specs[i.Service].Engine != nil && !i.Leaving {
+		if specs[i.Service].Engine != nil && !i.Leaving && !e.Paths.Blocked(i.Addr) {
 			ready = append(ready, i)
 		}
 	}
@@ -211,7 +216,32 @@
 	e.ownership.Stop()
 	p := e.ownership.NextHeartbeat(e.Now())
 	e.mu.Unlock()
-	if len(p.Records) == 0 {
+	e.writeReleases(ctx, p, p.Records)
+}
+
+// releaseBlocked releases the endpoints of this VM to which it has no path. Orders don't go through
+// tunnels, because an endpoint would take them for orders of another VM.
+func (e *Edge) releaseBlocked(ctx context.Context) {
+	e.mu.Lock()
+	p := e.ownership.NextHeartbeat(e.Now())
+	var rs []ggsfencing.Record
+	for _, r := range p.Records {
+		if i, ok := e.table.Instance(r.Endpoint); ok && e.Paths.Blocked(i.Addr) {
+			e.ownership.Revoke(r.Endpoint)
+			rs = append(rs, r)
+		}
+	}
+	e.mu.Unlock()
+	if len(rs) > 0 {
+		e.writeReleases(ctx, p, rs)
+		e.rereadRecords(ctx)
+	}
+}
+
+// writeReleases writes records of this VM as released. If the write fails, the next acknowledged
+// heartbeat renews the rights, unless the VM stops.
+func (e *Edge) writeReleases(ctx context.Context, p ggsfencing.HeartbeatPlan, rs []ggsfencing.Record) {
+	if len(rs) == 0 {
 		return
 	}
 	v, err := json.Marshal(&ownerRecord{Owner: string(e.options.VM), Released: true, Epoch: uint64(p.Epoch)})
@@ -223,10 +253,10 @@
 		Epoch:      p.Epoch,
 		Conditions: []ggscore.TxnCondition{{Key: e.memberKey(e.options.VM), Revision: p.Revision}},
 	}
-	for _, r := range p.Records {
+	for _, r := range rs {
 		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ownerKey(r.Endpoint), Revision: r.Revision})
 		t.Writes = append(t.Writes, ggscore.TxnWrite{Key: e.ownerKey(r.Endpoint), Value: v})
 	}
 	_, err = e.Store.Txn(ctx, t)
-	_ = level.Info(e.Log).Log("event", ggslog.EventOrdersReleased, "endpoints", len(p.Records), "err", err)
+	_ = level.Info(e.Log).Log("event", ggslog.EventOrdersReleased, "endpoints", len(rs), "isolated", e.Paths.Isolated(), "err", err)
 }
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -217,7 +217,7 @@
 			vm := ggscore.VMID(name)
 			if err = json.Unmarshal(n.Value, &w); err == nil {
 				r.Heartbeats = append(r.Heartbeats, ggsfencing.Heartbeat{
-					VM: vm, Domain: ggscore.Domain(w.Domain), Capacity: w.Capacity, Revision: n.Revision,
+					VM: vm, Domain: ggscore.Domain(w.Domain), Capacity: w.Capacity, Isolated: w.Isolated, Revision: n.Revision,
 				})
 				e.restoreTurnStates(w.TurnStates)
 			}
