fix(ggsexchange): keep connections until two keep-alive probes are lost

A TCP_USER_TIMEOUT that is set decides when keep-alive probes give up, whatever their count. With 3 s, a connection that was silent for 2 s was closed once the one probe after it, or its answer, was lost: a request that waited for its answer ended with an unknown outcome on a link that loses packets, or while a sound endpoint is silent for a second. It is now the sum of idle time and probes, 4 s, as the comment said.

--- a/io/ggsexchange/dialer.go
+++ b/io/ggsexchange/dialer.go
@@ -17,10 +17,6 @@
 // hasn't accepted a connection by then is down or unreachable.
 const DefaultDialTimeout = 600 * time.Millisecond
 
-// userTimeout is the TCP_USER_TIMEOUT, which bounds how long sent bytes may stay unacknowledged.
-// Without it, a connection to a peer behind a network partition hangs for minutes.
-const userTimeout = 3 * time.Second
-
 // TCP keep-alive of connections without traffic. An endpoint that lost power or network neither
 // answers nor closes its connections. A request that waits for its answer would fail only at its
 // deadline, and a request that was written to it can't be sent to another endpoint any more. With
@@ -31,6 +27,11 @@
 	keepAliveCount    = 2
 )
 
+// userTimeout is the TCP_USER_TIMEOUT, which bounds how long sent bytes may stay unacknowledged.
+// Without it, a connection to a peer behind a network partition hangs for minutes. While it is
+// set, it also decides when keep-alive probes give up, instead of their count.
+const userTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
+
 // A DirectDialer opens TCP connections that detect an unreachable endpoint within seconds.
 type DirectDialer struct{ dialer net.Dialer }
 
