feat(ggsthrottle): keep brittle endpoints below the load at which they refuse requests

Cause of falls: VMs send until the counted requests fill an endpoint's slots and queue, with counts of peers that are 0.15 to 0.43 s old, and a refused request goes to the next endpoint, which falls too.

Change: from slots, the time of the service's requests and N, each VM works out the rate at which an endpoint without a queue refuses a share of N (Erlang's B formula), and keeps to its equal part per endpoint and, for bursts, per service. While a service is brittle, nothing is queued at plain endpoints, a quarter of a runner's slots stays free, and a refusal pauses the endpoint at the VM for half a second. Requests beyond are refused at once with the time until the next part.

--- /dev/null
+++ b/cmd/ggsnode/edge_brittle_test.go
@@ -0,0 +1,61 @@
+package ggsnode
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against VMs that press brittle endpoints until they fall over, and against callers that get
+// no answer then.
+func TestBrittleEndpointsStayUpUnderOverload(t *testing.T) {
+	t.Parallel()
+	const (
+		refusals = 6
+		workTime = 150 * time.Millisecond
+		edges    = 3
+		length   = 6 * time.Second
+	)
+	s := startSite(t, edges)
+	for _, id := range []string{"ledger-0", "ledger-1"} {
+		s.site.Endpoints[id].SetBrittle(refusals, workTime)
+	}
+	s.callSteadily(http.MethodPost, "/pay/1", "", 50*time.Millisecond, contactTime)
+	before := s.falls()
+	var served, refused, lost atomic.Int64
+	var calls sync.WaitGroup
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for begun := time.Now(); time.Since(begun) < length; <-tick.C {
+		for n := range edges {
+			calls.Go(func() {
+				switch r := s.call(n, http.MethodPost, "/pay/1", "", "{}"); r.status {
+				case http.StatusOK:
+					served.Add(1)
+				case http.StatusServiceUnavailable:
+					refused.Add(1)
+				default:
+					lost.Add(1)
+				}
+			})
+		}
+	}
+	calls.Wait()
+	falls := s.falls() - before
+	s.c.Logf("served %d, refused %d, lost %d, fell over %d times", served.Load(), refused.Load(), lost.Load(), falls)
+	s.c.Check(falls <= 2, qt.IsTrue, qt.Commentf("fell over %d times", falls))
+	s.c.Check(lost.Load() <= served.Load()/50, qt.IsTrue, qt.Commentf("%d lost", lost.Load()))
+}
+
+// falls returns how often the site's endpoints fell over.
+func (s *siteTest) falls() int {
+	n := 0
+	for _, e := range s.site.Endpoints {
+		n += e.Falls()
+	}
+	return n
+}
--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -158,7 +158,7 @@
 			continue
 		}
 		ready++
-		if slices.Contains(excluded, e.ID) || t.full(e, q.Engine) || e.paused(now) || !t.allows(now, e) {
+		if slices.Contains(excluded, e.ID) || t.full(now, e, q.Engine) || e.paused(now) || !t.allows(now, e) {
 			continue
 		}
 		resident := q.Engine == nil || q.Target.Adapter == "" || e.holds(now, q.Target, q.Version)
@@ -180,12 +180,8 @@
 }
 
 // full reports whether the endpoint has reached its limit of requests in flight.
-func (t *Table) full(e *endpoint, g *ggscore.EngineSpec) bool {
-	n := e.own + e.peers
-	if g == nil {
-		return n >= plainQueueFactor*e.Slots
-	}
-	return n >= e.Slots
+func (t *Table) full(now time.Time, e *endpoint, g *ggscore.EngineSpec) bool {
+	return e.own+e.peers >= t.capacity(now, e, g)
 }
 
 // cost returns the expected delay at the endpoint without prefill, loads and failures.
--- /dev/null
+++ b/core/ggsthrottle/brittle.go
@@ -0,0 +1,165 @@
+package ggsthrottle
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	ggscore "greengageslip/core"
+)
+
+const (
+	// refusalShare is the share of an endpoint's tolerated refusals that a limit aims at. The
+	// requests of a second vary around their mean.
+	refusalShare = 0.25
+	// serviceTimeSmoothing is the weight of the last request in a service's time.
+	serviceTimeSmoothing = 0.05
+	// quotaTTL is how long an endpoint counts as brittle after its last answer.
+	quotaTTL = 10 * time.Second
+	// quotaWindow is the time over which unused requests accumulate. After an idle time, all VMs
+	// may send theirs at once.
+	quotaWindow = 200 * time.Millisecond
+	// searchSteps bounds the search for a rate, which halves the interval at each step.
+	searchSteps = 20
+)
+
+// A ServiceTimes estimates how long requests of services occupy a slot.
+type ServiceTimes struct {
+	times map[ggscore.Service]time.Duration
+}
+
+// NewServiceTimes returns an empty estimate.
+func NewServiceTimes() *ServiceTimes {
+	return &ServiceTimes{times: map[ggscore.Service]time.Duration{}}
+}
+
+// Observe records the time from the sending of a request until the end of its answer.
+func (s *ServiceTimes) Observe(service ggscore.Service, took time.Duration) {
+	t, ok := s.times[service]
+	if !ok {
+		s.times[service] = took
+		return
+	}
+	s.times[service] = t + time.Duration(serviceTimeSmoothing*float64(took-t))
+}
+
+// A serviceQuota bounds the requests that this VM sends at once to all brittle endpoints of a
+// service. Without it, the unused parts of many endpoints would add up to a burst.
+type serviceQuota struct {
+	bucket bucket
+	// endpoints are the quotas that the bucket's rate is the sum of.
+	endpoints map[ggscore.EndpointID]*quota
+}
+
+func (s *serviceQuota) rate() float64 {
+	r := 0.0
+	for _, q := range s.endpoints {
+		r += q.rate
+	}
+	return r
+}
+
+// A quota is this VM's part of the requests that a brittle endpoint gets.
+type quota struct {
+	service *serviceQuota
+	rate    float64
+	asOf    time.Time
+	bucket  bucket
+}
+
+// ObserveBrittle records whether an answer says that its endpoint fails once it refuses more than
+// the given number of requests in a second, nil if it doesn't say so. asOf is as for Observe.
+//
+// Each VM limits itself to an equal part of the rate at which an endpoint without a queue refuses a
+// share of that number on average. Unlike a limit that the endpoint announces itself, it leaves
+// each VM a part: the endpoint serves most of the usual load, for adapters that it alone holds.
+func (t *Table) ObserveBrittle(now time.Time, i *ggscore.Instance, s *ServiceTimes, refusalsPerSecond *int, asOf time.Time) {
+	q := t.quotas[i.ID]
+	if q != nil && asOf.Before(q.asOf) {
+		return
+	}
+	took := s.times[i.Service]
+	if refusalsPerSecond == nil || took <= 0 || i.Slots <= 0 {
+		t.removeQuota(i.ID)
+		return
+	}
+	if q == nil {
+		v := t.serviceQuotas[i.Service]
+		if v == nil {
+			v = &serviceQuota{bucket: bucket{at: now}, endpoints: map[ggscore.EndpointID]*quota{}}
+			t.serviceQuotas[i.Service] = v
+		}
+		q = &quota{service: v, bucket: bucket{at: now, tokens: t.initialTokens(i.ID)}}
+		t.quotas[i.ID], v.endpoints[i.ID] = q, q
+	}
+	aim := refusalShare * float64(max(*refusalsPerSecond, 1)) * took.Seconds()
+	q.rate, q.asOf = offeredLoad(i.Slots, aim)/took.Seconds()/float64(len(t.vms)), asOf
+}
+
+// initialTokens spreads the first requests of the VMs, which learn at the same time that an endpoint
+// is brittle.
+func (t *Table) initialTokens(id ggscore.EndpointID) float64 {
+	const values = 1 << 16
+	return float64(xxhash.Sum64String(string(t.self)+" "+string(id))%values) / values * 2
+}
+
+// BrittleCount returns the number of endpoints that are known to be brittle.
+func (t *Table) BrittleCount() int { return len(t.quotas) }
+
+// brittleQuota returns the quota of a brittle endpoint with its bucket refilled, or nil.
+func (t *Table) brittleQuota(now time.Time, id ggscore.EndpointID) *quota {
+	q := t.quotas[id]
+	if q == nil {
+		return nil
+	}
+	if now.Sub(q.asOf) > quotaTTL {
+		t.removeQuota(id)
+		return nil
+	}
+	q.bucket.refill(now, q.rate, quotaWindow)
+	q.service.bucket.refill(now, q.service.rate(), quotaWindow)
+	return q
+}
+
+func (t *Table) removeQuota(id ggscore.EndpointID) {
+	if q := t.quotas[id]; q != nil {
+		delete(q.service.endpoints, id)
+		delete(t.quotas, id)
+	}
+}
+
+// allows reports whether the quota leaves a request.
+func (q *quota) allows() bool { return q.bucket.allows() && q.service.bucket.allows() }
+
+func (q *quota) take() {
+	q.bucket.take()
+	q.service.bucket.take()
+}
+
+func (q *quota) wait() time.Duration {
+	return max(q.bucket.wait(q.rate), q.service.bucket.wait(q.service.rate()))
+}
+
+// offeredLoad returns the load, in slots, of which an endpoint refuses the given load.
+func offeredLoad(slots int, refused float64) float64 {
+	low, high := 0.0, float64(slots)+refused
+	for range searchSteps {
+		load := (low + high) / 2
+		if load*blocking(load, slots) <= refused {
+			low = load
+		} else {
+			high = load
+		}
+	}
+	return low
+}
+
+// blocking returns the fraction of requests that find all slots taken: Erlang's B formula for an
+// offered load, in slots.
+func blocking(load float64, slots int) float64 {
+	b := 1.0
+	for n := 1; n <= slots; n++ {
+		b = load * b / (float64(n) + load*b)
+	}
+	return b
+}
--- a/core/ggsthrottle/table.go
+++ b/core/ggsthrottle/table.go
@@ -34,6 +34,9 @@
 	self      ggscore.VMID
 	vms       []ggscore.VMID
 	endpoints map[ggscore.EndpointID]*endpoint
+	// quotas are those of brittle endpoints.
+	quotas        map[ggscore.EndpointID]*quota
+	serviceQuotas map[ggscore.Service]*serviceQuota
 }
 
 var _ ggscore.EndpointThrottle = (*Table)(nil)
@@ -49,7 +52,10 @@
 
 // NewTable returns a table without limits. The only live VM is self until SetVMs is called.
 func NewTable(self ggscore.VMID) *Table {
-	return &Table{self: self, vms: []ggscore.VMID{self}, endpoints: map[ggscore.EndpointID]*endpoint{}}
+	return &Table{
+		self: self, vms: []ggscore.VMID{self}, endpoints: map[ggscore.EndpointID]*endpoint{},
+		quotas: map[ggscore.EndpointID]*quota{}, serviceQuotas: map[ggscore.Service]*serviceQuota{},
+	}
 }
 
 // SetVMs sets the live VMs, including this one, in any order. The table keeps and sorts the
@@ -142,34 +148,49 @@
 }
 
 // Remove drops the state of an endpoint.
-func (t *Table) Remove(id ggscore.EndpointID) { delete(t.endpoints, id) }
+func (t *Table) Remove(id ggscore.EndpointID) {
+	delete(t.endpoints, id)
+	t.removeQuota(id)
+}
 
 // Allows implements ggscore.EndpointThrottle.
 func (t *Table) Allows(now time.Time, id ggscore.EndpointID) bool {
+	if q := t.brittleQuota(now, id); q != nil && !q.allows() {
+		return false
+	}
 	e := t.limitedEndpoint(now, id)
-	return e == nil || e.bucket.tokens >= 1
+	return e == nil || e.bucket.allows()
 }
 
 // Wait implements ggscore.EndpointThrottle.
 func (t *Table) Wait(now time.Time, id ggscore.EndpointID) time.Duration {
+	wait := time.Duration(0)
+	if q := t.brittleQuota(now, id); q != nil {
+		wait = q.wait()
+	}
 	e := t.limitedEndpoint(now, id)
 	switch {
 	case e == nil:
-		return 0
+		return wait
 	case e.share.perSecond == 0:
-		return unselectedWait
+		return max(wait, unselectedWait)
 	}
-	return e.bucket.wait(e.share.perSecond)
+	return max(wait, e.bucket.wait(e.share.perSecond))
 }
 
 // Take takes a token for a request to the endpoint, and reports whether this VM had one left.
-// It is always true for an endpoint without a limit.
+// It is always true for an endpoint without a limit that isn't brittle.
 func (t *Table) Take(now time.Time, id ggscore.EndpointID) bool {
-	e := t.limitedEndpoint(now, id)
-	if e == nil {
-		return true
+	if !t.Allows(now, id) {
+		return false
+	}
+	if q := t.quotas[id]; q != nil {
+		q.take()
+	}
+	if e := t.limitedEndpoint(now, id); e != nil {
+		e.bucket.take()
 	}
-	return e.bucket.take()
+	return true
 }
 
 // limitedEndpoint returns the endpoint with its bucket refilled, or nil if it has no limit.
@@ -180,9 +201,9 @@
 	}
 	if rotation := int64(now.Sub(e.asOf) / rotateAfter); !e.share.valid || e.share.rotation != rotation {
 		// Tokens accrue at the rate that applied until now.
-		e.bucket.refill(now, e.share.perSecond)
+		e.bucket.refill(now, e.share.perSecond, burstWindow)
 		e.share = t.shareOf(id, *e.limit, rotation)
 	}
-	e.bucket.refill(now, e.share.perSecond)
+	e.bucket.refill(now, e.share.perSecond, burstWindow)
 	return e
 }
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -85,6 +85,7 @@
 	// retryAfter is the Retry-After header of requests refused by FaultRefuse, zero for none.
 	retryAfter time.Duration
 	arrivals   []Arrival
+	brittle    brittleState
 }
 
 // An Order is a load or unload order that the endpoint received.
@@ -321,6 +322,11 @@
 	if err != nil {
 		return
 	}
+	admitted, end := e.enterBrittle(w)
+	if !admitted {
+		return
+	}
+	defer end() // net/http sends a short answer after the handler has returned
 	e.mu.Lock()
 	e.requestCount++
 	e.arrivals = append(e.arrivals, Arrival{ID: id, At: e.options.Now()})
@@ -333,22 +339,29 @@
 	}
 	e.setStatusHeaders(w.Header(), f)
 	e.mu.Unlock()
-	h := w.Header()
-	h.Set("Request-Id", id)
-	switch {
-	case missing:
+	w.Header().Set("Request-Id", id)
+	if missing {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case f == FaultRefuse:
+	}
+	e.respond(w, r, id, f)
+}
+
+// respond answers a request with a fault, or as an endpoint that works does.
+func (e *Endpoint) respond(w http.ResponseWriter, r *http.Request, id string, f Fault) {
+	h := w.Header()
+	switch f {
+	case FaultRefuse:
 		h.Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	case f == FaultReset:
+	case FaultReset:
 		panic(http.ErrAbortHandler)
-	case f == FaultHang:
+	case FaultHang:
 		<-r.Context().Done()
 		e.recordCallerLeft()
 		panic(http.ErrAbortHandler)
+	case FaultNone, FaultTruncate, FaultError, FaultNoStamp:
 	}
 	if f != FaultNoStamp {
 		h.Set("Server-Stamp", "stamp-of-"+e.options.ID)
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -126,6 +126,8 @@
 	node      *ggsrelay.Node
 	retries   *ggsretry.Policy
 	limits    *ggsthrottle.Table
+	// serviceTimes are for the limits of brittle endpoints.
+	serviceTimes *ggsthrottle.ServiceTimes
 	// versions are the adapters' versions in use. versionSum is their sum, which heartbeats
 	// carry so that a VM detects peers with newer versions.
 	versions   map[ggscore.ModelAdapter]uint64
@@ -251,6 +253,7 @@
 		ownership:              ggsfencing.NewOwnershipTracker(ggsfencing.Options{Self: o.VM, Domain: o.Domain, MinOrderGap: o.MinOrderGap, FirstStart: o.FirstStart}),
 		retries:                ggsretry.NewPolicy(retryOptions(o)),
 		limits:                 limits,
+		serviceTimes:           ggsthrottle.NewServiceTimes(),
 		registry:               ggsregistry.NewRegistry(),
 		versions:               map[ggscore.ModelAdapter]uint64{},
 		workers:                map[ggscore.EndpointID]*worker{},
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -50,6 +50,7 @@
 		return e.brokenAnswer(j, i, err), ggsretry.ResultFailed
 	}
 	e.recordStream(j)
+	e.recordServiceTime(j)
 	e.stats.Answered.Add(1)
 	e.metrics.observeAnswer(j.route.Kind, e.since(j.arrived))
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestEnded, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
@@ -124,6 +125,11 @@
 		e.table.SetMissing(e.Now(), i.ID, j.meta.Model)
 		e.mu.Unlock()
 	}
+	if a.Status == http.StatusServiceUnavailable {
+		e.mu.Lock()
+		e.table.RecordRefusal(e.Now(), i.ID)
+		e.mu.Unlock()
+	}
 	_ = level.Info(e.Log).Log("event", ggslog.EventEndpointRefused, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
 		"adapter", j.meta.Model, "version", j.version, "retryAfter", m.RetryAfter)
 	return &ggscore.Failure{
@@ -215,6 +221,13 @@
 	e.turns.RecordStream(e.Now(), j.service, j.turn.Endpoint, false)
 }
 
+// recordServiceTime records how long a request occupied its endpoint.
+func (e *Edge) recordServiceTime(j *job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.serviceTimes.Observe(j.service, e.Now().Sub(j.sentAt))
+}
+
 // writeHead writes an answer's head.
 func (e *Edge) writeHead(j *job, a *ggsexchange.Answer, length int64) {
 	j.committed = true
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -48,6 +48,7 @@
 	EventRequestsCut        Event = "requestsCut"
 	EventRereadFailed       Event = "rereadFailed"
 	EventSeedAsked          Event = "seedAsked"
+	EventServiceBrittle     Event = "serviceBrittle"
 	EventSettingsReread     Event = "settingsReread"
 	EventStatusFailed       Event = "statusFailed"
 	EventStopRequested      Event = "stopRequested"
@@ -103,6 +104,7 @@
 		EventRequestsCut,
 		EventRereadFailed,
 		EventSeedAsked,
+		EventServiceBrittle,
 		EventSettingsReread,
 		EventStatusFailed,
 		EventStopRequested,
