test(ggsnode): endpoints that are silent for a moment lose no answers

The load stays below the runners' slots times the silence; above, the excess is refused, which is right.

--- a/cmd/ggsnode/edge_partition_test.go
+++ b/cmd/ggsnode/edge_partition_test.go
@@ -195,3 +195,33 @@
 	}
 	return owned
 }
+
+// Guards against answers that are lost, or endpoints that count as unreachable, because sound
+// endpoints are silent for a moment.
+func TestShortSilenceLosesNoAnswers(t *testing.T) {
+	t.Parallel()
+	for name, prefixes := range map[string][]string{
+		"one runner":    {"runner-00"},
+		"all endpoints": {"runner", "ledger"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, 2)
+			s.callSteadily(http.MethodPost, "/chat/1", "m/a1", 100*time.Millisecond, time.Second)
+			for id, e := range s.site.Endpoints {
+				for _, p := range prefixes {
+					if strings.HasPrefix(id, p) {
+						e.SetSilent(1300 * time.Millisecond)
+					}
+				}
+			}
+			served, all := s.callSteadily(http.MethodPost, "/chat/1", "m/a1", 100*time.Millisecond, 3*time.Second)
+			s.c.Check(served, qt.Equals, all)
+			for n := range s.edges {
+				for _, e := range s.state(n).Endpoints {
+					s.c.Check(e.Blocked, qt.IsFalse)
+				}
+			}
+		})
+	}
+}
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -86,6 +86,8 @@
 	retryAfter time.Duration
 	arrivals   []Arrival
 	brittle    brittleState
+	// silentUntil is the time until which the endpoint neither answers nor sends events.
+	silentUntil time.Time
 }
 
 // An Order is a load or unload order that the endpoint received.
@@ -166,6 +168,26 @@
 	e.retryAfter = d
 }
 
+// SetSilent makes the endpoint fall silent for a time and then go on.
+func (e *Endpoint) SetSilent(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silentUntil = e.options.Now().Add(d)
+}
+
+// waitSilence waits until the endpoint isn't silent.
+func (e *Endpoint) waitSilence() {
+	e.mu.Lock()
+	wait := e.silentUntil.Sub(e.options.Now())
+	e.mu.Unlock()
+	if wait <= 0 {
+		return
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	<-t.C
+}
+
 // Arrivals returns the received requests, refused ones included.
 func (e *Endpoint) Arrivals() []Arrival {
 	e.mu.Lock()
@@ -322,6 +344,7 @@
 	if err != nil {
 		return
 	}
+	e.waitSilence()
 	admitted, end := e.enterBrittle(w)
 	if !admitted {
 		return
@@ -400,6 +423,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
 	for n := range e.options.Events {
+		e.waitSilence()
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s by %s\n\n", n+1, id, e.options.ID)
 		_ = c.Flush()
 		if f == FaultTruncate && n == e.options.Events/2 {
