perf(ggsedge): write a heartbeat for a broken path only if it tells other VMs more

Each path that was found broken had a heartbeat written at once, some ten within a second at each partitioned VM. It matters to others only when the VM becomes isolated or no longer is, or owns the endpoint. TestAdaptersAreLoadedWhileTheirOwnerIsPartitioned passes as before.

--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -138,9 +138,11 @@
 	// processes of an endpoint.
 	unansweredOrders map[ggscore.EndpointID]*ggsresident.Unanswered
 	peers            map[ggscore.VMID]*member
-	uses             map[use]*usage
-	loads            map[load]*pendingLoad
-	listed           bool
+	// isolated is whether this VM was isolated at the last change of its paths.
+	isolated bool
+	uses     map[use]*usage
+	loads    map[load]*pendingLoad
+	listed   bool
 	// entries are the store's entries as last read. VMs that start while the store is
 	// unreachable read them from this VM.
 	entries map[ggscore.Key][]ggscore.Entry
--- a/io/ggsedge/paths.go
+++ b/io/ggsedge/paths.go
@@ -36,16 +36,22 @@
 }
 
 // PathsChanged must be called after paths to endpoints broke or work again. Failures on the broken
-// paths say nothing about the endpoints.
+// paths say nothing about the endpoints. A store heartbeat is due if it would tell other VMs more.
 func (e *Edge) PathsChanged() {
+	isolated := e.Paths.Isolated()
 	e.mu.Lock()
+	due := isolated != e.isolated
+	e.isolated = isolated
 	for _, i := range e.table.Instances("") {
 		if e.Paths.Blocked(i.Addr) {
 			e.table.ForgetFailures(i.ID)
+			due = due || e.workers[i.ID] != nil
 		}
 	}
 	e.mu.Unlock()
-	e.requestStoreHeartbeat()
+	if due {
+		e.requestStoreHeartbeat()
+	}
 }
 
 // setPathEndpoints tells Paths the endpoints' addresses. Edge.mu is held.
