fix(ggstunnel): forget the checks of endpoints that are gone

The times of checks stayed for each address that was ever suspected. They go with the list of endpoints now; the error of a dial without any way says so instead of '<nil>'.

--- a/io/ggstunnel/dialer.go
+++ b/io/ggstunnel/dialer.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -111,6 +113,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.SetEndpoints(addrs)
+	maps.DeleteFunc(d.checked, func(a netip.AddrPort, _ time.Time) bool { return !slices.Contains(addrs, a) })
 }
 
 // Dial implements ggscore.Dialer.
@@ -150,8 +153,8 @@
 }
 
 // dial tries the ways to an endpoint. The next way starts when the previous one has failed, or
-// after a while beside it. Suspect is set if nothing arrived from the endpoint although requests
-// wait for it: the direct way then counts as failed if a peer is faster by that time.
+// beside it after stagger. suspect is set if nothing arrives from the endpoint although requests
+// wait for it: the direct way then counts as failed if a peer connects first.
 func (d *Dialer) dial(ctx context.Context, addr netip.AddrPort, suspect bool) (net.Conn, error) {
 	ways := d.ways(addr)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -268,7 +271,7 @@
 }
 
 // record passes the result of a way to the table. A way that ended because the caller left says
-// nothing. Overtaken is set if the direct way is to count as failed beside a peer's connection.
+// nothing. overtaken is set if the direct way is to count as failed beside a peer's connection.
 func (d *Dialer) record(ctx context.Context, addr netip.AddrPort, g dialed, overtaken bool) {
 	if g.err != nil && (errors.Is(ctx.Err(), context.Canceled) || errors.Is(g.err, context.Canceled)) {
 		return
--- a/io/ggstunnel/errors.go
+++ b/io/ggstunnel/errors.go
@@ -22,13 +22,16 @@
 // An UnreachableError reports that neither this VM nor a peer connected to an endpoint.
 type UnreachableError struct {
 	Addr netip.AddrPort
-	// Peers is the number of peers that were asked.
+	// Peers is the number of peers that were asked. Cause is nil if none could be.
 	Peers int
 	Cause error
 }
 
 // Error implements error.
 func (e *UnreachableError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("endpoint %s unreachable: the path is broken, and no peer is known", e.Addr)
+	}
 	return fmt.Sprintf("endpoint %s unreachable, also through %d peers: %v", e.Addr, e.Peers, e.Cause)
 }
 
