test(ggsnode): the soak partitions single VMs from all endpoints

An edge of the tests takes the mode of its partition from a file: connections hang, are reset, or live on while new ones are refused, beside all other faults.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -88,6 +88,11 @@
 // RunEdge runs an edge until a signal or the context's end and returns its
 // exit code.
 func RunEdge(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	return runEdgeProgram(ctx, args, stdout, stderr)
+}
+
+// runEdgeProgram is RunEdge with options that change the edge's parts.
+func runEdgeProgram(ctx context.Context, args []string, stdout, stderr io.Writer, options ...fx.Option) int {
 	// A SIGHUP that arrives before rereadSettings installs its handler would end the process.
 	signal.Ignore(syscall.SIGHUP)
 	var c edgeCommandLine
@@ -122,7 +127,7 @@
 		<-done
 	}()
 	l := log.Logger(ggslog.NewSampler(ggslog.New(w, edgeProgram, s.VM, ggslog.Level(c.LogLevel)), time.Now)) //nolint:forbidigo // the clock of the log
-	return runEdge(ctx, &c, &s, policy, l)
+	return runEdge(ctx, &c, &s, policy, l, options...)
 }
 
 // runEdge runs an edge. The options change its parts.
--- a/cmd/ggsnode/fault_process_test.go
+++ b/cmd/ggsnode/fault_process_test.go
@@ -37,7 +37,7 @@
 	programs := map[string]func(context.Context, []string, io.Writer, io.Writer) int{
 		dispatcherProgram: ggsnode.RunDispatcher,
 		gatewayProgram:    ggsnode.RunGateway,
-		edgeProgram:       ggsnode.RunEdge,
+		edgeProgram:       ggsnode.RunPartitionableEdge,
 	}
 	run := programs[os.Getenv(programVariable)]
 	if run == nil {
--- a/cmd/ggsnode/soak_faults_test.go
+++ b/cmd/ggsnode/soak_faults_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"greengageslip/fakes/ggsfakelink"
 	"greengageslip/fakes/ggsfakesite"
 )
@@ -134,6 +137,21 @@
 	e.store.SetFaults(ggsfakelink.Faults{BytesPerSecond: e.bandwidth})
 }
 
+// partitionFromEndpoints partitions one VM from all endpoints, in one of the ways in which that shows.
+func (s *soak) partitionFromEndpoints(r *rand.Rand, d time.Duration) {
+	e := s.edge(r)
+	s.setPartition(e, []string{"hang", "reset", "refuse"}[r.IntN(3)])
+	s.sleep(2 * d)
+	s.setPartition(e, "none")
+}
+
+// setPartition replaces the mode of an edge's partition. A rename lets the edge read no partial text.
+func (s *soak) setPartition(e *soakEdge, mode string) {
+	next := e.partition + ".next"
+	s.c.Check(os.WriteFile(next, []byte(mode), 0o600), qt.IsNil)
+	s.c.Check(os.Rename(next, e.partition), qt.IsNil)
+}
+
 func (s *soak) breakEndpointLink(r *rand.Rand, d time.Duration) {
 	l := s.links[s.endpoint(r, "")]
 	l.SetFaults(linkFault(r))
--- a/cmd/ggsnode/soak_test.go
+++ b/cmd/ggsnode/soak_test.go
@@ -20,6 +20,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"greengageslip/cmd/ggsnode"
 	"greengageslip/fakes/ggsfakelink"
 	"greengageslip/fakes/ggsfakesite"
 )
@@ -35,11 +36,12 @@
 //
 //nolint:gochecknoglobals // flags of the test
 var (
-	soakSeed     = flag.Uint64("soak.seed", 0, "run this seed only")
-	soakSeeds    = flag.Int("soak.seeds", 0, "run this number of random seeds")
-	soakAnswers  = flag.Bool("soak.answers", true, "endpoints also report in answers that they are leaving, are limited or refuse requests for a time")
-	soakRestores = flag.Bool("soak.returns", true, "the store is also restored from backups")
-	soakLength   = flag.Duration("soak.length", 6*time.Second, "duration of the faults in each run")
+	soakSeed       = flag.Uint64("soak.seed", 0, "run this seed only")
+	soakSeeds      = flag.Int("soak.seeds", 0, "run this number of random seeds")
+	soakAnswers    = flag.Bool("soak.answers", true, "endpoints also report in answers that they are leaving, are limited or refuse requests for a time")
+	soakRestores   = flag.Bool("soak.returns", true, "the store is also restored from backups")
+	soakPartitions = flag.Bool("soak.partitions", true, "VMs are also partitioned from all endpoints")
+	soakLength     = flag.Duration("soak.length", 6*time.Second, "duration of the faults in each run")
 )
 
 // soakCases are the seeds of every run of the test, by what each covers.
@@ -53,15 +55,17 @@
 	"a restored store":                {seed: 3, answers: true, restores: true},
 	// Guards against overlapping limits of one endpoint, where the end of the first lifts the
 	// second.
-	"limits that overlap": {seed: 1075990872, answers: true, restores: true},
+	"limits that overlap":                {seed: 1075990872, answers: true, restores: true},
+	"VMs partitioned from all endpoints": {seed: 4, partitions: true},
 }
 
 // A soakCase is one run. Faults that endpoints announce in answers, and restores of the store, are
 // optional, so that a seed found without them still draws the same faults.
 type soakCase struct {
-	seed     uint64
-	answers  bool
-	restores bool
+	seed       uint64
+	answers    bool
+	restores   bool
+	partitions bool
 }
 
 const (
@@ -91,12 +95,12 @@
 	t.Parallel()
 	switch {
 	case *soakSeed > 0:
-		runSoak(t, soakCase{*soakSeed, *soakAnswers, *soakRestores})
+		runSoak(t, soakCase{*soakSeed, *soakAnswers, *soakRestores, *soakPartitions})
 	case *soakSeeds > 0:
 		for range *soakSeeds {
 			seed := rand.Uint64N(1 << 32)
 			//nolint:paralleltest // runs are sequential, so that they don't disturb each other's timing
-			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSoak(t, soakCase{seed, *soakAnswers, *soakRestores}) })
+			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSoak(t, soakCase{seed, *soakAnswers, *soakRestores, *soakPartitions}) })
 		}
 	default:
 		for name, k := range soakCases {
@@ -146,7 +150,9 @@
 type soakEdge struct {
 	ip       netip.Addr
 	settings string
-	store    *ggsfakelink.Link
+	// partition is the file with the mode of the edge's partition from all endpoints.
+	partition string
+	store     *ggsfakelink.Link
 	// bandwidth is that of the link to the store in bytes per second; zero means unlimited.
 	bandwidth int
 	// restartMu is held while the process is ended and restarted.
@@ -194,6 +200,9 @@
 	if k.restores {
 		faults = append(faults, soakFault{"store restored from a backup", false, (*soak).restoreStore})
 	}
+	if k.partitions {
+		faults = append(faults, soakFault{"VM partitioned from all endpoints", false, (*soak).partitionFromEndpoints})
+	}
 	s.injectUntil(time.Now().Add(*soakLength), faults, &work)
 	s.recover()
 	stop()
@@ -228,7 +237,7 @@
 	s.log = f
 	s.t.Cleanup(func() { s.keepLog(dir) })
 	for n := range soakEdges {
-		e := &soakEdge{ip: ip(byte(n + 1)), settings: filepath.Join(dir, fmt.Sprintf("edge-%d.yaml", n))}
+		e := &soakEdge{ip: ip(byte(n + 1)), settings: filepath.Join(dir, fmt.Sprintf("edge-%d.yaml", n)), partition: filepath.Join(dir, fmt.Sprintf("edge-%d.mode", n))}
 		at := netip.AddrPortFrom(ip(0), uint16(7300+n))
 		e.store = s.link(work, at, site)
 		if n%2 == 1 {
@@ -286,7 +295,7 @@
 // spawn starts an edge's process.
 func (s *soak) spawn(e *soakEdge) {
 	cmd := exec.CommandContext(s.ctx, os.Args[0])
-	cmd.Env = append(os.Environ(), programVariable+"="+edgeProgram, "GREENGAGESLIP_NODE_FILE="+e.settings)
+	cmd.Env = append(os.Environ(), programVariable+"="+edgeProgram, "GREENGAGESLIP_NODE_FILE="+e.settings, ggsnode.PartitionVariable+"="+e.partition)
 	cmd.Stdout, cmd.Stderr = s.log, s.log
 	_, err := cmd.StdinPipe()
 	s.c.Assert(err, qt.IsNil)
