fix(ggsegress): probe all endpoints while this VM is isolated

Only endpoints whose own path was found broken were probed. TestIsolatedVMProbesNewEndpoints fails before. A direct connection to an endpoint that counted as unreachable only because the VM was isolated no longer clears the paths that are known to be broken.

--- a/core/ggsegress/table.go
+++ b/core/ggsegress/table.go
@@ -55,17 +55,16 @@
 	rng     *rand.Rand
 	paths   map[netip.AddrPort]*path
 	peers   map[ggscore.VMID]*peer
-	// endpoints are the known endpoints, and next is the index of the one to check next.
-	endpoints []netip.AddrPort
-	next      int
+	// endpoints are the known endpoints, and nextCheck and nextProbe are the indexes of those that
+	// were checked and probed last.
+	endpoints            []netip.AddrPort
+	nextCheck, nextProbe int
 	// isolated is set while no path works. lastDirect is when an endpoint was last known to be
 	// reached directly.
 	isolated   bool
 	isolatedAt time.Time
 	lastDirect time.Time
-	// lastProbe is the time of the last probe, and probed its endpoint.
-	lastProbe time.Time
-	probed    netip.AddrPort
+	lastProbe  time.Time
 }
 
 // A path is the state of the direct path to an endpoint.
@@ -155,13 +154,13 @@
 	return n
 }
 
-// DirectConnected records a direct connection to an endpoint. If its path was broken, the cause
-// is gone, and the other paths are tried again too.
+// DirectConnected records a direct connection to an endpoint. This VM isn't isolated then. If the
+// endpoint's path was broken, the cause is gone, and the other paths are tried again too.
 func (t *Table) DirectConnected(now time.Time, addr netip.AddrPort) {
-	t.lastDirect = now
-	if t.Blocked(addr) {
+	t.lastDirect, t.isolated = now, false
+	p := t.paths[addr]
+	if p != nil && p.blocked {
 		clear(t.paths)
-		t.isolated = false
 	}
 	delete(t.paths, addr)
 }
@@ -171,8 +170,7 @@
 	if at.After(t.lastDirect) {
 		t.lastDirect = at
 	}
-	if t.isolated && at.After(t.isolatedAt) {
-		clear(t.paths)
+	if at.After(t.isolatedAt) {
 		t.isolated = false
 	}
 }
@@ -223,31 +221,20 @@
 	return p != nil && !p.failing(now)
 }
 
-// NextProbe returns an endpoint to dial directly although its path is broken.
+// NextProbe returns an endpoint to dial directly although its path is broken. The endpoints take
+// turns.
 func (t *Table) NextProbe(now time.Time) (netip.AddrPort, bool) {
 	if now.Sub(t.lastProbe) < probeInterval {
 		return netip.AddrPort{}, false
 	}
-	var next, first netip.AddrPort
-	for a, p := range t.paths {
-		if !p.blocked {
-			continue
-		}
-		if !first.IsValid() || a.Compare(first) < 0 {
-			first = a
-		}
-		if a.Compare(t.probed) > 0 && (!next.IsValid() || a.Compare(next) < 0) {
-			next = a
+	for range t.endpoints {
+		t.nextProbe = (t.nextProbe + 1) % len(t.endpoints)
+		if a := t.endpoints[t.nextProbe]; t.Blocked(a) {
+			t.lastProbe = now
+			return a, true
 		}
 	}
-	if !next.IsValid() {
-		next = first
-	}
-	if !next.IsValid() {
-		return netip.AddrPort{}, false
-	}
-	t.lastProbe, t.probed = now, next
-	return next, true
+	return netip.AddrPort{}, false
 }
 
 // NextCheck returns an endpoint whose path is to be checked because another one is broken, and
@@ -257,8 +244,8 @@
 		return netip.AddrPort{}, false
 	}
 	for range t.endpoints {
-		t.next = (t.next + 1) % len(t.endpoints)
-		if a := t.endpoints[t.next]; !t.Blocked(a) {
+		t.nextCheck = (t.nextCheck + 1) % len(t.endpoints)
+		if a := t.endpoints[t.nextCheck]; !t.Blocked(a) {
 			return a, true
 		}
 	}
--- a/core/ggsegress/table_test.go
+++ b/core/ggsegress/table_test.go
@@ -135,6 +135,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	g := newTable(9)
+	g.SetEndpoints([]netip.AddrPort{endpoint(0), endpoint(1), endpoint(2)})
 	for n := range 3 {
 		g.DirectFailed(at(0), endpoint(n))
 		g.PeerConnected(at(0), endpoint(n), peerVM)
@@ -151,6 +152,26 @@
 	c.Assert(ok, qt.IsFalse)
 }
 
+// Guards against a VM that uses tunnels for ever because the endpoints by which it learned that its
+// paths are broken are gone.
+func TestIsolatedVMProbesNewEndpoints(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	g := newTable(9)
+	g.SetEndpoints([]netip.AddrPort{endpoint(0), endpoint(1)})
+	for n := range 2 {
+		g.DirectFailed(at(0), endpoint(n))
+		g.PeerConnected(at(0), endpoint(n), peerVM)
+	}
+	c.Assert(g.Isolated(), qt.IsTrue)
+	g.SetEndpoints([]netip.AddrPort{endpoint(7)})
+	a, ok := g.NextProbe(at(5 * time.Second))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(a, qt.Equals, endpoint(7))
+	g.DirectConnected(at(6*time.Second), a)
+	c.Assert(g.Blocked(a), qt.IsFalse)
+}
+
 // A fleet is a number of VMs, the first of which have no path to the endpoints.
 type fleet struct {
 	tables   []*ggsegress.Table
--- a/io/ggstunnel/tunnel_test.go
+++ b/io/ggstunnel/tunnel_test.go
@@ -65,6 +65,7 @@
 	s.dialer = ggstunnel.NewDialer(ggstunnel.Options{
 		Direct: s.partition, Peers: ggsexchange.NewDirectDialer(0), Table: table, Now: ggsclock.Boot, Log: log.NewNopLogger(),
 	})
+	s.dialer.SetEndpoints([]netip.AddrPort{s.addr})
 	done := make(chan error, 1)
 	go func() { done <- s.dialer.Run(ctx) }()
 	t.Cleanup(func() {
