fix(ggsedge): count failures of endpoints that are down behind a broken path

Failures on a broken path counted for nothing, so that a VM without its own path tried an endpoint that had crashed again and again. If a peer fails to connect too, the endpoint is down, and the failure counts. Found by reading; TestFailuresOnABrokenPathCountOnlyIfAPeerConfirmsThem fails before in its third case.

--- a/core/errors.go
+++ b/core/errors.go
@@ -139,3 +139,26 @@
 	}
 	return OutcomeUnknown
 }
+
+// An UnreachableError reports that no connection to an endpoint was opened, neither directly nor
+// through peers.
+type UnreachableError struct {
+	Addr netip.AddrPort
+	// Peers is the number of peers that were asked. Confirmed is set if one of them failed to connect
+	// to the endpoint too, so that the endpoint is down.
+	Peers     int
+	Confirmed bool
+	// Cause is nil if no way could be tried.
+	Cause error
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("endpoint %s unreachable: the path is broken, and no peer is known", e.Addr)
+	}
+	return fmt.Sprintf("endpoint %s unreachable, also through %d peers: %v", e.Addr, e.Peers, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
--- a/core/ggsegress/table_test.go
+++ b/core/ggsegress/table_test.go
@@ -40,9 +40,10 @@
 	return rs
 }
 
-func newTable(vms int) *ggsegress.Table {
+// newTable returns the table of one of 9 VMs.
+func newTable() *ggsegress.Table {
 	t := ggsegress.NewTable(ggsegress.Options{Domain: domain(0), Regions: regions(3), Seed: 1})
-	t.SetPeers(tunnelPeers(vms, 3)[1:])
+	t.SetPeers(tunnelPeers(9, 3)[1:])
 	return t
 }
 
@@ -102,7 +103,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			g := newTable(9)
+			g := newTable()
 			tc.events(g)
 			c.Check(g.Blocked(endpoint(1)), qt.Equals, tc.blocked)
 			c.Check(g.Isolated(), qt.Equals, tc.isolated)
@@ -115,7 +116,7 @@
 func TestPeersAreAskedLessOftenAboutAnEndpointThatIsDown(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	g := newTable(9)
+	g := newTable()
 	asked := 0
 	for d := time.Duration(0); d < 10*time.Second; d += 100 * time.Millisecond {
 		p := g.Plan(at(d), endpoint(0))
@@ -134,7 +135,7 @@
 func TestBrokenPathsAreProbed(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	g := newTable(9)
+	g := newTable()
 	g.SetEndpoints([]netip.AddrPort{endpoint(0), endpoint(1), endpoint(2)})
 	for n := range 3 {
 		g.DirectFailed(at(0), endpoint(n))
@@ -157,7 +158,7 @@
 func TestIsolatedVMProbesNewEndpoints(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	g := newTable(9)
+	g := newTable()
 	g.SetEndpoints([]netip.AddrPort{endpoint(0), endpoint(1)})
 	for n := range 2 {
 		g.DirectFailed(at(0), endpoint(n))
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -234,7 +234,8 @@
 			result = ggsretry.ResultNeutral
 		}
 	}
-	if e.Paths.Blocked(i.Addr) {
+	var unreachable *ggscore.UnreachableError
+	if e.Paths.Blocked(i.Addr) && !(errors.As(err, &unreachable) && unreachable.Confirmed) {
 		result = ggsretry.ResultNeutral
 	}
 	if f.Outcome != ggscore.OutcomeNotRun {
--- a/io/ggstunnel/dialer.go
+++ b/io/ggstunnel/dialer.go
@@ -242,7 +242,7 @@
 	if r.directErr != nil {
 		last = r.directErr
 	}
-	return nil, &UnreachableError{Addr: r.addr, Peers: next, Cause: last}
+	return nil, &ggscore.UnreachableError{Addr: r.addr, Peers: next, Confirmed: r.unreachable > 0, Cause: last}
 }
 
 // record passes the result of a way to the table.
