--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -235,7 +235,8 @@
 		}
 	}
 	var unreachable *ggscore.UnreachableError
-	if e.Paths.Blocked(i.Addr) && !(errors.As(err, &unreachable) && unreachable.Confirmed) {
+	down := errors.As(err, &unreachable) && unreachable.Confirmed
+	if e.Paths.Blocked(i.Addr) && !down {
 		result = ggsretry.ResultNeutral
 	}
 	if f.Outcome != ggscore.OutcomeNotRun {
--- a/io/ggsedge/paths_test.go
+++ b/io/ggsedge/paths_test.go
@@ -40,7 +40,7 @@
 			e.table.SetInstances([]ggscore.Instance{i})
 			j := &job{service: "s"}
 			e.beginSend(j, i.ID)
-			e.unanswered(context.Background(), j, i, &ggscore.CallError{
+			_ = e.unanswered(context.Background(), j, i, &ggscore.CallError{
 				Addr: addr, NotSent: true, Kind: ggscore.FailureEndpoint, Cause: &ggscore.UnreachableError{Addr: addr, Confirmed: tc.confirmed},
 			})
 			failed := 0
