fix(ggsedge): close connections for orders when their endpoint is gone

Orders have a pool of their own since requests may use tunnels; its idle connections to endpoints that had left stayed open until the address was used again, a descriptor each. They are closed with those for requests, and at a stop. Found by reading; TestOrderConnectionsOfGoneEndpointsAreClosed.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -143,6 +143,7 @@
 			func(d *ggstunnel.Dialer, t clock) *ggsexchange.Pool {
 				return ggsexchange.NewPool(ggsexchange.Options{Dialer: d, Now: t})
 			},
+			newOrderPool,
 			newEdge,
 			newTunnelServer,
 		),
@@ -186,15 +187,21 @@
 	return uint64(1000 * s.CPUShare * float64(s.Cores) * s.LinkMbps)
 }
 
+// An orderPool has the connections for orders. They don't go through tunnels: an endpoint must get
+// orders from its owner's address.
+type orderPool struct{ *ggsexchange.Pool }
+
+func newOrderPool(d *ggstunnel.Dialer, t clock) orderPool {
+	return orderPool{ggsexchange.NewPool(ggsexchange.Options{Dialer: d.Direct(), Now: t})}
+}
+
 func newEdge(
-	s *ggsdialect.Settings, policy ggscore.Policy, p *ggsexchange.Pool, d *ggstunnel.Dialer, t clock, l log.Logger,
+	s *ggsdialect.Settings, policy ggscore.Policy, p *ggsexchange.Pool, o orderPool, d *ggstunnel.Dialer, t clock, l log.Logger,
 ) (*ggsedge.Edge, error) {
 	u, err := ggspeer.Listen(context.Background(), edgeDatagramAddr(s))
 	if err != nil {
 		return nil, err
 	}
-	// Orders don't go through tunnels: an endpoint must get them from its owner's address.
-	orders := ggsexchange.NewPool(ggsexchange.Options{Dialer: d.Direct(), Now: t})
 	e := ggsedge.New(ggsedge.Options{
 		Policy: policy,
 		// The address is part of the ID, so that endpoints distinguish a VM from an earlier one
@@ -211,7 +218,7 @@
 		},
 	}, ggsedge.Parts{
 		Store: ggsdialect.NewStore(s.Store), Codec: ggsdialect.Codec{}, Dialect: ggsdialect.Headers{},
-		PlacementClient: ggsdialect.NewOrderer(orders), Pool: p, Peers: u, Calls: ggsrpc.NewPool(ggsrpc.PoolOptions{}),
+		PlacementClient: ggsdialect.NewOrderer(o.Pool), Pool: p, OrderPool: o.Pool, Peers: u, Calls: ggsrpc.NewPool(ggsrpc.PoolOptions{}),
 		Paths: d, Log: l, Now: ggsclock.Boot, Monotonic: t,
 	})
 	d.OnChange(e.PathsChanged)
@@ -220,10 +227,11 @@
 
 // startEdge starts the parts of an edge. Hooks stop in the reverse order.
 func startEdge(
-	h host, s *ggsdialect.Settings, c *edgeCommandLine, e *ggsedge.Edge, p *ggsexchange.Pool, d *ggstunnel.Dialer, n *ggstunnel.Server, t clock,
+	h host, s *ggsdialect.Settings, c *edgeCommandLine, e *ggsedge.Edge, p *ggsexchange.Pool, o orderPool, d *ggstunnel.Dialer, n *ggstunnel.Server, t clock,
 ) {
 	h.Lifecycle.Append(fx.Hook{OnStop: func(context.Context) error {
 		p.Close()
+		o.Close()
 		return nil
 	}})
 	h.Lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error {
--- a/core/ggsfencing/claims.go
+++ b/core/ggsfencing/claims.go
@@ -96,9 +96,9 @@
 
 // preferredOwner returns the VM that is to claim the endpoint. Candidates are this VM and the
 // reachable VMs with fewer than MaxRecords endpoints that aren't isolated and haven't released the
-// endpoint themselves: a VM that can send orders claims what it has released at once. VMs in the endpoint's failure domain
-// take precedence, and rendezvous hashing selects one of them. If two VMs both select
-// themselves, the conditions of the store's transaction let only one claim succeed.
+// endpoint themselves: a VM that can send orders claims what it has released at once. VMs in the
+// endpoint's failure domain take precedence, and rendezvous hashing selects one of them. If two VMs
+// both select themselves, the conditions of the store's transaction let only one claim succeed.
 func (t *OwnershipTracker) preferredOwner(i *ggscore.Instance) ggscore.VMID {
 	owned := t.ownedCounts()
 	best, bestWeight, bestLocal := t.options.Self, 0.0, false
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -93,8 +93,10 @@
 	Dialect         ggscore.Dialect
 	PlacementClient ggscore.PlacementClient
 	Pool            *ggsexchange.Pool
-	Peers           *ggspeer.Conn
-	Calls           *ggsrpc.Pool
+	// OrderPool is the pool that PlacementClient uses if it isn't Pool.
+	OrderPool *ggsexchange.Pool
+	Peers     *ggspeer.Conn
+	Calls     *ggsrpc.Pool
 	// Paths are the network paths to the endpoints. Without it, they count as working.
 	Paths ggscore.Paths
 	Log   log.Logger
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -246,10 +247,18 @@
 	}
 	for _, g := range change.Removed {
 		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointGone, "endpoint", g.ID, "addr", g.Addr)
-		e.Pool.CloseIdle(g.Addr)
+		e.closeIdle(g.Addr)
 		e.mu.Lock()
 		e.turns.Remove(g.ID)
 		e.limits.Remove(g.ID)
 		e.mu.Unlock()
 	}
 }
+
+// closeIdle closes the idle connections to an endpoint that is gone.
+func (e *Edge) closeIdle(addr netip.AddrPort) {
+	e.Pool.CloseIdle(addr)
+	if e.OrderPool != nil {
+		e.OrderPool.CloseIdle(addr)
+	}
+}
--- a/io/ggsedge/list_test.go
+++ b/io/ggsedge/list_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -87,3 +89,22 @@
 		})
 	}
 }
+
+// Guards against connections for orders that stay open after their endpoints are gone.
+func TestOrderConnectionsOfGoneEndpointsAreClosed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e := listEdge()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer server.Close()
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	e.OrderPool = ggsexchange.NewPool(ggsexchange.Options{Now: e.Now})
+	defer e.OrderPool.Close()
+	a, err := e.OrderPool.Do(context.Background(), ggsexchange.Request{Addr: addr, Method: http.MethodGet, URI: "/", Host: "h"})
+	c.Assert(err, qt.IsNil)
+	a.Close()
+	c.Assert(e.OrderPool.OpenConns(addr), qt.Equals, 1)
+	e.table.SetInstances([]ggscore.Instance{{ID: "gone", Addr: addr}})
+	e.setInstances(context.Background(), partReading{entries: entries("ready", "ready"), at: position(1), read: e.Now()})
+	c.Assert(e.OrderPool.OpenConns(addr), qt.Equals, 0)
+}
