--- a/core/errors.go
+++ b/core/errors.go
@@ -148,7 +148,7 @@
 	// to the endpoint too, so that the endpoint is down.
 	Peers     int
 	Confirmed bool
-	// Cause is nil if no way could be tried.
+	// Cause is nil if nothing could be tried.
 	Cause error
 }
 
--- a/core/ggsegress/table.go
+++ b/core/ggsegress/table.go
@@ -42,9 +42,9 @@
 	Seed    uint64
 }
 
-// A Plan lists the ways to an endpoint, in the order in which to try them.
+// A Plan lists the routes to an endpoint, in the order in which to try them.
 type Plan struct {
-	// Direct is set if the direct way comes first. Otherwise only the peers are tried.
+	// Direct is set if the direct route comes first. Otherwise only the peers are tried.
 	Direct bool
 	Peers  []ggscore.TunnelPeer
 }
@@ -115,7 +115,7 @@
 	}
 }
 
-// Plan returns the ways to an endpoint.
+// Plan returns the routes to an endpoint.
 func (t *Table) Plan(now time.Time, addr netip.AddrPort) Plan {
 	p := t.paths[addr]
 	if t.Blocked(addr) {
--- a/core/tunnel.go
+++ b/core/tunnel.go
@@ -10,7 +10,7 @@
 	Domain Domain
 }
 
-// Paths tells which endpoints this VM reaches over the network without a peer's help.
+// Paths reports which endpoints this VM reaches over the network without a peer's help.
 type Paths interface {
 	// Blocked reports whether the path to the endpoint at addr is broken, although the endpoint
 	// serves other VMs.
--- a/io/ggsedge/paths.go
+++ b/io/ggsedge/paths.go
@@ -36,7 +36,7 @@
 }
 
 // PathsChanged must be called after paths to endpoints broke or work again. Failures on the broken
-// paths say nothing about the endpoints. A store heartbeat is due if it would tell other VMs more.
+// paths say nothing about the endpoints. A store heartbeat is due if other VMs need to know.
 func (e *Edge) PathsChanged() {
 	isolated := e.Paths.Isolated()
 	e.mu.Lock()
@@ -54,7 +54,7 @@
 	}
 }
 
-// setPathEndpoints tells Paths the endpoints' addresses. Edge.mu is held.
+// setPathEndpoints passes the endpoints' addresses to Paths. Edge.mu is held.
 func (e *Edge) setPathEndpoints() {
 	var as []netip.AddrPort
 	for _, i := range e.table.Instances("") {
@@ -63,7 +63,7 @@
 	e.Paths.SetEndpoints(as)
 }
 
-// setTunnelPeers tells Paths the peers that may open tunnels. Edge.mu is held.
+// setTunnelPeers passes the peers that may open tunnels to Paths. Edge.mu is held.
 func (e *Edge) setTunnelPeers() {
 	ps := make([]ggscore.TunnelPeer, 0, len(e.peers))
 	for vm, p := range e.peers {
--- a/io/ggstunnel/dialer.go
+++ b/io/ggstunnel/dialer.go
@@ -19,10 +19,9 @@
 )
 
 const (
-	// stagger is the time after which the next way to an endpoint is tried beside the previous
-	// ones. It exceeds two round trips between regions.
+	// stagger is the time after which the next candidate is dialed beside the previous ones. It exceeds two round trips between regions.
 	stagger = 150 * time.Millisecond
-	// dialTimeout bounds a dial over all ways.
+	// dialTimeout bounds a dial over all candidates.
 	dialTimeout = 600 * time.Millisecond
 	// maxUnreachable is the number of peers that must fail to connect to an endpoint until it
 	// counts as down.
@@ -129,7 +128,7 @@
 
 // Dial implements ggscore.Dialer.
 func (d directDialer) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	c, err := d.open(ctx, way{}, addr)
+	c, err := d.open(ctx, candidate{}, addr)
 	if err == nil {
 		d.record(ctx, addr, dialed{conn: c}, false)
 	} else if !errors.Is(err, context.Canceled) {
@@ -138,28 +137,28 @@
 	return c, err
 }
 
-// A way is one of the ways to an endpoint: the direct one, or a peer.
-type way struct {
+// A candidate is one of the routes to an endpoint: the direct one, or through a peer.
+type candidate struct {
 	peer ggscore.TunnelPeer
 }
 
-func (w *way) direct() bool { return w.peer.VM == "" }
+func (c *candidate) direct() bool { return c.peer.VM == "" }
 
-// A dialed is the result of a way.
+// A dialed is the result of dialing a candidate.
 type dialed struct {
-	way  way
-	conn net.Conn
-	err  error
+	candidate candidate
+	conn      net.Conn
+	err       error
 }
 
-// dial tries the ways to an endpoint. The next way starts when the previous one has failed, or
+// dial tries the candidates for an endpoint. The next one starts when the previous one has failed, or
 // beside it after stagger. suspect is set if nothing arrives from the endpoint although requests
-// wait for it: the direct way then counts as failed if a peer connects first.
+// wait for it: the direct dial then counts as failed if a peer connects first.
 func (d *Dialer) dial(ctx context.Context, addr netip.AddrPort, suspect bool) (net.Conn, error) {
-	ways := d.ways(addr)
+	cs := d.candidates(addr)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	r := race{dialer: d, addr: addr, suspect: suspect, results: make(chan dialed, len(ways))}
-	c, err := r.run(ctx, ways)
+	r := race{dialer: d, addr: addr, suspect: suspect, results: make(chan dialed, len(cs))}
+	c, err := r.run(ctx, cs)
 	if c == nil || !r.directPending {
 		cancel()
 	}
@@ -172,27 +171,27 @@
 	return c, err
 }
 
-func (d *Dialer) ways(addr netip.AddrPort) []way {
+func (d *Dialer) candidates(addr netip.AddrPort) []candidate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.table.Plan(d.options.Now(), addr)
-	var ws []way
+	var cs []candidate
 	if p.Direct {
-		ws = append(ws, way{})
+		cs = append(cs, candidate{})
 	}
 	for _, n := range p.Peers {
-		ws = append(ws, way{peer: n})
+		cs = append(cs, candidate{peer: n})
 	}
-	return ws
+	return cs
 }
 
-// A race is a dial over several ways.
+// A race is a dial over several candidates.
 type race struct {
 	dialer  *Dialer
 	addr    netip.AddrPort
 	suspect bool
 	results chan dialed
-	// pending is the number of ways in progress, unreachable the number of peers that failed to
+	// pending is the number of dials in progress, unreachable the number of peers that failed to
 	// connect to the endpoint.
 	pending       int
 	directPending bool
@@ -200,20 +199,20 @@
 	directErr     error
 }
 
-// run returns the first connection, or the error of the direct way.
-func (r *race) run(ctx context.Context, ways []way) (net.Conn, error) {
+// run returns the first connection, or the error of the direct dial.
+func (r *race) run(ctx context.Context, cs []candidate) (net.Conn, error) {
 	next := 0
 	start := func() {
-		if next >= len(ways) || r.unreachable >= maxUnreachable {
+		if next >= len(cs) || r.unreachable >= maxUnreachable {
 			return
 		}
-		w := ways[next]
+		n := cs[next]
 		next++
 		r.pending++
-		r.directPending = r.directPending || w.direct()
+		r.directPending = r.directPending || n.direct()
 		go func() {
-			c, err := r.dialer.open(ctx, w, r.addr)
-			r.results <- dialed{way: w, conn: c, err: err}
+			c, err := r.dialer.open(ctx, n, r.addr)
+			r.results <- dialed{candidate: n, conn: c, err: err}
 		}()
 	}
 	start()
@@ -230,7 +229,7 @@
 				return g.conn, nil
 			}
 			last = g.err
-			if g.way.direct() && ctx.Err() != nil {
+			if g.candidate.direct() && ctx.Err() != nil {
 				return nil, g.err
 			}
 			start()
@@ -245,21 +244,21 @@
 	return nil, &ggscore.UnreachableError{Addr: r.addr, Peers: next, Confirmed: r.unreachable > 0, Cause: last}
 }
 
-// record passes the result of a way to the table.
+// record passes a result to the table.
 func (r *race) record(ctx context.Context, g dialed) {
 	r.pending--
-	if g.way.direct() {
+	if g.candidate.direct() {
 		r.directPending = false
 		r.directErr = g.err
 	}
 	if unreachable(g.err) {
 		r.unreachable++
 	}
-	overtaken := g.err == nil && !g.way.direct() && r.directPending && r.suspect
+	overtaken := g.err == nil && !g.candidate.direct() && r.directPending && r.suspect
 	r.dialer.record(ctx, r.addr, g, overtaken)
 }
 
-// drain records the results of the ways that are still in progress, and closes their connections.
+// drain records the results of the dials that are still in progress, and closes their connections.
 func (r *race) drain(ctx context.Context) {
 	for r.pending > 0 {
 		g := <-r.results
@@ -270,8 +269,8 @@
 	}
 }
 
-// record passes the result of a way to the table. A way that ended because the caller left says
-// nothing. overtaken is set if the direct way is to count as failed beside a peer's connection.
+// record passes a result to the table. A dial that ended because the caller left says nothing.
+// overtaken is set if the direct dial is to count as failed beside a peer's connection.
 func (d *Dialer) record(ctx context.Context, addr netip.AddrPort, g dialed, overtaken bool) {
 	if g.err != nil && (errors.Is(ctx.Err(), context.Canceled) || errors.Is(g.err, context.Canceled)) {
 		return
@@ -279,20 +278,20 @@
 	d.mu.Lock()
 	now := d.options.Now()
 	switch {
-	case g.way.direct() && g.err == nil:
+	case g.candidate.direct() && g.err == nil:
 		d.table.DirectConnected(now, addr)
-	case g.way.direct():
+	case g.candidate.direct():
 		d.table.DirectFailed(now, addr)
 	case g.err == nil:
 		d.tunnels++
-		d.table.PeerConnected(now, addr, g.way.peer.VM)
+		d.table.PeerConnected(now, addr, g.candidate.peer.VM)
 		if overtaken {
 			d.table.DirectFailed(now, addr)
 		}
 	case peerFailed(g.err):
-		d.table.PeerFailed(now, g.way.peer.VM)
+		d.table.PeerFailed(now, g.candidate.peer.VM)
 	default:
-		d.table.PeerUnavailable(now, g.way.peer.VM)
+		d.table.PeerUnavailable(now, g.candidate.peer.VM)
 	}
 	d.mu.Unlock()
 	d.reportChanges()
@@ -319,28 +318,28 @@
 	f()
 }
 
-// open opens a connection on one way.
-func (d *Dialer) open(ctx context.Context, w way, addr netip.AddrPort) (net.Conn, error) {
-	c, err := d.openWay(ctx, w, addr)
+// open opens a connection to an endpoint by one candidate.
+func (d *Dialer) open(ctx context.Context, k candidate, addr netip.AddrPort) (net.Conn, error) {
+	c, err := d.dialCandidate(ctx, k, addr)
 	if err != nil {
 		return nil, err
 	}
-	n := &conn{Conn: c, dialer: d, addr: addr, peer: w.peer.VM}
+	n := &conn{Conn: c, dialer: d, addr: addr, peer: k.peer.VM}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conns[n] = struct{}{}
 	return n, nil
 }
 
-func (d *Dialer) openWay(ctx context.Context, w way, addr netip.AddrPort) (net.Conn, error) {
-	if w.direct() {
+func (d *Dialer) dialCandidate(ctx context.Context, k candidate, addr netip.AddrPort) (net.Conn, error) {
+	if k.direct() {
 		return d.options.Direct.Dial(ctx, addr)
 	}
-	c, err := d.options.Peers.Dial(ctx, w.peer.Addr)
+	c, err := d.options.Peers.Dial(ctx, k.peer.Addr)
 	if err != nil {
 		return nil, err
 	}
-	if err := connect(ctx, c, w.peer.VM, addr); err != nil {
+	if err := connect(ctx, c, k.peer.VM, addr); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
--- a/io/ggstunnel/monitor.go
+++ b/io/ggstunnel/monitor.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// check dials an endpoint on all ways. The connection is only evidence of the path.
+// check dials an endpoint by all candidates. The connection is only evidence of the path.
 func (d *Dialer) check(ctx context.Context, addr netip.AddrPort) {
 	if c, err := d.dial(ctx, addr, true); err == nil {
 		_ = c.Close()
@@ -60,7 +60,7 @@
 func (d *Dialer) probe(ctx context.Context, addr netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := d.open(ctx, way{}, addr)
+	c, err := d.open(ctx, candidate{}, addr)
 	if err != nil {
 		return
 	}
