fix(ggsegress): don't take an endpoint for dead because partitioned peers fail to reach it too

Cause: two peers that failed to connect were enough to call an endpoint down, and both can be partitioned and not know it yet (1 in 3 here, 4 in 11 where 6 of 9 VMs are). Then no peer was asked for up to 4 s, each direct dial failed, and the circuit breakers of both runners opened for longer and longer; only a path that is found broken closed its own endpoint's breaker. Ruled out: slots (2.4 requests in flight of 32), adapters (loaded before, and served at edge 3), owners (no load needed).

Change: three peers are asked; no peer is asked for 1 s at most; a peer whose dial for another VM fails checks its own path at once and then says so; when any path is found broken, the failures of all endpoints are forgotten, as what failed before may have failed by a path.

Evidence after: the six cases pass; TestFailuresAreForgottenWhenAPathBreaks fails before.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -161,10 +161,11 @@
 }
 
 // newTunnelServer returns the server that opens connections to endpoints for peers.
-func newTunnelServer(s *ggsdialect.Settings, direct ggscore.Dialer, d *ggstunnel.Dialer, e *ggsedge.Edge, l log.Logger) *ggstunnel.Server {
+func newTunnelServer(s *ggsdialect.Settings, d *ggstunnel.Dialer, e *ggsedge.Edge, l log.Logger) *ggstunnel.Server {
 	const descriptorsPerTunnel = 2
 	return ggstunnel.NewServer(ggstunnel.ServerOptions{
-		Dialer: direct, Paths: d, Known: e.KnowsEndpoint, Now: ggsclock.Boot, Log: l,
+		// A failed dial has this VM check its own path, so that it doesn't vouch for a dead endpoint.
+		Dialer: d.Direct(), Paths: d, Known: e.KnowsEndpoint, Now: ggsclock.Boot, Log: l,
 		MaxTunnels: int(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * tunnelShare / descriptorsPerTunnel),
 	})
 }
--- a/core/ggsegress/table.go
+++ b/core/ggsegress/table.go
@@ -30,7 +30,7 @@
 	// downMin and downMax bound the time for which no peer is asked about an endpoint that
 	// neither this VM nor peers reached. The time doubles from one to the other.
 	downMin = 300 * time.Millisecond
-	downMax = 4 * time.Second
+	downMax = time.Second
 	// maxPeersTried bounds the peers of a Plan.
 	maxPeersTried = 8
 )
--- a/io/ggsedge/paths.go
+++ b/io/ggsedge/paths.go
@@ -35,18 +35,17 @@
 	return false
 }
 
-// PathsChanged must be called after paths to endpoints broke or work again. Failures on the broken
-// paths say nothing about the endpoints. A store heartbeat is due if other VMs need to know.
+// PathsChanged must be called after paths to endpoints broke or work again. What failed before may
+// have failed because of a path, also at endpoints whose paths are not known to be broken yet. A store
+// heartbeat is due if other VMs need to know.
 func (e *Edge) PathsChanged() {
 	isolated := e.Paths.Isolated()
 	e.mu.Lock()
 	due := isolated != e.isolated
 	e.isolated = isolated
 	for _, i := range e.table.Instances("") {
-		if e.Paths.Blocked(i.Addr) {
-			e.table.ForgetFailures(i.ID)
-			due = due || e.workers[i.ID] != nil
-		}
+		e.table.ForgetFailures(i.ID)
+		due = due || e.Paths.Blocked(i.Addr) && e.workers[i.ID] != nil
 	}
 	e.mu.Unlock()
 	if due {
--- a/io/ggsedge/paths_test.go
+++ b/io/ggsedge/paths_test.go
@@ -8,6 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsplace"
+	"greengageslip/core/ggsretry"
 )
 
 // blockedPaths are paths that are all broken.
@@ -51,3 +53,30 @@
 		})
 	}
 }
+
+// Guards against circuit breakers that stay open because endpoints failed before this VM knew that
+// its paths are broken.
+func TestFailuresAreForgottenWhenAPathBreaks(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e := listEdge()
+	addr := netip.MustParseAddrPort("127.0.0.1:1")
+	var list []ggscore.Instance
+	for _, id := range []ggscore.EndpointID{"a", "b", "c", "d"} {
+		list = append(list, ggscore.Instance{ID: id, Service: ggscore.Service(id), Addr: addr, Slots: 1})
+	}
+	e.table.SetInstances(list)
+	for range 2 * ggsretry.DefaultFailures {
+		for _, id := range []ggscore.EndpointID{"a", "b", "c", "d"} {
+			e.table.Sent(e.Now(), id)
+			e.table.Ended(e.Now(), id, ggsretry.ResultFailed)
+		}
+	}
+	choose := func() error {
+		_, err := e.table.Choose(e.Now(), ggsplace.Query{Service: "a"})
+		return err
+	}
+	c.Assert(choose(), qt.IsNotNil)
+	e.PathsChanged()
+	c.Assert(choose(), qt.IsNil)
+}
--- a/io/ggstunnel/dialer.go
+++ b/io/ggstunnel/dialer.go
@@ -24,8 +24,8 @@
 	// dialTimeout bounds a dial over all candidates.
 	dialTimeout = 600 * time.Millisecond
 	// maxUnreachable is the number of peers that must fail to connect to an endpoint until it
-	// counts as down.
-	maxUnreachable = 2
+	// counts as down. Their own paths may be broken and they may not know it yet.
+	maxUnreachable = 3
 )
 
 // Options configure a Dialer. All fields are required.
