test(ggsnode): list the refused connections at three of four VMs as red

The other five cases stay in the test.

The breakers aren't it alone: only streams fail, at two VMs of three, for the whole 3 s. Suspected: a VM that owns a runner and doesn't reach it takes its own account of what the runner holds for true.

--- a/cmd/ggsnode/edge_partition_test.go
+++ b/cmd/ggsnode/edge_partition_test.go
@@ -105,30 +105,45 @@
 // VMs do.
 func TestVMPartitionedFromAllEndpointsServes(t *testing.T) {
 	t.Parallel()
-	for name, mode := range map[string]ggsfakelink.PartitionMode{
-		"connections hang":            ggsfakelink.PartitionHang,
-		"connections are reset":       ggsfakelink.PartitionReset,
-		"new connections are refused": ggsfakelink.PartitionRefuse,
+	for name, tc := range map[string]struct {
+		mode  ggsfakelink.PartitionMode
+		edges int
+		cut   []int
+	}{
+		"connections hang at 1 of 3 VMs":            {mode: ggsfakelink.PartitionHang, edges: 3, cut: []int{0}},
+		"connections hang at 3 of 4 VMs":            {mode: ggsfakelink.PartitionHang, edges: 4, cut: []int{0, 1, 2}},
+		"connections are reset at 1 of 3 VMs":       {mode: ggsfakelink.PartitionReset, edges: 3, cut: []int{0}},
+		"connections are reset at 3 of 4 VMs":       {mode: ggsfakelink.PartitionReset, edges: 4, cut: []int{0, 1, 2}},
+		"new connections are refused at 1 of 3 VMs": {mode: ggsfakelink.PartitionRefuse, edges: 3, cut: []int{0}},
 	} {
-		for edges, cut := range map[int][]int{3: {0}, 4: {0, 1, 2}} {
-			t.Run(fmt.Sprintf("%s at %d of %d VMs", name, len(cut), edges), func(t *testing.T) {
-				t.Parallel()
-				p := startPartitionTest(t, edges)
-				if mode == ggsfakelink.PartitionRefuse {
-					// The partitioned VMs have no open connections, but the adapters are loaded.
-					p.loadAdapters(edges - 1)
-				} else {
-					p.countFirstTries(500 * time.Millisecond)
-				}
-				p.partition(cut, mode)
-				p.countFirstTries(contactTime)
-				p.checkFirstTries(cut, p.countFirstTries(3*time.Second))
-				p.partition(cut, ggsfakelink.PartitionNone)
-				p.countFirstTries(contactTime)
-				p.checkFirstTries(cut, p.countFirstTries(time.Second))
-			})
-		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkPartitionedVMsServe(t, tc.mode, tc.edges, tc.cut)
+		})
+	}
+}
+
+// Guards against owners of endpoints that fail their callers while new connections are refused.
+func TestVMsWhoseNewConnectionsAreRefusedServe(t *testing.T) {
+	t.Parallel()
+	checkPartitionedVMsServe(t, ggsfakelink.PartitionRefuse, 4, []int{0, 1, 2})
+}
+
+func checkPartitionedVMsServe(t *testing.T, mode ggsfakelink.PartitionMode, edges int, cut []int) {
+	t.Helper()
+	p := startPartitionTest(t, edges)
+	if mode == ggsfakelink.PartitionRefuse {
+		// The partitioned VMs have no open connections, but the adapters are loaded.
+		p.loadAdapters(edges - 1)
+	} else {
+		p.countFirstTries(500 * time.Millisecond)
 	}
+	p.partition(cut, mode)
+	p.countFirstTries(contactTime)
+	p.checkFirstTries(cut, p.countFirstTries(3*time.Second))
+	p.partition(cut, ggsfakelink.PartitionNone)
+	p.countFirstTries(contactTime)
+	p.checkFirstTries(cut, p.countFirstTries(time.Second))
 }
 
 // checkFirstTries checks that the cut VMs serve at least two thirds as many first attempts as the
