feat(ggsedge): log how an answer was framed and where in an event it ended

Logs couldn't tell an answer that ended with its connection from one whose framing said so, nor a peer's tunnel from a direct connection. requestEnded and answerBroken now carry framing, tunneled, reused and insideEvent. No decision depends on them yet.

--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsevent"
 	"greengageslip/core/ggspath"
 	"greengageslip/io/ggslog"
 )
@@ -81,6 +82,8 @@
 	degraded bool
 	// firstChunkAfter is the time from the request's arrival to the answer's first chunk.
 	firstChunkAfter time.Duration
+	// position is the position in the events of a stream.
+	position ggsevent.Position
 	// committed is set if the answer's head has been sent to the caller.
 	committed bool
 }
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -33,7 +33,7 @@
 	j.runs++
 	success := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
 	if reason := invalidReason(a, m, success); reason != "" {
-		return e.brokenAnswer(j, i, &AnswerError{Status: a.Status, Reason: reason}), ggsretry.ResultFailed
+		return e.brokenAnswer(j, i, a, &AnswerError{Status: a.Status, Reason: reason}), ggsretry.ResultFailed
 	}
 	if a.Status >= http.StatusInternalServerError && j.route.Idempotent() && j.runs < j.route.MaxAttempts {
 		if f := e.keepFailure(ctx, j, i, a); f != nil {
@@ -47,14 +47,15 @@
 		err = e.forwardBuffered(j, a)
 	}
 	if err != nil {
-		return e.brokenAnswer(j, i, err), ggsretry.ResultFailed
+		return e.brokenAnswer(j, i, a, err), ggsretry.ResultFailed
 	}
 	e.recordStream(j)
 	e.recordServiceTime(j)
 	e.stats.Answered.Add(1)
 	e.metrics.observeAnswer(j.route.Kind, e.since(j.arrived))
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestEnded, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
-		"sends", j.sends, "first", j.firstChunkAfter, "target", j.route.Target, "gap", j.maxGap, "gapAim", j.route.TargetGap, "took", e.since(j.arrived))
+		"sends", j.sends, "first", j.firstChunkAfter, "target", j.route.Target, "gap", j.maxGap, "gapAim", j.route.TargetGap,
+		"framing", a.Framing, "tunneled", a.Tunneled(), "reused", a.Reused(), "insideEvent", j.position.InsideEvent(), "took", e.since(j.arrived))
 	if a.Status >= http.StatusInternalServerError {
 		return nil, ggsretry.ResultFailed
 	}
@@ -139,8 +140,9 @@
 }
 
 // brokenAnswer returns the failure for an answer that is truncated or invalid.
-func (e *Edge) brokenAnswer(j *job, i ggscore.Instance, err error) *ggscore.Failure {
-	_ = level.Info(e.Log).Log("event", ggslog.EventAnswerBroken, "request", j.meta.ID, "endpoint", i.ID, "begun", j.committed, "err", err)
+func (e *Edge) brokenAnswer(j *job, i ggscore.Instance, a *ggsexchange.Answer, err error) *ggscore.Failure {
+	_ = level.Info(e.Log).Log("event", ggslog.EventAnswerBroken, "request", j.meta.ID, "endpoint", i.ID, "begun", j.committed,
+		"framing", a.Framing, "tunneled", a.Tunneled(), "reused", a.Reused(), "insideEvent", j.position.InsideEvent(), "err", err)
 	return &ggscore.Failure{Kind: ggscore.FailureBroken, Detail: err.Error()}
 }
 
@@ -164,6 +166,7 @@
 		n, err := a.Body.Read(b)
 		if n > 0 {
 			e.recordChunk(j)
+			j.position.Advance(b[:n])
 			if !j.committed {
 				e.writeHead(j, a, a.Length)
 			}
--- a/io/ggsexchange/exchange.go
+++ b/io/ggsexchange/exchange.go
@@ -73,7 +73,9 @@
 	Header http.Header
 	// Length is the body's length in bytes, or -1 if it is unknown before the end of the body.
 	Length int64
-	Body   io.Reader
+	// Framing is what shows the end of the body.
+	Framing Framing
+	Body    io.Reader
 
 	pool     *Pool
 	conn     *conn
@@ -81,7 +83,42 @@
 	stop     func() bool
 	once     sync.Once
 	complete bool
-	framed   bool
+}
+
+// A Framing is what shows the end of an answer's body.
+type Framing int
+
+// The framings.
+const (
+	// FramingLength is a body of known length.
+	FramingLength Framing = iota
+	// FramingChunked is a body in chunks.
+	FramingChunked
+	// FramingClose is a body that ends with its connection.
+	FramingClose
+)
+
+// String implements fmt.Stringer.
+func (f Framing) String() string {
+	switch f {
+	case FramingLength:
+		return "length"
+	case FramingChunked:
+		return "chunked"
+	case FramingClose:
+		return "close"
+	}
+	return "Framing(" + strconv.Itoa(int(f)) + ")"
+}
+
+func framingOf(r *http.Response) Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return FramingChunked
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
+		return FramingLength
+	}
+	return FramingClose
 }
 
 // Do sends the request at most once. Errors are of type *ggscore.CallError.
@@ -140,7 +177,7 @@
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		pool: p, conn: c, resp: resp,
 	}
-	a.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	a.Framing = framingOf(resp)
 	a.Body = &eofReader{r: resp.Body, answer: a}
 	if resp.ContentLength == 0 {
 		a.complete = true
@@ -152,7 +189,7 @@
 // and was read to its end, and closes the connection otherwise.
 func (a *Answer) Close() {
 	a.once.Do(func() {
-		if !a.stop() || !a.complete || !a.framed || a.resp.Close || a.conn.r.Buffered() > 0 {
+		if !a.stop() || !a.complete || a.Framing == FramingClose || a.resp.Close || a.conn.r.Buffered() > 0 {
 			a.pool.discard(a.conn)
 			return
 		}
@@ -160,6 +197,9 @@
 	})
 }
 
+// Tunneled reports whether the answer comes through another VM.
+func (a *Answer) Tunneled() bool { return a.conn.tunneled() }
+
 // Reused reports whether the exchange used a pooled connection instead of a new one.
 func (a *Answer) Reused() bool { return a.conn.reused }
 
@@ -189,7 +229,7 @@
 func (e *eofReader) Read(b []byte) (int, error) {
 	n, err := e.r.Read(b)
 	if errors.Is(err, io.EOF) {
-		if !e.answer.framed && e.answer.conn.tunneled() {
+		if e.answer.Framing == FramingClose && e.answer.conn.tunneled() {
 			return n, io.ErrUnexpectedEOF
 		}
 		e.answer.complete = true
