test(ggsnode): a stream that ends inside an event, listed as red

The stand-in's endpoints answer with a length, in chunks, or up to the end of the connection, with lines that end with LF, CRLF or CR.

--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -61,6 +61,9 @@
 	FaultHang
 	// FaultNoStamp runs the request and answers 200 without the Server-Stamp header.
 	FaultNoStamp
+	// FaultEndInsideEvent runs the request and ends the stream in order inside an event, as its
+	// framing has it. A plain answer is truncated.
+	FaultEndInsideEvent
 )
 
 // An Endpoint simulates a runner or an instance of a plain service.
@@ -86,6 +89,9 @@
 	retryAfter time.Duration
 	arrivals   []Arrival
 	brittle    brittleState
+	// framing and lineEnd are those of answers.
+	framing Framing
+	lineEnd string
 	// silentUntil is the time until which the endpoint neither answers nor sends events.
 	silentUntil time.Time
 }
@@ -119,7 +125,7 @@
 	}
 	return &Endpoint{
 		options: o, resident: map[string]uint64{}, loading: map[string]time.Time{}, versions: map[string]uint64{},
-		fault: func(Query) Fault { return FaultNone }, runs: map[string]int{}, bodies: map[string]string{},
+		fault: func(Query) Fault { return FaultNone }, runs: map[string]int{}, bodies: map[string]string{}, lineEnd: "\n",
 	}
 }
 
@@ -384,17 +390,26 @@
 		<-r.Context().Done()
 		e.recordCallerLeft()
 		panic(http.ErrAbortHandler)
-	case FaultNone, FaultTruncate, FaultError, FaultNoStamp:
+	case FaultNone, FaultTruncate, FaultError, FaultNoStamp, FaultEndInsideEvent:
 	}
 	if f != FaultNoStamp {
 		h.Set("Server-Stamp", "stamp-of-"+e.options.ID)
 	}
-	if f == FaultError {
-		w.WriteHeader(http.StatusInternalServerError)
-		_, _ = io.WriteString(w, "failed\n")
-		return
+	e.mu.Lock()
+	framing, lineEnd := e.framing, e.lineEnd
+	e.mu.Unlock()
+	switch {
+	case f == FaultError:
+		const text = "failed\n"
+		b := newBody(w, r, framing, http.StatusInternalServerError, len(text))
+		defer b.end()
+		b.write(text)
+	case e.options.Engine:
+		h.Set("Content-Type", "text/event-stream")
+		e.stream(newBody(w, r, framing, http.StatusOK, e.streamLength(id, lineEnd, f)), id, lineEnd, f)
+	default:
+		e.answer(w, r, framing, id, f)
 	}
-	e.answer(w, r, id, f)
 }
 
 // setStatusHeaders sets the headers that describe the endpoint. The lock is held.
@@ -410,32 +425,57 @@
 	}
 }
 
-func (e *Endpoint) answer(w http.ResponseWriter, r *http.Request, id string, f Fault) {
-	if !e.options.Engine {
-		text := "answer to " + id + " by " + e.options.ID + "\n"
-		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-		if f == FaultTruncate {
-			text = text[:5]
+// answer sends the answer of a plain service.
+func (e *Endpoint) answer(w http.ResponseWriter, r *http.Request, framing Framing, id string, f Fault) {
+	text := "answer to " + id + " by " + e.options.ID + "\n"
+	b := newBody(w, r, framing, http.StatusOK, len(text))
+	if f == FaultTruncate || f == FaultEndInsideEvent {
+		b.write(text[:5])
+		b.abort()
+	}
+	defer b.end()
+	b.write(text)
+}
+
+// event returns an event of a stream.
+func (e *Endpoint) event(n int, id, lineEnd string) string {
+	return fmt.Sprintf("id: %[1]d%[4]sdata: %[2]s by %[3]s%[4]s%[4]s", n+1, id, e.options.ID, lineEnd)
+}
+
+// streamLength returns the length of a stream.
+func (e *Endpoint) streamLength(id, lineEnd string, f Fault) int {
+	length := 0
+	for n := range e.options.Events {
+		length += len(e.event(n, id, lineEnd))
+		if f == FaultEndInsideEvent && n == e.options.Events/2 {
+			return length - len(lineEnd)
 		}
-		_, _ = io.WriteString(w, text)
-		return
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	c := http.NewResponseController(w)
+	return length
+}
+
+// stream sends the events of a stream.
+func (e *Endpoint) stream(b *body, id, lineEnd string, f Fault) {
+	defer b.end()
 	for n := range e.options.Events {
 		e.waitSilence()
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s by %s\n\n", n+1, id, e.options.ID)
-		_ = c.Flush()
-		if f == FaultTruncate && n == e.options.Events/2 {
-			panic(http.ErrAbortHandler)
+		event := e.event(n, id, lineEnd)
+		middle := n == e.options.Events/2
+		if f == FaultEndInsideEvent && middle {
+			b.write(strings.TrimSuffix(event, lineEnd))
+			return
+		}
+		b.write(event)
+		if f == FaultTruncate && middle {
+			b.abort()
 		}
 		t := time.NewTimer(e.options.EventTime)
 		select {
 		case <-t.C:
-		case <-r.Context().Done():
+		case <-b.left:
 			t.Stop()
 			e.recordCallerLeft()
-			panic(http.ErrAbortHandler)
+			b.abort()
 		}
 	}
 }
