fix(ggsedge): end the caller's answer as broken if its stream ended inside an event

Cause: an endpoint's answer may have neither a length nor chunks and ends with its connection. When the endpoint crashes, its connection may end in order; the VM read an end of file, took it for the end of the answer, and sent its own last chunk. The class: the end of a connection, or of a body, is taken for the end of what it carries.

Ruled out: errors of reading that were dropped (logged otherwise); a body shorter than its length or without its last chunk (net/http reports both).

Now the position in the stream's events is followed, with lines that end in LF, CR or CRLF, and a stream that ends inside an event, or with its connection before any event, is a TruncatedStreamError whatever its framing says: the caller's connection is aborted, or the request is retried or answered 502 if nothing was sent yet. Streams are forwarded in chunks even if their length is known, since at its full length a truncated one would be complete for the caller.

A stream that was broken off between two events, and whose connection ended in order, can't be told from a whole one.

--- a/cmd/ggsnode/edge_framing_test.go
+++ b/cmd/ggsnode/edge_framing_test.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// Guards against a crashed endpoint's empty stream that reaches its caller as a complete answer.
+func TestStreamThatEndsBeforeItsFirstEventFails(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.setFraming(ggsfakesite.FramingClose, "\n")
+	s.setFault("runner", always(ggsfakesite.FaultEndEmpty))
+	r := s.call(0, http.MethodPost, "/chat/x", "", "Hola")
+	s.c.Assert(r.status, qt.Equals, http.StatusBadGateway)
+	s.c.Assert(s.site.Runs()[r.id], qt.Equals, 1)
+}
+
 // Guards against whole answers that count as broken off because they end with their connection.
 func TestWholeAnswersThatEndWithTheirConnectionAreForwarded(t *testing.T) {
 	t.Parallel()
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -64,6 +64,9 @@
 	// FaultEndInsideEvent runs the request and ends the stream in order inside an event, as its
 	// framing has it. A plain answer is truncated.
 	FaultEndInsideEvent
+	// FaultEndEmpty runs the request and ends the stream in order before its first event. A plain
+	// answer is truncated.
+	FaultEndEmpty
 )
 
 // An Endpoint simulates a runner or an instance of a plain service.
@@ -390,7 +393,7 @@
 		<-r.Context().Done()
 		e.recordCallerLeft()
 		panic(http.ErrAbortHandler)
-	case FaultNone, FaultTruncate, FaultError, FaultNoStamp, FaultEndInsideEvent:
+	case FaultNone, FaultTruncate, FaultError, FaultNoStamp, FaultEndInsideEvent, FaultEndEmpty:
 	}
 	if f != FaultNoStamp {
 		h.Set("Server-Stamp", "stamp-of-"+e.options.ID)
@@ -429,7 +432,7 @@
 func (e *Endpoint) answer(w http.ResponseWriter, r *http.Request, framing Framing, id string, f Fault) {
 	text := "answer to " + id + " by " + e.options.ID + "\n"
 	b := newBody(w, r, framing, http.StatusOK, len(text))
-	if f == FaultTruncate || f == FaultEndInsideEvent {
+	if f == FaultTruncate || f == FaultEndInsideEvent || f == FaultEndEmpty {
 		b.write(text[:5])
 		b.abort()
 	}
@@ -457,6 +460,9 @@
 // stream sends the events of a stream.
 func (e *Endpoint) stream(b *body, id, lineEnd string, f Fault) {
 	defer b.end()
+	if f == FaultEndEmpty {
+		return
+	}
 	for n := range e.options.Events {
 		e.waitSilence()
 		event := e.event(n, id, lineEnd)
--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -5,6 +5,7 @@
 	"time"
 
 	ggscore "greengageslip/core"
+	"greengageslip/io/ggsexchange"
 )
 
 // A NotReadyError reports why the edge doesn't accept new connections.
@@ -52,6 +53,18 @@
 	return fmt.Sprintf("invalid answer with status %d: %s", e.Status, e.Reason)
 }
 
+// A TruncatedStreamError reports that a stream ended inside an event, or with its connection before
+// its first event. Events is the number of complete events.
+type TruncatedStreamError struct {
+	Events  int
+	Framing ggsexchange.Framing
+}
+
+// Error implements error.
+func (e *TruncatedStreamError) Error() string {
+	return fmt.Sprintf("stream truncated after %d complete events (framing: %s)", e.Events, e.Framing)
+}
+
 // A DeadlineError reports that a request's deadline has passed.
 type DeadlineError struct{ Limit time.Duration }
 
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -82,7 +82,8 @@
 	degraded bool
 	// firstChunkAfter is the time from the request's arrival to the answer's first chunk.
 	firstChunkAfter time.Duration
-	// position is the position in the events of a stream.
+	// events is set if the answer is a stream of events, and position is the position in it.
+	events   bool
 	position ggsevent.Position
 	// committed is set if the answer's head has been sent to the caller.
 	committed bool
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 
@@ -10,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsevent"
 	"greengageslip/core/ggsretry"
 	"greengageslip/io/ggsexchange"
 	"greengageslip/io/ggslog"
@@ -41,7 +43,9 @@
 		}
 	}
 	var err error
-	if success && j.route.Kind == ggscore.RouteStreaming || a.Length > maxBufferedBytes || a.Length < 0 {
+	j.position = ggsevent.Position{}
+	j.events = success && isEventStream(j.route.Kind, a.Header)
+	if success && j.route.Kind == ggscore.RouteStreaming || j.events || a.Length > maxBufferedBytes || a.Length < 0 {
 		err = e.forwardStream(ctx, j, a)
 	} else {
 		err = e.forwardBuffered(j, a)
@@ -160,6 +164,11 @@
 
 // forwardStream forwards an answer chunk by chunk as the chunks arrive.
 func (e *Edge) forwardStream(ctx context.Context, j *job, a *ggsexchange.Answer) error {
+	length := a.Length
+	if j.events {
+		// At its full length, a truncated stream would be complete for the caller.
+		length = -1
+	}
 	b := make([]byte, chunkBytes)
 	c := http.NewResponseController(j.w)
 	for {
@@ -168,7 +177,7 @@
 			e.recordChunk(j)
 			j.position.Advance(b[:n])
 			if !j.committed {
-				e.writeHead(j, a, a.Length)
+				e.writeHead(j, a, length)
 			}
 			if _, err := j.w.Write(b[:n]); err != nil {
 				return errors.Wrap(err, "forwarding the answer to the caller")
@@ -178,8 +187,11 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if err := checkEnd(j, a); err != nil {
+				return err
+			}
 			if !j.committed {
-				e.writeHead(j, a, a.Length)
+				e.writeHead(j, a, length)
 			}
 			return nil
 		}
@@ -192,6 +204,26 @@
 	}
 }
 
+// isEventStream reports whether the body of a success is a stream of events.
+func isEventStream(k ggscore.RouteKind, h http.Header) bool {
+	// With an invalid parameter, the media type is returned beside the error.
+	t, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
+	if t == "" {
+		return k == ggscore.RouteStreaming
+	}
+	return t == "text/event-stream"
+}
+
+// checkEnd returns a *TruncatedStreamError if a stream of events can't end where it did. A crashed
+// endpoint's connection may end as that of a complete answer does.
+func checkEnd(j *job, a *ggsexchange.Answer) error {
+	empty := a.Framing == ggsexchange.FramingClose && j.position.Events() == 0
+	if j.events && (j.position.InsideEvent() || empty) {
+		return &TruncatedStreamError{Events: j.position.Events(), Framing: a.Framing}
+	}
+	return nil
+}
+
 // recordChunk records the arrival of a chunk of a stream.
 func (e *Edge) recordChunk(j *job) {
 	now := e.Now()
