fix(ggsconn): reset the connection of an HTTP/1.0 caller whose answer is aborted

An HTTP/1.0 caller of the edge or of the gateway got a truncated answer that looked whole: without a length it ends with its connection, and net/http closes an aborted one in order. Found by looking for the class of the truncated streams in our own answers; not reported. TestAbortedAnswerIsIncompleteForHTTP10 read an ordinary end before, and a reset now. Whole answers still end in order. HTTP/1.1 callers aren't concerned: their answers have a length or a last chunk.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -24,6 +24,7 @@
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsegress"
 	"greengageslip/io/ggsclock"
+	"greengageslip/io/ggsconn"
 	"greengageslip/io/ggsedge"
 	"greengageslip/io/ggsexchange"
 	"greengageslip/io/ggslog"
@@ -277,7 +278,7 @@
 // those of other VMs' tunnels.
 func serveCallers(h host, s *ggsdialect.Settings, e *ggsedge.Edge, n *ggstunnel.Server) {
 	v := &http.Server{
-		Handler: e, ReadHeaderTimeout: edgeHeaderTimeout, IdleTimeout: edgeIdleTimeout, MaxHeaderBytes: edgeHeaderBytes,
+		Handler: ggsconn.ResetOnAbort(e), ReadHeaderTimeout: edgeHeaderTimeout, IdleTimeout: edgeIdleTimeout, MaxHeaderBytes: edgeHeaderBytes,
 	}
 	h.Lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
--- a/io/ggsconn/doc.go
+++ b/io/ggsconn/doc.go
@@ -1,5 +1,6 @@
-// Package ggsconn provides HTTP transports that can prove that a failed request wrote nothing, and
-// watchdogs that cancel calls whose peers send no bytes for too long.
+// Package ggsconn provides HTTP transports that can prove that a failed request wrote nothing,
+// watchdogs that cancel calls whose peers send no bytes for too long, and a handler whose aborted
+// answers are incomplete for all callers.
 //
 // # Usage
 //
@@ -15,6 +16,8 @@
 //	resp, err := client.Do(req.WithContext(ctx))
 //	b, err := io.ReadAll(w.Reader(resp.Body)) // as long as bytes arrive
 //
+//	server := &http.Server{Handler: ggsconn.ResetOnAbort(handler)}
+//
 // net/http doesn't report whether a failed request reached its connection: a trace reports when a
 // request was written completely, but not whether its first byte was. The connections of this
 // package record their own writes. NothingWritten first blocks further writes to the connections,
--- a/io/ggsgateway/handler.go
+++ b/io/ggsgateway/handler.go
@@ -11,6 +11,7 @@
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggslimit"
 	"greengageslip/core/ggsroute"
+	"greengageslip/io/ggsconn"
 )
 
 // Handler returns the HTTP handler for callers and for the load balancer's health check.
@@ -24,7 +25,7 @@
 		c.Set(headerRequestID, newRequestID())
 		writeFailure(c, &ggscore.Failure{Kind: ggscore.FailureUnknownService, Outcome: ggscore.OutcomeNotRun, Detail: "no such path"})
 	})
-	return e
+	return ggsconn.ResetOnAbort(e)
 }
 
 // An admitFunc reads a request and resolves it with the document.
