fix(ggsedge): retry a safe request whose endpoint's failure has no length

Callers of safe requests got the first endpoint's 500, although another endpoint would have served them, whenever that answer came in chunks or ended with its connection: only a failure of known length was kept as the fallback of a retry. The stand-in's endpoints answered with a length so far, so no test showed it. TestFailureWithoutALengthIsRetried got 500 before and 200 now; if the retry fails too, the first failure reaches the caller whole.

--- a/cmd/ggsnode/edge_framing_test.go
+++ b/cmd/ggsnode/edge_framing_test.go
@@ -63,6 +63,23 @@
 	}
 }
 
+// Guards against a safe request that fails because its first endpoint's failure has no length.
+func TestFailureWithoutALengthIsRetried(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.setFraming(ggsfakesite.FramingClose, "\n")
+	s.setFault("ledger", failFirst(ggsfakesite.FaultError))
+	r := s.call(0, http.MethodGet, "/look/1", "", "")
+	s.c.Assert(r.status, qt.Equals, http.StatusOK)
+	s.c.Assert(r.complete, qt.IsTrue)
+
+	s.setFault("ledger", always(ggsfakesite.FaultError))
+	r = s.call(0, http.MethodGet, "/look/1", "", "")
+	s.c.Assert(r.status, qt.Equals, http.StatusInternalServerError)
+	s.c.Assert(r.body, qt.Equals, "failed\n")
+	s.c.Assert(r.complete, qt.IsTrue)
+}
+
 // setFraming sets the framing of all endpoints' answers.
 func (s *siteTest) setFraming(f ggsfakesite.Framing, lineEnd string) {
 	for _, e := range s.site.Endpoints {
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -1,6 +1,7 @@
 package ggsedge
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"mime"
@@ -75,26 +76,46 @@
 
 // keepFailure keeps an endpoint's failure answer as the fallback if the request is sent to another
 // endpoint, and returns the failure for that retry. It returns nil if the request isn't retried, or
-// if the body's length is unknown or exceeds maxBufferedBytes. A truncated answer isn't kept.
+// if the body is longer than maxBufferedBytes. A truncated answer isn't kept.
 func (e *Edge) keepFailure(ctx context.Context, j *job, i ggscore.Instance, a *ggsexchange.Answer) *ggscore.Failure {
+	if a.Length > maxBufferedBytes {
+		return nil
+	}
+	b, bodyErr := peekBody(a)
 	f := &ggscore.Failure{Kind: ggscore.FailureEndpoint, Detail: "endpoint answered with status " + strconv.Itoa(a.Status)}
-	if a.Length < 0 || a.Length > maxBufferedBytes || !e.retry(ctx, j, f) {
+	if len(b) > maxBufferedBytes || !e.retry(ctx, j, f) {
 		return nil
 	}
 	_ = level.Info(e.Log).Log("event", ggslog.EventAttemptFailed, "request", j.meta.ID, "endpoint", i.ID,
 		"outcome", ggscore.OutcomeDone, "err", f.Detail)
 	j.retryGranted = true
-	b, err := io.ReadAll(a.Body)
-	if err != nil {
+	if bodyErr != nil {
 		// A truncated failure answer can't be forwarded. Only another endpoint's answer can
 		// replace it.
-		_ = level.Info(e.Log).Log("event", ggslog.EventAnswerBroken, "request", j.meta.ID, "endpoint", i.ID, "begun", false, "err", err)
-		return f
+		return e.brokenAnswer(j, i, a, bodyErr)
 	}
 	j.fallback = &keptFailure{answer: a, body: b}
 	return f
 }
 
+// peekBody reads up to maxBufferedBytes+1 bytes of an answer's body. A shorter body was read to its
+// end. Reading a.Body returns the same bytes or error again, and then the rest.
+func peekBody(a *ggsexchange.Answer) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes+1))
+	rest := a.Body
+	if err != nil {
+		rest = failedReader{err}
+	}
+	a.Body = io.MultiReader(bytes.NewReader(b), rest)
+	return b, err
+}
+
+// A failedReader is a reader whose source has failed.
+type failedReader struct{ err error }
+
+// Read implements io.Reader.
+func (r failedReader) Read([]byte) (int, error) { return 0, r.err }
+
 // forwardKept forwards the failure answer that was kept.
 func (e *Edge) forwardKept(j *job) {
 	k := j.fallback
