fix(ggsedge): read plain answers of unknown length before their head is sent

Callers of plain requests saw their connection break in the middle of an answer that came in chunks or ended with its connection, and a safe request wasn't retried then: such an answer was forwarded as it arrived, like a stream, while one of the same size with a length was read first. Now answers of unknown length up to the same 64 KB are read first; longer ones are forwarded as they arrive. TestTruncatedAnswerWithoutALength: the safe request got a broken answer before and another endpoint's whole one now; the unsafe one gets a 502 that says that it may have run.

--- a/cmd/ggsnode/edge_framing_test.go
+++ b/cmd/ggsnode/edge_framing_test.go
@@ -80,6 +80,23 @@
 	s.c.Assert(r.complete, qt.IsTrue)
 }
 
+// Guards against a truncated answer of unknown length that breaks the caller's connection, although
+// nothing had to be sent to the caller yet.
+func TestTruncatedAnswerWithoutALength(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.setFraming(ggsfakesite.FramingClose, "\n")
+	s.setFault("ledger", failFirst(ggsfakesite.FaultTruncate))
+	r := s.call(0, http.MethodGet, "/look/1", "", "")
+	s.c.Assert(r.status, qt.Equals, http.StatusOK)
+	s.c.Assert(r.complete, qt.IsTrue)
+
+	s.setFault("ledger", failFirst(ggsfakesite.FaultTruncate))
+	r = s.call(0, http.MethodPost, "/pay/1", "", "{}")
+	s.c.Assert(r.status, qt.Equals, http.StatusBadGateway)
+	s.c.Assert(s.site.Runs()[r.id], qt.Equals, 1)
+}
+
 // setFraming sets the framing of all endpoints' answers.
 func (s *siteTest) setFraming(f ggsfakesite.Framing, lineEnd string) {
 	for _, e := range s.site.Endpoints {
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -18,8 +18,8 @@
 	"greengageslip/io/ggslog"
 )
 
-// maxBufferedBytes is the length up to which a non-streamed answer of known length is read
-// completely before its head is sent. If such an answer is truncated, another endpoint's answer
+// maxBufferedBytes is the length up to which an answer that isn't streamed is read completely before
+// its head is sent. If such an answer is truncated, another endpoint's answer
 // can still be sent instead.
 const maxBufferedBytes = 64 << 10
 
@@ -46,10 +46,10 @@
 	var err error
 	j.position = ggsevent.Position{}
 	j.events = success && isEventStream(j.route.Kind, a.Header)
-	if success && j.route.Kind == ggscore.RouteStreaming || j.events || a.Length > maxBufferedBytes || a.Length < 0 {
+	if success && j.route.Kind == ggscore.RouteStreaming || j.events || a.Length > maxBufferedBytes {
 		err = e.forwardStream(ctx, j, a)
 	} else {
-		err = e.forwardBuffered(j, a)
+		err = e.forwardBuffered(ctx, j, a)
 	}
 	if err != nil {
 		return e.brokenAnswer(j, i, a, err), ggsretry.ResultFailed
@@ -171,12 +171,16 @@
 	return &ggscore.Failure{Kind: ggscore.FailureBroken, Detail: err.Error()}
 }
 
-// forwardBuffered forwards an answer after reading it completely.
-func (e *Edge) forwardBuffered(j *job, a *ggsexchange.Answer) error {
-	b, err := io.ReadAll(a.Body)
+// forwardBuffered forwards an answer after reading it completely. An answer of unknown length that
+// exceeds maxBufferedBytes is forwarded as its chunks arrive.
+func (e *Edge) forwardBuffered(ctx context.Context, j *job, a *ggsexchange.Answer) error {
+	b, err := peekBody(a)
 	if err != nil {
 		return errors.Wrap(err, "reading the endpoint's answer")
 	}
+	if len(b) > maxBufferedBytes {
+		return e.forwardStream(ctx, j, a)
+	}
 	e.writeHead(j, a, int64(len(b)))
 	// A write error means that the caller has left; nothing remains to be done.
 	_, _ = j.w.Write(b)
