fix(ggsengine): accept streams whose lines end in CR

An engine's stream whose lines end in CR alone, as the format allows, was never whole: events were split at LF only, so the end marker was never found and the caller got 'broken' for an answer that had arrived. LF and CRLF worked. Found by looking for the class of the truncated streams. Events are now split by core/ggsevent, which also follows the platform's streams; blocks of comments are still forwarded as they arrive. TestStreamsWithOtherLineEnds/CR failed before.

--- a/core/ggsevent/position.go
+++ b/core/ggsevent/position.go
@@ -8,6 +8,11 @@
 //		// a stream that ends here was truncated
 //	}
 //
+//	n, ended := p.Next(chunk) // n bytes belong to the current event
+//
+//	s := bufio.NewScanner(r)
+//	s.Split(ggsevent.ScanLines)
+//
 // A line ends with LF, CR or CRLF, and an event with a blank line. Comments belong to no event.
 // The package only looks at lines, never at the fields of an event.
 package ggsevent
@@ -26,27 +31,35 @@
 	inComment bool
 	// afterCR is set if the last byte was a CR. An LF after it belongs to the same line end.
 	afterCR bool
-	// inEvent is set if a line of an event has ended since the last blank line.
+	// inEvent is set if a line of an event has ended since the last blank line, and inBlock if any
+	// line has.
 	inEvent bool
+	inBlock bool
 	events  int
 }
 
 // Advance moves the position past the bytes.
 func (p *Position) Advance(b []byte) {
 	for _, c := range b {
-		if !p.pastMark && p.skipMark(c) {
+		p.step(c)
+	}
+}
+
+// Next moves the position past the next blank line that ends an event, or a block of comments, and
+// returns the number of bytes up to there. Without such a line, it moves past all bytes.
+func (p *Position) Next(b []byte) (n int, ended bool) {
+	for n, c := range b {
+		if !p.step(c) {
 			continue
 		}
-		afterCR := p.afterCR
-		p.afterCR = c == '\r'
-		switch {
-		case c == '\n' && afterCR:
-		case c == '\n' || c == '\r':
-			p.endLine()
-		case !p.inLine:
-			p.inLine, p.inComment = true, c == ':'
+		n++
+		if c == '\r' && n < len(b) && b[n] == '\n' {
+			p.step(b[n])
+			n++
 		}
+		return n, true
 	}
+	return len(b), false
 }
 
 // InsideEvent reports whether the position is inside an event or inside a line.
@@ -55,6 +68,23 @@
 // Events returns the number of complete events before the position.
 func (p *Position) Events() int { return p.events }
 
+// step moves the position past a byte and reports whether the byte ended a block of lines.
+func (p *Position) step(c byte) bool {
+	if !p.pastMark && p.skipMark(c) {
+		return false
+	}
+	afterCR := p.afterCR
+	p.afterCR = c == '\r'
+	switch {
+	case c == '\n' && afterCR:
+	case c == '\n' || c == '\r':
+		return p.endLine()
+	case !p.inLine:
+		p.inLine, p.inComment = true, c == ':'
+	}
+	return false
+}
+
 // skipMark reports whether a byte belongs to the stream's byte order mark.
 func (p *Position) skipMark(c byte) bool {
 	if p.mark < len(byteOrderMark) && c == byteOrderMark[p.mark] {
@@ -65,13 +95,18 @@
 	return false
 }
 
-func (p *Position) endLine() {
-	switch {
-	case !p.inLine && p.inEvent:
-		p.inEvent = false
+// endLine ends a line and reports whether it ended a block of lines.
+func (p *Position) endLine() bool {
+	if p.inLine {
+		p.inLine = false
+		p.inBlock = true
+		p.inEvent = p.inEvent || !p.inComment
+		return false
+	}
+	ended := p.inBlock
+	if p.inEvent {
 		p.events++
-	case p.inLine && !p.inComment:
-		p.inEvent = true
 	}
-	p.inLine = false
+	p.inBlock, p.inEvent = false, false
+	return ended
 }
--- a/core/ggsevent/position_test.go
+++ b/core/ggsevent/position_test.go
@@ -1,6 +1,8 @@
 package ggsevent_test
 
 import (
+	"bufio"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -49,3 +51,59 @@
 		})
 	}
 }
+
+func TestNext(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		stream string
+		want   []string
+	}{
+		"lines end with LF":   {stream: "data: a\n\ndata: b\n\n", want: []string{"data: a\n\n", "data: b\n\n"}},
+		"lines end with CRLF": {stream: "data: a\r\n\r\ndata: b\r\n\r\n", want: []string{"data: a\r\n\r\n", "data: b\r\n\r\n"}},
+		"lines end with CR":   {stream: "data: a\r\rdata: b\r\r", want: []string{"data: a\r\r", "data: b\r\r"}},
+		"comments":            {stream: ": ping\n\ndata: a\n\n", want: []string{": ping\n\n", "data: a\n\n"}},
+		"blank lines":         {stream: "\n\ndata: a\n\n\n", want: []string{"\n\ndata: a\n\n", "\n"}},
+		"inside an event":     {stream: "data: a\n\ndata: b\n", want: []string{"data: a\n\n", "data: b\n"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			var p ggsevent.Position
+			var got []string
+			for b := []byte(tc.stream); len(b) > 0; {
+				n, ended := p.Next(b)
+				c.Check(ended || n == len(b), qt.IsTrue)
+				got = append(got, string(b[:n]))
+				b = b[n:]
+			}
+			c.Assert(got, qt.DeepEquals, tc.want)
+		})
+	}
+}
+
+func TestScanLines(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		stream string
+		want   []string
+	}{
+		"LF":           {stream: "a\n\nb\n", want: []string{"a", "", "b"}},
+		"CR":           {stream: "a\r\rb\r", want: []string{"a", "", "b"}},
+		"CRLF":         {stream: "a\r\nb\r\n", want: []string{"a", "", "b", ""}},
+		"no last end":  {stream: "a\nb", want: []string{"a", "b"}},
+		"empty stream": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			s := bufio.NewScanner(strings.NewReader(tc.stream))
+			s.Split(ggsevent.ScanLines)
+			var got []string
+			for s.Scan() {
+				got = append(got, s.Text())
+			}
+			c.Assert(s.Err(), qt.IsNil)
+			c.Assert(got, qt.DeepEquals, tc.want)
+		})
+	}
+}
--- a/io/ggsengine/fault_test.go
+++ b/io/ggsengine/fault_test.go
@@ -211,6 +211,26 @@
 	}
 }
 
+// Guards against a whole stream that counts as truncated because of how its lines end.
+func TestStreamsWithOtherLineEnds(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]string{"LF": "\n", "CRLF": "\r\n", "CR": "\r"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			text := "data: {}" + end + end + "data: [DONE]" + end + end
+			e := newRawEndpoint(c, func(int) (string, bool) {
+				return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + text, true
+			})
+			cl := newClient(c, ggsengine.DefaultSettings())
+			var got collector
+			c.Assert(cl.Run(ggsfakebench.Context(c), e.addr, request("q1", adapterA(), 1), got.collect), qt.IsNil)
+			c.Assert(got.text(c), qt.Equals, text)
+			c.Assert(got.chunks, qt.HasLen, 2)
+		})
+	}
+}
+
 // Guards against a run that keeps its slot after its complete answer. It occurs when an
 // engine sends the end marker but never ends the body.
 func TestEndMarkerEndsRun(t *testing.T) {
--- a/io/ggsengine/pass.go
+++ b/io/ggsengine/pass.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsevent"
 )
 
 // A forwarder numbers an answer's chunks and passes them to the sink.
@@ -92,7 +93,7 @@
 // eventData returns the concatenated data lines of an event.
 func eventData(raw []byte) []byte {
 	var data []byte
-	for line := range bytes.Lines(raw) {
+	for _, line := range bytes.FieldsFunc(raw, isLineEnd) {
 		rest, found := bytes.CutPrefix(line, []byte("data:"))
 		if found {
 			data = append(data, bytes.TrimSpace(rest)...)
@@ -101,27 +102,34 @@
 	return data
 }
 
-// readEvent reads one event including the blank line at its end. If the stream ends before
-// that line, readEvent returns io.ErrUnexpectedEOF, also between two events: only the end
-// marker ends a stream.
+func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
+
+// readEvent reads one event, or a block of comments, including the blank line at its end. If the
+// stream ends before that line, readEvent returns io.ErrUnexpectedEOF, also between two events: only
+// the end marker ends a stream.
 func readEvent(b *bufio.Reader) ([]byte, error) {
 	var raw []byte
+	var p ggsevent.Position
 	for {
-		line, err := b.ReadSlice('\n')
-		raw = append(raw, line...)
-		if len(raw) > maxEventBytes {
-			return nil, &EventTooLongError{LimitBytes: maxEventBytes}
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if errors.Is(err, io.EOF) {
-			return nil, io.ErrUnexpectedEOF
+		if _, err := b.Peek(1); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return nil, err
 		}
+		text, err := b.Peek(b.Buffered())
 		if err != nil {
 			return nil, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(bytes.TrimSpace(raw)) > 0 {
+		n, ended := p.Next(text)
+		raw = append(raw, text[:n]...)
+		if _, err := b.Discard(n); err != nil {
+			return nil, err
+		}
+		if len(raw) > maxEventBytes {
+			return nil, &EventTooLongError{LimitBytes: maxEventBytes}
+		}
+		if ended {
 			return raw, nil
 		}
 	}
