fix(ggsengine): accept JSON answers that end with their connection

An endpoint's whole answer with neither a length nor chunks reached the gateway's caller as 'broken' with an unknown outcome; for a plain service that means work done and reported as perhaps lost. The end of a connection still proves nothing: a JSON object or array shows its own end, a stream its end marker, and any other body stays broken. TestJSONThatEndsWithItsConnectionIsWhole failed before (UnframedError); the cases of an object that isn't ended, a number and an empty body join TestTruncatedAnswersHaveNoFinalChunk.

--- a/io/ggsengine/doc.go
+++ b/io/ggsengine/doc.go
@@ -22,8 +22,9 @@
 //   - The endpoint answered 503 with the outcome notRun.
 //
 // An answer is complete when its stream ended with the event [DONE], or when its body
-// ended at its Content-Length or at its last HTTP chunk. Any other end is a CallError of
-// kind broken, even if all bytes of the answer were received.
+// ended at its Content-Length or at its last HTTP chunk. A body that ends with its
+// connection is complete if it is a JSON object or array of up to 1 MiB. Any other end is
+// a CallError of kind broken, even if all bytes of the answer were received.
 //
 // The sink is called with the chunks of an answer in order and from one goroutine. Each
 // chunk of a stream is one event with its raw bytes. Only the last chunk has Final set.
--- a/io/ggsengine/errors.go
+++ b/io/ggsengine/errors.go
@@ -44,8 +44,8 @@
 	return fmt.Sprintf("answer has the wrong request id: got %s, want %s", e.Got, e.Want)
 }
 
-// An UnframedError reports that an answer has neither a Content-Length nor chunked encoding,
-// so that a closed connection can't be distinguished from the end of the answer.
+// An UnframedError reports that an answer has neither a Content-Length nor chunked encoding, and isn't
+// JSON either, so that a closed connection can't be distinguished from the end of the answer.
 type UnframedError struct{}
 
 // Error implements error.
--- a/io/ggsengine/exchange.go
+++ b/io/ggsengine/exchange.go
@@ -115,7 +115,7 @@
 		return p.forwardStream(body)
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return &UnframedError{}
+		return p.forwardUnframed(body)
 	}
 	return p.forwardBody(body)
 }
--- a/io/ggsengine/fault_test.go
+++ b/io/ggsengine/fault_test.go
@@ -192,6 +192,10 @@
 		"body shorter than its length":     head + "Content-Length: 10\r\n\r\nhalf",
 		"last HTTP chunk missing":          head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
 		"no framing":                       head + "Connection: close\r\n\r\nhalf",
+		"no framing, object not ended":     head + "Connection: close\r\n\r\n{\"choices\":[]",
+		"no framing, number":               head + "Connection: close\r\n\r\n12",
+		"no framing, empty":                head + "Connection: close\r\n\r\n",
+		"no framing, stream":               head + "Content-Type: text/event-stream\r\n\r\ndata: {}\n\n",
 		"complete body without end marker": events + "b\r\ndata: {}\n\n\n\r\n0\r\n\r\n",
 		"stream truncated between events":  events + "a\r\ndata: {}\n\n\r\n",
 		"end marker without blank line":    events + "c\r\ndata: [DONE]\r\n0\r\n\r\n",
@@ -211,6 +215,24 @@
 	}
 }
 
+// Guards against a whole answer that counts as truncated because it ends with its connection.
+func TestJSONThatEndsWithItsConnectionIsWhole(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{"object": `{"choices":[]}`, "array": "[1,2]", "space around": " {}\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			e := newRawEndpoint(c, func(int) (string, bool) {
+				return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + text, true
+			})
+			cl := newClient(c, ggsengine.DefaultSettings())
+			var got collector
+			c.Assert(cl.Call(ggsfakebench.Context(c), e.addr, release("{}"), got.collect), qt.IsNil)
+			c.Assert(got.text(c), qt.Equals, text)
+		})
+	}
+}
+
 // Guards against a whole stream that counts as truncated because of how its lines end.
 func TestStreamsWithOtherLineEnds(t *testing.T) {
 	t.Parallel()
--- a/io/ggsengine/pass.go
+++ b/io/ggsengine/pass.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -70,6 +71,22 @@
 	return p.emit(pending, true)
 }
 
+// forwardUnframed forwards a body that ends with its connection, if it is a JSON object or array:
+// only their own end shows that the endpoint didn't break off.
+func (p *forwarder) forwardUnframed(r io.Reader) error {
+	b, err := io.ReadAll(io.LimitReader(r, maxUnframedBytes+1))
+	if err != nil {
+		return &TruncatedAnswerError{Cause: err}
+	}
+	text := bytes.TrimSpace(b)
+	delimited := bytes.HasPrefix(text, []byte("{")) || bytes.HasPrefix(text, []byte("["))
+	if len(b) > maxUnframedBytes || !delimited || !json.Valid(text) {
+		return &UnframedError{}
+	}
+	p.setServed(b)
+	return p.emit(b, true)
+}
+
 // forwardStream forwards a stream of events up to its end marker.
 func (p *forwarder) forwardStream(r io.Reader) error {
 	b := bufio.NewReader(r)
@@ -170,6 +187,8 @@
 const (
 	// chunkBytes is the size of the chunks of answers that aren't streams.
 	chunkBytes = 32 << 10
+	// maxUnframedBytes bounds an answer that ends with its connection. It is kept in memory.
+	maxUnframedBytes = 1 << 20
 	// maxEventBytes bounds an event of a stream.
 	maxEventBytes = 1 << 20
 	// endMarker is the data of the event that ends a complete stream.
