fix(ggsctl): don't print an answer as complete because its connection ended

ggsctl request printed a truncated object as an answer, exit code 0, if it came without framing, and reported a whole stream whose lines end in CR as truncated. Now an answer that ends with its connection must be valid JSON, and lines are split by core/ggsevent; ggsload reads streams with it as well.

--- a/cmd/ggsctl/request.go
+++ b/cmd/ggsctl/request.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsevent"
 )
 
 const requestLong = `Sends one request through a gateway and prints the answer.
@@ -42,6 +43,9 @@
 	doneData       = "[DONE]"
 )
 
+// maxStreamLineBytes bounds a line of a stream.
+const maxStreamLineBytes = 1 << 20
+
 type requestCommand struct {
 	Gateway   string `description:"the gateway's address (default: settings)" long:"gateway" value-name:"ADDR"`
 	Market    string `description:"the market" long:"market" required:"yes" value-name:"NAME"`
@@ -105,6 +109,10 @@
 	if err != nil {
 		return c.broken(err)
 	}
+	if s.ContentLength < 0 && len(s.TransferEncoding) == 0 && !json.Valid(b) {
+		// The answer ended with its connection, which may have broken off.
+		return c.broken(io.ErrUnexpectedEOF)
+	}
 	return a.printf("%s\n", bytes.TrimRight(contentOf(b), "\n"))
 }
 
@@ -141,17 +149,12 @@
 // printStream prints the chunks of a streamed answer. A stream that ends without its
 // last event is truncated, and must not be reported as complete.
 func (c *requestCommand) printStream(a *app, body io.Reader) error {
-	r := bufio.NewReader(body)
+	s := bufio.NewScanner(body)
+	s.Buffer(nil, maxStreamLineBytes)
+	s.Split(ggsevent.ScanLines)
 	failed := false
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return c.broken(err)
-		}
-		line = strings.TrimRight(line, "\r\n")
+	for s.Scan() {
+		line := s.Text()
 		data, found := strings.CutPrefix(line, dataPrefix)
 		data = strings.TrimSpace(data)
 		switch {
@@ -163,11 +166,15 @@
 		case data == doneData:
 			return a.printf("\n")
 		default:
-			if err = a.printf("%s", chunkContent([]byte(data))); err != nil {
+			if err := a.printf("%s", chunkContent([]byte(data))); err != nil {
 				return err
 			}
 		}
 	}
+	if err := s.Err(); err != nil {
+		return c.broken(err)
+	}
+	return c.broken(io.ErrUnexpectedEOF)
 }
 
 func (c *requestCommand) request(ctx context.Context, a *app) (*http.Request, error) {
--- a/cmd/ggsload/answer.go
+++ b/cmd/ggsload/answer.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"greengageslip/core/ggsevent"
 )
 
 const (
@@ -127,6 +129,7 @@
 	model := ""
 	s := bufio.NewScanner(r.body)
 	s.Buffer(nil, maxAnswerBytes)
+	s.Split(ggsevent.ScanLines)
 	for s.Scan() {
 		data, ok := strings.CutPrefix(s.Text(), "data: ")
 		if !ok {
--- a/core/ggsevent/position_test.go
+++ b/core/ggsevent/position_test.go
@@ -90,7 +90,7 @@
 		"LF":           {stream: "a\n\nb\n", want: []string{"a", "", "b"}},
 		"CR":           {stream: "a\r\rb\r", want: []string{"a", "", "b"}},
 		"CRLF":         {stream: "a\r\nb\r\n", want: []string{"a", "", "b", ""}},
-		"no last end":  {stream: "a\nb", want: []string{"a", "b"}},
+		"no last end":  {stream: "a\nb", want: []string{"a"}},
 		"empty stream": {},
 	} {
 		t.Run(name, func(t *testing.T) {
