test(ggsnode): the soak plays answers that end with their connection

What callers get is checked as before: a complete 200 must be an endpoint's whole answer. Endpoints now also answer up to the end of the connection, with lines that end in LF, CRLF or CR, and end streams inside an event or before the first. The stand-in's link hid such ends: it passed an endpoint's reset on as an end in order, and closed its connections in order when it broke. It resets them now.

--- a/cmd/ggsnode/soak_answers_test.go
+++ b/cmd/ggsnode/soak_answers_test.go
@@ -96,7 +96,8 @@
 
 // answeredBy reports whether an outcome is the complete answer of an endpoint.
 func (o *outcome) answeredBy(endpoint string) bool {
-	return o.complete && strings.Contains(o.body, " by "+endpoint+"\n")
+	_, by, _ := strings.Cut(o.body, " by "+endpoint)
+	return o.complete && strings.IndexAny(by, "\r\n") == 0
 }
 
 // checkDepartures checks that an edge that has relayed an answer of a leaving endpoint sends the
--- a/cmd/ggsnode/soak_check_test.go
+++ b/cmd/ggsnode/soak_check_test.go
@@ -180,6 +180,7 @@
 
 // completeAnswer reports whether a body is the complete answer of one endpoint to the request.
 func completeAnswer(o outcome) bool {
+	o.body = strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(o.body)
 	if !strings.HasPrefix(o.path, "/chat") {
 		return strings.HasPrefix(o.body, "answer to "+o.id+" by ") && strings.Count(o.body, "\n") == 1 && strings.HasSuffix(o.body, "\n")
 	}
--- a/cmd/ggsnode/soak_faults_test.go
+++ b/cmd/ggsnode/soak_faults_test.go
@@ -189,9 +189,13 @@
 	}
 	f := faults[r.IntN(len(faults))]
 	e := s.site.Endpoints[s.endpoint(r, "")]
-	every := 2 + r.IntN(8)
+	s.failEvery(e, 2+r.IntN(8), f, d)
+}
+
+// failEvery makes an endpoint fail each n-th request for a time.
+func (s *soak) failEvery(e *ggsfakesite.Endpoint, n int, f ggsfakesite.Fault, d time.Duration) {
 	e.SetFault(func(q ggsfakesite.Query) ggsfakesite.Fault {
-		if q.Number%every == 0 {
+		if q.Number%n == 0 {
 			return f
 		}
 		return ggsfakesite.FaultNone
--- a/cmd/ggsnode/soak_test.go
+++ b/cmd/ggsnode/soak_test.go
@@ -41,6 +41,7 @@
 	soakAnswers    = flag.Bool("soak.answers", true, "endpoints also report in answers that they are leaving, are limited or refuse requests for a time")
 	soakRestores   = flag.Bool("soak.returns", true, "the store is also restored from backups")
 	soakPartitions = flag.Bool("soak.partitions", true, "VMs are also partitioned from all endpoints")
+	soakFramings   = flag.Bool("soak.framings", true, "answers also end with their connections, and streams inside events")
 	soakLength     = flag.Duration("soak.length", 6*time.Second, "duration of the faults in each run")
 )
 
@@ -57,15 +58,18 @@
 	// second.
 	"limits that overlap":                {seed: 1075990872, answers: true, restores: true},
 	"VMs partitioned from all endpoints": {seed: 4, partitions: true},
+	// Guards against answers that end with their connection and are taken for whole or truncated.
+	"answers without framing": {seed: 5, partitions: true, framings: true},
 }
 
-// A soakCase is one run. Faults that endpoints announce in answers, and restores of the store, are
-// optional, so that a seed found without them still draws the same faults.
+// A soakCase is one run. Some faults are optional, so that a seed found without them still draws the
+// same faults.
 type soakCase struct {
 	seed       uint64
 	answers    bool
 	restores   bool
 	partitions bool
+	framings   bool
 }
 
 const (
@@ -95,12 +99,12 @@
 	t.Parallel()
 	switch {
 	case *soakSeed > 0:
-		runSoak(t, soakCase{*soakSeed, *soakAnswers, *soakRestores, *soakPartitions})
+		runSoak(t, soakCaseOf(*soakSeed))
 	case *soakSeeds > 0:
 		for range *soakSeeds {
 			seed := rand.Uint64N(1 << 32)
 			//nolint:paralleltest // runs are sequential, so that they don't disturb each other's timing
-			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSoak(t, soakCase{seed, *soakAnswers, *soakRestores, *soakPartitions}) })
+			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSoak(t, soakCaseOf(seed)) })
 		}
 	default:
 		for name, k := range soakCases {
@@ -110,6 +114,11 @@
 	}
 }
 
+// soakCaseOf returns the case of a seed with the faults that the flags select.
+func soakCaseOf(seed uint64) soakCase {
+	return soakCase{seed, *soakAnswers, *soakRestores, *soakPartitions, *soakFramings}
+}
+
 var soaks atomic.Int32 //nolint:gochecknoglobals // gives each run its own addresses
 
 // A soak is the state of one run.
@@ -203,6 +212,9 @@
 	if k.partitions {
 		faults = append(faults, soakFault{"VM partitioned from all endpoints", false, (*soak).partitionFromEndpoints})
 	}
+	if k.framings {
+		faults = append(faults, framingFaults()...)
+	}
 	s.injectUntil(time.Now().Add(*soakLength), faults, &work)
 	s.recover()
 	stop()
--- a/fakes/ggsfakelink/carry.go
+++ b/fakes/ggsfakelink/carry.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
-// A chunk is a block of bytes in transit. A chunk without data is the end of a direction.
+// A chunk is a block of bytes in transit. A chunk without data is the end of a direction, or a reset
+// of the connection.
 type chunk struct {
-	data []byte
-	sent time.Time
+	data  []byte
+	reset bool
+	sent  time.Time
 }
 
 // forward forwards one connection until it ends or the link closes it.
@@ -33,25 +38,31 @@
 		_ = target.Close()
 	})
 	defer stop()
+	// A close in order would end an answer that ends with its connection.
+	abort := func() {
+		resetOnClose(client)
+		resetOnClose(target)
+		cancel()
+	}
 	var watchers, copiers sync.WaitGroup
-	watchers.Go(func() { l.watchRefusal(ctx, cancel) })
-	copiers.Go(func() { l.copyDirection(ctx, cancel, client, target, &l.toTarget) })
-	copiers.Go(func() { l.copyDirection(ctx, cancel, target, client, &l.fromTarget) })
+	watchers.Go(func() { l.watchRefusal(ctx, abort) })
+	copiers.Go(func() { l.copyDirection(ctx, abort, client, target, &l.toTarget) })
+	copiers.Go(func() { l.copyDirection(ctx, abort, target, client, &l.fromTarget) })
 	copiers.Wait()
 	cancel()
 	watchers.Wait()
 }
 
 // copyDirection copies the bytes of one direction. It forwards the end of the direction as a
-// half-close, so that half-closed connections work.
-func (l *Link) copyDirection(ctx context.Context, cancel func(), from, to net.Conn, n *direction) {
+// half-close, so that half-closed connections work. Any other end aborts the connection.
+func (l *Link) copyDirection(ctx context.Context, abort func(), from, to net.Conn, n *direction) {
 	chunks := make(chan chunk, maxQueuedChunks)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { read(ctx, from, chunks) })
 	for p := range chunks {
-		if !l.waitPassable(ctx, &p) {
-			cancel()
+		if !l.waitPassable(ctx, &p) || p.reset {
+			abort()
 			break
 		}
 		if len(p.data) == 0 {
@@ -59,13 +70,13 @@
 			continue
 		}
 		if !l.waitBandwidth(ctx, n, len(p.data)) {
-			cancel()
+			abort()
 			break
 		}
 		// The receiver may answer before Write returns, and read the counter then.
 		n.bytes.Add(uint64(len(p.data)))
 		if _, err := to.Write(p.data); err != nil {
-			cancel()
+			abort()
 			break
 		}
 	}
@@ -120,12 +131,12 @@
 	}
 }
 
-// watchRefusal cancels a connection when the link begins to refuse.
-func (l *Link) watchRefusal(ctx context.Context, cancel func()) {
+// watchRefusal aborts a connection when the link begins to refuse.
+func (l *Link) watchRefusal(ctx context.Context, abort func()) {
 	for {
 		f, changed := l.state()
 		if f.Refuse {
-			cancel()
+			abort()
 			return
 		}
 		select {
@@ -142,26 +153,33 @@
 	for {
 		b := make([]byte, chunkBytes)
 		n, err := from.Read(b)
-		if n > 0 && !send(ctx, chunks, b[:n]) {
+		if n > 0 && !send(ctx, chunks, chunk{data: b[:n]}) {
 			return
 		}
 		if err != nil {
-			send(ctx, chunks, nil)
+			send(ctx, chunks, chunk{reset: !errors.Is(err, io.EOF)})
 			return
 		}
 	}
 }
 
-func send(ctx context.Context, chunks chan<- chunk, data []byte) bool {
-	now := time.Now() //nolint:forbidigo // a link's delay is real time
+func send(ctx context.Context, chunks chan<- chunk, p chunk) bool {
+	p.sent = time.Now() //nolint:forbidigo // a link's delay is real time
 	select {
-	case chunks <- chunk{data: data, sent: now}:
+	case chunks <- p:
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// resetOnClose makes the close of a connection a reset.
+func resetOnClose(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+}
+
 func closeWrite(c net.Conn) {
 	t, ok := c.(*net.TCPConn)
 	if ok {
--- a/fakes/ggsfakelink/doc.go
+++ b/fakes/ggsfakelink/doc.go
@@ -9,8 +9,8 @@
 //	l.SetFaults(ggsfakelink.Faults{Stall: true})
 //
 // A stalled link keeps its connections open and holds all bytes. The bytes arrive when the stall
-// ends, as after a network partition. A refusing link closes its connections, and new ones at
-// once. The link accepts new connections also while it stalls. During a stall a dial therefore
+// ends, as after a network partition. A refusing link resets its connections, and closes new
+// ones at once. Resets are passed on. The link accepts new connections also while it stalls. During a stall a dial therefore
 // succeeds, unlike on a partitioned network, and the link holds the bytes that are written.
 //
 // Handler serves POST /v1/faults {stall,refuse,delay} and GET /v1/stats.
--- a/fakes/ggsfakelink/link.go
+++ b/fakes/ggsfakelink/link.go
@@ -13,7 +13,7 @@
 type Faults struct {
 	// Stall holds all bytes until it is reset.
 	Stall bool
-	// Refuse closes all connections, and new ones at once.
+	// Refuse resets all connections, and closes new ones at once.
 	Refuse bool
 	// Delay is the one-way delay.
 	Delay time.Duration
