feat(ggsplace): name what keeps a refused request from each ready endpoint

'none of 2 ready endpoints has free capacity' had six possible causes that logs couldn't tell apart: an open breaker, requests in flight, a pause, a rate limit, no owner, a full load queue. No decision changes.

--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -104,7 +104,7 @@
 	base := ggscore.ModelAdapter{Model: q.Target.Model}
 	homes := t.homes(now, list, q, base)
 	tolerated := toleratedFailures(now, list)
-	candidates, ready := t.candidates(now, q, base)
+	candidates, refusal := t.candidates(now, q, base)
 	holders := 0
 	for _, c := range candidates {
 		if c.resident {
@@ -131,7 +131,7 @@
 		}
 	}
 	if best == nil {
-		return Choice{}, t.refused(now, q, ready)
+		return Choice{}, t.refused(now, q, refusal)
 	}
 	return Choice{Instance: best.Instance, Resident: best.resident, InFlight: best.own + best.peers}, nil
 }
@@ -143,13 +143,16 @@
 	cost     time.Duration
 }
 
-// candidates returns the endpoints that can take the request now. ready also counts those that
-// are full, paused, rate-limited or failing, or that can't load the adapter now.
-func (t *Table) candidates(now time.Time, q Query, base ggscore.ModelAdapter) (cs []candidate, ready int) {
+// candidates returns the endpoints that can take the request now, and the refusal if there are none.
+// Its ready endpoints include those that are full, paused, rate-limited or failing, or that can't load
+// the adapter now.
+func (t *Table) candidates(now time.Time, q Query, base ggscore.ModelAdapter) ([]candidate, *RefusedError) {
 	var excluded []ggscore.EndpointID
 	if t.options.Policy.On(ggscore.MechanismBreakers) {
 		excluded = t.breakers.Exclude(now, nil)
 	}
+	var cs []candidate
+	r := &RefusedError{}
 	for _, e := range t.services[q.Service] {
 		if e.Leaving || slices.Contains(q.Tried, e.ID) {
 			continue
@@ -157,16 +160,26 @@
 		if q.Engine != nil && base.Model != "" && !e.holds(now, base, 0) {
 			continue
 		}
-		ready++
-		if slices.Contains(excluded, e.ID) || t.full(now, e, q.Engine) || e.paused(now) || !t.allows(now, e) {
-			continue
-		}
+		r.Ready++
 		resident := q.Engine == nil || q.Target.Adapter == "" || e.holds(now, q.Target, q.Version)
-		if resident || e.loadable && e.waiting < maxWaiting {
+		switch {
+		case slices.Contains(excluded, e.ID):
+			r.Causes.Failing++
+		case t.full(now, e, q.Engine):
+			r.Causes.Full++
+		case e.paused(now):
+			r.Causes.Paused++
+		case !t.allows(now, e):
+			r.Causes.Limited++
+		case !resident && !e.loadable:
+			r.Causes.Unowned++
+		case !resident && e.waiting >= maxWaiting:
+			r.Causes.Loading++
+		default:
 			cs = append(cs, candidate{endpoint: e, resident: resident})
 		}
 	}
-	return cs, ready
+	return cs, r
 }
 
 // allows reports whether the endpoint's rate limit lets this VM send a request now.
@@ -220,13 +233,13 @@
 	retrySpread    = 300 * time.Millisecond
 )
 
-func (t *Table) refused(now time.Time, q Query, ready int) error {
-	wait := retryNoneReady
-	if ready > 0 {
-		wait = max(retryFull, t.untilAccepted(now, q))
+func (t *Table) refused(now time.Time, q Query, r *RefusedError) error {
+	r.RetryAfter = retryNoneReady
+	if r.Ready > 0 {
+		r.RetryAfter = max(retryFull, t.untilAccepted(now, q))
 	}
-	wait += time.Duration(t.rng.Int64N(int64(retrySpread)))
-	return &RefusedError{Ready: ready, RetryAfter: wait}
+	r.RetryAfter += time.Duration(t.rng.Int64N(int64(retrySpread)))
+	return r
 }
 
 // untilAccepted returns the time until the first endpoint of the service accepts a request of
