fix(ggsplace): believe an owner's last report until the entries were read later

Callers of VMs without a path to the endpoints were refused all streams while the endpoints were idle: 'none of 2 ready endpoints has free capacity', 39 and 40 requests at each of two of four VMs, 52 to 55 of 270 first attempts.

Cause: a VM reads the endpoints' entries only after a change of the list, so its entries may be older than the adapters that were loaded since. What an endpoint holds was taken from the owner's report up to an age of 2 s, and from the entry beyond. While no VM owns the endpoint, as for 5 s after a partition, no report comes, and VMs whose entries were old forgot all adapters. They had no owner to load them either.

Evidence: with the causes counted, all refusals were 'unowned: 2'. At the two VMs that refused, the entries had no adapter and the last report had all; at the two others, which had happened to read the list later, both had them. Suspected before and ruled out: that an owner's table overrides the entry; it was the other way round. Also ruled out: breakers, pauses, limits and full endpoints (0 each).

Now the report counts until an entry was read more than 2 s after it, the time until an entry shows a change.

TestResidentAdaptersAreKnownWithoutAnOwner failed in 2 of 4 cases before.

--- a/core/ggsplace/brittle_test.go
+++ b/core/ggsplace/brittle_test.go
@@ -84,7 +84,7 @@
 		}
 		v.limits.SetVMs(append([]ggscore.VMID(nil), ids...))
 		v.table = ggsplace.NewTable(ggsplace.Options{Domain: "d", Seed: uint64(n + 1), Throttle: v.limits})
-		v.table.SetInstances(list)
+		v.table.SetInstances(at(0), list)
 		vms = append(vms, v)
 	}
 	var res brittleResult
--- a/core/ggsplace/departures_test.go
+++ b/core/ggsplace/departures_test.go
@@ -40,13 +40,13 @@
 			t.Parallel()
 			c := qt.New(t)
 			h := table("d0", 1)
-			h.SetInstances([]ggscore.Instance{entry(started)})
+			h.SetInstances(at(0), []ggscore.Instance{entry(started)})
 			changed := false
 			for _, d := range tc.announced {
 				changed = h.RecordDeparture(d)
 			}
 			c.Check(changed, qt.Equals, tc.changed)
-			h.SetInstances(tc.after)
+			h.SetInstances(at(0), tc.after)
 			c.Check(h.Accepts(at(0), "p0"), qt.Equals, tc.accepts)
 			c.Check(h.Departures(), qt.HasLen, tc.departures)
 			_, err := h.Choose(at(0), ggsplace.Query{Service: plain})
--- a/core/ggsplace/plain_load_test.go
+++ b/core/ggsplace/plain_load_test.go
@@ -75,7 +75,7 @@
 	var vms []*plainVM
 	for n := range l.vms {
 		t := ggsplace.NewTable(ggsplace.Options{Domain: ggscore.Domain(fmt.Sprintf("d%d", n%plainEndpoints)), Regions: regions, Seed: uint64(n + 1)})
-		t.SetInstances(list)
+		t.SetInstances(at(0), list)
 		vms = append(vms, &plainVM{table: t, own: map[ggscore.EndpointID]int{}})
 	}
 	var res plainResult
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -10,7 +10,7 @@
 //
 //	t := ggsplace.NewTable(ggsplace.Options{Domain: domain, Seed: 1})
 //	t.SetAdapterSlots(service, adapterSlots)        // adapter slots of each runner
-//	change := t.SetInstances(instances)
+//	change := t.SetInstances(read, instances)       // read from the registry at that time
 //	t.SetPeerInFlight(now, vm, inFlight)            // a peer's requests in flight
 //	t.RecordDeparture(departure)                    // an answer announced that its endpoint leaves
 //	t.Pause(now, endpoint, d)                       // the endpoint requested a pause
@@ -48,9 +48,9 @@
 	"greengageslip/core/ggsretry"
 )
 
-// heldMaxAge is the age at which an owner's report of an endpoint's resident adapters is
-// superseded by the endpoint's registry entry, which is written every 1.2 s.
-const heldMaxAge = 2 * time.Second
+// entryDelay is the time after a change until an endpoint's registry entry shows it. An entry is
+// written every 1.2 s.
+const entryDelay = 2 * time.Second
 
 // Options configure a Table. Zero fields take their defaults.
 type Options struct {
@@ -87,6 +87,7 @@
 	peers      int
 	local      bool
 	entry      map[ggscore.ModelAdapter]uint64
+	entryRead  time.Time
 	reported   map[ggscore.ModelAdapter]uint64
 	reportedAt time.Time
 	missing    map[ggscore.ModelAdapter]time.Time
@@ -138,8 +139,8 @@
 	Any bool
 }
 
-// SetInstances replaces the endpoints' registry entries.
-func (t *Table) SetInstances(list []ggscore.Instance) Change {
+// SetInstances replaces the endpoints' registry entries by those that were read at the given time.
+func (t *Table) SetInstances(read time.Time, list []ggscore.Instance) Change {
 	var c Change
 	seen := make(map[ggscore.EndpointID]bool, len(list))
 	for _, n := range list {
@@ -159,7 +160,7 @@
 		c.Any = c.Any || e.Leaving != n.Leaving
 		e.Instance = n
 		e.local = n.Domain == t.options.Domain || t.options.Regions[n.Domain] == t.options.Regions[t.options.Domain]
-		e.entry = heldOf(n.Models)
+		e.entry, e.entryRead = heldOf(n.Models), read
 	}
 	for id, e := range t.endpoints {
 		if !seen[id] {
@@ -251,12 +252,13 @@
 const missingTTL = 1500 * time.Millisecond
 
 // holds reports whether the adapter is resident at the endpoint in the given version, zero for
-// any. The source is the owner's report if it is younger than heldMaxAge, otherwise the registry
-// entry; base models are only in the entry. An endpoint's answer that the adapter isn't resident
+// any. The source is the owner's report, unless the registry entry was read more than entryDelay
+// later: a VM reads the entries again only after a change of the list, and an owner may be gone for
+// long. Base models are only in the entry. An endpoint's answer that the adapter isn't resident
 // overrides either for missingTTL.
 func (e *endpoint) holds(now time.Time, a ggscore.ModelAdapter, version uint64) bool {
 	m := e.entry
-	if a.Adapter != "" && now.Sub(e.reportedAt) < heldMaxAge {
+	if a.Adapter != "" && !e.reportedAt.IsZero() && e.entryRead.Sub(e.reportedAt) < entryDelay {
 		m = e.reported
 	}
 	v, ok := m[a]
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -50,7 +50,7 @@
 		Domain: domain, Seed: seed, Regions: map[ggscore.Domain]ggscore.Region{"d0": "r0", "d1": "r1", "d2": "r2"},
 	})
 	l := deployment()
-	t.SetInstances(l)
+	t.SetInstances(at(0), l)
 	for _, i := range l {
 		t.SetLoadable(i.ID, true)
 	}
@@ -229,7 +229,7 @@
 	for i := range l {
 		l[i].Leaving = l[i].ID == "p0"
 	}
-	tb.SetInstances(l)
+	tb.SetInstances(at(0), l)
 	for range 20 {
 		x := choose(c, tb, ggsplace.Query{Service: plain, Tried: []ggscore.EndpointID{"p1"}})
 		c.Assert(x.Instance.ID, qt.Equals, ggscore.EndpointID("p2"))
@@ -288,16 +288,16 @@
 	t.Parallel()
 	c := qt.New(t)
 	tb := table("d0", 1)
-	c.Assert(tb.SetInstances(deployment()).Any, qt.IsFalse)
+	c.Assert(tb.SetInstances(at(0), deployment()).Any, qt.IsFalse)
 	l := deployment()[1:]
 	l[0].Leaving = true
-	x := tb.SetInstances(l)
+	x := tb.SetInstances(at(0), l)
 	c.Assert(x.Any, qt.IsTrue)
 	c.Assert(x.Removed, qt.HasLen, 1)
 	c.Assert(x.Removed[0].ID, qt.Equals, ggscore.EndpointID("r00"))
 	c.Assert(x.Leaving, qt.HasLen, 1)
 	c.Assert(x.Leaving[0].ID, qt.Equals, ggscore.EndpointID("r01"))
-	c.Assert(tb.SetInstances(l), qt.DeepEquals, ggsplace.Change{})
+	c.Assert(tb.SetInstances(at(0), l), qt.DeepEquals, ggsplace.Change{})
 }
 
 // Guards against loading a rarely used adapter from the memory of its home while the adapter is
@@ -361,9 +361,9 @@
 	q := ggsplace.Query{Service: plain, Tried: []ggscore.EndpointID{"p0", "p1"}}
 	inFlight := func() int { return choose(c, tb, q).InFlight }
 	all := deployment()
-	tb.SetInstances(all[:len(all)-1])
+	tb.SetInstances(at(0), all[:len(all)-1])
 	tb.SetPeerInFlight(at(0), "vm1", []ggscore.InFlight{{Endpoint: "p2", Count: 3}})
-	tb.SetInstances(all)
+	tb.SetInstances(at(0), all)
 	tb.SetPeerInFlight(at(time.Second), "vm2", []ggscore.InFlight{{Endpoint: "p2", Count: 2}})
 	c.Assert(inFlight(), qt.Equals, 5)
 	tb.SetPeerInFlight(at(time.Second), "vm1", []ggscore.InFlight{{Endpoint: "p2", Count: 1}})
@@ -462,7 +462,7 @@
 			h := ggsplace.NewTable(ggsplace.Options{
 				Domain: "d0", Regions: map[ggscore.Domain]ggscore.Region{"d0": "r0", "d1": "r1", "d2": "r2"}, Throttle: tc.throttle,
 			})
-			h.SetInstances(deployment())
+			h.SetInstances(at(0), deployment())
 			choice, err := h.Choose(at(0), ggsplace.Query{Service: plain})
 			if tc.want != nil {
 				c.Assert(err, qt.IsNil)
@@ -486,7 +486,7 @@
 		Domain: "d0", Regions: map[ggscore.Domain]ggscore.Region{"d0": "r0", "d1": "r1", "d2": "r2"}, Throttle: h,
 	})
 	l := deployment()
-	t0.SetInstances(l)
+	t0.SetInstances(at(0), l)
 	for _, i := range l {
 		t0.SetLoadable(i.ID, true)
 	}
@@ -499,3 +499,44 @@
 	}
 	c.Assert(choose(c, t0, q).Instance.ID, qt.Equals, home)
 }
+
+// Guards against requests that are refused because the endpoint that has their adapter has no owner.
+func TestResidentAdaptersAreKnownWithoutAnOwner(t *testing.T) {
+	t.Parallel()
+	const reported = 10 * time.Second
+	for name, tc := range map[string]struct {
+		// read is when the entries were read, and inEntry whether the adapter is in them.
+		read    time.Duration
+		inEntry bool
+		want    bool
+	}{
+		"entries are older than the report":        {want: true},
+		"entries lag behind the report":            {read: reported + time.Second, want: true},
+		"entries are newer, adapter is gone":       {read: reported + 3*time.Second},
+		"entries are newer, adapter is still held": {read: reported + 3*time.Second, inEntry: true, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			tb := table("d0", 1)
+			tb.SetHeld(at(reported), "r23", []ggscore.AdapterVersion{{Target: adapter(1), Version: 1}})
+			l := deployment()
+			for i := range l {
+				tb.SetLoadable(l[i].ID, false)
+				if l[i].ID == "r23" && tc.inEntry {
+					l[i].Models = []ggscore.ResidentModel{{Name: "m", Adapters: []ggscore.ResidentVersion{{Adapter: "a1", Version: 1}}}}
+				}
+			}
+			tb.SetInstances(at(tc.read), l)
+			x, err := tb.Choose(at(20*time.Second), ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)})
+			if !tc.want {
+				var refused *ggsplace.RefusedError
+				c.Assert(errors.As(err, &refused), qt.IsTrue)
+				c.Assert(refused.Causes, qt.Equals, ggsplace.RefusalCauses{Unowned: 12})
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Assert(x.Instance.ID, qt.Equals, ggscore.EndpointID("r23"))
+		})
+	}
+}
--- a/fakes/ggsfakebatch/fleet_test.go
+++ b/fakes/ggsfakebatch/fleet_test.go
@@ -140,7 +140,7 @@
 		v.turns.SetService(fleetService, l.targetGap)
 		v.turns.SetDecides(n == 0)
 		v.table = ggsplace.NewTable(ggsplace.Options{Domain: fleetDomain(n), Regions: regions, Seed: seed + uint64(n), Turns: v.turns, Policy: policy})
-		v.table.SetInstances(list)
+		v.table.SetInstances(at(0), list)
 		if l.large {
 			v.turns.SetEndpoints(fleetService, engineIDs(l.engines))
 		}
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -218,7 +218,7 @@
 	if !at.IsZero() {
 		list = e.registry.Read(e.Now(), at, readable)
 	}
-	change := e.table.SetInstances(list)
+	change := e.table.SetInstances(r.read, list)
 	e.setPathEndpoints()
 	e.ownership.SetListed(e.Now(), list)
 	if !at.IsZero() {
--- a/io/ggsedge/heartbeats_bench_test.go
+++ b/io/ggsedge/heartbeats_bench_test.go
@@ -29,7 +29,7 @@
 		}
 	}
 	e.node.SetMembers(e.relayMembers())
-	e.table.SetInstances(benchInstances())
+	e.table.SetInstances(time.Time{}, benchInstances())
 	for _, i := range e.table.Instances("") {
 		e.table.SetLoadable(i.ID, true)
 	}
@@ -89,7 +89,7 @@
 		},
 		"list": func(e *Edge) func() {
 			l := benchInstances()
-			return func() { e.table.SetInstances(l) }
+			return func() { e.table.SetInstances(time.Time{}, l) }
 		},
 		"claims": func(e *Edge) func() {
 			return func() { e.writeClaims(b.Context()) }
--- a/io/ggsedge/list_test.go
+++ b/io/ggsedge/list_test.go
@@ -104,7 +104,7 @@
 	c.Assert(err, qt.IsNil)
 	a.Close()
 	c.Assert(e.OrderPool.OpenConns(addr), qt.Equals, 1)
-	e.table.SetInstances([]ggscore.Instance{{ID: "gone", Addr: addr}})
+	e.table.SetInstances(e.Now(), []ggscore.Instance{{ID: "gone", Addr: addr}})
 	e.setInstances(context.Background(), partReading{entries: entries("ready", "ready"), at: position(1), read: e.Now()})
 	c.Assert(e.OrderPool.OpenConns(addr), qt.Equals, 0)
 }
--- a/io/ggsedge/paths_test.go
+++ b/io/ggsedge/paths_test.go
@@ -39,7 +39,7 @@
 				e.Paths = blockedPaths{}
 			}
 			i := ggscore.Instance{ID: "a", Service: "s", Addr: addr}
-			e.table.SetInstances([]ggscore.Instance{i})
+			e.table.SetInstances(e.Now(), []ggscore.Instance{i})
 			j := &job{service: "s"}
 			e.beginSend(j, i.ID)
 			_ = e.unanswered(context.Background(), j, i, &ggscore.CallError{
@@ -65,7 +65,7 @@
 	for _, id := range []ggscore.EndpointID{"a", "b", "c", "d"} {
 		list = append(list, ggscore.Instance{ID: id, Service: ggscore.Service(id), Addr: addr, Slots: 1})
 	}
-	e.table.SetInstances(list)
+	e.table.SetInstances(e.Now(), list)
 	for range 2 * ggsretry.DefaultFailures {
 		for _, id := range []ggscore.EndpointID{"a", "b", "c", "d"} {
 			e.table.Sent(e.Now(), id)
