refactor: shed limit in place of the platform's word

Outside platform/ and the stand-ins, an endpoint that fails once it refuses too many requests for lack of capacity has a shed limit. The log event serviceBrittle becomes serviceShedLimited, and its key brittle becomes limited. No decision changes.

--- a/cmd/ggsnode/edge_brittle_test.go
+++ b/cmd/ggsnode/edge_shedding_test.go
@@ -10,9 +10,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against VMs that press brittle endpoints until they fall over, and against callers that get
+// Guards against VMs that press shed-limited endpoints until they fall over, and against callers that get
 // no answer then.
-func TestBrittleEndpointsStayUpUnderOverload(t *testing.T) {
+func TestShedLimitedEndpointsStayUpUnderOverload(t *testing.T) {
 	t.Parallel()
 	const (
 		refusals = 6
--- a/core/ggsplace/brittle_test.go
+++ b/core/ggsplace/shedding_test.go
@@ -14,71 +14,71 @@
 	"greengageslip/core/ggsthrottle"
 )
 
-// A brittleLoad simulates a service whose endpoints queue nothing and fall over when they refuse
+// A shedLoad simulates a service whose endpoints queue nothing and fall over when they refuse
 // more than a number of requests in a second. They say so in all their answers.
-type brittleLoad struct {
+type shedLoad struct {
 	vms, endpoints, slots int
 	serviceTime           time.Duration
 	// perSecond is the load, which is multiplied by burst for the second half of the time.
 	perSecond, burst float64
 	// age is the delay of the reported counts.
 	age time.Duration
-	// silent endpoints don't say that they are brittle.
+	// silent endpoints don't say that they are shed-limited.
 	silent bool
 }
 
 const (
-	brittleTick     = time.Millisecond
-	brittleTrip     = 2 * time.Millisecond
-	brittleInterval = 150 * time.Millisecond
-	brittleLength   = 16 * time.Second
-	brittleDown     = 3 * time.Second
-	brittleRefusals = 6
-	brittleAttempts = 3
-	brittleWarmUp   = 3 * time.Second
+	shedTick     = time.Millisecond
+	shedTrip     = 2 * time.Millisecond
+	shedInterval = 150 * time.Millisecond
+	shedLength   = 16 * time.Second
+	shedDown     = 3 * time.Second
+	shedRefusals = 6
+	shedAttempts = 3
+	shedWarmUp   = 3 * time.Second
 )
 
-type brittleVM struct {
+type shedVM struct {
 	table  *ggsplace.Table
 	limits *ggsthrottle.Table
 	times  *ggsthrottle.ServiceTimes
 	own    map[ggscore.EndpointID]int
 }
 
-type brittleRequest struct {
-	vm        *brittleVM
-	to        *brittleEndpoint
+type shedRequest struct {
+	vm        *shedVM
+	to        *shedEndpoint
 	tried     []ggscore.EndpointID
 	sent, due time.Time
 	running   bool
 }
 
-type brittleEndpoint struct {
+type shedEndpoint struct {
 	ggscore.Instance
 	running int
 	refused []time.Time
 	upAt    time.Time
 }
 
-type brittleResult struct{ requests, served, refused, turnedAway, falls int }
+type shedResult struct{ requests, served, refused, turnedAway, falls int }
 
 // run plays the load and counts what callers got and how often endpoints fell over.
-func (l brittleLoad) run() brittleResult {
+func (l shedLoad) run() shedResult {
 	rng := rand.New(rand.NewPCG(7, 0))
 	var list []ggscore.Instance
-	endpoints := map[ggscore.EndpointID]*brittleEndpoint{}
+	endpoints := map[ggscore.EndpointID]*shedEndpoint{}
 	for n := range l.endpoints {
 		i := ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("p%d", n)), Service: plain, Domain: "d", Slots: l.slots}
 		list = append(list, i)
-		endpoints[i.ID] = &brittleEndpoint{Instance: i}
+		endpoints[i.ID] = &shedEndpoint{Instance: i}
 	}
-	var vms []*brittleVM
+	var vms []*shedVM
 	var ids []ggscore.VMID
 	for n := range l.vms {
 		ids = append(ids, ggscore.VMID(fmt.Sprintf("vm-%03d", n)))
 	}
 	for n := range l.vms {
-		v := &brittleVM{
+		v := &shedVM{
 			limits: ggsthrottle.NewTable(ids[n]), times: ggsthrottle.NewServiceTimes(),
 			own: map[ggscore.EndpointID]int{},
 		}
@@ -87,14 +87,14 @@
 		v.table.SetInstances(at(0), list)
 		vms = append(vms, v)
 	}
-	var res brittleResult
-	var active []*brittleRequest
+	var res shedResult
+	var active []*shedRequest
 	var reports []map[ggscore.EndpointID]int
 	now := at(0)
-	send := func(q *brittleRequest) {
+	send := func(q *shedRequest) {
 		for {
 			c, err := q.vm.table.Choose(now, ggsplace.Query{Service: plain, Tried: q.tried})
-			if err != nil || len(q.tried) >= brittleAttempts {
+			if err != nil || len(q.tried) >= shedAttempts {
 				res.refused++
 				return
 			}
@@ -102,26 +102,26 @@
 			if !q.vm.limits.Take(now, c.Instance.ID) {
 				continue
 			}
-			q.to, q.sent, q.due, q.running = endpoints[c.Instance.ID], now, now.Add(brittleTrip), false
+			q.to, q.sent, q.due, q.running = endpoints[c.Instance.ID], now, now.Add(shedTrip), false
 			q.vm.table.Sent(now, c.Instance.ID)
 			q.vm.own[c.Instance.ID]++
 			active = append(active, q)
 			return
 		}
 	}
-	answered := func(q *brittleRequest, result ggsretry.Result) {
+	answered := func(q *shedRequest, result ggsretry.Result) {
 		q.vm.table.Ended(now, q.to.ID, result)
 		q.vm.own[q.to.ID]--
 	}
-	announce := func(q *brittleRequest) {
+	announce := func(q *shedRequest) {
 		if l.silent {
 			return
 		}
-		q.vm.table.ObserveBrittle(plain, true, now)
-		refusals := brittleRefusals
-		q.vm.limits.ObserveBrittle(now, &q.to.Instance, q.vm.times, &refusals, now)
+		q.vm.table.ObserveShedLimit(plain, true, now)
+		refusals := shedRefusals
+		q.vm.limits.ObserveShedLimit(now, &q.to.Instance, q.vm.times, &refusals, now)
 	}
-	arrive := func(q *brittleRequest) {
+	arrive := func(q *shedRequest) {
 		e := q.to
 		switch {
 		case now.Before(e.upAt):
@@ -140,16 +140,16 @@
 			announce(q)
 			answered(q, ggsretry.ResultNeutral)
 			q.vm.table.RecordRefusal(now, e.ID)
-			if len(e.refused) > brittleRefusals && now.Sub(at(0)) > brittleWarmUp {
+			if len(e.refused) > shedRefusals && now.Sub(at(0)) > shedWarmUp {
 				res.falls++
-				e.upAt, e.refused = now.Add(brittleDown), nil
+				e.upAt, e.refused = now.Add(shedDown), nil
 			}
 			send(q)
 		}
 	}
 	due := 0.0
-	for step := range int(brittleLength / brittleTick) {
-		now = at(time.Duration(step) * brittleTick)
+	for step := range int(shedLength / shedTick) {
+		now = at(time.Duration(step) * shedTick)
 		pending := active
 		active = nil
 		for _, q := range pending {
@@ -170,7 +170,7 @@
 				answered(q, ggsretry.ResultOK)
 			}
 		}
-		if step%int(brittleInterval/brittleTick) == 0 {
+		if step%int(shedInterval/shedTick) == 0 {
 			sum := map[ggscore.EndpointID]int{}
 			for _, v := range vms {
 				for id, n := range v.own {
@@ -178,7 +178,7 @@
 				}
 			}
 			reports = append(reports, sum)
-			old := reports[max(len(reports)-1-int(l.age/brittleInterval), 0)]
+			old := reports[max(len(reports)-1-int(l.age/shedInterval), 0)]
 			for _, v := range vms {
 				var fs []ggscore.InFlight
 				for id, n := range old {
@@ -188,19 +188,19 @@
 			}
 		}
 		rate := l.perSecond
-		if now.Sub(at(0)) > brittleLength/2 {
+		if now.Sub(at(0)) > shedLength/2 {
 			rate *= l.burst
 		}
-		for due += rate * brittleTick.Seconds() * 2 * rng.Float64(); due >= 1; due-- {
+		for due += rate * shedTick.Seconds() * 2 * rng.Float64(); due >= 1; due-- {
 			res.requests++
-			send(&brittleRequest{vm: vms[rng.IntN(len(vms))]})
+			send(&shedRequest{vm: vms[rng.IntN(len(vms))]})
 		}
 	}
 	return res
 }
 
 // check plays the load and checks how often endpoints fall over.
-func (l brittleLoad) check(t *testing.T) {
+func (l shedLoad) check(t *testing.T) {
 	t.Helper()
 	r := l.run()
 	t.Logf("%+v", r)
@@ -212,10 +212,10 @@
 	qt.Check(t, r.falls <= most, qt.IsTrue, qt.Commentf("fell over %d times, %d allowed", r.falls, most))
 }
 
-// Guards against VMs that together press brittle endpoints until they fall over.
-func TestBrittleEndpointsDontFallOver(t *testing.T) {
+// Guards against VMs that together press shed-limited endpoints until they fall over.
+func TestShedLimitedEndpointsStayUp(t *testing.T) {
 	t.Parallel()
-	for name, l := range map[string]brittleLoad{
+	for name, l := range map[string]shedLoad{
 		"9 VMs, 3 endpoints":   {vms: 9, endpoints: 3, slots: 6, serviceTime: 15 * time.Millisecond, perSecond: 90},
 		"65 VMs, 7 endpoints":  {vms: 65, endpoints: 7, slots: 6, serviceTime: 60 * time.Millisecond, perSecond: 320, age: 300 * time.Millisecond},
 		"195 VMs, 6 endpoints": {vms: 195, endpoints: 6, slots: 6, serviceTime: 60 * time.Millisecond, perSecond: 263, age: 300 * time.Millisecond},
@@ -231,10 +231,10 @@
 	}
 }
 
-// Guards against many VMs that press brittle runners while the load is above their capacity.
-func TestManyBrittleRunnersDontFallOver(t *testing.T) {
+// Guards against many VMs that press shed-limited runners while the load is above their capacity.
+func TestManyShedLimitedRunnersStayUp(t *testing.T) {
 	t.Parallel()
-	l := brittleLoad{vms: 65, endpoints: 72, slots: 16, serviceTime: 600 * time.Millisecond, perSecond: 860, age: 300 * time.Millisecond}
+	l := shedLoad{vms: 65, endpoints: 72, slots: 16, serviceTime: 600 * time.Millisecond, perSecond: 860, age: 300 * time.Millisecond}
 	l.burst = 2
 	l.check(t)
 }
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -14,7 +14,7 @@
 //	t.SetPeerInFlight(now, vm, inFlight)            // a peer's requests in flight
 //	t.RecordDeparture(departure)                    // an answer announced that its endpoint leaves
 //	t.Pause(now, endpoint, d)                       // the endpoint requested a pause
-//	t.ObserveBrittle(service, brittle, asOf)        // what an answer says of its service
+//	t.ObserveShedLimit(service, limited, asOf)      // what an answer says of its service
 //	t.RecordRefusal(now, endpoint)                  // the endpoint refused a request
 //	t.SetLoadable(endpoint, true)                   // the endpoint has an owner
 //	t.SetHeld(now, endpoint, held)                  // resident adapters, from the owner
@@ -78,7 +78,7 @@
 	lastPeerScan time.Time
 	breakers     *ggsretry.Breakers[ggscore.EndpointID]
 	demand       *ggspopularity.Demand
-	brittle      map[ggscore.Service]brittleness
+	sheds        map[ggscore.Service]shedState
 }
 
 type endpoint struct {
@@ -125,7 +125,7 @@
 		adapterSlots: map[ggscore.Service]int{},
 		peers:        map[ggscore.VMID]*peer{},
 		demand:       ggspopularity.NewDemand(),
-		brittle:      map[ggscore.Service]brittleness{},
+		sheds:        map[ggscore.Service]shedState{},
 		breakers:     ggsretry.NewBreakers[ggscore.EndpointID](ggsretry.BreakerOptions{Seed: o.Seed, MaxOpen: 4 * time.Second}),
 	}
 }
--- a/core/ggsthrottle/doc.go
+++ b/core/ggsthrottle/doc.go
@@ -8,7 +8,7 @@
 // the limit still applies. If no answer of an endpoint arrives for a while, other VMs are
 // selected, since the selected ones may have no callers.
 //
-// Brittle endpoints, which fail when they refuse many requests, announce no limit. The VMs derive
+// Shed-limited endpoints, which fail when they shed many requests, announce no limit. The VMs derive
 // one from the endpoint's slots and the time of its requests.
 //
 // # Usage
@@ -17,7 +17,7 @@
 //	t.SetVMs(live)                             // the live VMs, this one included
 //	changed := t.Observe(now, id, limit, asOf) // an answer arrived
 //	t.ObservePeer(now, limits)                 // limits from a peer's heartbeat
-//	t.ObserveBrittle(now, instance, times, refusals, asOf)
+//	t.ObserveShedLimit(now, instance, times, refusals, asOf)
 //	limits := t.RecentLimits(now)              // limits for the next heartbeat
 //	ok := t.Allows(now, id)                    // whether to choose the endpoint
 //	ok := t.Take(now, id)                      // just before sending
--- a/core/ggsthrottle/brittle.go
+++ b/core/ggsthrottle/shedding.go
@@ -14,7 +14,7 @@
 	refusalShare = 0.25
 	// serviceTimeSmoothing is the weight of the last request in a service's time.
 	serviceTimeSmoothing = 0.05
-	// quotaTTL is how long an endpoint counts as brittle after its last answer.
+	// quotaTTL is how long an endpoint counts as shed-limited after its last answer.
 	quotaTTL = 10 * time.Second
 	// quotaWindow is the time over which unused requests accumulate. After an idle time, all VMs
 	// may send theirs at once.
@@ -43,7 +43,7 @@
 	s.times[service] = t + time.Duration(serviceTimeSmoothing*float64(took-t))
 }
 
-// A serviceQuota bounds the requests that this VM sends at once to all brittle endpoints of a
+// A serviceQuota bounds the requests that this VM sends at once to all shed-limited endpoints of a
 // service. Without it, the unused parts of many endpoints would add up to a burst.
 type serviceQuota struct {
 	bucket bucket
@@ -59,7 +59,7 @@
 	return r
 }
 
-// A quota is this VM's part of the requests that a brittle endpoint gets.
+// A quota is this VM's part of the requests that a shed-limited endpoint gets.
 type quota struct {
 	service *serviceQuota
 	rate    float64
@@ -67,13 +67,13 @@
 	bucket  bucket
 }
 
-// ObserveBrittle records whether an answer says that its endpoint fails once it refuses more than
+// ObserveShedLimit records whether an answer says that its endpoint fails once it refuses more than
 // the given number of requests in a second, nil if it doesn't say so. asOf is as for Observe.
 //
 // Each VM limits itself to an equal part of the rate at which an endpoint without a queue refuses a
 // share of that number on average. Unlike a limit that the endpoint announces itself, it leaves
 // each VM a part: the endpoint serves most of the usual load, for adapters that it alone holds.
-func (t *Table) ObserveBrittle(now time.Time, i *ggscore.Instance, s *ServiceTimes, refusalsPerSecond *int, asOf time.Time) {
+func (t *Table) ObserveShedLimit(now time.Time, i *ggscore.Instance, s *ServiceTimes, refusalsPerSecond *int, asOf time.Time) {
 	q := t.quotas[i.ID]
 	if q != nil && asOf.Before(q.asOf) {
 		return
@@ -97,17 +97,17 @@
 }
 
 // initialTokens spreads the first requests of the VMs, which learn at the same time that an endpoint
-// is brittle.
+// is shed-limited.
 func (t *Table) initialTokens(id ggscore.EndpointID) float64 {
 	const values = 1 << 16
 	return float64(xxhash.Sum64String(string(t.self)+" "+string(id))%values) / values * 2
 }
 
-// BrittleCount returns the number of endpoints that are known to be brittle.
-func (t *Table) BrittleCount() int { return len(t.quotas) }
+// ShedLimitedCount returns the number of endpoints that are known to be shed-limited.
+func (t *Table) ShedLimitedCount() int { return len(t.quotas) }
 
-// brittleQuota returns the quota of a brittle endpoint with its bucket refilled, or nil.
-func (t *Table) brittleQuota(now time.Time, id ggscore.EndpointID) *quota {
+// currentQuota returns the quota of a shed-limited endpoint with its bucket refilled, or nil.
+func (t *Table) currentQuota(now time.Time, id ggscore.EndpointID) *quota {
 	q := t.quotas[id]
 	if q == nil {
 		return nil
--- a/core/ggsthrottle/table.go
+++ b/core/ggsthrottle/table.go
@@ -34,7 +34,7 @@
 	self      ggscore.VMID
 	vms       []ggscore.VMID
 	endpoints map[ggscore.EndpointID]*endpoint
-	// quotas are those of brittle endpoints.
+	// quotas are those of shed-limited endpoints.
 	quotas        map[ggscore.EndpointID]*quota
 	serviceQuotas map[ggscore.Service]*serviceQuota
 }
@@ -155,7 +155,7 @@
 
 // Allows implements ggscore.EndpointThrottle.
 func (t *Table) Allows(now time.Time, id ggscore.EndpointID) bool {
-	if q := t.brittleQuota(now, id); q != nil && !q.allows() {
+	if q := t.currentQuota(now, id); q != nil && !q.allows() {
 		return false
 	}
 	e := t.limitedEndpoint(now, id)
@@ -165,7 +165,7 @@
 // Wait implements ggscore.EndpointThrottle.
 func (t *Table) Wait(now time.Time, id ggscore.EndpointID) time.Duration {
 	wait := time.Duration(0)
-	if q := t.brittleQuota(now, id); q != nil {
+	if q := t.currentQuota(now, id); q != nil {
 		wait = q.wait()
 	}
 	e := t.limitedEndpoint(now, id)
@@ -179,7 +179,7 @@
 }
 
 // Take takes a token for a request to the endpoint, and reports whether this VM had one left.
-// It is always true for an endpoint without a limit that isn't brittle.
+// It is always true for an endpoint without a limit that isn't shed-limited.
 func (t *Table) Take(now time.Time, id ggscore.EndpointID) bool {
 	if !t.Allows(now, id) {
 		return false
--- a/core/instance.go
+++ b/core/instance.go
@@ -91,9 +91,9 @@
 	Limit *RateLimit
 	// Leaving is set if the instance is about to stop.
 	Leaving bool
-	// Brittle is the number of requests that the instance can refuse in a second for lack of
+	// ShedLimit is the number of requests that the instance can shed in a second for lack of
 	// capacity before it fails, nil if the answer doesn't say so.
-	Brittle *int
+	ShedLimit *int
 	// RetryAfter is how long this VM should send no requests after a refusal, zero if unknown.
 	RetryAfter time.Duration
 }
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -128,7 +128,7 @@
 	node      *ggsrelay.Node
 	retries   *ggsretry.Policy
 	limits    *ggsthrottle.Table
-	// serviceTimes are for the limits of brittle endpoints.
+	// serviceTimes are for the limits of shed-limited endpoints.
 	serviceTimes *ggsthrottle.ServiceTimes
 	// versions are the adapters' versions in use. versionSum is their sum, which heartbeats
 	// carry so that a VM detects peers with newer versions.
--- a/io/ggsedge/signals.go
+++ b/io/ggsedge/signals.go
@@ -16,7 +16,7 @@
 	now := e.Now()
 	leaves := m.Leaving && e.table.RecordDeparture(ggscore.Departure{Endpoint: i.ID, StartedAt: i.StartedAt})
 	limited := e.observeLimit(now, j, i.ID, m.Limit)
-	brittle := e.observeBrittle(now, j, &i, m.Brittle)
+	changed := e.observeShedLimit(now, j, &i, m.ShedLimit)
 	if m.RetryAfter > 0 {
 		e.table.Pause(now, i.ID, m.RetryAfter)
 	}
@@ -24,8 +24,8 @@
 	if leaves {
 		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLeaving, "endpoint", i.ID, "service", i.Service, "request", j.meta.ID)
 	}
-	if brittle {
-		_ = level.Info(e.Log).Log("event", ggslog.EventServiceBrittle, "request", j.meta.ID, "service", i.Service, "brittle", m.Brittle != nil)
+	if changed {
+		_ = level.Info(e.Log).Log("event", ggslog.EventServiceShedLimited, "request", j.meta.ID, "service", i.Service, "limited", m.ShedLimit != nil)
 	}
 	switch {
 	case limited && m.Limit != nil:
@@ -50,17 +50,17 @@
 	return changed
 }
 
-// observeBrittle processes whether an answer says that its endpoint is brittle. It reports whether
+// observeShedLimit processes whether an answer says that its endpoint is shed-limited. It reports whether
 // that changed for the service. Edge.mu is held.
-func (e *Edge) observeBrittle(now time.Time, j *job, i *ggscore.Instance, refusalsPerSecond *int) bool {
+func (e *Edge) observeShedLimit(now time.Time, j *job, i *ggscore.Instance, refusalsPerSecond *int) bool {
 	asOf := now
 	if refusalsPerSecond == nil {
 		asOf = j.sentAt
 	}
-	before := e.table.Brittle(now, i.Service)
-	e.table.ObserveBrittle(i.Service, refusalsPerSecond != nil, asOf)
-	e.limits.ObserveBrittle(now, i, e.serviceTimes, refusalsPerSecond, asOf)
-	after := e.table.Brittle(now, i.Service)
+	before := e.table.ShedLimited(now, i.Service)
+	e.table.ObserveShedLimit(i.Service, refusalsPerSecond != nil, asOf)
+	e.limits.ObserveShedLimit(now, i, e.serviceTimes, refusalsPerSecond, asOf)
+	after := e.table.ShedLimited(now, i.Service)
 	if after && !before {
 		e.shareLimits(now)
 	}
@@ -69,7 +69,7 @@
 
 // shareLimits updates the set of VMs that share rate limits. Edge.mu is held.
 func (e *Edge) shareLimits(now time.Time) {
-	if e.limits.LimitedCount() == 0 && e.limits.BrittleCount() == 0 {
+	if e.limits.LimitedCount() == 0 && e.limits.ShedLimitedCount() == 0 {
 		return
 	}
 	vms := []ggscore.VMID{e.options.VM}
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -48,7 +48,7 @@
 	EventRequestsCut        Event = "requestsCut"
 	EventRereadFailed       Event = "rereadFailed"
 	EventSeedAsked          Event = "seedAsked"
-	EventServiceBrittle     Event = "serviceBrittle"
+	EventServiceShedLimited Event = "serviceShedLimited"
 	EventSettingsReread     Event = "settingsReread"
 	EventStatusFailed       Event = "statusFailed"
 	EventStopRequested      Event = "stopRequested"
@@ -104,7 +104,7 @@
 		EventRequestsCut,
 		EventRereadFailed,
 		EventSeedAsked,
-		EventServiceBrittle,
+		EventServiceShedLimited,
 		EventSettingsReread,
 		EventStatusFailed,
 		EventStopRequested,
