fix(ggsthrottle): let unused parts of a shed limit expire where endpoints are interchangeable

Cause: each VM's part of an endpoint's rate is below one request a second, and an unused one stayed for as long as it wasn't needed. When the load rises, or an endpoint comes back, up to 65 VMs send to the same endpoint of 16 slots at once, whatever the rate.

Now an unused request expires after a time in which a VM gets four others for the service, but not before 200 ms. The first one comes at a time that differs between VMs, and the fraction is kept, so that they expire in turn.

--- a/core/ggsthrottle/shedding.go
+++ b/core/ggsthrottle/shedding.go
@@ -19,6 +19,9 @@
 	// quotaWindow is the time over which unused requests accumulate. After an idle time, all VMs
 	// may send theirs at once.
 	quotaWindow = 200 * time.Millisecond
+	// heldTokens is the number of unused requests, over all interchangeable endpoints of a service,
+	// that a VM holds on average before they expire.
+	heldTokens = 4
 	// searchSteps bounds the search for a rate, which halves the interval at each step.
 	searchSteps = 20
 )
@@ -65,6 +68,9 @@
 	rate    float64
 	asOf    time.Time
 	bucket  bucket
+	// expires is set if unused requests expire, because other endpoints can serve them as well. A
+	// runner may be the only one with an adapter.
+	expires bool
 }
 
 // ObserveShedLimit records whether an answer says that its endpoint fails once it refuses more than
@@ -89,7 +95,7 @@
 			v = &serviceQuota{bucket: bucket{at: now}, endpoints: map[ggscore.EndpointID]*quota{}}
 			t.serviceQuotas[i.Service] = v
 		}
-		q = &quota{service: v, bucket: bucket{at: now, tokens: t.initialTokens(i.ID)}}
+		q = &quota{service: v, bucket: bucket{at: now, tokens: t.initialTokens(i.ID)}, expires: len(i.Models) == 0}
 		t.quotas[i.ID], v.endpoints[i.ID] = q, q
 	}
 	aim := refusalShare * float64(max(*refusalsPerSecond, 1)) * took.Seconds()
@@ -116,11 +122,22 @@
 		t.removeQuota(id)
 		return nil
 	}
-	q.bucket.refill(now, q.rate, quotaWindow)
+	q.refill(now)
 	q.service.bucket.refill(now, q.service.rate(), quotaWindow)
 	return q
 }
 
+// refill adds the requests accrued since the last refill. Unused requests of all VMs would add up to
+// a burst at one endpoint, so those that may expire do so, in an order that differs between VMs.
+func (q *quota) refill(now time.Time) {
+	if !q.expires {
+		q.bucket.refill(now, q.rate, quotaWindow)
+		return
+	}
+	hold := max(quotaWindow.Seconds(), heldTokens/q.service.rate())
+	q.bucket.refillExpiring(now, q.rate, hold)
+}
+
 func (t *Table) removeQuota(id ggscore.EndpointID) {
 	if q := t.quotas[id]; q != nil {
 		delete(q.service.endpoints, id)
