--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -165,6 +165,8 @@
 	target  ggscore.ModelAdapter
 	version uint64
 	since   time.Time
+	// first is when a request first waited for the adapter.
+	first time.Time
 	// rate is the rate of requests that miss the adapter, per second.
 	rate float64
 }
@@ -260,7 +262,7 @@
 			return
 		}
 	}
-	l.wants = append(l.wants, want{target: t, version: version, since: now})
+	l.wants = append(l.wants, want{target: t, version: version, since: now, first: now})
 }
 
 // Use records whether requests of a VM use an adapter.
@@ -284,6 +286,15 @@
 // Waiting returns the number of adapters that wait to be loaded.
 func (l *Ledger) Waiting() int { return len(l.wants) }
 
+// LongestWait returns for how long the first of the waiting adapters has waited, zero if none waits.
+func (l *Ledger) LongestWait(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for i := range l.wants {
+		longest = max(longest, now.Sub(l.wants[i].first))
+	}
+	return longest
+}
+
 // Holds reports whether the endpoint holds the adapter in the version, zero for any.
 func (l *Ledger) Holds(t ggscore.ModelAdapter, version uint64) bool {
 	if t.Adapter == "" {
--- a/core/ggsresident/orders.go
+++ b/core/ggsresident/orders.go
@@ -68,19 +68,19 @@
 		return Step{}, false
 	}
 	s := Step{Target: w.target, Version: w.version, Expected: l.sequence}
-	if h != nil || len(l.held)+1+l.lateOrders(now) <= l.options.Slots {
+	if h != nil || len(l.held)+1+l.LateOrders(now) <= l.options.Slots {
 		return s, true
 	}
 	v, ok := l.evictionCandidate(now)
-	if !ok || len(l.held)-1+l.lateOrders(now) > l.options.Slots {
+	if !ok || len(l.held)-1+l.LateOrders(now) > l.options.Slots {
 		return Step{}, false
 	}
 	return Step{Unload: true, Target: v, Expected: l.sequence}, true
 }
 
-// lateOrders returns the number of unanswered orders that may still be executed once the endpoint
-// has accepted the next order.
-func (l *Ledger) lateOrders(now time.Time) int {
+// LateOrders returns the number of unanswered orders that may still be executed once the endpoint
+// has accepted the next order. A slot stays free for each.
+func (l *Ledger) LateOrders(now time.Time) int {
 	return l.options.Unanswered.consecutive(now, l.sequence+1)
 }
 
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -43,6 +43,20 @@
 	Owner ggscore.VMID
 	// Held are the adapters that the endpoint holds, if this VM is its owner.
 	Held []ggscore.AdapterVersion
+	// Loads is the state of the endpoint's load queue, nil if this VM isn't its owner.
+	Loads *LoadState
+}
+
+// A LoadState is the state of an endpoint's load queue.
+type LoadState struct {
+	// Waiting is the number of adapters that wait to be loaded, and LongestWait the time that the
+	// first of them has waited.
+	Waiting     int
+	LongestWait time.Duration
+	// FreeCapacity is the number of adapters that could be loaded at once.
+	FreeCapacity int
+	// LateOrders is the number of unanswered orders for which a slot stays free.
+	LateOrders int
 }
 
 // A PeerState is a VM that an Edge knows, and the age of its last heartbeat.
@@ -70,6 +84,10 @@
 		if w := e.workers[i.ID]; w != nil {
 			n.Held = w.ledger.Resident()
 			sortVersions(n.Held)
+			n.Loads = &LoadState{
+				Waiting: w.ledger.Waiting(), LongestWait: w.ledger.LongestWait(now),
+				FreeCapacity: w.ledger.FreeCapacity(now), LateOrders: w.ledger.LateOrders(now),
+			}
 		}
 		s.Endpoints = append(s.Endpoints, n)
 	}
@@ -116,6 +134,14 @@
 	LimitPerSecond *float64      `json:"limitPerSecond,omitempty"`
 	Owner          string        `json:"orderer"`
 	Held           []versionWire `json:"held"`
+	Loads          *loadWire     `json:"loads,omitempty"`
+}
+
+type loadWire struct {
+	Waiting            int     `json:"waiting"`
+	LongestWaitSeconds float64 `json:"longestWaitSeconds"`
+	FreeCapacity       int     `json:"freeCapacity"`
+	LateOrders         int     `json:"lateOrders"`
 }
 
 type peerWire struct {
@@ -144,6 +170,11 @@
 		if n.Limit != nil {
 			x.LimitPerSecond = &n.Limit.RequestsPerSecond
 		}
+		if l := n.Loads; l != nil {
+			x.Loads = &loadWire{
+				Waiting: l.Waiting, LongestWaitSeconds: l.LongestWait.Seconds(), FreeCapacity: l.FreeCapacity, LateOrders: l.LateOrders,
+			}
+		}
 		w.Endpoints = append(w.Endpoints, x)
 	}
 	for _, p := range s.Peers {
@@ -170,6 +201,11 @@
 		if n.LimitPerSecond != nil {
 			x.Limit = &ggscore.RateLimit{RequestsPerSecond: *n.LimitPerSecond}
 		}
+		if l := n.Loads; l != nil {
+			x.Loads = &LoadState{
+				Waiting: l.Waiting, LongestWait: duration(l.LongestWaitSeconds), FreeCapacity: l.FreeCapacity, LateOrders: l.LateOrders,
+			}
+		}
 		s.Endpoints = append(s.Endpoints, x)
 	}
 	for _, p := range w.Peers {
--- /dev/null
+++ b/io/ggsedge/state_test.go
@@ -0,0 +1,33 @@
+package ggsedge
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+)
+
+func TestStateRoundTrip(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	want := State{
+		Domain: "a", Config: 3, Routes: 2, ListAge: time.Second, Epoch: 1,
+		Endpoints: []EndpointState{
+			{
+				ID: "owned", Service: "models", Owner: "vm", Blocked: true, Limit: &ggscore.RateLimit{RequestsPerSecond: 2},
+				Held:  []ggscore.AdapterVersion{{Target: ggscore.ModelAdapter{Model: "m", Adapter: "a1"}, Version: 4}},
+				Loads: &LoadState{Waiting: 3, LongestWait: 250 * time.Millisecond, FreeCapacity: 1, LateOrders: 2},
+			},
+			{ID: "other", Service: "models", Leaving: true},
+		},
+		Peers: []PeerState{{VM: "peer", Domain: "b", HeartbeatAge: 150 * time.Millisecond}},
+	}
+	b, err := json.Marshal(want)
+	c.Assert(err, qt.IsNil)
+	var got State
+	c.Assert(json.Unmarshal(b, &got), qt.IsNil)
+	c.Assert(got, qt.DeepEquals, want)
+}
