test(ggsfakesite): endpoints whose connections carry other bytes

The stand-in's endpoints can send an informational answer first, an answer byte by byte, stray bytes or the answer once more after it, the answer once more where the next one is expected, an answer with a content encoding, and bytes that aren't an answer.

--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -67,6 +67,21 @@
 	// FaultEndEmpty runs the request and ends the stream in order before its first event. A plain
 	// answer is truncated.
 	FaultEndEmpty
+	// FaultInformational sends an informational answer before the answer.
+	FaultInformational
+	// FaultPieces sends the answer byte by byte.
+	FaultPieces
+	// FaultStrayBytes sends bytes that belong to no answer after the answer.
+	FaultStrayBytes
+	// FaultSecondAnswer sends the answer twice.
+	FaultSecondAnswer
+	// FaultLateAnswer sends the answer once more where the answer to the connection's next request
+	// is expected.
+	FaultLateAnswer
+	// FaultEncoded sends an answer with a content encoding.
+	FaultEncoded
+	// FaultNotHTTP runs the request and sends bytes that aren't an answer.
+	FaultNotHTTP
 )
 
 // An Endpoint simulates a runner or an instance of a plain service.
@@ -394,6 +409,9 @@
 		e.recordCallerLeft()
 		panic(http.ErrAbortHandler)
 	case FaultNone, FaultTruncate, FaultError, FaultNoStamp, FaultEndInsideEvent, FaultEndEmpty:
+	default:
+		e.answerRaw(w, id, f)
+		return
 	}
 	if f != FaultNoStamp {
 		h.Set("Server-Stamp", "stamp-of-"+e.options.ID)
