--- a/fakes/ggsfakesite/wire_test.go
+++ b/fakes/ggsfakesite/wire_test.go
@@ -38,7 +38,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			e := ggsfakesite.NewEndpoint(ggsfakesite.EndpointOptions{ID: "p", Service: "plain", Now: time.Now})
+			e := ggsfakesite.NewEndpoint(ggsfakesite.EndpointOptions{ID: "p", Service: "plain", Now: func() time.Time { return time.Unix(1, 0) }})
 			e.SetFault(func(q ggsfakesite.Query) ggsfakesite.Fault {
 				if q.Number == 1 {
 					return tc.fault
