test(ggsnode): endpoints of the soak send bytes that belong to no answer

The soak's case of answers without framing also plays informational answers, answers in single bytes, stray bytes and answers sent twice or once more later.

--- a/cmd/ggsnode/soak_framing_test.go
+++ b/cmd/ggsnode/soak_framing_test.go
@@ -12,6 +12,7 @@
 	return []soakFault{
 		{"endpoint frames its answers otherwise", true, (*soak).changeFraming},
 		{"endpoint ends streams early", false, (*soak).endStreamsEarly},
+		{"endpoint sends other bytes", true, (*soak).sendOtherBytes},
 	}
 }
 
@@ -25,6 +26,14 @@
 	e.SetFraming(ggsfakesite.FramingDefault, "\n")
 }
 
+// sendOtherBytes makes an endpoint send bytes before or after its answers that don't belong to them.
+func (s *soak) sendOtherBytes(r *rand.Rand, d time.Duration) {
+	faults := []ggsfakesite.Fault{
+		ggsfakesite.FaultInformational, ggsfakesite.FaultPieces, ggsfakesite.FaultStrayBytes, ggsfakesite.FaultSecondAnswer, ggsfakesite.FaultLateAnswer,
+	}
+	s.failEvery(s.site.Endpoints[s.endpoint(r, "")], 1+r.IntN(4), faults[r.IntN(len(faults))], d)
+}
+
 // endStreamsEarly makes a runner end some streams inside an event, or before the first.
 func (s *soak) endStreamsEarly(r *rand.Rand, d time.Duration) {
 	e := s.site.Endpoints[s.endpoint(r, "runner")]
