--- a/core/ggsthrottle/bucket.go
+++ b/core/ggsthrottle/bucket.go
@@ -22,14 +22,14 @@
 }
 
 // refillExpiring adds the tokens accrued since the last refill, and drops whole tokens that weren't
-// taken within the given time in seconds. The fraction stays, so that tokens come at the same times
+// taken within the given time. The fraction stays, so that tokens come at the same times
 // whether or not others expire.
-func (b *bucket) refillExpiring(now time.Time, perSecond, holdSeconds float64) {
+func (b *bucket) refillExpiring(now time.Time, perSecond float64, hold time.Duration) {
 	if d := now.Sub(b.at); d > 0 {
 		b.tokens += perSecond * d.Seconds()
 		b.at = now
 	}
-	held := perSecond * holdSeconds
+	held := perSecond * hold.Seconds()
 	if b.tokens >= held+1 {
 		b.tokens = held + math.Mod(b.tokens-held, 1)
 	}
--- a/core/ggsthrottle/shedding.go
+++ b/core/ggsthrottle/shedding.go
@@ -134,8 +134,8 @@
 		q.bucket.refill(now, q.rate, quotaWindow)
 		return
 	}
-	hold := max(quotaWindow.Seconds(), heldTokens/q.service.rate())
-	q.bucket.refillExpiring(now, q.rate, hold)
+	hold := time.Duration(min(heldTokens/q.service.rate(), quotaTTL.Seconds()) * float64(time.Second))
+	q.bucket.refillExpiring(now, q.rate, max(hold, quotaWindow))
 }
 
 func (t *Table) removeQuota(id ggscore.EndpointID) {
