--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -200,7 +200,9 @@
 		n, err := a.Body.Read(b)
 		if n > 0 {
 			e.recordChunk(j)
-			j.position.Advance(b[:n])
+			if j.events {
+				j.position.Advance(b[:n])
+			}
 			if !j.committed {
 				e.writeHead(j, a, length)
 			}
