--- a/core/ggsplace/shedding_test.go
+++ b/core/ggsplace/shedding_test.go
@@ -224,8 +224,9 @@
 		for _, burst := range []float64{1, 3} {
 			t.Run(fmt.Sprintf("%s, %.0f times the load", name, burst), func(t *testing.T) {
 				t.Parallel()
-				l.burst = burst
-				l.check(t)
+				k := l
+				k.burst = burst
+				k.check(t)
 			})
 		}
 	}
