feat(ggsplace): tell callers to come back when most endpoints have owners again

The time is known: an owner that lost its path releases its endpoints, and others may claim them 4 s after they saw that. Where most of the ready endpoints have no owner, Retry-After is now the time until the first may be claimed and has loaded an adapter, spread by half of it, so that callers don't come back at once. Where a minority has none, or the time isn't known, nothing changes.

TestRetryAfterWaitsForOwners failed before for want of the time.

--- a/core/ggsfencing/claims.go
+++ b/core/ggsfencing/claims.go
@@ -86,6 +86,16 @@
 	return c, now.Sub(since) >= t.takeoverWait()
 }
 
+// ReleasedUntil returns when another VM may claim an endpoint that its owner has released, zero for
+// an endpoint that isn't released.
+func (t *OwnershipTracker) ReleasedUntil(id ggscore.EndpointID) time.Time {
+	r := t.records[id]
+	if r == nil || !r.Released || !t.inCurrentEpoch(r.Record) {
+		return time.Time{}
+	}
+	return r.since.Add(t.options.MinOrderGap + t.options.Margin)
+}
+
 // SetReachable replaces the set of VMs whose gossip heartbeats arrive.
 func (t *OwnershipTracker) SetReachable(vms []ggscore.VMID) {
 	t.reachable = make(map[ggscore.VMID]bool, len(vms))
--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -231,6 +231,9 @@
 	retryFull      = 300 * time.Millisecond
 	retryNoneReady = 600 * time.Millisecond
 	retrySpread    = 300 * time.Millisecond
+	// retryOwned is added to the time at which an endpoint may have an owner again: until a VM has
+	// claimed it and a first adapter is loaded.
+	retryOwned = 600 * time.Millisecond
 )
 
 func (t *Table) refused(now time.Time, q Query, r *RefusedError) error {
@@ -238,10 +241,35 @@
 	if r.Ready > 0 {
 		r.RetryAfter = max(retryFull, t.untilAccepted(now, q))
 	}
-	r.RetryAfter += time.Duration(t.rng.Int64N(int64(retrySpread)))
+	spread := retrySpread
+	if 2*r.Causes.Unowned > r.Ready {
+		// The other endpoints are pressed by the requests of all VMs until then, and the callers
+		// that come back must not arrive at once.
+		owned := t.untilOwned(now, q)
+		r.RetryAfter, spread = max(r.RetryAfter, owned), max(spread, owned/2)
+	}
+	r.RetryAfter += time.Duration(t.rng.Int64N(int64(spread)))
 	return r
 }
 
+// untilOwned returns the time until the first endpoint of the service that has no owner is expected
+// to load adapters, zero if that isn't known.
+func (t *Table) untilOwned(now time.Time, q Query) time.Duration {
+	var first time.Time
+	for _, e := range t.services[q.Service] {
+		if e.Leaving || e.loadable || !e.loadableFrom.After(now) {
+			continue
+		}
+		if first.IsZero() || e.loadableFrom.Before(first) {
+			first = e.loadableFrom
+		}
+	}
+	if first.IsZero() {
+		return 0
+	}
+	return first.Sub(now) + retryOwned
+}
+
 // untilAccepted returns the time until the first endpoint of the service accepts a request of
 // this VM, given the rate limits and the pauses that endpoints requested.
 func (t *Table) untilAccepted(now time.Time, q Query) time.Duration {
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -17,6 +17,7 @@
 //	t.ObserveShedLimit(service, limited, asOf)      // what an answer says of its service
 //	t.RecordRefusal(now, endpoint)                  // the endpoint refused a request
 //	t.SetLoadable(endpoint, true)                   // the endpoint has an owner
+//	t.SetLoadableFrom(endpoint, at)                 // when it is expected to have one again
 //	t.SetHeld(now, endpoint, held)                  // resident adapters, from the owner
 //	t.SetLoadCapacity(endpoint, waiting, freeSlots) // load queue, from the owner
 //	t.RecordRequests(now, adapter, n)               // requests seen by any VM
@@ -103,6 +104,8 @@
 	// for loading there.
 	loadable bool
 	waiting  int
+	// loadableFrom is when an endpoint without an owner is expected to have one, zero for unknown.
+	loadableFrom time.Time
 	// freeSlots is the number of adapters that can be loaded without waiting for an adapter
 	// slot.
 	freeSlots int
@@ -226,6 +229,14 @@
 	}
 }
 
+// SetLoadableFrom records when an endpoint without an owner is expected to have one, zero for
+// unknown.
+func (t *Table) SetLoadableFrom(id ggscore.EndpointID, from time.Time) {
+	if e := t.endpoints[id]; e != nil {
+		e.loadableFrom = from
+	}
+}
+
 // AddHeld records that an adapter is resident at an endpoint.
 func (t *Table) AddHeld(id ggscore.EndpointID, v ggscore.AdapterVersion) {
 	e := t.endpoints[id]
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -540,3 +540,44 @@
 		})
 	}
 }
+
+// Guards against callers that are told to come back while most endpoints still have no owner, and
+// are refused again.
+func TestRetryAfterWaitsForOwners(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		unowned     int
+		from        time.Duration
+		least, most time.Duration
+	}{
+		"most endpoints get an owner":     {unowned: 12, from: 4 * time.Second, least: 4 * time.Second, most: 7 * time.Second},
+		"most endpoints, time unknown":    {unowned: 12, least: 300 * time.Millisecond, most: 600 * time.Millisecond},
+		"one endpoint in twelve":          {unowned: 1, from: 4 * time.Second, least: 300 * time.Millisecond, most: 600 * time.Millisecond},
+		"the time has passed, no owner":   {unowned: 12, from: -time.Second, least: 300 * time.Millisecond, most: 600 * time.Millisecond},
+		"most endpoints get one at once ": {unowned: 7, from: time.Millisecond, least: 600 * time.Millisecond, most: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			tb := table("d0", 1)
+			n := 0
+			for _, i := range deployment() {
+				if i.Service != models {
+					continue
+				}
+				n++
+				tb.SetLoadable(i.ID, n > tc.unowned)
+				tb.SetLoadCapacity(i.ID, 8, 0)
+				if n <= tc.unowned && tc.from != 0 {
+					tb.SetLoadableFrom(i.ID, at(tc.from))
+				}
+			}
+			for range 20 {
+				_, err := tb.Choose(at(0), ggsplace.Query{Service: models, Engine: engine(), Target: adapter(1)})
+				var refused *ggsplace.RefusedError
+				c.Assert(errors.As(err, &refused), qt.IsTrue)
+				c.Check(refused.RetryAfter >= tc.least && refused.RetryAfter <= tc.most, qt.IsTrue, qt.Commentf("%s", refused.RetryAfter))
+			}
+		})
+	}
+}
--- a/io/ggsedge/worker.go
+++ b/io/ggsedge/worker.go
@@ -163,6 +163,7 @@
 			loadable = now.Sub(p.lastSeen) < ownerTimeout
 		}
 		e.table.SetLoadable(i.ID, loadable)
+		e.table.SetLoadableFrom(i.ID, e.ownership.ReleasedUntil(i.ID))
 	}
 }
 
