--- a/cmd/ggsctl/request_test.go
+++ b/cmd/ggsctl/request_test.go
@@ -11,8 +11,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a truncated answer that is printed as complete because its connection ended, and
-// against whole answers that count as truncated.
+// Guards against a truncated answer that is printed as complete because its connection ended.
 func TestRequestShowsWhetherTheAnswerWasComplete(t *testing.T) {
 	t.Parallel()
 	const events = "Content-Type: text/event-stream\r\n\r\n"
--- a/cmd/ggsnode/edge_framing_test.go
+++ b/cmd/ggsnode/edge_framing_test.go
@@ -80,8 +80,7 @@
 	s.c.Assert(r.complete, qt.IsTrue)
 }
 
-// Guards against a truncated answer of unknown length that breaks the caller's connection, although
-// nothing had to be sent to the caller yet.
+// Guards against a truncated answer of unknown length that needlessly breaks the caller's connection.
 func TestTruncatedAnswerWithoutALength(t *testing.T) {
 	t.Parallel()
 	s := startSite(t, 1)
--- a/cmd/ggsnode/edge_wire_test.go
+++ b/cmd/ggsnode/edge_wire_test.go
@@ -11,8 +11,7 @@
 	"greengageslip/fakes/ggsfakesite"
 )
 
-// Guards against callers that get bytes of another request's answer, or none, because an endpoint
-// sends more or other bytes than its answer.
+// Guards against callers that get other bytes than their answer because an endpoint sends more.
 func TestEndpointsWhoseConnectionsCarryOtherBytes(t *testing.T) {
 	t.Parallel()
 	for name, tc := range map[string]struct {
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -541,8 +541,7 @@
 	}
 }
 
-// Guards against callers that are told to come back while most endpoints still have no owner, and
-// are refused again.
+// Guards against callers that are told to come back while most endpoints still have no owner.
 func TestRetryAfterWaitsForOwners(t *testing.T) {
 	t.Parallel()
 	for name, tc := range map[string]struct {
@@ -550,11 +549,11 @@
 		from        time.Duration
 		least, most time.Duration
 	}{
-		"most endpoints get an owner":     {unowned: 12, from: 4 * time.Second, least: 4 * time.Second, most: 7 * time.Second},
-		"most endpoints, time unknown":    {unowned: 12, least: 300 * time.Millisecond, most: 600 * time.Millisecond},
-		"one endpoint in twelve":          {unowned: 1, from: 4 * time.Second, least: 300 * time.Millisecond, most: 600 * time.Millisecond},
-		"the time has passed, no owner":   {unowned: 12, from: -time.Second, least: 300 * time.Millisecond, most: 600 * time.Millisecond},
-		"most endpoints get one at once ": {unowned: 7, from: time.Millisecond, least: 600 * time.Millisecond, most: time.Second},
+		"most endpoints get an owner":    {unowned: 12, from: 4 * time.Second, least: 4 * time.Second, most: 7 * time.Second},
+		"most endpoints, time unknown":   {unowned: 12, least: 300 * time.Millisecond, most: 600 * time.Millisecond},
+		"one endpoint in twelve":         {unowned: 1, from: 4 * time.Second, least: 300 * time.Millisecond, most: 600 * time.Millisecond},
+		"the time has passed, no owner":  {unowned: 12, from: -time.Second, least: 300 * time.Millisecond, most: 600 * time.Millisecond},
+		"most endpoints get one at once": {unowned: 7, from: time.Millisecond, least: 600 * time.Millisecond, most: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/io/ggstunnel/tunnel_test.go
+++ b/io/ggstunnel/tunnel_test.go
@@ -263,8 +263,7 @@
 	s.eventually("the caller has left", func() bool { return s.callersLeft.Load() == 1 })
 }
 
-// Guards against an answer that ends with its connection and counts as truncated only because it
-// came through a peer, and against one that counts as whole although its peer or endpoint broke off.
+// Guards against taking a peer's end, or its mere presence, for what the endpoint's connection says.
 func TestAnswerThatEndsWithItsConnectionThroughATunnel(t *testing.T) {
 	t.Parallel()
 	for name, tc := range map[string]struct {
