feat(ggsedge): log the software version of endpoints and the stream that a request resumes

Callers' streams went on at another software version than the one that began them. Logs named neither the version of an endpoint's software nor the request that a caller resumes, so they couldn't tell a choice that doesn't know versions from one that sticks to an endpoint.

requestSent now has software= and resumes=, and the state dump has each endpoint's software version.

--- a/core/instance.go
+++ b/core/instance.go
@@ -15,6 +15,9 @@
 	Addr    netip.AddrPort
 	Slots   int
 	Leaving bool
+	// Software is the version of the instance's software. Endpoints of several versions may serve
+	// side by side.
+	Software SoftwareVersion
 	// StartedAt is when the process started. An instance that restarts under its old identity has
 	// lost its previous state.
 	StartedAt time.Time
@@ -58,6 +61,17 @@
 	Model    ModelAdapter
 	// PromptTokens is the size of the prompt, zero if unknown.
 	PromptTokens int
+	// Resumption is nil unless the caller resumes a stream.
+	Resumption *Resumption
+}
+
+// A Resumption asks for the rest of a stream that an earlier request began.
+type Resumption struct {
+	// Origin is the request whose answer had the stream's first event, empty if the caller doesn't
+	// name it.
+	Origin RequestID
+	// LastEvent is the ID of the last event that the caller received.
+	LastEvent string
 }
 
 // A ForwardMeta is the metadata that the system adds to a forwarded request.
--- a/core/names.go
+++ b/core/names.go
@@ -21,6 +21,10 @@
 // An EndpointID names an endpoint: a runner or a plain service's instance.
 type EndpointID string
 
+// A SoftwareVersion names the version of an endpoint's software. It says nothing about the weights
+// that the endpoint serves.
+type SoftwareVersion string
+
 // A RequestID identifies one request inside the system. It is never reused.
 type RequestID string
 
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -177,7 +177,7 @@
 	j.sends++
 	j.sentAt = e.Now()
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestSent, "request", j.meta.ID, "endpoint", i.ID, "route", j.route.Name,
-		"adapter", j.meta.Model, "version", j.version, "resident", c.Resident, "inFlight", c.InFlight,
+		"software", i.Software, "resumes", j.resumes(), "adapter", j.meta.Model, "version", j.version, "resident", c.Resident, "inFlight", c.InFlight,
 		"tokens", j.turn.Tokens, "turnWait", j.turnWait, "waited", e.since(j.arrived), "left", left)
 	a, err := e.Pool.Do(ctx, ggsexchange.Request{
 		Addr: i.Addr, Method: j.r.Method, URI: j.uri, Host: j.r.Host, Body: j.body,
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -89,6 +89,14 @@
 	committed bool
 }
 
+// resumes returns the request that began the stream which the caller resumes, empty for a new stream.
+func (j *job) resumes() ggscore.RequestID {
+	if j.meta.Resumption == nil {
+		return ""
+	}
+	return j.meta.Resumption.Origin
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.stats.Requests.Add(1)
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -34,7 +34,9 @@
 	ID      ggscore.EndpointID
 	Service ggscore.Service
 	Domain  ggscore.Domain
-	Leaving bool
+	// Software is the version of the endpoint's software.
+	Software ggscore.SoftwareVersion
+	Leaving  bool
 	// Blocked is set if this VM reaches the endpoint only through peers.
 	Blocked bool
 	// Limit is the rate limit that the endpoint announces, nil for none.
@@ -80,7 +82,7 @@
 		s.ListAge = now.Sub(e.listObserved)
 	}
 	for _, i := range e.table.Instances("") {
-		n := EndpointState{ID: i.ID, Service: i.Service, Domain: i.Domain, Leaving: i.Leaving, Blocked: e.Paths.Blocked(i.Addr), Limit: e.limits.Limit(i.ID), Owner: e.ownership.Owner(i.ID)}
+		n := EndpointState{ID: i.ID, Service: i.Service, Domain: i.Domain, Software: i.Software, Leaving: i.Leaving, Blocked: e.Paths.Blocked(i.Addr), Limit: e.limits.Limit(i.ID), Owner: e.ownership.Owner(i.ID)}
 		if w := e.workers[i.ID]; w != nil {
 			n.Held = w.ledger.Resident()
 			sortVersions(n.Held)
@@ -125,11 +127,12 @@
 }
 
 type endpointWire struct {
-	ID      string `json:"id"`
-	Service string `json:"service"`
-	Domain  string `json:"domain"`
-	Leaving bool   `json:"leaving"`
-	Blocked bool   `json:"blocked,omitempty"`
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Domain   string `json:"domain"`
+	Software string `json:"software"`
+	Leaving  bool   `json:"leaving"`
+	Blocked  bool   `json:"blocked,omitempty"`
 	// LimitPerSecond is omitted if the endpoint announces no limit.
 	LimitPerSecond *float64      `json:"limitPerSecond,omitempty"`
 	Owner          string        `json:"orderer"`
@@ -164,8 +167,8 @@
 	}
 	for _, n := range s.Endpoints {
 		x := endpointWire{
-			ID: string(n.ID), Service: string(n.Service), Domain: string(n.Domain), Leaving: n.Leaving, Blocked: n.Blocked,
-			Owner: string(n.Owner), Held: versionWires(n.Held),
+			ID: string(n.ID), Service: string(n.Service), Domain: string(n.Domain), Software: string(n.Software), Leaving: n.Leaving,
+			Blocked: n.Blocked, Owner: string(n.Owner), Held: versionWires(n.Held),
 		}
 		if n.Limit != nil {
 			x.LimitPerSecond = &n.Limit.RequestsPerSecond
@@ -196,7 +199,7 @@
 	for _, n := range w.Endpoints {
 		x := EndpointState{
 			ID: ggscore.EndpointID(n.ID), Service: ggscore.Service(n.Service), Domain: ggscore.Domain(n.Domain),
-			Leaving: n.Leaving, Blocked: n.Blocked, Owner: ggscore.VMID(n.Owner), Held: versionsOf(n.Held),
+			Software: ggscore.SoftwareVersion(n.Software), Leaving: n.Leaving, Blocked: n.Blocked, Owner: ggscore.VMID(n.Owner), Held: versionsOf(n.Held),
 		}
 		if n.LimitPerSecond != nil {
 			x.Limit = &ggscore.RateLimit{RequestsPerSecond: *n.LimitPerSecond}
