test(ggsnode): resumed streams with several software versions side by side

The stand-in's endpoints have software versions, go on after Last-Event-Id, and a route of theirs may be resumed. The tests check what callers hold: events of one version, and nothing of a run that was refused.

--- /dev/null
+++ b/cmd/ggsnode/edge_software_test.go
@@ -0,0 +1,220 @@
+package ggsnode
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/fakes/ggsfakesite"
+)
+
+const (
+	softwareOld = "v1"
+	softwareNew = "v1.1"
+	// siteEvents is the number of events of a site's streams.
+	siteEvents = 6
+)
+
+// A resumedStream is a stream as its caller received it, over all attempts.
+type resumedStream struct {
+	// id is the attempt that brought the first event.
+	id string
+	// last is the ID of the last event, and software has the versions of the endpoints whose events
+	// were received.
+	last     int
+	software map[string]bool
+	// status is that of the last attempt.
+	status int
+}
+
+// startMixedSite starts a site in which two runners of each of two software versions serve, and waits
+// until all edges know the versions.
+func startMixedSite(t *testing.T, edges int) *siteTest {
+	t.Helper()
+	s := startSiteOf(t, edges, 2, func(s *siteTest, n int) { s.startEdge(t, n) })
+	s.mixSoftware()
+	return s
+}
+
+// mixSoftware sets the software versions of the runners so that two of each version serve.
+func (s *siteTest) mixSoftware() {
+	for id, v := range map[string]string{"runner-00": softwareOld, "runner-01": softwareNew, "runner-10": softwareOld, "runner-11": softwareNew} {
+		s.site.Endpoints[id].SetSoftware(v)
+	}
+	for n := range s.edges {
+		s.eventually("the edge knows the software versions", func() bool { return s.runnersOf(n, softwareNew) == 2 })
+	}
+}
+
+// runnersOf returns the number of runners of a software version that an edge knows.
+func (s *siteTest) runnersOf(n int, software string) int {
+	count := 0
+	for _, e := range s.state(n).Endpoints {
+		if e.Service == ggsfakesite.Models && string(e.Software) == software {
+			count++
+		}
+	}
+	return count
+}
+
+// begin begins a stream at an edge. The stream is truncated in its middle.
+func (s *siteTest) begin(n int) *resumedStream {
+	s.c.Helper()
+	s.setFault("runner", always(ggsfakesite.FaultTruncate))
+	st := &resumedStream{software: map[string]bool{}}
+	s.receive(st, n, nil)
+	s.setFault("runner", always(ggsfakesite.FaultNone))
+	s.c.Assert(st.status, qt.Equals, http.StatusOK)
+	s.c.Assert(st.last > 0 && st.last < siteEvents, qt.IsTrue, qt.Commentf("%d events", st.last))
+	return st
+}
+
+// resume takes a stream up at an edge.
+func (s *siteTest) resume(st *resumedStream, n int) {
+	s.receive(st, n, http.Header{"Resumes": {st.id}, "Last-Event-Id": {strconv.Itoa(st.last)}})
+}
+
+// receive sends an attempt and adds the events of its answer to the stream.
+func (s *siteTest) receive(st *resumedStream, n int, h http.Header) {
+	r := s.callWith(context.Background(), n, http.MethodPost, "/tell/x", "Hola", h)
+	st.status = r.status
+	if r.status != http.StatusOK {
+		s.c.Check(s.site.Runs()[r.id], qt.Equals, 0, qt.Commentf("status %d: %s", r.status, r.body))
+		return
+	}
+	if st.id == "" {
+		st.id = r.id
+	}
+	for line := range strings.SplitSeq(r.body, "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			st.last++
+			s.c.Check(id, qt.Equals, strconv.Itoa(st.last))
+		}
+		if _, endpoint, ok := strings.Cut(line, " by "); ok {
+			st.software[s.site.Endpoints[endpoint].Software()] = true
+		}
+	}
+}
+
+const resumedStreams = 24
+
+// Guards against streams that go on at another software version than the one that began them.
+func TestResumedStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	s := startMixedSite(t, 3)
+	for i := range resumedStreams {
+		st := s.begin(i % 3)
+		s.resume(st, (i+1)%3)
+		s.c.Check(st.status, qt.Equals, http.StatusOK)
+		s.c.Check(st.last, qt.Equals, siteEvents)
+		s.c.Check(len(st.software), qt.Equals, 1, qt.Commentf("stream %s holds events of %v", st.id, st.software))
+	}
+}
+
+// Guards against streams that change software versions, or can't go on, because the VM that began them
+// is gone.
+func TestStreamOfAVMThatIsGoneGoesOnAtItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	s := startMixedSite(t, 4)
+	var streams []*resumedStream
+	for range resumedStreams {
+		streams = append(streams, s.begin(0))
+	}
+	s.edges[0].cancel()
+	s.eventually("the VM is gone", func() bool { return s.ready(0) == 0 })
+	for i, st := range streams {
+		s.resume(st, 1+i%3)
+		s.c.Check(st.status, qt.Equals, http.StatusOK)
+		s.c.Check(len(st.software), qt.Equals, 1, qt.Commentf("stream %s holds events of %v", st.id, st.software))
+	}
+}
+
+// Guards against streams that began before the second software version and then change versions, or
+// can't go on.
+func TestStreamBegunBeforeTheSecondSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	s := startSiteOf(t, 3, 2, func(s *siteTest, n int) { s.startEdge(t, n) })
+	var streams []*resumedStream
+	for range resumedStreams {
+		streams = append(streams, s.begin(0))
+	}
+	// The runners of the new version are others than those that began the streams.
+	for id := range s.site.Endpoints {
+		s.site.Endpoints[id].SetSoftware(softwareOld)
+	}
+	s.site.Endpoints["runner-01"].SetSoftware(softwareNew)
+	s.site.Endpoints["runner-11"].SetSoftware(softwareNew)
+	for n := range s.edges {
+		s.eventually("the edge knows the software versions", func() bool { return s.runnersOf(n, softwareNew) == 2 })
+	}
+	for i, st := range streams {
+		st.software = map[string]bool{softwareOld: true}
+		s.resume(st, 1+i%2)
+		s.c.Check(st.status, qt.Equals, http.StatusOK)
+		s.c.Check(len(st.software), qt.Equals, 1, qt.Commentf("stream %s holds events of %v", st.id, st.software))
+	}
+}
+
+// Guards against a guess where no VM knows which software version began a stream.
+func TestStreamOfUnknownSoftwareVersionIsRefused(t *testing.T) {
+	t.Parallel()
+	s := startMixedSite(t, 2)
+	for name, h := range map[string]http.Header{
+		"unknown origin": {"Resumes": {"unknown"}, "Last-Event-Id": {"3"}},
+		"no origin":      {"Last-Event-Id": {"3"}},
+	} {
+		for range resumedStreams {
+			st := &resumedStream{last: 3, software: map[string]bool{}}
+			s.receive(st, 0, h)
+			s.c.Check(st.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf(name))
+		}
+	}
+}
+
+// Guards against a stream that goes on at another software version once all endpoints of its own left.
+func TestStreamWhoseSoftwareVersionLeftIsRefused(t *testing.T) {
+	t.Parallel()
+	s := startMixedSite(t, 2)
+	var streams []*resumedStream
+	for range resumedStreams {
+		streams = append(streams, s.begin(0))
+	}
+	s.site.Drain("runner-00")
+	s.site.Drain("runner-10")
+	for n := range s.edges {
+		s.eventually("the edge knows that runners leave", func() bool {
+			leaving := 0
+			for _, e := range s.state(n).Endpoints {
+				if e.Leaving {
+					leaving++
+				}
+			}
+			return leaving == 2
+		})
+	}
+	for _, st := range streams {
+		old := st.software[softwareOld]
+		s.resume(st, 1)
+		want := http.StatusOK
+		if old {
+			want = http.StatusServiceUnavailable
+		}
+		s.c.Check(st.status, qt.Equals, want)
+		s.c.Check(len(st.software), qt.Equals, 1)
+	}
+}
+
+// Guards against refusing resumed streams of unknown origin although one software version serves alone.
+func TestResumedStreamsWithOneSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2)
+	s.eventually("a stream of unknown origin goes on", func() bool {
+		st := &resumedStream{last: 3, software: map[string]bool{}}
+		s.receive(st, 1, http.Header{"Resumes": {"unknown"}, "Last-Event-Id": {"3"}})
+		return st.status == http.StatusOK && st.last == siteEvents
+	})
+}
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -53,12 +53,18 @@
 
 // startSiteWith is like startSite. The function start starts the edge with a number.
 func startSiteWith(t *testing.T, edges int, start func(s *siteTest, n int)) *siteTest {
+	t.Helper()
+	return startSiteOf(t, edges, 1, start)
+}
+
+// startSiteOf is like startSiteWith. Each zone has the given number of runners.
+func startSiteOf(t *testing.T, edges, runners int, start func(s *siteTest, n int)) *siteTest {
 	t.Helper()
 	c := qt.New(t)
 	s := &siteTest{c: c, network: freeNetwork(t)}
 	ip := netip.AddrFrom4([4]byte{127, 9, s.network, 1})
 	s.site = ggsfakesite.NewSite(ggsfakesite.SiteOptions{
-		Listen: netip.AddrPortFrom(ip, 7000), Zones: []string{"a", "b"}, Events: 6, EventTime: 10 * time.Millisecond, Now: time.Now,
+		Listen: netip.AddrPortFrom(ip, 7000), Zones: []string{"a", "b"}, Runners: runners, Events: 6, EventTime: 10 * time.Millisecond, Now: time.Now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -74,7 +80,7 @@
 		s.eventually("edge is ready", func() bool { return s.ready(n) == http.StatusOK })
 	}
 	for n := range s.edges {
-		s.eventually("the edge knows all owners", func() bool { return s.knownOwners(n) == 2 })
+		s.eventually("the edge knows all owners", func() bool { return s.knownOwners(n) == 2*runners })
 	}
 	return s
 }
@@ -196,14 +202,21 @@
 }
 
 func (s *siteTest) callContext(ctx context.Context, n int, method, path, model, body string) reply {
+	return s.callWith(ctx, n, method, path, body, http.Header{"Model": {model}})
+}
+
+// callWith sends a request with the given headers. Empty ones are left out.
+func (s *siteTest) callWith(ctx context.Context, n int, method, path, body string, h http.Header) reply {
 	id := fmt.Sprintf("%016x", s.ids.Add(1))
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+s.edges[n].settings.Callers.String()+path, strings.NewReader(body))
 	s.c.Assert(err, qt.IsNil)
 	r.Host = ggsfakesite.Host
 	r.Header.Set("Request-Id", id)
 	r.Header.Set("Deadline-Ms", "4000")
-	if model != "" {
-		r.Header.Set("Model", model)
+	for k := range h {
+		if v := h.Get(k); v != "" {
+			r.Header.Set(k, v)
+		}
 	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -110,6 +110,10 @@
 	// framing and lineEnd are those of answers.
 	framing Framing
 	lineEnd string
+	// software is the version of the endpoint's software.
+	software string
+	// starts counts the endpoint's processes, and is its entry's time of start.
+	starts int
 	// silentUntil is the time until which the endpoint neither answers nor sends events.
 	silentUntil time.Time
 }
@@ -144,6 +148,7 @@
 	return &Endpoint{
 		options: o, resident: map[string]uint64{}, loading: map[string]time.Time{}, versions: map[string]uint64{},
 		fault: func(Query) Fault { return FaultNone }, runs: map[string]int{}, bodies: map[string]string{}, lineEnd: "\n",
+		software: DefaultSoftware, starts: 1,
 	}
 }
 
@@ -155,8 +160,8 @@
 	if draining {
 		state = "draining"
 	}
-	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"models":%s,"seq":%d,"born":1}`,
-		e.options.Service, addr, zone, DefaultSlots, state, e.models(), e.sequence))
+	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"models":%s,"seq":%d,"born":%d}`,
+		e.options.Service, addr, zone, e.software, DefaultSlots, state, e.models(), e.sequence, e.starts))
 }
 
 // SetFault sets the function that chooses the fault of each request.
@@ -410,7 +415,7 @@
 		panic(http.ErrAbortHandler)
 	case FaultNone, FaultTruncate, FaultError, FaultNoStamp, FaultEndInsideEvent, FaultEndEmpty:
 	default:
-		e.answerRaw(w, id, f)
+		e.answerRaw(w, id, lastEvent(r), f)
 		return
 	}
 	if f != FaultNoStamp {
@@ -427,7 +432,8 @@
 		b.write(text)
 	case e.options.Engine:
 		h.Set("Content-Type", "text/event-stream")
-		e.stream(newBody(w, r, framing, http.StatusOK, e.streamLength(id, lineEnd, f)), id, lineEnd, f)
+		s := stream{id: id, lineEnd: lineEnd, first: lastEvent(r), fault: f}
+		e.sendStream(newBody(w, r, framing, http.StatusOK, e.streamLength(s)), s)
 	default:
 		e.answer(w, r, framing, id, f)
 	}
@@ -463,34 +469,42 @@
 	return fmt.Sprintf("id: %[1]d%[4]sdata: %[2]s by %[3]s%[4]s%[4]s", n+1, id, e.options.ID, lineEnd)
 }
 
+// A stream is the rest of a stream, from the event with index first on.
+type stream struct {
+	id      string
+	lineEnd string
+	first   int
+	fault   Fault
+}
+
 // streamLength returns the length of a stream.
-func (e *Endpoint) streamLength(id, lineEnd string, f Fault) int {
+func (e *Endpoint) streamLength(s stream) int {
 	length := 0
-	for n := range e.options.Events {
-		length += len(e.event(n, id, lineEnd))
-		if f == FaultEndInsideEvent && n == e.options.Events/2 {
-			return length - len(lineEnd)
+	for n := s.first; n < e.options.Events; n++ {
+		length += len(e.event(n, s.id, s.lineEnd))
+		if s.fault == FaultEndInsideEvent && n == e.options.Events/2 {
+			return length - len(s.lineEnd)
 		}
 	}
 	return length
 }
 
-// stream sends the events of a stream.
-func (e *Endpoint) stream(b *body, id, lineEnd string, f Fault) {
+// sendStream sends the events of a stream.
+func (e *Endpoint) sendStream(b *body, s stream) {
 	defer b.end()
-	if f == FaultEndEmpty {
+	if s.fault == FaultEndEmpty {
 		return
 	}
-	for n := range e.options.Events {
+	for n := s.first; n < e.options.Events; n++ {
 		e.waitSilence()
-		event := e.event(n, id, lineEnd)
+		event := e.event(n, s.id, s.lineEnd)
 		middle := n == e.options.Events/2
-		if f == FaultEndInsideEvent && middle {
-			b.write(strings.TrimSuffix(event, lineEnd))
+		if s.fault == FaultEndInsideEvent && middle {
+			b.write(strings.TrimSuffix(event, s.lineEnd))
 			return
 		}
 		b.write(event)
-		if f == FaultTruncate && middle {
+		if s.fault == FaultTruncate && middle {
 			b.abort()
 		}
 		t := time.NewTimer(e.options.EventTime)
--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -38,8 +38,8 @@
 }
 
 // A Site is a small deployment: a store, its endpoints and its configuration. Requests
-// below /chat/ are streams, those below /pay/ must not be retried, and those below /look/
-// may be retried.
+// below /chat/ are streams, and those below /tell/ are streams that may be resumed. Those below /pay/
+// must not be retried, and those below /look/ may be.
 type Site struct {
 	Store     *Store
 	Endpoints map[string]*Endpoint
@@ -86,11 +86,12 @@
 	return []byte(fmt.Sprintf(`{"version":%d,"routes":[
 		{"name":"chat","hostname":%q,"pathPrefix":%q,"routeType":"streaming","timeoutMs":5000,"targetLatencyMs":800,"service":%q,"maxAttempts":1},
 		{"name":"pay","hostname":%q,"pathPrefix":"/pay/","routeType":"unsafe","timeoutMs":1200,"service":%q,"maxAttempts":1},
-		{"name":"look","hostname":%q,"pathPrefix":"/look/","routeType":"safe","timeoutMs":1200,"service":%q,"maxAttempts":2}],
+		{"name":"look","hostname":%q,"pathPrefix":"/look/","routeType":"safe","timeoutMs":1200,"service":%q,"maxAttempts":2},
+		{"name":"tell","hostname":%q,"pathPrefix":"/tell/","routeType":"streaming","timeoutMs":5000,"targetLatencyMs":800,"service":%q,"maxAttempts":2,"resumable":true}],
 		"services":[{"name":%q,"maxConnections":100,"engine":{"slots":16,"models":[{"name":%q,"weightsMb":1,"loadS":1,"adapterMb":1}],"adapterSlots":4}},
 		{"name":%q,"maxConnections":100}],
 		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
-		version, Host, chat, Models, Host, Ledger, Host, Ledger, Models, DefaultModel, Ledger))
+		version, Host, chat, Models, Host, Ledger, Host, Ledger, Host, Models, Models, DefaultModel, Ledger))
 }
 
 // LargeConfig returns the configuration of Config with the given number of additional
--- a/fakes/ggsfakesite/wire.go
+++ b/fakes/ggsfakesite/wire.go
@@ -12,7 +12,7 @@
 
 // answerRaw writes an answer to the connection itself, so that a fault may add or change any byte,
 // and serves the connection's further requests.
-func (e *Endpoint) answerRaw(w http.ResponseWriter, id string, f Fault) {
+func (e *Endpoint) answerRaw(w http.ResponseWriter, id string, first int, f Fault) {
 	h := w.Header()
 	h.Set("Server-Stamp", "stamp-of-"+e.options.ID)
 	if f == FaultEncoded {
@@ -22,7 +22,7 @@
 	if err != nil {
 		return
 	}
-	answer := e.wholeAnswer(h, id)
+	answer := e.wholeAnswer(h, id, first)
 	switch f {
 	case FaultInformational:
 		answer = "HTTP/1.1 103 Early Hints\r\nLink: </hint>\r\n\r\n" + answer
@@ -49,12 +49,13 @@
 	e.serveConn(c, rw.Reader)
 }
 
-// wholeAnswer returns the head and body of the whole answer.
-func (e *Endpoint) wholeAnswer(h http.Header, id string) string {
+// wholeAnswer returns the head and body of the whole answer. A stream begins with the event of index
+// first.
+func (e *Endpoint) wholeAnswer(h http.Header, id string, first int) string {
 	var text strings.Builder
 	if e.options.Engine {
 		h.Set("Content-Type", "text/event-stream")
-		for n := range e.options.Events {
+		for n := first; n < e.options.Events; n++ {
 			text.WriteString(e.event(n, id, "\n"))
 		}
 	} else {
