fix(ggsedge): resume streams at the software version that began them

Endpoints of several versions serve side by side, and a resumed stream went to whichever endpoint was cheapest: the choice didn't know versions.

Evidence: requestSent with software= and resumes= in the failing tests; 18 of 24 resumed streams changed versions, about the share of the others' endpoints. Ruled out: our own retries (none after the first byte), and choices that stick to an endpoint (the shares don't depend on the VM).

Each VM now records where its streams begin, before the first event is sent. While a service has several versions, three peers by rendezvous hash of the request get a copy, and those begun before are copied when the second version appears. A resumed stream is sent only to endpoints of its service and version; without a record of its own the VM asks six peers. If nobody knows the origin and the VMs don't agree on a sole version, the request is refused as not run: a guess joins what two versions wrote.

With one version nothing is copied and nobody is asked.

core/ggsorigin decides, io/ggsedge/origins.go asks and copies. An endpoint that comes back with other software counts as a new process.

Resumed streams that held events of two versions, before and after: 18 of 24 and 0; 10 of 24 and 0 with the first VM gone; 12 of 24 and 0 with streams begun before the second version. All of them went on.

--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -81,6 +81,8 @@
 	Target ggscore.ModelAdapter
 	// Version is the required version of the adapter, zero for any.
 	Version uint64
+	// Software is the required version of the endpoint's software, empty for any.
+	Software ggscore.SoftwareVersion
 	// PromptTokens is the size of the prompt, zero if unknown.
 	PromptTokens int
 	// Tried lists endpoints to exclude.
@@ -154,7 +156,7 @@
 	var cs []candidate
 	r := &RefusedError{}
 	for _, e := range t.services[q.Service] {
-		if e.Leaving || slices.Contains(q.Tried, e.ID) {
+		if e.Leaving || slices.Contains(q.Tried, e.ID) || q.Software != "" && e.Software != q.Software {
 			continue
 		}
 		if q.Engine != nil && base.Model != "" && !e.holds(now, base, 0) {
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -149,7 +149,7 @@
 	for _, n := range list {
 		seen[n.ID] = true
 		e := t.endpoints[n.ID]
-		if e == nil || !e.StartedAt.Equal(n.StartedAt) || e.Addr != n.Addr {
+		if e == nil || !e.StartedAt.Equal(n.StartedAt) || e.Addr != n.Addr || e.Software != n.Software {
 			e = &endpoint{missing: map[ggscore.ModelAdapter]time.Time{}, warm: map[ggscore.ModelAdapter]warmAdapter{}}
 			t.endpoints[n.ID] = e
 			t.breakers.Remove(n.ID)
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -77,7 +77,7 @@
 	defer e.mu.Unlock()
 	j.version = e.versions[j.meta.Model]
 	return e.table.Choose(e.Now(), ggsplace.Query{
-		Service: j.service, Engine: j.spec.Engine, Target: j.meta.Model, Version: j.version, PromptTokens: j.meta.PromptTokens, Tried: j.tried,
+		Service: j.service, Engine: j.spec.Engine, Target: j.meta.Model, Version: j.version, Software: j.software, PromptTokens: j.meta.PromptTokens, Tried: j.tried,
 	})
 }
 
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -12,6 +12,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsfencing"
+	"greengageslip/core/ggsorigin"
 	"greengageslip/core/ggspath"
 	"greengageslip/core/ggsplace"
 	"greengageslip/core/ggsregistry"
@@ -130,6 +131,9 @@
 	limits    *ggsthrottle.Table
 	// serviceTimes are for the limits of shed-limited endpoints.
 	serviceTimes *ggsthrottle.ServiceTimes
+	// origins and census decide at which software version a resumed stream goes on.
+	origins *ggsorigin.Table
+	census  *ggsorigin.Census
 	// versions are the adapters' versions in use. versionSum is their sum, which heartbeats
 	// carry so that a VM detects peers with newer versions.
 	versions   map[ggscore.ModelAdapter]uint64
@@ -259,6 +263,8 @@
 		limits:                 limits,
 		serviceTimes:           ggsthrottle.NewServiceTimes(),
 		registry:               ggsregistry.NewRegistry(),
+		origins:                ggsorigin.NewTable(),
+		census:                 ggsorigin.NewCensus(),
 		versions:               map[ggscore.ModelAdapter]uint64{},
 		workers:                map[ggscore.EndpointID]*worker{},
 		unansweredOrders:       map[ggscore.EndpointID]*ggsresident.Unanswered{},
@@ -318,7 +324,9 @@
 	g.Go(func() error { return e.sendHeartbeats(ctx) })
 	g.Go(func() error { return e.sendSummaries(ctx) })
 	g.Go(func() error {
-		return e.Peers.Run(ctx, ggspeer.Handler{Heartbeat: e.receiveHeartbeat, Summary: e.receiveSummary, Notice: e.receiveNotice})
+		return e.Peers.Run(ctx, ggspeer.Handler{
+			Heartbeat: e.receiveHeartbeat, Summary: e.receiveSummary, Notice: e.receiveNotice, Origins: e.receiveOrigins,
+		})
 	})
 	g.Go(func() error { return e.maintainOwnership(ctx) })
 	g.Go(func() error { return e.querySeeds(ctx) })
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -219,6 +219,7 @@
 		list = e.registry.Read(e.Now(), at, readable)
 	}
 	change := e.table.SetInstances(r.read, list)
+	copies := e.observeSoftware(list)
 	e.setPathEndpoints()
 	e.ownership.SetListed(e.Now(), list)
 	if !at.IsZero() {
@@ -242,6 +243,7 @@
 		e.setTurnEndpoints(list)
 	}
 	e.mu.Unlock()
+	e.sendOrigins(copies)
 	for _, l := range change.Leaving {
 		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLeaving, "endpoint", l.ID, "service", l.Service, "revision", at.Revision)
 	}
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -56,7 +56,9 @@
 	timeout  time.Duration
 	// version is the adapter version that has to answer, zero for any.
 	version uint64
-	tried   []ggscore.EndpointID
+	// software is the version of the endpoint's software that has to answer, empty for any.
+	software ggscore.SoftwareVersion
+	tried    []ggscore.EndpointID
 	// sends counts the endpoints that the request was sent to, and runs those on which it may
 	// have run.
 	sends int
@@ -118,7 +120,9 @@
 	defer e.stats.BodyBytes.Add(-int64(len(j.body)))
 	ctx, cancel := context.WithDeadlineCause(r.Context(), j.deadline, &DeadlineError{Limit: j.timeout})
 	defer cancel()
-	e.run(ctx, j)
+	if e.resolveOrigin(ctx, j) {
+		e.run(ctx, j)
+	}
 }
 
 // admit finds the request's route and reads its body. If the request can't be served, it sends
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -29,6 +29,8 @@
 	rejected *prometheus.CounterVec
 	// storeCalls counts the calls of the store by name.
 	storeCalls *prometheus.CounterVec
+	// resumed counts the requests that resume a stream, by the source of its origin.
+	resumed *prometheus.CounterVec
 }
 
 // Causes for which datagrams of peers are rejected.
@@ -53,7 +55,10 @@
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "ggs", Name: "store_calls_total", Help: "Calls of the store, by name.",
 	}, []string{"call"})
-	m.registry.MustRegister(m.answers, m.first, m.loads, m.rejected, m.storeCalls, collectors.NewGoCollector(),
+	m.resumed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "ggs", Name: "resumed_streams_total", Help: "Requests that resume a stream, by the source of its origin.",
+	}, []string{"origin"})
+	m.registry.MustRegister(m.answers, m.first, m.loads, m.rejected, m.storeCalls, m.resumed, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerCounters(e)
 	m.registerGauges(e)
--- /dev/null
+++ b/io/ggsedge/origins.go
@@ -0,0 +1,252 @@
+package ggsedge
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsorigin"
+	"greengageslip/io/ggslog"
+)
+
+const (
+	// resumeSpan is how long after its beginning a stream may be resumed, as a multiple of its
+	// route's timeout.
+	resumeSpan = 2
+	// originTimeout bounds the wait for peers' records of a stream: a connection and a call between
+	// regions, at a peer that is busy.
+	originTimeout = 300 * time.Millisecond
+	// soleListAge is the age of the list of endpoints up to which it counts as complete.
+	soleListAge = 3 * time.Second
+)
+
+const originMethod = "Placement.StreamOrigin"
+
+// An OriginArgs asks what a VM knows of a stream's origin and its service's software versions.
+type OriginArgs struct {
+	Request string
+	Service string
+	// SoleFor is how long a sole version must have been the only one.
+	SoleFor time.Duration
+}
+
+// An OriginReply is the RPC form of a ggsorigin.Reply.
+type OriginReply struct {
+	Known    bool
+	Service  string
+	Software string
+	Sole     string
+	Mixed    bool
+}
+
+// StreamOrigin returns what this VM knows of a stream's origin.
+func (p *Placement) StreamOrigin(a *OriginArgs, r *OriginReply) error {
+	p.edge.mu.Lock()
+	defer p.edge.mu.Unlock()
+	k := p.edge.originReply(ggscore.RequestID(a.Request), ggscore.Service(a.Service), a.SoleFor)
+	r.Sole, r.Mixed = string(k.Sole), k.Mixed
+	if k.Origin != nil {
+		r.Known, r.Service, r.Software = true, string(k.Origin.Service), string(k.Origin.Software)
+	}
+	return nil
+}
+
+func (r *OriginReply) reply(id ggscore.RequestID) ggsorigin.Reply {
+	k := ggsorigin.Reply{Sole: ggscore.SoftwareVersion(r.Sole), Mixed: r.Mixed}
+	if r.Known {
+		k.Origin = &ggscore.StreamOrigin{
+			Request: id, Service: ggscore.Service(r.Service), Software: ggscore.SoftwareVersion(r.Software),
+		}
+	}
+	return k
+}
+
+// originReply returns what this VM knows of a stream's origin. Edge.mu is held.
+func (e *Edge) originReply(id ggscore.RequestID, s ggscore.Service, soleFor time.Duration) ggsorigin.Reply {
+	r := ggsorigin.Reply{Mixed: e.census.Mixed(s)}
+	if o, ok := e.origins.Find(id); ok {
+		r.Origin = &o
+	}
+	if e.listComplete() {
+		r.Sole, _ = e.census.Sole(e.Now(), s, soleFor)
+	}
+	return r
+}
+
+// listComplete reports whether this VM's list of endpoints lacks none that others use: the list is
+// young, or this VM is in contact with most of its peers while none can read the store. Edge.mu is held.
+func (e *Edge) listComplete() bool {
+	now := e.Now()
+	if now.Sub(e.listObserved) < soleListAge {
+		return true
+	}
+	live := 0
+	for _, p := range e.peers {
+		if now.Sub(p.lastSeen) < peerTimeout {
+			live++
+		}
+	}
+	return live > 0 && 2*live >= len(e.peers)
+}
+
+// resolveOrigin finds the service and the software version at which a resumed stream may go on. If they
+// aren't known, it sends the answer and returns false.
+func (e *Edge) resolveOrigin(ctx context.Context, j *job) bool {
+	if j.meta.Resumption == nil || j.route.Kind != ggscore.RouteStreaming {
+		return true
+	}
+	o, source, err := e.streamOrigin(ctx, j)
+	if err == nil {
+		err = ggsorigin.Check(j.route, o)
+	}
+	if err != nil {
+		e.metrics.resumed.WithLabelValues(resumedRefused).Inc()
+		_ = level.Info(e.Log).Log("event", ggslog.EventStreamNotResumed, "request", j.meta.ID, "resumes", j.resumes(), "err", err)
+		e.giveUp(ctx, j, err)
+		return false
+	}
+	e.metrics.resumed.WithLabelValues(source).Inc()
+	j.service, j.software = o.Service, o.Software
+	j.spec = e.paths.Load().Config.Services[j.service]
+	return true
+}
+
+// Sources of a resumed stream's origin, as labels of a metric.
+const (
+	resumedOwn     = "own"
+	resumedSole    = "sole"
+	resumedPeers   = "peers"
+	resumedRefused = "refused"
+)
+
+// streamOrigin returns the origin of the stream that a request resumes, and where it was found.
+func (e *Edge) streamOrigin(ctx context.Context, j *job) (o ggscore.StreamOrigin, source string, err error) {
+	id, soleFor := j.resumes(), resumeSpan*j.route.Timeout
+	e.mu.Lock()
+	own := e.originReply(id, j.service, soleFor)
+	behind := e.listRead.Before(e.listAnnounced)
+	to := e.holderAddrs(id, ggsorigin.Asked)
+	e.mu.Unlock()
+	if own.Origin != nil {
+		return *own.Origin, resumedOwn, nil
+	}
+	replies := []ggsorigin.Reply{own}
+	if own.Sole != "" && !behind {
+		if o, err := ggsorigin.Decide(j.route, id, replies); err == nil {
+			return o, resumedSole, nil
+		}
+	}
+	a := OriginArgs{Request: string(id), Service: string(j.service), SoleFor: soleFor}
+	o, err = ggsorigin.Decide(j.route, id, append(replies, e.askOrigin(ctx, &a, to)...))
+	return o, resumedPeers, err
+}
+
+// askOrigin asks VMs for a stream's origin, until one knows it, all have replied, or originTimeout.
+func (e *Edge) askOrigin(ctx context.Context, a *OriginArgs, to []controlAddr) []ggsorigin.Reply {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	replies := make(chan *OriginReply, len(to))
+	for _, addr := range to {
+		go func() {
+			r := &OriginReply{}
+			if err := e.Calls.Call(ctx, addr.control, originMethod, a, r); err != nil {
+				_ = level.Debug(e.Log).Log("event", ggslog.EventOriginUnasked, "peer", addr.control, "err", err)
+				r = nil
+			}
+			replies <- r
+		}()
+	}
+	var known []ggsorigin.Reply
+	for range to {
+		r := <-replies
+		if r == nil {
+			continue
+		}
+		known = append(known, r.reply(ggscore.RequestID(a.Request)))
+		if r.Known {
+			return known
+		}
+	}
+	return known
+}
+
+// A controlAddr is the address of a peer for calls and that for datagrams.
+type controlAddr struct{ control, datagram netip.AddrPort }
+
+// holderAddrs returns the first live peers that hold a request's record. Edge.mu is held.
+func (e *Edge) holderAddrs(id ggscore.RequestID, n int) []controlAddr {
+	now := e.Now()
+	vms := make([]ggscore.VMID, 0, len(e.peers))
+	for vm, p := range e.peers {
+		if now.Sub(p.lastSeen) < peerTimeout {
+			vms = append(vms, vm)
+		}
+	}
+	var as []controlAddr
+	for _, vm := range ggsorigin.Holders(id, vms, n) {
+		as = append(as, controlAddr{control: e.peers[vm].controlAddr, datagram: e.peers[vm].datagramAddr})
+	}
+	return as
+}
+
+// recordOrigin records where a stream goes on or begins, before its first event is sent. Peers get
+// copies, unless every stream of the service has the same origin.
+func (e *Edge) recordOrigin(j *job, i *ggscore.Instance) {
+	os := []ggscore.StreamOrigin{{Request: j.meta.ID, Service: i.Service, Software: i.Software}}
+	if id := j.resumes(); id != "" {
+		os = append(os, ggscore.StreamOrigin{Request: id, Service: i.Service, Software: i.Software})
+	}
+	e.mu.Lock()
+	now := e.Now()
+	for _, o := range os {
+		e.origins.Record(now, o)
+	}
+	copies := map[netip.AddrPort][]ggscore.StreamOrigin{}
+	if _, sole := e.census.Sole(now, i.Service, resumeSpan*j.route.Timeout); !sole || len(j.route.Targets) > 1 {
+		copies = e.originCopies(os)
+	}
+	e.mu.Unlock()
+	e.sendOrigins(copies)
+}
+
+// originCopies groups records by the addresses of the peers that hold copies. Edge.mu is held.
+func (e *Edge) originCopies(os []ggscore.StreamOrigin) map[netip.AddrPort][]ggscore.StreamOrigin {
+	copies := map[netip.AddrPort][]ggscore.StreamOrigin{}
+	for _, o := range os {
+		for _, a := range e.holderAddrs(o.Request, ggsorigin.Copies) {
+			copies[a.datagram] = append(copies[a.datagram], o)
+		}
+	}
+	return copies
+}
+
+// observeSoftware follows the endpoints' software versions. It returns the copies of records that
+// become necessary because a service has got a second version. Edge.mu is held.
+func (e *Edge) observeSoftware(list []ggscore.Instance) map[netip.AddrPort][]ggscore.StreamOrigin {
+	now := e.Now()
+	var os []ggscore.StreamOrigin
+	for _, s := range e.census.Observe(now, list) {
+		_ = level.Info(e.Log).Log("event", ggslog.EventSoftwareMixed, "service", s)
+		os = append(os, e.origins.Recent(now, s, ggsorigin.Retention)...)
+	}
+	return e.originCopies(os)
+}
+
+func (e *Edge) sendOrigins(copies map[netip.AddrPort][]ggscore.StreamOrigin) {
+	for to, os := range copies {
+		e.logUnsent(e.Peers.SendOrigins(os, []netip.AddrPort{to}))
+	}
+}
+
+// receiveOrigins records the origins of streams that peers began.
+func (e *Edge) receiveOrigins(os []ggscore.StreamOrigin) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Now()
+	for _, o := range os {
+		e.origins.Record(now, o)
+	}
+}
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -47,9 +47,9 @@
 	j.position = ggsevent.Position{}
 	j.events = success && isEventStream(j.route.Kind, a.Header)
 	if success && j.route.Kind == ggscore.RouteStreaming || j.events || a.Length > maxBufferedBytes {
-		err = e.forwardStream(ctx, j, a)
+		err = e.forwardStream(ctx, j, i, a)
 	} else {
-		err = e.forwardBuffered(ctx, j, a)
+		err = e.forwardBuffered(ctx, j, i, a)
 	}
 	if err != nil {
 		return e.brokenAnswer(j, i, a, err), ggsretry.ResultFailed
@@ -173,13 +173,13 @@
 
 // forwardBuffered forwards an answer after reading it completely. An answer of unknown length that
 // exceeds maxBufferedBytes is forwarded as its chunks arrive.
-func (e *Edge) forwardBuffered(ctx context.Context, j *job, a *ggsexchange.Answer) error {
+func (e *Edge) forwardBuffered(ctx context.Context, j *job, i ggscore.Instance, a *ggsexchange.Answer) error {
 	b, err := peekBody(a)
 	if err != nil {
 		return errors.Wrap(err, "reading the endpoint's answer")
 	}
 	if len(b) > maxBufferedBytes {
-		return e.forwardStream(ctx, j, a)
+		return e.forwardStream(ctx, j, i, a)
 	}
 	e.writeHead(j, a, int64(len(b)))
 	// A write error means that the caller has left; nothing remains to be done.
@@ -188,7 +188,7 @@
 }
 
 // forwardStream forwards an answer chunk by chunk as the chunks arrive.
-func (e *Edge) forwardStream(ctx context.Context, j *job, a *ggsexchange.Answer) error {
+func (e *Edge) forwardStream(ctx context.Context, j *job, i ggscore.Instance, a *ggsexchange.Answer) error {
 	length := a.Length
 	if j.events {
 		// At its full length, a truncated stream would be complete for the caller.
@@ -204,6 +204,9 @@
 				j.position.Advance(b[:n])
 			}
 			if !j.committed {
+				if j.events {
+					e.recordOrigin(j, &i)
+				}
 				e.writeHead(j, a, length)
 			}
 			if _, err := j.w.Write(b[:n]); err != nil {
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -55,6 +55,9 @@
 	EventStoreEpochChanged  Event = "storeEraChanged"
 	EventStoreEpochIgnored  Event = "storeEpochIgnored"
 	EventStoreResynced      Event = "storeResynced"
+	EventStreamNotResumed   Event = "streamNotResumed"
+	EventSoftwareMixed      Event = "softwareMixed"
+	EventOriginUnasked      Event = "originUnasked"
 	EventTunnelFailed       Event = "tunnelFailed"
 	EventVersionAdopted     Event = "versionAdopted"
 	EventVersionUnreadable  Event = "versionUnreadable"
@@ -111,6 +114,9 @@
 		EventStoreEpochChanged,
 		EventStoreEpochIgnored,
 		EventStoreResynced,
+		EventStreamNotResumed,
+		EventSoftwareMixed,
+		EventOriginUnasked,
 		EventTunnelFailed,
 		EventVersionAdopted,
 		EventVersionUnreadable,
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -15,7 +16,7 @@
 // maxDatagramBytes is the maximum payload of a UDP datagram over IPv4.
 const maxDatagramBytes = 65507
 
-// A Conn sends and receives heartbeats, summaries and notices over UDP. It is safe for
+// A Conn sends and receives heartbeats, summaries, notices and origins of streams over UDP. It is safe for
 // concurrent use.
 type Conn struct {
 	udp     *net.UDPConn
@@ -41,6 +42,7 @@
 	kindHeartbeat = 'h'
 	kindSummary   = 's'
 	kindNotice    = 'n'
+	kindOrigins   = 'o'
 )
 
 // A Handler has the callbacks for received messages. from is the address of the sender.
@@ -48,6 +50,7 @@
 	Heartbeat func(from netip.AddrPort, h ggscore.Heartbeat)
 	Summary   func(from netip.AddrPort, d ggscore.Summary)
 	Notice    func(Notice)
+	Origins   func([]ggscore.StreamOrigin)
 }
 
 // Run receives datagrams and calls the handler's callbacks, one at a time, until the context ends.
@@ -105,6 +108,13 @@
 		}
 		h.Notice(w.notice())
 		return true
+	case kindOrigins:
+		var ws []originWire
+		if cbor.Unmarshal(p[1:], &ws) != nil {
+			return false
+		}
+		h.Origins(originsOf(ws))
+		return true
 	}
 	return false
 }
@@ -128,6 +138,18 @@
 	return c.send(kindNotice, noticeWireOf(n), to)
 }
 
+// SendOrigins sends the records of streams to the addresses, like Send. They are divided into
+// datagrams of maxOrigins records.
+func (c *Conn) SendOrigins(os []ggscore.StreamOrigin, to []netip.AddrPort) error {
+	var last error
+	for part := range slices.Chunk(os, maxOrigins) {
+		if err := c.send(kindOrigins, originWires(part), to); err != nil {
+			last = err
+		}
+	}
+	return last
+}
+
 func (c *Conn) send(kind byte, w any, to []netip.AddrPort) error {
 	if len(to) == 0 {
 		return nil
--- a/io/ggspeer/doc.go
+++ b/io/ggspeer/doc.go
@@ -1,14 +1,16 @@
 // Package ggspeer sends and receives the UDP datagrams by which VMs share the state of their
 // requests and endpoints. Heartbeats and summaries carry requests in flight, the adapters that
-// endpoints hold, and demand for adapters. Notices announce prompt turns.
+// endpoints hold, and demand for adapters. Notices announce prompt turns. Origins say at which software
+// version streams began.
 //
 // # Usage
 //
 //	c, err := ggspeer.Listen(ctx, addr)
-//	go c.Run(ctx, ggspeer.Handler{Heartbeat: …, Summary: …, Notice: …})
+//	go c.Run(ctx, ggspeer.Handler{Heartbeat: …, Summary: …, Notice: …, Origins: …})
 //	err = c.Send(h, addrs)
 //	err = c.SendSummary(d, addrs)
 //	err = c.SendNotice(n, addrs)
+//	err = c.SendOrigins(origins, addrs)
 //
 // # Datagram
 //
