fix(ggsplace): tell peers of endpoints that restarted with other software

A VM whose list of endpoints is old sends a resumed stream to an endpoint that has restarted under its ID with another software version, and the caller holds events of both.

A VM that reads the newer entry now reports the old process as departed, as it does for endpoints that announce it in an answer, so peers that can't read the store stop using it.

--- a/core/ggsplace/departures_test.go
+++ b/core/ggsplace/departures_test.go
@@ -48,13 +48,48 @@
 			c.Check(changed, qt.Equals, tc.changed)
 			h.SetInstances(at(0), tc.after)
 			c.Check(h.Accepts(at(0), "p0"), qt.Equals, tc.accepts)
-			c.Check(h.Departures(), qt.HasLen, tc.departures)
+			c.Check(h.Departures(at(0)), qt.HasLen, tc.departures)
 			_, err := h.Choose(at(0), ggsplace.Query{Service: plain})
 			c.Check(err == nil, qt.Equals, tc.accepts)
 		})
 	}
 }
 
+// Guards against requests that VMs with an older list send to a restarted endpoint as if its software
+// were still the same.
+func TestProcessWithOtherSoftwareSupersedesItsPredecessor(t *testing.T) {
+	t.Parallel()
+	entry := func(started int64, software ggscore.SoftwareVersion) ggscore.Instance {
+		return ggscore.Instance{ID: "p0", Service: plain, Domain: "d0", Slots: 6, Software: software, StartedAt: time.UnixMilli(started)}
+	}
+	for name, tc := range map[string]struct {
+		next       ggscore.Instance
+		superseded bool
+	}{
+		"other software":   {next: entry(9_000, "v2"), superseded: true},
+		"same software":    {next: entry(9_000, "v1")},
+		"an older process": {next: entry(500, "v0")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			first, peer := table("d0", 1), table("d0", 1)
+			for _, h := range []*ggsplace.Table{first, peer} {
+				h.SetInstances(at(0), []ggscore.Instance{entry(1_000, "v1")})
+			}
+			first.SetInstances(at(0), []ggscore.Instance{tc.next})
+			for _, d := range first.Departures(at(0)) {
+				peer.RecordDeparture(d)
+			}
+			c.Check(first.Accepts(at(0), "p0"), qt.IsTrue)
+			c.Check(peer.Accepts(at(0), "p0"), qt.Equals, !tc.superseded)
+			peer.SetInstances(at(0), []ggscore.Instance{tc.next})
+			c.Check(peer.Accepts(at(0), "p0"), qt.IsTrue)
+			c.Check(first.Departures(at(0).Add(time.Minute)), qt.HasLen, 0)
+		})
+	}
+}
+
 // Guards against requests to an endpoint that requested a pause, and against retry-after times
 // that end before the pause.
 func TestPausedEndpointIsNotChosen(t *testing.T) {
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -80,6 +80,8 @@
 	breakers     *ggsretry.Breakers[ggscore.EndpointID]
 	demand       *ggspopularity.Demand
 	sheds        map[ggscore.Service]shedState
+	// superseded are the processes of endpoints that newer ones have replaced.
+	superseded map[ggscore.EndpointID]superseded
 }
 
 type endpoint struct {
@@ -129,6 +131,7 @@
 		peers:        map[ggscore.VMID]*peer{},
 		demand:       ggspopularity.NewDemand(),
 		sheds:        map[ggscore.Service]shedState{},
+		superseded:   map[ggscore.EndpointID]superseded{},
 		breakers:     ggsretry.NewBreakers[ggscore.EndpointID](ggsretry.BreakerOptions{Seed: o.Seed, MaxOpen: 4 * time.Second}),
 	}
 }
@@ -150,6 +153,7 @@
 		seen[n.ID] = true
 		e := t.endpoints[n.ID]
 		if e == nil || !e.StartedAt.Equal(n.StartedAt) || e.Addr != n.Addr || e.Software != n.Software {
+			t.recordSuperseded(read, e, n)
 			e = &endpoint{missing: map[ggscore.ModelAdapter]time.Time{}, warm: map[ggscore.ModelAdapter]warmAdapter{}}
 			t.endpoints[n.ID] = e
 			t.breakers.Remove(n.ID)
--- a/core/instance.go
+++ b/core/instance.go
@@ -191,8 +191,10 @@
 
 // An InstanceStatus is an instance's report on itself. It is some 100 ms old.
 type InstanceStatus struct {
-	Sequence uint64
-	Models   []ResidentModel
+	// StartedAt is when the process started, zero if the report doesn't say.
+	StartedAt time.Time
+	Sequence  uint64
+	Models    []ResidentModel
 	// InTransit are the adapters in transit to the instance.
 	InTransit []ModelAdapter
 }
--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -165,7 +165,7 @@
 	h.Modes = e.turns.Modes()
 	e.shareLimits(now)
 	h.Limits = e.limits.RecentLimits(now)
-	h.Departures = e.table.Departures()
+	h.Departures = e.table.Departures(now)
 	return h
 }
 
