test(ggsnode): the soak plays software versions side by side

Runners are replaced by processes of other versions and break streams off; clients take them up at other VMs. The check is what callers hold: events in order, of one version, and no run behind a refusal.

The stand-in's orders are numbered by process: a replaced runner is another one, with an owner of its own.

--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -18,6 +18,9 @@
 	Host   = "site.example"
 )
 
+// entryPrefix is the prefix of the endpoints' entries in the store.
+const entryPrefix = "servers/"
+
 // entryInterval is the interval at which a Site's endpoints write their entries.
 const entryInterval = 200 * time.Millisecond
 
@@ -49,9 +52,11 @@
 	zones   map[string]string
 	servers []*http.Server
 
-	// mu is a leaf lock and guards draining and entriesPausedUntil.
+	// mu is a leaf lock and guards draining, keys and entriesPausedUntil.
 	mu       sync.Mutex
 	draining map[string]bool
+	// keys are the keys of the endpoints' entries.
+	keys map[string]string
 	// entriesPausedUntil is the time until which endpoints don't write their entries.
 	entriesPausedUntil time.Time
 }
@@ -60,7 +65,7 @@
 func NewSite(o SiteOptions) *Site {
 	s := &Site{
 		Store: NewStore(), Endpoints: map[string]*Endpoint{}, options: o,
-		addrs: map[string]netip.AddrPort{}, zones: map[string]string{}, draining: map[string]bool{},
+		addrs: map[string]netip.AddrPort{}, zones: map[string]string{}, draining: map[string]bool{}, keys: map[string]string{},
 	}
 	port := o.Listen.Port()
 	add := func(id, service, zone string, engine bool) {
@@ -185,7 +190,15 @@
 	if !ok {
 		addr = s.addrs[id]
 	}
-	s.Store.Put("servers/"+id, s.Endpoints[id].Entry(addr.String(), s.zones[id], draining))
+	k := entryPrefix + s.Endpoints[id].ID()
+	s.mu.Lock()
+	last := s.keys[id]
+	s.keys[id] = k
+	s.mu.Unlock()
+	if last != "" && last != k {
+		s.Store.Delete(last)
+	}
+	s.Store.Put(k, s.Endpoints[id].Entry(addr.String(), s.zones[id], draining))
 }
 
 // Runs returns the number of runs by request ID, summed over the endpoints.
--- a/fakes/ggsfakesite/software.go
+++ b/fakes/ggsfakesite/software.go
@@ -3,13 +3,14 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // DefaultSoftware is the version of an endpoint's software unless SetSoftware changes it.
 const DefaultSoftware = "v1"
 
-// SetSoftware restarts the endpoint with another version of its software. It then holds no adapters
-// and counts its orders anew.
+// SetSoftware replaces the endpoint by a process of another software version, at the same address under
+// another ID. It holds no model and no adapters, and counts its orders anew.
 func (e *Endpoint) SetSoftware(version string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -20,14 +21,39 @@
 	e.restart()
 }
 
+// RunSoftware returns the version of the software that ran a request last, empty if none did.
+func (e *Endpoint) RunSoftware(id string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runSoftware[id]
+}
+
+// started returns the number of the endpoint's process.
+func (e *Endpoint) started() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.starts
+}
+
 // restart begins a new process of the endpoint. The lock is held.
 func (e *Endpoint) restart() {
 	e.starts++
 	e.sequence = 0
+	e.unloaded, e.loadedAt = e.options.Engine, time.Time{}
 	clear(e.resident)
 	clear(e.loading)
 }
 
+// ID returns the ID of the endpoint's process.
+func (e *Endpoint) ID() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.starts == 1 {
+		return e.options.ID
+	}
+	return e.options.ID + "-" + strconv.Itoa(e.starts)
+}
+
 // Software returns the version of the endpoint's software.
 func (e *Endpoint) Software() string {
 	e.mu.Lock()
@@ -44,3 +70,18 @@
 	}
 	return n
 }
+
+// orderModel carries out an order to load the model. The lock is held.
+func (e *Endpoint) orderModel(w http.ResponseWriter, o Order) {
+	switch {
+	case o.Expected != nil && *o.Expected != e.sequence:
+		w.WriteHeader(http.StatusConflict)
+	case e.loadedAt.IsZero():
+		e.sequence++
+		e.orders = append(e.orders, o)
+		e.loadedAt = e.options.Now().Add(modelLoadTime)
+		w.WriteHeader(http.StatusAccepted)
+	default:
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
