--- a/core/instance.go
+++ b/core/instance.go
@@ -61,6 +61,9 @@
 	Model    ModelAdapter
 	// PromptTokens is the size of the prompt, zero if unknown.
 	PromptTokens int
+	// SharedParts are the prompt's parts that other requests may have too, in order. The last part of
+	// a prompt is the request's own and isn't among them.
+	SharedParts []PromptPart
 	// Resumption is nil unless the caller resumes a stream.
 	Resumption *Resumption
 }
--- a/core/names.go
+++ b/core/names.go
@@ -25,6 +25,9 @@
 // that the endpoint serves.
 type SoftwareVersion string
 
+// A PromptPart identifies a part of a prompt by its content.
+type PromptPart string
+
 // A RequestID identifies one request inside the system. It is never reused.
 type RequestID string
 
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -99,6 +99,18 @@
 	return j.meta.Resumption.Origin
 }
 
+// sharedParts returns the shared parts of the request's prompt for a log line.
+func (j *job) sharedParts() string {
+	var b strings.Builder
+	for n, p := range j.meta.SharedParts {
+		if n > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(string(p))
+	}
+	return b.String()
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.stats.Requests.Add(1)
