test(ggsnode): a part of prompts that crashes endpoints

The stand-in's endpoints may crash when they begin to answer a prompt with a given part: their connections break, new ones are refused, and they come back as other processes without a model.

--- /dev/null
+++ b/fakes/ggsfakesite/crash.go
@@ -0,0 +1,122 @@
+package ggsfakesite
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// crashDelay is the time from the beginning of a run until its prompt crashes the endpoint.
+const crashDelay = 20 * time.Millisecond
+
+// SetCrashingPart sets the part of a prompt that crashes the site's runners when they begin to answer a
+// request with it, empty for none. A runner is back after the given time, as another process.
+func (s *Site) SetCrashingPart(part string, down time.Duration) {
+	for _, e := range s.Endpoints {
+		e.mu.Lock()
+		e.crashingPart, e.downTime = part, down
+		e.mu.Unlock()
+	}
+}
+
+// Crashes returns the times at which endpoints crashed, in order.
+func (s *Site) Crashes() []time.Time {
+	var ts []time.Time
+	for _, e := range s.Endpoints {
+		e.mu.Lock()
+		ts = append(ts, e.crashes...)
+		e.mu.Unlock()
+	}
+	slices.SortFunc(ts, time.Time.Compare)
+	return ts
+}
+
+// CrashingArrivals returns the times at which requests with a crashing part reached endpoints, in order.
+func (s *Site) CrashingArrivals() []time.Time {
+	var ts []time.Time
+	for _, e := range s.Endpoints {
+		e.mu.Lock()
+		ts = append(ts, e.crashingArrivals...)
+		e.mu.Unlock()
+	}
+	slices.SortFunc(ts, time.Time.Compare)
+	return ts
+}
+
+// hasCrashingPart reports whether a request's prompt has the crashing part, and records its arrival. The
+// lock is held.
+func (e *Endpoint) hasCrashingPart(r *http.Request) bool {
+	if e.crashingPart == "" {
+		return false
+	}
+	for pair := range strings.SplitSeq(r.Header.Get("Prompt-Prefix"), ",") {
+		if id, _, _ := strings.Cut(pair, ":"); id == e.crashingPart {
+			e.crashingArrivals = append(e.crashingArrivals, e.options.Now())
+			return true
+		}
+	}
+	return false
+}
+
+// crash ends the endpoint's process and the request's handler.
+func (e *Endpoint) crash() {
+	time.Sleep(crashDelay)
+	e.mu.Lock()
+	e.crashes = append(e.crashes, e.options.Now())
+	e.restart()
+	e.mu.Unlock()
+	select {
+	case e.crashed <- struct{}{}:
+	default:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// serveEndpoint serves an endpoint until the context is done. After a crash it listens again once the
+// endpoint is back.
+func (s *Site) serveEndpoint(ctx context.Context, id string, l net.Listener) {
+	e := s.Endpoints[id]
+	for {
+		v := &http.Server{Handler: e, ReadHeaderTimeout: entryInterval * 25}
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			// The server ends with a crash, or with the context.
+			_ = v.Serve(l)
+		}()
+		select {
+		case <-e.crashed:
+		case <-ctx.Done():
+		}
+		s.setDown(id, true)
+		_ = v.Close()
+		<-stopped
+		e.mu.Lock()
+		down := e.downTime
+		e.mu.Unlock()
+		t := time.NewTimer(down)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		var err error
+		if l, err = (&net.ListenConfig{}).Listen(ctx, "tcp", s.addrs[id].String()); err != nil {
+			// Another process took the address; the endpoint stays down.
+			return
+		}
+		s.setDown(id, false)
+		s.writeEntry(id)
+	}
+}
+
+// setDown sets whether an endpoint is down, and writes no entries.
+func (s *Site) setDown(id string, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down[id] = down
+}
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -119,6 +119,12 @@
 	// unloaded is set while the model isn't resident. loadedAt is when a load of it ends.
 	unloaded bool
 	loadedAt time.Time
+	// crashingPart is the part of a prompt that crashes the endpoint, which is then down for downTime.
+	crashingPart     string
+	downTime         time.Duration
+	crashes          []time.Time
+	crashingArrivals []time.Time
+	crashed          chan struct{}
 	// starts counts the endpoint's processes, and is its entry's time of start.
 	starts int
 	// silentUntil is the time until which the endpoint neither answers nor sends events.
@@ -157,7 +163,7 @@
 	return &Endpoint{
 		options: o, resident: map[string]uint64{}, loading: map[string]time.Time{}, versions: map[string]uint64{},
 		fault: func(Query) Fault { return FaultNone }, runs: map[string]int{}, bodies: map[string]string{}, lineEnd: "\n",
-		software: DefaultSoftware, runSoftware: map[string]string{}, starts: 1,
+		software: DefaultSoftware, runSoftware: map[string]string{}, crashed: make(chan struct{}, 1), starts: 1,
 	}
 }
 
@@ -400,6 +406,7 @@
 	e.requestCount++
 	e.arrivals = append(e.arrivals, Arrival{ID: id, At: e.options.Now()})
 	f := e.fault(Query{ID: id, Path: r.URL.Path, Number: e.requestCount})
+	crashes := e.hasCrashingPart(r)
 	missing := e.missing(r)
 	if f != FaultRefuse && !missing {
 		e.runs[id]++
@@ -414,6 +421,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if crashes {
+		e.crash()
+	}
 	e.respond(w, r, id, f)
 }
 
--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -50,11 +50,12 @@
 	options SiteOptions
 	addrs   map[string]netip.AddrPort
 	zones   map[string]string
-	servers []*http.Server
 
-	// mu is a leaf lock and guards draining, keys and entriesPausedUntil.
+	// mu is a leaf lock and guards draining, down, keys and entriesPausedUntil.
 	mu       sync.Mutex
 	draining map[string]bool
+	// down are the endpoints whose processes have crashed and aren't back.
+	down map[string]bool
 	// keys are the keys of the endpoints' entries.
 	keys map[string]string
 	// entriesPausedUntil is the time until which endpoints don't write their entries.
@@ -65,7 +66,7 @@
 func NewSite(o SiteOptions) *Site {
 	s := &Site{
 		Store: NewStore(), Endpoints: map[string]*Endpoint{}, options: o,
-		addrs: map[string]netip.AddrPort{}, zones: map[string]string{}, draining: map[string]bool{}, keys: map[string]string{},
+		addrs: map[string]netip.AddrPort{}, zones: map[string]string{}, draining: map[string]bool{}, down: map[string]bool{}, keys: map[string]string{},
 	}
 	port := o.Listen.Port()
 	add := func(id, service, zone string, engine bool) {
@@ -120,25 +121,25 @@
 //
 // Site.mu is never held while Store.mu or Endpoint.mu is locked.
 func (s *Site) Run(ctx context.Context) error {
-	handlers := map[netip.AddrPort]http.Handler{s.options.Listen: s.Store}
-	for id, e := range s.Endpoints {
-		handlers[s.addrs[id]] = e
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.options.Listen.String())
+	if err != nil {
+		return err
 	}
-	for addr, h := range handlers {
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
+	v := &http.Server{Handler: s.Store, ReadHeaderTimeout: entryInterval * 25}
+	// Run closes the server when the context is done.
+	go func() { _ = v.Serve(l) }()
+	defer func() { _ = v.Close() }()
+	var endpoints sync.WaitGroup
+	defer endpoints.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for id := range s.Endpoints {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.addrs[id].String())
 		if err != nil {
 			return err
 		}
-		v := &http.Server{Handler: h, ReadHeaderTimeout: entryInterval * 25}
-		s.servers = append(s.servers, v)
-		// Run closes the server when the context is done.
-		go func() { _ = v.Serve(l) }()
+		endpoints.Go(func() { s.serveEndpoint(ctx, id, l) })
 	}
-	defer func() {
-		for _, v := range s.servers {
-			_ = v.Close()
-		}
-	}()
 	t := time.NewTicker(entryInterval)
 	defer t.Stop()
 	for {
@@ -181,7 +182,7 @@
 func (s *Site) writeEntry(id string) {
 	s.mu.Lock()
 	draining := s.draining[id]
-	paused := s.options.Now().Before(s.entriesPausedUntil)
+	paused := s.down[id] || s.options.Now().Before(s.entriesPausedUntil)
 	s.mu.Unlock()
 	if paused {
 		return
