--- a/core/ggsorigin/origin_test.go
+++ b/core/ggsorigin/origin_test.go
@@ -12,7 +12,7 @@
 	"greengageslip/core/ggsorigin"
 )
 
-var begin = time.Unix(1_000, 0)
+func begin() time.Time { return time.Unix(1_000, 0) }
 
 func TestDecide(t *testing.T) {
 	t.Parallel()
@@ -66,11 +66,11 @@
 		v, _ := s.Sole(now, "s", 10*time.Second)
 		return v
 	}
-	c.Assert(s.Observe(begin, []ggscore.Instance{old}), qt.HasLen, 0)
-	c.Assert(sole(begin.Add(9*time.Second)), qt.Equals, ggscore.SoftwareVersion(""))
-	c.Assert(sole(begin.Add(10*time.Second)), qt.Equals, ggscore.SoftwareVersion("v1"))
+	c.Assert(s.Observe(begin(), []ggscore.Instance{old}), qt.HasLen, 0)
+	c.Assert(sole(begin().Add(9*time.Second)), qt.Equals, ggscore.SoftwareVersion(""))
+	c.Assert(sole(begin().Add(10*time.Second)), qt.Equals, ggscore.SoftwareVersion("v1"))
 
-	mixed := begin.Add(20 * time.Second)
+	mixed := begin().Add(20 * time.Second)
 	c.Assert(s.Observe(mixed, []ggscore.Instance{old, newer}), qt.DeepEquals, []ggscore.Service{"s"})
 	c.Assert(s.Observe(mixed, []ggscore.Instance{old, newer}), qt.HasLen, 0)
 	c.Assert(s.Mixed("s"), qt.IsTrue)
@@ -93,7 +93,7 @@
 	c := qt.New(t)
 	s := ggsorigin.NewTable()
 	for n := range 300 {
-		now := begin.Add(time.Duration(n) * time.Second)
+		now := begin().Add(time.Duration(n) * time.Second)
 		s.Record(now, ggscore.StreamOrigin{Request: ggscore.RequestID(fmt.Sprint(n)), Service: "s", Software: "v1"})
 		for age := range min(n, 60) {
 			_, ok := s.Find(ggscore.RequestID(fmt.Sprint(n - age)))
@@ -101,8 +101,8 @@
 		}
 		c.Assert(s.Len() <= 121, qt.IsTrue)
 	}
-	c.Assert(s.Recent(begin.Add(299*time.Second), "s", 10*time.Second), qt.HasLen, 11)
-	c.Assert(s.Recent(begin.Add(299*time.Second), "t", 10*time.Second), qt.HasLen, 0)
+	c.Assert(s.Recent(begin().Add(299*time.Second), "s", 10*time.Second), qt.HasLen, 11)
+	c.Assert(s.Recent(begin().Add(299*time.Second), "t", 10*time.Second), qt.HasLen, 0)
 }
 
 // Guards against records that no VM finds because some VMs failed after the records were copied.
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -12,6 +12,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsgossip"
+	"greengageslip/core/ggsplace"
 	"greengageslip/core/ggsregistry"
 	"greengageslip/io/ggslog"
 )
@@ -244,6 +245,11 @@
 	}
 	e.mu.Unlock()
 	e.sendOrigins(copies)
+	e.endpointsChanged(change, at)
+}
+
+// endpointsChanged logs endpoints that leave or are gone, and drops what is kept for the latter.
+func (e *Edge) endpointsChanged(change ggsplace.Change, at ggscore.StorePosition) {
 	for _, l := range change.Leaving {
 		_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLeaving, "endpoint", l.ID, "service", l.Service, "revision", at.Revision)
 	}
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -204,12 +204,7 @@
 			if j.events {
 				j.position.Advance(b[:n])
 			}
-			if !j.committed {
-				if j.events {
-					e.recordOrigin(j, &i)
-				}
-				e.writeHead(j, a, length)
-			}
+			e.beginStream(j, i, a, length)
 			if _, err := j.w.Write(b[:n]); err != nil {
 				return errors.Wrap(err, "forwarding the answer to the caller")
 			}
@@ -235,6 +230,18 @@
 	}
 }
 
+// beginStream writes the head of a stream's answer before its first chunk, and records where the stream
+// began.
+func (e *Edge) beginStream(j *job, i ggscore.Instance, a *ggsexchange.Answer, length int64) {
+	if j.committed {
+		return
+	}
+	if j.events {
+		e.recordOrigin(j, &i)
+	}
+	e.writeHead(j, a, length)
+}
+
 // isEventStream reports whether the body of a success is a stream of events.
 func isEventStream(k ggscore.RouteKind, h http.Header) bool {
 	// With an invalid parameter, the media type is returned beside the error.
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -16,7 +16,8 @@
 // maxDatagramBytes is the maximum payload of a UDP datagram over IPv4.
 const maxDatagramBytes = 65507
 
-// A Conn sends and receives heartbeats, summaries, notices and origins of streams over UDP. It is safe for
+// A Conn sends and receives heartbeats, summaries, notices and origins of streams over
+// UDP. It is safe for
 // concurrent use.
 type Conn struct {
 	udp     *net.UDPConn
@@ -80,45 +81,31 @@
 	}
 	switch p[0] {
 	case kindHeartbeat:
-		var w heartbeatWire
-		if cbor.Unmarshal(p[1:], &w) != nil {
-			return false
-		}
-		b, err := w.heartbeat()
-		if err != nil {
-			return false
-		}
-		h.Heartbeat(from, b)
-		return true
+		return decode(p[1:], (*heartbeatWire).heartbeat, func(b ggscore.Heartbeat) { h.Heartbeat(from, b) })
 	case kindSummary:
-		var w summaryWire
-		if cbor.Unmarshal(p[1:], &w) != nil {
-			return false
-		}
-		d, err := w.summary()
-		if err != nil {
-			return false
-		}
-		h.Summary(from, d)
-		return true
+		return decode(p[1:], (*summaryWire).summary, func(d ggscore.Summary) { h.Summary(from, d) })
 	case kindNotice:
-		var w noticeWire
-		if cbor.Unmarshal(p[1:], &w) != nil {
-			return false
-		}
-		h.Notice(w.notice())
-		return true
+		return decode(p[1:], (*noticeWire).notice, h.Notice)
 	case kindOrigins:
-		var ws []originWire
-		if cbor.Unmarshal(p[1:], &ws) != nil {
-			return false
-		}
-		h.Origins(originsOf(ws))
-		return true
+		return decode(p[1:], (*originsWire).origins, h.Origins)
 	}
 	return false
 }
 
+// decode decodes a datagram's array and calls its callback. It returns false if decoding fails.
+func decode[W, T any](p []byte, convert func(*W) (T, error), call func(T)) bool {
+	var w W
+	if cbor.Unmarshal(p, &w) != nil {
+		return false
+	}
+	m, err := convert(&w)
+	if err != nil {
+		return false
+	}
+	call(m)
+	return true
+}
+
 // Dropped returns the number of received datagrams that couldn't be decoded.
 func (c *Conn) Dropped() int64 { return c.dropped.Load() }
 
@@ -143,7 +130,7 @@
 func (c *Conn) SendOrigins(os []ggscore.StreamOrigin, to []netip.AddrPort) error {
 	var last error
 	for part := range slices.Chunk(os, maxOrigins) {
-		if err := c.send(kindOrigins, originWires(part), to); err != nil {
+		if err := c.send(kindOrigins, originsWireOf(part), to); err != nil {
 			last = err
 		}
 	}
--- a/io/ggspeer/notice.go
+++ b/io/ggspeer/notice.go
@@ -44,9 +44,9 @@
 	}
 }
 
-func (w *noticeWire) notice() Notice {
+func (w *noticeWire) notice() (Notice, error) {
 	return Notice{
 		VM: ggscore.VMID(w.VM), Number: w.Number, Relay: ggscore.Relay(w.Relay), Service: ggscore.Service(w.Service),
 		Endpoint: ggscore.EndpointID(w.Endpoint), Wait: time.Duration(w.Wait) * time.Millisecond, Tokens: w.Tokens, Withdrawn: w.Unused,
-	}
+	}, nil
 }
--- a/io/ggspeer/origins.go
+++ b/io/ggspeer/origins.go
@@ -13,20 +13,22 @@
 	Software string
 }
 
-func originWires(os []ggscore.StreamOrigin) []originWire {
-	ws := make([]originWire, 0, len(os))
+type originsWire []originWire
+
+func originsWireOf(os []ggscore.StreamOrigin) originsWire {
+	ws := make(originsWire, 0, len(os))
 	for _, o := range os {
 		ws = append(ws, originWire{Request: string(o.Request), Service: string(o.Service), Software: string(o.Software)})
 	}
 	return ws
 }
 
-func originsOf(ws []originWire) []ggscore.StreamOrigin {
-	os := make([]ggscore.StreamOrigin, 0, len(ws))
-	for _, w := range ws {
+func (w *originsWire) origins() ([]ggscore.StreamOrigin, error) {
+	os := make([]ggscore.StreamOrigin, 0, len(*w))
+	for _, w := range *w {
 		os = append(os, ggscore.StreamOrigin{
 			Request: ggscore.RequestID(w.Request), Service: ggscore.Service(w.Service), Software: ggscore.SoftwareVersion(w.Software),
 		})
 	}
-	return os
+	return os, nil
 }
