fix(ggsedge): keep prompts from endpoints that a part of them crashes

Each VM took a crash for the endpoint's fault and sent the next request with the part to the next endpoint, and its own retry of the broken request to a second one.

Ruled out: load, as the crashes go on with the part and stop with it at any load.

A VM now reports to its peers for which parts a request broke off before its answer began. A part is kept from endpoints once three processes crashed under it that no likelier part explains, unless its answers at all VMs outweigh the crashes: requests that were under way share parts with it. Such a request is refused at once as not run. After two crashes a broken request isn't sent to a second endpoint. A part that stays in quarantine for a second is recorded in the store, for VMs that restart, and is let go after ten minutes.

Tried and dropped: answers alone as the counterweight. Where the first requests crash endpoints nothing has been answered yet, and the part that all requests share came into quarantine for good.

--- /dev/null
+++ b/core/ggsquarantine/errors.go
@@ -0,0 +1,23 @@
+package ggsquarantine
+
+import (
+	"fmt"
+	"time"
+
+	ggscore "greengageslip/core"
+)
+
+// A QuarantinedError reports that a part of a request's prompt is in quarantine.
+type QuarantinedError struct {
+	Part ggscore.PromptPart
+	// Crashes is the number of processes that crashed under the part, zero if this VM knows only that
+	// it is in quarantine.
+	Crashes int
+	// RetryAfter is the time until the quarantine ends, or until it is confirmed.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *QuarantinedError) Error() string {
+	return fmt.Sprintf("part %s of the prompt is in quarantine because endpoints crash when they begin to answer requests with it (%d crashes known), retry after %s", e.Part, e.Crashes, e.RetryAfter)
+}
--- /dev/null
+++ b/core/ggsquarantine/table_test.go
@@ -0,0 +1,146 @@
+package ggsquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsquarantine"
+)
+
+func at(d time.Duration) time.Time { return time.Unix(1_000, 0).Add(d) }
+
+// crash lets a number of processes crash under a part, 100 ms apart.
+func crash(t *ggsquarantine.Table, n int, parts ...ggscore.PromptPart) {
+	for i := range n {
+		now := at(time.Duration(i) * 100 * time.Millisecond)
+		t.RecordSent(now, parts)
+		t.RecordCrash(now, ggscore.EndpointID(fmt.Sprint("e", i)), at(0), parts)
+		t.RecordEnded(parts)
+	}
+}
+
+func quarantined(t *ggsquarantine.Table, now time.Time, parts ...ggscore.PromptPart) bool {
+	var q *ggsquarantine.QuarantinedError
+	return errors.As(t.Check(now, parts), &q)
+}
+
+func TestQuarantine(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		change func(t *ggsquarantine.Table)
+		now    time.Duration
+		want   bool
+	}{
+		"three processes": {change: func(t *ggsquarantine.Table) { crash(t, 3, "bad") }, now: time.Second, want: true},
+		"two processes":   {change: func(t *ggsquarantine.Table) { crash(t, 2, "bad") }, now: time.Second},
+		"one process, three requests": {change: func(t *ggsquarantine.Table) {
+			for range 3 {
+				t.RecordCrash(at(0), "e", at(0), []ggscore.PromptPart{"bad"})
+			}
+		}, now: time.Second},
+		"answers outweigh crashes": {change: func(t *ggsquarantine.Table) {
+			crash(t, 3, "bad")
+			for range 6 {
+				t.RecordAnswer(at(0), []ggscore.PromptPart{"bad"})
+			}
+		}, now: time.Second},
+		"a peer's answers": {change: func(t *ggsquarantine.Table) {
+			crash(t, 3, "bad")
+			t.ObserveReport(at(0), ggscore.PartReport{VM: "peer", Uses: map[ggscore.PromptPart]ggscore.PartUse{"bad": {Answered: 6}}})
+		}, now: time.Second},
+		"crashes long ago": {change: func(t *ggsquarantine.Table) { crash(t, 3, "bad") }, now: 3 * time.Minute},
+		"another part explains the crashes": {change: func(t *ggsquarantine.Table) {
+			crash(t, 3, "bad", "worse")
+			t.RecordSent(at(0), []ggscore.PromptPart{"bad"})
+		}, now: time.Second},
+		"an ID that is too long": {change: func(t *ggsquarantine.Table) {
+			crash(t, 3, ggscore.PromptPart(fmt.Sprintf("%065d", 0)))
+		}, now: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := ggsquarantine.NewTable("vm")
+			tc.change(s)
+			qt.New(t).Assert(quarantined(s, at(tc.now), "sound", "bad"), qt.Equals, tc.want)
+		})
+	}
+}
+
+// Guards against a quarantine that ends with a restart of the VMs, or never.
+func TestQuarantineIsRecorded(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := ggsquarantine.NewTable("vm")
+	crash(s, 3, "bad")
+	c.Assert(quarantined(s, at(time.Second), "bad"), qt.IsTrue)
+	c.Assert(s.Unrecorded(at(time.Second)), qt.HasLen, 0)
+	c.Assert(quarantined(s, at(2*time.Second), "bad"), qt.IsTrue)
+	c.Assert(s.Unrecorded(at(2*time.Second)), qt.DeepEquals, []ggscore.PromptPart{"bad"})
+	s.Recorded("bad")
+	c.Assert(s.Unrecorded(at(2*time.Second)), qt.HasLen, 0)
+
+	restarted := ggsquarantine.NewTable("vm")
+	restarted.ObserveRecords(at(0), []ggscore.PromptPart{"bad"})
+	c.Assert(quarantined(restarted, at(time.Second), "bad"), qt.IsTrue)
+	c.Assert(restarted.Expired(at(time.Second)), qt.HasLen, 0)
+	c.Assert(quarantined(restarted, at(time.Hour), "bad"), qt.IsFalse)
+	c.Assert(restarted.Expired(at(time.Hour)), qt.DeepEquals, []ggscore.PromptPart{"bad"})
+	restarted.ObserveRecords(at(time.Hour), nil)
+	c.Assert(restarted.Quarantined(at(time.Hour)), qt.HasLen, 0)
+
+	// A store that lost the record gets it again.
+	s.ObserveRecords(at(2*time.Second), []ggscore.PromptPart{"bad"})
+	s.ObserveRecords(at(3*time.Second), nil)
+	c.Assert(s.Unrecorded(at(3*time.Second)), qt.DeepEquals, []ggscore.PromptPart{"bad"})
+}
+
+// Guards against crashes that each VM sees only once.
+func TestCrashesAtSeveralVMs(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	observer := ggsquarantine.NewTable("observer")
+	observer.RecordSent(at(0), []ggscore.PromptPart{"bad"})
+	observer.RecordEnded([]ggscore.PromptPart{"bad"})
+	for n := range 3 {
+		vm := ggsquarantine.NewTable(ggscore.VMID(fmt.Sprint("vm", n)))
+		r := vm.RecordCrash(at(0), ggscore.EndpointID(fmt.Sprint("e", n)), at(0), []ggscore.PromptPart{"bad"})
+		c.Assert(quarantined(observer, at(0), "bad"), qt.IsFalse)
+		reply := observer.ObserveReport(at(0), r)
+		// The observer reports its uses once, before the part comes into quarantine.
+		c.Assert(len(reply.Uses) == 1, qt.Equals, n == 1)
+	}
+	c.Assert(quarantined(observer, at(0), "bad"), qt.IsTrue)
+}
+
+// Guards against a request that crashes a second endpoint because it is sent again.
+func TestSuspectedRequestIsNotSentAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := ggsquarantine.NewTable("vm")
+	crash(s, 1, "bad")
+	c.Assert(s.Suspected(at(0), []ggscore.PromptPart{"sound", "bad"}), qt.IsFalse)
+	crash(s, 2, "bad")
+	c.Assert(s.Suspected(at(0), []ggscore.PromptPart{"sound", "bad"}), qt.IsTrue)
+	c.Assert(s.Suspected(at(0), []ggscore.PromptPart{"sound"}), qt.IsFalse)
+}
+
+// Guards against IDs of parts, which callers choose, that use up the VM's memory.
+func TestSuspectsAreBounded(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := ggsquarantine.NewTable("vm")
+	reported := 0
+	for n := range 10_000 {
+		r := s.RecordCrash(at(0), "e", at(0), []ggscore.PromptPart{ggscore.PromptPart(fmt.Sprint("p", n))})
+		reported += len(r.Crashes)
+	}
+	c.Assert(reported, qt.Equals, 1<<12)
+	// Suspects whose crashes no longer count make place for others.
+	r := s.RecordCrash(at(time.Hour), "e", at(0), []ggscore.PromptPart{"later"})
+	c.Assert(r.Crashes, qt.HasLen, 1)
+}
--- /dev/null
+++ b/core/ggsquarantine/uses.go
@@ -0,0 +1,44 @@
+package ggsquarantine
+
+import (
+	"time"
+
+	ggscore "greengageslip/core"
+)
+
+const (
+	// usePeriod is the time for which uses are counted at least.
+	usePeriod = time.Minute
+	// maxCounted bounds the parts of one generation, which callers choose.
+	maxCounted = 1 << 14
+)
+
+// A useCounts counts the recent uses of parts, in two generations.
+type useCounts struct {
+	current, previous map[ggscore.PromptPart]ggscore.PartUse
+	// since is when the current generation began.
+	since time.Time
+}
+
+func (c *useCounts) add(now time.Time, p ggscore.PromptPart, u ggscore.PartUse) {
+	if c.current == nil || now.Sub(c.since) >= usePeriod || len(c.current) >= maxCounted {
+		c.previous, c.current, c.since = c.current, map[ggscore.PromptPart]ggscore.PartUse{}, now
+	}
+	c.current[p] = sum(c.current[p], u)
+}
+
+// count returns the uses of the last usePeriod to twice that.
+func (c *useCounts) count(now time.Time, p ggscore.PromptPart) ggscore.PartUse {
+	switch age := now.Sub(c.since); {
+	case age >= 2*usePeriod:
+		return ggscore.PartUse{}
+	case age >= usePeriod:
+		return c.current[p]
+	default:
+		return sum(c.current[p], c.previous[p])
+	}
+}
+
+func sum(a, b ggscore.PartUse) ggscore.PartUse {
+	return ggscore.PartUse{Sent: a.Sent + b.Sent, Answered: a.Answered + b.Answered, Pending: a.Pending + b.Pending}
+}
--- a/fakes/ggsfakesite/crash.go
+++ b/fakes/ggsfakesite/crash.go
@@ -63,7 +63,9 @@
 
 // crash ends the endpoint's process and the request's handler.
 func (e *Endpoint) crash() {
-	time.Sleep(crashDelay)
+	t := time.NewTimer(crashDelay)
+	defer t.Stop()
+	<-t.C
 	e.mu.Lock()
 	e.crashes = append(e.crashes, e.options.Now())
 	e.restart()
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -10,6 +10,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsplace"
+	"greengageslip/core/ggsquarantine"
 	"greengageslip/core/ggsretry"
 	"greengageslip/io/ggsexchange"
 	"greengageslip/io/ggslog"
@@ -36,6 +37,10 @@
 // run sends the request to one endpoint after another until one answers or no retry is allowed.
 func (e *Edge) run(ctx context.Context, j *job) {
 	for {
+		if err := e.checkQuarantine(j); err != nil {
+			e.giveUp(ctx, j, err)
+			return
+		}
 		choice, err := e.choose(j)
 		if err != nil {
 			e.giveUp(ctx, j, err)
@@ -90,6 +95,9 @@
 		return false
 	}
 	if f.Outcome != ggscore.OutcomeNotRun {
+		if e.suspected(j) {
+			return false
+		}
 		if !j.route.Idempotent() || j.runs >= j.route.MaxAttempts {
 			return false
 		}
@@ -131,6 +139,7 @@
 		e.forwardKept(j)
 		return
 	}
+	var quarantined *ggsquarantine.QuarantinedError
 	var refused *ggsplace.RefusedError
 	var failure *ggscore.Failure
 	switch {
@@ -140,6 +149,8 @@
 		e.fail(j, http.StatusBadGateway, "answer lost; the request may have run: "+err.Error())
 	case late:
 		e.refuse(j, timeoutRetryAfter, "request deadline exceeded; the request has not run")
+	case errors.As(err, &quarantined):
+		e.refuse(j, quarantined.RetryAfter, err.Error())
 	case errors.As(err, &refused):
 		e.refuse(j, refused.RetryAfter, err.Error())
 	case errors.As(err, &failure):
@@ -173,6 +184,12 @@
 		// The endpoint announced while the request waited that it leaves.
 		return e.notSent(j, i)
 	}
+	if err := e.checkQuarantine(j); err != nil {
+		e.endSend(j, i.ID, ggsretry.ResultNeutral)
+		e.dropTurn(j)
+		j.retryGranted = true
+		return &ggscore.Failure{Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun, Detail: "not sent: " + err.Error()}
+	}
 	left = j.deadline.Sub(e.Monotonic())
 	j.sends++
 	j.sentAt = e.Now()
@@ -241,6 +258,7 @@
 	}
 	if f.Outcome != ggscore.OutcomeNotRun {
 		j.runs++
+		e.recordCrash(ctx, j, &i, err)
 	}
 	e.endSend(j, i.ID, result)
 	e.dropTurn(j)
@@ -255,6 +273,7 @@
 	defer e.mu.Unlock()
 	now := e.Now()
 	e.table.Sent(now, id)
+	e.quarantine.RecordSent(now, j.meta.SharedParts)
 	if !j.counted {
 		j.counted = true
 		e.retries.Request(now, ggscore.Market(j.service))
@@ -285,4 +304,5 @@
 		}
 	}
 	e.table.Ended(e.Now(), id, r)
+	e.quarantine.RecordEnded(j.meta.SharedParts)
 }
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -15,6 +15,7 @@
 	"greengageslip/core/ggsorigin"
 	"greengageslip/core/ggspath"
 	"greengageslip/core/ggsplace"
+	"greengageslip/core/ggsquarantine"
 	"greengageslip/core/ggsregistry"
 	"greengageslip/core/ggsrelay"
 	"greengageslip/core/ggsresident"
@@ -134,6 +135,8 @@
 	// origins and census decide at which software version a resumed stream goes on.
 	origins *ggsorigin.Table
 	census  *ggsorigin.Census
+	// quarantine decides which parts of prompts crash endpoints.
+	quarantine *ggsquarantine.Table
 	// versions are the adapters' versions in use. versionSum is their sum, which heartbeats
 	// carry so that a VM detects peers with newer versions.
 	versions   map[ggscore.ModelAdapter]uint64
@@ -195,6 +198,8 @@
 	listNotified           chan struct{}
 	operatorsNotified      chan struct{}
 	membersNotified        chan struct{}
+	// quarantineNotified wakes the loop that writes the records of parts that crash endpoints.
+	quarantineNotified chan struct{}
 }
 
 // Stats holds the counters of an Edge.
@@ -265,6 +270,7 @@
 		registry:               ggsregistry.NewRegistry(),
 		origins:                ggsorigin.NewTable(),
 		census:                 ggsorigin.NewCensus(),
+		quarantine:             ggsquarantine.NewTable(o.VM),
 		versions:               map[ggscore.ModelAdapter]uint64{},
 		workers:                map[ggscore.EndpointID]*worker{},
 		unansweredOrders:       map[ggscore.EndpointID]*ggsresident.Unanswered{},
@@ -278,6 +284,8 @@
 		listNotified:      make(chan struct{}, 1),
 		operatorsNotified: make(chan struct{}, 1),
 		membersNotified:   make(chan struct{}, 1),
+
+		quarantineNotified: make(chan struct{}, 1),
 	}
 	e.metrics = newMetrics(e)
 	e.epochs = newEpochState(p.Log, p.Now, e.epochChanged)
@@ -326,11 +334,13 @@
 	g.Go(func() error {
 		return e.Peers.Run(ctx, ggspeer.Handler{
 			Heartbeat: e.receiveHeartbeat, Summary: e.receiveSummary, Notice: e.receiveNotice, Origins: e.receiveOrigins,
+			Parts: e.receiveParts,
 		})
 	})
 	g.Go(func() error { return e.maintainOwnership(ctx) })
 	g.Go(func() error { return e.querySeeds(ctx) })
 	g.Go(func() error { return e.fetchNewer(ctx) })
+	g.Go(func() error { return e.maintainQuarantine(ctx) })
 	return g.Wait()
 }
 
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -22,6 +22,7 @@
 	memberPart = "vm"
 	ownerPart  = "orderer"
 	epochPart  = "epoch"
+	partPart   = "part"
 )
 
 // A memberRecord is a VM's store heartbeat.
@@ -157,9 +158,12 @@
 }
 
 func (e *Edge) setMembers(ctx context.Context, es []ggscore.Entry, at ggscore.StorePosition) {
-	r, peers := e.readOwn(es)
+	r, peers, parts := e.readOwn(es)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !at.IsZero() {
+		e.observePartRecords(parts)
+	}
 	e.ownership.Observe(e.Now(), at, r)
 	e.recordResync()
 	if len(peers) > 0 || !at.IsZero() {
@@ -197,9 +201,8 @@
 }
 
 // readOwn decodes the VMs' own records. An invalid record is logged and skipped.
-func (e *Edge) readOwn(es []ggscore.Entry) (ggsfencing.Reading, map[ggscore.VMID]*member) {
-	var r ggsfencing.Reading
-	peers := map[ggscore.VMID]*member{}
+func (e *Edge) readOwn(es []ggscore.Entry) (r ggsfencing.Reading, peers map[ggscore.VMID]*member, parts []ggscore.PromptPart) {
+	peers = map[ggscore.VMID]*member{}
 	for _, n := range es {
 		part, name, _ := strings.Cut(strings.TrimPrefix(string(n.Key), string(e.options.Keys.Own)+"/"), "/")
 		var err error
@@ -231,12 +234,17 @@
 			if err = json.Unmarshal(n.Value, &w); err == nil {
 				r.SettledEpoch = ggscore.StoreEpoch(w.Settled)
 			}
+		case partPart:
+			var w partRecord
+			if err = json.Unmarshal(n.Value, &w); err == nil {
+				parts = append(parts, ggscore.PromptPart(w.Part))
+			}
 		}
 		if err != nil {
 			_ = level.Warn(e.Log).Log("event", ggslog.EventRecordUnreadable, "key", n.Key, "revision", n.Revision, "err", err)
 		}
 	}
-	return r, peers
+	return r, peers, parts
 }
 
 // restoreTurnStates restores what another VM had learned about prefill.
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -52,8 +52,12 @@
 		err = e.forwardBuffered(ctx, j, i, a)
 	}
 	if err != nil {
+		e.recordCrash(ctx, j, &i, err)
 		return e.brokenAnswer(j, i, a, err), ggsretry.ResultFailed
 	}
+	if success {
+		e.recordAnsweredParts(j)
+	}
 	e.recordStream(j)
 	e.recordServiceTime(j)
 	e.stats.Answered.Add(1)
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -58,6 +58,8 @@
 	EventStreamNotResumed   Event = "streamNotResumed"
 	EventSoftwareMixed      Event = "softwareMixed"
 	EventOriginUnasked      Event = "originUnasked"
+	EventPartQuarantined    Event = "partQuarantined"
+	EventPartReleased       Event = "partReleased"
 	EventTunnelFailed       Event = "tunnelFailed"
 	EventVersionAdopted     Event = "versionAdopted"
 	EventVersionUnreadable  Event = "versionUnreadable"
@@ -117,6 +119,8 @@
 		EventStreamNotResumed,
 		EventSoftwareMixed,
 		EventOriginUnasked,
+		EventPartQuarantined,
+		EventPartReleased,
 		EventTunnelFailed,
 		EventVersionAdopted,
 		EventVersionUnreadable,
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -16,8 +16,8 @@
 // maxDatagramBytes is the maximum payload of a UDP datagram over IPv4.
 const maxDatagramBytes = 65507
 
-// A Conn sends and receives heartbeats, summaries, notices and origins of streams over
-// UDP. It is safe for
+// A Conn sends and receives heartbeats, summaries, notices, origins of streams
+// and reports of prompt parts over UDP. It is safe for
 // concurrent use.
 type Conn struct {
 	udp     *net.UDPConn
@@ -44,6 +44,7 @@
 	kindSummary   = 's'
 	kindNotice    = 'n'
 	kindOrigins   = 'o'
+	kindParts     = 'p'
 )
 
 // A Handler has the callbacks for received messages. from is the address of the sender.
@@ -52,6 +53,7 @@
 	Summary   func(from netip.AddrPort, d ggscore.Summary)
 	Notice    func(Notice)
 	Origins   func([]ggscore.StreamOrigin)
+	Parts     func(ggscore.PartReport)
 }
 
 // Run receives datagrams and calls the handler's callbacks, one at a time, until the context ends.
@@ -88,6 +90,8 @@
 		return decode(p[1:], (*noticeWire).notice, h.Notice)
 	case kindOrigins:
 		return decode(p[1:], (*originsWire).origins, h.Origins)
+	case kindParts:
+		return decode(p[1:], (*partReportWire).report, h.Parts)
 	}
 	return false
 }
@@ -137,6 +141,11 @@
 	return last
 }
 
+// SendParts sends the report to the addresses, like Send.
+func (c *Conn) SendParts(r ggscore.PartReport, to []netip.AddrPort) error {
+	return c.send(kindParts, partReportWireOf(r), to)
+}
+
 func (c *Conn) send(kind byte, w any, to []netip.AddrPort) error {
 	if len(to) == 0 {
 		return nil
--- a/io/ggspeer/doc.go
+++ b/io/ggspeer/doc.go
@@ -1,16 +1,17 @@
 // Package ggspeer sends and receives the UDP datagrams by which VMs share the state of their
 // requests and endpoints. Heartbeats and summaries carry requests in flight, the adapters that
 // endpoints hold, and demand for adapters. Notices announce prompt turns. Origins say at which software
-// version streams began.
+// version streams began, and part reports which parts of prompts crashed endpoints.
 //
 // # Usage
 //
 //	c, err := ggspeer.Listen(ctx, addr)
-//	go c.Run(ctx, ggspeer.Handler{Heartbeat: …, Summary: …, Notice: …, Origins: …})
+//	go c.Run(ctx, ggspeer.Handler{Heartbeat: …, Summary: …, Notice: …, Origins: …, Parts: …})
 //	err = c.Send(h, addrs)
 //	err = c.SendSummary(d, addrs)
 //	err = c.SendNotice(n, addrs)
 //	err = c.SendOrigins(origins, addrs)
+//	err = c.SendParts(report, addrs)
 //
 // # Datagram
 //
