test(ggsnode): the soak plays a part of prompts that crashes runners

Requests with the part come at any VM between sound ones that share their other parts; the check counts those that reach runners later than 3 s after the fifth crash, outside other faults.

--- a/cmd/ggsnode/soak_check_test.go
+++ b/cmd/ggsnode/soak_check_test.go
@@ -154,6 +154,10 @@
 
 // check verifies the outcomes of all requests and the records of all endpoints.
 func (s *soak) check() {
+	s.checkCrashes()
+	for _, at := range s.site.Crashes() {
+		s.unplanned = append(s.unplanned, span{at, at.Add(soakDownTime)})
+	}
 	runs := s.site.Runs()
 	counts := map[int]int{}
 	for _, o := range s.outcomes {
@@ -171,7 +175,7 @@
 
 func (s *soak) checkOutcome(o outcome, runs int) {
 	what := qt.Commentf("%s %s at %s: status %d, runs %d, %q, %v", o.id, o.path, o.from.Format("05.000"), o.status, runs, o.body, o.err)
-	if !strings.HasPrefix(o.path, "/look") {
+	if !idempotent(o.path) {
 		s.c.Check(runs <= 1, qt.IsTrue, what)
 		if o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests {
 			s.c.Check(runs, qt.Equals, 0, what)
@@ -186,10 +190,15 @@
 	}
 }
 
+// idempotent reports whether the requests below a path may run more than once.
+func idempotent(path string) bool {
+	return strings.HasPrefix(path, "/look") || strings.HasPrefix(path, "/tell")
+}
+
 // completeAnswer reports whether a body is the complete answer of one endpoint to the request.
 func completeAnswer(o outcome) bool {
 	o.body = strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(o.body)
-	if !strings.HasPrefix(o.path, "/chat") {
+	if !strings.HasPrefix(o.path, "/chat") && !strings.HasPrefix(o.path, "/tell") {
 		return strings.HasPrefix(o.body, "answer to "+o.id+" by ") && strings.Count(o.body, "\n") == 1 && strings.HasSuffix(o.body, "\n")
 	}
 	_, endpoint, _ := strings.Cut(o.body, " by ")
--- /dev/null
+++ b/cmd/ggsnode/soak_crash_test.go
@@ -0,0 +1,75 @@
+package ggsnode_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	soakCrashingPart = "c4a5c4a5"
+	soakSharedPart   = "5a5a5a5a"
+	// soakDownTime is how long a crashed runner is down.
+	soakDownTime = 400 * time.Millisecond
+	// soakNoticeTime is the time after the fifth crash from which VMs keep the part from runners, and
+	// soakCrashAllowance the number of requests that may reach them after it.
+	soakNoticeTime     = 3 * time.Second
+	soakCrashAllowance = 3
+	soakCrashes        = 5
+)
+
+// crasher sends requests whose prompts crash runners until the context ends, and sound ones that share
+// their other parts.
+func (s *soak) crasher(ctx context.Context, r *rand.Rand) {
+	h := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: soakDeadline + time.Second}
+	s.site.SetCrashingPart(soakCrashingPart, soakDownTime)
+	defer s.site.SetCrashingPart("", soakDownTime)
+	for n := 0; ctx.Err() == nil; n++ {
+		part := soakCrashingPart
+		if n%3 > 0 {
+			part = fmt.Sprintf("50f0d%03d", r.IntN(4))
+		}
+		o := s.sendWith(ctx, h, s.edge(r), "/tell/x", http.Header{
+			"Model": {"m"}, "Prompt-Prefix": {fmt.Sprintf("%s:155,%s:40,%x:300", soakSharedPart, part, n)},
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		s.mu.Lock()
+		s.outcomes = append(s.outcomes, o)
+		s.mu.Unlock()
+		s.sleep(time.Duration(10+r.IntN(40)) * time.Millisecond)
+	}
+}
+
+// checkCrashes checks that few requests with the crashing part reach runners once several have crashed,
+// while no other fault disturbs the VMs.
+func (s *soak) checkCrashes() {
+	crashes := s.site.Crashes()
+	s.t.Logf("%d crashes under a part of prompts", len(crashes))
+	if len(crashes) < soakCrashes {
+		return
+	}
+	late := 0
+	for _, at := range s.site.CrashingArrivals() {
+		if at.Sub(crashes[soakCrashes-1]) > soakNoticeTime && !s.disturbedAt(at) {
+			late++
+		}
+	}
+	s.c.Check(late <= soakCrashAllowance, qt.IsTrue, qt.Commentf("%d requests with the part reached runners late, after %d crashes", late, len(crashes)))
+}
+
+// disturbedAt reports whether an unplanned fault of a VM, the store or a link lasted at most
+// soakFaultFree before.
+func (s *soak) disturbedAt(at time.Time) bool {
+	for _, u := range s.unplanned {
+		if u.from.Before(at) && u.to.Add(soakFaultFree).After(at) {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/ggsnode/soak_test.go
+++ b/cmd/ggsnode/soak_test.go
@@ -43,6 +43,7 @@
 	soakPartitions = flag.Bool("soak.partitions", true, "VMs are also partitioned from all endpoints")
 	soakFramings   = flag.Bool("soak.framings", true, "answers also end with their connections, and streams inside events")
 	soakSoftware   = flag.Bool("soak.software", true, "runners also run different versions of their software, and clients resume streams")
+	soakPrompts    = flag.Bool("soak.prompts", true, "a part of prompts also crashes runners")
 	soakLength     = flag.Duration("soak.length", 6*time.Second, "duration of the faults in each run")
 )
 
@@ -63,6 +64,8 @@
 	"answers without framing": {seed: 5, partitions: true, framings: true},
 	// Guards against streams that go on at another software version than the one that began them.
 	"software versions side by side": {seed: 6, partitions: true, software: true},
+	// Guards against runners that crash one after the other under requests with one part in their prompts.
+	"a part of prompts that crashes runners": {seed: 7, prompts: true},
 }
 
 // A soakCase is one run. Some faults are optional, so that a seed found without them still draws the
@@ -74,6 +77,7 @@
 	partitions bool
 	framings   bool
 	software   bool
+	prompts    bool
 }
 
 const (
@@ -120,7 +124,7 @@
 
 // soakCaseOf returns the case of a seed with the faults that the flags select.
 func soakCaseOf(seed uint64) soakCase {
-	return soakCase{seed, *soakAnswers, *soakRestores, *soakPartitions, *soakFramings, *soakSoftware}
+	return soakCase{seed, *soakAnswers, *soakRestores, *soakPartitions, *soakFramings, *soakSoftware, *soakPrompts}
 }
 
 var soaks atomic.Int32 //nolint:gochecknoglobals // gives each run its own addresses
@@ -213,6 +217,9 @@
 		}
 		clients.Go(func() { s.changeSoftware(load, rand.New(rand.NewPCG(seed, 300))) })
 	}
+	if k.prompts {
+		clients.Go(func() { s.crasher(load, rand.New(rand.NewPCG(seed, 400))) })
+	}
 	faults := soakFaults()
 	if k.answers {
 		faults = append(faults, answerFaults()...)
