test(ggsnode): the soak plays most connections at one VM

Clients then open a connection for each request, nine tenths of them at one VM; from 3 s on its requests are to be served at least three quarters as often as before.

--- a/cmd/ggsnode/soak_check_test.go
+++ b/cmd/ggsnode/soak_check_test.go
@@ -44,7 +44,7 @@
 	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: soakDeadline + time.Second}
 	defer h.CloseIdleConnections()
 	for ctx.Err() == nil {
-		e := s.edge(r)
+		e := s.connectTo(h, r)
 		path := []string{"/chat/x", "/pay/release", "/look/balance"}[r.IntN(3)]
 		model := ""
 		if strings.HasPrefix(path, "/chat") {
@@ -155,6 +155,7 @@
 // check verifies the outcomes of all requests and the records of all endpoints.
 func (s *soak) check() {
 	s.checkCrashes()
+	s.checkSkews()
 	for _, at := range s.site.Crashes() {
 		s.unplanned = append(s.unplanned, span{at, at.Add(soakDownTime)})
 	}
--- a/cmd/ggsnode/soak_test.go
+++ b/cmd/ggsnode/soak_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec" //nolint:depguard // the soak kills and freezes real processes; the product starts none
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,8 @@
 	soakFramings   = flag.Bool("soak.framings", true, "answers also end with their connections, and streams inside events")
 	soakSoftware   = flag.Bool("soak.software", true, "runners also run different versions of their software, and clients resume streams")
 	soakPrompts    = flag.Bool("soak.prompts", true, "a part of prompts also crashes runners")
+	soakSkews      = flag.Bool("soak.skews", true, "most new connections also meet one VM")
+	soakPlanned    = flag.Bool("soak.planned", false, "no unplanned faults")
 	soakLength     = flag.Duration("soak.length", 6*time.Second, "duration of the faults in each run")
 )
 
@@ -66,6 +69,8 @@
 	"software versions side by side": {seed: 6, partitions: true, software: true},
 	// Guards against runners that crash one after the other under requests with one part in their prompts.
 	"a part of prompts that crashes runners": {seed: 7, prompts: true},
+	// Guards against a VM that doesn't serve its callers while most new connections meet it.
+	"most connections meet one VM": {seed: 10, skews: true, planned: true},
 }
 
 // A soakCase is one run. Some faults are optional, so that a seed found without them still draws the
@@ -78,6 +83,9 @@
 	framings   bool
 	software   bool
 	prompts    bool
+	skews      bool
+	// planned leaves out unplanned faults, during which most checks don't apply.
+	planned bool
 }
 
 const (
@@ -124,7 +132,7 @@
 
 // soakCaseOf returns the case of a seed with the faults that the flags select.
 func soakCaseOf(seed uint64) soakCase {
-	return soakCase{seed, *soakAnswers, *soakRestores, *soakPartitions, *soakFramings, *soakSoftware, *soakPrompts}
+	return soakCase{seed, *soakAnswers, *soakRestores, *soakPartitions, *soakFramings, *soakSoftware, *soakPrompts, *soakSkews, *soakPlanned}
 }
 
 var soaks atomic.Int32 //nolint:gochecknoglobals // gives each run its own addresses
@@ -154,12 +162,15 @@
 	limiting sync.Map
 	outcomes []outcome
 	streams  []*soakStream
+	skews    []*soakSkew
 	// version is the configuration's version, versions are those of the adapters.
 	version  int
 	versions map[string]uint64
 	// written has the latest values of the operators' entries, by key.
 	written map[string][]byte
 	ids     atomic.Int64
+	// skew is the present period in which most new connections meet one VM, nil for none.
+	skew atomic.Pointer[soakSkew]
 }
 
 type span struct{ from, to time.Time }
@@ -233,7 +244,20 @@
 	if k.framings {
 		faults = append(faults, framingFaults()...)
 	}
+	var first sync.WaitGroup
+	if k.skews {
+		faults = append(faults, soakFault{"most connections meet one VM", true, (*soak).skewConnections})
+		r := rand.New(rand.NewPCG(seed, 500))
+		first.Go(func() {
+			s.sleep(soakSkewTime / 2)
+			s.skewConnections(r, 0)
+		})
+	}
+	if k.planned {
+		faults = slices.DeleteFunc(faults, func(f soakFault) bool { return !f.planned })
+	}
 	s.injectUntil(time.Now().Add(*soakLength), faults, &work)
+	first.Wait()
 	s.recover()
 	stop()
 	clients.Wait()
