--- a/cmd/ggsnode/fault_process_test.go
+++ b/cmd/ggsnode/fault_process_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -41,7 +42,12 @@
 	}
 	run := programs[os.Getenv(programVariable)]
 	if run == nil {
-		os.Exit(m.Run())
+		w := watchStalls()
+		code := m.Run()
+		if text := w.report(); code != 0 {
+			fmt.Print(text)
+		}
+		os.Exit(code)
 	}
 	// The standard input is closed when the test process ends; the child then ends too.
 	go func() {
