--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -113,6 +113,9 @@
 		{"store_resync_seconds", "Time until the store was read in its epoch, or so far.", locked(func() float64 {
 			return e.resyncTime().Seconds()
 		})},
+		{"quarantined_parts", "Parts of prompts that are kept from endpoints because they crash them.", locked(func() float64 {
+			return float64(len(e.quarantine.Quarantined(e.Now())))
+		})},
 		{"relay", "1 while this VM passes on the heartbeats of its failure domain.", locked(func() float64 {
 			if e.node.UsesRelays() && e.node.IsRelay(e.Now()) {
 				return 1
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -27,6 +27,14 @@
 	Endpoints  []EndpointState
 	Peers      []PeerState
 	Versions   []ggscore.AdapterVersion
+	// Quarantined are the parts of prompts that are kept from endpoints because they crash them.
+	Quarantined []QuarantineState
+}
+
+// A QuarantineState is a part of prompts in quarantine, and the time until it is let go.
+type QuarantineState struct {
+	Part ggscore.PromptPart
+	Left time.Duration
 }
 
 // An EndpointState is an endpoint as an Edge knows it.
@@ -100,6 +108,10 @@
 		s.Versions = append(s.Versions, ggscore.AdapterVersion{Target: t, Version: v})
 	}
 	sortVersions(s.Versions)
+	for p, left := range e.quarantine.Quarantined(now) {
+		s.Quarantined = append(s.Quarantined, QuarantineState{Part: p, Left: left})
+	}
+	slices.SortFunc(s.Quarantined, func(a, b QuarantineState) int { return cmp.Compare(a.Part, b.Part) })
 	slices.SortFunc(s.Endpoints, func(a, b EndpointState) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 	})
@@ -123,7 +135,13 @@
 	Endpoints        []endpointWire `json:"endpoints"`
 	Peers            []peerWire     `json:"peers"`
 	// Versions and Held are adapters with their versions.
-	Versions []versionWire `json:"versions"`
+	Versions    []versionWire    `json:"versions"`
+	Quarantined []quarantineWire `json:"quarantined,omitempty"`
+}
+
+type quarantineWire struct {
+	Part        string  `json:"part"`
+	LeftSeconds float64 `json:"leftSeconds"`
 }
 
 type endpointWire struct {
@@ -183,6 +201,9 @@
 	for _, p := range s.Peers {
 		w.Peers = append(w.Peers, peerWire{VM: string(p.VM), Domain: string(p.Domain), HeartbeatAgeSeconds: p.HeartbeatAge.Seconds()})
 	}
+	for _, q := range s.Quarantined {
+		w.Quarantined = append(w.Quarantined, quarantineWire{Part: string(q.Part), LeftSeconds: q.Left.Seconds()})
+	}
 	return json.Marshal(&w)
 }
 
@@ -214,6 +235,9 @@
 	for _, p := range w.Peers {
 		s.Peers = append(s.Peers, PeerState{VM: ggscore.VMID(p.VM), Domain: ggscore.Domain(p.Domain), HeartbeatAge: duration(p.HeartbeatAgeSeconds)})
 	}
+	for _, q := range w.Quarantined {
+		s.Quarantined = append(s.Quarantined, QuarantineState{Part: ggscore.PromptPart(q.Part), Left: duration(q.LeftSeconds)})
+	}
 	return nil
 }
 
--- a/io/ggsedge/state_test.go
+++ b/io/ggsedge/state_test.go
@@ -17,13 +17,14 @@
 		Domain: "a", Config: 3, Routes: 2, ListAge: time.Second, Epoch: 1,
 		Endpoints: []EndpointState{
 			{
-				ID: "owned", Service: "models", Owner: "vm", Blocked: true, Limit: &ggscore.RateLimit{RequestsPerSecond: 2},
+				ID: "owned", Service: "models", Software: "v1.1", Owner: "vm", Blocked: true, Limit: &ggscore.RateLimit{RequestsPerSecond: 2},
 				Held:  []ggscore.AdapterVersion{{Target: ggscore.ModelAdapter{Model: "m", Adapter: "a1"}, Version: 4}},
 				Loads: &LoadState{Waiting: 3, LongestWait: 250 * time.Millisecond, FreeCapacity: 1, LateOrders: 2},
 			},
 			{ID: "other", Service: "models", Leaving: true},
 		},
-		Peers: []PeerState{{VM: "peer", Domain: "b", HeartbeatAge: 150 * time.Millisecond}},
+		Peers:       []PeerState{{VM: "peer", Domain: "b", HeartbeatAge: 150 * time.Millisecond}},
+		Quarantined: []QuarantineState{{Part: "5c", Left: time.Minute}},
 	}
 	b, err := json.Marshal(want)
 	c.Assert(err, qt.IsNil)
