--- a/io/ggspeer/conn_test.go
+++ b/io/ggspeer/conn_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -27,11 +29,15 @@
 	done := make(chan error, 1)
 	summaries := make(chan ggscore.Summary, 1)
 	notices := make(chan ggspeer.Notice, 1)
+	origins := make(chan []ggscore.StreamOrigin, 3)
+	parts := make(chan ggscore.PartReport, 1)
 	go func() {
 		done <- conn.Run(ctx, ggspeer.Handler{
 			Heartbeat: func(_ netip.AddrPort, h ggscore.Heartbeat) { got <- h },
 			Summary:   func(_ netip.AddrPort, s ggscore.Summary) { summaries <- s },
 			Notice:    func(n ggspeer.Notice) { notices <- n },
+			Origins:   func(os []ggscore.StreamOrigin) { origins <- os },
+			Parts:     func(r ggscore.PartReport) { parts <- r },
 		})
 	}()
 
@@ -53,7 +59,7 @@
 	// Malformed datagrams must not stop the receive loop.
 	u, err := (&net.Dialer{}).DialContext(ctx, "udp", addr.String())
 	c.Assert(err, qt.IsNil)
-	for _, b := range []string{"garbage", "h\x87\x00", "s\x87\x00", "n\x87\x00", ""} {
+	for _, b := range []string{"garbage", "h\x87\x00", "s\x87\x00", "n\x87\x00", "o\x87\x00", "p\x87\x00", ""} {
 		_, err = u.Write([]byte(b))
 		c.Assert(err, qt.IsNil)
 	}
@@ -73,7 +79,20 @@
 	}
 	c.Assert(conn.SendNotice(n, []netip.AddrPort{addr}), qt.IsNil)
 	c.Assert(<-notices, qt.DeepEquals, n)
-	c.Assert(conn.Dropped(), qt.Equals, int64(5))
+	// Records that exceed a datagram are divided.
+	var os []ggscore.StreamOrigin
+	for i := range 70 {
+		os = append(os, ggscore.StreamOrigin{Request: ggscore.RequestID(strconv.Itoa(i)), Service: "s", Software: "v1.1"})
+	}
+	c.Assert(conn.SendOrigins(os, []netip.AddrPort{addr}), qt.IsNil)
+	c.Assert(slices.Concat(<-origins, <-origins, <-origins), qt.DeepEquals, os)
+	r := ggscore.PartReport{
+		VM: "vm", Crashes: []ggscore.PartCrash{{Part: "5c", Endpoint: "r1", StartedAt: time.UnixMilli(1_000_000)}},
+		Uses: map[ggscore.PromptPart]ggscore.PartUse{"5c": {Sent: 3, Answered: 2, Pending: 1}},
+	}
+	c.Assert(conn.SendParts(r, []netip.AddrPort{addr}), qt.IsNil)
+	c.Assert(<-parts, qt.DeepEquals, r)
+	c.Assert(conn.Dropped(), qt.Equals, int64(7))
 	cancel()
 	c.Assert(<-done, qt.IsNil)
 }
--- a/io/ggspeer/datagram_test.go
+++ b/io/ggspeer/datagram_test.go
@@ -38,7 +38,13 @@
 	}
 	n := Notice{VM: "near", Number: 7, Service: "s", Endpoint: "r1"}
 	var ps [][]byte
-	for kind, w := range map[byte]any{kindHeartbeat: heartbeatWireOf(h), kindSummary: summaryWireOf(s), kindNotice: noticeWireOf(n)} {
+	for kind, w := range map[byte]any{
+		kindHeartbeat: heartbeatWireOf(h), kindSummary: summaryWireOf(s), kindNotice: noticeWireOf(n),
+		kindOrigins: originsWireOf([]ggscore.StreamOrigin{{Request: "9c", Service: "s", Software: "v1"}}),
+		kindParts: partReportWireOf(ggscore.PartReport{
+			VM: "near", Crashes: []ggscore.PartCrash{{Part: "5c", Endpoint: "r1"}}, Uses: map[ggscore.PromptPart]ggscore.PartUse{"5c": {Sent: 3}},
+		}),
+	} {
 		p, err := cbor.Marshal(w)
 		c.Assert(err, qt.IsNil)
 		ps = append(ps, append([]byte{kind}, p...))
@@ -52,6 +58,8 @@
 		Heartbeat: func(_ netip.AddrPort, h ggscore.Heartbeat) { n.Heartbeat(instant(), h) },
 		Summary:   func(_ netip.AddrPort, s ggscore.Summary) { n.Summary(instant(), s) },
 		Notice:    func(Notice) {},
+		Origins:   func([]ggscore.StreamOrigin) {},
+		Parts:     func(ggscore.PartReport) {},
 	}
 }
 
@@ -97,6 +105,20 @@
 	}
 }
 
+// Guards against negative uses of a part, which would put a sound part into quarantine.
+func TestNegativeUsesAreDropped(t *testing.T) {
+	t.Parallel()
+	for name, u := range map[string]partUseWire{"sent": {Sent: -1}, "answered": {Answered: -1}, "pending": {Pending: -1}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			p, err := cbor.Marshal(&partReportWire{VM: "near", Uses: map[string]partUseWire{"5c": u}})
+			c.Assert(err, qt.IsNil)
+			c.Assert(nodeHandler(newNode()).handle(netip.AddrPort{}, append([]byte{kindParts}, p...)), qt.IsFalse)
+		})
+	}
+}
+
 // Guards against rate limits and ages that no endpoint can have announced.
 func TestInvalidLimitsAreDropped(t *testing.T) {
 	t.Parallel()
