--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -182,13 +182,10 @@
 	}
 	if !e.accepts(i.ID) {
 		// The endpoint announced while the request waited that it leaves.
-		return e.notSent(j, i)
+		return e.notSent(j, i, string(i.ID)+" accepts no more requests")
 	}
 	if err := e.checkQuarantine(j); err != nil {
-		e.endSend(j, i.ID, ggsretry.ResultNeutral)
-		e.dropTurn(j)
-		j.retryGranted = true
-		return &ggscore.Failure{Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun, Detail: "not sent: " + err.Error()}
+		return e.notSent(j, i, err.Error())
 	}
 	left = j.deadline.Sub(e.Monotonic())
 	j.sends++
@@ -215,15 +212,13 @@
 	return f
 }
 
-// notSent returns the failure of a request whose endpoint accepts no more requests. Nothing was
-// sent, so the next endpoint is tried without a retry from the budget.
-func (e *Edge) notSent(j *job, i ggscore.Instance) *ggscore.Failure {
+// notSent returns the failure of a request that wasn't sent to its endpoint. The next endpoint is tried
+// without a retry from the budget.
+func (e *Edge) notSent(j *job, i ggscore.Instance, reason string) *ggscore.Failure {
 	e.endSend(j, i.ID, ggsretry.ResultNeutral)
 	e.dropTurn(j)
 	j.retryGranted = true
-	return &ggscore.Failure{
-		Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun, Detail: string(i.ID) + " accepts no more requests",
-	}
+	return &ggscore.Failure{Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun, Detail: "not sent: " + reason}
 }
 
 func connLimit(conns int) int {
--- a/io/ggsedge/origins.go
+++ b/io/ggsedge/origins.go
@@ -145,7 +145,7 @@
 }
 
 // askOrigin asks VMs for a stream's origin, until one knows it, all have replied, or originTimeout.
-func (e *Edge) askOrigin(ctx context.Context, a *OriginArgs, to []controlAddr) []ggsorigin.Reply {
+func (e *Edge) askOrigin(ctx context.Context, a *OriginArgs, to []peerAddrs) []ggsorigin.Reply {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	replies := make(chan *OriginReply, len(to))
@@ -173,11 +173,11 @@
 	return known
 }
 
-// A controlAddr is the address of a peer for calls and that for datagrams.
-type controlAddr struct{ control, datagram netip.AddrPort }
+// peerAddrs are the addresses of a peer for calls and for datagrams.
+type peerAddrs struct{ control, datagram netip.AddrPort }
 
 // holderAddrs returns the first live peers that hold a request's record. Edge.mu is held.
-func (e *Edge) holderAddrs(id ggscore.RequestID, n int) []controlAddr {
+func (e *Edge) holderAddrs(id ggscore.RequestID, n int) []peerAddrs {
 	now := e.Now()
 	vms := make([]ggscore.VMID, 0, len(e.peers))
 	for vm, p := range e.peers {
@@ -185,15 +185,15 @@
 			vms = append(vms, vm)
 		}
 	}
-	var as []controlAddr
+	var as []peerAddrs
 	for _, vm := range ggsorigin.Holders(id, vms, n) {
-		as = append(as, controlAddr{control: e.peers[vm].controlAddr, datagram: e.peers[vm].datagramAddr})
+		as = append(as, peerAddrs{control: e.peers[vm].controlAddr, datagram: e.peers[vm].datagramAddr})
 	}
 	return as
 }
 
-// recordOrigin records where a stream goes on or begins, before its first event is sent. Peers get
-// copies, unless every stream of the service has the same origin.
+// recordOrigin records at which endpoint a stream begins or is resumed, before the caller gets its first
+// event. Peers get copies, unless every stream of the service has the same origin.
 func (e *Edge) recordOrigin(j *job, i *ggscore.Instance) {
 	os := []ggscore.StreamOrigin{{Request: j.meta.ID, Service: i.Service, Software: i.Software}}
 	if id := j.resumes(); id != "" {
--- a/io/ggsedge/quarantine.go
+++ b/io/ggsedge/quarantine.go
@@ -108,16 +108,14 @@
 // maintainQuarantine writes the records of parts that crash endpoints, and deletes those whose quarantine
 // has ended, until the context ends.
 func (e *Edge) maintainQuarantine(ctx context.Context) error {
-	for failures := 0; ; {
-		if failures == 0 && !waitFor(ctx, e.quarantineNotified) || failures > 0 && !e.pauseFailed(ctx, failures) {
-			return nil
-		}
-		if e.writeQuarantine(ctx) {
-			failures = 0
-		} else {
-			failures++
+	for waitFor(ctx, e.quarantineNotified) {
+		for failures := 1; !e.writeQuarantine(ctx); failures++ {
+			if !e.pauseFailed(ctx, failures) {
+				return nil
+			}
 		}
 	}
+	return nil
 }
 
 // waitFor waits for a message. It returns false if the context ends first.
