--- a/fakes/ggsfakesite/crash.go
+++ b/fakes/ggsfakesite/crash.go
@@ -24,22 +24,21 @@
 
 // Crashes returns the times at which endpoints crashed, in order.
 func (s *Site) Crashes() []time.Time {
-	var ts []time.Time
-	for _, e := range s.Endpoints {
-		e.mu.Lock()
-		ts = append(ts, e.crashes...)
-		e.mu.Unlock()
-	}
-	slices.SortFunc(ts, time.Time.Compare)
-	return ts
+	return s.times(func(e *Endpoint) []time.Time { return e.crashes })
 }
 
 // CrashingArrivals returns the times at which requests with a crashing part reached endpoints, in order.
 func (s *Site) CrashingArrivals() []time.Time {
+	return s.times(func(e *Endpoint) []time.Time { return e.crashingArrivals })
+}
+
+// times returns the times that all endpoints have recorded, in order. The function is called with the
+// endpoint's lock held.
+func (s *Site) times(of func(*Endpoint) []time.Time) []time.Time {
 	var ts []time.Time
 	for _, e := range s.Endpoints {
 		e.mu.Lock()
-		ts = append(ts, e.crashingArrivals...)
+		ts = append(ts, of(e)...)
 		e.mu.Unlock()
 	}
 	slices.SortFunc(ts, time.Time.Compare)
