--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -45,9 +45,15 @@
 func (e *Edge) livePeers() []ggscore.VMID {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.livePeersLocked()
+}
+
+// livePeersLocked is livePeers with Edge.mu held.
+func (e *Edge) livePeersLocked() []ggscore.VMID {
+	now := e.Now()
 	var vms []ggscore.VMID
 	for vm, p := range e.peers {
-		if e.Now().Sub(p.lastSeen) < peerTimeout {
+		if now.Sub(p.lastSeen) < peerTimeout {
 			vms = append(vms, vm)
 		}
 	}
--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -163,7 +163,7 @@
 	}
 	h.Samples, h.Tallies = e.turns.DrainUnreported()
 	h.Modes = e.turns.Modes()
-	e.shareLimits(now)
+	e.shareLimits()
 	h.Limits = e.limits.RecentLimits(now)
 	h.Departures = e.table.Departures(now)
 	return h
--- a/io/ggsedge/origins.go
+++ b/io/ggsedge/origins.go
@@ -83,12 +83,7 @@
 	if now.Sub(e.listObserved) < soleListAge {
 		return true
 	}
-	live := 0
-	for _, p := range e.peers {
-		if now.Sub(p.lastSeen) < peerTimeout {
-			live++
-		}
-	}
+	live := len(e.livePeersLocked())
 	return live > 0 && 2*live >= len(e.peers)
 }
 
@@ -178,15 +173,8 @@
 
 // holderAddrs returns the first live peers that hold a request's record. Edge.mu is held.
 func (e *Edge) holderAddrs(id ggscore.RequestID, n int) []peerAddrs {
-	now := e.Now()
-	vms := make([]ggscore.VMID, 0, len(e.peers))
-	for vm, p := range e.peers {
-		if now.Sub(p.lastSeen) < peerTimeout {
-			vms = append(vms, vm)
-		}
-	}
 	var as []peerAddrs
-	for _, vm := range ggsorigin.Holders(id, vms, n) {
+	for _, vm := range ggsorigin.Holders(id, e.livePeersLocked(), n) {
 		as = append(as, peerAddrs{control: e.peers[vm].controlAddr, datagram: e.peers[vm].datagramAddr})
 	}
 	return as
--- a/io/ggsedge/signals.go
+++ b/io/ggsedge/signals.go
@@ -45,7 +45,7 @@
 	}
 	changed := e.limits.Observe(now, id, l, asOf)
 	if changed {
-		e.shareLimits(now)
+		e.shareLimits()
 	}
 	return changed
 }
@@ -62,23 +62,17 @@
 	e.limits.ObserveShedLimit(now, i, e.serviceTimes, refusalsPerSecond, asOf)
 	after := e.table.ShedLimited(now, i.Service)
 	if after && !before {
-		e.shareLimits(now)
+		e.shareLimits()
 	}
 	return before != after
 }
 
 // shareLimits updates the set of VMs that share rate limits. Edge.mu is held.
-func (e *Edge) shareLimits(now time.Time) {
+func (e *Edge) shareLimits() {
 	if e.limits.LimitedCount() == 0 && e.limits.ShedLimitedCount() == 0 {
 		return
 	}
-	vms := []ggscore.VMID{e.options.VM}
-	for vm, p := range e.peers {
-		if now.Sub(p.lastSeen) < peerTimeout {
-			vms = append(vms, vm)
-		}
-	}
-	e.limits.SetVMs(vms)
+	e.limits.SetVMs(append(e.livePeersLocked(), e.options.VM))
 }
 
 // applySignals applies the rate limits and departures that peers observed. Edge.mu is held.
