fix(ggsedge): VMs that start from a seed know the parts in quarantine

Found by reading; TestSeedsKnowQuarantinedParts failed before.

A seed now gives the parts in quarantine at it, also those whose record isn't written yet.

--- a/core/ggsquarantine/table.go
+++ b/core/ggsquarantine/table.go
@@ -335,8 +335,8 @@
 	t.records = make(map[ggscore.PromptPart]bool, len(records))
 	for _, p := range records {
 		t.records[p] = true
-		if !before[p] && t.quarantined[p] == nil && len(t.quarantined) < maxQuarantined {
-			t.quarantined[p] = &quarantine{until: now.Add(quarantineTime)}
+		if !before[p] {
+			t.Adopt(now, p)
 		}
 	}
 	for p, q := range t.quarantined {
@@ -346,6 +346,13 @@
 	}
 }
 
+// Adopt puts a part into quarantine that another VM has in quarantine.
+func (t *Table) Adopt(now time.Time, p ggscore.PromptPart) {
+	if t.quarantined[p] == nil && len(t.quarantined) < maxQuarantined {
+		t.quarantined[p] = &quarantine{until: now.Add(quarantineTime)}
+	}
+}
+
 // Recorded records that the record of a part was written.
 func (t *Table) Recorded(p ggscore.PromptPart) { t.records[p] = true }
 
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -161,9 +161,7 @@
 	r, peers, parts := e.readOwn(es)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !at.IsZero() {
-		e.observePartRecords(parts)
-	}
+	e.observePartRecords(parts, at)
 	e.ownership.Observe(e.Now(), at, r)
 	e.recordResync()
 	if len(peers) > 0 || !at.IsZero() {
--- a/io/ggsedge/quarantine.go
+++ b/io/ggsedge/quarantine.go
@@ -105,6 +105,20 @@
 	e.sendParts(reply)
 }
 
+// partRecords returns the records of the parts that are in quarantine at this VM. Edge.mu is held.
+func (e *Edge) partRecords() []StoredEntry {
+	var es []StoredEntry
+	for p := range e.quarantine.Quarantined(e.Now()) {
+		v, err := json.Marshal(&partRecord{Part: string(p)})
+		if err != nil {
+			_ = level.Error(e.Log).Log("event", ggslog.EventRecordUnencoded, "err", err)
+			continue
+		}
+		es = append(es, StoredEntry{Key: string(e.partKey(p)), Value: v})
+	}
+	return es
+}
+
 // maintainQuarantine writes the records of parts that crash endpoints, and deletes those whose quarantine
 // has ended, until the context ends.
 func (e *Edge) maintainQuarantine(ctx context.Context) error {
@@ -173,9 +187,16 @@
 	return err
 }
 
-// observePartRecords applies the records of parts that crash endpoints. Edge.mu is held.
-func (e *Edge) observePartRecords(ps []ggscore.PromptPart) {
+// observePartRecords applies the records of parts that crash endpoints, as read from the store or, at
+// position zero, from another VM. Edge.mu is held.
+func (e *Edge) observePartRecords(ps []ggscore.PromptPart, at ggscore.StorePosition) {
 	now := e.Now()
+	if at.IsZero() {
+		for _, p := range ps {
+			e.quarantine.Adopt(now, p)
+		}
+		return
+	}
 	e.quarantine.ObserveRecords(now, ps)
 	if len(e.quarantine.Unrecorded(now)) > 0 || len(e.quarantine.Expired(now)) > 0 {
 		notify(e.quarantineNotified)
--- /dev/null
+++ b/io/ggsedge/quarantine_test.go
@@ -0,0 +1,31 @@
+package ggsedge
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	ggscore "greengageslip/core"
+)
+
+// Guards against a VM that starts while the store is unreachable and sends a crashing part to endpoints.
+func TestSeedsKnowQuarantinedParts(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	seed, started := listEdge(), listEdge()
+	for _, e := range []*Edge{seed, started} {
+		e.options.Keys.Own = "own"
+	}
+	parts := []ggscore.PromptPart{"5c1e07a2"}
+	seed.quarantine.ObserveRecords(seed.Now(), parts)
+	var r EntriesReply
+	c.Assert((&Placement{edge: seed}).Entries(&EntriesArgs{}, &r), qt.IsNil)
+	started.adoptEntries(context.Background(), &r)
+	j := &job{meta: ggscore.RequestMeta{SharedParts: parts}}
+	c.Assert(started.checkQuarantine(j), qt.IsNotNil)
+
+	// A later reading of the store that lacks the record doesn't end the quarantine.
+	started.setMembers(context.Background(), nil, position(1))
+	c.Assert(started.checkQuarantine(j), qt.IsNotNil)
+}
--- a/io/ggsedge/seeds.go
+++ b/io/ggsedge/seeds.go
@@ -51,7 +51,9 @@
 		}
 		r.Parts = append(r.Parts, part)
 	}
-	r.Parts = append(r.Parts, p.edge.ownerRecords())
+	own := p.edge.ownerRecords()
+	own.Entries = append(own.Entries, p.edge.partRecords()...)
+	r.Parts = append(r.Parts, own)
 	return nil
 }
 
@@ -102,6 +104,11 @@
 	if err != nil {
 		return
 	}
+	e.adoptEntries(ctx, &r)
+}
+
+// adoptEntries applies a seed's entries.
+func (e *Edge) adoptEntries(ctx context.Context, r *EntriesReply) {
 	for _, p := range r.Parts {
 		es := make([]ggscore.Entry, 0, len(p.Entries))
 		for _, s := range p.Entries {
