--- a/cmd/ggsnode/edge_software_test.go
+++ b/cmd/ggsnode/edge_software_test.go
@@ -122,8 +122,7 @@
 	}
 }
 
-// Guards against streams that change software versions, or can't go on, because the VM that began them
-// is gone.
+// Guards against streams whose software version is lost with the VM that began them.
 func TestStreamOfAVMThatIsGoneGoesOnAtItsSoftwareVersion(t *testing.T) {
 	t.Parallel()
 	s := startMixedSite(t, 4)
@@ -140,8 +139,7 @@
 	}
 }
 
-// Guards against streams that began before the second software version and then change versions, or
-// can't go on.
+// Guards against streams whose version is unknown because they began before the second one served.
 func TestStreamBegunBeforeTheSecondSoftwareVersion(t *testing.T) {
 	t.Parallel()
 	s := startSiteOf(t, 3, 2, func(s *siteTest, n int) { s.startEdge(t, n) })
--- a/cmd/ggsnode/stall_test.go
+++ b/cmd/ggsnode/stall_test.go
@@ -26,7 +26,7 @@
 	took time.Duration
 }
 
-// A stallWatch records stalls of the test process. It excuses no failure, but tells where to look.
+// A stallWatch records stalls of the test process. They excuse no failure.
 type stallWatch struct {
 	cancel context.CancelFunc
 	done   sync.WaitGroup
--- a/core/ggsplace/departures.go
+++ b/core/ggsplace/departures.go
@@ -22,7 +22,7 @@
 }
 
 // supersededTTL is how long the end of a replaced process is reported to peers. A peer may be unable to
-// read the list of endpoints for longer, but repeats what it was told.
+// read the list of endpoints for longer, but repeats what it received.
 const supersededTTL = 10 * time.Second
 
 // A superseded is a process that a newer one of the same endpoint has replaced.
--- a/core/ggsplace/departures_test.go
+++ b/core/ggsplace/departures_test.go
@@ -55,8 +55,7 @@
 	}
 }
 
-// Guards against requests that VMs with an older list send to a restarted endpoint as if its software
-// were still the same.
+// Guards against VMs with an old list that take a restarted endpoint's software for the one before.
 func TestProcessWithOtherSoftwareSupersedesItsPredecessor(t *testing.T) {
 	t.Parallel()
 	entry := func(started int64, software ggscore.SoftwareVersion) ggscore.Instance {
--- a/core/ggsquarantine/doc.go
+++ b/core/ggsquarantine/doc.go
@@ -19,8 +19,8 @@
 //	t.ObserveRecords(now, records)                           // all records in the store
 //	expired := t.Expired(now)                                // delete these records
 //
-// Every request that was under way at a crash is a suspect, and most are innocent. What tells the
-// part that crashes endpoints from the others is that its requests crash one process after the other
+// Every request that was under way at a crash is a suspect, and most are innocent. What distinguishes
+// the part that crashes endpoints is that its requests crash one process after the other
 // and are hardly ever answered. A part is in quarantine if minCrashes processes crashed under it that no
 // likelier part explains, and if its answers at all VMs are less than answersPerCrash times as many.
 // The likelier of two parts is the one whose requests crash endpoints more often: a part that all
--- a/core/ggsquarantine/load_test.go
+++ b/core/ggsquarantine/load_test.go
@@ -226,8 +226,7 @@
 	r.running = left
 }
 
-// Guards against endpoints that crash one after the other under requests with one part, and against
-// sound requests that are kept out with them.
+// Guards against a part that crashes one endpoint after the other, or that keeps sound requests out.
 func TestPartThatCrashesEndpoints(t *testing.T) {
 	t.Parallel()
 	small := load{vms: 9, endpoints: 12, rate: 220, parts: 300, crashingRate: 3, probability: 1, warm: 5 * time.Second, length: 25 * time.Second}
