--- /dev/null
+++ b/fakes/ggsfakesite/orders.go
@@ -0,0 +1,135 @@
+package ggsfakesite
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// An Order is a load or unload order that the endpoint received.
+type Order struct {
+	Operation string  `json:"operation"`
+	Model     string  `json:"model"`
+	Adapter   string  `json:"adapter"`
+	Version   uint64  `json:"version"`
+	Expected  *uint64 `json:"expected"`
+	Holder    string  `json:"holder"`
+	Fence     uint64  `json:"fencingToken"`
+	// At is the time at which the endpoint accepted the order, and Process numbers the endpoint's
+	// processes.
+	At      time.Time `json:"-"`
+	Process int       `json:"-"`
+}
+
+// Orders returns the accepted orders.
+func (e *Endpoint) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Order(nil), e.orders...)
+}
+
+func (e *Endpoint) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.finishLoads()
+	o.At, o.Process = e.options.Now(), e.starts
+	_, isResident := e.resident[o.Adapter]
+	_, loading := e.loading[o.Adapter]
+	wanted := max(o.Version, e.versions[o.Adapter], 1)
+	switch {
+	case o.Operation == "load" && o.Adapter == "" && e.unloaded:
+		e.orderModel(w, o)
+	case loading && o.Operation == "load":
+		w.WriteHeader(http.StatusAccepted)
+	case o.Expected != nil && *o.Expected != e.sequence:
+		w.WriteHeader(http.StatusConflict)
+	case o.Operation == "load" && (o.Adapter == "" || isResident && e.resident[o.Adapter] == wanted),
+		o.Operation == "unload" && !isResident:
+		w.WriteHeader(http.StatusOK)
+	case o.Operation == "unload":
+		e.sequence++
+		e.orders = append(e.orders, o)
+		delete(e.resident, o.Adapter)
+		w.WriteHeader(http.StatusOK)
+	default:
+		e.sequence++
+		e.orders = append(e.orders, o)
+		delete(e.resident, o.Adapter)
+		e.versions[o.Adapter] = wanted
+		e.loading[o.Adapter] = e.options.Now().Add(e.options.LoadTime)
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+// finishLoads makes adapters resident whose load time has passed. The lock is held.
+func (e *Endpoint) finishLoads() {
+	if e.unloaded && !e.loadedAt.IsZero() && !e.options.Now().Before(e.loadedAt) {
+		e.unloaded = false
+	}
+	for a, t := range e.loading {
+		if !e.options.Now().Before(t) {
+			delete(e.loading, a)
+			e.resident[a] = e.versions[a]
+		}
+	}
+}
+
+// models returns the resident models and adapters as the JSON of the endpoint's entry. The
+// lock is held.
+func (e *Endpoint) models() string {
+	if !e.options.Engine || e.unloaded {
+		return "[]"
+	}
+	l := []string{}
+	for a, v := range e.resident {
+		l = append(l, fmt.Sprintf("%q", a+"@"+strconv.FormatUint(v, 10)))
+	}
+	return fmt.Sprintf(`[{"name":%q,"version":1,"adapters":[%s]}]`, DefaultModel, strings.Join(l, ","))
+}
+
+func (e *Endpoint) report(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.finishLoads()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"stage":"both","models":%s,"busy":false,"seq":%d,"waiting":0,"running":0,"born":%d}`, e.models(), e.sequence, e.starts)
+}
+
+// missing reports whether the request needs an adapter or a version that isn't resident.
+// The lock is held.
+func (e *Endpoint) missing(r *http.Request) bool {
+	_, a, _ := strings.Cut(r.Header.Get("Model"), "/")
+	if !e.options.Engine {
+		return false
+	}
+	e.finishLoads()
+	if e.unloaded || a == "" {
+		return e.unloaded
+	}
+	v, ok := e.resident[a]
+	want := r.Header.Get("Expect-Version")
+	return !ok || want != "" && want != strconv.FormatUint(v, 10)
+}
+
+// orderModel carries out an order to load the model. The lock is held.
+func (e *Endpoint) orderModel(w http.ResponseWriter, o Order) {
+	switch {
+	case o.Expected != nil && *o.Expected != e.sequence:
+		w.WriteHeader(http.StatusConflict)
+	case e.loadedAt.IsZero():
+		e.sequence++
+		e.orders = append(e.orders, o)
+		e.loadedAt = e.options.Now().Add(modelLoadTime)
+		w.WriteHeader(http.StatusAccepted)
+	default:
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
--- a/fakes/ggsfakesite/software.go
+++ b/fakes/ggsfakesite/software.go
@@ -70,18 +70,3 @@
 	}
 	return n
 }
-
-// orderModel carries out an order to load the model. The lock is held.
-func (e *Endpoint) orderModel(w http.ResponseWriter, o Order) {
-	switch {
-	case o.Expected != nil && *o.Expected != e.sequence:
-		w.WriteHeader(http.StatusConflict)
-	case e.loadedAt.IsZero():
-		e.sequence++
-		e.orders = append(e.orders, o)
-		e.loadedAt = e.options.Now().Add(modelLoadTime)
-		w.WriteHeader(http.StatusAccepted)
-	default:
-		w.WriteHeader(http.StatusAccepted)
-	}
-}
