fix(ggsquarantine): any VM writes a missing record in the end

A part in quarantine was recorded only by the VMs whose requests it had crashed endpoints under. If these are gone within the second until they write, VMs that start later don't know the part and send requests with it (BUDGET). Found by reading; TestRecordIsWrittenByAnyVMInTheEnd failed before.

A VM that reads the store five seconds after the quarantine and finds no record writes it.

--- a/core/ggsquarantine/table.go
+++ b/core/ggsquarantine/table.go
@@ -25,6 +25,9 @@
 	// quarantineTime is how long a part is kept from endpoints after its quarantine was recorded, or
 	// after this VM has read the record.
 	quarantineTime = 10 * time.Minute
+	// recordTime is how long after a quarantine the VMs whose requests crashed endpoints have to write
+	// its record before any VM does.
+	recordTime = 5 * time.Second
 	// replyInterval limits a VM's reports of its uses of one part.
 	replyInterval = 5 * time.Second
 	// forgetInterval limits scans of all suspects.
@@ -59,6 +62,7 @@
 
 // A quarantine is a part in recorded quarantine.
 type quarantine struct {
+	at      time.Time
 	until   time.Time
 	crashes map[process]time.Time
 	// own is set if this VM writes the record.
@@ -301,7 +305,7 @@
 	if len(t.quarantined) >= maxQuarantined {
 		return
 	}
-	t.quarantined[p] = &quarantine{until: now.Add(quarantineTime), crashes: s.crashes, own: s.own}
+	t.quarantined[p] = &quarantine{at: now, until: now.Add(quarantineTime), crashes: s.crashes, own: s.own}
 	delete(t.suspects, p)
 }
 
@@ -340,8 +344,12 @@
 		}
 	}
 	for p, q := range t.quarantined {
-		if !t.records[p] && !now.Before(q.until) {
+		switch {
+		case t.records[p]:
+		case !now.Before(q.until):
 			delete(t.quarantined, p)
+		case now.Sub(q.at) >= recordTime:
+			q.own = true
 		}
 	}
 }
@@ -349,7 +357,7 @@
 // Adopt puts a part into quarantine that another VM has in quarantine.
 func (t *Table) Adopt(now time.Time, p ggscore.PromptPart) {
 	if t.quarantined[p] == nil && len(t.quarantined) < maxQuarantined {
-		t.quarantined[p] = &quarantine{until: now.Add(quarantineTime)}
+		t.quarantined[p] = &quarantine{at: now, until: now.Add(quarantineTime)}
 	}
 }
 
--- a/core/ggsquarantine/table_test.go
+++ b/core/ggsquarantine/table_test.go
@@ -99,6 +99,23 @@
 	c.Assert(s.Unrecorded(at(3*time.Second)), qt.DeepEquals, []ggscore.PromptPart{"bad"})
 }
 
+// Guards against a quarantine without a record because the VMs that had to write it are gone.
+func TestRecordIsWrittenByAnyVMInTheEnd(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	observer := ggsquarantine.NewTable("observer")
+	for n := range 3 {
+		vm := ggsquarantine.NewTable(ggscore.VMID(fmt.Sprint("vm", n)))
+		observer.ObserveReport(at(0), vm.RecordCrash(at(0), ggscore.EndpointID(fmt.Sprint("e", n)), at(0), []ggscore.PromptPart{"bad"}))
+	}
+	c.Assert(quarantined(observer, at(0), "bad"), qt.IsTrue)
+	c.Assert(quarantined(observer, at(time.Second), "bad"), qt.IsTrue)
+	observer.ObserveRecords(at(2*time.Second), nil)
+	c.Assert(observer.Unrecorded(at(2*time.Second)), qt.HasLen, 0)
+	observer.ObserveRecords(at(10*time.Second), nil)
+	c.Assert(observer.Unrecorded(at(10*time.Second)), qt.DeepEquals, []ggscore.PromptPart{"bad"})
+}
+
 // Guards against crashes that each VM sees only once.
 func TestCrashesAtSeveralVMs(t *testing.T) {
 	t.Parallel()
