fix(ggsquarantine): one likelier part has to explain a part's crashes

Cause: every request that waits at a crashed endpoint is a suspect, rare sound parts had more crashes for each request sent than the part itself, and the crashes of all of them together explained the part's. Ruled out: the requests under way that count as answered (bounded to 8 now, without effect on this).

Now a part's crashes are explained only by one part that is likelier: it has fewer answers for each crash, or else more crashes, or else fewer requests. An answer counts once it has gone on for 250 ms, not at its end, so that sound parts are known sooner.

--- a/core/ggsquarantine/doc.go
+++ b/core/ggsquarantine/doc.go
@@ -1,7 +1,7 @@
 // Package ggsquarantine decides which requests are kept from endpoints because a part of their prompts
 // crashes the endpoints that begin to answer them.
 //
-// Inputs are requests that are sent, answered, or break off before an answer began, and peers' reports of
+// Inputs are requests that are sent, answered, or break off as their answer begins, and peers' reports of
 // them. Outputs are the parts in quarantine, and the reports to peers.
 //
 // # Usage
@@ -20,11 +20,11 @@
 //	expired := t.Expired(now)                                // delete these records
 //
 // Every request that was under way at a crash is a suspect, and most are innocent. What distinguishes
-// the part that crashes endpoints is that its requests crash one process after the other
-// and are hardly ever answered. A part is in quarantine if minCrashes processes crashed under it that no
-// likelier part explains, and if its answers at all VMs are less than answersPerCrash times as many.
-// The likelier of two parts is the one whose requests crash endpoints more often: a part that all
-// requests share crashes as many, but is sent more often.
+// the part that crashes endpoints is that its requests crash one process after the other and are hardly
+// ever answered. A part is in quarantine if minCrashes processes crashed under it that no single likelier
+// part explains, and if its answers at all VMs are less than answersPerCrash times as many. The likelier
+// of two parts has fewer answers for each crash, or else more crashes, or else fewer requests: a part that
+// all requests share is answered, and one of a few requests is in few crashes.
 //
 // Crashes are reported to all peers, because requests with the part arrive at any VM. Each VM reports
 // its uses of a part when the last crash but one is reported, so that a part which is sound elsewhere
--- a/core/ggsquarantine/load_test.go
+++ b/core/ggsquarantine/load_test.go
@@ -20,7 +20,7 @@
 
 	step        = 10 * time.Millisecond
 	runTime     = 500 * time.Millisecond
-	firstEvent  = 60 * time.Millisecond
+	beginPeriod = 250 * time.Millisecond
 	downTime    = 2 * time.Second
 	peerLatency = 20 * time.Millisecond
 	crashing    = ggscore.PromptPart("crashing")
@@ -40,6 +40,8 @@
 	otherCrashes float64
 	// probability is that of a crash under the crashing part.
 	probability float64
+	// firstEvent is the time from a request's sending until its answer begins.
+	firstEvent time.Duration
 	// warm is the time before the first request with the crashing part.
 	warm   time.Duration
 	length time.Duration
@@ -53,6 +55,7 @@
 	parts    []ggscore.PromptPart
 	begun    time.Time
 	bad      bool
+	answered bool
 }
 
 type endpointState struct {
@@ -181,22 +184,25 @@
 // progress lets requests begin their answers and end.
 func (r *loadRun) progress() {
 	for _, q := range r.running {
-		if q.bad && r.now.Sub(q.begun) >= firstEvent && !r.endpoints[q.endpoint].back.After(r.now) && r.rng.Float64() < r.probability {
+		if q.bad && r.now.Sub(q.begun) >= r.firstEvent && !r.endpoints[q.endpoint].back.After(r.now) && r.rng.Float64() < r.probability {
 			r.result.badCrashes = append(r.result.badCrashes, r.now)
 			r.crash(q.endpoint)
 		}
 	}
 	var left []running
 	for _, q := range r.running {
-		switch age := r.now.Sub(q.begun); {
-		case age < runTime:
-			left = append(left, q)
-		default:
-			r.tables[q.vm].RecordEnded(q.parts)
+		age := r.now.Sub(q.begun) - r.firstEvent
+		if age >= beginPeriod && !q.answered {
+			q.answered = true
 			r.tables[q.vm].RecordAnswer(r.now, q.parts)
-			if !q.bad {
-				r.result.answered++
-			}
+		}
+		if age < runTime {
+			left = append(left, q)
+			continue
+		}
+		r.tables[q.vm].RecordEnded(q.parts)
+		if !q.bad {
+			r.result.answered++
 		}
 	}
 	r.running = left
@@ -218,7 +224,7 @@
 			continue
 		}
 		r.tables[q.vm].RecordEnded(q.parts)
-		if r.now.Sub(q.begun) <= firstEvent+250*time.Millisecond {
+		if r.now.Sub(q.begun) <= r.firstEvent+beginPeriod {
 			report := r.tables[q.vm].RecordCrash(r.now, ggscore.EndpointID(fmt.Sprint("e", n)), started, q.parts)
 			r.broadcast(q.vm, report, &r.inTransit)
 		}
@@ -229,22 +235,26 @@
 // Guards against a part that crashes one endpoint after the other, or that keeps sound requests out.
 func TestPartThatCrashesEndpoints(t *testing.T) {
 	t.Parallel()
-	small := load{vms: 9, endpoints: 12, rate: 220, parts: 300, crashingRate: 3, probability: 1, warm: 5 * time.Second, length: 25 * time.Second}
-	large := load{vms: 65, endpoints: 72, rate: 800, parts: 1000, crashingRate: 5, probability: 1, warm: 5 * time.Second, length: 15 * time.Second}
+	small := load{vms: 9, endpoints: 12, rate: 220, parts: 300, crashingRate: 3, probability: 1, firstEvent: 60 * time.Millisecond, warm: 5 * time.Second, length: 25 * time.Second}
+	large := load{vms: 65, endpoints: 72, rate: 800, parts: 1000, crashingRate: 5, probability: 1, firstEvent: 60 * time.Millisecond, warm: 5 * time.Second, length: 15 * time.Second}
 	with := func(l load, change func(*load)) load {
 		change(&l)
 		return l
 	}
 	for name, l := range map[string]load{
-		"9 VMs":                     small,
-		"from the first request on": with(small, func(l *load) { l.warm = 0 }),
-		"few requests with it":      with(small, func(l *load) { l.crashingRate = 0.4 }),
-		"many requests with it":     with(small, func(l *load) { l.crashingRate = 30 }),
-		"other crashes":             with(small, func(l *load) { l.otherCrashes = 0.3 }),
-		"reports are lost":          with(small, func(l *load) { l.lost = 0.1 }),
-		"few sound parts":           with(small, func(l *load) { l.parts = 3 }),
-		"65 VMs":                    large,
-		"65 VMs and other crashes":  with(large, func(l *load) { l.otherCrashes = 1 }),
+		"9 VMs":                      small,
+		"from the first request on":  with(small, func(l *load) { l.warm = 0 }),
+		"few requests with it":       with(small, func(l *load) { l.crashingRate = 0.4 }),
+		"many requests with it":      with(small, func(l *load) { l.crashingRate = 30 }),
+		"long queues":                with(small, func(l *load) { l.firstEvent = time.Second }),
+		"long queues, many of them":  with(small, func(l *load) { l.firstEvent, l.crashingRate = time.Second, 30 }),
+		"long queues from the first": with(small, func(l *load) { l.firstEvent, l.warm = time.Second, 0 }),
+		"not each of them crashes":   with(small, func(l *load) { l.probability = 0.1 }),
+		"other crashes":              with(small, func(l *load) { l.otherCrashes = 0.3 }),
+		"reports are lost":           with(small, func(l *load) { l.lost = 0.1 }),
+		"few sound parts":            with(small, func(l *load) { l.parts = 3 }),
+		"65 VMs":                     large,
+		"65 VMs and other crashes":   with(large, func(l *load) { l.otherCrashes = 1 }),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -262,10 +272,10 @@
 func TestCrashesOfOtherCauses(t *testing.T) {
 	t.Parallel()
 	for name, l := range map[string]load{
-		"9 VMs":                 {vms: 9, endpoints: 12, rate: 220, parts: 300, otherCrashes: 0.5, length: 40 * time.Second},
-		"from the start, 9 VMs": {vms: 9, endpoints: 12, rate: 220, parts: 300, otherCrashes: 2, length: 20 * time.Second},
-		"rare parts, 9 VMs":     {vms: 9, endpoints: 12, rate: 220, parts: 5000, otherCrashes: 0.5, length: 40 * time.Second},
-		"65 VMs":                {vms: 65, endpoints: 72, rate: 800, parts: 1000, otherCrashes: 2, length: 15 * time.Second},
+		"9 VMs":                 {vms: 9, endpoints: 12, rate: 220, parts: 300, otherCrashes: 0.5, firstEvent: 60 * time.Millisecond, length: 40 * time.Second},
+		"from the start, 9 VMs": {vms: 9, endpoints: 12, rate: 220, parts: 300, otherCrashes: 2, firstEvent: 60 * time.Millisecond, length: 20 * time.Second},
+		"rare parts, 9 VMs":     {vms: 9, endpoints: 12, rate: 220, parts: 5000, otherCrashes: 0.5, firstEvent: 60 * time.Millisecond, length: 40 * time.Second},
+		"65 VMs":                {vms: 65, endpoints: 72, rate: 800, parts: 1000, otherCrashes: 2, firstEvent: 60 * time.Millisecond, length: 15 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/core/ggsquarantine/table.go
+++ b/core/ggsquarantine/table.go
@@ -15,9 +15,11 @@
 	// suspectCrashes is the number of crashed processes from which a request that broke off isn't
 	// sent to another endpoint, and from which VMs report their uses of the part.
 	suspectCrashes = minCrashes - 1
-	// answersPerCrash is the number of complete answers, or of requests under way, that outweigh a
-	// crash.
+	// answersPerCrash is the number of answers, or of requests under way, that outweigh a crash.
 	answersPerCrash = 2
+	// maxPending bounds the requests under way that outweigh crashes: at long queues many requests with
+	// the part are under way, and all of them will crash their endpoints.
+	maxPending = 8
 	// crashPeriod is how long a crash counts.
 	crashPeriod = 2 * time.Minute
 	// confirmTime is how long peers have to report their uses before a quarantine is recorded.
@@ -107,7 +109,7 @@
 	}
 }
 
-// RecordAnswer records a complete answer to a request.
+// RecordAnswer records an answer that went on after its beginning.
 func (t *Table) RecordAnswer(now time.Time, parts []ggscore.PromptPart) {
 	for _, p := range parts {
 		t.uses.add(now, p, ggscore.PartUse{Answered: 1})
@@ -229,48 +231,57 @@
 // outweighed reports whether a part's answers outweigh its crashes. Requests under way count as answered
 // until they end, because many are at a time at which none has been answered yet.
 func (t *Table) outweighed(now time.Time, p ggscore.PromptPart, s *suspect) bool {
-	u := t.use(now, p, s)
-	return u.Answered+u.Pending >= answersPerCrash*t.countCrashes(now, s)
+	return counterweight(t.use(now, p, s)) >= answersPerCrash*t.countCrashes(now, s)
 }
 
-// unexplained returns the number of a part's crashes that no likelier part explains: one in quarantine, or
-// one whose requests crash endpoints more often. Requests share parts, and others are under way at a
-// crash.
+// counterweight returns the number of a part's requests that speak against its crashing endpoints.
+func counterweight(u ggscore.PartUse) int { return u.Answered + min(u.Pending, maxPending) }
+
+// unexplained returns the number of a part's crashes that no likelier part explains. Requests share parts,
+// and others are under way at a crash.
 func (t *Table) unexplained(now time.Time, p ggscore.PromptPart, s *suspect) int {
 	n := t.countCrashes(now, s)
 	if n < suspectCrashes || t.outweighed(now, p, s) {
 		return 0
 	}
-	explained := map[process]bool{}
+	least := n
 	for o, q := range t.quarantined {
 		if o != p {
-			explain(explained, q.crashes)
+			least = min(least, missing(s.crashes, q.crashes))
 		}
 	}
-	sent := t.use(now, p, s).Sent
 	for o, q := range t.suspects {
-		m := t.countCrashes(now, q)
-		if o == p || m < suspectCrashes || t.outweighed(now, o, q) {
-			continue
-		}
-		other := t.use(now, o, q).Sent
-		likelier := cmp.Or(cmp.Compare(m*(sent+1), n*(other+1)), cmp.Compare(q.depth, s.depth), cmp.Compare(o, p))
-		if likelier > 0 {
-			explain(explained, q.crashes)
+		if o != p && t.countCrashes(now, q) >= suspectCrashes && t.likelier(now, o, p) {
+			least = min(least, missing(s.crashes, q.crashes))
 		}
 	}
-	for k := range s.crashes {
-		if explained[k] {
-			n--
+	return least
+}
+
+// missing returns the number of crashes that others lack.
+func missing(crashes, others map[process]time.Time) int {
+	n := 0
+	for k := range crashes {
+		if _, ok := others[k]; !ok {
+			n++
 		}
 	}
 	return n
 }
 
-func explain(explained map[process]bool, crashes map[process]time.Time) {
-	for k := range crashes {
-		explained[k] = true
-	}
+// likelier reports whether a suspect is likelier than another to crash endpoints: it has fewer answers for
+// each crash, or crashed more processes with fewer requests.
+func (t *Table) likelier(now time.Time, a, b ggscore.PromptPart) bool {
+	s, o := t.suspects[a], t.suspects[b]
+	u, v := t.use(now, a, s), t.use(now, b, o)
+	n, m := t.countCrashes(now, s), t.countCrashes(now, o)
+	return cmp.Or(
+		cmp.Compare(counterweight(v)*n, counterweight(u)*m),
+		cmp.Compare(n, m),
+		cmp.Compare(v.Sent, u.Sent),
+		cmp.Compare(s.depth, o.depth),
+		cmp.Compare(a, b),
+	) > 0
 }
 
 // Check returns a *QuarantinedError if one of the parts is in quarantine.
--- a/core/prompt.go
+++ b/core/prompt.go
@@ -21,8 +21,8 @@
 
 // A PartUse counts recent requests with a part in their prompts.
 type PartUse struct {
-	// Sent counts sends to endpoints, Answered complete answers. Pending is the number of requests under
-	// way.
+	// Sent counts sends to endpoints, Answered the answers that went on after their beginning. Pending
+	// is the number of requests under way.
 	Sent     int
 	Answered int
 	Pending  int
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -87,6 +87,8 @@
 	// events is set if the answer is a stream of events, and position is the position in it.
 	events   bool
 	position ggsevent.Position
+	// answeredParts is set if the answer was recorded for the parts of the request's prompt.
+	answeredParts bool
 	// committed is set if the answer's head has been sent to the caller.
 	committed bool
 }
--- a/io/ggsedge/quarantine.go
+++ b/io/ggsedge/quarantine.go
@@ -49,11 +49,17 @@
 	return e.quarantine.Suspected(e.Now(), j.meta.SharedParts)
 }
 
-// recordAnsweredParts records a complete answer.
+// begins reports whether an answer has not begun, or so lately that a crash may be the request's doing.
+func (e *Edge) begins(j *job) bool {
+	return !j.committed || e.since(j.arrived)-j.firstChunkAfter <= beginPeriod
+}
+
+// recordAnsweredParts records an answer that is complete or no longer begins.
 func (e *Edge) recordAnsweredParts(j *job) {
-	if len(j.meta.SharedParts) == 0 {
+	if len(j.meta.SharedParts) == 0 || j.answeredParts {
 		return
 	}
+	j.answeredParts = true
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.quarantine.RecordAnswer(e.Now(), j.meta.SharedParts)
@@ -65,10 +71,7 @@
 // recordCrash records that an endpoint's connection broke before the request was answered, or shortly
 // after the answer began.
 func (e *Edge) recordCrash(ctx context.Context, j *job, i *ggscore.Instance, err error) {
-	if len(j.meta.SharedParts) == 0 || ctx.Err() != nil || !connectionBroke(err) {
-		return
-	}
-	if j.committed && e.since(j.arrived)-j.firstChunkAfter > beginPeriod {
+	if len(j.meta.SharedParts) == 0 || ctx.Err() != nil || !connectionBroke(err) || !e.begins(j) {
 		return
 	}
 	e.mu.Lock()
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -209,6 +209,9 @@
 				j.position.Advance(b[:n])
 			}
 			e.beginStream(j, i, a, length)
+			if !e.begins(j) {
+				e.recordAnsweredParts(j)
+			}
 			if _, err := j.w.Write(b[:n]); err != nil {
 				return errors.Wrap(err, "forwarding the answer to the caller")
 			}
