feat(ggsedge): say what was known of an endpoint that refused a request

endpointRefused didn't tell a VM that knows nothing of a shed limit from one whose counts are old. It now has shedLimited, inFlight and reportAge as of the choice.

--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -97,6 +97,10 @@
 	// InFlight is the known number of requests in flight at the endpoint, from this VM and its
 	// peers.
 	InFlight int
+	// ReportAge is the age of the oldest report that InFlight includes, zero without peers.
+	ReportAge time.Duration
+	// ShedLimited is set if the endpoint is known to be shed-limited.
+	ShedLimited bool
 }
 
 // Choose returns the endpoint with the least expected delay for the request, or a
@@ -135,7 +139,10 @@
 	if best == nil {
 		return Choice{}, t.refused(now, q, refusal)
 	}
-	return Choice{Instance: best.Instance, Resident: best.resident, InFlight: best.own + best.peers}, nil
+	return Choice{
+		Instance: best.Instance, Resident: best.resident, InFlight: best.own + best.peers,
+		ReportAge: t.reportAge(now), ShedLimited: t.ShedLimited(now, best.Service),
+	}, nil
 }
 
 // A candidate is an endpoint that can take the request.
--- a/core/ggsplace/inflight.go
+++ b/core/ggsplace/inflight.go
@@ -80,6 +80,15 @@
 	}
 }
 
+// reportAge returns the age of the peers' oldest report, zero without reports.
+func (t *Table) reportAge(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, p := range t.peers {
+		oldest = max(oldest, now.Sub(p.at))
+	}
+	return oldest
+}
+
 // peersInFlight returns the peers' total of requests in flight at an endpoint.
 func (t *Table) peersInFlight(id ggscore.EndpointID) int {
 	n := 0
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -46,6 +46,7 @@
 			e.giveUp(ctx, j, err)
 			return
 		}
+		j.choice = choice
 		id := choice.Instance.ID
 		j.tried = append(j.tried, id)
 		if !choice.Resident {
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -16,6 +16,7 @@
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsevent"
 	"greengageslip/core/ggspath"
+	"greengageslip/core/ggsplace"
 	"greengageslip/io/ggslog"
 )
 
@@ -59,6 +60,8 @@
 	// software is the version of the endpoint's software that has to answer, empty for any.
 	software ggscore.SoftwareVersion
 	tried    []ggscore.EndpointID
+	// choice is the last endpoint chosen, and what was known of it.
+	choice ggsplace.Choice
 	// sends counts the endpoints that the request was sent to, and runs those on which it may
 	// have run.
 	sends int
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -161,7 +161,8 @@
 		e.mu.Unlock()
 	}
 	_ = level.Info(e.Log).Log("event", ggslog.EventEndpointRefused, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
-		"adapter", j.meta.Model, "version", j.version, "retryAfter", m.RetryAfter)
+		"adapter", j.meta.Model, "version", j.version, "retryAfter", m.RetryAfter,
+		"shedLimited", j.choice.ShedLimited, "inFlight", j.choice.InFlight, "reportAge", j.choice.ReportAge)
 	return &ggscore.Failure{
 		Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun,
 		Detail: "endpoint refused the request with status " + strconv.Itoa(a.Status),
