test(ggsplace): the simulation of shed-limited endpoints in parts

One function of 130 lines played VMs, endpoints and reports. The draws of the random numbers and all results are as before: TestManyShedLimitedRunnersStayUp 34 falls, 15,135 of 20,703 served.

--- /dev/null
+++ b/core/ggsplace/shedding_sim_test.go
@@ -0,0 +1,258 @@
+package ggsplace_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	ggscore "greengageslip/core"
+	"greengageslip/core/ggsplace"
+	"greengageslip/core/ggsretry"
+	"greengageslip/core/ggsthrottle"
+)
+
+// A shedLoad simulates a service whose endpoints queue nothing and fall over when they refuse
+// more than a number of requests in a second. They say so in all their answers.
+type shedLoad struct {
+	vms, endpoints, slots int
+	serviceTime           time.Duration
+	// perSecond is the load, which is multiplied by burst for the second half of the time.
+	perSecond, burst float64
+	// age is the delay of the reported counts.
+	age time.Duration
+	// silent endpoints don't say that they are shed-limited.
+	silent bool
+	// restartAt is when all VMs restart, zero for never.
+	restartAt time.Duration
+}
+
+const (
+	shedTick     = time.Millisecond
+	shedTrip     = 2 * time.Millisecond
+	shedInterval = 150 * time.Millisecond
+	shedLength   = 16 * time.Second
+	shedDown     = 3 * time.Second
+	shedRefusals = 6
+	shedAttempts = 3
+	shedWarmUp   = 3 * time.Second
+)
+
+type shedVM struct {
+	table  *ggsplace.Table
+	limits *ggsthrottle.Table
+	times  *ggsthrottle.ServiceTimes
+	own    map[ggscore.EndpointID]int
+}
+
+type shedRequest struct {
+	vm        *shedVM
+	to        *shedEndpoint
+	tried     []ggscore.EndpointID
+	sent, due time.Time
+	running   bool
+}
+
+type shedEndpoint struct {
+	ggscore.Instance
+	running int
+	refused []time.Time
+	upAt    time.Time
+}
+
+type shedResult struct{ requests, served, refused, turnedAway, falls int }
+
+// A shedSim plays a shedLoad on a virtual clock.
+type shedSim struct {
+	shedLoad
+	rng       *rand.Rand
+	now       time.Time
+	ids       []ggscore.VMID
+	list      []ggscore.Instance
+	vms       []*shedVM
+	endpoints map[ggscore.EndpointID]*shedEndpoint
+	active    []*shedRequest
+	// reports are the requests in flight of all VMs, one for each shedInterval.
+	reports []map[ggscore.EndpointID]int
+	arrived float64
+	result  shedResult
+}
+
+func newShedSim(l shedLoad) *shedSim {
+	s := &shedSim{shedLoad: l, rng: rand.New(rand.NewPCG(7, 0)), now: at(0), endpoints: map[ggscore.EndpointID]*shedEndpoint{}}
+	for n := range l.endpoints {
+		i := ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("p%d", n)), Service: plain, Domain: "d", Slots: l.slots}
+		s.list = append(s.list, i)
+		s.endpoints[i.ID] = &shedEndpoint{Instance: i}
+	}
+	for n := range l.vms {
+		s.ids = append(s.ids, ggscore.VMID(fmt.Sprintf("vm-%03d", n)))
+	}
+	for n := range l.vms {
+		s.vms = append(s.vms, s.startVM(n))
+	}
+	return s
+}
+
+// startVM starts the VM with a number.
+func (s *shedSim) startVM(n int) *shedVM {
+	v := &shedVM{
+		limits: ggsthrottle.NewTable(s.ids[n]), times: ggsthrottle.NewServiceTimes(), own: map[ggscore.EndpointID]int{},
+	}
+	v.limits.SetVMs(append([]ggscore.VMID(nil), s.ids...))
+	v.table = ggsplace.NewTable(ggsplace.Options{Domain: "d", Seed: uint64(n + 1), Throttle: v.limits})
+	v.table.SetInstances(s.now, s.list)
+	return v
+}
+
+// run plays the load and counts what callers got and how often endpoints fell over.
+func (l shedLoad) run() shedResult {
+	s := newShedSim(l)
+	for step := range int(shedLength / shedTick) {
+		s.now = at(time.Duration(step) * shedTick)
+		s.advance()
+		if step%int(shedInterval/shedTick) == 0 {
+			s.report()
+		}
+		if l.restartAt > 0 && step == int(l.restartAt/shedTick) {
+			s.restart()
+		}
+		s.arrive()
+	}
+	return s.result
+}
+
+// restart restarts all VMs. Their requests in flight are lost.
+func (s *shedSim) restart() {
+	for _, q := range s.active {
+		if q.running {
+			q.to.running--
+		}
+	}
+	s.active = nil
+	for n := range s.vms {
+		s.vms[n] = s.startVM(n)
+	}
+}
+
+// arrive sends the requests that arrive in a tick.
+func (s *shedSim) arrive() {
+	rate := s.perSecond
+	if s.now.Sub(at(0)) > shedLength/2 {
+		rate *= s.burst
+	}
+	for s.arrived += rate * shedTick.Seconds() * 2 * s.rng.Float64(); s.arrived >= 1; s.arrived-- {
+		s.result.requests++
+		s.send(&shedRequest{vm: s.vms[s.rng.IntN(len(s.vms))]})
+	}
+}
+
+// send sends a request to the endpoint that its VM chooses, or refuses it.
+func (s *shedSim) send(q *shedRequest) {
+	for {
+		c, err := q.vm.table.Choose(s.now, ggsplace.Query{Service: plain, Tried: q.tried})
+		if err != nil || len(q.tried) >= shedAttempts {
+			s.result.refused++
+			return
+		}
+		q.tried = append(q.tried, c.Instance.ID)
+		if !q.vm.limits.Take(s.now, c.Instance.ID) {
+			continue
+		}
+		q.to, q.sent, q.due, q.running = s.endpoints[c.Instance.ID], s.now, s.now.Add(shedTrip), false
+		q.vm.table.Sent(s.now, c.Instance.ID)
+		q.vm.own[c.Instance.ID]++
+		s.active = append(s.active, q)
+		return
+	}
+}
+
+// advance delivers the requests that are due at their endpoints, and the answers of those that have ended.
+func (s *shedSim) advance() {
+	pending := s.active
+	s.active = nil
+	for _, q := range pending {
+		switch {
+		case s.now.Before(q.due):
+			s.active = append(s.active, q)
+		case !q.running:
+			s.deliver(q)
+		default:
+			s.end(q)
+		}
+	}
+}
+
+// deliver delivers a request at its endpoint, which runs or refuses it.
+func (s *shedSim) deliver(q *shedRequest) {
+	e := q.to
+	switch {
+	case s.now.Before(e.upAt):
+		s.answered(q, ggsretry.ResultFailed)
+		s.send(q)
+	case e.running < e.Slots:
+		e.running++
+		q.running, q.due = true, s.now.Add(time.Duration(float64(s.serviceTime)*(0.5+s.rng.Float64())))
+		s.active = append(s.active, q)
+	default:
+		s.result.turnedAway++
+		e.refused = append(e.refused, s.now)
+		for s.now.Sub(e.refused[0]) >= time.Second {
+			e.refused = e.refused[1:]
+		}
+		s.announce(q)
+		s.answered(q, ggsretry.ResultNeutral)
+		q.vm.table.RecordRefusal(s.now, e.ID)
+		if len(e.refused) > shedRefusals && s.now.Sub(at(0)) > shedWarmUp {
+			s.result.falls++
+			e.upAt, e.refused = s.now.Add(shedDown), nil
+		}
+		s.send(q)
+	}
+}
+
+// end ends a request's run, which fails if its endpoint fell over meanwhile.
+func (s *shedSim) end(q *shedRequest) {
+	q.to.running--
+	if s.now.Before(q.to.upAt) {
+		s.answered(q, ggsretry.ResultFailed)
+		return
+	}
+	s.result.served++
+	q.vm.times.Observe(plain, s.now.Sub(q.sent))
+	s.announce(q)
+	s.answered(q, ggsretry.ResultOK)
+}
+
+func (s *shedSim) answered(q *shedRequest, r ggsretry.Result) {
+	q.vm.table.Ended(s.now, q.to.ID, r)
+	q.vm.own[q.to.ID]--
+}
+
+// announce has a request's VM read from the answer that its endpoint is shed-limited.
+func (s *shedSim) announce(q *shedRequest) {
+	if s.silent {
+		return
+	}
+	q.vm.table.ObserveShedLimit(plain, true, s.now)
+	refusals := shedRefusals
+	q.vm.limits.ObserveShedLimit(s.now, &q.to.Instance, q.vm.times, &refusals, s.now)
+}
+
+// report has each VM read the other VMs' requests in flight.
+func (s *shedSim) report() {
+	sum := map[ggscore.EndpointID]int{}
+	for _, v := range s.vms {
+		for id, n := range v.own {
+			sum[id] += n
+		}
+	}
+	s.reports = append(s.reports, sum)
+	old := s.reports[max(len(s.reports)-1-int(s.age/shedInterval), 0)]
+	for _, v := range s.vms {
+		var fs []ggscore.InFlight
+		for id, n := range old {
+			fs = append(fs, ggscore.InFlight{Endpoint: id, Count: max(n-v.own[id], 0)})
+		}
+		v.table.SetPeersInFlight(s.now, fs)
+	}
+}
