--- a/core/ggsplace/shedding_test.go
+++ b/core/ggsplace/shedding_test.go
@@ -41,6 +41,21 @@
 	}
 }
 
+// Guards against VMs that learn of a shed limit only from each endpoint's own answers.
+func TestVMsThatStartKnowShedLimits(t *testing.T) {
+	t.Parallel()
+	for name, l := range map[string]shedLoad{
+		"65 VMs, 7 endpoints":  {vms: 65, endpoints: 7, slots: 6, serviceTime: 60 * time.Millisecond, perSecond: 320, age: 300 * time.Millisecond},
+		"195 VMs, 6 endpoints": {vms: 195, endpoints: 6, slots: 6, serviceTime: 60 * time.Millisecond, perSecond: 263, age: 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l.burst, l.restartAt = 1.7, 9*time.Second
+			l.check(t)
+		})
+	}
+}
+
 // Guards against many VMs that press shed-limited runners while the load is above their capacity.
 func TestManyShedLimitedRunnersStayUp(t *testing.T) {
 	t.Parallel()
