fix(ggsthrottle): what one answer says of a shed limit holds for the service and all VMs

What callers saw: endpoints that queue nothing failed again and again under requests of VMs that didn't know of their limit, and the callers' requests there were lost or refused.

Cause: a VM learned of a shed limit only from an answer of the endpoint itself, one endpoint after the other, and forgot it 10 s after the last one. Neither peers nor a VM's next process learned of it, and a VM that doesn't know sends three rounds of requests to each endpoint. Shed limits were the only thing that answers announce that heartbeats didn't carry.

Change: a shed limit belongs to a service. Heartbeats and summaries carry it with the time of the service's requests and its age, VMs' records in the store keep it for VMs that start, and all endpoints of the service get their quota at once. endpointRefused, serviceShedLimited, /state and a gauge show it.

--- a/cmd/ggsnode/edge_shedding_test.go
+++ b/cmd/ggsnode/edge_shedding_test.go
@@ -1,6 +1,8 @@
 package ggsnode
 
 import (
+	"bytes"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -59,3 +61,52 @@
 	}
 	return n
 }
+
+// shedLimited reports whether an edge knows that the ledger's endpoints are shed-limited.
+func (s *siteTest) shedLimited(n int) bool {
+	for _, l := range s.state(n).ShedLimits {
+		if l.Service == "ledger" && l.RefusalsPerSecond != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// shedLimitRecorded reports whether the record of an edge has the shed limit.
+func (s *siteTest) shedLimitRecorded() bool {
+	for _, e := range s.edges {
+		record := s.site.Store.Get(fmt.Sprintf("greengageslip/vm/%s@%s", e.settings.VM, e.settings.Addr))
+		if bytes.Contains(record, []byte(`"shedLimits"`)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against VMs without an answer of a shed-limited service that don't know of its limit, also after
+// all VMs have restarted.
+func TestVMsWithoutAnswersKnowShedLimits(t *testing.T) {
+	t.Parallel()
+	const edges = 3
+	s := startSite(t, edges)
+	for _, id := range []string{"ledger-0", "ledger-1"} {
+		s.site.Endpoints[id].SetBrittle(6, time.Millisecond)
+	}
+	s.eventually("an endpoint answers", func() bool { return s.call(0, http.MethodPost, "/pay/1", "", "{}").status == http.StatusOK })
+	for n := range edges {
+		s.eventually("the VM knows the shed limit", func() bool { return s.shedLimited(n) })
+	}
+	s.eventually("a VM's record has the shed limit", s.shedLimitRecorded)
+	for n := range edges {
+		s.edges[n].cancel()
+	}
+	for n := range edges {
+		s.eventually("the VM is gone", func() bool { return s.ready(n) == 0 })
+	}
+	for n := range edges {
+		s.startEdge(t, edges+n)
+	}
+	for n := edges; n < 2*edges; n++ {
+		s.eventually("the VM knows the shed limit again", func() bool { return s.shedLimited(n) })
+	}
+}
--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -141,7 +141,7 @@
 	}
 	return Choice{
 		Instance: best.Instance, Resident: best.resident, InFlight: best.own + best.peers,
-		ReportAge: t.reportAge(now), ShedLimited: t.ShedLimited(now, best.Service),
+		ReportAge: t.reportAge(now), ShedLimited: t.shedLimited(now, best.Service),
 	}, nil
 }
 
--- a/core/ggsplace/shedding_sim_test.go
+++ b/core/ggsplace/shedding_sim_test.go
@@ -35,12 +35,13 @@
 	shedRefusals = 6
 	shedAttempts = 3
 	shedWarmUp   = 3 * time.Second
+	// shedRecordAge is the age of the VMs' records in the store.
+	shedRecordAge = 4 * time.Second
 )
 
 type shedVM struct {
 	table  *ggsplace.Table
 	limits *ggsthrottle.Table
-	times  *ggsthrottle.ServiceTimes
 	own    map[ggscore.EndpointID]int
 }
 
@@ -71,8 +72,8 @@
 	vms       []*shedVM
 	endpoints map[ggscore.EndpointID]*shedEndpoint
 	active    []*shedRequest
-	// reports are the requests in flight of all VMs, one for each shedInterval.
-	reports []map[ggscore.EndpointID]int
+	// reports are what the VMs report of themselves, one for each shedInterval.
+	reports []shedReport
 	arrived float64
 	result  shedResult
 }
@@ -96,11 +97,12 @@
 // startVM starts the VM with a number.
 func (s *shedSim) startVM(n int) *shedVM {
 	v := &shedVM{
-		limits: ggsthrottle.NewTable(s.ids[n]), times: ggsthrottle.NewServiceTimes(), own: map[ggscore.EndpointID]int{},
+		limits: ggsthrottle.NewTable(s.ids[n]), own: map[ggscore.EndpointID]int{},
 	}
 	v.limits.SetVMs(append([]ggscore.VMID(nil), s.ids...))
 	v.table = ggsplace.NewTable(ggsplace.Options{Domain: "d", Seed: uint64(n + 1), Throttle: v.limits})
 	v.table.SetInstances(s.now, s.list)
+	v.limits.SetInstances(s.now, s.list)
 	return v
 }
 
@@ -121,7 +123,8 @@
 	return s.result
 }
 
-// restart restarts all VMs. Their requests in flight are lost.
+// restart restarts all VMs. Their requests in flight are lost, and they read the VMs' records as of
+// shedRecordAge ago.
 func (s *shedSim) restart() {
 	for _, q := range s.active {
 		if q.running {
@@ -131,6 +134,7 @@
 	s.active = nil
 	for n := range s.vms {
 		s.vms[n] = s.startVM(n)
+		s.vms[n].limits.RestoreShedLimits(s.now.Add(-shedRecordAge), s.reportBefore(shedRecordAge).shedLimits)
 	}
 }
 
@@ -218,7 +222,7 @@
 		return
 	}
 	s.result.served++
-	q.vm.times.Observe(plain, s.now.Sub(q.sent))
+	q.vm.limits.ObserveServiceTime(plain, s.now.Sub(q.sent))
 	s.announce(q)
 	s.answered(q, ggsretry.ResultOK)
 }
@@ -233,26 +237,38 @@
 	if s.silent {
 		return
 	}
-	q.vm.table.ObserveShedLimit(plain, true, s.now)
 	refusals := shedRefusals
-	q.vm.limits.ObserveShedLimit(s.now, &q.to.Instance, q.vm.times, &refusals, s.now)
+	q.vm.limits.ObserveShedLimit(s.now, plain, &refusals, s.now)
 }
 
-// report has each VM read the other VMs' requests in flight.
+// A shedReport sums up what all VMs report.
+type shedReport struct {
+	inFlight   map[ggscore.EndpointID]int
+	shedLimits []ggscore.ShedLimit
+}
+
+// report has each VM read what the others reported some time ago.
 func (s *shedSim) report() {
-	sum := map[ggscore.EndpointID]int{}
+	r := shedReport{inFlight: map[ggscore.EndpointID]int{}}
 	for _, v := range s.vms {
 		for id, n := range v.own {
-			sum[id] += n
+			r.inFlight[id] += n
 		}
+		r.shedLimits = append(r.shedLimits, v.limits.RecentShedLimits(s.now)...)
 	}
-	s.reports = append(s.reports, sum)
-	old := s.reports[max(len(s.reports)-1-int(s.age/shedInterval), 0)]
+	s.reports = append(s.reports, r)
+	old := s.reportBefore(s.age)
 	for _, v := range s.vms {
 		var fs []ggscore.InFlight
-		for id, n := range old {
+		for id, n := range old.inFlight {
 			fs = append(fs, ggscore.InFlight{Endpoint: id, Count: max(n-v.own[id], 0)})
 		}
 		v.table.SetPeersInFlight(s.now, fs)
+		v.limits.ObservePeerShedLimits(s.now.Add(-s.age), old.shedLimits)
 	}
 }
+
+// reportBefore returns the report that was the last one some time ago.
+func (s *shedSim) reportBefore(age time.Duration) shedReport {
+	return s.reports[max(len(s.reports)-1-int(age/shedInterval), 0)]
+}
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -14,7 +14,6 @@
 //	t.SetPeerInFlight(now, vm, inFlight)            // a peer's requests in flight
 //	t.RecordDeparture(departure)                    // an answer announced that its endpoint leaves
 //	t.Pause(now, endpoint, d)                       // the endpoint requested a pause
-//	t.ObserveShedLimit(service, limited, asOf)      // what an answer says of its service
 //	t.RecordRefusal(now, endpoint)                  // the endpoint refused a request
 //	t.SetLoadable(endpoint, true)                   // the endpoint has an owner
 //	t.SetLoadableFrom(endpoint, at)                 // when it is expected to have one again
@@ -61,7 +60,7 @@
 	// Turns estimates when endpoints prefill a prompt. Without it, only requests in flight
 	// count.
 	Turns ggscore.TurnEstimator
-	// Throttle enforces the rate limits of endpoints. Without it, none is enforced.
+	// Throttle enforces the rate limits and shed limits of endpoints. Without it, none is enforced.
 	Throttle ggscore.EndpointThrottle
 	Policy   ggscore.Policy
 }
@@ -79,7 +78,6 @@
 	lastPeerScan time.Time
 	breakers     *ggsretry.Breakers[ggscore.EndpointID]
 	demand       *ggspopularity.Demand
-	sheds        map[ggscore.Service]shedState
 	// superseded are the processes of endpoints that newer ones have replaced.
 	superseded map[ggscore.EndpointID]superseded
 }
@@ -130,7 +128,6 @@
 		adapterSlots: map[ggscore.Service]int{},
 		peers:        map[ggscore.VMID]*peer{},
 		demand:       ggspopularity.NewDemand(),
-		sheds:        map[ggscore.Service]shedState{},
 		superseded:   map[ggscore.EndpointID]superseded{},
 		breakers:     ggsretry.NewBreakers[ggscore.EndpointID](ggsretry.BreakerOptions{Seed: o.Seed, MaxOpen: 4 * time.Second}),
 	}
--- a/core/ggsplace/table_test.go
+++ b/core/ggsplace/table_test.go
@@ -429,6 +429,8 @@
 // request.
 type fixedThrottle map[ggscore.EndpointID]time.Duration
 
+func (f fixedThrottle) ShedLimited(time.Time, ggscore.Service) bool { return false }
+
 func (f fixedThrottle) Limit(id ggscore.EndpointID) *ggscore.RateLimit {
 	if _, ok := f[id]; !ok {
 		return nil
--- a/core/ggsrelay/node_test.go
+++ b/core/ggsrelay/node_test.go
@@ -249,5 +249,33 @@
 	}
 }
 
+// Guards against VMs of other domains that don't learn of a shed limit, or that get an older one than
+// another VM knows.
+func TestShedLimitsReachAllVMs(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newSim(4, 60, 6)
+	s.run(settleTime)
+	s.shedLimits = func(vm ggscore.VMID) []ggscore.ShedLimit {
+		switch vm {
+		case "vm-017":
+			return []ggscore.ShedLimit{{Service: "limited", RefusalsPerSecond: new(5), Age: time.Second}, {Service: "lifted", Age: time.Second}}
+		case "vm-031":
+			return []ggscore.ShedLimit{
+				{Service: "limited", RefusalsPerSecond: new(7), ServiceTime: time.Second}, {Service: "lifted", RefusalsPerSecond: new(3), Age: 3 * time.Second},
+			}
+		}
+		return nil
+	}
+	s.run(maxLimitDelay)
+	for _, n := range s.nodes {
+		l := n.shedLimits["limited"]
+		c.Assert(l.RefusalsPerSecond, qt.DeepEquals, new(7), qt.Commentf("%s", n.member.VM))
+		c.Assert(l.ServiceTime, qt.Equals, time.Second)
+		c.Assert(l.Age <= maxLimitDelay, qt.IsTrue, qt.Commentf("%s", l.Age))
+		c.Assert(n.shedLimits["lifted"].RefusalsPerSecond, qt.IsNil, qt.Commentf("%s", n.member.VM))
+	}
+}
+
 // maxLimitDelay bounds the time until all VMs know a limit.
 const maxLimitDelay = time.Second
--- a/core/ggsrelay/sim_test.go
+++ b/core/ggsrelay/sim_test.go
@@ -25,6 +25,8 @@
 	partitioned func(a, b ggscore.Domain) bool
 	// limits returns the rate limits of endpoints that a VM knows.
 	limits func(ggscore.VMID) []ggscore.EndpointLimit
+	// shedLimits returns the shed limits of services that a VM knows.
+	shedLimits func(ggscore.VMID) []ggscore.ShedLimit
 	// departures returns the endpoints whose departures a VM reports.
 	departures func(ggscore.VMID) []ggscore.Departure
 	// received counts datagrams by receiver since the last reset.
@@ -46,6 +48,7 @@
 	demand     int
 	holdingsAt map[ggscore.EndpointID]time.Duration
 	limits     map[ggscore.EndpointID]ggscore.EndpointLimit
+	shedLimits map[ggscore.Service]ggscore.ShedLimit
 	departures map[ggscore.EndpointID]time.Time
 	// epoch is the store epoch that the VM knows.
 	epoch ggscore.StoreEpoch
@@ -80,6 +83,7 @@
 		rng: rand.New(rand.NewPCG(seed, 0)), nodes: map[ggscore.VMID]*simNode{}, received: map[ggscore.VMID]int{},
 		partitioned: func(ggscore.Domain, ggscore.Domain) bool { return false },
 		limits:      func(ggscore.VMID) []ggscore.EndpointLimit { return nil },
+		shedLimits:  func(ggscore.VMID) []ggscore.ShedLimit { return nil },
 		departures:  func(ggscore.VMID) []ggscore.Departure { return nil },
 	}
 	for i := range vms {
@@ -106,7 +110,7 @@
 	n := &simNode{
 		Node: ggsrelay.NewNode(ggsrelay.Options{Self: m, Started: int64(s.now) + 1}), member: m,
 		inFlight: map[ggscore.EndpointID]int{}, liveAt: map[ggscore.VMID]time.Duration{}, holdingsAt: map[ggscore.EndpointID]time.Duration{},
-		limits: map[ggscore.EndpointID]ggscore.EndpointLimit{}, departures: map[ggscore.EndpointID]time.Time{},
+		limits: map[ggscore.EndpointID]ggscore.EndpointLimit{}, shedLimits: map[ggscore.Service]ggscore.ShedLimit{}, departures: map[ggscore.EndpointID]time.Time{},
 	}
 	n.SetMembers(slices.DeleteFunc(slices.Clone(s.members), func(o ggsrelay.Member) bool { return o.VM == m.VM }))
 	s.nodes[m.VM] = n
@@ -151,6 +155,7 @@
 	}
 	h.Progress.Epoch = n.epoch
 	h.Limits, h.Departures = s.limits(n.member.VM), s.departures(n.member.VM)
+	h.ShedLimits = s.shedLimits(n.member.VM)
 	if n.sequence%9 == 0 {
 		h.Holdings = []ggscore.Holding{{Endpoint: endpointOf(n.member.VM), Whole: true}}
 	}
@@ -223,6 +228,9 @@
 	for _, l := range v.Limits {
 		n.limits[l.Endpoint] = l
 	}
+	for _, l := range v.ShedLimits {
+		n.shedLimits[l.Service] = l
+	}
 	for _, h := range v.Holdings {
 		n.holdingsAt[h.Endpoint] = s.now
 	}
--- a/core/ggsrelay/table.go
+++ b/core/ggsrelay/table.go
@@ -188,6 +188,7 @@
 		}
 		s.Progress = s.Progress.Merge(h.Progress.Aged(now.Sub(h.receivedAt)))
 		s.Limits = mergeLimits(s.Limits, h.Limits, now.Sub(h.receivedAt))
+		s.ShedLimits = mergeShedLimits(s.ShedLimits, h.ShedLimits, now.Sub(h.receivedAt))
 		s.Departures = mergeDepartures(s.Departures, h.Departures)
 		if s.Decider == "" || vm < s.Decider {
 			s.Decider, s.Modes = vm, h.Modes
@@ -202,6 +203,7 @@
 		s.Live = append(s.Live, d.live...)
 		s.Progress = s.Progress.Merge(d.Progress.Aged(now.Sub(d.receivedAt)))
 		s.Limits = mergeLimits(s.Limits, d.Limits, now.Sub(d.receivedAt))
+		s.ShedLimits = mergeShedLimits(s.ShedLimits, d.ShedLimits, now.Sub(d.receivedAt))
 		s.Departures = mergeDepartures(s.Departures, d.Departures)
 		if d.Decider != "" && (s.Decider == "" || d.Decider < s.Decider) {
 			s.Decider, s.Modes = d.Decider, d.Modes
@@ -237,6 +239,21 @@
 	return ls
 }
 
+// mergeShedLimits merges the shed limits of a heartbeat or summary into a list, like mergeLimits.
+func mergeShedLimits(ls, others []ggscore.ShedLimit, passed time.Duration) []ggscore.ShedLimit {
+	for _, l := range others {
+		l.Age += passed
+		i := slices.IndexFunc(ls, func(o ggscore.ShedLimit) bool { return o.Service == l.Service })
+		switch {
+		case i < 0:
+			ls = append(ls, l)
+		case l.Age < ls[i].Age:
+			ls[i] = l
+		}
+	}
+	return ls
+}
+
 func mergeDepartures(ds, others []ggscore.Departure) []ggscore.Departure {
 	for _, d := range others {
 		if !slices.ContainsFunc(ds, func(o ggscore.Departure) bool { return o.Endpoint == d.Endpoint && o.StartedAt.Equal(d.StartedAt) }) {
--- a/core/ggsthrottle/doc.go
+++ b/core/ggsthrottle/doc.go
@@ -9,7 +9,9 @@
 // selected, since the selected ones may have no callers.
 //
 // Shed-limited endpoints, which fail when they shed many requests, announce no limit. The VMs derive
-// one from the endpoint's slots and the time of its requests.
+// one from the endpoint's slots and the time of its requests. All endpoints of a service are
+// shed-limited or none is: what one answer says holds for the service, and heartbeats and the VMs'
+// records carry it to VMs that had no answer yet.
 //
 // # Usage
 //
@@ -17,8 +19,13 @@
 //	t.SetVMs(live)                             // the live VMs, this one included
 //	changed := t.Observe(now, id, limit, asOf) // an answer arrived
 //	t.ObservePeer(now, limits)                 // limits from a peer's heartbeat
-//	t.ObserveShedLimit(now, instance, times, refusals, asOf)
+//	t.SetInstances(now, instances)             // the list of endpoints was read
+//	t.ObserveServiceTime(service, took)        // a request ended
+//	t.ObserveShedLimit(now, service, refusals, asOf)
+//	t.ObservePeerShedLimits(now, shedLimits)   // shed limits from a peer's heartbeat
+//	t.RestoreShedLimits(now, shedLimits)       // shed limits from a VM's record
 //	limits := t.RecentLimits(now)              // limits for the next heartbeat
+//	shedLimits := t.RecentShedLimits(now)
 //	ok := t.Allows(now, id)                    // whether to choose the endpoint
 //	ok := t.Take(now, id)                      // just before sending
 //	wait := t.Wait(now, id)                    // for Retry-After
--- a/core/ggsthrottle/shedding.go
+++ b/core/ggsthrottle/shedding.go
@@ -12,10 +12,6 @@
 	// refusalShare is the share of an endpoint's tolerated refusals that a limit aims at. The
 	// requests of a second vary around their mean.
 	refusalShare = 0.25
-	// serviceTimeSmoothing is the weight of the last request in a service's time.
-	serviceTimeSmoothing = 0.05
-	// quotaTTL is how long an endpoint counts as shed-limited after its last answer.
-	quotaTTL = 10 * time.Second
 	// quotaWindow is the time over which unused requests accumulate. After an idle time, all VMs
 	// may send theirs at once.
 	quotaWindow = 200 * time.Millisecond
@@ -26,29 +22,10 @@
 	searchSteps = 20
 )
 
-// A ServiceTimes estimates how long requests of services occupy a slot.
-type ServiceTimes struct {
-	times map[ggscore.Service]time.Duration
-}
-
-// NewServiceTimes returns an empty estimate.
-func NewServiceTimes() *ServiceTimes {
-	return &ServiceTimes{times: map[ggscore.Service]time.Duration{}}
-}
-
-// Observe records the time from the sending of a request until the end of its answer.
-func (s *ServiceTimes) Observe(service ggscore.Service, took time.Duration) {
-	t, ok := s.times[service]
-	if !ok {
-		s.times[service] = took
-		return
-	}
-	s.times[service] = t + time.Duration(serviceTimeSmoothing*float64(took-t))
-}
-
 // A serviceQuota bounds the requests that this VM sends at once to all shed-limited endpoints of a
 // service. Without it, the unused parts of many endpoints would add up to a burst.
 type serviceQuota struct {
+	name   ggscore.Service
 	bucket bucket
 	// endpoints are the quotas that the bucket's rate is the sum of.
 	endpoints map[ggscore.EndpointID]*quota
@@ -66,40 +43,46 @@
 type quota struct {
 	service *serviceQuota
 	rate    float64
-	asOf    time.Time
 	bucket  bucket
 	// expires is set if unused requests expire, because other endpoints can serve them as well. A
 	// runner may be the only one with an adapter.
 	expires bool
 }
 
-// ObserveShedLimit records whether an answer says that its endpoint fails once it refuses more than
-// the given number of requests in a second, nil if it doesn't say so. asOf is as for Observe.
+// setQuotas sets this VM's quotas of the endpoints of a service whose shed limit has changed.
 //
 // Each VM limits itself to an equal part of the rate at which an endpoint without a queue refuses a
-// share of that number on average. Unlike a limit that the endpoint announces itself, it leaves
+// share of the requests that it can shed. Unlike a limit that the endpoint announces itself, it leaves
 // each VM a part: the endpoint serves most of the usual load, for adapters that it alone holds.
-func (t *Table) ObserveShedLimit(now time.Time, i *ggscore.Instance, s *ServiceTimes, refusalsPerSecond *int, asOf time.Time) {
-	q := t.quotas[i.ID]
-	if q != nil && asOf.Before(q.asOf) {
-		return
+func (t *Table) setQuotas(now time.Time, s ggscore.Service) {
+	refusals, took := t.shedLimits[s].refusals, t.serviceTimes[s]
+	rates := map[int]float64{}
+	for _, i := range t.instances[s] {
+		if refusals == nil || took <= 0 || i.Slots <= 0 {
+			t.removeQuota(i.ID)
+			continue
+		}
+		if _, ok := rates[i.Slots]; !ok {
+			aim := refusalShare * float64(max(*refusals, 1)) * took.Seconds()
+			rates[i.Slots] = offeredLoad(i.Slots, aim) / took.Seconds() / float64(len(t.vms))
+		}
+		t.quota(now, i).rate = rates[i.Slots]
 	}
-	took := s.times[i.Service]
-	if refusalsPerSecond == nil || took <= 0 || i.Slots <= 0 {
-		t.removeQuota(i.ID)
-		return
+}
+
+// quota returns the quota of a shed-limited endpoint.
+func (t *Table) quota(now time.Time, i *ggscore.Instance) *quota {
+	if q := t.quotas[i.ID]; q != nil {
+		return q
 	}
-	if q == nil {
-		v := t.serviceQuotas[i.Service]
-		if v == nil {
-			v = &serviceQuota{bucket: bucket{at: now}, endpoints: map[ggscore.EndpointID]*quota{}}
-			t.serviceQuotas[i.Service] = v
-		}
-		q = &quota{service: v, bucket: bucket{at: now, tokens: t.initialTokens(i.ID)}, expires: len(i.Models) == 0}
-		t.quotas[i.ID], v.endpoints[i.ID] = q, q
+	v := t.serviceQuotas[i.Service]
+	if v == nil {
+		v = &serviceQuota{name: i.Service, bucket: bucket{at: now}, endpoints: map[ggscore.EndpointID]*quota{}}
+		t.serviceQuotas[i.Service] = v
 	}
-	aim := refusalShare * float64(max(*refusalsPerSecond, 1)) * took.Seconds()
-	q.rate, q.asOf = offeredLoad(i.Slots, aim)/took.Seconds()/float64(len(t.vms)), asOf
+	q := &quota{service: v, bucket: bucket{at: now, tokens: t.initialTokens(i.ID)}, expires: len(i.Models) == 0}
+	t.quotas[i.ID], v.endpoints[i.ID] = q, q
+	return q
 }
 
 // initialTokens spreads the first requests of the VMs, which learn at the same time that an endpoint
@@ -109,16 +92,13 @@
 	return float64(xxhash.Sum64String(string(t.self)+" "+string(id))%values) / values * 2
 }
 
-// ShedLimitedCount returns the number of endpoints that are known to be shed-limited.
-func (t *Table) ShedLimitedCount() int { return len(t.quotas) }
-
 // currentQuota returns the quota of a shed-limited endpoint with its bucket refilled, or nil.
 func (t *Table) currentQuota(now time.Time, id ggscore.EndpointID) *quota {
 	q := t.quotas[id]
 	if q == nil {
 		return nil
 	}
-	if now.Sub(q.asOf) > quotaTTL {
+	if !t.ShedLimited(now, q.service.name) {
 		t.removeQuota(id)
 		return nil
 	}
@@ -134,7 +114,7 @@
 		q.bucket.refill(now, q.rate, quotaWindow)
 		return
 	}
-	hold := time.Duration(min(heldTokens/q.service.rate(), quotaTTL.Seconds()) * float64(time.Second))
+	hold := time.Duration(min(heldTokens/q.service.rate(), shedLimitTTL.Seconds()) * float64(time.Second))
 	q.bucket.refillExpiring(now, q.rate, max(hold, quotaWindow))
 }
 
--- a/core/ggsthrottle/shedding_test.go
+++ b/core/ggsthrottle/shedding_test.go
@@ -36,12 +36,13 @@
 			for n := range tc.vms {
 				tb := ggsthrottle.NewTable(vms[n])
 				tb.SetVMs(append([]ggscore.VMID(nil), vms...))
-				times := ggsthrottle.NewServiceTimes()
-				times.Observe("s", 600*time.Millisecond)
+				tb.ObserveServiceTime("s", 600*time.Millisecond)
+				var list []ggscore.Instance
 				for e := range tc.endpoints {
-					i := ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("e%d", e)), Service: "s", Slots: 16, Models: tc.models}
-					tb.ObserveShedLimit(at(0), &i, times, &refusals, at(0))
+					list = append(list, ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("e%d", e)), Service: "s", Slots: 16, Models: tc.models})
 				}
+				tb.SetInstances(at(0), list)
+				tb.ObserveShedLimit(at(0), "s", &refusals, at(0))
 				if tb.Allows(at(8*time.Second), "e7") {
 					allowed++
 				}
--- a/core/ggsthrottle/table.go
+++ b/core/ggsthrottle/table.go
@@ -34,7 +34,10 @@
 	self      ggscore.VMID
 	vms       []ggscore.VMID
 	endpoints map[ggscore.EndpointID]*endpoint
-	// quotas are those of shed-limited endpoints.
+	instances map[ggscore.Service][]*ggscore.Instance
+	// shedLimits and serviceTimes are those of services. quotas are those of shed-limited endpoints.
+	shedLimits    map[ggscore.Service]*shedLimit
+	serviceTimes  map[ggscore.Service]time.Duration
 	quotas        map[ggscore.EndpointID]*quota
 	serviceQuotas map[ggscore.Service]*serviceQuota
 }
@@ -54,7 +57,9 @@
 func NewTable(self ggscore.VMID) *Table {
 	return &Table{
 		self: self, vms: []ggscore.VMID{self}, endpoints: map[ggscore.EndpointID]*endpoint{},
-		quotas: map[ggscore.EndpointID]*quota{}, serviceQuotas: map[ggscore.Service]*serviceQuota{},
+		instances: map[ggscore.Service][]*ggscore.Instance{}, shedLimits: map[ggscore.Service]*shedLimit{},
+		serviceTimes: map[ggscore.Service]time.Duration{},
+		quotas:       map[ggscore.EndpointID]*quota{}, serviceQuotas: map[ggscore.Service]*serviceQuota{},
 	}
 }
 
@@ -71,6 +76,18 @@
 	}
 }
 
+// SetInstances sets the endpoints that exist.
+func (t *Table) SetInstances(now time.Time, list []ggscore.Instance) {
+	t.instances = map[ggscore.Service][]*ggscore.Instance{}
+	for n := range list {
+		i := &list[n]
+		t.instances[i.Service] = append(t.instances[i.Service], i)
+	}
+	for s := range t.shedLimits {
+		t.setQuotas(now, s)
+	}
+}
+
 // Observe records the limit that an answer announces, nil for none, and reports whether the
 // endpoint became limited or unlimited. asOf is the time of the announcement: the arrival of
 // the answer for a limit, the sending of the request for none. An answer to a request that was
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -29,6 +29,8 @@
 	Modes []TurnMode
 	// Limits are the rate limits that endpoints recently announced or lifted.
 	Limits []EndpointLimit
+	// ShedLimits are the shed limits of services that answers recently named or lifted.
+	ShedLimits []ShedLimit
 	// Departures are the endpoints that announced in answers that they leave.
 	Departures []Departure
 }
@@ -139,6 +141,8 @@
 	Decider VMID
 	Modes   []TurnMode
 	Limits  []EndpointLimit
+	// ShedLimits are the shed limits of services that answers recently named or lifted.
+	ShedLimits []ShedLimit
 	// Departures are the endpoints that announced in answers that they leave.
 	Departures []Departure
 }
--- a/core/instance.go
+++ b/core/instance.go
@@ -128,6 +128,19 @@
 	Age time.Duration
 }
 
+// A ShedLimit is what the answers of a service last said of the requests that each of its endpoints
+// can shed.
+type ShedLimit struct {
+	Service Service
+	// RefusalsPerSecond is the number of requests that an endpoint can refuse in a second for lack of
+	// capacity before it fails, nil if answers no longer say so.
+	RefusalsPerSecond *int
+	// ServiceTime is the mean time that a request occupies a slot, zero if unknown.
+	ServiceTime time.Duration
+	// Age is the time since the answer.
+	Age time.Duration
+}
+
 // A Departure is an endpoint that announced in an answer that it leaves. The announcement takes
 // precedence over the endpoint's entry in the store.
 type Departure struct {
@@ -136,8 +149,11 @@
 	StartedAt time.Time
 }
 
-// An EndpointThrottle decides whether this VM may send requests to endpoints with a rate limit.
+// An EndpointThrottle decides whether this VM may send requests to endpoints that are rate-limited or
+// shed-limited.
 type EndpointThrottle interface {
+	// ShedLimited reports whether the endpoints of a service fail when they shed too many requests.
+	ShedLimited(now time.Time, s Service) bool
 	// Limit returns the endpoint's rate limit, nil for none.
 	Limit(id EndpointID) *RateLimit
 	Allows(now time.Time, id EndpointID) bool
--- a/io/ggsedge/control.go
+++ b/io/ggsedge/control.go
@@ -98,13 +98,14 @@
 	*count++
 	e.mu.Lock()
 	p := e.ownership.NextHeartbeat(e.Now())
-	shapes := e.turns.LearnedState()
+	shapes, sheds := e.turns.LearnedState(), e.limits.RecentShedLimits(e.Now())
 	e.mu.Unlock()
 	v, err := json.Marshal(&memberRecord{
 		Domain: string(e.options.Domain), DatagramAddr: e.options.DatagramAddr.String(), ControlAddr: e.options.ControlAddr.String(), Count: *count,
 		Capacity:   e.options.Capacity,
 		Isolated:   e.Paths.Isolated(),
 		TurnStates: turnStateRecords(shapes),
+		ShedLimits: shedLimitRecords(sheds),
 	})
 	if err != nil {
 		_ = level.Error(e.Log).Log("event", ggslog.EventHeartbeatUnencoded, "err", err)
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -130,8 +130,6 @@
 	node      *ggsrelay.Node
 	retries   *ggsretry.Policy
 	limits    *ggsthrottle.Table
-	// serviceTimes are for the limits of shed-limited endpoints.
-	serviceTimes *ggsthrottle.ServiceTimes
 	// origins and census decide at which software version a resumed stream goes on.
 	origins *ggsorigin.Table
 	census  *ggsorigin.Census
@@ -143,8 +141,10 @@
 	// carry so that a VM detects peers with newer versions.
 	versions   map[ggscore.ModelAdapter]uint64
 	versionSum uint64
-	newer      newerEntries
-	workers    map[ggscore.EndpointID]*worker
+	// recordsRead is set once the VMs' own records were read from the store.
+	recordsRead bool
+	newer       newerEntries
+	workers     map[ggscore.EndpointID]*worker
 	// unansweredOrders are the orders that endpoints didn't answer, including orders to previous
 	// processes of an endpoint.
 	unansweredOrders map[ggscore.EndpointID]*ggsresident.Unanswered
@@ -268,7 +268,6 @@
 		ownership:              ggsfencing.NewOwnershipTracker(ggsfencing.Options{Self: o.VM, Domain: o.Domain, MinOrderGap: o.MinOrderGap, FirstStart: o.FirstStart}),
 		retries:                ggsretry.NewPolicy(retryOptions(o)),
 		limits:                 limits,
-		serviceTimes:           ggsthrottle.NewServiceTimes(),
 		registry:               ggsregistry.NewRegistry(),
 		origins:                ggsorigin.NewTable(),
 		census:                 ggsorigin.NewCensus(),
--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -164,7 +164,7 @@
 	h.Samples, h.Tallies = e.turns.DrainUnreported()
 	h.Modes = e.turns.Modes()
 	e.shareLimits()
-	h.Limits = e.limits.RecentLimits(now)
+	h.Limits, h.ShedLimits = e.limits.RecentLimits(now), e.limits.RecentShedLimits(now)
 	h.Departures = e.table.Departures(now)
 	return h
 }
@@ -247,7 +247,7 @@
 	e.table.SetPeerInFlight(now, h.VM, h.InFlight)
 	e.applyHoldings(now, h.Holdings)
 	e.applyTurns(now, h.VM, h.Samples, h.Tallies, h.Modes)
-	e.applySignals(now, h.Limits, h.Departures)
+	e.applySignals(now, h.Limits, h.ShedLimits, h.Departures)
 	for _, u := range h.Uses {
 		e.table.RecordRequests(now, u.Target, u.Count)
 		e.applyUse(now, h.VM, u)
@@ -282,7 +282,7 @@
 	}
 	e.applyHoldings(now, v.Holdings)
 	e.applyTurns(now, v.Decider, v.Samples, v.Tallies, v.Modes)
-	e.applySignals(now, v.Limits, v.Departures)
+	e.applySignals(now, v.Limits, v.ShedLimits, v.Departures)
 	for _, d := range v.Demand {
 		e.table.RecordRequests(now, d.Target, d.Count)
 	}
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -38,6 +38,38 @@
 	Count uint64 `json:"count"`
 	// TurnStates are the learned prefill times of services, for VMs that start.
 	TurnStates []turnStateRecord `json:"shapes,omitempty"`
+	// ShedLimits are the shed limits of services, for VMs that start.
+	ShedLimits []shedLimitRecord `json:"shedLimits,omitempty"`
+}
+
+// A shedLimitRecord is the JSON form of a ggscore.ShedLimit.
+type shedLimitRecord struct {
+	Service           string `json:"service"`
+	RefusalsPerSecond int    `json:"refusalsPerSecond"`
+	ServiceTime       int64  `json:"serviceTimeMicroseconds"`
+	Age               int64  `json:"ageMilliseconds"`
+}
+
+// shedLimitRecords returns the records of the limits that are in force.
+func shedLimitRecords(ls []ggscore.ShedLimit) []shedLimitRecord {
+	var rs []shedLimitRecord
+	for _, l := range ls {
+		if l.RefusalsPerSecond == nil {
+			continue
+		}
+		rs = append(rs, shedLimitRecord{
+			Service: string(l.Service), RefusalsPerSecond: *l.RefusalsPerSecond,
+			ServiceTime: l.ServiceTime.Microseconds(), Age: l.Age.Milliseconds(),
+		})
+	}
+	return rs
+}
+
+func (r *shedLimitRecord) shedLimit() ggscore.ShedLimit {
+	return ggscore.ShedLimit{
+		Service: ggscore.Service(r.Service), RefusalsPerSecond: &r.RefusalsPerSecond,
+		ServiceTime: time.Duration(r.ServiceTime) * time.Microsecond, Age: time.Duration(r.Age) * time.Millisecond,
+	}
 }
 
 // A turnStateRecord is the JSON form of a ggscore.TurnState. The fields' tags name the units.
@@ -161,6 +193,7 @@
 	r, peers, parts := e.readOwn(es)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.recordsRead = e.recordsRead || !at.IsZero()
 	e.observePartRecords(parts, at)
 	e.ownership.Observe(e.Now(), at, r)
 	e.recordResync()
@@ -221,6 +254,7 @@
 					VM: vm, Domain: ggscore.Domain(w.Domain), Capacity: w.Capacity, Isolated: w.Isolated, Revision: n.Revision,
 				})
 				e.restoreTurnStates(w.TurnStates)
+				e.restoreShedLimits(w.ShedLimits)
 			}
 			if p, ok := w.member(); ok && vm != e.options.VM {
 				p.domain = ggscore.Domain(w.Domain)
@@ -253,3 +287,18 @@
 		e.turns.Restore(e.Now(), rs[i].turnState())
 	}
 }
+
+// restoreShedLimits restores the shed limits that another VM or this VM's previous process knew. Later
+// readings of the same records would prolong limits that have been lifted.
+func (e *Edge) restoreShedLimits(rs []shedLimitRecord) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.recordsRead {
+		return
+	}
+	var ls []ggscore.ShedLimit
+	for i := range rs {
+		ls = append(ls, rs[i].shedLimit())
+	}
+	e.applyShedLimits(e.Now(), ls, e.limits.RestoreShedLimits)
+}
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -133,6 +133,9 @@
 			return float64(e.blockedCount())
 		})},
 		{"limited_endpoints", "Endpoints whose answers name a rate limit.", locked(func() float64 { return float64(e.limits.LimitedCount()) })},
+		{"shed_limited_services", "Services whose endpoints fail when they shed many requests.", locked(func() float64 {
+			return float64(e.limits.ShedLimitedCount(e.Now()))
+		})},
 		{"ordered_endpoints", "Endpoints that get their orders from this VM.", locked(func() float64 { return float64(len(e.workers)) })},
 		{"peers", "Other VMs that are known.", locked(func() float64 { return float64(len(e.peers)) })},
 	} {
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -306,7 +306,7 @@
 func (e *Edge) recordServiceTime(j *job) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.serviceTimes.Observe(j.service, e.Now().Sub(j.sentAt))
+	e.limits.ObserveServiceTime(j.service, e.Now().Sub(j.sentAt))
 }
 
 // writeHead writes an answer's head.
--- a/io/ggsedge/signals.go
+++ b/io/ggsedge/signals.go
@@ -16,7 +16,7 @@
 	now := e.Now()
 	leaves := m.Leaving && e.table.RecordDeparture(ggscore.Departure{Endpoint: i.ID, StartedAt: i.StartedAt})
 	limited := e.observeLimit(now, j, i.ID, m.Limit)
-	changed := e.observeShedLimit(now, j, &i, m.ShedLimit)
+	changed := e.observeShedLimit(now, j, i.Service, m.ShedLimit)
 	if m.RetryAfter > 0 {
 		e.table.Pause(now, i.ID, m.RetryAfter)
 	}
@@ -50,17 +50,16 @@
 	return changed
 }
 
-// observeShedLimit processes whether an answer says that its endpoint is shed-limited. It reports whether
-// that changed for the service. Edge.mu is held.
-func (e *Edge) observeShedLimit(now time.Time, j *job, i *ggscore.Instance, refusalsPerSecond *int) bool {
+// observeShedLimit processes whether an answer says that its service is shed-limited. It reports whether
+// that changed. Edge.mu is held.
+func (e *Edge) observeShedLimit(now time.Time, j *job, s ggscore.Service, refusalsPerSecond *int) bool {
 	asOf := now
 	if refusalsPerSecond == nil {
 		asOf = j.sentAt
 	}
-	before := e.table.ShedLimited(now, i.Service)
-	e.table.ObserveShedLimit(i.Service, refusalsPerSecond != nil, asOf)
-	e.limits.ObserveShedLimit(now, i, e.serviceTimes, refusalsPerSecond, asOf)
-	after := e.table.ShedLimited(now, i.Service)
+	before := e.limits.ShedLimited(now, s)
+	e.limits.ObserveShedLimit(now, s, refusalsPerSecond, asOf)
+	after := e.limits.ShedLimited(now, s)
 	if after && !before {
 		e.shareLimits()
 	}
@@ -69,15 +68,16 @@
 
 // shareLimits updates the set of VMs that share rate limits. Edge.mu is held.
 func (e *Edge) shareLimits() {
-	if e.limits.LimitedCount() == 0 && e.limits.ShedLimitedCount() == 0 {
+	if e.limits.LimitedCount() == 0 && e.limits.ShedLimitedCount(e.Now()) == 0 {
 		return
 	}
 	e.limits.SetVMs(append(e.livePeersLocked(), e.options.VM))
 }
 
-// applySignals applies the rate limits and departures that peers observed. Edge.mu is held.
-func (e *Edge) applySignals(now time.Time, ls []ggscore.EndpointLimit, ds []ggscore.Departure) {
+// applySignals applies the limits and departures that peers observed. Edge.mu is held.
+func (e *Edge) applySignals(now time.Time, ls []ggscore.EndpointLimit, sheds []ggscore.ShedLimit, ds []ggscore.Departure) {
 	e.limits.ObservePeer(now.Add(-heartbeatDelay), ls)
+	e.applyShedLimits(now, sheds, e.limits.ObservePeerShedLimits)
 	for _, d := range ds {
 		if e.table.RecordDeparture(d) {
 			_ = level.Info(e.Log).Log("event", ggslog.EventEndpointLeaving, "endpoint", d.Endpoint, "peers", true)
@@ -85,6 +85,22 @@
 	}
 }
 
+// applyShedLimits has apply record the shed limits that other VMs observed. Edge.mu is held.
+func (e *Edge) applyShedLimits(now time.Time, ls []ggscore.ShedLimit, apply func(time.Time, []ggscore.ShedLimit)) {
+	changed := false
+	for _, l := range ls {
+		before := e.limits.ShedLimited(now, l.Service)
+		apply(now.Add(-heartbeatDelay), []ggscore.ShedLimit{l})
+		if after := e.limits.ShedLimited(now, l.Service); after != before {
+			changed = true
+			_ = level.Info(e.Log).Log("event", ggslog.EventServiceShedLimited, "service", l.Service, "limited", after, "age", l.Age, "peers", true)
+		}
+	}
+	if changed {
+		e.shareLimits()
+	}
+}
+
 // takeLimit takes a token from this VM's share of an endpoint's rate limit, and reports whether
 // one was available. Requests that chose the endpoint at the same time may have taken the last.
 func (e *Edge) takeLimit(id ggscore.EndpointID) bool {
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -29,6 +29,8 @@
 	Versions   []ggscore.AdapterVersion
 	// Quarantined are the parts of prompts that are kept from endpoints because they crash them.
 	Quarantined []QuarantineState
+	// ShedLimits are what the answers of services last said of the requests that their endpoints can shed.
+	ShedLimits []ggscore.ShedLimit
 }
 
 // A QuarantineState is a part of prompts in quarantine, and the time until it is let go.
@@ -111,6 +113,7 @@
 	for p, left := range e.quarantine.Quarantined(now) {
 		s.Quarantined = append(s.Quarantined, QuarantineState{Part: p, Left: left})
 	}
+	s.ShedLimits = e.limits.RecentShedLimits(now)
 	slices.SortFunc(s.Quarantined, func(a, b QuarantineState) int { return cmp.Compare(a.Part, b.Part) })
 	slices.SortFunc(s.Endpoints, func(a, b EndpointState) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
@@ -137,6 +140,15 @@
 	// Versions and Held are adapters with their versions.
 	Versions    []versionWire    `json:"versions"`
 	Quarantined []quarantineWire `json:"quarantined,omitempty"`
+	ShedLimits  []shedLimitWire  `json:"shedLimits,omitempty"`
+}
+
+// A shedLimitWire is a shed limit. RefusalsPerSecond is omitted if the limit was lifted.
+type shedLimitWire struct {
+	Service            string  `json:"service"`
+	RefusalsPerSecond  *int    `json:"refusalsPerSecond,omitempty"`
+	ServiceTimeSeconds float64 `json:"serviceTimeSeconds"`
+	AgeSeconds         float64 `json:"ageSeconds"`
 }
 
 type quarantineWire struct {
@@ -204,6 +216,11 @@
 	for _, q := range s.Quarantined {
 		w.Quarantined = append(w.Quarantined, quarantineWire{Part: string(q.Part), LeftSeconds: q.Left.Seconds()})
 	}
+	for _, l := range s.ShedLimits {
+		w.ShedLimits = append(w.ShedLimits, shedLimitWire{
+			Service: string(l.Service), RefusalsPerSecond: l.RefusalsPerSecond, ServiceTimeSeconds: l.ServiceTime.Seconds(), AgeSeconds: l.Age.Seconds(),
+		})
+	}
 	return json.Marshal(&w)
 }
 
@@ -238,6 +255,11 @@
 	for _, q := range w.Quarantined {
 		s.Quarantined = append(s.Quarantined, QuarantineState{Part: ggscore.PromptPart(q.Part), Left: duration(q.LeftSeconds)})
 	}
+	for _, l := range w.ShedLimits {
+		s.ShedLimits = append(s.ShedLimits, ggscore.ShedLimit{
+			Service: ggscore.Service(l.Service), RefusalsPerSecond: l.RefusalsPerSecond, ServiceTime: duration(l.ServiceTimeSeconds), Age: duration(l.AgeSeconds),
+		})
+	}
 	return nil
 }
 
--- a/io/ggsedge/state_test.go
+++ b/io/ggsedge/state_test.go
@@ -25,6 +25,7 @@
 		},
 		Peers:       []PeerState{{VM: "peer", Domain: "b", HeartbeatAge: 150 * time.Millisecond}},
 		Quarantined: []QuarantineState{{Part: "5c", Left: time.Minute}},
+		ShedLimits:  []ggscore.ShedLimit{{Service: "ledger", RefusalsPerSecond: new(6), ServiceTime: 60 * time.Millisecond, Age: time.Second}},
 	}
 	b, err := json.Marshal(want)
 	c.Assert(err, qt.IsNil)
--- a/io/ggspeer/datagram_test.go
+++ b/io/ggspeer/datagram_test.go
@@ -30,6 +30,8 @@
 		VM: "near", Sequence: 3, Started: 9, InFlight: []ggscore.InFlight{{Endpoint: "r1", Count: 4, Ended: 3, Failed: 2}},
 		Holdings: []ggscore.Holding{{Endpoint: "r1", Held: []ggscore.AdapterVersion{{Target: a, Version: 2}}, Whole: true}},
 		Uses:     []ggscore.Use{{Endpoint: "r1", Target: a, Count: 5, Active: true}},
+
+		ShedLimits: []ggscore.ShedLimit{{Service: "s", RefusalsPerSecond: new(6), ServiceTime: time.Second, Age: time.Second}},
 	}
 	s := ggscore.Summary{
 		From: "near", Domain: "d", Fleet: true, Sequence: 4, Started: 8, InFlight: h.InFlight, Holdings: h.Holdings, Uses: h.Uses,
@@ -140,6 +142,26 @@
 	}
 }
 
+// Guards against shed limits that no endpoint can have named.
+func TestInvalidShedLimitsAreDropped(t *testing.T) {
+	t.Parallel()
+	for name, l := range map[string]shedLimitWire{
+		"negative refusals":     {Service: "s", Refusals: new(-1)},
+		"negative age":          {Service: "s", Age: -1},
+		"age overflows":         {Service: "s", Age: math.MaxInt64},
+		"negative service time": {Service: "s", ServiceTime: -1},
+		"service time too long": {Service: "s", ServiceTime: math.MaxInt64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			p, err := cbor.Marshal(&heartbeatWire{VM: "near", Sequence: 1, ShedLimits: []shedLimitWire{l}})
+			c.Assert(err, qt.IsNil)
+			c.Assert(nodeHandler(newNode()).handle(netip.AddrPort{}, append([]byte{kindHeartbeat}, p...)), qt.IsFalse)
+		})
+	}
+}
+
 func FuzzDatagram(f *testing.F) {
 	for _, p := range datagrams(qt.New(f)) {
 		f.Add(p)
--- a/io/ggspeer/heartbeat.go
+++ b/io/ggspeer/heartbeat.go
@@ -18,6 +18,7 @@
 	Tallies       []tallyWire
 	Modes         []modeWire
 	Limits        []limitWire
+	ShedLimits    []shedLimitWire
 	Departures    []departureWire
 }
 
@@ -26,7 +27,7 @@
 		VM: string(h.VM), Sequence: h.Sequence, Started: h.Started, Relay: int(h.Relay), CountingRelay: string(h.CountingRelay),
 		Progress: progressWireOf(h.Progress), InFlight: inFlightWires(h.InFlight),
 		Samples: sampleWires(h.Samples), Tallies: tallyWires(h.Tallies), Modes: modeWires(h.Modes),
-		Limits: limitWires(h.Limits), Departures: departureWires(h.Departures),
+		Limits: limitWires(h.Limits), ShedLimits: shedLimitWires(h.ShedLimits), Departures: departureWires(h.Departures),
 	}
 	w.Holdings = w.Models.holdingWires(h.Holdings)
 	w.Uses = w.Models.useWires(h.Uses)
@@ -53,5 +54,8 @@
 	if h.Limits, err = limitsOf(w.Limits); err != nil {
 		return ggscore.Heartbeat{}, err
 	}
+	if h.ShedLimits, err = shedLimitsOf(w.ShedLimits); err != nil {
+		return ggscore.Heartbeat{}, err
+	}
 	return h, nil
 }
--- a/io/ggspeer/summary.go
+++ b/io/ggspeer/summary.go
@@ -24,6 +24,7 @@
 	Decider    string
 	Modes      []modeWire
 	Limits     []limitWire
+	ShedLimits []shedLimitWire
 	Departures []departureWire
 }
 
@@ -38,7 +39,7 @@
 		From: string(d.From), Domain: string(d.Domain), Fleet: d.Fleet, Settling: d.Settling, Sequence: d.Sequence, Started: d.Started,
 		Progress: progressWireOf(d.Progress), LiveWhole: d.LiveWhole, InFlight: inFlightWires(d.InFlight),
 		Samples: sampleWires(d.Samples), Tallies: tallyWires(d.Tallies), Decider: string(d.Decider), Modes: modeWires(d.Modes),
-		Limits: limitWires(d.Limits), Departures: departureWires(d.Departures),
+		Limits: limitWires(d.Limits), ShedLimits: shedLimitWires(d.ShedLimits), Departures: departureWires(d.Departures),
 	}
 	for _, n := range d.Included {
 		w.Included = append(w.Included, includedWire{VM: uint32(n.VM), Sequence: n.Sequence})
@@ -80,6 +81,9 @@
 	if d.Limits, err = limitsOf(w.Limits); err != nil {
 		return ggscore.Summary{}, err
 	}
+	if d.ShedLimits, err = shedLimitsOf(w.ShedLimits); err != nil {
+		return ggscore.Summary{}, err
+	}
 	for _, n := range w.Demand {
 		if n.Count < 0 {
 			return ggscore.Summary{}, &CountError{Count: n.Count}
--- a/io/ggspeer/wire.go
+++ b/io/ggspeer/wire.go
@@ -78,6 +78,16 @@
 	Age int64
 }
 
+type shedLimitWire struct {
+	_       struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
+	Service string
+	// Refusals is nil if the limit was lifted.
+	Refusals *int
+	// ServiceTime is in microseconds, and Age in milliseconds.
+	ServiceTime int64
+	Age         int64
+}
+
 type departureWire struct {
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
 	Endpoint string
@@ -301,7 +311,36 @@
 	return ls, nil
 }
 
-// maxAge bounds the age of a rate limit in a datagram.
+func shedLimitWires(ls []ggscore.ShedLimit) []shedLimitWire {
+	ws := make([]shedLimitWire, 0, len(ls))
+	for _, l := range ls {
+		ws = append(ws, shedLimitWire{
+			Service: string(l.Service), Refusals: l.RefusalsPerSecond, ServiceTime: l.ServiceTime.Microseconds(), Age: l.Age.Milliseconds(),
+		})
+	}
+	return ws
+}
+
+func shedLimitsOf(ws []shedLimitWire) ([]ggscore.ShedLimit, error) {
+	var ls []ggscore.ShedLimit
+	for _, w := range ws {
+		switch {
+		case w.Refusals != nil && *w.Refusals < 0:
+			return nil, &CountError{Count: *w.Refusals}
+		case w.Age < 0 || w.Age > maxAge.Milliseconds():
+			return nil, &AgeError{Milliseconds: w.Age}
+		case w.ServiceTime < 0 || w.ServiceTime > maxAge.Microseconds():
+			return nil, &AgeError{Milliseconds: w.ServiceTime / time.Millisecond.Microseconds()}
+		}
+		ls = append(ls, ggscore.ShedLimit{
+			Service: ggscore.Service(w.Service), RefusalsPerSecond: w.Refusals,
+			ServiceTime: time.Duration(w.ServiceTime) * time.Microsecond, Age: time.Duration(w.Age) * time.Millisecond,
+		})
+	}
+	return ls, nil
+}
+
+// maxAge bounds the age of a limit in a datagram, and the time of a service's requests.
 const maxAge = time.Hour
 
 func departureWires(ds []ggscore.Departure) []departureWire {
