--- a/core/ggsplace/shedding_sim_test.go
+++ b/core/ggsplace/shedding_sim_test.go
@@ -24,6 +24,10 @@
 	silent bool
 	// restartAt is when all VMs restart, zero for never.
 	restartAt time.Duration
+	// hot is the share of the requests that meet one VM.
+	hot float64
+	// regions is the number of regions that VMs and endpoints are spread over, zero for one.
+	regions int
 }
 
 const (
@@ -81,7 +85,7 @@
 func newShedSim(l shedLoad) *shedSim {
 	s := &shedSim{shedLoad: l, rng: rand.New(rand.NewPCG(7, 0)), now: at(0), endpoints: map[ggscore.EndpointID]*shedEndpoint{}}
 	for n := range l.endpoints {
-		i := ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("p%d", n)), Service: plain, Domain: "d", Slots: l.slots}
+		i := ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("p%d", n)), Service: plain, Domain: l.domain(n), Slots: l.slots}
 		s.list = append(s.list, i)
 		s.endpoints[i.ID] = &shedEndpoint{Instance: i}
 	}
@@ -94,13 +98,31 @@
 	return s
 }
 
+// domain returns the failure domain of the VM or endpoint with a number. Each region has one.
+func (l *shedLoad) domain(n int) ggscore.Domain {
+	if l.regions == 0 {
+		return "d"
+	}
+	return ggscore.Domain(fmt.Sprintf("d%d", n%l.regions))
+}
+
+func (l *shedLoad) regionsOf() map[ggscore.Domain]ggscore.Region {
+	m := map[ggscore.Domain]ggscore.Region{}
+	for n := range max(l.regions, 1) {
+		m[l.domain(n)] = ggscore.Region(l.domain(n))
+	}
+	return m
+}
+
 // startVM starts the VM with a number.
 func (s *shedSim) startVM(n int) *shedVM {
 	v := &shedVM{
 		limits: ggsthrottle.NewTable(s.ids[n]), own: map[ggscore.EndpointID]int{},
 	}
 	v.limits.SetVMs(append([]ggscore.VMID(nil), s.ids...))
-	v.table = ggsplace.NewTable(ggsplace.Options{Domain: "d", Seed: uint64(n + 1), Throttle: v.limits})
+	v.table = ggsplace.NewTable(ggsplace.Options{
+		Domain: s.domain(n), Regions: s.regionsOf(), Seed: uint64(n + 1), Throttle: v.limits,
+	})
 	v.table.SetInstances(s.now, s.list)
 	v.limits.SetInstances(s.now, s.list)
 	return v
@@ -146,7 +168,11 @@
 	}
 	for s.arrived += rate * shedTick.Seconds() * 2 * s.rng.Float64(); s.arrived >= 1; s.arrived-- {
 		s.result.requests++
-		s.send(&shedRequest{vm: s.vms[s.rng.IntN(len(s.vms))]})
+		v := s.vms[s.rng.IntN(len(s.vms))]
+		if s.hot > 0 && s.rng.Float64() < s.hot {
+			v = s.vms[0]
+		}
+		s.send(&shedRequest{vm: v})
 	}
 }
 
--- a/core/ggsplace/shedding_test.go
+++ b/core/ggsplace/shedding_test.go
@@ -9,7 +9,7 @@
 )
 
 // check plays the load and checks how often endpoints fall over.
-func (l shedLoad) check(t *testing.T) {
+func (l shedLoad) check(t *testing.T) shedResult {
 	t.Helper()
 	r := l.run()
 	t.Logf("%+v", r)
@@ -19,6 +19,7 @@
 	}
 	most := 2 + l.endpoints/10
 	qt.Check(t, r.falls <= most, qt.IsTrue, qt.Commentf("fell over %d times, %d allowed", r.falls, most))
+	return r
 }
 
 // Guards against VMs that together press shed-limited endpoints until they fall over.
@@ -41,6 +42,64 @@
 	}
 }
 
+// Guards against callers that are refused beside free slots, because their VM's part of the slots is used up.
+func TestCallersOfShedLimitedServicesAreServed(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		load shedLoad
+		// refused is the share of requests that may be refused, beyond those for which there is no slot.
+		refused float64
+	}{
+		"65 VMs, 7 endpoints": {
+			load:    shedLoad{vms: 65, endpoints: 7, slots: 6, serviceTime: 60 * time.Millisecond, perSecond: 320, burst: 1},
+			refused: 0.01,
+		},
+		"65 VMs, 7 endpoints, one VM hot": {
+			load:    shedLoad{vms: 65, endpoints: 7, slots: 6, serviceTime: 60 * time.Millisecond, perSecond: 320, burst: 1, hot: 0.9},
+			refused: 0.01,
+		},
+		"195 VMs, 6 endpoints": {
+			load:    shedLoad{vms: 195, endpoints: 6, slots: 6, serviceTime: 60 * time.Millisecond, perSecond: 263, burst: 1},
+			refused: 0.01,
+		},
+		"65 VMs, 72 endpoints": {
+			load:    shedLoad{vms: 65, endpoints: 72, slots: 16, serviceTime: 600 * time.Millisecond, perSecond: 860, burst: 1},
+			refused: 0.01,
+		},
+		"65 VMs, 72 endpoints, 0.9 of the slots": {
+			load:    shedLoad{vms: 65, endpoints: 72, slots: 16, serviceTime: 600 * time.Millisecond, perSecond: 860, burst: 2},
+			refused: 0.05,
+		},
+		"65 VMs, 72 endpoints, 1.35 of the slots": {
+			load:    shedLoad{vms: 65, endpoints: 72, slots: 16, serviceTime: 600 * time.Millisecond, perSecond: 860, burst: 3},
+			refused: 0.05,
+		},
+		"9 VMs, 3 endpoints, one VM hot": {
+			load:    shedLoad{vms: 9, endpoints: 3, slots: 6, serviceTime: 15 * time.Millisecond, perSecond: 90, burst: 1, hot: 0.9},
+			refused: 0.01,
+		},
+		"12 VMs, 24 endpoints, 0.9 of the slots": {
+			load:    shedLoad{vms: 12, endpoints: 24, slots: 8, serviceTime: 150 * time.Millisecond, perSecond: 768, burst: 1.5},
+			refused: 0.05,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := tc.load
+			l.age, l.regions = 300*time.Millisecond, 3
+			r := l.check(t)
+			most := int(tc.refused*float64(r.requests)) + l.excess()
+			qt.Check(t, r.refused <= most, qt.IsTrue, qt.Commentf("%d of %d requests refused, %d allowed", r.refused, r.requests, most))
+		})
+	}
+}
+
+// excess returns the number of requests in the second half of the time for which there is no slot.
+func (l shedLoad) excess() int {
+	perSecond := float64(l.endpoints*l.slots) / l.serviceTime.Seconds()
+	return int(max(l.perSecond*l.burst-perSecond, 0) * (shedLength / 2).Seconds())
+}
+
 // Guards against VMs that learn of a shed limit only from each endpoint's own answers.
 func TestVMsThatStartKnowShedLimits(t *testing.T) {
 	t.Parallel()
