fix(ggsfakesite): a shed-limited endpoint's slot is free when its answer arrives

The stand-in sent the answer, which is flushed, and only then held the slot for the time of the work. A VM that counts requests in flight therefore saw a request end while its slot was taken for 150 ms more, and was refused by an endpoint with as many of its requests as slots. Now the work comes first, then the slot is freed, then the answer is sent. A request that is misdirected frees its slot at once. Endpoints may have other numbers of slots than 16.

--- a/fakes/ggsfakesite/brittle.go
+++ b/fakes/ggsfakesite/brittle.go
@@ -39,31 +39,53 @@
 	return e.brittle.falls
 }
 
-// enterBrittle admits a request to an endpoint that may be brittle. If it is admitted, end must be
-// called at the end of its run, and waits for the time of the request's work.
-func (e *Endpoint) enterBrittle(w http.ResponseWriter) (admitted bool, end func()) {
+// A brittleSlot is the slot of a request at an endpoint that may be brittle.
+type brittleSlot struct {
+	endpoint *Endpoint
+	workTime time.Duration
+	taken    bool
+}
+
+// work waits for the time of the request's work, and frees the slot. The answer of a plain request
+// follows.
+func (s *brittleSlot) work() {
+	if !s.taken {
+		return
+	}
+	t := time.NewTimer(s.workTime)
+	defer t.Stop()
+	<-t.C
+	s.free()
+}
+
+// free frees the slot, if it isn't free.
+func (s *brittleSlot) free() {
+	if !s.taken {
+		return
+	}
+	s.taken = false
+	s.endpoint.mu.Lock()
+	defer s.endpoint.mu.Unlock()
+	s.endpoint.brittle.active--
+}
+
+// enterBrittle admits a request to an endpoint that may be brittle. It returns nil if the request was
+// refused.
+func (e *Endpoint) enterBrittle(w http.ResponseWriter) *brittleSlot {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := &e.brittle
 	if b.refusals == 0 {
-		return true, func() {}
+		return &brittleSlot{}
 	}
 	now := e.options.Now()
 	if now.Before(b.downUntil) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Server-Brittle", strconv.Itoa(b.refusals))
-	if b.active < DefaultSlots {
+	if b.active < e.options.Slots {
 		b.active++
-		workTime := b.workTime
-		return true, func() {
-			t := time.NewTimer(workTime)
-			defer t.Stop()
-			<-t.C
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			b.active--
-		}
+		return &brittleSlot{endpoint: e, workTime: b.workTime, taken: true}
 	}
 	b.refused = append(b.refused, now)
 	for now.Sub(b.refused[0]) >= time.Second {
@@ -75,5 +97,5 @@
 	}
 	w.Header().Set("Not-Run", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
-	return false, nil
+	return nil
 }
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -28,7 +28,9 @@
 	// Engine makes the endpoint a runner of DefaultModel.
 	Engine       bool
 	AdapterSlots int
-	LoadTime     time.Duration
+	// Slots is the number of requests that run at once.
+	Slots    int
+	LoadTime time.Duration
 	// Events is the number of events in a stream, EventTime the interval between them.
 	Events    int
 	EventTime time.Duration
@@ -141,6 +143,9 @@
 	if o.AdapterSlots == 0 {
 		o.AdapterSlots = 4
 	}
+	if o.Slots == 0 {
+		o.Slots = DefaultSlots
+	}
 	if o.LoadTime == 0 {
 		o.LoadTime = DefaultLoadTime
 	}
@@ -160,7 +165,7 @@
 		state = "draining"
 	}
 	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"models":%s,"seq":%d,"born":%d}`,
-		e.options.Service, addr, zone, e.software, DefaultSlots, state, e.models(), e.sequence, e.starts))
+		e.options.Service, addr, zone, e.software, e.options.Slots, state, e.models(), e.sequence, e.starts))
 }
 
 // SetFault sets the function that chooses the fault of each request.
@@ -286,11 +291,11 @@
 		return
 	}
 	e.waitSilence()
-	admitted, end := e.enterBrittle(w)
-	if !admitted {
+	slot := e.enterBrittle(w)
+	if slot == nil {
 		return
 	}
-	defer end() // net/http sends a short answer after the handler has returned
+	defer slot.free()
 	e.mu.Lock()
 	e.requestCount++
 	e.arrivals = append(e.arrivals, Arrival{ID: id, At: e.options.Now()})
@@ -313,6 +318,7 @@
 	if crashes {
 		e.crash()
 	}
+	slot.work()
 	e.respond(w, r, id, f)
 }
 
