--- a/cmd/ggsnode/edge_shedding_test.go
+++ b/cmd/ggsnode/edge_shedding_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"greengageslip/fakes/ggsfakesite"
 )
 
 // Guards against VMs that press shed-limited endpoints until they fall over, and against callers that get
@@ -110,3 +113,80 @@
 		s.eventually("the VM knows the shed limit again", func() bool { return s.shedLimited(n) })
 	}
 }
+
+// Guards against callers of many VMs who are refused beside free slots of shed-limited endpoints, and
+// against endpoints that fail under the load of many VMs.
+func TestManyVMsServeWhileEndpointsAreShedLimited(t *testing.T) {
+	t.Parallel()
+	const (
+		edges    = 12
+		ledgers  = 24
+		slots    = 8
+		workTime = 400 * time.Millisecond
+		length   = 5 * time.Second
+	)
+	s := startSiteOptions(t, edges, ggsfakesite.SiteOptions{Ledgers: ledgers / 2, LedgerSlots: slots}, func(s *siteTest, n int) { s.startEdge(t, n) })
+	for id, e := range s.site.Endpoints {
+		if strings.HasPrefix(id, "ledger") {
+			e.SetBrittle(6, workTime)
+		}
+	}
+	s.callSteadily(http.MethodPost, "/pay/1", "", 100*time.Millisecond, contactTime)
+	before := s.falls()
+	for _, tc := range []struct {
+		// load is that of the slots. pooled is the share of callers who are served if each may take any free
+		// slot and calls twice.
+		load, pooled float64
+	}{
+		{load: 0.6, pooled: 1}, {load: 0.9, pooled: 0.98}, {load: 1.5, pooled: 0.66},
+	} {
+		interval := time.Duration(edges * float64(workTime) / (tc.load * ledgers * slots))
+		served, all := s.callSteadily(http.MethodPost, "/pay/1", "", interval, length)
+		share := float64(served) / float64(all)
+		s.c.Logf("load %.1f: %d of %d callers served, %.3f; fell over %d times", tc.load, served, all, share, s.falls()-before)
+		s.c.Check(share >= 0.95*tc.pooled, qt.IsTrue, qt.Commentf("load %.1f: served %.3f of the callers", tc.load, share))
+	}
+	for n := range s.edges {
+		s.edges[n].cancel()
+	}
+	most := 2 + ledgers/10
+	s.c.Check(s.falls()-before <= most, qt.IsTrue, qt.Commentf("fell over %d times, %d allowed", s.falls()-before, most))
+}
+
+// Guards against runners that fail under the load of adapters that only few of them hold.
+func TestShedLimitedRunnersStayUpUnderOverload(t *testing.T) {
+	t.Parallel()
+	const (
+		edges    = 3
+		runners  = 4
+		adapters = 4
+		workTime = 300 * time.Millisecond
+		load     = 1.5
+	)
+	s := startSiteOf(t, edges, runners/2, func(s *siteTest, n int) { s.startEdge(t, n) })
+	for id, e := range s.site.Endpoints {
+		if strings.HasPrefix(id, "runner") {
+			e.SetBrittle(6, workTime)
+		}
+	}
+	model := func(n int) string { return fmt.Sprintf("m/a%d", n) }
+	for n := range adapters {
+		s.callSteadily(http.MethodPost, "/chat/1", model(n), 100*time.Millisecond, contactTime/adapters)
+	}
+	before := s.falls()
+	interval := time.Duration(edges * adapters * float64(workTime) / (load * runners * ggsfakesite.DefaultSlots))
+	var served, sent atomic.Int64
+	var calls sync.WaitGroup
+	for n := range adapters {
+		calls.Go(func() {
+			ok, all := s.callSteadily(http.MethodPost, "/chat/1", model(n), interval, 5*time.Second)
+			served.Add(int64(ok))
+			sent.Add(int64(all))
+		})
+	}
+	calls.Wait()
+	falls := s.falls() - before
+	s.c.Logf("%d of %d callers served, fell over %d times", served.Load(), sent.Load(), falls)
+	s.c.Check(falls <= 2+runners/10, qt.IsTrue, qt.Commentf("fell over %d times", falls))
+	s.c.Check(served.Load()*2 >= sent.Load(), qt.IsTrue, qt.Commentf("%d of %d callers served", served.Load(), sent.Load()))
+}
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -59,13 +59,18 @@
 
 // startSiteOf is like startSiteWith. Each zone has the given number of runners.
 func startSiteOf(t *testing.T, edges, runners int, start func(s *siteTest, n int)) *siteTest {
+	t.Helper()
+	return startSiteOptions(t, edges, ggsfakesite.SiteOptions{Runners: runners}, start)
+}
+
+// startSiteOptions is like startSiteWith, with the numbers of endpoints and slots given by options.
+func startSiteOptions(t *testing.T, edges int, o ggsfakesite.SiteOptions, start func(s *siteTest, n int)) *siteTest {
 	t.Helper()
 	c := qt.New(t)
 	s := &siteTest{c: c, network: freeNetwork(t)}
 	ip := netip.AddrFrom4([4]byte{127, 9, s.network, 1})
-	s.site = ggsfakesite.NewSite(ggsfakesite.SiteOptions{
-		Listen: netip.AddrPortFrom(ip, 7000), Zones: []string{"a", "b"}, Runners: runners, Events: 6, EventTime: 10 * time.Millisecond, Now: time.Now,
-	})
+	o.Listen, o.Zones, o.Events, o.EventTime, o.Now = netip.AddrPortFrom(ip, 7000), []string{"a", "b"}, 6, 10*time.Millisecond, time.Now
+	s.site = ggsfakesite.NewSite(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.site.Run(ctx) }()
@@ -80,7 +85,7 @@
 		s.eventually("edge is ready", func() bool { return s.ready(n) == http.StatusOK })
 	}
 	for n := range s.edges {
-		s.eventually("the edge knows all owners", func() bool { return s.knownOwners(n) == 2*runners })
+		s.eventually("the edge knows all owners", func() bool { return s.knownOwners(n) == 2*max(o.Runners, 1) })
 	}
 	return s
 }
--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -111,6 +111,9 @@
 	homes := t.homes(now, list, q, base)
 	tolerated := toleratedFailures(now, list)
 	candidates, refusal := t.candidates(now, q, base)
+	if q.Engine == nil && t.summed() && t.ShedLimited(now, q.Service) {
+		candidates = t.sample(candidates)
+	}
 	holders := 0
 	for _, c := range candidates {
 		if c.resident {
@@ -141,7 +144,7 @@
 	}
 	return Choice{
 		Instance: best.Instance, Resident: best.resident, InFlight: best.own + best.peers,
-		ReportAge: t.reportAge(now), ShedLimited: t.shedLimited(now, best.Service),
+		ReportAge: t.reportAge(now), ShedLimited: t.ShedLimited(now, best.Service),
 	}, nil
 }
 
@@ -203,12 +206,12 @@
 
 // full reports whether the endpoint has reached its limit of requests in flight.
 func (t *Table) full(now time.Time, e *endpoint, g *ggscore.EngineSpec) bool {
-	return e.own+e.peers >= t.capacity(now, e, g)
+	return e.load() >= t.capacity(now, e, g) || now.Before(e.saturatedUntil)
 }
 
 // cost returns the expected delay at the endpoint without prefill, loads and failures.
 func (t *Table) cost(e *endpoint, g *ggscore.EngineSpec) time.Duration {
-	n := e.own + e.peers
+	n := e.load()
 	c := time.Duration(t.rng.Int64N(int64(time.Millisecond)))
 	if !e.local && t.options.Policy.On(ggscore.MechanismRegions) {
 		c += costRegion
@@ -287,7 +290,7 @@
 		if e.Leaving {
 			continue
 		}
-		w := max(e.pausedUntil.Sub(now), 0)
+		w := max(e.pausedUntil.Sub(now), e.saturatedUntil.Sub(now), 0)
 		if t.options.Throttle != nil {
 			w = max(w, t.options.Throttle.Wait(now, e.ID))
 		}
--- a/core/ggsplace/shedding_sim_test.go
+++ b/core/ggsplace/shedding_sim_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggspermit"
 	"greengageslip/core/ggsplace"
 	"greengageslip/core/ggsretry"
 	"greengageslip/core/ggsthrottle"
@@ -28,6 +30,13 @@
 	hot float64
 	// regions is the number of regions that VMs and endpoints are spread over, zero for one.
 	regions int
+	// loss is the share of datagrams between VMs that are lost.
+	loss float64
+	// failed is the number of VMs that fail at shedFaultAt, and stay down.
+	failed int
+	// partitioned has the VMs of the first region cut off from the others from shedFaultAt on, for
+	// shedFaultTime. All reach the endpoints.
+	partitioned bool
 }
 
 const (
@@ -41,12 +50,30 @@
 	shedWarmUp   = 3 * time.Second
 	// shedRecordAge is the age of the VMs' records in the store.
 	shedRecordAge = 4 * time.Second
+	shedFaultAt   = 9 * time.Second
+	shedFaultTime = 4 * time.Second
+	// shedPeerTimeout is the time after which a VM is known to have failed, or to be cut off.
+	shedPeerTimeout = time.Second
+	// shedPermitWait is how long a request may wait for a permit, and shedAskTimeout the time that
+	// its VM waits for a decision beyond that.
+	shedPermitWait = 50 * time.Millisecond
+	shedAskTimeout = 40 * time.Millisecond
+	// shedPermitTick is the time between a VM's checks of its permits.
+	shedPermitTick = 100 * time.Millisecond
+	// shedRegionTrip is the time of a datagram between regions.
+	shedRegionTrip = 8 * time.Millisecond
 )
 
 type shedVM struct {
+	member ggspermit.Member
 	table  *ggsplace.Table
 	limits *ggsthrottle.Table
+	issuer *ggspermit.Issuer
+	holder *ggspermit.Holder
 	own    map[ggscore.EndpointID]int
+	down   bool
+	// asks are the requests that wait for a permit.
+	asks map[ggscore.PermitID]*shedRequest
 }
 
 type shedRequest struct {
@@ -55,6 +82,9 @@
 	tried     []ggscore.EndpointID
 	sent, due time.Time
 	running   bool
+	permit    ggscore.PermitID
+	// rejected is set if the endpoint refused the request.
+	rejected bool
 }
 
 type shedEndpoint struct {
@@ -78,12 +108,15 @@
 	active    []*shedRequest
 	// reports are what the VMs report of themselves, one for each shedInterval.
 	reports []shedReport
-	arrived float64
-	result  shedResult
+	// messages are datagrams and timers, by the tick at which they are due.
+	messages map[int][]func()
+	members  []ggspermit.Member
+	arrived  float64
+	result   shedResult
 }
 
 func newShedSim(l shedLoad) *shedSim {
-	s := &shedSim{shedLoad: l, rng: rand.New(rand.NewPCG(7, 0)), now: at(0), endpoints: map[ggscore.EndpointID]*shedEndpoint{}}
+	s := &shedSim{shedLoad: l, rng: rand.New(rand.NewPCG(7, 0)), now: at(0), endpoints: map[ggscore.EndpointID]*shedEndpoint{}, messages: map[int][]func(){}}
 	for n := range l.endpoints {
 		i := ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("p%d", n)), Service: plain, Domain: l.domain(n), Slots: l.slots}
 		s.list = append(s.list, i)
@@ -91,6 +124,7 @@
 	}
 	for n := range l.vms {
 		s.ids = append(s.ids, ggscore.VMID(fmt.Sprintf("vm-%03d", n)))
+		s.members = append(s.members, ggspermit.Member{VM: s.ids[n], Domain: l.domain(n), Region: ggscore.Region(l.domain(n))})
 	}
 	for n := range l.vms {
 		s.vms = append(s.vms, s.startVM(n))
@@ -117,14 +151,17 @@
 // startVM starts the VM with a number.
 func (s *shedSim) startVM(n int) *shedVM {
 	v := &shedVM{
-		limits: ggsthrottle.NewTable(s.ids[n]), own: map[ggscore.EndpointID]int{},
+		member: s.members[n], limits: ggsthrottle.NewTable(s.ids[n]), own: map[ggscore.EndpointID]int{}, asks: map[ggscore.PermitID]*shedRequest{},
+		holder: ggspermit.NewHolder(s.ids[n], uint64(s.now.UnixNano())),
 	}
 	v.limits.SetVMs(append([]ggscore.VMID(nil), s.ids...))
 	v.table = ggsplace.NewTable(ggsplace.Options{
 		Domain: s.domain(n), Regions: s.regionsOf(), Seed: uint64(n + 1), Throttle: v.limits,
 	})
 	v.table.SetInstances(s.now, s.list)
-	v.limits.SetInstances(s.now, s.list)
+	v.issuer = ggspermit.NewIssuer(v.table)
+	v.issuer.SetInstances(s.list)
+	v.issuer.SetLive(s.now, len(s.ids))
 	return v
 }
 
@@ -133,13 +170,23 @@
 	s := newShedSim(l)
 	for step := range int(shedLength / shedTick) {
 		s.now = at(time.Duration(step) * shedTick)
+		for _, f := range s.messages[step] {
+			f()
+		}
+		delete(s.messages, step)
 		s.advance()
+		if step%int(shedPermitTick/shedTick) == 0 {
+			s.renewPermits()
+		}
 		if step%int(shedInterval/shedTick) == 0 {
 			s.report()
 		}
 		if l.restartAt > 0 && step == int(l.restartAt/shedTick) {
 			s.restart()
 		}
+		if step == int(shedFaultAt/shedTick) {
+			s.fail()
+		}
 		s.arrive()
 	}
 	return s.result
@@ -160,6 +207,25 @@
 	}
 }
 
+// fail has VMs fail. Their requests end at the endpoints.
+func (s *shedSim) fail() {
+	for _, v := range s.vms[:s.failed] {
+		v.down, v.own = true, map[ggscore.EndpointID]int{}
+	}
+	s.active = slices.DeleteFunc(s.active, func(q *shedRequest) bool {
+		if q.vm.down && q.running {
+			q.to.running--
+		}
+		return q.vm.down
+	})
+}
+
+// apart reports whether a VM's datagrams don't reach another.
+func (s *shedSim) apart(a, b *shedVM) bool {
+	d := s.now.Sub(at(shedFaultAt))
+	return b.down || s.partitioned && d >= 0 && d < shedFaultTime && (a.member.Domain == s.domain(0)) != (b.member.Domain == s.domain(0))
+}
+
 // arrive sends the requests that arrive in a tick.
 func (s *shedSim) arrive() {
 	rate := s.perSecond
@@ -169,6 +235,9 @@
 	for s.arrived += rate * shedTick.Seconds() * 2 * s.rng.Float64(); s.arrived >= 1; s.arrived-- {
 		s.result.requests++
 		v := s.vms[s.rng.IntN(len(s.vms))]
+		for v.down {
+			v = s.vms[s.rng.IntN(len(s.vms))]
+		}
 		if s.hot > 0 && s.rng.Float64() < s.hot {
 			v = s.vms[0]
 		}
@@ -188,14 +257,25 @@
 		if !q.vm.limits.Take(s.now, c.Instance.ID) {
 			continue
 		}
-		q.to, q.sent, q.due, q.running = s.endpoints[c.Instance.ID], s.now, s.now.Add(shedTrip), false
-		q.vm.table.Sent(s.now, c.Instance.ID)
-		q.vm.own[c.Instance.ID]++
-		s.active = append(s.active, q)
+		q.to, q.permit = s.endpoints[c.Instance.ID], q.vm.holder.Begin(c.Instance.ID)
+		if q.vm.limits.ShedLimited(s.now, plain) {
+			s.ask(q)
+			return
+		}
+		s.dispatch(q)
 		return
 	}
 }
 
+// dispatch sends a request to its endpoint.
+func (s *shedSim) dispatch(q *shedRequest) {
+	q.sent, q.due, q.running, q.rejected = s.now, s.now.Add(shedTrip), false, false
+	q.vm.holder.Sent(s.now, q.permit)
+	q.vm.table.Sent(s.now, q.to.ID)
+	q.vm.own[q.to.ID]++
+	s.active = append(s.active, q)
+}
+
 // advance delivers the requests that are due at their endpoints, and the answers of those that have ended.
 func (s *shedSim) advance() {
 	pending := s.active
@@ -230,8 +310,8 @@
 			e.refused = e.refused[1:]
 		}
 		s.announce(q)
+		q.rejected = true
 		s.answered(q, ggsretry.ResultNeutral)
-		q.vm.table.RecordRefusal(s.now, e.ID)
 		if len(e.refused) > shedRefusals && s.now.Sub(at(0)) > shedWarmUp {
 			s.result.falls++
 			e.upAt, e.refused = s.now.Add(shedDown), nil
@@ -248,7 +328,6 @@
 		return
 	}
 	s.result.served++
-	q.vm.limits.ObserveServiceTime(plain, s.now.Sub(q.sent))
 	s.announce(q)
 	s.answered(q, ggsretry.ResultOK)
 }
@@ -256,6 +335,7 @@
 func (s *shedSim) answered(q *shedRequest, r ggsretry.Result) {
 	q.vm.table.Ended(s.now, q.to.ID, r)
 	q.vm.own[q.to.ID]--
+	s.release(q)
 }
 
 // announce has a request's VM read from the answer that its endpoint is shed-limited.
@@ -264,29 +344,41 @@
 		return
 	}
 	refusals := shedRefusals
-	q.vm.limits.ObserveShedLimit(s.now, plain, &refusals, s.now)
+	q.vm.limits.ObserveShedLimit(plain, &refusals, s.now)
 }
 
 // A shedReport sums up what all VMs report.
 type shedReport struct {
-	inFlight   map[ggscore.EndpointID]int
+	inFlight   map[ggscore.Region]map[ggscore.EndpointID]int
 	shedLimits []ggscore.ShedLimit
 }
 
 // report has each VM read what the others reported some time ago.
 func (s *shedSim) report() {
-	r := shedReport{inFlight: map[ggscore.EndpointID]int{}}
+	r := shedReport{inFlight: map[ggscore.Region]map[ggscore.EndpointID]int{}}
 	for _, v := range s.vms {
+		if r.inFlight[v.member.Region] == nil {
+			r.inFlight[v.member.Region] = map[ggscore.EndpointID]int{}
+		}
 		for id, n := range v.own {
-			r.inFlight[id] += n
+			r.inFlight[v.member.Region][id] += n
 		}
 		r.shedLimits = append(r.shedLimits, v.limits.RecentShedLimits(s.now)...)
 	}
 	s.reports = append(s.reports, r)
 	old := s.reportBefore(s.age)
 	for _, v := range s.vms {
+		sum := map[ggscore.EndpointID]int{}
+		for region, counts := range old.inFlight {
+			if s.apart(v, &shedVM{member: ggspermit.Member{Domain: ggscore.Domain(region)}}) {
+				continue
+			}
+			for id, n := range counts {
+				sum[id] += n
+			}
+		}
 		var fs []ggscore.InFlight
-		for id, n := range old.inFlight {
+		for id, n := range sum {
 			fs = append(fs, ggscore.InFlight{Endpoint: id, Count: max(n-v.own[id], 0)})
 		}
 		v.table.SetPeersInFlight(s.now, fs)
--- a/core/ggsplace/shedding_test.go
+++ b/core/ggsplace/shedding_test.go
@@ -94,6 +94,34 @@
 	}
 }
 
+// Guards against endpoints that fall over, or that serve much less than before, while VMs disagree about who
+// counts their requests.
+func TestShedLimitedEndpointsStayUpWhileVMsFail(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]func(*shedLoad){
+		"datagrams are lost":      func(l *shedLoad) { l.loss = 0.02 },
+		"a third of the VMs fail": func(l *shedLoad) { l.failed = l.vms / 3 },
+		"regions are partitioned": func(l *shedLoad) { l.partitioned = true },
+		"all VMs restart":         func(l *shedLoad) { l.restartAt = shedFaultAt },
+	} {
+		for size, l := range map[string]shedLoad{
+			"65 VMs, 7 endpoints":  {vms: 65, endpoints: 7, slots: 6, serviceTime: 60 * time.Millisecond, perSecond: 320},
+			"65 VMs, 72 endpoints": {vms: 65, endpoints: 72, slots: 16, serviceTime: 600 * time.Millisecond, perSecond: 860},
+			"9 VMs, 12 endpoints":  {vms: 9, endpoints: 12, slots: 6, serviceTime: 60 * time.Millisecond, perSecond: 560},
+		} {
+			for _, burst := range []float64{1, 2} {
+				t.Run(fmt.Sprintf("%s, %s, %.0f times the load", name, size, burst), func(t *testing.T) {
+					t.Parallel()
+					l := l
+					l.age, l.regions, l.burst = 300*time.Millisecond, 3, burst
+					fault(&l)
+					l.check(t)
+				})
+			}
+		}
+	}
+}
+
 // excess returns the number of requests in the second half of the time for which there is no slot.
 func (l shedLoad) excess() int {
 	perSecond := float64(l.endpoints*l.slots) / l.serviceTime.Seconds()
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -14,7 +14,9 @@
 //	t.SetPeerInFlight(now, vm, inFlight)            // a peer's requests in flight
 //	t.RecordDeparture(departure)                    // an answer announced that its endpoint leaves
 //	t.Pause(now, endpoint, d)                       // the endpoint requested a pause
-//	t.RecordRefusal(now, endpoint)                  // the endpoint refused a request
+//	t.PermitAsked(endpoint)                         // this VM asks for a permit
+//	t.PermitDecided(endpoint)                       // the permit was granted or refused
+//	t.RecordSaturated(now, endpoint, d)             // it was refused
 //	t.SetLoadable(endpoint, true)                   // the endpoint has an owner
 //	t.SetLoadableFrom(endpoint, at)                 // when it is expected to have one again
 //	t.SetHeld(now, endpoint, held)                  // resident adapters, from the owner
@@ -84,8 +86,10 @@
 
 type endpoint struct {
 	ggscore.Instance
-	own        int
-	peers      int
+	own   int
+	peers int
+	// asking is the number of this VM's requests that wait for a permit.
+	asking     int
 	local      bool
 	entry      map[ggscore.ModelAdapter]uint64
 	entryRead  time.Time
@@ -114,8 +118,13 @@
 	leaveAnnounced bool
 	// pausedUntil is when the endpoint accepts requests of this VM again.
 	pausedUntil time.Time
+	// saturatedUntil is when the endpoint may have a permit for this VM again.
+	saturatedUntil time.Time
 }
 
+// load returns the number of requests that are in flight or wait for a permit.
+func (e *endpoint) load() int { return e.own + e.peers + e.asking }
+
 var _ ggscore.AdapterDemand = (*Table)(nil)
 
 // NewTable returns an empty table.
--- a/core/ggsrelay/node_test.go
+++ b/core/ggsrelay/node_test.go
@@ -262,7 +262,7 @@
 			return []ggscore.ShedLimit{{Service: "limited", RefusalsPerSecond: new(5), Age: time.Second}, {Service: "lifted", Age: time.Second}}
 		case "vm-031":
 			return []ggscore.ShedLimit{
-				{Service: "limited", RefusalsPerSecond: new(7), ServiceTime: time.Second}, {Service: "lifted", RefusalsPerSecond: new(3), Age: 3 * time.Second},
+				{Service: "limited", RefusalsPerSecond: new(7)}, {Service: "lifted", RefusalsPerSecond: new(3), Age: 3 * time.Second},
 			}
 		}
 		return nil
@@ -271,7 +271,6 @@
 	for _, n := range s.nodes {
 		l := n.shedLimits["limited"]
 		c.Assert(l.RefusalsPerSecond, qt.DeepEquals, new(7), qt.Commentf("%s", n.member.VM))
-		c.Assert(l.ServiceTime, qt.Equals, time.Second)
 		c.Assert(l.Age <= maxLimitDelay, qt.IsTrue, qt.Commentf("%s", l.Age))
 		c.Assert(n.shedLimits["lifted"].RefusalsPerSecond, qt.IsNil, qt.Commentf("%s", n.member.VM))
 	}
--- a/core/ggsthrottle/bucket.go
+++ b/core/ggsthrottle/bucket.go
@@ -1,9 +1,6 @@
 package ggsthrottle
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // A bucket is a token bucket, one token per request.
 type bucket struct {
@@ -21,20 +18,6 @@
 	b.tokens = min(b.tokens, capacity(perSecond, window))
 }
 
-// refillExpiring adds the tokens accrued since the last refill, and drops whole tokens that weren't
-// taken within the given time. The fraction stays, so that tokens come at the same times
-// whether or not others expire.
-func (b *bucket) refillExpiring(now time.Time, perSecond float64, hold time.Duration) {
-	if d := now.Sub(b.at); d > 0 {
-		b.tokens += perSecond * d.Seconds()
-		b.at = now
-	}
-	held := perSecond * hold.Seconds()
-	if b.tokens >= held+1 {
-		b.tokens = held + math.Mod(b.tokens-held, 1)
-	}
-}
-
 // capacity returns the number of tokens that a bucket holds at the given rate: those of a window.
 func capacity(perSecond float64, window time.Duration) float64 {
 	if perSecond == 0 {
--- a/core/ggsthrottle/doc.go
+++ b/core/ggsthrottle/doc.go
@@ -8,10 +8,10 @@
 // the limit still applies. If no answer of an endpoint arrives for a while, other VMs are
 // selected, since the selected ones may have no callers.
 //
-// Shed-limited endpoints, which fail when they shed many requests, announce no limit. The VMs derive
-// one from the endpoint's slots and the time of its requests. All endpoints of a service are
-// shed-limited or none is: what one answer says holds for the service, and heartbeats and the VMs'
-// records carry it to VMs that had no answer yet.
+// Shed-limited endpoints, which fail when they shed many requests, announce no limit. All endpoints of
+// a service are shed-limited or none is: what one answer says holds for the service, and heartbeats and
+// the VMs' records carry it to VMs that had no answer yet. Package ggspermit keeps the requests in flight at
+// such endpoints within their slots.
 //
 // # Usage
 //
@@ -19,9 +19,7 @@
 //	t.SetVMs(live)                             // the live VMs, this one included
 //	changed := t.Observe(now, id, limit, asOf) // an answer arrived
 //	t.ObservePeer(now, limits)                 // limits from a peer's heartbeat
-//	t.SetInstances(now, instances)             // the list of endpoints was read
-//	t.ObserveServiceTime(service, took)        // a request ended
-//	t.ObserveShedLimit(now, service, refusals, asOf)
+//	t.ObserveShedLimit(service, refusals, asOf)
 //	t.ObservePeerShedLimits(now, shedLimits)   // shed limits from a peer's heartbeat
 //	t.RestoreShedLimits(now, shedLimits)       // shed limits from a VM's record
 //	limits := t.RecentLimits(now)              // limits for the next heartbeat
--- a/core/ggsthrottle/shedlimit.go
+++ b/core/ggsthrottle/shedlimit.go
@@ -13,8 +13,6 @@
 	shedLimitTTL = 10 * time.Second
 	// maxGossipedShedLimits bounds the number of shed limits in a heartbeat.
 	maxGossipedShedLimits = 16
-	// serviceTimeSmoothing is the weight of the last request in a service's time.
-	serviceTimeSmoothing = 0.05
 )
 
 // A shedLimit is what a service's answers last said of the requests that its endpoints can shed.
@@ -27,7 +25,7 @@
 // ObserveShedLimit records whether an answer says that the endpoints of its service are shed-limited:
 // that they fail once they refuse more than the given number of requests in a second, nil if it doesn't
 // say so. asOf is as for Observe.
-func (t *Table) ObserveShedLimit(now time.Time, s ggscore.Service, refusalsPerSecond *int, asOf time.Time) {
+func (t *Table) ObserveShedLimit(s ggscore.Service, refusalsPerSecond *int, asOf time.Time) {
 	l := t.shedLimits[s]
 	if l == nil {
 		if refusalsPerSecond == nil {
@@ -40,19 +38,14 @@
 		return
 	}
 	l.refusals, l.asOf = refusalsPerSecond, asOf
-	t.setQuotas(now, s)
 }
 
 // ObservePeerShedLimits records the shed limits known to a peer.
 func (t *Table) ObservePeerShedLimits(now time.Time, ls []ggscore.ShedLimit) {
 	for _, l := range ls {
-		if l.Age > gossipMaxAge {
-			continue
-		}
-		if t.serviceTimes[l.Service] <= 0 && l.ServiceTime > 0 {
-			t.serviceTimes[l.Service] = l.ServiceTime
+		if l.Age <= gossipMaxAge {
+			t.ObserveShedLimit(l.Service, l.RefusalsPerSecond, now.Add(-l.Age))
 		}
-		t.ObserveShedLimit(now, l.Service, l.RefusalsPerSecond, now.Add(-l.Age))
 	}
 }
 
@@ -76,7 +69,7 @@
 			delete(t.shedLimits, s)
 			continue
 		}
-		ls = append(ls, ggscore.ShedLimit{Service: s, RefusalsPerSecond: l.refusals, ServiceTime: t.serviceTimes[s], Age: age})
+		ls = append(ls, ggscore.ShedLimit{Service: s, RefusalsPerSecond: l.refusals, Age: age})
 	}
 	slices.SortFunc(ls, func(a, b ggscore.ShedLimit) int {
 		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Service, b.Service))
@@ -100,13 +93,3 @@
 	}
 	return n
 }
-
-// ObserveServiceTime records the time from the sending of a request until the end of its answer.
-func (t *Table) ObserveServiceTime(s ggscore.Service, took time.Duration) {
-	old, ok := t.serviceTimes[s]
-	if !ok {
-		t.serviceTimes[s] = took
-		return
-	}
-	t.serviceTimes[s] = old + time.Duration(serviceTimeSmoothing*float64(took-old))
-}
--- a/core/ggsthrottle/table.go
+++ b/core/ggsthrottle/table.go
@@ -34,12 +34,8 @@
 	self      ggscore.VMID
 	vms       []ggscore.VMID
 	endpoints map[ggscore.EndpointID]*endpoint
-	instances map[ggscore.Service][]*ggscore.Instance
-	// shedLimits and serviceTimes are those of services. quotas are those of shed-limited endpoints.
-	shedLimits    map[ggscore.Service]*shedLimit
-	serviceTimes  map[ggscore.Service]time.Duration
-	quotas        map[ggscore.EndpointID]*quota
-	serviceQuotas map[ggscore.Service]*serviceQuota
+	// shedLimits are those of services.
+	shedLimits map[ggscore.Service]*shedLimit
 }
 
 var _ ggscore.EndpointThrottle = (*Table)(nil)
@@ -57,9 +53,7 @@
 func NewTable(self ggscore.VMID) *Table {
 	return &Table{
 		self: self, vms: []ggscore.VMID{self}, endpoints: map[ggscore.EndpointID]*endpoint{},
-		instances: map[ggscore.Service][]*ggscore.Instance{}, shedLimits: map[ggscore.Service]*shedLimit{},
-		serviceTimes: map[ggscore.Service]time.Duration{},
-		quotas:       map[ggscore.EndpointID]*quota{}, serviceQuotas: map[ggscore.Service]*serviceQuota{},
+		shedLimits: map[ggscore.Service]*shedLimit{},
 	}
 }
 
@@ -76,18 +70,6 @@
 	}
 }
 
-// SetInstances sets the endpoints that exist.
-func (t *Table) SetInstances(now time.Time, list []ggscore.Instance) {
-	t.instances = map[ggscore.Service][]*ggscore.Instance{}
-	for n := range list {
-		i := &list[n]
-		t.instances[i.Service] = append(t.instances[i.Service], i)
-	}
-	for s := range t.shedLimits {
-		t.setQuotas(now, s)
-	}
-}
-
 // Observe records the limit that an answer announces, nil for none, and reports whether the
 // endpoint became limited or unlimited. asOf is the time of the announcement: the arrival of
 // the answer for a limit, the sending of the request for none. An answer to a request that was
@@ -167,43 +149,32 @@
 // Remove drops the state of an endpoint.
 func (t *Table) Remove(id ggscore.EndpointID) {
 	delete(t.endpoints, id)
-	t.removeQuota(id)
 }
 
 // Allows implements ggscore.EndpointThrottle.
 func (t *Table) Allows(now time.Time, id ggscore.EndpointID) bool {
-	if q := t.currentQuota(now, id); q != nil && !q.allows() {
-		return false
-	}
 	e := t.limitedEndpoint(now, id)
 	return e == nil || e.bucket.allows()
 }
 
 // Wait implements ggscore.EndpointThrottle.
 func (t *Table) Wait(now time.Time, id ggscore.EndpointID) time.Duration {
-	wait := time.Duration(0)
-	if q := t.currentQuota(now, id); q != nil {
-		wait = q.wait()
-	}
 	e := t.limitedEndpoint(now, id)
 	switch {
 	case e == nil:
-		return wait
+		return 0
 	case e.share.perSecond == 0:
-		return max(wait, unselectedWait)
+		return unselectedWait
 	}
-	return max(wait, e.bucket.wait(e.share.perSecond))
+	return e.bucket.wait(e.share.perSecond)
 }
 
 // Take takes a token for a request to the endpoint, and reports whether this VM had one left.
-// It is always true for an endpoint without a limit that isn't shed-limited.
+// It is always true for an endpoint without a limit.
 func (t *Table) Take(now time.Time, id ggscore.EndpointID) bool {
 	if !t.Allows(now, id) {
 		return false
 	}
-	if q := t.quotas[id]; q != nil {
-		q.take()
-	}
 	if e := t.limitedEndpoint(now, id); e != nil {
 		e.bucket.take()
 	}
--- a/core/instance.go
+++ b/core/instance.go
@@ -135,8 +135,6 @@
 	// RefusalsPerSecond is the number of requests that an endpoint can refuse in a second for lack of
 	// capacity before it fails, nil if answers no longer say so.
 	RefusalsPerSecond *int
-	// ServiceTime is the mean time that a request occupies a slot, zero if unknown.
-	ServiceTime time.Duration
 	// Age is the time since the answer.
 	Age time.Duration
 }
--- a/core/policy.go
+++ b/core/policy.go
@@ -36,13 +36,15 @@
 	// MechanismWarm prefers endpoints that probably still have an evicted adapter in their
 	// memory.
 	MechanismWarm Mechanism = "warm"
+	// MechanismPermits keeps the requests in flight at shed-limited endpoints within their slots.
+	MechanismPermits Mechanism = "permits"
 )
 
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		MechanismTurns, MechanismHomes, MechanismReplicas, MechanismRelease, MechanismDemand,
-		MechanismWantedFirst, MechanismFailures, MechanismBreakers, MechanismRegions, MechanismConcurrentPolls, MechanismWarm,
+		MechanismWantedFirst, MechanismFailures, MechanismBreakers, MechanismRegions, MechanismConcurrentPolls, MechanismWarm, MechanismPermits,
 	}
 }
 
--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -24,14 +24,17 @@
 // entryInterval is the interval at which a Site's endpoints write their entries.
 const entryInterval = 200 * time.Millisecond
 
-// SiteOptions configure a Site. With zero Runners each zone has one runner. Each zone has
+// SiteOptions configure a Site. With zero Runners each zone has one runner, and with zero Ledgers
 // one ledger.
 type SiteOptions struct {
 	// Listen is the store's address. Endpoints listen on the ports that follow it.
 	Listen  netip.AddrPort
 	Zones   []string
 	Runners int
-	Events  int
+	Ledgers int
+	// LedgerSlots is the number of requests that a ledger runs at once, zero for DefaultSlots.
+	LedgerSlots int
+	Events      int
 	// EventTime is the interval between the events of a stream.
 	EventTime time.Duration
 	Now       func() time.Time
@@ -71,8 +74,12 @@
 	port := o.Listen.Port()
 	add := func(id, service, zone string, engine bool) {
 		port++
+		slots := 0
+		if !engine {
+			slots = o.LedgerSlots
+		}
 		s.Endpoints[id] = NewEndpoint(EndpointOptions{
-			ID: id, Service: service, Engine: engine, Events: o.Events, EventTime: o.EventTime, Now: o.Now,
+			ID: id, Service: service, Engine: engine, Slots: slots, Events: o.Events, EventTime: o.EventTime, Now: o.Now,
 		})
 		s.addrs[id], s.zones[id] = netip.AddrPortFrom(o.Listen.Addr(), port), zone
 	}
@@ -81,6 +88,9 @@
 			add(fmt.Sprintf("runner-%d%d", z, n), Models, zone, true)
 		}
 		add(fmt.Sprintf("ledger-%d", z), Ledger, zone, false)
+		for n := 1; n < o.Ledgers; n++ {
+			add(fmt.Sprintf("ledger-%d-%d", z, n), Ledger, zone, false)
+		}
 	}
 	s.Store.Put("op/config", Config(1, "/chat/"))
 	return s
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -1,6 +1,7 @@
 package ggsedge
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -36,6 +37,7 @@
 
 // run sends the request to one endpoint after another until one answers or no retry is allowed.
 func (e *Edge) run(ctx context.Context, j *job) {
+	var noPermit error
 	for {
 		if err := e.checkQuarantine(j); err != nil {
 			e.giveUp(ctx, j, err)
@@ -43,7 +45,7 @@
 		}
 		choice, err := e.choose(j)
 		if err != nil {
-			e.giveUp(ctx, j, err)
+			e.giveUp(ctx, j, cmp.Or(noPermit, err))
 			return
 		}
 		j.choice = choice
@@ -60,7 +62,15 @@
 				continue
 			}
 		}
+		if noPermit = e.acquirePermit(ctx, j, choice.Instance); noPermit != nil {
+			if ctx.Err() != nil || j.permitAsks >= maxPermitAsks {
+				e.giveUp(ctx, j, noPermit)
+				return
+			}
+			continue
+		}
 		if !e.takeLimit(id) {
+			e.endRequest(j, id)
 			continue
 		}
 		failure := e.send(ctx, j, choice)
@@ -143,6 +153,7 @@
 	var quarantined *ggsquarantine.QuarantinedError
 	var refused *ggsplace.RefusedError
 	var failure *ggscore.Failure
+	var permit *PermitError
 	switch {
 	case j.runs > 0 && late:
 		e.fail(j, http.StatusGatewayTimeout, "request deadline exceeded; the request may have run")
@@ -154,6 +165,8 @@
 		e.refuse(j, quarantined.RetryAfter, err.Error())
 	case errors.As(err, &refused):
 		e.refuse(j, refused.RetryAfter, err.Error())
+	case errors.As(err, &permit):
+		e.refuse(j, permit.RetryAfter, err.Error())
 	case errors.As(err, &failure):
 		e.refuse(j, max(failure.RetryAfter, refusedRetryAfter), err.Error())
 	default:
@@ -174,6 +187,7 @@
 	i := c.Instance
 	left := j.deadline.Sub(e.Monotonic())
 	if left < minTimeLeft {
+		e.endRequest(j, i.ID)
 		return &ggscore.Failure{Kind: ggscore.FailureCancelled, Outcome: ggscore.OutcomeNotRun, Detail: "not sent: too little time left before the request deadline"}
 	}
 	e.beginSend(j, i.ID)
@@ -193,7 +207,7 @@
 	j.sentAt = e.Now()
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestSent, "request", j.meta.ID, "endpoint", i.ID, "route", j.route.Name,
 		"software", i.Software, "resumes", j.resumes(), "adapter", j.meta.Model, "version", j.version, "resident", c.Resident, "inFlight", c.InFlight,
-		"tokens", j.turn.Tokens, "turnWait", j.turnWait, "waited", e.since(j.arrived), "left", left)
+		"tokens", j.turn.Tokens, "permitWait", j.permitWait, "turnWait", j.turnWait, "waited", e.since(j.arrived), "left", left)
 	a, err := e.Pool.Do(ctx, ggsexchange.Request{
 		Addr: i.Addr, Method: j.r.Method, URI: j.uri, Host: j.r.Host, Body: j.body,
 		Header:   e.Dialect.Forward(j.r.Header, ggscore.ForwardMeta{Endpoint: i.ID, Left: left, Version: j.version, Priority: j.route.Priority}),
@@ -269,6 +283,7 @@
 	defer e.mu.Unlock()
 	now := e.Now()
 	e.table.Sent(now, id)
+	e.holder.Sent(now, j.permit)
 	e.quarantine.RecordSent(now, j.meta.SharedParts)
 	if !j.counted {
 		j.counted = true
@@ -290,6 +305,7 @@
 
 // endSend records the end of a request that beginSend recorded.
 func (e *Edge) endSend(j *job, id ggscore.EndpointID, r ggsretry.Result) {
+	e.endRequest(j, id)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if u := e.uses[use{endpoint: id, target: j.meta.Model}]; u != nil {
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -14,6 +14,7 @@
 	"greengageslip/core/ggsfencing"
 	"greengageslip/core/ggsorigin"
 	"greengageslip/core/ggspath"
+	"greengageslip/core/ggspermit"
 	"greengageslip/core/ggsplace"
 	"greengageslip/core/ggsquarantine"
 	"greengageslip/core/ggsregistry"
@@ -130,6 +131,11 @@
 	node      *ggsrelay.Node
 	retries   *ggsretry.Policy
 	limits    *ggsthrottle.Table
+	// issuer issues the permits of endpoints for which this VM is the issuer. holder has this VM's own
+	// requests, and asks those that wait for a permit.
+	issuer *ggspermit.Issuer
+	holder *ggspermit.Holder
+	asks   map[ggscore.PermitID]chan ggscore.PermitDecision
 	// origins and census decide at which software version a resumed stream goes on.
 	origins *ggsorigin.Table
 	census  *ggsorigin.Census
@@ -268,6 +274,8 @@
 		ownership:              ggsfencing.NewOwnershipTracker(ggsfencing.Options{Self: o.VM, Domain: o.Domain, MinOrderGap: o.MinOrderGap, FirstStart: o.FirstStart}),
 		retries:                ggsretry.NewPolicy(retryOptions(o)),
 		limits:                 limits,
+		holder:                 ggspermit.NewHolder(o.VM, o.Seed),
+		asks:                   map[ggscore.PermitID]chan ggscore.PermitDecision{},
 		registry:               ggsregistry.NewRegistry(),
 		origins:                ggsorigin.NewTable(),
 		census:                 ggsorigin.NewCensus(),
@@ -289,6 +297,7 @@
 
 		quarantineNotified: make(chan struct{}, 1),
 	}
+	e.issuer = ggspermit.NewIssuer(e.table)
 	e.metrics = newMetrics(e)
 	e.epochs = newEpochState(p.Log, p.Now, e.epochChanged)
 	e.Store = &epochStore{epochs: e.epochs, Store: &meteredStore{Store: p.Store, count: func(call string) {
@@ -336,13 +345,16 @@
 	g.Go(func() error {
 		return e.Peers.Run(ctx, ggspeer.Handler{
 			Heartbeat: e.receiveHeartbeat, Summary: e.receiveSummary, Notice: e.receiveNotice, Origins: e.receiveOrigins,
-			Parts: e.receiveParts,
+			Parts:     e.receiveParts,
+			PermitAsk: e.receivePermitAsk, PermitDecision: e.receivePermitDecision,
+			PermitRelease: e.receivePermitRelease, PermitRenewal: e.receivePermitRenewal,
 		})
 	})
 	g.Go(func() error { return e.maintainOwnership(ctx) })
 	g.Go(func() error { return e.querySeeds(ctx) })
 	g.Go(func() error { return e.fetchNewer(ctx) })
 	g.Go(func() error { return e.maintainQuarantine(ctx) })
+	g.Go(func() error { return e.maintainPermits(ctx) })
 	return g.Wait()
 }
 
--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -42,6 +42,18 @@
 	return fmt.Sprintf("load queue full: too many adapters wait to be loaded on %s", e.Endpoint)
 }
 
+// A PermitError reports that a request got no permit for a shed-limited endpoint.
+type PermitError struct {
+	Endpoint   ggscore.EndpointID
+	Outcome    string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *PermitError) Error() string {
+	return fmt.Sprintf("no permit for %s: %s, retry after %s", e.Endpoint, e.Outcome, e.RetryAfter)
+}
+
 // An AnswerError reports that an endpoint's answer is invalid and can't be forwarded.
 type AnswerError struct {
 	Status int
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -226,7 +226,7 @@
 		list = e.registry.Read(e.Now(), at, readable)
 	}
 	change := e.table.SetInstances(r.read, list)
-	e.limits.SetInstances(e.Now(), list)
+	e.issuer.SetInstances(list)
 	copies := e.observeSoftware(list)
 	e.setPathEndpoints()
 	e.ownership.SetListed(e.Now(), list)
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -62,6 +62,13 @@
 	tried    []ggscore.EndpointID
 	// choice is the last endpoint chosen, and what was known of it.
 	choice ggsplace.Choice
+	// permit identifies the request at the last endpoint, and rejected is set if the endpoint refused it
+	// for lack of capacity. permitAsks counts the endpoints for which a permit was asked, and permitWait is
+	// how long the request waited for permits that were granted.
+	permit     ggscore.PermitID
+	rejected   bool
+	permitAsks int
+	permitWait time.Duration
 	// sends counts the endpoints that the request was sent to, and runs those on which it may
 	// have run.
 	sends int
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -46,7 +46,6 @@
 type shedLimitRecord struct {
 	Service           string `json:"service"`
 	RefusalsPerSecond int    `json:"refusalsPerSecond"`
-	ServiceTime       int64  `json:"serviceTimeMicroseconds"`
 	Age               int64  `json:"ageMilliseconds"`
 }
 
@@ -58,8 +57,7 @@
 			continue
 		}
 		rs = append(rs, shedLimitRecord{
-			Service: string(l.Service), RefusalsPerSecond: *l.RefusalsPerSecond,
-			ServiceTime: l.ServiceTime.Microseconds(), Age: l.Age.Milliseconds(),
+			Service: string(l.Service), RefusalsPerSecond: *l.RefusalsPerSecond, Age: l.Age.Milliseconds(),
 		})
 	}
 	return rs
@@ -68,7 +66,7 @@
 func (r *shedLimitRecord) shedLimit() ggscore.ShedLimit {
 	return ggscore.ShedLimit{
 		Service: ggscore.Service(r.Service), RefusalsPerSecond: &r.RefusalsPerSecond,
-		ServiceTime: time.Duration(r.ServiceTime) * time.Microsecond, Age: time.Duration(r.Age) * time.Millisecond,
+		Age: time.Duration(r.Age) * time.Millisecond,
 	}
 }
 
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -31,6 +31,8 @@
 	storeCalls *prometheus.CounterVec
 	// resumed counts the requests that resume a stream, by the source of its origin.
 	resumed *prometheus.CounterVec
+	// permits counts the asks for permits, by outcome.
+	permits *prometheus.CounterVec
 }
 
 // Causes for which datagrams of peers are rejected.
@@ -58,7 +60,10 @@
 	m.resumed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "ggs", Name: "resumed_streams_total", Help: "Requests that resume a stream, by the source of its origin.",
 	}, []string{"origin"})
-	m.registry.MustRegister(m.answers, m.first, m.loads, m.rejected, m.storeCalls, m.resumed, collectors.NewGoCollector(),
+	m.permits = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "ggs", Name: "permit_asks_total", Help: "Asks for permits for shed-limited endpoints, by outcome.",
+	}, []string{"outcome"})
+	m.registry.MustRegister(m.permits, m.answers, m.first, m.loads, m.rejected, m.storeCalls, m.resumed, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerCounters(e)
 	m.registerGauges(e)
@@ -136,6 +141,9 @@
 		{"shed_limited_services", "Services whose endpoints fail when they shed many requests.", locked(func() float64 {
 			return float64(e.limits.ShedLimitedCount(e.Now()))
 		})},
+		{"permit_endpoints", "Shed-limited endpoints for which this VM issues permits.", locked(func() float64 {
+			return float64(len(e.issuer.State(e.Now())))
+		})},
 		{"ordered_endpoints", "Endpoints that get their orders from this VM.", locked(func() float64 { return float64(len(e.workers)) })},
 		{"peers", "Other VMs that are known.", locked(func() float64 { return float64(len(e.peers)) })},
 	} {
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -59,7 +59,6 @@
 		e.recordAnsweredParts(j)
 	}
 	e.recordStream(j)
-	e.recordServiceTime(j)
 	e.stats.Answered.Add(1)
 	e.metrics.observeAnswer(j.route.Kind, e.since(j.arrived))
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestEnded, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
@@ -156,9 +155,7 @@
 		e.mu.Unlock()
 	}
 	if a.Status == http.StatusServiceUnavailable {
-		e.mu.Lock()
-		e.table.RecordRefusal(e.Now(), i.ID)
-		e.mu.Unlock()
+		j.rejected = true
 	}
 	_ = level.Info(e.Log).Log("event", ggslog.EventEndpointRefused, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
 		"adapter", j.meta.Model, "version", j.version, "retryAfter", m.RetryAfter,
@@ -302,13 +299,6 @@
 	e.turns.RecordStream(e.Now(), j.service, j.turn.Endpoint, false)
 }
 
-// recordServiceTime records how long a request occupied its endpoint.
-func (e *Edge) recordServiceTime(j *job) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.limits.ObserveServiceTime(j.service, e.Now().Sub(j.sentAt))
-}
-
 // writeHead writes an answer's head.
 func (e *Edge) writeHead(j *job, a *ggsexchange.Answer, length int64) {
 	j.committed = true
--- a/io/ggsedge/signals.go
+++ b/io/ggsedge/signals.go
@@ -58,7 +58,7 @@
 		asOf = j.sentAt
 	}
 	before := e.limits.ShedLimited(now, s)
-	e.limits.ObserveShedLimit(now, s, refusalsPerSecond, asOf)
+	e.limits.ObserveShedLimit(s, refusalsPerSecond, asOf)
 	after := e.limits.ShedLimited(now, s)
 	if after && !before {
 		e.shareLimits()
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggspermit"
 )
 
 // A State is the state that an Edge uses for its decisions.
@@ -31,6 +32,8 @@
 	Quarantined []QuarantineState
 	// ShedLimits are what the answers of services last said of the requests that their endpoints can shed.
 	ShedLimits []ggscore.ShedLimit
+	// Permits are the shed-limited endpoints for which this VM issues permits.
+	Permits []ggspermit.EndpointPermits
 }
 
 // A QuarantineState is a part of prompts in quarantine, and the time until it is let go.
@@ -113,7 +116,8 @@
 	for p, left := range e.quarantine.Quarantined(now) {
 		s.Quarantined = append(s.Quarantined, QuarantineState{Part: p, Left: left})
 	}
-	s.ShedLimits = e.limits.RecentShedLimits(now)
+	s.ShedLimits, s.Permits = e.limits.RecentShedLimits(now), e.issuer.State(now)
+	slices.SortFunc(s.Permits, func(a, b ggspermit.EndpointPermits) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	slices.SortFunc(s.Quarantined, func(a, b QuarantineState) int { return cmp.Compare(a.Part, b.Part) })
 	slices.SortFunc(s.Endpoints, func(a, b EndpointState) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
@@ -141,14 +145,22 @@
 	Versions    []versionWire    `json:"versions"`
 	Quarantined []quarantineWire `json:"quarantined,omitempty"`
 	ShedLimits  []shedLimitWire  `json:"shedLimits,omitempty"`
+	Permits     []permitsWire    `json:"permits,omitempty"`
+}
+
+// A permitsWire has the permits of an endpoint.
+type permitsWire struct {
+	Endpoint string `json:"endpoint"`
+	Limit    int    `json:"limit"`
+	Granted  int    `json:"granted"`
+	Waiting  int    `json:"waiting"`
 }
 
 // A shedLimitWire is a shed limit. RefusalsPerSecond is omitted if the limit was lifted.
 type shedLimitWire struct {
-	Service            string  `json:"service"`
-	RefusalsPerSecond  *int    `json:"refusalsPerSecond,omitempty"`
-	ServiceTimeSeconds float64 `json:"serviceTimeSeconds"`
-	AgeSeconds         float64 `json:"ageSeconds"`
+	Service           string  `json:"service"`
+	RefusalsPerSecond *int    `json:"refusalsPerSecond,omitempty"`
+	AgeSeconds        float64 `json:"ageSeconds"`
 }
 
 type quarantineWire struct {
@@ -218,9 +230,12 @@
 	}
 	for _, l := range s.ShedLimits {
 		w.ShedLimits = append(w.ShedLimits, shedLimitWire{
-			Service: string(l.Service), RefusalsPerSecond: l.RefusalsPerSecond, ServiceTimeSeconds: l.ServiceTime.Seconds(), AgeSeconds: l.Age.Seconds(),
+			Service: string(l.Service), RefusalsPerSecond: l.RefusalsPerSecond, AgeSeconds: l.Age.Seconds(),
 		})
 	}
+	for _, n := range s.Permits {
+		w.Permits = append(w.Permits, permitsWire{Endpoint: string(n.Endpoint), Limit: n.Limit, Granted: n.Granted, Waiting: n.Waiting})
+	}
 	return json.Marshal(&w)
 }
 
@@ -257,7 +272,12 @@
 	}
 	for _, l := range w.ShedLimits {
 		s.ShedLimits = append(s.ShedLimits, ggscore.ShedLimit{
-			Service: ggscore.Service(l.Service), RefusalsPerSecond: l.RefusalsPerSecond, ServiceTime: duration(l.ServiceTimeSeconds), Age: duration(l.AgeSeconds),
+			Service: ggscore.Service(l.Service), RefusalsPerSecond: l.RefusalsPerSecond, Age: duration(l.AgeSeconds),
+		})
+	}
+	for _, n := range w.Permits {
+		s.Permits = append(s.Permits, ggspermit.EndpointPermits{
+			Endpoint: ggscore.EndpointID(n.Endpoint), Limit: n.Limit, Granted: n.Granted, Waiting: n.Waiting,
 		})
 	}
 	return nil
--- a/io/ggsedge/state_test.go
+++ b/io/ggsedge/state_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggspermit"
 )
 
 func TestStateRoundTrip(t *testing.T) {
@@ -25,7 +26,8 @@
 		},
 		Peers:       []PeerState{{VM: "peer", Domain: "b", HeartbeatAge: 150 * time.Millisecond}},
 		Quarantined: []QuarantineState{{Part: "5c", Left: time.Minute}},
-		ShedLimits:  []ggscore.ShedLimit{{Service: "ledger", RefusalsPerSecond: new(6), ServiceTime: 60 * time.Millisecond, Age: time.Second}},
+		ShedLimits:  []ggscore.ShedLimit{{Service: "ledger", RefusalsPerSecond: new(6), Age: time.Second}},
+		Permits:     []ggspermit.EndpointPermits{{Endpoint: "p0", Limit: 12, Granted: 11, Waiting: 3}},
 	}
 	b, err := json.Marshal(want)
 	c.Assert(err, qt.IsNil)
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -44,6 +44,7 @@
 	EventRecordUnreadable   Event = "recordUnreadable"
 	EventReleaseUnencoded   Event = "releaseUnencoded"
 	EventRequestEnded       Event = "requestEnded"
+	EventPermitRefused      Event = "permitRefused"
 	EventRequestSent        Event = "requestSent"
 	EventRequestsCut        Event = "requestsCut"
 	EventRereadFailed       Event = "rereadFailed"
@@ -77,7 +78,7 @@
 		EventOrdersClaimed, EventOrdersReleased, EventOriginUnasked, EventPartFailed, EventPartQuarantined,
 		EventPartReleased, EventPartUnread, EventPathsChanged, EventProcessStarted, EventReadFailed,
 		EventReadingDropped, EventRecordUnencoded, EventRecordUnreadable, EventReleaseUnencoded, EventRequestEnded,
-		EventRequestSent, EventRequestsCut, EventRereadFailed, EventSeedAsked, EventServiceShedLimited,
+		EventPermitRefused, EventRequestSent, EventRequestsCut, EventRereadFailed, EventSeedAsked, EventServiceShedLimited,
 		EventSettingsReread, EventSoftwareMixed, EventStatusFailed, EventStopRequested, EventStoreEpochChanged,
 		EventStoreEpochIgnored, EventStoreResynced, EventStreamNotResumed, EventTunnelFailed, EventVersionAdopted,
 		EventVersionUnreadable, EventWatchPreempted,
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -16,9 +16,8 @@
 // maxDatagramBytes is the maximum payload of a UDP datagram over IPv4.
 const maxDatagramBytes = 65507
 
-// A Conn sends and receives heartbeats, summaries, notices, origins of streams
-// and reports of prompt parts over UDP. It is safe for
-// concurrent use.
+// A Conn sends and receives heartbeats, summaries, notices, origins of streams, reports of prompt parts
+// and messages about permits over UDP. It is safe for concurrent use.
 type Conn struct {
 	udp     *net.UDPConn
 	dropped atomic.Int64
@@ -45,6 +44,11 @@
 	kindNotice    = 'n'
 	kindOrigins   = 'o'
 	kindParts     = 'p'
+
+	kindPermitAsk      = 'a'
+	kindPermitDecision = 'd'
+	kindPermitRelease  = 'r'
+	kindPermitRenewal  = 'w'
 )
 
 // A Handler has the callbacks for received messages. from is the address of the sender.
@@ -54,6 +58,11 @@
 	Notice    func(Notice)
 	Origins   func([]ggscore.StreamOrigin)
 	Parts     func(ggscore.PartReport)
+
+	PermitAsk      func(from netip.AddrPort, a ggscore.PermitAsk)
+	PermitDecision func(from netip.AddrPort, d ggscore.PermitDecision)
+	PermitRelease  func(from netip.AddrPort, r ggscore.PermitRelease)
+	PermitRenewal  func(from netip.AddrPort, r ggscore.PermitRenewal)
 }
 
 // Run receives datagrams and calls the handler's callbacks, one at a time, until the context ends.
@@ -92,6 +101,14 @@
 		return decode(p[1:], (*originsWire).origins, h.Origins)
 	case kindParts:
 		return decode(p[1:], (*partReportWire).report, h.Parts)
+	case kindPermitAsk:
+		return decode(p[1:], (*permitAskWire).ask, func(a ggscore.PermitAsk) { h.PermitAsk(from, a) })
+	case kindPermitDecision:
+		return decode(p[1:], (*permitDecisionWire).decision, func(d ggscore.PermitDecision) { h.PermitDecision(from, d) })
+	case kindPermitRelease:
+		return decode(p[1:], (*permitReleaseWire).release, func(r ggscore.PermitRelease) { h.PermitRelease(from, r) })
+	case kindPermitRenewal:
+		return decode(p[1:], (*permitRenewalWire).renewal, func(r ggscore.PermitRenewal) { h.PermitRenewal(from, r) })
 	}
 	return false
 }
--- a/io/ggspeer/datagram_test.go
+++ b/io/ggspeer/datagram_test.go
@@ -31,7 +31,7 @@
 		Holdings: []ggscore.Holding{{Endpoint: "r1", Held: []ggscore.AdapterVersion{{Target: a, Version: 2}}, Whole: true}},
 		Uses:     []ggscore.Use{{Endpoint: "r1", Target: a, Count: 5, Active: true}},
 
-		ShedLimits: []ggscore.ShedLimit{{Service: "s", RefusalsPerSecond: new(6), ServiceTime: time.Second, Age: time.Second}},
+		ShedLimits: []ggscore.ShedLimit{{Service: "s", RefusalsPerSecond: new(6), Age: time.Second}},
 	}
 	s := ggscore.Summary{
 		From: "near", Domain: "d", Fleet: true, Sequence: 4, Started: 8, InFlight: h.InFlight, Holdings: h.Holdings, Uses: h.Uses,
@@ -46,6 +46,10 @@
 		kindParts: partReportWireOf(ggscore.PartReport{
 			VM: "near", Crashes: []ggscore.PartCrash{{Part: "5c", Endpoint: "r1"}}, Uses: map[ggscore.PromptPart]ggscore.PartUse{"5c": {Sent: 3}},
 		}),
+		kindPermitAsk:      permitAskWireOf(ggscore.PermitAsk{ID: ggscore.PermitID{VM: "near", Number: 1 << 40}, Endpoint: "r1", MaxWait: time.Second}),
+		kindPermitDecision: permitDecisionWireOf(ggscore.PermitDecision{ID: ggscore.PermitID{VM: "near", Number: 1 << 40}, Endpoint: "r1", RetryAfter: time.Second}),
+		kindPermitRelease:  permitReleaseWireOf(ggscore.PermitRelease{ID: ggscore.PermitID{VM: "near", Number: 1 << 40}, Endpoint: "r1", Rejected: true}),
+		kindPermitRenewal:  &permitRenewalWire{VM: "near", Endpoint: "r1", InFlight: []uint64{1 << 40}, Through: 1 << 41},
 	} {
 		p, err := cbor.Marshal(w)
 		c.Assert(err, qt.IsNil)
@@ -62,6 +66,11 @@
 		Notice:    func(Notice) {},
 		Origins:   func([]ggscore.StreamOrigin) {},
 		Parts:     func(ggscore.PartReport) {},
+
+		PermitAsk:      func(netip.AddrPort, ggscore.PermitAsk) {},
+		PermitDecision: func(netip.AddrPort, ggscore.PermitDecision) {},
+		PermitRelease:  func(netip.AddrPort, ggscore.PermitRelease) {},
+		PermitRenewal:  func(netip.AddrPort, ggscore.PermitRenewal) {},
 	}
 }
 
@@ -146,11 +155,9 @@
 func TestInvalidShedLimitsAreDropped(t *testing.T) {
 	t.Parallel()
 	for name, l := range map[string]shedLimitWire{
-		"negative refusals":     {Service: "s", Refusals: new(-1)},
-		"negative age":          {Service: "s", Age: -1},
-		"age overflows":         {Service: "s", Age: math.MaxInt64},
-		"negative service time": {Service: "s", ServiceTime: -1},
-		"service time too long": {Service: "s", ServiceTime: math.MaxInt64},
+		"negative refusals": {Service: "s", Refusals: new(-1)},
+		"negative age":      {Service: "s", Age: -1},
+		"age overflows":     {Service: "s", Age: math.MaxInt64},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -162,6 +169,28 @@
 	}
 }
 
+// Guards against times in asks and decisions that no VM can have sent.
+func TestInvalidPermitTimesAreDropped(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		kind byte
+		wire any
+	}{
+		"negative wait":        {kindPermitAsk, &permitAskWire{VM: "near", MaxWait: -1}},
+		"wait overflows":       {kindPermitAsk, &permitAskWire{VM: "near", MaxWait: math.MaxInt64}},
+		"negative retry-after": {kindPermitDecision, &permitDecisionWire{VM: "near", RetryAfter: -1}},
+		"too many numbers":     {kindPermitRenewal, &permitRenewalWire{VM: "near", InFlight: make([]uint64, maxRenewed+1)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			p, err := cbor.Marshal(tc.wire)
+			c.Assert(err, qt.IsNil)
+			c.Assert(nodeHandler(newNode()).handle(netip.AddrPort{}, append([]byte{tc.kind}, p...)), qt.IsFalse)
+		})
+	}
+}
+
 func FuzzDatagram(f *testing.F) {
 	for _, p := range datagrams(qt.New(f)) {
 		f.Add(p)
--- a/io/ggspeer/doc.go
+++ b/io/ggspeer/doc.go
@@ -1,7 +1,8 @@
 // Package ggspeer sends and receives the UDP datagrams by which VMs share the state of their
 // requests and endpoints. Heartbeats and summaries carry requests in flight, the adapters that
 // endpoints hold, and demand for adapters. Notices announce prompt turns. Origins say at which software
-// version streams began, and part reports which parts of prompts crashed endpoints.
+// version streams began, and part reports which parts of prompts crashed endpoints. Asks, decisions, releases
+// and renewals are those of permits (see package ggspermit).
 //
 // # Usage
 //
@@ -12,6 +13,10 @@
 //	err = c.SendNotice(n, addrs)
 //	err = c.SendOrigins(origins, addrs)
 //	err = c.SendParts(report, addrs)
+//	err = c.SendPermitAsk(ask, addr)
+//	err = c.SendPermitDecision(decision, addr)
+//	err = c.SendPermitRelease(release, addr)
+//	err = c.SendPermitRenewal(renewal, addr)
 //
 // # Datagram
 //
--- a/io/ggspeer/errors.go
+++ b/io/ggspeer/errors.go
@@ -24,12 +24,12 @@
 	return fmt.Sprintf("listening for datagrams on %s: not a UDP socket", e.Addr)
 }
 
-// A CountError reports that a datagram contains a negative count.
+// A CountError reports that a datagram contains a negative count, or too many entries.
 type CountError struct{ Count int }
 
 // Error implements error.
 func (e *CountError) Error() string {
-	return fmt.Sprintf("datagram rejected: negative count %d", e.Count)
+	return fmt.Sprintf("datagram rejected: count %d is out of range", e.Count)
 }
 
 // A LimitError reports that a datagram contains a rate limit that is negative or not finite.
--- a/io/ggspeer/wire.go
+++ b/io/ggspeer/wire.go
@@ -83,9 +83,8 @@
 	Service string
 	// Refusals is nil if the limit was lifted.
 	Refusals *int
-	// ServiceTime is in microseconds, and Age in milliseconds.
-	ServiceTime int64
-	Age         int64
+	// Age is in milliseconds.
+	Age int64
 }
 
 type departureWire struct {
@@ -314,9 +313,7 @@
 func shedLimitWires(ls []ggscore.ShedLimit) []shedLimitWire {
 	ws := make([]shedLimitWire, 0, len(ls))
 	for _, l := range ls {
-		ws = append(ws, shedLimitWire{
-			Service: string(l.Service), Refusals: l.RefusalsPerSecond, ServiceTime: l.ServiceTime.Microseconds(), Age: l.Age.Milliseconds(),
-		})
+		ws = append(ws, shedLimitWire{Service: string(l.Service), Refusals: l.RefusalsPerSecond, Age: l.Age.Milliseconds()})
 	}
 	return ws
 }
@@ -329,18 +326,15 @@
 			return nil, &CountError{Count: *w.Refusals}
 		case w.Age < 0 || w.Age > maxAge.Milliseconds():
 			return nil, &AgeError{Milliseconds: w.Age}
-		case w.ServiceTime < 0 || w.ServiceTime > maxAge.Microseconds():
-			return nil, &AgeError{Milliseconds: w.ServiceTime / time.Millisecond.Microseconds()}
 		}
 		ls = append(ls, ggscore.ShedLimit{
-			Service: ggscore.Service(w.Service), RefusalsPerSecond: w.Refusals,
-			ServiceTime: time.Duration(w.ServiceTime) * time.Microsecond, Age: time.Duration(w.Age) * time.Millisecond,
+			Service: ggscore.Service(w.Service), RefusalsPerSecond: w.Refusals, Age: time.Duration(w.Age) * time.Millisecond,
 		})
 	}
 	return ls, nil
 }
 
-// maxAge bounds the age of a limit in a datagram, and the time of a service's requests.
+// maxAge bounds the age of a limit in a datagram.
 const maxAge = time.Hour
 
 func departureWires(ds []ggscore.Departure) []departureWire {
