test(ggsnode): the soak plays shed-limited endpoints

Ledgers announce that they fail once they shed many requests, queue nothing from 3 s later on, and get more requests than they have slots, while VMs are killed, frozen and stopped and links break. They may fail twice in a period. -soak.sheds=false leaves it out, as seeds found before were played.

--- a/cmd/ggsnode/soak_check_test.go
+++ b/cmd/ggsnode/soak_check_test.go
@@ -41,11 +41,16 @@
 
 // client sends requests over kept-alive connections until the context ends.
 func (s *soak) client(ctx context.Context, r *rand.Rand) {
+	s.clientOf(ctx, r, "/chat/x", "/pay/release", "/look/balance")
+}
+
+// clientOf sends requests of random kinds until the context ends.
+func (s *soak) clientOf(ctx context.Context, r *rand.Rand, paths ...string) {
 	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: soakDeadline + time.Second}
 	defer h.CloseIdleConnections()
 	for ctx.Err() == nil {
 		e := s.connectTo(h, r)
-		path := []string{"/chat/x", "/pay/release", "/look/balance"}[r.IntN(3)]
+		path := paths[r.IntN(len(paths))]
 		model := ""
 		if strings.HasPrefix(path, "/chat") {
 			model = fmt.Sprintf("m/a%d", min(r.IntN(soakAdapters), r.IntN(soakAdapters)))
@@ -156,6 +161,7 @@
 func (s *soak) check() {
 	s.checkCrashes()
 	s.checkSkews()
+	s.checkSheds()
 	for _, at := range s.site.Crashes() {
 		s.unplanned = append(s.unplanned, span{at, at.Add(soakDownTime)})
 	}
--- a/cmd/ggsnode/soak_test.go
+++ b/cmd/ggsnode/soak_test.go
@@ -46,6 +46,7 @@
 	soakSoftware   = flag.Bool("soak.software", true, "runners also run different versions of their software, and clients resume streams")
 	soakPrompts    = flag.Bool("soak.prompts", true, "a part of prompts also crashes runners")
 	soakSkews      = flag.Bool("soak.skews", true, "most new connections also meet one VM")
+	soakSheds      = flag.Bool("soak.sheds", true, "endpoints also fail when they shed many requests")
 	soakPlanned    = flag.Bool("soak.planned", false, "no unplanned faults")
 	soakLength     = flag.Duration("soak.length", 6*time.Second, "duration of the faults in each run")
 )
@@ -71,6 +72,8 @@
 	"a part of prompts that crashes runners": {seed: 7, prompts: true},
 	// Guards against a VM that doesn't serve its callers while most new connections meet it.
 	"most connections meet one VM": {seed: 10, skews: true, planned: true},
+	// Guards against endpoints that fall over because VMs that fail and restart press them together.
+	"shed-limited endpoints": {seed: 11, sheds: true},
 }
 
 // A soakCase is one run. Some faults are optional, so that a seed found without them still draws the
@@ -84,6 +87,7 @@
 	software   bool
 	prompts    bool
 	skews      bool
+	sheds      bool
 	// planned leaves out unplanned faults, during which most checks don't apply.
 	planned bool
 }
@@ -132,7 +136,7 @@
 
 // soakCaseOf returns the case of a seed with the faults that the flags select.
 func soakCaseOf(seed uint64) soakCase {
-	return soakCase{seed, *soakAnswers, *soakRestores, *soakPartitions, *soakFramings, *soakSoftware, *soakPrompts, *soakSkews, *soakPlanned}
+	return soakCase{seed, *soakAnswers, *soakRestores, *soakPartitions, *soakFramings, *soakSoftware, *soakPrompts, *soakSkews, *soakSheds, *soakPlanned}
 }
 
 var soaks atomic.Int32 //nolint:gochecknoglobals // gives each run its own addresses
@@ -163,6 +167,9 @@
 	outcomes []outcome
 	streams  []*soakStream
 	skews    []*soakSkew
+	sheds    []soakShed
+	// shedding is set while endpoints are shed-limited.
+	shedding atomic.Bool
 	// version is the configuration's version, versions are those of the adapters.
 	version  int
 	versions map[string]uint64
@@ -216,7 +223,7 @@
 		cancel()
 		work.Wait()
 	})
-	s.start(&work)
+	s.start(k, &work)
 	load, stop := context.WithCancel(ctx)
 	var clients sync.WaitGroup
 	for n := range soakClients {
@@ -253,6 +260,11 @@
 			s.skewConnections(r, 0)
 		})
 	}
+	if k.sheds {
+		faults = append(faults, soakFault{"endpoints are shed-limited", true, (*soak).limitShedding})
+		r := rand.New(rand.NewPCG(seed, 600))
+		first.Go(func() { s.limitShedding(r, 0) })
+	}
 	if k.planned {
 		faults = slices.DeleteFunc(faults, func(f soakFault) bool { return !f.planned })
 	}
@@ -265,7 +277,7 @@
 }
 
 // start starts the fake platform, the links and the edges, and waits until every edge serves.
-func (s *soak) start(work *sync.WaitGroup) {
+func (s *soak) start(k soakCase, work *sync.WaitGroup) {
 	network := byte(soaks.Add(1))
 	p := os.Getpid()
 	ip := func(n byte) netip.Addr {
@@ -277,6 +289,9 @@
 		Listen: site, Zones: []string{"a", "b"}, Runners: 2, Events: soakEvents, EventTime: 15 * time.Millisecond,
 		Now: time.Now, Advertised: advertised,
 	}
+	if k.sheds {
+		o.LedgerSlots = soakShedSlots
+	}
 	s.site = ggsfakesite.NewSite(o)
 	port := uint16(7400)
 	for id := range s.site.Endpoints {
--- a/fakes/ggsfakesite/brittle.go
+++ b/fakes/ggsfakesite/brittle.go
@@ -16,8 +16,10 @@
 	// brittle. workTime is the time that each request occupies a slot.
 	refusals int
 	workTime time.Duration
-	active   int
-	refused  []time.Time
+	// refusesFrom is the time from which requests without a slot are refused.
+	refusesFrom time.Time
+	active      int
+	refused     []time.Time
 	// downUntil is when the endpoint serves again, falls the number of times it fell over.
 	downUntil time.Time
 	falls     int
@@ -27,9 +29,14 @@
 // given time, and fall over when it has to refuse more than the given number of requests in a
 // second. Its answers say so. Zero refusals end that.
 func (e *Endpoint) SetBrittle(refusals int, workTime time.Duration) {
+	e.AnnounceBrittle(refusals, workTime, 0)
+}
+
+// AnnounceBrittle is like SetBrittle, but the endpoint runs all requests at once until the notice is over.
+func (e *Endpoint) AnnounceBrittle(refusals int, workTime, notice time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.brittle.refusals, e.brittle.workTime = refusals, workTime
+	e.brittle.refusals, e.brittle.workTime, e.brittle.refusesFrom = refusals, workTime, e.options.Now().Add(notice)
 }
 
 // Falls returns how often the endpoint fell over.
@@ -83,7 +90,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Server-Brittle", strconv.Itoa(b.refusals))
-	if b.active < e.options.Slots {
+	if b.active < e.options.Slots || now.Before(b.refusesFrom) {
 		b.active++
 		return &brittleSlot{endpoint: e, workTime: b.workTime, taken: true}
 	}
