--- a/core/ggsplace/shedding_permits_test.go
+++ b/core/ggsplace/shedding_permits_test.go
@@ -55,6 +55,14 @@
 	return ms
 }
 
+func vmsOf(ms []ggspermit.Member) []ggscore.VMID {
+	var vms []ggscore.VMID
+	for _, m := range ms {
+		vms = append(vms, m.VM)
+	}
+	return vms
+}
+
 // issuerOf returns the issuer of an endpoint's permits, as a VM knows it.
 func (s *shedSim) issuerOf(v *shedVM, id ggscore.EndpointID) ggscore.VMID {
 	d := s.endpoints[id].Domain
@@ -133,7 +141,7 @@
 		if v.down {
 			continue
 		}
-		v.issuer.SetLive(s.now, len(s.live(v)))
+		v.issuer.SetLive(s.now, vmsOf(s.live(v)))
 		s.decide(v, v.issuer.Tick(s.now))
 		rs := v.holder.Renewals(s.now, func(id ggscore.EndpointID) ggscore.VMID {
 			if !v.limits.ShedLimited(s.now, plain) {
--- a/core/ggsplace/shedding_sim_test.go
+++ b/core/ggsplace/shedding_sim_test.go
@@ -37,6 +37,8 @@
 	// partitioned has the VMs of the first region cut off from the others from shedFaultAt on, for
 	// shedFaultTime. All reach the endpoints.
 	partitioned bool
+	// leaving is the share of callers that leave early. The endpoint goes on with their requests.
+	leaving float64
 }
 
 const (
@@ -83,8 +85,9 @@
 	sent, due time.Time
 	running   bool
 	permit    ggscore.PermitID
-	// rejected is set if the endpoint refused the request.
+	// rejected is set if the endpoint refused the request, left if the caller has left.
 	rejected bool
+	left     bool
 }
 
 type shedEndpoint struct {
@@ -161,7 +164,7 @@
 	v.table.SetInstances(s.now, s.list)
 	v.issuer = ggspermit.NewIssuer(v.table)
 	v.issuer.SetInstances(s.list)
-	v.issuer.SetLive(s.now, len(s.ids))
+	v.issuer.SetLive(s.now, s.ids)
 	return v
 }
 
@@ -303,6 +306,9 @@
 		e.running++
 		q.running, q.due = true, s.now.Add(time.Duration(float64(s.serviceTime)*(0.5+s.rng.Float64())))
 		s.active = append(s.active, q)
+		if s.leaving > 0 && s.rng.Float64() < s.leaving {
+			s.after(s.serviceTime/4, func() { s.leave(q) })
+		}
 	default:
 		s.result.turnedAway++
 		e.refused = append(e.refused, s.now)
@@ -320,9 +326,20 @@
 	}
 }
 
+// leave has a request's caller leave while the request runs.
+func (s *shedSim) leave(q *shedRequest) {
+	if !q.vm.down {
+		q.left = true
+		s.answered(q, ggsretry.ResultNeutral)
+	}
+}
+
 // end ends a request's run, which fails if its endpoint fell over meanwhile.
 func (s *shedSim) end(q *shedRequest) {
 	q.to.running--
+	if q.left {
+		return
+	}
 	if s.now.Before(q.to.upAt) {
 		s.answered(q, ggsretry.ResultFailed)
 		return
--- a/core/ggsplace/shedding_test.go
+++ b/core/ggsplace/shedding_test.go
@@ -103,6 +103,7 @@
 		"a third of the VMs fail": func(l *shedLoad) { l.failed = l.vms / 3 },
 		"regions are partitioned": func(l *shedLoad) { l.partitioned = true },
 		"all VMs restart":         func(l *shedLoad) { l.restartAt = shedFaultAt },
+		"callers leave":           func(l *shedLoad) { l.leaving = 0.2 },
 	} {
 		for size, l := range map[string]shedLoad{
 			"65 VMs, 7 endpoints":  {vms: 65, endpoints: 7, slots: 6, serviceTime: 60 * time.Millisecond, perSecond: 320},
