perf(ggspermit): renew permits every 4 s, and leave VMs out of datagrams

At the design size a VM has 41 requests in flight at as many endpoints, which hold their slots for 12 s: a renewal a second each was 4 KB/s. Renewals now come every 4 s. So that a failed VM doesn't keep its slots for longer, permits of VMs that are lost expire after 3 s; a renewal for a new issuer is repeated once, as it may be lost. Datagrams don't name the VM whose request it is: it is the sender, or the receiver of a decision. Numbers rise over restarts, so that renewals of a VM's next process end the requests of the last one.

Ruled out: a renewal of all endpoints in one datagram, as at that size each has another issuer.

--- a/core/ggspermit/doc.go
+++ b/core/ggspermit/doc.go
@@ -6,10 +6,10 @@
 // has slots. A VM asks for a permit before it sends a request, and releases it when the request has ended.
 //
 // Permits are leases. The holder renews them while its request is in flight, and a permit that isn't
-// renewed expires, so that a failed VM leaves no slot unused for longer than PermitTTL. A renewal lists all
+// renewed expires, sooner if its VM is lost, so that a failed VM leaves no slot unused for long. A renewal lists all
 // requests of a VM at an endpoint, which makes up for lost releases. Renewals go to whichever VM is the issuer
-// then, which adopts requests that it has issued no permit for. A new issuer therefore knows of all requests in
-// flight after RenewInterval. Until then it counts those that VMs report in heartbeats.
+// then, which adopts requests that it has issued no permit for. A new issuer therefore soon knows of all requests
+// in flight. Until then it counts those that VMs report in heartbeats.
 //
 // VMs that can't reach each other have an issuer on each side. When VMs are lost, an issuer lowers its limit
 // to the share of those that are left, in case they still send. It also lowers the limit when an endpoint
@@ -21,7 +21,7 @@
 //
 //	s := ggspermit.NewIssuer(counter)
 //	s.SetInstances(instances)         // the list of endpoints was read
-//	s.SetLive(now, vms)               // the number of live VMs, this one included
+//	s.SetLive(now, vms)               // the live VMs, this one included
 //	decisions := s.Ask(now, ask)      // send them to the VMs in their IDs
 //	decisions = s.Release(now, release)
 //	decisions = s.Renew(now, renewal)
--- a/core/ggspermit/holder.go
+++ b/core/ggspermit/holder.go
@@ -8,9 +8,12 @@
 	ggscore "greengageslip/core"
 )
 
+// adoptInterval is the time after which the renewal for a new issuer is repeated, as it may have been lost.
+const adoptInterval = 300 * time.Millisecond
+
 // maxDecisionAge is the time after the first ask from which a decision isn't used. A request that is sent
 // then is renewed before its permit expires.
-const maxDecisionAge = PermitTTL / 2
+const maxDecisionAge = 1500 * time.Millisecond
 
 // MaxWait bounds the time that a request can wait for a permit.
 const MaxWait = time.Second
@@ -43,8 +46,8 @@
 	ggscore.PermitRenewal
 }
 
-// NewHolder returns a Holder of a VM. Numbers of requests begin after the seed, which must differ from
-// those of the VM's previous processes.
+// NewHolder returns a Holder of a VM. Numbers of requests begin after the seed, which must be greater than
+// the numbers of the VM's previous processes.
 func NewHolder(self ggscore.VMID, seed uint64) *Holder {
 	return &Holder{self: self, last: seed, requests: map[uint64]*request{}, unsettled: map[ggscore.EndpointID]time.Time{}}
 }
@@ -132,7 +135,10 @@
 		switch {
 		case r.endpoint != id:
 		case r.inFlight:
-			r.issuer, r.renewed = issuer, now
+			if r.renewed = now; r.issuer != issuer {
+				r.renewed = now.Add(adoptInterval - RenewInterval)
+			}
+			r.issuer = issuer
 			v.InFlight = append(v.InFlight, n)
 		default:
 			v.Asking = append(v.Asking, n)
--- a/core/ggspermit/issuer.go
+++ b/core/ggspermit/issuer.go
@@ -8,12 +8,15 @@
 
 const (
 	// PermitTTL is how long a permit is valid after it was granted or renewed.
-	PermitTTL = 3 * time.Second
-	// RenewInterval is the time between renewals of a permit.
-	RenewInterval = time.Second
+	PermitTTL = 10 * time.Second
+	// RenewInterval is the time between renewals of a permit. Streams hold a slot for several seconds.
+	RenewInterval = 4 * time.Second
+	// lostTTL is how long the permits of a VM are valid after it was lost. Its requests end at the
+	// endpoint if it has failed.
+	lostTTL = 3 * time.Second
 	// recoveryTime is the time after which a new issuer has received a renewal of each request in
 	// flight, also if a datagram is lost.
-	recoveryTime = RenewInterval + 500*time.Millisecond
+	recoveryTime = 1500 * time.Millisecond
 	// maxReportWait is how long a new issuer waits for VMs' reports of their requests in flight.
 	maxReportWait = 500 * time.Millisecond
 	// rejectionFactor lowers an endpoint's limit after it refused a request that has a permit.
@@ -27,7 +30,7 @@
 	counter    ggscore.InFlightCounter
 	slots      map[ggscore.EndpointID]int
 	semaphores map[ggscore.EndpointID]*semaphore
-	live       int
+	live       map[ggscore.VMID]bool
 }
 
 // NewIssuer returns an Issuer that knows no endpoints. The counter counts the requests in flight at
@@ -51,15 +54,26 @@
 	}
 }
 
-// SetLive sets the number of live VMs, this one included. VMs that are lost may still send requests, with
-// permits of another issuer.
-func (s *Issuer) SetLive(now time.Time, vms int) {
-	if vms < s.live {
+// SetLive sets the live VMs, this one included. VMs that are lost may still send requests, with permits of
+// another issuer.
+func (s *Issuer) SetLive(now time.Time, vms []ggscore.VMID) {
+	live := make(map[ggscore.VMID]bool, len(vms))
+	for _, vm := range vms {
+		live[vm] = true
+	}
+	lost := map[ggscore.VMID]bool{}
+	for vm := range s.live {
+		if !live[vm] {
+			lost[vm] = true
+		}
+	}
+	if len(lost) > 0 {
 		for _, m := range s.semaphores {
-			m.lower(now, m.limitAt(now)*float64(vms)/float64(s.live))
+			m.lose(now, lost)
+			m.lower(now, m.limitAt(now)*(1-float64(len(lost))/float64(len(s.live))))
 		}
 	}
-	s.live = vms
+	s.live = live
 }
 
 // Ask processes an ask. The ask's own decision is among the returned ones.
--- a/core/ggspermit/semaphore.go
+++ b/core/ggspermit/semaphore.go
@@ -166,6 +166,16 @@
 	return m.advance(now)
 }
 
+// lose shortens the permits of VMs that were lost.
+func (m *semaphore) lose(now time.Time, vms map[ggscore.VMID]bool) {
+	until := now.Add(lostTTL)
+	for id, p := range m.permits {
+		if vms[id.VM] && until.Before(p.expires) {
+			p.expires = until
+		}
+	}
+}
+
 func (m *semaphore) recordHold(d time.Duration) {
 	if m.hold == 0 {
 		m.hold = d
--- a/core/permit.go
+++ b/core/permit.go
@@ -5,7 +5,7 @@
 // A PermitID identifies the request of a VM that a permit is for.
 type PermitID struct {
 	VM VMID
-	// Number is unique among the requests of the VM, also over restarts.
+	// Number rises with the requests of the VM, also over restarts.
 	Number uint64
 }
 
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -274,7 +274,7 @@
 		ownership:              ggsfencing.NewOwnershipTracker(ggsfencing.Options{Self: o.VM, Domain: o.Domain, MinOrderGap: o.MinOrderGap, FirstStart: o.FirstStart}),
 		retries:                ggsretry.NewPolicy(retryOptions(o)),
 		limits:                 limits,
-		holder:                 ggspermit.NewHolder(o.VM, o.Seed),
+		holder:                 ggspermit.NewHolder(o.VM, uint64(p.Monotonic().UnixNano())), //nolint:gosec // the clock is after 1970
 		asks:                   map[ggscore.PermitID]chan ggscore.PermitDecision{},
 		registry:               ggsregistry.NewRegistry(),
 		origins:                ggsorigin.NewTable(),
--- a/io/ggsedge/permits.go
+++ b/io/ggsedge/permits.go
@@ -246,7 +246,7 @@
 		e.mu.Lock()
 		now := e.Now()
 		members := e.permitMembers()
-		e.issuer.SetLive(now, len(members))
+		e.issuer.SetLive(now, append(e.livePeersLocked(), e.options.VM))
 		ms := e.deliverDecisions(e.issuer.Tick(now))
 		var rs []ggspermit.Renewal
 		if e.limits.ShedLimitedCount(now) > 0 {
@@ -271,19 +271,21 @@
 	return nil
 }
 
-// fromPeer reports whether a message of a VM came from its address. Edge.mu is held.
-func (e *Edge) fromPeer(vm ggscore.VMID, from netip.AddrPort) bool {
-	if p := e.peers[vm]; p != nil && p.datagramAddr == from {
-		return true
+// peerAt returns the peer that sends datagrams from an address, empty for none. Edge.mu is held.
+func (e *Edge) peerAt(from netip.AddrPort) ggscore.VMID {
+	for vm, p := range e.peers {
+		if p.datagramAddr == from {
+			return vm
+		}
 	}
 	e.metrics.reject(rejectedAddress)
-	return false
+	return ""
 }
 
 // receivePermitAsk processes a peer's ask.
 func (e *Edge) receivePermitAsk(from netip.AddrPort, a ggscore.PermitAsk) {
 	e.issue(func(now time.Time) []ggscore.PermitDecision {
-		if !e.fromPeer(a.ID.VM, from) {
+		if a.ID.VM = e.peerAt(from); a.ID.VM == "" {
 			return nil
 		}
 		i, ok := e.table.Instance(a.Endpoint)
@@ -297,7 +299,7 @@
 // receivePermitRelease processes a peer's release.
 func (e *Edge) receivePermitRelease(from netip.AddrPort, r ggscore.PermitRelease) {
 	e.issue(func(now time.Time) []ggscore.PermitDecision {
-		if !e.fromPeer(r.ID.VM, from) {
+		if r.ID.VM = e.peerAt(from); r.ID.VM == "" {
 			return nil
 		}
 		return e.issuer.Release(now, r)
@@ -307,7 +309,7 @@
 // receivePermitRenewal processes a peer's renewal.
 func (e *Edge) receivePermitRenewal(from netip.AddrPort, r ggscore.PermitRenewal) {
 	e.issue(func(now time.Time) []ggscore.PermitDecision {
-		if !e.fromPeer(r.VM, from) {
+		if r.VM = e.peerAt(from); r.VM == "" {
 			return nil
 		}
 		return e.issuer.Renew(now, r)
@@ -316,23 +318,16 @@
 
 // receivePermitDecision processes an issuer's decision. A permit that came too late is returned to it.
 func (e *Edge) receivePermitDecision(from netip.AddrPort, d ggscore.PermitDecision) {
-	if d.ID.VM != e.options.VM {
-		return
-	}
+	d.ID.VM = e.options.VM
 	e.mu.Lock()
-	late := e.asks[d.ID] == nil
-	if !late {
+	late := false
+	if e.asks[d.ID] != nil {
 		e.decided(d)
+	} else {
+		late = d.Outcome == ggscore.PermitGranted && !e.holder.Holds(d.ID) && e.peerAt(from) != ""
 	}
 	e.mu.Unlock()
-	if late && d.Outcome == ggscore.PermitGranted && !e.holds(d.ID) {
+	if late {
 		e.logUnsent(e.Peers.SendPermitRelease(ggscore.PermitRelease{ID: d.ID, Endpoint: d.Endpoint}, from))
 	}
 }
-
-// holds reports whether a request of this VM has not ended.
-func (e *Edge) holds(id ggscore.PermitID) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.holder.Holds(id)
-}
--- a/io/ggspeer/conn.go
+++ b/io/ggspeer/conn.go
@@ -58,7 +58,7 @@
 	Notice    func(Notice)
 	Origins   func([]ggscore.StreamOrigin)
 	Parts     func(ggscore.PartReport)
-
+	// Messages about permits are without the VM of their PermitID or renewal.
 	PermitAsk      func(from netip.AddrPort, a ggscore.PermitAsk)
 	PermitDecision func(from netip.AddrPort, d ggscore.PermitDecision)
 	PermitRelease  func(from netip.AddrPort, r ggscore.PermitRelease)
--- a/io/ggspeer/permits.go
+++ b/io/ggspeer/permits.go
@@ -14,9 +14,11 @@
 // maxPermitWait bounds the times in asks and decisions.
 const maxPermitWait = time.Hour
 
+// Messages about permits don't name the VM whose request it is: it is the sender, or the receiver of a
+// decision.
+
 type permitAskWire struct {
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
-	VM       string
 	Number   uint64
 	Endpoint string
 	Priority int
@@ -26,7 +28,6 @@
 
 type permitDecisionWire struct {
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
-	VM       string
 	Number   uint64
 	Endpoint string
 	Outcome  int
@@ -36,7 +37,6 @@
 
 type permitReleaseWire struct {
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
-	VM       string
 	Number   uint64
 	Endpoint string
 	Rejected bool
@@ -44,7 +44,6 @@
 
 type permitRenewalWire struct {
 	_        struct{} `cbor:",toarray"` //nolint:tagliatelle // the field only sets the format
-	VM       string
 	Endpoint string
 	InFlight []uint64
 	Asking   []uint64
@@ -84,7 +83,7 @@
 
 func permitAskWireOf(a ggscore.PermitAsk) *permitAskWire {
 	return &permitAskWire{
-		VM: string(a.ID.VM), Number: a.ID.Number, Endpoint: string(a.Endpoint), Priority: int(a.Priority), MaxWait: a.MaxWait.Milliseconds(),
+		Number: a.ID.Number, Endpoint: string(a.Endpoint), Priority: int(a.Priority), MaxWait: a.MaxWait.Milliseconds(),
 	}
 }
 
@@ -93,14 +92,14 @@
 		return ggscore.PermitAsk{}, &AgeError{Milliseconds: w.MaxWait}
 	}
 	return ggscore.PermitAsk{
-		ID: ggscore.PermitID{VM: ggscore.VMID(w.VM), Number: w.Number}, Endpoint: ggscore.EndpointID(w.Endpoint),
+		ID: ggscore.PermitID{Number: w.Number}, Endpoint: ggscore.EndpointID(w.Endpoint),
 		Priority: ggscore.Priority(w.Priority), MaxWait: time.Duration(w.MaxWait) * time.Millisecond,
 	}, nil
 }
 
 func permitDecisionWireOf(d ggscore.PermitDecision) *permitDecisionWire {
 	return &permitDecisionWire{
-		VM: string(d.ID.VM), Number: d.ID.Number, Endpoint: string(d.Endpoint), Outcome: int(d.Outcome), RetryAfter: d.RetryAfter.Milliseconds(),
+		Number: d.ID.Number, Endpoint: string(d.Endpoint), Outcome: int(d.Outcome), RetryAfter: d.RetryAfter.Milliseconds(),
 	}
 }
 
@@ -109,23 +108,23 @@
 		return ggscore.PermitDecision{}, &AgeError{Milliseconds: w.RetryAfter}
 	}
 	return ggscore.PermitDecision{
-		ID: ggscore.PermitID{VM: ggscore.VMID(w.VM), Number: w.Number}, Endpoint: ggscore.EndpointID(w.Endpoint),
+		ID: ggscore.PermitID{Number: w.Number}, Endpoint: ggscore.EndpointID(w.Endpoint),
 		Outcome: ggscore.PermitOutcome(w.Outcome), RetryAfter: time.Duration(w.RetryAfter) * time.Millisecond,
 	}, nil
 }
 
 func permitReleaseWireOf(r ggscore.PermitRelease) *permitReleaseWire {
-	return &permitReleaseWire{VM: string(r.ID.VM), Number: r.ID.Number, Endpoint: string(r.Endpoint), Rejected: r.Rejected}
+	return &permitReleaseWire{Number: r.ID.Number, Endpoint: string(r.Endpoint), Rejected: r.Rejected}
 }
 
 func (w *permitReleaseWire) release() (ggscore.PermitRelease, error) {
 	return ggscore.PermitRelease{
-		ID: ggscore.PermitID{VM: ggscore.VMID(w.VM), Number: w.Number}, Endpoint: ggscore.EndpointID(w.Endpoint), Rejected: w.Rejected,
+		ID: ggscore.PermitID{Number: w.Number}, Endpoint: ggscore.EndpointID(w.Endpoint), Rejected: w.Rejected,
 	}, nil
 }
 
 func permitRenewalWireOf(r ggscore.PermitRenewal) *permitRenewalWire {
-	return &permitRenewalWire{VM: string(r.VM), Endpoint: string(r.Endpoint), InFlight: r.InFlight, Asking: r.Asking, Through: r.Through}
+	return &permitRenewalWire{Endpoint: string(r.Endpoint), InFlight: r.InFlight, Asking: r.Asking, Through: r.Through}
 }
 
 func (w *permitRenewalWire) renewal() (ggscore.PermitRenewal, error) {
@@ -133,6 +132,6 @@
 		return ggscore.PermitRenewal{}, &CountError{Count: n}
 	}
 	return ggscore.PermitRenewal{
-		VM: ggscore.VMID(w.VM), Endpoint: ggscore.EndpointID(w.Endpoint), InFlight: w.InFlight, Asking: w.Asking, Through: w.Through,
+		Endpoint: ggscore.EndpointID(w.Endpoint), InFlight: w.InFlight, Asking: w.Asking, Through: w.Through,
 	}, nil
 }
