--- a/core/ggspermit/issuer.go
+++ b/core/ggspermit/issuer.go
@@ -139,6 +139,9 @@
 	return m
 }
 
+// Active reports whether permits are issued for any endpoint.
+func (s *Issuer) Active() bool { return len(s.semaphores) > 0 }
+
 // An EndpointPermits is the state of the permits of an endpoint.
 type EndpointPermits struct {
 	Endpoint ggscore.EndpointID
--- a/io/ggsedge/permits.go
+++ b/io/ggsedge/permits.go
@@ -244,20 +244,7 @@
 func (e *Edge) maintainPermits(ctx context.Context) error {
 	for pause(ctx, permitTick) {
 		e.mu.Lock()
-		now := e.Now()
-		members := e.permitMembers()
-		e.issuer.SetLive(now, append(e.livePeersLocked(), e.options.VM))
-		ms := e.deliverDecisions(e.issuer.Tick(now))
-		var rs []ggspermit.Renewal
-		if e.limits.ShedLimitedCount(now) > 0 {
-			rs = e.holder.Renewals(now, func(id ggscore.EndpointID) ggscore.VMID {
-				i, ok := e.table.Instance(id)
-				if !ok || !e.needsPermit(now, i.Service) {
-					return ""
-				}
-				return e.permitIssuer(&i, members)
-			})
-		}
+		ms, rs := e.advancePermits(e.Now())
 		e.mu.Unlock()
 		e.sendDecisions(ms)
 		for _, r := range rs {
@@ -271,6 +258,29 @@
 	return nil
 }
 
+// advancePermits returns the decisions and renewals that are due. Edge.mu is held.
+func (e *Edge) advancePermits(now time.Time) ([]permitMessage, []ggspermit.Renewal) {
+	limited := e.limits.ShedLimitedCount(now) > 0
+	if !limited && !e.issuer.Active() {
+		// Later changes of the live VMs are judged from the next call on.
+		e.issuer.SetLive(now, nil)
+		return nil, nil
+	}
+	members := e.permitMembers()
+	e.issuer.SetLive(now, append(e.livePeersLocked(), e.options.VM))
+	ms := e.deliverDecisions(e.issuer.Tick(now))
+	if !limited {
+		return ms, nil
+	}
+	return ms, e.holder.Renewals(now, func(id ggscore.EndpointID) ggscore.VMID {
+		i, ok := e.table.Instance(id)
+		if !ok || !e.needsPermit(now, i.Service) {
+			return ""
+		}
+		return e.permitIssuer(&i, members)
+	})
+}
+
 // peerAt returns the peer that sends datagrams from an address, empty for none. Edge.mu is held.
 func (e *Edge) peerAt(from netip.AddrPort) ggscore.VMID {
 	for vm, p := range e.peers {
