--- a/cmd/ggsnode/edge_software_test.go
+++ b/cmd/ggsnode/edge_software_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -216,3 +220,61 @@
 		return st.status == http.StatusOK && st.last == siteEvents
 	})
 }
+
+// Guards against streams that go on at another software version if they are resumed some time after they broke
+// off, while runners are replaced by others.
+func TestStreamsResumedLateGoOnAtTheirSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	const (
+		streams = 60
+		pause   = 100 * time.Millisecond
+		late    = 3 * time.Second
+		edges   = 3
+	)
+	s := startMixedSite(t, edges)
+	s.setFault("runner", always(ggsfakesite.FaultTruncate))
+	rng := rand.New(rand.NewPCG(1, 0))
+	runners := []string{"runner-00", "runner-01", "runner-10", "runner-11"}
+	versions := []string{softwareOld, softwareNew, "v1.2"}
+	var resumed, joined atomic.Int64
+	var calls sync.WaitGroup
+	for i := range streams {
+		if i%5 == 0 {
+			s.site.Endpoints[runners[rng.IntN(len(runners))]].RestartInPlace(versions[rng.IntN(len(versions))])
+		}
+		calls.Go(func() {
+			first := s.callWith(context.Background(), i%edges, http.MethodPost, "/tell/x", "Hola", http.Header{})
+			if first.status != http.StatusOK {
+				return
+			}
+			time.Sleep(late)
+			last := strings.Count(first.body, "\n\n")
+			second := s.callWith(context.Background(), (i+1)%edges, http.MethodPost, "/tell/x", "Hola", http.Header{
+				"Resumes": {first.id}, "Last-Event-Id": {strconv.Itoa(last)},
+			})
+			if second.status != http.StatusOK {
+				return
+			}
+			resumed.Add(1)
+			if a, b := s.ranAt(first.id), s.ranAt(second.id); a != b {
+				joined.Add(1)
+				s.c.Logf("stream %s began at %s and went on at %s", first.id, a, b)
+			}
+		})
+		time.Sleep(pause)
+	}
+	calls.Wait()
+	s.c.Logf("%d of %d streams resumed", resumed.Load(), streams)
+	s.c.Check(resumed.Load() > streams/4, qt.IsTrue, qt.Commentf("%d resumed", resumed.Load()))
+	s.c.Check(joined.Load(), qt.Equals, int64(0))
+}
+
+// ranAt returns the version of the software that ran a request.
+func (s *siteTest) ranAt(id string) string {
+	for _, e := range s.site.Endpoints {
+		if v := e.RunSoftware(id); v != "" {
+			return v
+		}
+	}
+	return ""
+}
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -128,6 +128,10 @@
 	crashed          chan struct{}
 	// starts counts the endpoint's processes, and is its entry's time of start.
 	starts int
+	// sameID counts the processes that kept the ID of the one before. bornAt is the start of such a process
+	// in Unix milliseconds.
+	sameID int
+	bornAt int64
 	// silentUntil is the time until which the endpoint neither answers nor sends events.
 	silentUntil time.Time
 }
@@ -165,7 +169,7 @@
 		state = "draining"
 	}
 	return []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"models":%s,"seq":%d,"born":%d}`,
-		e.options.Service, addr, zone, e.software, e.options.Slots, state, e.models(), e.sequence, e.starts))
+		e.options.Service, addr, zone, e.software, e.options.Slots, state, e.models(), e.sequence, e.born()))
 }
 
 // SetFault sets the function that chooses the fault of each request.
--- a/fakes/ggsfakesite/software.go
+++ b/fakes/ggsfakesite/software.go
@@ -21,6 +21,25 @@
 	e.restart()
 }
 
+// RestartInPlace replaces the endpoint by a process of another software version, at the same address under
+// the same ID.
+func (e *Endpoint) RestartInPlace(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.software = version
+	e.restart()
+	e.sameID++
+	e.bornAt = e.options.Now().UnixMilli()
+}
+
+// born returns the time of the process's start in its entry. The lock is held.
+func (e *Endpoint) born() int64 {
+	if e.bornAt > 0 {
+		return e.bornAt
+	}
+	return int64(e.starts)
+}
+
 // RunSoftware returns the version of the software that ran a request last, empty if none did.
 func (e *Endpoint) RunSoftware(id string) string {
 	e.mu.Lock()
@@ -48,10 +67,10 @@
 func (e *Endpoint) ID() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.starts == 1 {
+	if e.starts-e.sameID == 1 {
 		return e.options.ID
 	}
-	return e.options.ID + "-" + strconv.Itoa(e.starts)
+	return e.options.ID + "-" + strconv.Itoa(e.starts-e.sameID)
 }
 
 // Software returns the version of the endpoint's software.
