fix(ggsedge): ask peers before a stream goes on at the only known version

What callers saw: reported to us as streams that joined versions when they were taken up some seconds late.

Cause, from the code: a VM without a record of a resumed stream, whose list has one version and is up to 3 s old, decided by itself. If it doesn't hear of the second version in that time (cut off from the store and from the VMs that know), a stream that began there goes on at the first one, although a peer that it reaches has the record.

Change: such a VM asks the stream's holders first, as it does when it knows of several versions, and goes on only if one replies. A VM that knows no peers decides alone as before. It costs resumed streams one call.

--- a/io/ggsedge/origins.go
+++ b/io/ggsedge/origins.go
@@ -122,20 +122,22 @@
 	id := j.resumes()
 	e.mu.Lock()
 	own := e.originReply(id, j.service)
-	behind := e.listRead.Before(e.listAnnounced)
 	to := e.holderAddrs(id, ggsorigin.Asked)
 	e.mu.Unlock()
 	if own.Origin != nil {
 		return *own.Origin, resumedOwn, nil
 	}
-	replies := []ggsorigin.Reply{own}
-	if own.Sole != "" && !behind {
-		if o, err := ggsorigin.Decide(j.route, id, replies); err == nil {
-			return o, resumedSole, nil
-		}
+	if len(to) == 0 {
+		o, err = ggsorigin.Decide(j.route, id, []ggsorigin.Reply{own})
+		return o, resumedSole, err
 	}
 	a := OriginArgs{Request: string(id), Service: string(j.service)}
-	o, err = ggsorigin.Decide(j.route, id, append(replies, e.askOrigin(ctx, &a, to)...))
+	replies := e.askOrigin(ctx, &a, to)
+	if len(replies) > 0 {
+		// Without a peer's reply, a version that serves alone for all that this VM knows may be an old one.
+		replies = append(replies, own)
+	}
+	o, err = ggsorigin.Decide(j.route, id, replies)
 	return o, resumedPeers, err
 }
 
--- a/io/ggsedge/origins_test.go
+++ b/io/ggsedge/origins_test.go
@@ -1,12 +1,17 @@
 package ggsedge
 
 import (
+	"context"
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	ggscore "greengageslip/core"
+	"greengageslip/io/ggsrpc"
 )
 
 // Guards against a VM that takes the version it knows for the only one while it can't know of others.
@@ -38,3 +43,61 @@
 		})
 	}
 }
+
+// An originPeer answers like a peer with a record of each stream, or like one that knows a sole version.
+type originPeer struct {
+	software string
+	sole     string
+}
+
+func (p *originPeer) StreamOrigin(a *OriginArgs, r *OriginReply) error {
+	r.Known, r.Service, r.Software, r.Sole = p.software != "", a.Service, p.software, p.sole
+	return nil
+}
+
+// Guards against a VM whose list is seconds old, and which takes its only version for that of a stream that
+// began at a newer one.
+func TestPeersAreAskedForTheOriginOfAStream(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		// peers are nil where they don't answer.
+		peers []*originPeer
+		want  ggscore.SoftwareVersion
+	}{
+		"a peer has a record of another version": {peers: []*originPeer{{sole: "v1"}, {software: "v2"}}, want: "v2"},
+		"peers know the same sole version":       {peers: []*originPeer{{sole: "v1"}, {sole: "v1"}}, want: "v1"},
+		"no peer answers":                        {peers: []*originPeer{nil, nil}},
+		"the only VM":                            {want: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			e := listEdge()
+			e.Calls = ggsrpc.NewPool(ggsrpc.PoolOptions{})
+			e.census.Observe(e.Now().Add(-time.Hour), []ggscore.Instance{{ID: "a", Service: "s", Software: "v1"}})
+			e.listObserved = e.Now().Add(-2 * time.Second)
+			var servers errgroup.Group
+			for n, p := range tc.peers {
+				l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+				c.Assert(err, qt.IsNil)
+				if p == nil {
+					c.Assert(l.Close(), qt.IsNil)
+				} else {
+					s := ggsrpc.NewServer()
+					c.Assert(s.Register("Placement", p), qt.IsNil)
+					servers.Go(func() error { return s.Serve(ctx, l) })
+				}
+				e.peers[ggscore.VMID(rune('a'+n))] = &member{lastSeen: e.Now(), controlAddr: netip.MustParseAddrPort(l.Addr().String())}
+			}
+			j := &job{service: "s", route: &ggscore.Route{Targets: []ggscore.RouteTarget{{Service: "s"}}}}
+			j.meta.Resumption = &ggscore.Resumption{Origin: "r", LastEvent: "3"}
+			o, _, err := e.streamOrigin(ctx, j)
+			c.Check(o.Software, qt.Equals, tc.want)
+			c.Check(err == nil, qt.Equals, tc.want != "")
+			c.Assert(e.Calls.Close(), qt.IsNil)
+			cancel()
+			c.Assert(servers.Wait(), qt.IsNil)
+		})
+	}
+}
