perf(ggspermit): look up each endpoint's issuer once for all its requests

The issuer was ranked for each request in flight, ten times a second. The simulation also keeps issuers while the same VMs are live: TestManyShedLimited- RunnersStayUp takes half of its time, with the same results.

--- a/core/ggspermit/holder.go
+++ b/core/ggspermit/holder.go
@@ -103,24 +103,27 @@
 // ago, with requests whose issuer has changed, or with releases since the last renewal. issuerOf returns the
 // issuer for an endpoint, empty for an endpoint that isn't shed-limited.
 func (h *Holder) Renewals(now time.Time, issuerOf func(ggscore.EndpointID) ggscore.VMID) []Renewal {
-	issuers := map[ggscore.EndpointID]ggscore.VMID{}
+	issuers, due := map[ggscore.EndpointID]ggscore.VMID{}, map[ggscore.EndpointID]bool{}
 	for id, since := range h.unsettled {
 		if now.Sub(since) >= settleInterval {
-			issuers[id] = issuerOf(id)
+			issuers[id], due[id] = issuerOf(id), true
 			delete(h.unsettled, id)
 		}
 	}
 	for _, r := range h.requests {
-		if !r.inFlight || issuers[r.endpoint] != "" {
+		if !r.inFlight || due[r.endpoint] {
 			continue
 		}
-		if issuer := issuerOf(r.endpoint); issuer != r.issuer || now.Sub(r.renewed) >= RenewInterval {
+		issuer, ok := issuers[r.endpoint]
+		if !ok {
+			issuer = issuerOf(r.endpoint)
 			issuers[r.endpoint] = issuer
 		}
+		due[r.endpoint] = issuer != r.issuer || now.Sub(r.renewed) >= RenewInterval
 	}
 	var rs []Renewal
 	for id, issuer := range issuers {
-		if issuer != "" {
+		if due[id] && issuer != "" {
 			rs = append(rs, Renewal{Issuer: issuer, PermitRenewal: h.renew(now, id, issuer)})
 		}
 	}
--- a/core/ggsplace/shedding_permits_test.go
+++ b/core/ggsplace/shedding_permits_test.go
@@ -32,14 +32,7 @@
 	s.after(d, func() { f(s.vmOf(to)) })
 }
 
-func (s *shedSim) vmOf(id ggscore.VMID) *shedVM {
-	for n := range s.ids {
-		if s.ids[n] == id {
-			return s.vms[n]
-		}
-	}
-	return nil
-}
+func (s *shedSim) vmOf(id ggscore.VMID) *shedVM { return s.vms[s.indices[id]] }
 
 // live returns the VMs that a VM takes for live.
 func (s *shedSim) live(v *shedVM) []ggspermit.Member {
@@ -63,10 +56,25 @@
 	return vms
 }
 
+// A shedIssuer identifies an issuer that all VMs of a domain take for that of an endpoint, while the same VMs
+// are live.
+type shedIssuer struct {
+	endpoint  ggscore.EndpointID
+	domain    ggscore.Domain
+	known, on bool
+}
+
 // issuerOf returns the issuer of an endpoint's permits, as a VM knows it.
 func (s *shedSim) issuerOf(v *shedVM, id ggscore.EndpointID) ggscore.VMID {
-	d := s.endpoints[id].Domain
-	return ggspermit.IssuerOf(id, d, ggscore.Region(d), s.live(v))
+	since := s.now.Sub(at(shedFaultAt))
+	k := shedIssuer{endpoint: id, domain: v.member.Domain, known: since >= shedPeerTimeout, on: since < shedFaultTime}
+	issuer, ok := s.issuers[k]
+	if !ok {
+		d := s.endpoints[id].Domain
+		issuer = ggspermit.IssuerOf(id, d, ggscore.Region(d), s.live(v))
+		s.issuers[k] = issuer
+	}
+	return issuer
 }
 
 // ask asks for a permit for a request.
--- a/core/ggsplace/shedding_sim_test.go
+++ b/core/ggsplace/shedding_sim_test.go
@@ -105,6 +105,7 @@
 	rng       *rand.Rand
 	now       time.Time
 	ids       []ggscore.VMID
+	indices   map[ggscore.VMID]int
 	list      []ggscore.Instance
 	vms       []*shedVM
 	endpoints map[ggscore.EndpointID]*shedEndpoint
@@ -114,12 +115,13 @@
 	// messages are datagrams and timers, by the tick at which they are due.
 	messages map[int][]func()
 	members  []ggspermit.Member
+	issuers  map[shedIssuer]ggscore.VMID
 	arrived  float64
 	result   shedResult
 }
 
 func newShedSim(l shedLoad) *shedSim {
-	s := &shedSim{shedLoad: l, rng: rand.New(rand.NewPCG(7, 0)), now: at(0), endpoints: map[ggscore.EndpointID]*shedEndpoint{}, messages: map[int][]func(){}}
+	s := &shedSim{shedLoad: l, rng: rand.New(rand.NewPCG(7, 0)), now: at(0), endpoints: map[ggscore.EndpointID]*shedEndpoint{}, messages: map[int][]func(){}, issuers: map[shedIssuer]ggscore.VMID{}, indices: map[ggscore.VMID]int{}}
 	for n := range l.endpoints {
 		i := ggscore.Instance{ID: ggscore.EndpointID(fmt.Sprintf("p%d", n)), Service: plain, Domain: l.domain(n), Slots: l.slots}
 		s.list = append(s.list, i)
@@ -127,6 +129,7 @@
 	}
 	for n := range l.vms {
 		s.ids = append(s.ids, ggscore.VMID(fmt.Sprintf("vm-%03d", n)))
+		s.indices[s.ids[n]] = n
 		s.members = append(s.members, ggspermit.Member{VM: s.ids[n], Domain: l.domain(n), Region: ggscore.Region(l.domain(n))})
 	}
 	for n := range l.vms {
