fix(ggsfakesite): entries of gone processes expire after a restore

A restore of the store had brought back the entry of a runner's earlier process, which the stand-in had deleted once and never again, so that requests and orders met 421 for good. The users' store removes an entry after three heartbeat intervals of silence.

--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -59,8 +60,8 @@
 	draining map[string]bool
 	// down are the endpoints whose processes have crashed and aren't back.
 	down map[string]bool
-	// keys are the keys of the endpoints' entries.
-	keys map[string]string
+	// keys are the keys of the entries of the endpoints' processes.
+	keys map[string][]string
 	// entriesPausedUntil is the time until which endpoints don't write their entries.
 	entriesPausedUntil time.Time
 }
@@ -69,7 +70,7 @@
 func NewSite(o SiteOptions) *Site {
 	s := &Site{
 		Store: NewStore(), Endpoints: map[string]*Endpoint{}, options: o,
-		addrs: map[string]netip.AddrPort{}, zones: map[string]string{}, draining: map[string]bool{}, down: map[string]bool{}, keys: map[string]string{},
+		addrs: map[string]netip.AddrPort{}, zones: map[string]string{}, draining: map[string]bool{}, down: map[string]bool{}, keys: map[string][]string{},
 	}
 	port := o.Listen.Port()
 	add := func(id, service, zone string, engine bool) {
@@ -203,11 +204,16 @@
 	}
 	k := entryPrefix + s.Endpoints[id].ID()
 	s.mu.Lock()
-	last := s.keys[id]
-	s.keys[id] = k
+	if !slices.Contains(s.keys[id], k) {
+		s.keys[id] = append(s.keys[id], k)
+	}
+	keys := slices.Clone(s.keys[id])
 	s.mu.Unlock()
-	if last != "" && last != k {
-		s.Store.Delete(last)
+	// The entry of a process that is gone may be back in the store after a restore.
+	for _, last := range keys {
+		if last != k && s.Store.Get(last) != nil {
+			s.Store.Delete(last)
+		}
 	}
 	s.Store.Put(k, s.Endpoints[id].Entry(addr.String(), s.zones[id], draining))
 }
