--- a/fakes/ggsfakesite/site_test.go
+++ b/fakes/ggsfakesite/site_test.go
@@ -12,7 +12,7 @@
 func TestRestoredEntryOfAGoneProcessExpires(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	s := NewSite(SiteOptions{Listen: netip.MustParseAddrPort("127.0.0.1:7000"), Zones: []string{"a"}, Now: time.Now})
+	s := NewSite(SiteOptions{Listen: netip.MustParseAddrPort("127.0.0.1:7000"), Zones: []string{"a"}, Now: func() time.Time { return time.Unix(1000, 0) }})
 	s.writeEntry("runner-00")
 	b := s.Store.Backup()
 	s.Endpoints["runner-00"].SetSoftware("v2")
--- a/io/ggsedge/permits.go
+++ b/io/ggsedge/permits.go
@@ -64,37 +64,27 @@
 	}
 	j.permitAsks++
 	issuer := e.permitIssuer(&i, e.permitMembers())
-	a := ggscore.PermitAsk{
-		ID: j.permit, Endpoint: i.ID, Priority: j.route.Priority,
-		MaxWait: min(time.Duration(permitWaitShare*float64(cmp.Or(j.route.Target, j.timeout))), j.deadline.Sub(e.Monotonic()), ggspermit.MaxWait),
-	}
+	a := ggscore.PermitAsk{ID: j.permit, Endpoint: i.ID, Priority: j.route.Priority, MaxWait: e.maxPermitWait(j)}
 	decisions := make(chan ggscore.PermitDecision, 1)
 	e.asks[a.ID] = decisions
 	e.holder.Asked(now, a.ID, issuer)
 	e.table.PermitAsked(i.ID)
 	e.mu.Unlock()
 	begun := e.Monotonic()
-	d, err := e.awaitPermit(ctx, a, issuer, decisions)
+	d, answered := e.awaitPermit(ctx, a, issuer, decisions)
 	e.mu.Lock()
 	delete(e.asks, a.ID)
 	e.table.PermitDecided(i.ID)
-	if err == nil && d.Outcome == ggscore.PermitGranted && e.holder.Granted(e.Now(), a.ID) {
-		e.mu.Unlock()
-		e.metrics.permits.WithLabelValues(permitGranted).Inc()
+	outcome := permitOutcome(d, answered && (d.Outcome != ggscore.PermitGranted || e.holder.Granted(e.Now(), a.ID)))
+	if outcome != permitGranted && ctx.Err() == nil {
+		e.table.RecordSaturated(e.Now(), i.ID, saturation(d, outcome))
+	}
+	e.mu.Unlock()
+	if outcome == permitGranted {
 		j.permitWait += e.since(begun)
+		e.metrics.permits.WithLabelValues(outcome).Inc()
 		return nil
 	}
-	pause, outcome := ggspermit.AskAgainAfter(d), permitRefused
-	switch {
-	case err != nil || d.Outcome == ggscore.PermitGranted:
-		pause, outcome = unreachableIssuerPause, permitUnanswered
-	case d.Outcome == ggscore.PermitMisdirected:
-		pause, outcome = unreachableIssuerPause, permitMisdirected
-	}
-	if ctx.Err() == nil {
-		e.table.RecordSaturated(e.Now(), i.ID, pause)
-	}
-	e.mu.Unlock()
 	e.endRequest(j, i.ID)
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
@@ -106,31 +96,60 @@
 	return &PermitError{Endpoint: i.ID, Outcome: outcome, RetryAfter: max(d.RetryAfter, refusedRetryAfter) + spread}
 }
 
-// awaitPermit sends an ask until its final decision arrives. The error is a *PermitError if none does.
+// maxPermitWait returns how long a request may wait for a permit.
+func (e *Edge) maxPermitWait(j *job) time.Duration {
+	share := time.Duration(permitWaitShare * float64(cmp.Or(j.route.Target, j.timeout)))
+	return min(share, j.deadline.Sub(e.Monotonic()), ggspermit.MaxWait)
+}
+
+// permitOutcome returns the outcome of an ask. answered is false if no decision arrived in time.
+func permitOutcome(d ggscore.PermitDecision, answered bool) string {
+	switch {
+	case !answered:
+		return permitUnanswered
+	case d.Outcome == ggscore.PermitGranted:
+		return permitGranted
+	case d.Outcome == ggscore.PermitMisdirected:
+		return permitMisdirected
+	}
+	return permitRefused
+}
+
+// saturation returns the time for which this VM asks for no permit of an endpoint after an ask without
+// success.
+func saturation(d ggscore.PermitDecision, outcome string) time.Duration {
+	if outcome == permitRefused {
+		return ggspermit.AskAgainAfter(d)
+	}
+	return unreachableIssuerPause
+}
+
+// awaitPermit sends an ask until its final decision arrives. It returns false if none does, or if the context
+// ends.
 func (e *Edge) awaitPermit(
 	ctx context.Context, a ggscore.PermitAsk, issuer ggscore.VMID, decisions <-chan ggscore.PermitDecision,
-) (ggscore.PermitDecision, error) {
+) (d ggscore.PermitDecision, answered bool) {
 	begun := e.Monotonic()
 	t := time.NewTicker(permitAskTimeout)
 	defer t.Stop()
 	for unanswered := 0; ; {
 		e.sendAsk(a, issuer)
 		unanswered++
-		for answered := true; answered; {
+		for waiting := true; waiting; {
 			select {
 			case d := <-decisions:
 				if d.Outcome != ggscore.PermitWaiting {
-					return d, nil
+					return d, true
 				}
 				unanswered = 0
 			case <-t.C:
-				answered = false
+				waiting = false
 			case <-ctx.Done():
-				return ggscore.PermitDecision{}, context.Cause(ctx)
+				return ggscore.PermitDecision{}, false
 			}
 		}
 		if unanswered >= maxUnansweredAsks || e.since(begun) > a.MaxWait+maxUnansweredAsks*permitAskTimeout {
-			return ggscore.PermitDecision{}, &PermitError{Endpoint: a.Endpoint, Outcome: permitUnanswered, RetryAfter: unreachableIssuerPause}
+			return ggscore.PermitDecision{}, false
 		}
 	}
 }
