--- a/cmd/ggsnode/edge_shedding_test.go
+++ b/cmd/ggsnode/edge_shedding_test.go
@@ -20,13 +20,12 @@
 func TestShedLimitedEndpointsStayUpUnderOverload(t *testing.T) {
 	t.Parallel()
 	const (
-		refusals = 6
 		workTime = 150 * time.Millisecond
 		edges    = 3
 		length   = 6 * time.Second
 	)
 	s := startSite(t, edges)
-	s.setBrittle("ledger", refusals, workTime)
+	s.setBrittle("ledger", workTime)
 	s.callSteadily(http.MethodPost, "/pay/1", "", 50*time.Millisecond, contactTime)
 	before := s.falls()
 	var served, refused, lost atomic.Int64
@@ -54,11 +53,14 @@
 	s.c.Check(lost.Load() <= served.Load()/50, qt.IsTrue, qt.Commentf("%d lost", lost.Load()))
 }
 
-// setBrittle calls SetBrittle of all endpoints whose names have a prefix.
-func (s *siteTest) setBrittle(prefix string, refusals int, workTime time.Duration) {
+// brittleRefusals is the number of requests that a shed-limited endpoint can refuse in a second.
+const brittleRefusals = 6
+
+// setBrittle makes all endpoints shed-limited whose names have a prefix.
+func (s *siteTest) setBrittle(prefix string, workTime time.Duration) {
 	for id, e := range s.site.Endpoints {
 		if strings.HasPrefix(id, prefix) {
-			e.SetBrittle(refusals, workTime)
+			e.SetBrittle(brittleRefusals, workTime)
 		}
 	}
 }
@@ -99,7 +101,7 @@
 	t.Parallel()
 	const edges = 3
 	s := startSite(t, edges)
-	s.setBrittle("ledger", 6, time.Millisecond)
+	s.setBrittle("ledger", time.Millisecond)
 	s.eventually("an endpoint answers", func() bool { return s.call(0, http.MethodPost, "/pay/1", "", "{}").status == http.StatusOK })
 	for n := range edges {
 		s.eventually("the VM knows the shed limit", func() bool { return s.shedLimited(n) })
@@ -131,7 +133,7 @@
 		length   = 5 * time.Second
 	)
 	s := startSiteOptions(t, edges, ggsfakesite.SiteOptions{Ledgers: ledgers / 2, LedgerSlots: slots}, func(s *siteTest, n int) { s.startEdge(t, n) })
-	s.setBrittle("ledger", 6, workTime)
+	s.setBrittle("ledger", workTime)
 	s.callSteadily(http.MethodPost, "/pay/1", "", 100*time.Millisecond, contactTime)
 	before := s.falls()
 	for _, tc := range []struct {
@@ -165,7 +167,7 @@
 		load     = 1.5
 	)
 	s := startSiteOf(t, edges, runners/2, func(s *siteTest, n int) { s.startEdge(t, n) })
-	s.setBrittle("runner", 6, workTime)
+	s.setBrittle("runner", workTime)
 	model := func(n int) string { return fmt.Sprintf("m/a%d", n) }
 	for n := range adapters {
 		s.callSteadily(http.MethodPost, "/chat/1", model(n), 100*time.Millisecond, contactTime/adapters)
