--- a/core/ggspermit/holder.go
+++ b/core/ggspermit/holder.go
@@ -8,18 +8,20 @@
 	ggscore "greengageslip/core"
 )
 
-// adoptInterval is the time after which the renewal for a new issuer is repeated, as it may have been lost.
-const adoptInterval = 300 * time.Millisecond
-
-// maxDecisionAge is the time after the first ask from which a decision isn't used. A request that is sent
-// then is renewed before its permit expires.
-const maxDecisionAge = 1500 * time.Millisecond
-
-// MaxWait bounds the time that a request can wait for a permit.
-const MaxWait = time.Second
-
-// settleInterval is the time between renewals that make up for lost releases.
-const settleInterval = 300 * time.Millisecond
+const (
+	// MaxWait bounds the time that a request can wait for a permit.
+	MaxWait = time.Second
+	// maxDecisionAge is the time after the first ask from which a decision isn't used. A request that is
+	// sent then is renewed before its permit expires.
+	maxDecisionAge = 1500 * time.Millisecond
+	// settleInterval is the time between renewals that make up for lost releases.
+	settleInterval = 300 * time.Millisecond
+	// adoptInterval is the time after which the renewal for a new issuer is repeated, as it may have been
+	// lost.
+	adoptInterval = 300 * time.Millisecond
+	// askAgainShare is the share of a refusal's retry-after time after which a VM asks again.
+	askAgainShare = 0.25
+)
 
 // A Holder knows this VM's requests in flight and the issuers of their permits.
 type Holder struct {
@@ -152,9 +154,6 @@
 	return v
 }
 
-// askAgainShare is the share of a refusal's retry-after time after which a VM asks again.
-const askAgainShare = 0.25
-
 // AskAgainAfter returns the time after a refusal for which a VM asks for no permit of the endpoint. It is
 // shorter than the time until a slot is expected to be free, so that asks wait when slots become free.
 func AskAgainAfter(d ggscore.PermitDecision) time.Duration {
--- a/io/ggsedge/signals.go
+++ b/io/ggsedge/signals.go
@@ -59,16 +59,12 @@
 	}
 	before := e.limits.ShedLimited(now, s)
 	e.limits.ObserveShedLimit(s, refusalsPerSecond, asOf)
-	after := e.limits.ShedLimited(now, s)
-	if after && !before {
-		e.shareLimits()
-	}
-	return before != after
+	return before != e.limits.ShedLimited(now, s)
 }
 
 // shareLimits updates the set of VMs that share rate limits. Edge.mu is held.
 func (e *Edge) shareLimits() {
-	if e.limits.LimitedCount() == 0 && e.limits.ShedLimitedCount(e.Now()) == 0 {
+	if e.limits.LimitedCount() == 0 {
 		return
 	}
 	e.limits.SetVMs(append(e.livePeersLocked(), e.options.VM))
@@ -87,18 +83,13 @@
 
 // applyShedLimits has apply record the shed limits that other VMs observed. Edge.mu is held.
 func (e *Edge) applyShedLimits(now time.Time, ls []ggscore.ShedLimit, apply func(time.Time, []ggscore.ShedLimit)) {
-	changed := false
 	for _, l := range ls {
 		before := e.limits.ShedLimited(now, l.Service)
 		apply(now.Add(-heartbeatDelay), []ggscore.ShedLimit{l})
 		if after := e.limits.ShedLimited(now, l.Service); after != before {
-			changed = true
 			_ = level.Info(e.Log).Log("event", ggslog.EventServiceShedLimited, "service", l.Service, "limited", after, "age", l.Age, "peers", true)
 		}
 	}
-	if changed {
-		e.shareLimits()
-	}
 }
 
 // takeLimit takes a token from this VM's share of an endpoint's rate limit, and reports whether
