fix(ggsedge): an issuer counts as unreachable after four unanswered asks

Processes stall so on small VMs as well. Four asks are 200 ms. A failed issuer, which counts as lost after a second, costs callers 100 ms more until then.

--- a/io/ggsedge/permits.go
+++ b/io/ggsedge/permits.go
@@ -27,7 +27,7 @@
 	permitAskTimeout = 50 * time.Millisecond
 	// maxUnansweredAsks is the number of asks without any decision after which an issuer counts as
 	// unreachable, and its endpoints as saturated for unreachableIssuerPause.
-	maxUnansweredAsks      = 2
+	maxUnansweredAsks      = 4
 	unreachableIssuerPause = 300 * time.Millisecond
 	// permitRetrySpread spreads the return of refused callers.
 	permitRetrySpread = 300 * time.Millisecond
