--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,70 @@
+// Command standin plays the cases of the review. It starts the edges as separate processes, and is itself
+// the platform's store and entry, the runners and the clients.
+//
+// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+package main
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+)
+
+// maxTime bounds a case.
+const maxTime = 110 * time.Second
+
+func main() {
+	trouble := flag.Bool("trouble", true, "with the disruptions")
+	only := flag.String("only", "", "one disruption alone: crash or kill")
+	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
+	root := flag.String("root", ".", "the repository")
+	flag.Parse()
+	f, err := os.Create(*record)
+	if err != nil {
+		fmt.Println(err)
+		os.Exit(2)
+	}
+	j := &journal{w: bufio.NewWriter(f), start: time.Now()}
+	p := &play{j: j, root: *root, crash: *trouble && *only != "kill", kill: *trouble && *only != "crash"}
+	var broken bool
+	switch flag.Arg(0) {
+	case "recover":
+		broken, err = p.recover()
+	case "limit":
+		broken, err = p.limit()
+	default:
+		err = fmt.Errorf("no case %q", flag.Arg(0))
+	}
+	_ = f.Close()
+	switch {
+	case err != nil:
+		fmt.Println("the case couldn't run:", err)
+		os.Exit(2)
+	case broken:
+		fmt.Println("the rule was broken")
+		os.Exit(1)
+	}
+	fmt.Println("the rule held")
+}
+
+// A play is one run of a case.
+type play struct {
+	j     *journal
+	root  string
+	crash bool
+	kill  bool
+}
+
+func (p *play) start(runnersPerZone []int, edgesPerZone int) (*site, context.Context, func(), error) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxTime)
+	s, err := newSite(ctx, p.j, p.root, runnersPerZone, edgesPerZone)
+	return s, ctx, func() {
+		cancel()
+		if s != nil {
+			s.close()
+		}
+	}, err
+}
