--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 	trouble := flag.Bool("trouble", true, "with the disruptions")
 	only := flag.String("only", "", "one disruption alone: crash or kill")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
+	crashAt := flag.Duration("crash-at", 600*time.Millisecond, "time from the machines' return to the runners' crash, in the case quarantine")
 	root := flag.String("root", ".", "the repository")
 	flag.Parse()
 	f, err := os.Create(*record)
@@ -28,11 +29,13 @@
 		os.Exit(2)
 	}
 	j := &journal{w: bufio.NewWriter(f), start: time.Now()}
-	p := &play{j: j, root: *root, crash: *trouble && *only != "kill", kill: *trouble && *only != "crash"}
+	p := &play{j: j, root: *root, crashAt: *crashAt, crash: *trouble && *only != "kill", kill: *trouble && *only != "crash"}
 	var broken bool
 	switch flag.Arg(0) {
 	case "recover":
 		broken, err = p.recover()
+	case "quarantine":
+		broken, err = p.quarantine()
 	case "limit":
 		broken, err = p.limit()
 	default:
@@ -56,6 +59,8 @@
 	root  string
 	crash bool
 	kill  bool
+	// crashAt is the time from the machines' return to the runners' crash in the case quarantine.
+	crashAt time.Duration
 }
 
 func (p *play) start(runnersPerZone []int, edgesPerZone int) (*site, context.Context, func(), error) {
--- a/review/standin/recover.go
+++ b/review/standin/recover.go
@@ -76,16 +76,21 @@
 		back = crashed.Add(faultAfter + downTime)
 	}
 	sleep(ctx, time.Until(back.Add(recoverTime+judged+deadline)))
+	return p.judge(c, back), nil
+}
+
+// judge reports whether RECOVER is broken, for machines that were back at a time.
+func (p *play) judge(c *crowd, back time.Time) bool {
 	for at := time.Duration(0); at < recoverTime+judged; at += 2 * time.Second {
 		n, k, by := c.served(back.Add(at), back.Add(at+2*time.Second))
 		p.j.log("%v after the machines are back: %d sent, %d served; %s", at, n, k, by)
 	}
-	sent, ok, by = c.served(back.Add(recoverTime), back.Add(recoverTime+judged))
+	sent, ok, by := c.served(back.Add(recoverTime), back.Add(recoverTime+judged))
 	p.j.log("requests sent later than %v after the machines are back: %d sent, %d served; %s", recoverTime, sent, ok, by)
 	if 4*ok < sent {
 		p.j.log("result: RECOVER is broken: less than a quarter was served")
-		return true, nil
+		return true
 	}
 	p.j.log("result: RECOVER held")
-	return false, nil
+	return false
 }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -27,9 +27,9 @@
 	diskLoad    = 760 * time.Millisecond
 	// maxComing is the number of adapters that may be in transit to a runner.
 	maxComing = 4
-	// events and eventTime are the length of a stream and the time of each of its events.
-	events    = 14
-	eventTime = 5 * time.Millisecond
+	// events is the number of events of a stream, and shortEventTime the time of each unless a case needs longer ones.
+	events         = 14
+	shortEventTime = 5 * time.Millisecond
 )
 
 // An order is the body of an order.
@@ -64,6 +64,9 @@
 	s    *ggsfakesite.Store
 	addr string
 	zone string
+	// eventTime is the time of each event of a stream, and firstTime the time until the first one.
+	eventTime time.Duration
+	firstTime time.Duration
 
 	mu       sync.Mutex
 	id       string
@@ -87,7 +90,7 @@
 }
 
 func newRunner(j *journal, s *ggsfakesite.Store, id, addr, zone string) *runner {
-	r := &runner{j: j, s: s, id: id, addr: addr, zone: zone}
+	r := &runner{j: j, s: s, id: id, addr: addr, zone: zone, eventTime: shortEventTime}
 	r.reset()
 	r.hasModel = true
 	return r
@@ -273,10 +276,11 @@
 	}()
 	w.Header().Set("Server-Stamp", "3e1b.07."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	time.Sleep(r.firstTime)
 	for n := range events {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, id)
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(eventTime)
+		time.Sleep(r.eventTime)
 	}
 }
 
