--- a/review/standin/limit.go
+++ b/review/standin/limit.go
@@ -55,7 +55,7 @@
 	}
 	begun := time.Now()
 	go func() {
-		status, _ := c.ask(s.edges[0], "a17", deadline)
+		status, _ := c.ask(s.edges[0], firstPath, model+"/a17", deadline)
 		p.j.log("a rare adapter was asked for once: a17, answer %d", status)
 	}()
 	sleep(ctx, crashAfter)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,7 +20,7 @@
 	trouble := flag.Bool("trouble", true, "with the disruptions")
 	only := flag.String("only", "", "one disruption alone: crash or kill")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
-	crashAt := flag.Duration("crash-at", 600*time.Millisecond, "time from the machines' return to the runners' crash, in the case quarantine")
+	crashAt := flag.Duration("crash-at", 550*time.Millisecond, "time from the edges' readiness to the runners' crash, in the case quarantine")
 	root := flag.String("root", ".", "the repository")
 	flag.Parse()
 	f, err := os.Create(*record)
@@ -36,6 +36,8 @@
 		broken, err = p.recover()
 	case "quarantine":
 		broken, err = p.quarantine()
+	case "version":
+		broken, err = p.version()
 	case "limit":
 		broken, err = p.limit()
 	default:
@@ -59,7 +61,7 @@
 	root  string
 	crash bool
 	kill  bool
-	// crashAt is the time from the machines' return to the runners' crash in the case quarantine.
+	// crashAt is the time from the edges' readiness to the runners' crash in the case quarantine.
 	crashAt time.Duration
 }
 
--- a/review/standin/quarantine.go
+++ b/review/standin/quarantine.go
@@ -10,7 +10,7 @@
 const (
 	// firstEventTime is the time to a stream's first event, and longEventTime the time of each event. Prompts of
 	// 9,190 tokens take 241 ms to read, and several are read at once.
-	firstEventTime = 450 * time.Millisecond
+	firstEventTime = 600 * time.Millisecond
 	longEventTime  = 50 * time.Millisecond
 	// crashDown is how long the crashed runners are down.
 	crashDown = 2 * time.Second
@@ -54,6 +54,9 @@
 		p.j.log("all machines are back")
 	}
 	back := time.Now()
+	if err := s.awaitReady(ctx); err != nil {
+		return false, err
+	}
 	sleep(ctx, p.crashAt)
 	if p.crash {
 		p.j.log("disruption: the runners of two zones crash (srv_crash)")
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -86,11 +86,15 @@
 	orders   int // orders while late, and those left unanswered
 	unheard  int
 	broken   bool // more was ordered than the runner holds
-	server   *http.Server
+	// version is the version of the model's weights that the runner has or loads, and newest the one that was
+	// named last.
+	version int
+	newest  int
+	server  *http.Server
 }
 
 func newRunner(j *journal, s *ggsfakesite.Store, id, addr, zone string) *runner {
-	r := &runner{j: j, s: s, id: id, addr: addr, zone: zone, eventTime: shortEventTime}
+	r := &runner{j: j, s: s, id: id, addr: addr, zone: zone, eventTime: shortEventTime, newest: 1}
 	r.reset()
 	r.hasModel = true
 	return r
@@ -99,7 +103,7 @@
 func (r *runner) reset() {
 	r.process++
 	r.born = time.Now().UnixMilli()
-	r.seq, r.hasModel, r.modelAt, r.entry = 0, false, time.Time{}, ""
+	r.seq, r.hasModel, r.modelAt, r.entry, r.version = 0, false, time.Time{}, "", r.newest
 	r.held, r.coming, r.leaving, r.active = map[string]bool{}, map[string]time.Time{}, map[string]bool{}, map[string]int{}
 }
 
@@ -168,7 +172,7 @@
 	if !r.hasModel {
 		return []modelEntry{}
 	}
-	m := modelEntry{Name: model, Version: 1, Adapters: []string{}}
+	m := modelEntry{Name: model, Version: r.version, Adapters: []string{}}
 	for a := range r.held {
 		m.Adapters = append(m.Adapters, a+"@1")
 	}
@@ -258,7 +262,11 @@
 	_, a, _ := strings.Cut(q.Header.Get("Model"), "/")
 	r.mu.Lock()
 	r.advance()
-	if !r.hasModel || !r.held[a] || r.leaving[a] {
+	missing := a != "" && (!r.held[a] || r.leaving[a])
+	if want := q.Header.Get("Expect-Version"); a == "" && want != "" && want != strconv.Itoa(r.version) {
+		missing = true
+	}
+	if !r.hasModel || missing {
 		r.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -334,7 +342,7 @@
 	switch {
 	case load && base && !r.modelAt.IsZero(), load && !base && coming, !load && r.leaving[o.Adapter]:
 		return http.StatusAccepted // it is in progress
-	case load && base && r.hasModel, load && !base && r.held[o.Adapter] && !r.leaving[o.Adapter], !load && !r.held[o.Adapter]:
+	case load && base && r.hasModel && r.version == r.newest, load && !base && r.held[o.Adapter] && !r.leaving[o.Adapter], !load && !r.held[o.Adapter]:
 		return http.StatusOK // it holds already
 	case o.Expected != nil && *o.Expected != r.seq, !r.modelAt.IsZero(), len(r.leaving) > 0:
 		return http.StatusConflict
@@ -348,7 +356,8 @@
 		return http.StatusAccepted
 	case base:
 		r.seq++
-		r.modelAt = time.Now().Add(diskLoad)
+		// A load fetches the newest version.
+		r.version, r.modelAt = r.newest, time.Now().Add(diskLoad)
 		return http.StatusAccepted
 	case !r.hasModel:
 		return http.StatusBadRequest
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -113,7 +113,7 @@
 	until := time.Now().Add(startTime)
 	for _, e := range s.edges {
 		for !e.ready() {
-			if sleep(ctx, 100*time.Millisecond); ctx.Err() != nil || time.Now().After(until) {
+			if sleep(ctx, 20*time.Millisecond); ctx.Err() != nil || time.Now().After(until) {
 				return fmt.Errorf("%s isn't ready", e.name)
 			}
 		}
