--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,9 +7,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +47,9 @@
 		err = fmt.Errorf("no case %q", flag.Arg(0))
 	}
 	_ = f.Close()
+	if err == nil && p.cut {
+		err = errors.New("it was ended before its time")
+	}
 	switch {
 	case err != nil:
 		fmt.Println("the case couldn't run:", err)
@@ -63,12 +69,17 @@
 	kill  bool
 	// crashAt is the time from the edges' readiness to the runners' crash in the case quarantine.
 	crashAt time.Duration
+	// cut is set if the play was ended by a signal or by maxTime, so that it shows nothing.
+	cut bool
 }
 
 func (p *play) start(runnersPerZone []int, edgesPerZone int) (*site, context.Context, func(), error) {
 	ctx, cancel := context.WithTimeout(context.Background(), maxTime)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	s, err := newSite(ctx, p.j, p.root, runnersPerZone, edgesPerZone)
 	return s, ctx, func() {
+		p.cut = ctx.Err() != nil
+		stop()
 		cancel()
 		if s != nil {
 			s.close()
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +23,16 @@
 	frontPort   = 7100
 	readyPort   = 7101
 	controlPort = 7102
+	metricsPort = 9464 // of the deploy file's command
+	peerPort    = 7380
+	storePort   = 8142
+	runnerPort  = 8080
+	// firstEdge and firstRunner are the last numbers of the first addresses, maxEdges and maxRunners how many a
+	// site has at most.
+	firstEdge   = 11
+	firstRunner = 100
+	maxEdges    = 9
+	maxRunners  = 12
 	// startTime bounds the time until all edges are ready.
 	startTime = 20 * time.Second
 )
@@ -75,10 +88,12 @@
 	if err != nil {
 		return nil, err
 	}
-	pid := os.Getpid()
-	s := &site{j: j, dir: dir, root: root, net: fmt.Sprintf("127.%d.%d", (pid>>8)%250+2, pid%250+2), store: ggsfakesite.NewStore()}
+	s := &site{j: j, dir: dir, root: root, store: ggsfakesite.NewStore()}
+	if s.net, err = freeNet(); err != nil {
+		return s, err
+	}
 	s.store.Put("op/config", fmt.Appendf(nil, configText, 7, 5000))
-	l, err := net.Listen("tcp", s.net+".9:8142")
+	l, err := net.Listen("tcp", fmt.Sprintf("%s.9:%d", s.net, storePort))
 	if err != nil {
 		return s, err
 	}
@@ -88,7 +103,7 @@
 	for z, zone := range zones {
 		for range runnersPerZone[z] {
 			n := len(s.runners)
-			r := newRunner(j, s.store, fmt.Sprintf("i-7f3a91%02x", n), fmt.Sprintf("%s.%d:8080", s.net, 100+n), zone)
+			r := newRunner(j, s.store, fmt.Sprintf("i-7f3a91%02x", n), fmt.Sprintf("%s.%d:%d", s.net, firstRunner+n, runnerPort), zone)
 			if err := r.start(); err != nil {
 				return s, err
 			}
@@ -109,6 +124,43 @@
 	return s, s.awaitReady(ctx)
 }
 
+// freeNet returns the first three numbers of a loopback network in which no port that a site uses is taken.
+func freeNet() (string, error) {
+	for range 20 {
+		n := fmt.Sprintf("127.%d.%d", rand.IntN(250)+2, rand.IntN(250)+2)
+		if free(n) {
+			return n, nil
+		}
+	}
+	return "", errors.New("no free loopback network")
+}
+
+// free reports whether all ports that a site uses in a network can be listened on.
+func free(network string) bool {
+	addrs := []string{fmt.Sprintf("%s.9:%d", network, storePort)}
+	for n := range maxRunners {
+		addrs = append(addrs, fmt.Sprintf("%s.%d:%d", network, firstRunner+n, runnerPort))
+	}
+	for n := range maxEdges {
+		for _, port := range []int{frontPort, readyPort, controlPort, metricsPort, peerPort} {
+			addrs = append(addrs, fmt.Sprintf("%s.%d:%d", network, firstEdge+n, port))
+		}
+		u, err := net.ListenPacket("udp4", fmt.Sprintf("%s.%d:%d", network, firstEdge+n, peerPort))
+		if err != nil {
+			return false
+		}
+		_ = u.Close()
+	}
+	for _, a := range addrs {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 func (s *site) awaitReady(ctx context.Context) error {
 	until := time.Now().Add(startTime)
 	for _, e := range s.edges {
@@ -122,7 +174,7 @@
 	return nil
 }
 
-// close ends everything that the site started. With KEEP_LOGS, the edges' logs are kept in that folder.
+// close ends everything that the site started, and removes its folder. With KEEP_LOGS, the edges' logs are kept in that folder.
 func (s *site) close() {
 	for _, e := range s.edges {
 		e.end(syscall.SIGKILL)
@@ -159,7 +211,7 @@
 
 func (s *site) addEdge(zone string) error {
 	n := len(s.edges)
-	e := &edge{site: s, name: fmt.Sprintf("front-%s-%d", zone, n%3+1), zone: zone, ip: fmt.Sprintf("%s.%d", s.net, 11+n)}
+	e := &edge{site: s, name: fmt.Sprintf("front-%s-%d", zone, n%3+1), zone: zone, ip: fmt.Sprintf("%s.%d", s.net, firstEdge+n)}
 	if len(s.edges) < 3 && zone != zones[0] {
 		e.name = fmt.Sprintf("front-%s-1", zone)
 	}
@@ -175,7 +227,7 @@
 	if err := e.writeSettings(first); err != nil {
 		return err
 	}
-	c := exec.Command(filepath.Join(e.site.root, "target/ggsedge"), "--metrics-port", "9464", "--policy", "deploy/policy.toml")
+	c := exec.Command(filepath.Join(e.site.root, "target/ggsedge"), "--metrics-port", strconv.Itoa(metricsPort), "--policy", "deploy/policy.toml")
 	c.Dir = e.site.root
 	c.Env = append(os.Environ(), "GREENGAGESLIP_NODE_FILE="+e.settings)
 	c.Stdout, c.Stderr = e.log, e.log
@@ -225,7 +277,7 @@
 region: %q
 zones: {perth-a: "perth", kal-a: "goldfields", bunbury-a: "southwest"}
 listen: {front: "%s:%d", ready: "%s:%d", control: "%s:%d"}
-portRange: [7380, 7395]
+portRange: [%d, %d]
 seeds:%s
 bootstrap: %v
 limits: {cpuShare: 0.4, cores: 1, memoryMb: 284, maxFds: 4100, linkMbps: 1000.0, diskMb: 0}
@@ -236,7 +288,7 @@
 faultTolerance: {machines: 2, zones: 0, regions: 0}
 bounds: {seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2500, graceS: 8, lossSlackMs: 200, configApplyMs: 2500, rollbackSlackMs: 250, outerMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, retrySlack: 58, recoverS: 12, passMs: 200, retryAfterS: 0, requireFencing: false, leaseMs: 3000, thawSlackMs: 300, ceilingWindowS: 5, ceilingOverage: 1.1, version_ms: 5000}
 platform: {address: %q, form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
-`, e.name, e.ip, e.zone, regions[e.zone], e.ip, frontPort, e.ip, readyPort, e.ip, controlPort, seeds, first, e.site.address)
+`, e.name, e.ip, e.zone, regions[e.zone], e.ip, frontPort, e.ip, readyPort, e.ip, controlPort, peerPort, peerPort+15, seeds, first, e.site.address)
 	return os.WriteFile(e.settings, []byte(text), 0o600)
 }
 
