fix(ggsregistry): a VM that doesn't read the list itself learns of every changed field of an entry

Cause: usually one VM reads the list of endpoints for all and announces the position of a changed reading. What counted as a change were endpoints that come, go, or change their state. A base model that has been loaded was none, and neither were slots, the failure domain or the service. VMs that had read the announced change (the restarts) kept the entries of that moment for good, as the reader's heartbeats told them that the list was fresh.

Change: heartbeats and summaries carry a digest of the entries that a VM has read, beside the position from which it had them. A VM reads the list if a peer had other entries later. Left out are the count of orders and the adapters, which change with each load and come in the owner's reports; for these, and for what isn't known yet, each VM reads the list after ten seconds without an announcement, later in large deployments, from a relay where there are some.

Related paths, looked at: the operators' entries (their announced position is the newest entry's own revision, which each VM compares with its own, so that it covers every field), the VMs' records (each VM reads them itself once a second), departures, limits and shed limits (repeated as states, not as changes).

--- a/core/ggsgossip/gossip.go
+++ b/core/ggsgossip/gossip.go
@@ -136,6 +136,19 @@
 	return d
 }
 
+const (
+	// minResyncInterval and resyncIntervalPerEndpoint bound the time between a VM's own reads of the
+	// list of endpoints. Announcements leave out the adapters that endpoints hold.
+	minResyncInterval         = 10 * time.Second
+	resyncIntervalPerEndpoint = 50 * time.Millisecond
+)
+
+// ResyncInterval returns the time after which a VM reads the list of endpoints without an
+// announcement. It grows with the number of endpoints, so that the bytes read per second don't.
+func ResyncInterval(endpoints int) time.Duration {
+	return max(minResyncInterval, resyncIntervalPerEndpoint*time.Duration(endpoints))
+}
+
 // AloneReadAge returns the age of the list of endpoints at which a VM without reachable peers
 // reads the list.
 func AloneReadAge() time.Duration { return aloneAge }
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -40,8 +40,9 @@
 	// Epoch is the current store epoch that the VM knows.
 	Epoch StoreEpoch
 	// ListedAt and OperatorsAt are the positions of the last changes that were read in the list
-	// of endpoints and in the operators' entries.
+	// of endpoints and in the operators' entries. ListDigest is the list's digest from ListedAt on.
 	ListedAt    StorePosition
+	ListDigest  ListDigest
 	OperatorsAt StorePosition
 	// ListAge and OperatorsAge are the times since the list and the entries were last read.
 	ListAge      time.Duration
@@ -53,6 +54,10 @@
 	Versions uint64
 }
 
+// A ListDigest identifies what a reading of the list of endpoints contains, except for what changes
+// with each load of an adapter. Zero stands for an unknown one.
+type ListDigest uint64
+
 // Merge combines the newest values of two VMs. The ages are those of the VM with the newer
 // epoch, or the lesser ones if both VMs know the same epoch.
 func (p StoreProgress) Merge(o StoreProgress) StoreProgress {
@@ -61,10 +66,13 @@
 	}
 	m := StoreProgress{
 		Epoch:    p.Epoch,
-		ListedAt: p.ListedAt.Max(o.ListedAt), OperatorsAt: p.OperatorsAt.Max(o.OperatorsAt),
+		ListedAt: p.ListedAt, ListDigest: p.ListDigest, OperatorsAt: p.OperatorsAt.Max(o.OperatorsAt),
 		ListAge: p.ListAge, OperatorsAge: p.OperatorsAge,
 		Config: max(p.Config, o.Config), Versions: max(p.Versions, o.Versions),
 	}
+	if p.ListedAt.Before(o.ListedAt) {
+		m.ListedAt, m.ListDigest = o.ListedAt, o.ListDigest
+	}
 	if p.Epoch == o.Epoch {
 		m.ListAge, m.OperatorsAge = min(p.ListAge, o.ListAge), min(p.OperatorsAge, o.OperatorsAge)
 	}
--- a/core/position.go
+++ b/core/position.go
@@ -33,6 +33,9 @@
 // Before reports whether p precedes o.
 func (p StorePosition) Before(o StorePosition) bool { return p.Compare(o) < 0 }
 
+// After reports whether p follows o.
+func (p StorePosition) After(o StorePosition) bool { return p.Compare(o) > 0 }
+
 // Max returns the later of two positions.
 func (p StorePosition) Max(o StorePosition) StorePosition {
 	if p.Before(o) {
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -167,12 +167,11 @@
 	sequence         uint64
 	lastFullHoldings time.Time
 	lastSummary      time.Time
-	// listChangedAt and operatorsChangedAt are the positions of the last observed changes of the
-	// list of endpoints and of the operators' entries. listRead and operatorsRead are the
-	// positions up to which they were read.
-	listChangedAt      ggscore.StorePosition
+	// listProgress is how far this VM and its peers have read the list of endpoints.
+	// operatorsChangedAt is the position of the last observed change of the operators' entries, and
+	// operatorsRead the position up to which they were read.
+	listProgress       ggsregistry.Progress
 	operatorsChangedAt ggscore.StorePosition
-	listRead           ggscore.StorePosition
 	operatorsRead      ggscore.StorePosition
 	// resyncedEpoch is the last epoch in which the list, the operators' entries and the VMs' own
 	// records were all read. resyncDuration is how long this VM took to read them in that epoch.
@@ -188,12 +187,10 @@
 	// completed watch. operatorsObserved is when this VM or a peer last read them.
 	operatorsReadTime time.Time
 	operatorsObserved time.Time
-	// listAnnounced is the newest position of a change of the list that a peer announced.
 	// listReadTime is when this VM last read the list. listObserved is when this VM or a peer
 	// last read it.
-	listAnnounced ggscore.StorePosition
-	listReadTime  time.Time
-	listObserved  time.Time
+	listReadTime time.Time
+	listObserved time.Time
 	// storeHeartbeatNotified wakes the loop that writes store heartbeats. The loop writes one at
 	// once if storeHeartbeatDue is set. listNotified and operatorsNotified wake the loops that
 	// read the list and the operators' entries, after a peer announced a change.
--- a/io/ggsedge/epoch.go
+++ b/io/ggsedge/epoch.go
@@ -139,7 +139,7 @@
 func (e *Edge) recordResync() {
 	c, since := e.epochs.currentSince()
 	k, _ := e.ownership.Epoch()
-	if e.resyncedEpoch == c || e.listRead.Epoch != c || e.operatorsRead.Epoch != c || k != c {
+	if e.resyncedEpoch == c || e.listProgress.ReadAt().Epoch != c || e.operatorsRead.Epoch != c || k != c {
 		return
 	}
 	e.resyncedEpoch, e.resyncDuration = c, e.Now().Sub(since)
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -60,13 +60,13 @@
 	return vms
 }
 
-// waitForList waits until the list of endpoints has to be read: a peer observed a change, or
-// the last read by any VM is older than this VM's limit. It returns false if the context ends
+// waitForList waits until the list of endpoints has to be read: a peer read other entries, the last
+// read by any VM is older than this VM's limit, or this VM's own last read is too old. It returns false if the context ends
 // first.
 func (e *Edge) waitForList(ctx context.Context) bool {
 	limit := e.listLimit()
 	for {
-		left := min(limit-e.listAge(), e.untilListDue())
+		left := min(limit-e.listAge(), e.untilListDue(), e.untilListResync())
 		if left <= 0 {
 			return true
 		}
@@ -79,6 +79,15 @@
 	}
 }
 
+// untilListResync returns the time until this VM reads the list even if no peer has announced
+// anything.
+func (e *Edge) untilListResync() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := len(e.entries[e.options.Keys.Instances])
+	return ggsgossip.ResyncInterval(n) - e.Now().Sub(e.listReadTime)
+}
+
 // untilListDue returns the time until the registry is due, which is when the list may change
 // although no entry of the store has changed.
 func (e *Edge) untilListDue() time.Duration {
@@ -125,14 +134,15 @@
 	return e.Now().Sub(e.listObserved)
 }
 
-// listBehind reports whether this VM's list of endpoints is out of date: a peer announced a newer
-// change of it, or the store's epoch changed (a restore from an older copy) after the list was
+// listBehind reports whether this VM's list of endpoints is out of date: a peer read other entries
+// later, or the store's epoch changed (a restore from an older copy) after the list was
 // last read.
 func (e *Edge) listBehind() bool {
 	epoch := e.epochs.current()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.listRead.Before(e.listAnnounced) || e.listRead.Epoch < epoch
+	read := e.listProgress.ReadAt()
+	return read.Before(e.listProgress.Newest()) || read.Epoch < epoch
 }
 
 // pauseFailed waits for the backoff after a number of consecutive failed calls of the store.
@@ -195,15 +205,16 @@
 	return nil
 }
 
-// readList reads the list of endpoints. After a peer announced a change, it reads from a relay
-// of this VM's failure domain if possible.
+// readList reads the list of endpoints, from a relay of this VM's failure domain if a peer has read
+// other entries, or if the relays read the list.
 func (e *Edge) readList(ctx context.Context) (partReading, error) {
 	e.mu.Lock()
-	announced := e.listAnnounced.Max(e.epochs.start())
-	behind := !e.listRead.IsZero() && e.listRead.Before(announced)
+	read := e.listProgress.ReadAt()
+	wanted := e.listProgress.Newest().Max(e.epochs.start()).Max(read)
+	relaysRead := e.Now().Sub(e.listObserved) < ggsgossip.FollowerReadAge(0)
 	e.mu.Unlock()
-	if behind && e.isFollower() {
-		if r, err := e.readFromRelay(ctx, e.options.Keys.Instances, announced); err == nil {
+	if !read.IsZero() && (read.Before(wanted) || relaysRead) && e.isFollower() {
+		if r, err := e.readFromRelay(ctx, e.options.Keys.Instances, wanted); err == nil {
 			return r, nil
 		}
 	}
@@ -230,24 +241,19 @@
 	if !at.IsZero() {
 		list = e.registry.Read(e.Now(), at, readable)
 	}
+	digest := ggsregistry.DigestOf(readable)
 	change := e.table.SetInstances(r.read, list)
 	e.issuer.SetInstances(list)
 	e.setPathEndpoints()
 	e.ownership.SetListed(e.Now(), list)
 	if !at.IsZero() {
-		e.listRead = e.listRead.Max(at)
+		e.listProgress.Read(at, digest)
 		e.recordResync()
 		e.listReadTime = r.read
 		if r.read.After(e.listObserved) {
 			e.listObserved = r.read
 		}
 	}
-	// A VM that reads the list because of one announced change may find further changes. It
-	// therefore announces the position of its own reading. VMs that have read as far find no
-	// change and announce nothing new.
-	if change.Any && !at.IsZero() {
-		e.listChangedAt = e.listRead
-	}
 	e.listed = true
 	e.entries[e.options.Keys.Instances] = es
 	e.setWorkers(ctx)
--- a/io/ggsedge/heartbeats.go
+++ b/io/ggsedge/heartbeats.go
@@ -172,9 +172,10 @@
 
 // progress returns how far this VM has read the store. Edge.mu is held.
 func (e *Edge) progress(now time.Time) ggscore.StoreProgress {
+	listedAt, digest := e.listProgress.Announcement()
 	return ggscore.StoreProgress{
 		Epoch:    e.epochs.current(),
-		ListedAt: e.listChangedAt, OperatorsAt: e.operatorsChangedAt,
+		ListedAt: listedAt, ListDigest: digest, OperatorsAt: e.operatorsChangedAt,
 		ListAge: min(now.Sub(e.listReadTime), time.Hour), OperatorsAge: min(now.Sub(e.operatorsReadTime), time.Hour),
 		Config: e.configVersion(), Versions: e.versionSum,
 	}
@@ -327,8 +328,7 @@
 			e.operatorsObserved = at
 		}
 	}
-	e.listAnnounced = e.listAnnounced.Max(n.ListedAt)
-	if e.listRead.Before(n.ListedAt) {
+	if e.listProgress.ObservePeer(n.ListedAt, n.ListDigest) {
 		notify(e.listNotified)
 	}
 	if e.operatorsRead.Before(n.OperatorsAt) {
--- a/io/ggsedge/list_test.go
+++ b/io/ggsedge/list_test.go
@@ -16,14 +16,22 @@
 	"greengageslip/io/ggsexchange"
 )
 
-// A listCodec decodes an entry whose value is "ready" or "leaving".
+// A listCodec decodes an entry whose value is "ready", "leaving", the name of a base model after
+// "model:", or a number of slots after "slots:".
 type listCodec struct{ Codec }
 
 func (listCodec) Instance(e ggscore.Entry) (ggscore.Instance, error) {
-	return ggscore.Instance{
+	i := ggscore.Instance{
 		ID: ggscore.EndpointID(strings.TrimPrefix(string(e.Key), "list/")), Service: "s", Slots: 1,
 		Addr: netip.MustParseAddrPort("127.0.0.1:1"), Leaving: string(e.Value) == "leaving",
-	}, nil
+	}
+	if m, ok := strings.CutPrefix(string(e.Value), "model:"); ok {
+		i.Models = []ggscore.ResidentModel{{Name: ggscore.BaseModel(m)}}
+	}
+	if n, ok := strings.CutPrefix(string(e.Value), "slots:"); ok {
+		i.Slots = len(n)
+	}
+	return i, nil
 }
 
 // position returns a position in the store's only epoch.
@@ -54,15 +62,61 @@
 	e := listEdge()
 	ctx := context.Background()
 	e.setInstances(ctx, partReading{entries: entries("ready", "ready"), at: position(490), read: e.Now()})
-	e.listAnnounced = position(500)
+	e.listProgress.ObservePeer(position(500), 0)
 	e.setInstances(ctx, partReading{entries: entries("leaving", "leaving"), at: position(510), read: e.Now()})
-	c.Assert(e.listChangedAt.Before(position(510)), qt.IsFalse, qt.Commentf("announced %s", e.listChangedAt))
+	at, _ := e.listProgress.Announcement()
+	c.Assert(at.Before(position(510)), qt.IsFalse, qt.Commentf("announced %s", at))
 
 	// Without a change, no new position is announced. Otherwise two VMs would make each other
 	// read the list forever.
-	at := e.listChangedAt
 	e.setInstances(ctx, partReading{entries: entries("leaving", "leaving"), at: position(520), read: e.Now()})
-	c.Assert(e.listChangedAt, qt.Equals, at)
+	again, _ := e.listProgress.Announcement()
+	c.Assert(again, qt.Equals, at)
+}
+
+// Guards against endpoints that all VMs but the one that reads the list take for empty, or for smaller
+// than they are, after the announced change that they have read.
+func TestChangedEntryIsReadByVMsThatDoNotReadTheListThemselves(t *testing.T) {
+	t.Parallel()
+	for name, changed := range map[string]string{"model loaded": "model:m", "slots": "slots:xx"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			ctx := context.Background()
+			reader, other := listEdge(), listEdge()
+			other.peers["reader"] = &member{}
+			for _, e := range []*Edge{reader, other} {
+				e.setInstances(ctx, partReading{entries: entries("ready", "ready"), at: position(10), read: e.Now()})
+			}
+			sequence := uint64(0)
+			tell := func() {
+				sequence++
+				h := reader.heartbeat()
+				h.VM, h.Sequence = "reader", sequence
+				other.receiveHeartbeat(netip.AddrPort{}, h)
+			}
+			tell()
+			c.Assert(other.listBehind(), qt.IsFalse)
+			reader.setInstances(ctx, partReading{entries: entries(changed, "ready"), at: position(20), read: reader.Now()})
+			tell()
+			c.Assert(other.listBehind(), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a VM that never reads the list itself and keeps what no announcement covers.
+func TestListIsReadFromTimeToTimeWithoutAnAnnouncement(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	now := time.Unix(1_000, 0)
+	e := listEdgeAt(func() time.Time { return now })
+	e.setInstances(context.Background(), partReading{entries: entries("ready", "ready"), at: position(10), read: now})
+	now = now.Add(15 * time.Second)
+	e.listObserved = now
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c.Assert(e.waitForList(ctx), qt.IsTrue)
+	c.Assert(ctx.Err(), qt.IsNil)
 }
 
 // Guards against one read of the list per change. Runners that start one after the other each
@@ -83,7 +137,7 @@
 			e.Now = time.Now //nolint:forbidigo // the wait is in real time
 			e.setInstances(context.Background(), partReading{entries: entries("ready", "ready"), at: position(490), read: e.Now()})
 			e.listReadTime = e.listReadTime.Add(-tc.read)
-			e.listAnnounced = position(500)
+			e.listProgress.ObservePeer(position(500), 0)
 			notify(e.listNotified)
 			begun := e.Now()
 			c.Assert(e.waitForList(context.Background()), qt.IsTrue)
--- a/io/ggsedge/parts.go
+++ b/io/ggsedge/parts.go
@@ -152,7 +152,7 @@
 	case e.options.Keys.Operators:
 		r.at, r.read = e.operatorsRead, e.operatorsReadTime
 	case e.options.Keys.Instances:
-		r.at, r.read = e.listRead, e.listReadTime
+		r.at, r.read = e.listProgress.ReadAt(), e.listReadTime
 	}
 	if r.at.IsZero() {
 		return partReading{}, &PartNotReadError{Prefix: prefix}
--- a/io/ggspeer/conn_test.go
+++ b/io/ggspeer/conn_test.go
@@ -44,7 +44,7 @@
 	a := ggscore.ModelAdapter{Model: "m", Adapter: "a7"}
 	want := ggscore.Heartbeat{
 		VM: "vm", Sequence: 3, Started: 9, Relay: ggscore.RelayDomains, CountingRelay: "relay",
-		Progress: ggscore.StoreProgress{Epoch: 3, ListedAt: ggscore.StorePosition{Epoch: 2, Revision: 4}, OperatorsAt: ggscore.StorePosition{Epoch: 1, Revision: 5}, ListAge: 6 * time.Millisecond, OperatorsAge: 7 * time.Millisecond, Config: 8, Versions: 9},
+		Progress: ggscore.StoreProgress{Epoch: 3, ListedAt: ggscore.StorePosition{Epoch: 2, Revision: 4}, OperatorsAt: ggscore.StorePosition{Epoch: 1, Revision: 5}, ListAge: 6 * time.Millisecond, OperatorsAge: 7 * time.Millisecond, Config: 8, Versions: 9, ListDigest: 10},
 		InFlight: []ggscore.InFlight{{Endpoint: "r1", Count: 4, Ended: 3, Failed: 2}},
 		Holdings: []ggscore.Holding{{Endpoint: "r1", Held: []ggscore.AdapterVersion{{Target: a, Version: 2}}, Whole: true, Waiting: 1, FreeCapacity: 3}},
 		Uses:     []ggscore.Use{{Endpoint: "r1", Target: a, Count: 5, Active: true}},
--- a/io/ggspeer/wire.go
+++ b/io/ggspeer/wire.go
@@ -104,6 +104,7 @@
 	OperatorsAge int64
 	Config       uint64
 	Versions     uint64
+	ListDigest   uint64
 }
 
 type positionWire struct {
@@ -125,7 +126,7 @@
 		Epoch:  uint64(n.Epoch),
 		Listed: positionWireOf(n.ListedAt), Operated: positionWireOf(n.OperatorsAt),
 		ListAge: n.ListAge.Milliseconds(), OperatorsAge: n.OperatorsAge.Milliseconds(),
-		Config: n.Config, Versions: n.Versions,
+		Config: n.Config, Versions: n.Versions, ListDigest: uint64(n.ListDigest),
 	}
 }
 
@@ -134,7 +135,7 @@
 		Epoch:    ggscore.StoreEpoch(w.Epoch),
 		ListedAt: w.Listed.position(), OperatorsAt: w.Operated.position(),
 		ListAge: time.Duration(w.ListAge) * time.Millisecond, OperatorsAge: time.Duration(w.OperatorsAge) * time.Millisecond,
-		Config: w.Config, Versions: w.Versions,
+		Config: w.Config, Versions: w.Versions, ListDigest: ggscore.ListDigest(w.ListDigest),
 	}
 }
 
