fix(ggsresident): an endpoint's next owner keeps slots free for orders that its predecessors got no answer to

Cause: an order that gets no answer may be carried out seconds later, and at a runner that restarted under its ID, which counts its orders anew, it may be the one that is expected. The owner keeps a slot free for each, but only its process knows them: the VM's next process, or the next owner, fills all slots.

Evidence: the case's record: orders left unanswered at 17 (unload), 18, 19 and 20 before the kill; the next process loads the model and sixteen adapters, which brings the runner's next process to 17; late orders 17, 18 and 19 are then carried out one after the other, and 19 is one too many.

Ruled out: keeping a fixed number of slots free after a start, without a record (three loads in a row above, and nothing bounds them); fencing tokens (requireFencing is false, and a restart clears them); writing each order down before it is sent (a write for each order, some 100 a second).

Change: an owner records the numbers that its unanswered orders expect under a key of the endpoint's own, which its successor reads and takes over before its first order. Until an order is recorded, only its repetition is sent, so that a successor misses one number at most, for which it keeps one slot free for 20 s: one for each owner in turn. Records have no times, so that no clocks are compared; a successor counts all as sent just now, and an owner empties its record once all have expired. Polls for loads expect a number that is never reached: endpoints answer them all the same, and a late one isn't carried out as a load.

What it costs: a read and a write when a VM becomes owner, and a write 20 s later; a write for each number that goes unanswered; one slot for 20 s after each change of the owner, more only while consecutive orders are unanswered.

Related paths: the order in flight when a VM stops in an orderly way counts as the one that isn't known.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -216,7 +216,7 @@
 		MaxBodiesBytes: int64(float64(cmp.Or(s.MemoryBytes, defaultMemory)) * bodiesShare),
 		IDHeader:       ggsdialect.HeaderRequestID,
 		Keys: ggsedge.Keys{
-			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip",
+			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip", Orders: "greengageslipOrders",
 		},
 	}, ggsedge.Parts{
 		Store: ggsdialect.NewStore(s.Store), Codec: ggsdialect.Codec{}, Dialect: ggsdialect.Headers{},
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -112,6 +112,12 @@
 	s.startEdgeWith(t, n, func(*ggsdialect.Settings) {})
 }
 
+// startEdgeAgain starts the next process of an edge that has ended.
+func (s *siteTest) startEdgeAgain(t *testing.T, n int) {
+	t.Helper()
+	s.startEdgeWith(t, n, func(d *ggsdialect.Settings) { d.FirstStart = false })
+}
+
 // startEdgeWith starts an edge with settings modified by change, and with other parts given by
 // options.
 func (s *siteTest) startEdgeWith(t *testing.T, n int, change func(*ggsdialect.Settings), options ...fx.Option) {
--- a/core/ggsresident/answers.go
+++ b/core/ggsresident/answers.go
@@ -25,7 +25,9 @@
 	case ggscore.PlacementMisdirected:
 		l.synced, l.misdirectedAt = false, now
 	case ggscore.PlacementUnknown:
-		l.options.Unanswered.add(now, s.Expected)
+		if s.Expected != neverExpected {
+			l.options.Unanswered.add(now, s.Expected)
+		}
 		l.scheduleRepeat(now, s)
 	case ggscore.PlacementConflict:
 		l.conflict(now, s)
--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -21,7 +21,11 @@
 //
 // An unanswered order may expect a number that the endpoint hasn't reached, or that the
 // endpoint's next process reaches again. A slot stays free for such an order as long as it may
-// still be executed.
+// still be executed. An Unanswered holds these orders, and is handed on from owner to owner:
+//
+//	u.Inherit(now, record)          // a new owner has read the previous one's record
+//	due := u.RecordDue(now)         // when to store u.Record(now) next
+//	u.Recorded(made, record)        // it was stored
 //
 // A Ledger has no clock, goroutine or lock of its own; the caller passes times and serializes
 // access.
@@ -93,8 +97,8 @@
 	MaxInTransit int
 	LoadTime     time.Duration
 	PollInterval time.Duration
-	// Unanswered holds the unanswered orders to the endpoint's current and earlier processes. If
-	// it is nil, the ledger starts without any.
+	// Unanswered holds the unanswered orders to the endpoint's current and earlier processes, which
+	// the caller records. If it is nil, the ledger starts without any, and none is recorded.
 	Unanswered *Unanswered
 	// ReportDelay is the extra delivery time of VMs' use reports, compared with a heartbeat that
 	// is sent directly.
@@ -177,7 +181,7 @@
 	o.LoadTime = cmp.Or(o.LoadTime, DefaultLoadTime)
 	o.PollInterval = cmp.Or(o.PollInterval, DefaultPollInterval)
 	if o.Unanswered == nil {
-		o.Unanswered = &Unanswered{}
+		o.Unanswered = &Unanswered{unrecorded: true}
 	}
 	return &Ledger{
 		options: o, models: map[ggscore.BaseModel]bool{}, held: map[ggscore.ModelAdapter]*held{},
--- a/core/ggsresident/orders.go
+++ b/core/ggsresident/orders.go
@@ -8,6 +8,9 @@
 	ggscore "greengageslip/core"
 )
 
+// neverExpected is a number of accepted orders that no endpoint reaches.
+const neverExpected = 1<<53 - 1
+
 // Next returns the order that is due. Polls may be in flight at the same time as each other and
 // as one other order: a poll changes nothing, and if it is executed after newer orders, its
 // condition no longer holds and the endpoint doesn't accept it.
@@ -24,9 +27,12 @@
 		return Step{}, false
 	}
 	if l.lostOrder != nil {
-		return *l.lostOrder, !now.Before(l.repeatAt)
+		return *l.lostOrder, !now.Before(l.repeatAt) && !l.Blocked(now)
 	}
 	l.sortWants(now)
+	if l.Blocked(now) {
+		return Step{}, false
+	}
 	for _, w := range l.wants {
 		if s, ok := l.nextLoad(now, w); ok {
 			return s, true
@@ -78,6 +84,15 @@
 	return Step{Unload: true, Target: v, Expected: l.sequence}, true
 }
 
+// Blocked reports whether orders wait until an unanswered one is recorded.
+func (l *Ledger) Blocked(now time.Time) bool {
+	expected := l.sequence
+	if l.lostOrder != nil {
+		expected = l.lostOrder.Expected
+	}
+	return l.options.Unanswered.Blocks(now, expected)
+}
+
 // LateOrders returns the number of unanswered orders that may still be executed once the endpoint
 // has accepted the next order. A slot stays free for each.
 func (l *Ledger) LateOrders(now time.Time) int {
@@ -85,12 +100,21 @@
 }
 
 // nextPoll returns a poll that is due for a load or an eviction in progress.
+//
+// An endpoint answers a poll for an adapter in transit whatever number the poll expects. A poll
+// for a load expects a number that is never reached, so that the endpoint's next process doesn't
+// carry out a late one as an order.
 func (l *Ledger) nextPoll(now time.Time) (Step, bool) {
 	for t, h := range l.held {
-		if h.needsPoll() && !now.Before(h.pollAt) {
-			h.polling = true
-			return Step{Unload: h.evicting, Target: t, Version: h.target, Expected: l.sequence, Poll: true}, true
+		if !h.needsPoll() || now.Before(h.pollAt) || h.evicting && l.Blocked(now) {
+			continue
 		}
+		h.polling = true
+		s := Step{Unload: h.evicting, Target: t, Version: h.target, Expected: neverExpected, Poll: true}
+		if h.evicting {
+			s.Expected = l.sequence
+		}
+		return s, true
 	}
 	return Step{}, false
 }
--- a/core/ggsresident/runner_test.go
+++ b/core/ggsresident/runner_test.go
@@ -212,6 +212,7 @@
 			if !noticed.IsZero() && !now.Before(noticed) {
 				l, noticed = ledger(), time.Time{}
 			}
+			unanswered.Recorded(now, unanswered.Record(now))
 			l.Want(now, adapter(rapid.IntRange(0, 19).Draw(t, "adapter")), 0)
 			s, _, _ := m.sendNext(now, l, func(s ggsresident.Step) ggscore.PlacementAnswer {
 				if len(m.late) < maxLate && rapid.IntRange(0, 2).Draw(t, "outcome") == 0 {
@@ -226,6 +227,79 @@
 	})
 }
 
+// Guards against a late order of an earlier owner, unknown to the endpoint's next owner or to the next
+// process of the same VM, that takes effect at a restarted endpoint whose slots they have filled.
+func TestLoadsNeverExceedSlotsAcrossOwners(t *testing.T) {
+	t.Parallel()
+	const (
+		late           = 2 * time.Second
+		maxLate        = 3
+		maxNoticeDelay = 100 * time.Millisecond
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		m := &runnerModel{slots: rapid.IntRange(maxLate+1, maxLate+3).Draw(t, "slots")}
+		m.restart()
+		now, noticed := at(0), at(0)
+		var stored *ggsresident.OrderRecord
+		var unanswered *ggsresident.Unanswered
+		var l *ggsresident.Ledger
+		var newest [8]uint64
+		store := func() {
+			r := unanswered.Record(now)
+			stored = &r
+			unanswered.Recorded(now, r)
+		}
+		ledger := func() {
+			l = ggsresident.NewLedger(ggsresident.Options{Slots: m.slots, Unanswered: unanswered})
+		}
+		takeOver := func() {
+			unanswered = &ggsresident.Unanswered{}
+			if stored != nil {
+				unanswered.Inherit(now, *stored)
+			}
+			store()
+			ledger()
+		}
+		takeOver()
+		for range 400 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "advance")) * time.Millisecond)
+			m.advance(now)
+			if m.overfull {
+				t.Fatalf("late orders exceed the adapter slots")
+			}
+			if rapid.IntRange(0, 49).Draw(t, "runner") == 0 {
+				m.restart()
+				noticed = now.Add(time.Duration(rapid.Int64Range(0, int64(maxNoticeDelay)).Draw(t, "noticed")))
+			}
+			if !noticed.IsZero() && !now.Before(noticed) {
+				noticed = time.Time{}
+				ledger()
+			}
+			if rapid.IntRange(0, 39).Draw(t, "owner") == 0 {
+				takeOver()
+			}
+			if due := unanswered.RecordDue(now); !due.IsZero() && !due.After(now) && rapid.Bool().Draw(t, "recorded") {
+				store()
+			}
+			// Replaced versions change which numbers orders for free slots expect.
+			n := rapid.IntRange(0, len(newest)-1).Draw(t, "adapter")
+			if rapid.IntRange(0, 9).Draw(t, "newer") == 0 {
+				newest[n]++
+			}
+			l.Want(now, adapter(n), newest[n])
+			s, _, _ := m.sendNext(now, l, func(s ggsresident.Step) ggscore.PlacementAnswer {
+				if len(m.late) < maxLate && rapid.IntRange(0, 2).Draw(t, "outcome") == 0 {
+					return m.delay(s, now.Add(time.Duration(rapid.Int64Range(int64(late/4), int64(late)).Draw(t, "late"))))
+				}
+				return m.order(now, s)
+			})
+			if m.overfull {
+				t.Fatalf("adapter slots exceeded after %+v", s)
+			}
+		}
+	})
+}
+
 // Guards against a late order that expects a number which the endpoint hasn't reached, and that
 // takes effect after other orders have filled its slot.
 func TestLoadsNeverExceedSlotsWhileVersionsAreReplaced(t *testing.T) {
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -91,15 +91,20 @@
 type Endpoint struct {
 	options EndpointOptions
 
-	mu           sync.Mutex
-	sequence     uint64
-	resident     map[string]uint64
-	loading      map[string]time.Time
-	versions     map[string]uint64
-	fault        func(Query) Fault
-	runs         map[string]int
-	bodies       map[string]string
-	orders       []Order
+	mu       sync.Mutex
+	sequence uint64
+	resident map[string]uint64
+	loading  map[string]time.Time
+	versions map[string]uint64
+	fault    func(Query) Fault
+	runs     map[string]int
+	bodies   map[string]string
+	orders   []Order
+	// holdLoads is the number of loads to leave unanswered, and heldLoads are those that were.
+	holdLoads int
+	heldLoads []Order
+	// overfull is set once more adapters were loaded than there are slots.
+	overfull     bool
 	callersLeft  int
 	requestCount int
 	lastRun      time.Time
--- a/io/ggsedge/control.go
+++ b/io/ggsedge/control.go
@@ -124,7 +124,7 @@
 	}
 	for _, r := range p.Drop {
 		t.Conditions = append(t.Conditions, ggscore.TxnCondition{Key: e.ownerKey(r.Endpoint), Revision: r.Revision})
-		t.Deletes = append(t.Deletes, e.ownerKey(r.Endpoint))
+		t.Deletes = append(t.Deletes, e.ownerKey(r.Endpoint), e.orderLogKey(r.Endpoint))
 	}
 	sent := e.Now()
 	at, err := e.Store.Txn(ctx, t)
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -17,7 +17,6 @@
 	"greengageslip/core/ggsplace"
 	"greengageslip/core/ggsregistry"
 	"greengageslip/core/ggsrelay"
-	"greengageslip/core/ggsresident"
 	"greengageslip/core/ggsretry"
 	"greengageslip/core/ggsthrottle"
 	"greengageslip/core/ggsturn"
@@ -72,6 +71,9 @@
 	// Own is the prefix of the VMs' own records, which the edges write: each VM's store
 	// heartbeat, the endpoints' owners, and the settled epoch.
 	Own ggscore.Key
+	// Orders is the prefix of the records of unanswered orders. Only an endpoint's next owner reads
+	// them, so they aren't below Own.
+	Orders ggscore.Key
 }
 
 // A Codec decodes entries of the store.
@@ -148,10 +150,10 @@
 	recordsRead bool
 	newer       newerEntries
 	workers     map[ggscore.EndpointID]*worker
-	// unansweredOrders are the orders that endpoints didn't answer, including orders to previous
+	// orderLogs are the orders that endpoints didn't answer, including orders to previous
 	// processes of an endpoint.
-	unansweredOrders map[ggscore.EndpointID]*ggsresident.Unanswered
-	peers            map[ggscore.VMID]*member
+	orderLogs map[ggscore.EndpointID]*orderLog
+	peers     map[ggscore.VMID]*member
 	// isolated is whether this VM was isolated at the last change of its paths.
 	isolated bool
 	uses     map[use]*usage
@@ -271,7 +273,7 @@
 		registry:               ggsregistry.NewRegistry(),
 		versions:               map[ggscore.ModelAdapter]uint64{},
 		workers:                map[ggscore.EndpointID]*worker{},
-		unansweredOrders:       map[ggscore.EndpointID]*ggsresident.Unanswered{},
+		orderLogs:              map[ggscore.EndpointID]*orderLog{},
 		peers:                  map[ggscore.VMID]*member{},
 		uses:                   map[use]*usage{},
 		loads:                  map[load]*pendingLoad{},
--- a/io/ggsedge/worker.go
+++ b/io/ggsedge/worker.go
@@ -38,6 +38,7 @@
 type worker struct {
 	instance ggscore.Instance
 	ledger   *ggsresident.Ledger
+	orders   *orderLog
 	// changed is closed and replaced after each change of the ledger.
 	changed chan struct{}
 	// unreported is set if the last change was not sent to the peers yet.
@@ -101,10 +102,11 @@
 			w.cancel()
 		}
 		c, cancel := context.WithCancel(ctx)
+		l := e.orderLogOf(i.ID)
 		w = &worker{
-			instance: i,
+			instance: i, orders: l,
 			ledger: ggsresident.NewLedger(ggsresident.Options{
-				Endpoint: i.ID, Demand: e.table, Slots: s.Engine.AdapterCapacity(), Unanswered: e.unansweredOf(i.ID),
+				Endpoint: i.ID, Demand: e.table, Slots: s.Engine.AdapterCapacity(), Unanswered: &l.unanswered,
 				ReportDelay: e.reportDelay(), Policy: e.options.Policy,
 			}),
 			changed: make(chan struct{}), wakeups: make(chan struct{}, 1), cancel: cancel,
@@ -122,22 +124,6 @@
 	}
 }
 
-// unansweredOf returns the orders that an endpoint didn't answer. Edge.mu is held.
-func (e *Edge) unansweredOf(id ggscore.EndpointID) *ggsresident.Unanswered {
-	now := e.Now()
-	for o, u := range e.unansweredOrders {
-		if e.workers[o] == nil && u.Empty(now) {
-			delete(e.unansweredOrders, o)
-		}
-	}
-	u := e.unansweredOrders[id]
-	if u == nil {
-		u = &ggsresident.Unanswered{}
-		e.unansweredOrders[id] = u
-	}
-	return u
-}
-
 // reportDelay returns the extra delay of heartbeats through relays. Edge.mu is held.
 func (e *Edge) reportDelay() time.Duration {
 	if e.node.UsesRelays() {
@@ -196,11 +182,20 @@
 	i := w.instance
 	fence, authorized := e.ownership.AuthorizeOrder(now, i.ID)
 	synced := w.ledger.Synced(now)
+	if authorized && w.orders.fence != fence {
+		e.mu.Unlock()
+		if !e.takeOverOrders(ctx, w, fence) {
+			return workerPause
+		}
+		return 0
+	}
 	if authorized && synced {
 		e.wantModels(now, w, g)
+		e.startRecording(ctx, now, w, polls.Go)
 	}
 	s, ok := w.ledger.Next(now)
-	due := w.ledger.Due(now)
+	due := earliest(w.ledger.Due(now), w.orders.recordDue(now))
+	blocked := w.ledger.Blocked(now)
 	misdirected := w.ledger.RecentlyMisdirected(now)
 	timeout := w.timeout()
 	e.mu.Unlock()
@@ -214,8 +209,11 @@
 		return 0
 	}
 	if !ok {
-		if due.IsZero() {
+		switch {
+		case due.IsZero():
 			return time.Hour
+		case blocked:
+			return blockedPause
 		}
 		return max(due.Sub(now), time.Millisecond)
 	}
@@ -234,6 +232,14 @@
 	return 0
 }
 
+// earliest returns the earlier of two times, of which a zero one stands for never.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // wantModels requests the base model for an endpoint that holds none because the endpoint has
 // just started. Edge.mu is held.
 func (e *Edge) wantModels(now time.Time, w *worker, g *ggscore.EngineSpec) {
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -36,6 +36,8 @@
 	EventOrderGiven         Event = "orderGiven"
 	EventOrdersClaimed      Event = "ordersClaimed"
 	EventOrdersReleased     Event = "ordersReleased"
+	EventOrdersTakenOver    Event = "ordersTakenOver"
+	EventOrdersUnrecorded   Event = "ordersUnrecorded"
 	EventPartFailed         Event = "partFailed"
 	EventPartUnread         Event = "partUnread"
 	EventPathsChanged       Event = "pathsChanged"
@@ -79,7 +81,7 @@
 		EventEndpointLimited, EventEndpointRefused, EventEndpointUnlimited, EventEntryUnreadable,
 		EventHeartbeatFailed, EventHeartbeatRefused, EventHeartbeatUnencoded, EventHeartbeatUnsent, EventListening,
 		EventLoadFailed, EventLogDropped, EventLogSampled, EventNewerEntriesRead, EventOrderGiven,
-		EventOrdersClaimed, EventOrdersReleased, EventOriginUnasked, EventPartFailed, EventPartQuarantined,
+		EventOrdersClaimed, EventOrdersReleased, EventOrdersTakenOver, EventOrdersUnrecorded, EventOriginUnasked, EventPartFailed, EventPartQuarantined,
 		EventPartReleased, EventPartUnread, EventPathsChanged, EventProcessStarted, EventReadFailed,
 		EventReadingDropped, EventRecordUnencoded, EventRecordUnreadable, EventReleaseUnencoded, EventRequestEnded,
 		EventRequestQuarantined, EventRequestReleased,
