fix(ggsedge): a VM doesn't wait for its own lock after a record of unanswered orders that failed

Cause: the pause before a repetition asks whether the VM has started, which takes the lock that endRecording's predecessor held already. Any store call that failed while an unanswered order was being recorded stopped the VM.

--- a/io/ggsedge/orderlog.go
+++ b/io/ggsedge/orderlog.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsgossip"
 	"greengageslip/core/ggsresident"
 	"greengageslip/io/ggslog"
 )
@@ -98,19 +100,25 @@
 	id := w.instance.ID
 	run(func() {
 		err := e.storeOrders(ctx, id, l)
-		e.mu.Lock()
-		l.storing = false
-		if err == nil {
-			l.failures, l.retryAt = 0, time.Time{}
-		} else {
-			l.failures++
-			l.retryAt = e.Now().Add(e.retryPause(l.failures))
-		}
-		e.mu.Unlock()
+		e.endRecording(l, err)
 		w.wake()
 	})
 }
 
+// endRecording applies the result of storing the record. A failed try is repeated after a pause.
+func (e *Edge) endRecording(l *orderLog, err error) {
+	serves := e.started()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l.storing = false
+	if err == nil {
+		l.failures, l.retryAt = 0, time.Time{}
+		return
+	}
+	l.failures++
+	l.retryAt = e.Now().Add(ggsgossip.RetryPause(l.failures, serves, rand.Float64()))
+}
+
 // recordDue returns when startRecording has to be called again, zero for not before the worker is woken. Edge.mu
 // is held.
 func (l *orderLog) recordDue(now time.Time) time.Time {
