fix(ggsedge): a failure or refusal of an endpoint is acted on when its head is read

Callers saw: a request to a plain service, one of whose two endpoints answers 500 with a body that goes on without end or trickles, gets that failure and its bytes until its time limit, though the other endpoint is idle. A refusal whose body trickles holds its request until then.

Cause: a failure's body was read to its end, or up to 64 KB, before the request was sent to another endpoint, and one of unknown length was then passed on as a stream. A refusal's body was read so that its connection could be used again.

Change: a failure's body may take 250 ms, a refusal's 50 ms, and a failure of unknown length 64 KB. Beyond that the connection is closed, and the request goes to another endpoint or is answered 502.

Heads and chunk framing without end were bounded before.

Open: a success without end is passed on until the route's time limit, since a stream's end isn't known before.

--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -100,6 +100,8 @@
 	runs     map[string]int
 	bodies   map[string]string
 	orders   []Order
+	// endless is sent in answer to each request, unless it is nil.
+	endless *Endless
 	// holdLoads is the number of loads to leave unanswered, and heldLoads are those that were.
 	holdLoads int
 	heldLoads []Order
@@ -323,7 +325,8 @@
 	crashes := e.hasCrashingPart(r)
 	crashesLater := e.hasCrashingPath(r)
 	missing := e.missing(r)
-	if f != FaultRefuse && !missing {
+	endless := e.endless
+	if f != FaultRefuse && !missing && (endless == nil || !endless.NotRun) {
 		e.runs[id]++
 		e.runSoftware[id] = e.software
 		e.lastRun = e.options.Now()
@@ -336,6 +339,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if endless != nil {
+		e.answerEndless(w, id, endless)
+		return
+	}
 	if crashes {
 		e.crashUnderPart()
 	}
--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -77,6 +77,17 @@
 	return fmt.Sprintf("stream truncated after %d complete events (framing: %s)", e.Events, e.Framing)
 }
 
+// A LongFailureError reports an endpoint's failure whose body, of unknown length, exceeds a limit in bytes.
+type LongFailureError struct {
+	Status int
+	Limit  int
+}
+
+// Error implements error.
+func (e *LongFailureError) Error() string {
+	return fmt.Sprintf("endpoint answered with status %d and more than %d bytes", e.Status, e.Limit)
+}
+
 // A CallerError reports that an answer couldn't be sent to its caller.
 type CallerError struct{ Err error }
 
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
@@ -24,6 +25,13 @@
 // can still be sent instead.
 const maxBufferedBytes = 64 << 10
 
+// failureBodyTime bounds the wait for the body of an endpoint's failure, and refusalBodyTime that for the body of
+// its refusal, which is read only so that the connection can be reused. Their heads decide what to do.
+const (
+	failureBodyTime = 250 * time.Millisecond
+	refusalBodyTime = 50 * time.Millisecond
+)
+
 // chunkBytes is the read size, in bytes, for longer answers and streams.
 const chunkBytes = 8 << 10
 
@@ -39,6 +47,9 @@
 	if reason := invalidReason(a, m, success); reason != "" {
 		return e.brokenAnswer(j, i, a, &AnswerError{Status: a.Status, Reason: reason}), ggsretry.ResultFailed
 	}
+	if a.Status >= http.StatusInternalServerError && a.Length <= maxBufferedBytes {
+		defer abortAfter(a, failureBodyTime)()
+	}
 	if a.Status >= http.StatusInternalServerError && j.route.Idempotent() && j.runs < j.route.MaxAttempts {
 		if f := e.keepFailure(ctx, j, i, a); f != nil {
 			return f, ggsretry.ResultFailed
@@ -73,6 +84,12 @@
 	return nil, resultOf(a.Status)
 }
 
+// abortAfter closes an answer's connection after a time, unless the returned function is called before.
+func abortAfter(a *ggsexchange.Answer, d time.Duration) (stop func()) {
+	t := time.AfterFunc(d, a.Abort)
+	return func() { t.Stop() }
+}
+
 // resultOf returns what an answer says about its endpoint.
 func resultOf(status int) ggsretry.Result {
 	if status >= http.StatusInternalServerError {
@@ -168,6 +185,7 @@
 // request.
 func (e *Edge) refusedByEndpoint(j *job, i ggscore.Instance, a *ggsexchange.Answer, m ggscore.AnswerMeta) *ggscore.Failure {
 	// The rest of the body is read so that the connection can be reused.
+	defer abortAfter(a, refusalBodyTime)()
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedBytes))
 	if a.Status == http.StatusMisdirectedRequest && j.meta.Model.Adapter != "" {
 		e.mu.Lock()
@@ -195,13 +213,17 @@
 }
 
 // forwardBuffered forwards an answer after reading it completely. An answer of unknown length that
-// exceeds maxBufferedBytes is forwarded as its chunks arrive.
+// exceeds maxBufferedBytes is forwarded as its chunks arrive. A failure that does is a *LongFailureError, since
+// it may have no end.
 func (e *Edge) forwardBuffered(ctx context.Context, j *job, i ggscore.Instance, a *ggsexchange.Answer) error {
 	b, err := peekBody(a)
 	if err != nil {
 		return errors.Wrap(err, "reading the endpoint's answer")
 	}
 	if len(b) > maxBufferedBytes {
+		if a.Status >= http.StatusInternalServerError {
+			return &LongFailureError{Status: a.Status, Limit: maxBufferedBytes}
+		}
 		return e.forwardStream(ctx, j, i, a)
 	}
 	if j.callerLeft = callerLeft(ctx); j.callerLeft {
