fix(ggsedge): requests for a base model are served after new weights of it are named

Cause: such requests were sent with the named version as the one that has to answer. No endpoint holds it, as no VM orders weights in place of others, and each of three endpoints answers 421.

Change: a request without an adapter goes out without a version. Adapters' versions are required as before.

Ruled out for now: ordering the named weights at endpoints that hold others. An endpoint that starts empty loads the newest.

--- a/cmd/ggsnode/edge_list_test.go
+++ b/cmd/ggsnode/edge_list_test.go
@@ -31,3 +31,16 @@
 		s.c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("edge %d: %s", n, r.body))
 	}
 }
+
+// Guards against requests for a base model that are refused for good once new weights of it are named, which no endpoint
+// holds.
+func TestRequestsForABaseModelAreServedAfterNewWeightsAreNamed(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 1)
+	s.site.Store.Put("op/version/"+ggsfakesite.DefaultModel, []byte(`{"model":"`+ggsfakesite.DefaultModel+`","version":2}`))
+	s.eventually("the edge knows the version", func() bool { return len(s.state(0).Versions) == 1 })
+	for range 4 {
+		r := s.call(0, http.MethodPost, "/chat/x", ggsfakesite.DefaultModel, "Hola")
+		s.c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+	}
+}
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -99,12 +99,21 @@
 func (e *Edge) choose(j *job) (ggsplace.Choice, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	j.version = e.versions[j.meta.Model]
+	j.version = e.requiredVersion(j.meta.Model)
 	return e.table.Choose(e.Now(), ggsplace.Query{
 		Service: j.service, Engine: j.spec.Engine, Target: j.meta.Model, Version: j.version, Software: j.software, PromptTokens: j.meta.PromptTokens, Tried: j.tried,
 	})
 }
 
+// requiredVersion returns the version that has to answer requests, zero for any. Weights of a base model that were
+// named aren't loaded in place of others, so that requests for them would be refused everywhere. Edge.mu is held.
+func (e *Edge) requiredVersion(t ggscore.ModelAdapter) uint64 {
+	if t.Adapter == "" {
+		return 0
+	}
+	return e.versions[t]
+}
+
 // retry reports whether a failed request is sent to another endpoint, and waits for the
 // backoff. A request that may have run is sent again only if the route is idempotent, and
 // each run counts against the route's attempts. All retries count against the budget that the
