fix(ggsquarantine): endpoints that fail at the same moment count once against what they all ran

Cause: a part of prompts is kept from endpoints after three crashes, unless its answers, two for each crash, outweigh them. VMs that have just started know no answers, and eight endpoints that fail together weigh as much as eight that crash one after the other. From then on no request with the part, which all prompts share, can be answered.

Change: crashes of a part within 250 ms weigh as one, as those under the tries of one request do. Endpoints that go on answering then outweigh a common failure with two answers or requests under way, while crashes that go on soon weigh more. Requests as suspects are counted as before: three ends at most.

TestQuarantine/endpoints_fail_together failed before. The simulated loads of core/ggsquarantine and the tests of crashes, repeats and abandoned requests with whole processes pass as they are.

Open: a quarantine still ends by its time only, and is taken over from the store unchecked.

--- a/core/ggsquarantine/suspect.go
+++ b/core/ggsquarantine/suspect.go
@@ -217,13 +217,29 @@
 }
 
 // weight returns the number of crashes that answers have to outweigh. For a part, those under tries of one
-// request count once.
+// request count once, and so do those of one moment: endpoints that fail together say little about what they ran.
 func (t *Table) weight(now time.Time, id ggscore.SuspectID, s *suspect) int {
 	n := t.countCrashes(now, id, s)
-	if isRequest(id) || len(s.requests) == 0 {
+	if isRequest(id) {
 		return n
 	}
-	return min(n, len(s.requests))
+	n = min(n, s.moments())
+	if len(s.requests) > 0 {
+		n = min(n, len(s.requests))
+	}
+	return n
+}
+
+// moments returns the number of times at which processes crashed that are further apart than crashMoment.
+func (s *suspect) moments() int {
+	at := slices.SortedFunc(maps.Values(s.crashes), time.Time.Compare)
+	n := 0
+	for i := range at {
+		if n == 0 || at[i].Sub(at[0]) > crashMoment {
+			n, at[0] = n+1, at[i]
+		}
+	}
+	return n
 }
 
 // counterweight returns the number of requests that speak against a suspect's crashing endpoints. Requests
--- a/core/ggsquarantine/table.go
+++ b/core/ggsquarantine/table.go
@@ -15,6 +15,9 @@
 	suspectCrashes = minCrashes - 1
 	// answersPerCrash is the number of answers, or of requests under way, that outweigh a crash.
 	answersPerCrash = 2
+	// crashMoment is the time within which endpoints that crash may have failed together: a failure of their
+	// failure domain, and what reports of it take.
+	crashMoment = 250 * time.Millisecond
 	// crashesPerAnswer is the number of crashes that an answer of a request outweighs. A request that crashes
 	// its endpoint is hardly ever answered, while one of many callers is under way at most crashes.
 	crashesPerAnswer = 4
--- a/core/ggsquarantine/table_test.go
+++ b/core/ggsquarantine/table_test.go
@@ -24,6 +24,17 @@
 	}
 }
 
+// crashTogether lets a number of processes crash within 100 ms under requests of their own that share a part.
+func crashTogether(t *ggsquarantine.Table, after time.Duration, n int) {
+	for i := range n {
+		now := at(after + time.Duration(i)*100*time.Millisecond/time.Duration(n))
+		id := fmt.Sprint(after, " ", i)
+		t.RecordCrash(now, ggsquarantine.BrokenRequest{
+			Endpoint: ggscore.EndpointID(id), StartedAt: at(0), Suspects: []ggscore.SuspectID{"bad", ggscore.SuspectRequest(ggscore.Fingerprint(id))},
+		})
+	}
+}
+
 func quarantined(t *ggsquarantine.Table, now time.Time, parts ...ggscore.SuspectID) bool {
 	var q *ggsquarantine.QuarantinedError
 	return errors.As(t.Check(now, parts, false), &q)
@@ -49,6 +60,18 @@
 				t.RecordAnswer(at(0), "bad")
 			}
 		}, now: time.Second},
+		"endpoints fail together": {change: func(t *ggsquarantine.Table) {
+			crashTogether(t, 0, 8)
+			t.RecordAnswer(at(0), "bad")
+			t.RecordAnswer(at(0), "bad")
+		}, now: time.Second},
+		"endpoints fail together three times": {change: func(t *ggsquarantine.Table) {
+			for n := range 3 {
+				crashTogether(t, time.Duration(n)*time.Second, 2)
+			}
+			t.RecordAnswer(at(0), "bad")
+			t.RecordAnswer(at(0), "bad")
+		}, now: 3 * time.Second, want: true},
 		"a peer's answers": {change: func(t *ggsquarantine.Table) {
 			crash(t, 3, "bad")
 			t.ObserveReport(at(0), ggscore.CrashReport{VM: "peer", Uses: map[ggscore.SuspectID]ggscore.SuspectUse{"bad": {Answered: 6}}})
