fix(ggsresident): an endpoint's owner goes by the slots of the configuration in force

Callers would see: an endpoint that is ordered to load more adapters than a newer configuration gives it, or fewer than it has slots for, until its process or its owner changes.

Cause: a ledger kept the slots and the models of the configuration at its start.

Change: each reading of the list or of the VMs' records passes the configuration's slots on to running ledgers, and an endpoint that holds too many gets unloads one after the other, unless a late order may fill the slot.

TestSlotsOfANewerConfigurationAreKept doesn't compile before, and without the change in nextLoad gets no unload.

--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -258,6 +258,9 @@
 	*l = *NewLedger(l.options)
 }
 
+// SetSlots sets the number of adapters that the endpoint holds at once.
+func (l *Ledger) SetSlots(slots int) { l.options.Slots = slots }
+
 // Want records that requests wait for an adapter in a version, zero for any.
 func (l *Ledger) Want(now time.Time, t ggscore.ModelAdapter, version uint64) {
 	for i := range l.wants {
--- a/core/ggsresident/ledger_test.go
+++ b/core/ggsresident/ledger_test.go
@@ -80,6 +80,24 @@
 	c.Assert(s.Expected, qt.Equals, uint64(9), qt.Commentf("a poll isn't counted as an order"))
 }
 
+// Guards against loads beyond the slots of a newer configuration.
+func TestSlotsOfANewerConfigurationAreKept(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	l := synced(4, 4)
+	l.SetSlots(2)
+	l.Want(at(0), adapter(9), 0)
+	for range 3 {
+		s := next(c, l, at(0))
+		c.Assert(s.Unload, qt.IsTrue)
+		l.HandleAnswer(at(0), s, ggscore.PlacementSatisfied)
+	}
+	s := next(c, l, at(0))
+	c.Assert(s.Unload, qt.IsFalse)
+	l.HandleAnswer(at(0), s, ggscore.PlacementAccepted)
+	c.Assert(l.FreeCapacity(at(0)), qt.Equals, 1)
+}
+
 // Guards against the eviction of an adapter in use, 160 ms after it was loaded. Its callers got
 // 503, and the runner loaded nothing for half a second because it takes no other order until
 // the adapter's requests have ended.
--- a/core/ggsresident/orders.go
+++ b/core/ggsresident/orders.go
@@ -78,7 +78,7 @@
 		return s, true
 	}
 	v, ok := l.evictionCandidate(now)
-	if !ok || len(l.held)-1+l.LateOrders(now) > l.options.Slots {
+	if late := l.LateOrders(now); !ok || late > 0 && len(l.held)-1+late > l.options.Slots {
 		return Step{}, false
 	}
 	return Step{Unload: true, Target: v, Expected: l.sequence}, true
--- a/io/ggsedge/worker.go
+++ b/io/ggsedge/worker.go
@@ -37,6 +37,7 @@
 // except for wakeups.
 type worker struct {
 	instance ggscore.Instance
+	engine   *ggscore.EngineSpec
 	ledger   *ggsresident.Ledger
 	orders   *orderLog
 	// changed is closed and replaced after each change of the ledger.
@@ -95,7 +96,8 @@
 		want[i.ID] = true
 		w := e.workers[i.ID]
 		if w != nil && w.instance.StartedAt.Equal(i.StartedAt) && w.instance.Addr == i.Addr {
-			w.instance = i
+			w.instance, w.engine = i, s.Engine
+			w.ledger.SetSlots(s.Engine.AdapterCapacity())
 			continue
 		}
 		if w != nil {
@@ -104,7 +106,7 @@
 		c, cancel := context.WithCancel(ctx)
 		l := e.orderLogOf(i.ID)
 		w = &worker{
-			instance: i, orders: l,
+			instance: i, engine: s.Engine, orders: l,
 			ledger: ggsresident.NewLedger(ggsresident.Options{
 				Endpoint: i.ID, Demand: e.table, Slots: s.Engine.AdapterCapacity(), Unanswered: &l.unanswered,
 				ReportDelay: e.reportDelay(), Policy: e.options.Policy,
@@ -112,7 +114,7 @@
 			changed: make(chan struct{}), wakeups: make(chan struct{}, 1), cancel: cancel,
 		}
 		e.workers[i.ID] = w
-		go e.work(c, w, s.Engine)
+		go e.work(c, w)
 	}
 	e.setLoadable()
 	for id, w := range e.workers {
@@ -154,11 +156,11 @@
 }
 
 // work sends orders until the context ends.
-func (e *Edge) work(ctx context.Context, w *worker, g *ggscore.EngineSpec) {
+func (e *Edge) work(ctx context.Context, w *worker) {
 	var polls sync.WaitGroup
 	defer polls.Wait()
 	for ctx.Err() == nil {
-		pause := e.step(ctx, w, g, &polls)
+		pause := e.step(ctx, w, &polls)
 		if pause == 0 {
 			continue
 		}
@@ -176,7 +178,7 @@
 //
 // Polls run concurrently with the orders. One after the other, an unanswered poll blocked all
 // loads of the runner for its timeout; with three in ten unanswered, that was half of the time.
-func (e *Edge) step(ctx context.Context, w *worker, g *ggscore.EngineSpec, polls *sync.WaitGroup) time.Duration {
+func (e *Edge) step(ctx context.Context, w *worker, polls *sync.WaitGroup) time.Duration {
 	e.mu.Lock()
 	now := e.Now()
 	i := w.instance
@@ -190,7 +192,7 @@
 		return 0
 	}
 	if authorized && synced {
-		e.wantModels(now, w, g)
+		e.wantModels(now, w)
 		e.startRecording(ctx, now, w, polls.Go)
 	}
 	s, ok := w.ledger.Next(now)
@@ -242,7 +244,8 @@
 
 // wantModels requests the base model for an endpoint that holds none because the endpoint has
 // just started. Edge.mu is held.
-func (e *Edge) wantModels(now time.Time, w *worker, g *ggscore.EngineSpec) {
+func (e *Edge) wantModels(now time.Time, w *worker) {
+	g := w.engine
 	for _, m := range g.Models {
 		if w.ledger.Holds(ggscore.ModelAdapter{Model: m.Name}, 0) {
 			return
