feat(ggsedge): the state dump says what a VM has read of the list of endpoints

A VM that keeps an outdated list couldn't be told from one that has read the newest: the dump had the age of any VM's reading only. listDigest differs between VMs that have read different entries, and listReadAgeSeconds tells for how long.

--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"time"
 
 	ggscore "greengageslip/core"
@@ -17,9 +18,12 @@
 	// routes.
 	Config uint64
 	Routes int
-	// ListAge is the time since this VM or a peer read the list of endpoints. StoreUnavailable
-	// is set if the last read of the operators' entries failed.
+	// ListAge is the time since this VM or a peer read the list of endpoints, and ListReadAge that since
+	// this VM did. ListDigest identifies what this VM has read, and is the same at all VMs that have read
+	// the same. StoreUnavailable is set if the last read of the operators' entries failed.
 	ListAge          time.Duration
+	ListReadAge      time.Duration
+	ListDigest       ggscore.ListDigest
 	StoreUnavailable bool
 	// Epoch is the current store epoch. ResyncTime is how long this VM took to read the store in
 	// that epoch, or has taken so far.
@@ -93,7 +97,8 @@
 	now := e.Now()
 	s.Epoch, s.ResyncTime = e.epochs.current(), e.resyncTime()
 	if e.listed {
-		s.ListAge = now.Sub(e.listObserved)
+		s.ListAge, s.ListReadAge = now.Sub(e.listObserved), now.Sub(e.listReadTime)
+		_, s.ListDigest = e.listProgress.Announcement()
 	}
 	for _, i := range e.table.Instances("") {
 		n := EndpointState{ID: i.ID, Service: i.Service, Domain: i.Domain, Software: i.Software, Leaving: i.Leaving, Blocked: e.Paths.Blocked(i.Addr), Limit: e.limits.Limit(i.ID), Owner: e.ownership.Owner(i.ID)}
@@ -137,6 +142,8 @@
 	ConfigVersion    uint64         `json:"configVersion"`
 	Routes           int            `json:"routes"`
 	ListAgeSeconds   float64        `json:"listAgeSeconds"`
+	ListReadSeconds  float64        `json:"listReadAgeSeconds"`
+	ListDigest       string         `json:"listDigest"`
 	StoreUnavailable bool           `json:"storeAway"`
 	StoreEpoch       uint64         `json:"storeEpoch"`
 	ResyncSeconds    float64        `json:"storeResyncSeconds"`
@@ -207,6 +214,7 @@
 func (s State) MarshalJSON() ([]byte, error) {
 	w := stateWire{
 		Domain: string(s.Domain), ConfigVersion: s.Config, Routes: s.Routes, ListAgeSeconds: s.ListAge.Seconds(),
+		ListReadSeconds: s.ListReadAge.Seconds(), ListDigest: strconv.FormatUint(uint64(s.ListDigest), 16),
 		StoreUnavailable: s.StoreUnavailable, StoreEpoch: uint64(s.Epoch), ResyncSeconds: s.ResyncTime.Seconds(), Versions: versionWires(s.Versions),
 	}
 	for _, n := range s.Endpoints {
@@ -253,8 +261,16 @@
 	if err := json.Unmarshal(b, &w); err != nil {
 		return err
 	}
+	var digest uint64
+	if w.ListDigest != "" {
+		var err error
+		if digest, err = strconv.ParseUint(w.ListDigest, 16, 64); err != nil {
+			return err
+		}
+	}
 	*s = State{
 		Domain: ggscore.Domain(w.Domain), Config: w.ConfigVersion, Routes: w.Routes, ListAge: duration(w.ListAgeSeconds),
+		ListReadAge: duration(w.ListReadSeconds), ListDigest: ggscore.ListDigest(digest),
 		StoreUnavailable: w.StoreUnavailable, Epoch: ggscore.StoreEpoch(w.StoreEpoch), ResyncTime: duration(w.ResyncSeconds), Versions: versionsOf(w.Versions),
 	}
 	for _, n := range w.Endpoints {
--- a/io/ggsedge/state_test.go
+++ b/io/ggsedge/state_test.go
@@ -15,7 +15,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	want := State{
-		Domain: "a", Config: 3, Routes: 2, ListAge: time.Second, Epoch: 1,
+		Domain: "a", Config: 3, Routes: 2, ListAge: time.Second, ListReadAge: 3 * time.Second, ListDigest: 0xabcdef0123456789, Epoch: 1,
 		Endpoints: []EndpointState{
 			{
 				ID: "owned", Service: "models", Software: "v1.1", Owner: "vm", Blocked: true, Limit: &ggscore.RateLimit{RequestsPerSecond: 2},
