perf(ggsgossip): a VM's own reads of a long list of endpoints are further apart

Cost: at 2,700 endpoints a list that a relay sends takes 291 KB packed (BenchmarkPackList; 7.6 KB at 68, 1.9 KB at 15). Each VM asks for it after 50 ms for each endpoint without an announcement, 135 s: 2.2 KB a second of the 2 KB that a VM may spend on control. At 200 ms it is 540 s and 0.54 KB a second; up to 50 endpoints it stays at 10 s.

--- a/core/ggsgossip/gossip.go
+++ b/core/ggsgossip/gossip.go
@@ -140,7 +140,7 @@
 	// minResyncInterval and resyncIntervalPerEndpoint bound the time between a VM's own reads of the
 	// list of endpoints. Announcements leave out the adapters that endpoints hold.
 	minResyncInterval         = 10 * time.Second
-	resyncIntervalPerEndpoint = 50 * time.Millisecond
+	resyncIntervalPerEndpoint = 200 * time.Millisecond
 )
 
 // ResyncInterval returns the time after which a VM reads the list of endpoints without an
