fix(ggscrash): VMs that start know the crashes under a request although all VMs have restarted

Callers would see: a request that crashes endpoints has crashed two, all VMs restart, and it crashes three more (BUDGET: three in all).

Cause: crashes are known to VMs' memories until a quarantine is recorded after the third; a VM that starts reads them from peers, which know nothing either if all have restarted.

Change: after a crash of one of its own requests a VM stores the crashes under requests that it knows and that answers don't outweigh, at most 64 requests, under a key of its own. VMs that start read these records beside their peers' knowledge, within the time for which they hold first requests anyway (150 ms at most). Records that are older than 20 minutes by the time of day don't count, and a VM deletes its own after ten.

What a crash in the last moment before the restart leaves unstored is unknown afterwards, as before.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -216,12 +216,12 @@
 		MaxBodiesBytes: int64(float64(cmp.Or(s.MemoryBytes, defaultMemory)) * bodiesShare),
 		IDHeader:       ggsdialect.HeaderRequestID,
 		Keys: ggsedge.Keys{
-			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip", Orders: "greengageslipOrders",
+			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip", Orders: "greengageslipOrders", Crashes: "greengageslipCrashes",
 		},
 	}, ggsedge.Parts{
 		Store: ggsdialect.NewStore(s.Store), Codec: ggsdialect.Codec{}, Dialect: ggsdialect.Headers{},
 		PlacementClient: ggsdialect.NewOrderer(o.Pool), Pool: p, OrderPool: o.Pool, Peers: u, Calls: ggsrpc.NewPool(ggsrpc.PoolOptions{}),
-		Paths: d, Log: l, Now: ggsclock.Boot, Monotonic: t,
+		Paths: d, Log: l, Now: ggsclock.Boot, Monotonic: t, TimeOfDay: t,
 	})
 	d.OnChange(e.PathsChanged)
 	return e, nil
--- a/cmd/ggsnode/edge_repeat_test.go
+++ b/cmd/ggsnode/edge_repeat_test.go
@@ -301,3 +301,44 @@
 	s.c.Check(len(crashes) <= max(maxRepeatCrashes, copies), qt.IsTrue, qt.Commentf("%d endpoints crashed under %s", len(crashes), q.path))
 	s.c.Check(r.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf(q.path))
 }
+
+// Guards against a request that crashes three more endpoints after a restart of all VMs, none of which remembers the
+// crashes before.
+func TestRequestThatCrashesEndpointsIsKnownAfterARestartOfAllVMs(t *testing.T) {
+	t.Parallel()
+	const (
+		edges  = 2
+		before = 2
+		path   = "/look/bad"
+	)
+	s := startSiteOptions(t, edges, ggsfakesite.SiteOptions{Ledgers: 4}, func(s *siteTest, n int) { s.startEdge(t, n) })
+	s.site.SetCrashingPath(path, 0, crashDownTime)
+	q := repeatedRequest{method: http.MethodGet, path: path}
+	s.eventually("two endpoints have crashed", func() bool {
+		if len(s.site.CrashesUnder(path)) < before {
+			s.try(q, 0, q.header())
+		}
+		return len(s.site.CrashesUnder(path)) >= before
+	})
+	s.eventually("the crashes are stored", func() bool {
+		return strings.Count(string(s.site.Store.Get("greengageslipCrashes/edge-0@"+s.edges[0].settings.Addr.String())), `"endpoint"`) >= before
+	})
+	for n := range edges {
+		s.edges[n].cancel()
+	}
+	for n := range edges {
+		s.edges[n].done <- <-s.edges[n].done
+	}
+	s.edges = nil
+	for n := range edges {
+		s.startEdgeAgain(t, n)
+	}
+	for n := range edges {
+		s.eventually("the VM is back", func() bool { return s.ready(n) == http.StatusOK })
+	}
+	last, refused := s.repeat(q, 0)
+	s.c.Check(last.status, qt.Equals, http.StatusServiceUnavailable)
+	s.c.Check(refused > 0, qt.IsTrue)
+	crashes := len(s.site.CrashesUnder(path))
+	s.c.Check(crashes <= maxRepeatCrashes, qt.IsTrue, qt.Commentf("%d endpoints crashed", crashes))
+}
--- a/core/ggsquarantine/known.go
+++ b/core/ggsquarantine/known.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// maxKnown bounds the suspects that a VM tells another VM of.
-	maxKnown = 256
+	// maxKnown bounds the suspects that a VM tells another VM of, and maxStored those that it stores.
+	maxKnown  = 256
+	maxStored = 64
 	// fleet stands for all VMs together in reports for a VM that starts.
 	fleet ggscore.VMID = ""
 )
@@ -49,6 +50,24 @@
 	return reportsOf(now, t.vm, es)
 }
 
+// KnownRequests returns a report for each request under which endpoints crashed, those with most crashes first. It serves
+// VMs that start after all have restarted.
+func (t *Table) KnownRequests(now time.Time) []ggscore.CrashReport {
+	var es []known
+	for _, e := range t.knownQuarantined(now, func(*quarantine) bool { return true }) {
+		if isRequest(e.id) {
+			es = append(es, e)
+		}
+	}
+	for id, s := range t.suspects {
+		if isRequest(id) && t.crashesAgainst(now, id, s) > 0 {
+			es = append(es, known{id, s})
+		}
+	}
+	rs := reportsOf(now, fleet, es)
+	return rs[:min(len(rs), maxStored)]
+}
+
 // A known is a suspect that another VM is told of.
 type known struct {
 	id ggscore.SuspectID
--- a/io/ggscrash/start.go
+++ b/io/ggscrash/start.go
@@ -27,12 +27,14 @@
 	peers chan []netip.AddrPort
 	// learned is closed once the VM may send requests.
 	learned chan struct{}
-	end     func()
-	limit   sync.Once
+	// stored is closed once the crashes that VMs have stored were read.
+	stored chan struct{}
+	end    func()
+	limit  sync.Once
 }
 
 func newStart() *start {
-	s := &start{peers: make(chan []netip.AddrPort, 1), learned: make(chan struct{})}
+	s := &start{peers: make(chan []netip.AddrPort, 1), learned: make(chan struct{}), stored: make(chan struct{})}
 	s.end = sync.OnceFunc(func() { close(s.learned) })
 	return s
 }
@@ -112,6 +114,10 @@
 			t.start.end()
 		}
 	}
+	select {
+	case <-t.start.stored:
+	case <-ctx.Done():
+	}
 	return nil
 }
 
--- a/io/ggscrash/tracker.go
+++ b/io/ggscrash/tracker.go
@@ -12,14 +12,18 @@
 	"greengageslip/core/ggsquarantine"
 )
 
-// Options configures a Tracker. All fields are required.
+// Options configures a Tracker. All fields but Crashes and TimeOfDay are required.
 type Options struct {
 	VM ggscore.VMID
 	// Prefix is the prefix of the records' keys.
-	Prefix   ggscore.Key
-	Store    ggscore.Txner
-	Reporter ggscore.CrashReporter
-	Reader   ggscore.CrashReader
+	Prefix ggscore.Key
+	// Crashes is the prefix of the VMs' records of crashes, empty to store none. TimeOfDay is the clock that VMs
+	// compare for their age.
+	Crashes   ggscore.Key
+	TimeOfDay func() time.Time
+	Store     Store
+	Reporter  ggscore.CrashReporter
+	Reader    ggscore.CrashReader
 	// Epoch returns the store's epoch.
 	Epoch func() ggscore.StoreEpoch
 	// RetryPause returns the pause after a number of consecutive failed calls of the store.
@@ -34,6 +38,8 @@
 	// due wakes the loop that writes and deletes records.
 	due   chan struct{}
 	start *start
+	// crashed wakes the loop that stores crashes.
+	crashed chan struct{}
 
 	mu    sync.Mutex
 	table *ggsquarantine.Table
@@ -41,7 +47,7 @@
 
 // NewTracker returns a Tracker that knows of no crashes.
 func NewTracker(o Options) *Tracker {
-	return &Tracker{options: o, due: make(chan struct{}, 1), start: newStart(), table: ggsquarantine.NewTable(o.VM)}
+	return &Tracker{options: o, due: make(chan struct{}, 1), start: newStart(), crashed: make(chan struct{}, 1), table: ggsquarantine.NewTable(o.VM)}
 }
 
 // Check returns a *ggsquarantine.QuarantinedError if one of a request's suspects crashes endpoints. The request
@@ -116,17 +122,17 @@
 
 // Crashed records that an endpoint crashed under a request.
 func (t *Tracker) Crashed(b ggsquarantine.BrokenRequest) {
-	t.report(func(now time.Time) ggscore.CrashReport { return t.table.RecordCrash(now, b) })
+	t.reportCrash(func(now time.Time) ggscore.CrashReport { return t.table.RecordCrash(now, b) })
 }
 
 // EndpointDown records that an endpoint refuses connections.
 func (t *Tracker) EndpointDown(id ggscore.EndpointID) {
-	t.report(func(now time.Time) ggscore.CrashReport { return t.table.RecordDown(now, id) })
+	t.reportCrash(func(now time.Time) ggscore.CrashReport { return t.table.RecordDown(now, id) })
 }
 
 // EndpointGone records that an endpoint's process is gone without having announced it.
 func (t *Tracker) EndpointGone(id ggscore.EndpointID, startedAt time.Time) {
-	t.report(func(now time.Time) ggscore.CrashReport { return t.table.RecordGone(now, id, startedAt) })
+	t.reportCrash(func(now time.Time) ggscore.CrashReport { return t.table.RecordGone(now, id, startedAt) })
 }
 
 // Observe records a peer's report.
@@ -134,14 +140,27 @@
 	t.report(func(now time.Time) ggscore.CrashReport { return t.table.ObserveReport(now, r) })
 }
 
-// report sends the report that a change of the table makes necessary, unless it is empty.
-func (t *Tracker) report(change func(now time.Time) ggscore.CrashReport) {
+// report sends the report that a change of the table makes necessary, unless it is empty. It returns the number of
+// crashes in the report.
+func (t *Tracker) report(change func(now time.Time) ggscore.CrashReport) int {
 	t.mu.Lock()
 	r := change(t.options.Now())
 	t.mu.Unlock()
 	if len(r.Crashes) > 0 || len(r.Uses) > 0 {
 		t.options.Reporter.ReportCrashes(r)
 	}
+	return len(r.Crashes)
+}
+
+// reportCrash is report for crashes under requests of this VM, which it stores.
+func (t *Tracker) reportCrash(change func(now time.Time) ggscore.CrashReport) {
+	if t.report(change) == 0 {
+		return
+	}
+	select {
+	case t.crashed <- struct{}{}:
+	default:
+	}
 }
 
 // Advance confirms quarantines that have lasted for their time, and has their records written.
@@ -188,10 +207,12 @@
 	}
 }
 
-// Run learns from peers what they know of crashes, writes the records of suspects in quarantine, and deletes those
-// whose quarantine has ended, until the context ends.
+// Run learns from the store and from peers what they know of crashes, stores the crashes of this VM's requests, writes
+// the records of suspects in quarantine, and deletes those whose quarantine has ended, until the context ends.
 func (t *Tracker) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return t.readStored(ctx) })
+	g.Go(func() error { return t.maintainStored(ctx) })
 	g.Go(func() error { return t.learn(ctx) })
 	g.Go(func() error { return t.maintainRecords(ctx) })
 	return g.Wait()
--- a/io/ggscrash/tracker_test.go
+++ b/io/ggscrash/tracker_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -49,6 +50,19 @@
 	return ggscore.StorePosition{}, nil
 }
 
+// Snapshot implements ggscore.Snapshotter.
+func (s *fakeStore) Snapshot(_ context.Context, prefix ggscore.Key, _ bool) ([]ggscore.Entry, ggscore.StorePosition, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var es []ggscore.Entry
+	for k, v := range s.values {
+		if strings.HasPrefix(string(k), string(prefix)) {
+			es = append(es, ggscore.Entry{Key: k, Value: []byte(v)})
+		}
+	}
+	return es, ggscore.StorePosition{}, nil
+}
+
 // A trackerTest is a tracker with its fakes, in a bubble of virtual time.
 type trackerTest struct {
 	*ggscrash.Tracker
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -74,6 +74,8 @@
 	// Orders is the prefix of the records of unanswered orders. Only an endpoint's next owner reads
 	// them, so they aren't below Own.
 	Orders ggscore.Key
+	// Crashes is the prefix of the VMs' records of endpoints' crashes. Only VMs that start read them.
+	Crashes ggscore.Key
 }
 
 // A Codec decodes entries of the store.
@@ -109,6 +111,8 @@
 	Now func() time.Time
 	// Monotonic is the clock for the deadlines of requests.
 	Monotonic func() time.Time
+	// TimeOfDay is the clock that VMs compare. It may differ between them.
+	TimeOfDay func() time.Time
 }
 
 // An Edge serves callers at one VM.
@@ -293,7 +297,7 @@
 		e.metrics.storeCalls.WithLabelValues(call).Inc()
 	}}}
 	e.crashes = ggscrash.NewTracker(ggscrash.Options{
-		VM: o.VM, Prefix: ggscore.KeyOf(string(o.Keys.Own), suspectPart), Store: e.Store, Reporter: e, Reader: e,
+		VM: o.VM, Prefix: ggscore.KeyOf(string(o.Keys.Own), suspectPart), Crashes: o.Keys.Crashes, TimeOfDay: p.TimeOfDay, Store: e.Store, Reporter: e, Reader: e,
 		Epoch: e.epochs.current, RetryPause: e.retryPause, Now: p.Now, Log: p.Log,
 	})
 	e.origins = ggsorigins.NewTracker(ggsorigins.Options{Peers: e, ListComplete: e.listComplete, Now: p.Now, Log: p.Log})
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -20,6 +20,7 @@
 	EventConfigAdopted      Event = "configAdopted"
 	EventConfigUnreadable   Event = "configUnreadable"
 	EventCrashesRead        Event = "crashesRead"
+	EventCrashesUnstored    Event = "crashesUnstored"
 	EventDependencyLost     Event = "dependencyLost"
 	EventDependencyRegained Event = "dependencyRegained"
 	EventEndpointGone       Event = "endpointGone"
@@ -77,7 +78,7 @@
 func Events() []Event {
 	l := []Event{
 		EventAbandonedBroken, EventAnswerBroken, EventAttemptFailed, EventCallerLeft, EventClaimUnencoded, EventConfigAdopted,
-		EventConfigUnreadable, EventCrashesRead, EventDependencyLost, EventDependencyRegained, EventEndpointGone, EventEndpointLeaving,
+		EventConfigUnreadable, EventCrashesRead, EventCrashesUnstored, EventDependencyLost, EventDependencyRegained, EventEndpointGone, EventEndpointLeaving,
 		EventEndpointLimited, EventEndpointRefused, EventEndpointUnlimited, EventEntryUnreadable,
 		EventHeartbeatFailed, EventHeartbeatRefused, EventHeartbeatUnencoded, EventHeartbeatUnsent, EventListening,
 		EventLoadFailed, EventLogDropped, EventLogSampled, EventNewerEntriesRead, EventOrderGiven,
