fix(ggsedge): a relay hands out operators' entries only with a position that they are as new as

Callers would see: a VM of a large deployment that keeps an old configuration or adapter version, until its peers' versions tell it a second later.

Cause: the position up to which the operators' entries were read was recorded, and announced, before they were decoded and kept. A VM that asked its relay in between got the entries from before the change with the position after it, and took itself for up to date.

Change: the position is recorded last. TestPartIsAsNewAsItsPosition failed before. Also here: the state dump has no age of the list for a VM that hasn't read it.

--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -46,12 +46,18 @@
 		e.storeUnavailable.Store(false)
 		e.logDependency(&lost, true, "operators", nil)
 		at = at.Max(next)
-		e.recordOperatorsRead(at, es)
-		e.adoptOperators(es)
+		e.applyOperators(at, es)
 	}
 	return nil
 }
 
+// applyOperators applies the operators' entries that were read up to a position. The position is recorded last: VMs
+// that read from this one go by it, and take the entries for complete up to there.
+func (e *Edge) applyOperators(at ggscore.StorePosition, es []ggscore.Entry) {
+	e.adoptOperators(es)
+	e.recordOperatorsRead(at, es)
+}
+
 // operators returns the operators' entries that changed after the position, or all entries for
 // a zero position. It takes a full snapshot instead of a watch in two cases: the watch returns
 // nothing although a peer has read a change, or this VM is already behind its peers. A watch
--- a/io/ggsedge/parts_test.go
+++ b/io/ggsedge/parts_test.go
@@ -148,3 +148,38 @@
 		c.Assert(err, qt.IsNotNil, qt.Commentf("%s", name))
 	}
 }
+
+// A hookCodec calls a function while it decodes a configuration.
+type hookCodec struct {
+	listCodec
+	decoding func()
+}
+
+func (h hookCodec) Config(ggscore.Entry) (*ggscore.RoutingConfig, error) {
+	h.decoding()
+	return &ggscore.RoutingConfig{Version: 2}, nil
+}
+
+// Guards against a relay that hands out entries from before a change with the position after it, so that the VMs that
+// read from it never ask for the change again.
+func TestPartIsAsNewAsItsPosition(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e := listEdge()
+	e.options.Keys.Operators, e.options.Keys.Config = "op/", configKey
+	e.recordOperatorsRead(position(10), nil)
+	decoded := false
+	e.Codec = hookCodec{decoding: func() {
+		decoded = true
+		r, err := e.localPart("op/")
+		c.Check(err, qt.IsNil)
+		c.Check(r.entries, qt.HasLen, 0)
+		c.Check(r.at, qt.Equals, position(10))
+	}}
+	e.applyOperators(position(12), []ggscore.Entry{{Key: configKey, Value: []byte("{}"), Revision: 11}})
+	c.Assert(decoded, qt.IsTrue)
+	r, err := e.localPart("op/")
+	c.Assert(err, qt.IsNil)
+	c.Check(r.entries, qt.HasLen, 1)
+	c.Check(r.at, qt.Equals, position(12))
+}
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -97,9 +97,12 @@
 	now := e.Now()
 	s.Epoch, s.ResyncTime = e.epochs.current(), e.resyncTime()
 	if e.listed {
-		s.ListAge, s.ListReadAge = now.Sub(e.listObserved), now.Sub(e.listReadTime)
+		s.ListAge = now.Sub(e.listObserved)
 		_, s.ListDigest = e.listProgress.Announcement()
 	}
+	if !e.listReadTime.IsZero() {
+		s.ListReadAge = now.Sub(e.listReadTime)
+	}
 	for _, i := range e.table.Instances("") {
 		n := EndpointState{ID: i.ID, Service: i.Service, Domain: i.Domain, Software: i.Software, Leaving: i.Leaving, Blocked: e.Paths.Blocked(i.Addr), Limit: e.limits.Limit(i.ID), Owner: e.ownership.Owner(i.ID)}
 		if w := e.workers[i.ID]; w != nil {
