--- a/core/ggsresident/runner_test.go
+++ b/core/ggsresident/runner_test.go
@@ -130,6 +130,25 @@
 	return ggscore.PlacementUnknown
 }
 
+// mayRestart restarts the runner now and then.
+func (m *runnerModel) mayRestart(t *rapid.T) bool {
+	restarts := rapid.IntRange(0, 49).Draw(t, "runner") == 0
+	if restarts {
+		m.restart()
+	}
+	return restarts
+}
+
+// orderOrDelay executes an order, or leaves it unanswered and executes it after a time, if fewer than maxLate wait.
+func (m *runnerModel) orderOrDelay(
+	t *rapid.T, now time.Time, s ggsresident.Step, maxLate int, least, most time.Duration,
+) ggscore.PlacementAnswer {
+	if len(m.late) < maxLate && rapid.IntRange(0, 2).Draw(t, "outcome") == 0 {
+		return m.delay(s, now.Add(time.Duration(rapid.Int64Range(int64(least), int64(most)).Draw(t, "late"))))
+	}
+	return m.order(now, s)
+}
+
 // Guards against orders to load more adapters than a runner has slots for, which make it crash
 // with all its requests, and against adapters that the ledger wrongly reports as resident.
 // Orders are lost, or executed seconds later, after newer ones.
@@ -205,8 +224,7 @@
 			if m.overfull {
 				t.Fatalf("late orders exceed the adapter slots")
 			}
-			if rapid.IntRange(0, 49).Draw(t, "runner") == 0 {
-				m.restart()
+			if m.mayRestart(t) {
 				noticed = now.Add(time.Duration(rapid.Int64Range(0, int64(maxNoticeDelay)).Draw(t, "noticed")))
 			}
 			if !noticed.IsZero() && !now.Before(noticed) {
@@ -215,10 +233,7 @@
 			unanswered.Recorded(now, unanswered.Record(now))
 			l.Want(now, adapter(rapid.IntRange(0, 19).Draw(t, "adapter")), 0)
 			s, _, _ := m.sendNext(now, l, func(s ggsresident.Step) ggscore.PlacementAnswer {
-				if len(m.late) < maxLate && rapid.IntRange(0, 2).Draw(t, "outcome") == 0 {
-					return m.delay(s, now.Add(time.Duration(rapid.Int64Range(int64(time.Second), int64(late)).Draw(t, "late"))))
-				}
-				return m.order(now, s)
+				return m.orderOrDelay(t, now, s, maxLate, time.Second, late)
 			})
 			if m.overfull {
 				t.Fatalf("adapter slots exceeded after %+v", s)
@@ -267,8 +282,7 @@
 			if m.overfull {
 				t.Fatalf("late orders exceed the adapter slots")
 			}
-			if rapid.IntRange(0, 49).Draw(t, "runner") == 0 {
-				m.restart()
+			if m.mayRestart(t) {
 				noticed = now.Add(time.Duration(rapid.Int64Range(0, int64(maxNoticeDelay)).Draw(t, "noticed")))
 			}
 			if !noticed.IsZero() && !now.Before(noticed) {
@@ -288,10 +302,7 @@
 			}
 			l.Want(now, adapter(n), newest[n])
 			s, _, _ := m.sendNext(now, l, func(s ggsresident.Step) ggscore.PlacementAnswer {
-				if len(m.late) < maxLate && rapid.IntRange(0, 2).Draw(t, "outcome") == 0 {
-					return m.delay(s, now.Add(time.Duration(rapid.Int64Range(int64(late/4), int64(late)).Draw(t, "late"))))
-				}
-				return m.order(now, s)
+				return m.orderOrDelay(t, now, s, maxLate, late/4, late)
 			})
 			if m.overfull {
 				t.Fatalf("adapter slots exceeded after %+v", s)
