fix(ggsedge): a takeover of unanswered orders that is tried again inherits once

Callers would see: fewer adapters at an endpoint for 20 s, as its new owner keeps slots free for as many owners as it tried to take over, where the store refuses writes and answers reads.

Cause: each try read the record of the owner before, and inherited it again. Found by reading the change.

Change: a record at the position of the last one that was inherited isn't inherited again. The worker's endpoint is read with the lock held. The test of stored crashes reads its store with the lock held; the race detector showed that it didn't.

--- a/io/ggscrash/stored_test.go
+++ b/io/ggscrash/stored_test.go
@@ -76,9 +76,9 @@
 		x.run(t, func() {
 			x.crashAt("e")
 			time.Sleep(time.Second) //nolint:forbidigo // virtual time
-			qt.Check(t, s.values, qt.HasLen, 1)
+			qt.Check(t, s.len(), qt.Equals, 1)
 			time.Sleep(time.Hour) //nolint:forbidigo // virtual time
 		})
-		qt.Check(t, s.values, qt.HasLen, 0)
+		qt.Check(t, s.len(), qt.Equals, 0)
 	})
 }
--- a/io/ggscrash/tracker_test.go
+++ b/io/ggscrash/tracker_test.go
@@ -50,6 +50,12 @@
 	return ggscore.StorePosition{}, nil
 }
 
+func (s *fakeStore) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.values)
+}
+
 // Snapshot implements ggscore.Snapshotter.
 func (s *fakeStore) Snapshot(_ context.Context, prefix ggscore.Key, _ bool) ([]ggscore.Entry, ggscore.StorePosition, error) {
 	s.mu.Lock()
--- a/io/ggsedge/orderlog.go
+++ b/io/ggsedge/orderlog.go
@@ -29,6 +29,8 @@
 	// that there is none.
 	read bool
 	at   ggscore.StorePosition
+	// inherited is the position of the last record that was inherited.
+	inherited ggscore.StorePosition
 	// storing is set while the record is being stored. After a number of consecutive failures the next try
 	// is at retryAt.
 	storing  bool
@@ -72,8 +74,8 @@
 // takeOverOrders reads the previous owner's record and stores it as this VM's own, before this VM's first order
 // under a fencing token. It reports success.
 func (e *Edge) takeOverOrders(ctx context.Context, w *worker, fence ggscore.FencingToken) bool {
-	id, l := w.instance.ID, w.orders
 	e.mu.Lock()
+	id, l := w.instance.ID, w.orders
 	l.read, l.storing = false, true
 	e.mu.Unlock()
 	err := e.storeOrders(ctx, id, l)
@@ -188,7 +190,8 @@
 		if err := json.Unmarshal(n.Value, &r); err != nil {
 			_ = level.Warn(e.Log).Log("event", ggslog.EventRecordUnreadable, "key", n.Key, "revision", n.Revision, "err", err)
 		}
-		if r.Process != e.process() {
+		if r.Process != e.process() && l.at != l.inherited {
+			l.inherited = l.at
 			l.unanswered.Inherit(e.Now(), ggsresident.OrderRecord{Expected: r.Expected, Takeovers: r.Takeovers})
 		}
 	}
--- a/io/ggsedge/orderlog_test.go
+++ b/io/ggsedge/orderlog_test.go
@@ -22,6 +22,8 @@
 	down     bool
 	// loses is set if writes are executed without an answer.
 	loses bool
+	// refuses is the number of writes that are refused.
+	refuses int
 }
 
 func newRecordStore() *recordStore { return &recordStore{entries: map[ggscore.Key]ggscore.Entry{}} }
@@ -53,6 +55,10 @@
 	if s.down {
 		return ggscore.StorePosition{}, context.DeadlineExceeded
 	}
+	if s.refuses > 0 {
+		s.refuses--
+		return ggscore.StorePosition{}, &ggscore.StoreBusyError{}
+	}
 	for _, d := range t.Conditions {
 		if s.entries[d.Key].Revision != d.Revision {
 			return ggscore.StorePosition{}, &ggscore.TxnConflictError{}
@@ -132,6 +138,22 @@
 	}
 }
 
+// Guards against slots that are kept free for more owners than there were, because a takeover was tried again.
+func TestRepeatedTakeoverInheritsOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newRecordStore()
+	first, w := orderEdge(s, 1)
+	c.Assert(first.takeOverOrders(context.Background(), w, 1), qt.IsTrue)
+	next, w := orderEdge(s, 2)
+	s.refuses = 3
+	for range 3 {
+		c.Assert(next.takeOverOrders(context.Background(), w, 2), qt.IsFalse)
+	}
+	c.Assert(next.takeOverOrders(context.Background(), w, 2), qt.IsTrue)
+	c.Assert(next.lateOrders(w), qt.Equals, 1)
+}
+
 // Guards against a VM that stands still because it waits for its own lock after a record that failed.
 func TestRecordOfOrdersIsRepeatedAfterAFailure(t *testing.T) {
 	t.Parallel()
