feat(ggsedge): the log says on what a refusal by an endpoint rests

endpointRefused named the status alone, so that a refusal by the endpoint's statement, one by its status and one without the request's ID looked the same, and answerBroken named no status. New keys: statedNotRun, answerID, signed, reused, tunneled; status. No decision changes.

--- a/core/instance.go
+++ b/core/instance.go
@@ -105,6 +105,8 @@
 	Signed bool
 	// NotRun is set if the instance did not run the request and never will.
 	NotRun bool
+	// StatedNotRun is set if a header of the answer says so, whatever the answer's status.
+	StatedNotRun bool
 	// Misdirected is set if another process than the one that the request was meant for may have answered.
 	Misdirected bool
 	// Load is nil if the answer doesn't report it.
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -197,6 +197,7 @@
 	}
 	_ = level.Info(e.Log).Log("event", ggslog.EventEndpointRefused, "request", j.meta.ID, "endpoint", i.ID, "status", a.Status,
 		"adapter", j.meta.Model, "version", j.version, "retryAfter", m.RetryAfter,
+		"statedNotRun", m.StatedNotRun, "answerID", m.Request, "signed", m.Signed, "reused", a.Reused(), "tunneled", a.Tunneled(),
 		"shedLimited", j.choice.ShedLimited, "inFlight", j.choice.InFlight, "reportAge", j.choice.ReportAge)
 	return &ggscore.Failure{
 		Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun,
@@ -207,6 +208,7 @@
 // brokenAnswer returns the failure for an answer that is truncated or invalid.
 func (e *Edge) brokenAnswer(j *job, i ggscore.Instance, a *ggsexchange.Answer, err error) *ggscore.Failure {
 	_ = level.Info(e.Log).Log("event", ggslog.EventAnswerBroken, "request", j.meta.ID, "endpoint", i.ID, "begun", j.committed,
+		"status", a.Status,
 		"fingerprint", j.fingerprint, "sharedParts", j.sharedParts(), "callerLeft", j.callerLeft,
 		"framing", a.Framing, "tunneled", a.Tunneled(), "reused", a.Reused(), "insideEvent", j.position.InsideEvent(), "err", err)
 	return &ggscore.Failure{Kind: ggscore.FailureBroken, Detail: err.Error()}
