test(ggsnode): what callers are told after each form of an endpoint's answer

Callers of requests that may not run twice got 503 with the endpoint's signature after the request had run, and requests that were running were sent again.

The stand-in states with 421, and names the request in each refusal, as endpoints of the users' platform do.

--- /dev/null
+++ b/cmd/ggsnode/edge_refusal_test.go
@@ -0,0 +1,142 @@
+package ggsnode
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/fakes/ggsfakelink"
+	"greengageslip/fakes/ggsfakesite"
+)
+
+// refusalSites is the number of sites that are played at once.
+const refusalSites = 12
+
+// promisesNotRun reports whether a status promises callers that their request has not run and never will.
+func promisesNotRun(status int) bool {
+	return slices.Contains([]int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	}, status)
+}
+
+// Guards against callers who are told that their request hasn't run, or whose request is sent again, on the word of
+// anything but the endpoint's refusal of that request.
+func TestCallersAreToldThatARequestHasNotRunOnlyIfItsEndpointSaysSo(t *testing.T) {
+	t.Parallel()
+	const (
+		mine   = "Request-Id: $ID\r\n"
+		stated = "Not-Run: 1\r\n"
+		signed = "Server-Stamp: $STAMP\r\n"
+		empty  = "Content-Length: 0\r\n\r\n"
+		final  = stated + mine + empty
+	)
+	status := func(s string) string { return "HTTP/1.1 " + s + "\r\n" }
+	unavailable, misdirected, limited := status("503 Service Unavailable"), status("421 Misdirected Request"), status("429 Too Many Requests")
+	timedOut, bad, failed, late := status("408 Request Timeout"), status("400 Bad Request"), status("500 Internal Server Error"), status("504 Gateway Timeout")
+	ok, hint := status("200 OK"), status("103 Early Hints")
+	refused := func(text string) ggsfakesite.Script { return ggsfakesite.Script{Text: text, NotRun: true} }
+	ran := func(text string) ggsfakesite.Script { return ggsfakesite.Script{Text: text} }
+	closed := func(text string) ggsfakesite.Script { return ggsfakesite.Script{Text: text, Close: true} }
+	sites := make(chan struct{}, refusalSites)
+	for name, tc := range map[string]struct {
+		script ggsfakesite.Script
+		// want is the status of a request that may not run twice.
+		want int
+	}{
+		"503 stated":                               {refused(unavailable + final), 503},
+		"503 stated and signed":                    {refused(unavailable + signed + final), 503},
+		"503 stated, body broken off":              {ggsfakesite.Script{Text: unavailable + stated + mine + "Content-Length: 9\r\n\r\nfull", NotRun: true, Close: true}, 503},
+		"503 stated, ends with its connection":     {ggsfakesite.Script{Text: unavailable + stated + mine + "\r\nfull", NotRun: true, Close: true}, 503},
+		"503 stated after an informational answer": {refused(hint + "\r\n" + unavailable + final), 503},
+		"503 stated after an answer to another":    {refused(ok + signed + "Request-Id: other\r\n" + empty + unavailable + final), 503},
+		"429 stated":                               {refused(limited + final), 503},
+		"421 stated":                               {refused(misdirected + final), 503},
+		"400 stated":                               {refused(bad + final), 503},
+
+		"503 alone":                    {ran(unavailable + mine + empty), 502},
+		"503 signed":                   {ran(unavailable + signed + mine + empty), 502},
+		"503 signed, time to return":   {ran(unavailable + signed + mine + "Retry-After: 1\r\n" + empty), 502},
+		"503 signed, in chunks":        {ran(unavailable + signed + mine + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"), 502},
+		"503 signed, ends with it":     {closed(unavailable + signed + mine + "\r\nfull"), 502},
+		"503 signed, 100 kB":           {ran(unavailable + signed + mine + "Content-Length: 100000\r\n\r\n" + strings.Repeat("a", 100000)), 502},
+		"429 alone":                    {ran(limited + mine + empty), 502},
+		"429 signed":                   {ran(limited + signed + mine + empty), 502},
+		"408 alone":                    {ran(timedOut + mine + empty), 502},
+		"408 signed":                   {ran(timedOut + signed + mine + empty), 502},
+		"421 alone":                    {ran(misdirected + mine + empty), 502},
+		"421 signed":                   {ran(misdirected + signed + mine + empty), 502},
+		"503 stated for nobody":        {ran(unavailable + stated + empty), 502},
+		"429 stated for nobody":        {ran(limited + stated + empty), 502},
+		"421 stated for nobody":        {ran(misdirected + stated + empty), 502},
+		"400 stated for nobody":        {ran(bad + stated + empty), 502},
+		"503 stated for an empty ID":   {ran(unavailable + stated + "Request-Id:\r\n" + empty), 502},
+		"503 stated for another":       {closed(unavailable + stated + "Request-Id: other\r\n" + empty), 502},
+		"503 stated for two":           {closed(unavailable + "Request-Id: other\r\n" + final), 502},
+		"503 stated for it and others": {closed(unavailable + stated + mine + "Request-Id: other\r\n" + empty), 502},
+		"503 stated as 0":              {ran(unavailable + "Not-Run: 0\r\n" + mine + empty), 502},
+		"503 stated as false":          {ran(unavailable + "Not-Run: false\r\n" + mine + empty), 502},
+		"503 stated as nothing":        {ran(unavailable + "Not-Run:\r\n" + mine + empty), 502},
+		"503 stated as both":           {ran(unavailable + stated + "Not-Run: 0\r\n" + mine + empty), 502},
+		"503 stated in a trailer":      {ran(unavailable + mine + "Trailer: Not-Run\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + stated + "\r\n"), 502},
+		"200 stated":                   {ran(ok + signed + final), 502},
+		"200 stated, unsigned":         {ran(ok + final), 502},
+		"204 stated":                   {ran(status("204 No Content") + signed + stated + mine + "\r\n"), 502},
+		"302 stated":                   {ran(status("302 Found") + signed + final), 502},
+		"404 stated":                   {ran(status("404 Not Found") + signed + final), 502},
+		"408 stated":                   {ran(timedOut + final), 502},
+		"500 stated":                   {ran(failed + signed + final), 502},
+		"502 stated":                   {ran(status("502 Bad Gateway") + final), 502},
+		"504 stated":                   {ran(late + signed + final), 502},
+		"599 stated":                   {ran(status("599 Unknown") + final), 502},
+		"103 stated, then closed":      {closed(hint + stated + mine + "\r\n"), 502},
+		"103 stated, then 500":         {ran(hint + stated + mine + "\r\n" + failed + signed + mine + empty), 500},
+		"101 stated":                   {closed(status("101 Switching Protocols") + stated + mine + "Connection: upgrade\r\nUpgrade: x\r\n\r\n"), 502},
+		"999 stated":                   {ran(status("999 Unknown") + final), 502},
+		"503 stated, head broken off":  {closed(unavailable + stated + mine), 502},
+		"503 stated, head reset":       {ggsfakesite.Script{Text: unavailable + stated + mine, Reset: true}, 502},
+		"not a status line":            {closed("503 " + stated + mine + "\r\n"), 502},
+		"closed":                       {closed(""), 502},
+		"reset":                        {ggsfakesite.Script{Reset: true}, 502},
+		"500 signed":                   {ran(failed + signed + mine + empty), 500},
+		"504 signed":                   {ran(late + signed + mine + empty), 504},
+		"500 for nobody":               {ran(failed + signed + empty), 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sites <- struct{}{}
+			defer func() { <-sites }()
+			p := startPartitionTest(t, 2)
+			p.checkRefusals(tc.script, tc.want)
+			p.partition([]int{0}, ggsfakelink.PartitionReset)
+			for _, e := range p.site.Endpoints {
+				e.SetScript(nil)
+			}
+			p.eventually("VM 0 serves through VM 1", func() bool {
+				return p.call(0, http.MethodPost, "/pay/1", "", "{}").status == http.StatusOK && p.call(0, http.MethodPost, "/chat/1", "", "{}").status == http.StatusOK
+			})
+			p.checkRefusals(tc.script, tc.want)
+		})
+	}
+}
+
+// checkRefusals has all endpoints answer with a script, and checks what callers of VM 0 are told.
+func (p *partitionTest) checkRefusals(x ggsfakesite.Script, want int) {
+	p.c.Helper()
+	for _, e := range p.site.Endpoints {
+		e.SetScript(&x)
+	}
+	for path, method := range map[string]string{"/pay/1": http.MethodPost, "/chat/1": http.MethodPost, "/tell/1": http.MethodPost, "/look/1": http.MethodGet} {
+		r := p.call(0, method, path, "", "{}")
+		runs := p.site.Runs()[r.id]
+		what := qt.Commentf("%s: %d %q, runs %d", path, r.status, r.body, runs)
+		p.c.Check(!promisesNotRun(r.status) || runs == 0, qt.IsTrue, what)
+		p.c.Check(r.header.Get("Not-Run"), qt.Equals, "", what)
+		if path == "/pay/1" || path == "/chat/1" {
+			p.c.Check(runs <= 1, qt.IsTrue, what)
+			p.c.Check(r.status, qt.Equals, want, what)
+		}
+	}
+}
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -102,6 +102,8 @@
 	orders   []Order
 	// endless is sent in answer to each request, unless it is nil.
 	endless *Endless
+	// script is sent in answer to each request, unless it is nil.
+	script *Script
 	// holdLoads is the number of loads to leave unanswered, and heldLoads are those that were.
 	holdLoads int
 	heldLoads []Order
@@ -293,7 +295,7 @@
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if x := r.Header.Get("Expect-Instance"); x != "" && x != e.ID() {
 		w.Header().Set("Instance-Id", e.ID())
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		refuseMisdirected(w, r.Header.Get("Request-Id"))
 		return
 	}
 	switch r.URL.Path {
@@ -306,6 +308,16 @@
 	}
 }
 
+// refuseMisdirected answers a request that another process, model or adapter is wanted for.
+func refuseMisdirected(w http.ResponseWriter, id string) {
+	h := w.Header()
+	if id != "" {
+		h.Set("Request-Id", id)
+	}
+	h.Set("Not-Run", "1")
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	b, err := io.ReadAll(r.Body)
@@ -313,6 +325,7 @@
 		return
 	}
 	e.waitSilence()
+	w.Header().Set("Request-Id", id)
 	slot := e.enterBrittle(w)
 	if slot == nil {
 		return
@@ -325,8 +338,8 @@
 	crashes := e.hasCrashingPart(r)
 	crashesLater := e.hasCrashingPath(r)
 	missing := e.missing(r)
-	endless := e.endless
-	if f != FaultRefuse && !missing && (endless == nil || !endless.NotRun) {
+	endless, script := e.endless, e.script
+	if f != FaultRefuse && !missing && (endless == nil || !endless.NotRun) && (script == nil || !script.NotRun) {
 		e.runs[id]++
 		e.runSoftware[id] = e.software
 		e.lastRun = e.options.Now()
@@ -334,15 +347,18 @@
 	}
 	e.setStatusHeaders(w.Header(), f)
 	e.mu.Unlock()
-	w.Header().Set("Request-Id", id)
 	if missing {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		refuseMisdirected(w, id)
 		return
 	}
 	if endless != nil {
 		e.answerEndless(w, id, endless)
 		return
 	}
+	if script != nil {
+		e.answerScript(w, id, script)
+		return
+	}
 	if crashes {
 		e.crashUnderPart()
 	}
