fix(ggsedge): a request counts as not run on its endpoint's refusal of it alone

Callers saw: 503, 429, 408 or 421, signed by the endpoint, for a request that had run (REFUSED), and requests that may run once were sent again while they ran (TWICE).

Cause: three ways of the same class, a promise made on the word of something that doesn't make it. An endpoint's answer 503 or 429 without a statement was counted as a run and forwarded unchanged, where its status is the promise. Any statement counted whatever the status (200, 500, 504) and value, and 421 counted without one. An answer without an ID was taken as this request's, so that another answer to the connection's last request, or bytes of the endpoint's own accord, decided.

Ruled out: connections that failed to open after a byte was written (NotSent is set before the first write only); requests that run on after their time limit (counted as runs).

core/ggsanswer judges an answer by its head, without a network: a refusal is 400, 421, 429 or 503 that states it and names this request alone; a status that promises without that, and a statement in any other form, are never forwarded: 502, or another endpoint where the route allows it. An answer without an ID is taken from a new connection only, and never as a refusal.

--- a/core/instance.go
+++ b/core/instance.go
@@ -103,9 +103,8 @@
 	Request RequestID
 	// Signed is set if the answer's headers show that an instance itself produced the answer.
 	Signed bool
-	// NotRun is set if the instance did not run the request and never will.
-	NotRun bool
-	// StatedNotRun is set if a header of the answer says so, whatever the answer's status.
+	// StatedNotRun is set if a header says that the instance did not run the request and never will, whatever the
+	// answer's status.
 	StatedNotRun bool
 	// Misdirected is set if another process than the one that the request was meant for may have answered.
 	Misdirected bool
--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -54,17 +54,6 @@
 	return fmt.Sprintf("no permit for %s: %s, retry after %s", e.Endpoint, e.Outcome, e.RetryAfter)
 }
 
-// An AnswerError reports that an endpoint's answer is invalid and can't be forwarded.
-type AnswerError struct {
-	Status int
-	Reason string
-}
-
-// Error implements error.
-func (e *AnswerError) Error() string {
-	return fmt.Sprintf("invalid answer with status %d: %s", e.Status, e.Reason)
-}
-
 // A TruncatedStreamError reports that a stream ended inside an event, or with its connection before
 // its first event. Events is the number of complete events.
 type TruncatedStreamError struct {
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsanswer"
 	"greengageslip/core/ggsevent"
 	"greengageslip/core/ggsretry"
 	"greengageslip/io/ggsexchange"
@@ -38,15 +39,20 @@
 // forwardAnswer forwards an answer. The failure is nil if the caller has received the answer.
 func (e *Edge) forwardAnswer(ctx context.Context, j *job, i ggscore.Instance, a *ggsexchange.Answer) (*ggscore.Failure, ggsretry.Result) {
 	m := e.Dialect.Answer(a.Status, a.Header)
-	e.observeAnswer(j, i, m)
-	if m.NotRun {
+	v, err := ggsanswer.Judge(ggsanswer.Answer{
+		Status: a.Status, Identified: a.Identified, Signed: m.Signed, StatedNotRun: m.StatedNotRun,
+		Encoded: a.Header.Get("Content-Encoding") != "",
+	})
+	refused := err == nil && v == ggsanswer.NotRun
+	e.observeAnswer(j, i, m, refused)
+	if refused {
 		return e.refusedByEndpoint(j, i, a, m), ggsretry.ResultNeutral
 	}
 	j.runs++
-	success := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
-	if reason := invalidReason(a, m, success); reason != "" {
-		return e.brokenAnswer(j, i, a, &AnswerError{Status: a.Status, Reason: reason}), ggsretry.ResultFailed
+	if err != nil {
+		return e.brokenAnswer(j, i, a, err), invalidResult(m)
 	}
+	success := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
 	if a.Status >= http.StatusInternalServerError && a.Length <= maxBufferedBytes {
 		defer abortAfter(a, failureBodyTime)()
 	}
@@ -55,7 +61,6 @@
 			return f, ggsretry.ResultFailed
 		}
 	}
-	var err error
 	j.position = ggsevent.Position{}
 	j.events = success && isEventStream(j.route.Kind, a.Header)
 	if success && j.route.Kind == ggscore.RouteStreaming || j.events || a.Length > maxBufferedBytes {
@@ -98,6 +103,15 @@
 	return ggsretry.ResultOK
 }
 
+// invalidResult returns what an answer that can't be forwarded says about its endpoint. Another process may have
+// answered in its place.
+func invalidResult(m ggscore.AnswerMeta) ggsretry.Result {
+	if m.Misdirected {
+		return ggsretry.ResultNeutral
+	}
+	return ggsretry.ResultFailed
+}
+
 // brokenResult returns what an answer that broke off says about its endpoint.
 func brokenResult(err error) ggsretry.Result {
 	var caller *CallerError
@@ -167,31 +181,12 @@
 	_, _ = j.w.Write(k.body)
 }
 
-// invalidReason returns why an answer can't be forwarded, empty if it can. A success must be signed
-// by the endpoint and must have no content encoding, because none was requested.
-func invalidReason(a *ggsexchange.Answer, m ggscore.AnswerMeta, success bool) string {
-	switch {
-	case success && !m.Signed:
-		return "success not signed by the endpoint"
-	case success && a.Header.Get("Content-Encoding") != "":
-		return "body has a Content-Encoding that wasn't requested"
-	case a.Status < http.StatusOK || a.Status > 599:
-		return "not a final status"
-	}
-	return ""
-}
-
 // refusedByEndpoint returns the failure for an endpoint's answer that it did not run the
 // request.
 func (e *Edge) refusedByEndpoint(j *job, i ggscore.Instance, a *ggsexchange.Answer, m ggscore.AnswerMeta) *ggscore.Failure {
 	// The rest of the body is read so that the connection can be reused.
 	defer abortAfter(a, refusalBodyTime)()
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedBytes))
-	if a.Status == http.StatusMisdirectedRequest && j.meta.Model.Adapter != "" {
-		e.mu.Lock()
-		e.table.SetMissing(e.Now(), i.ID, j.meta.Model)
-		e.mu.Unlock()
-	}
 	if a.Status == http.StatusServiceUnavailable {
 		j.rejected = true
 	}
--- a/io/ggsedge/signals.go
+++ b/io/ggsedge/signals.go
@@ -10,10 +10,14 @@
 )
 
 // observeAnswer processes what an answer announces about its endpoint: that it leaves, its
-// rate limit, and a pause in the requests of this VM.
-func (e *Edge) observeAnswer(j *job, i ggscore.Instance, m ggscore.AnswerMeta) {
+// rate limit, a pause in the requests of this VM, and that it lacks the adapter. refused is set if the answer
+// refuses the request.
+func (e *Edge) observeAnswer(j *job, i ggscore.Instance, m ggscore.AnswerMeta, refused bool) {
 	e.mu.Lock()
 	now := e.Now()
+	if m.Misdirected && j.meta.Model.Adapter != "" {
+		e.table.SetMissing(now, i.ID, j.meta.Model)
+	}
 	leaves := m.Leaving && e.table.RecordDeparture(ggscore.Departure{Endpoint: i.ID, StartedAt: i.StartedAt})
 	limited := e.observeLimit(now, j, i.ID, m.Limit)
 	changed := e.observeShedLimit(now, j, i.Service, m.ShedLimit)
@@ -25,7 +29,7 @@
 	case m.Misdirected:
 		// The process that the request was meant for may be gone.
 		e.crashes.EndpointAccepted(i.ID, j.sentAt)
-	case m.Signed || m.NotRun:
+	case m.Signed || refused:
 		e.crashes.EndpointAnswered(i.ID, j.sentAt)
 	}
 	if leaves {
--- a/io/ggsexchange/errors.go
+++ b/io/ggsexchange/errors.go
@@ -37,14 +37,15 @@
 	return fmt.Sprintf("reading answer: head is longer than %d bytes", e.Limit)
 }
 
-// A MismatchedAnswersError reports that an endpoint sent only answers with the IDs of other
-// requests.
+// A MismatchedAnswersError reports that an endpoint sent only answers that name other requests, or, on a connection
+// that was used before, an answer that names none.
 type MismatchedAnswersError struct {
 	Want ggscore.RequestID
-	Got  ggscore.RequestID
+	// Got has the IDs of the last answer.
+	Got []string
 }
 
 // Error implements error.
 func (e *MismatchedAnswersError) Error() string {
-	return fmt.Sprintf("reading answer: got the answer to request %q, want %q", e.Got, e.Want)
+	return fmt.Sprintf("reading answer: got the answer to requests %q, want %q", e.Got, e.Want)
 }
--- a/io/ggsexchange/exchange.go
+++ b/io/ggsexchange/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -59,8 +60,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID must equal the answer's IDHeader if the answer has this header. An empty IDHeader
-	// disables the check.
+	// ID must equal the answer's IDHeader if the answer has this header, which it must have on a connection that
+	// was used before. An empty IDHeader disables the check.
 	ID       ggscore.RequestID
 	IDHeader string
 	// MaxConns bounds the connections to the endpoint. Zero means no bound.
@@ -86,6 +87,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Identified is set if the answer names the request's ID, and no other.
+	Identified bool
 	// Length is the body's length in bytes, or -1 if it is unknown before the end of the body.
 	Length int64
 	// Framing is what shows the end of the body.
@@ -214,7 +217,7 @@
 		}
 	}
 	req := &http.Request{Method: r.Method}
-	var got ggscore.RequestID
+	var got []string
 	for range maxMismatched {
 		c.headLimit.remaining = maxHeadBytes
 		resp, err := readHead(c.r, req)
@@ -222,9 +225,17 @@
 		if err != nil {
 			return nil, err
 		}
-		got = ggscore.RequestID(resp.Header.Get(r.IDHeader))
-		if r.IDHeader == "" || got == "" || got == r.ID {
+		got = answeredIDs(resp.Header, r.IDHeader)
+		switch {
+		case r.IDHeader == "", len(got) == 0 && !c.reused:
 			return p.answer(c, resp), nil
+		case len(got) == 0:
+			// It may be another answer to the connection's last request.
+			return nil, &MismatchedAnswersError{Want: r.ID}
+		case len(got) == 1 && got[0] == string(r.ID):
+			a := p.answer(c, resp)
+			a.Identified = true
+			return a, nil
 		}
 		if _, err := io.CopyN(io.Discard, resp.Body, maxMismatchedBytes); !errors.Is(err, io.EOF) {
 			return nil, &MismatchedAnswersError{Want: r.ID, Got: got}
@@ -233,6 +244,17 @@
 	return nil, &MismatchedAnswersError{Want: r.ID, Got: got}
 }
 
+// answeredIDs returns the distinct IDs of the requests that an answer names.
+func answeredIDs(h http.Header, name string) []string {
+	var ids []string
+	for _, v := range h.Values(name) {
+		if v != "" && !slices.Contains(ids, v) {
+			ids = append(ids, v)
+		}
+	}
+	return ids
+}
+
 func (p *Pool) answer(c *conn, resp *http.Response) *Answer {
 	a := &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
