fix(ggsengine): a refusal that names no request proves nothing about one

Endpoints return the ID in each answer. TestRefusals: the two forms without an ID failed before; the refusals that prove something name the request now, as the stand-ins' do.

--- a/io/ggsengine/doc.go
+++ b/io/ggsengine/doc.go
@@ -36,5 +36,6 @@
 // Requests to endpoints have the headers X-Request-Id and X-Priority (0 is the most
 // urgent). Requests with an idempotency key to plain services also have Idempotency-Key.
 // An answer whose X-Request-Id is present and differs from the request's is a CallError of
-// kind broken, regardless of its status and body.
+// kind broken, regardless of its status and body. An answer without one proves nothing about
+// the run.
 package ggsengine
--- a/io/ggsengine/exchange.go
+++ b/io/ggsengine/exchange.go
@@ -122,7 +122,7 @@
 
 // refusal returns nil if the answer is forwarded to the caller, else the error that it
 // stands for. A status alone doesn't prove that the request didn't run. Only the kind or
-// the outcome in the endpoint's error body does.
+// the outcome in the endpoint's error body does, in an answer that names the request.
 func (x *exchange) refusal(resp *http.Response) error {
 	s := resp.StatusCode
 	if x.forwards(s) {
@@ -135,6 +135,7 @@
 		Cause: &StatusError{Status: s, Detail: w.Error.Detail},
 	}
 	switch {
+	case resp.Header.Get(headerRequestID) == "":
 	case !x.plain && s == http.StatusNotFound && w.Error.Kind == kindAdapterNotLoaded:
 		err.NotSent = true
 		err.Kind = ggscore.FailureAdapterMissing
--- a/io/ggsengine/fault_test.go
+++ b/io/ggsengine/fault_test.go
@@ -146,9 +146,10 @@
 // prove that the request didn't run; others look similar and prove nothing.
 func TestRefusals(t *testing.T) {
 	t.Parallel()
-	answer := func(status, body string) string {
+	anonymous := func(status, body string) string {
 		return "HTTP/1.1 " + status + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 	}
+	answer := func(status, body string) string { return anonymous(status+"\r\nX-Request-Id: q1", body) }
 	notRun := `{"error":{"outcome":"notRun"}}`
 	for name, tc := range map[string]struct {
 		answer string
@@ -156,6 +157,8 @@
 	}{
 		"adapter not loaded":                  {answer("404 Not Found", `{"error":{"kind":"adapterNotLoaded"}}`), expectedFailure{true, ggscore.FailureAdapterMissing}},
 		"not run":                             {answer("503 Service Unavailable", notRun), expectedFailure{true, ggscore.FailureEndpoint}},
+		"adapter not loaded, for nobody":      {anonymous("404 Not Found", `{"error":{"kind":"adapterNotLoaded"}}`), expectedFailure{false, ggscore.FailureEndpoint}},
+		"not run, for nobody":                 {anonymous("503 Service Unavailable", notRun), expectedFailure{false, ggscore.FailureEndpoint}},
 		"503 without outcome":                 {answer("503 Service Unavailable", "busy"), expectedFailure{false, ggscore.FailureEndpoint}},
 		"503 unknown":                         {answer("503 Service Unavailable", `{"error":{"outcome":"unknown"}}`), expectedFailure{false, ggscore.FailureEndpoint}},
 		"502 with outcome not run":            {answer("502 Bad Gateway", notRun), expectedFailure{false, ggscore.FailureEndpoint}},
