fix(ggsanswer): an encoded failure and an unsigned client error aren't forwarded

Callers got an endpoint's failure with a Content-Encoding that they hadn't asked for, whose body isn't the endpoint's, and 3xx or 4xx statuses without its signature, after which they don't return. Only successes were checked for both. Both are 502 now, or another endpoint's answer; a refusal with a Content-Encoding proves nothing. Red before: five forms of the test.

--- a/core/ggsanswer/errors.go
+++ b/core/ggsanswer/errors.go
@@ -21,6 +21,6 @@
 	ReasonStatus        Reason = "not a final status"
 	ReasonUnstated      Reason = "the status promises that the request has not run, and the endpoint doesn't"
 	ReasonContradictory Reason = "the endpoint states that the request has not run, but not in a refusal of this request"
-	ReasonUnsigned      Reason = "success not signed by the endpoint"
+	ReasonUnsigned      Reason = "not signed by the endpoint"
 	ReasonEncoded       Reason = "body has a Content-Encoding that wasn't requested"
 )
--- a/core/ggsanswer/judge.go
+++ b/core/ggsanswer/judge.go
@@ -31,7 +31,7 @@
 
 // Judge returns what may be made of an answer, or an *InvalidError.
 func Judge(a Answer) (Verdict, error) {
-	if a.StatedNotRun && a.Identified && refuses(a.Status) {
+	if a.StatedNotRun && a.Identified && !a.Encoded && refuses(a.Status) {
 		return NotRun, nil
 	}
 	if r := a.invalid(); r != "" {
@@ -42,7 +42,6 @@
 
 // invalid returns why an answer that is no refusal can't be forwarded, empty if it can.
 func (a *Answer) invalid() Reason {
-	success := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
 	switch {
 	case a.Status < http.StatusOK || a.Status > lastStatus:
 		return ReasonStatus
@@ -50,9 +49,9 @@
 		return ReasonContradictory
 	case Promises(a.Status):
 		return ReasonUnstated
-	case success && !a.Signed:
+	case a.Status < http.StatusInternalServerError && !a.Signed:
 		return ReasonUnsigned
-	case success && a.Encoded:
+	case a.Encoded:
 		return ReasonEncoded
 	}
 	return ""
--- a/core/ggsanswer/judge_test.go
+++ b/core/ggsanswer/judge_test.go
@@ -25,8 +25,13 @@
 		"failure":                    {answer: ggsanswer.Answer{Status: 500, Identified: true, Signed: true}},
 		"failure stated as not run":  {answer: ggsanswer.Answer{Status: 500, Identified: true, Signed: true, StatedNotRun: true}, reason: ggsanswer.ReasonContradictory},
 		"deadline stated as not run": {answer: ggsanswer.Answer{Status: 504, Identified: true, StatedNotRun: true}, reason: ggsanswer.ReasonContradictory},
-		"client error":               {answer: ggsanswer.Answer{Status: 400, Identified: true}},
-		"redirect":                   {answer: ggsanswer.Answer{Status: 302, Identified: true}},
+		"failure unsigned":           {answer: ggsanswer.Answer{Status: 500, Identified: true}},
+		"failure encoded":            {answer: ggsanswer.Answer{Status: 500, Identified: true, Signed: true, Encoded: true}, reason: ggsanswer.ReasonEncoded},
+		"client error":               {answer: ggsanswer.Answer{Status: 400, Identified: true, Signed: true}},
+		"client error unsigned":      {answer: ggsanswer.Answer{Status: 404, Identified: true}, reason: ggsanswer.ReasonUnsigned},
+		"redirect":                   {answer: ggsanswer.Answer{Status: 302, Identified: true, Signed: true}},
+		"redirect unsigned":          {answer: ggsanswer.Answer{Status: 302, Identified: true}, reason: ggsanswer.ReasonUnsigned},
+		"refusal encoded":            {answer: ggsanswer.Answer{Status: 503, Identified: true, StatedNotRun: true, Encoded: true}, reason: ggsanswer.ReasonContradictory},
 		"refusal":                    {answer: ggsanswer.Answer{Status: 503, Identified: true, StatedNotRun: true}, want: ggsanswer.NotRun},
 		"refusal signed":             {answer: ggsanswer.Answer{Status: 429, Identified: true, Signed: true, StatedNotRun: true}, want: ggsanswer.NotRun},
 		"refusal of another process": {answer: ggsanswer.Answer{Status: 421, Identified: true, StatedNotRun: true}, want: ggsanswer.NotRun},
@@ -67,7 +72,7 @@
 			switch {
 			case err != nil:
 			case v == ggsanswer.NotRun:
-				c.Check(a.StatedNotRun && a.Identified && status >= http.StatusBadRequest, qt.IsTrue, qt.Commentf("%+v", a))
+				c.Check(a.StatedNotRun && a.Identified && !a.Encoded && status >= http.StatusBadRequest, qt.IsTrue, qt.Commentf("%+v", a))
 			default:
 				c.Check(ggsanswer.Promises(status) || a.StatedNotRun, qt.IsFalse, qt.Commentf("%+v", a))
 			}
