fix(ggsorigins): how long streams may be resumed goes by their routes' timeouts

The time is twice the longest timeout of the service's resumable streams now, in any configuration that the VM has had, and 15 s at least. Twice, because a caller's time may exceed one request's. Red before (the factor taken out): a stream resumed after 30 s on a route of 30 s, also after a configuration with a shorter one.

--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -308,6 +308,7 @@
 	if in := e.configVersion(); c.Version <= in {
 		return c.Version == in
 	}
+	e.origins.ObserveRoutes(c.Routes)
 	e.paths.Store(ggspath.NewTable(c))
 	e.mu.Lock()
 	for s, spec := range c.Services {
--- a/io/ggsorigins/doc.go
+++ b/io/ggsorigins/doc.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	t := ggsorigins.NewTracker(ggsorigins.Options{Peers: peers, ListComplete: complete, …})
+//	t.ObserveRoutes(routes)              // each configuration
 //	t.ObserveList(instances)             // each reading of the list of endpoints
 //	t.Record(route, instance, request)   // before a stream's first event is sent
 //	t.Observe(origins)                   // from a peer
--- a/io/ggsorigins/tracker.go
+++ b/io/ggsorigins/tracker.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// resumePeriod is how long after its beginning a stream of which no VM has a record may be resumed.
-	// It exceeds the time that streams take.
-	resumePeriod = 15 * time.Second
+	// minResumePeriod is how long after its beginning a stream may be resumed at least.
+	minResumePeriod = 15 * time.Second
+	// resumeTimeouts is the same in timeouts of the stream's route. A caller may have more time than the timeout of one
+	// request.
+	resumeTimeouts = 2
 	// askTimeout bounds the wait for peers' records of a stream: a connection and a call between
 	// regions, at a peer that is busy.
 	askTimeout = 300 * time.Millisecond
@@ -50,11 +52,16 @@
 	census  *ggsorigin.Census
 	// copied are the services of whose recent streams peers have copies.
 	copied map[ggscore.Service]bool
+	// timeouts are the longest timeouts of resumable streams by service, in all configurations.
+	timeouts map[ggscore.Service]time.Duration
 }
 
 // NewTracker returns a Tracker without records.
 func NewTracker(o Options) *Tracker {
-	return &Tracker{options: o, origins: ggsorigin.NewTable(), census: ggsorigin.NewCensus(), copied: map[ggscore.Service]bool{}}
+	return &Tracker{
+		options: o, origins: ggsorigin.NewTable(), census: ggsorigin.NewCensus(),
+		copied: map[ggscore.Service]bool{}, timeouts: map[ggscore.Service]time.Duration{},
+	}
 }
 
 // Reply returns what this VM knows of a stream's origin and of a service's software versions.
@@ -76,7 +83,27 @@
 	if !listComplete {
 		return "", false
 	}
-	return t.census.Sole(t.options.Now(), s, resumePeriod)
+	return t.census.Sole(t.options.Now(), s, t.resumePeriod(s))
+}
+
+// resumePeriod returns how long after its beginning a stream of a service may be resumed. Tracker.mu is held.
+func (t *Tracker) resumePeriod(s ggscore.Service) time.Duration {
+	return max(minResumePeriod, resumeTimeouts*t.timeouts[s])
+}
+
+// ObserveRoutes follows the configurations' routes. Streams of earlier configurations may still be resumed.
+func (t *Tracker) ObserveRoutes(rs []ggscore.Route) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range rs {
+		r := &rs[i]
+		if r.Kind != ggscore.RouteStreaming || !r.Resumable {
+			continue
+		}
+		for _, g := range r.Targets {
+			t.timeouts[g.Service] = max(t.timeouts[g.Service], r.Timeout)
+		}
+	}
 }
 
 // Mixed reports whether a service has several software versions.
@@ -170,7 +197,7 @@
 	_, sole := t.sole(s, listComplete)
 	switch {
 	case !sole && !t.copied[s]:
-		os = t.origins.Recent(now, s, resumePeriod)
+		os = t.origins.Recent(now, s, t.resumePeriod(s))
 	case sole && len(route.Targets) == 1:
 		os = nil
 	}
@@ -186,7 +213,7 @@
 	mixed := t.census.Observe(now, list)
 	var os []ggscore.StreamOrigin
 	for _, s := range mixed {
-		os = append(os, t.origins.Recent(now, s, resumePeriod)...)
+		os = append(os, t.origins.Recent(now, s, t.resumePeriod(s))...)
 		t.copied[s] = true
 	}
 	t.mu.Unlock()
--- a/io/ggsorigins/tracker_test.go
+++ b/io/ggsorigins/tracker_test.go
@@ -200,3 +200,44 @@
 	begin("r5")
 	c.Check(x.sent["a"], qt.HasLen, 8)
 }
+
+// Guards against a stream that goes on at another version after all VMs have restarted, because its route lets streams
+// take longer than a version had served alone.
+func TestLongStreamsAreNotResumedAtAVersionThatServesAloneSinceTheyBegan(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		timeout time.Duration
+		// later is the route's timeout in a later configuration, zero if it stays.
+		later     time.Duration
+		resumable bool
+		after     time.Duration
+		// want is empty if the stream is refused.
+		want ggscore.SoftwareVersion
+	}{
+		"short streams":                  {timeout: 5 * time.Second, resumable: true, after: 15 * time.Second, want: "v2"},
+		"short streams, sooner":          {timeout: 5 * time.Second, resumable: true, after: 14 * time.Second},
+		"long streams":                   {timeout: 30 * time.Second, resumable: true, after: 30 * time.Second},
+		"long streams, twice their time": {timeout: 30 * time.Second, resumable: true, after: time.Minute, want: "v2"},
+		"long streams before":            {timeout: 30 * time.Second, later: 5 * time.Second, resumable: true, after: 30 * time.Second},
+		"long streams, never resumed":    {timeout: 30 * time.Second, after: 15 * time.Second, want: "v2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			x := newTracker(nil)
+			r := route("s")
+			r.Kind, r.Resumable, r.Timeout = ggscore.RouteStreaming, tc.resumable, tc.timeout
+			x.ObserveRoutes([]ggscore.Route{*r})
+			if tc.later > 0 {
+				r.Timeout = tc.later
+				x.ObserveRoutes([]ggscore.Route{*r})
+			}
+			x.list("v2")
+			x.now = x.now.Add(tc.after)
+			x.list("v2")
+			o, _, err := x.Resolve(t.Context(), r, "s", "r")
+			c.Check(o.Software, qt.Equals, tc.want)
+			c.Check(err == nil, qt.Equals, tc.want != "", qt.Commentf("%v", err))
+		})
+	}
+}
