fix(ggsorigins): where streams began outlasts all VMs

Cause: records of origins, and since when a service has one version, lived in VMs' memory alone, with copies at VMs. VMs that start all together know neither and refuse rightly.

Two records in the store now. The register lists the versions at which streams of each service can have begun: one VM writes it once, and again when a version appears or has been gone for the time that streams may be resumed; new streams begin at recorded versions until it lists the others, as long as these serve. So VMs that start resume all streams of a service with one version at once. Both are read only for a resumed stream of which no live VM knows. A register from before a store's restore doesn't count.

Weighed: what endpoints say of their runs (they drop them when the connection closes); a version by hash of the request (streams that began before the versions changed stay unknown for as long as they may be resumed, and placing suffers); records of each stream before its first event (waits). Ruled out as the cause: that peers' replies came late (they had no records either).

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -217,6 +217,7 @@
 		IDHeader:       ggsdialect.HeaderRequestID,
 		Keys: ggsedge.Keys{
 			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip", Orders: "greengageslipOrders", Crashes: "greengageslipCrashes",
+			Software: "greengageslipSoftware", Origins: "greengageslipOrigins",
 		},
 	}, ggsedge.Parts{
 		Store: ggsdialect.NewStore(s.Store), Codec: ggsdialect.Codec{}, Dialect: ggsdialect.Headers{},
--- a/cmd/ggsnode/edge_repeat_test.go
+++ b/cmd/ggsnode/edge_repeat_test.go
@@ -323,19 +323,7 @@
 	s.eventually("the crashes are stored", func() bool {
 		return strings.Count(string(s.site.Store.Get("greengageslipCrashes/edge-0@"+s.edges[0].settings.Addr.String())), `"endpoint"`) >= before
 	})
-	for n := range edges {
-		s.edges[n].cancel()
-	}
-	for n := range edges {
-		s.edges[n].done <- <-s.edges[n].done
-	}
-	s.edges = nil
-	for n := range edges {
-		s.startEdgeAgain(t, n)
-	}
-	for n := range edges {
-		s.eventually("the VM is back", func() bool { return s.ready(n) == http.StatusOK })
-	}
+	s.restartAll(t)
 	last, refused := s.repeat(q, 0)
 	s.c.Check(last.status, qt.Equals, http.StatusServiceUnavailable)
 	s.c.Check(refused > 0, qt.IsTrue)
--- a/cmd/ggsnode/edge_software_test.go
+++ b/cmd/ggsnode/edge_software_test.go
@@ -213,6 +213,38 @@
 	}
 }
 
+// Guards against streams that can't be resumed, or are joined from two versions, once all VMs that knew them are gone.
+func TestStreamsGoOnAfterAllVMsRestart(t *testing.T) {
+	t.Parallel()
+	for name, start := range map[string]func(t *testing.T, edges int) *siteTest{
+		"one version": func(t *testing.T, edges int) *siteTest {
+			t.Helper()
+			return startSiteOf(t, edges, 2, func(s *siteTest, n int) { s.startEdge(t, n) })
+		},
+		"two versions": startMixedSite,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const edges = 3
+			s := start(t, edges)
+			var streams []*resumedStream
+			for i := range resumedStreams {
+				streams = append(streams, s.begin(i%edges))
+			}
+			s.restartAll(t)
+			goneOn := 0
+			for i, st := range streams {
+				s.resume(st, (i+1)%edges)
+				s.c.Check(len(st.software), qt.Equals, 1, qt.Commentf("stream %s holds events of %v", st.id, st.software))
+				if st.status == http.StatusOK {
+					goneOn++
+				}
+			}
+			s.c.Check(goneOn*10 >= resumedStreams*9, qt.IsTrue, qt.Commentf("%d of %d streams go on", goneOn, resumedStreams))
+		})
+	}
+}
+
 // Guards against refusing resumed streams of unknown origin although one software version serves alone.
 func TestResumedStreamsWithOneSoftwareVersion(t *testing.T) {
 	t.Parallel()
--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -118,6 +118,25 @@
 	s.startEdgeWith(t, n, func(d *ggsdialect.Settings) { d.FirstStart = false })
 }
 
+// restartAll ends all edges and starts their next processes.
+func (s *siteTest) restartAll(t *testing.T) {
+	t.Helper()
+	edges := len(s.edges)
+	for _, e := range s.edges {
+		e.cancel()
+	}
+	for _, e := range s.edges {
+		e.done <- <-e.done
+	}
+	s.edges = nil
+	for n := range edges {
+		s.startEdgeAgain(t, n)
+	}
+	for n := range edges {
+		s.eventually("the VM is back", func() bool { return s.ready(n) == http.StatusOK })
+	}
+}
+
 // startEdgeWith starts an edge with settings modified by change, and with other parts given by
 // options.
 func (s *siteTest) startEdgeWith(t *testing.T, n int, change func(*ggsdialect.Settings), options ...fx.Option) {
--- a/core/ggsorigin/census.go
+++ b/core/ggsorigin/census.go
@@ -1,6 +1,8 @@
 package ggsorigin
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	ggscore "greengageslip/core"
@@ -69,6 +71,15 @@
 	return "", false
 }
 
+// Versions returns the software versions of a service, sorted.
+func (c *Census) Versions(s ggscore.Service) []ggscore.SoftwareVersion {
+	o := c.services[s]
+	if o == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(o.versions))
+}
+
 // Mixed reports whether a service has several software versions.
 func (c *Census) Mixed(s ggscore.Service) bool {
 	o := c.services[s]
--- a/core/ggsorigin/doc.go
+++ b/core/ggsorigin/doc.go
@@ -15,6 +15,9 @@
 //	mixed := c.Observe(now, instances)  // services that have just got a second version
 //	v, ok := c.Sole(now, service, age)  // the only version since then
 //
+//	next := register.Next(now, c, service, age, first) // what the store has to list
+//	v := register.Begin(c, service, before)            // where streams begin until it does
+//
 //	o, err := ggsorigin.Decide(route, request, replies) // without a record of this VM
 //
 // While a service has one software version, every stream began at it, and nothing is copied between
@@ -22,6 +25,9 @@
 // may be gone when the stream is resumed. A stream whose origin nobody knows is refused: a guess
 // joins what two versions wrote, which nobody can notice.
 //
+// All VMs may fail together. The register in the store lists the versions at which streams can have begun, and is
+// written before any stream begins at another version, so that VMs that start know of a version that served alone.
+//
 // The package has no clock, goroutine or lock of its own; the caller passes times and serializes
 // access.
 package ggsorigin
--- a/core/ggsorigin/origin_test.go
+++ b/core/ggsorigin/origin_test.go
@@ -136,3 +136,53 @@
 		})
 	}
 }
+
+// Guards against VMs that start and take a version for the only one at which a stream can have begun.
+func TestRegister(t *testing.T) {
+	t.Parallel()
+	const age = 10 * time.Second
+	type versions = []ggscore.SoftwareVersion
+	for name, tc := range map[string]struct {
+		recorded versions
+		// lists are the versions of the service's endpoints, one reading after the other.
+		lists  []versions
+		after  time.Duration
+		first  bool
+		before ggscore.SoftwareVersion
+		next   versions
+		begin  ggscore.SoftwareVersion
+	}{
+		"no record":                     {lists: []versions{{"v1"}}},
+		"no record, the first start":    {lists: []versions{{"v1"}}, first: true, next: versions{"v1"}},
+		"no record, served alone":       {lists: []versions{{"v1"}}, after: age, next: versions{"v1"}},
+		"no record, several":            {lists: []versions{{"v1", "v2"}}, next: versions{"v1", "v2"}},
+		"no record, a second appears":   {lists: []versions{{"v1"}, {"v1", "v2"}}, before: "v1", next: versions{"v1", "v2"}, begin: "v1"},
+		"one version":                   {recorded: versions{"v1"}, lists: []versions{{"v1"}}, next: versions{"v1"}},
+		"a second appears":              {recorded: versions{"v1"}, lists: []versions{{"v1", "v2"}}, next: versions{"v1", "v2"}, begin: "v1"},
+		"a third appears":               {recorded: versions{"v1", "v2"}, lists: []versions{{"v1", "v2", "v3"}}, next: versions{"v1", "v2", "v3"}, begin: "v1"},
+		"all endpoints are replaced":    {recorded: versions{"v1"}, lists: []versions{{"v2"}}, next: versions{"v1", "v2"}},
+		"the first one left just now":   {recorded: versions{"v1", "v2"}, lists: []versions{{"v2"}}, next: versions{"v1", "v2"}},
+		"the first one left long ago":   {recorded: versions{"v1", "v2"}, lists: []versions{{"v2"}}, after: age, next: versions{"v2"}},
+		"several for long":              {recorded: versions{"v1", "v2"}, lists: []versions{{"v1", "v2"}}, after: age, next: versions{"v1", "v2"}},
+		"the second one is withdrawn":   {recorded: versions{"v1", "v2"}, lists: []versions{{"v1", "v2"}, {"v1"}}, next: versions{"v1", "v2"}},
+		"the first one is replaced now": {recorded: versions{"v1"}, lists: []versions{{"v1"}, {"v2"}}, after: age, next: versions{"v2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			s := ggsorigin.NewCensus()
+			for _, vs := range tc.lists {
+				var list []ggscore.Instance
+				for _, v := range vs {
+					list = append(list, ggscore.Instance{ID: ggscore.EndpointID(v), Service: "s", Software: v})
+				}
+				s.Observe(begin(), list)
+			}
+			r := ggsorigin.Register{"s": tc.recorded}
+			c.Check(r.Next(begin().Add(tc.after), s, "s", age, tc.first), qt.DeepEquals, tc.next)
+			if tc.after == 0 {
+				c.Check(r.Begin(s, "s", tc.before), qt.Equals, tc.begin)
+			}
+		})
+	}
+}
--- a/io/ggsedge/attempt.go
+++ b/io/ggsedge/attempt.go
@@ -51,7 +51,7 @@
 			e.giveUp(ctx, j, err)
 			return
 		}
-		choice, err := e.choose(j)
+		choice, err := e.chooseSoftware(j)
 		if err != nil {
 			e.giveUp(ctx, j, cmp.Or(noPermit, err))
 			return
@@ -96,12 +96,26 @@
 	}
 }
 
-func (e *Edge) choose(j *job) (ggsplace.Choice, error) {
+// chooseSoftware chooses an endpoint of the software version at which the request's stream has to begin or go on. A new
+// stream for which that has no endpoint may begin anywhere.
+func (e *Edge) chooseSoftware(j *job) (ggsplace.Choice, error) {
+	if j.software != "" {
+		return e.choose(j, j.software)
+	}
+	if v := e.origins.Begin(j.route, j.service); v != "" {
+		if c, err := e.choose(j, v); err == nil {
+			return c, nil
+		}
+	}
+	return e.choose(j, "")
+}
+
+func (e *Edge) choose(j *job, software ggscore.SoftwareVersion) (ggsplace.Choice, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	j.version = e.requiredVersion(j.meta.Model)
 	return e.table.Choose(e.Now(), ggsplace.Query{
-		Service: j.service, Engine: j.spec.Engine, Target: j.meta.Model, Version: j.version, Software: j.software, PromptTokens: j.meta.PromptTokens, Tried: j.tried,
+		Service: j.service, Engine: j.spec.Engine, Target: j.meta.Model, Version: j.version, Software: software, PromptTokens: j.meta.PromptTokens, Tried: j.tried,
 	})
 }
 
@@ -229,6 +243,9 @@
 	if err := e.crashes.Check(j.suspects, true); err != nil {
 		return e.notSent(j, i, err.Error())
 	}
+	if v := e.origins.Announce(j.route, i, j.meta.ID); v != "" {
+		j.software = v
+	}
 	left = j.deadline.Sub(e.Monotonic())
 	j.sends++
 	j.crashed = false
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -76,6 +76,11 @@
 	Orders ggscore.Key
 	// Crashes is the prefix of the VMs' records of endpoints' crashes. Only VMs that start read them.
 	Crashes ggscore.Key
+	// Software is the key of the register of software versions at which streams can have begun, and Origins the
+	// prefix of the VMs' journals of streams. VMs read them for resumed streams of which nobody knows. Without
+	// Software, neither is stored.
+	Software ggscore.Key
+	Origins  ggscore.Key
 }
 
 // A Codec decodes entries of the store.
@@ -300,10 +305,22 @@
 		VM: o.VM, Prefix: ggscore.KeyOf(string(o.Keys.Own), suspectPart), Crashes: o.Keys.Crashes, TimeOfDay: p.TimeOfDay, Store: e.Store, Reporter: e, Reader: e,
 		Epoch: e.epochs.current, RetryPause: e.retryPause, Now: p.Now, Log: p.Log,
 	})
-	e.origins = ggsorigins.NewTracker(ggsorigins.Options{Peers: e, ListComplete: e.listComplete, Now: p.Now, Log: p.Log})
+	e.origins = ggsorigins.NewTracker(e.originOptions())
 	return e
 }
 
+// originOptions returns the options of the tracker of streams' origins.
+func (e *Edge) originOptions() ggsorigins.Options {
+	o := ggsorigins.Options{
+		VM: e.options.VM, Peers: e, Register: e.options.Keys.Software, Journals: e.options.Keys.Origins, FirstStart: e.options.FirstStart,
+		RetryPause: e.retryPause, TimeOfDay: e.TimeOfDay, ListComplete: e.listComplete, Now: e.Now, Log: e.Log,
+	}
+	if e.options.Keys.Software != "" {
+		o.Store = e.Store
+	}
+	return o
+}
+
 // relayMember returns this VM as a member for ggsrelay.
 func (o *Options) relayMember() ggsrelay.Member {
 	return ggsrelay.Member{VM: o.VM, Domain: o.Domain, Region: o.Regions[o.Domain], Capacity: o.Capacity}
@@ -351,6 +368,7 @@
 	g.Go(func() error { return e.querySeeds(ctx) })
 	g.Go(func() error { return e.fetchNewer(ctx) })
 	g.Go(func() error { return e.crashes.Run(ctx) })
+	g.Go(func() error { return e.origins.Run(ctx) })
 	g.Go(func() error { return e.maintainPermits(ctx) })
 	return g.Wait()
 }
--- a/io/ggsedge/epoch.go
+++ b/io/ggsedge/epoch.go
@@ -110,8 +110,8 @@
 	return a
 }
 
-// epochChanged makes the loops read again whatever was read in the previous epoch. It takes no
-// lock.
+// epochChanged makes the loops read again whatever was read in the previous epoch. It takes only leaf
+// locks.
 func (e *Edge) epochChanged(c epochChange) {
 	if c.from > 0 {
 		_ = level.Info(e.Log).Log("event", ggslog.EventStoreEpochChanged, "from", c.from, "to", c.to, "revision", c.revision, "by", c.by)
@@ -119,6 +119,7 @@
 	notify(e.listNotified)
 	notify(e.operatorsNotified)
 	notify(e.membersNotified)
+	e.origins.Reread()
 }
 
 // resyncTime returns how long this VM took to read the store in the current epoch, or has
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -64,6 +64,10 @@
 	EventStreamNotResumed   Event = "streamNotResumed"
 	EventSoftwareMixed      Event = "softwareMixed"
 	EventOriginUnasked      Event = "originUnasked"
+	EventOriginsRead        Event = "originsRead"
+	EventOriginsUnstored    Event = "originsUnstored"
+	EventRegisterFailed     Event = "registerFailed"
+	EventRegisterWritten    Event = "registerWritten"
 	EventPartQuarantined    Event = "partQuarantined"
 	EventPartReleased       Event = "partReleased"
 	EventRequestQuarantined Event = "requestQuarantined"
@@ -82,9 +86,9 @@
 		EventEndpointLimited, EventEndpointRefused, EventEndpointUnlimited, EventEntryUnreadable,
 		EventHeartbeatFailed, EventHeartbeatRefused, EventHeartbeatUnencoded, EventHeartbeatUnsent, EventListening,
 		EventLoadFailed, EventLogDropped, EventLogSampled, EventNewerEntriesRead, EventOrderGiven,
-		EventOrdersClaimed, EventOrdersReleased, EventOrdersTakenOver, EventOrdersUnrecorded, EventOriginUnasked, EventPartFailed, EventPartQuarantined,
+		EventOrdersClaimed, EventOrdersReleased, EventOrdersTakenOver, EventOrdersUnrecorded, EventOriginUnasked, EventOriginsRead, EventOriginsUnstored, EventPartFailed, EventPartQuarantined,
 		EventPartReleased, EventPartUnread, EventPathsChanged, EventProcessStarted, EventReadFailed,
-		EventReadingDropped, EventRecordUnencoded, EventRecordUnreadable, EventReleaseUnencoded, EventRequestEnded,
+		EventReadingDropped, EventRegisterFailed, EventRegisterWritten, EventRecordUnencoded, EventRecordUnreadable, EventReleaseUnencoded, EventRequestEnded,
 		EventRequestQuarantined, EventRequestReleased,
 		EventPermitRefused, EventRequestSent, EventRequestsCut, EventRereadFailed, EventSeedAsked, EventServiceShedLimited,
 		EventSettingsReread, EventSoftwareMixed, EventStatusFailed, EventStopRequested, EventStoreEpochChanged,
--- a/io/ggsorigins/tracker.go
+++ b/io/ggsorigins/tracker.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsorigin"
@@ -32,11 +35,31 @@
 	SourceOwn   Source = "own"
 	SourceSole  Source = "sole"
 	SourcePeers Source = "peers"
+	SourceStore Source = "store"
 )
 
-// Options configures a Tracker. All fields are required.
+// A Store is the part of the platform's store that a Tracker uses.
+type Store interface {
+	ggscore.Txner
+	ggscore.Snapshotter
+}
+
+// Options configures a Tracker. Without a Store, nothing outlasts the VMs, and the fields that follow it aren't needed.
+// All other fields are required.
 type Options struct {
+	VM    ggscore.VMID
 	Peers ggscore.OriginPeers
+	Store Store
+	// Register is the key of the register of software versions, and Journals the prefix of the VMs' journals of
+	// streams.
+	Register ggscore.Key
+	Journals ggscore.Key
+	// FirstStart is set if the deployment starts for the first time.
+	FirstStart bool
+	// RetryPause returns the pause after a number of consecutive failed calls of the store.
+	RetryPause func(failures int) time.Duration
+	// TimeOfDay is the clock that VMs compare.
+	TimeOfDay func() time.Time
 	// ListComplete reports whether this VM's list of endpoints lacks none that another VM uses.
 	ListComplete func() bool
 	Now          func() time.Time
@@ -46,6 +69,11 @@
 // A Tracker knows where streams began. It is safe for concurrent use.
 type Tracker struct {
 	options Options
+	// registerNotified and journalNotified wake the loops that maintain the register and the journal.
+	registerNotified chan struct{}
+	journalNotified  chan struct{}
+	// reading is held while the register and the journals are read for resumed streams.
+	reading chan struct{}
 
 	mu      sync.Mutex
 	origins *ggsorigin.Table
@@ -54,6 +82,14 @@
 	copied map[ggscore.Service]bool
 	// timeouts are the longest timeouts of resumable streams by service, in all configurations.
 	timeouts map[ggscore.Service]time.Duration
+	stored   storedRegister
+	// changes counts the changes of the services' versions. before has the version that was the only one before a
+	// second one appeared.
+	changes int
+	before  map[ggscore.Service]ggscore.SoftwareVersion
+	journal []journaled
+	// storedReadAt is when the register was last read for a resumed stream.
+	storedReadAt time.Time
 }
 
 // NewTracker returns a Tracker without records.
@@ -61,7 +97,20 @@
 	return &Tracker{
 		options: o, origins: ggsorigin.NewTable(), census: ggsorigin.NewCensus(),
 		copied: map[ggscore.Service]bool{}, timeouts: map[ggscore.Service]time.Duration{},
+		before: map[ggscore.Service]ggscore.SoftwareVersion{}, reading: make(chan struct{}, 1),
+		registerNotified: make(chan struct{}, 1), journalNotified: make(chan struct{}, 1),
+	}
+}
+
+// Run maintains the register and this VM's journal in the store until the context ends.
+func (t *Tracker) Run(ctx context.Context) error {
+	if t.options.Store == nil {
+		return nil
 	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return t.maintainRegister(ctx) })
+	g.Go(func() error { return t.maintainJournal(ctx) })
+	return g.Wait()
 }
 
 // Reply returns what this VM knows of a stream's origin and of a service's software versions.
@@ -83,7 +132,58 @@
 	if !listComplete {
 		return "", false
 	}
-	return t.census.Sole(t.options.Now(), s, t.resumePeriod(s))
+	if v, ok := t.census.Sole(t.options.Now(), s, t.resumePeriod(s)); ok {
+		return v, true
+	}
+	v, ok := t.stored.register.Sole(s)
+	if !ok || !t.stored.current || !slices.Equal(t.census.Versions(s), []ggscore.SoftwareVersion{v}) {
+		return "", false
+	}
+	return v, true
+}
+
+// Begin returns the software version at which a new stream of a route has to begin, empty for any.
+func (t *Tracker) Begin(route *ggscore.Route, s ggscore.Service) ggscore.SoftwareVersion {
+	if t.options.Store == nil || !resumable(route) {
+		return ""
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.census.Mixed(s) {
+		return ""
+	}
+	return t.stored.register.Begin(t.census, s, t.before[s])
+}
+
+// Announce records that a stream is sent to an endpoint, if its service may have several versions. It returns the version
+// at which the request has to stay then, empty for any: the journal may be all that is left of the stream.
+func (t *Tracker) Announce(route *ggscore.Route, i ggscore.Instance, id ggscore.RequestID) ggscore.SoftwareVersion {
+	if t.options.Store == nil || !resumable(route) {
+		return ""
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.options.Now()
+	if _, settled := t.census.Sole(now, i.Service, t.resumePeriod(i.Service)); settled {
+		return ""
+	}
+	if !t.census.Mixed(i.Service) && len(t.stored.register[i.Service]) < 2 {
+		return ""
+	}
+	t.journal = append(t.recentStreams(now, t.journal), journaled{
+		origin: ggscore.StreamOrigin{Request: id, Service: i.Service, Software: i.Software}, at: now,
+	})
+	notify(t.journalNotified)
+	return i.Software
+}
+
+func resumable(r *ggscore.Route) bool { return r.Kind == ggscore.RouteStreaming && r.Resumable }
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
 // resumePeriod returns how long after its beginning a stream of a service may be resumed. Tracker.mu is held.
@@ -97,15 +197,32 @@
 	defer t.mu.Unlock()
 	for i := range rs {
 		r := &rs[i]
-		if r.Kind != ggscore.RouteStreaming || !r.Resumable {
+		if !resumable(r) {
 			continue
 		}
 		for _, g := range r.Targets {
+			if _, known := t.timeouts[g.Service]; !known {
+				t.expireRegister()
+			}
 			t.timeouts[g.Service] = max(t.timeouts[g.Service], r.Timeout)
 		}
 	}
 }
 
+// Reread has the register read again, after the store has come back from an older copy.
+func (t *Tracker) Reread() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expireRegister()
+}
+
+// expireRegister has the register read again before it is relied on. Tracker.mu is held.
+func (t *Tracker) expireRegister() {
+	t.changes++
+	t.stored.current = false
+	notify(t.registerNotified)
+}
+
 // Mixed reports whether a service has several software versions.
 func (t *Tracker) Mixed(s ggscore.Service) bool {
 	t.mu.Lock()
@@ -132,10 +249,28 @@
 	if own.Origin != nil {
 		return *own.Origin, SourceOwn, nil
 	}
+	o, source, replies, err := t.askPeers(ctx, route, s, id, own)
+	var unknown *ggsorigin.UnknownError
+	if !errors.As(err, &unknown) || t.options.Store == nil {
+		return o, source, err
+	}
+	t.readStored(ctx, s)
+	own = t.Reply(id, s)
+	if own.Origin != nil {
+		return *own.Origin, SourceStore, nil
+	}
+	o, err = ggsorigin.Decide(route, id, append(replies, own))
+	return o, SourceStore, err
+}
+
+// askPeers decides on a stream's origin by what this VM and its peers know. It returns their replies.
+func (t *Tracker) askPeers(
+	ctx context.Context, route *ggscore.Route, s ggscore.Service, id ggscore.RequestID, own ggscore.OriginReply,
+) (ggscore.StreamOrigin, Source, []ggscore.OriginReply, error) {
 	to := ggsorigin.Holders(id, t.options.Peers.LivePeers(), ggsorigin.Asked)
 	if len(to) == 0 {
 		o, err := ggsorigin.Decide(route, id, []ggscore.OriginReply{own})
-		return o, SourceSole, err
+		return o, SourceSole, nil, err
 	}
 	replies := t.ask(ctx, to, id, s)
 	if len(replies) > 0 {
@@ -143,7 +278,7 @@
 		replies = append(replies, own)
 	}
 	o, err := ggsorigin.Decide(route, id, replies)
-	return o, SourcePeers, err
+	return o, SourcePeers, replies, err
 }
 
 // ask asks VMs for a stream's origin, until one knows it, all have replied, or askTimeout.
@@ -210,7 +345,20 @@
 func (t *Tracker) ObserveList(list []ggscore.Instance) {
 	t.mu.Lock()
 	now := t.options.Now()
+	versions := map[ggscore.Service][]ggscore.SoftwareVersion{}
+	for s := range t.timeouts {
+		versions[s] = t.census.Versions(s)
+	}
 	mixed := t.census.Observe(now, list)
+	for s, vs := range versions {
+		if slices.Equal(vs, t.census.Versions(s)) {
+			continue
+		}
+		if len(vs) == 1 {
+			t.before[s] = vs[0]
+		}
+		t.expireRegister()
+	}
 	var os []ggscore.StreamOrigin
 	for _, s := range mixed {
 		os = append(os, t.origins.Recent(now, s, t.resumePeriod(s))...)
