fix(ggsengine): a status that promises isn't forwarded from endpoints

Callers of our own interface got a plain service's 408, 421 or 429, and an engine's 408 or 421, after the request had run: the same class as at the edge, a status that is the promise passed on without the endpoint's word. They count now as 503 did: not run with the outcome notRun in an answer that names the request, else unknown.

--- a/io/ggsengine/client.go
+++ b/io/ggsengine/client.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// Call implements ggscore.PlainCaller. Answers with any status except 503 are forwarded
-// to the sink. For a 503, Call returns a CallError, with NotSent set if the outcome is
+// Call implements ggscore.PlainCaller. Answers with any status except 408, 421, 429 and 503 are
+// forwarded to the sink. For these, Call returns a CallError, with NotSent set if the outcome is
 // notRun.
 func (c *Client) Call(ctx context.Context, addr netip.AddrPort, r *ggscore.Request, sink ggscore.ChunkSink) error {
 	x := &exchange{
--- a/io/ggsengine/doc.go
+++ b/io/ggsengine/doc.go
@@ -19,7 +19,7 @@
 //
 //   - No byte of the request was written to a connection, as recorded by ggsconn.
 //   - The engine answered 404 with the kind adapterNotLoaded.
-//   - The endpoint answered 503 with the outcome notRun.
+//   - The endpoint answered 408, 421, 429 or 503 with the outcome notRun.
 //
 // An answer is complete when its stream ended with the event [DONE], or when its body
 // ended at its Content-Length or at its last HTTP chunk. A body that ends with its
--- a/io/ggsengine/exchange.go
+++ b/io/ggsengine/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsanswer"
 	"greengageslip/io/ggsconn"
 )
 
@@ -139,22 +140,24 @@
 	case !x.plain && s == http.StatusNotFound && w.Error.Kind == kindAdapterNotLoaded:
 		err.NotSent = true
 		err.Kind = ggscore.FailureAdapterMissing
-	case s == http.StatusServiceUnavailable && w.Error.Outcome == outcomeNotRun:
+	case ggsanswer.Promises(s) && w.Error.Outcome == outcomeNotRun:
 		err.NotSent = true
 	}
 	return err
 }
 
-// forwards reports whether an answer with the status is forwarded to the caller. Answers
-// of plain services are forwarded with any status except 503. Answers of engines are
-// forwarded if they report success or an error in the caller's request, which is any 4xx
-// status except 404 and 429.
+// forwards reports whether an answer with the status is forwarded to the caller. A status
+// that promises that the request has not run never is. Other answers of plain services are
+// forwarded with any status, and those of engines if they report success or an error in the
+// caller's request, which is any 4xx status except 404.
 func (x *exchange) forwards(status int) bool {
+	if ggsanswer.Promises(status) {
+		return false
+	}
 	if x.plain {
-		return status != http.StatusServiceUnavailable
+		return true
 	}
-	switch status {
-	case http.StatusNotFound, http.StatusTooManyRequests:
+	if status == http.StatusNotFound {
 		return false
 	}
 	success := status >= http.StatusOK && status < http.StatusMultipleChoices
--- a/io/ggsengine/fault_test.go
+++ b/io/ggsengine/fault_test.go
@@ -167,6 +167,9 @@
 		"no answer":                           {"", expectedFailure{false, ggscore.FailureBroken}},
 		"truncated status line":               {"HTTP/1.1 2", expectedFailure{false, ggscore.FailureBroken}},
 		"too many requests":                   {answer("429 Too Many Requests", ""), expectedFailure{false, ggscore.FailureEndpoint}},
+		"too many requests, not run":          {answer("429 Too Many Requests", notRun), expectedFailure{true, ggscore.FailureEndpoint}},
+		"request timeout":                     {answer("408 Request Timeout", "{}"), expectedFailure{false, ggscore.FailureEndpoint}},
+		"misdirected":                         {answer("421 Misdirected Request", "{}"), expectedFailure{false, ggscore.FailureEndpoint}},
 		"internal error":                      {answer("500 Internal Server Error", "{}"), expectedFailure{false, ggscore.FailureEndpoint}},
 		"404 with another kind":               {answer("404 Not Found", `{"error":{"kind":"noSuchPath"}}`), expectedFailure{false, ggscore.FailureEndpoint}},
 	} {
@@ -184,6 +187,24 @@
 	}
 }
 
+// Guards against a plain service's status that callers take for a promise after their request has run.
+func TestStatusThatPromisesIsNotForwarded(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"408 Request Timeout", "421 Misdirected Request", "429 Too Many Requests", "503 Service Unavailable"} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			e := newRawEndpoint(c, func(int) (string, bool) {
+				return "HTTP/1.1 " + status + "\r\nX-Request-Id: q1\r\nContent-Length: 4\r\n\r\nfull", true
+			})
+			var got collector
+			err := newClient(c, ggsengine.DefaultSettings()).Call(ggsfakebench.Context(c), e.addr, release("{}"), got.collect)
+			assertFailure(c, err, expectedFailure{false, ggscore.FailureEndpoint})
+			c.Assert(got.chunks, qt.HasLen, 0)
+		})
+	}
+}
+
 // Guards against a truncated answer that looks complete. It occurs when the connection
 // closes where the end of the body could be assumed. A final chunk must follow only a
 // proper end.
