fix(ggsgateway): 429 and 503 are sent only if the request has not run

Callers of our own interface got 503 with the outcome unknown when the claim of their key couldn't be recorded or an earlier request with it may have run: the status promises what the body denies. The kind alone chose the status. With another outcome than notRun it is 504 for cancelled and 502 else; Retry-After stays, as a key makes the repetition safe.

--- a/io/ggsgateway/answer.go
+++ b/io/ggsgateway/answer.go
@@ -10,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsanswer"
 )
 
 // maxBufferedBytes bounds the part of an unstreamed answer that is buffered until the
@@ -112,8 +113,21 @@
 	}}
 }
 
-// statusOf returns the HTTP status for a kind of failure.
-func statusOf(k ggscore.FailureKind) int {
+// statusOf returns the HTTP status for a failure. Callers take some statuses for the promise that their request has not
+// run, so a failure without that outcome has another one.
+func statusOf(f *ggscore.Failure) int {
+	s := statusOfKind(f.Kind)
+	switch {
+	case f.Outcome == ggscore.OutcomeNotRun || !ggsanswer.Promises(s):
+		return s
+	case f.Kind == ggscore.FailureCancelled:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// statusOfKind returns the HTTP status for a failure of a request that has not run.
+func statusOfKind(k ggscore.FailureKind) int {
 	switch k {
 	case ggscore.FailureBadRequest:
 		return http.StatusBadRequest
@@ -140,5 +154,5 @@
 	if f.RetryAfter > 0 {
 		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
 	}
-	c.JSON(statusOf(f.Kind), bodyOf(c.GetString(headerRequestID), f))
+	c.JSON(statusOf(f), bodyOf(c.GetString(headerRequestID), f))
 }
--- a/io/ggsgateway/answer_test.go
+++ b/io/ggsgateway/answer_test.go
@@ -1,6 +1,7 @@
 package ggsgateway
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -9,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsanswer"
 )
 
 // Guards against an answer that reaches the caller with chunks missing or repeated. It
@@ -36,3 +38,21 @@
 		})
 	}
 }
+
+// Guards against a status that callers take for a promise although their request may have run.
+func TestStatusPromisesOnlyWhatTheOutcomeDoes(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	for _, k := range []ggscore.FailureKind{
+		ggscore.FailureOverLimit, ggscore.FailureNoCapacity, ggscore.FailureStopping, ggscore.FailurePlatformUnavailable, ggscore.FailureNoDocument,
+		ggscore.FailureNotOwner, ggscore.FailureAdapterMissing, ggscore.FailureCancelled, ggscore.FailureQuarantined, ggscore.FailureEndpoint, ggscore.FailureBroken,
+	} {
+		for _, o := range []ggscore.Outcome{ggscore.OutcomeUnknown, ggscore.OutcomeDone} {
+			s := statusOf(&ggscore.Failure{Kind: k, Outcome: o})
+			c.Check(ggsanswer.Promises(s), qt.IsFalse, qt.Commentf("%s, %s: %d", k, o, s))
+		}
+	}
+	c.Check(statusOf(&ggscore.Failure{Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun}), qt.Equals, http.StatusServiceUnavailable)
+	c.Check(statusOf(&ggscore.Failure{Kind: ggscore.FailureOverLimit, Outcome: ggscore.OutcomeNotRun}), qt.Equals, http.StatusTooManyRequests)
+	c.Check(statusOf(&ggscore.Failure{Kind: ggscore.FailureCancelled, Outcome: ggscore.OutcomeUnknown}), qt.Equals, http.StatusGatewayTimeout)
+}
--- a/io/ggsgateway/doc.go
+++ b/io/ggsgateway/doc.go
@@ -37,6 +37,9 @@
 //	502 endpoint, broken, wrongAdapter, internal
 //	503 noCapacity, stopping, platformAway, noDocument, adapterMissing, cancelled
 //
+// 429 and 503 are sent with the outcome notRun only. With another outcome, the status is 504 for
+// cancelled and 502 otherwise.
+//
 // A streamed answer that fails after its start ends with an event "error" that
 // contains the same object. For an answer that isn't streamed and fails after its
 // first megabyte, the gateway closes the connection. The header X-Load-Stall is
