fix(ggsexchange): an answer to a long request is read while the request is written

Callers with long bodies got an answer that their endpoint had sent at once, a refusal too, only at their deadline, as 504, if the endpoint didn't read the rest: the request was written whole before a byte of the answer was read. Requests above 16 kB are written beside the reading now; a connection is reused only once its request is known to be written, so that an endpoint that reads on later gets no other bytes.

Red before: TestAnswerIsReadBesideALongRequest (32 MB; the play without the fix was ended after ten minutes). Played with it, and green before too, since the buffers of a loopback connection hold 60 kB: seven forms of answers before the body, five that come after the deadline, and a VM that stops while requests run.

--- a/cmd/ggsnode/edge_refusal_test.go
+++ b/cmd/ggsnode/edge_refusal_test.go
@@ -1,10 +1,12 @@
 package ggsnode
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -143,9 +145,7 @@
 // checkRefusals has all endpoints answer with a script, and checks what callers of VM 0 are told.
 func (s *siteTest) checkRefusals(f refusalForm) {
 	s.c.Helper()
-	for _, e := range s.site.Endpoints {
-		e.SetScript(&f.script)
-	}
+	s.setScript(&f.script)
 	for _, path := range []string{"/pay/1", "/chat/1", "/tell/1", "/look/1"} {
 		r := s.call(0, http.MethodPost, path, "", "{}")
 		runs := s.site.Runs()[r.id]
@@ -158,3 +158,107 @@
 		}
 	}
 }
+
+// Guards against a long request whose endpoint answers before it has read it all: that its answer is late, or that its
+// caller is told what the endpoint hasn't said.
+func TestLongRequestAnsweredBeforeItIsRead(t *testing.T) {
+	t.Parallel()
+	const (
+		mine   = "Request-Id: $ID\r\n"
+		end    = "Content-Length: 0\r\n\r\n"
+		prompt = 600 * time.Millisecond
+	)
+	body := strings.Repeat("a", 60<<10)
+	for name, tc := range map[string]struct {
+		script ggsfakesite.Script
+		want   int
+	}{
+		"refused":          {ggsfakesite.Script{Text: "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + mine + end, NotRun: true}, 503},
+		"503 alone":        {ggsfakesite.Script{Text: "HTTP/1.1 503 Service Unavailable\r\n" + mine + end}, 502},
+		"served":           {ggsfakesite.Script{Text: "HTTP/1.1 200 OK\r\nServer-Stamp: $STAMP\r\n" + mine + end}, 200},
+		"failed":           {ggsfakesite.Script{Text: "HTTP/1.1 500 Internal Server Error\r\nServer-Stamp: $STAMP\r\n" + mine + end}, 500},
+		"refused for none": {ggsfakesite.Script{Text: "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + end}, 502},
+		"reset":            {ggsfakesite.Script{Reset: true}, 502},
+		"closed":           {ggsfakesite.Script{Close: true}, 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, 1)
+			tc.script.BeforeBody = true
+			s.setScript(&tc.script)
+			begun := time.Now()
+			r := s.call(0, http.MethodPost, "/pay/1", "", body)
+			what := qt.Commentf("%d %q after %s", r.status, r.body, time.Since(begun))
+			s.c.Check(r.status, qt.Equals, tc.want, what)
+			s.c.Check(time.Since(begun) < prompt, qt.IsTrue, what)
+			s.c.Check(s.site.Runs()[r.id] <= 1, qt.IsTrue, what)
+			s.setScript(nil)
+			r = s.call(0, http.MethodPost, "/pay/1", "", body)
+			s.c.Check(s.site.Runs()[r.id] <= 1, qt.IsTrue)
+			s.c.Check(r.status != http.StatusOK || strings.Contains(r.body, r.id), qt.IsTrue, qt.Commentf("%q", r.body))
+		})
+	}
+}
+
+// Guards against a promise after a deadline, to the caller of a request that its endpoint runs or answers afterwards.
+func TestLateRefusalIsNoPromise(t *testing.T) {
+	t.Parallel()
+	const late = 1500 * time.Millisecond
+	for name, x := range map[string]ggsfakesite.Script{
+		"refused late":    {Text: "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRequest-Id: $ID\r\nContent-Length: 0\r\n\r\n", Delay: late},
+		"served late":     {Text: "HTTP/1.1 200 OK\r\nServer-Stamp: $STAMP\r\nRequest-Id: $ID\r\nContent-Length: 0\r\n\r\n", Delay: late},
+		"closed late":     {Close: true, Delay: late},
+		"reset late":      {Reset: true, Delay: late},
+		"head unfinished": {Text: "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRequest-Id: $ID\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, 1)
+			s.setScript(&x)
+			r := s.call(0, http.MethodPost, "/pay/1", "", "{}")
+			s.c.Check(r.status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%q", r.body))
+			s.c.Check(s.site.Runs()[r.id], qt.Equals, 1)
+			s.setScript(nil)
+			for range 8 {
+				r := s.call(0, http.MethodPost, "/pay/1", "", "{}")
+				s.c.Check(!promisesNotRun(r.status) || s.site.Runs()[r.id] == 0, qt.IsTrue)
+				s.c.Check(r.status != http.StatusOK || strings.Contains(r.body, r.id), qt.IsTrue, qt.Commentf("%q", r.body))
+			}
+		})
+	}
+}
+
+// Guards against a promise to the callers of requests that run while their VM stops, or that run on after it.
+func TestStopOfAVMPromisesNothingOfWhatRuns(t *testing.T) {
+	t.Parallel()
+	for name, delay := range map[string]time.Duration{"ends in time": 500 * time.Millisecond, "outlasts the VM": 10 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSiteOptions(t, 2, ggsfakesite.SiteOptions{}, func(s *siteTest, n int) { s.startEdge(t, n) })
+			s.setScript(&ggsfakesite.Script{
+				Text: "HTTP/1.1 200 OK\r\nServer-Stamp: $STAMP\r\nRequest-Id: $ID\r\nContent-Length: 0\r\n\r\n", Delay: delay,
+			})
+			replies := make(chan reply, 8)
+			for n := range cap(replies) {
+				path := []string{"/pay/1", "/chat/1", "/tell/1", "/look/1"}[n%4]
+				go func() {
+					replies <- s.callWith(context.Background(), 0, http.MethodPost, path, "{}", http.Header{"Deadline-Ms": {"12000"}})
+				}()
+			}
+			s.eventually("requests run", func() bool { return len(s.site.Runs()) >= cap(replies)/2 })
+			s.edges[0].cancel()
+			for range cap(replies) {
+				r := <-replies
+				runs := s.site.Runs()[r.id]
+				s.c.Check(!promisesNotRun(r.status) || runs == 0, qt.IsTrue, qt.Commentf("%s: %d %q, runs %d", r.id, r.status, r.body, runs))
+			}
+		})
+	}
+}
+
+// setScript has all endpoints answer with a script, or no longer if it is nil.
+func (s *siteTest) setScript(x *ggsfakesite.Script) {
+	for _, e := range s.site.Endpoints {
+		e.SetScript(x)
+	}
+}
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -308,6 +308,15 @@
 	}
 }
 
+// recordRun records the run of a request that is answered by a script before its body was read.
+func (e *Endpoint) recordRun(id string, x *Script) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !x.NotRun {
+		e.runs[id]++
+	}
+}
+
 // refuseMisdirected answers a request that another process, model or adapter is wanted for.
 func refuseMisdirected(w http.ResponseWriter, id string) {
 	h := w.Header()
@@ -320,6 +329,11 @@
 
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
+	if x := e.scripted(true); x != nil {
+		e.recordRun(id, x)
+		e.answerScript(w, id, x)
+		return
+	}
 	b, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/io/ggsexchange/exchange.go
+++ b/io/ggsexchange/exchange.go
@@ -28,6 +28,10 @@
 // maxHeadBytes bounds the head of an answer. An endless head would exhaust the process's memory.
 const maxHeadBytes = 64 << 10
 
+// maxSyncBytes is the size up to which a request is written before its answer is read. A connection's buffers hold as
+// much, so that an endpoint that answers first doesn't keep the write waiting.
+const maxSyncBytes = 16 << 10
+
 // noLimit disables the limit of a limitedReader when it is set as remaining.
 const noLimit = -1
 
@@ -101,6 +105,8 @@
 	closer   *lingeringCloser
 	once     sync.Once
 	complete bool
+	// written has the result of a write that goes on beside the answer, nil once the request is known to be written.
+	written <-chan error
 }
 
 // A Framing is what shows the end of an answer's body.
@@ -209,13 +215,39 @@
 }
 
 func (p *Pool) exchange(c *conn, r Request) (*Answer, error) {
-	if _, err := c.Write(encode(r)); err != nil {
-		// An endpoint may answer and close before it has read a long body. Its answer is more
-		// specific than the write error.
-		if len(r.Body) == 0 {
-			return nil, err
+	written, err := write(c, r)
+	if err != nil {
+		return nil, err
+	}
+	a, err := p.readAnswer(c, r)
+	if err != nil {
+		return nil, err
+	}
+	a.written = written
+	return a, nil
+}
+
+// write writes the request. The rest of a long one is written while its answer is read: an endpoint may answer before it
+// has read the body, and close or read on later. Its answer is more specific than an error of the write.
+func write(c *conn, r Request) (<-chan error, error) {
+	b := encode(r)
+	if len(b) <= maxSyncBytes {
+		_, err := c.Write(b)
+		if len(r.Body) > 0 {
+			err = nil
 		}
+		return nil, err
 	}
+	written := make(chan error, 1)
+	go func() {
+		_, err := c.Write(b)
+		written <- err
+	}()
+	return written, nil
+}
+
+// readAnswer reads the head of the request's answer.
+func (p *Pool) readAnswer(c *conn, r Request) (*Answer, error) {
 	req := &http.Request{Method: r.Method}
 	var got []string
 	for range maxMismatched {
@@ -272,7 +304,7 @@
 // and was read to its end, and closes the connection otherwise.
 func (a *Answer) Close() {
 	a.once.Do(func() {
-		if !a.closer.stop() || !a.complete || a.Framing == FramingClose || a.resp.Close || a.conn.r.Buffered() > 0 {
+		if !a.closer.stop() || !a.complete || !a.wrote() || a.Framing == FramingClose || a.resp.Close || a.conn.r.Buffered() > 0 {
 			a.pool.discard(a.conn)
 			return
 		}
@@ -280,6 +312,19 @@
 	})
 }
 
+// wrote reports whether the whole request has been written.
+func (a *Answer) wrote() bool {
+	if a.written == nil {
+		return true
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
 // Abort closes the connection.
 func (a *Answer) Abort() { a.closer.close() }
 
--- a/io/ggsexchange/pool_test.go
+++ b/io/ggsexchange/pool_test.go
@@ -340,3 +340,57 @@
 	c.Assert(errors.As(err, &call), qt.IsTrue)
 	<-closed
 }
+
+// Guards against an answer that is read only once a long request has been written, which its endpoint may never read.
+func TestAnswerIsReadBesideALongRequest(t *testing.T) {
+	t.Parallel()
+	const long = 32 << 20
+	for name, tc := range map[string]struct {
+		// reads is set if the endpoint reads on once it has answered.
+		reads bool
+	}{
+		"endpoint reads on later": {reads: true},
+		"endpoint never reads":    {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				n, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = n.Close() }()
+				r := bufio.NewReader(n)
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(n, okAnswer("1", "mine"))
+				if tc.reads {
+					_, _ = io.Copy(io.Discard, r)
+					return
+				}
+				<-ctx.Done()
+			}()
+			p := pool(t)
+			a, err := p.Do(ctx, ggsexchange.Request{
+				Addr: netip.MustParseAddrPort(l.Addr().String()), Method: http.MethodPost, URI: "/", Host: "h", ID: "1", IDHeader: idHeader,
+				Body: make([]byte, long),
+			})
+			c.Assert(err, qt.IsNil)
+			b, err := io.ReadAll(a.Body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(b), qt.Equals, "mine")
+			a.Close()
+			cancel()
+			_ = l.Close()
+			<-closed
+		})
+	}
+}
