refactor: one pair of functions reads and writes single records of the store

The records of orders, of crashes, the register and the journals each had the same read of a key among those of its prefix and the same conditional write. io/ggsrecord has both. The stand-in's run became too long with scripts; its question whether a request runs is asked in one line.

--- a/fakes/ggsfakesite/endless.go
+++ b/fakes/ggsfakesite/endless.go
@@ -24,6 +24,8 @@
 	NotRun bool
 }
 
+func (x *Endless) notRun() bool { return x != nil && x.NotRun }
+
 // SetEndless lets the endpoint send an endless answer to each request, or no longer if it is nil.
 func (e *Endpoint) SetEndless(x *Endless) {
 	e.mu.Lock()
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -304,6 +304,11 @@
 	case "/greengageslip/report":
 		e.report(w)
 	default:
+		if x := e.scripted(true); x != nil {
+			e.recordRun(r.Header.Get("Request-Id"), x)
+			e.answerScript(w, r.Header.Get("Request-Id"), x)
+			return
+		}
 		e.run(w, r)
 	}
 }
@@ -329,11 +334,6 @@
 
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
-	if x := e.scripted(true); x != nil {
-		e.recordRun(id, x)
-		e.answerScript(w, id, x)
-		return
-	}
 	b, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -353,7 +353,7 @@
 	crashesLater := e.hasCrashingPath(r)
 	missing := e.missing(r)
 	endless, script := e.endless, e.script
-	if f != FaultRefuse && !missing && (endless == nil || !endless.NotRun) && (script == nil || !script.NotRun) {
+	if f != FaultRefuse && !missing && !endless.notRun() && !script.notRun() {
 		e.runs[id]++
 		e.runSoftware[id] = e.software
 		e.lastRun = e.options.Now()
--- a/fakes/ggsfakesite/script.go
+++ b/fakes/ggsfakesite/script.go
@@ -23,6 +23,8 @@
 	Reset bool
 }
 
+func (x *Script) notRun() bool { return x != nil && x.NotRun }
+
 // scriptPause is the time after which an endpoint reads a body that it has answered before.
 const scriptPause = time.Second
 
--- a/io/ggscrash/stored.go
+++ b/io/ggscrash/stored.go
@@ -10,6 +10,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/io/ggslog"
+	"greengageslip/io/ggsrecord"
 )
 
 const (
@@ -23,12 +24,6 @@
 	storedReader = "store"
 )
 
-// A Store is the part of the platform's store that a Tracker uses.
-type Store interface {
-	ggscore.Txner
-	ggscore.Snapshotter
-}
-
 // A crashesRecord has the crashes that a VM knows, as JSON. They are read by VMs that start, since no VM remembers them
 // once all have restarted.
 type crashesRecord struct {
@@ -157,34 +152,24 @@
 
 func (t *Tracker) storeReports(ctx context.Context, s *storedCrashes, rs []ggscore.CrashReport) error {
 	if !s.known {
-		es, at, err := t.options.Store.Snapshot(ctx, s.key, false)
+		_, at, err := ggsrecord.Read(ctx, t.options.Store, s.key)
 		if err != nil {
 			return err
 		}
-		s.at, s.known = ggscore.StorePosition{Epoch: at.Epoch}, true
-		for _, n := range es {
-			if n.Key == s.key {
-				s.at.Revision = n.Revision
-			}
-		}
+		s.at, s.known = at, true
 	}
-	v, err := json.Marshal(crashesRecordOf(t.options.TimeOfDay(), rs))
-	if err != nil {
-		return errors.Wrap(err, "encoding the record of crashes")
-	}
-	x := ggscore.Txn{Epoch: s.at.Epoch, Conditions: []ggscore.TxnCondition{{Key: s.key, Revision: s.at.Revision}}}
+	var v []byte
 	if len(rs) > 0 {
-		x.Writes = []ggscore.TxnWrite{{Key: s.key, Value: v}}
-	} else {
-		x.Deletes = []ggscore.Key{s.key}
+		b, err := json.Marshal(crashesRecordOf(t.options.TimeOfDay(), rs))
+		if err != nil {
+			return errors.Wrap(err, "encoding the record of crashes")
+		}
+		v = b
 	}
-	at, err := t.options.Store.Txn(ctx, x)
+	at, err := ggsrecord.Write(ctx, t.options.Store, s.key, v, s.at)
 	if err != nil {
 		return err
 	}
 	s.at, s.exists = at, len(rs) > 0
-	if !s.exists {
-		s.at.Revision = 0
-	}
 	return nil
 }
--- a/io/ggscrash/tracker.go
+++ b/io/ggscrash/tracker.go
@@ -10,6 +10,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsquarantine"
+	"greengageslip/io/ggsrecord"
 )
 
 // Options configures a Tracker. All fields but Crashes and TimeOfDay are required.
@@ -21,7 +22,7 @@
 	// compare for their age.
 	Crashes   ggscore.Key
 	TimeOfDay func() time.Time
-	Store     Store
+	Store     ggsrecord.Store
 	Reporter  ggscore.CrashReporter
 	Reader    ggscore.CrashReader
 	// Epoch returns the store's epoch.
--- a/io/ggsedge/orderlog.go
+++ b/io/ggsedge/orderlog.go
@@ -13,6 +13,7 @@
 	"greengageslip/core/ggsgossip"
 	"greengageslip/core/ggsresident"
 	"greengageslip/io/ggslog"
+	"greengageslip/io/ggsrecord"
 )
 
 // blockedPause is the pause of a worker whose orders wait until an unanswered one is recorded, unless the
@@ -154,9 +155,7 @@
 	if err != nil {
 		return err
 	}
-	stored, err := e.Store.Txn(ctx, ggscore.Txn{
-		Epoch: at.Epoch, Conditions: []ggscore.TxnCondition{{Key: k, Revision: at.Revision}}, Writes: []ggscore.TxnWrite{{Key: k, Value: v}},
-	})
+	stored, err := ggsrecord.Write(ctx, e.Store, k, v, at)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err != nil {
@@ -173,27 +172,24 @@
 // readOrders reads the record of the unanswered orders to an endpoint.
 func (e *Edge) readOrders(ctx context.Context, id ggscore.EndpointID, l *orderLog) error {
 	k := e.orderLogKey(id)
-	es, at, err := e.Store.Snapshot(ctx, k, false)
+	v, at, err := ggsrecord.Read(ctx, e.Store, k)
 	if err != nil {
 		_ = level.Info(e.Log).Log("event", ggslog.EventOrdersUnrecorded, "endpoint", id, "err", err)
 		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l.read, l.at = true, ggscore.StorePosition{Epoch: at.Epoch}
-	for _, n := range es {
-		if n.Key != k {
-			continue
-		}
-		l.at.Revision = n.Revision
-		var r orderLogRecord
-		if err := json.Unmarshal(n.Value, &r); err != nil {
-			_ = level.Warn(e.Log).Log("event", ggslog.EventRecordUnreadable, "key", n.Key, "revision", n.Revision, "err", err)
-		}
-		if r.Process != e.process() && l.at != l.inherited {
-			l.inherited = l.at
-			l.unanswered.Inherit(e.Now(), ggsresident.OrderRecord{Expected: r.Expected, Takeovers: r.Takeovers})
-		}
+	l.read, l.at = true, at
+	if at.Revision == 0 {
+		return nil
+	}
+	var r orderLogRecord
+	if err := json.Unmarshal(v, &r); err != nil {
+		_ = level.Warn(e.Log).Log("event", ggslog.EventRecordUnreadable, "key", k, "revision", at.Revision, "err", err)
+	}
+	if r.Process != e.process() && l.at != l.inherited {
+		l.inherited = l.at
+		l.unanswered.Inherit(e.Now(), ggsresident.OrderRecord{Expected: r.Expected, Takeovers: r.Takeovers})
 	}
 	return nil
 }
--- a/io/ggsorigins/journal.go
+++ b/io/ggsorigins/journal.go
@@ -10,6 +10,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/io/ggslog"
+	"greengageslip/io/ggsrecord"
 )
 
 const (
@@ -139,9 +140,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding the journal of streams")
 	}
-	at, err := t.options.Store.Txn(ctx, ggscore.Txn{
-		Epoch: w.at.Epoch, Conditions: []ggscore.TxnCondition{{Key: w.key, Revision: w.at.Revision}}, Writes: []ggscore.TxnWrite{{Key: w.key, Value: v}},
-	})
+	at, err := ggsrecord.Write(ctx, t.options.Store, w.key, v, w.at)
 	if err != nil {
 		return err
 	}
@@ -177,25 +176,22 @@
 
 // readOwnJournal finds the journal's position, and takes over what a previous process has written.
 func (t *Tracker) readOwnJournal(ctx context.Context, w *journalWriter) error {
-	es, at, err := t.options.Store.Snapshot(ctx, w.key, false)
+	v, at, err := ggsrecord.Read(ctx, t.options.Store, w.key)
 	if err != nil {
 		return err
 	}
-	first := w.inherited == nil
-	w.at, w.known = ggscore.StorePosition{Epoch: at.Epoch}, true
-	for _, n := range es {
-		if n.Key != w.key {
-			continue
-		}
-		w.at.Revision = n.Revision
-		if r, ok := t.decodeJournal(n); ok && first {
-			for _, o := range r.origins() {
-				w.inherited = append(w.inherited, journaled{origin: o, at: t.options.Now()})
-			}
-		}
+	w.at, w.known = at, true
+	if w.inherited != nil {
+		return nil
+	}
+	w.inherited = []journaled{}
+	if at.Revision == 0 {
+		return nil
 	}
-	if w.inherited == nil {
-		w.inherited = []journaled{}
+	if r, ok := t.decodeJournal(ggscore.Entry{Key: w.key, Value: v, Revision: at.Revision}); ok {
+		for _, o := range r.origins() {
+			w.inherited = append(w.inherited, journaled{origin: o, at: t.options.Now()})
+		}
 	}
 	return nil
 }
--- a/io/ggsorigins/register.go
+++ b/io/ggsorigins/register.go
@@ -12,6 +12,7 @@
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsorigin"
 	"greengageslip/io/ggslog"
+	"greengageslip/io/ggsrecord"
 )
 
 const (
@@ -152,20 +153,15 @@
 	t.mu.Lock()
 	changes := t.changes
 	t.mu.Unlock()
-	es, at, err := t.options.Store.Snapshot(ctx, t.options.Register, false)
+	v, at, err := ggsrecord.Read(ctx, t.options.Store, t.options.Register)
 	if err != nil {
 		_ = level.Info(t.options.Log).Log("event", ggslog.EventRegisterFailed, "err", err)
 		return err
 	}
 	var w registerRecord
-	at.Revision = 0
-	for _, n := range es {
-		if n.Key != t.options.Register {
-			continue
-		}
-		at.Revision = n.Revision
-		if err := json.Unmarshal(n.Value, &w); err != nil {
-			_ = level.Warn(t.options.Log).Log("event", ggslog.EventRecordUnreadable, "key", n.Key, "revision", n.Revision, "err", err)
+	if at.Revision > 0 {
+		if err := json.Unmarshal(v, &w); err != nil {
+			_ = level.Warn(t.options.Log).Log("event", ggslog.EventRecordUnreadable, "key", t.options.Register, "revision", at.Revision, "err", err)
 		}
 	}
 	r := ggsorigin.Register{}
@@ -184,10 +180,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding the register of software versions")
 	}
-	k := t.options.Register
-	written, err := t.options.Store.Txn(ctx, ggscore.Txn{
-		Epoch: at.Epoch, Conditions: []ggscore.TxnCondition{{Key: k, Revision: at.Revision}}, Writes: []ggscore.TxnWrite{{Key: k, Value: v}},
-	})
+	written, err := ggsrecord.Write(ctx, t.options.Store, t.options.Register, v, at)
 	_ = level.Info(t.options.Log).Log("event", ggslog.EventRegisterWritten, "services", len(r), "err", err)
 	if err != nil {
 		return err
--- a/io/ggsorigins/tracker.go
+++ b/io/ggsorigins/tracker.go
@@ -14,6 +14,7 @@
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsorigin"
 	"greengageslip/io/ggslog"
+	"greengageslip/io/ggsrecord"
 )
 
 const (
@@ -38,18 +39,12 @@
 	SourceStore Source = "store"
 )
 
-// A Store is the part of the platform's store that a Tracker uses.
-type Store interface {
-	ggscore.Txner
-	ggscore.Snapshotter
-}
-
 // Options configures a Tracker. Without a Store, nothing outlasts the VMs, and the fields that follow it aren't needed.
 // All other fields are required.
 type Options struct {
 	VM    ggscore.VMID
 	Peers ggscore.OriginPeers
-	Store Store
+	Store ggsrecord.Store
 	// Register is the key of the register of software versions, and Journals the prefix of the VMs' journals of
 	// streams.
 	Register ggscore.Key
