fix(ggsedge): a Content-Encoding without a value is one too

An answer that has the header isn't the endpoint's body, whatever its value. Red before: 503 stated, encoded as none, 503 for a request that had run.

--- a/cmd/ggsnode/edge_refusal_test.go
+++ b/cmd/ggsnode/edge_refusal_test.go
@@ -93,6 +93,7 @@
 		"504 stated":                   {ran(late + signed + final), 502},
 		"599 stated":                   {ran(status("599 Unknown") + final), 502},
 		"503 stated, encoded":          {ran(unavailable + "Content-Encoding: gzip\r\n" + final), 502},
+		"503 stated, encoded as none":  {ran(unavailable + "Content-Encoding:\r\n" + final), 502},
 		"500 encoded":                  {ran(failed + signed + mine + "Content-Encoding: gzip\r\n" + empty), 502},
 		"404 unsigned":                 {ran(status("404 Not Found") + mine + empty), 502},
 		"404 signed":                   {ran(status("404 Not Found") + signed + mine + empty), 404},
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -41,7 +41,7 @@
 	m := e.Dialect.Answer(a.Status, a.Header)
 	v, err := ggsanswer.Judge(ggsanswer.Answer{
 		Status: a.Status, Identified: a.Identified, Signed: m.Signed, StatedNotRun: m.StatedNotRun,
-		Encoded: a.Header.Get("Content-Encoding") != "",
+		Encoded: len(a.Header.Values("Content-Encoding")) > 0,
 	})
 	refused := err == nil && v == ggsanswer.NotRun
 	e.observeAnswer(j, i, m, refused)
