--- a/io/ggsorigins/stored_test.go
+++ b/io/ggsorigins/stored_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -24,12 +25,16 @@
 	entries  map[ggscore.Key]ggscore.Entry
 	away     bool
 	calls    int
+	// delay is the time that a call takes, and bytes the size of the values that were written.
+	delay time.Duration
+	bytes int
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{entries: map[ggscore.Key]ggscore.Entry{}} }
 
 // Txn implements ggscore.Txner.
 func (s *fakeStore) Txn(_ context.Context, x ggscore.Txn) (ggscore.StorePosition, error) {
+	time.Sleep(s.delay) //nolint:forbidigo // virtual time
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -45,6 +50,7 @@
 	s.revision++
 	at.Revision = s.revision
 	for _, w := range x.Writes {
+		s.bytes += len(w.Value)
 		s.entries[w.Key] = ggscore.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
 	}
 	for _, k := range x.Deletes {
@@ -304,3 +310,76 @@
 		last.end(t)
 	})
 }
+
+// Guards against a loss of all VMs after which most streams can't be resumed, and against joined ones, at any number of
+// VMs. The log has what the records cost.
+func TestLossOfAllVMsWhileTwoVersionsServe(t *testing.T) {
+	t.Parallel()
+	const (
+		life       = 600 * time.Millisecond
+		firstEvent = 100 * time.Millisecond
+		interval   = time.Second // between the streams of a VM
+		length     = 5 * time.Second
+	)
+	for name, tc := range map[string]struct {
+		vms   int
+		delay time.Duration
+		away  bool
+		// least is the share of the streams that go on, in hundredths.
+		least int
+	}{
+		"9 VMs":                    {vms: 9, delay: 4 * time.Millisecond, least: 90},
+		"65 VMs":                   {vms: 65, delay: 4 * time.Millisecond, least: 90},
+		"410 VMs":                  {vms: 410, delay: 4 * time.Millisecond, least: 90},
+		"9 VMs, the store is slow": {vms: 9, delay: 40 * time.Millisecond, least: 90},
+		"9 VMs, the store is away": {vms: 9, delay: 4 * time.Millisecond, away: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newFakeStore()
+				ps := make([]*process, 0, tc.vms)
+				for n := range tc.vms {
+					ps = append(ps, startProcess(s, ggscore.VMID(fmt.Sprint("vm", n)), false, "v1", "v2"))
+				}
+				wait(moment)
+				rng := rand.New(rand.NewPCG(1, uint64(tc.vms)))
+				s.set(func() { s.delay, s.away, s.calls, s.bytes = tc.delay, tc.away, 0, 0 })
+				begun := map[ggscore.RequestID]ggscore.SoftwareVersion{}
+				broken := []ggscore.RequestID{}
+				step := interval / time.Duration(tc.vms)
+				for at := time.Duration(0); at < length; at += step {
+					id, v := ggscore.RequestID(fmt.Sprint(at)), ggscore.SoftwareVersion([]string{"v1", "v2"}[rng.IntN(2)])
+					begun[id] = v
+					ps[rng.IntN(len(ps))].beginStream(id, v)
+					if left := length - at; left < life && left > firstEvent {
+						broken = append(broken, id)
+					}
+					wait(step)
+				}
+				calls, bytes := s.calls, s.bytes
+				for _, p := range ps {
+					p.end(t)
+				}
+				s.set(func() { s.away, s.delay = false, 0 })
+				next := startProcess(s, "vm0", false, "v1", "v2")
+				goneOn, joined := 0, 0
+				for _, id := range broken {
+					switch next.resume(id) {
+					case begun[id]:
+						goneOn++
+					case "":
+					default:
+						joined++
+					}
+				}
+				next.end(t)
+				t.Logf("%s: %d of %d streams go on; %.2f store calls and %d bytes a second and VM", name, goneOn, len(broken),
+					float64(calls)/length.Seconds()/float64(tc.vms), bytes/int(length.Seconds())/tc.vms)
+				c.Check(joined, qt.Equals, 0)
+				c.Check(goneOn*100 >= len(broken)*tc.least, qt.IsTrue, qt.Commentf("%d of %d", goneOn, len(broken)))
+			})
+		})
+	}
+}
