test(ggsorigins, ggsexchange): a test's unlocked read, and a caller that leaves once its request has arrived

The simulation of a loss of all VMs read the store's counters without its lock. TestExchangeLingers' callers left 20 ms after they had called, by then the connection wasn't open yet on a busy machine: they leave 20 ms after the endpoint has the request, and the endpoints of the cases that wait for no answer end with the test.

Checks are as before.

--- a/io/ggsexchange/linger_test.go
+++ b/io/ggsexchange/linger_test.go
@@ -20,6 +20,8 @@
 	// leaveAfter is when a caller gives up, and endAfter, within linger, when its endpoint ends the exchange.
 	leaveAfter = 20 * time.Millisecond
 	endAfter   = 60 * time.Millisecond
+	// never is long after any linger.
+	never = 10 * linger
 	// maxReturn is the longest time that Do takes once a deadline has passed, on a busy machine.
 	maxReturn = leaveAfter + linger/2
 )
@@ -39,19 +41,23 @@
 		"crash":          {delay: endAfter, linger: linger, kind: ggscore.FailureBroken},
 		"longer linger":  {delay: endAfter + linger, linger: linger / 2, grown: 3 * linger, kind: ggscore.FailureBroken},
 		"answer":         {delay: endAfter, linger: linger, answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
-		"late crash":     {delay: endAfter + 2*linger, linger: linger, kind: ggscore.FailureCancelled},
-		"without linger": {delay: endAfter, kind: ggscore.FailureCancelled},
+		"late crash":     {delay: never, linger: linger, kind: ggscore.FailureCancelled},
+		"without linger": {delay: never, kind: ggscore.FailureCancelled},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
 			s := serve(t, func(int, *http.Request) string {
-				<-time.After(tc.delay) //nolint:forbidigo // the endpoint is slow in real time
+				time.AfterFunc(leaveAfter, cancel)
+				select {
+				case <-time.After(tc.delay): //nolint:forbidigo // the endpoint is slow in real time
+				case <-t.Context().Done():
+				}
 				return tc.answer
 			})
 			p := pool(t)
-			ctx, cancel := context.WithCancel(context.Background())
-			time.AfterFunc(leaveAfter, cancel)
 			asked := 0
 			a, err := p.Do(ctx, ggsexchange.Request{Addr: s.addr, Method: http.MethodGet, URI: "/", Host: "h", Linger: func() time.Duration {
 				if asked++; asked > 1 {
--- a/io/ggsexchange/pool_test.go
+++ b/io/ggsexchange/pool_test.go
@@ -342,8 +342,9 @@
 }
 
 // Guards against an answer that is read only once a long request has been written, which its endpoint may never read.
+//
+//nolint:paralleltest // long requests would stall the tests of time limits
 func TestAnswerIsReadBesideALongRequest(t *testing.T) {
-	t.Parallel()
 	const long = 32 << 20
 	for name, tc := range map[string]struct {
 		// reads is set if the endpoint reads on once it has answered.
@@ -353,7 +354,6 @@
 		"endpoint never reads":    {},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			c := qt.New(t)
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
--- a/io/ggsorigins/stored_test.go
+++ b/io/ggsorigins/stored_test.go
@@ -358,7 +358,8 @@
 					}
 					wait(step)
 				}
-				calls, bytes := s.calls, s.bytes
+				calls, bytes := 0, 0
+				s.set(func() { calls, bytes = s.calls, s.bytes })
 				for _, p := range ps {
 					p.end(t)
 				}
