fix(ggsexchange): bytes that are no answer of HTTP/1 aren't taken for one

Callers were told 503 after a status line of another protocol version that stated a refusal, and after a status below 100, which was skipped as an informational answer. The library's reader accepts any version's digits and any three digits. Such bytes are no answer: the request may have run (502).

--- a/io/ggsexchange/exchange.go
+++ b/io/ggsexchange/exchange.go
@@ -399,6 +399,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if resp.ProtoMajor != 1 || resp.StatusCode < http.StatusContinue {
+			return nil, &InvalidHeadError{Proto: resp.Proto, Status: resp.StatusCode}
+		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
 		}
--- a/io/ggsexchange/pool_test.go
+++ b/io/ggsexchange/pool_test.go
@@ -227,6 +227,23 @@
 	}
 }
 
+// Guards against bytes that are no answer of HTTP/1 and count as one, or as an informational one.
+func TestInvalidStatusLines(t *testing.T) {
+	t.Parallel()
+	for name, line := range map[string]string{"HTTP/2": "HTTP/2.0 503 x", "HTTP/0": "HTTP/0.9 503 x", "status below 100": "HTTP/1.1 099 x"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			s := serve(t, func(int, *http.Request) string { return line + "\r\nContent-Length: 0\r\n\r\n" + okAnswer("1", "mine") })
+			_, err := pool(t).Do(context.Background(), ggsexchange.Request{
+				Addr: s.addr, Method: http.MethodGet, URI: "/", Host: "h", ID: "1", IDHeader: idHeader,
+			})
+			var invalid *ggsexchange.InvalidHeadError
+			c.Assert(errors.As(err, &invalid), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
 // Guards against writing a request to a connection that the endpoint has closed. It would be
 // unknown whether the request ran, so a request that isn't idempotent couldn't be retried.
 func TestClosedConnectionIsNotReused(t *testing.T) {
