fix(ggsengine): a refusal names its request alone, and isn't encoded

At our own interface an endpoint's refusal counted if the first of its IDs was the request's, whatever the others said, and also in a body with a content encoding. Red before: two cases of TestRefusals, told as not run.

--- a/io/ggsengine/exchange.go
+++ b/io/ggsengine/exchange.go
@@ -82,11 +82,12 @@
 // caller's text, or a request that runs would be reported as not run. net/http discards
 // unexpected answers only while the connection is idle.
 func (x *exchange) checkRequestID(resp *http.Response) error {
-	got := resp.Header.Get(headerRequestID)
-	if got == "" || got == string(x.request.ID) {
-		return nil
+	for _, got := range resp.Header.Values(headerRequestID) {
+		if got != "" && got != string(x.request.ID) {
+			return &RequestIDMismatchError{Want: x.request.ID, Got: ggscore.RequestID(got)}
+		}
 	}
-	return &RequestIDMismatchError{Want: x.request.ID, Got: ggscore.RequestID(got)}
+	return nil
 }
 
 func (x *exchange) newRequest(ctx context.Context) (*http.Request, error) {
@@ -123,7 +124,8 @@
 
 // refusal returns nil if the answer is forwarded to the caller, else the error that it
 // stands for. A status alone doesn't prove that the request didn't run. Only the kind or
-// the outcome in the endpoint's error body does, in an answer that names the request.
+// the outcome in the endpoint's error body does, in an answer that names the request
+// and has no content encoding.
 func (x *exchange) refusal(resp *http.Response) error {
 	s := resp.StatusCode
 	if x.forwards(s) {
@@ -136,7 +138,7 @@
 		Cause: &StatusError{Status: s, Detail: w.Error.Detail},
 	}
 	switch {
-	case resp.Header.Get(headerRequestID) == "":
+	case resp.Header.Get(headerRequestID) == "", len(resp.Header.Values("Content-Encoding")) > 0:
 	case !x.plain && s == http.StatusNotFound && w.Error.Kind == kindAdapterNotLoaded:
 		err.NotSent = true
 		err.Kind = ggscore.FailureAdapterMissing
--- a/io/ggsengine/fault_test.go
+++ b/io/ggsengine/fault_test.go
@@ -159,6 +159,8 @@
 		"not run":                             {answer("503 Service Unavailable", notRun), expectedFailure{true, ggscore.FailureEndpoint}},
 		"adapter not loaded, for nobody":      {anonymous("404 Not Found", `{"error":{"kind":"adapterNotLoaded"}}`), expectedFailure{false, ggscore.FailureEndpoint}},
 		"not run, for nobody":                 {anonymous("503 Service Unavailable", notRun), expectedFailure{false, ggscore.FailureEndpoint}},
+		"not run, for others too":             {answer("503 Service Unavailable\r\nX-Request-Id: q1\r\nX-Request-Id: q2", notRun), expectedFailure{false, ggscore.FailureBroken}},
+		"not run, encoded":                    {answer("503 Service Unavailable\r\nContent-Encoding: identity", notRun), expectedFailure{false, ggscore.FailureEndpoint}},
 		"503 without outcome":                 {answer("503 Service Unavailable", "busy"), expectedFailure{false, ggscore.FailureEndpoint}},
 		"503 unknown":                         {answer("503 Service Unavailable", `{"error":{"outcome":"unknown"}}`), expectedFailure{false, ggscore.FailureEndpoint}},
 		"502 with outcome not run":            {answer("502 Bad Gateway", notRun), expectedFailure{false, ggscore.FailureEndpoint}},
