fix(ggstunnel): a tunnel on which bytes arrive before the request is closed

Bytes that an endpoint sends unasked came behind the peer's answer, in the same reading, and were dropped with its buffer. What followed of their frame was read as the length of another one, so that an answer's bytes could be cut or joined at will. Nothing was written yet: the request goes another way. Red before: TestBytesBeforeTheRequestCloseTheTunnel (no error).

--- a/io/ggstunnel/connect.go
+++ b/io/ggstunnel/connect.go
@@ -22,9 +22,8 @@
 	if _, err := io.WriteString(c, "CONNECT "+host+" HTTP/1.1\r\nHost: "+host+"\r\n"+headerFraming+": "+framingLength+"\r\n\r\n"); err != nil {
 		return nil, err
 	}
-	// The peer sends nothing after its answer before the endpoint has received a request, so the
-	// reader holds no bytes of the endpoint.
-	a, err := http.ReadResponse(bufio.NewReaderSize(c, connectBufferBytes), &http.Request{Method: http.MethodConnect})
+	r := bufio.NewReaderSize(c, connectBufferBytes)
+	a, err := http.ReadResponse(r, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return nil, &NoAnswerError{VM: vm, Addr: addr, Cause: err}
 	}
@@ -32,6 +31,10 @@
 	if a.StatusCode != http.StatusOK {
 		return nil, &RefusedError{VM: vm, Addr: addr, Status: a.StatusCode}
 	}
+	if n := r.Buffered(); n > 0 {
+		// An endpoint that sends before it has received a request answers nothing.
+		return nil, &NoAnswerError{VM: vm, Addr: addr, Cause: &EarlyBytesError{Bytes: n}}
+	}
 	if a.Header.Get(headerFraming) == framingLength {
 		return &framedConn{Conn: c}, nil
 	}
--- a/io/ggstunnel/errors.go
+++ b/io/ggstunnel/errors.go
@@ -34,3 +34,11 @@
 
 // Unwrap returns the cause.
 func (e *NoAnswerError) Unwrap() error { return e.Cause }
+
+// An EarlyBytesError reports bytes behind a peer's answer, before a request was sent.
+type EarlyBytesError struct{ Bytes int }
+
+// Error implements error.
+func (e *EarlyBytesError) Error() string {
+	return fmt.Sprintf("%d bytes arrived before a request was sent", e.Bytes)
+}
