fix(ggsedge): a statement that a request has not run isn't forwarded in an answer of its run

An endpoint's 200 or 500 with a statement that reads as false was forwarded with it; a caller who looks at the header alone takes it for the promise. The platform's codec returns the headers for the caller now, without the statement. Red before: '500 stated as 0' and '200 stated as 0'. Five further forms of framing, lists and folded lines were green before.

--- a/cmd/ggsnode/edge_refusal_test.go
+++ b/cmd/ggsnode/edge_refusal_test.go
@@ -107,6 +107,13 @@
 		"not a status line":            {closed("503 " + stated + mine + "\r\n"), 502},
 		"closed":                       {closed(""), 502},
 		"reset":                        {ggsfakesite.Script{Reset: true}, 502},
+		"HTTP/2 503 stated":            {ran("HTTP/2.0 503 Service Unavailable\r\n" + final), 502},
+		"099 stated, then 503 stated":  {ran(status("099 Unknown") + stated + mine + "\r\n" + unavailable + final), 502},
+		"503 stated, two lengths":      {ran(unavailable + stated + mine + "Content-Length: 0\r\nContent-Length: 4\r\n\r\n"), 502},
+		"503 stated, unknown transfer": {ran(unavailable + stated + mine + "Transfer-Encoding: gzip\r\n\r\n"), 502},
+		"503 stated, folded ID":        {closed(unavailable + stated + "Request-Id: $ID\r\n other\r\n" + empty), 502},
+		"500 stated as 0":              {ran(failed + signed + "Not-Run: 0\r\n" + mine + empty), 500},
+		"200 stated as 0":              {ran(ok + signed + "Not-Run: 0\r\n" + mine + empty), 200},
 		"500 signed":                   {ran(failed + signed + mine + empty), 500},
 		"504 signed":                   {ran(late + signed + mine + empty), 504},
 	}
--- a/core/instance.go
+++ b/core/instance.go
@@ -171,6 +171,8 @@
 	// Forward returns the headers of the forwarded request.
 	Forward(h http.Header, f ForwardMeta) http.Header
 	Answer(status int, h http.Header) AnswerMeta
+	// Return returns the headers of a forwarded answer. What an endpoint states to the system isn't among them.
+	Return(h http.Header) http.Header
 }
 
 // A PlacementOrder orders an instance to load or unload a model or an adapter.
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -367,7 +367,7 @@
 	j.firstChunkAfter = e.since(j.arrived)
 	e.metrics.observeFirstChunk(j.route.Kind, j.firstChunkAfter)
 	h := j.w.Header()
-	for k, vs := range a.Header {
+	for k, vs := range e.Dialect.Return(a.Header) {
 		switch k {
 		case "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade", "Proxy-Authenticate":
 		default:
