test(ggsnode): a refusal after a run is no promise

Two endpoints whose answers differ: one may have run the request, the other refuses it. Green on the code as it is; with the count of runs taken out of giveUp each of its cases is red (503 for requests that ran).

--- a/cmd/ggsnode/edge_refusal_test.go
+++ b/cmd/ggsnode/edge_refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -167,6 +168,37 @@
 	}
 }
 
+// Guards against a promise that rests on the last endpoint's refusal although an earlier one may have run the request.
+func TestRefusalAfterARunIsNoPromise(t *testing.T) {
+	t.Parallel()
+	const mine, end = "Request-Id: $ID\r\n", "Content-Length: 0\r\n\r\n"
+	refused := ggsfakesite.Script{Text: "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + mine + end, NotRun: true}
+	for name, first := range map[string]ggsfakesite.Script{
+		"reset":      {Reset: true},
+		"closed":     {Close: true},
+		"cut head":   {Text: "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + mine, Close: true},
+		"503 alone":  {Text: "HTTP/1.1 503 Service Unavailable\r\n" + mine + end},
+		"for nobody": {Text: "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + end},
+		"500 signed": {Text: "HTTP/1.1 500 Internal Server Error\r\nServer-Stamp: $STAMP\r\n" + mine + end},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, 1)
+			for n, id := range slices.Sorted(maps.Keys(s.site.Endpoints)) {
+				s.site.Endpoints[id].SetScript(&[]ggsfakesite.Script{first, refused}[n%2])
+			}
+			for n := range 16 {
+				path := []string{"/look/1", "/tell/1", "/pay/1", "/chat/1"}[n%4]
+				r := s.call(0, http.MethodPost, path, "", "{}")
+				runs := s.site.Runs()[r.id]
+				what := qt.Commentf("%s: %d %q, runs %d", path, r.status, r.body, runs)
+				s.c.Check(!promisesNotRun(r.status) || runs == 0, qt.IsTrue, what)
+				s.c.Check(runs <= 1 || n%4 < 2, qt.IsTrue, what)
+			}
+		})
+	}
+}
+
 // Guards against a long request whose endpoint answers before it has read it all: that its answer is late, or that its
 // caller is told what the endpoint hasn't said.
 func TestLongRequestAnsweredBeforeItIsRead(t *testing.T) {
