test(ggsnode): jobs run once while two troubles meet

Callers of four VMs, as processes, do jobs over kept connections, with short, long and chunked requests, and try again only after a promise that the last try hasn't run and never will. Endpoints answer early, late, twice, not whole, or with statuses that promise without stating it; VMs stop, freeze, are killed or lose their paths, two at a time. Judged from callers and endpoints alone: a try that was promised not to run has not, a job has run at most once, answers are whole and for their request, and endpoints got the body that was sent.

The stand-in's scripts are chosen for each request, may be sent twice, and go on after they were sent before the request's body was read.

--- /dev/null
+++ b/cmd/ggsnode/promise_test.go
@@ -0,0 +1,307 @@
+package ggsnode_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"greengageslip/fakes/ggsfakesite"
+)
+
+// Flags of the test of promises.
+//
+//	go test -timeout 60m ./cmd/ggsnode -run TestJobsRunOnce -promise.seeds 50 -v
+//
+//nolint:gochecknoglobals // flags of the test
+var (
+	promiseSeeds = flag.Int("promise.seeds", 0, "play this number of random seeds")
+	promiseSeed  = flag.Uint64("promise.seed", 0, "play this seed only")
+)
+
+const (
+	promiseClients = 24
+	// promiseTries bounds the tries of a job, each of which follows a promise that the one before hasn't run.
+	promiseTries = 4
+	// promiseLate is the time after the last try in which an endpoint may still begin to run it.
+	promiseLate = 2500 * time.Millisecond
+	// promiseLong is the length of a long body, beyond what is written before an answer is read.
+	promiseLong = 60 << 10
+	// promiseSound is the share of requests that endpoints answer soundly.
+	promiseSound = 0.45
+	// promiseBound is the route timeout of requests that may not run twice.
+	promiseBound = 1200 * time.Millisecond
+)
+
+// A promiseJob is what a caller wants done, in all its tries.
+type promiseJob struct {
+	body  string
+	tries []outcome
+}
+
+// Guards against a job that runs twice, or after its caller was promised that it never would, because two troubles meet:
+// endpoints that answer early, late, twice or not whole, and VMs that stop, freeze, start again or lose their paths.
+func TestJobsRunOnceWhileTwoTroublesMeet(t *testing.T) {
+	t.Parallel()
+	seeds := []uint64{1}
+	switch {
+	case *promiseSeed > 0:
+		seeds = []uint64{*promiseSeed}
+	case *promiseSeeds > 0:
+		seeds = nil
+		for range *promiseSeeds {
+			seeds = append(seeds, rand.Uint64N(1<<32))
+		}
+	}
+	for _, seed := range seeds {
+		//nolint:paralleltest // plays are sequential, so that they don't disturb each other's timing
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playPromises(t, seed) })
+	}
+}
+
+func playPromises(t *testing.T, seed uint64) {
+	t.Helper()
+	var work sync.WaitGroup
+	s := newSoak(t, seed, &work)
+	s.start(soakCase{seed: seed}, &work)
+	for n, id := range slices.Sorted(maps.Keys(s.site.Endpoints)) {
+		s.site.Endpoints[id].SetScripts(newScripter(rand.New(rand.NewPCG(seed, uint64(700+n)))))
+	}
+	load, stop := context.WithCancel(s.ctx)
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	var jobs []*promiseJob
+	for n := range promiseClients {
+		clients.Go(func() {
+			mine := s.promiseClient(load, rand.New(rand.NewPCG(seed, uint64(100+n))))
+			mu.Lock()
+			defer mu.Unlock()
+			jobs = append(jobs, mine...)
+		})
+	}
+	end := time.Now().Add(*soakLength)
+	var troubles sync.WaitGroup
+	for n := range 2 {
+		r := rand.New(rand.NewPCG(seed, uint64(800+n)))
+		troubles.Go(func() { s.troubleUntil(end, r) })
+	}
+	troubles.Wait()
+	stop()
+	clients.Wait()
+	s.sleep(promiseLate)
+	s.checkPromises(jobs)
+}
+
+// troubleUntil plays one trouble of VMs after the other.
+func (s *soak) troubleUntil(end time.Time, r *rand.Rand) {
+	troubles := []soakFault{
+		{"kill", false, (*soak).kill},
+		{"stop", true, (*soak).stop},
+		{"freeze", false, (*soak).freeze},
+		{"partition", false, (*soak).partitionFromEndpoints},
+		{"endpoint link", false, (*soak).breakEndpointLink},
+		{"store link", false, (*soak).breakStoreLink},
+	}
+	for time.Now().Before(end) {
+		f := troubles[r.IntN(len(troubles))]
+		from := time.Now()
+		f.run(s, r, time.Duration(200+r.IntN(1800))*time.Millisecond)
+		s.t.Logf("%s to %s: %s", from.Format("05.000"), time.Now().Format("05.000"), f.name)
+		s.sleep(time.Duration(r.IntN(200)) * time.Millisecond)
+	}
+}
+
+// promiseClient does jobs over kept connections until the context ends. A job whose try was promised not to run is tried
+// again, at any VM.
+func (s *soak) promiseClient(ctx context.Context, r *rand.Rand) []*promiseJob {
+	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: soakDeadline + time.Second}
+	defer h.CloseIdleConnections()
+	var jobs []*promiseJob
+	for ctx.Err() == nil {
+		j := &promiseJob{}
+		path := []string{"/pay/release", "/pay/release", "/chat/x", "/look/balance", "/tell/x"}[r.IntN(5)]
+		switch r.IntN(3) {
+		case 0:
+			j.body = "{}"
+		case 1:
+			j.body = strings.Repeat(fmt.Sprintf("%08x", r.Uint32()), promiseLong/8)
+		}
+		chunked := r.IntN(3) == 0
+		for range promiseTries {
+			o := s.try(ctx, h, s.edge(r), path, j.body, chunked)
+			j.tries = append(j.tries, o)
+			if !promised(o.status) || ctx.Err() != nil {
+				break
+			}
+			s.sleep(o.wait)
+		}
+		jobs = append(jobs, j)
+		s.sleep(time.Duration(5+r.IntN(40)) * time.Millisecond)
+	}
+	return jobs
+}
+
+// promised reports whether a status promises that the request has not run and never will.
+func promised(status int) bool {
+	return slices.Contains([]int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	}, status)
+}
+
+// try sends a job once.
+func (s *soak) try(ctx context.Context, h *http.Client, e *soakEdge, path, body string, chunked bool) outcome {
+	o := outcome{id: fmt.Sprintf("%08x", s.ids.Add(1)), path: path, edge: e, from: time.Now()}
+	// The caller waits for the end of its last try, also when the play ends.
+	r, err := http.NewRequestWithContext(context.WithoutCancel(ctx), http.MethodPost, "http://"+e.callers()+path, bytes.NewReader([]byte(body)))
+	s.c.Check(err, qt.IsNil)
+	r.GetBody = nil // prevents automatic retries by the HTTP client
+	if chunked && body != "" {
+		r.ContentLength = -1
+	}
+	r.Host = ggsfakesite.Host
+	r.Header.Set("Request-Id", o.id)
+	r.Header.Set("Deadline-Ms", strconv.FormatInt(soakDeadline.Milliseconds(), 10))
+	resp, err := h.Do(r)
+	if err != nil {
+		o.to, o.err = time.Now(), err
+		return o
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	o.to, o.status, o.body, o.complete, o.err = time.Now(), resp.StatusCode, string(b), err == nil, err
+	if w, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		o.wait = min(time.Duration(w*float64(time.Second)), time.Second)
+	}
+	return o
+}
+
+// newScripter returns a function that draws the behaviour of an endpoint for each request.
+func newScripter(r *rand.Rand) func(ggsfakesite.Query) *ggsfakesite.Script {
+	const (
+		mine   = "Request-Id: $ID\r\n"
+		other  = "Request-Id: 0000000\r\n"
+		stated = "Not-Run: 1\r\n"
+		signed = "Server-Stamp: $STAMP\r\n"
+		empty  = "Content-Length: 0\r\n\r\n"
+		plain  = "HTTP/1.1 200 OK\r\n" + signed + mine + "Content-Length: 15\r\n\r\nwhole $ID\n"
+	)
+	status := func(s string) string { return "HTTP/1.1 " + s + "\r\n" }
+	refused := status("503 Service Unavailable") + stated + mine + empty
+	promises := []string{"503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout", "421 Misdirected Request"}
+	short := func() time.Duration { return time.Duration(r.IntN(60)) * time.Millisecond }
+	whole := func(path string) string {
+		if strings.HasPrefix(path, "/chat") || strings.HasPrefix(path, "/tell") {
+			return "HTTP/1.1 200 OK\r\n" + signed + mine + "Content-Type: text/event-stream\r\nContent-Length: 28\r\n\r\nid: 1\ndata: whole $ID\n\n"
+		}
+		return plain
+	}
+	cut := func(x *ggsfakesite.Script) *ggsfakesite.Script {
+		head, _, _ := strings.Cut(x.Text, "\r\n\r\n")
+		x.Text = x.Text[:r.IntN(len(head)+3)]
+		x.Again, x.Close, x.Reset = "", r.IntN(2) == 0, false
+		x.Reset = !x.Close
+		return x
+	}
+	ran := func(text string) *ggsfakesite.Script { return &ggsfakesite.Script{Text: text} }
+	not := func() *ggsfakesite.Script { return &ggsfakesite.Script{Text: refused, NotRun: true} }
+	var mu sync.Mutex
+	return func(q ggsfakesite.Query) *ggsfakesite.Script {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.Float64() < promiseSound {
+			return nil
+		}
+		var x *ggsfakesite.Script
+		switch r.IntN(14) {
+		case 0, 1:
+			x = not()
+		case 2: // A refusal comes twice.
+			x = not()
+			x.Again, x.AgainAfter = refused, short()
+		case 3: // A refusal of the request that ran follows its answer.
+			x = ran(whole(q.Path))
+			x.Again, x.AgainAfter = refused, short()
+		case 4: // The answer comes twice.
+			x = ran(whole(q.Path))
+			x.Again, x.AgainAfter = x.Text, short()
+		case 5: // A refusal of another request comes first.
+			x = ran(status("503 Service Unavailable") + stated + other + empty + whole(q.Path))
+		case 6:
+			x = ran(status(promises[r.IntN(len(promises))]) + signed + mine + empty)
+		case 7:
+			x = ran(status(promises[r.IntN(len(promises))]) + stated + empty)
+		case 8:
+			x = cut(ran(whole(q.Path)))
+		case 9: // The endpoint ran the request and breaks off in the head of something like a refusal.
+			x = cut(ran(refused))
+		case 10:
+			x = ran("")
+			x.Close = r.IntN(2) == 0
+			x.Reset = !x.Close
+		case 11:
+			x = ran(status("500 Internal Server Error") + signed + mine + empty)
+		case 12: // Later than any deadline.
+			x = not()
+			x.Delay = promiseBound + short()
+		default:
+			x = ran(whole(q.Path))
+			x.Delay = promiseBound - 30*time.Millisecond + short()
+		}
+		if x.Delay == 0 {
+			x.BeforeBody = r.IntN(3) == 0
+			x.Delay = short() * time.Duration(r.IntN(2))
+		}
+		return x
+	}
+}
+
+// checkPromises checks what callers were told against what endpoints ran.
+func (s *soak) checkPromises(jobs []*promiseJob) {
+	runs := s.site.Runs()
+	counts := map[int]int{}
+	tries := 0
+	for _, j := range jobs {
+		sum := 0
+		for _, o := range j.tries {
+			tries++
+			counts[o.status]++
+			sum += runs[o.id]
+			what := qt.Commentf("%s %s from %s to %s: status %d, runs %d, %q, %v", o.id, o.path, o.from.Format("05.000"), o.to.Format("05.000"),
+				o.status, runs[o.id], o.body, o.err)
+			if !idempotent(o.path) {
+				s.c.Check(!promised(o.status) || runs[o.id] == 0, qt.IsTrue, what)
+			}
+			if o.status == http.StatusOK && o.complete {
+				s.c.Check(completeAnswer(o) || wholeScript(o), qt.IsTrue, what)
+			}
+			for id, e := range s.site.Endpoints {
+				if b := e.Body(o.id); b != "" {
+					s.c.Check(b == j.body, qt.IsTrue, qt.Commentf("%s got another body, of %d bytes: %s", id, len(b), what))
+				}
+			}
+		}
+		if !idempotent(j.tries[0].path) {
+			s.c.Check(sum <= 1, qt.IsTrue, qt.Commentf("%d runs of a job in %d tries, the last %s %s, status %d", sum, len(j.tries),
+				j.tries[len(j.tries)-1].id, j.tries[0].path, j.tries[len(j.tries)-1].status))
+		}
+	}
+	s.t.Logf("%d jobs, %d tries by status: %v", len(jobs), tries, counts)
+	s.c.Check(counts[http.StatusOK] > 0, qt.IsTrue)
+}
+
+// wholeScript reports whether a body is that of a script's whole answer.
+func wholeScript(o outcome) bool {
+	return o.body == "whole "+o.id+"\n" || o.body == "id: 1\ndata: whole "+o.id+"\n\n"
+}
--- a/cmd/ggsnode/soak_test.go
+++ b/cmd/ggsnode/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -49,6 +50,7 @@
 	soakSkews      = flag.Bool("soak.skews", true, "most new connections also meet one VM")
 	soakSheds      = flag.Bool("soak.sheds", true, "endpoints also fail when they shed many requests")
 	soakPlanned    = flag.Bool("soak.planned", false, "no unplanned faults")
+	soakProgram    = flag.String("soak.program", "", "run this edge instead of the one under test; it isn't partitioned from endpoints")
 	soakLength     = flag.Duration("soak.length", 6*time.Second, "duration of the faults in each run")
 )
 
@@ -207,8 +209,9 @@
 
 func (e *soakEdge) callers() string { return netip.AddrPortFrom(e.ip, 7100).String() }
 
-func runSoak(t *testing.T, k soakCase) {
-	seed := k.seed
+// newSoak returns a soak whose processes and goroutines end with the test.
+func newSoak(t *testing.T, seed uint64, work *sync.WaitGroup) *soak {
+	t.Helper()
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &soak{
@@ -218,7 +221,6 @@
 		written: map[string][]byte{"op/config": ggsfakesite.Config(1, "/chat/")},
 	}
 	t.Logf("seed %d", seed)
-	var work sync.WaitGroup
 	t.Cleanup(func() {
 		for _, e := range s.edges {
 			e.signal(syscall.SIGCONT)
@@ -227,8 +229,15 @@
 		cancel()
 		work.Wait()
 	})
+	return s
+}
+
+func runSoak(t *testing.T, k soakCase) {
+	seed := k.seed
+	var work sync.WaitGroup
+	s := newSoak(t, seed, &work)
 	s.start(k, &work)
-	load, stop := context.WithCancel(ctx)
+	load, stop := context.WithCancel(s.ctx)
 	var clients sync.WaitGroup
 	for n := range soakClients {
 		clients.Go(func() { s.client(load, rand.New(rand.NewPCG(seed, uint64(100+n)))) })
@@ -374,7 +383,7 @@
 
 // spawn starts an edge's process.
 func (s *soak) spawn(e *soakEdge) {
-	cmd := exec.CommandContext(s.ctx, os.Args[0])
+	cmd := exec.CommandContext(s.ctx, cmp.Or(*soakProgram, os.Args[0]))
 	cmd.Env = append(os.Environ(), programVariable+"="+edgeProgram, "GREENGAGESLIP_NODE_FILE="+e.settings, ggsnode.PartitionVariable+"="+e.partition)
 	cmd.Stdout, cmd.Stderr = s.log, s.log
 	_, err := cmd.StdinPipe()
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -102,8 +102,9 @@
 	orders   []Order
 	// endless is sent in answer to each request, unless it is nil.
 	endless *Endless
-	// script is sent in answer to each request, unless it is nil.
-	script *Script
+	// scripts chooses the script of each request, nil for none. scriptCount counts the requests.
+	scripts     func(Query) *Script
+	scriptCount int
 	// holdLoads is the number of loads to leave unanswered, and heldLoads are those that were.
 	holdLoads int
 	heldLoads []Order
@@ -175,7 +176,7 @@
 	}
 	return &Endpoint{
 		options: o, resident: map[string]uint64{}, loading: map[string]time.Time{}, versions: map[string]uint64{},
-		fault: func(Query) Fault { return FaultNone }, runs: map[string]int{}, bodies: map[string]string{}, lineEnd: "\n",
+		fault: func(Query) Fault { return FaultNone }, scripts: func(Query) *Script { return nil }, runs: map[string]int{}, bodies: map[string]string{}, lineEnd: "\n",
 		software: DefaultSoftware, runSoftware: map[string]string{}, pathCrashes: map[string][]time.Time{}, pathArrivals: map[string][]time.Time{}, crashed: make(chan struct{}, 1), starts: 1,
 	}
 }
@@ -304,21 +305,12 @@
 	case "/greengageslip/report":
 		e.report(w)
 	default:
-		if x := e.scripted(true); x != nil {
-			e.recordRun(r.Header.Get("Request-Id"), x)
-			e.answerScript(w, r.Header.Get("Request-Id"), x)
+		x := e.script(r)
+		if x != nil && x.BeforeBody {
+			e.answerEarly(w, r, x)
 			return
 		}
-		e.run(w, r)
-	}
-}
-
-// recordRun records the run of a request that is answered by a script before its body was read.
-func (e *Endpoint) recordRun(id string, x *Script) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !x.NotRun {
-		e.runs[id]++
+		e.run(w, r, x)
 	}
 }
 
@@ -332,7 +324,7 @@
 	w.WriteHeader(http.StatusMisdirectedRequest)
 }
 
-func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
+func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, script *Script) {
 	id := r.Header.Get("Request-Id")
 	b, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -352,7 +344,7 @@
 	crashes := e.hasCrashingPart(r)
 	crashesLater := e.hasCrashingPath(r)
 	missing := e.missing(r)
-	endless, script := e.endless, e.script
+	endless := e.endless
 	if f != FaultRefuse && !missing && !endless.notRun() && !script.notRun() {
 		e.runs[id]++
 		e.runSoftware[id] = e.software
--- a/fakes/ggsfakesite/script.go
+++ b/fakes/ggsfakesite/script.go
@@ -1,6 +1,7 @@
 package ggsfakesite
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -14,10 +15,13 @@
 	// NotRun is set if the endpoint doesn't run the request.
 	NotRun bool
 	// BeforeBody is set if the endpoint sends the text before it has read the request's body. Unless the script ends
-	// the connection, it reads on scriptPause later.
+	// the connection, it reads on scriptPause later, and serves the connection's further requests.
 	BeforeBody bool
 	// Delay is the time until the text is sent.
 	Delay time.Duration
+	// Again is sent after the text, AgainAfter later.
+	Again      string
+	AgainAfter time.Duration
 	// Close ends the connection after the text, and Reset resets it.
 	Close bool
 	Reset bool
@@ -28,45 +32,76 @@
 // scriptPause is the time after which an endpoint reads a body that it has answered before.
 const scriptPause = time.Second
 
-// scripted returns the script for requests whose body was read, or for those whose body wasn't.
-func (e *Endpoint) scripted(beforeBody bool) *Script {
+// SetScript lets the endpoint send a script in answer to each request, or no longer if it is nil.
+func (e *Endpoint) SetScript(x *Script) { e.SetScripts(func(Query) *Script { return x }) }
+
+// SetScripts sets the function that chooses the script of each request, nil for none.
+func (e *Endpoint) SetScripts(f func(Query) *Script) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.script == nil || e.script.BeforeBody != beforeBody {
-		return nil
-	}
-	return e.script
+	e.scripts = f
 }
 
-// SetScript lets the endpoint send a script in answer to each request, or no longer if it is nil.
-func (e *Endpoint) SetScript(x *Script) {
+// script returns the script for a request, nil for none.
+func (e *Endpoint) script(r *http.Request) *Script {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.script = x
+	e.scriptCount++
+	return e.scripts(Query{ID: r.Header.Get("Request-Id"), Path: r.URL.Path, Number: e.scriptCount})
+}
+
+// answerEarly sends a script before the request's body was read.
+func (e *Endpoint) answerEarly(w http.ResponseWriter, r *http.Request, x *Script) {
+	id := r.Header.Get("Request-Id")
+	e.mu.Lock()
+	if !x.NotRun {
+		e.runs[id]++
+	}
+	e.mu.Unlock()
+	c, rw := e.sendScript(w, id, x)
+	if c == nil {
+		return
+	}
+	pauseFor(scriptPause)
+	b, err := io.ReadAll(io.LimitReader(rw, r.ContentLength))
+	if err != nil || int64(len(b)) < r.ContentLength {
+		_ = c.Close()
+		return
+	}
+	e.mu.Lock()
+	e.bodies[id] = string(b)
+	e.mu.Unlock()
+	e.serveConn(c, rw.Reader)
 }
 
 // answerScript sends a script, and serves the connection's further requests unless the script ends it.
 func (e *Endpoint) answerScript(w http.ResponseWriter, id string, x *Script) {
+	if c, rw := e.sendScript(w, id, x); c != nil {
+		e.serveConn(c, rw.Reader)
+	}
+}
+
+// sendScript sends a script, and returns the connection unless the script ends it.
+func (e *Endpoint) sendScript(w http.ResponseWriter, id string, x *Script) (net.Conn, *bufio.ReadWriter) {
 	c, rw, err := http.NewResponseController(w).Hijack()
 	if err != nil {
-		return
+		return nil, nil
 	}
+	text := strings.NewReplacer("$ID", id, "$STAMP", "stamp-of-"+e.options.ID)
 	pauseFor(x.Delay)
-	_, _ = io.WriteString(c, strings.NewReplacer("$ID", id, "$STAMP", "stamp-of-"+e.options.ID).Replace(x.Text))
+	_, _ = io.WriteString(c, text.Replace(x.Text))
+	if x.Again != "" {
+		pauseFor(x.AgainAfter)
+		_, _ = io.WriteString(c, text.Replace(x.Again))
+	}
 	if t, ok := c.(*net.TCPConn); ok && x.Reset {
 		_ = t.SetLinger(0)
 	}
 	if x.Close || x.Reset {
 		_ = c.Close()
-		return
-	}
-	if x.BeforeBody {
-		pauseFor(scriptPause)
-		_, _ = io.Copy(io.Discard, rw)
-		_ = c.Close()
-		return
+		return nil, nil
 	}
-	e.serveConn(c, rw.Reader)
+	return c, rw
 }
 
 func pauseFor(d time.Duration) {
