fix(platform): entries that can't be those of endpoints name none

What users would see: an entry that another writer left under a key with line ends becomes a header of its own in each request that is sent by it, one under a long key makes VMs write records that the store refuses at each try (a key has at most 200 bytes), and one with 9e18 slots overflows what is computed of its capacity.

Cause: the adapter checked an entry's form, not whether its values can be meant. IDs go into headers and keys as they are.

ggscore.Instance.Validate says what can be an endpoint: an ID of visible ASCII that leaves room for the prefixes of records, names of bounded length, 1 to 65536 slots, an address that can be dialled, a start within the calendar.

--- a/core/errors.go
+++ b/core/errors.go
@@ -114,6 +114,15 @@
 	return fmt.Sprintf("order refused by %s with status %d: %s", e.Addr, e.Status, e.Detail)
 }
 
+// An InvalidFieldError reports a value that another system has written and that can't be meant.
+type InvalidFieldError struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidFieldError) Error() string { return e.Field + ": " + e.Reason }
+
 // A CallError reports that a call to an endpoint failed. NotSent is set only if no byte of the
 // request can have reached the endpoint, or if the endpoint itself answered that it did not run
 // the request.
--- /dev/null
+++ b/core/validate.go
@@ -0,0 +1,77 @@
+package ggscore
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Bounds of values that other systems write. Values beyond them can't be meant, or can't be computed with.
+const (
+	// MaxEndpointIDBytes leaves room for the prefixes of the records that VMs keep of an endpoint: a key of the store
+	// has at most 200 bytes.
+	MaxEndpointIDBytes = 128
+	// MaxNameBytes bounds the names of services, failure domains, routes, models and software versions.
+	MaxNameBytes = 256
+	// MaxSlots bounds the requests that run on an endpoint at once, and the adapters that it holds.
+	MaxSlots = 1 << 16
+	// MaxVersion bounds the versions of configurations and adapters. JSON numbers are exact up to it.
+	MaxVersion = 1 << 53
+	// MaxRouteTime bounds the timeouts and targets of a route.
+	MaxRouteTime = 24 * time.Hour
+	// MaxRouteAttempts bounds the endpoints that one request may run on.
+	MaxRouteAttempts = 1000
+	// MaxWeight bounds the weight of a route's target.
+	MaxWeight = 1 << 30
+	// MaxEndpointConns bounds the connections that an endpoint accepts.
+	MaxEndpointConns = 1 << 24
+	// MaxModelBytes bounds the sizes of models, adapters and an endpoint's memory.
+	MaxModelBytes = 1 << 50
+	// MaxClientBytes bounds the limits of what a client may send.
+	MaxClientBytes = 1 << 40
+)
+
+// latestStart is the first time that can't be written as a date with a four-digit year.
+var latestStart = time.Date(10000, time.January, 1, 0, 0, 0, 0, time.UTC) //nolint:gochecknoglobals // a constant
+
+// Validate returns an *InvalidFieldError if the instance can't be used as it describes itself.
+func (i *Instance) Validate() error {
+	switch {
+	case !isToken(string(i.ID), MaxEndpointIDBytes):
+		return &InvalidFieldError{Field: "id", Reason: "want visible ASCII characters, not too many"}
+	case !isName(string(i.Service)):
+		return &InvalidFieldError{Field: "service", Reason: "empty or too long"}
+	case !isName(string(i.Domain)):
+		return &InvalidFieldError{Field: "domain", Reason: "empty or too long"}
+	case !isName(string(i.Software)):
+		return &InvalidFieldError{Field: "software", Reason: "empty or too long"}
+	case i.Slots <= 0 || i.Slots > MaxSlots:
+		return outOfRange("slots", i.Slots, 1, MaxSlots)
+	case !isDialable(i.Addr):
+		return &InvalidFieldError{Field: "address", Reason: i.Addr.String() + " is the address of no endpoint"}
+	case i.StartedAt.Before(time.Unix(0, 0)) || !i.StartedAt.Before(latestStart):
+		return &InvalidFieldError{Field: "startedAt", Reason: "not a time of this era"}
+	}
+	return nil
+}
+
+// outOfRange returns the error for a number that isn't in a range.
+func outOfRange[T int | int64 | uint64 | time.Duration](field string, value, low, high T) error {
+	return &InvalidFieldError{Field: field, Reason: fmt.Sprintf("%v is out of range: want %v to %v", value, low, high)}
+}
+
+// isName reports whether a text can be a name.
+func isName(s string) bool { return s != "" && len(s) <= MaxNameBytes }
+
+// isToken reports whether a text is fit for keys and headers, into which it is written as it is.
+func isToken(s string, maxBytes int) bool {
+	return s != "" && len(s) <= maxBytes && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r >= '\x7f' })
+}
+
+// isDialable reports whether an address can be that of one endpoint.
+func isDialable(a netip.AddrPort) bool {
+	ip := a.Addr().Unmap()
+	return ip.IsValid() && a.Port() != 0 && ip.Zone() == "" && !ip.IsUnspecified() && !ip.IsMulticast() &&
+		ip != netip.AddrFrom4([4]byte{255, 255, 255, 255})
+}
