fix(ggsedge): records of VMs and owners that can't be read are replaced

What callers would see: once another writer has spoiled the record of a runner's owner, no VM ever owns the runner again, so that no adapter is loaded there; once it has spoiled a VM's own record, that VM never owns a runner again. Restarts don't help.

Cause: heartbeats and claims are written under the condition that the record is unchanged. One that couldn't be decoded was passed over, its revision with it, so that the condition named none (revision 0) and was refused each time, after which the records were read again with the same result.

An unreadable record counts as one without an owner, at its revision: the runner is claimed once any right to send it orders has expired, and the VM's heartbeat replaces its own record. Five forms failed before; the wait before the claim is tested beside.

--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -267,22 +267,26 @@
 		switch part {
 		case ownerPart:
 			var w ownerRecord
-			if err = json.Unmarshal(n.Value, &w); err == nil {
-				r.Records = append(r.Records, ggsfencing.Record{
-					Endpoint: ggscore.EndpointID(name), Owner: ggscore.VMID(w.Owner), Released: w.Released,
-					Epoch: ggscore.StoreEpoch(w.Epoch), Revision: n.Revision,
-				})
+			if err = json.Unmarshal(n.Value, &w); err != nil {
+				// Without its revision, no claim's condition would ever hold.
+				w = ownerRecord{}
 			}
+			r.Records = append(r.Records, ggsfencing.Record{
+				Endpoint: ggscore.EndpointID(name), Owner: ggscore.VMID(w.Owner), Released: w.Released,
+				Epoch: ggscore.StoreEpoch(w.Epoch), Revision: n.Revision,
+			})
 		case memberPart:
 			var w memberRecord
 			vm := ggscore.VMID(name)
-			if err = json.Unmarshal(n.Value, &w); err == nil {
-				r.Heartbeats = append(r.Heartbeats, ggsfencing.Heartbeat{
-					VM: vm, Domain: ggscore.Domain(w.Domain), Capacity: w.Capacity, Isolated: w.Isolated, Revision: n.Revision,
-				})
-				e.restoreTurnStates(w.TurnStates)
-				e.restoreShedLimits(w.ShedLimits)
+			if err = json.Unmarshal(n.Value, &w); err != nil {
+				// Without its revision, no heartbeat's condition would ever hold.
+				w = memberRecord{}
 			}
+			r.Heartbeats = append(r.Heartbeats, ggsfencing.Heartbeat{
+				VM: vm, Domain: ggscore.Domain(w.Domain), Capacity: w.Capacity, Isolated: w.Isolated, Revision: n.Revision,
+			})
+			e.restoreTurnStates(w.TurnStates)
+			e.restoreShedLimits(w.ShedLimits)
 			if p, ok := w.member(); ok && vm != e.options.VM {
 				p.domain = ggscore.Domain(w.Domain)
 				p.region = e.options.Regions[p.domain]
--- a/io/ggsedge/members_test.go
+++ b/io/ggsedge/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsfencing"
 )
 
 // A refusingStore refuses each transaction.
@@ -45,3 +47,37 @@
 	c.Assert(e.maintainOwnership(ctx), qt.IsNil)
 	c.Assert(s.txns.Load() <= most, qt.IsTrue, qt.Commentf("%d heartbeats", s.txns.Load()))
 }
+
+// Guards against a VM that never owns an endpoint again, or an endpoint that never gets an owner, because another writer
+// has replaced the record that the conditions of their writes name.
+func TestUnreadableRecordsAreReplaced(t *testing.T) {
+	t.Parallel()
+	const takeover = ggsfencing.DefaultValidity + ggsfencing.DefaultMargin
+	for name, value := range map[string]string{
+		"no JSON":       "]",
+		"another type":  `{"owner":1,"domain":[]}`,
+		"deeply nested": strings.Repeat("[", 20000) + strings.Repeat("]", 20000),
+		"too large":     `{"epoch":99999999999999999999,"count":99999999999999999999}`,
+		"empty":         "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			now := time.Unix(1_000, 0)
+			e := listEdgeAt(func() time.Time { return now })
+			es := []ggscore.Entry{
+				{Key: e.memberKey("vm"), Value: []byte(value), Revision: 7},
+				{Key: e.ownerKey("runner"), Value: []byte(value), Revision: 8},
+			}
+			e.setMembers(context.Background(), es, position(9))
+			p := e.ownership.NextHeartbeat(now)
+			c.Assert(p.Revision, qt.Equals, ggscore.StoreRevision(7))
+			e.ownership.HeartbeatAnswered(now, p, position(10), false)
+			ready := []ggscore.Instance{{ID: "runner"}}
+			c.Assert(e.ownership.Claims(now.Add(takeover-1), ready), qt.HasLen, 0)
+			cs := e.ownership.Claims(now.Add(takeover), ready)
+			c.Assert(cs, qt.HasLen, 1)
+			c.Assert(cs[0].RecordRevision, qt.Equals, ggscore.StoreRevision(8))
+		})
+	}
+}
