fix(ggsthrottle, ggsturn): times in records of VMs are bounded

What callers would see: a record with a negative or overflowing age keeps a service shed-limited at every VM for good (requests wait for permits), whatever its endpoints say later; prefill times beyond any are passed on to each VM that starts.

Cause: ages and times were taken from the records as they stood, and multiplied with their units without a bound.

A negative age is ignored, restored times are at most ten seconds, and a number of units that overflows is the longest duration.

--- a/core/ggsthrottle/shedlimit.go
+++ b/core/ggsthrottle/shedlimit.go
@@ -40,10 +40,11 @@
 	l.refusals, l.asOf = refusalsPerSecond, asOf
 }
 
-// ObservePeerShedLimits records the shed limits known to a peer.
+// ObservePeerShedLimits records the shed limits known to a peer. One with a negative age would outlast all that endpoints
+// say later.
 func (t *Table) ObservePeerShedLimits(now time.Time, ls []ggscore.ShedLimit) {
 	for _, l := range ls {
-		if l.Age <= gossipMaxAge {
+		if l.Age >= 0 && l.Age <= gossipMaxAge {
 			t.ObserveShedLimit(l.Service, l.RefusalsPerSecond, now.Add(-l.Age))
 		}
 	}
--- a/core/ggsthrottle/table_test.go
+++ b/core/ggsthrottle/table_test.go
@@ -44,3 +44,14 @@
 		})
 	}
 }
+
+// Guards against a record with a negative age, which would keep a service shed-limited whatever its endpoints say later.
+func TestShedLimitsOfNegativeAgeAreIgnored(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	h := ggsthrottle.NewTable("vm")
+	refusals := 1
+	h.RestoreShedLimits(at(0), []ggscore.ShedLimit{{Service: "s", RefusalsPerSecond: &refusals, Age: -time.Hour}})
+	h.ObserveShedLimit("s", nil, at(time.Second))
+	c.Assert(h.ShedLimited(at(time.Second), "s"), qt.IsFalse)
+}
--- a/core/ggsturn/pauses_test.go
+++ b/core/ggsturn/pauses_test.go
@@ -1,6 +1,7 @@
 package ggsturn_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -169,3 +170,17 @@
 	c.Assert(s, qt.HasLen, 0)
 	c.Assert(l, qt.HasLen, 0)
 }
+
+// Guards against another VM's record with times that can't be meant, which would be passed on to all VMs that start.
+func TestRestoredTimesAreBounded(t *testing.T) {
+	t.Parallel()
+	const bound = 10 * time.Second
+	c := qt.New(t)
+	v := ggsturn.NewTable(ggsturn.Options{VM: "vm"})
+	v.SetService(models, targetGap)
+	v.Restore(at(0), ggscore.TurnState{Service: models, PerToken: math.MaxInt64, Start: math.MaxInt64, DecodeGap: math.MaxInt64})
+	hs := v.LearnedState()
+	c.Assert(hs, qt.HasLen, 1)
+	h := hs[0]
+	c.Assert(h.PerToken <= bound && h.Start <= bound && h.DecodeGap <= bound, qt.IsTrue, qt.Commentf("%+v", h))
+}
--- a/core/ggsturn/samples.go
+++ b/core/ggsturn/samples.go
@@ -82,8 +82,8 @@
 	if v.speed.known() || h.PerToken <= 0 {
 		return
 	}
-	v.speed.slope, v.speed.intercept = min(max(h.PerToken, minPerToken), maxPerToken), max(h.Start, 0)
-	v.mode.decodeGap = max(h.DecodeGap, 0)
+	v.speed.slope, v.speed.intercept = min(max(h.PerToken, minPerToken), maxPerToken), min(max(h.Start, 0), maxRestored)
+	v.mode.decodeGap = min(max(h.DecodeGap, 0), maxRestored)
 	if h.Mode.Enforced {
 		v.mode.baseline = min(max(h.Mode.DegradedBefore, maxDegraded), 1)
 		v.mode.setMode(now, true)
--- a/core/ggsturn/speed.go
+++ b/core/ggsturn/speed.go
@@ -18,6 +18,9 @@
 	// minPerToken and maxPerToken bound the learned prefill time per token.
 	minPerToken = time.Second / 400000
 	maxPerToken = time.Second / 2000
+	// maxRestored bounds the times that another VM has learned. An empty prompt is answered, and a stream goes on,
+	// within seconds.
+	maxRestored = 10 * time.Second
 	// A speed is fitted from at least minSamples and at most the last maxSamples first chunks,
 	// after every fitInterval samples.
 	minSamples  = 16
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"strings"
@@ -67,10 +68,18 @@
 func (r *shedLimitRecord) shedLimit() ggscore.ShedLimit {
 	return ggscore.ShedLimit{
 		Service: ggscore.Service(r.Service), RefusalsPerSecond: &r.RefusalsPerSecond,
-		Age: time.Duration(r.Age) * time.Millisecond,
+		Age: durationOf(r.Age, time.Millisecond),
 	}
 }
 
+// durationOf returns a number of units, or the longest duration where that is longer.
+func durationOf(n int64, unit time.Duration) time.Duration {
+	if n > math.MaxInt64/int64(unit) {
+		return math.MaxInt64
+	}
+	return time.Duration(max(n, -1)) * unit
+}
+
 // A turnStateRecord is the JSON form of a ggscore.TurnState. The fields' tags name the units.
 type turnStateRecord struct {
 	Service        string  `json:"service"`
@@ -93,7 +102,7 @@
 }
 
 func (r *turnStateRecord) turnState() ggscore.TurnState {
-	us := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+	us := func(n int64) time.Duration { return durationOf(n, time.Microsecond) }
 	return ggscore.TurnState{
 		Service: ggscore.Service(r.Service), PerToken: time.Duration(r.PerToken), Start: us(r.Start),
 		DecodeGap: us(r.Quiet), Mode: ggscore.TurnMode{Service: ggscore.Service(r.Service), Enforced: r.Waits, DegradedBefore: r.DegradedBefore},
