feat(ggsedge): operators learn of entries that can't be read

An endpoint's entry that can't be read was logged at debug level, so that nobody learned of an endpoint that nobody follows; unreadable records of the VMs' own were logged at each reading, once a second.

A line at warn level says when one becomes unreadable (entryUnreadable, with key, part, revision and reason) and when it is readable again (entryReadable); ggs_unreadable_entries counts them; the state dump and ggsctl status name them. configUnreadable and versionUnreadable are entryUnreadable now.

--- a/cmd/ggsctl/status.go
+++ b/cmd/ggsctl/status.go
@@ -4,16 +4,20 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"text/tabwriter"
+	"time"
 
 	ggscore "greengageslip/core"
 	"greengageslip/io/ggsconfig"
+	"greengageslip/io/ggsedge"
 )
 
 const statusLong = `Shows the revision of the document at the platform, the
 revision in force in each entry process whose state address is known (--entry
-or the settings), and the VMs that are leaving. It exits with 1 if a process
+or the settings), the VMs that are leaving, and the entries of the users' platform
+that VMs can't read. It exits with 1 if a process
 can't be reached or has another revision than the platform, so that a script
 can wait for a change to be in force everywhere.`
 
@@ -50,6 +54,9 @@
 	if err = printLeaving(a, vms); err != nil {
 		return err
 	}
+	if err = printUnreadable(a, states); err != nil {
+		return err
+	}
 	if headErr != nil || listErr != nil || !inForce(states, h.Revision) {
 		return &shownError{code: exitFailure}
 	}
@@ -118,6 +125,43 @@
 	return nil
 }
 
+// printUnreadable prints the entries that VMs can't read, each once, with the longest time.
+func printUnreadable(a *app, l []processState) error {
+	type place struct {
+		key  ggscore.Key
+		part string
+	}
+	longest := map[place]ggsedge.DefectState{}
+	for _, s := range l {
+		if s.edge == nil {
+			continue
+		}
+		for _, d := range s.edge.Unreadable {
+			if k, ok := longest[place{d.Key, d.Part}]; !ok || d.Age > k.Age {
+				longest[place{d.Key, d.Part}] = d
+			}
+		}
+	}
+	ds := slices.SortedFunc(maps.Values(longest), func(x, y ggsedge.DefectState) int {
+		return cmp.Or(cmp.Compare(x.Key, y.Key), cmp.Compare(x.Part, y.Part))
+	})
+	for _, d := range ds {
+		err := a.printf("unreadable: %q %srevision %d for %s: %s\n", d.Key, suffixed(d.Part, ", "), d.Revision, d.Age.Round(time.Second), d.Reason)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// suffixed returns a text with a suffix, unless it is empty.
+func suffixed(s, suffix string) string {
+	if s == "" {
+		return ""
+	}
+	return s + suffix
+}
+
 func stateText(v ggscore.VM, found bool) string {
 	switch {
 	case !found:
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsdefect"
 	"greengageslip/core/ggsfencing"
 	"greengageslip/core/ggspath"
 	"greengageslip/core/ggspermit"
@@ -146,6 +147,7 @@
 	node      *ggsrelay.Node
 	retries   *ggsretry.Policy
 	limits    *ggsthrottle.Table
+	defects   *ggsdefect.Table
 	// issuer issues the permits of endpoints for which this VM is the issuer. holder has this VM's own
 	// requests, and asks those that wait for a permit.
 	issuer *ggspermit.Issuer
@@ -277,6 +279,7 @@
 		ownership:              ggsfencing.NewOwnershipTracker(ggsfencing.Options{Self: o.VM, Domain: o.Domain, MinOrderGap: o.MinOrderGap, FirstStart: o.FirstStart}),
 		retries:                ggsretry.NewPolicy(retryOptions(o)),
 		limits:                 limits,
+		defects:                ggsdefect.NewTable(),
 		holder:                 ggspermit.NewHolder(o.VM, uint64(p.Monotonic().UnixNano())), //nolint:gosec // the clock is after 1970
 		asks:                   map[ggscore.PermitID]chan ggscore.PermitDecision{},
 		registry:               ggsregistry.NewRegistry(),
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsdefect"
 	"greengageslip/core/ggsgossip"
 	"greengageslip/core/ggsplace"
 	"greengageslip/core/ggsregistry"
@@ -228,10 +229,11 @@
 	es, at := r.entries, r.at
 	readable := make([]ggsregistry.Entry, 0, len(es))
 	list := make([]ggscore.Instance, 0, len(es))
+	var defects []ggsdefect.Defect
 	for _, n := range es {
 		i, err := e.Codec.Instance(n)
 		if err != nil {
-			_ = level.Debug(e.Log).Log("event", ggslog.EventEntryUnreadable, "err", err)
+			defects = append(defects, defectOf(n, err))
 			continue
 		}
 		readable = append(readable, ggsregistry.Entry{Instance: i, Revision: n.Revision})
@@ -261,6 +263,7 @@
 		e.setTurnEndpoints(list)
 	}
 	e.mu.Unlock()
+	e.replaceDefects(e.options.Keys.Instances, defects)
 	e.origins.ObserveList(list)
 	e.recordGone(change)
 	e.endpointsChanged(change, at)
--- a/io/ggsedge/list_test.go
+++ b/io/ggsedge/list_test.go
@@ -1,6 +1,7 @@
 package ggsedge
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
 	"greengageslip/io/ggsexchange"
@@ -165,3 +167,31 @@
 	e.setInstances(context.Background(), partReading{entries: entries("ready", "ready"), at: position(1), read: e.Now()})
 	c.Assert(e.OrderPool.OpenConns(addr), qt.Equals, 0)
 }
+
+// A spoiledCodec can't read entries whose value is "spoiled".
+type spoiledCodec struct{ listCodec }
+
+func (c spoiledCodec) Instance(e ggscore.Entry) (ggscore.Instance, error) {
+	if string(e.Value) == "spoiled" {
+		return ggscore.Instance{}, &NotReadyError{Reason: "spoiled"}
+	}
+	return c.listCodec.Instance(e)
+}
+
+// Guards against an entry that nobody follows and of which no operator learns, or learns at each reading of the list.
+func TestUnreadableEntriesAreLoggedOnceAndShown(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	e := listEdge()
+	e.Codec = spoiledCodec{}
+	var b bytes.Buffer
+	e.Log = level.NewFilter(log.NewLogfmtLogger(&b), level.AllowWarn())
+	for r := range 3 {
+		e.setInstances(context.Background(), partReading{entries: entries("spoiled", "ready"), at: position(ggscore.StoreRevision(r + 1))})
+	}
+	c.Assert(strings.Count(b.String(), "event=entryUnreadable key=list/a"), qt.Equals, 1, qt.Commentf("%s", b.String()))
+	c.Assert(e.State().Unreadable, qt.HasLen, 1)
+	e.setInstances(context.Background(), partReading{entries: entries("ready", "ready"), at: position(9)})
+	c.Assert(strings.Count(b.String(), "event=entryReadable key=list/a"), qt.Equals, 1, qt.Commentf("%s", b.String()))
+	c.Assert(e.State().Unreadable, qt.HasLen, 0)
+}
--- a/io/ggsedge/members.go
+++ b/io/ggsedge/members.go
@@ -9,14 +9,12 @@
 	"strings"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsdefect"
 	"greengageslip/core/ggsfencing"
 	"greengageslip/core/ggsgossip"
 	"greengageslip/core/ggsrelay"
 	"greengageslip/io/ggscrash"
-	"greengageslip/io/ggslog"
 )
 
 // Key parts of the VMs' own records below the prefix.
@@ -199,7 +197,8 @@
 
 // setMembers applies the VMs' own records. The position is zero if they came from a seed.
 func (e *Edge) setMembers(ctx context.Context, es []ggscore.Entry, at ggscore.StorePosition) {
-	r, peers, suspects := e.readOwn(es)
+	r, peers, suspects, defects := e.readOwn(es)
+	e.replaceDefects(e.options.Keys.Own+"/", defects)
 	if len(peers) > 0 || !at.IsZero() {
 		e.crashes.Join(controlAddrs(peers))
 	}
@@ -267,8 +266,10 @@
 	return ms
 }
 
-// readOwn decodes the VMs' own records. An invalid record is logged and skipped.
-func (e *Edge) readOwn(es []ggscore.Entry) (r ggsfencing.Reading, peers map[ggscore.VMID]*member, suspects []ggscore.SuspectID) {
+// readOwn decodes the VMs' own records.
+func (e *Edge) readOwn(
+	es []ggscore.Entry,
+) (r ggsfencing.Reading, peers map[ggscore.VMID]*member, suspects []ggscore.SuspectID, defects []ggsdefect.Defect) {
 	peers = map[ggscore.VMID]*member{}
 	for _, n := range es {
 		part, name, _ := strings.Cut(strings.TrimPrefix(string(n.Key), string(e.options.Keys.Own)+"/"), "/")
@@ -313,10 +314,10 @@
 			}
 		}
 		if err != nil {
-			_ = level.Warn(e.Log).Log("event", ggslog.EventRecordUnreadable, "key", n.Key, "revision", n.Revision, "err", err)
+			defects = append(defects, defectOf(n, err))
 		}
 	}
-	return r, peers, suspects
+	return r, peers, suspects, defects
 }
 
 // restoreTurnStates restores what another VM had learned about prefill.
--- a/io/ggsedge/metrics.go
+++ b/io/ggsedge/metrics.go
@@ -157,6 +157,7 @@
 			return float64(len(e.issuer.State(e.Now())))
 		})},
 		{"ordered_endpoints", "Endpoints that get their orders from this VM.", locked(func() float64 { return float64(len(e.workers)) })},
+		{"unreadable_entries", "Entries of the store, or parts of them, that can't be read.", locked(func() float64 { return float64(e.defects.Len()) })},
 		{"peers", "Other VMs that are known.", locked(func() float64 { return float64(len(e.peers)) })},
 	}...) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -267,9 +267,10 @@
 	}
 	v, ok, err := e.Codec.Version(n)
 	if err != nil {
-		_ = level.Warn(e.Log).Log("event", ggslog.EventVersionUnreadable, "err", err)
+		e.setDefects(n.Key, defectOf(n, err))
 		return false
 	}
+	e.setDefects(n.Key)
 	if !ok {
 		return true
 	}
@@ -301,9 +302,10 @@
 func (e *Edge) adoptConfig(n ggscore.Entry) bool {
 	c, err := e.Codec.Config(n)
 	if err != nil {
-		_ = level.Warn(e.Log).Log("event", ggslog.EventConfigUnreadable, "err", err)
+		e.setDefects(n.Key, defectOf(n, err))
 		return false
 	}
+	e.setDefects(n.Key)
 	// A stale answer must not replace a newer configuration.
 	if in := e.configVersion(); c.Version <= in {
 		return c.Version == in
--- a/io/ggsedge/orderlog.go
+++ b/io/ggsedge/orderlog.go
@@ -186,6 +186,7 @@
 	var r orderLogRecord
 	if err := json.Unmarshal(v, &r); err != nil {
 		_ = level.Warn(e.Log).Log("event", ggslog.EventRecordUnreadable, "key", k, "revision", at.Revision, "err", err)
+		r = orderLogRecord{}
 	}
 	if r.Process != e.process() && l.at != l.inherited {
 		l.inherited = l.at
--- a/io/ggsedge/state.go
+++ b/io/ggsedge/state.go
@@ -39,6 +39,8 @@
 	ShedLimits []ggscore.ShedLimit
 	// Permits are the shed-limited endpoints for which this VM issues permits.
 	Permits []ggspermit.EndpointPermits
+	// Unreadable are the entries of the store that can't be read.
+	Unreadable []DefectState
 }
 
 // A QuarantineState is a suspect in quarantine, and the time until it is let go.
@@ -126,6 +128,7 @@
 		s.Quarantined = append(s.Quarantined, QuarantineState{Suspect: p, Left: left})
 	}
 	s.ShedLimits, s.Permits = e.limits.RecentShedLimits(now), e.issuer.State(now)
+	s.Unreadable = e.defectStates(now)
 	slices.SortFunc(s.Permits, func(a, b ggspermit.EndpointPermits) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	slices.SortFunc(s.Quarantined, func(a, b QuarantineState) int { return cmp.Compare(a.Suspect, b.Suspect) })
 	slices.SortFunc(s.Endpoints, func(a, b EndpointState) int {
@@ -157,6 +160,16 @@
 	Quarantined []quarantineWire `json:"quarantined,omitempty"`
 	ShedLimits  []shedLimitWire  `json:"shedLimits,omitempty"`
 	Permits     []permitsWire    `json:"permits,omitempty"`
+	Unreadable  []defectWire     `json:"unreadable,omitempty"`
+}
+
+// A defectWire is an entry that can't be read, or a part of it.
+type defectWire struct {
+	Key        string  `json:"key"`
+	Part       string  `json:"part,omitempty"`
+	Revision   uint64  `json:"revision"`
+	Reason     string  `json:"reason"`
+	AgeSeconds float64 `json:"ageSeconds"`
 }
 
 // A permitsWire has the permits of an endpoint.
@@ -255,6 +268,11 @@
 	for _, n := range s.Permits {
 		w.Permits = append(w.Permits, permitsWire{Endpoint: string(n.Endpoint), Limit: n.Limit, Granted: n.Granted, Waiting: n.Waiting})
 	}
+	for _, d := range s.Unreadable {
+		w.Unreadable = append(w.Unreadable, defectWire{
+			Key: string(d.Key), Part: d.Part, Revision: uint64(d.Revision), Reason: d.Reason, AgeSeconds: d.Age.Seconds(),
+		})
+	}
 	return json.Marshal(&w)
 }
 
@@ -311,6 +329,11 @@
 			Endpoint: ggscore.EndpointID(n.Endpoint), Limit: n.Limit, Granted: n.Granted, Waiting: n.Waiting,
 		})
 	}
+	for _, d := range w.Unreadable {
+		s.Unreadable = append(s.Unreadable, DefectState{
+			Key: ggscore.Key(d.Key), Part: d.Part, Revision: ggscore.StoreRevision(d.Revision), Reason: d.Reason, Age: duration(d.AgeSeconds),
+		})
+	}
 	return nil
 }
 
--- a/io/ggsedge/state_test.go
+++ b/io/ggsedge/state_test.go
@@ -28,6 +28,7 @@
 		Quarantined: []QuarantineState{{Suspect: "5c", Left: time.Minute}, {Suspect: ggscore.SuspectRequest("a7"), Left: time.Second}},
 		ShedLimits:  []ggscore.ShedLimit{{Service: "ledger", RefusalsPerSecond: new(6), Age: time.Second}},
 		Permits:     []ggspermit.EndpointPermits{{Endpoint: "p0", Limit: 12, Granted: 11, Waiting: 3}},
+		Unreadable:  []DefectState{{Key: "op/config", Part: "route chat", Revision: 9, Reason: "unknown type", Age: time.Minute}},
 	}
 	b, err := json.Marshal(want)
 	c.Assert(err, qt.IsNil)
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -18,7 +18,6 @@
 	EventCallerLeft         Event = "callerLeft"
 	EventClaimUnencoded     Event = "claimUnencoded"
 	EventConfigAdopted      Event = "configAdopted"
-	EventConfigUnreadable   Event = "configUnreadable"
 	EventCrashesRead        Event = "crashesRead"
 	EventCrashesUnstored    Event = "crashesUnstored"
 	EventDependencyLost     Event = "dependencyLost"
@@ -28,6 +27,7 @@
 	EventEndpointLimited    Event = "endpointLimited"
 	EventEndpointRefused    Event = "endpointRefused"
 	EventEndpointUnlimited  Event = "endpointUnlimited"
+	EventEntryReadable      Event = "entryReadable"
 	EventEntryUnreadable    Event = "entryUnreadable"
 	EventListening          Event = "listening"
 	EventLoadFailed         Event = "loadFailed"
@@ -74,7 +74,6 @@
 	EventRequestReleased    Event = "requestReleased"
 	EventTunnelFailed       Event = "tunnelFailed"
 	EventVersionAdopted     Event = "versionAdopted"
-	EventVersionUnreadable  Event = "versionUnreadable"
 	EventWatchPreempted     Event = "watchPreempted"
 )
 
@@ -82,8 +81,8 @@
 func Events() []Event {
 	l := []Event{
 		EventAbandonedBroken, EventAnswerBroken, EventAttemptFailed, EventCallerLeft, EventClaimUnencoded, EventConfigAdopted,
-		EventConfigUnreadable, EventCrashesRead, EventCrashesUnstored, EventDependencyLost, EventDependencyRegained, EventEndpointGone, EventEndpointLeaving,
-		EventEndpointLimited, EventEndpointRefused, EventEndpointUnlimited, EventEntryUnreadable,
+		EventCrashesRead, EventCrashesUnstored, EventDependencyLost, EventDependencyRegained, EventEndpointGone, EventEndpointLeaving,
+		EventEndpointLimited, EventEndpointRefused, EventEndpointUnlimited, EventEntryReadable, EventEntryUnreadable,
 		EventHeartbeatFailed, EventHeartbeatRefused, EventHeartbeatUnencoded, EventHeartbeatUnsent, EventListening,
 		EventLoadFailed, EventLogDropped, EventLogSampled, EventNewerEntriesRead, EventOrderGiven,
 		EventOrdersClaimed, EventOrdersReleased, EventOrdersTakenOver, EventOrdersUnrecorded, EventOriginUnasked, EventOriginsRead, EventOriginsUnstored, EventPartFailed, EventPartQuarantined,
@@ -93,7 +92,7 @@
 		EventPermitRefused, EventRequestSent, EventRequestsCut, EventRereadFailed, EventSeedAsked, EventServiceShedLimited,
 		EventSettingsReread, EventSoftwareMixed, EventStatusFailed, EventStopRequested, EventStoreEpochChanged,
 		EventStoreEpochIgnored, EventStoreResynced, EventStreamNotResumed, EventTunnelFailed, EventVersionAdopted,
-		EventVersionUnreadable, EventWatchPreempted,
+		EventWatchPreempted,
 	}
 	slices.Sort(l)
 	return l
