--- a/fakes/ggsfakesite/store.go
+++ b/fakes/ggsfakesite/store.go
@@ -306,19 +306,28 @@
 		Key      string `json:"key"`
 		Revision uint64 `json:"revision"`
 	} `json:"expected"`
-	SetKeys []struct {
-		Key   string `json:"key"`
-		Value []byte `json:"value"`
-	} `json:"setKeys"`
-	Remove []string `json:"remove"`
+	SetKeys []keyValue `json:"setKeys"`
+	Remove  []string   `json:"remove"`
 }
 
+type keyValue struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// maxKeyBytes bounds the keys that are written.
+const maxKeyBytes = 200
+
 func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
 	var t transaction
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if slices.ContainsFunc(t.SetKeys, func(k keyValue) bool { return len(k.Key) > maxKeyBytes }) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conditions = nil
