fix(ggsedge): the last configuration in force outlasts all VMs

What callers saw: with an operators' configuration that can't be read (nested too deeply, a version beyond all, one route of an unknown type) everything is served on, until all VMs have restarted: then no VM is ready, and everything is refused. A route with timeoutMs 0, or a body limit below 0, refuses its requests at once.

One unreadable part made the whole unreadable, and values that can't be meant were taken as they stood.

- A configuration is read part by part.
A route, a service or the limits that can't be read, or whose values can't be meant (ggscore's Validate), keep the form that they had; the rest comes into force.

Weighed: only reading part by part (a version or nesting that can't be read leaves nothing to go by); recording the operators' bytes instead of what is in force (two configurations would be needed to tell the form of an unreadable part).

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -218,6 +218,7 @@
 		Keys: ggsedge.Keys{
 			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip", Orders: "greengageslipOrders", Crashes: "greengageslipCrashes",
 			Software: "greengageslipSoftware", Origins: "greengageslipOrigins",
+			LastConfig: "greengageslipLastConfig",
 		},
 	}, ggsedge.Parts{
 		Store: ggsdialect.NewStore(s.Store), Codec: ggsdialect.Codec{}, Dialect: ggsdialect.Headers{},
--- a/cmd/ggsnode/promise_test.go
+++ b/cmd/ggsnode/promise_test.go
@@ -65,8 +65,8 @@
 			seeds = append(seeds, rand.Uint64N(1<<32))
 		}
 	}
+	//nolint:paralleltest // plays are sequential, so that they don't disturb each other's timing
 	for _, seed := range seeds {
-		//nolint:paralleltest // plays are sequential, so that they don't disturb each other's timing
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playPromises(t, seed) })
 	}
 }
--- a/core/serving.go
+++ b/core/serving.go
@@ -1,7 +1,9 @@
 package ggscore
 
 import (
+	"maps"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -128,4 +130,80 @@
 	Routes   []Route
 	Services map[Service]BackendSpec
 	Limits   ClientLimits
+	// Invalid are the parts that can't be read. They are missing above.
+	Invalid []InvalidPart
+}
+
+// A ConfigPart is a kind of part of a configuration that is read by itself.
+type ConfigPart int
+
+// The kinds of parts.
+const (
+	PartRoute ConfigPart = iota
+	PartService
+	PartLimits
+)
+
+// String returns the kind's name in logs and state dumps.
+func (p ConfigPart) String() string {
+	switch p {
+	case PartRoute:
+		return "route"
+	case PartService:
+		return "service"
+	case PartLimits:
+		return "limits"
+	}
+	return "ConfigPart(" + strconv.Itoa(int(p)) + ")"
+}
+
+// An InvalidPart is a part of a configuration that can't be read. Its name is empty if that can't be read either.
+type InvalidPart struct {
+	Part   ConfigPart
+	Name   string
+	Reason string
+}
+
+// String names the part.
+func (p InvalidPart) String() string {
+	if p.Name == "" {
+		return p.Part.String()
+	}
+	return p.Part.String() + " " + p.Name
+}
+
+// Complete returns the configuration with those parts that can't be read in the form that they have in last, which may
+// be nil. Parts that aren't there either remain invalid.
+func (c *RoutingConfig) Complete(last *RoutingConfig) *RoutingConfig {
+	if last == nil || len(c.Invalid) == 0 {
+		return c
+	}
+	o := &RoutingConfig{Version: c.Version, Routes: slices.Clone(c.Routes), Services: maps.Clone(c.Services), Limits: c.Limits}
+	for _, p := range c.Invalid {
+		if !o.restore(p, last) {
+			o.Invalid = append(o.Invalid, p)
+		}
+	}
+	return o
+}
+
+// restore adds a part in its form in last, and reports whether it is there.
+func (c *RoutingConfig) restore(p InvalidPart, last *RoutingConfig) bool {
+	switch p.Part {
+	case PartRoute:
+		i := slices.IndexFunc(last.Routes, func(r Route) bool { return r.Name == p.Name && p.Name != "" })
+		if i < 0 {
+			return false
+		}
+		c.Routes = append(c.Routes, last.Routes[i])
+	case PartService:
+		s, ok := last.Services[Service(p.Name)]
+		if !ok {
+			return false
+		}
+		c.Services[s.Service] = s
+	case PartLimits:
+		c.Limits = last.Limits
+	}
+	return true
 }
--- a/core/validate.go
+++ b/core/validate.go
@@ -56,6 +56,77 @@
 	return nil
 }
 
+// Validate returns an *InvalidFieldError if the route would refuse everything, or can't be computed with.
+func (r *Route) Validate() error {
+	total := 0
+	for _, g := range r.Targets {
+		if !isName(string(g.Service)) {
+			return &InvalidFieldError{Field: "service", Reason: "empty or too long"}
+		}
+		if g.Weight < 0 || g.Weight > MaxWeight {
+			return outOfRange("weight", g.Weight, 0, MaxWeight)
+		}
+		total += g.Weight
+	}
+	switch {
+	case !isName(r.Name):
+		return &InvalidFieldError{Field: "name", Reason: "empty or too long"}
+	case r.Host == "":
+		return &InvalidFieldError{Field: "host", Reason: "empty"}
+	case !strings.HasPrefix(r.Prefix, "/"):
+		return &InvalidFieldError{Field: "prefix", Reason: "doesn't begin with a slash"}
+	case r.Timeout <= 0 || r.Timeout > MaxRouteTime:
+		return outOfRange("timeout", r.Timeout, time.Millisecond, MaxRouteTime)
+	case r.Target < 0 || r.Target > MaxRouteTime:
+		return outOfRange("target", r.Target, 0, MaxRouteTime)
+	case r.TargetGap < 0 || r.TargetGap > MaxRouteTime:
+		return outOfRange("targetGap", r.TargetGap, 0, MaxRouteTime)
+	case r.MaxAttempts < 1 || r.MaxAttempts > MaxRouteAttempts:
+		return outOfRange("maxAttempts", r.MaxAttempts, 1, MaxRouteAttempts)
+	case total <= 0:
+		return &InvalidFieldError{Field: "targets", Reason: "no service has a weight"}
+	}
+	return nil
+}
+
+// Validate returns an *InvalidFieldError if the service's endpoints can't be as described.
+func (b *BackendSpec) Validate() error {
+	switch {
+	case !isName(string(b.Service)):
+		return &InvalidFieldError{Field: "name", Reason: "empty or too long"}
+	case b.MaxConns < 0 || b.MaxConns > MaxEndpointConns:
+		return outOfRange("maxConns", b.MaxConns, 0, MaxEndpointConns)
+	case b.Engine == nil:
+		return nil
+	case b.Engine.AdapterSlots < 0 || b.Engine.AdapterSlots > MaxSlots:
+		return outOfRange("adapterSlots", b.Engine.AdapterSlots, 0, MaxSlots)
+	case b.Engine.Bytes < 0 || b.Engine.Bytes > MaxModelBytes:
+		return outOfRange("bytes", b.Engine.Bytes, 0, MaxModelBytes)
+	}
+	for _, m := range b.Engine.Models {
+		switch {
+		case !isName(string(m.Name)):
+			return &InvalidFieldError{Field: "model", Reason: "empty or too long"}
+		case m.Bytes < 0 || m.Bytes > MaxModelBytes:
+			return outOfRange("modelBytes", m.Bytes, 0, MaxModelBytes)
+		case m.AdapterBytes < 0 || m.AdapterBytes > MaxModelBytes:
+			return outOfRange("adapterBytes", m.AdapterBytes, 0, MaxModelBytes)
+		}
+	}
+	return nil
+}
+
+// Validate returns an *InvalidFieldError if the limits can't be meant. Zero stands for the default.
+func (l *ClientLimits) Validate() error {
+	switch {
+	case l.MaxHeaderBytes < 0 || l.MaxHeaderBytes > MaxClientBytes:
+		return outOfRange("maxHeaderBytes", l.MaxHeaderBytes, 0, MaxClientBytes)
+	case l.MaxBodyBytes < 0 || l.MaxBodyBytes > MaxClientBytes:
+		return outOfRange("maxBodyBytes", l.MaxBodyBytes, 0, MaxClientBytes)
+	}
+	return nil
+}
+
 // outOfRange returns the error for a number that isn't in a range.
 func outOfRange[T int | int64 | uint64 | time.Duration](field string, value, low, high T) error {
 	return &InvalidFieldError{Field: field, Reason: fmt.Sprintf("%v is out of range: want %v to %v", value, low, high)}
--- a/io/ggsedge/doc.go
+++ b/io/ggsedge/doc.go
@@ -33,7 +33,8 @@
 // placement.go has adapters loaded, and worker.go sends the orders to owned endpoints.
 // turns.go schedules prompts, and signals.go processes rate limits and departures that
 // endpoints announce. operators.go and follow.go read the operators' entries and the list of
-// endpoints, members.go reads the VMs' records, and control.go writes store heartbeats and
+// endpoints, lastconfig.go keeps the last configuration in the store, defects.go what can't be
+// read, members.go reads the VMs' records, and control.go writes store heartbeats and
 // claims. heartbeats.go exchanges state with other VMs, and parts.go serves the relays'
 // readings of the store to other VMs. paths.go handles broken network paths to endpoints.
 //
@@ -42,6 +43,8 @@
 //
 // # Locks
 //
+// Edge.configMu is held while a configuration is brought into force, and is locked before Edge.mu.
+//
 // Edge.mu guards the state that decisions use. While it is held, no network call is made, and
 // epochState.mu and the lock of Parts.Paths are the only other locks that are taken. Both are
 // leaves.
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -82,11 +82,17 @@
 	// Software, neither is stored.
 	Software ggscore.Key
 	Origins  ggscore.Key
+	// LastConfig is the key of the record of the last configuration that was in force. It is read if the operators' one
+	// can't be. Without it, no record is kept.
+	LastConfig ggscore.Key
 }
 
 // A Codec decodes entries of the store.
 type Codec interface {
+	// Config decodes a configuration. Parts that can't be read are listed in its Invalid.
 	Config(e ggscore.Entry) (*ggscore.RoutingConfig, error)
+	// EncodeConfig encodes a configuration as Config decodes it.
+	EncodeConfig(c *ggscore.RoutingConfig) ([]byte, error)
 	Instance(e ggscore.Entry) (ggscore.Instance, error)
 	// Version decodes an adapter's version. ok is false for other entries.
 	Version(e ggscore.Entry) (v ggscore.AdapterVersion, ok bool, err error)
@@ -138,6 +144,12 @@
 	draining atomic.Bool
 	// storeUnavailable is set if the last read of the operators' entries failed.
 	storeUnavailable atomic.Bool
+	// lastConfigWanted is set if this VM can't read the operators' configuration, or parts of it.
+	lastConfigWanted   atomic.Bool
+	lastConfigNotified chan struct{}
+
+	// configMu is held while a configuration is brought into force.
+	configMu sync.Mutex
 
 	mu        sync.Mutex
 	table     *ggsplace.Table
@@ -192,6 +204,8 @@
 	resyncDuration time.Duration
 	// operatorsAnnounced is the newest position of the operators' entries that a peer
 	// announced. operatorsSynced is the newest position announced before the last full snapshot.
+	// configSince is when the configuration in force came into force.
+	configSince time.Time
 	// behindSince is when a peer first announced a position that this VM has not read yet.
 	operatorsAnnounced ggscore.StorePosition
 	operatorsSynced    ggscore.StorePosition
@@ -293,9 +307,10 @@
 		startedAt:              p.Monotonic().UnixNano(),
 		storeHeartbeatNotified: make(chan struct{}, 1),
 
-		listNotified:      make(chan struct{}, 1),
-		operatorsNotified: make(chan struct{}, 1),
-		membersNotified:   make(chan struct{}, 1),
+		listNotified:       make(chan struct{}, 1),
+		operatorsNotified:  make(chan struct{}, 1),
+		membersNotified:    make(chan struct{}, 1),
+		lastConfigNotified: make(chan struct{}, 1),
 	}
 	e.issuer = ggspermit.NewIssuer(e.table)
 	e.metrics = newMetrics(e)
@@ -370,6 +385,7 @@
 	g.Go(func() error { return e.maintainOwnership(ctx) })
 	g.Go(func() error { return e.querySeeds(ctx) })
 	g.Go(func() error { return e.fetchNewer(ctx) })
+	g.Go(func() error { return e.maintainLastConfig(ctx) })
 	g.Go(func() error { return e.crashes.Run(ctx) })
 	g.Go(func() error { return e.origins.Run(ctx) })
 	g.Go(func() error { return e.maintainPermits(ctx) })
--- a/io/ggsedge/operators.go
+++ b/io/ggsedge/operators.go
@@ -10,7 +10,6 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsgossip"
-	"greengageslip/core/ggspath"
 	"greengageslip/io/ggsconn"
 	"greengageslip/io/ggslog"
 )
@@ -55,6 +54,9 @@
 // that read from this one go by it, and take the entries for complete up to there.
 func (e *Edge) applyOperators(at ggscore.StorePosition, es []ggscore.Entry) {
 	e.adoptOperators(es)
+	if e.paths.Load() == nil {
+		e.requestLastConfig()
+	}
 	e.recordOperatorsRead(at, es)
 }
 
@@ -298,28 +300,3 @@
 	}
 	return 0
 }
-
-func (e *Edge) adoptConfig(n ggscore.Entry) bool {
-	c, err := e.Codec.Config(n)
-	if err != nil {
-		e.setDefects(n.Key, defectOf(n, err))
-		return false
-	}
-	e.setDefects(n.Key)
-	// A stale answer must not replace a newer configuration.
-	if in := e.configVersion(); c.Version <= in {
-		return c.Version == in
-	}
-	e.origins.ObserveRoutes(c.Routes)
-	e.paths.Store(ggspath.NewTable(c))
-	e.mu.Lock()
-	for s, spec := range c.Services {
-		e.turns.SetService(s, c.TargetGap(s))
-		if spec.Engine != nil {
-			e.table.SetAdapterSlots(s, spec.Engine.AdapterCapacity())
-		}
-	}
-	e.mu.Unlock()
-	_ = level.Info(e.Log).Log("event", ggslog.EventConfigAdopted, "version", c.Version, "revision", n.Revision, "routes", len(c.Routes))
-	return true
-}
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -18,6 +18,7 @@
 	EventCallerLeft         Event = "callerLeft"
 	EventClaimUnencoded     Event = "claimUnencoded"
 	EventConfigAdopted      Event = "configAdopted"
+	EventConfigRecorded     Event = "configRecorded"
 	EventCrashesRead        Event = "crashesRead"
 	EventCrashesUnstored    Event = "crashesUnstored"
 	EventDependencyLost     Event = "dependencyLost"
@@ -81,7 +82,7 @@
 func Events() []Event {
 	l := []Event{
 		EventAbandonedBroken, EventAnswerBroken, EventAttemptFailed, EventCallerLeft, EventClaimUnencoded, EventConfigAdopted,
-		EventCrashesRead, EventCrashesUnstored, EventDependencyLost, EventDependencyRegained, EventEndpointGone, EventEndpointLeaving,
+		EventConfigRecorded, EventCrashesRead, EventCrashesUnstored, EventDependencyLost, EventDependencyRegained, EventEndpointGone, EventEndpointLeaving,
 		EventEndpointLimited, EventEndpointRefused, EventEndpointUnlimited, EventEntryReadable, EventEntryUnreadable,
 		EventHeartbeatFailed, EventHeartbeatRefused, EventHeartbeatUnencoded, EventHeartbeatUnsent, EventListening,
 		EventLoadFailed, EventLogDropped, EventLogSampled, EventNewerEntriesRead, EventOrderGiven,
