fix(ggsedge): an entry with the address of a VM names no endpoint

What callers would see: an odd entry with the address at which a VM serves callers gets requests, which go round between VMs until one of them chooses an endpoint: 70 arrivals for 40 requests in the test, each run once. Their time, processor and retries are lost.

Entries with the address and port of this VM or a peer are unreadable, and named so.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -211,7 +211,7 @@
 		VM:     s.VM + "@" + ggscore.VMID(s.Addr.String()),
 		Domain: s.Domain, Regions: s.Regions, Seed: hash64(string(s.VM)) ^ uint64(t().UnixNano()),
 		Capacity:     edgeCapacity(s),
-		DatagramAddr: edgeDatagramAddr(s), ControlAddr: s.Control, Seeds: s.Seeds, MinOrderGap: s.MinOrderGap, FirstStart: s.FirstStart, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		DatagramAddr: edgeDatagramAddr(s), ControlAddr: s.Control, CallersAddr: s.Callers, Seeds: s.Seeds, MinOrderGap: s.MinOrderGap, FirstStart: s.FirstStart, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
 		MaxInFlight:    int64(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * inFlightShare),
 		MaxBodiesBytes: int64(float64(cmp.Or(s.MemoryBytes, defaultMemory)) * bodiesShare),
 		IDHeader:       ggsdialect.HeaderRequestID,
--- a/cmd/ggsnode/edge_odd_test.go
+++ b/cmd/ggsnode/edge_odd_test.go
@@ -1,6 +1,8 @@
 package ggsnode
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -103,3 +105,44 @@
 	r := s.call(0, http.MethodPost, "/pay/1", "", "{}")
 	s.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
 }
+
+// Guards against requests that go round between VMs, because an entry has the address of one of them.
+func TestEntryWithTheAddressOfAVM(t *testing.T) {
+	t.Parallel()
+	const entries, calls = 6, 40
+	s := startSite(t, 2)
+	for n := range entries {
+		s.site.Store.Put("servers/loop-"+strconv.Itoa(n), []byte(`{"service":"ledger","address":"`+s.edges[n%2].settings.Callers.String()+
+			`","zone":"a","version":"v1","slots":16,"state":"ready","models":[],"seq":0,"born":1700000000000}`))
+	}
+	for n := range s.edges {
+		s.eventually("the list is read", func() bool { return len(s.state(n).Unreadable) == entries })
+	}
+	before := s.arrived()
+	for n := range calls {
+		r := s.call(n%2, http.MethodPost, "/pay/1", "", "{}")
+		s.c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+		s.c.Check(s.site.Runs()[r.id], qt.Equals, 1)
+	}
+	s.c.Assert(s.arrived()-before, qt.Equals, calls)
+}
+
+// arrived returns the number of requests that have arrived at all edges, by their metrics.
+func (s *siteTest) arrived() int {
+	sum := 0
+	for _, e := range s.edges {
+		r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+e.settings.Ready.String()+metricsPath, nil)
+		s.c.Assert(err, qt.IsNil)
+		resp, err := http.DefaultClient.Do(r)
+		s.c.Assert(err, qt.IsNil)
+		b, err := io.ReadAll(resp.Body)
+		s.c.Assert(err, qt.IsNil)
+		_ = resp.Body.Close()
+		_, text, _ := strings.Cut(string(b), "\nggs_requests_total ")
+		text, _, _ = strings.Cut(text, "\n")
+		n, err := strconv.ParseFloat(text, 64)
+		s.c.Assert(err, qt.IsNil)
+		sum += int(n)
+	}
+	return sum
+}
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -42,6 +42,8 @@
 	// for calls.
 	DatagramAddr netip.AddrPort
 	ControlAddr  netip.AddrPort
+	// CallersAddr is the address at which this VM serves callers. VMs use the same ports.
+	CallersAddr netip.AddrPort
 	// Seeds are other VMs to read entries from while the store is unreachable. They may have failed.
 	Seeds []netip.AddrPort
 	// MinOrderGap is the minimum time between orders of two VMs to one endpoint.
--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	ggscore "greengageslip/core"
@@ -22,6 +23,12 @@
 	return fmt.Sprintf("no VM owns endpoint %s", e.Endpoint)
 }
 
+// A VMAddrError reports an endpoint's entry with the address of a VM.
+type VMAddrError struct{ Addr netip.AddrPort }
+
+// Error implements error.
+func (e *VMAddrError) Error() string { return e.Addr.String() + " is the address of a VM" }
+
 // A LoadTimeoutError reports that an adapter wasn't loaded before the deadline.
 type LoadTimeoutError struct {
 	Endpoint ggscore.EndpointID
--- a/io/ggsedge/follow.go
+++ b/io/ggsedge/follow.go
@@ -230,8 +230,12 @@
 	readable := make([]ggsregistry.Entry, 0, len(es))
 	list := make([]ggscore.Instance, 0, len(es))
 	var defects []ggsdefect.Defect
+	vms := e.vmAddrs()
 	for _, n := range es {
 		i, err := e.Codec.Instance(n)
+		if err == nil && vms[i.Addr] {
+			err = &VMAddrError{Addr: i.Addr}
+		}
 		if err != nil {
 			defects = append(defects, defectOf(n, err))
 			continue
@@ -269,6 +273,23 @@
 	e.endpointsChanged(change, at)
 }
 
+// vmAddrs returns the addresses of this VM and its peers. Requests to one of them would go round.
+func (e *Edge) vmAddrs() map[netip.AddrPort]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	as := map[netip.AddrPort]bool{}
+	add := func(ip netip.Addr) {
+		for _, a := range []netip.AddrPort{e.options.CallersAddr, e.options.ControlAddr, e.options.DatagramAddr} {
+			as[netip.AddrPortFrom(ip, a.Port())] = true
+		}
+	}
+	add(e.options.ControlAddr.Addr())
+	for _, p := range e.peers {
+		add(p.controlAddr.Addr())
+	}
+	return as
+}
+
 // endpointsChanged logs endpoints that leave or are gone, and drops what is kept for the latter.
 func (e *Edge) endpointsChanged(change ggsplace.Change, at ggscore.StorePosition) {
 	for _, l := range change.Leaving {
