perf(ggsresident): slots are filled where a process outlasts late orders

An order that the new owner doesn't know was sent within those 20 s. To a process that has run for longer than that, it expects the number that the process has now at most: once the next order is accepted, it comes no more. Only a process that started since counts anew and may reach the number again. So the unknown orders count for such processes alone. VMs compare their time of day with the process's start, with 10 s for the difference between clocks.

The table of the new rule fails before.

--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -100,6 +100,8 @@
 	// Unanswered holds the unanswered orders to the endpoint's current and earlier processes, which
 	// the caller records. If it is nil, the ledger starts without any, and none is recorded.
 	Unanswered *Unanswered
+	// Started is when the endpoint's process had started at the latest, zero if that isn't known.
+	Started time.Time
 	// ReportDelay is the extra delivery time of VMs' use reports, compared with a heartbeat that
 	// is sent directly.
 	ReportDelay time.Duration
--- a/core/ggsresident/orders.go
+++ b/core/ggsresident/orders.go
@@ -96,7 +96,7 @@
 // LateOrders returns the number of unanswered orders that may still be executed once the endpoint
 // has accepted the next order. A slot stays free for each.
 func (l *Ledger) LateOrders(now time.Time) int {
-	return l.options.Unanswered.consecutive(now, l.sequence+1)
+	return l.options.Unanswered.consecutive(now, l.sequence+1, l.options.Started)
 }
 
 // nextPoll returns a poll that is due for a load or an eviction in progress.
--- a/core/ggsresident/runner_test.go
+++ b/core/ggsresident/runner_test.go
@@ -246,15 +246,15 @@
 // process of the same VM, that takes effect at a restarted endpoint whose slots they have filled.
 func TestLoadsNeverExceedSlotsAcrossOwners(t *testing.T) {
 	t.Parallel()
-	const (
-		late           = 2 * time.Second
-		maxLate        = 3
-		maxNoticeDelay = 100 * time.Millisecond
-	)
+	const maxLate = 3
 	rapid.Check(t, func(t *rapid.T) {
+		// At the larger scale, processes outlast the orders that were sent to the ones before.
+		scale := time.Duration(rapid.SampledFrom([]int{1, 10}).Draw(t, "scale"))
+		late, maxNoticeDelay := 2*scale*time.Second, 100*scale*time.Millisecond
 		m := &runnerModel{slots: rapid.IntRange(maxLate+1, maxLate+3).Draw(t, "slots")}
 		m.restart()
 		now, noticed := at(0), at(0)
+		started, known := at(0), at(0)
 		var stored *ggsresident.OrderRecord
 		var unanswered *ggsresident.Unanswered
 		var l *ggsresident.Ledger
@@ -265,7 +265,7 @@
 			unanswered.Recorded(now, r)
 		}
 		ledger := func() {
-			l = ggsresident.NewLedger(ggsresident.Options{Slots: m.slots, Unanswered: unanswered})
+			l = ggsresident.NewLedger(ggsresident.Options{Slots: m.slots, Unanswered: unanswered, Started: known})
 		}
 		takeOver := func() {
 			unanswered = &ggsresident.Unanswered{}
@@ -277,16 +277,17 @@
 		}
 		takeOver()
 		for range 400 {
-			now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "advance")) * time.Millisecond)
+			now = now.Add(scale * time.Duration(rapid.IntRange(1, 30).Draw(t, "advance")) * time.Millisecond)
 			m.advance(now)
 			if m.overfull {
 				t.Fatalf("late orders exceed the adapter slots")
 			}
 			if m.mayRestart(t) {
+				started = now
 				noticed = now.Add(time.Duration(rapid.Int64Range(0, int64(maxNoticeDelay)).Draw(t, "noticed")))
 			}
 			if !noticed.IsZero() && !now.Before(noticed) {
-				noticed = time.Time{}
+				noticed, known = time.Time{}, started
 				ledger()
 			}
 			if rapid.IntRange(0, 39).Draw(t, "owner") == 0 {
--- a/core/ggsresident/unanswered.go
+++ b/core/ggsresident/unanswered.go
@@ -148,10 +148,17 @@
 
 // consecutive returns how many unanswered orders may be executed in a row once the endpoint has
 // accepted the given number of orders. An order of an earlier owner that isn't known may expect
-// any number.
-func (u *Unanswered) consecutive(now time.Time, sequence uint64) int {
+// any number, unless it was sent to the process that still runs: there, it expects one that comes
+// no more once the next order is accepted. The process has started by the given time, zero if that
+// isn't known.
+func (u *Unanswered) consecutive(now time.Time, sequence uint64, started time.Time) int {
 	u.prune(now)
-	n, unknown := 0, len(u.takeovers)
+	n, unknown := 0, 0
+	for _, t := range u.takeovers {
+		if started.IsZero() || t.Sub(started) < lateOrderMaxAge {
+			unknown++
+		}
+	}
 	for {
 		if u.find(sequence+uint64(n)) == nil { //nolint:gosec // n counts orders
 			if unknown == 0 {
--- a/core/ggsresident/unanswered_test.go
+++ b/core/ggsresident/unanswered_test.go
@@ -84,3 +84,33 @@
 		})
 	}
 }
+
+// Guards against slots that stay empty for seconds at each change of owners, although an order that nobody knows was sent
+// to the process that still runs, and expects a number that it has passed.
+func TestSlotsAreFilledWhereTheProcessOutlastsLateOrders(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		started time.Duration
+		records []ggsresident.OrderRecord
+		late    int
+	}{
+		"it runs for long":                  {started: -time.Hour, records: []ggsresident.OrderRecord{{Takeovers: 2}}},
+		"it runs for as long":               {started: -20 * time.Second, records: []ggsresident.OrderRecord{{}}},
+		"it started just before":            {started: -20*time.Second + 1, records: []ggsresident.OrderRecord{{}}, late: 1},
+		"it started since":                  {started: time.Second, records: []ggsresident.OrderRecord{{}}, late: 1},
+		"the number is recorded":            {started: -time.Hour, records: []ggsresident.OrderRecord{{Expected: []uint64{1}}}, late: 1},
+		"the number is recorded, not known": {started: -time.Hour, records: []ggsresident.OrderRecord{{Expected: []uint64{9}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			u := &ggsresident.Unanswered{}
+			for _, r := range tc.records {
+				u.Inherit(at(0), r)
+			}
+			l := ggsresident.NewLedger(ggsresident.Options{Slots: 16, Unanswered: u, Started: at(tc.started)})
+			l.Sync(at(0), ggscore.InstanceStatus{Models: []ggscore.ResidentModel{{Name: "m"}}})
+			c.Assert(l.LateOrders(at(0)), qt.Equals, tc.late)
+		})
+	}
+}
--- a/io/ggsedge/worker.go
+++ b/io/ggsedge/worker.go
@@ -109,7 +109,7 @@
 			instance: i, engine: s.Engine, orders: l,
 			ledger: ggsresident.NewLedger(ggsresident.Options{
 				Endpoint: i.ID, Demand: e.table, Slots: s.Engine.AdapterCapacity(), Unanswered: &l.unanswered,
-				ReportDelay: e.reportDelay(), Policy: e.options.Policy,
+				Started: e.startedBy(i.StartedAt), ReportDelay: e.reportDelay(), Policy: e.options.Policy,
 			}),
 			changed: make(chan struct{}), wakeups: make(chan struct{}, 1), cancel: cancel,
 		}
@@ -126,6 +126,18 @@
 	}
 }
 
+// clockMargin exceeds the difference between the clocks of VMs and endpoints.
+const clockMargin = 10 * time.Second
+
+// startedBy returns when an endpoint's process had started at the latest, on this VM's clock for decisions, zero if its
+// entry doesn't say.
+func (e *Edge) startedBy(at time.Time) time.Time {
+	if at.Unix() <= 0 {
+		return time.Time{}
+	}
+	return e.Now().Add(clockMargin - e.TimeOfDay().Sub(at))
+}
+
 // reportDelay returns the extra delay of heartbeats through relays. Edge.mu is held.
 func (e *Edge) reportDelay() time.Duration {
 	if e.node.UsesRelays() {
