--- a/cmd/ggsnode/promise_test.go
+++ b/cmd/ggsnode/promise_test.go
@@ -41,6 +41,8 @@
 	promiseLong = 60 << 10
 	// promiseSound is the share of requests that endpoints answer soundly.
 	promiseSound = 0.45
+	// promiseImpatient is the number of tries of which one is given up after a short time.
+	promiseImpatient = 12
 	// promiseBound is the route timeout of requests that may not run twice.
 	promiseBound = 1200 * time.Millisecond
 )
@@ -113,6 +115,11 @@
 		{"partition", false, (*soak).partitionFromEndpoints},
 		{"endpoint link", false, (*soak).breakEndpointLink},
 		{"store link", false, (*soak).breakStoreLink},
+		{"store unavailable", false, (*soak).storeUnavailable},
+		{"configuration", true, (*soak).configure},
+		{"endpoint restarts", false, func(s *soak, r *rand.Rand, _ time.Duration) {
+			s.site.Endpoints[s.endpoint(r, "")].RestartInPlace(ggsfakesite.DefaultSoftware)
+		}},
 	}
 	for time.Now().Before(end) {
 		f := troubles[r.IntN(len(troubles))]
@@ -140,7 +147,11 @@
 		}
 		chunked := r.IntN(3) == 0
 		for range promiseTries {
-			o := s.try(ctx, h, s.edge(r), path, j.body, chunked)
+			patience := soakDeadline + time.Second
+			if r.IntN(promiseImpatient) == 0 {
+				patience = time.Duration(1+r.IntN(150)) * time.Millisecond
+			}
+			o := s.try(ctx, h, s.edge(r), path, j.body, chunked, patience)
 			j.tries = append(j.tries, o)
 			if !promised(o.status) || ctx.Err() != nil {
 				break
@@ -160,11 +171,13 @@
 	}, status)
 }
 
-// try sends a job once.
-func (s *soak) try(ctx context.Context, h *http.Client, e *soakEdge, path, body string, chunked bool) outcome {
+// try sends a job once, and leaves after a time.
+func (s *soak) try(ctx context.Context, h *http.Client, e *soakEdge, path, body string, chunked bool, patience time.Duration) outcome {
 	o := outcome{id: fmt.Sprintf("%08x", s.ids.Add(1)), path: path, edge: e, from: time.Now()}
 	// The caller waits for the end of its last try, also when the play ends.
-	r, err := http.NewRequestWithContext(context.WithoutCancel(ctx), http.MethodPost, "http://"+e.callers()+path, bytes.NewReader([]byte(body)))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), patience)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers()+path, bytes.NewReader([]byte(body)))
 	s.c.Check(err, qt.IsNil)
 	r.GetBody = nil // prevents automatic retries by the HTTP client
 	if chunked && body != "" {
