--- a/cmd/ggsnode/promise_test.go
+++ b/cmd/ggsnode/promise_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -41,6 +40,8 @@
 	promiseLong = 60 << 10
 	// promiseSound is the share of requests that endpoints answer soundly.
 	promiseSound = 0.45
+	// promiseWait bounds the wait before the next try.
+	promiseWait = time.Second
 	// promiseImpatient is the number of tries of which one is given up after a short time.
 	promiseImpatient = 12
 	// promiseBound is the route timeout of requests that may not run twice.
@@ -156,7 +157,7 @@
 			if !promised(o.status) || ctx.Err() != nil {
 				break
 			}
-			s.sleep(o.wait)
+			s.sleep(min(o.wait, promiseWait))
 		}
 		jobs = append(jobs, j)
 		s.sleep(time.Duration(5+r.IntN(40)) * time.Millisecond)
@@ -186,17 +187,7 @@
 	r.Host = ggsfakesite.Host
 	r.Header.Set("Request-Id", o.id)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(soakDeadline.Milliseconds(), 10))
-	resp, err := h.Do(r)
-	if err != nil {
-		o.to, o.err = time.Now(), err
-		return o
-	}
-	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(resp.Body)
-	o.to, o.status, o.body, o.complete, o.err = time.Now(), resp.StatusCode, string(b), err == nil, err
-	if w, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
-		o.wait = min(time.Duration(w*float64(time.Second)), time.Second)
-	}
+	o.receive(h, r)
 	return o
 }
 
--- a/cmd/ggsnode/soak_check_test.go
+++ b/cmd/ggsnode/soak_check_test.go
@@ -91,10 +91,16 @@
 			r.Header.Set(k, v)
 		}
 	}
+	o.receive(h, r)
+	return o
+}
+
+// receive sends the request and reads its answer.
+func (o *outcome) receive(h *http.Client, r *http.Request) {
 	resp, err := h.Do(r)
 	if err != nil {
 		o.to, o.err = time.Now(), err
-		return o
+		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
@@ -102,7 +108,6 @@
 	if w, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		o.wait = time.Duration(w * float64(time.Second))
 	}
-	return o
 }
 
 // allServe reports whether every edge serves every kind of request.
--- a/core/ggsdefect/table.go
+++ b/core/ggsdefect/table.go
@@ -4,8 +4,8 @@
 // # Usage
 //
 //	t := ggsdefect.NewTable()
-//	change := t.Replace(now, "servers/", defects)   // all entries below a prefix were read
-//	change = t.Set(now, "op/config", defects)       // a single entry was read
+//	change := t.Replace(now, prefix, defects) // all entries below a prefix were read
+//	change = t.Set(now, key, defects)          // a single entry was read
 //	for _, d := range change.Appeared { log(d) }
 //	all := t.Defects()
 //
