--- a/core/ggsquarantine/doc.go
+++ b/core/ggsquarantine/doc.go
@@ -17,6 +17,8 @@
 //	report = t.ReportTries(now, suspects)     // after these three; send it to the peers unless it is empty
 //	t.RecordAnswer(now, suspects...)
 //	report = t.RecordAnswered(now, id, sentAt)
+//	report = t.RecordAnsweredOver(now, id, opened, sentAt) // withdraws crashes that were none
+//	report = t.RecordProcess(now, id, startedAt, askedAt)  // the same
 //	reply := t.ObserveReport(now, report)     // send it to the peers unless it is empty
 //	err := t.Check(now, suspects, queued)     // *QuarantinedError: refuse, not run
 //	ok := t.Suspected(now, suspects)          // don't send such a request a second time
@@ -50,6 +52,10 @@
 // breaks off nothing: it counts as crashed under those after which it answered no other, once it is gone without
 // having announced it.
 //
+// The end of a connection counts as that of its endpoint's process, as a caller's next try may come before anything else
+// is known. It is withdrawn, at all VMs, once the process is known to live on: it answers over a connection that is
+// older, or names the start that this VM knew.
+//
 // Crashes are reported to all peers, because tries of a request and requests with a part arrive at any VM.
 // Each VM reports its uses of a suspect when the last crash but one is reported, so that a suspect which is
 // sound elsewhere isn't kept out. Reports of a request's crash repeat its earlier ones, which peers may have
