--- a/io/ggsorigins/journal.go
+++ b/io/ggsorigins/journal.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
-	"golang.org/x/time/rate"
 
 	ggscore "greengageslip/core"
 	"greengageslip/io/ggslog"
@@ -20,10 +19,6 @@
 	journalDelay = 20 * time.Millisecond
 	// journalInterval bounds how often a VM writes its journal.
 	journalInterval = 100 * time.Millisecond
-	// journalsPerSecond bounds how often a VM writes its journal over a longer time, and journalBurst how many writes
-	// may follow each other at journalInterval: all VMs share the store's rate.
-	journalsPerSecond = 1
-	journalBurst      = 4
 	// maxJournal bounds the streams in a journal. The oldest are left out.
 	maxJournal = 4096
 	// maxJournalAge is the age from which a journal is deleted. Its VM has ended or begins no streams.
@@ -104,14 +99,13 @@
 // maintainJournal stores the streams that this VM begins while their service has several versions.
 func (t *Tracker) maintainJournal(ctx context.Context) error {
 	w := &journalWriter{key: ggscore.KeyOf(string(t.options.Journals), string(t.options.VM))}
-	writes := rate.NewLimiter(journalsPerSecond, journalBurst)
 	for {
 		select {
 		case <-t.journalNotified:
 		case <-ctx.Done():
 			return nil
 		}
-		if !pause(ctx, journalDelay) || writes.Wait(ctx) != nil {
+		if !pause(ctx, journalDelay) {
 			return nil
 		}
 		for failures := 1; !t.storeJournal(ctx, w); failures++ {
