fix(ggsplatform): an odd entry of the list of VMs keeps nobody from following it

What callers of our own interface would see: one entry with an unknown role or state, a port out of range, or a number of another type makes the whole list unreadable. Gateways and dispatchers keep the last list: VMs and endpoints that join get no requests, those that leave go on getting them; a process that starts has no list at all.

Cause: the client returned the first entry's error in place of the list.

Entries are decoded one by one. Those that can't be read, or that no VM can have (ggscore.VM.Validate), are skipped; a *PartialListError beside the list names them, the follower logs it when it changes, and ggsctl status prints it.

--- a/cmd/ggsctl/status.go
+++ b/cmd/ggsctl/status.go
@@ -9,6 +9,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	ggscore "greengageslip/core"
 	"greengageslip/io/ggsconfig"
 	"greengageslip/io/ggsedge"
@@ -35,6 +37,8 @@
 	// The processes' states are shown even while the platform is unavailable.
 	h, headErr := ggsconfig.NewEditor(a.store(p, true), ggsconfig.EditorOptions{}).ReadHead(ctx)
 	vms, listErr := p.ListVMs(ctx)
+	var partial *ggscore.PartialListError
+	listed := listErr == nil || errors.As(listErr, &partial)
 	states := a.states(ctx)
 
 	if headErr != nil {
@@ -48,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	if err = printStates(a, states, vms, listErr == nil); err != nil {
+	if err = printStates(a, states, vms, listed); err != nil {
 		return err
 	}
 	if err = printLeaving(a, vms); err != nil {
--- a/core/errors.go
+++ b/core/errors.go
@@ -123,6 +123,17 @@
 // Error implements error.
 func (e *InvalidFieldError) Error() string { return e.Field + ": " + e.Reason }
 
+// A PartialListError reports entries of a list that can't be read. The list that is returned beside it has the others.
+type PartialListError struct{ Skipped []error }
+
+// Error implements error.
+func (e *PartialListError) Error() string {
+	return fmt.Sprintf("%d entries can't be read, the first: %v", len(e.Skipped), e.Skipped[0])
+}
+
+// Unwrap returns the errors of the entries.
+func (e *PartialListError) Unwrap() []error { return e.Skipped }
+
 // A CallError reports that a call to an endpoint failed. NotSent is set only if no byte of the
 // request can have reached the endpoint, or if the endpoint itself answered that it did not run
 // the request.
--- a/core/store.go
+++ b/core/store.go
@@ -73,7 +73,8 @@
 	Watcher
 }
 
-// A VMLister reads the platform's list of VMs, which is updated with a delay.
+// A VMLister reads the platform's list of VMs, which is updated with a delay. If entries can't be read, it returns the
+// others and a *PartialListError.
 type VMLister interface {
 	ListVMs(ctx context.Context) ([]VM, error)
 }
--- a/core/validate.go
+++ b/core/validate.go
@@ -56,6 +56,23 @@
 	return nil
 }
 
+// Validate returns an *InvalidFieldError if the VM can't be as the list describes it.
+func (v *VM) Validate() error {
+	switch {
+	case !isToken(string(v.ID), MaxEndpointIDBytes):
+		return &InvalidFieldError{Field: "id", Reason: "want visible ASCII characters, not too many"}
+	case len(v.Region) > MaxNameBytes:
+		return &InvalidFieldError{Field: "region", Reason: "too long"}
+	case !isName(string(v.Domain)):
+		return &InvalidFieldError{Field: "domain", Reason: "empty or too long"}
+	case len(v.Service) > MaxNameBytes:
+		return &InvalidFieldError{Field: "service", Reason: "too long"}
+	case !isDialable(v.Addr):
+		return &InvalidFieldError{Field: "addr", Reason: v.Addr.String() + " is the address of no VM"}
+	}
+	return nil
+}
+
 // Validate returns an *InvalidFieldError if the route would refuse everything, or can't be computed with.
 func (r *Route) Validate() error {
 	total := 0
--- a/fakes/ggsfakeplatform/handler.go
+++ b/fakes/ggsfakeplatform/handler.go
@@ -1,6 +1,7 @@
 package ggsfakeplatform
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -97,13 +98,16 @@
 
 func (p *Platform) handleListVMs(g *gin.Context) {
 	p.mu.Lock()
-	vms := p.visibleVMs()
+	vms, odd := p.visibleVMs(), p.oddVMs
 	p.mu.Unlock()
-	w := vmsWire{VMs: make([]vmWire, 0, len(vms))}
+	l := make([]any, 0, len(vms)+len(odd))
+	for _, b := range odd {
+		l = append(l, json.RawMessage(b))
+	}
 	for _, v := range vms {
-		w.VMs = append(w.VMs, wireOfVM(v))
+		l = append(l, wireOfVM(v))
 	}
-	g.JSON(http.StatusOK, w)
+	g.JSON(http.StatusOK, map[string]any{"vms": l})
 }
 
 func (p *Platform) handlePut(g *gin.Context) {
--- a/fakes/ggsfakeplatform/platform.go
+++ b/fakes/ggsfakeplatform/platform.go
@@ -68,6 +68,7 @@
 	writes  *rate.Limiter
 	delayed []delayedWrite
 	vms     []vmList
+	oddVMs  []string
 	// changed is closed and replaced whenever the store or the faults change.
 	changed chan struct{}
 }
@@ -133,6 +134,13 @@
 	return nil
 }
 
+// SetOddVMs sets entries of the list of VMs, as JSON, that another writer has left.
+func (p *Platform) SetOddVMs(entries ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.oddVMs = entries
+}
+
 // Revision returns the revision of the last write.
 func (p *Platform) Revision() ggscore.StoreRevision {
 	p.mu.Lock()
--- a/io/ggsplatform/client.go
+++ b/io/ggsplatform/client.go
@@ -110,13 +110,18 @@
 		return nil, err
 	}
 	vs := make([]ggscore.VM, 0, len(w.VMs))
-	for _, vw := range w.VMs {
-		v, err := vmOf(vw)
+	var skipped []error
+	for _, b := range w.VMs {
+		v, err := decodeVM(b)
 		if err != nil {
-			return nil, err
+			skipped = append(skipped, err)
+			continue
 		}
 		vs = append(vs, v)
 	}
+	if len(skipped) > 0 {
+		return vs, &ggscore.PartialListError{Skipped: skipped}
+	}
 	return vs, nil
 }
 
--- a/io/ggsplatform/client_test.go
+++ b/io/ggsplatform/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -296,6 +297,47 @@
 	c.Assert(vs[0], qt.Equals, v)
 }
 
+// Guards against a list of VMs that nobody follows any more because of one entry.
+func TestOddEntriesOfTheListOfVMsAreSkipped(t *testing.T) {
+	t.Parallel()
+	const entry = `{"id":"r2","role":"endpoint","state":"live","region":"perth","domain":"perth-a","addr":"127.0.0.1:9002","service":"s"}`
+	v := ggscore.VM{
+		ID: "r1", Role: ggscore.RoleEndpoint, State: ggscore.VMLive, Region: "perth", Domain: "perth-a",
+		Addr: netip.MustParseAddrPort("127.0.0.1:9001"), Service: "s",
+	}
+	for name, odd := range map[string]string{
+		"a number":       "7",
+		"null":           "null",
+		"a list":         "[]",
+		"nested":         `{"id":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + "}",
+		"number too big": strings.Replace(entry, `"r2"`, "1e999", 1),
+		"unknown role":   strings.Replace(entry, `"endpoint"`, `"cook"`, 1),
+		"unknown state":  strings.Replace(entry, `"live"`, `"asleep"`, 1),
+		"port 70000":     strings.Replace(entry, ":9002", ":70000", 1),
+		"port 0":         strings.Replace(entry, ":9002", ":0", 1),
+		"no address":     strings.Replace(entry, "127.0.0.1:9002", "", 1),
+		"any address":    strings.Replace(entry, "127.0.0.1", "0.0.0.0", 1),
+		"no domain":      strings.Replace(entry, `"domain":"perth-a",`, "", 1),
+		"long ID":        strings.Replace(entry, "r2", strings.Repeat("r", 129), 1),
+		"ID has lines":   strings.Replace(entry, "r2", `r\r\n2`, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			b := newBench(c, nil)
+			b.platform.SetVMs([]ggscore.VM{v})
+			b.platform.SetOddVMs(odd)
+			vs, err := b.client.ListVMs(ggsfakebench.Context(c))
+			var partial *ggscore.PartialListError
+			c.Assert(err, qt.ErrorAs, &partial)
+			c.Assert(partial.Skipped, qt.HasLen, 1)
+			c.Assert(len(err.Error()) < 1000, qt.IsTrue)
+			c.Assert(vs, qt.HasLen, 1)
+			c.Assert(vs[0], qt.Equals, v)
+		})
+	}
+}
+
 // Guards against calls that time out and are repeated forever because CallTimeout bounds a whole
 // answer. An answer may take longer than CallTimeout on a slow link.
 func TestLongAnswerOnSlowLink(t *testing.T) {
--- a/io/ggsplatform/errors.go
+++ b/io/ggsplatform/errors.go
@@ -45,7 +45,11 @@
 
 // Error implements error.
 func (e *BadListError) Error() string {
-	return fmt.Sprintf("can't decode list of VMs: VM %s has invalid %s %q", e.VM, e.Field, e.Value)
+	s := fmt.Sprintf("VM %.100q in the list of VMs has invalid %s %.100q", e.VM, e.Field, e.Value)
+	if e.Detail != nil {
+		s += fmt.Sprintf(": %.200v", e.Detail)
+	}
+	return s
 }
 
 // Unwrap returns the cause, if there is one.
--- a/io/ggsplatform/wire.go
+++ b/io/ggsplatform/wire.go
@@ -1,6 +1,7 @@
 package ggsplatform
 
 import (
+	"encoding/json"
 	"net/netip"
 
 	ggscore "greengageslip/core"
@@ -61,7 +62,7 @@
 }
 
 type vmsWire struct {
-	VMs []vmWire `json:"vms"`
+	VMs []json.RawMessage `json:"vms"`
 }
 
 // The roles and states in the list of VMs.
@@ -89,6 +90,22 @@
 	return es
 }
 
+// decodeVM decodes an entry of the list of VMs, or returns a *BadListError.
+func decodeVM(b []byte) (ggscore.VM, error) {
+	var w vmWire
+	if err := json.Unmarshal(b, &w); err != nil {
+		return ggscore.VM{}, &BadListError{VM: ggscore.VMID(w.ID), Field: "entry", Detail: err}
+	}
+	v, err := vmOf(w)
+	if err != nil {
+		return ggscore.VM{}, err
+	}
+	if err := v.Validate(); err != nil {
+		return ggscore.VM{}, &BadListError{VM: v.ID, Field: "entry", Detail: err}
+	}
+	return v, nil
+}
+
 func vmOf(w vmWire) (ggscore.VM, error) {
 	v := ggscore.VM{
 		ID:      ggscore.VMID(w.ID),
--- a/io/ggsvms/vms.go
+++ b/io/ggsvms/vms.go
@@ -28,6 +28,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -72,7 +73,9 @@
 	members             Membership
 	list                list
 	platformUnreachable bool
-	subscribers         []func([]ggscore.VM)
+	// skipped says which entries of the last list couldn't be read, empty for none.
+	skipped     string
+	subscribers []func([]ggscore.VM)
 }
 
 // A list is one reading of the platform's list.
@@ -206,10 +209,15 @@
 	defer cancel()
 	requestedAt := f.clock()
 	vms, err := f.lister.ListVMs(ctx)
+	var partial *ggscore.PartialListError
+	if errors.As(err, &partial) {
+		err = nil
+	}
 	f.recordReachability(ctx, err)
 	if err != nil {
 		return false
 	}
+	f.recordSkipped(partial)
 	f.adopt(list{vms: vms, digest: digestOf(vms), read: requestedAt})
 	return true
 }
@@ -231,6 +239,21 @@
 	return m.IsReader() || (stale && rand.IntN(staleReadRounds) == 0)
 }
 
+// recordSkipped logs entries that can't be read when they change, nil if there are none.
+func (f *Follower) recordSkipped(p *ggscore.PartialListError) {
+	text := ""
+	if p != nil {
+		text = p.Error()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if text == f.skipped {
+		return
+	}
+	f.skipped = text
+	_ = level.Warn(f.log).Log("event", "vmsUnreadable", "err", text)
+}
+
 func (f *Follower) recordReachability(ctx context.Context, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/ggsvms/vms_test.go
+++ b/io/ggsvms/vms_test.go
@@ -1,8 +1,10 @@
 package ggsvms
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +19,8 @@
 	vms         []ggscore.VM
 	unreachable bool
 	reads       int
+	// skipped are the errors of entries that can't be read.
+	skipped []error
 }
 
 func (p *platform) ListVMs(context.Context) ([]ggscore.VM, error) {
@@ -24,6 +28,9 @@
 	if p.unreachable {
 		return nil, &ggscore.StoreUnavailableError{}
 	}
+	if len(p.skipped) > 0 {
+		return p.vms, &ggscore.PartialListError{Skipped: p.skipped}
+	}
 	return p.vms, nil
 }
 
@@ -168,3 +175,22 @@
 	}
 	c.Assert(received, qt.DeepEquals, []ggscore.VMID{"a", "b"})
 }
+
+// Guards against a process that follows no list any more, or has none after its start, because of one entry.
+func TestListWithAnUnreadableEntryIsFollowed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	var b bytes.Buffer
+	p := &platform{vms: []ggscore.VM{{ID: "r1"}}, skipped: []error{&ggscore.InvalidFieldError{Field: "addr", Reason: "port 0"}}}
+	f := New(p, nil, Options{Interval: time.Second}, time.Now, log.NewLogfmtLogger(&b))
+	for range 3 {
+		c.Assert(f.read(context.Background()), qt.IsTrue)
+	}
+	vms, known := f.List()
+	c.Assert(known, qt.IsTrue)
+	c.Assert(vms, qt.HasLen, 1)
+	c.Assert(strings.Count(b.String(), "event=vmsUnreadable"), qt.Equals, 1, qt.Commentf("%s", b.String()))
+	p.skipped = nil
+	c.Assert(f.read(context.Background()), qt.IsTrue)
+	c.Assert(strings.Count(b.String(), "event=vmsUnreadable"), qt.Equals, 2)
+}
