fix(ggsconfig): a spoiled head of the document is replaced by the one in force

What callers and operators of our own interface would see: once another writer has spoiled config/head, no change can be applied, and after a restart of all VMs there is no document: everything is refused, though all sections are still in the store.

Cause: the head lists the sections. What couldn't be decoded counted as a failure of the platform (platformLost), and was read again and again.

A process that has a document in force writes its head back, as it does after a restore from an older copy, under the condition that the entry is unchanged. A head that has the form of one, with fields that this version doesn't know, stays: a newer version wrote it. headUnreadable is logged once, and counted in the state.

If all VMs are lost at the same moment, the head stays spoiled.

--- a/io/ggsconfig/follower.go
+++ b/io/ggsconfig/follower.go
@@ -82,6 +82,8 @@
 	packed        map[ggscore.Digest]packedText
 	subscriptions map[*subscription]struct{}
 	state         FollowerState
+	// unreadable is the store's revision of the last head that couldn't be decoded.
+	unreadable ggscore.StoreRevision
 }
 
 var _ HeadServer = (*Follower)(nil)
@@ -101,6 +103,8 @@
 	// Unrepaired counts lower heads read from the platform that aren't an earlier state
 	// of the head in force.
 	Unrepaired int `json:"unrepaired"`
+	// Unreadable counts heads of the platform that couldn't be decoded.
+	Unreadable int `json:"unreadable"`
 }
 
 // A subscription delivers the latest document to one subscriber.
--- a/io/ggsconfig/follower_test.go
+++ b/io/ggsconfig/follower_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -294,6 +295,61 @@
 	}
 }
 
+// Guards against a document that is lost with the last VM that remembers it, and that no operator can change, because
+// another writer has spoiled its head.
+func TestFollowerReplacesUnreadableHead(t *testing.T) {
+	t.Parallel()
+	packed := func(text string) []byte {
+		var b bytes.Buffer
+		w := gzip.NewWriter(&b)
+		_, _ = w.Write([]byte(text))
+		_ = w.Close()
+		return b.Bytes()
+	}
+	for name, tc := range map[string]struct {
+		value []byte
+		kept  bool
+	}{
+		"no gzip":       {value: []byte("]")},
+		"empty":         {value: []byte{}},
+		"deeply nested": {value: packed(strings.Repeat("[", 20000))},
+		"too large":     {value: packed(`{"revision":99999999999999999999}`)},
+		"another type":  {value: packed(`{"revision":7,"sections":"none"}`)},
+		"a newer form":  {value: packed(`{"revision":7,"somethingNew":1}`), kept: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			ctx := context.Background()
+			s := filledStore(c)
+			n := newNetwork()
+			n.repair = s
+			f := n.start(c, s, "a1", "a")
+			await(c, f, 2)
+			e, err := s.Get(ctx, ggsconfig.HeadKey)
+			c.Assert(err, qt.IsNil)
+			spoiled, err := s.Put(ctx, ggsconfig.HeadKey, tc.value, e.Revision, 0)
+			c.Assert(err, qt.IsNil)
+			if tc.kept {
+				poll(c, "the head wasn't read", func() bool { return f.State().PlatformUnavailable })
+				e, err = s.Get(ctx, ggsconfig.HeadKey)
+				c.Assert(err, qt.IsNil)
+				c.Assert(e.Revision, qt.Equals, spoiled)
+				return
+			}
+			poll(c, "the head wasn't replaced", func() bool {
+				e, err := s.Get(ctx, ggsconfig.HeadKey)
+				c.Assert(err, qt.IsNil)
+				return e.Revision > spoiled
+			})
+			awaitHead(c, s, 2)
+			// All VMs that remember the document may be lost now.
+			await(c, newNetwork().start(c, s, "b1", "b"), 2)
+			apply(c, s, edit("market/cr", marketText("v2", "asistente"), 2, "a"))
+		})
+	}
+}
+
 // Guards against a repair that overwrites a change: after a restore from an older copy, the
 // platform accepts a change before a follower with the newer document has read the restored head.
 func TestFollowerDoesNotRepairForkedHead(t *testing.T) {
--- a/io/ggsconfig/head.go
+++ b/io/ggsconfig/head.go
@@ -122,6 +122,16 @@
 	return h, nil
 }
 
+// isNewerHead reports whether a head that can't be decoded has the form of one, with fields that aren't known.
+func isNewerHead(b []byte) bool {
+	text, err := unpack(b)
+	if err != nil {
+		return false
+	}
+	var w headWire
+	return json.Unmarshal(text, &w) == nil && w.Revision > 0
+}
+
 func parseDigest(s string) (ggscore.Digest, error) {
 	var d ggscore.Digest
 	b, err := hex.DecodeString(s)
--- a/io/ggsconfig/repair.go
+++ b/io/ggsconfig/repair.go
@@ -32,6 +32,35 @@
 		f.countUnrepaired(own, lower)
 		return nil
 	}
+	return f.writeBack(ctx, n, own, "was", uint64(lower.Revision))
+}
+
+// replaceUnreadable writes the head in force back over one that can't be read. It would be lost with the last VM that
+// remembers it, and operators couldn't change the document meanwhile. A head that only this version of the program can't
+// read stays.
+func (f *Follower) replaceUnreadable(ctx context.Context, n ggscore.Entry, cause error) error {
+	own := f.Head()
+	if f.options.Repair == nil || own.Revision == 0 || isNewerHead(n.Value) {
+		return cause
+	}
+	return f.writeBack(ctx, n, own, "err", cause)
+}
+
+// recordUnreadable counts and logs a head that can't be read, once.
+func (f *Follower) recordUnreadable(n ggscore.Entry, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unreadable == n.Revision {
+		return
+	}
+	f.unreadable = n.Revision
+	f.state.Unreadable++
+	_ = f.options.Logger.Log("event", "headUnreadable", "key", HeadKey, "storeRevision", uint64(n.Revision), "err", err)
+}
+
+// writeBack writes the head in force and its sections, unless the entry n has been replaced meanwhile. The reason is a
+// key and a value for the log.
+func (f *Follower) writeBack(ctx context.Context, n ggscore.Entry, own ggsdocument.Head, reason ...any) error {
 	if !wait(ctx, jittered(f.options.PollInterval)) {
 		return ctx.Err()
 	}
@@ -46,7 +75,7 @@
 	}
 	err = f.putRepaired(ctx, EncodeHead(own), n.Revision)
 	if err == nil {
-		_ = f.options.Logger.Log("event", "headRepaired", "revision", uint64(own.Revision), "was", uint64(lower.Revision))
+		_ = f.options.Logger.Log(append([]any{"event", "headRepaired", "revision", uint64(own.Revision)}, reason...)...)
 	}
 	return ignoreConflict(err)
 }
--- a/io/ggsconfig/watch.go
+++ b/io/ggsconfig/watch.go
@@ -80,7 +80,8 @@
 	}
 	h, err := DecodeHead(n.Value)
 	if err != nil {
-		return err
+		f.recordUnreadable(n, err)
+		return f.replaceUnreadable(ctx, n, err)
 	}
 	s := source{name: platformName, section: func(ctx context.Context, d ggscore.Digest) ([]byte, error) {
 		return readText(ctx, f.options.Store, d)
