--- a/io/ggsvms/vms_test.go
+++ b/io/ggsvms/vms_test.go
@@ -182,7 +182,7 @@
 	c := qt.New(t)
 	var b bytes.Buffer
 	p := &platform{vms: []ggscore.VM{{ID: "r1"}}, skipped: []error{&ggscore.InvalidFieldError{Field: "addr", Reason: "port 0"}}}
-	f := New(p, nil, Options{Interval: time.Second}, time.Now, log.NewLogfmtLogger(&b))
+	f := New(p, nil, Options{Interval: time.Second}, func() time.Time { return time.Unix(1_000, 0) }, log.NewLogfmtLogger(&b))
 	for range 3 {
 		c.Assert(f.read(context.Background()), qt.IsTrue)
 	}
