perf(ggsquarantine): crashes that no longer count are dropped

The crashes that may be withdrawn stayed until they were, up to 64 an endpoint, although none counts after ten minutes. They are dropped when the endpoint's next one is added.

--- a/core/ggsquarantine/survived.go
+++ b/core/ggsquarantine/survived.go
@@ -23,11 +23,13 @@
 	crashes  []ggscore.Crash
 }
 
+// addOwnCrash adds a crash, and drops those that no longer count.
 func (t *Table) addOwnCrash(id ggscore.EndpointID, c ownCrash) {
 	if len(t.own) >= maxCrashed {
 		clear(t.own)
 	}
-	cs := append(t.own[id], c)
+	cs := slices.DeleteFunc(t.own[id], func(o ownCrash) bool { return c.at.Sub(o.at) >= requestCrashPeriod })
+	cs = append(cs, c)
 	t.own[id] = cs[max(len(cs)-maxOwnCrashes, 0):]
 }
 
