test(ggsengine, ggsnode): heads that end midway, directly and through a peer

Five heads, cut at each byte, closed and reset, at our own interface's client; a head cut at each ninth byte, closed and reset, directly and through a peer, with whole processes.

The test of two troubles also partitions a VM and then its peers in turn, so that its tunnels change their way.

--- a/cmd/ggsnode/edge_refusal_test.go
+++ b/cmd/ggsnode/edge_refusal_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -142,15 +143,47 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := startPartitionTest(t, 2)
-			p.partition([]int{0}, ggsfakelink.PartitionReset)
-			p.eventually("VM 0 serves through VM 1", func() bool {
-				return p.call(0, http.MethodPost, "/pay/1", "", "{}").status == http.StatusOK && p.call(0, http.MethodPost, "/chat/1", "", "{}").status == http.StatusOK
-			})
+			p.servesThroughPeer()
 			p.checkRefusals(refusalForms()[name])
 		})
 	}
 }
 
+// Guards against a success without a body, or with a short one, for an answer whose head ends midway.
+func TestHeadsThatEndMidway(t *testing.T) {
+	t.Parallel()
+	const step = 9
+	head := "HTTP/1.1 200 OK\r\nServer-Stamp: $STAMP\r\nRequest-Id: $ID\r\nContent-Type: text/event-stream\r\nContent-Length: 120\r\n\r\n"
+	for name, tc := range map[string]struct{ tunneled, reset bool }{
+		"closed": {}, "reset": {reset: true}, "closed, through a peer": {tunneled: true}, "reset, through a peer": {tunneled: true, reset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startPartitionTest(t, 2)
+			if tc.tunneled {
+				p.servesThroughPeer()
+			}
+			for cut := 0; cut < len(head); cut += step {
+				p.setScript(&ggsfakesite.Script{Text: head[:cut], Close: !tc.reset, Reset: tc.reset})
+				for _, path := range []string{"/pay/1", "/look/1", "/chat/1", "/tell/1"} {
+					r := p.call(0, http.MethodPost, path, "", "{\"cut\":"+strconv.Itoa(cut)+"}")
+					what := qt.Commentf("%s, cut at %d: %d %q", path, cut, r.status, r.body)
+					p.c.Check(r.status != http.StatusOK, qt.IsTrue, what)
+					p.c.Check(!promisesNotRun(r.status) || p.site.Runs()[r.id] == 0, qt.IsTrue, what)
+				}
+			}
+		})
+	}
+}
+
+// servesThroughPeer cuts VM 0 off from all endpoints, and waits until it serves through VM 1.
+func (p *partitionTest) servesThroughPeer() {
+	p.partition([]int{0}, ggsfakelink.PartitionReset)
+	p.eventually("VM 0 serves through VM 1", func() bool {
+		return p.call(0, http.MethodPost, "/pay/1", "", "{}").status == http.StatusOK && p.call(0, http.MethodPost, "/chat/1", "", "{}").status == http.StatusOK
+	})
+}
+
 // checkRefusals has all endpoints answer with a script, and checks what callers of VM 0 are told.
 func (s *siteTest) checkRefusals(f refusalForm) {
 	s.c.Helper()
--- a/cmd/ggsnode/promise_test.go
+++ b/cmd/ggsnode/promise_test.go
@@ -114,6 +114,7 @@
 		{"stop", true, (*soak).stop},
 		{"freeze", false, (*soak).freeze},
 		{"partition", false, (*soak).partitionFromEndpoints},
+		{"tunnels change their way", false, (*soak).changeWays},
 		{"endpoint link", false, (*soak).breakEndpointLink},
 		{"store link", false, (*soak).breakStoreLink},
 		{"store unavailable", false, (*soak).storeUnavailable},
@@ -131,6 +132,24 @@
 	}
 }
 
+// changeWays partitions one VM from all endpoints, and then its peers in turn, so that its tunnels go through one after the
+// other, and at last directly again.
+func (s *soak) changeWays(r *rand.Rand, d time.Duration) {
+	e := s.edge(r)
+	modes := []string{"hang", "reset", "refuse"}
+	s.setPartition(e, modes[r.IntN(len(modes))])
+	defer s.setPartition(e, "none")
+	for _, o := range s.edges {
+		s.sleep(d / 2)
+		if o == e {
+			continue
+		}
+		s.setPartition(o, modes[r.IntN(len(modes))])
+		s.sleep(d / 2)
+		s.setPartition(o, "none")
+	}
+}
+
 // promiseClient does jobs over kept connections until the context ends. A job whose try was promised not to run is tried
 // again, at any VM.
 func (s *soak) promiseClient(ctx context.Context, r *rand.Rand) []*promiseJob {
--- a/io/ggsengine/fault_test.go
+++ b/io/ggsengine/fault_test.go
@@ -241,6 +241,36 @@
 	}
 }
 
+// Guards against an answer whose head is cut at any byte and that is taken for one with an empty or short body.
+func TestAnswerWhoseHeadIsCutIsNone(t *testing.T) {
+	t.Parallel()
+	for name, head := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nX-Served-Model: deposits-es@v2\r\nContent-Length: 120\r\n\r\n",
+		"empty":   "HTTP/1.1 204 No Content\r\nX-Request-Id: q1\r\n\r\n",
+		"chunked": "HTTP/1.1 200 OK\r\nX-Served-Model: deposits-es@v2\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"stream":  "HTTP/1.1 200 OK\r\nX-Served-Model: deposits-es@v2\r\nContent-Type: text/event-stream\r\n\r\n",
+		"interim": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(name+map[bool]string{true: ", reset"}[reset], func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				e := newRawEndpoint(c, func(n int) (string, bool) { return head[:n/2], true })
+				e.setReset(reset)
+				cl := newClient(c, ggsengine.DefaultSettings())
+				for range head {
+					var got collector
+					err := cl.Call(ggsfakebench.Context(c), e.addr, release("{}"), got.collect)
+					assertFailure(c, err, expectedFailure{false, ggscore.FailureBroken})
+					err = cl.Run(ggsfakebench.Context(c), e.addr, request("q1", adapterA(), 1), got.collect)
+					assertFailure(c, err, expectedFailure{false, ggscore.FailureBroken})
+					c.Assert(got.chunks, qt.HasLen, 0)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a whole answer that counts as truncated because it ends with its connection.
 func TestJSONThatEndsWithItsConnectionIsWhole(t *testing.T) {
 	t.Parallel()
--- a/io/ggsengine/raw_test.go
+++ b/io/ggsengine/raw_test.go
@@ -21,7 +21,9 @@
 	answer func(n int) (text string, closeAfter bool)
 	wg     sync.WaitGroup
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// reset is set if connections are reset instead of closed.
+	reset    bool
 	conns    []net.Conn
 	requests []string
 }
@@ -50,6 +52,19 @@
 	return append([]string(nil), e.requests...)
 }
 
+// setReset sets whether connections are reset instead of closed.
+func (e *rawEndpoint) setReset(reset bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reset = reset
+}
+
+func (e *rawEndpoint) resets() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reset
+}
+
 func (e *rawEndpoint) accept() {
 	for {
 		n, err := e.listener.Accept()
@@ -82,7 +97,11 @@
 			return
 		}
 		text, closeAfter := e.answer(e.record(r))
-		if _, err := io.WriteString(n, text); err != nil || closeAfter {
+		_, err = io.WriteString(n, text)
+		if t, ok := n.(*net.TCPConn); ok && closeAfter && e.resets() {
+			_ = t.SetLinger(0)
+		}
+		if err != nil || closeAfter {
 			return
 		}
 	}
