fix(ggsowner, ggsowners): an unreadable record of a group is replaced

What callers saw: after another program had written to the key owners/DOMAIN/GROUP, the group's owner could protect no further adapter, so that requests for adapters that weren't resident were refused; after the owner's end, or a restart of all, nobody owned the group and every request to its endpoints was refused, for ever. The log repeated ownershipCallFailed.

Cause: a record that can't be decoded counted as a failed read. The owner doesn't read while its lease proves its ownership, and a write that conflicts needs a read first. All others need a read before a takeover.

Evidence: TestUnreadableRecordIsReplaced with four forms of damage. With the replacement taken out it fails at the owner's next load order in each form.

Ruled out: reading the damage as an empty record, which takes a group over at once without its pins (TestBadRecordIsNotTakenOver stays as it was).

Change: the damage is a result of the read of its own. An owner that holds the lease of its last record replaces it from memory: nobody else can have taken the group over while that lease lasts. It reads its records every quarter of UnreadableTimeout, so that it finds the damage without a write. Others replace a record that stayed unreadable at one revision for UnreadableTimeout, with the pins they know, and with a fencing token of at least the revision, which no earlier owner's token can exceed. The key is logged once a revision as recordUnreadable, and recordReplaced when it is mended.

What stays open: pins that no living dispatcher knows are lost with the record. A dispatcher that is cut off for longer than UnreadableTimeout may then lose an adapter in the middle of a run.

--- a/core/ggsowner/group.go
+++ b/core/ggsowner/group.go
@@ -56,12 +56,15 @@
 // A Group is one dispatcher's state of a group of endpoints, which always have the same owner.
 // At most one I/O per Group is in flight.
 type Group struct {
-	self       Holder
-	record     Record
-	revision   ggscore.StoreRevision
-	upToDate   bool
-	ownerLease leaseState
-	candidate  bool
+	self     Holder
+	record   Record
+	revision ggscore.StoreRevision
+	upToDate bool
+	// unreadable is set while the stored record can't be decoded. record is then the last one
+	// that could be. replaceable is set once no owner is expected to replace the stored one.
+	unreadable, replaceable bool
+	ownerLease              leaseState
+	candidate               bool
 	// desired contains the adapters that the record should protect. confirmed contains those
 	// that the record certainly protects, whether or not ambiguous writes take effect.
 	desired   AdapterSet
@@ -141,7 +144,7 @@
 	// An ambiguous write on the present revision may take effect at any time. It could remove
 	// the protection of an adapter in use, or make a VM the owner although that VM no longer
 	// expects to become it. Any successful write on that revision excludes the ambiguous one.
-	if mayTakeEffect := g.inDoubt && g.inDoubtRevision == g.revision; !changed && !mayTakeEffect {
+	if mayTakeEffect := g.inDoubtHere() && !g.unreadable; !changed && !mayTakeEffect {
 		return Step{}
 	}
 	g.next, g.writeInFlight = next, true
@@ -183,6 +186,7 @@
 		g.ownerLease = leaseUnknown
 	}
 	g.record, g.revision, g.upToDate = r, rev, true
+	g.unreadable = false
 	if g.inDoubtRevision != rev {
 		g.inDoubt = false
 	}
@@ -191,6 +195,18 @@
 	}
 }
 
+// RecordUnreadable records that StepReadRecord found a record that can't be decoded. An owner
+// that holds the lease of its last record replaces it, because nobody else can have taken the
+// group over. Others replace it only if replaceable is set, since they don't know the owner and
+// the pins that it names.
+func (g *Group) RecordUnreadable(rev ggscore.StoreRevision, replaceable bool) {
+	g.revision, g.upToDate = rev, true
+	g.unreadable, g.replaceable = true, replaceable
+	if g.inDoubtRevision != rev {
+		g.inDoubt = false
+	}
+}
+
 // LeaseRead records the result of StepReadLease.
 func (g *Group) LeaseRead(expired bool) {
 	g.ownerLease = leaseHeld
@@ -244,6 +260,7 @@
 			g.ownerLease = leaseUnknown
 		}
 		g.record, g.revision, g.inDoubt = next, rev, false
+		g.unreadable = false
 		g.updateConfirmed()
 	case WriteAmbiguous:
 		g.inDoubt, g.inDoubtRevision, g.upToDate = true, g.revision, false
@@ -270,6 +287,10 @@
 // plan returns the record as it should be and whether it changes, or the read that
 // is needed first.
 func (g *Group) plan(now time.Time, l *Lease) (Record, bool, Step) {
+	if g.unreadable {
+		next, changed := g.planReplacement(now, l)
+		return next, changed, Step{}
+	}
 	next := g.record.clone()
 	changed := next.unpin(func(h Holder) bool { return g.hasStopped(h) })
 	if g.Owned() {
@@ -291,6 +312,28 @@
 	return next, true, Step{}
 }
 
+// inDoubtHere reports whether an ambiguous write may still replace the present revision.
+func (g *Group) inDoubtHere() bool { return g.inDoubt && g.inDoubtRevision == g.revision }
+
+// planReplacement returns the record that replaces one that can't be decoded, as plan does. A
+// replacement that may still take effect is repeated while the lease is held.
+func (g *Group) planReplacement(now time.Time, l *Lease) (Record, bool) {
+	next := g.record.clone()
+	if g.Owned() && l.HeldAt(now) && l.ID() == g.record.Lease {
+		g.updateOwned(now, l, &next)
+		return next, true
+	}
+	mayReplace := g.replaceable && g.candidate && !g.releasing
+	if !l.HeldAt(now) || !mayReplace && !g.inDoubtHere() {
+		return next, false
+	}
+	// Each write has a greater revision and raises the token by one at most, so that no owner's
+	// token is greater than the revision.
+	next.Fence = max(next.Fence, ggscore.FencingToken(g.revision))
+	g.takeOver(l, &next)
+	return next, true
+}
+
 // hasStopped reports whether a holder's pins may be removed. This holder's own pins may be
 // removed if it is idle, or if it is the owner again. Other processes on this VM ran earlier and
 // have stopped.
--- a/core/ggsowner/group_test.go
+++ b/core/ggsowner/group_test.go
@@ -48,13 +48,14 @@
 			s.now = s.now.Add(rapid.SampledFrom([]time.Duration{time.Second, 4 * time.Second, 10 * time.Second}).Draw(t, "wait"))
 		},
 		"restart":  func(t *rapid.T) { s.restart(dispatchers.Draw(t, "dispatcher")) },
+		"spoil":    func(*rapid.T) { s.spoil() },
 		"release":  func(t *rapid.T) { s.dispatchers[dispatchers.Draw(t, "dispatcher")].group.Release() },
 		"endRuns":  func(t *rapid.T) { s.endRuns(dispatchers.Draw(t, "dispatcher")) },
 		"load":     orderAction(ggscore.OrderLoad),
 		"unload":   orderAction(ggscore.OrderUnload),
 		"dispatch": orderAction(ggscore.OrderDispatch),
 	}
-	names := []string{"restart", "release", "endRuns"}
+	names := []string{"restart", "release", "endRuns", "spoil"}
 	for _, often := range []string{"applyDelayed", "poll", "renew", "startStep", "answer", "failStep", "wait", "runSteps"} {
 		names = append(names, often, often)
 	}
--- a/core/ggsowner/simulation_test.go
+++ b/core/ggsowner/simulation_test.go
@@ -34,6 +34,7 @@
 	now         time.Time
 	record      Record
 	revision    ggscore.StoreRevision
+	unreadable  bool
 	delayed     []delayedWrite
 	leases      map[ggscore.LeaseID]time.Time
 	leaseKeys   map[ggscore.VMID]ggscore.LeaseID
@@ -132,6 +133,8 @@
 	case step.Kind == StepIdle:
 	case outcome == endFailed, step.Kind != StepWriteRecord && outcome != endAnswered:
 		d.group.IOFailed()
+	case step.Kind == StepReadRecord && s.unreadable:
+		d.group.RecordUnreadable(s.revision, false)
 	case step.Kind == StepReadRecord:
 		d.group.RecordRead(s.record, s.revision)
 	case step.Kind == StepReadLease:
@@ -153,11 +156,17 @@
 	if prev != s.revision {
 		return false
 	}
-	s.record = r
+	s.record, s.unreadable = r, false
 	s.revision++
 	return true
 }
 
+// spoil replaces the record by one that can't be decoded.
+func (s *simulation) spoil() {
+	s.unreadable = true
+	s.revision++
+}
+
 func (s *simulation) applyDelayed(n int) {
 	d := s.delayed[n]
 	s.delayed = append(s.delayed[:n:n], s.delayed[n+1:]...)
--- a/io/ggsowners/codec.go
+++ b/io/ggsowners/codec.go
@@ -42,8 +42,8 @@
 }
 
 // decodeRecord decodes a group's record. A missing entry is an empty record. A record that
-// can't be decoded is an error: a dispatcher that treated it as empty would take the group
-// over without its pins.
+// can't be decoded is a *BadRecordError: a dispatcher that treated it as empty would take the
+// group over at once, without its pins.
 func decodeRecord(e ggscore.Entry) (ggsowner.Record, error) {
 	if e.Revision == 0 {
 		return ggsowner.Record{}, nil
--- a/io/ggsowners/doc.go
+++ b/io/ggsowners/doc.go
@@ -21,11 +21,15 @@
 // The key owners/DOMAIN/GROUP holds a group's record. The key dispatchers/DOMAIN/VM is
 // attached to the lease of a VM's dispatcher, so the key exists while the lease is held.
 //
+// A record that can't be decoded, because another program wrote to its key, is logged with its key
+// as recordUnreadable. Its owner replaces it, or another dispatcher after UnreadableTimeout.
+//
 // # Calls of the platform's service
 //
 // A dispatcher renews its lease every RenewInterval. Every PollInterval it reads the records
-// of the groups that it is a candidate for, and the lease keys of their owners. It writes a
-// group's record when the adapters on the group's runners change.
+// of the groups that it is a candidate for, and the lease keys of their owners. It reads the records
+// of its own groups several times in each UnreadableTimeout, and writes a group's record when the
+// adapters on the group's runners change.
 //
 // # Locks
 //
--- a/io/ggsowners/options.go
+++ b/io/ggsowners/options.go
@@ -26,6 +26,10 @@
 	// AbsenceTimeout is how long a VM must be missing from the platform's list before its pins
 	// are removed. The list is updated with a delay.
 	AbsenceTimeout time.Duration
+	// UnreadableTimeout is how long a group's record must be stored without being decodable before
+	// another dispatcher than its owner replaces it. The owner reads its record several times in
+	// that period.
+	UnreadableTimeout time.Duration
 	// LoadingProtection is how long an adapter stays protected after its load was ordered,
 	// while no report contains it.
 	LoadingProtection time.Duration
@@ -44,6 +48,7 @@
 		PollInterval:      2 * time.Second,
 		CallTimeout:       2 * time.Second,
 		AbsenceTimeout:    time.Minute,
+		UnreadableTimeout: time.Minute,
 		LoadingProtection: 30 * time.Second,
 		Busy:              func([]ggscore.EndpointID) bool { return false },
 	}
--- a/io/ggsowners/owners.go
+++ b/io/ggsowners/owners.go
@@ -42,6 +42,12 @@
 type group struct {
 	key   ggscore.Key
 	state *ggsowner.Group
+	// read is the time of the last read of the record.
+	read time.Time
+	// unreadable is the revision of a record that can't be decoded, seen first at
+	// unreadableSince. Zero means that the record could be decoded.
+	unreadable      ggscore.StoreRevision
+	unreadableSince time.Time
 	// reported is the status of the last notification of subscribers.
 	reported GroupStatus
 }
--- a/io/ggsowners/owners_test.go
+++ b/io/ggsowners/owners_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -218,6 +219,61 @@
 	b.c.Assert(b.check(o, "rules", ggscore.OrderDispatch), qt.IsNil)
 }
 
+// Guards against a group that nobody owns, or that two own, after its record was damaged.
+func TestUnreadableRecordIsReplaced(t *testing.T) {
+	t.Parallel()
+	for name, bad := range map[string]string{
+		"no text of ours": "\x00\xff", "odd adapter": `{"protected":{"r":["@"]}}`, "lease out of range": `{"lease":1e99}`,
+		"deep": strings.Repeat("[", 20_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			old, next := b.owner(), b.dispatcher("vm-b", incarnationB)
+			fence, err := old.Check(b.clock.Now(), runner, adapter("deposits"), ggscore.OrderDispatch)
+			b.c.Assert(err, qt.IsNil)
+			b.spoil(old, bad)
+			b.pass(old.opts.UnreadableTimeout, old, next)
+			b.c.Assert(old.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeFull)
+			b.c.Assert(next.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeNone)
+			b.c.Assert(b.check(old, "rules", ggscore.OrderLoad), qt.IsNil)
+			old.serveAll(b.ctx)
+			b.c.Assert(b.check(old, "rules", ggscore.OrderDispatch), qt.IsNil)
+
+			b.spoil(old, bad)
+			b.pass(old.opts.UnreadableTimeout/2, next)
+			b.c.Assert(next.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeNone)
+			restarted := b.dispatcher("vm-b", incarnationC)
+			restarted.SetCandidates([]ggsowner.Holder{restarted.self})
+			b.pass(old.opts.UnreadableTimeout, restarted)
+			b.c.Assert(restarted.Mode(b.clock.Now(), runner), qt.Equals, ggscore.ModeNone)
+			b.pass(old.opts.PollInterval, restarted)
+			later, err := restarted.Check(b.clock.Now(), runner, adapter("rules"), ggscore.OrderLoad)
+			b.c.Assert(err, qt.IsNil)
+			b.c.Assert(later > fence, qt.IsTrue)
+		})
+	}
+}
+
+// spoil replaces the record of the group as another writer may.
+func (b *bench) spoil(o *Owners, value string) {
+	e, err := o.store.Get(b.ctx, o.groups[0].key)
+	b.c.Assert(err, qt.IsNil)
+	_, err = o.store.Put(b.ctx, e.Key, []byte(value), e.Revision, 0)
+	b.c.Assert(err, qt.IsNil)
+}
+
+// pass renews and polls in steps of PollInterval until d has passed.
+func (b *bench) pass(d time.Duration, os ...*Owners) {
+	for ; d > 0; d -= os[0].opts.PollInterval {
+		b.clock.Advance(os[0].opts.PollInterval)
+		for _, o := range os {
+			b.c.Assert(o.Renew(b.ctx), qt.IsNil)
+			o.Poll(b.ctx)
+		}
+	}
+}
+
 // Guards against a record that can't be decoded and is treated as empty, because its pins would be
 // lost.
 func TestBadRecordIsNotTakenOver(t *testing.T) {
--- a/io/ggsowners/serve.go
+++ b/io/ggsowners/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
@@ -20,8 +21,13 @@
 	}
 }
 
+// ownReadDivisor divides UnreadableTimeout into the intervals at which an owner reads the records
+// that its lease proves to be its own.
+const ownReadDivisor = 4
+
 // prepare reports whether to serve a group, and invalidates its record if a new read is
-// needed. A held lease that the record names proves the ownership without a read. The first
+// needed. A held lease that the record names proves the ownership without a read, which is needed
+// now and then only to find that another writer has damaged the record. The first
 // two candidates serve the group, because one of them takes over whoever the owner is.
 func (o *Owners) prepare(g *group) bool {
 	o.mu.Lock()
@@ -31,7 +37,9 @@
 	if first.VM != o.self.VM && second.VM != o.self.VM && !g.state.Involved() {
 		return false
 	}
-	if g.state.Mode(o.clock(), &o.lease) != ggscore.ModeFull || len(g.state.Record().Pins) > 0 {
+	now := o.clock()
+	if g.state.Mode(now, &o.lease) != ggscore.ModeFull || len(g.state.Record().Pins) > 0 ||
+		now.Sub(g.read) >= o.opts.UnreadableTimeout/ownReadDivisor {
 		g.state.Invalidate()
 	}
 	return true
@@ -123,14 +131,32 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if err != nil {
+	now := o.clock()
+	var bad *BadRecordError
+	switch {
+	case errors.As(err, &bad):
+		o.noteUnreadable(g, e.Revision, bad, now)
+	case err != nil:
 		g.state.IOFailed()
 		return err
+	default:
+		g.unreadable = 0
+		g.state.RecordRead(r, e.Revision)
 	}
-	g.state.RecordRead(r, e.Revision)
+	g.read = now
 	return nil
 }
 
+// noteUnreadable logs a record that can't be decoded once for each of its revisions. The caller
+// holds o.mu.
+func (o *Owners) noteUnreadable(g *group, rev ggscore.StoreRevision, bad *BadRecordError, now time.Time) {
+	if g.unreadable != rev {
+		g.unreadable, g.unreadableSince = rev, now
+		_ = level.Warn(o.log).Log("event", "recordUnreadable", "key", bad.Key, "revision", rev, "err", bad.Cause)
+	}
+	g.state.RecordUnreadable(rev, now.Sub(g.unreadableSince) >= o.opts.UnreadableTimeout)
+}
+
 func (o *Owners) readLease(ctx context.Context, g *group, step ggsowner.Step) error {
 	e, err := o.store.Get(ctx, o.leaseKey(step.Owner))
 	o.mu.Lock()
@@ -157,6 +183,10 @@
 	var conflict *ggscore.ConflictError
 	switch {
 	case err == nil:
+		if g.unreadable != 0 {
+			_ = level.Info(o.log).Log("event", "recordReplaced", "key", g.key, "revision", g.unreadable)
+		}
+		g.unreadable = 0
 		g.state.WriteDone(ggsowner.WriteOK, rev)
 		return nil
 	case errors.As(err, &conflict):
