--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -56,9 +56,9 @@
 		fx.Invoke(startFollowers, startDispatcher))
 }
 
-func newClaims(s ggscore.Store, c clock) *ggsclaims.Committer {
+func newClaims(s ggscore.Store, c clock, l log.Logger) *ggsclaims.Committer {
 	return ggsclaims.New(s, c, func() ggsclaim.ClaimID { return ggsclaim.ClaimID(uuid.New()) },
-		ggsclaims.DefaultOptions(ggsdocument.KeyRetention))
+		ggsclaims.DefaultOptions(ggsdocument.KeyRetention), l)
 }
 
 func newScheduler(s *ggssettings.Dispatcher, c clock) *ggsschedule.Scheduler {
--- a/io/ggsclaims/committer.go
+++ b/io/ggsclaims/committer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsclaim"
@@ -35,6 +36,7 @@
 	clock func() time.Time
 	ids   func() ggsclaim.ClaimID
 	opts  Options
+	log   log.Logger
 	wake  chan struct{}
 
 	// mu guards the fields below.
@@ -56,18 +58,23 @@
 	key    ggscore.Key
 	slot   ggsclaim.Slot
 	writer *ggsclaim.Writer
+	// unreadable is the last revision that was logged because it can't be decoded.
+	unreadable ggscore.StoreRevision
 	// queued is set while the shard is in Committer.ready or a worker serves it.
 	queued bool
 }
 
 // New returns a Committer. clock returns the wall time, and ids returns globally unique
 // identifiers.
-func New(s ggscore.Store, clock func() time.Time, ids func() ggsclaim.ClaimID, o Options) *Committer {
+func New(
+	s ggscore.Store, clock func() time.Time, ids func() ggsclaim.ClaimID, o Options, l log.Logger,
+) *Committer {
 	return &Committer{
 		store:   s,
 		clock:   clock,
 		ids:     ids,
 		opts:    o,
+		log:     l,
 		wake:    make(chan struct{}, o.Workers),
 		shards:  make(map[ggsclaim.Slot]*shard),
 		answers: make(map[ggsclaim.OpID]chan ggsclaim.Decision),
--- a/io/ggsclaims/committer_test.go
+++ b/io/ggsclaims/committer_test.go
@@ -1,10 +1,13 @@
 package ggsclaims
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"fmt"
+	"math"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
 	"go.uber.org/goleak"
 
 	ggscore "greengageslip/core"
@@ -41,13 +45,15 @@
 }
 
 // process starts a Committer that stops at the end of the test.
-func (b *bench) process() *Committer {
+func (b *bench) process() *Committer { return b.processWithLog(log.NewNopLogger()) }
+
+func (b *bench) processWithLog(l log.Logger) *Committer {
 	client := ggsplatform.NewClient(b.addr)
 	m := New(client, b.clock.Now, func() ggsclaim.ClaimID {
 		var id ggsclaim.ClaimID
 		binary.BigEndian.PutUint64(id[:], b.ids.Add(1))
 		return id
-	}, DefaultOptions(time.Hour))
+	}, DefaultOptions(time.Hour), l)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -62,6 +68,14 @@
 	return m
 }
 
+// put writes an entry as another program may.
+func (b *bench) put(k ggscore.Key, value []byte) {
+	client := ggsplatform.NewClient(b.addr)
+	b.c.Cleanup(client.Close)
+	_, err := client.Put(ggsfakebench.Context(b.c), k, value, 0, 0)
+	b.c.Assert(err, qt.IsNil)
+}
+
 func request(n int) ggscore.ClaimRequest {
 	return ggscore.ClaimRequest{Market: "cr", Key: ggscore.IdempotencyKey(fmt.Sprintf("1800000000.release-%d", n))}
 }
@@ -261,13 +275,11 @@
 func TestBadShardRefusesItsOwnKeysOnly(t *testing.T) {
 	t.Parallel()
 	b := newBench(t)
-	m := b.process()
+	var logged bytes.Buffer
+	m := b.processWithLog(log.NewLogfmtLogger(log.NewSyncWriter(&logged)))
 	k, err := ggsclaim.ParseKey("cr", request(1).Key, time.Time{})
 	b.c.Assert(err, qt.IsNil)
-	client := ggsplatform.NewClient(b.addr)
-	b.c.Cleanup(client.Close)
-	_, err = client.Put(ggsfakebench.Context(b.c), shardKey(k.Slot()), []byte("bad"), 0, 0)
-	b.c.Assert(err, qt.IsNil)
+	b.put(shardKey(k.Slot()), []byte("bad"))
 	refused := 0
 	for n := range 64 {
 		_, err := m.Begin(ggsfakebench.Context(b.c), request(n))
@@ -279,6 +291,35 @@
 		}
 	}
 	b.c.Assert(refused > 0, qt.IsTrue)
+	b.c.Assert(strings.Count(logged.String(), "event=claimsUnreadable key="+string(shardKey(k.Slot()))+" "), qt.Equals, 1)
+}
+
+// Guards against claims that are never deleted once another program wrote to the sweeps' entry.
+func TestOddSweptEpochIsReplaced(t *testing.T) {
+	t.Parallel()
+	for name, bad := range map[string][]byte{
+		"too long":      bytes.Repeat([]byte{0xff}, 20),
+		"in the future": binary.AppendVarint(nil, math.MaxInt64),
+		"long past":     binary.AppendVarint(nil, math.MinInt64),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			var logged bytes.Buffer
+			m := b.processWithLog(log.NewLogfmtLogger(log.NewSyncWriter(&logged)))
+			b.c.Assert(b.begin(m, request(1)).Answer, qt.Equals, ggscore.ClaimGranted)
+			b.put(sweptKey, bad)
+			b.clock.Advance(time.Hour)
+			for range 5 {
+				b.clock.Advance(time.Minute)
+				b.c.Assert(m.Sweep(ggsfakebench.Context(b.c)), qt.IsNil)
+			}
+			es, err := m.store.List(ggsfakebench.Context(b.c), "claims/")
+			b.c.Assert(err, qt.IsNil)
+			b.c.Assert(es, qt.HasLen, 0)
+			b.c.Assert(strings.Count(logged.String(), "event=claimsUnreadable key=claimsSwept "), qt.Equals, 1)
+		})
+	}
 }
 
 func FuzzDecodeShard(f *testing.F) {
--- a/io/ggsclaims/doc.go
+++ b/io/ggsclaims/doc.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	c := ggsclaims.New(store, clock, ids, ggsclaims.DefaultOptions(retention))
+//	c := ggsclaims.New(store, clock, ids, ggsclaims.DefaultOptions(retention), logger)
 //	go c.Run(ctx)
 //	d, err := c.Begin(ctx, ggscore.ClaimRequest{Market: m, Key: k, Body: digest})
 //	if err == nil && d.Answer == ggscore.ClaimGranted {
--- a/io/ggsclaims/sweep.go
+++ b/io/ggsclaims/sweep.go
@@ -1,12 +1,14 @@
 package ggsclaims
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsclaim"
@@ -18,6 +20,10 @@
 // idleShardEpochs is how long an idle shard stays cached, in epochs.
 const idleShardEpochs = 3
 
+// maxSweepLag is how far the first epoch that isn't deleted yet may lie behind the oldest one that
+// can have claims, after a stop of all processes.
+const maxSweepLag = 366 * 24 * time.Hour
+
 // maxSweepEpochs is the maximum number of epochs that one sweep deletes.
 const maxSweepEpochs = 60
 
@@ -31,14 +37,7 @@
 	if err != nil {
 		return errors.Wrap(err, "sweep claims")
 	}
-	first := oldestEpoch(now, c.opts.Limits)
-	if e.Revision != 0 {
-		n, size := binary.Varint(e.Value)
-		if size <= 0 {
-			return errors.Wrap(&BadShardError{Bytes: len(e.Value), Detail: "swept epoch"}, "sweep claims")
-		}
-		first = n
-	}
+	first := c.firstEpoch(now, e)
 	epoch := first
 	for c.opts.Limits.EpochExpired(now, epoch) && epoch < first+maxSweepEpochs {
 		if err := c.deleteEpoch(ctx, epoch); err != nil {
@@ -46,13 +45,29 @@
 		}
 		epoch++
 	}
-	if e.Revision != 0 && epoch == first {
+	value := binary.AppendVarint(nil, epoch)
+	if bytes.Equal(value, e.Value) {
 		return nil
 	}
-	_, err = c.store.Put(ctx, sweptKey, binary.AppendVarint(nil, epoch), e.Revision, 0)
+	_, err = c.store.Put(ctx, sweptKey, value, e.Revision, 0)
 	return errors.Wrap(err, "sweep claims")
 }
 
+// firstEpoch returns the first epoch that isn't deleted yet. An entry that no sweep can have
+// written is replaced: sweeps begin anew at the oldest epoch that can have valid claims.
+func (c *Committer) firstEpoch(now time.Time, e ggscore.Entry) int64 {
+	oldest := oldestEpoch(now, c.opts.Limits)
+	if e.Revision == 0 {
+		return oldest
+	}
+	n, size := binary.Varint(e.Value)
+	if size <= 0 || n > epochOf(now) || n < oldest-int64(maxSweepLag/ggsclaim.EpochLength) {
+		c.logUnreadable(e, &BadShardError{Bytes: len(e.Value), Detail: "swept epoch"})
+		return oldest
+	}
+	return n
+}
+
 func (c *Committer) deleteEpoch(ctx context.Context, epoch int64) error {
 	entries, err := c.store.List(ctx, epochPrefix(epoch))
 	if err != nil {
@@ -68,7 +83,7 @@
 
 // evictIdle removes cached shards of old epochs that have no pending operations.
 func (c *Committer) evictIdle(now time.Time) {
-	oldest := now.UnixMilli()/ggsclaim.EpochLength.Milliseconds() - idleShardEpochs
+	oldest := epochOf(now) - idleShardEpochs
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for s, sh := range c.shards {
@@ -87,7 +102,9 @@
 		select {
 		case <-t.C:
 			// The next sweep repeats a failed one.
-			_ = c.Sweep(ctx)
+			if err := c.Sweep(ctx); err != nil {
+				_ = level.Warn(c.log).Log("event", "claimsSweepFailed", "err", err)
+			}
 			t.Reset(jitter(c.opts.SweepInterval))
 		case <-ctx.Done():
 			return
@@ -102,5 +119,7 @@
 // oldestEpoch returns an epoch that is no later than any epoch that may have claims.
 func oldestEpoch(now time.Time, l ggsclaim.Limits) int64 {
 	age := time.Duration(l.MaxEpochs()) * ggsclaim.EpochLength
-	return now.Add(-age).UnixMilli() / ggsclaim.EpochLength.Milliseconds()
+	return epochOf(now.Add(-age))
 }
+
+func epochOf(t time.Time) int64 { return t.UnixMilli() / ggsclaim.EpochLength.Milliseconds() }
--- a/io/ggsclaims/work.go
+++ b/io/ggsclaims/work.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsclaim"
@@ -91,6 +92,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stats.Reads++
+	var bad *BadShardError
+	if errors.As(err, &bad) && e.Revision != sh.unreadable {
+		sh.unreadable = e.Revision
+		c.logUnreadable(e, bad)
+	}
 	if err != nil {
 		c.handleFailure(sh, err)
 		return false
@@ -99,6 +105,11 @@
 	return true
 }
 
+// logUnreadable names an entry that another program must have written.
+func (c *Committer) logUnreadable(e ggscore.Entry, err *BadShardError) {
+	_ = level.Warn(c.log).Log("event", "claimsUnreadable", "key", e.Key, "revision", e.Revision, "err", err)
+}
+
 func (c *Committer) write(ctx context.Context, sh *shard, step ggsclaim.Step) bool {
 	value := encodeShard(step.Next)
 	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
