--- a/cmd/ggsnode/edge_alike_test.go
+++ b/cmd/ggsnode/edge_alike_test.go
@@ -27,8 +27,7 @@
 // alikeStart is the time in which copies of a request that no VM knows yet may be refused, since each may crash an endpoint.
 const alikeStart = time.Second
 
-// Guards against a request that many callers send alike, and that is refused to all of them because single connections to
-// endpoints broke under it, though no endpoint's process has ended.
+// Guards against a request that all its callers are refused because connections, but no endpoints, broke under it.
 func TestRequestOfManyCallersIsNotKeptOutByBrokenConnections(t *testing.T) {
 	t.Parallel()
 	// With these, the first copies of the request broke off.
--- a/cmd/ggsnode/edge_odd_test.go
+++ b/cmd/ggsnode/edge_odd_test.go
@@ -53,8 +53,7 @@
 	return odd
 }
 
-// Guards against VMs that end, stop following the list, or load no more adapters, because of an entry that another writer
-// has left anywhere that they read, while they serve or at their start.
+// Guards against VMs that end, or stop working in part, because of any entry of another writer, also at a start.
 func TestOddEntriesStopNothingElse(t *testing.T) {
 	t.Parallel()
 	s := startSite(t, 3)
--- a/cmd/ggsnode/promise_test.go
+++ b/cmd/ggsnode/promise_test.go
@@ -54,8 +54,7 @@
 	tries []outcome
 }
 
-// Guards against a job that runs twice, or after its caller was promised that it never would, because two troubles meet:
-// endpoints that answer early, late, twice or not whole, and VMs that stop, freeze, start again or lose their paths.
+// Guards against a job that runs twice, or after a promise that it never would, because two troubles meet.
 func TestJobsRunOnceWhileTwoTroublesMeet(t *testing.T) {
 	t.Parallel()
 	seeds := []uint64{1}
@@ -290,7 +289,7 @@
 	}
 }
 
-// checkPromises checks what callers were told against what endpoints ran.
+// checkPromises compares the answers to callers with what endpoints ran.
 func (s *soak) checkPromises(jobs []*promiseJob) {
 	runs := s.site.Runs()
 	counts := map[int]int{}
--- a/core/ggsquarantine/survived_test.go
+++ b/core/ggsquarantine/survived_test.go
@@ -11,8 +11,7 @@
 	"greengageslip/core/ggsquarantine"
 )
 
-// Guards against a sound request that is kept out because single connections broke under it, at endpoints whose processes
-// live on.
+// Guards against a sound request that is kept out because connections to endpoints that live on broke under it.
 func TestBrokenConnectionsAreNoCrashesOnceTheProcessIsKnownToLive(t *testing.T) {
 	t.Parallel()
 	const request = 50 * time.Millisecond
--- a/core/ggsresident/unanswered_test.go
+++ b/core/ggsresident/unanswered_test.go
@@ -85,8 +85,7 @@
 	}
 }
 
-// Guards against slots that stay empty for seconds at each change of owners, although an order that nobody knows was sent
-// to the process that still runs, and expects a number that it has passed.
+// Guards against slots that stay empty for an order that comes too late to be executed.
 func TestSlotsAreFilledWhereTheProcessOutlastsLateOrders(t *testing.T) {
 	t.Parallel()
 	for name, tc := range map[string]struct {
--- a/io/ggsconfig/follower_test.go
+++ b/io/ggsconfig/follower_test.go
@@ -295,8 +295,7 @@
 	}
 }
 
-// Guards against a document that is lost with the last VM that remembers it, and that no operator can change, because
-// another writer has spoiled its head.
+// Guards against a document that nobody can change, and that is lost with its last reader, once its head is spoiled.
 func TestFollowerReplacesUnreadableHead(t *testing.T) {
 	t.Parallel()
 	packed := func(text string) []byte {
--- a/io/ggsedge/members_test.go
+++ b/io/ggsedge/members_test.go
@@ -48,8 +48,7 @@
 	c.Assert(s.txns.Load() <= most, qt.IsTrue, qt.Commentf("%d heartbeats", s.txns.Load()))
 }
 
-// Guards against a VM that never owns an endpoint again, or an endpoint that never gets an owner, because another writer
-// has replaced the record that the conditions of their writes name.
+// Guards against endpoints without an owner for good because another writer has replaced a record.
 func TestUnreadableRecordsAreReplaced(t *testing.T) {
 	t.Parallel()
 	const takeover = ggsfencing.DefaultValidity + ggsfencing.DefaultMargin
