fix(ggsedge): a starting VM serves no part of a configuration before it has read the record

What callers saw: after a restart of all VMs beside a configuration with one route that can't be read, 404 "no route matches" for that route, which the record of the last configuration has; a shorter route would have taken its requests.

Cause: a VM with nothing in force brought the readable parts into force and was ready at once; it read the record only then.

Weighed: 503 where no route matches while parts are missing. A request that a shorter route takes would still go to the wrong service.

Change: a VM with nothing in force holds such a configuration until the record is read, or found missing or unreadable, and for 3 s at most while it can't be read; it isn't ready until then. VMs with a configuration in force change nothing: they complete it from that one.

Before: TestStartingVMServesNoPartOfAConfiguration 404 instead of 200.

--- a/cmd/ggsnode/edge_config_test.go
+++ b/cmd/ggsnode/edge_config_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -16,8 +17,7 @@
 	ggsdialect "greengageslip/platform"
 )
 
-// Guards against VMs that serve nothing after a restart, because the operators' configuration can't be read and the last
-// readable one was in VMs' memory alone.
+// Guards against VMs that serve nothing after a restart because the operators' configuration can't be read.
 func TestLastConfigurationOutlastsAllVMs(t *testing.T) {
 	t.Parallel()
 	const calls = 10
@@ -85,6 +85,34 @@
 	return c.Version
 }
 
+// Guards against starting VMs that answer 404 for a route that can't be read until they have read its last form.
+func TestStartingVMServesNoPartOfAConfiguration(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2)
+	s.eventually("the configuration is recorded", func() bool { return s.recordedConfig() == 1 })
+	s.site.Store.Put("op/config", bytes.Replace(ggsfakesite.Config(3, "/chat/"), []byte(`"unsafe"`), []byte(`"sometimes"`), 1))
+	s.site.Store.DelayLists("greengageslipLastConfig", 600*time.Millisecond)
+	s.restartAll(t)
+	r := s.call(0, http.MethodPost, "/pay/1", "", "{}")
+	s.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+}
+
+// Guards against VMs that serve nothing because the last form of a part that can't be read can't be read either.
+func TestPartOfAConfigurationIsServedWithoutARecord(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2)
+	s.eventually("the configuration is recorded", func() bool { return s.recordedConfig() == 1 })
+	s.site.Store.Put("op/config", bytes.Replace(ggsfakesite.Config(3, "/chat/"), []byte(`"unsafe"`), []byte(`"sometimes"`), 1))
+	s.site.Store.DelayLists("greengageslipLastConfig", time.Hour)
+	s.restartAll(t)
+	r := s.call(0, http.MethodPost, "/chat/x", "", "{}")
+	s.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+	s.site.Store.DelayLists("greengageslipLastConfig", 0)
+	s.eventually("the missing route is served", func() bool {
+		return s.call(0, http.MethodPost, "/pay/1", "", "{}").status == http.StatusOK
+	})
+}
+
 // Guards against VMs that serve nothing after a restart because the configuration was deleted.
 func TestLastConfigurationOutlastsItsDeletion(t *testing.T) {
 	t.Parallel()
--- a/fakes/ggsfakesite/store.go
+++ b/fakes/ggsfakesite/store.go
@@ -28,6 +28,8 @@
 	calls       map[string]int
 	// listCalls counts the list calls by prefix.
 	listCalls map[string]int
+	// listDelays are the delays of answers to list calls by prefix.
+	listDelays map[string]time.Duration
 	// conditions are the keys in the conditions of the last transaction.
 	conditions []string
 	// holdWrites is the number of further writes to hold, heldWrites the writes held so far.
@@ -69,6 +71,7 @@
 func NewStore() *Store {
 	return &Store{
 		epoch: 1, revision: 1, items: map[string]item{}, changed: make(chan struct{}), calls: map[string]int{}, listCalls: map[string]int{},
+		listDelays: map[string]time.Duration{},
 	}
 }
 
@@ -214,6 +217,13 @@
 	return s.listCalls[prefix]
 }
 
+// DelayLists delays the answers to list calls with a prefix.
+func (s *Store) DelayLists(prefix string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listDelays[prefix] = d
+}
+
 // LastConditions returns the keys in the conditions of the last transaction.
 func (s *Store) LastConditions() []string {
 	s.mu.Lock()
@@ -248,6 +258,7 @@
 	prefix := r.URL.Query().Get("pathPrefix")
 	s.mu.Lock()
 	s.listCalls[prefix]++
+	delay := s.listDelays[prefix]
 	l, rev := []item{}, s.revision
 	for k, i := range s.items {
 		if strings.HasPrefix(k, prefix) {
@@ -256,6 +267,13 @@
 	}
 	// Unlocks before the answer is written, so that a slow reader doesn't block other calls.
 	s.mu.Unlock()
+	t := time.NewTimer(delay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.Context().Done():
+		return
+	}
 	slices.SortFunc(l, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
 	answerItems(w, `{"morePages":false,"items":`, l, rev)
 }
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -155,6 +155,8 @@
 
 	// configMu is held while a configuration is brought into force.
 	configMu sync.Mutex
+	// held is the configuration that waits for the record of the last one, nil for none, guarded by configMu.
+	held *heldConfig
 
 	mu        sync.Mutex
 	table     *ggsplace.Table
--- a/io/ggsedge/lastconfig.go
+++ b/io/ggsedge/lastconfig.go
@@ -24,6 +24,9 @@
 	// lastConfigDelay is the time for which a configuration is in force before it is recorded, so that of several in quick
 	// succession one is.
 	lastConfigDelay = time.Second
+	// lastConfigPatience is the time for which a VM without a configuration keeps one with missing parts out of force
+	// while the record of their last forms can't be read.
+	lastConfigPatience = 3 * time.Second
 	// maxConfigBytes bounds the uncompressed size of the record.
 	maxConfigBytes = 64 << 20
 )
@@ -39,6 +42,14 @@
 	restored uint64
 }
 
+// A heldConfig is a configuration with missing parts that isn't in force, because nothing is and the record may have
+// the parts. Serving without them would answer that a route doesn't exist, or take a request to a shorter one.
+type heldConfig struct {
+	config   *ggscore.RoutingConfig
+	revision ggscore.StoreRevision
+	since    time.Time
+}
+
 // configInForce returns the configuration in force, nil for none.
 func (e *Edge) configInForce() *ggscore.RoutingConfig {
 	if t := e.paths.Load(); t != nil {
@@ -66,12 +77,31 @@
 	if in := e.configVersion(); c.Version <= in {
 		return c.Version == in
 	}
+	if e.configInForce() == nil && len(c.Invalid) > 0 && e.options.Keys.LastConfig != "" {
+		return e.holdConfig(c, n.Revision)
+	}
 	e.useConfig(c.Complete(e.configInForce()), n.Revision)
 	return true
 }
 
+// holdConfig keeps a configuration until the record is read, and reports whether it is at least as new as the one held.
+// Edge.configMu is held.
+func (e *Edge) holdConfig(c *ggscore.RoutingConfig, r ggscore.StoreRevision) bool {
+	h := &heldConfig{config: c, revision: r, since: e.Monotonic()}
+	if o := e.held; o != nil {
+		if c.Version <= o.config.Version {
+			return c.Version == o.config.Version
+		}
+		h.since = o.since
+	}
+	e.held = h
+	e.requestLastConfig()
+	return true
+}
+
 // useConfig brings a configuration into force. Edge.configMu is held.
 func (e *Edge) useConfig(c *ggscore.RoutingConfig, r ggscore.StoreRevision) {
+	e.held = nil
 	e.origins.ObserveRoutes(c.Routes)
 	e.paths.Store(ggspath.NewTable(c))
 	e.mu.Lock()
@@ -132,13 +162,20 @@
 		return nil
 	}
 	c, err := e.readLastConfig(ctx, l)
+	e.configMu.Lock()
+	defer e.configMu.Unlock()
+	h := e.held
 	if err != nil {
+		if h != nil && e.since(h.since) >= lastConfigPatience {
+			e.useConfig(h.config, h.revision)
+		}
 		return err
 	}
-	e.configMu.Lock()
-	defer e.configMu.Unlock()
 	in = e.configInForce()
 	switch {
+	case in == nil && h != nil && (c == nil || c.Version < h.config.Version):
+		l.restored = h.config.Version
+		e.useConfig(h.config.Complete(c), h.revision)
 	case in == nil && c != nil:
 		e.useConfig(c, l.at.Revision)
 	case in == nil:
