--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -209,10 +209,10 @@
 	// records were all read. resyncDuration is how long this VM took to read them in that epoch.
 	resyncedEpoch  ggscore.StoreEpoch
 	resyncDuration time.Duration
-	// operatorsAnnounced is the newest position of the operators' entries that a peer
-	// announced. operatorsSynced is the newest position announced before the last full snapshot.
 	// configSince is when the configuration in force came into force.
 	configSince time.Time
+	// operatorsAnnounced is the newest position of the operators' entries that a peer
+	// announced. operatorsSynced is the newest position announced before the last full snapshot.
 	// behindSince is when a peer first announced a position that this VM has not read yet.
 	operatorsAnnounced ggscore.StorePosition
 	operatorsSynced    ggscore.StorePosition
