fix(ggsquarantine): crashes that were none aren't taken from later reports again

Cause: a VM reports a new crash with the earlier ones under the same request. A withdrawal takes 20 ms to its peers; in that time others repeat the crash, and all take it as new. Nobody withdraws it then: its VM has forgotten it.

Evidence: the reports of the play; with a 20 ms gap between two VMs TestWithdrawnCrashIsNotReportedAgain shows it with three tables.

Ruled out: processes that end (there are none), lost reports (there are none), the requests' own answers (crashes of this kind are counted before the first).

Change: a withdrawn crash is remembered for a minute, by the process's identity that the report named; the VM that has withdrawn it says so again to those that report it. So that a later crash of the same process counts, the process is known to have lived since it was asked, at all VMs by the same time. A VM that has itself seen an end that isn't explained yet keeps it (TestCrashAfterABrokenConnectionCounts: the second of two ends was lost).

--- a/core/crash.go
+++ b/core/crash.go
@@ -45,6 +45,8 @@
 	Uses map[SuspectID]SuspectUse
 	// Withdrawn are crashes that the VM reported before, and that were none: the endpoint's process lives on.
 	Withdrawn []Crash
+	// AliveAt is when the processes of the withdrawn crashes are known to have lived.
+	AliveAt time.Time
 }
 
 // A CrashReporter sends reports to all peers, or to one.
--- a/core/ggsquarantine/abandoned.go
+++ b/core/ggsquarantine/abandoned.go
@@ -113,7 +113,9 @@
 
 func mergeReport(to *ggscore.CrashReport, r ggscore.CrashReport) {
 	to.Crashes = append(to.Crashes, r.Crashes...)
-	to.Withdrawn = append(to.Withdrawn, r.Withdrawn...)
+	if len(r.Withdrawn) > 0 {
+		to.Withdrawn, to.AliveAt = append(to.Withdrawn, r.Withdrawn...), r.AliveAt
+	}
 	for s, u := range r.Uses {
 		addUse(to, s, u)
 	}
--- a/core/ggsquarantine/load_test.go
+++ b/core/ggsquarantine/load_test.go
@@ -15,6 +15,9 @@
 	"greengageslip/core/ggsquarantine"
 )
 
+// popularRequest is the same request of many callers.
+var popularRequest = ggscore.SuspectRequest("popular") //nolint:gochecknoglobals // a constant
+
 const (
 	// noticeTime is the time after the fifth crash from which VMs keep a part from endpoints, and
 	// allowance the number of requests with it that may reach them after it.
@@ -36,6 +39,8 @@
 	// until they know that a silent endpoint is gone.
 	lingerTime  = 50 * time.Millisecond
 	silenceTime = downTime - step
+	// checkTime is the time from the end of a connection until its VM knows whether the endpoint's process lives on.
+	checkTime = 30 * time.Millisecond
 	// storeInterval is the time between a VM's reads of the store.
 	storeInterval = 500 * time.Millisecond
 )
@@ -82,6 +87,10 @@
 	patience  time.Duration
 	// silent lets endpoints fall silent at a crash, which the VMs learn silenceTime later.
 	silent bool
+	// broken is the share of sound requests whose connections break before the answer begins, while the endpoint's
+	// process lives on. VMs ask it then, if asked is set.
+	broken float64
+	asked  bool
 }
 
 type running struct {
@@ -93,6 +102,8 @@
 	answered bool
 	// sends counts the endpoints of this try, and tries the caller's tries.
 	sends, tries int
+	// breaks is set if the request's connection breaks.
+	breaks bool
 	// impatient is set if the caller leaves, left once it has, and abandoned once its VM has given it up.
 	impatient, left, abandoned bool
 	// repeater is the number of a request that crashes each endpoint, else -1.
@@ -105,6 +116,13 @@
 	q  running
 }
 
+// A check asks an endpoint whether the process that started at a time lives on.
+type check struct {
+	at           time.Time
+	vm, endpoint int
+	started      time.Time
+}
+
 type endpointState struct {
 	starts int
 	back   time.Time
@@ -125,6 +143,10 @@
 	sent       int
 	refused    int
 	answered   int
+	// popularSent and popularRefused count the requests that are the same request of many callers, and
+	// refusedFor the longest time without one that was let through.
+	popularSent, popularRefused int
+	refusedFor                  time.Duration
 	// repeated has the crashes under each repeater, and arrivals the endpoints that it was sent to.
 	repeated []int
 	arrivals []int
@@ -141,11 +163,14 @@
 	inTransit []delivery
 	resends   []resend
 	retries   []resend
-	requests  int
-	records   map[ggscore.SuspectID]bool
-	storeRead time.Time
-	result    loadResult
-	badSent   []time.Time
+	checks    []check
+	// popularRefusedAt is the first refusal of the same request of many callers since one was let through.
+	popularRefusedAt time.Time
+	requests         int
+	records          map[ggscore.SuspectID]bool
+	storeRead        time.Time
+	result           loadResult
+	badSent          []time.Time
 }
 
 func (l load) play(seed uint64) loadResult {
@@ -174,6 +199,7 @@
 		r.listGone()
 		r.sendAgain()
 		r.retry()
+		r.ask()
 		r.syncStore()
 		if !restarted && age >= l.restart {
 			restarted = true
@@ -298,7 +324,12 @@
 func (r *loadRun) send(q running) {
 	q.vm = r.rng.IntN(r.vms)
 	q.begun, q.answered = r.now, false
-	if r.tables[q.vm].Check(r.now, q.parts, false) == nil {
+	admitted := r.tables[q.vm].Check(r.now, q.parts, false) == nil
+	if q.parts[len(q.parts)-1] == popularRequest {
+		r.countPopular(admitted)
+	}
+	if admitted {
+		q.breaks = !q.bad && r.rng.Float64() < r.broken
 		r.start(q)
 		return
 	}
@@ -308,6 +339,45 @@
 	r.again(q)
 }
 
+// countPopular counts a request that many callers send.
+func (r *loadRun) countPopular(admitted bool) {
+	r.result.popularSent++
+	if admitted {
+		r.popularRefusedAt = time.Time{}
+		return
+	}
+	r.result.popularRefused++
+	if r.popularRefusedAt.IsZero() {
+		r.popularRefusedAt = r.now
+	}
+	r.result.refusedFor = max(r.result.refusedFor, r.now.Sub(r.popularRefusedAt))
+}
+
+// breakConn ends the connection of a request whose endpoint lives on.
+func (r *loadRun) breakConn(q running) {
+	started := time.UnixMilli(int64(r.endpoints[q.endpoint].starts))
+	if r.asked {
+		r.checks = append(r.checks, check{r.now.Add(checkTime), q.vm, q.endpoint, started})
+	}
+	q.breaks = false
+	r.breakOff(q, endpointID(q.endpoint), started)
+}
+
+// ask lets the VMs learn whether processes live on.
+func (r *loadRun) ask() {
+	due := r.checks
+	r.checks = nil
+	for _, c := range due {
+		e := &r.endpoints[c.endpoint]
+		switch {
+		case c.at.After(r.now):
+			r.checks = append(r.checks, c)
+		case !e.back.After(r.now):
+			r.broadcast(c.vm, r.tables[c.vm].RecordProcess(r.now, endpointID(c.endpoint), time.UnixMilli(int64(e.starts)), c.at), &r.inTransit)
+		}
+	}
+}
+
 func (r *loadRun) deliver() {
 	var later []delivery
 	for _, d := range r.inTransit {
@@ -321,7 +391,7 @@
 }
 
 func (r *loadRun) broadcast(from int, report ggscore.CrashReport, to *[]delivery) {
-	if len(report.Crashes) == 0 && len(report.Uses) == 0 {
+	if len(report.Crashes) == 0 && len(report.Uses) == 0 && len(report.Withdrawn) == 0 {
 		return
 	}
 	for n := range r.tables {
@@ -343,7 +413,7 @@
 		}
 		id := r.requestID()
 		if !bad && r.rng.Float64() < r.popular {
-			id = ggscore.SuspectRequest("popular")
+			id = popularRequest
 		}
 		parts = append(parts, id)
 		if r.parts == 0 {
@@ -391,8 +461,12 @@
 			r.crash(q.endpoint)
 		}
 	}
-	var left []running
+	var left, broken []running
 	for _, q := range r.running {
+		if q.breaks && r.now.Sub(q.begun) >= r.firstEvent {
+			broken = append(broken, q)
+			continue
+		}
 		if q.abandoned {
 			left = append(left, q)
 			continue
@@ -417,6 +491,9 @@
 		}
 	}
 	r.running = left
+	for _, q := range broken {
+		r.breakConn(q)
+	}
 }
 
 // leave lets impatient callers leave, and ends what their VMs have waited for long enough.
@@ -495,6 +572,9 @@
 	}
 	r.running = left
 	for _, q := range broken {
+		if r.asked {
+			r.checks = append(r.checks, check{r.now.Add(checkTime), q.vm, n, started})
+		}
 		if q.repeater >= 0 {
 			r.result.repeated[q.repeater]++
 		}
--- a/core/ggsquarantine/survived.go
+++ b/core/ggsquarantine/survived.go
@@ -13,6 +13,11 @@
 	survivedMargin = 100 * time.Millisecond
 	// maxOwnCrashes bounds the crashes of one endpoint under requests of this VM that may turn out to be none.
 	maxOwnCrashes = 64
+	// withdrawnTime is how long a withdrawn crash is remembered. VMs that don't know of it yet go on reporting
+	// the crash with others under the same request.
+	withdrawnTime = time.Minute
+	// maxWithdrawn bounds the withdrawn crashes.
+	maxWithdrawn = 1 << 12
 )
 
 // An ownCrash is the end of a connection under a request of this VM, taken for a crash of its endpoint.
@@ -23,6 +28,24 @@
 	crashes  []ggscore.Crash
 }
 
+// A withdrawal is a crash under a request that was none.
+type withdrawal struct {
+	at time.Time
+	// aliveAt is when the process is known to have lived.
+	aliveAt time.Time
+	// own is set if this VM has withdrawn it.
+	own bool
+}
+
+type withdrawnCrash struct {
+	suspect ggscore.SuspectID
+	process process
+}
+
+func withdrawnCrashOf(c ggscore.Crash) withdrawnCrash {
+	return withdrawnCrash{c.Suspect, process{c.Endpoint, c.StartedAt.UnixMilli()}}
+}
+
 // addOwnCrash adds a crash, and drops those that no longer count.
 func (t *Table) addOwnCrash(id ggscore.EndpointID, c ownCrash) {
 	if len(t.own) >= maxCrashed {
@@ -37,7 +60,7 @@
 // been open since another. The process that had accepted it outlived the ends of other connections in between. The
 // report for the peers withdraws them.
 func (t *Table) RecordAnsweredOver(now time.Time, id ggscore.EndpointID, opened, sentAt time.Time) ggscore.CrashReport {
-	return t.withdrawOwn(now, id, func(c ownCrash) bool {
+	return t.withdrawOwn(now, id, sentAt, func(c ownCrash) bool {
 		return opened.Add(survivedMargin).Before(c.at) && c.at.Before(sentAt)
 	})
 }
@@ -45,39 +68,67 @@
 // RecordProcess records that a process which started at a time served an endpoint when it was asked. It outlived the ends
 // of connections before, and the report for the peers withdraws them.
 func (t *Table) RecordProcess(now time.Time, id ggscore.EndpointID, startedAt, askedAt time.Time) ggscore.CrashReport {
-	return t.withdrawOwn(now, id, func(c ownCrash) bool {
+	return t.withdrawOwn(now, id, askedAt, func(c ownCrash) bool {
 		return c.listedAt.Equal(startedAt) && c.at.Before(askedAt)
 	})
 }
 
-// withdrawOwn withdraws the chosen crashes of an endpoint.
-func (t *Table) withdrawOwn(now time.Time, id ggscore.EndpointID, chosen func(ownCrash) bool) ggscore.CrashReport {
-	r := ggscore.CrashReport{VM: t.vm}
+// withdrawOwn withdraws the chosen crashes of an endpoint, whose process lived at a time.
+func (t *Table) withdrawOwn(now time.Time, id ggscore.EndpointID, aliveAt time.Time, chosen func(ownCrash) bool) ggscore.CrashReport {
+	r := ggscore.CrashReport{VM: t.vm, AliveAt: aliveAt}
 	cs := t.own[id]
 	if len(cs) == 0 {
 		return r
 	}
+	var withdrawn []ggscore.Crash
 	t.own[id] = slices.DeleteFunc(cs, func(c ownCrash) bool {
 		if !chosen(c) {
 			return false
 		}
-		r.Withdrawn = append(r.Withdrawn, c.crashes...)
+		withdrawn = append(withdrawn, c.crashes...)
 		return true
 	})
 	if len(t.own[id]) == 0 {
 		delete(t.own, id)
 	}
+	for _, c := range withdrawn {
+		if !t.claims(c) {
+			r.Withdrawn = append(r.Withdrawn, c)
+			t.withdraw(now, c, withdrawal{at: now, aliveAt: aliveAt, own: true})
+		}
+	}
+	return r
+}
+
+// claims reports whether a crash is one under a request of this VM that hasn't turned out to be none.
+func (t *Table) claims(c ggscore.Crash) bool {
+	return slices.ContainsFunc(t.own[c.Endpoint], func(o ownCrash) bool { return slices.Contains(o.crashes, c) })
+}
+
+// observeWithdrawn records the crashes that a peer withdraws. This VM finds out by itself about those that it has seen.
+func (t *Table) observeWithdrawn(now time.Time, r ggscore.CrashReport) {
 	for _, c := range r.Withdrawn {
-		t.withdraw(now, c)
+		if !t.claims(c) {
+			t.withdraw(now, c, withdrawal{at: now, aliveAt: r.AliveAt})
+		}
 	}
-	if len(r.Withdrawn) > 0 {
-		delete(t.crashed, id)
+}
+
+// wasWithdrawn reports whether a crash that a peer reports was withdrawn. The peer learns of it by the reply, from the
+// VM that has withdrawn it.
+func (t *Table) wasWithdrawn(now time.Time, c ggscore.Crash, reply *ggscore.CrashReport) bool {
+	w, ok := t.withdrawn[withdrawnCrashOf(c)]
+	if !ok || now.Sub(w.at) >= withdrawnTime {
+		return false
 	}
-	return r
+	if w.own {
+		reply.Withdrawn, reply.AliveAt = append(reply.Withdrawn, c), w.aliveAt
+	}
+	return true
 }
 
 // withdraw takes back a crash that was none, and ends a quarantine that rested on it.
-func (t *Table) withdraw(now time.Time, c ggscore.Crash) {
+func (t *Table) withdraw(now time.Time, c ggscore.Crash, w withdrawal) {
 	p := process{c.Endpoint, c.StartedAt.UnixMilli()}
 	if s := t.suspects[c.Suspect]; s != nil {
 		delete(s.crashes, p)
@@ -98,4 +149,25 @@
 		}
 	}
 	t.unanswered = nil
+	if !isRequest(c.Suspect) {
+		return
+	}
+	if len(t.withdrawn) >= maxWithdrawn {
+		clear(t.withdrawn)
+	}
+	t.withdrawn[withdrawnCrashOf(c)] = w
+	t.recordLived(now, c, w.aliveAt)
+}
+
+// recordLived records that a process lived on after its crash was reported, so that the next one is told from it.
+func (t *Table) recordLived(now time.Time, c ggscore.Crash, aliveAt time.Time) {
+	p, ok := t.crashed[c.Endpoint]
+	switch {
+	case !ok:
+		p = crashedProcess{listedAt: c.StartedAt, startedAt: c.StartedAt, at: now}
+	case !p.startedAt.Equal(c.StartedAt) || !p.aliveAt.IsZero():
+		return
+	}
+	p.aliveAt = aliveAt
+	t.setCrashed(c.Endpoint, p)
 }
--- a/core/ggsquarantine/survived_test.go
+++ b/core/ggsquarantine/survived_test.go
@@ -84,3 +84,50 @@
 	c.Assert(v.Quarantined(at(3*time.Second)), qt.HasLen, 0)
 	c.Assert(v.Check(at(3*time.Second), ids, false), qt.IsNil)
 }
+
+// Guards against a crash that was none and that stays known because VMs which don't know so yet report it again.
+func TestWithdrawnCrashIsNotReportedAgain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	a, b, third := ggsquarantine.NewTable("a"), ggsquarantine.NewTable("b"), ggsquarantine.NewTable("c")
+	ids := []ggscore.SuspectID{ggscore.SuspectRequest("f")}
+	started := at(-time.Hour)
+	crash := func(v *ggsquarantine.Table, now time.Time, id ggscore.EndpointID) ggscore.CrashReport {
+		return v.RecordCrash(now, ggsquarantine.BrokenRequest{Endpoint: id, StartedAt: started, Suspects: ids})
+	}
+	b.ObserveReport(at(1), crash(a, at(0), "e1"))
+	withdrawn := a.RecordProcess(at(3), "e1", started, at(2))
+	c.Assert(withdrawn.Withdrawn, qt.HasLen, 1)
+	third.ObserveReport(at(4), withdrawn)
+	again := crash(b, at(5), "e2")
+	c.Assert(again.Crashes, qt.HasLen, 2)
+	reply := a.ObserveReport(at(6), again)
+	c.Assert(reply.Withdrawn, qt.DeepEquals, withdrawn.Withdrawn)
+	c.Assert(third.ObserveReport(at(6), again).Withdrawn, qt.HasLen, 0)
+	b.ObserveReport(at(7), reply)
+	for n, v := range []*ggsquarantine.Table{a, b, third} {
+		c.Check(v.Suspected(at(8), ids), qt.IsFalse, qt.Commentf("table %d", n))
+	}
+	// The process that had lived on crashes.
+	next := crash(a, at(9), "e1")
+	b.ObserveReport(at(10), next)
+	third.ObserveReport(at(10), next)
+	for n, v := range []*ggsquarantine.Table{a, b, third} {
+		c.Check(v.Suspected(at(11), ids), qt.IsTrue, qt.Commentf("table %d", n))
+	}
+}
+
+// Guards against a crash that is taken back because the process lived on after an earlier connection had ended.
+func TestCrashAfterABrokenConnectionCounts(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	v, peer := ggsquarantine.NewTable("vm"), ggsquarantine.NewTable("peer")
+	ids := []ggscore.SuspectID{ggscore.SuspectRequest("f")}
+	started := at(-time.Hour)
+	for n := range 2 {
+		peer.ObserveReport(at(5), v.RecordCrash(at(time.Duration(2*n)), ggsquarantine.BrokenRequest{Endpoint: "e", StartedAt: started, Suspects: ids}))
+	}
+	peer.ObserveReport(at(5), v.RecordProcess(at(4), "e", started, at(1)))
+	c.Check(v.Crashed(at(5), ids), qt.IsTrue)
+	c.Check(peer.Crashed(at(5), ids), qt.IsTrue)
+}
--- a/core/ggsquarantine/table.go
+++ b/core/ggsquarantine/table.go
@@ -80,6 +80,8 @@
 	abandoned map[ggscore.EndpointID]map[ggscore.SuspectID]abandonedTry
 	// own are the crashes under requests of this VM, which may turn out to be none.
 	own map[ggscore.EndpointID][]ownCrash
+	// withdrawn are the crashes under requests that were none.
+	withdrawn map[withdrawnCrash]withdrawal
 }
 
 // NewTable returns an empty table of a VM.
@@ -88,6 +90,7 @@
 		vm: vm, pending: map[ggscore.SuspectID]int{}, suspects: map[ggscore.SuspectID]*suspect{}, repeated: map[ggscore.SuspectID]*suspect{}, quarantined: map[ggscore.SuspectID]*quarantine{},
 		records: map[ggscore.SuspectID]bool{}, crashed: map[ggscore.EndpointID]crashedProcess{},
 		abandoned: map[ggscore.EndpointID]map[ggscore.SuspectID]abandonedTry{}, own: map[ggscore.EndpointID][]ownCrash{},
+		withdrawn: map[withdrawnCrash]withdrawal{},
 	}
 }
 
@@ -174,6 +177,9 @@
 	}
 	request := requestOf(ids)
 	for depth, c := range r.Crashes {
+		if t.wasWithdrawn(now, c, &reply) {
+			continue
+		}
 		if isRequest(c.Suspect) {
 			t.observeProcess(now, &c)
 		}
@@ -195,9 +201,7 @@
 			t.addUse(now, &reply, c.Suspect)
 		}
 	}
-	for _, c := range r.Withdrawn {
-		t.withdraw(now, c)
-	}
+	t.observeWithdrawn(now, r)
 	for id, u := range r.Uses {
 		if s := t.suspects[id]; s != nil {
 			s.uses[r.VM] = peerUse{u, now}
@@ -313,7 +317,7 @@
 
 // Len returns the number of entries in memory.
 func (t *Table) Len() int {
-	return t.partUses.len() + t.requestUses.len() + len(t.pending) + len(t.suspects) + len(t.quarantined) + len(t.records) + len(t.crashed) + len(t.abandoned) + len(t.own)
+	return t.partUses.len() + t.requestUses.len() + len(t.pending) + len(t.suspects) + len(t.quarantined) + len(t.records) + len(t.crashed) + len(t.abandoned) + len(t.own) + len(t.withdrawn)
 }
 
 // Advance confirms quarantines that have lasted for their time. A request that is rarely sent again may
--- a/io/ggscrash/tracker.go
+++ b/io/ggscrash/tracker.go
@@ -181,7 +181,7 @@
 	t.mu.Lock()
 	r := change(t.options.Now())
 	t.mu.Unlock()
-	if len(r.Crashes) > 0 || len(r.Uses) > 0 {
+	if len(r.Crashes) > 0 || len(r.Uses) > 0 || len(r.Withdrawn) > 0 {
 		t.options.Reporter.ReportCrashes(r)
 	}
 	return len(r.Crashes)
--- a/io/ggspeer/crashes.go
+++ b/io/ggspeer/crashes.go
@@ -13,6 +13,8 @@
 	Uses    map[string]suspectUseWire
 	// Withdrawn are crashes that were none.
 	Withdrawn []crashWire
+	// AliveAt is when their processes are known to have lived, in milliseconds since 1970.
+	AliveAt int64
 }
 
 type suspectUseWire struct {
@@ -39,7 +41,7 @@
 }
 
 func crashReportWireOf(r ggscore.CrashReport) crashReportWire {
-	w := crashReportWire{VM: string(r.VM), Uses: make(map[string]suspectUseWire, len(r.Uses))}
+	w := crashReportWire{VM: string(r.VM), AliveAt: r.AliveAt.UnixMilli(), Uses: make(map[string]suspectUseWire, len(r.Uses))}
 	for _, c := range r.Crashes {
 		w.Crashes = append(w.Crashes, crashWireOf(c))
 	}
@@ -53,7 +55,7 @@
 }
 
 func (w *crashReportWire) report() (ggscore.CrashReport, error) {
-	r := ggscore.CrashReport{VM: ggscore.VMID(w.VM)}
+	r := ggscore.CrashReport{VM: ggscore.VMID(w.VM), AliveAt: time.UnixMilli(w.AliveAt)}
 	for _, c := range w.Crashes {
 		r.Crashes = append(r.Crashes, c.crash())
 	}
