--- a/cmd/ggsnode/edge_test.go
+++ b/cmd/ggsnode/edge_test.go
@@ -118,8 +118,8 @@
 	s.startEdgeWith(t, n, func(d *ggsdialect.Settings) { d.FirstStart = false })
 }
 
-// restartAll ends all edges and starts their next processes.
-func (s *siteTest) restartAll(t *testing.T) {
+// restartAll ends all edges, starts their next processes, and returns the time until all are ready.
+func (s *siteTest) restartAll(t *testing.T) time.Duration {
 	t.Helper()
 	edges := len(s.edges)
 	for _, e := range s.edges {
@@ -129,12 +129,14 @@
 		e.done <- <-e.done
 	}
 	s.edges = nil
+	begun := time.Now()
 	for n := range edges {
 		s.startEdgeAgain(t, n)
 	}
 	for n := range edges {
 		s.eventually("the VM is back", func() bool { return s.ready(n) == http.StatusOK })
 	}
+	return time.Since(begun)
 }
 
 // startEdgeWith starts an edge with settings modified by change, and with other parts given by
