fix(ggsquarantine): processes in reports are compared by milliseconds

What callers could see: a request that crashes endpoints reaches one more of them. A VM that has seen a connection end drops that crash, because a peer withdraws one of the same process, before its own call to the endpoint says whether the process lives on.

Cause: reports name the start of a process in milliseconds, while the start that a VM has derived is exact; claims and recordLived compared times.

Evidence: by reading; TestOwnCrashOutlastsAPeersWithdrawal shows it.

After: passes, with the tests of the package.

--- a/core/ggsquarantine/doc.go
+++ b/core/ggsquarantine/doc.go
@@ -55,7 +55,7 @@
 // The end of a connection counts as that of its endpoint's process, as a caller's next try may come before anything else
 // is known. It is withdrawn, at all VMs, once the process is known to live on: it answers over a connection that is
 // older, or names the start that this VM knew. A withdrawn crash is remembered, because VMs that don't know of the
-// withdrawal yet report it again; a later crash of the process is told from it by the time at which it lived.
+// withdrawal yet report it again; a later crash of the process is distinguished by the time at which it lived.
 //
 // Crashes are reported to all peers, because tries of a request and requests with a part arrive at any VM.
 // Each VM reports its uses of a suspect when the last crash but one is reported, so that a suspect which is
--- a/core/ggsquarantine/survived.go
+++ b/core/ggsquarantine/survived.go
@@ -42,9 +42,7 @@
 	process process
 }
 
-func withdrawnCrashOf(c ggscore.Crash) withdrawnCrash {
-	return withdrawnCrash{c.Suspect, process{c.Endpoint, c.StartedAt.UnixMilli()}}
-}
+func withdrawnCrashOf(c ggscore.Crash) withdrawnCrash { return withdrawnCrash{c.Suspect, processOf(c)} }
 
 // addOwnCrash adds a crash, and drops those that no longer count.
 func (t *Table) addOwnCrash(id ggscore.EndpointID, c ownCrash) {
@@ -102,7 +100,9 @@
 
 // claims reports whether a crash is one under a request of this VM that hasn't turned out to be none.
 func (t *Table) claims(c ggscore.Crash) bool {
-	return slices.ContainsFunc(t.own[c.Endpoint], func(o ownCrash) bool { return slices.Contains(o.crashes, c) })
+	return slices.ContainsFunc(t.own[c.Endpoint], func(o ownCrash) bool {
+		return slices.ContainsFunc(o.crashes, func(own ggscore.Crash) bool { return withdrawnCrashOf(own) == withdrawnCrashOf(c) })
+	})
 }
 
 // observeWithdrawn records the crashes that a peer withdraws. This VM finds out by itself about those that it has seen.
@@ -129,7 +129,7 @@
 
 // withdraw takes back a crash that was none, and ends a quarantine that rested on it.
 func (t *Table) withdraw(now time.Time, c ggscore.Crash, w withdrawal) {
-	p := process{c.Endpoint, c.StartedAt.UnixMilli()}
+	p := processOf(c)
 	if s := t.suspects[c.Suspect]; s != nil {
 		delete(s.crashes, p)
 		if len(s.crashes) < suspectCrashes {
@@ -159,13 +159,13 @@
 	t.recordLived(now, c, w.aliveAt)
 }
 
-// recordLived records that a process lived on after its crash was reported, so that the next one is told from it.
+// recordLived records that a process lived on after its crash was reported, so that the next one is another.
 func (t *Table) recordLived(now time.Time, c ggscore.Crash, aliveAt time.Time) {
 	p, ok := t.crashed[c.Endpoint]
 	switch {
 	case !ok:
 		p = crashedProcess{listedAt: c.StartedAt, startedAt: c.StartedAt, at: now}
-	case !p.startedAt.Equal(c.StartedAt) || !p.aliveAt.IsZero():
+	case p.startedAt.UnixMilli() != c.StartedAt.UnixMilli() || !p.aliveAt.IsZero():
 		return
 	}
 	p.aliveAt = aliveAt
--- a/core/ggsquarantine/survived_test.go
+++ b/core/ggsquarantine/survived_test.go
@@ -131,3 +131,18 @@
 	c.Check(v.Crashed(at(5), ids), qt.IsTrue)
 	c.Check(peer.Crashed(at(5), ids), qt.IsTrue)
 }
+
+// Guards against a VM that drops a crash which it has seen because a peer's report names the process in milliseconds.
+func TestOwnCrashOutlastsAPeersWithdrawal(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	v := ggsquarantine.NewTable("vm")
+	ids := []ggscore.SuspectID{ggscore.SuspectRequest("f")}
+	started := at(-time.Hour + time.Microsecond)
+	v.RecordCrash(at(1), ggsquarantine.BrokenRequest{Endpoint: "e", StartedAt: started, Suspects: ids})
+	v.ObserveReport(at(3), ggscore.CrashReport{
+		VM: "peer", AliveAt: at(0),
+		Withdrawn: []ggscore.Crash{{Suspect: ids[0], Endpoint: "e", StartedAt: time.UnixMilli(started.UnixMilli())}},
+	})
+	c.Check(v.Crashed(at(5), ids), qt.IsTrue)
+}
--- a/core/ggsquarantine/suspect.go
+++ b/core/ggsquarantine/suspect.go
@@ -25,6 +25,9 @@
 	startedAt int64
 }
 
+// processOf returns the process of a crash. VMs report its start in milliseconds.
+func processOf(c ggscore.Crash) process { return process{c.Endpoint, c.StartedAt.UnixMilli()} }
+
 // A peerUse is a peer's uses of a suspect, and when they were reported.
 type peerUse struct {
 	ggscore.SuspectUse
@@ -116,7 +119,7 @@
 	if request != "" && len(s.requests) < maxRequests {
 		s.requests[request] = true
 	}
-	p := process{c.Endpoint, c.StartedAt.UnixMilli()}
+	p := processOf(c)
 	if _, ok := s.crashes[p]; !ok {
 		s.crashes[p] = now
 	}
