--- a/core/ggsquarantine/doc.go
+++ b/core/ggsquarantine/doc.go
@@ -60,7 +60,7 @@
 // Crashes are reported to all peers, because tries of a request and requests with a part arrive at any VM.
 // Each VM reports its uses of a suspect when the last crash but one is reported, so that a suspect which is
 // sound elsewhere isn't kept out. Reports of a request's crash repeat its earlier ones, which peers may have
-// missed, and a VM that reports a crash under a suspect in quarantine is told of the others. A VM that starts asks
+// missed, and a VM that reports a crash under a suspect in quarantine learns of the others. A VM that starts asks
 // peers for what they know. A suspect that stays in quarantine for a time is recorded in the store, for VMs that
 // restart together.
 //
--- a/core/ggsquarantine/known.go
+++ b/core/ggsquarantine/known.go
@@ -68,7 +68,7 @@
 	return rs[:min(len(rs), maxStored)]
 }
 
-// A known is a suspect that another VM is told of.
+// A known is a suspect in a report for another VM.
 type known struct {
 	id ggscore.SuspectID
 	*suspect
