--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -241,12 +241,12 @@
 	return true
 }
 
-// headerBytes returns the approximate size of a request's headers as they were sent.
+// headerBytes returns the least size of a request's headers as they may have been sent.
 func headerBytes(h http.Header) int {
 	n := 0
 	for k, vs := range h {
 		for _, v := range vs {
-			n += len(k) + len(v) + len(": \r\n")
+			n += len(k) + len(v) + len(":\r\n")
 		}
 	}
 	return n
