fix(ggsintake, ggsnode): what a client costs counts from the acceptance of its connection on, at every listener

What callers saw: clients that nobody controls ended a process, or took all its descriptors or places in flight, and the requests of all others ended with it.

Causes, one class: limits counted single things, and late. Heads were counted once they were parsed: 60 kB of short lines take 1 MB, and net/http's own limit at the listeners for readiness, metrics, tunnels and state was 1 MB of head. Connections weren't counted at all, so 900 silent ones took every descriptor, those for endpoints and the store too. An answer that its client didn't read kept its place in flight for good, as no write had a deadline. The rest of a body that nobody read was waited for without end.

Change: io/ggsintake accepts the connections of all listeners, by ggsbudget. A connection is drawn for when it is accepted; a head as its bytes arrive, by bytes and lines, before net/http gets them; a request's place and memory before its handler; its body before the buffer grows. A listener has connections of its own and outlasts a lack of descriptors. Heads are limited to 64 kB and idle connections to 40 s everywhere. A write fails once the client has read nothing for 30 s. What gives way is closed, or refused as not run.

Ruled out: a head parser of our own; net/http's MaxHeaderBytes alone, since 64 kB of short lines take 1.5 MB each.

Price: two counts of lines and a lock a read, one a write.

--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -52,7 +52,7 @@
 	}
 	l := ggslog.New(stderr, dispatcherProgram, s.VM, s.LogLevel)
 	return runNode(ctx, &s.Node, l, common(role{program: dispatcherProgram}), fx.Supply(&s),
-		fx.Provide(newIncarnation, newHeartbeats, newMembers, newClaims, newScheduler, newDispatcher),
+		fx.Provide(newIncarnation, newHeartbeats, newMembers, newClaims, newScheduler, newDispatcher, newDispatcherIntake),
 		fx.Invoke(startFollowers, startDispatcher))
 }
 
@@ -135,7 +135,8 @@
 	p.State.AddPart("owners", func() any { return ownerStates(p.Owners.Status(p.Clock())) })
 	p.State.AddPart("members", func() any { return memberStates(p.Heartbeats.Members()) })
 	p.State.AddPart("claims", func() any { return p.Claims.Stats() })
-	h.serveHTTP("state", p.Settings.StateListen, p.State.Handler())
+	addClients(p.State, h.Intake)
+	h.serveHTTP(classState, p.Settings.StateListen, p.State.Handler())
 	h.Lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error { return p.drain(ctx, h.Log) }})
 }
 
--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -27,6 +27,7 @@
 	"greengageslip/io/ggsconn"
 	"greengageslip/io/ggsedge"
 	"greengageslip/io/ggsexchange"
+	"greengageslip/io/ggsintake"
 	"greengageslip/io/ggslog"
 	"greengageslip/io/ggspeer"
 	"greengageslip/io/ggsrpc"
@@ -42,15 +43,6 @@
 const metricsPath = "/metrics"
 
 const (
-	// edgeHeaderTimeout limits the time to read a request's header. The configuration's own
-	// limit isn't known when the program starts to listen. Callers whose connection is cut stay
-	// well below both limits.
-	edgeHeaderTimeout = 10 * time.Second
-	// edgeIdleTimeout is the idle time after which callers' connections are closed. Callers use
-	// the configuration's limit of about 15 s, so they close first.
-	edgeIdleTimeout = 40 * time.Second
-	// edgeHeaderBytes limits the size of a request's header.
-	edgeHeaderBytes = 64 << 10
 	// deregisterDelay is the time for which a stopping process accepts connections: the load
 	// balancer checks readiness once per second and removes the process after two failures.
 	deregisterDelay = 2300 * time.Millisecond
@@ -69,13 +61,15 @@
 	inFlightShare = 0.35
 	// tunnelShare is the share of the other descriptors for tunnels of other VMs, each of which
 	// uses two. The rest is for idle connections.
-	tunnelShare = 0.15
-	// bodiesShare is the share of the memory for bodies of requests in flight.
-	bodiesShare = 0.25
+	tunnelShare          = 0.15
+	descriptorsPerTunnel = 2
 	// memoryLimitShare is the share of a process's memory set as Go's soft memory limit, above
-	// which garbage collection runs more often. The rest is for goroutines, buffers and the C
-	// library.
+	// which garbage collection runs more often. The rest is for the program itself, buffers and the C
+	// library, which take otherMemory (bytes) at least.
 	memoryLimitShare = 0.75
+	otherMemory      = 40 << 20
+	// minMemoryLimitShare is the least share set as the limit.
+	minMemoryLimitShare = 0.5
 )
 
 // An edgeCommandLine has the edge's options.
@@ -116,7 +110,7 @@
 	}
 	runtime.GOMAXPROCS(s.Cores)
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
+		debug.SetMemoryLimit(memoryLimit(s.MemoryBytes))
 	}
 	w := ggslog.NewWriter(stdout)
 	logging, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -133,6 +127,11 @@
 	return runEdge(ctx, &c, &s, policy, l, options...)
 }
 
+// memoryLimit returns Go's soft memory limit for a process with the given memory, both in bytes.
+func memoryLimit(memory int64) int64 {
+	return min(int64(memoryLimitShare*float64(memory)), max(memory-otherMemory, int64(minMemoryLimitShare*float64(memory))))
+}
+
 // runEdge runs an edge. The options change its parts.
 func runEdge(
 	ctx context.Context, c *edgeCommandLine, s *ggsdialect.Settings, policy ggscore.Policy, l log.Logger, options ...fx.Option,
@@ -150,6 +149,7 @@
 			newOrderPool,
 			newEdge,
 			newTunnelServer,
+			newEdgeIntake,
 		),
 		fx.Invoke(startEdge),
 	)...)
@@ -166,14 +166,18 @@
 
 // newTunnelServer returns the server that opens connections to endpoints for peers.
 func newTunnelServer(s *ggsdialect.Settings, d *ggstunnel.Dialer, e *ggsedge.Edge, l log.Logger) *ggstunnel.Server {
-	const descriptorsPerTunnel = 2
 	return ggstunnel.NewServer(ggstunnel.ServerOptions{
 		// A failed dial has this VM check its own path, so that it doesn't vouch for a dead endpoint.
 		Dialer: d.Direct(), Paths: d, Known: e.KnowsEndpoint, Now: ggsclock.Boot, Log: l,
-		MaxTunnels: int(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * tunnelShare / descriptorsPerTunnel),
+		MaxTunnels: maxTunnels(s),
 	})
 }
 
+// maxTunnels returns the number of tunnels that an edge opens for others.
+func maxTunnels(s *ggsdialect.Settings) int {
+	return int(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * tunnelShare / descriptorsPerTunnel)
+}
+
 func hash64(text string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(text))
@@ -215,9 +219,7 @@
 		Domain: s.Domain, Regions: s.Regions, Seed: hash64(string(s.VM)) ^ uint64(t().UnixNano()),
 		Capacity:     edgeCapacity(s),
 		DatagramAddr: edgeDatagramAddr(s), ControlAddr: s.Control, CallersAddr: s.Callers, Seeds: s.Seeds, MinOrderGap: s.MinOrderGap, FirstStart: s.FirstStart, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
-		MaxInFlight:    int64(float64(cmp.Or(s.MaxFiles, defaultFiles)-reservedFiles) * inFlightShare),
-		MaxBodiesBytes: int64(float64(cmp.Or(s.MemoryBytes, defaultMemory)) * bodiesShare),
-		IDHeader:       ggsdialect.HeaderRequestID,
+		IDHeader: ggsdialect.HeaderRequestID,
 		Keys: ggsedge.Keys{
 			Operators: ggsdialect.OperatorPrefix, Config: ggsdialect.ConfigKey, Instances: ggsdialect.InstancePrefix, Own: "greengageslip", Orders: "greengageslipOrders", Crashes: "greengageslipCrashes",
 			Software: "greengageslipSoftware", Origins: "greengageslipOrigins",
@@ -254,11 +256,11 @@
 		return r.Register("Placement", ggsedge.NewPlacement(ctx, e))
 	})
 	h.background("paths", d.Run)
-	h.serveHTTP("tunnels", edgeDatagramAddr(s), n)
+	h.serveHTTP(classTunnels, edgeDatagramAddr(s), n)
 	serveCallers(h, s, e, n, t)
-	h.serveHTTP("ready", s.Ready, edgeState(s, e, d, n, t))
+	h.serveHTTP(classReady, s.Ready, edgeState(s, e, d, n, h.Intake, t))
 	if c.MetricsPort > 0 {
-		h.serveHTTP("metrics", netip.AddrPortFrom(s.Addr, c.MetricsPort), e.Metrics())
+		h.serveHTTP(classMetrics, netip.AddrPortFrom(s.Addr, c.MetricsPort), e.Metrics())
 	}
 }
 
@@ -283,10 +285,9 @@
 // serve until the load balancer has removed it, and then waits for the requests in progress, also for
 // those of other VMs' tunnels. What can't end in time is refused meanwhile.
 func serveCallers(h host, s *ggsdialect.Settings, e *ggsedge.Edge, n *ggstunnel.Server, t clock) {
-	v := newServer(ggsconn.ResetOnAbort(e))
-	v.ReadHeaderTimeout, v.IdleTimeout, v.MaxHeaderBytes = edgeHeaderTimeout, edgeIdleTimeout, edgeHeaderBytes
+	v := newServer(h.Intake, classCallers, ggsconn.ResetOnAbort(e), e.RefuseFull)
 	h.Lifecycle.Append(fx.Hook{
-		OnStart: func(ctx context.Context) error { return v.start(ctx, h, "callers", s.Callers) },
+		OnStart: func(ctx context.Context) error { return v.start(ctx, h, s.Callers) },
 		OnStop: func(ctx context.Context) error {
 			p := newStopPlan(s.Grace)
 			ctx, cancel := context.WithTimeout(ctx, p.close)
@@ -325,7 +326,7 @@
 }
 
 // edgeState returns a handler for readiness, metrics and the state dump.
-func edgeState(s *ggsdialect.Settings, e *ggsedge.Edge, d *ggstunnel.Dialer, n *ggstunnel.Server, c clock) http.Handler {
+func edgeState(s *ggsdialect.Settings, e *ggsedge.Edge, d *ggstunnel.Dialer, n *ggstunnel.Server, i *ggsintake.Intake, c clock) http.Handler {
 	t := ggsstate.New(edgeProgram, s.VM, c)
 	k := e.Stats()
 	t.AddCounter("requests", k.Requests.Load)
@@ -340,6 +341,7 @@
 	t.AddCounter("tunnelsUsed", d.Tunnels)
 	t.AddCounter("tunnelsServed", n.Opened)
 	t.AddPart("edge", func() any { return e.State() })
+	addClients(t, i)
 	t.SetHealth(e.Ready)
 	g := t.HandlerWithHealth(ggsdialect.PathReady)
 	g.GET(metricsPath, gin.WrapH(e.Metrics()))
--- a/cmd/ggsnode/gateway.go
+++ b/cmd/ggsnode/gateway.go
@@ -38,7 +38,7 @@
 	}
 	l := ggslog.New(stderr, gatewayProgram, s.VM, s.LogLevel)
 	return runNode(ctx, &s.Node, l, common(role{program: gatewayProgram, peersOnly: true}), fx.Supply(&s),
-		fx.Provide(newGatewayMembers, newGateway),
+		fx.Provide(newGatewayMembers, newGateway, newGatewayIntake),
 		fx.Invoke(startFollowers, startGateway))
 }
 
@@ -73,11 +73,12 @@
 	t.AddCounter("resumed", k.Resumed.Load)
 	t.AddCounter("inFlight", g.InFlight)
 	t.AddPart("gateway", func() any { return g.State() })
+	addClients(t, h.Intake)
 	t.SetHealth(func() error { return g.Ready() })
-	h.serveHTTP("state", s.StateListen, t.Handler())
-	c := newServer(g.Handler())
+	h.serveHTTP(classState, s.StateListen, t.Handler())
+	c := newServer(h.Intake, classCallers, g.Handler(), g.RefuseFull)
 	h.Lifecycle.Append(fx.Hook{
-		OnStart: func(ctx context.Context) error { return c.start(ctx, h, "callers", s.Listen) },
+		OnStart: func(ctx context.Context) error { return c.start(ctx, h, s.Listen) },
 		OnStop:  func(ctx context.Context) error { return stopGateway(ctx, h, s.DrainTimeout, g, c, now) },
 	})
 }
--- a/cmd/ggsnode/hooks.go
+++ b/cmd/ggsnode/hooks.go
@@ -11,12 +11,17 @@
 	"go.uber.org/fx"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsbudget"
+	"greengageslip/io/ggsintake"
 	"greengageslip/io/ggspeer"
 	"greengageslip/io/ggsrpc"
 )
 
 const (
 	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is the idle time after which connections are closed, and maxHeaderBytes limits a request's head.
+	idleTimeout    = 40 * time.Second
+	maxHeaderBytes = 64 << 10
 	// partStopTimeout bounds the wait for requests that don't belong to callers, such as those for metrics, so that a client that
 	// doesn't read its answer holds up no stop.
 	partStopTimeout = 500 * time.Millisecond
@@ -29,6 +34,7 @@
 	Lifecycle  fx.Lifecycle
 	Shutdowner fx.Shutdowner
 	Log        log.Logger
+	Intake     *ggsintake.Intake
 }
 
 // background runs f from the process's start until its stop. An error of f ends the process.
@@ -60,15 +66,15 @@
 
 // serveHTTP serves HTTP from the process's start. At the stop it accepts no new connections and
 // waits for the requests in progress, for partStopTimeout at most.
-func (h *host) serveHTTP(name string, addr netip.AddrPort, handler http.Handler) {
-	v := newServer(handler)
+func (h *host) serveHTTP(class ggsbudget.Class, addr netip.AddrPort, handler http.Handler) {
+	v := newServer(h.Intake, class, handler, nil)
 	h.Lifecycle.Append(fx.Hook{
-		OnStart: func(ctx context.Context) error { return v.start(ctx, *h, name, addr) },
+		OnStart: func(ctx context.Context) error { return v.start(ctx, *h, addr) },
 		OnStop: func(ctx context.Context) error {
 			ctx, cancel := context.WithTimeout(ctx, partStopTimeout)
 			defer cancel()
 			if left := v.stop(ctx); left > 0 {
-				_ = level.Warn(h.Log).Log("event", "requestsCut", "part", name, "connections", left)
+				_ = level.Warn(h.Log).Log("event", "requestsCut", "part", class, "connections", left)
 			}
 			return nil
 		},
@@ -96,12 +102,12 @@
 			}
 			go func() {
 				defer close(done)
-				if err := s.Serve(ctx, l); err != nil {
-					_ = level.Error(h.Log).Log("event", "partFailed", "part", "rpc", "err", err)
+				if err := s.Serve(ctx, h.Intake.Listener(classCalls, l)); err != nil {
+					_ = level.Error(h.Log).Log("event", "partFailed", "part", classCalls, "err", err)
 					_ = h.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
 				}
 			}()
-			_ = level.Info(h.Log).Log("event", "listening", "part", "rpc", "addr", addr)
+			_ = level.Info(h.Log).Log("event", "listening", "part", classCalls, "addr", addr)
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
--- a/cmd/ggsnode/server.go
+++ b/cmd/ggsnode/server.go
@@ -11,7 +11,9 @@
 	"github.com/go-kit/log/level"
 	"go.uber.org/fx"
 
+	"greengageslip/core/ggsbudget"
 	"greengageslip/io/ggsconn"
+	"greengageslip/io/ggsintake"
 	"greengageslip/io/ggspeer"
 )
 
@@ -19,28 +21,36 @@
 type server struct {
 	*http.Server
 	drainer  *ggsconn.Drainer
+	intake   *ggsintake.Intake
+	class    ggsbudget.Class
 	listener net.Listener
 }
 
-func newServer(handler http.Handler) *server {
-	v := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	return &server{Server: v, drainer: ggsconn.NewDrainer(v)}
+// newServer returns a server of a class of clients. Requests beyond the places in flight are passed to refuse; without it they take
+// none.
+func newServer(i *ggsintake.Intake, c ggsbudget.Class, handler http.Handler, refuse func(http.ResponseWriter, *http.Request, error)) *server {
+	v := &http.Server{
+		Handler: i.Handler(handler, refuse), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	s := &server{Server: v, drainer: ggsconn.NewDrainer(v), intake: i, class: c}
+	i.Follow(v)
+	return s
 }
 
 // start serves from now on. A failure ends the process.
-func (s *server) start(ctx context.Context, h host, name string, addr netip.AddrPort) error {
+func (s *server) start(ctx context.Context, h host, addr netip.AddrPort) error {
 	l, err := ggspeer.Network{}.Listen(ctx, addr)
 	if err != nil {
 		return err
 	}
-	s.listener = s.drainer.Listener(l)
+	s.listener = s.drainer.Listener(s.intake.Listener(s.class, l))
 	go func() {
 		if err := s.Serve(s.listener); err != nil && !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
-			_ = level.Error(h.Log).Log("event", "partFailed", "part", name, "err", err)
+			_ = level.Error(h.Log).Log("event", "partFailed", "part", s.class, "err", err)
 			_ = h.Shutdowner.Shutdown(fx.ExitCode(exitFailure))
 		}
 	}()
-	_ = level.Info(h.Log).Log("event", "listening", "part", name, "addr", addr)
+	_ = level.Info(h.Log).Log("event", "listening", "part", s.class, "addr", addr)
 	return nil
 }
 
--- a/io/ggsconn/drain.go
+++ b/io/ggsconn/drain.go
@@ -140,9 +140,12 @@
 
 // TCPConn returns the TCP connection that c is or wraps.
 func TCPConn(c net.Conn) (t *net.TCPConn, ok bool) {
-	if w, wraps := c.(interface{ NetConn() net.Conn }); wraps {
+	for {
+		w, wraps := c.(interface{ NetConn() net.Conn })
+		if !wraps {
+			t, ok = c.(*net.TCPConn)
+			return t, ok
+		}
 		c = w.NetConn()
 	}
-	t, ok = c.(*net.TCPConn)
-	return t, ok
 }
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -59,10 +59,6 @@
 	// IDHeader is the header with the ID of a request and its answer.
 	IDHeader string
 	Keys     Keys
-	// MaxInFlight bounds the requests in flight, and MaxBodiesBytes the total size of their bodies
-	// in bytes.
-	MaxInFlight    int64
-	MaxBodiesBytes int64
 }
 
 // Keys holds the prefixes and keys in the store that an Edge uses.
@@ -251,8 +247,6 @@
 	Orders      atomic.Int64
 	StoreCalls  atomic.Int64
 	InFlight    atomic.Int64
-	// BodyBytes is the total size of the bodies of requests in flight as far as they have arrived, in bytes.
-	BodyBytes atomic.Int64
 }
 
 // A member is a peer as described by its record in the store.
--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -31,14 +31,6 @@
 	return fmt.Sprintf("%s isn't confirmed to be the process that is listed", e.Endpoint)
 }
 
-// A BodiesLimitError reports that the bodies of requests in flight exceed the limit in bytes.
-type BodiesLimitError struct{ Limit int64 }
-
-// Error implements error.
-func (e *BodiesLimitError) Error() string {
-	return fmt.Sprintf("request bodies in flight exceed the memory limit of this VM, %d bytes", e.Limit)
-}
-
 // A VMAddrError reports an endpoint's entry with the address of a VM.
 type VMAddrError struct{ Addr netip.AddrPort }
 
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -9,18 +9,19 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsbudget"
 	"greengageslip/core/ggsevent"
 	"greengageslip/core/ggsgrace"
 	"greengageslip/core/ggspath"
 	"greengageslip/core/ggsplace"
 	"greengageslip/io/ggsconn"
+	"greengageslip/io/ggsintake"
 	"greengageslip/io/ggslog"
 	"greengageslip/io/ggsstop"
 )
@@ -167,12 +168,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{w: w, r: r, arrived: e.Monotonic()}
-	// A burst beyond the process's limits of memory and file descriptors would end the process,
-	// and with it all requests in flight.
-	if e.stats.InFlight.Load() > e.options.MaxInFlight {
-		e.refuse(j, fullRetryAfter, "too many requests in flight at this VM")
-		return
-	}
 	if !e.admit(j) {
 		return
 	}
@@ -187,7 +182,6 @@
 	if !e.readBody(ctx, j) {
 		return
 	}
-	defer e.stats.BodyBytes.Add(-int64(len(j.body)))
 	j.identify()
 	e.crashes.AwaitStart(ctx)
 	if e.resolveOrigin(ctx, j) {
@@ -195,6 +189,13 @@
 	}
 }
 
+// RefuseFull refuses a request for which there is no place in flight, or no memory. A burst beyond the limits would end the process,
+// and with it all requests in flight.
+func (e *Edge) RefuseFull(w http.ResponseWriter, r *http.Request, err error) {
+	e.stats.Requests.Add(1)
+	e.refuse(&job{w: w, r: r, arrived: e.Monotonic()}, fullRetryAfter, err.Error())
+}
+
 // admit finds the request's route and its limits. If the request can't be served, it sends the answer and returns false.
 func (e *Edge) admit(j *job) bool {
 	t := e.paths.Load()
@@ -263,22 +264,21 @@
 	if j.r.ContentLength == 0 {
 		return true
 	}
-	r := &bodyReader{r: http.MaxBytesReader(j.w, j.r.Body, j.maxBody), total: &e.stats.BodyBytes, limit: e.options.MaxBodiesBytes}
 	stop := ggsconn.InterruptReads(ctx, j.w)
-	b, err := io.ReadAll(r)
+	b, err := ggsintake.ReadAll(ctx, http.MaxBytesReader(j.w, j.r.Body, j.maxBody), j.r.ContentLength)
 	stop()
 	if err == nil {
 		j.body = b
 		return true
 	}
-	e.stats.BodyBytes.Add(-r.read)
 	var long *http.MaxBytesError
-	var full *BodiesLimitError
+	var full *ggsbudget.FullError
+	var interrupted *ggsintake.InterruptedError
 	var late *DeadlineError
 	switch {
-	case errors.As(err, &full):
+	case errors.As(err, &full), errors.As(err, &interrupted):
 		j.w.Header().Set("Connection", "close")
-		e.refuse(j, fullRetryAfter, full.Error())
+		e.refuse(j, fullRetryAfter, err.Error())
 	case errors.As(err, &long):
 		e.reject(j, http.StatusRequestEntityTooLarge, "request body too long")
 	case ggsstop.Stopped(ctx):
@@ -293,24 +293,6 @@
 	return false
 }
 
-// A bodyReader adds the bytes of a body to the total as they arrive, and fails with a *BodiesLimitError above the limit.
-type bodyReader struct {
-	r     io.Reader
-	total *atomic.Int64
-	limit int64
-	read  int64
-}
-
-// Read implements io.Reader.
-func (b *bodyReader) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	b.read += int64(n)
-	if b.total.Add(int64(n)) > b.limit {
-		return n, &BodiesLimitError{Limit: b.limit}
-	}
-	return n, err
-}
-
 // refuseStopping refuses a request because the VM stops. Other VMs can serve it at once.
 func (e *Edge) refuseStopping(j *job) {
 	e.refuse(j, minRetryAfter, "this VM is stopping, and the request may not end in time")
--- a/io/ggsgateway/admit.go
+++ b/io/ggsgateway/admit.go
@@ -28,6 +28,8 @@
 
 	defaultMaxBodyBytes = 1 << 20
 	defaultDeadline     = 30 * time.Second
+	// fullRetryAfter is sent when this gateway is short of memory or places in flight.
+	fullRetryAfter = time.Second
 )
 
 // A chatBody holds the members of a chat request that the gateway reads. All other
--- a/io/ggsgateway/answer.go
+++ b/io/ggsgateway/answer.go
@@ -152,7 +152,12 @@
 
 func writeFailure(c *gin.Context, f *ggscore.Failure) {
 	if f.RetryAfter > 0 {
-		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+		c.Header("Retry-After", retryAfter(f))
 	}
 	c.JSON(statusOf(f), bodyOf(c.GetString(headerRequestID), f))
 }
+
+// retryAfter returns the value of the header Retry-After, in whole seconds.
+func retryAfter(f *ggscore.Failure) string {
+	return strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds())))
+}
--- a/io/ggsgateway/handler.go
+++ b/io/ggsgateway/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -31,6 +32,26 @@
 	return ggsconn.ResetOnAbort(e)
 }
 
+// RefuseFull refuses a request for which there is no place in flight, or no memory.
+func (g *Gateway) RefuseFull(w http.ResponseWriter, _ *http.Request, err error) {
+	g.stats.Requests.Add(1)
+	f, id := fullFailure(err), newRequestID()
+	g.countOutcome(f)
+	_ = level.Info(g.parts.Log).Log("event", "requestFailed", "request", id, "kind", f.Kind, "outcome", f.Outcome, "detail", f.Detail)
+	h := w.Header()
+	h.Set(headerRequestID, id)
+	h.Set("Content-Type", "application/json; charset=utf-8")
+	h.Set("Retry-After", retryAfter(f))
+	w.WriteHeader(statusOf(f))
+	// A write error means that the caller has left.
+	_ = json.NewEncoder(w).Encode(bodyOf(id, f))
+}
+
+// fullFailure returns the failure of a request for which there is no place in flight, or no memory.
+func fullFailure(err error) *ggscore.Failure {
+	return &ggscore.Failure{Kind: ggscore.FailureOverLimit, Outcome: ggscore.OutcomeNotRun, Detail: err.Error(), RetryAfter: fullRetryAfter}
+}
+
 // An admitFunc reads a request and resolves it with the document.
 type admitFunc func(*gin.Context, *ggscore.Document) (*ggscore.Request, *ggscore.Failure)
 
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -9,6 +9,7 @@
 // The events of an edge.
 const (
 	EventAbandonedBroken    Event = "abandonedBroken"
+	EventAcceptFailed       Event = "acceptFailed"
 	EventAnswerBroken       Event = "answerBroken"
 	EventAttemptFailed      Event = "attemptFailed"
 	EventHalfOpenTry        Event = "halfOpenTry"
@@ -18,6 +19,8 @@
 	EventHeartbeatUnsent    Event = "beatUnsent"
 	EventCallerLeft         Event = "callerLeft"
 	EventClaimUnencoded     Event = "claimUnencoded"
+	EventClientGaveWay      Event = "clientGaveWay"
+	EventClientRefused      Event = "clientRefused"
 	EventConfigAdopted      Event = "configAdopted"
 	EventConfigRecorded     Event = "configRecorded"
 	EventCrashesRead        Event = "crashesRead"
@@ -84,7 +87,8 @@
 // Events returns all events of an edge in alphabetical order.
 func Events() []Event {
 	l := []Event{
-		EventAbandonedBroken, EventAnswerBroken, EventAttemptFailed, EventCallerLeft, EventClaimUnencoded, EventConfigAdopted,
+		EventAbandonedBroken, EventAcceptFailed, EventAnswerBroken, EventAttemptFailed, EventCallerLeft, EventClaimUnencoded,
+		EventClientGaveWay, EventClientRefused, EventConfigAdopted,
 		EventConfigRecorded, EventCrashesRead, EventCrashesUnstored, EventCrashesWithdrawn, EventDependencyLost, EventDependencyRegained, EventEndpointGone, EventEndpointLeaving,
 		EventEndpointLimited, EventEndpointRefused, EventEndpointUnlimited, EventEntryReadable, EventEntryUnreadable,
 		EventHalfOpenTry, EventHeartbeatFailed, EventHeartbeatRefused, EventHeartbeatUnencoded, EventHeartbeatUnsent, EventListening,
--- a/io/ggssettings/file.go
+++ b/io/ggssettings/file.go
@@ -24,6 +24,8 @@
 	LogLevel     string           `toml:"logLevel"`
 	DrainTimeout ggstoml.Duration `toml:"drainTimeout"`
 	ListInterval ggstoml.Duration `toml:"listInterval"`
+	MemoryBytes  int              `toml:"memoryBytes"`
+	MaxFiles     int              `toml:"maxFiles"`
 }
 
 type gatewayFile struct {
@@ -84,6 +86,7 @@
 		checkAddr("listen", f.Listen), checkAddr("stateListen", f.StateListen), checkAddr("platform", f.Platform),
 		f.checkDispatchers(), f.checkLevel(),
 		checkDuration("drainTimeout", f.DrainTimeout), checkDuration("listInterval", f.ListInterval),
+		checkNonNegative("memoryBytes", f.MemoryBytes), checkNonNegative("maxFiles", f.MaxFiles),
 	)
 }
 
@@ -114,6 +117,7 @@
 		Dispatchers: f.Dispatchers, LogLevel: l,
 		DrainTimeout: orDefault(f.DrainTimeout, defaultDrainTimeout),
 		ListInterval: orDefault(f.ListInterval, defaultListInterval),
+		MemoryBytes:  int64(f.MemoryBytes), MaxFiles: f.MaxFiles,
 	}
 }
 
--- a/io/ggssettings/settings.go
+++ b/io/ggssettings/settings.go
@@ -44,6 +44,9 @@
 	DrainTimeout time.Duration
 	// ListInterval is the time between two reads of the list of VMs.
 	ListInterval time.Duration
+	// MemoryBytes is the process's memory, and MaxFiles the number of its descriptors. Zero means the limit that the process finds.
+	MemoryBytes int64
+	MaxFiles    int
 }
 
 // A Gateway holds a gateway's settings.
