fix(ggsrpc): calls draw on the process's budget, and end with their connections

What callers saw: clients at the port for calls between processes ended a VM (exit 1: out of descriptors, the server took a failed accept for its end), and 300 clients that send calls and read no answers took 8,865 MB.

Cause: net/rpc starts a goroutine for each call that it has read, without a bound; messages up to 32 MB were read on any number of connections; a call that waits went on for up to 30 s after its connection had ended.

Change: a codec of our own around encoding/gob draws memory for a message once its length is known, before it is read, for definitions of types until the end of the connection, and for a call until its answer was sent. A call for which there is none is answered with an error; calls in progress beyond the budget aren't read. Connections that have drawn more than twice as much as one in need are closed. Calls that wait have a context that ends with their connection.

A first try without the contexts and the bound on all calls together took 118 to 170 MB at the dispatcher: calls of connections that had given way were still waiting. Ruled out: a bound on the calls of one connection, since a gateway has one connection for thousands of requests.

--- a/cmd/ggsnode/hooks.go
+++ b/cmd/ggsnode/hooks.go
@@ -93,6 +93,7 @@
 	h.Lifecycle.Append(fx.Hook{
 		OnStart: func(start context.Context) error {
 			s := ggsrpc.NewServer()
+			s.SetMaxCalls(h.Intake.Limits().Bytes)
 			if err := register(ctx, s); err != nil {
 				return err
 			}
--- a/io/ggsdispatch/service.go
+++ b/io/ggsdispatch/service.go
@@ -16,22 +16,27 @@
 type Service struct {
 	dispatcher *Dispatcher
 	// waitContext returns the context of a call that waits up to the given time.
-	waitContext func(time.Duration) (context.Context, context.CancelFunc)
+	waitContext func(call context.Context, wait time.Duration) (context.Context, context.CancelFunc)
 }
 
-// NewService returns the net/rpc service of d. Calls that wait return when ctx ends.
+// NewService returns the net/rpc service of d. Calls that wait return when ctx or their connection ends.
 func NewService(ctx context.Context, d *Dispatcher) *Service {
 	return &Service{
 		dispatcher: d,
-		waitContext: func(wait time.Duration) (context.Context, context.CancelFunc) {
-			return context.WithTimeout(ctx, min(max(wait, 0), maxWait))
+		waitContext: func(call context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+			w, cancel := context.WithTimeout(ctx, min(max(wait, 0), maxWait))
+			stop := context.AfterFunc(call, cancel)
+			return w, func() {
+				stop()
+				cancel()
+			}
 		},
 	}
 }
 
 // Next returns chunks of an answer.
 func (s *Service) Next(a *ggswire.NextArgs, r *ggswire.NextReply) error {
-	ctx, cancel := s.waitContext(a.Wait)
+	ctx, cancel := s.waitContext(a.Context(), a.Wait)
 	defer cancel()
 	c, stall, lost := s.dispatcher.Next(ctx, jobKey{id: ggscore.RequestID(a.ID), attempt: a.Attempt}, a.From)
 	r.Lost, r.Stall = lost, stall
@@ -56,7 +61,7 @@
 // Summary returns the dispatcher's summary at its next change, or when the wait time of
 // the call has passed.
 func (s *Service) Summary(a *ggswire.SummaryArgs, r *ggswire.SummaryReply) error {
-	ctx, cancel := s.waitContext(a.Wait)
+	ctx, cancel := s.waitContext(a.Context(), a.Wait)
 	defer cancel()
 	v := s.dispatcher.NextSummary(ctx, a.After)
 	r.Summary = ggswire.FromSummary(&v)
--- a/io/ggsrpc/limit.go
+++ b/io/ggsrpc/limit.go
@@ -20,6 +20,12 @@
 	remaining   uint64
 	lengthBytes int
 	length      uint64
+	// accept, if it is set, is called with the length of each message, and defines whether it defines a type, before the message is
+	// read.
+	accept func(length uint64, defines bool) error
+	// idBytes is the number of bytes of the message's type that are still to be read, and startsID is set if it begins with the next.
+	idBytes  int
+	startsID bool
 }
 
 // Read implements net.Conn.
@@ -35,6 +41,9 @@
 func (c *limitedConn) scan(b []byte) error {
 	for len(b) > 0 {
 		if c.remaining > 0 {
+			if err := c.scanID(b); err != nil {
+				return err
+			}
 			k := min(c.remaining, uint64(len(b)))
 			c.remaining -= k
 			b = b[k:]
@@ -70,5 +79,28 @@
 		return &MessageTooLongError{Limit: maxMessageBytes}
 	}
 	c.remaining = c.length
+	c.startsID = c.accept != nil
 	return nil
 }
+
+// scanID looks at the type of a message at its beginning. A type is a number whose lowest bit is its sign, and a negative one defines
+// a type.
+func (c *limitedConn) scanID(b []byte) error {
+	if c.startsID {
+		c.startsID = false
+		c.idBytes = 1
+		if b[0] >= gobMultiByte {
+			c.idBytes += int(-int8(b[0])) //nolint:gosec // the encoding of encoding/gob
+		}
+	}
+	if c.idBytes == 0 {
+		return nil
+	}
+	if len(b) < c.idBytes {
+		c.idBytes -= len(b)
+		return nil
+	}
+	defines := b[c.idBytes-1]&1 == 1
+	c.idBytes = 0
+	return c.accept(c.length, defines)
+}
--- a/io/ggsrpc/server.go
+++ b/io/ggsrpc/server.go
@@ -7,18 +7,38 @@
 	"sync"
 )
 
+// defaultMaxCalls bounds the calls in progress of a server without a limit of its own.
+const defaultMaxCalls = 1 << 16
+
 // A Server is a net/rpc server that closes its connections when its context ends.
 type Server struct {
-	rpc   *rpc.Server
+	rpc *rpc.Server
+	// answerBytes returns the memory that the answer to a method may take.
+	answerBytes func(method string) int64
+	// calls has an element for each call in progress, also of connections that have ended.
+	calls chan struct{}
+
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 }
 
 // NewServer returns a Server without registered methods.
 func NewServer() *Server {
-	return &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
+	return &Server{
+		rpc: rpc.NewServer(), answerBytes: func(string) int64 { return 0 }, calls: make(chan struct{}, defaultMaxCalls), conns: make(map[net.Conn]struct{}),
+	}
 }
 
+// SetMaxCalls bounds the calls in progress to those that fit into a number of bytes. Further ones aren't read. It must be called before
+// Serve.
+func (s *Server) SetMaxCalls(memory int64) {
+	s.calls = make(chan struct{}, max(memory/callBytes, 1))
+}
+
+// SetAnswerBytes sets a function that returns the memory that the answer to a method ("name.Method") may take. It must be called
+// before Serve.
+func (s *Server) SetAnswerBytes(f func(method string) int64) { s.answerBytes = f }
+
 // Register makes those methods of rcvr that net/rpc supports callable as "name.Method".
 func (s *Server) Register(name string, rcvr any) error {
 	return s.rpc.RegisterName(name, rcvr)
@@ -46,7 +66,7 @@
 		}
 		s.add(c)
 		w.Go(func() {
-			s.rpc.ServeConn(&limitedConn{Conn: c})
+			s.rpc.ServeCodec(newServerCodec(ctx, s, c))
 			s.remove(c)
 		})
 		if ctx.Err() != nil {
--- a/io/ggswire/request.go
+++ b/io/ggswire/request.go
@@ -130,6 +130,8 @@
 	Attempt int
 	From    int
 	Wait    time.Duration
+
+	callContext
 }
 
 // NextReply holds chunks in order, or none if none came within the wait. Lost means
--- a/io/ggswire/summary.go
+++ b/io/ggswire/summary.go
@@ -11,6 +11,8 @@
 type SummaryArgs struct {
 	After uint64
 	Wait  time.Duration
+
+	callContext
 }
 
 // SummaryReply holds a summary.
