fix(ggsintake): net/http waits for no body at listeners that read none

What callers saw: readiness, metrics or state don't answer beside clients whose bodies stop short (one form of TestCrowdsAtAnEdge, metrics, after 30 s, with the intake alone).

Cause: net/http reads the rest of a body before it writes a long answer, inside the handler; the deadline for that was set behind the handler only. Besides, the body was replaced in net/http's own request, so that it waited for clients that wait for 100 Continue, and for long bodies, before a refusal (by reading; TestRefusalDoesNotWaitForABody).

Change: the deadline is set before a handler without places in flight, and handlers get a copy of the request.

--- a/io/ggsintake/handler.go
+++ b/io/ggsintake/handler.go
@@ -58,7 +58,14 @@
 		if r.Body != nil && r.Body != http.NoBody {
 			b := &body{ReadCloser: r.Body, conn: c}
 			defer b.leave()
-			r.Body = b
+			if refuse == nil {
+				// Handlers without places read no bodies.
+				b.leave()
+			}
+			// net/http looks at the body of its own request.
+			copied := *r
+			copied.Body = b
+			r = &copied
 		}
 		if refuse != nil {
 			if err := c.begin(); err != nil {
--- a/io/ggsintake/intake_test.go
+++ b/io/ggsintake/intake_test.go
@@ -71,6 +71,10 @@
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/refuse" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	b, err := ggsintake.ReadAll(r.Context(), r.Body, r.ContentLength)
 	if err != nil {
 		w.Header().Set("Connection", "close")
@@ -202,6 +206,28 @@
 	s.eventually("its connection ends", func() bool { return s.intake.Usage().Conns == 1 })
 }
 
+// Guards against a refusal that waits for a body which its client sends only once it is asked to, or never.
+func TestRefusalDoesNotWaitForABody(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		text string
+		want int
+	}{
+		"a client that waits for 100 Continue": {"POST /refuse HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 100\r\n\r\n", http.StatusServiceUnavailable},
+		"a long body that doesn't come":        {"POST /refuse HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n", http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startServer(t, limits())
+			begun := clock()
+			status, err := s.status(s.client(tc.text))
+			s.c.Assert(err, qt.IsNil)
+			s.c.Assert(status, qt.Equals, tc.want)
+			s.c.Assert(clock().Sub(begun) < 900*time.Millisecond, qt.IsTrue)
+		})
+	}
+}
+
 // A failingListener fails to accept a connection before each one that it accepts.
 type failingListener struct {
 	net.Listener
