fix(ggstunnel): a tunnel has its place before its connection is opened, and idle ones give way

Cause: the bound counted tunnels once both connections were open, so that all that were being opened passed it; and a tunnel ended only with one of its connections.

Change: the place is taken before the dial. If there is none, the tunnel that has had no request for longest, one second at least, gives way. Ruled out: closing idle tunnels by a timeout, since VMs keep them for their next request.

--- a/io/ggstunnel/server.go
+++ b/io/ggstunnel/server.go
@@ -27,6 +27,8 @@
 	answerPause = 300 * time.Millisecond
 	// waitInterval is the time between checks for tunnels in use.
 	waitInterval = 50 * time.Millisecond
+	// minIdle is the time without bytes after which a tunnel without a request gives way to another.
+	minIdle = time.Second
 )
 
 // ServerOptions configure a Server. All fields are required.
@@ -50,6 +52,8 @@
 
 	mu      sync.Mutex
 	tunnels map[*tunnel]struct{}
+	// places counts the tunnels that are open, being opened or being closed.
+	places int
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -61,7 +65,7 @@
 	frames  *frameWriter
 	notices bool
 	// requestAt and answerAt are the times of the last bytes in each direction, as Unix times in
-	// nanoseconds.
+	// nanoseconds. answerAt is when the tunnel was opened at first.
 	requestAt atomic.Int64
 	answerAt  atomic.Int64
 }
@@ -141,10 +145,11 @@
 	case err != nil || !s.options.Known(addr):
 		w.WriteHeader(http.StatusForbidden)
 		return
-	case s.draining.Load() || s.options.Paths.Blocked(addr) || s.Open() >= s.options.MaxTunnels:
+	case s.draining.Load() || s.options.Paths.Blocked(addr) || !s.takePlace():
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer s.leavePlace()
 	endpoint, err := s.options.Dialer.Dial(r.Context(), addr)
 	if err != nil {
 		_ = level.Debug(s.options.Log).Log("event", ggslog.EventTunnelFailed, "addr", addr, "from", r.RemoteAddr, "err", err)
@@ -154,6 +159,47 @@
 	s.serve(w, r, endpoint)
 }
 
+// takePlace takes a place for a tunnel before its connection to the endpoint is opened. If there is none, the tunnel that has been
+// idle for longest gives way.
+func (s *Server) takePlace() bool {
+	now := s.options.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.places >= s.options.MaxTunnels {
+		n := s.longestIdle(now)
+		if n == nil {
+			return false
+		}
+		delete(s.tunnels, n)
+		_ = n.vm.Close()
+		_ = n.endpoint.Close()
+		// Its place is left once its connections have ended.
+	}
+	s.places++
+	return true
+}
+
+func (s *Server) leavePlace() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.places--
+}
+
+// longestIdle returns the tunnel that has had no request for longest, nil for none. Server.mu is held.
+func (s *Server) longestIdle(now time.Time) *tunnel {
+	var longest *tunnel
+	for n := range s.tunnels {
+		at := n.answerAt.Load()
+		if n.requestAt.Load() > at || now.Sub(time.Unix(0, at)) < minIdle {
+			continue
+		}
+		if longest == nil || at < longest.answerAt.Load() {
+			longest = n
+		}
+	}
+	return longest
+}
+
 // serve answers the request and forwards bytes until one of the connections ends.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, endpoint net.Conn) {
 	defer func() { _ = endpoint.Close() }()
@@ -179,6 +225,7 @@
 		return
 	}
 	n := &tunnel{vm: vm, endpoint: endpoint}
+	n.answerAt.Store(s.options.Now().UnixNano())
 	head := "HTTP/1.1 200 OK\r\n"
 	if r.Header.Get(headerFraming) == framingLength {
 		n.frames, n.notices = newFrameWriter(vm), r.Header.Get(headerNotices) == noticeStop
