fix(ggsgateway): bodies have a common bound, and aren't taken apart

What callers saw: 300 clients with legal bodies of 1 MB took 390 MB at the gateway, or 1,052 MB if the bodies had many short members (one body alone 4 MB and more), and the gateway ended where memory was short. A body that stopped kept its place for good.

Change: bodies draw on the process's budget as they arrive, for 30 s at most; a request without memory is refused as not run, with Retry-After. The member model is replaced in place: members keep their order, and one that comes twice is replaced twice.

--- a/io/ggsgateway/admit.go
+++ b/io/ggsgateway/admit.go
@@ -1,8 +1,8 @@
 package ggsgateway
 
 import (
+	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -12,9 +12,11 @@
 	"github.com/google/uuid"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsbudget"
 	"greengageslip/core/ggsclaim"
 	"greengageslip/core/ggsdocument"
 	"greengageslip/io/ggsconn"
+	"greengageslip/io/ggsintake"
 )
 
 const (
@@ -28,17 +30,12 @@
 
 	defaultMaxBodyBytes = 1 << 20
 	defaultDeadline     = 30 * time.Second
+	// bodyTimeout bounds the arrival of a body.
+	bodyTimeout = defaultDeadline
 	// fullRetryAfter is sent when this gateway is short of memory or places in flight.
 	fullRetryAfter = time.Second
 )
 
-// A chatBody holds the members of a chat request that the gateway reads. All other
-// members are forwarded unchanged.
-type chatBody struct {
-	Model  string `json:"model"`
-	Stream bool   `json:"stream"`
-}
-
 // admitChat reads and resolves a request to a model service.
 func (g *Gateway) admitChat(c *gin.Context, d *ggscore.Document) (*ggscore.Request, *ggscore.Failure) {
 	body, f := g.readBody(c, d)
@@ -46,8 +43,7 @@
 		return nil, f
 	}
 	var b chatBody
-	members := map[string]json.RawMessage{}
-	if json.Unmarshal(body, &members) != nil || json.Unmarshal(body, &b) != nil || b.Model == "" {
+	if json.Unmarshal(body, &b) != nil || b.Model == "" {
 		return nil, badRequest("the body must be a JSON object with the member model")
 	}
 	service := ggscore.Service(c.GetHeader(headerService))
@@ -62,8 +58,7 @@
 	if err != nil {
 		return nil, badRequest(err.Error())
 	}
-	members["model"] = model
-	if body, err = json.Marshal(members); err != nil {
+	if body, err = replaceModel(body, model); err != nil {
 		return nil, badRequest(err.Error())
 	}
 	r := g.request(c, &s, body)
@@ -127,13 +122,24 @@
 	if limit == 0 {
 		limit = defaultMaxBodyBytes
 	}
+	if c.Request.ContentLength > limit {
+		return nil, &ggscore.Failure{Kind: ggscore.FailureTooLarge, Outcome: ggscore.OutcomeNotRun, Detail: "the body is too large"}
+	}
 	ctx := c.Request.Context()
-	stop := ggsconn.InterruptReads(ctx, c.Writer)
-	b, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	arrival, cancel := context.WithTimeout(ctx, bodyTimeout)
+	defer cancel()
+	stop := ggsconn.InterruptReads(arrival, c.Writer)
+	b, err := ggsintake.ReadAll(ctx, http.MaxBytesReader(c.Writer, c.Request.Body, limit), c.Request.ContentLength)
 	stop()
 	if m := (*http.MaxBytesError)(nil); errors.As(err, &m) {
 		return nil, &ggscore.Failure{Kind: ggscore.FailureTooLarge, Outcome: ggscore.OutcomeNotRun, Detail: "the body is too large"}
 	}
+	if err != nil {
+		c.Header("Connection", "close")
+	}
+	if full, interrupted := (*ggsbudget.FullError)(nil), (*ggsintake.InterruptedError)(nil); errors.As(err, &full) || errors.As(err, &interrupted) {
+		return nil, fullFailure(err)
+	}
 	if err != nil && ctx.Err() != nil {
 		return nil, g.unsent(ctx, c)
 	}
--- a/io/ggsgateway/errors.go
+++ b/io/ggsgateway/errors.go
@@ -2,6 +2,12 @@
 
 import "fmt"
 
+// A NotObjectError reports a body that is no JSON object.
+type NotObjectError struct{}
+
+// Error implements error.
+func (*NotObjectError) Error() string { return "the body is no JSON object" }
+
 // A ChunkOrderError reports that a chunk of an answer arrived out of order.
 type ChunkOrderError struct {
 	Want int
