fix(ggsdispatch): bodies of requests draw on the process's budget, and aren't kept once a request has ended

Cause: a request's body was kept with its record for two minutes after its end, and nothing bounded those that wait. Withdrawals of requests that nobody submitted were recorded without a bound, too.

Change: a request draws for its body when it is submitted, and is refused as not run if there is no memory; the body goes with the request's end. A withdrawal that can't be recorded is answered as unknown, since a late submission would run.

--- a/cmd/ggsnode/dispatcher.go
+++ b/cmd/ggsnode/dispatcher.go
@@ -21,6 +21,7 @@
 	"greengageslip/io/ggsdispatch"
 	"greengageslip/io/ggsengine"
 	"greengageslip/io/ggsheartbeat"
+	"greengageslip/io/ggsintake"
 	"greengageslip/io/ggslog"
 	"greengageslip/io/ggsowners"
 	"greengageslip/io/ggsrpc"
@@ -78,7 +79,7 @@
 // authorizes the dispatcher's orders, and the dispatcher reports which endpoints are busy.
 func newDispatcher(
 	s *ggssettings.Dispatcher, store ggscore.Store, i incarnation, k *ggsschedule.Scheduler,
-	c *ggsclaims.Committer, t clock, l log.Logger,
+	c *ggsclaims.Committer, n *ggsintake.Intake, t clock, l log.Logger,
 ) (*ggsowners.Owners, *ggsdispatch.Dispatcher) {
 	var d *ggsdispatch.Dispatcher
 	q := ggsowners.DefaultOptions(s.Domain)
@@ -93,7 +94,7 @@
 		RequestWorkers: s.RequestWorkers, OrderWorkers: s.OrderWorkers,
 	}, ggsdispatch.Parts{
 		Scheduler: k, Engine: e, Plain: e, Loader: e, Reporter: e,
-		Claims: c, Guard: o, Observer: o, Clock: t, Log: l,
+		Claims: c, Guard: o, Observer: o, Memory: n, Clock: t, Log: l,
 	})
 	return o, d
 }
--- a/io/ggsdispatch/dispatcher.go
+++ b/io/ggsdispatch/dispatcher.go
@@ -56,8 +56,10 @@
 	Guard     ggscore.OwnerGuard
 	// Observer receives every report of a runner.
 	Observer ggscore.ReportObserver
-	Clock    func() time.Time
-	Log      log.Logger
+	// Memory bounds the bodies of requests. Without it they aren't bounded.
+	Memory ggscore.MemoryBudget
+	Clock  func() time.Time
+	Log    log.Logger
 }
 
 // A Dispatcher runs requests on the endpoints that it owns.
--- a/io/ggsdispatch/job.go
+++ b/io/ggsdispatch/job.go
@@ -15,6 +15,13 @@
 	jobEnded
 )
 
+const (
+	// jobBytes is the memory of a job beside its body and answer.
+	jobBytes = 1 << 10
+	// fullRetryAfter is sent when there is no memory for a job.
+	fullRetryAfter = time.Second
+)
+
 // A jobKey identifies one attempt of a request. A request that was returned as not run
 // may be submitted to the same dispatcher again. The answer to the first attempt, or a
 // late withdrawal of the first attempt, must not be applied to the second.
@@ -45,6 +52,8 @@
 	claim ggscore.ClaimID
 	// claimDeadline is the time from which the claim must not be used.
 	claimDeadline time.Time
+	// release gives back the memory of the request's body, or of the record of a request that was withdrawn before it was submitted.
+	release func()
 }
 
 // Next returns the chunks of an answer from a sequence number on. It waits for the
@@ -80,7 +89,11 @@
 	if f := d.quarantined(now, r); f != nil {
 		return f
 	}
-	j := &job{request: r, stream: newStream(now), submittedAt: now}
+	release, f := d.draw(int64(len(r.Body)) + jobBytes)
+	if f != nil {
+		return f
+	}
+	j := &job{request: r, stream: newStream(now), submittedAt: now, release: release}
 	d.jobs[keyOf(r)] = j
 	d.stats.Submitted.Add(1)
 	d.apply(d.parts.Scheduler.Submit(now, r))
@@ -99,7 +112,12 @@
 	now := d.parts.Clock()
 	j := d.jobs[k]
 	if j == nil {
-		d.jobs[k] = &job{state: jobEnded, outcome: ggscore.OutcomeNotRun, endedAt: now, abandoned: true}
+		release, f := d.draw(jobBytes)
+		if f != nil {
+			// Without the record, a late submission would be accepted.
+			return ggscore.OutcomeUnknown
+		}
+		d.jobs[k] = &job{state: jobEnded, outcome: ggscore.OutcomeNotRun, endedAt: now, abandoned: true, release: release}
 		return ggscore.OutcomeNotRun
 	}
 	j.abandoned = true
@@ -124,6 +142,25 @@
 	j.endedAt = d.parts.Clock()
 	j.stream.end(f)
 	d.stats.count(o)
+	// The job is kept for its ID and answer.
+	withoutBody := *j.request
+	withoutBody.Body = nil
+	j.request = &withoutBody
+	j.release()
+}
+
+// draw takes memory for a job, and returns the failure of its request if there is none.
+func (d *Dispatcher) draw(bytes int64) (release func(), f *ggscore.Failure) {
+	if d.parts.Memory == nil {
+		return func() {}, nil
+	}
+	release, err := d.parts.Memory.Draw(bytes)
+	if err != nil {
+		return nil, &ggscore.Failure{
+			Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun, Detail: err.Error(), RetryAfter: fullRetryAfter,
+		}
+	}
+	return release, nil
 }
 
 // refuse executes a refusal by the scheduler. The caller holds d.mu.
@@ -162,6 +199,7 @@
 		if j.state == jobEnded {
 			if now.Sub(j.endedAt) > d.options.JobRetention {
 				delete(d.jobs, k)
+				j.release()
 			} else if j.stream != nil && j.readTimedOut(now, d.options.ReaderTimeout) {
 				j.abandoned = true
 			}
