fix(ggspeer, ggsintake): the system's buffers of accepted connections are bounded

What callers would see: a VM whose memory goes to bytes that the system holds for clients: those not read yet, and answers that aren't read. They count toward a VM's memory, and no account of the process sees them.

Cause: the system lets both buffers of a connection grow, the sending one to 3.9 MB on this machine. Change: sockets of listeners get 64 kB each (128 kB with the system's doubling), which connections inherit without a call for each. What it costs: 64 kB a round trip, 4 MB/s at the 16 ms between regions, for what is sent to a listener or answered by it.

--- a/io/ggsintake/handler.go
+++ b/io/ggsintake/handler.go
@@ -98,7 +98,8 @@
 	if err != nil {
 		b.waiting, b.ended = false, true
 		b.conn.work()
-		if err != io.EOF && b.conn.interrupted() { //nolint:errorlint // io.Reader returns io.EOF itself
+		// The end may have come just then, but the connection can't be read any more.
+		if b.conn.interrupted() {
 			err = &InterruptedError{}
 		}
 	}
--- a/io/ggspeer/network.go
+++ b/io/ggspeer/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,10 @@
 	ggscore "greengageslip/core"
 )
 
+// socketBytes is the size of each buffer of an accepted connection. The system would let it grow to megabytes, which count as the
+// VM's memory, for a client that sends what isn't read or doesn't read its answer.
+const socketBytes = 64 << 10
+
 // dialTimeout bounds the time to open a connection to a peer.
 const dialTimeout = time.Second
 
@@ -27,10 +32,22 @@
 
 // Listen implements ggscore.PeerNetwork.
 func (Network) Listen(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
+	l, err := (&net.ListenConfig{Control: limitBuffers}).Listen(ctx, "tcp", addr.String())
 	return l, errors.Wrapf(err, "listening on %s", addr)
 }
 
+// limitBuffers limits the buffers of a listener's socket, which its connections inherit.
+func limitBuffers(_, _ string, c syscall.RawConn) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBytes)
+		if err == nil {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBytes)
+		}
+	})
+	return errors.CombineErrors(controlErr, err)
+}
+
 // ListenPacket implements ggscore.PeerNetwork.
 func (Network) ListenPacket(ctx context.Context, addr netip.AddrPort) (ggscore.PacketConn, error) {
 	p, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp4", addr.String())
