fix(ggsnode, ggsintake, ggsrpc): limits of small VMs refuse with an answer, and not too early

Causes: places in flight had the least number of connections, 8, so that the descriptors were gone first. A short body grew in steps, of which each takes the last one's memory as well. An idle connection and a place were drawn for with 20 and 16 kB; silent crowds take 12 kB a connection, waiting bodies 8 kB more. A refusal of a head was lost when the connection was closed with bytes unread.

Change: places in flight have no least number; a body of 64 kB or less whose length is known is taken in one step; 12 and 8 kB; clients may take 0.45 of the memory, bodies 0.25 of it as before; what follows a refused head is discarded for 20 ms. A call costs 24 kB, since calls may take more now.

Failed try: calls bounded by the bodies' share; the dispatcher's calls in a row then keep others out for 30 s, since nothing gives way before the account is full. Programs that the tests build are removed at their end.

--- a/cmd/ggsnode/crowd_test.go
+++ b/cmd/ggsnode/crowd_test.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return "", err
 	}
+	crowdProgramsDir.Store(&dir)
 	out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", dir+"/", "greengageslip/cmd/"+edgeProgram,
 		"greengageslip/cmd/"+gatewayProgram, "greengageslip/cmd/"+dispatcherProgram).CombinedOutput()
 	if err != nil {
@@ -65,6 +66,16 @@
 	return dir, nil
 })
 
+// crowdProgramsDir is the folder of the programs, nil before they are built.
+var crowdProgramsDir atomic.Pointer[string] //nolint:gochecknoglobals // removed at the end of all tests
+
+// removeCrowdPrograms removes the programs, if they were built.
+func removeCrowdPrograms() {
+	if dir := crowdProgramsDir.Load(); dir != nil {
+		_ = os.RemoveAll(*dir)
+	}
+}
+
 // A crowdProcess is a real process with lowered limits.
 type crowdProcess struct {
 	c      *qt.C
--- a/cmd/ggsnode/fault_process_test.go
+++ b/cmd/ggsnode/fault_process_test.go
@@ -44,6 +44,7 @@
 	if run == nil {
 		w := watchStalls()
 		code := m.Run()
+		removeCrowdPrograms()
 		if text := w.report(); code != 0 {
 			fmt.Print(text)
 		}
--- a/cmd/ggsnode/intake.go
+++ b/cmd/ggsnode/intake.go
@@ -29,11 +29,11 @@
 const (
 	// clientShare is the share of the memory that clients may take in all, and bodiesShare the part of it for bodies. The garbage
 	// collector needs as much again.
-	clientShare = 0.35
+	clientShare = 0.45
 	bodiesShare = 0.25
 	// connBytes is the memory of an idle connection, and requestBytes that of a request in flight beside its head and body.
-	connBytes    = 20 << 10
-	requestBytes = 16 << 10
+	connBytes    = 12 << 10
+	requestBytes = 8 << 10
 	// minConns is the least number of connections of a class.
 	minConns = 8
 )
@@ -62,7 +62,7 @@
 func newEdgeIntake(s *ggsdialect.Settings, t clock, l log.Logger) *ggsintake.Intake {
 	files := cmp.Or(s.MaxFiles, defaultFiles) - reservedFiles
 	k := memoryLimits(cmp.Or(s.MemoryBytes, defaultMemory))
-	k.Requests = shareOf(files, inFlightShare)
+	k.Requests = max(int(inFlightShare*float64(files)), 1)
 	k.Conns = map[ggsbudget.Class]int{
 		classCallers: shareOf(files, callersShare),
 		classTunnels: maxTunnels(s) + minConns,
@@ -98,6 +98,9 @@
 	}
 }
 
+// shareOf returns the connections of a class.
+func shareOf(files int, share float64) int { return max(int(share*float64(files)), minConns) }
+
 // addClients adds what clients have taken to a state dump.
 func addClients(t *ggsstate.State, i *ggsintake.Intake) {
 	t.AddCounter("clientsRefused", i.Refused)
@@ -111,8 +114,6 @@
 	})
 }
 
-func shareOf(files int, share float64) int { return max(int(share*float64(files)), minConns) }
-
 // initialMemoryLimit returns Go's soft memory limit at the start of the program, in bytes: that of the environment variable GOMEMLIMIT.
 //
 //nolint:gochecknoglobals // setMemoryLimit changes it
--- a/io/ggsintake/conn.go
+++ b/io/ggsintake/conn.go
@@ -15,8 +15,9 @@
 	// line.
 	headByteCost = 3
 	headLineCost = 256
-	// refusalTime bounds the sending of refusal.
-	refusalTime = 10 * time.Millisecond
+	// refusalTime bounds the sending of refusal, and refusalBytes what is discarded behind it.
+	refusalTime  = 20 * time.Millisecond
+	refusalBytes = 256 << 10
 	// refusal answers a head for which there is no memory.
 	refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.300\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
@@ -57,14 +58,24 @@
 		return c.intake.table.Draw(now, c.holder, ggsbudget.KindHead, int64(n)*headByteCost+(lines+c.lines.Swap(0))*headLineCost)
 	})
 	if full != nil {
-		_ = c.SetWriteDeadline(c.intake.now().Add(refusalTime))
-		// An error means that the client has left.
-		_, _ = io.WriteString(c.Conn, refusal)
+		c.refuse()
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: full}
 	}
 	return n, err
 }
 
+// refuse answers a head that isn't read. What the client has sent meanwhile is discarded, since the system would reset the connection
+// otherwise, and the answer with it.
+func (c *Conn) refuse() {
+	// Errors mean that the client has left.
+	_ = c.SetDeadline(c.intake.now().Add(refusalTime))
+	_, _ = io.WriteString(c.Conn, refusal)
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, refusalBytes))
+}
+
 // Write implements net.Conn. It fails once the client has read nothing for AnswerTimeout.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Store(true)
--- a/io/ggsintake/handler.go
+++ b/io/ggsintake/handler.go
@@ -10,8 +10,12 @@
 	"greengageslip/core/ggsbudget"
 )
 
-// minBodyBytes is the first step in which memory for a body is taken.
-const minBodyBytes = 8 << 10
+// minBodyBytes is the first step in which memory for a body is taken. A body whose length is known and isn't above shortBodyBytes is
+// taken in one step.
+const (
+	minBodyBytes   = 8 << 10
+	shortBodyBytes = 64 << 10
+)
 
 // unreadTimeout bounds the wait for the rest of a body that the handler hasn't read.
 const unreadTimeout = time.Second
@@ -154,8 +158,8 @@
 // grow returns a copy of b with twice the capacity, but not beyond the body's length.
 func grow(c *Conn, b []byte, length int64) ([]byte, error) {
 	n := max(2*int64(cap(b)), minBodyBytes)
-	if length >= 0 {
-		n = min(n, length)
+	if length >= 0 && (n > length || length <= shortBodyBytes) {
+		n = length
 	}
 	if c != nil {
 		if err := c.Draw(ggsbudget.KindBody, n); err != nil {
--- a/io/ggsrpc/codec.go
+++ b/io/ggsrpc/codec.go
@@ -18,7 +18,7 @@
 	messageCost = 2
 	typeCost    = 4
 	// callBytes is the memory that a call in progress takes beside its message.
-	callBytes = 16 << 10
+	callBytes = 24 << 10
 )
 
 // A ContextSetter is the argument of a method that waits. Its context ends with the connection of the call.
