fix(ggsedge): answers to peers' calls for entries draw on the budget with their size

What callers would see: peers, or whoever reaches their port, call for all entries of the store on many connections at once. An answer is as large as the entries, megabytes with a large configuration, and was drawn for like any call (by reading; TestCrowdsAtAnEdge plays it with small entries).

Change: the memory of such a call is the size of the entries that the VM has.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -253,6 +253,7 @@
 	h.background("edge", e.Run)
 	h.background("hangup", func(ctx context.Context) error { return rereadSettings(ctx, h.Log) })
 	h.servePeerRPC(peers, s.Control, func(ctx context.Context, r *ggsrpc.Server) error {
+		r.SetAnswerBytes(e.AnswerBytes)
 		return r.Register("Placement", ggsedge.NewPlacement(ctx, e))
 	})
 	h.background("paths", d.Run)
--- a/io/ggsedge/seeds.go
+++ b/io/ggsedge/seeds.go
@@ -40,6 +40,22 @@
 	Revision uint64
 }
 
+// AnswerBytes returns the memory that the answer to a method of a Placement may take, in bytes.
+func (e *Edge) AnswerBytes(method string) int64 {
+	if method != entriesMethod && method != partMethod {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, es := range e.entries {
+		for k := range es {
+			n += len(es[k].Key) + len(es[k].Value)
+		}
+	}
+	return int64(n)
+}
+
 // Entries returns the store's entries as this VM last read them.
 func (p *Placement) Entries(_ *EntriesArgs, r *EntriesReply) error {
 	p.edge.mu.Lock()
