--- a/io/ggsintake/conn.go
+++ b/io/ggsintake/conn.go
@@ -30,9 +30,10 @@
 	// holder is guarded by Intake.mu.
 	holder *ggsbudget.Holder
 
-	// serving is set from the end of a request's head to the end of its answer, and http while net/http tells these.
+	// http is set while net/http serves the connection, and serving from the end of a request's head to the end of its answer.
 	http    atomic.Bool
 	serving atomic.Bool
+	// writing is set while an answer is written.
 	writing atomic.Bool
 	// lines counts the lines in the last bytes read, which may be the beginning of the next head.
 	lines atomic.Int64
