fix(ggsbudget, ggsintake): a new connection takes the place of a silent one at once

Cause: a silent connection gave way after 250 ms only, and all of a listener's were younger, so that new ones were closed, the ordinary one among them. Change: while connections are short, the one that has waited longest for its head goes, however short that is; but none from which nothing was read yet, so that a client that has sent its head is read. If all are so, the reading goes first.

Ruled out: more connections for that listener, since a crowd takes them as well.

--- a/core/ggsbudget/doc.go
+++ b/core/ggsbudget/doc.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	t := ggsbudget.NewTable(limits)
-//	h, victims, err := t.Open(now, class)    // a connection was accepted
+//	h, victims, err := t.Open(now, class)    // a connection was accepted, and isn't read yet
 //	t.Wait(now, h, ggsbudget.WaitHead)       // the process waits for the client
 //	t.Advance(now, h, n)                     // the client sent or read bytes
 //	victims, err = t.Draw(now, h, KindHead, n) // before memory is taken
--- a/core/ggsbudget/table.go
+++ b/core/ggsbudget/table.go
@@ -9,8 +9,8 @@
 
 // The time without progress after which a client may have to give way.
 const (
-	// headPatience is short, because a client that behaves sends a head at once. bodyPatience and answerPatience allow for lost
-	// packets.
+	// headPatience is short, because a client that behaves sends a head at once, and doesn't apply while connections are short.
+	// bodyPatience and answerPatience allow for lost packets.
 	headPatience   = 250 * time.Millisecond
 	bodyPatience   = time.Second
 	answerPatience = 2 * time.Second
@@ -122,7 +122,7 @@
 	Conns, Requests  int
 }
 
-// Open adds a connection, whose head the process waits for. The error is a *FullError.
+// Open adds a connection, from which nothing was read yet. The error is a *FullError.
 func (t *Table) Open(now time.Time, c Class) (h *Holder, victims []*Holder, err error) {
 	if t.conns[c] >= t.limits.Conns[c] {
 		v := t.connVictim(now, c)
@@ -139,7 +139,6 @@
 		return nil, victims, err
 	}
 	t.conns[c]++
-	t.Wait(now, h, WaitHead)
 	return h, victims, nil
 }
 
@@ -259,7 +258,7 @@
 func (t *Table) memoryVictims(now time.Time, but *Holder, n int64) []*Holder {
 	var victims []*Holder
 	for _, w := range []Wait{WaitBody, WaitHead, WaitAnswer} {
-		for _, v := range t.stalled(now, w, but) {
+		for _, v := range t.stalled(now, w, patience(w), but) {
 			if n <= 0 {
 				return victims
 			}
@@ -292,13 +291,13 @@
 	return hs
 }
 
-// stalled returns the clients that have made no progress for longer than the patience, the longest first. Those that are
-// interrupted already are left out.
-func (t *Table) stalled(now time.Time, w Wait, but *Holder) []*Holder {
+// stalled returns the clients that have made no progress for a time at least, the longest first. Those that are interrupted already
+// are left out.
+func (t *Table) stalled(now time.Time, w Wait, least time.Duration, but *Holder) []*Holder {
 	var hs []*Holder
 	for e := t.waiting[w].Front(); e != nil; e = e.Next() {
 		h, ok := e.Value.(*Holder)
-		if !ok || now.Sub(h.since) < patience(w) {
+		if !ok || now.Sub(h.since) < least {
 			break
 		}
 		if h != but && !h.Interrupted {
@@ -325,7 +324,12 @@
 // connVictim returns the connection of a class that has to give way for a new one, nil for none.
 func (t *Table) connVictim(now time.Time, c Class) *Holder {
 	for w := range waits {
-		for _, h := range t.stalled(now, w, nil) {
+		least := patience(w)
+		if w == WaitHead {
+			// A client that behaves has sent its head by the time at which it is read.
+			least = 0
+		}
+		for _, h := range t.stalled(now, w, least, nil) {
 			if h.class == c {
 				return h
 			}
@@ -359,7 +363,7 @@
 // requestVictims returns the client that has to give way for a request, if there is one.
 func (t *Table) requestVictims(now time.Time, but *Holder) []*Holder {
 	for _, w := range []Wait{WaitAnswer, WaitBody} {
-		for _, v := range t.stalled(now, w, but) {
+		for _, v := range t.stalled(now, w, patience(w), but) {
 			if v.request {
 				v.Interrupted = w == WaitBody
 				return []*Holder{v}
--- a/io/ggsintake/conn.go
+++ b/io/ggsintake/conn.go
@@ -44,6 +44,9 @@
 
 // Read implements net.Conn. Bytes of a head are drawn for before they are passed on.
 func (c *Conn) Read(p []byte) (int, error) {
+	if !c.serving.Load() {
+		c.awaitFirst()
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 || !c.http.Load() {
 		return n, err
@@ -129,6 +132,15 @@
 	c.intake.table.Wait(c.intake.now(), c.holder, w)
 }
 
+// awaitFirst records that the process waits for the first head, unless it waits for something already.
+func (c *Conn) awaitFirst() {
+	c.intake.mu.Lock()
+	defer c.intake.mu.Unlock()
+	if _, waits := c.holder.Waiting(); !waits {
+		c.intake.table.Wait(c.intake.now(), c.holder, ggsbudget.WaitHead)
+	}
+}
+
 // Advance records bytes that the client has sent.
 func (c *Conn) Advance(n int) {
 	c.intake.mu.Lock()
--- a/io/ggsintake/intake.go
+++ b/io/ggsintake/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -152,6 +153,11 @@
 			}
 		}
 		c, err := l.intake.open(l.class, n)
+		if err != nil {
+			// Connections that were accepted before may not have been read yet, and so can't give way.
+			runtime.Gosched()
+			c, err = l.intake.open(l.class, n)
+		}
 		if err == nil {
 			return c, nil
 		}
