fix(ggsdispatch): memory is drawn without the dispatcher's lock

By reading: to draw may close connections of clients that give way, and the dispatcher does no I/O under its lock. Submit and Withdraw draw before they lock, and give back what isn't needed. A request that was submitted before is accepted again without memory, as before.

--- a/cmd/ggsnode/hooks.go
+++ b/cmd/ggsnode/hooks.go
@@ -18,9 +18,13 @@
 )
 
 const (
+	// readHeaderTimeout limits the time for a request's head. An edge's configuration, which has a limit of its own, isn't known when
+	// it starts to listen; callers stay well below both.
 	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is the idle time after which connections are closed, and maxHeaderBytes limits a request's head.
-	idleTimeout    = 40 * time.Second
+	// idleTimeout is the idle time after which connections are closed. Callers on the users' platform go by about 15 s, so they close
+	// first.
+	idleTimeout = 40 * time.Second
+	// maxHeaderBytes limits a request's head.
 	maxHeaderBytes = 64 << 10
 	// partStopTimeout bounds the wait for requests that don't belong to callers, such as those for metrics, so that a client that
 	// doesn't read its answer holds up no stop.
--- a/io/ggsdispatch/doc.go
+++ b/io/ggsdispatch/doc.go
@@ -26,5 +26,5 @@
 //
 // Dispatcher.mu guards the scheduler and the tables of jobs and endpoints. stream.mu
 // and orderQueue.mu may be locked while Dispatcher.mu is held, and no other lock is
-// acquired under them. No goroutine blocks or does I/O while it holds Dispatcher.mu.
+// acquired under them. Memory is given back, but not drawn, while Dispatcher.mu is held. No goroutine blocks or does I/O while it holds Dispatcher.mu.
 package ggsdispatch
--- a/io/ggsdispatch/job.go
+++ b/io/ggsdispatch/job.go
@@ -74,23 +74,19 @@
 
 // Submit accepts a request. It is idempotent for the same id and attempt.
 func (d *Dispatcher) Submit(r *ggscore.Request) *ggscore.Failure {
+	release, full := d.draw(int64(len(r.Body)) + jobBytes)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if j := d.jobs[keyOf(r)]; j != nil {
+		release()
 		if j.stream == nil {
 			return withdrawnFailure()
 		}
 		return nil
 	}
-	if d.draining {
-		return stoppingFailure()
-	}
 	now := d.parts.Clock()
-	if f := d.quarantined(now, r); f != nil {
-		return f
-	}
-	release, f := d.draw(int64(len(r.Body)) + jobBytes)
-	if f != nil {
+	if f := d.refusal(now, r, full); f != nil {
+		release()
 		return f
 	}
 	j := &job{request: r, stream: newStream(now), submittedAt: now, release: release}
@@ -100,6 +96,18 @@
 	return nil
 }
 
+// refusal returns the failure of a request that isn't accepted, nil for one that is. full is that for lack of memory. The caller holds
+// d.mu.
+func (d *Dispatcher) refusal(now time.Time, r *ggscore.Request, full *ggscore.Failure) *ggscore.Failure {
+	if d.draining {
+		return stoppingFailure()
+	}
+	if f := d.quarantined(now, r); f != nil {
+		return f
+	}
+	return full
+}
+
 // Withdraw cancels a request and returns its outcome so far. A running request is
 // cancelled only if it is idempotent. An unknown id is recorded as withdrawn.
 //
@@ -107,19 +115,20 @@
 // accepted after the gateway had received notRun, the request would run nevertheless.
 // Because the id is recorded, such a late submission is refused.
 func (d *Dispatcher) Withdraw(k jobKey) ggscore.Outcome {
+	release, full := d.draw(jobBytes)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.parts.Clock()
 	j := d.jobs[k]
 	if j == nil {
-		release, f := d.draw(jobBytes)
-		if f != nil {
+		if full != nil {
 			// Without the record, a late submission would be accepted.
 			return ggscore.OutcomeUnknown
 		}
 		d.jobs[k] = &job{state: jobEnded, outcome: ggscore.OutcomeNotRun, endedAt: now, abandoned: true, release: release}
 		return ggscore.OutcomeNotRun
 	}
+	release()
 	j.abandoned = true
 	switch j.state {
 	case jobQueued:
@@ -149,14 +158,15 @@
 	j.release()
 }
 
-// draw takes memory for a job, and returns the failure of its request if there is none.
+// draw takes memory for a job, and returns the failure of its request if there is none. It may close connections, so that the caller
+// must not hold d.mu.
 func (d *Dispatcher) draw(bytes int64) (release func(), f *ggscore.Failure) {
 	if d.parts.Memory == nil {
 		return func() {}, nil
 	}
 	release, err := d.parts.Memory.Draw(bytes)
 	if err != nil {
-		return nil, &ggscore.Failure{
+		return func() {}, &ggscore.Failure{
 			Kind: ggscore.FailureNoCapacity, Outcome: ggscore.OutcomeNotRun, Detail: err.Error(), RetryAfter: fullRetryAfter,
 		}
 	}
--- a/io/ggsrpc/doc.go
+++ b/io/ggsrpc/doc.go
@@ -18,5 +18,5 @@
 //
 // # Locks
 //
-// Pool.mu and Server.mu are leaf locks: no other lock is taken while one of them is held.
+// Pool.mu, Server.mu and serverCodec.mu are leaf locks: no other lock is taken while one of them is held.
 package ggsrpc
