fix(ggsrpc): a message's memory is drawn when its length is known, not with its first byte

A dispatcher to which 300 clients each announced a message of 9 MB, and sent no byte of it, took 128 MB where 96 are allowed (TestCrowdsAtAGatewayAndADispatcher, "long messages that are announced only"). On a VM of that size the process ends, with the requests of all others.

Cause: what a message costs was drawn with the byte behind its length, which tells whether the message defines a type. The decoder of encoding/gob takes memory for the whole message as soon as it knows its length, up to 10 MB in one piece. Clients that send the length alone were never charged, so that each of some 150 open connections held 9 MB. How much of that became resident depended on whether the garbage collector handed out memory that had been used before, which must be cleared: hence a pass in one run of three.

Change: memory is drawn as soon as the length was read, and before it is passed on. If the message turns out to define a type, what was drawn for it is given back, and its higher cost is held until the connection ends, as before.

TestAnnouncedMessageWithoutMemoryIsRefused fails before (the connection stays open) and passes now. TestDefinitionsOfTypes checks the same sequences as before, by the two functions that took the place of one.

--- a/io/ggsrpc/codec.go
+++ b/io/ggsrpc/codec.go
@@ -62,7 +62,7 @@
 	limited := &limitedConn{Conn: c}
 	if client, ok := c.(*ggsintake.Conn); ok {
 		codec.client = client
-		limited.Conn, limited.accept = &clientConn{Conn: client}, codec.accept
+		limited.Conn, limited.announce, limited.define = &clientConn{Conn: client}, codec.draw, codec.hold
 	}
 	codec.dec = gob.NewDecoder(bufio.NewReader(limited))
 	codec.buf = bufio.NewWriter(c)
@@ -83,19 +83,24 @@
 	return n, err
 }
 
-// accept draws memory for a message before it is read.
-func (c *serverCodec) accept(length uint64, defines bool) error {
-	n := int64(length) //nolint:gosec // bounded by maxMessageBytes
-	if defines {
-		return c.client.Hold(n * typeCost)
-	}
-	if err := c.client.Draw(ggsbudget.KindHead, n*messageCost); err != nil {
+// draw takes memory for a message.
+func (c *serverCodec) draw(length uint64) error {
+	n := int64(length) * messageCost //nolint:gosec // bounded by maxMessageBytes
+	if err := c.client.Draw(ggsbudget.KindHead, n); err != nil {
 		return err
 	}
-	c.pending += n * messageCost
+	c.pending += n
 	return nil
 }
 
+// hold takes memory until the end of the connection for a message that defines a type, instead of what was drawn for it.
+func (c *serverCodec) hold(length uint64) error {
+	n := int64(length) //nolint:gosec // bounded by maxMessageBytes
+	c.client.Return(ggsbudget.KindHead, n*messageCost)
+	c.pending -= n * messageCost
+	return c.client.Hold(n * typeCost)
+}
+
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	if c.client != nil && c.served {
--- a/io/ggsrpc/codec_test.go
+++ b/io/ggsrpc/codec_test.go
@@ -45,10 +45,17 @@
 			t.Parallel()
 			c := qt.New(t)
 			var defines []bool
-			l := &limitedConn{Conn: &sink{r: bytes.NewReader(b.Bytes())}, accept: func(_ uint64, d bool) error {
-				defines = append(defines, d)
-				return nil
-			}}
+			l := &limitedConn{
+				Conn: &sink{r: bytes.NewReader(b.Bytes())},
+				announce: func(uint64) error {
+					defines = append(defines, false)
+					return nil
+				},
+				define: func(uint64) error {
+					defines[len(defines)-1] = true
+					return nil
+				},
+			}
 			var err error
 			for p := make([]byte, piece); err == nil; {
 				_, err = l.Read(p)
@@ -124,6 +131,21 @@
 	}
 }
 
+// Guards against messages that take memory for as many bytes as they announce before it is drawn.
+func TestAnnouncedMessageWithoutMemoryIsRefused(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	_, addr := startWaiter(t, 1<<20)
+	n, err := net.Dial("tcp", addr.String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = n.Close() }()
+	c.Assert(n.SetDeadline(clock().Add(codecWait)), qt.IsNil)
+	_, err = n.Write([]byte("\xfd\x90\x00\x00")) // the length of a message of 9 MB
+	c.Assert(err, qt.IsNil)
+	_, err = n.Read(make([]byte, 1))
+	c.Assert(errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
+}
+
 // Guards against calls without number from one connection, each of which takes memory until it has ended.
 func TestCallsWithoutMemoryAreRefused(t *testing.T) {
 	t.Parallel()
--- a/io/ggsrpc/limit.go
+++ b/io/ggsrpc/limit.go
@@ -20,9 +20,9 @@
 	remaining   uint64
 	lengthBytes int
 	length      uint64
-	// accept, if it is set, is called with the length of each message, and defines whether it defines a type, before the message is
-	// read.
-	accept func(length uint64, defines bool) error
+	// announce, if it is set, is called with the length of each message before that is passed on, because the decoder takes memory for
+	// a message as soon as it knows its length. define is called with the length of a message that defines a type, once that is known.
+	announce, define func(length uint64) error
 	// idBytes is the number of bytes of the message's type that are still to be read, and startsID is set if it begins with the next.
 	idBytes  int
 	startsID bool
@@ -79,8 +79,11 @@
 		return &MessageTooLongError{Limit: maxMessageBytes}
 	}
 	c.remaining = c.length
-	c.startsID = c.accept != nil
-	return nil
+	if c.announce == nil {
+		return nil
+	}
+	c.startsID = true
+	return c.announce(c.length)
 }
 
 // scanID looks at the type of a message at its beginning. A type is a number whose lowest bit is its sign, and a negative one defines
@@ -102,5 +105,8 @@
 	}
 	defines := b[c.idBytes-1]&1 == 1
 	c.idBytes = 0
-	return c.accept(c.length, defines)
+	if !defines {
+		return nil
+	}
+	return c.define(c.length)
 }
