fix(ggsplace): an address is that of the endpoint that answers there

What callers saw: 503 as not run ("endpoint refused the request with status 421") beside entries of another writer with the address of an endpoint of the same service.

Cause: two of that test's odd entries name the address of ledger-0, and once ledger-1 leaves, these three are all there is. Each refusal costs a retry of the budget that all VMs share. After it the entry's circuit breaker lets a request through every 0.5 to 4 s as a probe, at each VM and for each such entry. Breakers also exclude at most half of the targets, so that of two such entries and one endpoint only one entry was excluded, and the other drew its share of all requests. Once the budget was used up, callers were refused.

Ruled out: load (the machine's processors were idle); the budget's size (it has to be a fifth of the requests).

Change: of endpoints that share an address, only the one that answered there last gets requests, and one that was refused as misdirected gets none while another one may be there. A failure makes it unknown again, since the process may have ended and another one may take its address, and so does the end of its entry. An endpoint alone at its address is treated as before.

--- a/cmd/ggsnode/edge_odd_test.go
+++ b/cmd/ggsnode/edge_odd_test.go
@@ -105,27 +105,40 @@
 	s.c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
 }
 
-// Guards against callers who are refused because an entry has the address of another endpoint, which refuses its requests.
+// Guards against callers who are refused because entries have the address of another endpoint, which refuses their requests.
 func TestEntryWithTheAddressOfAnotherEndpoint(t *testing.T) {
 	t.Parallel()
 	const calls = 60
-	s := startSite(t, 3)
-	s.site.Drain("ledger-1")
-	s.site.Store.Put("servers/twin", []byte(oddEndpoints(s.site.Addr("ledger-0").String())["same-address"]))
-	for n := range s.edges {
-		s.eventually("edge "+strconv.Itoa(n)+" follows the list", func() bool {
-			leaving, listed := false, false
-			for _, e := range s.state(n).Endpoints {
-				leaving, listed = leaving || e.ID == "ledger-1" && e.Leaving, listed || e.ID == "twin"
+	for name, tc := range map[string]struct{ entries, vms int }{
+		"one entry":             {1, 3},
+		"two entries, more VMs": {2, 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSite(t, tc.vms)
+			s.site.Drain("ledger-1")
+			for n := range tc.entries {
+				s.site.Store.Put("servers/twin-"+strconv.Itoa(n), []byte(oddEndpoints(s.site.Addr("ledger-0").String())["same-address"]))
+			}
+			for n := range s.edges {
+				s.eventually("edge "+strconv.Itoa(n)+" follows the list", func() bool {
+					leaving, listed := false, 0
+					for _, e := range s.state(n).Endpoints {
+						leaving = leaving || e.ID == "ledger-1" && e.Leaving
+						if strings.HasPrefix(string(e.ID), "twin-") {
+							listed++
+						}
+					}
+					return leaving && listed == tc.entries
+				})
+			}
+			for n := range calls {
+				r := s.call(n%len(s.edges), http.MethodPost, "/pay/1", "", "{}")
+				s.c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+				s.c.Check(s.site.Runs()[r.id], qt.Equals, 1)
 			}
-			return leaving && listed
 		})
 	}
-	for n := range calls {
-		r := s.call(n%len(s.edges), http.MethodPost, "/pay/1", "", "{}")
-		s.c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
-		s.c.Check(s.site.Runs()[r.id], qt.Equals, 1)
-	}
 }
 
 // Guards against requests that go round between VMs, because an entry has the address of one of them.
--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -169,7 +169,7 @@
 		if e.Leaving || slices.Contains(q.Tried, e.ID) || q.Software != "" && e.Software != q.Software {
 			continue
 		}
-		if q.Engine != nil && !e.holdsModel(now, base) {
+		if q.Engine != nil && !e.holdsModel(now, base) || t.displaced(e) {
 			continue
 		}
 		r.Ready++
--- a/core/ggsplace/inflight.go
+++ b/core/ggsplace/inflight.go
@@ -116,6 +116,7 @@
 	if e.own > 0 {
 		e.own--
 	}
+	t.observe(e, r)
 	if r == ggsretry.ResultNeutral {
 		return
 	}
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -42,6 +42,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -70,10 +71,12 @@
 // A Table holds what a VM knows about the endpoints' load and resident adapters, and chooses an
 // endpoint for each request.
 type Table struct {
-	options      Options
-	rng          *rand.Rand
-	endpoints    map[ggscore.EndpointID]*endpoint
-	services     map[ggscore.Service][]*endpoint
+	options   Options
+	rng       *rand.Rand
+	endpoints map[ggscore.EndpointID]*endpoint
+	services  map[ggscore.Service][]*endpoint
+	// sharing has the endpoints whose entries name the same address as another's.
+	sharing      map[netip.AddrPort][]*endpoint
 	adapterSlots map[ggscore.Service]int
 	peers        map[ggscore.VMID]*peer
 	// lastPeerScan is the time of the last scan for expired peer reports.
@@ -120,6 +123,8 @@
 	pausedUntil time.Time
 	// saturatedUntil is when the endpoint may have a permit for this VM again.
 	saturatedUntil time.Time
+	// presence is what answers last showed of the process at the endpoint's address.
+	presence presence
 }
 
 // load returns the number of requests that are in flight or wait for a permit.
@@ -211,6 +216,7 @@
 	for _, l := range t.services {
 		slices.SortFunc(l, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	t.indexAddresses()
 }
 
 // SetLoadCapacity records the owner's report of the number of adapters queued for loading at an
