fix(ggsrpc): a message of a malformed type ends no process

What callers would see: all requests in flight at a VM, a gateway's dispatcher included, end at once, because its process does. Six bytes to the port of calls between processes are enough: a message of five bytes whose type begins with 0x80.

Cause, two faults: - The number of bytes that follow such a byte is its negation, and int8 has no 128: "-int8(0x80)" is -128 again, so that the type ended before its beginning, and the index panicked. net/rpc serves each connection in a goroutine of ours, whose panic ends the process. - After a message was refused for lack of memory, net/rpc reads on if the call's head was whole. The bytes that had been read were lost, and what followed was taken for the beginning of a message.

Ruled out: encoding/gob itself, which rejects numbers of more than eight bytes.

Change: the byte is widened before it is negated, a type of more bytes than a number may have is left to the decoder, which rejects it, and once a message was refused nothing more is read from its connection.

Red before, green now: TestMalformedNumbersEndTheConnectionOnly (each first byte of a length and of a type), TestNothingIsReadBehindARefusedMessage, and the form "messages of a malformed type" of TestCrowdsAtAnEdge ("the process has ended") and TestCrowdsAtAGatewayAndADispatcher.

--- a/cmd/ggsnode/crowd_forms_test.go
+++ b/cmd/ggsnode/crowd_forms_test.go
@@ -144,6 +144,7 @@
 	}
 	return map[string]crowdForm{
 		"long messages that are announced only":    {crowdClients, text(lengthOf9MB)},
+		"messages of a malformed type":             {crowdClients, text("\x05\x80\x00\x00\x00\x00")},
 		"long messages that stop short":            {crowdClients, text(lengthOf9MB + strings.Repeat("a", 1<<20))},
 		"empty messages without end":               {crowdClients, endless("", strings.Repeat("\x00", 32<<10))},
 		"clients that say nothing":                 {silentClients, text("")},
--- a/io/ggsrpc/codec_test.go
+++ b/io/ggsrpc/codec_test.go
@@ -146,6 +146,40 @@
 	c.Assert(errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
 }
 
+// Guards against clients that end the process by a message whose length or type isn't a number.
+func TestMalformedNumbersEndTheConnectionOnly(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	_, addr := startWaiter(t, 1<<20)
+	for first := range 256 {
+		for name, message := range map[string][]byte{"length": {byte(first)}, "type": {5, byte(first)}} {
+			n, err := net.Dial("tcp", addr.String())
+			c.Assert(err, qt.IsNil)
+			c.Assert(n.SetDeadline(clock().Add(codecWait)), qt.IsNil)
+			_, err = n.Write(append(message, make([]byte, 8)...))
+			c.Assert(err, qt.IsNil)
+			c.Assert(n.(*net.TCPConn).CloseWrite(), qt.IsNil)
+			_, err = io.Copy(io.Discard, n)
+			var timeout net.Error
+			c.Assert(errors.As(err, &timeout) && timeout.Timeout(), qt.IsFalse, qt.Commentf("%s %d", name, first))
+			_ = n.Close()
+		}
+	}
+}
+
+// Guards against bytes behind a refused message that are taken for the beginning of another.
+func TestNothingIsReadBehindARefusedMessage(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	refused := &MessageTooLongError{Limit: 1}
+	l := &limitedConn{Conn: &sink{r: bytes.NewReader([]byte{5, 1, 2, 3, 4, 5, 5})}, announce: func(uint64) error { return refused }}
+	for range 3 {
+		n, err := l.Read(make([]byte, 4))
+		c.Assert(n, qt.Equals, 0)
+		c.Assert(err, qt.Equals, error(refused))
+	}
+}
+
 // Guards against calls without number from one connection, each of which takes memory until it has ended.
 func TestCallsWithoutMemoryAreRefused(t *testing.T) {
 	t.Parallel()
--- a/io/ggsrpc/limit.go
+++ b/io/ggsrpc/limit.go
@@ -26,13 +26,18 @@
 	// idBytes is the number of bytes of the message's type that are still to be read, and startsID is set if it begins with the next.
 	idBytes  int
 	startsID bool
+	// err is the error with which a message was refused. What follows it can't be told apart.
+	err error
 }
 
 // Read implements net.Conn.
 func (c *limitedConn) Read(p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
 	n, err := c.Conn.Read(p)
-	if e := c.scan(p[:n]); e != nil {
-		return 0, e
+	if c.err = c.scan(p[:n]); c.err != nil {
+		return 0, c.err
 	}
 	return n, err
 }
@@ -67,7 +72,7 @@
 	case b < gobMultiByte:
 		c.length = uint64(b)
 	default:
-		c.length, c.lengthBytes = 0, int(-int8(b)) //nolint:gosec // the encoding of encoding/gob
+		c.length, c.lengthBytes = 0, followingBytes(b)
 		if c.lengthBytes > maxLengthBytes {
 			return &MessageTooLongError{Limit: maxMessageBytes}
 		}
@@ -86,6 +91,9 @@
 	return c.announce(c.length)
 }
 
+// followingBytes returns the number of bytes that follow the first byte of a number in several bytes, which is that number negated.
+func followingBytes(first byte) int { return -int(int8(first)) } //nolint:gosec // the encoding of encoding/gob
+
 // scanID looks at the type of a message at its beginning. A type is a number whose lowest bit is its sign, and a negative one defines
 // a type.
 func (c *limitedConn) scanID(b []byte) error {
@@ -93,7 +101,11 @@
 		c.startsID = false
 		c.idBytes = 1
 		if b[0] >= gobMultiByte {
-			c.idBytes += int(-int8(b[0])) //nolint:gosec // the encoding of encoding/gob
+			c.idBytes += followingBytes(b[0])
+		}
+		if c.idBytes > 1+maxLengthBytes {
+			// The decoder rejects the message.
+			c.idBytes = 0
 		}
 	}
 	if c.idBytes == 0 {
