fix(ggsnode): bodies leave room for connections

What callers would see: while bodies take all that they may, new connections are refused though the limits of connections aren't reached.

Cause: an open connection counts 28 KB since its receiving buffer is part of it. With 0.35 of the memory for clients, 0.25 of it for bodies, connections had 0.1: 660 at 184 MB, where 1,482 callers may have one.

Change: 0.45 for clients, as before the receiving buffers counted, and 0.2 for bodies, so that connections have 0.25: 1,680. The smallest VM takes nine of the largest bodies that the deployments allow (4 MB) at once.

All other tests of crowds pass.

--- a/cmd/ggsnode/intake.go
+++ b/cmd/ggsnode/intake.go
@@ -28,10 +28,10 @@
 )
 
 const (
-	// clientShare is the share of the memory that clients may take in all, and bodiesShare the part of it for bodies. The garbage
-	// collector needs as much again.
-	clientShare = 0.35
-	bodiesShare = 0.25
+	// clientShare is the share of the memory that clients may take in all, and bodiesShare the part of it for bodies, which leaves
+	// room for the connections. The garbage collector needs as much again.
+	clientShare = 0.45
+	bodiesShare = 0.2
 	// connBytes is the memory of an idle connection, and requestBytes that of a request in flight beside its head and body.
 	connBytes    = 12<<10 + ggspeer.UnreadBytes
 	requestBytes = 8 << 10
