--- a/io/ggsintake/doc.go
+++ b/io/ggsintake/doc.go
@@ -6,9 +6,9 @@
 //	i := ggsintake.New(ggsintake.Options{Limits: limits, Now: now, Log: log})
 //	server := &http.Server{Handler: i.Handler(handler, refuse)}
 //	i.Follow(server)                         // the states of its connections
-//	server.Serve(i.Listener("callers", l))
+//	server.Serve(i.HTTPListener("callers", l))
 //
-//	b, err := ggsintake.ReadBody(r, maxBytes) // in a handler: memory is drawn before it is taken
+//	b, err := ggsintake.ReadAll(ctx, r, length) // in a handler: memory is drawn before it is taken
 //
 //	release, err := i.Draw(bytes)             // memory that outlives a client's connection
 //	c, err := i.Listener("rpc", l).Accept()   // without net/http: ggsintake.Conn
@@ -20,5 +20,5 @@
 //
 // # Locks
 //
-// Intake.mu and Conn.mu are leaf locks: no I/O is done and no other lock is taken while one of them is held.
+// Intake.mu is a leaf lock: no I/O is done and no other lock is taken while it is held.
 package ggsintake
