--- a/cmd/ggsnode/promise_test.go
+++ b/cmd/ggsnode/promise_test.go
@@ -324,7 +324,7 @@
 			}
 			for id, e := range s.site.Endpoints {
 				if b := e.Body(o.id); b != "" {
-					s.c.Check(b == j.body, qt.IsTrue, qt.Commentf("%s got another body, of %d bytes: %s", id, len(b), what))
+					s.c.Check(b == j.body, qt.IsTrue, qt.Commentf("%s got another body, %s: %s", id, difference(b, j.body), what))
 				}
 			}
 		}
@@ -337,6 +337,17 @@
 	s.c.Check(counts[http.StatusOK] > 0, qt.IsTrue)
 }
 
+// difference says where a body differs from the one that was sent.
+func difference(got, want string) string {
+	const around = 80
+	k := 0
+	for k < min(len(got), len(want)) && got[k] == want[k] {
+		k++
+	}
+	return fmt.Sprintf("%d bytes instead of %d, from byte %d on %q instead of %q", len(got), len(want), k,
+		got[k:min(k+around, len(got))], want[k:min(k+around, len(want))])
+}
+
 // count returns one if a condition holds.
 func count(holds bool) int {
 	if holds {
