--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"greengageslip/fakes/ggsfakesite"
@@ -27,6 +28,7 @@
 var cases = map[string]func(*world) (broken bool, err error){
 	"planned-stop": plannedStop,
 	"old-order":    oldOrder,
+	"second-model": secondModel,
 }
 
 func main() { os.Exit(run1()) }
@@ -120,9 +122,17 @@
 		name, hostName, prefix, kind, timeout.Milliseconds(), target.Milliseconds(), service)
 }
 
-// engineService returns a service of model runners.
-func engineService(name string) string {
-	return fmt.Sprintf(`{"name":%q,"healthPath":"/healthz","maxConnections":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacity":250000,"models":[{"name":%q,"weightsMb":65100,"loadS":1.9,"adapters":3000,"adapterMb":66}],"weightsMb":67000,"adapterSlots":16,"loadsPerS":4.2}}`, name, modelName)
+// engineService returns a service of model runners, with the usual model if none is given.
+func engineService(name string, models ...model) string {
+	if len(models) == 0 {
+		models = []model{usual}
+	}
+	var ms []string
+	for _, m := range models {
+		ms = append(ms, fmt.Sprintf(`{"name":%q,"weightsMb":%d,"loadS":1.9,"adapters":3000,"adapterMb":%d}`, m.name, m.weightsMB, adapterMB))
+	}
+	return fmt.Sprintf(`{"name":%q,"healthPath":"/healthz","maxConnections":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacity":250000,"models":[%s],"weightsMb":%d,"adapterSlots":%d,"loadsPerS":4.2}}`,
+		name, strings.Join(ms, ","), runnerMB, adapterSlots)
 }
 
 // plainService returns a service without models.
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -62,8 +62,11 @@
 	advertised string
 
 	mu     sync.Mutex
-	engine engine
-	runs   []*run
+	server *http.Server
+	// down is set while the runner is down, and crashed once it has crashed.
+	down, crashed bool
+	engine        engine
+	runs          []*run
 }
 
 func (n *runner) entry(state string) []byte {
@@ -83,8 +86,12 @@
 
 // models lists the one model that the runner holds always, with its adapters. The lock is held.
 func (n *runner) models() []map[string]any {
+	n.engine.settle(time.Now())
+	if n.engine.model.name == "" {
+		return []map[string]any{}
+	}
 	resident, _ := n.engine.adapters(time.Now())
-	return []map[string]any{{"name": modelName, "version": 1, "adapters": resident}}
+	return []map[string]any{{"name": n.engine.model.name, "version": 1, "adapters": resident}}
 }
 
 func (n *runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -168,6 +175,9 @@
 
 func (s *site) add(n *runner) {
 	n.born, n.log, n.engine.ready = time.Now(), s.log, map[string]time.Time{}
+	if n.engine.model.name == "" {
+		n.engine.model = usual
+	}
 	s.runners = append(s.runners, n)
 }
 
@@ -177,7 +187,7 @@
 		return err
 	}
 	for _, n := range s.runners {
-		if err := serve(n.addr, n); err != nil {
+		if err := n.listen(); err != nil {
 			return err
 		}
 	}
@@ -193,8 +203,48 @@
 
 func (s *site) beat() {
 	for _, n := range s.runners {
-		s.store.Put("servers/"+n.id, n.entry("ready"))
+		n.mu.Lock()
+		down := n.down
+		n.mu.Unlock()
+		if !down {
+			s.store.Put("servers/"+n.id, n.entry("ready"))
+		}
+	}
+}
+
+func (n *runner) listen() error {
+	l, err := net.Listen("tcp", n.addr)
+	if err != nil {
+		return err
 	}
+	v := &http.Server{Handler: n}
+	n.mu.Lock()
+	n.server = v
+	n.mu.Unlock()
+	go func() { _ = v.Serve(l) }()
+	return nil
+}
+
+// downTime is how long a runner that has crashed is down.
+const downTime = time.Second
+
+// crash ends the runner's process. Its next one starts empty, under the same id. The lock is held.
+func (n *runner) crash() {
+	n.log.line("%s crashes: it is ordered to load more than it holds", n.id)
+	n.down, n.crashed = true, true
+	_ = n.server.Close()
+	time.AfterFunc(downTime, func() {
+		n.mu.Lock()
+		orders, sizes := n.engine.orders, n.engine.sizes
+		n.engine = engine{orders: orders, sizes: sizes, ready: map[string]time.Time{}}
+		n.born, n.down = time.Now(), false
+		n.mu.Unlock()
+		if err := n.listen(); err != nil {
+			n.log.line("%s doesn't start again: %v", n.id, err)
+			return
+		}
+		n.log.line("%s is back, empty", n.id)
+	})
 }
 
 func serve(addr string, h http.Handler) error {
