--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -130,7 +130,8 @@
 	n.engine.orders = append(n.engine.orders, order{now, o.Holder, o.FencingToken, text, status})
 	n.log.line("order at %s: holder %s, fence %d, %s: %d", n.id, o.Holder, o.FencingToken, text, status)
 	if n.engine.overfull && !n.crashed {
-		n.crash()
+		n.log.line("%s crashes: it is ordered to load more than it holds", n.id)
+		n.crash(time.Second, "")
 		panic(http.ErrAbortHandler)
 	}
 	w.WriteHeader(status)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 	"planned-stop": plannedStop,
 	"old-order":    oldOrder,
 	"second-model": secondModel,
+	"lost-model":   lostModel,
 }
 
 func main() { os.Exit(run1()) }
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -225,25 +225,21 @@
 	return nil
 }
 
-// downTime is how long a runner that has crashed is down.
-const downTime = time.Second
-
-// crash ends the runner's process. Its next one starts empty, under the same id. The lock is held.
-func (n *runner) crash() {
-	n.log.line("%s crashes: it is ordered to load more than it holds", n.id)
+// crash ends the runner's process. Its next one starts empty after a time, under the same id or a new one. The lock is held.
+func (n *runner) crash(down time.Duration, newID string) {
 	n.down, n.crashed = true, true
 	_ = n.server.Close()
-	time.AfterFunc(downTime, func() {
+	time.AfterFunc(down, func() {
 		n.mu.Lock()
 		orders, sizes := n.engine.orders, n.engine.sizes
 		n.engine = engine{orders: orders, sizes: sizes, ready: map[string]time.Time{}}
-		n.born, n.down = time.Now(), false
+		n.id, n.born, n.down = cmp.Or(newID, n.id), time.Now(), false
 		n.mu.Unlock()
 		if err := n.listen(); err != nil {
 			n.log.line("%s doesn't start again: %v", n.id, err)
 			return
 		}
-		n.log.line("%s is back, empty", n.id)
+		n.log.line("%s is up, empty", n.id)
 	})
 }
 
