--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -153,7 +153,7 @@
 		select {
 		case <-time.After(n.eventTime):
 		case <-r.Context().Done():
-			n.log.line("run %s at %s broken off by its caller after %d events", x.id, n.id, k)
+			n.log.line("run %s at %s broken off after %d events: its connection has ended", x.id, n.id, k)
 			return
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", k+1, k+1, x.id)
