--- a/review/standin-2/models.go
+++ b/review/standin-2/models.go
@@ -23,7 +23,7 @@
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
-	adapters := 8
+	adapters := 10
 	if w.trouble {
 		adapters = 24
 	}
