fix(ggsgrace): a stopping VM sends on only what is bound to end in time

Cause: a request was sent if it was expected to end before the end of the stop. The expectation was 1.25 times the longest whole answer of its service and type of route in the last half minute, and 0.1 s. It isn't a bound, and knew nothing of the request: the streams before had up to 35 events, these 100. The same decision stands at a gateway for requests whose bodies come late.

TestPlannedStopCutsNoRequestThatCameLate, form "longer streams": red before (chunked bodies that end 2.5 s after the stop began: 200, not complete, cut 2.6 s later).

Ruled out: the closing of connections (what was cut was cut by the stop's end, 200 ms before); retries; the runners.

Change: once the load balancer sends no new callers (2.3 s after SIGTERM; half of a gateway's stop), a request is sent only if its own time limit is reached before the end of the stop, and is refused as not run at once otherwise, also while it waits. Until then the expectation decides as before, since new callers arrive all that time and each refusal sends one to another VM; it grows in proportion where a request may generate more tokens than those before. core/ggsgrace decides, without a clock or a network.

The tests of stops pass.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -22,6 +22,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsegress"
+	"greengageslip/core/ggsgrace"
 	"greengageslip/io/ggsclock"
 	"greengageslip/io/ggsconn"
 	"greengageslip/io/ggsedge"
@@ -297,7 +298,8 @@
 			defer w.Wait()
 			drain, cancelDrain := context.WithCancel(ctx)
 			defer cancelDrain()
-			w.Go(func() { e.Drain(drain, t().Add(p.end)) })
+			begun := t()
+			w.Go(func() { e.Drain(drain, ggsgrace.Schedule{Strict: begun.Add(p.deregister), End: begun.Add(p.end)}) })
 			n.Drain()
 			pauseFor(ctx, p.deregister)
 			left := v.stop(ctx)
--- a/cmd/ggsnode/edge_stop_test.go
+++ b/cmd/ggsnode/edge_stop_test.go
@@ -33,6 +33,9 @@
 	stopSlack = 200 * time.Millisecond
 	// stopRefusal bounds the time to the refusal of a plain request.
 	stopRefusal = time.Second
+	// stopLongPath is the path of streams with stopLongEvents events, more than those that the VM has seen before it stops.
+	stopLongPath   = "/chat/long"
+	stopLongEvents = 12
 	// stopEarly is the time after the beginning of a stop up to which most requests are served.
 	stopEarly = time.Second
 )
@@ -72,12 +75,15 @@
 		loads  bool
 		permit bool
 		tunnel bool
+		// longer is set if the requests that come once the VM is deregistered take longer than those before.
+		longer bool
 		// stopped is the edge that stops; callers are at edge 0.
 		stopped int
 	}{
 		"plain":                       {paths: []string{"/pay/1", "/look/1"}},
 		"streams":                     {paths: []string{"/chat/1", "/tell/1"}},
 		"streams that wait for loads": {paths: []string{"/chat/1"}, loads: true},
+		"longer streams":              {paths: []string{"/chat/1"}, longer: true},
 		"waits for permits":           {paths: []string{"/pay/1"}, permit: true},
 		"the peer stops":              {paths: []string{"/pay/1", "/chat/1"}, tunnel: true, stopped: 1},
 		"through a peer":              {paths: []string{"/pay/1", "/chat/1"}, tunnel: true},
@@ -101,6 +107,9 @@
 				}
 			}
 			calls := s.callsAround(tc.paths, tc.loads)
+			if tc.longer {
+				s.lengthenStreams(calls)
+			}
 			var running sync.WaitGroup
 			begins := time.Now().Add(stopLead)
 			for _, k := range calls {
@@ -150,6 +159,18 @@
 	return calls
 }
 
+// lengthenStreams makes the streams longer that are asked for once the VM is deregistered.
+func (s *siteTest) lengthenStreams(calls []*stopCall) {
+	for _, e := range s.site.Endpoints {
+		e.SetLongPath(stopLongPath, stopLongEvents)
+	}
+	for _, k := range calls {
+		if k.at > deregisterDelay {
+			k.path = stopLongPath
+		}
+	}
+}
+
 // callAround sends a request to edge 0 whose last byte leaves at the call's time after a stop has begun.
 func (s *siteTest) callAround(k *stopCall, begins time.Time) {
 	defer func() { k.endedAt = time.Now() }()
--- a/cmd/ggsnode/gateway.go
+++ b/cmd/ggsnode/gateway.go
@@ -14,6 +14,7 @@
 
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsfleet"
+	"greengageslip/core/ggsgrace"
 	"greengageslip/io/ggsconfig"
 	"greengageslip/io/ggsgateway"
 	"greengageslip/io/ggslog"
@@ -60,6 +61,10 @@
 // whether they have run. It is a part of stopMargin.
 const gatewayAnswerMargin = 3 * time.Second
 
+// lateBodyShare is the share of a gateway's stop in which requests whose bodies arrive late are submitted if they are expected to
+// end in time. As long again is then left for those that last longer than expected.
+const lateBodyShare = 0.5
+
 func startGateway(h host, s *ggssettings.Gateway, g *ggsgateway.Gateway, v *ggsvms.Follower, t *ggsstate.State, now clock) {
 	v.Subscribe(func(vms []ggscore.VM) { g.SetDispatchers(ggsfleet.Dispatchers(vms)) })
 	h.background("vms", v.Run)
@@ -92,7 +97,9 @@
 	var w sync.WaitGroup
 	defer w.Wait()
 	defer cancelDrain()
-	w.Go(func() { g.Drain(drain, now().Add(timeout)) })
+	begun := now()
+	times := ggsgrace.Schedule{Strict: begun.Add(time.Duration(lateBodyShare * float64(timeout))), End: begun.Add(timeout)}
+	w.Go(func() { g.Drain(drain, times) })
 	left := c.stop(ctx)
 	if cut := g.Cut(); left > 0 || cut > 0 {
 		_ = level.Warn(h.Log).Log("event", ggslog.EventRequestsCut, "part", "callers", "requests", cut, "connections", left)
--- a/cmd/ggsnode/gateway_stop_test.go
+++ b/cmd/ggsnode/gateway_stop_test.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	gatewayStopTime     = 4 * time.Second
-	gatewayStopWork     = 700 * time.Millisecond
+	gatewayStopTime = 4 * time.Second
+	gatewayStopWork = 700 * time.Millisecond
+	// gatewayStopLong is how long requests take that come late in a stop, in the case that they take longer.
+	gatewayStopLong     = 2500 * time.Millisecond
 	gatewayStopInterval = 200 * time.Millisecond
 	gatewayStopLead     = 300 * time.Millisecond
 	// gatewayStopEarly is the time after the beginning of a stop up to which requests are served.
@@ -39,6 +41,16 @@
 // Guards against requests that reach a stopping gateway late, are submitted, and are cut at the end of the stop.
 func TestStopOfAGatewayCutsNoRequestThatCameLate(t *testing.T) {
 	t.Parallel()
+	for name, longer := range map[string]bool{"requests as before": false, "longer ones late": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testStopOfAGateway(t, longer)
+		})
+	}
+}
+
+func testStopOfAGateway(t *testing.T, longer bool) {
+	t.Helper()
 	c := qt.New(t)
 	b := newTestDeployment(t)
 	ledger := b.plain("ledger-1", "a")
@@ -54,6 +66,10 @@
 			status, _, text := b.post(g, releasePath, `{"deposit":1}`, "Idempotency-Key", newKey())
 			c.Check(status, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
 		})
+		if longer {
+			// Requests that wait for each other would be expected to take longer.
+			running.Wait()
+		}
 	}
 	running.Wait()
 	begins := time.Now().Add(gatewayStopLead)
@@ -66,6 +82,10 @@
 	time.Sleep(time.Until(begins))
 	stopped := make(chan int, 1)
 	go func() { stopped <- g.stop() }()
+	if longer {
+		time.Sleep(time.Until(begins.Add(gatewayStopTime/2 + gatewayStopLead)))
+		ledger.SetFaults(ggsfakeplain.Faults{Slow: gatewayStopLong})
+	}
 	running.Wait()
 	c.Check(<-stopped, qt.Equals, 0)
 	counts := map[int]int{}
--- a/core/instance.go
+++ b/core/instance.go
@@ -61,6 +61,8 @@
 	Model    ModelAdapter
 	// PromptTokens is the size of the prompt, zero if unknown.
 	PromptTokens int
+	// OutputTokens is the most that the request may generate, zero if unknown.
+	OutputTokens int
 	// SharedParts are the prompt's parts that other requests may have too, in order. The last part of
 	// a prompt is the request's own and isn't among them.
 	SharedParts []PromptPart
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -122,6 +122,9 @@
 	retryAfter time.Duration
 	arrivals   []Arrival
 	brittle    brittleState
+	// longPath is the path prefix of streams with longEvents events, empty for none.
+	longPath   string
+	longEvents int
 	// workTime is the time that each plain request takes at an endpoint that isn't brittle.
 	workTime time.Duration
 	// framing and lineEnd are those of answers.
@@ -428,7 +431,7 @@
 		b.write(text)
 	case e.options.Engine:
 		h.Set("Content-Type", "text/event-stream")
-		s := stream{id: id, lineEnd: lineEnd, first: lastEvent(r), fault: f, crash: func() {}}
+		s := stream{id: id, lineEnd: lineEnd, first: lastEvent(r), events: e.eventsOf(r.URL.Path), fault: f, crash: func() {}}
 		if crashes {
 			s.crash = func() { e.crashUnder(r.URL.Path) }
 		}
@@ -473,17 +476,36 @@
 	id      string
 	lineEnd string
 	first   int
-	fault   Fault
+	// events is the number of events in the whole stream.
+	events int
+	fault  Fault
 	// crash is called when the stream's crashing event is due.
 	crash func()
 }
 
+// SetLongPath sets the path prefix of streams that have another number of events.
+func (e *Endpoint) SetLongPath(prefix string, events int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.longPath, e.longEvents = prefix, events
+}
+
+// eventsOf returns the number of events of a path's streams.
+func (e *Endpoint) eventsOf(path string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.longPath != "" && strings.HasPrefix(path, e.longPath) {
+		return e.longEvents
+	}
+	return e.options.Events
+}
+
 // streamLength returns the length of a stream.
 func (e *Endpoint) streamLength(s stream) int {
 	length := 0
-	for n := s.first; n < e.options.Events; n++ {
+	for n := s.first; n < s.events; n++ {
 		length += len(e.event(n, s.id, s.lineEnd))
-		if s.fault == FaultEndInsideEvent && n == e.options.Events/2 {
+		if s.fault == FaultEndInsideEvent && n == s.events/2 {
 			return length - len(s.lineEnd)
 		}
 	}
@@ -497,8 +519,8 @@
 		return
 	}
 	process := e.started()
-	crashing := min(s.first+e.crashAfter(), e.options.Events-1)
-	for n := s.first; n < e.options.Events; n++ {
+	crashing := min(s.first+e.crashAfter(), s.events-1)
+	for n := s.first; n < s.events; n++ {
 		e.waitSilence()
 		if n == crashing {
 			s.crash()
@@ -507,7 +529,7 @@
 			b.abort()
 		}
 		event := e.event(n, s.id, s.lineEnd)
-		middle := n == e.options.Events/2
+		middle := n == s.events/2
 		if s.fault == FaultEndInsideEvent && middle {
 			b.write(strings.TrimSuffix(event, s.lineEnd))
 			return
--- a/io/ggsedge/doc.go
+++ b/io/ggsedge/doc.go
@@ -12,7 +12,7 @@
 //	go e.Run(ctx)                    // follows the store and the peers, sends orders
 //	server := &http.Server{Handler: e}
 //	ready := e.Ready()
-//	e.Drain(ctx, end)                // during a stop: Ready returns an error from now on
+//	e.Drain(ctx, times)              // during a stop: Ready returns an error from now on
 //	e.Release(ctx)                   // releases this VM's endpoints to other VMs
 //
 // # Answers
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -13,6 +13,7 @@
 	ggscore "greengageslip/core"
 	"greengageslip/core/ggsdefect"
 	"greengageslip/core/ggsfencing"
+	"greengageslip/core/ggsgrace"
 	"greengageslip/core/ggspath"
 	"greengageslip/core/ggspermit"
 	"greengageslip/core/ggsplace"
@@ -421,10 +422,10 @@
 // since returns the time elapsed since t.
 func (e *Edge) since(t time.Time) time.Duration { return e.Monotonic().Sub(t) }
 
-// Drain begins a planned stop: Ready returns an error, callers' connections are closed after their next answer, requests that can't
-// be expected to end before the end are refused, and all others are ended then. It returns when the context ends.
-func (e *Edge) Drain(ctx context.Context, end time.Time) {
-	e.stop.Drain(end)
+// Drain begins a planned stop: Ready returns an error, callers' connections are closed after their next answer, requests that may
+// not end before the end are refused, and all others are ended then. It returns when the context ends.
+func (e *Edge) Drain(ctx context.Context, times ggsgrace.Schedule) {
+	e.stop.Drain(times)
 	e.stop.Run(ctx)
 }
 
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -173,7 +173,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), j.deadline, &DeadlineError{Limit: j.timeout})
 	defer cancel()
-	ctx, j.stop = e.stop.Begin(ctx, ggsgrace.Class{Service: j.service, Kind: j.route.Kind}, j.deadline)
+	ctx, j.stop = e.stop.Begin(ctx, ggsstop.Work{
+		Class: ggsgrace.Class{Service: j.service, Kind: j.route.Kind}, Deadline: j.deadline, OutputTokens: j.meta.OutputTokens,
+	})
 	defer j.stop.End()
 	if j.stop.Late() {
 		e.refuseStopping(j)
--- a/io/ggsgateway/doc.go
+++ b/io/ggsgateway/doc.go
@@ -7,7 +7,7 @@
 //	g := ggsgateway.New(ggsgateway.Options{VM: vm, Region: region}, parts)
 //	server := &http.Server{Handler: g.Handler()}
 //	err := g.Run(ctx) // polls the dispatchers' summaries until ctx ends
-//	g.Drain(ctx, end) // during a stop: refuses new requests, and ends all others at the end
+//	g.Drain(ctx, times) // during a stop: refuses new requests, and ends all others at the end
 //
 // # Requests
 //
--- a/io/ggsgateway/gateway.go
+++ b/io/ggsgateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsgrace"
 	"greengageslip/core/ggslimit"
 	"greengageslip/core/ggsretry"
 	"greengageslip/core/ggsroute"
@@ -120,10 +121,10 @@
 	}
 }
 
-// Drain begins a planned stop: new requests are refused from now on, those whose body still arrives once they can't be expected to
-// end before the end, and all others are ended then. It returns when the context ends.
-func (g *Gateway) Drain(ctx context.Context, end time.Time) {
-	g.stop.Drain(end)
+// Drain begins a planned stop: new requests are refused from now on, those whose body still arrives once they may not end before
+// the end, and all others are ended then. It returns when the context ends.
+func (g *Gateway) Drain(ctx context.Context, times ggsgrace.Schedule) {
+	g.stop.Drain(times)
 	g.stop.Run(ctx)
 }
 
--- a/io/ggsgateway/handler.go
+++ b/io/ggsgateway/handler.go
@@ -11,7 +11,6 @@
 	"github.com/go-kit/log/level"
 
 	ggscore "greengageslip/core"
-	"greengageslip/core/ggsgrace"
 	"greengageslip/core/ggslimit"
 	"greengageslip/core/ggsroute"
 	"greengageslip/io/ggsconn"
@@ -97,7 +96,7 @@
 			Detail: "the gateway has not received a document yet", RetryAfter: time.Second,
 		}
 	}
-	ctx, s := g.stop.Begin(c.Request.Context(), ggsgrace.Class{}, g.parts.Clock().Add(defaultDeadline))
+	ctx, s := g.stop.Begin(c.Request.Context(), ggsstop.Work{Deadline: g.parts.Clock().Add(defaultDeadline)})
 	defer s.End()
 	c.Request = c.Request.WithContext(ctx)
 	r, f := admit(c, d)
--- a/io/ggsstop/stop.go
+++ b/io/ggsstop/stop.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	s := ggsstop.New(now)
-//	ctx, r := s.Begin(ctx, class, deadline) // an admitted request
+//	ctx, r := s.Begin(ctx, ggsstop.Work{Class: class, Deadline: deadline}) // an admitted request
 //	defer r.End()
 //	if r.Late() { refuse() }                // before the request waits
 //	if err := r.Send(ctx); err != nil {     // right before it is sent
@@ -13,12 +13,12 @@
 //	r.Waits()                               // it is to be sent again
 //	r.Whole()                               // its whole answer has arrived
 //
-//	s.Drain(end)                            // the stop begins
+//	s.Drain(ggsgrace.Schedule{Strict: strict, End: end}) // the stop begins
 //	s.Run(ctx)                              // ends requests until the context ends
 //	n := s.Cut()                            // the requests that were ended after they had been sent
 //
 // During a stop the context of a request ends with a *StopError as its cause: that of a request that waits as soon as it can't be
-// expected to end before the end of the stop, and that of one that was sent at the end of the stop.
+// sent any more so that it ends before the end of the stop, and that of one that was sent at the end of the stop.
 //
 // # Locks
 //
@@ -62,18 +62,26 @@
 	mu       sync.Mutex
 	table    *ggsgrace.Table
 	requests map[*Request]struct{}
-	// end is the end of the stop, zero before one has begun.
-	end time.Time
+	// times are those of the stop, zero before one has begun.
+	times ggsgrace.Schedule
 	// cut counts the requests that were ended at that time after they had been sent.
 	cut int
 }
 
+// A Work is what is known of a request when it is admitted.
+type Work struct {
+	Class ggsgrace.Class
+	// Deadline is when the request ends in any case.
+	Deadline time.Time
+	// OutputTokens is the most that the request may generate, zero if unknown.
+	OutputTokens int
+}
+
 // A Request is a request in progress.
 type Request struct {
-	stop     *Stop
-	class    ggsgrace.Class
-	deadline time.Time
-	cancel   context.CancelCauseFunc
+	stop   *Stop
+	work   Work
+	cancel context.CancelCauseFunc
 	// ended is set once a stop has ended the request. Stop.mu guards it.
 	ended bool
 	// sent is set while the request is with an endpoint, since sentAt. Stop.mu guards both.
@@ -86,10 +94,10 @@
 	return &Stop{now: now, table: ggsgrace.NewTable(), requests: map[*Request]struct{}{}}
 }
 
-// Begin adds a request, which ends at its deadline in any case. The caller must call its End.
-func (s *Stop) Begin(ctx context.Context, c ggsgrace.Class, deadline time.Time) (context.Context, *Request) {
+// Begin adds a request. The caller must call its End.
+func (s *Stop) Begin(ctx context.Context, w Work) (context.Context, *Request) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	r := &Request{stop: s, class: c, deadline: deadline, cancel: cancel}
+	r := &Request{stop: s, work: w, cancel: cancel}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests[r] = struct{}{}
@@ -97,17 +105,17 @@
 }
 
 // Drain begins the stop, at whose end no request is in progress. Run must run beside it.
-func (s *Stop) Drain(end time.Time) {
+func (s *Stop) Drain(times ggsgrace.Schedule) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.end = end
+	s.times = times
 }
 
 // Draining reports whether the stop has begun.
 func (s *Stop) Draining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.end.IsZero()
+	return !s.times.End.IsZero()
 }
 
 // Cut returns the number of requests that were ended at the end of the stop after they had been sent.
@@ -137,7 +145,7 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	for r := range s.requests {
-		over := !now.Before(s.end)
+		over := !now.Before(s.times.End)
 		if !r.ended && (over || !r.sent && r.late(now)) {
 			r.endNow()
 		}
@@ -155,8 +163,13 @@
 
 // late reports whether a stop is in progress at whose end the request may still run if it is sent now. Stop.mu is held.
 func (r *Request) late(now time.Time) bool {
-	end := r.stop.end
-	return !end.IsZero() && now.Add(r.stop.table.Expected(now, r.class, r.deadline.Sub(now))).After(end)
+	times := r.stop.times
+	return !times.End.IsZero() && !r.stop.table.EndsInTime(now, times, r.size(now))
+}
+
+// size returns what the request may take if it is sent now.
+func (r *Request) size(now time.Time) ggsgrace.Request {
+	return ggsgrace.Request{Class: r.work.Class, Limit: r.work.Deadline.Sub(now), OutputTokens: r.work.OutputTokens}
 }
 
 // Late reports whether a stop is in progress at whose end the request may still run if it is sent now.
@@ -195,7 +208,7 @@
 	r.stop.mu.Lock()
 	defer r.stop.mu.Unlock()
 	now := r.stop.now()
-	r.stop.table.Record(now, r.class, now.Sub(r.sentAt))
+	r.stop.table.Record(now, r.size(now), now.Sub(r.sentAt))
 }
 
 // End removes the request and ends its context.
--- a/io/ggsstop/stop_test.go
+++ b/io/ggsstop/stop_test.go
@@ -58,13 +58,18 @@
 }
 
 func (s *stopTest) begin() (context.Context, *ggsstop.Request) {
-	return s.Begin(context.Background(), ggsgrace.Class{}, s.now().Add(limit))
+	return s.Begin(context.Background(), ggsstop.Work{Deadline: s.now().Add(limit)})
+}
+
+// times returns those of a stop that begins now and gets strict after a time.
+func (s *stopTest) times(strict time.Duration) ggsgrace.Schedule {
+	return ggsgrace.Schedule{Strict: s.now().Add(strict), End: s.now().Add(grace)}
 }
 
 // drain begins the stop and runs it until the test's end.
 func (s *stopTest) drain(t *testing.T) {
 	t.Helper()
-	s.Drain(s.now().Add(grace))
+	s.Drain(s.times(grace))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -108,7 +113,7 @@
 func TestLateRequestIsNotSent(t *testing.T) {
 	t.Parallel()
 	s := newStopTest(t)
-	s.Drain(s.now().Add(grace))
+	s.Drain(s.times(grace))
 	s.advance(grace - usual)
 	ctx, r := s.begin()
 	defer r.End()
@@ -169,8 +174,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newStopTest(t)
-			s.Drain(s.now().Add(grace))
-			_, r := s.Begin(context.Background(), ggsgrace.Class{Service: "unknown"}, s.now().Add(tc.deadline))
+			s.Drain(s.times(grace))
+			_, r := s.Begin(context.Background(), ggsstop.Work{Class: ggsgrace.Class{Service: "unknown"}, Deadline: s.now().Add(tc.deadline)})
 			defer r.End()
 			s.c.Assert(r.Late(), qt.Equals, tc.late)
 		})
@@ -187,3 +192,40 @@
 	s.c.Assert(ctx.Err(), qt.Equals, context.Canceled)
 	s.c.Assert(ggsstop.Stopped(ctx), qt.IsFalse)
 }
+
+// Guards against requests that are sent on because earlier ones were short, and are cut at the end of the stop.
+func TestRequestIsNotSentByAnExpectationOnceTheStopIsStrict(t *testing.T) {
+	t.Parallel()
+	s := newStopTest(t)
+	s.Drain(s.times(grace / 5))
+	ctx, r := s.begin()
+	defer r.End()
+	s.c.Assert(r.Late(), qt.IsFalse)
+	s.advance(grace / 5)
+	s.c.Assert(r.Late(), qt.IsTrue)
+	s.c.Assert(r.Send(ctx), qt.Not(qt.IsNil))
+	s.c.Assert(s.ended(ctx).Sent, qt.IsFalse)
+}
+
+// Guards against a request of unusual size that is sent on by the time that others took, and is cut at the end of the stop.
+func TestRequestThatMayGenerateMoreIsExpectedToTakeLonger(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		tokens int
+		late   bool
+	}{"as usual": {tokens: 100}, "three times as much": {tokens: 300, late: true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStopTest(t)
+			ctx, usually := s.Begin(context.Background(), ggsstop.Work{Deadline: s.now().Add(limit), OutputTokens: 100})
+			s.c.Assert(usually.Send(ctx), qt.IsNil)
+			s.advance(usual)
+			usually.Whole()
+			usually.End()
+			s.Drain(s.times(grace))
+			_, r := s.Begin(context.Background(), ggsstop.Work{Deadline: s.now().Add(limit), OutputTokens: tc.tokens})
+			defer r.End()
+			s.c.Assert(r.Late(), qt.Equals, tc.late)
+		})
+	}
+}
