fix(ggsnode): a short grace period ends in its last sixth

What callers would see: at a VM whose grace period is below 5.4 s, requests that their endpoints still work on are cut before the last sixth of it.

Cause: the stop ends 0.9 s before SIGKILL, whatever the grace period; for 3 s that is at 2.1 s, before 2.5 s.

Change: the two margins take at most 0.12 and 0.04 of the grace period, 0.16 together, a sixth being 0.167. From 5.9 s on nothing changes.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -50,6 +50,10 @@
 	// the last answers.
 	graceMargin  = 700 * time.Millisecond
 	answerMargin = 200 * time.Millisecond
+	// maxGraceMarginShare and maxAnswerMarginShare are the most of the grace period that these margins take. Together they are
+	// below a sixth: a request that an endpoint still works on may only be cut in the last sixth.
+	maxGraceMarginShare  = 0.12
+	maxAnswerMarginShare = 0.04
 	// defaultFiles (descriptors) and defaultMemory (bytes) are the limits of the present VMs.
 	// They apply if the platform sets none.
 	defaultFiles  = 4100
@@ -322,8 +326,9 @@
 
 // newStopPlan returns the times of a stop that must be over after the grace period.
 func newStopPlan(grace time.Duration) stopPlan {
-	p := stopPlan{close: max(grace-graceMargin, grace/2)}
-	p.end = max(p.close-answerMargin, p.close/2)
+	share := func(limit time.Duration, share float64) time.Duration { return min(limit, time.Duration(share*float64(grace))) }
+	p := stopPlan{close: grace - share(graceMargin, maxGraceMarginShare)}
+	p.end = p.close - share(answerMargin, maxAnswerMarginShare)
 	p.deregister = min(deregisterDelay, p.end/2)
 	return p
 }
