fix(ggsedge): an answer during a planned stop announces that its connection closes

What callers saw: a request that comes before SIGTERM and is answered after it gets an answer that promises a kept connection. The caller sends its next request there, which a stopping VM may have to refuse.

Cause: "Connection: close" was decided when a request arrived, not when its answer's head is written.

Change: it is decided where the head of an answer is written, for endpoints' answers and the edge's own.

TestAnswersDuringAPlannedStopCloseTheirConnections: red before (the answer of a request that was in progress at SIGTERM kept its connection).

--- a/cmd/ggsnode/edge_stop_test.go
+++ b/cmd/ggsnode/edge_stop_test.go
@@ -123,6 +123,26 @@
 	}
 }
 
+// Guards against answers that promise a kept connection although the VM began to stop before their heads were sent.
+func TestAnswersDuringAPlannedStopCloseTheirConnections(t *testing.T) {
+	t.Parallel()
+	s := startStopTest(t, 1)
+	d := net.Dialer{Timeout: time.Second}
+	c, err := d.DialContext(context.Background(), "tcp", s.edges[0].settings.Callers.String())
+	s.c.Assert(err, qt.IsNil)
+	defer func() { _ = c.Close() }()
+	k := &stopCall{path: "/pay/1"}
+	_, err = io.WriteString(c, s.request(k, k.path)+"2\r\n{}\r\n0\r\n\r\n")
+	s.c.Assert(err, qt.IsNil)
+	s.eventually("the request runs", func() bool { return s.site.Runs()[k.id] > 0 })
+	s.edges[0].cancel()
+	a, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
+	s.c.Assert(err, qt.IsNil)
+	defer func() { _ = a.Body.Close() }()
+	s.c.Check(a.StatusCode, qt.Equals, http.StatusOK)
+	s.c.Check(a.Close, qt.IsTrue)
+}
+
 // startStopTest starts a site whose requests last.
 func startStopTest(t *testing.T, edges int) *partitionTest {
 	t.Helper()
--- a/io/ggsedge/handler.go
+++ b/io/ggsedge/handler.go
@@ -164,9 +164,6 @@
 	e.stats.Requests.Add(1)
 	e.stats.InFlight.Add(1)
 	defer e.stats.InFlight.Add(-1)
-	if e.stop.Draining() {
-		w.Header().Set("Connection", "close")
-	}
 	j := &job{w: w, r: r, arrived: e.Monotonic()}
 	if !e.admit(j) {
 		return
@@ -319,6 +316,14 @@
 	e.respond(j, status, reason)
 }
 
+// writeStatus sends the head of an answer. During a planned stop it announces that the connection is closed after the answer.
+func (e *Edge) writeStatus(j *job, status int) {
+	if e.stop.Draining() {
+		j.w.Header().Set("Connection", "close")
+	}
+	j.w.WriteHeader(status)
+}
+
 // respond writes an answer of the edge's own.
 func (e *Edge) respond(j *job, status int, reason string) {
 	_ = level.Info(e.Log).Log("event", ggslog.EventRequestEnded, "request", j.meta.ID, "status", status, "why", reason,
@@ -329,7 +334,7 @@
 	if j.meta.ID != "" {
 		h.Set(e.options.IDHeader, string(j.meta.ID))
 	}
-	j.w.WriteHeader(status)
+	e.writeStatus(j, status)
 	// A write error means that the caller has left; nothing remains to be done.
 	_, _ = io.WriteString(j.w, reason+"\n")
 }
--- a/io/ggsedge/relay.go
+++ b/io/ggsedge/relay.go
@@ -396,5 +396,5 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	j.w.WriteHeader(a.Status)
+	e.writeStatus(j, a.Status)
 }
