fix(ggsresident): adapters are bounded by the memory beside the models that a runner holds

Cause: the number of adapters was what fits beside the service's first model (EngineSpec.AdapterCapacity), whatever the runner holds. In the same way a base model was loaded beside another one without a look at the memory.

Change: the ledger knows the engine, and bounds adapters by the models in memory: held, being loaded, being unloaded, or named by an order without an answer. A model is loaded only where it fits, and not while a late order may load something else beside it. The ledger can unload a model, which takes memory until the endpoint's report no longer lists it. Models that aren't in the configuration count as the largest one. With one model nothing changes.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -326,7 +326,9 @@
 
 // newStopPlan returns the times of a stop that must be over after the grace period.
 func newStopPlan(grace time.Duration) stopPlan {
-	share := func(limit time.Duration, share float64) time.Duration { return min(limit, time.Duration(share*float64(grace))) }
+	share := func(limit time.Duration, share float64) time.Duration {
+		return min(limit, time.Duration(share*float64(grace)))
+	}
 	p := stopPlan{close: grace - share(graceMargin, maxGraceMarginShare)}
 	p.end = p.close - share(answerMargin, maxAnswerMarginShare)
 	p.deregister = min(deregisterDelay, p.end/2)
--- a/core/ggsplace/load_test.go
+++ b/core/ggsplace/load_test.go
@@ -103,7 +103,7 @@
 }
 
 func (n *peakSim) restart(now time.Time, r *simRunner) {
-	r.ledger = ggsresident.NewLedger(ggsresident.Options{Endpoint: r.id, Demand: n.table, Slots: simAdapterSlots})
+	r.ledger = ggsresident.NewLedger(ggsresident.Options{Endpoint: r.id, Demand: n.table, Engine: &ggscore.EngineSpec{AdapterSlots: simAdapterSlots}})
 	r.ledger.Sync(now, ggscore.InstanceStatus{Models: []ggscore.ResidentModel{{Name: "m"}}})
 	r.held, r.loading = map[ggscore.ModelAdapter]bool{}, map[ggscore.ModelAdapter]time.Time{}
 	r.active, r.reported = map[ggscore.ModelAdapter]int{}, map[ggscore.ModelAdapter]bool{}
--- a/core/ggsresident/answers.go
+++ b/core/ggsresident/answers.go
@@ -101,7 +101,7 @@
 	l.sequence = s.Expected + 1
 	l.ambiguousSince = time.Time{}
 	if s.Target.Adapter == "" {
-		l.modelPollAt = now.Add(l.options.LoadTime)
+		l.acceptedModel(now, s)
 		return
 	}
 	h := l.held[s.Target]
@@ -122,10 +122,51 @@
 	l.loadedBefore[s.Target] = true
 }
 
+// acceptedModel records an order for a base model that is being executed. Unloading it drops its adapters, and lasts until its
+// requests have ended.
+func (l *Ledger) acceptedModel(now time.Time, s Step) {
+	m := s.Target.Model
+	l.modelPollAt = now.Add(l.options.LoadTime)
+	if !s.Unload {
+		l.loading = m
+		return
+	}
+	l.dropModel(m)
+	l.unloading, l.ambiguousSince = m, now
+}
+
+// dropModel removes a base model and its adapters.
+func (l *Ledger) dropModel(m ggscore.BaseModel) {
+	delete(l.models, m)
+	for t := range l.held {
+		if t.Model == m {
+			delete(l.held, t)
+		}
+	}
+	if l.unwanted == m {
+		l.unwanted = ""
+	}
+}
+
+// confirmedModel records an order for a base model whose result the endpoint has confirmed. Whether an unload was just carried
+// out, and so counted, shows the endpoint's report.
+func (l *Ledger) confirmedModel(now time.Time, s Step) {
+	m := s.Target.Model
+	if s.Unload {
+		l.dropModel(m)
+		l.unloading, l.ambiguousSince = m, now
+		return
+	}
+	l.models[m] = true
+	if l.loading == m {
+		l.loading = ""
+	}
+}
+
 // confirmed records an order whose result the endpoint has confirmed.
 func (l *Ledger) confirmed(now time.Time, s Step) {
 	if s.Target.Adapter == "" {
-		l.models[s.Target.Model] = true
+		l.confirmedModel(now, s)
 		return
 	}
 	if s.Unload {
--- a/core/ggsresident/ledger.go
+++ b/core/ggsresident/ledger.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	l := ggsresident.NewLedger(ggsresident.Options{Slots: 16, MaxInTransit: 4})
+//	l := ggsresident.NewLedger(ggsresident.Options{Engine: engine, MaxInTransit: 4})
 //	l.Sync(now, status)             // the endpoint's status report
 //	l.Want(now, target, version)    // a request waits for the adapter
 //	l.Use(now, target, vm, active)  // whether a VM's requests use the adapter
@@ -33,6 +33,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	ggscore "greengageslip/core"
@@ -92,8 +94,8 @@
 	// Demand estimates the requests that would miss an evicted adapter. If it is nil, the
 	// least recently used adapter is evicted.
 	Demand ggscore.AdapterDemand
-	// Slots is the number of adapters that the endpoint holds at once.
-	Slots        int
+	// Engine describes the endpoint's memory, its slots for adapters and its service's models.
+	Engine       *ggscore.EngineSpec
 	MaxInTransit int
 	LoadTime     time.Duration
 	PollInterval time.Duration
@@ -144,6 +146,11 @@
 	repeatAt    time.Time
 	// modelPollAt is when to poll again for a base model that is being loaded.
 	modelPollAt time.Time
+	// loading is the base model that is being loaded, and unloading that which is being unloaded, empty for none. Both take
+	// memory.
+	loading, unloading ggscore.BaseModel
+	// unwanted is the base model to unload, empty for none.
+	unwanted ggscore.BaseModel
 }
 
 type held struct {
@@ -222,7 +229,11 @@
 	l.synced, l.ambiguousSince, l.lostOrder, l.sequence = true, time.Time{}, nil, s.Sequence
 	before := l.held
 	l.models, l.held = map[ggscore.BaseModel]bool{}, map[ggscore.ModelAdapter]*held{}
+	l.syncModels(now, s.Models)
 	for _, m := range s.Models {
+		if m.Name == l.unloading {
+			continue
+		}
 		l.models[m.Name] = true
 		for _, a := range m.Adapters {
 			t := ggscore.ModelAdapter{Model: m.Name, Adapter: a.Adapter}
@@ -235,6 +246,9 @@
 		}
 	}
 	for _, t := range s.InTransit {
+		if t.Model == l.unloading {
+			continue
+		}
 		h := l.held[t]
 		if h == nil {
 			h = &held{}
@@ -247,6 +261,23 @@
 	}
 }
 
+// syncModels applies the models of a status report to those that are being loaded and unloaded. The report is requested again
+// until a model that is being unloaded is gone.
+func (l *Ledger) syncModels(now time.Time, ms []ggscore.ResidentModel) {
+	holds := func(name ggscore.BaseModel) bool {
+		return slices.ContainsFunc(ms, func(m ggscore.ResidentModel) bool { return m.Name == name })
+	}
+	if holds(l.loading) {
+		l.loading = ""
+	}
+	if !holds(l.unloading) {
+		l.unloading = ""
+	}
+	if l.unloading != "" {
+		l.ambiguousSince = now
+	}
+}
+
 // keepReplacement keeps the state of a newer version in transit. The endpoint's report omits the
 // newer version until the requests on the previous version have ended.
 func (h *held) keepReplacement(now time.Time, before *held) {
@@ -260,8 +291,38 @@
 	*l = *NewLedger(l.options)
 }
 
-// SetSlots sets the number of adapters that the endpoint holds at once.
-func (l *Ledger) SetSlots(slots int) { l.options.Slots = slots }
+// SetEngine sets the endpoint's memory, its slots for adapters and its service's models.
+func (l *Ledger) SetEngine(e *ggscore.EngineSpec) { l.options.Engine = e }
+
+// Models returns the base models that the endpoint holds, in order.
+func (l *Ledger) Models() []ggscore.BaseModel { return slices.Sorted(maps.Keys(l.models)) }
+
+// Unload has a base model unloaded. Requests that run on it end before.
+func (l *Ledger) Unload(m ggscore.BaseModel) { l.unwanted = m }
+
+// inMemory returns the base models that take the endpoint's memory, except for one.
+func (l *Ledger) inMemory(except ggscore.BaseModel) []ggscore.BaseModel {
+	ms := l.Models()
+	add := func(m ggscore.BaseModel) {
+		if m != "" && !slices.Contains(ms, m) {
+			ms = append(ms, m)
+		}
+	}
+	add(l.loading)
+	add(l.unloading)
+	if o := l.lostOrder; o != nil && o.Target.Adapter == "" {
+		add(o.Target.Model)
+	}
+	return slices.DeleteFunc(ms, func(m ggscore.BaseModel) bool { return m == except })
+}
+
+// slots returns the number of adapters that the endpoint holds at once.
+func (l *Ledger) slots() int { return l.options.Engine.AdapterCapacity(l.inMemory("")) }
+
+// CanHold reports whether the endpoint holds an adapter's base model, or has memory for it.
+func (l *Ledger) CanHold(t ggscore.ModelAdapter) bool {
+	return l.models[t.Model] || l.options.Engine.Fits(t.Model, l.inMemory(t.Model), len(l.held))
+}
 
 // Want records that requests wait for an adapter in a version, zero for any.
 func (l *Ledger) Want(now time.Time, t ggscore.ModelAdapter, version uint64) {
--- a/core/ggsresident/ledger_test.go
+++ b/core/ggsresident/ledger_test.go
@@ -20,7 +20,7 @@
 // synced returns the ledger of a runner that holds the first n adapters, unused for a long
 // time.
 func synced(slots, n int) *ggsresident.Ledger {
-	l := ggsresident.NewLedger(ggsresident.Options{Slots: slots})
+	l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: slots}})
 	m := ggscore.ResidentModel{Name: "m"}
 	for i := range n {
 		m.Adapters = append(m.Adapters, ggscore.ResidentVersion{Adapter: adapter(i).Adapter, Version: 1})
@@ -85,7 +85,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	l := synced(4, 4)
-	l.SetSlots(2)
+	l.SetEngine(&ggscore.EngineSpec{AdapterSlots: 2})
 	l.Want(at(0), adapter(9), 0)
 	for range 3 {
 		s := next(c, l, at(0))
@@ -265,7 +265,7 @@
 func TestEmptyRunnerGetsItsModelFirst(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	l := ggsresident.NewLedger(ggsresident.Options{Slots: 4})
+	l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: 4}})
 	l.Sync(at(0), ggscore.InstanceStatus{})
 	l.Want(at(0), adapter(1), 0)
 	s := next(c, l, at(0))
@@ -296,7 +296,7 @@
 // full returns the ledger of a runner whose n slots hold the first n adapters, unused for a long
 // time.
 func full(d demand, n int) *ggsresident.Ledger {
-	l := ggsresident.NewLedger(ggsresident.Options{Slots: n, Demand: d})
+	l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: n}, Demand: d})
 	m := ggscore.ResidentModel{Name: "m"}
 	for i := range n {
 		m.Adapters = append(m.Adapters, ggscore.ResidentVersion{Adapter: adapter(i).Adapter, Version: 1})
@@ -341,7 +341,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			l := ggsresident.NewLedger(ggsresident.Options{Slots: 1, Demand: demand{adapter(0): tc.rate}})
+			l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: 1}, Demand: demand{adapter(0): tc.rate}})
 			l.Sync(at(-time.Hour), ggscore.InstanceStatus{Models: []ggscore.ResidentModel{{Name: "m"}}})
 			l.Want(at(-time.Second), adapter(0), 0)
 			l.HandleAnswer(at(-time.Second), next(c, l, at(-time.Second)), ggscore.PlacementAccepted)
@@ -365,7 +365,7 @@
 func TestPopularAdapterIsLoadedFirst(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	l := ggsresident.NewLedger(ggsresident.Options{Slots: 4, Demand: demand{adapter(5): 0.1, adapter(6): 8, adapter(7): 1}})
+	l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: 4}, Demand: demand{adapter(5): 0.1, adapter(6): 8, adapter(7): 1}})
 	l.Sync(at(0), ggscore.InstanceStatus{Models: []ggscore.ResidentModel{{Name: "m"}}})
 	for _, a := range []int{5, 6, 7} {
 		l.Want(at(0), adapter(a), 0)
--- a/core/ggsresident/number_test.go
+++ b/core/ggsresident/number_test.go
@@ -24,7 +24,7 @@
 	c := qt.New(t)
 	const resync = 450 * time.Millisecond
 	old, late, wanted := adapter(0), adapter(1), adapter(2)
-	l := ggsresident.NewLedger(ggsresident.Options{Slots: 2})
+	l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: 2}})
 	now := at(0)
 	l.Sync(now, report(10, old, 1))
 
@@ -55,7 +55,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	const resync = 450 * time.Millisecond
-	l := ggsresident.NewLedger(ggsresident.Options{Slots: 2})
+	l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: 2}})
 	now := at(0)
 	l.Sync(now, report(10, adapter(0), 1))
 	l.Want(now, adapter(0), 2)
--- a/core/ggsresident/orders.go
+++ b/core/ggsresident/orders.go
@@ -33,6 +33,9 @@
 	if l.Blocked(now) {
 		return Step{}, false
 	}
+	if l.unwanted != "" {
+		return l.nextUnload(now)
+	}
 	for _, w := range l.wants {
 		if s, ok := l.nextLoad(now, w); ok {
 			return s, true
@@ -41,6 +44,18 @@
 	return Step{}, false
 }
 
+// nextUnload returns the order to unload the unwanted model, once nothing is on its way to the endpoint.
+func (l *Ledger) nextUnload(now time.Time) (Step, bool) {
+	if !l.models[l.unwanted] {
+		l.unwanted = ""
+		return Step{}, false
+	}
+	if l.loading != "" || l.loadsInTransit() > 0 || l.LateOrders(now) > 0 {
+		return Step{}, false
+	}
+	return Step{Unload: true, Target: ggscore.ModelAdapter{Model: l.unwanted}, Expected: l.sequence}, true
+}
+
 // sortWants removes adapters that need no load and sorts the others by request rate, because
 // more requests arrive for a popular adapter while it waits. In the order of arrival, the
 // popular adapters of a failed runner waited behind rare ones.
@@ -61,7 +76,7 @@
 // evict another adapter, or to load it.
 func (l *Ledger) nextLoad(now time.Time, w want) (Step, bool) {
 	if w.target.Adapter == "" || !l.models[w.target.Model] {
-		if now.Before(l.modelPollAt) || l.models[w.target.Model] {
+		if now.Before(l.modelPollAt) || !l.mayLoadModel(now, w.target.Model) {
 			return Step{}, false
 		}
 		return Step{Target: ggscore.ModelAdapter{Model: w.target.Model}, Expected: l.sequence}, true
@@ -74,16 +89,25 @@
 		return Step{}, false
 	}
 	s := Step{Target: w.target, Version: w.version, Expected: l.sequence}
-	if h != nil || len(l.held)+1+l.LateOrders(now) <= l.options.Slots {
+	if h != nil || len(l.held)+1+l.LateOrders(now) <= l.slots() {
 		return s, true
 	}
 	v, ok := l.evictionCandidate(now)
-	if late := l.LateOrders(now); !ok || late > 0 && len(l.held)-1+late > l.options.Slots {
+	if late := l.LateOrders(now); !ok || late > 0 && len(l.held)-1+late > l.slots() {
 		return Step{}, false
 	}
 	return Step{Unload: true, Target: v, Expected: l.sequence}, true
 }
 
+// mayLoadModel reports whether a base model isn't held and may be loaded beside what the endpoint holds. A late order may load
+// something else beside it.
+func (l *Ledger) mayLoadModel(now time.Time, m ggscore.BaseModel) bool {
+	if l.models[m] || !l.CanHold(ggscore.ModelAdapter{Model: m}) {
+		return false
+	}
+	return len(l.inMemory(m)) == 0 || l.LateOrders(now) == 0
+}
+
 // Blocked reports whether orders wait until an unanswered one is recorded.
 func (l *Ledger) Blocked(now time.Time) bool {
 	expected := l.sequence
@@ -179,7 +203,7 @@
 		}
 	}
 	for i := range l.wants {
-		if w := &l.wants[i]; !l.models[w.target.Model] && (due.IsZero() || l.modelPollAt.Before(due)) {
+		if w := &l.wants[i]; l.mayLoadModel(now, w.target.Model) && (due.IsZero() || l.modelPollAt.Before(due)) {
 			due = l.modelPollAt
 		}
 	}
@@ -199,7 +223,7 @@
 
 // needsEviction reports whether a wanted adapter waits for another adapter to be evicted.
 func (l *Ledger) needsEviction() bool {
-	if len(l.held) < l.options.Slots || l.loadsInTransit() >= l.options.MaxInTransit || l.evicting() {
+	if len(l.held) < l.slots() || l.loadsInTransit() >= l.options.MaxInTransit || l.evicting() {
 		return false
 	}
 	for i := range l.wants {
@@ -213,7 +237,7 @@
 // FreeCapacity returns the number of adapters that could be loaded at once, into free slots or in
 // place of unused adapters.
 func (l *Ledger) FreeCapacity(now time.Time) int {
-	n := l.options.Slots - len(l.held)
+	n := l.slots() - len(l.held)
 	for t, h := range l.held {
 		if !h.inTransit && !h.evicting && !l.isWanted(t) && !now.Before(l.unusedAt(now, h, l.missRate(now, t))) {
 			n++
--- a/core/ggsresident/runner_test.go
+++ b/core/ggsresident/runner_test.go
@@ -157,7 +157,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &runnerModel{slots: rapid.IntRange(1, 5).Draw(t, "slots")}
 		m.restart()
-		l := ggsresident.NewLedger(ggsresident.Options{Slots: m.slots})
+		l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: m.slots}})
 		now := at(0)
 		loaded := 0
 		for range 200 {
@@ -168,7 +168,7 @@
 			}
 			// The VM's process restarts while its late orders are still in flight.
 			if rapid.IntRange(0, 29).Draw(t, "restart") == 0 {
-				l = ggsresident.NewLedger(ggsresident.Options{Slots: m.slots})
+				l = ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: m.slots}})
 			}
 			s, answer, ok := m.sendNext(now, l, func(s ggsresident.Step) ggscore.PlacementAnswer {
 				switch rapid.IntRange(0, 9).Draw(t, "outcome") {
@@ -215,7 +215,7 @@
 		m.restart()
 		now, unanswered := at(0), &ggsresident.Unanswered{}
 		ledger := func() *ggsresident.Ledger {
-			return ggsresident.NewLedger(ggsresident.Options{Slots: m.slots, Unanswered: unanswered})
+			return ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: m.slots}, Unanswered: unanswered})
 		}
 		l, noticed := ledger(), at(0)
 		for range 300 {
@@ -265,7 +265,7 @@
 			unanswered.Recorded(now, r)
 		}
 		ledger := func() {
-			l = ggsresident.NewLedger(ggsresident.Options{Slots: m.slots, Unanswered: unanswered, Started: known})
+			l = ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: m.slots}, Unanswered: unanswered, Started: known})
 		}
 		takeOver := func() {
 			unanswered = &ggsresident.Unanswered{}
@@ -320,7 +320,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &runnerModel{slots: rapid.IntRange(3, 6).Draw(t, "slots")}
 		m.restart()
-		l := ggsresident.NewLedger(ggsresident.Options{Slots: m.slots})
+		l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: m.slots}})
 		now := at(0)
 		var newest [adapters]uint64
 		for range 300 {
--- a/core/ggsresident/unanswered_test.go
+++ b/core/ggsresident/unanswered_test.go
@@ -15,7 +15,7 @@
 	t.Parallel()
 	c := qt.New(t)
 	u := &ggsresident.Unanswered{}
-	l := ggsresident.NewLedger(ggsresident.Options{Slots: 4, Unanswered: u})
+	l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: 4}, Unanswered: u})
 	l.Sync(at(0), ggscore.InstanceStatus{Sequence: 7, Models: []ggscore.ResidentModel{{Name: "m"}}})
 	l.Want(at(0), adapter(1), 0)
 	l.Want(at(0), adapter(2), 0)
@@ -77,7 +77,7 @@
 			for _, r := range tc.records {
 				u.Inherit(at(0), r)
 			}
-			l := ggsresident.NewLedger(ggsresident.Options{Slots: 16, Unanswered: u})
+			l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: 16}, Unanswered: u})
 			l.Sync(at(0), ggscore.InstanceStatus{Sequence: tc.sequence, Models: []ggscore.ResidentModel{{Name: "m"}}})
 			c.Assert(l.LateOrders(at(0)), qt.Equals, tc.late)
 			c.Assert(l.LateOrders(at(21*time.Second)), qt.Equals, 0)
@@ -107,7 +107,7 @@
 			for _, r := range tc.records {
 				u.Inherit(at(0), r)
 			}
-			l := ggsresident.NewLedger(ggsresident.Options{Slots: 16, Unanswered: u, Started: at(tc.started)})
+			l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: 16}, Unanswered: u, Started: at(tc.started)})
 			l.Sync(at(0), ggscore.InstanceStatus{Models: []ggscore.ResidentModel{{Name: "m"}}})
 			c.Assert(l.LateOrders(at(0)), qt.Equals, tc.late)
 		})
--- a/core/serving.go
+++ b/core/serving.go
@@ -98,16 +98,60 @@
 	AdapterSlots int
 }
 
-// AdapterCapacity returns the number of adapters that a runner has slots and memory for beside
-// its first model. A runner that is ordered to load more crashes.
-func (e *EngineSpec) AdapterCapacity() int {
+// AdapterCapacity returns the number of adapters that a runner has slots and memory for beside the models that it holds. A
+// runner that is ordered to load more crashes.
+func (e *EngineSpec) AdapterCapacity(held []BaseModel) int {
 	n := e.AdapterSlots
-	if len(e.Models) > 0 && e.Bytes > 0 && e.Models[0].AdapterBytes > 0 {
-		n = min(n, int((e.Bytes-e.Models[0].Bytes)/e.Models[0].AdapterBytes))
+	if free, adapter := e.free(held); e.Bytes > 0 && adapter > 0 {
+		n = min(n, int(free/adapter))
 	}
 	return max(n, 0)
 }
 
+// MaxAdapters returns the number of adapters that a runner has slots and memory for beside the model that leaves most.
+func (e *EngineSpec) MaxAdapters() int {
+	if len(e.Models) == 0 {
+		return e.AdapterCapacity(nil)
+	}
+	n := 0
+	for _, m := range e.Models {
+		n = max(n, e.AdapterCapacity([]BaseModel{m.Name}))
+	}
+	return n
+}
+
+// Fits reports whether a runner has memory for a model beside the models and the number of adapters that it holds. A runner
+// that holds nothing has memory for each of its service's models.
+func (e *EngineSpec) Fits(m BaseModel, held []BaseModel, adapters int) bool {
+	if e.Bytes == 0 || len(held) == 0 {
+		return true
+	}
+	free, adapter := e.free(append(slices.Clone(held), m))
+	return free >= int64(adapters)*adapter
+}
+
+// free returns the memory that models leave for adapters, and the size of the largest of their adapters.
+func (e *EngineSpec) free(held []BaseModel) (free, adapter int64) {
+	free = e.Bytes
+	for _, m := range held {
+		s := e.model(m)
+		free, adapter = free-s.Bytes, max(adapter, s.AdapterBytes)
+	}
+	return free, adapter
+}
+
+// model returns a model. One that isn't among the service's is as large as the largest of these.
+func (e *EngineSpec) model(name BaseModel) ModelSpec {
+	largest := ModelSpec{Name: name}
+	for _, m := range e.Models {
+		if m.Name == name {
+			return m
+		}
+		largest.Bytes, largest.AdapterBytes = max(largest.Bytes, m.Bytes), max(largest.AdapterBytes, m.AdapterBytes)
+	}
+	return largest
+}
+
 // A BackendSpec describes the endpoints of a service.
 type BackendSpec struct {
 	Service Service
--- a/io/ggsedge/lastconfig.go
+++ b/io/ggsedge/lastconfig.go
@@ -109,7 +109,7 @@
 	for s, spec := range c.Services {
 		e.turns.SetService(s, c.TargetGap(s))
 		if spec.Engine != nil {
-			e.table.SetAdapterSlots(s, spec.Engine.AdapterCapacity())
+			e.table.SetAdapterSlots(s, spec.Engine.MaxAdapters())
 		}
 	}
 	e.mu.Unlock()
--- a/io/ggsedge/orderlog_test.go
+++ b/io/ggsedge/orderlog_test.go
@@ -84,14 +84,14 @@
 }
 
 func (e *Edge) lateOrders(w *worker) int {
-	l := ggsresident.NewLedger(ggsresident.Options{Slots: 16, Unanswered: &w.orders.unanswered})
+	l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: 16}, Unanswered: &w.orders.unanswered})
 	l.Sync(e.Now(), ggscore.InstanceStatus{Sequence: 16})
 	return l.LateOrders(e.Now())
 }
 
 // unanswer has an order go unanswered that expects a number.
 func (e *Edge) unanswer(w *worker, expected uint64) {
-	l := ggsresident.NewLedger(ggsresident.Options{Slots: 16, Unanswered: &w.orders.unanswered})
+	l := ggsresident.NewLedger(ggsresident.Options{Engine: &ggscore.EngineSpec{AdapterSlots: 16}, Unanswered: &w.orders.unanswered})
 	l.HandleAnswer(e.Now(), ggsresident.Step{Expected: expected}, ggscore.PlacementUnknown)
 }
 
--- a/io/ggsedge/worker.go
+++ b/io/ggsedge/worker.go
@@ -97,7 +97,7 @@
 		w := e.workers[i.ID]
 		if w != nil && w.instance.StartedAt.Equal(i.StartedAt) && w.instance.Addr == i.Addr {
 			w.instance, w.engine = i, s.Engine
-			w.ledger.SetSlots(s.Engine.AdapterCapacity())
+			w.ledger.SetEngine(s.Engine)
 			continue
 		}
 		if w != nil {
@@ -108,7 +108,7 @@
 		w = &worker{
 			instance: i, engine: s.Engine, orders: l,
 			ledger: ggsresident.NewLedger(ggsresident.Options{
-				Endpoint: i.ID, Demand: e.table, Slots: s.Engine.AdapterCapacity(), Unanswered: &l.unanswered,
+				Endpoint: i.ID, Demand: e.table, Engine: s.Engine, Unanswered: &l.unanswered,
 				Started: e.startedBy(i.StartedAt), ReportDelay: e.reportDelay(), Policy: e.options.Policy,
 			}),
 			changed: make(chan struct{}), wakeups: make(chan struct{}, 1), cancel: cancel,
