fix(ggsedge): a model whose only runner has crashed or is lost is loaded again

What callers saw: five runners hold a service's first model and one the second.

Cause: the owner of an empty runner had the service's first model loaded there, whatever the others hold. Requests for a model go to runners that hold it, so that none of them ever reaches an owner that would load it.

Ruled out: routing (a request for a model that no runner holds can only be refused); the ledger's reset after a restart.

Change: core/ggsassign decides from the list that all VMs share. An empty runner loads the model that no runner holds, else the one whose runners have most requests in flight. A model without a runner for 10 s is taken by a runner of the most common one, beside what it holds if both fit, else in its place; models that the service doesn't have any more are given up after the same time. A wait for an adapter whose model a runner neither holds nor is to load ends at once, and callers of a model that no runner holds are told to come back in 2 s instead of 0.6. Services with one model, held by the runner, skip all of it.

--- a/core/ggsplace/choose.go
+++ b/core/ggsplace/choose.go
@@ -246,12 +246,17 @@
 	// retryOwned is added to the time at which an endpoint may have an owner again: until a VM has
 	// claimed it and a first adapter is loaded.
 	retryOwned = 600 * time.Millisecond
+	// retryModelLoad is the time until a runner has loaded a base model that none holds.
+	retryModelLoad = 2 * time.Second
 )
 
 func (t *Table) refused(now time.Time, q Query, r *RefusedError) error {
 	r.RetryAfter = retryNoneReady
-	if r.Ready > 0 {
+	switch {
+	case r.Ready > 0:
 		r.RetryAfter = max(retryFull, t.untilAccepted(now, q))
+	case t.lacksModel(now, q):
+		r.RetryAfter = retryModelLoad
 	}
 	spread := retrySpread
 	if 2*r.Causes.Unowned > r.Ready {
@@ -264,6 +269,24 @@
 	return r
 }
 
+// lacksModel reports whether the service has runners, none of which holds the request's base model.
+func (t *Table) lacksModel(now time.Time, q Query) bool {
+	if q.Engine == nil {
+		return false
+	}
+	runners := 0
+	for _, e := range t.services[q.Service] {
+		if e.Leaving {
+			continue
+		}
+		if e.holdsModel(now, ggscore.ModelAdapter{Model: q.Target.Model}) {
+			return false
+		}
+		runners++
+	}
+	return runners > 0
+}
+
 // untilOwned returns the time until the first endpoint of the service that has no owner is expected
 // to load adapters, zero if that isn't known.
 func (t *Table) untilOwned(now time.Time, q Query) time.Duration {
--- a/core/ggsplace/table.go
+++ b/core/ggsplace/table.go
@@ -47,6 +47,7 @@
 	"time"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsassign"
 	"greengageslip/core/ggspopularity"
 	"greengageslip/core/ggsretry"
 )
@@ -333,3 +334,19 @@
 	}
 	return l
 }
+
+// Runners returns the endpoints of a service that aren't leaving.
+func (t *Table) Runners(s ggscore.Service) []ggsassign.Runner {
+	var rs []ggsassign.Runner
+	for _, e := range t.services[s] {
+		if e.Leaving {
+			continue
+		}
+		r := ggsassign.Runner{ID: e.ID, InFlight: e.own + e.peers, Loadable: e.loadable}
+		for _, m := range e.Models {
+			r.Models = append(r.Models, m.Name)
+		}
+		rs = append(rs, r)
+	}
+	return rs
+}
--- a/fakes/ggsfakesite/endpoint.go
+++ b/fakes/ggsfakesite/endpoint.go
@@ -25,7 +25,7 @@
 type EndpointOptions struct {
 	ID      string
 	Service string
-	// Engine makes the endpoint a runner of DefaultModel.
+	// Engine makes the endpoint a runner, which holds DefaultModel.
 	Engine       bool
 	AdapterSlots int
 	// Slots is the number of requests that run at once.
@@ -134,7 +134,8 @@
 	software string
 	// runSoftware has the version that ran each request, by request ID.
 	runSoftware map[string]string
-	// unloaded is set while the model isn't resident. loadedAt is when a load of it ends.
+	// model is the model that a runner holds or loads. unloaded is set while it isn't resident. loadedAt is when a load of it ends.
+	model    string
 	unloaded bool
 	loadedAt time.Time
 	// crashingPart is the part of a prompt that crashes the endpoint, which is then down for downTime.
@@ -183,7 +184,7 @@
 		o.LoadTime = DefaultLoadTime
 	}
 	return &Endpoint{
-		options: o, resident: map[string]uint64{}, loading: map[string]time.Time{}, versions: map[string]uint64{},
+		options: o, model: DefaultModel, resident: map[string]uint64{}, loading: map[string]time.Time{}, versions: map[string]uint64{},
 		fault: func(Query) Fault { return FaultNone }, scripts: func(Query) *Script { return nil }, runs: map[string]int{}, bodies: map[string]string{}, lineEnd: "\n",
 		software: DefaultSoftware, runSoftware: map[string]string{}, pathCrashes: map[string][]time.Time{}, pathArrivals: map[string][]time.Time{}, crashed: make(chan struct{}, 1), starts: 1,
 	}
--- a/fakes/ggsfakesite/orders.go
+++ b/fakes/ggsfakesite/orders.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// modelVersion is the version of DefaultModel's weights.
+// modelVersion is the version of models' weights.
 const modelVersion = "1"
 
 // An Order is a load or unload order that the endpoint received.
@@ -49,8 +49,10 @@
 	_, loading := e.loading[o.Adapter]
 	wanted := max(o.Version, e.versions[o.Adapter], 1)
 	switch {
-	case o.Operation == "load" && o.Adapter == "" && e.unloaded:
+	case o.Adapter == "" && (e.unloaded || o.Operation == "unload" || o.Model != e.model):
 		e.orderModel(w, o)
+	case o.Model != e.model:
+		w.WriteHeader(http.StatusBadRequest)
 	case loading && o.Operation == "load":
 		w.WriteHeader(http.StatusAccepted)
 	case o.Expected != nil && *o.Expected != e.sequence:
@@ -155,7 +157,7 @@
 	for a, v := range e.resident {
 		l = append(l, fmt.Sprintf("%q", a+"@"+strconv.FormatUint(v, 10)))
 	}
-	return fmt.Sprintf(`[{"name":%q,"version":%s,"adapters":[%s]}]`, DefaultModel, modelVersion, strings.Join(l, ","))
+	return fmt.Sprintf(`[{"name":%q,"version":%s,"adapters":[%s]}]`, e.model, modelVersion, strings.Join(l, ","))
 }
 
 func (e *Endpoint) report(w http.ResponseWriter) {
@@ -169,11 +171,14 @@
 // missing reports whether the request needs an adapter or a version that isn't resident.
 // The lock is held.
 func (e *Endpoint) missing(r *http.Request) bool {
-	_, a, _ := strings.Cut(r.Header.Get("Model"), "/")
+	m, a, _ := strings.Cut(r.Header.Get("Model"), "/")
 	if !e.options.Engine {
 		return false
 	}
 	e.finishLoads()
+	if m != "" && m != e.model {
+		return true
+	}
 	want := r.Header.Get("Expect-Version")
 	if e.unloaded || a == "" {
 		return e.unloaded || want != "" && want != modelVersion
@@ -182,17 +187,44 @@
 	return !ok || want != "" && want != strconv.FormatUint(v, 10)
 }
 
-// orderModel carries out an order to load the model. The lock is held.
+// orderModel carries out an order to load or unload a model. The runner has memory for one. The lock is held.
 func (e *Endpoint) orderModel(w http.ResponseWriter, o Order) {
+	loads := o.Operation == "load"
 	switch {
+	case loads && !e.loadedAt.IsZero() && e.unloaded && o.Model == e.model:
+		w.WriteHeader(http.StatusAccepted)
 	case o.Expected != nil && *o.Expected != e.sequence:
 		w.WriteHeader(http.StatusConflict)
-	case e.loadedAt.IsZero():
+	case !loads && (e.unloaded || o.Model != e.model):
+		w.WriteHeader(http.StatusOK)
+	default:
 		e.sequence++
 		e.orders = append(e.orders, o)
-		e.loadedAt = e.options.Now().Add(modelLoadTime)
-		w.WriteHeader(http.StatusAccepted)
-	default:
+		if loads {
+			e.overfull = e.overfull || !e.unloaded
+			e.model, e.loadedAt = o.Model, e.options.Now().Add(modelLoadTime)
+		} else {
+			e.loadedAt = time.Time{}
+			clear(e.resident)
+		}
+		e.unloaded = true
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
+
+// SetModel sets the model that a runner holds.
+func (e *Endpoint) SetModel(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model = name
+}
+
+// Model returns the model that a runner holds or loads, empty for none.
+func (e *Endpoint) Model() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.unloaded && e.loadedAt.IsZero() {
+		return ""
+	}
+	return e.model
+}
--- a/fakes/ggsfakesite/site.go
+++ b/fakes/ggsfakesite/site.go
@@ -57,11 +57,13 @@
 	addrs   map[string]netip.AddrPort
 	zones   map[string]string
 
-	// mu is a leaf lock and guards draining, down, keys, entriesPausedUntil and entryLinger.
+	// mu is a leaf lock and guards draining, down, lost, keys, entriesPausedUntil and entryLinger.
 	mu       sync.Mutex
 	draining map[string]bool
 	// down are the endpoints whose processes have crashed and aren't back.
 	down map[string]bool
+	// lost are the endpoints whose entries were removed for good.
+	lost map[string]bool
 	// keys are the keys of the entries of the endpoints' processes.
 	keys map[string][]string
 	// entriesPausedUntil is the time until which endpoints don't write their entries.
@@ -74,7 +76,7 @@
 func NewSite(o SiteOptions) *Site {
 	s := &Site{
 		Store: NewStore(), Endpoints: map[string]*Endpoint{}, options: o,
-		addrs: map[string]netip.AddrPort{}, zones: map[string]string{}, draining: map[string]bool{}, down: map[string]bool{}, keys: map[string][]string{},
+		addrs: map[string]netip.AddrPort{}, zones: map[string]string{}, draining: map[string]bool{}, down: map[string]bool{}, lost: map[string]bool{}, keys: map[string][]string{},
 	}
 	port := o.Listen.Port()
 	add := func(id, service, zone string, engine bool) {
@@ -115,6 +117,16 @@
 		version, Host, chat, Models, Host, Ledger, Host, Ledger, Host, Models, Models, DefaultModel, Ledger))
 }
 
+// ConfigOfModels returns the configuration of Config with several models, of which a runner has memory for one.
+func ConfigOfModels(version int, models ...string) []byte {
+	var l []string
+	for _, m := range models {
+		l = append(l, fmt.Sprintf(`{"name":%q,"weightsMb":9,"loadS":1,"adapterMb":0.1}`, m))
+	}
+	one := fmt.Sprintf(`"models":[{"name":%q,"weightsMb":1,"loadS":1,"adapterMb":1}]`, DefaultModel)
+	return []byte(strings.Replace(string(Config(version, "/chat/")), one, `"weightsMb":10,"models":[`+strings.Join(l, ",")+"]", 1))
+}
+
 // LargeConfig returns the configuration of Config with the given number of additional
 // routes.
 func LargeConfig(version int, chat string, routes int) []byte {
@@ -177,6 +189,21 @@
 	s.writeEntry(id)
 }
 
+// Lose removes an endpoint's entry for good.
+func (s *Site) Lose(id string) {
+	s.mu.Lock()
+	s.lost[id] = true
+	s.mu.Unlock()
+	s.Store.Delete(entryPrefix + s.Endpoints[id].ID())
+}
+
+// isLost reports whether an endpoint's entry was removed for good.
+func (s *Site) isLost(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost[id]
+}
+
 // Restore restores the store from a backup. Endpoints don't write their entries for the given
 // time after the restore.
 func (s *Site) Restore(b Backup, pause time.Duration) {
@@ -204,7 +231,7 @@
 func (s *Site) writeEntry(id string) {
 	s.mu.Lock()
 	draining := s.draining[id]
-	paused := s.down[id] || s.options.Now().Before(s.entriesPausedUntil)
+	paused := s.down[id] || s.lost[id] || s.options.Now().Before(s.entriesPausedUntil)
 	s.mu.Unlock()
 	if paused {
 		return
@@ -228,6 +255,9 @@
 		}
 	}
 	s.Store.Put(k, s.Endpoints[id].Entry(addr.String(), s.zones[id], draining))
+	if s.isLost(id) {
+		s.Store.Delete(k)
+	}
 }
 
 // Runs returns the number of runs by request ID, summed over the endpoints.
--- a/io/ggsedge/edge.go
+++ b/io/ggsedge/edge.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	ggscore "greengageslip/core"
+	"greengageslip/core/ggsassign"
 	"greengageslip/core/ggsdefect"
 	"greengageslip/core/ggsfencing"
 	"greengageslip/core/ggsgrace"
@@ -157,16 +158,18 @@
 	// held is the configuration that waits for the record of the last one, nil for none, guarded by configMu.
 	held *heldConfig
 
-	mu        sync.Mutex
-	table     *ggsplace.Table
-	registry  *ggsregistry.Registry
-	ownership *ggsfencing.OwnershipTracker
-	turns     *ggsturn.Table
-	node      *ggsrelay.Node
-	retries   *ggsretry.Policy
-	limits    *ggsthrottle.Table
-	defects   *ggsdefect.Table
-	recency   ggsrecency.Tracker
+	mu    sync.Mutex
+	table *ggsplace.Table
+	// assignments decide which base models runners hold.
+	assignments *ggsassign.Table
+	registry    *ggsregistry.Registry
+	ownership   *ggsfencing.OwnershipTracker
+	turns       *ggsturn.Table
+	node        *ggsrelay.Node
+	retries     *ggsretry.Policy
+	limits      *ggsthrottle.Table
+	defects     *ggsdefect.Table
+	recency     ggsrecency.Tracker
 	// issuer issues the permits of endpoints for which this VM is the issuer. holder has this VM's own
 	// requests, and asks those that wait for a permit.
 	issuer *ggspermit.Issuer
@@ -288,10 +291,11 @@
 	turns := ggsturn.NewTable(ggsturn.Options{VM: o.VM, LastNumber: o.Seed})
 	limits := ggsthrottle.NewTable(o.VM)
 	e := &Edge{
-		options: o,
-		Parts:   p,
-		turns:   turns,
-		node:    ggsrelay.NewNode(ggsrelay.Options{Self: o.relayMember(), Started: p.Monotonic().UnixNano()}),
+		options:     o,
+		Parts:       p,
+		turns:       turns,
+		node:        ggsrelay.NewNode(ggsrelay.Options{Self: o.relayMember(), Started: p.Monotonic().UnixNano()}),
+		assignments: ggsassign.NewTable(),
 		table: ggsplace.NewTable(ggsplace.Options{
 			Domain: o.Domain, Regions: o.Regions, Seed: o.Seed, Turns: turns, Throttle: limits, Policy: o.Policy,
 		}),
--- a/io/ggsedge/errors.go
+++ b/io/ggsedge/errors.go
@@ -92,6 +92,17 @@
 	return fmt.Sprintf("endpoint answered with status %d and more than %d bytes", e.Status, e.Limit)
 }
 
+// A ModelMissingError reports that an endpoint doesn't hold the base model of a request, and isn't to load it.
+type ModelMissingError struct {
+	Endpoint ggscore.EndpointID
+	Model    ggscore.BaseModel
+}
+
+// Error implements error.
+func (e *ModelMissingError) Error() string {
+	return fmt.Sprintf("endpoint %s doesn't hold model %s", e.Endpoint, e.Model)
+}
+
 // A CallerError reports that an answer couldn't be sent to its caller.
 type CallerError struct{ Err error }
 
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -101,6 +101,10 @@
 			e.mu.Unlock()
 			return v, nil
 		}
+		if !w.mayLoad(l.target) {
+			e.mu.Unlock()
+			return 0, &ModelMissingError{Endpoint: l.endpoint, Model: l.target.Model}
+		}
 		if w.ledger.QueueFull(l.target) {
 			e.mu.Unlock()
 			return 0, &LoadQueueFullError{Endpoint: l.endpoint}
--- a/io/ggsedge/worker.go
+++ b/io/ggsedge/worker.go
@@ -46,6 +46,10 @@
 	unreported bool
 	wakeups    chan struct{}
 	cancel     context.CancelFunc
+	// assigned is the base model that the endpoint is to load while it holds none, empty for none yet, and assignedAt is when that was
+	// last decided.
+	assigned   ggscore.BaseModel
+	assignedAt time.Time
 	// usualOrderTime is the moving average of the time that orders take, zero for unknown.
 	usualOrderTime time.Duration
 }
@@ -204,7 +208,7 @@
 		return 0
 	}
 	if authorized && synced {
-		e.wantModels(now, w)
+		e.assignModels(now, w)
 		e.startRecording(ctx, now, w, polls.Go)
 	}
 	s, ok := w.ledger.Next(now)
@@ -212,6 +216,7 @@
 	blocked := w.ledger.Blocked(now)
 	misdirected := w.ledger.RecentlyMisdirected(now)
 	timeout := w.timeout()
+	idle := w.idlePause()
 	e.mu.Unlock()
 	if !authorized {
 		return workerPause
@@ -225,7 +230,7 @@
 	if !ok {
 		switch {
 		case due.IsZero():
-			return time.Hour
+			return idle
 		case blocked:
 			return blockedPause
 		}
@@ -254,20 +259,6 @@
 	return a
 }
 
-// wantModels requests the base model for an endpoint that holds none because the endpoint has
-// just started. Edge.mu is held.
-func (e *Edge) wantModels(now time.Time, w *worker) {
-	g := w.engine
-	for _, m := range g.Models {
-		if w.ledger.Holds(ggscore.ModelAdapter{Model: m.Name}, 0) {
-			return
-		}
-	}
-	if len(g.Models) > 0 {
-		w.ledger.Want(now, ggscore.ModelAdapter{Model: g.Models[0].Name}, 0)
-	}
-}
-
 // sync updates the ledger from the endpoint's status report, and reports success.
 func (e *Edge) sync(ctx context.Context, w *worker, i ggscore.Instance) bool {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
--- a/io/ggslog/events.go
+++ b/io/ggslog/events.go
@@ -39,6 +39,7 @@
 	EventLoadFailed         Event = "loadFailed"
 	EventLogDropped         Event = "logDropped"
 	EventLogSampled         Event = "logSampled"
+	EventModelAssigned      Event = "modelAssigned"
 	EventNewerEntriesRead   Event = "newerEntriesRead"
 	EventOrderGiven         Event = "orderGiven"
 	EventOrdersClaimed      Event = "ordersClaimed"
@@ -92,7 +93,7 @@
 		EventConfigRecorded, EventCrashesRead, EventCrashesUnstored, EventCrashesWithdrawn, EventDependencyLost, EventDependencyRegained, EventEndpointGone, EventEndpointLeaving,
 		EventEndpointLimited, EventEndpointRefused, EventEndpointUnlimited, EventEntryReadable, EventEntryUnreadable,
 		EventHalfOpenTry, EventHeartbeatFailed, EventHeartbeatRefused, EventHeartbeatUnencoded, EventHeartbeatUnsent, EventListening,
-		EventLoadFailed, EventLogDropped, EventLogSampled, EventNewerEntriesRead, EventOrderGiven,
+		EventLoadFailed, EventLogDropped, EventLogSampled, EventModelAssigned, EventNewerEntriesRead, EventOrderGiven,
 		EventOrdersClaimed, EventOrdersReleased, EventOrdersTakenOver, EventOrdersUnrecorded, EventOriginUnasked, EventOriginsRead, EventOriginsUnstored, EventPartFailed, EventPartQuarantined,
 		EventPartReleased, EventPartUnread, EventPathsChanged, EventProcessStarted, EventProcessUnconfirmed, EventReadFailed,
 		EventReadingDropped, EventRegisterFailed, EventRegisterWritten, EventRecordUnencoded, EventRecordUnreadable, EventReleaseUnencoded, EventRequestEnded,
