fix(ggsconn): a reset that a write has met isn't the end of an answer

Cause: the system reports a reset once. A request longer than the connection's buffers is written beside the reading of its answer. When the write meets the reset, the next read returns io.EOF, which is how an answer without a length ends. A peer that forwards an endpoint's bytes says in the same way that the endpoint has ended in order.

Ruled out: lengths and chunks, which show their end themselves.

Change: connections to endpoints and of all HTTP clients record a failed write, and report a *ResetError where a read finds the end after it.

The stand-in took connections that it had served before for others than TCP, so that its resets were orderly ends there; mended with it.

--- a/fakes/ggsfakesite/script.go
+++ b/fakes/ggsfakesite/script.go
@@ -22,9 +22,10 @@
 	// Again is sent after the text, AgainAfter later.
 	Again      string
 	AgainAfter time.Duration
-	// Close ends the connection after the text, and Reset resets it.
-	Close bool
-	Reset bool
+	// Close ends the connection after the text, and Reset resets it. HalfClose ends it in one direction, and reads on.
+	Close     bool
+	Reset     bool
+	HalfClose bool
 }
 
 func (x *Script) notRun() bool { return x != nil && x.NotRun }
@@ -101,16 +102,32 @@
 		pauseFor(x.AgainAfter)
 		_, _ = io.WriteString(c, text.Replace(x.Again))
 	}
-	if t, ok := c.(*net.TCPConn); ok && x.Reset {
+	if t := tcpConn(c); t != nil && x.Reset {
 		_ = t.SetLinger(0)
 	}
-	if x.Close || x.Reset {
+	if t := tcpConn(c); t != nil && x.HalfClose {
+		_ = t.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	}
+	if x.Close || x.Reset || x.HalfClose {
 		_ = c.Close()
 		return nil, nil
 	}
 	return c, rw
 }
 
+// tcpConn returns the TCP connection that c is or wraps, nil for none.
+func tcpConn(c net.Conn) *net.TCPConn {
+	for {
+		b, ok := c.(*bufferedConn)
+		if !ok {
+			t, _ := c.(*net.TCPConn)
+			return t
+		}
+		c = b.Conn
+	}
+}
+
 func pauseFor(d time.Duration) {
 	if d > 0 {
 		t := time.NewTimer(d)
--- a/io/ggsconn/transport.go
+++ b/io/ggsconn/transport.go
@@ -43,7 +43,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c}, nil
+			return &conn{Conn: DetectReset(c)}, nil
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      o.DisableReuse,
--- a/io/ggsexchange/dialer.go
+++ b/io/ggsexchange/dialer.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	ggscore "greengageslip/core"
+	"greengageslip/io/ggsconn"
 )
 
 // DefaultDialTimeout covers two opening packets between regions and a margin. An endpoint that
@@ -62,7 +63,11 @@
 
 // Dial implements ggscore.Dialer.
 func (d *DirectDialer) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	return d.dialer.DialContext(ctx, "tcp", addr.String())
+	c, err := d.dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	return ggsconn.DetectReset(c), nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
--- a/io/ggsexchange/dialer_test.go
+++ b/io/ggsexchange/dialer_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sys/unix"
 
+	"greengageslip/io/ggsconn"
 	"greengageslip/io/ggsexchange"
 )
 
@@ -24,7 +25,7 @@
 	n, err := ggsexchange.NewDirectDialer(0).Dial(context.Background(), netip.MustParseAddrPort(l.Addr().String()))
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = n.Close() }()
-	tcp, ok := n.(*net.TCPConn)
+	tcp, ok := ggsconn.TCPConn(n)
 	c.Assert(ok, qt.IsTrue)
 	r, err := tcp.SyscallConn()
 	c.Assert(err, qt.IsNil)
