fix(ggsexchange): an order that was given up isn't sent again

Cause: an order that gets no answer within 25 to 80 ms is given up, and its connection closed in order. The system goes on sending its bytes for up to 4 s.

Change: connections for orders are reset, also at the end of the process. What hasn't reached the endpoint by then is dropped with the connection, as the platform's page on the network has it.

Waiting for longer than such bytes may be under way before a VM claims again what it has released isn't done.

--- a/cmd/ggsnode/edge.go
+++ b/cmd/ggsnode/edge.go
@@ -201,12 +201,12 @@
 	return uint64(1000 * s.CPUShare * float64(s.Cores) * s.LinkMbps)
 }
 
-// An orderPool has the connections for orders. They don't go through tunnels: an endpoint must get
-// orders from its owner's address.
+// An orderPool has the connections for orders. They don't go through tunnels: an endpoint must get orders from its owner's address.
+// They are reset, because an order that was given up must not reach its endpoint after those of the next owner or process.
 type orderPool struct{ *ggsexchange.Pool }
 
 func newOrderPool(d *ggstunnel.Dialer, t clock) orderPool {
-	return orderPool{ggsexchange.NewPool(ggsexchange.Options{Dialer: d.Direct(), Now: t})}
+	return orderPool{ggsexchange.NewPool(ggsexchange.Options{Dialer: d.Direct(), ResetOnClose: true, Now: t})}
 }
 
 func newEdge(
--- a/io/ggsexchange/pool.go
+++ b/io/ggsexchange/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	ggscore "greengageslip/core"
+	"greengageslip/io/ggsconn"
 )
 
 // Defaults of Options.
@@ -36,6 +37,9 @@
 	Dialer      ggscore.Dialer
 	IdleTimeout time.Duration
 	BufferBytes int
+	// ResetOnClose resets connections instead of closing them in order, also at the end of the process. What was written and hasn't
+	// reached the endpoint is then never sent again.
+	ResetOnClose bool
 	// Now is the clock for the idle timeouts.
 	Now func() time.Time
 }
@@ -151,6 +155,13 @@
 		p.release(addr)
 		return nil, err
 	}
+	if t, ok := ggsconn.TCPConn(nc); ok && p.options.ResetOnClose {
+		if err := t.SetLinger(0); err != nil {
+			_ = nc.Close()
+			p.release(addr)
+			return nil, err
+		}
+	}
 	b := &limitedReader{r: nc}
 	return &conn{Conn: nc, addr: addr, openedAt: p.options.Now(), headLimit: b, r: bufio.NewReaderSize(b, p.options.BufferBytes)}, nil
 }
