--- a/io/ggsexchange/exchange.go
+++ b/io/ggsexchange/exchange.go
@@ -1,7 +1,6 @@
 package ggsexchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -16,7 +15,6 @@
 	"github.com/cockroachdb/errors"
 
 	ggscore "greengageslip/core"
-	"greengageslip/io/ggsconn"
 )
 
 // maxMismatched is the number of answers to read before the exchange fails because all have the
@@ -397,22 +395,3 @@
 	b.Write(r.Body)
 	return b.Bytes()
 }
-
-// readHead reads the head of the final answer. It skips informational answers (1xx).
-func readHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(r, req)
-		if err != nil {
-			return nil, err
-		}
-		if err := ggsconn.CheckHead(resp); err != nil {
-			return nil, err
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, &ggsconn.InvalidHeadError{Proto: resp.Proto, Status: resp.StatusCode}
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-}
