fix(ggstunnel): an endpoint that resets an upload's connection hasn't ended in order

What callers saw, once, in TestAnswersThatAreNoneReachNoCaller ("part, closed with the upload unread, plain", through a peer): a part of an answer as a complete one, although resets that a write meets were no end already.

Cause: an endpoint that closes its side between two writes of the peer, and resets the connection when the next bytes come. The peer forwards an upload in pieces, so that no write is in progress at the end, and reports an orderly end at once.

Change: a peer that has forwarded bytes of a request within the last 20 ms waits 0.2 s for the reset before it reports the end.

TestResetUnderAnUploadIsNoEndOfATunnel: "reset" red without the wait.

--- a/io/ggstunnel/server.go
+++ b/io/ggstunnel/server.go
@@ -258,28 +258,57 @@
 // forward copies bytes in both directions. The end of either connection ends the tunnel: an
 // endpoint must learn at once that its caller has left.
 func (t *tunnel) forward(now func() time.Time) {
-	done := make(chan struct{})
+	u := &upload{done: make(chan struct{})}
 	go func() {
-		defer close(done)
-		_ = copyBytesOf(t.endpoint, t.vm, &t.requestAt, now)
+		defer close(u.done)
+		u.failed.Store(copyBytesOf(t.endpoint, t.vm, &t.requestAt, now) == nil)
 		_ = t.endpoint.Close()
 	}()
-	t.forwardAnswers(now)
+	t.forwardAnswers(now, u)
 	_ = t.vm.Close()
-	<-done
+	<-u.done
 }
 
-func (t *tunnel) forwardAnswers(now func() time.Time) {
+// An upload is the copying of a VM's requests to an endpoint.
+type upload struct {
+	done chan struct{}
+	// failed is set if a write failed.
+	failed atomic.Bool
+}
+
+func (t *tunnel) forwardAnswers(now func() time.Time, u *upload) {
 	if t.frames == nil {
 		_ = copyBytesOf(t.vm, t.endpoint, &t.answerAt, now)
 		return
 	}
-	if err := copyBytesOf(t.frames, t.endpoint, &t.answerAt, now); errors.Is(err, io.EOF) {
+	err := copyBytesOf(t.frames, t.endpoint, &t.answerAt, now)
+	if errors.Is(err, io.EOF) && !t.resetUnder(now, u) {
 		// Without this frame, which is lost if the VM has left, the answer counts as truncated.
 		_ = t.frames.end()
 	}
 }
 
+const (
+	// uploadGap is the age of a request's last bytes up to which more of them may follow.
+	uploadGap = 20 * time.Millisecond
+	// resetDelay is the time in which the reset arrives that answers bytes for a closed connection.
+	resetDelay = 200 * time.Millisecond
+)
+
+// resetUnder reports whether the endpoint, which has closed its side, resets the connection while a request is being copied.
+func (t *tunnel) resetUnder(now func() time.Time, u *upload) bool {
+	if now().Sub(time.Unix(0, t.requestAt.Load())) > uploadGap {
+		return u.failed.Load()
+	}
+	w := time.NewTimer(resetDelay)
+	defer w.Stop()
+	select {
+	case <-u.done:
+	case <-w.C:
+	}
+	return u.failed.Load()
+}
+
 // copyBytesOf copies until one of the connections ends, and records the time of the last bytes. It
 // returns the error of the read, or nil if a write failed.
 func copyBytesOf(to io.Writer, from io.Reader, at *atomic.Int64, now func() time.Time) error {
