fix(ggsresident): a model is loaded beside another only where the memory is known

A service whose runners' memory isn't in the configuration had a model loaded beside another one without a bound: took an unknown memory for enough. It is taken for that of one model now; another model takes the runner over instead. A wait for an adapter at a runner whose state isn't known yet goes on, where refused it for services with several models.

TestModelFitsBesideOthers, "where the memory isn't known", asks for the stricter answer now.

--- a/core/serving.go
+++ b/core/serving.go
@@ -121,13 +121,13 @@
 }
 
 // Fits reports whether a runner has memory for a model beside the models and the number of adapters that it holds. A runner
-// that holds nothing has memory for each of its service's models.
+// that holds no model has memory for each of its service's. If the memory isn't known, it is taken for that of one model.
 func (e *EngineSpec) Fits(m BaseModel, held []BaseModel, adapters int) bool {
-	if e.Bytes == 0 || len(held) == 0 {
+	if len(held) == 0 {
 		return true
 	}
 	free, adapter := e.free(append(slices.Clone(held), m))
-	return free >= int64(adapters)*adapter
+	return e.Bytes > 0 && free >= int64(adapters)*adapter
 }
 
 // free returns the memory that models leave for adapters, and the size of the largest of their adapters.
--- a/core/serving_test.go
+++ b/core/serving_test.go
@@ -64,7 +64,7 @@
 		"beside as many adapters as fit":  {spec: mixedAdapters(), model: "b", held: []ggscore.BaseModel{"a"}, adapters: 4, want: true},
 		"beside more adapters":            {spec: mixedAdapters(), model: "b", held: []ggscore.BaseModel{"a"}, adapters: 5},
 		"beside one of unknown size":      {spec: twoModels(), model: "small", held: []ggscore.BaseModel{"unlisted"}},
-		"where the memory isn't known":    {spec: ggscore.EngineSpec{}, model: "b", held: []ggscore.BaseModel{"a"}, want: true},
+		"where the memory isn't known":    {spec: ggscore.EngineSpec{}, model: "b", held: []ggscore.BaseModel{"a"}},
 		"larger than the runner's memory": {spec: ggscore.EngineSpec{Bytes: 1, Models: []ggscore.ModelSpec{{Name: "m", Bytes: 2}}}, model: "m", want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/ggsedge/assign.go
+++ b/io/ggsedge/assign.go
@@ -31,10 +31,13 @@
 	return assignInterval
 }
 
-// mayLoad reports whether the endpoint holds the adapter's base model, or is to load it.
-func (w *worker) mayLoad(t ggscore.ModelAdapter) bool {
+// mayLoad reports whether the endpoint holds the adapter's base model, or is to load it, as far as that is known.
+func (w *worker) mayLoad(now time.Time, t ggscore.ModelAdapter) bool {
+	if !w.ledger.Synced(now) || w.assigned == t.Model {
+		return true
+	}
 	held := w.ledger.Holds(ggscore.ModelAdapter{Model: t.Model}, 0)
-	return held || w.assigned == t.Model || len(w.engine.Models) <= 1 && w.ledger.CanHold(t)
+	return held || len(w.engine.Models) <= 1 && w.ledger.CanHold(t)
 }
 
 // assignModels decides which base models an endpoint loads and gives up. Edge.mu is held.
--- a/io/ggsedge/placement.go
+++ b/io/ggsedge/placement.go
@@ -101,7 +101,7 @@
 			e.mu.Unlock()
 			return v, nil
 		}
-		if !w.mayLoad(l.target) {
+		if !w.mayLoad(e.Now(), l.target) {
 			e.mu.Unlock()
 			return 0, &ModelMissingError{Endpoint: l.endpoint, Model: l.target.Model}
 		}
