--- a/core/ggsanswer/judge.go
+++ b/core/ggsanswer/judge.go
@@ -26,8 +26,8 @@
 	NotRun
 )
 
-// lastStatus is the last status that HTTP defines a class for.
-const lastStatus = 599
+// LastStatus is the last status that HTTP defines a class for.
+const LastStatus = 599
 
 // Judge returns what may be made of an answer, or an *InvalidError.
 func Judge(a Answer) (Verdict, error) {
@@ -43,7 +43,7 @@
 // invalid returns why an answer that is no refusal can't be forwarded, empty if it can.
 func (a *Answer) invalid() Reason {
 	switch {
-	case a.Status < http.StatusOK || a.Status > lastStatus:
+	case a.Status < http.StatusOK || a.Status > LastStatus:
 		return ReasonStatus
 	case a.StatedNotRun:
 		return ReasonContradictory
--- a/io/ggsconn/doc.go
+++ b/io/ggsconn/doc.go
@@ -1,6 +1,7 @@
 // Package ggsconn provides HTTP transports that can prove that a failed request wrote nothing,
-// watchdogs that cancel calls whose peers send no bytes for too long, and a handler whose aborted
-// answers are incomplete for all callers.
+// watchdogs that cancel calls whose peers send no bytes for too long, connections that tell a reset
+// from an end, a check of answers' heads, and a handler whose aborted answers are incomplete for all
+// callers.
 //
 // # Usage
 //
@@ -16,6 +17,9 @@
 //	resp, err := client.Do(req.WithContext(ctx))
 //	b, err := io.ReadAll(w.Reader(resp.Body)) // as long as bytes arrive
 //
+//	c = ggsconn.DetectReset(c) // reads fail with a *ResetError after a reset that a write has met
+//	err = ggsconn.CheckHead(resp) // *InvalidHeadError: net/http accepts more than HTTP/1 allows
+//
 //	server := &http.Server{Handler: ggsconn.ResetOnAbort(handler)}
 //
 // net/http doesn't report whether a failed request reached its connection: a trace reports when a
--- a/io/ggsconn/head.go
+++ b/io/ggsconn/head.go
@@ -3,15 +3,14 @@
 import (
 	"net/http"
 	"strings"
-)
 
-// lastStatus is the last status that HTTP defines a class for.
-const lastStatus = 599
+	"greengageslip/core/ggsanswer"
+)
 
 // CheckHead returns an *InvalidHeadError if the head of an answer can't be one of HTTP/1, although net/http accepts it. net/http
 // ignores what a field means whose name holds a blank, so that the end of the body may be found in the wrong place.
 func CheckHead(r *http.Response) error {
-	if r.ProtoMajor != 1 || r.StatusCode < http.StatusContinue || r.StatusCode > lastStatus {
+	if r.ProtoMajor != 1 || r.StatusCode < http.StatusContinue || r.StatusCode > ggsanswer.LastStatus {
 		return &InvalidHeadError{Proto: r.Proto, Status: r.StatusCode}
 	}
 	for name := range r.Header {
--- a/io/ggsgateway/answer.go
+++ b/io/ggsgateway/answer.go
@@ -50,7 +50,7 @@
 		return &ChunkOrderError{Want: a.next, Have: k.Seq}
 	}
 	if a.next == 0 {
-		if k.Status < http.StatusOK || k.Status > lastStatus {
+		if k.Status < http.StatusOK || k.Status > ggsanswer.LastStatus {
 			return &ChunkStatusError{Status: k.Status}
 		}
 		a.first, a.stall = k, stall
@@ -69,9 +69,6 @@
 	return nil
 }
 
-// lastStatus is the last status that HTTP defines a class for.
-const lastStatus = 599
-
 // fail ends the answer with a failure. It panics with http.ErrAbortHandler if the
 // failure can't be sent to the caller.
 func (a *answer) fail(f *ggscore.Failure) {
--- a/io/ggsstop/stop.go
+++ b/io/ggsstop/stop.go
@@ -4,18 +4,18 @@
 // # Usage
 //
 //	s := ggsstop.New(now)
-//	ctx, r := s.Begin(ctx, ggsstop.Work{Class: class, Deadline: deadline}) // an admitted request
+//	ctx, r := s.Begin(ctx, work)        // an admitted request
 //	defer r.End()
-//	if r.Late() { refuse() }                // before the request waits
-//	if err := r.Send(ctx); err != nil {     // right before it is sent
+//	if r.Late() { refuse() }            // before the request waits
+//	if err := r.Send(ctx); err != nil { // right before it is sent
 //		refuse()
 //	}
-//	r.Waits()                               // it is to be sent again
-//	r.Whole()                               // its whole answer has arrived
+//	r.Waits()                           // it is to be sent again
+//	r.Whole()                           // its whole answer has arrived
 //
-//	s.Drain(ggsgrace.Schedule{Strict: strict, End: end}) // the stop begins
-//	s.Run(ctx)                              // ends requests until the context ends
-//	n := s.Cut()                            // the requests that were ended after they had been sent
+//	s.Drain(schedule)                   // the stop begins
+//	s.Run(ctx)                          // ends requests until the context ends
+//	n := s.Cut()                        // the requests that were ended after they had been sent
 //
 // During a stop the context of a request ends with a *StopError as its cause: that of a request that waits as soon as it can't be
 // sent any more so that it ends before the end of the stop, and that of one that was sent at the end of the stop.
